--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# One command sets up and runs the demo, one sets up and runs the tests.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+
+.PHONY: demo test lint format binary
+
+demo: $(VENV)/.installed
+	$(PYTHON) -m fuchsiacroft demo
+
+test: $(VENV)/.installed lint
+	$(PYTHON) tools/run_tests.py
+
+lint: $(VENV)/.installed
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: $(VENV)/.installed
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+$(VENV)/.installed: requirements-dev.txt
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --require-hashes -r requirements-dev.txt
+	touch $@
--- /dev/null
+++ b/fuchsiacroft/__init__.py
@@ -0,0 +1,1 @@
+"""A request scheduler for unlike engines."""
--- /dev/null
+++ b/fuchsiacroft/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module for each."""
--- /dev/null
+++ b/fuchsiacroft/config/__init__.py
@@ -0,0 +1,1 @@
+"""The settings of a process and the operators' document."""
--- /dev/null
+++ b/fuchsiacroft/config/defaults.py
@@ -0,0 +1,13 @@
+"""Default values of the settings and of the document, with their units."""
+
+from typing import Final
+
+MAX_BODY_BYTES: Final = 8 * 1024 * 1024
+DRAIN_TIMEOUT_S: Final = 120.0
+SERVICE_TIMEOUT_S: Final = 60.0
+FIRST_TOKEN_TARGET_S: Final = 1.3
+TOKEN_GAP_TARGET_S: Final = 0.044
+QUEUE_LIMIT_REQUESTS: Final = 2_000
+RETENTION_S: Final = 86_400.0
+RETRY_BUDGET_PER_S: Final = 10.0
+LOG_LEVEL: Final = "INFO"
--- /dev/null
+++ b/fuchsiacroft/config/document.py
@@ -0,0 +1,140 @@
+"""The operators' document: tiers, services, workspaces and rules.
+
+One document is in force at a time. It is checked as a whole.
+"""
+
+import hashlib
+from typing import Annotated, Literal
+
+import msgspec
+from expression import Error, Ok, Result
+
+from fuchsiacroft.config import defaults
+from fuchsiacroft.config.faults import Fault, check_value, nearest
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,100}$")]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Rank = Annotated[int, msgspec.Meta(ge=0, le=99)]
+
+
+class Tier(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A level of urgency; rank 0 is the most urgent."""
+
+    name: Name
+    rank: Rank
+    timeout_s: Positive = defaults.SERVICE_TIMEOUT_S
+
+
+class ServiceSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A model or plain service that backend servers offer by name."""
+
+    name: Name
+    kind: Literal["model", "plain"]
+    tiers: list[Name] = []
+    first_token_target_s: Positive = defaults.FIRST_TOKEN_TARGET_S
+    token_gap_target_s: Positive = defaults.TOKEN_GAP_TARGET_S
+    max_body_bytes: Annotated[int, msgspec.Meta(gt=0)] = defaults.MAX_BODY_BYTES
+    replicas: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
+class Workspace(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A customer's space: its keys (SHA-256, hex), share and default tier."""
+
+    name: Name
+    key_hashes: list[str]
+    tier: Name
+    highest_tier: Name | None = None
+    share: Positive = 1.0
+    retries_per_s: Positive = defaults.RETRY_BUDGET_PER_S
+
+
+class Rule(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Says which requests of a service are non-idempotent.
+
+    A rule matches by method (empty: any) and by path prefix. The first match
+    decides.
+    """
+
+    service: Name
+    idempotent: bool
+    methods: list[str] = []
+    path_prefix: str = "/"
+    key_required: bool = True
+
+
+class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Everything that operators enter."""
+
+    tiers: list[Tier]
+    services: list[ServiceSpec]
+    workspaces: list[Workspace]
+    rules: list[Rule] = []
+
+    def tier(self, name: str) -> Tier | None:
+        """Return the tier of that name."""
+        return next((tier for tier in self.tiers if tier.name == name), None)
+
+    def service(self, name: str) -> ServiceSpec | None:
+        """Return the service of that name."""
+        return next((spec for spec in self.services if spec.name == name), None)
+
+
+def hash_key(key: str) -> str:
+    """Return the form in which a workspace key or token is stored."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def parse(value: object) -> Result[Document, list[Fault]]:
+    """Return the document, or every fault in it with its JSON path."""
+    match check_value(value, Document):
+        case Result(tag="ok", ok=document):
+            faults = _cross_check(document)
+            return Error(faults) if faults else Ok(document)
+        case Result(error=faults):
+            return Error(faults)
+
+
+def _cross_check(document: Document) -> list[Fault]:
+    faults = []
+    for part in ("tiers", "services", "workspaces"):
+        faults += _doubled_names(part, [item.name for item in getattr(document, part)])
+    tiers = [tier.name for tier in document.tiers]
+    services = [spec.name for spec in document.services]
+    for i, spec in enumerate(document.services):
+        for j, name in enumerate(spec.tiers):
+            faults += _known(f"$.services[{i}].tiers[{j}]", name, tiers)
+    for i, workspace in enumerate(document.workspaces):
+        faults += _known(f"$.workspaces[{i}].tier", workspace.tier, tiers)
+        if workspace.highest_tier is not None:
+            path = f"$.workspaces[{i}].highest_tier"
+            faults += _known(path, workspace.highest_tier, tiers)
+    for i, rule in enumerate(document.rules):
+        faults += _known(f"$.rules[{i}].service", rule.service, services)
+    return faults + _shared_keys(document)
+
+
+def _doubled_names(part: str, names: list[str]) -> list[Fault]:
+    return [
+        Fault(f"$.{part}[{i}].name", f'"{name}" stands twice')
+        for i, name in enumerate(names)
+        if name in names[:i]
+    ]
+
+
+def _known(path: str, name: str, known: list[str]) -> list[Fault]:
+    if name in known:
+        return []
+    text = f'"{name}" is not known; known are {", ".join(known) or "none"}'
+    return [Fault(path, text + nearest(name, known))]
+
+
+def _shared_keys(document: Document) -> list[Fault]:
+    owners: dict[str, str] = {}
+    faults = []
+    for i, workspace in enumerate(document.workspaces):
+        for j, key_hash in enumerate(workspace.key_hashes):
+            owner = owners.setdefault(key_hash, workspace.name)
+            if owner != workspace.name:
+                path = f"$.workspaces[{i}].key_hashes[{j}]"
+                faults.append(Fault(path, f'is a key of workspace "{owner}" too'))
+    return faults
--- /dev/null
+++ b/fuchsiacroft/config/faults.py
@@ -0,0 +1,74 @@
+"""Checks JSON against a schema and names every fault with its path."""
+
+import difflib
+from dataclasses import dataclass
+
+import msgspec
+from expression import Error, Ok, Result
+from jsonschema import Draft202012Validator
+from jsonschema.exceptions import ValidationError
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing wrong: the JSON path, and a sentence that says what to do."""
+
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.message}"
+
+
+def check(data: bytes | str, cls: type) -> Result[object, list[Fault]]:
+    """Return the decoded value of type `cls`, or every fault found in it."""
+    try:
+        value = msgspec.json.decode(data)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        return Error([Fault("$", f"is not JSON: {exc}")])
+    return check_value(value, cls)
+
+
+def check_value(value: object, cls: type) -> Result[object, list[Fault]]:
+    """Return a JSON value converted to `cls`, or every fault found in it."""
+    validator = Draft202012Validator(msgspec.json.schema(cls))
+    faults = []
+    for error in validator.iter_errors(value):
+        faults.extend(_explain(error))
+    if faults:
+        return Error(sorted(faults, key=lambda fault: fault.path))
+    try:
+        return Ok(msgspec.convert(value, cls))
+    except msgspec.ValidationError as exc:
+        return Error([Fault("$", str(exc))])
+
+
+def nearest(name: str, known: list[str]) -> str:
+    """Return a hint that names the nearest known name, or an empty string."""
+    close = difflib.get_close_matches(name, known, n=1, cutoff=0.6)
+    return f'; did you mean "{close[0]}"?' if close else ""
+
+
+def _explain(error: ValidationError) -> list[Fault]:
+    path = error.json_path
+    if error.validator == "additionalProperties":
+        return _unknown_keys(error, path)
+    if error.validator == "enum":
+        allowed = ", ".join(str(name) for name in error.validator_value)
+        hint = nearest(str(error.instance), [str(v) for v in error.validator_value])
+        return [Fault(path, f"{error.instance!r} is not one of {allowed}{hint}")]
+    if error.validator == "anyOf" and error.context:
+        inner = max(error.context, key=lambda err: len(err.absolute_path))
+        if inner.json_path != path:
+            return _explain(inner)
+    return [Fault(path, error.message)]
+
+
+def _unknown_keys(error: ValidationError, path: str) -> list[Fault]:
+    known = list(error.schema.get("properties", {}))
+    faults = []
+    for key in error.instance:
+        if key not in known:
+            text = f"unknown key; known are {', '.join(known)}"
+            faults.append(Fault(f"{path}.{key}", text + nearest(key, known)))
+    return faults
--- /dev/null
+++ b/fuchsiacroft/console/__init__.py
@@ -0,0 +1,1 @@
+"""Forms for operators."""
--- /dev/null
+++ b/fuchsiacroft/control/__init__.py
@@ -0,0 +1,1 @@
+"""State that must survive: consensus, configuration, ledger, orders."""
--- /dev/null
+++ b/fuchsiacroft/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request: admission, dispatch, streams."""
--- /dev/null
+++ b/fuchsiacroft/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: entries and backend servers."""
--- /dev/null
+++ b/fuchsiacroft/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions: order, limits, placement of requests."""
--- /dev/null
+++ b/fuchsiacroft/tests/__init__.py
@@ -0,0 +1,1 @@
+"""The tests, in folders that mirror the package."""
--- /dev/null
+++ b/fuchsiacroft/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins at the interfaces, for tests and trials."""
--- /dev/null
+++ b/fuchsiacroft/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's own processes."""
--- /dev/null
+++ b/fuchsiacroft/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a home of their own."""
--- /dev/null
+++ b/fuchsiacroft/utils/clock.py
@@ -0,0 +1,18 @@
+"""The clock of the event loop, in seconds.
+
+Every deadline and lease reads the running loop's monotonic clock. Tests pause
+it with `fuchsiacroft.tests.fakes.loop.PausedLoop`.
+"""
+
+import asyncio
+import time
+
+
+def now() -> float:
+    """Return the running event loop's monotonic time in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+def wall() -> float:
+    """Return the time of day in seconds since the epoch, for logs only."""
+    return time.time()
--- /dev/null
+++ b/fuchsiacroft/utils/logs.py
@@ -0,0 +1,35 @@
+"""Logs: one line of key=value pairs for each event, written by loguru."""
+
+import sys
+
+from loguru import logger
+
+LINE_FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
+
+
+def configure(level: str = "INFO") -> None:
+    """Send events of the given level and above to standard error."""
+    logger.remove()
+    logger.add(
+        sys.stderr,
+        level=level.upper(),
+        format=LINE_FORMAT,
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+def event(level: str, name: str, **fields: object) -> None:
+    """Write one line: the event's name, then each field as key=value."""
+    pairs = [f"event={name}"]
+    pairs.extend(f"{key}={quote(value)}" for key, value in fields.items())
+    logger.opt(depth=1).log(level.upper(), "{}", " ".join(pairs))
+
+
+def quote(value: object) -> str:
+    """Return a value as it stands in a line, quoted if it holds spaces."""
+    text = str(value).replace("\n", "\\n").replace("\r", "\\r")
+    if text and not any(char in text for char in ' "='):
+        return text
+    escaped = text.replace('"', '\\"')
+    return f'"{escaped}"'
--- /dev/null
+++ b/fuchsiacroft/utils/tasks.py
@@ -0,0 +1,40 @@
+"""Background tasks that cannot fail unseen."""
+
+import asyncio
+from collections.abc import Coroutine
+
+from fuchsiacroft.utils.logs import event
+
+
+class TaskGroup:
+    """The background tasks of one service, cancelled together."""
+
+    def __init__(self, owner: str) -> None:
+        self._owner = owner
+        self._tasks: set[asyncio.Task] = set()
+
+    def spawn(self, coro: Coroutine, name: str = "") -> asyncio.Task:
+        """Start a task that is kept until it ends and whose failure is logged."""
+        task = asyncio.get_running_loop().create_task(coro, name=name or None)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def __len__(self) -> int:
+        """Return how many tasks have not ended."""
+        return len(self._tasks)
+
+    async def cancel(self) -> None:
+        """Cancel every task and wait until each has ended."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        exc = task.exception()
+        if exc is not None:
+            event("error", "task_failed", owner=self._owner, error=repr(exc))
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,85 @@
+"""Run every test, pass over the entries of KNOWN-RED.txt, and print a verdict.
+
+Exits 0 when each test passed or is listed in KNOWN-RED.txt, 1 when a test
+failed that is not listed, or a listed test passed or does not exist.
+"""
+
+import sys
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+TESTS = ROOT / "fuchsiacroft" / "tests"
+
+
+def read_known_red(path: Path) -> dict[str, str]:
+    """Return the listed test ids, each with its whole line."""
+    entries = {}
+    for line in path.read_text(encoding="utf-8").splitlines():
+        if line.strip() and not line.startswith("#"):
+            entries[line.split("|")[0].strip()] = line
+    return entries
+
+
+class Recorder(unittest.TextTestResult):
+    """Remember which tests ran and which of them failed."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.ran: set[str] = set()
+        self.failed: set[str] = set()
+
+    def startTest(self, test):  # noqa: N802
+        """Note that a test started."""
+        self.ran.add(test.id())
+        super().startTest(test)
+
+    def addFailure(self, test, err):  # noqa: N802
+        """Note a failed assertion."""
+        self.failed.add(test.id())
+        super().addFailure(test, err)
+
+    def addError(self, test, err):  # noqa: N802
+        """Note an unexpected exception."""
+        self.failed.add(test.id())
+        super().addError(test, err)
+
+    def addSubTest(self, test, subtest, err):  # noqa: N802
+        """Note a failed subtest under the name of its test."""
+        if err is not None:
+            self.failed.add(test.id())
+        super().addSubTest(test, subtest, err)
+
+
+def main() -> int:
+    """Run the tests named on the command line, or all of them."""
+    sys.path.insert(0, str(ROOT))
+    loader = unittest.TestLoader()
+    names = sys.argv[1:]
+    if names:
+        suite = loader.loadTestsFromNames(names)
+    else:
+        suite = loader.discover(str(TESTS), "*_tests.py", str(ROOT))
+    runner = unittest.TextTestRunner(resultclass=Recorder, verbosity=1, buffer=True)
+    result = runner.run(suite)
+    known = read_known_red(KNOWN_RED)
+    checked = {test: line for test, line in known.items() if test in result.ran}
+    unlisted = result.failed - known.keys()
+    mended = checked.keys() - result.failed
+    missing = set() if names else known.keys() - result.ran
+    for line in checked.values():
+        print(f"known red: {line}")
+    for test in sorted(unlisted):
+        print(f"failed: {test}")
+    for test in sorted(mended):
+        print(f"listed in KNOWN-RED.txt but passes: {test}")
+    for test in sorted(missing):
+        print(f"listed in KNOWN-RED.txt but does not exist: {test}")
+    failed = len(unlisted) + len(mended) + len(missing)
+    print(f"{len(result.ran) - len(result.failed)} passed, {failed} failed")
+    return 1 if failed or not result.ran else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
