--- /dev/null
+++ b/fuchsiacroft/commands/inspect.py
@@ -0,0 +1,69 @@
+"""Offline inspection of a control member's data folder."""
+
+import sys
+from pathlib import Path
+
+from fuchsiacroft.control import recovery
+from fuchsiacroft.control.folder import DiskFolder
+from fuchsiacroft.control.records import Fault
+from fuchsiacroft.control.recovery import Recovered
+
+LAST_ENTRIES = 5
+
+
+def run(data_folder: str) -> int:
+    """Print what a stopped member's folder holds, changing nothing.
+
+    Return 0 for an intact folder, 1 for a damaged one, 2 for no folder.
+    """
+    path = Path(data_folder)
+    if not path.is_dir():
+        print(f"no folder {path}", file=sys.stderr)
+        return 2
+    folder = DiskFolder(path, lock=False)
+    try:
+        result = recovery.recover(folder)
+    finally:
+        folder.close()
+    if result.is_error():
+        _print_fault(result.error)
+        return 1
+    for line in _lines(result.ok):
+        print(line)
+    return 0
+
+
+def _print_fault(fault: Fault) -> None:
+    print(f"damaged: {fault.file} at byte {fault.offset}: {fault.reason}")
+    print(f"to go on: {recovery.REJOIN_ADVICE}")
+
+
+def _lines(state: Recovered) -> list[str]:
+    identity = state.identity
+    lines = [f"identity={identity.identity} node={identity.node}" if identity else ""]
+    lines.append(f"term={state.term} vote={state.vote or '-'}")
+    lines.extend(_snapshot_lines(state))
+    for segment in state.segments:
+        torn = " torn_tail=yes" if segment.torn else ""
+        lines.append(f"file={segment.name} bytes={segment.size}{torn}")
+    last = state.entries[-1].index if state.entries else state.base.index
+    lines.append(f"entries={len(state.entries)} last={last}")
+    for entry in state.entries[-LAST_ENTRIES:]:
+        kind = entry.kind or "no-op"
+        lines.append(f"entry={entry.index} term={entry.term} kind={kind}")
+    for mark in state.marks:
+        lines.append(f"heard={mark.identity} term={mark.term} index={mark.index}")
+    return [line for line in lines if line]
+
+
+def _snapshot_lines(state: Recovered) -> list[str]:
+    snapshot = state.snapshot
+    if snapshot is None:
+        return ["snapshot=none"]
+    lines = [f"snapshot={snapshot.index} term={snapshot.term}"]
+    for name, data in snapshot.machines.items():
+        lines.append(f"state={name} bytes={len(data)}")
+    for member in snapshot.configuration.members:
+        role = "voter" if member.voter else "learner"
+        lines.append(f"{role}={member.node} {member.address} {member.identity}")
+    return lines
--- /dev/null
+++ b/fuchsiacroft/control/recovery.py
@@ -0,0 +1,179 @@
+"""Reading a member's files back after a stop or a crash."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+from expression import Error, Ok, Result
+
+from fuchsiacroft.control import records
+from fuchsiacroft.control.folder import Folder
+from fuchsiacroft.control.records import (
+    Batch,
+    Entry,
+    Fault,
+    Identity,
+    Mark,
+    Position,
+    Snapshot,
+)
+
+IDENTITY_FILE = "identity.json"
+SEGMENT_PREFIX = "log-"
+SNAPSHOT_PREFIX = "snapshot-"
+ASIDE_SUFFIX = ".aside"
+REJOIN_ADVICE = (
+    "keep a copy of the data folder, empty it and start this member again: "
+    "it rejoins the group as a learner under a new identity"
+)
+
+
+@dataclass(slots=True)
+class Segment:
+    """A log segment: its name, checked size and last entry index."""
+
+    name: str
+    size: int
+    last_index: int = 0
+    torn: bool = False
+
+
+@dataclass(slots=True)
+class Recovered:
+    """Everything durable in a folder."""
+
+    identity: Identity | None = None
+    snapshot: Snapshot | None = None
+    term: int = 0
+    vote: str = ""
+    entries: list[Entry] = field(default_factory=list)
+    base: Position | None = None
+    marks: list[Mark] = field(default_factory=list)
+    segments: list[Segment] = field(default_factory=list)
+    sequence: int = 0
+
+
+def recover(folder: Folder) -> Result[Recovered, Fault]:
+    """Read and check every file of a folder, changing nothing."""
+    state = Recovered()
+    names = folder.names()
+    fault = _read_identity(folder, names, state) or _read_snapshot(folder, names, state)
+    if fault is not None:
+        return Error(fault)
+    segments = [name for name in names if name.startswith(SEGMENT_PREFIX)]
+    for name in segments:
+        fault = _read_segment(folder, name, name == segments[-1], state)
+        if fault is not None:
+            return Error(fault)
+    fault = _join_snapshot(state)
+    if fault is None and state.identity is None and (state.segments or state.snapshot):
+        fault = Fault(IDENTITY_FILE, 0, "missing beside a log")
+    return Ok(state) if fault is None else Error(fault)
+
+
+def _read_identity(folder: Folder, names: list[str], state: Recovered) -> Fault | None:
+    if IDENTITY_FILE not in names:
+        return None
+    try:
+        identity = msgspec.json.decode(folder.read(IDENTITY_FILE), type=Identity)
+    except msgspec.MsgspecError as exc:
+        return Fault(IDENTITY_FILE, 0, f"damaged: {exc}")
+    if identity.format != records.FORMAT_VERSION:
+        return Fault(IDENTITY_FILE, 0, f"format version {identity.format}")
+    state.identity = identity
+    return None
+
+
+def _read_snapshot(folder: Folder, names: list[str], state: Recovered) -> Fault | None:
+    found = [
+        name
+        for name in names
+        if name.startswith(SNAPSHOT_PREFIX) and not name.endswith(ASIDE_SUFFIX)
+    ]
+    if not found:
+        return None
+    name = found[-1]
+    data = folder.read(name)
+    if len(data) < records.HEADER_BYTES:
+        return Fault(name, 0, "damaged: no header")
+    fault = records.header_fault(data, records.SNAPSHOT_MAGIC)
+    if fault is not None:
+        return Fault(name, 0, fault)
+    frame = records.read_frame(data, records.HEADER_BYTES)
+    if frame is None:
+        return Fault(name, records.HEADER_BYTES, "damaged: checksum does not match")
+    state.snapshot = records.decode_snapshot(frame.payload)
+    return None
+
+
+def _read_segment(
+    folder: Folder, name: str, is_last: bool, state: Recovered
+) -> Fault | None:
+    data = folder.read(name)
+    segment = Segment(name, 0)
+    state.segments.append(segment)
+    if len(data) < records.HEADER_BYTES:
+        segment.torn = True
+        return None if is_last else Fault(name, 0, "damaged: no header")
+    fault = records.header_fault(data, records.SEGMENT_MAGIC)
+    if fault is not None:
+        return Fault(name, 0, fault)
+    segment.size = records.HEADER_BYTES
+    while segment.size < len(data):
+        frame = records.read_frame(data, segment.size)
+        if frame is None:
+            if is_last and not records.has_frame_after(data, segment.size):
+                segment.torn = True
+                return None
+            return Fault(name, segment.size, "damaged: a frame before others is bad")
+        if state.sequence and frame.sequence != state.sequence + 1:
+            reason = f"damaged: frame {frame.sequence} follows {state.sequence}"
+            return Fault(name, segment.size, reason)
+        state.sequence = frame.sequence
+        replay(records.decode_batch(frame.payload), segment, state)
+        segment.size = frame.end
+    return None
+
+
+def replay(batch: Batch, segment: Segment, state: Recovered) -> None:
+    """Apply one durable batch to the recovered state."""
+    state.term = batch.term
+    state.vote = batch.vote
+    if batch.marks:
+        state.marks = batch.marks
+    if batch.reset is not None:
+        state.entries = []
+        state.base = batch.reset
+    for entry in batch.entries:
+        _replay_entry(entry, state)
+        segment.last_index = max(segment.last_index, entry.index)
+
+
+def _replay_entry(entry: Entry, state: Recovered) -> None:
+    if state.base is None:
+        state.base = Position(entry.index - 1, 0)
+    offset = entry.index - state.base.index - 1
+    if offset < 0 or offset > len(state.entries):
+        state.base = Position(entry.index - 1, 0)
+        state.entries = [entry]
+        return
+    del state.entries[offset:]
+    state.entries.append(entry)
+
+
+def _join_snapshot(state: Recovered) -> Fault | None:
+    """Keep the entries that follow the snapshot."""
+    snapshot = state.snapshot
+    start = Position(0, 0)
+    if snapshot is not None:
+        start = Position(snapshot.index, snapshot.term)
+    base = state.base or start
+    if base.index > start.index:
+        reason = f"missing: entries {start.index + 1} to {base.index}"
+        return Fault(state.segments[0].name, 0, reason)
+    offset = start.index - base.index
+    held = offset <= len(state.entries)
+    if held and offset > 0:
+        held = state.entries[offset - 1].term == start.term
+    state.entries = state.entries[offset:] if held else []
+    state.base = start
+    return None
--- /dev/null
+++ b/fuchsiacroft/tests/control/storage_tests.py
@@ -0,0 +1,314 @@
+"""Tests of durable storage."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from fuchsiacroft.control import storage as storage_module
+from fuchsiacroft.control.records import (
+    Configuration,
+    Entry,
+    GroupMember,
+    Position,
+    Snapshot,
+)
+from fuchsiacroft.control.storage import Storage, create
+from fuchsiacroft.exceptions import InvariantError
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.folder import MemoryDisk, MemoryFolder
+
+CONFIGURATION = Configuration("g", (GroupMember("id", "node", "1.1.1.1:1", True),))
+
+
+def entries(first: int, last: int, term: int = 1) -> list[Entry]:
+    return [Entry(i, term, "kind", b"x" * 20) for i in range(first, last + 1)]
+
+
+def snapshot(index: int, term: int = 1) -> Snapshot:
+    return Snapshot(index, term, 1, CONFIGURATION, {"list": b"state"})
+
+
+async def opened(disk: MemoryDisk):
+    storage = Storage(MemoryFolder(disk), "node")
+    return storage, await storage.open()
+
+
+async def read_back(disk: MemoryDisk):
+    storage, state = await opened(disk)
+    await storage.close()
+    return state
+
+
+class StorageTests(PausedTestCase):
+    """What was synced is read back; what is damaged is refused."""
+
+    def test_everything_synced_is_read_back(self):
+        async def scenario():
+            disk = MemoryDisk()
+            storage, state = await opened(disk)
+            storage.save_term(3, "candidate")
+            storage.append(entries(1, 5, 3))
+            await storage.sync()
+            await storage.close()
+            again = await read_back(disk)
+            self.assertEqual(state.identity, again.identity)
+            self.assertEqual((3, "candidate"), (again.term, again.vote))
+            self.assertEqual(entries(1, 5, 3), again.entries)
+
+        self.run_paused(scenario())
+
+    def test_an_entry_replaces_those_from_its_index(self):
+        async def scenario():
+            disk = MemoryDisk()
+            storage, _ = await opened(disk)
+            storage.append(entries(1, 9))
+            await storage.sync()
+            storage.append(entries(4, 5, term=2))
+            await storage.sync()
+            await storage.close()
+            state = await read_back(disk)
+            self.assertEqual(entries(1, 3) + entries(4, 5, 2), state.entries)
+
+        self.run_paused(scenario())
+
+    def test_concurrent_callers_share_a_sync(self):
+        async def scenario():
+            disk = MemoryDisk()
+            storage, _ = await opened(disk)
+
+            async def write(index):
+                storage.append(entries(index, index))
+                await storage.sync()
+
+            await asyncio.gather(*(write(index) for index in range(1, 101)))
+            self.assertLess(storage.dump()["syncs"], 4)
+
+        self.run_paused(scenario())
+
+    def test_a_torn_tail_is_cut_at_any_byte(self):
+        async def scenario():
+            disk = MemoryDisk()
+            storage, _ = await opened(disk)
+            storage.append(entries(1, 2))
+            await storage.sync()
+            name = self.segment(disk)
+            whole = len(disk.files[name].data)
+            storage.append(entries(3, 4))
+            await storage.sync()
+            for size in range(whole, len(disk.files[name].data)):
+                image = disk.copy()
+                del image.files[name].data[size:]
+                storage, state = await opened(image)
+                self.assertEqual(entries(1, 2), state.entries)
+                storage.append(entries(3, 3, term=2))
+                await storage.sync()
+                await storage.close()
+                state = await read_back(image)
+                self.assertEqual(entries(1, 2) + entries(3, 3, 2), state.entries)
+
+        self.run_paused(scenario())
+
+    def test_a_damaged_middle_stops_the_process_and_says_how_to_rejoin(self):
+        async def scenario():
+            disk = MemoryDisk()
+            storage, _ = await opened(disk)
+            for index in range(1, 4):
+                storage.append(entries(index, index))
+                await storage.sync()
+            name = self.segment(disk)
+            length = len(disk.files[name].data)
+            for offset in range(length // 2):
+                image = disk.copy()
+                image.files[name].data[offset] ^= 0x10
+                with self.assertRaisesRegex(InvariantError, name + ".*rejoins"):
+                    await opened(image)
+
+        self.run_paused(scenario())
+
+    def test_a_missing_segment_stops_the_process(self):
+        async def scenario():
+            disk = MemoryDisk()
+            with mock.patch.object(storage_module, "SEGMENT_LIMIT_BYTES", 100):
+                storage, _ = await opened(disk)
+                for index in range(1, 6):
+                    storage.append(entries(index, index + 1))
+                    await storage.sync()
+                    storage.save_term(index, "candidate" * 20)
+                    await storage.sync()
+            names = [name for name in disk.files if name.startswith("log-")]
+            self.assertGreater(len(names), 4)
+            for missing in range(len(names) - 1):
+                image = disk.copy()
+                del image.files[names[missing]]
+                with self.assertRaisesRegex(InvariantError, "rejoins"):
+                    await opened(image)
+
+        self.run_paused(scenario())
+
+    def test_another_format_version_is_refused(self):
+        async def scenario():
+            disk = MemoryDisk()
+            storage, _ = await opened(disk)
+            storage.append(entries(1, 1))
+            await storage.sync()
+            disk.files[self.segment(disk)].data[5] = 99
+            with self.assertRaisesRegex(InvariantError, "format version 99"):
+                await opened(disk)
+
+        self.run_paused(scenario())
+
+    def test_power_lost_at_every_sync_point_keeps_what_was_acknowledged(self):
+        with mock.patch.object(storage_module, "SEGMENT_LIMIT_BYTES", 400):
+            points = self.run_paused(self.work_and_crash(None))
+            self.assertGreater(points, 40)
+            for point in range(1, points + 1):
+                with self.subTest(point=point):
+                    self.run_paused(self.work_and_crash(point))
+
+    async def work_and_crash(self, point: int | None) -> int:
+        """Write until power is lost; check what is found; return the points."""
+        disk = MemoryDisk(seed=point or 0)
+        disk.lose_power_at = point
+        acknowledged = []
+
+        async def work():
+            storage, _ = await opened(disk)
+            for index in range(1, 16):
+                storage.save_term(index, "id")
+                storage.append(entries(index, index, index))
+                await storage.sync()
+                acknowledged.append(index)
+                if index % 5 == 0:
+                    await storage.save_snapshot(snapshot(index, index))
+
+        task = asyncio.ensure_future(work())
+        await asyncio.wait([task], timeout=5)
+        self.assertEqual(point is None, task.done())
+        task.cancel()
+        state = await read_back(disk)
+        count = len(acknowledged)
+        base = state.snapshot.index if state.snapshot else 0
+        found = [entry.index for entry in state.entries]
+        self.assertIn(found, (list(range(base + 1, n + 1)) for n in (count, count + 1)))
+        self.assertIn(state.term, (count, count + 1))
+        return disk.syncs
+
+    def test_power_lost_while_a_snapshot_resets_the_log(self):
+        async def scenario(point):
+            disk = MemoryDisk(seed=point)
+            storage, _ = await opened(disk)
+            storage.append(entries(1, 12))
+            await storage.sync()
+            disk.lose_power_at = disk.syncs + point
+            task = asyncio.ensure_future(
+                storage.save_snapshot(snapshot(10, term=2), reset=True)
+            )
+            await asyncio.wait([task], timeout=5)
+            done = task.done()
+            task.cancel()
+            state = await read_back(disk)
+            if state.snapshot is None:
+                self.assertFalse(done)
+                self.assertEqual(entries(1, 12), state.entries)
+            else:
+                self.assertEqual([], state.entries)
+                self.assertEqual(Position(10, 2), state.base)
+            return done
+
+        done = [self.run_paused(scenario(point)) for point in range(1, 10)]
+        self.assertEqual({True, False}, set(done))
+
+    def test_entries_after_an_installed_snapshot_follow_it(self):
+        async def scenario():
+            disk = MemoryDisk()
+            storage, _ = await opened(disk)
+            storage.append(entries(1, 12))
+            await storage.sync()
+            await storage.save_snapshot(snapshot(10, term=2), reset=True)
+            storage.append(entries(11, 11, term=2))
+            await storage.sync()
+            await storage.close()
+            state = await read_back(disk)
+            self.assertEqual(entries(11, 11, 2), state.entries)
+
+        self.run_paused(scenario())
+
+    def test_a_full_disk_acknowledges_nothing_and_loses_nothing(self):
+        async def scenario():
+            for free in range(0, 90, 7):
+                disk = MemoryDisk()
+                storage, _ = await opened(disk)
+                storage.append(entries(1, 2))
+                await storage.sync()
+                disk.free_bytes = free
+                storage.append(entries(3, 4))
+                waiting = asyncio.ensure_future(storage.sync())
+                await asyncio.sleep(3)
+                self.assertFalse(waiting.done())
+                self.assertTrue(storage.is_full)
+                state = await read_back(disk.copy())
+                self.assertEqual(entries(1, 2), state.entries)
+                disk.free_bytes = None
+                await asyncio.wait_for(waiting, 3)
+                self.assertFalse(storage.is_full)
+                await storage.close()
+                state = await read_back(disk)
+                self.assertEqual(entries(1, 4), state.entries)
+
+        self.run_paused(scenario())
+
+    def test_a_snapshot_on_a_full_disk_is_refused_and_the_log_stays(self):
+        async def scenario():
+            disk = MemoryDisk()
+            storage, _ = await opened(disk)
+            storage.append(entries(1, 4))
+            await storage.sync()
+            disk.free_bytes = 30
+            saved = await storage.save_snapshot(snapshot(4))
+            self.assertTrue(saved.is_error())
+            await storage.close()
+            state = await read_back(disk)
+            self.assertEqual(entries(1, 4), state.entries)
+            self.assertIsNone(state.snapshot)
+
+        self.run_paused(scenario())
+
+    def test_a_damaged_snapshot_stops_the_process(self):
+        async def scenario():
+            disk = MemoryDisk()
+            storage, _ = await opened(disk)
+            storage.append(entries(1, 4))
+            await storage.sync()
+            await storage.save_snapshot(snapshot(4))
+            name = next(name for name in disk.files if name.startswith("snapshot-"))
+            disk.files[name].data[-1] ^= 1
+            with self.assertRaisesRegex(InvariantError, name):
+                await opened(disk)
+
+        self.run_paused(scenario())
+
+    def segment(self, disk: MemoryDisk) -> str:
+        """Return the name of the last log segment."""
+        return max(name for name in disk.files if name.startswith("log-"))
+
+
+class DiskTests(unittest.IsolatedAsyncioTestCase):
+    """The same files on a real disk."""
+
+    async def test_a_disk_is_read_back_and_locked(self):
+        with tempfile.TemporaryDirectory() as path:
+            storage = create(Path(path) / "data", "node")
+            await storage.open()
+            storage.append(entries(1, 3))
+            await storage.sync()
+            await storage.save_snapshot(snapshot(2))
+            with self.assertRaisesRegex(InvariantError, "another process"):
+                create(Path(path) / "data", "node")
+            await storage.close()
+            storage = create(Path(path) / "data", "node")
+            state = await storage.open()
+            self.assertEqual(2, state.snapshot.index)
+            self.assertEqual(entries(3, 3), state.entries)
+            await storage.close()
--- /dev/null
+++ b/fuchsiacroft/tests/fakes/folder.py
@@ -0,0 +1,144 @@
+"""A disk in memory that loses unsynced bytes and can fail at every sync."""
+
+import asyncio
+import errno
+import random
+from collections.abc import Callable
+
+from fuchsiacroft.control.folder import Folder
+
+
+class PowerLossError(Exception):
+    """The machine stopped in the middle of an operation."""
+
+
+class MemoryFile:
+    """The bytes of one file as written, and as last synced."""
+
+    def __init__(self) -> None:
+        self.data = bytearray()
+        self.synced = b""
+
+    def after_crash(self, rng: random.Random) -> "MemoryFile":
+        """Return what may be found after a power loss."""
+        found = MemoryFile()
+        if self.data[: len(self.synced)] == self.synced:
+            tail = self.data[len(self.synced) :]
+            kept = tail[: rng.randint(0, len(tail))]
+            if kept and rng.random() < 0.3:
+                kept[rng.randrange(len(kept))] ^= 0xFF
+            found.data = bytearray(self.synced) + kept
+        else:
+            found.data = bytearray(rng.choice((self.synced, bytes(self.data))))
+        found.synced = bytes(found.data)
+        return found
+
+
+class MemoryDisk:
+    """What survives a crash of the process or a power loss."""
+
+    def __init__(self, seed: int = 0, latency: float = 0.001) -> None:
+        self.random = random.Random(seed)
+        self.latency = latency
+        self.files: dict[str, MemoryFile] = {}
+        self.durable: dict[str, MemoryFile] = {}
+        self.free_bytes: int | None = None
+        self.syncs = 0
+        self.lose_power_at: int | None = None
+        self.on_power_loss: Callable[[], None] = lambda: None
+
+    def power_loss(self) -> None:
+        """Lose what was not synced."""
+        names = self.random.choice((self.files, self.durable))
+        self.files = {
+            name: held.after_crash(self.random) for name, held in names.items()
+        }
+        self.durable = dict(self.files)
+
+    def copy(self) -> "MemoryDisk":
+        """Return a copy, as an image of the disk taken now would be."""
+        image = MemoryDisk(self.random.randrange(1 << 30), self.latency)
+        for name, held in self.files.items():
+            image.files[name] = MemoryFile()
+            image.files[name].data = bytearray(held.data)
+            image.files[name].synced = bytes(held.synced)
+        image.durable = dict(image.files)
+        return image
+
+
+class MemoryFolder(Folder):
+    """One process's use of a `MemoryDisk`."""
+
+    def __init__(self, disk: MemoryDisk) -> None:
+        self.disk = disk
+        self.dead = False
+
+    async def run(self, func):
+        await asyncio.sleep(self.disk.latency / 2)
+        if self.dead:
+            await asyncio.Event().wait()
+        try:
+            result = func()
+        except PowerLossError:
+            asyncio.get_running_loop().call_soon(self.disk.on_power_loss)
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.disk.latency / 2)
+        if self.dead:
+            await asyncio.Event().wait()
+        return result
+
+    def names(self) -> list[str]:
+        return sorted(self.disk.files)
+
+    def read(self, name: str) -> bytes:
+        return bytes(self.disk.files[name].data)
+
+    def append(self, name: str, data: bytes) -> None:
+        held = self.disk.files.setdefault(name, MemoryFile())
+        free = self.disk.free_bytes
+        if free is not None:
+            held.data += data[:free]
+            self.disk.free_bytes = max(free - len(data), 0)
+            if len(data) > free:
+                raise OSError(errno.ENOSPC, "no space left on device")
+            return
+        held.data += data
+
+    def truncate(self, name: str, size: int) -> None:
+        held = self.disk.files[name]
+        if self.disk.free_bytes is not None:
+            self.disk.free_bytes += len(held.data) - size
+        del held.data[size:]
+
+    def sync(self, name: str) -> None:
+        held = self.disk.files[name]
+        self._count()
+        held.synced = bytes(held.data)
+        self._count()
+
+    def rename(self, name: str, target: str) -> None:
+        self.disk.files = dict(self.disk.files)
+        self.disk.files[target] = self.disk.files.pop(name)
+
+    def remove(self, name: str) -> None:
+        self.disk.files = dict(self.disk.files)
+        held = self.disk.files.pop(name, None)
+        if held is not None and self.disk.free_bytes is not None:
+            self.disk.free_bytes += len(held.data)
+
+    def sync_folder(self) -> None:
+        self._count()
+        self.disk.durable = dict(self.disk.files)
+        self._count()
+
+    def close(self) -> None:
+        self.dead = True
+
+    def _count(self) -> None:
+        """Count a point before or after a sync, and fail at the chosen one."""
+        self.disk.syncs += 1
+        if self.disk.lose_power_at == self.disk.syncs:
+            self.disk.lose_power_at = None
+            self.dead = True
+            self.disk.power_loss()
+            raise PowerLossError
