Replicate the log over a durable majority

Cause: commands must be applied in one order on every control member and survive the loss of a minority.

A disk has a random identity and the configuration in the log names identities, so an emptied disk is a new member and not a voter that forgot. A started member takes no part until a majority has answered what it heard of the disk before.

--- /dev/null
+++ b/fuchsiacroft/control/consensus/applying.py
@@ -0,0 +1,207 @@
+"""Applying committed entries to the state machines, and their snapshots."""
+
+import asyncio
+from dataclasses import dataclass
+
+import msgspec
+from expression import Error, Ok, Result
+
+from fuchsiacroft.control.consensus import timing
+from fuchsiacroft.control.consensus.configurations import CONFIGURATION_KIND
+from fuchsiacroft.control.consensus.leadership import NOOP_KIND
+from fuchsiacroft.control.consensus.member import Member
+from fuchsiacroft.control.log import Applied, ProposeError, StateMachine
+from fuchsiacroft.control.records import Entry, Snapshot
+from fuchsiacroft.exceptions import InvariantError
+from fuchsiacroft.transport import codec
+from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.tasks import TaskGroup
+
+APPLY_SLICE_ENTRIES = 200
+
+Outcome = Result[Applied, ProposeError]
+
+
+@dataclass(slots=True)
+class _Proposer:
+    term: int
+    fut: asyncio.Future
+
+
+@dataclass(slots=True)
+class _Reader:
+    index: int
+    fut: asyncio.Future
+
+
+class Applying:
+    """Drives the state machines of one member."""
+
+    def __init__(self, member: Member) -> None:
+        self._member = member
+        self._machines: dict[str, StateMachine] = {}
+        self._by_command: dict[type[msgspec.Struct], StateMachine] = {}
+        self._proposers: dict[int, _Proposer] = {}
+        self._readers: list[_Reader] = []
+        self._tasks = TaskGroup("applying")
+        self._since_snapshot = 0
+        self._bytes_since_snapshot = 0
+        self._is_saving = False
+
+    def add(self, name: str, machine: StateMachine) -> None:
+        """Add a state machine and the commands that it takes."""
+        if name in self._machines:
+            raise InvariantError(f"two state machines are named {name}")
+        self._machines[name] = machine
+        for command in machine.commands:
+            self._by_command[command] = machine
+
+    async def run(self) -> None:
+        """Apply entries as they are committed."""
+        member = self._member
+        while True:
+            await member.commit_advanced.wait()
+            member.commit_advanced.clear()
+            while member.applied < member.commit and member.verified:
+                self._apply_slice()
+                await asyncio.sleep(0)
+
+    async def stop(self) -> None:
+        """Leave the outcome of waiting proposals unknown."""
+        await self._tasks.cancel()
+        for proposer in self._proposers.values():
+            settle(proposer.fut, Error(ProposeError.UNKNOWN))
+        self._proposers.clear()
+
+    def expect(self, index: int) -> asyncio.Future:
+        """Return the future outcome of the entry just appended."""
+        fut = asyncio.get_running_loop().create_future()
+        self._proposers[index] = _Proposer(self._member.term, fut)
+        return fut
+
+    async def wait_applied(self, index: int) -> None:
+        """Wait until an index is applied."""
+        if self._member.applied >= index:
+            return
+        fut = asyncio.get_running_loop().create_future()
+        self._readers.append(_Reader(index, fut))
+        await fut
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Replace every state machine's state by a snapshot's."""
+        if snapshot.index <= self._member.applied:
+            return
+        for name, machine in self._machines.items():
+            data = snapshot.machines.get(name)
+            if data is not None:
+                machine.restore(data)
+        self._member.applied = snapshot.index
+        self._forget_proposers(snapshot.index)
+        self._release_readers()
+
+    async def install(self, snapshot: Snapshot) -> bool:
+        """Take a leader's snapshot over; tell whether it is in force."""
+        member = self._member
+        if snapshot.index <= member.commit:
+            return True
+        matches = member.log.term_at(snapshot.index) == snapshot.term
+        member.is_installing = True
+        try:
+            saved = await member.storage.save_snapshot(snapshot, reset=not matches)
+        finally:
+            member.is_installing = False
+        if saved.is_error():
+            return False
+        member.install(snapshot)
+        self.restore(snapshot)
+        member.commit_advanced.set()
+        event("info", "snapshot_installed", index=snapshot.index)
+        return True
+
+    def dump(self) -> dict:
+        """Return the applied index and what waits for it."""
+        return {
+            "applied": self._member.applied,
+            "proposers": len(self._proposers),
+            "readers": len(self._readers),
+            "since_snapshot": self._since_snapshot,
+        }
+
+    def _apply_slice(self) -> None:
+        member = self._member
+        last = min(member.commit, member.applied + APPLY_SLICE_ENTRIES)
+        while member.applied < last:
+            entry = member.log.entry(member.applied + 1)
+            result = self._apply(entry)
+            member.applied = entry.index
+            self._answer_proposer(entry, result)
+        self._release_readers()
+        self._maybe_save()
+
+    def _apply(self, entry: Entry) -> msgspec.Struct | None:
+        self._since_snapshot += 1
+        self._bytes_since_snapshot += len(entry.body)
+        if entry.kind in (NOOP_KIND, CONFIGURATION_KIND):
+            return None
+        decoded = codec.unpack(entry.kind, entry.body)
+        if decoded.is_error():
+            raise InvariantError(f"entry {entry.index}: {entry.kind} {decoded.error}")
+        machine = self._by_command.get(type(decoded.ok))
+        if machine is None:
+            raise InvariantError(f"no state machine takes {entry.kind}")
+        return machine.apply(entry.index, decoded.ok)
+
+    def _answer_proposer(self, entry: Entry, result: msgspec.Struct | None) -> None:
+        proposer = self._proposers.pop(entry.index, None)
+        if proposer is None:
+            return
+        if proposer.term == entry.term:
+            settle(proposer.fut, Ok(Applied(entry.index, result)))
+        else:
+            settle(proposer.fut, Error(ProposeError.NOT_LEADER))
+
+    def _forget_proposers(self, index: int) -> None:
+        for waiting in [i for i in self._proposers if i <= index]:
+            settle(self._proposers.pop(waiting).fut, Error(ProposeError.UNKNOWN))
+
+    def _release_readers(self) -> None:
+        waiting = []
+        for reader in self._readers:
+            if reader.index > self._member.applied:
+                waiting.append(reader)
+            else:
+                settle(reader.fut, None)
+        self._readers = waiting
+
+    def _maybe_save(self) -> None:
+        entries, size = self._since_snapshot, self._bytes_since_snapshot
+        due = entries >= timing.SNAPSHOT_ENTRIES or size >= timing.SNAPSHOT_BYTES
+        if due and not self._is_saving and not self._member.is_installing:
+            self._is_saving = True
+            self._tasks.spawn(self._save(self._take_snapshot()), "snapshot")
+
+    def _take_snapshot(self) -> Snapshot:
+        member = self._member
+        self._since_snapshot = 0
+        self._bytes_since_snapshot = 0
+        index = member.applied
+        configuration_index, configuration = member.configurations.at(index)
+        machines = {name: m.snapshot() for name, m in self._machines.items()}
+        term = member.log.term_at(index)
+        return Snapshot(index, term, configuration_index, configuration, machines)
+
+    async def _save(self, snapshot: Snapshot) -> None:
+        member = self._member
+        try:
+            saved = await member.storage.save_snapshot(snapshot)
+        finally:
+            self._is_saving = False
+        if saved.is_ok():
+            member.log.compact(snapshot.index - timing.KEPT_ENTRIES)
+            event("info", "snapshot_saved", index=snapshot.index)
+
+
+def settle(fut: asyncio.Future, outcome: object) -> None:
+    """Give a future its result, unless its waiter has gone."""
+    if not fut.done():
+        fut.set_result(outcome)
--- /dev/null
+++ b/fuchsiacroft/control/consensus/configurations.py
@@ -0,0 +1,56 @@
+"""The configurations in the log; the last one is in force once appended."""
+
+import bisect
+
+from fuchsiacroft.control import records
+from fuchsiacroft.control.records import Configuration, Entry
+
+CONFIGURATION_KIND = "configuration"
+NO_CONFIGURATION = Configuration("", ())
+
+
+class Configurations:
+    """Each configuration of the log with the index of its entry."""
+
+    def __init__(self) -> None:
+        self._indexes: list[int] = []
+        self._items: list[Configuration] = []
+
+    @property
+    def current(self) -> Configuration:
+        """Return the configuration in force."""
+        return self._items[-1] if self._items else NO_CONFIGURATION
+
+    @property
+    def index(self) -> int:
+        """Return the index of the configuration in force."""
+        return self._indexes[-1] if self._indexes else 0
+
+    def reset(self, index: int, configuration: Configuration) -> None:
+        """Forget all but one configuration."""
+        self._indexes = [index]
+        self._items = [configuration]
+
+    def clear(self) -> None:
+        """Forget every configuration."""
+        self._indexes = []
+        self._items = []
+
+    def note(self, entry: Entry) -> None:
+        """Put an appended entry's configuration in force, if it carries one."""
+        if entry.kind == CONFIGURATION_KIND:
+            self._indexes.append(entry.index)
+            self._items.append(records.decode_configuration(entry.body))
+
+    def truncate(self, index: int) -> None:
+        """Forget the configurations from an index on."""
+        keep = bisect.bisect_left(self._indexes, index)
+        del self._indexes[keep:]
+        del self._items[keep:]
+
+    def at(self, index: int) -> tuple[int, Configuration]:
+        """Return the configuration in force at an index, with its own index."""
+        place = bisect.bisect_right(self._indexes, index) - 1
+        if place < 0:
+            return 0, NO_CONFIGURATION
+        return self._indexes[place], self._items[place]
--- /dev/null
+++ b/fuchsiacroft/control/consensus/leadership.py
@@ -0,0 +1,156 @@
+"""One term as leader: the lease, the commit index and a task for each peer."""
+
+import asyncio
+
+from fuchsiacroft.control.consensus import timing
+from fuchsiacroft.control.consensus.member import Member, Role
+from fuchsiacroft.control.consensus.replication import Peer, Replication
+from fuchsiacroft.control.records import Configuration
+from fuchsiacroft.utils import clock
+from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.tasks import TaskGroup
+
+NOOP_KIND = ""
+
+
+class Leadership:
+    """What this member does between its election and its stepping down."""
+
+    def __init__(self, member: Member) -> None:
+        self._member = member
+        self.term = member.term
+        self.peers: dict[str, Peer] = {}
+        self._replications: dict[str, Replication] = {}
+        self._tasks = TaskGroup("leadership")
+        self._appended = asyncio.Event()
+        self._durable = 0
+        self._started_at = clock.now()
+        self._first_index = 0
+
+    def start(self) -> None:
+        """Append the term's first entry and begin to replicate."""
+        self._first_index = self.append(NOOP_KIND, b"")
+        self._tasks.spawn(self._sync_own(), "leader-sync")
+        self._tasks.spawn(self._watch_lease(), "leader-lease")
+
+    async def stop(self) -> None:
+        """Stop every task of the term."""
+        for replication in self._replications.values():
+            await replication.stop()
+        await self._tasks.cancel()
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether this member still leads the term."""
+        return self._member.role is Role.LEADER and self._member.term == self.term
+
+    @property
+    def holds_lease(self) -> bool:
+        """Tell whether no other member can have been elected yet."""
+        return self.is_active and clock.now() < self._lease_end()
+
+    @property
+    def may_serve(self) -> bool:
+        """Tell whether the commit index is known to be the group's."""
+        return self.holds_lease and self._member.commit >= self._first_index
+
+    @property
+    def uncommitted(self) -> int:
+        """Return how many entries wait for a majority."""
+        return self._member.log.last.index - self._member.commit
+
+    def append(self, kind: str, body: bytes) -> int:
+        """Append an entry and return its index."""
+        entry = self._member.append_new(kind, body)
+        self._appended.set()
+        self._refresh_peers()
+        for peer in self.peers.values():
+            peer.wake.set()
+        return entry.index
+
+    def note_progress(self) -> None:
+        """Raise the commit index to what a majority holds durably."""
+        member = self._member
+        if not self.is_active:
+            return
+        matches = [self._match(v.identity) for v in member.configuration.voters()]
+        matches.sort(reverse=True)
+        index = matches[member.configuration.majority() - 1]
+        if index > member.commit and member.log.term_at(index) == self.term:
+            member.advance_commit(index)
+            for peer in self.peers.values():
+                peer.wake.set()
+
+    def dump(self) -> dict:
+        """Return the lease and each peer's progress."""
+        return {
+            "term": self.term,
+            "lease_s": round(self._lease_end() - clock.now(), 3),
+            "peers": [peer.dump() for peer in self.peers.values()],
+        }
+
+    def _match(self, identity: str) -> int:
+        if identity == self._member.identity:
+            return self._durable
+        peer = self.peers.get(identity)
+        return peer.match if peer is not None else 0
+
+    def _lease_end(self) -> float:
+        """Return when the lease that a majority gave ends."""
+        configuration = self._member.configuration
+        acks = [self._acked_at(v.identity) for v in configuration.voters()]
+        acks.sort(reverse=True)
+        return acks[configuration.majority() - 1] + timing.LEASE_S
+
+    def _acked_at(self, identity: str) -> float:
+        if identity == self._member.identity:
+            return clock.now()
+        peer = self.peers.get(identity)
+        return peer.acked_at if peer is not None else float("-inf")
+
+    def _refresh_peers(self) -> None:
+        """Start and stop peers' tasks so that they match the configuration."""
+        configuration: Configuration = self._member.configuration
+        for found in configuration.members:
+            if found.identity in (self._member.identity, *self.peers):
+                continue
+            peer = Peer(found, self._member.log.last.index)
+            self.peers[found.identity] = peer
+            replication = Replication(self._member, self, peer)
+            self._replications[found.identity] = replication
+            replication.start()
+        for identity in list(self.peers):
+            if configuration.find(identity) is None:
+                del self.peers[identity]
+                replication = self._replications.pop(identity)
+                self._tasks.spawn(replication.stop())
+
+    async def _sync_own(self) -> None:
+        while self.is_active:
+            await self._appended.wait()
+            self._appended.clear()
+            index = self._member.log.last.index
+            await self._member.storage.sync()
+            self._durable = index
+            self.note_progress()
+
+    async def _watch_lease(self) -> None:
+        """Step down once the lease has been lost for long, or for a full disk."""
+        while self.is_active:
+            await asyncio.sleep(timing.HEARTBEAT_S)
+            if not self.is_active:
+                return
+            lost_at = max(self._lease_end(), self._started_at)
+            if clock.now() - lost_at > timing.ELECTION_TIMEOUT_MAX_S:
+                event("warning", "lease_lost", term=self.term)
+                self._member.follow(self.term, "")
+            elif self._member.storage.is_full and self._others_have_space():
+                event("warning", "leader_disk_full", term=self.term)
+                self._member.follow(self.term, "")
+
+    def _others_have_space(self) -> bool:
+        """Tell whether a majority could go on without this member's disk."""
+        voters = self._member.configuration.voters()
+        peers = (self.peers.get(voter.identity) for voter in voters)
+        ready = sum(1 for peer in peers if peer and peer.has_space())
+        return ready >= self._member.configuration.majority()
--- /dev/null
+++ b/fuchsiacroft/control/consensus/member.py
@@ -0,0 +1,207 @@
+"""The state of one member that elections and replication share."""
+
+import asyncio
+import enum
+
+from fuchsiacroft.control import records
+from fuchsiacroft.control.consensus import timing
+from fuchsiacroft.control.consensus.configurations import (
+    CONFIGURATION_KIND,
+    Configurations,
+)
+from fuchsiacroft.control.consensus.memory_log import MemoryLog
+from fuchsiacroft.control.records import Configuration, Entry, Mark, Position, Snapshot
+from fuchsiacroft.control.recovery import Recovered
+from fuchsiacroft.control.storage import Storage
+from fuchsiacroft.exceptions import InvariantError
+from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils import clock
+from fuchsiacroft.utils.logs import event
+
+
+class Role(enum.Enum):
+    """What a member does in its term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Member:
+    """Term, vote, log and commit index of this process.
+
+    Changes take effect in memory at once and are queued for the disk; whoever
+    promises something to another member first awaits `storage.sync`.
+    """
+
+    def __init__(self, node: str, address: str, bus: Bus, storage: Storage) -> None:
+        self.node = node
+        self.address = address
+        self.bus = bus
+        self.storage = storage
+        self.identity = ""
+        self.term = 0
+        self.vote = ""
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.log = MemoryLog()
+        self.configurations = Configurations()
+        self.commit = 0
+        self.applied = 0
+        self.verified = False
+        self.is_installing = False
+        self.leaderless_since = 0.0
+        self.halted: str | None = None
+        self.heard_at = 0.0
+        self.marks: dict[str, Mark] = {}
+        self.commit_advanced = asyncio.Event()
+        self.role_changed = asyncio.Event()
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self.configurations.current
+
+    @property
+    def is_formed(self) -> bool:
+        """Tell whether this disk belongs to a group."""
+        return self.log.last.index > 0
+
+    @property
+    def leader_address(self) -> str | None:
+        """Return the address of the leader as last heard."""
+        found = self.configuration.find(self.leader)
+        return found.address if found is not None else None
+
+    @property
+    def is_voter(self) -> bool:
+        """Tell whether this member votes in the configuration in force."""
+        found = self.configuration.find(self.identity)
+        return found is not None and found.voter
+
+    def recover(self, state: Recovered) -> None:
+        """Take over what the disk holds."""
+        self.identity = state.identity.identity
+        self.term, self.vote = state.term, state.vote
+        self.marks = {mark.identity: mark for mark in state.marks}
+        self.log.reset(state.base, state.entries)
+        self.configurations.clear()
+        if state.snapshot is not None:
+            snapshot = state.snapshot
+            self.configurations.reset(
+                snapshot.configuration_index, snapshot.configuration
+            )
+            self.commit = snapshot.index
+        for entry in state.entries:
+            self.configurations.note(entry)
+        self.heard_at = clock.now()
+        self.leaderless_since = clock.now()
+
+    def accepts(self, group: str, target: str) -> bool:
+        """Tell whether a message is meant for this disk, and may be obeyed."""
+        if self.halted is not None or not self.verified or target != self.identity:
+            return False
+        return not self.is_formed or group == self.configuration.group
+
+    def hears_leader(self) -> bool:
+        """Tell whether a leader was heard within the shortest election timeout."""
+        return clock.now() - self.heard_at < timing.ELECTION_TIMEOUT_MIN_S
+
+    def follow(self, term: int, leader: str) -> None:
+        """Enter a term, or stay in it, as a follower."""
+        if term > self.term:
+            self.term, self.vote = term, ""
+            self.storage.save_term(term, "")
+        self._change(Role.FOLLOWER, leader)
+
+    def stand(self) -> None:
+        """Enter the next term as a candidate that votes for itself."""
+        self.term, self.vote = self.term + 1, self.identity
+        self.storage.save_term(self.term, self.vote)
+        self._change(Role.CANDIDATE, "")
+
+    def lead(self) -> None:
+        """Become the leader of the current term."""
+        self._change(Role.LEADER, self.identity)
+
+    def grant_vote(self, candidate: str) -> None:
+        """Give this term's vote to a candidate."""
+        self.vote = candidate
+        self.storage.save_term(self.term, candidate)
+
+    def append_new(self, kind: str, body: bytes) -> Entry:
+        """Append an entry of the current term, as its leader."""
+        entry = Entry(self.log.last.index + 1, self.term, kind, body)
+        self._append(entry)
+        self.storage.append([entry])
+        return entry
+
+    def append_received(self, entries: list[Entry]) -> None:
+        """Append a leader's entries, replacing those that conflict."""
+        added = []
+        for entry in entries:
+            if entry.index <= self.log.base.index:
+                continue
+            held = self.log.term_at(entry.index)
+            if held == entry.term:
+                continue
+            if held is not None:
+                self._truncate(entry.index)
+            self._append(entry)
+            added.append(entry)
+        if added:
+            self.storage.append(added)
+
+    def advance_commit(self, index: int) -> None:
+        """Raise the commit index, never past the log."""
+        index = min(index, self.log.last.index)
+        if index > self.commit:
+            self.commit = index
+            self.commit_advanced.set()
+
+    def note_mark(self, identity: str, term: int, index: int) -> None:
+        """Remember what another member has promised, if it is further."""
+        known = self.marks.get(identity)
+        if known is None or (known.term, known.index) < (term, index):
+            self.marks[identity] = Mark(identity, term, index)
+            self.storage.save_marks(list(self.marks.values()))
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Take a durable snapshot over, with the log after it if it matches."""
+        if self.log.term_at(snapshot.index) == snapshot.term:
+            self.log.compact(snapshot.index)
+        else:
+            self.log.reset(Position(snapshot.index, snapshot.term))
+            index = snapshot.configuration_index
+            self.configurations.reset(index, snapshot.configuration)
+        self.commit = max(self.commit, snapshot.index)
+
+    def halt(self, reason: str) -> None:
+        """Take no further part in the group until the process is restarted."""
+        self.halted = reason
+        self._change(Role.FOLLOWER, "")
+        event("critical", "member_halted", identity=self.identity, reason=reason)
+
+    def _append(self, entry: Entry) -> None:
+        self.log.append(entry)
+        self.configurations.note(entry)
+
+    def _truncate(self, index: int) -> None:
+        if index <= self.commit:
+            self.halt(f"entry {index} is committed and would be replaced")
+            raise InvariantError(f"committed entry {index} would be replaced")
+        self.log.truncate(index)
+        self.configurations.truncate(index)
+
+    def _change(self, role: Role, leader: str) -> None:
+        if (role, leader) != (self.role, self.leader):
+            event("info", "role", role=role.value, term=self.term, leader=leader or "-")
+        if self.leader and not leader:
+            self.leaderless_since = clock.now()
+        self.role, self.leader = role, leader
+        self.role_changed.set()
+
+
+def encode_configuration(configuration: Configuration) -> tuple[str, bytes]:
+    """Return the kind and body of a configuration's entry."""
+    return CONFIGURATION_KIND, records.encode(configuration)
--- /dev/null
+++ b/fuchsiacroft/control/consensus/proposals.py
@@ -0,0 +1,176 @@
+"""Proposals: appended here by the leader, or forwarded to it."""
+
+import asyncio
+import itertools
+import secrets
+from collections.abc import Callable
+
+import msgspec
+from expression import Error, Ok, Result
+
+from fuchsiacroft.control.consensus import timing
+from fuchsiacroft.control.consensus.applying import Applying, Outcome
+from fuchsiacroft.control.consensus.leadership import Leadership
+from fuchsiacroft.control.consensus.member import Member
+from fuchsiacroft.control.consensus.messages import (
+    ForwardOutcome,
+    ForwardReply,
+    ForwardRequest,
+)
+from fuchsiacroft.control.log import Applied, ProposeError
+from fuchsiacroft.transport import codec
+from fuchsiacroft.utils import clock
+from fuchsiacroft.utils.tasks import TaskGroup
+
+ORIGIN_BYTES = 8
+
+GetLeadership = Callable[[], Leadership | None]
+
+
+class Proposals:
+    """Puts commands into the log once each."""
+
+    def __init__(
+        self, member: Member, applying: Applying, leadership: GetLeadership
+    ) -> None:
+        self._member = member
+        self._applying = applying
+        self._leadership = leadership
+        self._origin = secrets.token_hex(ORIGIN_BYTES)
+        self._numbers = itertools.count(1)
+        self._forwarded: dict[tuple[str, int], asyncio.Future] = {}
+        self._floors: dict[str, int] = {}
+        self._tasks = TaskGroup("proposals")
+
+    def register(self) -> None:
+        """Register the handler for forwarded proposals."""
+        self._member.bus.handle(ForwardRequest, self._on_forward)
+
+    async def stop(self) -> None:
+        """Stop waiting for the outcomes of forwarded proposals."""
+        await self._tasks.cancel()
+
+    async def propose(self, command: msgspec.Struct, timeout: float) -> Outcome:
+        """Commit a command through the leader, wherever it is."""
+        kind, body = codec.pack(command)
+        deadline = clock.now() + timeout
+        while True:
+            outcome = await self._attempt(kind, body, deadline)
+            if outcome != Error(ProposeError.NOT_LEADER):
+                return outcome
+            if clock.now() >= deadline or self._is_isolated():
+                return Error(ProposeError.NO_QUORUM)
+            await asyncio.sleep(timing.LEADER_WAIT_S)
+
+    def dump(self) -> dict:
+        """Return how many forwarded proposals are remembered."""
+        return {"forwarded": len(self._forwarded)}
+
+    async def _attempt(self, kind: str, body: bytes, deadline: float) -> Outcome:
+        leadership = self._leadership()
+        if leadership is not None and leadership.is_active:
+            fut = self._append(kind, body)
+            return await _wait(fut, deadline - clock.now())
+        return await self._forward(kind, body, deadline)
+
+    def _append(self, kind: str, body: bytes) -> asyncio.Future:
+        """Append as the leader; the future holds the outcome or a refusal."""
+        leadership = self._leadership()
+        if leadership is None or not leadership.holds_lease:
+            return _settled(Error(ProposeError.NOT_LEADER))
+        if self._member.storage.is_full:
+            return _settled(Error(ProposeError.NO_QUORUM))
+        if leadership.uncommitted >= timing.UNCOMMITTED_ENTRIES:
+            return _settled(Error(ProposeError.NO_QUORUM))
+        return self._applying.expect(leadership.append(kind, body))
+
+    def _is_isolated(self) -> bool:
+        """Tell whether there has been no leader for longer than an election."""
+        member = self._member
+        if member.leader:
+            return False
+        waited = clock.now() - member.leaderless_since
+        return waited > timing.LEADERLESS_LIMIT_S
+
+    async def _forward(self, kind: str, body: bytes, deadline: float) -> Outcome:
+        member = self._member
+        address, term = member.leader_address, member.term
+        if address is None or member.leader == member.identity:
+            return Error(ProposeError.NOT_LEADER)
+        number = next(self._numbers)
+        unsure = False
+        while clock.now() < deadline and self._still_led(address, term):
+            rest = deadline - clock.now()
+            msg = ForwardRequest(term, self._origin, number, kind, body, rest)
+            wait = min(rest, timing.FORWARD_TIMEOUT_S)
+            answer = await member.bus.request(address, msg, wait)
+            if answer.is_ok():
+                return _outcome(answer.ok)
+            unsure = True
+        return Error(ProposeError.UNKNOWN if unsure else ProposeError.NOT_LEADER)
+
+    def _still_led(self, address: str, term: int) -> bool:
+        return self._member.leader_address == address and self._member.term == term
+
+    async def _on_forward(self, sender: str, msg: ForwardRequest) -> ForwardReply:
+        key = (msg.origin, msg.number)
+        fut = self._forwarded.get(key)
+        if fut is None:
+            if msg.number <= self._floors.get(msg.origin, 0):
+                return ForwardReply(ForwardOutcome.UNKNOWN)
+            fut = self._accept(msg)
+            self._remember(key, fut)
+        outcome = await _wait(fut, msg.timeout)
+        return _reply(outcome)
+
+    def _accept(self, msg: ForwardRequest) -> asyncio.Future:
+        leadership = self._leadership()
+        if leadership is None or leadership.term != msg.term:
+            return _settled(Error(ProposeError.NOT_LEADER))
+        return self._append(msg.kind, msg.body)
+
+    def _remember(self, key: tuple[str, int], fut: asyncio.Future) -> None:
+        """Keep an outcome, refusals too, so that a resent proposal gets it."""
+        self._forwarded[key] = fut
+        while len(self._forwarded) > timing.REMEMBERED_PROPOSALS:
+            origin, number = next(iter(self._forwarded))
+            del self._forwarded[(origin, number)]
+            self._floors[origin] = max(self._floors.get(origin, 0), number)
+
+
+def _settled(outcome: Outcome) -> asyncio.Future:
+    fut = asyncio.get_running_loop().create_future()
+    fut.set_result(outcome)
+    return fut
+
+
+async def _wait(fut: asyncio.Future, timeout: float) -> Outcome:
+    if fut.done():
+        return fut.result()
+    try:
+        async with asyncio.timeout(timeout):
+            return await asyncio.shield(fut)
+    except TimeoutError:
+        return Error(ProposeError.UNKNOWN)
+
+
+def _reply(outcome: Outcome) -> ForwardReply:
+    match outcome:
+        case Result(tag="ok", ok=applied):
+            if applied.result is None:
+                return ForwardReply(ForwardOutcome.APPLIED, applied.index)
+            kind, body = codec.pack(applied.result)
+            return ForwardReply(ForwardOutcome.APPLIED, applied.index, kind, body)
+        case Result(error=exc):
+            return ForwardReply(ForwardOutcome(exc.value))
+
+
+def _outcome(reply: ForwardReply) -> Outcome:
+    if reply.outcome is not ForwardOutcome.APPLIED:
+        return Error(ProposeError(reply.outcome.value))
+    if not reply.kind:
+        return Ok(Applied(reply.index, None))
+    match codec.unpack(reply.kind, reply.body):
+        case Result(tag="ok", ok=result):
+            return Ok(Applied(reply.index, result))
+    return Error(ProposeError.UNKNOWN)
--- /dev/null
+++ b/fuchsiacroft/control/consensus/reads.py
@@ -0,0 +1,69 @@
+"""Read barriers: an applied index that includes all committed before."""
+
+import asyncio
+
+from expression import Error, Ok, Result
+
+from fuchsiacroft.control.consensus import timing
+from fuchsiacroft.control.consensus.applying import Applying
+from fuchsiacroft.control.consensus.member import Member
+from fuchsiacroft.control.consensus.messages import BarrierReply, BarrierRequest
+from fuchsiacroft.control.consensus.proposals import GetLeadership
+from fuchsiacroft.control.log import ProposeError
+
+
+class Reads:
+    """Asks the leader, whose lease must hold, for its commit index."""
+
+    def __init__(
+        self, member: Member, applying: Applying, leadership: GetLeadership
+    ) -> None:
+        self._member = member
+        self._applying = applying
+        self._leadership = leadership
+
+    def register(self) -> None:
+        """Register the handler for other members' barriers."""
+        self._member.bus.handle(BarrierRequest, self._on_barrier)
+
+    async def barrier(self, timeout: float) -> Result[int, ProposeError]:
+        """Return an applied index that includes all committed before the call."""
+        try:
+            async with asyncio.timeout(timeout):
+                index = await self._leader_index()
+                await self._applying.wait_applied(index)
+                return Ok(index)
+        except TimeoutError:
+            return Error(ProposeError.NO_QUORUM)
+
+    async def _leader_index(self) -> int:
+        while True:
+            index = self._own_index()
+            if index is None:
+                index = await self._ask()
+            if index is not None:
+                return index
+            await asyncio.sleep(timing.LEADER_WAIT_S)
+
+    def _own_index(self) -> int | None:
+        leadership = self._leadership()
+        if leadership is None or not leadership.may_serve:
+            return None
+        return self._member.commit
+
+    async def _ask(self) -> int | None:
+        member = self._member
+        address = member.leader_address
+        if address is None or member.leader == member.identity:
+            return None
+        msg = BarrierRequest(member.term)
+        answer = await member.bus.request(address, msg, timing.BARRIER_TIMEOUT_S)
+        if answer.is_error() or not answer.ok.granted:
+            return None
+        return answer.ok.index
+
+    async def _on_barrier(self, sender: str, msg: BarrierRequest) -> BarrierReply:
+        index = self._own_index()
+        if index is None:
+            return BarrierReply(False, 0)
+        return BarrierReply(True, index)
--- /dev/null
+++ b/fuchsiacroft/control/consensus/receiving.py
@@ -0,0 +1,36 @@
+"""Putting a snapshot together from the pieces of a transfer."""
+
+import xxhash
+
+from fuchsiacroft.control import records
+from fuchsiacroft.control.consensus.messages import SnapshotPiece
+from fuchsiacroft.control.records import Snapshot
+
+
+class Reception:
+    """The pieces received of one snapshot."""
+
+    def __init__(self) -> None:
+        self._key = (0, 0, 0, 0)
+        self._data = bytearray()
+
+    def take(self, piece: SnapshotPiece) -> int:
+        """Add a piece if it is the next; return the offset wanted next."""
+        key = (piece.term, piece.index, piece.size, piece.checksum)
+        if key != self._key:
+            self._key = key
+            self._data = bytearray()
+        if piece.offset == len(self._data):
+            self._data += piece.data
+        return len(self._data)
+
+    def whole(self) -> Snapshot | None:
+        """Return the snapshot once every piece is there and it is intact."""
+        _, _, size, checksum = self._key
+        if not size or len(self._data) != size:
+            return None
+        data = bytes(self._data)
+        if xxhash.xxh3_64_intdigest(data) != checksum:
+            self._key = (0, 0, 0, 0)
+            return None
+        return records.decode_snapshot(data)
--- /dev/null
+++ b/fuchsiacroft/control/consensus/service.py
@@ -0,0 +1,186 @@
+"""The service that ties the parts of one member together."""
+
+import random
+
+import msgspec
+from expression import Result
+
+from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.control.consensus.applying import Applying
+from fuchsiacroft.control.consensus.elections import Elections
+from fuchsiacroft.control.consensus.following import Following
+from fuchsiacroft.control.consensus.joining import Joining
+from fuchsiacroft.control.consensus.leadership import Leadership
+from fuchsiacroft.control.consensus.member import Member
+from fuchsiacroft.control.consensus.membership import Membership
+from fuchsiacroft.control.consensus.proposals import Proposals
+from fuchsiacroft.control.consensus.reads import Reads
+from fuchsiacroft.control.log import (
+    Applied,
+    ProposeError,
+    ReplicatedLog,
+    StateMachine,
+)
+from fuchsiacroft.control.records import Snapshot
+from fuchsiacroft.control.storage import Storage
+from fuchsiacroft.exceptions import SettingsError
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils.tasks import TaskGroup
+
+
+class ConsensusLog(ReplicatedLog):
+    """One member of the group that keeps the replicated log."""
+
+    def __init__(
+        self,
+        member: Member,
+        addresses: tuple[str, ...],
+        rng: random.Random,
+    ) -> None:
+        self._member = member
+        self._storage = member.storage
+        self._tasks = TaskGroup("consensus")
+        self._leader: Leadership | None = None
+        self._snapshot: Snapshot | None = None
+        self._applying = Applying(member)
+        self._elections = Elections(member, rng, self._begin_leadership)
+        self._following = Following(member, self._applying.install)
+        self._proposals = Proposals(member, self._applying, self._leadership)
+        self._reads = Reads(member, self._applying, self._leadership)
+        self._joining = Joining(
+            member, addresses, self._start_afresh, self._on_verified
+        )
+        self._membership = Membership(
+            member, self._joining, addresses, self._leadership
+        )
+
+    def register(self, name: str, machine: StateMachine) -> None:
+        """Add a state machine before the start; its name keys snapshots."""
+        self._applying.add(name, machine)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Read the disk, then look for the group in the background."""
+        await self._open()
+        for part in (
+            self._elections,
+            self._following,
+            self._proposals,
+            self._reads,
+            self._joining,
+        ):
+            part.register()
+        for part in (self._joining, self._elections, self._applying, self._membership):
+            self._tasks.spawn(part.run(), type(part).__name__.lower())
+        self._tasks.spawn(self._end_leaderships(), "leadership-end")
+
+    async def stop(self) -> None:
+        """Take no further part, and release the disk."""
+        await self._tasks.cancel()
+        if self._leader is not None:
+            await self._leader.stop()
+        await self._proposals.stop()
+        await self._applying.stop()
+        await self._storage.close()
+
+    def dump(self) -> dict:
+        """Return the state of this member and what it knows of the others."""
+        member = self._member
+        configuration = member.configuration
+        leader = self._leader
+        return {
+            "identity": member.identity,
+            "group": configuration.group,
+            "role": member.role.value,
+            "term": member.term,
+            "leader": member.leader,
+            "verified": member.verified,
+            "halted": member.halted,
+            "last": member.log.last.index,
+            "base": member.log.base.index,
+            "commit": member.commit,
+            "members": msgspec.to_builtins(configuration.members, str_keys=True),
+            "applying": self._applying.dump(),
+            "proposals": self._proposals.dump(),
+            "leadership": leader.dump() if leader is not None else None,
+            "storage": self._storage.dump(),
+        }
+
+    async def propose(
+        self, command: msgspec.Struct, timeout: float
+    ) -> Result[Applied, ProposeError]:
+        """Commit and apply a command; `timeout` is in seconds."""
+        return await self._proposals.propose(command, timeout)
+
+    async def read_barrier(self, timeout: float) -> Result[int, ProposeError]:
+        """Return an applied index that includes all committed before the call."""
+        return await self._reads.barrier(timeout)
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this member leads and its lease holds."""
+        return self._leader is not None and self._leader.may_serve
+
+    @property
+    def term(self) -> int:
+        """Return the current term; the leader's is the fencing number."""
+        return self._member.term
+
+    @property
+    def leader_peer(self) -> str | None:
+        """Return the peer address of the leader as last heard."""
+        return self._member.leader_address
+
+    @property
+    def member(self) -> Member:
+        """Return the state of this member, for inspection."""
+        return self._member
+
+    async def _open(self) -> None:
+        state = await self._storage.open()
+        self._snapshot = state.snapshot
+        self._member.recover(state)
+
+    async def _start_afresh(self) -> None:
+        """Empty the disk and begin under a new identity."""
+        await self._storage.discard()
+        await self._open()
+
+    def _on_verified(self) -> None:
+        """Show the state machines what the disk holds, now that it counts."""
+        if self._snapshot is not None:
+            self._applying.restore(self._snapshot)
+            self._snapshot = None
+        self._member.commit_advanced.set()
+
+    def _leadership(self) -> Leadership | None:
+        return self._leader
+
+    def _begin_leadership(self) -> None:
+        if self._leader is not None:
+            self._tasks.spawn(self._leader.stop())
+        self._leader = Leadership(self._member)
+        self._leader.start()
+
+    async def _end_leaderships(self) -> None:
+        """Stop the tasks of a term that this member no longer leads."""
+        while True:
+            await self._member.role_changed.wait()
+            self._member.role_changed.clear()
+            leader = self._leader
+            if leader is not None and not leader.is_active:
+                self._leader = None
+                await leader.stop()
+
+
+def create(
+    settings: Settings, bus: Bus, storage: Storage, rng: random.Random | None = None
+) -> ConsensusLog:
+    """Return this process's member of the group named in the settings."""
+    address = settings.addresses.peers
+    if address is None:
+        raise SettingsError("a control member needs addresses.peers")
+    listed = {member.peers for member in settings.control} | {address}
+    member = Member(settings.node, address, bus, storage)
+    rng = rng or random.Random()
+    return ConsensusLog(member, tuple(sorted(listed)), rng)
--- /dev/null
+++ b/fuchsiacroft/control/consensus/timing.py
@@ -0,0 +1,29 @@
+"""Periods, timeouts and limits of the replicated log.
+
+The lease is shorter than the shortest election timeout by a margin for clocks
+that run at different rates; see `docs/design/consensus.md`.
+"""
+
+HEARTBEAT_S = 0.3
+ELECTION_TIMEOUT_MIN_S = 1.0
+ELECTION_TIMEOUT_MAX_S = 1.5
+LEASE_S = 0.9
+VOTE_TIMEOUT_S = 0.3
+APPEND_TIMEOUT_S = 1.0
+FORWARD_TIMEOUT_S = 0.5
+BARRIER_TIMEOUT_S = 0.3
+HELLO_PERIOD_S = 0.2
+HELLO_IDLE_PERIOD_S = 1.0
+RECONCILE_PERIOD_S = 0.1
+LEADER_WAIT_S = 0.02
+LEADERLESS_LIMIT_S = 2.0
+
+BATCH_ENTRIES = 1000
+BATCH_BYTES = 1024 * 1024
+UNCOMMITTED_ENTRIES = 20_000
+SNAPSHOT_ENTRIES = 20_000
+SNAPSHOT_BYTES = 16 * 1024 * 1024
+KEPT_ENTRIES = 2_000
+PIECE_BYTES = 128 * 1024
+TRANSFER_BYTES_PER_S = 16 * 1024 * 1024
+REMEMBERED_PROPOSALS = 20_000
--- /dev/null
+++ b/fuchsiacroft/control/consensus/transfer.py
@@ -0,0 +1,52 @@
+"""Sending a snapshot to a peer, in pieces and under a rate limit."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from fuchsiacroft.control import records
+from fuchsiacroft.control.consensus import timing
+from fuchsiacroft.control.consensus.member import Member
+from fuchsiacroft.control.consensus.messages import SnapshotPiece
+from fuchsiacroft.utils import clock
+from fuchsiacroft.utils.logs import event
+
+if TYPE_CHECKING:
+    from fuchsiacroft.control.consensus.replication import Peer, Replication
+
+
+async def send_snapshot(
+    member: Member, peer: "Peer", replication: "Replication"
+) -> None:
+    """Send the last snapshot; on return the peer has it, or is silent."""
+    data = await member.storage.read_snapshot()
+    if data is None:
+        await asyncio.sleep(timing.HEARTBEAT_S)
+        return
+    index = records.decode_snapshot(data).index
+    checksum = xxhash.xxh3_64_intdigest(data)
+    event("info", "snapshot_sent", peer=peer.address, index=index, size=len(data))
+    offset = 0
+    while offset < len(data):
+        sent_at = clock.now()
+        piece = SnapshotPiece(
+            member.configuration.group,
+            member.identity,
+            peer.identity,
+            member.term,
+            index,
+            len(data),
+            checksum,
+            offset,
+            data[offset : offset + timing.PIECE_BYTES],
+        )
+        answer = await member.bus.request(peer.address, piece, timing.APPEND_TIMEOUT_S)
+        if not replication.take_answer(answer, sent_at):
+            peer.is_silent = True
+            return
+        offset = answer.ok.offset
+        due = sent_at + len(piece.data) / timing.TRANSFER_BYTES_PER_S
+        await asyncio.sleep(max(due - clock.now(), 0))
+    peer.match = max(peer.match, index)
+    peer.next_index = peer.match + 1
--- a/fuchsiacroft/transport/codec.py
+++ b/fuchsiacroft/transport/codec.py
@@ -78,3 +78,22 @@
         return Ok((envelope, decoder.decode(envelope.body)))
     except (msgspec.MsgspecError, RecursionError):
         return Error("malformed")
+
+
+def pack(msg: msgspec.Struct) -> tuple[str, bytes]:
+    """Return the kind and bytes of a registered message, without an envelope."""
+    kind = _NAMES.get(type(msg))
+    if kind is None:
+        raise InvariantError(f"{type(msg).__name__} is not a registered message")
+    return kind, _ENCODER.encode(msg)
+
+
+def unpack(kind: str, body: bytes) -> Result[msgspec.Struct, str]:
+    """Return the message of that kind, or why the bytes are refused."""
+    decoder = _DECODERS.get(kind)
+    if decoder is None:
+        return Error("unknown_kind")
+    try:
+        return Ok(decoder.decode(body))
+    except (msgspec.MsgspecError, RecursionError):
+        return Error("malformed")
