Serve a request end to end through separate processes

Cause: nothing ran yet; the parts need one whole path to be deepened in place. Ruled out: three control members for now, since the log of one member that stands in for consensus would split into three.

--- /dev/null
+++ b/fuchsiacroft/commands/standin.py
@@ -0,0 +1,67 @@
+"""Run a stand-in model engine or plain application."""
+
+import asyncio
+import signal
+
+from absl import flags
+
+from fuchsiacroft.standin import announcer, application, engine
+from fuchsiacroft.utils import logs, process
+from fuchsiacroft.utils.http import Listener
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Define the flags of this command."""
+    flags.DEFINE_enum("kind", "engine", ["engine", "application"], "what to be", values)
+    flags.DEFINE_string("name", "standin-1", "the backend server's name", values)
+    flags.DEFINE_string("domain", "domain-1", "its failure domain", values)
+    flags.DEFINE_string("address", "127.0.0.1:9000", "where to listen", values)
+    flags.DEFINE_list("entries", [], "addresses that take announcements", values)
+    flags.DEFINE_string("service", "assistant", "the service to offer", values)
+    flags.DEFINE_integer("slots", 8, "requests at a time", flag_values=values)
+    flags.DEFINE_string("generation", "g1", "the hardware generation", values)
+    flags.DEFINE_float(
+        "token_gap_s", 0.01, "seconds between tokens", flag_values=values
+    )
+    flags.DEFINE_float(
+        "prefill_rate", 20_000, "prompt tokens a second", flag_values=values
+    )
+    flags.DEFINE_float(
+        "work_s", 0.02, "seconds a call of an application", flag_values=values
+    )
+    flags.DEFINE_bool("can_crash", False, "let marked requests end it", values)
+
+
+def run(values: flags.FlagValues) -> int:
+    """Serve until a signal; SIGUSR1 announces that it is leaving."""
+    logs.configure("INFO")
+    process.run(_serve(values))
+    return 0
+
+
+async def _serve(values: flags.FlagValues) -> None:
+    if values.kind == "engine":
+        speed = engine.EngineSpeed(values.prefill_rate, values.token_gap_s)
+        server = engine.create(speed, values.can_crash)
+    else:
+        server = application.create(values.work_s)
+    listener = Listener(server.app(), values.address)
+    await listener.start()
+    first = announcer.announcement(
+        name=values.name,
+        domain=values.domain,
+        address=values.address,
+        service=values.service,
+        slots=values.slots,
+        generation=values.generation,
+    )
+    announcing = announcer.Announcer(first, values.entries, server.load)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    loop.add_signal_handler(signal.SIGUSR1, announcing.leave)
+    task = loop.create_task(announcing.run())
+    await stopping.wait()
+    task.cancel()
+    await listener.stop()
--- /dev/null
+++ b/fuchsiacroft/config/delta.py
@@ -0,0 +1,70 @@
+"""Changes between two versions of the document."""
+
+import msgspec
+
+from fuchsiacroft.config.document import (
+    Document,
+    Rule,
+    ServiceSpec,
+    Tier,
+    Workspace,
+)
+
+
+class Delta(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What turns one document into the next.
+
+    Named items are put or removed by name. Tiers and rules are ordered lists
+    and are replaced whole when they change.
+    """
+
+    put_services: tuple[ServiceSpec, ...] = ()
+    removed_services: tuple[str, ...] = ()
+    put_workspaces: tuple[Workspace, ...] = ()
+    removed_workspaces: tuple[str, ...] = ()
+    tiers: tuple[Tier, ...] | None = None
+    rules: tuple[Rule, ...] | None = None
+
+
+def between(old: Document, new: Document) -> Delta:
+    """Return the delta that turns `old` into `new`."""
+    put_services, removed_services = _changed(old.services, new.services)
+    put_workspaces, removed_workspaces = _changed(old.workspaces, new.workspaces)
+    return Delta(
+        put_services=put_services,
+        removed_services=removed_services,
+        put_workspaces=put_workspaces,
+        removed_workspaces=removed_workspaces,
+        tiers=tuple(new.tiers) if new.tiers != old.tiers else None,
+        rules=tuple(new.rules) if new.rules != old.rules else None,
+    )
+
+
+def apply(old: Document, delta: Delta) -> Document:
+    """Return the document that a delta makes of `old`."""
+    return Document(
+        tiers=list(delta.tiers) if delta.tiers is not None else old.tiers,
+        services=_merged(old.services, delta.put_services, delta.removed_services),
+        workspaces=_merged(
+            old.workspaces, delta.put_workspaces, delta.removed_workspaces
+        ),
+        rules=list(delta.rules) if delta.rules is not None else old.rules,
+    )
+
+
+def _changed(old: list, new: list) -> tuple[tuple, tuple[str, ...]]:
+    before = {item.name: item for item in old}
+    put = tuple(item for item in new if before.get(item.name) != item)
+    kept = {item.name for item in new}
+    return put, tuple(name for name in before if name not in kept)
+
+
+def _merged(old: list, put: tuple, removed: tuple[str, ...]) -> list:
+    if not put and not removed:
+        return old
+    items = {item.name: item for item in old}
+    for name in removed:
+        items.pop(name, None)
+    for item in put:
+        items[item.name] = item
+    return sorted(items.values(), key=lambda item: item.name)
--- a/fuchsiacroft/config/faults.py
+++ b/fuchsiacroft/config/faults.py
@@ -31,16 +31,10 @@
 
 def check_value(value: object, cls: type) -> Result[object, list[Fault]]:
     """Return a JSON value converted to `cls`, or every fault found in it."""
-    validator = Draft202012Validator(msgspec.json.schema(cls))
-    faults = []
-    for error in validator.iter_errors(value):
-        faults.extend(_explain(error))
-    if faults:
-        return Error(sorted(faults, key=lambda fault: fault.path))
     try:
         return Ok(msgspec.convert(value, cls))
     except msgspec.ValidationError as exc:
-        return Error([Fault("$", str(exc))])
+        return Error(_every_fault(value, cls) or [Fault("$", str(exc))])
 
 
 def nearest(name: str, known: list[str]) -> str:
@@ -49,6 +43,14 @@
     return f'; did you mean "{close[0]}"?' if close else ""
 
 
+def _every_fault(value: object, cls: type) -> list[Fault]:
+    validator = Draft202012Validator(msgspec.json.schema(cls))
+    faults = []
+    for error in validator.iter_errors(value):
+        faults.extend(_explain(error))
+    return sorted(faults, key=lambda fault: fault.path)
+
+
 def _explain(error: ValidationError) -> list[Fault]:
     path = error.json_path
     if error.validator == "additionalProperties":
--- /dev/null
+++ b/fuchsiacroft/control/configuration.py
@@ -0,0 +1,156 @@
+"""The replicated document: versions, change ids, history.
+
+The log carries deltas, so that a change costs its own size and not the
+document's.
+"""
+
+from collections import OrderedDict, deque
+
+import msgspec
+
+from fuchsiacroft.config.delta import Delta, apply
+from fuchsiacroft.config.document import Document
+from fuchsiacroft.control.log import StateMachine
+from fuchsiacroft.transport import codec
+
+HISTORY_VERSIONS = 2_000
+REMEMBERED_CHANGES = 200_000
+EMPTY = Document(tiers=[], services=[], workspaces=[])
+
+
+@codec.message("configuration.change")
+class ChangeDocument(msgspec.Struct, frozen=True):
+    """Put a delta in force if `held_version` is still the newest.
+
+    `change_id` makes the change idempotent; `operator` is for the audit log,
+    `changed_at` its time of day in seconds since the epoch.
+    """
+
+    held_version: int
+    change_id: str
+    operator: str
+    delta: Delta
+    changed_at: float = 0.0
+
+
+@codec.message("configuration.accepted")
+class ChangeAccepted(msgspec.Struct, frozen=True):
+    """The change is version `version`; a resent change gets the same answer."""
+
+    version: int
+    resent: bool = False
+
+
+@codec.message("configuration.conflict")
+class ChangeConflict(msgspec.Struct, frozen=True):
+    """Another change came first: the newest version and who made it."""
+
+    version: int
+    operator: str
+
+
+class VersionRecord(msgspec.Struct, frozen=True):
+    """One version in the history: who changed what, and how to go there."""
+
+    version: int
+    change_id: str
+    operator: str
+    changed_at: float
+    delta: Delta
+
+
+class _Snapshot(msgspec.Struct, frozen=True):
+    version: int
+    document: Document
+    history: list[VersionRecord]
+    changes: list[tuple[str, int]]
+
+
+class ConfigurationState(StateMachine):
+    """The document at its newest version, with its recent history."""
+
+    commands = (ChangeDocument,)
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.document = EMPTY
+        self._history: deque[VersionRecord] = deque(maxlen=HISTORY_VERSIONS)
+        self._changes: OrderedDict[str, int] = OrderedDict()
+        self._listeners: list = []
+
+    def on_change(self, listener) -> None:
+        """Call `listener()` after every new version."""
+        self._listeners.append(listener)
+
+    def apply(self, index: int, command: ChangeDocument) -> msgspec.Struct:
+        """Put a change in force, or answer the resent or raced one."""
+        known = self._changes.get(command.change_id)
+        if known is not None:
+            return ChangeAccepted(known, resent=True)
+        if command.held_version != self.version:
+            return ChangeConflict(self.version, self._last_operator())
+        self._put_in_force(command)
+        return ChangeAccepted(self.version)
+
+    def known_change(self, change_id: str) -> int | None:
+        """Return the version that a change id was accepted as."""
+        return self._changes.get(change_id)
+
+    def since(self, version: int) -> list[VersionRecord] | None:
+        """Return the records after `version`, or None if they are forgotten."""
+        if version == self.version:
+            return []
+        if version > self.version or not self._history:
+            return None
+        first = self._history[0].version
+        if version + 1 < first:
+            return None
+        return [record for record in self._history if record.version > version]
+
+    def history(self) -> list[VersionRecord]:
+        """Return the remembered versions, the oldest first."""
+        return list(self._history)
+
+    def snapshot(self) -> bytes:
+        """Return the document, its history and the remembered change ids."""
+        return msgspec.msgpack.encode(
+            _Snapshot(
+                self.version,
+                self.document,
+                list(self._history),
+                list(self._changes.items()),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot."""
+        saved = msgspec.msgpack.decode(data, type=_Snapshot)
+        self.version = saved.version
+        self.document = saved.document
+        self._history = deque(saved.history, maxlen=HISTORY_VERSIONS)
+        self._changes = OrderedDict(saved.changes)
+        self._notify()
+
+    def _put_in_force(self, command: ChangeDocument) -> None:
+        self.document = apply(self.document, command.delta)
+        self.version += 1
+        self._history.append(
+            VersionRecord(
+                self.version,
+                command.change_id,
+                command.operator,
+                command.changed_at,
+                command.delta,
+            )
+        )
+        self._changes[command.change_id] = self.version
+        while len(self._changes) > REMEMBERED_CHANGES:
+            self._changes.popitem(last=False)
+        self._notify()
+
+    def _last_operator(self) -> str:
+        return self._history[-1].operator if self._history else ""
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/fuchsiacroft/control/ledger.py
@@ -0,0 +1,245 @@
+"""The ledger of non-idempotent requests: one claim for each key.
+
+A key is claimed in a durable majority before its request is dispatched. Its
+outcome answers every resend until the retention ends; after that the key is
+still known as used, and a resend is refused.
+"""
+
+import enum
+from collections import OrderedDict
+
+import msgspec
+
+from fuchsiacroft.control.log import StateMachine
+from fuchsiacroft.transport import codec
+
+RETENTION_S = 86_400.0
+USED_KEYS_S = 30 * 86_400.0
+MAX_USED_KEYS = 1_000_000
+MAX_STORED_BYTES = 32 * 1024 * 1024
+MAX_ANSWER_BYTES = 64 * 1024
+
+
+class KeyState(enum.Enum):
+    """What the ledger knows of a key."""
+
+    GRANTED = "granted"
+    IN_PROGRESS = "in_progress"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+    EXPIRED = "expired"
+    OTHER_REQUEST = "other_request"
+    FREE = "free"
+    FULL = "full"
+
+
+class StoredAnswer(msgspec.Struct, frozen=True):
+    """The answer to a request that ran; `body` is None if it was not kept."""
+
+    status: int
+    content_type: str
+    body: bytes | None
+
+
+@codec.message("ledger.claim")
+class ClaimKey(msgspec.Struct, frozen=True):
+    """Claim a key for one run.
+
+    `key` is a digest of the workspace and its idempotency key, `fingerprint`
+    a digest of the request, `claim` names this try. After `lease_s` without
+    an outcome, the outcome counts as unknown. `dated` keys carry their own
+    time, so that they need not be remembered after the retention.
+    """
+
+    key: bytes
+    fingerprint: bytes
+    claim: str
+    lease_s: float
+    dated: bool = False
+
+
+@codec.message("ledger.settle")
+class SettleKey(msgspec.Struct, frozen=True):
+    """Record the outcome of a claim; without an answer it is unknown."""
+
+    key: bytes
+    claim: str
+    answer: StoredAnswer | None
+
+
+@codec.message("ledger.release")
+class ReleaseKey(msgspec.Struct, frozen=True):
+    """Give a claim back whose request was not dispatched."""
+
+    key: bytes
+    claim: str
+
+
+@codec.message("ledger.advance")
+class AdvanceClock(msgspec.Struct, frozen=True):
+    """Move the ledger's clock on by seconds that the leader counted."""
+
+    by_s: float
+
+
+@codec.message("ledger.status")
+class KeyStatus(msgspec.Struct, frozen=True):
+    """What became of a claim or a look-up."""
+
+    state: KeyState
+    answer: StoredAnswer | None = None
+
+
+class Entry(msgspec.Struct, array_like=True):
+    """One key: its claim, and its answer once the request has run."""
+
+    fingerprint: bytes
+    claim: str
+    lease_ends: float
+    expires: float
+    dated: bool
+    settled: bool = False
+    answer: StoredAnswer | None = None
+
+
+class _Snapshot(msgspec.Struct, frozen=True):
+    clock: float
+    entries: list[tuple[bytes, Entry]]
+    used: list[tuple[bytes, float]]
+
+
+class LedgerState(StateMachine):
+    """Every claimed key, in the order of its claim."""
+
+    commands = (ClaimKey, SettleKey, ReleaseKey, AdvanceClock)
+
+    def __init__(self, max_used_keys: int = MAX_USED_KEYS) -> None:
+        self.clock = 0.0
+        self.stored_bytes = 0
+        self._max_used_keys = max_used_keys
+        self._entries: OrderedDict[bytes, Entry] = OrderedDict()
+        self._answered: OrderedDict[bytes, None] = OrderedDict()
+        self._used: OrderedDict[bytes, float] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Return how many keys are remembered."""
+        return len(self._entries) + len(self._used)
+
+    def apply(self, index: int, command: msgspec.Struct) -> KeyStatus:
+        """Apply one command; every one of them is idempotent."""
+        match command:
+            case ClaimKey():
+                return self._claim(command)
+            case SettleKey():
+                return self._settle(command)
+            case ReleaseKey():
+                return self._release(command)
+            case AdvanceClock():
+                return self._advance(command)
+
+    def look_up(self, key: bytes, fingerprint: bytes) -> KeyStatus:
+        """Return what is known of a key without claiming it."""
+        if key in self._used:
+            return KeyStatus(KeyState.EXPIRED)
+        entry = self._entries.get(key)
+        if entry is None:
+            return KeyStatus(KeyState.FREE)
+        if entry.fingerprint != fingerprint:
+            return KeyStatus(KeyState.OTHER_REQUEST)
+        if entry.answer is not None:
+            return KeyStatus(KeyState.ANSWERED, entry.answer)
+        if entry.settled or entry.lease_ends <= self.clock:
+            return KeyStatus(KeyState.UNKNOWN)
+        return KeyStatus(KeyState.IN_PROGRESS)
+
+    def snapshot(self) -> bytes:
+        """Return every key and the clock."""
+        entries = list(self._entries.items())
+        used = list(self._used.items())
+        return msgspec.msgpack.encode(_Snapshot(self.clock, entries, used))
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot."""
+        saved = msgspec.msgpack.decode(data, type=_Snapshot)
+        self.clock = saved.clock
+        self._entries = OrderedDict(saved.entries)
+        self._used = OrderedDict(saved.used)
+        self._answered = OrderedDict(
+            (key, None) for key, entry in saved.entries if _stored(entry)
+        )
+        self.stored_bytes = sum(_stored(entry) for _, entry in saved.entries)
+
+    def _claim(self, command: ClaimKey) -> KeyStatus:
+        entry = self._entries.get(command.key)
+        if entry is not None and entry.claim == command.claim:
+            return KeyStatus(KeyState.GRANTED)
+        known = self.look_up(command.key, command.fingerprint)
+        if known.state is not KeyState.FREE:
+            return known
+        if not command.dated and len(self) >= self._max_used_keys:
+            return KeyStatus(KeyState.FULL)
+        self._entries[command.key] = Entry(
+            command.fingerprint,
+            command.claim,
+            self.clock + command.lease_s,
+            self.clock + RETENTION_S,
+            command.dated,
+        )
+        return KeyStatus(KeyState.GRANTED)
+
+    def _settle(self, command: SettleKey) -> KeyStatus:
+        entry = self._entries.get(command.key)
+        if entry is None or entry.claim != command.claim:
+            return KeyStatus(KeyState.FREE)
+        if not entry.settled:
+            entry.settled = True
+            entry.answer = command.answer
+            self._keep_answer(command.key, entry)
+        return self.look_up(command.key, entry.fingerprint)
+
+    def _release(self, command: ReleaseKey) -> KeyStatus:
+        entry = self._entries.get(command.key)
+        if entry is not None and entry.claim == command.claim and not entry.settled:
+            del self._entries[command.key]
+        return KeyStatus(KeyState.FREE)
+
+    def _advance(self, command: AdvanceClock) -> KeyStatus:
+        self.clock += command.by_s
+        self._expire_entries()
+        self._expire_used()
+        return KeyStatus(KeyState.FREE)
+
+    def _expire_entries(self) -> None:
+        while self._entries:
+            key, entry = next(iter(self._entries.items()))
+            if entry.expires > self.clock:
+                return
+            del self._entries[key]
+            self._answered.pop(key, None)
+            self.stored_bytes -= _stored(entry)
+            if not entry.dated:
+                self._used[key] = self.clock + USED_KEYS_S
+
+    def _expire_used(self) -> None:
+        while self._used:
+            key, expires = next(iter(self._used.items()))
+            if expires > self.clock:
+                return
+            del self._used[key]
+
+    def _keep_answer(self, key: bytes, entry: Entry) -> None:
+        self._answered[key] = None
+        self.stored_bytes += _stored(entry)
+        while self.stored_bytes > MAX_STORED_BYTES:
+            oldest, _ = self._answered.popitem(last=False)
+            dropped = self._entries[oldest]
+            self.stored_bytes -= _stored(dropped)
+            answer = dropped.answer
+            if answer is not None:
+                dropped.answer = StoredAnswer(answer.status, answer.content_type, None)
+
+
+def _stored(entry: Entry) -> int:
+    if entry.answer is None or entry.answer.body is None:
+        return 0
+    return len(entry.answer.body)
--- /dev/null
+++ b/fuchsiacroft/entry/admission.py
@@ -0,0 +1,249 @@
+"""Turns a caller's HTTP request into a `CallerRequest`, or refuses it."""
+
+import math
+import uuid
+from dataclasses import dataclass
+
+import msgspec
+import xxhash
+from aiohttp import web
+from expression import Error, Ok, Result
+
+from fuchsiacroft.config.document import ServiceSpec, Tier, Workspace, hash_key
+from fuchsiacroft.config.held import HeldDocument
+from fuchsiacroft.entry.ledger_key import is_past_retention, ledger_key
+from fuchsiacroft.entry.problems import Problem, Ran
+from fuchsiacroft.entry.request import CallerRequest
+from fuchsiacroft.routing.ask import Ask, WorkSize
+
+TIER_HEADER = "Fuchsiacroft-Tier"
+TIMEOUT_HEADER = "Fuchsiacroft-Timeout"
+KEY_HEADER = "Idempotency-Key"
+BYTES_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 256
+PREFIX_BLOCK_BYTES = 1024
+MAX_PREFIX_BLOCKS = 32
+MAX_KEY_LENGTH = 255
+
+HOP_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "idempotency-key",
+        "fuchsiacroft-tier",
+        "fuchsiacroft-timeout",
+        "fuchsiacroft-request-id",
+    }
+)
+
+
+class ModelBody(msgspec.Struct):
+    """The fields of an OpenAI-shaped request that scheduling reads."""
+
+    model: str
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Content:
+    """What a request asks for, apart from who asks."""
+
+    path: str
+    body: bytes | None
+    size: WorkSize = WorkSize()
+    stream: bool = False
+
+
+Admitted = Result[CallerRequest, Problem]
+
+
+class Admission:
+    """Checks requests against the document in force."""
+
+    def __init__(self, document: HeldDocument) -> None:
+        self._document = document
+
+    async def model(self, req: web.Request, path: str) -> Admitted:
+        """Admit a request to a model service; its body names the service."""
+        match self._workspace(req):
+            case Result(tag="ok", ok=workspace):
+                pass
+            case Result(error=problem):
+                return Error(problem)
+        body = await req.read()
+        try:
+            fields = msgspec.json.decode(body, type=ModelBody)
+        except (msgspec.MsgspecError, RecursionError) as exc:
+            return Error(Problem(400, "malformed", f"the body is refused: {exc}"))
+        spec = self._document.service(fields.model)
+        if spec is None or spec.kind != "model":
+            detail = f'no model service "{fields.model}"'
+            return Error(Problem(404, "unknown_service", detail))
+        if len(body) > spec.max_body_bytes:
+            return Error(_too_large(spec))
+        wanted = fields.max_completion_tokens or fields.max_tokens
+        size = WorkSize(
+            prompt_tokens=len(body) // BYTES_PER_TOKEN,
+            output_tokens=max(1, wanted or DEFAULT_OUTPUT_TOKENS),
+        )
+        content = Content(path, body, size, fields.stream)
+        return self._admit(req, workspace, spec, content)
+
+    async def plain(self, req: web.Request, name: str, path: str) -> Admitted:
+        """Admit a request to a plain service, named in the path."""
+        match self._workspace(req):
+            case Result(tag="ok", ok=workspace):
+                pass
+            case Result(error=problem):
+                return Error(problem)
+        spec = self._document.service(name)
+        if spec is None or spec.kind != "plain":
+            return Error(Problem(404, "unknown_service", f'no plain service "{name}"'))
+        if (req.content_length or 0) > spec.max_body_bytes:
+            return Error(_too_large(spec))
+        body = None
+        rule = self._document.rule(name, req.method, path)
+        if not req.can_read_body or (rule is not None and not rule.idempotent):
+            body = await req.read()
+        return self._admit(req, workspace, spec, Content(path, body))
+
+    def _admit(
+        self,
+        req: web.Request,
+        workspace: Workspace,
+        spec: ServiceSpec,
+        content: Content,
+    ) -> Admitted:
+        match self._tier(req, workspace, spec):
+            case Result(tag="ok", ok=tier):
+                pass
+            case Result(error=problem):
+                return Error(problem)
+        timeout_s = _timeout(req, tier)
+        if timeout_s is None:
+            detail = f"{TIMEOUT_HEADER} must be a positive number of seconds"
+            return Error(Problem(400, "malformed", detail))
+        rule = self._document.rule(spec.name, req.method, content.path)
+        idempotent = rule is None or rule.idempotent
+        key = req.headers.get(KEY_HEADER, "")
+        if not idempotent and rule.key_required and not key:
+            detail = f"a non-idempotent request needs {KEY_HEADER}"
+            return Error(Problem(400, "key_required", detail))
+        if len(key) > MAX_KEY_LENGTH:
+            return Error(Problem(400, "malformed", f"{KEY_HEADER} is too long"))
+        if is_past_retention(key):
+            detail = "the key is older than its retention; its request may have run"
+            return Error(Problem(409, "key_expired", detail, Ran.MAYBE))
+        digest = _digest(req.method, content)
+        ask = Ask(
+            request_id=uuid.uuid4().hex,
+            service=spec.name,
+            rank=tier.rank,
+            timeout_s=timeout_s,
+            workspace=workspace.name,
+            share=workspace.share,
+            size=content.size,
+            idempotent=idempotent,
+            fingerprint=digest.hex(),
+            prefixes=_prefixes(content.body) if spec.kind == "model" else (),
+            first_token_target_s=spec.first_token_target_s,
+            token_gap_target_s=spec.token_gap_target_s,
+        )
+        return Ok(
+            CallerRequest(
+                request_id=ask.request_id,
+                spec=spec,
+                ask=ask,
+                method=req.method,
+                path=content.path,
+                headers=_passed_headers(req),
+                body=content.body,
+                stream=content.stream,
+                ledger_key=None
+                if idempotent or not key
+                else ledger_key(workspace.name, key, digest),
+            )
+        )
+
+    def _workspace(self, req: web.Request) -> Result[Workspace, Problem]:
+        scheme, _, key = req.headers.get("Authorization", "").partition(" ")
+        workspace = None
+        if scheme.lower() == "bearer":
+            workspace = self._document.workspace_of(hash_key(key.strip()))
+        if workspace is None:
+            return Error(Problem(401, "unknown_key", "no workspace has this key"))
+        return Ok(workspace)
+
+    def _tier(
+        self, req: web.Request, workspace: Workspace, spec: ServiceSpec
+    ) -> Result[Tier, Problem]:
+        name = req.headers.get(TIER_HEADER, workspace.tier)
+        tier = self._document.tier(name)
+        if tier is None:
+            return Error(Problem(400, "unknown_tier", f'no tier "{name}"'))
+        highest = self._document.tier(workspace.highest_tier or workspace.tier)
+        if highest is not None and tier.rank < highest.rank:
+            detail = f'workspace "{workspace.name}" may not use tier "{name}"'
+            return Error(Problem(403, "tier_refused", detail))
+        if spec.tiers and name not in spec.tiers:
+            detail = f'service "{spec.name}" does not serve tier "{name}"'
+            return Error(Problem(403, "tier_refused", detail))
+        return Ok(tier)
+
+
+def _digest(method: str, content: Content) -> bytes:
+    digest = xxhash.xxh128()
+    digest.update(f"{method} {content.path}\n".encode())
+    digest.update(content.body or b"")
+    return digest.digest()
+
+
+def _too_large(spec: ServiceSpec) -> Problem:
+    return Problem(413, "too_large", f"at most {spec.max_body_bytes} bytes")
+
+
+def _timeout(req: web.Request, tier: Tier) -> float | None:
+    text = req.headers.get(TIMEOUT_HEADER)
+    if text is None:
+        return tier.timeout_s
+    try:
+        wanted = float(text)
+    except ValueError:
+        return None
+    if not math.isfinite(wanted) or wanted <= 0:
+        return None
+    return min(wanted, tier.timeout_s)
+
+
+def _passed_headers(req: web.Request) -> tuple[tuple[str, str], ...]:
+    dropped = {
+        name.strip().lower() for name in req.headers.get("Connection", "").split(",")
+    }
+    return tuple(
+        (name, value)
+        for name, value in req.headers.items()
+        if name.lower() not in HOP_HEADERS and name.lower() not in dropped
+    )
+
+
+def _prefixes(body: bytes | None) -> tuple[int, ...]:
+    digest = xxhash.xxh64()
+    prefixes = []
+    whole = len(body or b"") // PREFIX_BLOCK_BYTES
+    for i in range(min(whole, MAX_PREFIX_BLOCKS)):
+        start = i * PREFIX_BLOCK_BYTES
+        digest.update(body[start : start + PREFIX_BLOCK_BYTES])
+        prefixes.append(digest.intdigest())
+    return tuple(prefixes)
--- /dev/null
+++ b/fuchsiacroft/entry/ledger_key.py
@@ -0,0 +1,38 @@
+"""Keys of the ledger, made from a workspace and its idempotency key."""
+
+import hashlib
+import uuid
+
+from fuchsiacroft.entry.request import LedgerKey
+from fuchsiacroft.utils import clock
+
+KEY_BYTES = 16
+RETENTION_S = 86_400.0
+DATED_MARGIN_S = 3_600.0
+UUID7_TIME_SHIFT = 80
+
+
+def ledger_key(workspace: str, key: str, content: bytes) -> LedgerKey:
+    """Return the ledger's key for a workspace's idempotency key."""
+    digest = hashlib.blake2b(digest_size=KEY_BYTES)
+    digest.update(workspace.encode())
+    digest.update(b"\0")
+    digest.update(key.encode())
+    return LedgerKey(digest.digest(), content, key_age_s(key) is not None)
+
+
+def key_age_s(key: str) -> float | None:
+    """Return the age of a key that carries its time (UUID version 7)."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != 7:
+        return None
+    return clock.wall() - (parsed.int >> UUID7_TIME_SHIFT) / 1000
+
+
+def is_past_retention(key: str) -> bool:
+    """Tell whether the ledger may have forgotten a dated key."""
+    age = key_age_s(key)
+    return age is not None and age > RETENTION_S - DATED_MARGIN_S
--- /dev/null
+++ b/fuchsiacroft/entry/problems.py
@@ -0,0 +1,56 @@
+"""Refusals and errors towards callers: problem documents (RFC 9457)."""
+
+import enum
+import math
+from dataclasses import dataclass
+
+import msgspec
+from aiohttp import web
+
+REQUEST_ID_HEADER = "Fuchsiacroft-Request-Id"
+
+
+class Ran(enum.Enum):
+    """Whether the request ran on a backend server; `no` is a promise."""
+
+    NO = "no"
+    MAYBE = "maybe"
+    YES = "yes"
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """Why a request has no answer; `retry_after_s` is None if no retry helps."""
+
+    status: int
+    code: str
+    detail: str
+    ran: Ran = Ran.NO
+    retry_after_s: float | None = None
+
+
+def body(problem: Problem) -> bytes:
+    """Return the JSON body of a problem."""
+    fields = {
+        "type": f"urn:fuchsiacroft:problem:{problem.code}",
+        "title": problem.code.replace("_", " "),
+        "status": problem.status,
+        "detail": problem.detail,
+        "ran": problem.ran.value,
+    }
+    if problem.retry_after_s is not None:
+        fields["retry_after_s"] = round(problem.retry_after_s, 3)
+    return msgspec.json.encode(fields)
+
+
+def response(problem: Problem, request_id: str) -> web.Response:
+    """Return the HTTP answer for a problem."""
+    headers = {REQUEST_ID_HEADER: request_id}
+    if problem.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(problem.retry_after_s)))
+    return web.Response(
+        status=problem.status,
+        body=body(problem),
+        content_type="application/problem+json",
+        headers=headers,
+    )
--- /dev/null
+++ b/fuchsiacroft/entry/process.py
@@ -0,0 +1,39 @@
+"""Puts the services of an entry together."""
+
+from fuchsiacroft import operations
+from fuchsiacroft.config import follower, held
+from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.entry import backend_client, callers, dispatch, ledger_client
+from fuchsiacroft.exceptions import SettingsError
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.membership import backend_servers
+from fuchsiacroft.routing import desk, scheduler
+from fuchsiacroft.transport import zmq_bus
+from fuchsiacroft.utils.metrics import Metrics
+
+
+def create(settings: Settings) -> Kernel:
+    """Return the kernel of an entry, ready to start."""
+    addresses = settings.addresses
+    if addresses.peers is None or addresses.callers is None:
+        raise SettingsError("an entry needs addresses.peers and addresses.callers")
+    metrics = Metrics()
+    front = callers.create(settings, metrics)
+    ops = operations.create(addresses.operators, metrics)
+    ops.add_check(front.why_not_ready)
+    kernel = Kernel()
+    for service in (
+        zmq_bus.create(settings.node, addresses.peers),
+        held.create(),
+        follower.create(settings),
+        backend_servers.create(settings),
+        desk.create(settings.node),
+        scheduler.create(settings),
+        backend_client.create(),
+        ledger_client.create(settings),
+        dispatch.create(),
+        ops,
+        front,
+    ):
+        kernel.add(service)
+    return kernel
--- /dev/null
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -0,0 +1,153 @@
+"""The backend servers of this failure domain that have announced themselves."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+from aiohttp import web
+
+from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.membership.announcement import Announced, Announcement
+from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.http import Listener
+from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.tasks import TaskGroup
+
+SILENCE_S = 4.0
+SWEEP_PERIOD_S = 0.5
+MAX_ANNOUNCEMENT_BYTES = 256 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class BackendServer:
+    """A backend server as last announced, and when that was heard."""
+
+    announcement: Announcement
+    heard_at: float
+
+    @property
+    def name(self) -> str:
+        """Return the name it goes by."""
+        return self.announcement.name
+
+    @property
+    def boot_id(self) -> str:
+        """Return the id of its present life."""
+        return self.announcement.boot_id
+
+
+class Listeners:
+    """Called when backend servers come, change and go."""
+
+    def __init__(self) -> None:
+        self.heard: list[Callable[[BackendServer], None]] = []
+        self.gone: list[Callable[[BackendServer], None]] = []
+
+
+class BackendDirectory(Service):
+    """Receives announcements and passes each on to the entries that need it."""
+
+    name = "backend_servers"
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._servers: dict[str, BackendServer] = {}
+        self._tasks = TaskGroup("backend_servers")
+        self._listener: Listener | None = None
+        self.listeners = Listeners()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen for announcements, from backend servers and from entries."""
+        self._bus = kernel.get("bus", Bus)
+        self._bus.handle(Announced, self._on_announced)
+        app = web.Application(client_max_size=MAX_ANNOUNCEMENT_BYTES)
+        app.router.add_post("/announce", self._on_post)
+        address = self._settings.addresses.backend_servers
+        if address is not None:
+            self._listener = Listener(app, address)
+            await self._listener.start()
+        self._tasks.spawn(self._sweep(), "backend-sweep")
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._tasks.cancel()
+        if self._listener is not None:
+            await self._listener.stop()
+
+    def dump(self) -> dict:
+        """Return every backend server with the age of its announcement."""
+        return {
+            server.name: {
+                "boot_id": server.boot_id,
+                "heard_s_ago": round(now() - server.heard_at, 3),
+                "announcement": msgspec.to_builtins(server.announcement),
+            }
+            for server in self._servers.values()
+        }
+
+    def all(self) -> tuple[BackendServer, ...]:
+        """Return every backend server heard of lately."""
+        return tuple(self._servers.values())
+
+    def get(self, name: str) -> BackendServer | None:
+        """Return the backend server of that name."""
+        return self._servers.get(name)
+
+    async def _on_post(self, req: web.Request) -> web.Response:
+        try:
+            announcement = msgspec.json.decode(await req.read(), type=Announcement)
+        except (msgspec.MsgspecError, RecursionError) as exc:
+            return web.json_response(
+                {"title": "malformed", "detail": str(exc)}, status=400
+            )
+        if announcement.failure_domain != self._settings.failure_domain:
+            detail = f"this entry serves {self._settings.failure_domain}"
+            return web.json_response(
+                {"title": "other domain", "detail": detail}, status=409
+            )
+        self._hear(announcement)
+        self._pass_on(announcement)
+        return web.Response(status=204)
+
+    async def _on_announced(self, sender: str, msg: Announced) -> None:
+        self._hear(msg.announcement)
+
+    def _pass_on(self, announcement: Announcement) -> None:
+        for member in self._settings.entries:
+            if member.node == self._settings.node:
+                continue
+            if member.failure_domain == self._settings.failure_domain:
+                self._bus.send(member.peers, Announced(announcement))
+
+    def _hear(self, announcement: Announcement) -> None:
+        known = self._servers.get(announcement.name)
+        server = BackendServer(announcement, now())
+        if known is None or known.boot_id != server.boot_id:
+            if known is not None:
+                self._forget(known, "new_boot")
+            event("info", "backend_server_joined", backend_server=server.name)
+        self._servers[server.name] = server
+        for listener in self.listeners.heard:
+            listener(server)
+
+    def _forget(self, server: BackendServer, reason: str) -> None:
+        del self._servers[server.name]
+        event("info", "backend_server_gone", backend_server=server.name, reason=reason)
+        for listener in self.listeners.gone:
+            listener(server)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            oldest = now() - SILENCE_S
+            for server in self.all():
+                if server.heard_at < oldest:
+                    self._forget(server, "silent")
+
+
+def create(settings: Settings) -> BackendDirectory:
+    """Return the directory of an entry."""
+    return BackendDirectory(settings)
--- /dev/null
+++ b/fuchsiacroft/operations.py
@@ -0,0 +1,69 @@
+"""The operators' view of one process: health, readiness, metrics, dump."""
+
+from collections.abc import Callable
+
+import msgspec
+from aiohttp import web
+
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.utils.http import Listener
+from fuchsiacroft.utils.metrics import Metrics
+
+Readiness = Callable[[], str | None]
+
+
+class Operations(Service):
+    """Serves `/healthz`, `/readyz`, `/metrics` and `/dump`.
+
+    Other services add routes to `app` before the start, and checks of
+    readiness that return None or the reason why the process is not ready.
+    """
+
+    name = "operations"
+
+    def __init__(self, address: str, metrics: Metrics) -> None:
+        self.app = web.Application(client_max_size=64 * 1024 * 1024)
+        self.metrics = metrics
+        self._checks: list[Readiness] = []
+        self._listener = Listener(self.app, address)
+        self._kernel: Kernel | None = None
+        self.app.router.add_get("/healthz", self._healthz)
+        self.app.router.add_get("/readyz", self._readyz)
+        self.app.router.add_get("/metrics", self._metrics)
+        self.app.router.add_get("/dump", self._dump)
+
+    def add_check(self, check: Readiness) -> None:
+        """Add a check of readiness."""
+        self._checks.append(check)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen on the operators' address."""
+        self._kernel = kernel
+        await self._listener.start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._listener.stop()
+
+    async def _healthz(self, req: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _readyz(self, req: web.Request) -> web.Response:
+        reasons = [reason for check in self._checks if (reason := check())]
+        if reasons:
+            return web.Response(status=503, text="\n".join(reasons) + "\n")
+        return web.Response(text="ready\n")
+
+    async def _metrics(self, req: web.Request) -> web.Response:
+        body, headers = self.metrics.render(req.headers.getall("Accept", []))
+        return web.Response(body=body, headers=headers)
+
+    async def _dump(self, req: web.Request) -> web.Response:
+        state = self._kernel.dump() if self._kernel else {}
+        body = msgspec.json.format(msgspec.json.encode(state))
+        return web.Response(body=body, content_type="application/json")
+
+
+def create(address: str, metrics: Metrics) -> Operations:
+    """Return the operations service for an address."""
+    return Operations(address, metrics)
--- /dev/null
+++ b/fuchsiacroft/tests/fakes/cluster.py
@@ -0,0 +1,280 @@
+"""Real processes on loopback: entries, control members and stand-ins."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from fuchsiacroft.config.document import hash_key
+from fuchsiacroft.tests.fakes.ports import free_addresses
+
+OPERATOR_TOKEN = "operator-token"
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+POLL_S = 0.05
+DOMAINS = ("mvd-cordon", "mvd-pocitos", "mvd-carrasco")
+
+
+@dataclass(frozen=True)
+class Node:
+    """A process of the cluster: its command, addresses and settings file."""
+
+    name: str
+    domain: str
+    command: tuple[str, ...]
+    addresses: dict[str, str]
+
+
+@dataclass(frozen=True)
+class Shape:
+    """How many processes of each kind stand in each failure domain."""
+
+    domains: tuple[str, ...] = DOMAINS
+    entries: tuple[int, ...] = (3, 2, 2)
+    control: int = 3
+    engines: int = 3
+    applications: int = 1
+    engine_flags: tuple[str, ...] = ()
+    application_flags: tuple[str, ...] = ()
+
+
+@dataclass
+class Cluster:
+    """The processes of one test, started from a folder of settings."""
+
+    folder: Path
+    nodes: dict[str, Node]
+    running: dict[str, subprocess.Popen] = field(default_factory=dict)
+
+    def start(self, *names: str) -> None:
+        """Start the named processes, or all of them."""
+        for name in names or self.nodes:
+            log = (self.folder / f"{name}.log").open("ab")
+            self.running[name] = subprocess.Popen(
+                [sys.executable, "-m", "fuchsiacroft", *self.nodes[name].command],
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+            )
+            log.close()
+
+    def kill(self, name: str, number: int = signal.SIGKILL) -> None:
+        """Send a signal to one process."""
+        self.running[name].send_signal(number)
+
+    def stop(self) -> None:
+        """End every process that this cluster started."""
+        for proc in self.running.values():
+            if proc.poll() is None:
+                proc.send_signal(signal.SIGCONT)
+                proc.kill()
+        for proc in self.running.values():
+            proc.wait(STOP_TIMEOUT_S)
+
+    def named(self, prefix: str) -> list[Node]:
+        """Return the nodes whose names begin with a prefix."""
+        return [node for name, node in self.nodes.items() if name.startswith(prefix)]
+
+    def url(self, name: str, address: str, path: str = "") -> str:
+        """Return a URL on one of a node's addresses."""
+        return f"http://{self.nodes[name].addresses[address]}{path}"
+
+    async def wait_ready(self, session: aiohttp.ClientSession) -> None:
+        """Wait until every entry and control member says it is ready."""
+        for name, node in self.nodes.items():
+            if "operators" in node.addresses and name in self.running:
+                await self._wait(session, self.url(name, "operators", "/readyz"), name)
+
+    async def _wait(self, session, url: str, name: str) -> None:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                if self.running[name].poll() is not None:
+                    log = (self.folder / f"{name}.log").read_text()[-3000:]
+                    raise RuntimeError(f"{name} ended: {log}")
+                try:
+                    async with session.get(url) as res:
+                        if res.status == 200:
+                            return
+                except (aiohttp.ClientError, OSError):
+                    pass
+                await asyncio.sleep(POLL_S)
+
+    async def put_document(
+        self, session: aiohttp.ClientSession, document: dict, held: int, change_id: str
+    ) -> tuple[int, dict]:
+        """Put a document in force through the first control member that answers."""
+        headers = {
+            "Authorization": f"Bearer {OPERATOR_TOKEN}",
+            "If-Match": f'"{held}"',
+            "Fuchsiacroft-Change-Id": change_id,
+        }
+        body = msgspec.json.encode(document)
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                for node in self.named("control"):
+                    url = self.url(node.name, "operators", "/v1/document")
+                    try:
+                        async with session.put(url, data=body, headers=headers) as res:
+                            if res.status not in (503, 504):
+                                return res.status, await res.json()
+                    except (aiohttp.ClientError, OSError):
+                        pass
+                await asyncio.sleep(POLL_S)
+
+    async def wait_in_force(self, session: aiohttp.ClientSession, version: int) -> None:
+        """Wait until every running entry holds at least a version."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for node in self.named("entry"):
+                if self.running[node.name].poll() is not None:
+                    continue
+                while (await self.dump(session, node.name))["document"][
+                    "version"
+                ] < version:
+                    await asyncio.sleep(POLL_S)
+
+    async def dump(self, session: aiohttp.ClientSession, name: str) -> dict:
+        """Return a process's state."""
+        async with session.get(self.url(name, "operators", "/dump")) as res:
+            return await res.json()
+
+    async def counts(self, session: aiohttp.ClientSession) -> dict[str, dict]:
+        """Return what each running stand-in counted."""
+        counts = {}
+        for prefix in ("engine", "app"):
+            for node in self.named(prefix):
+                if self.running[node.name].poll() is None:
+                    url = self.url(node.name, "http", "/counts")
+                    async with session.get(url) as res:
+                        counts[node.name] = await res.json()
+        return counts
+
+
+def create(folder: Path, shape: Shape) -> Cluster:
+    """Write the settings of a cluster into a folder and return it, not started."""
+    planner = _Planner(folder, shape)
+    planner.plan()
+    return Cluster(folder, planner.nodes)
+
+
+class _Planner:
+    def __init__(self, folder: Path, shape: Shape) -> None:
+        self._folder = folder
+        self._shape = shape
+        total = sum(shape.entries) * 4 + shape.control * 2
+        total += len(shape.domains) * (shape.engines + shape.applications)
+        self._free = iter(free_addresses(total))
+        self.nodes: dict[str, Node] = {}
+
+    def plan(self) -> None:
+        shape = self._shape
+        entries = [
+            (f"entry-{domain}-{i}", domain, self._addresses(4))
+            for domain, count in zip(shape.domains, shape.entries, strict=True)
+            for i in range(count)
+        ]
+        control = [
+            (f"control-{i}", shape.domains[i % len(shape.domains)], self._addresses(2))
+            for i in range(shape.control)
+        ]
+        members = {
+            "control": [_member(*node) for node in control],
+            "entries": [_member(*node) for node in entries],
+        }
+        for name, domain, addresses in control:
+            self._process("control", name, domain, addresses, members)
+        for name, domain, addresses in entries:
+            self._process("entry", name, domain, addresses, members)
+        for domain in shape.domains:
+            announce = [
+                node[2]["backend_servers"] for node in entries if node[1] == domain
+            ]
+            for i in range(shape.engines):
+                self._standin("engine", f"engine-{domain}-{i}", domain, announce)
+            for i in range(shape.applications):
+                self._standin("application", f"app-{domain}-{i}", domain, announce)
+
+    def _addresses(self, count: int) -> dict[str, str]:
+        kinds = ("operators", "peers", "callers", "backend_servers")[:count]
+        return {kind: next(self._free) for kind in kinds}
+
+    def _process(self, command, name, domain, addresses, members) -> None:
+        settings = {
+            "node": name,
+            "failure_domain": domain,
+            "region": "mvd",
+            "addresses": addresses,
+            "operator_token_hashes": [hash_key(OPERATOR_TOKEN)],
+            **members,
+        }
+        if command == "control":
+            settings["data_folder"] = str(self._folder / f"{name}-data")
+        path = self._folder / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        self.nodes[name] = Node(
+            name, domain, (command, f"--settings={path}"), addresses
+        )
+
+    def _standin(self, kind: str, name: str, domain: str, entries: list[str]) -> None:
+        address = next(self._free)
+        service = "lens-assistant" if kind == "engine" else "counter"
+        more = self._shape.engine_flags
+        if kind == "application":
+            more = self._shape.application_flags
+        command = (
+            "standin",
+            f"--kind={kind}",
+            f"--name={name}",
+            f"--domain={domain}",
+            f"--address={address}",
+            f"--service={service}",
+            f"--entries={','.join(entries)}",
+            *more,
+        )
+        self.nodes[name] = Node(name, domain, command, {"http": address})
+
+
+def _member(name: str, domain: str, addresses: dict[str, str]) -> dict:
+    return {
+        "node": name,
+        "failure_domain": domain,
+        "peers": addresses["peers"],
+        "operators": addresses["operators"],
+    }
+
+
+def sample_document() -> dict:
+    """Return a document in the shape of the lens-rental deployment."""
+    return {
+        "tiers": [
+            {"name": "counter", "rank": 0, "timeout_s": 30},
+            {"name": "desk", "rank": 1, "timeout_s": 60},
+            {"name": "batch", "rank": 2, "timeout_s": 120},
+        ],
+        "services": [
+            {"name": "lens-assistant", "kind": "model"},
+            {"name": "counter", "kind": "plain"},
+        ],
+        "workspaces": [
+            {
+                "name": f"shop-{i}",
+                "key_hashes": [hash_key(f"key-{i}")],
+                "tier": "desk",
+                "highest_tier": "counter",
+            }
+            for i in range(5)
+        ],
+        "rules": [
+            {
+                "service": "counter",
+                "idempotent": False,
+                "methods": ["POST"],
+                "path_prefix": "/bookings",
+            }
+        ],
+    }
--- /dev/null
+++ b/fuchsiacroft/utils/http.py
@@ -0,0 +1,46 @@
+"""Small helpers around aiohttp servers."""
+
+import ssl
+
+from aiohttp import web
+
+SHUTDOWN_TIMEOUT_S = 1.0
+
+
+class Listener:
+    """An aiohttp application listening on one address."""
+
+    def __init__(
+        self, app: web.Application, address: str, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self._app = app
+        self._address = address
+        self._tls = tls
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Bind the address and accept connections."""
+        self._runner = web.AppRunner(
+            self._app,
+            access_log=None,
+            handle_signals=False,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        await self._runner.setup()
+        host, port = split_address(self._address)
+        site = web.TCPSite(
+            self._runner, host, port, ssl_context=self._tls, backlog=1024
+        )
+        await site.start()
+
+    async def stop(self) -> None:
+        """Close the socket and every connection."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and port of `IP:PORT`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/fuchsiacroft/utils/logs.py
+++ b/fuchsiacroft/utils/logs.py
@@ -1,6 +1,8 @@
 """Logs: one line of key=value pairs for each event, written by loguru."""
 
+import logging
 import sys
+import traceback
 
 from loguru import logger
 
@@ -17,6 +19,24 @@
         backtrace=False,
         diagnose=False,
     )
+    logging.basicConfig(handlers=[LibraryHandler()], level=logging.WARNING, force=True)
+
+
+class LibraryHandler(logging.Handler):
+    """Writes what libraries log as events of the same form."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record as one line."""
+        trace = ""
+        if record.exc_info and record.exc_info[1] is not None:
+            trace = "".join(traceback.format_exception(record.exc_info[1]))
+        event(
+            record.levelname,
+            "library",
+            logger=record.name,
+            message=record.getMessage(),
+            trace=trace,
+        )
 
 
 def event(level: str, name: str, **fields: object) -> None:
