Drive configuration and ledger by the replicated log

Cause: the log of one member could not run on three control VMs. Ruled out: keeping the local log as a fallback in the process; it stays for trials in tests only. Conclusion: bookings sent through several entries run once with three members.

--- a/fuchsiacroft/control/process.py
+++ b/fuchsiacroft/control/process.py
@@ -6,10 +6,11 @@
 from fuchsiacroft.control import (
     api,
     configuration,
+    consensus,
     feed,
     ledger,
     ledger_service,
-    local_log,
+    storage,
 )
 from fuchsiacroft.exceptions import SettingsError
 from fuchsiacroft.kernel import Kernel
@@ -21,9 +22,13 @@
     """Return the kernel of a control member, ready to start."""
     if settings.addresses.peers is None:
         raise SettingsError("a control member needs addresses.peers")
+    if settings.data_folder is None:
+        raise SettingsError("a control member needs data_folder")
     document_state = configuration.ConfigurationState()
     ledger_state = ledger.LedgerState()
-    log = local_log.create()
+    bus = zmq_bus.create(settings.node, settings.addresses.peers)
+    disk = storage.create(settings.data_folder, settings.node)
+    log = consensus.create(settings, bus, disk)
     log.register("configuration", document_state)
     log.register("ledger", ledger_state)
     ops = operations.create(settings.addresses.operators, Metrics())
@@ -31,7 +36,7 @@
     operator_api.add_routes(ops)
     kernel = Kernel()
     for service in (
-        zmq_bus.create(settings.node, settings.addresses.peers),
+        bus,
         held.create(),
         log,
         feed.create(document_state),
--- a/fuchsiacroft/tests/whole_path_tests.py
+++ b/fuchsiacroft/tests/whole_path_tests.py
@@ -13,12 +13,12 @@
 
 
 class WholePathTests(SocketTestCase):
-    """Seven entries, a control member and twelve stand-ins."""
+    """Seven entries, three control members and twelve stand-ins."""
 
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.cluster = cluster.create(Path(folder.name), cluster.Shape(control=1))
+        self.cluster = cluster.create(Path(folder.name), cluster.Shape())
         self.addCleanup(self.cluster.stop)
         self.cluster.start()
         self.session = aiohttp.ClientSession()
