Fetch the document through two relays a domain, with the age of the source

Cause: every entry fetched from a control member, so control's messages grew with all entries, and a follower of a source that was itself cut off would have kept an old version for ever. Ruled out: gossip of versions (a second way to carry the same thing) and a push from control (it must then know every entry). Figures (paused clock, 20 entries, fuchsiacroft.tests.config.follower_tests): a change in force in under 1 s calm, under 5 s with both relays dead or cut off. Also: a test fails when a background task failed; entries are ready only with a document. Conclusion: control answers two fetches a domain, whatever its size.

--- a/fuchsiacroft/config/feed.py
+++ b/fuchsiacroft/config/feed.py
@@ -25,9 +25,24 @@
     """Deltas from `first_version` on, or a whole document at `version`.
 
     With neither, there is nothing new; `version` is the newest known.
+    `age_s` counts the seconds since the source was known to be up to date
+    with a quorum of the control VMs.
     """
 
     version: int
     first_version: int = 0
     deltas: tuple[Delta, ...] = ()
     document: Document | None = None
+    age_s: float = 0.0
+
+
+@codec.message("feed.ask_in_force")
+class AskInForce(msgspec.Struct, frozen=True):
+    """Ask a control member which versions its followers hold."""
+
+
+@codec.message("feed.in_force")
+class InForce(msgspec.Struct, frozen=True):
+    """The version that each process holds, by node name."""
+
+    versions: dict[str, int]
--- a/fuchsiacroft/config/follower.py
+++ b/fuchsiacroft/config/follower.py
@@ -3,38 +3,49 @@
 import asyncio
 import random
 
+import msgspec
 from expression import Result
 
 from fuchsiacroft.config.feed import Fetch, News
 from fuchsiacroft.config.held import HeldDocument
+from fuchsiacroft.config.in_force import InForceTable
 from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.config.sources import Alive, Sources, static_alive
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.tasks import TaskGroup
 
-FETCH_WAIT_S = 1.0
+FETCH_WAIT_S = 1.5
 FETCH_TIMEOUT_S = 2.0
-PAUSE_S = 0.2
+START_TIMEOUT_S = 1.0
+STALE_S = 3.0
+FALLBACK_S = 10.0
+PAUSE_S = 0.1
+PAUSE_MAX_S = 0.5
 
 
 class Follower(Service):
-    """Fetches news from a control member, or from neighbours without one."""
+    """Fetches news from the best source, and serves it to others."""
 
     name = "follower"
 
-    def __init__(self, settings: Settings) -> None:
-        self._settings = settings
+    def __init__(self, settings: Settings, alive: Alive, rng: random.Random) -> None:
+        self._node = settings.node
+        self._rng = rng
+        self._sources = Sources(settings, alive, rng)
         self._tasks = TaskGroup("follower")
-        self._random = random.Random()
-        self._heard_at: float | None = None
-        self._in_force: dict[str, int] = {}
+        self._below = InForceTable()
+        self._current_at: float | None = None
+        self._source = ""
+        self._started = False
 
     async def start(self, kernel: Kernel) -> None:
         """Begin to fetch, and to answer neighbours."""
         self._held = kernel.get("document", HeldDocument)
         self._bus = kernel.get("bus", Bus)
         self._bus.handle(Fetch, self._on_fetch)
+        self._tasks.spawn(self._start_from_newest(), "follower-start")
         self._tasks.spawn(self._run(), "follower")
 
     async def stop(self) -> None:
@@ -42,46 +53,74 @@
         await self._tasks.cancel()
 
     def dump(self) -> dict:
-        """Return how long ago a source was last heard."""
-        age = None if self._heard_at is None else round(now() - self._heard_at, 3)
-        return {"heard_s_ago": age}
+        """Return the source, and how old the held version may be."""
+        return {"source": self._source, "age_s": round(self.age_s, 3)}
+
+    @property
+    def age_s(self) -> float:
+        """Return the seconds since the held version was known to be newest."""
+        if self._current_at is None:
+            return float("inf")
+        return now() - self._current_at
+
+    def why_not_ready(self) -> str | None:
+        """Return why requests cannot be admitted yet, or None."""
+        if not self._started:
+            return "looking for the newest document"
+        return None if self._held.version else "no document yet"
 
     async def _on_fetch(self, sender: str, fetch: Fetch) -> News:
-        return await self._held.wait_for_news(fetch)
+        self._below.note(fetch.in_force)
+        news = await self._held.wait_for_news(fetch)
+        return msgspec.structs.replace(news, age_s=self.age_s)
 
     async def _run(self) -> None:
         while True:
-            for peer in self._sources():
-                if await self._fetch(peer):
-                    break
-            else:
-                await asyncio.sleep(PAUSE_S)
-
-    def _sources(self) -> list[str]:
-        control = [member.peers for member in self._settings.control]
-        neighbours = [
-            member.peers
-            for member in self._settings.entries
-            if member.node != self._settings.node
-        ]
-        self._random.shuffle(control)
-        self._random.shuffle(neighbours)
-        return control + neighbours
+            for peer in self._sources.order():
+                await self._follow(peer)
+            await asyncio.sleep(self._rng.uniform(PAUSE_S, PAUSE_MAX_S))
+
+    async def _start_from_newest(self) -> None:
+        """Take the newest version among all sources, so that none is reverted."""
+        fetch = Fetch(0, 0.0)
+        peers = self._sources.order()
+        asked = [self._bus.request(peer, fetch, START_TIMEOUT_S) for peer in peers]
+        for answer in asyncio.as_completed(asked):
+            match await answer:
+                case Result(tag="ok", ok=News() as news):
+                    self._held.take(news)
+        self._started = True
+
+    async def _follow(self, peer: str) -> None:
+        """Fetch from one peer for as long as it is the right source."""
+        began_at = now()
+        while await self._fetch(peer):
+            self._source = peer
+            if peer in self._sources.preferred():
+                continue
+            if now() - began_at > FALLBACK_S:
+                return
 
     async def _fetch(self, peer: str) -> bool:
-        fetch = Fetch(
-            self._held.version,
-            FETCH_WAIT_S,
-            {self._settings.node: self._held.version},
-        )
+        """Return whether the peer answered and is up to date."""
+        versions = self._below.versions() | {self._node: self._held.version}
+        fetch = Fetch(self._held.version, FETCH_WAIT_S, versions)
         match await self._bus.request(peer, fetch, FETCH_TIMEOUT_S):
             case Result(tag="ok", ok=News() as news):
-                self._heard_at = now()
-                self._held.take(news)
-                return True
+                return self._take(news)
         return False
 
+    def _take(self, news: News) -> bool:
+        self._held.take(news)
+        if news.version < self._held.version or news.age_s > STALE_S:
+            return False
+        current_at = now() - news.age_s
+        self._current_at = max(self._current_at or current_at, current_at)
+        return True
 
-def create(settings: Settings) -> Follower:
-    """Return the follower for a process."""
-    return Follower(settings)
+
+def create(
+    settings: Settings, alive: Alive | None = None, rng: random.Random | None = None
+) -> Follower:
+    """Return the follower of a process; `alive` lists the domain's entries."""
+    return Follower(settings, alive or static_alive(settings), rng or random.Random())
--- a/fuchsiacroft/control/api.py
+++ b/fuchsiacroft/control/api.py
@@ -63,7 +63,9 @@
         if not self._authorized(req):
             return _unauthorized()
         state = self._state
-        return _json(200, {"version": state.version, "in_force": self._feed.in_force()})
+        return _json(
+            200, {"version": state.version, "in_force": await self._feed.in_force()}
+        )
 
     async def _get_history(self, req: web.Request) -> web.Response:
         if not self._authorized(req):
--- a/fuchsiacroft/control/feed.py
+++ b/fuchsiacroft/control/feed.py
@@ -1,23 +1,24 @@
-"""Serves the document to the processes that follow it."""
+"""Serves the committed document to the processes that follow it."""
 
-from dataclasses import dataclass
+import asyncio
 
-from fuchsiacroft.config.feed import Fetch, News
+import msgspec
+from expression import Result
+
+from fuchsiacroft.config.feed import AskInForce, Fetch, InForce, News
 from fuchsiacroft.config.held import HeldDocument
+from fuchsiacroft.config.in_force import InForceTable
+from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.control.configuration import ConfigurationState
+from fuchsiacroft.control.log import ReplicatedLog
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.tasks import TaskGroup
 
-IN_FORCE_TTL_S = 30.0
-
-
-@dataclass(frozen=True, slots=True)
-class InForce:
-    """The version that a process said it holds, and when it said so."""
-
-    version: int
-    heard_at: float
+CONFIRM_PERIOD_S = 1.0
+CONFIRM_TIMEOUT_S = 1.0
+GATHER_TIMEOUT_S = 1.0
 
 
 class Feed(Service):
@@ -25,34 +26,74 @@
 
     name = "feed"
 
-    def __init__(self, state: ConfigurationState) -> None:
+    def __init__(self, settings: Settings, state: ConfigurationState) -> None:
+        self._others = [
+            member.peers for member in settings.control if member.node != settings.node
+        ]
         self._state = state
-        self._in_force: dict[str, InForce] = {}
+        self._table = InForceTable()
+        self._tasks = TaskGroup("feed")
+        self._confirmed_at: float | None = None
 
     async def start(self, kernel: Kernel) -> None:
         """Follow the committed state and answer fetches."""
         self._held = kernel.get("document", HeldDocument)
+        self._log = kernel.get("log", ReplicatedLog)
+        self._bus = kernel.get("bus", Bus)
         self._state.on_change(self._copy)
-        kernel.get("bus", Bus).handle(Fetch, self._on_fetch)
+        self._bus.handle(Fetch, self._on_fetch)
+        self._bus.handle(AskInForce, self._on_ask)
         self._copy()
+        self._tasks.spawn(self._confirm(), "feed-confirm")
+
+    async def stop(self) -> None:
+        """Stop confirming."""
+        await self._tasks.cancel()
 
-    def in_force(self) -> dict[str, int]:
+    @property
+    def age_s(self) -> float:
+        """Return the seconds since this member was known to be up to date."""
+        if self._confirmed_at is None:
+            return float("inf")
+        return now() - self._confirmed_at
+
+    async def in_force(self) -> dict[str, int]:
         """Return the version held by each process heard of lately."""
-        oldest = now() - IN_FORCE_TTL_S
-        return {
-            node: held.version
-            for node, held in self._in_force.items()
-            if held.heard_at >= oldest
-        }
+        answers = await asyncio.gather(*(self._ask(peer) for peer in self._others))
+        versions = self._table.versions()
+        for answer in answers:
+            for node, version in answer.items():
+                versions[node] = max(version, versions.get(node, 0))
+        return versions
 
     def dump(self) -> dict:
-        """Return who holds which version."""
-        return {"in_force": self.in_force()}
+        """Return who follows this member, and its age."""
+        return {
+            "in_force": self._table.versions(),
+            "age_s": round(self.age_s, 3),
+        }
 
     async def _on_fetch(self, sender: str, fetch: Fetch) -> News:
-        for node, version in fetch.in_force.items():
-            self._in_force[node] = InForce(version, now())
-        return await self._held.wait_for_news(fetch)
+        self._table.note(fetch.in_force)
+        news = await self._held.wait_for_news(fetch)
+        return msgspec.structs.replace(news, age_s=self.age_s)
+
+    async def _on_ask(self, sender: str, msg: AskInForce) -> InForce:
+        return InForce(self._table.versions())
+
+    async def _ask(self, peer: str) -> dict[str, int]:
+        match await self._bus.request(peer, AskInForce(), GATHER_TIMEOUT_S):
+            case Result(tag="ok", ok=InForce(versions=versions)):
+                return versions
+        return {}
+
+    async def _confirm(self) -> None:
+        """Note each time that a read barrier shows this member up to date."""
+        while True:
+            asked_at = now()
+            if (await self._log.read_barrier(CONFIRM_TIMEOUT_S)).is_ok():
+                self._confirmed_at = asked_at
+            await asyncio.sleep(CONFIRM_PERIOD_S)
 
     def _copy(self) -> None:
         records = self._state.since(self._held.version)
@@ -65,6 +106,6 @@
         self._held.take(news)
 
 
-def create(state: ConfigurationState) -> Feed:
+def create(settings: Settings, state: ConfigurationState) -> Feed:
     """Return the feed of a control member."""
-    return Feed(state)
+    return Feed(settings, state)
--- a/fuchsiacroft/control/process.py
+++ b/fuchsiacroft/control/process.py
@@ -39,7 +39,7 @@
         bus,
         held.create(),
         log,
-        feed.create(document_state),
+        feed.create(settings, document_state),
         ledger_service.create(ledger_state),
         operator_api,
         ops,
--- a/fuchsiacroft/entry/process.py
+++ b/fuchsiacroft/entry/process.py
@@ -20,12 +20,14 @@
     metrics = Metrics()
     front = callers.create(settings, metrics)
     ops = operations.create(addresses.operators, metrics)
+    following = follower.create(settings)
+    ops.add_check(following.why_not_ready)
     ops.add_check(front.why_not_ready)
     kernel = Kernel()
     for service in (
         zmq_bus.create(settings.node, addresses.peers),
         held.create(),
-        follower.create(settings),
+        following,
         backend_servers.create(settings),
         desk.create(settings.node),
         scheduler.create(settings),
--- a/fuchsiacroft/tests/base.py
+++ b/fuchsiacroft/tests/base.py
@@ -3,15 +3,23 @@
 import asyncio
 import unittest
 
+from loguru import logger
+
 from fuchsiacroft.tests.fakes.loop import PausedLoop
 from fuchsiacroft.utils import logs
 
+TASK_FAILED = "event=task_failed"
+
 
 class TestCase(unittest.TestCase):
-    """A test without an event loop."""
+    """A test that fails when a background task of the product failed."""
 
     def setUp(self) -> None:
         logs.configure("ERROR")
+        failures: list[str] = []
+        sink = logger.add(failures.append, filter=_is_task_failure, level="ERROR")
+        self.addCleanup(self.assertEqual, [], failures)
+        self.addCleanup(logger.remove, sink)
 
 
 class PausedTestCase(TestCase):
@@ -22,8 +30,9 @@
             return runner.run(coro)
 
 
-class SocketTestCase(unittest.IsolatedAsyncioTestCase):
+class SocketTestCase(TestCase, unittest.IsolatedAsyncioTestCase):
     """A test with real sockets on loopback and the real clock."""
 
-    def setUp(self) -> None:
-        logs.configure("ERROR")
+
+def _is_task_failure(record: dict) -> bool:
+    return record["message"].startswith(TASK_FAILED)
--- /dev/null
+++ b/fuchsiacroft/tests/config/follower_tests.py
@@ -0,0 +1,211 @@
+"""Tests of the document's way from the control VMs to every process."""
+
+import asyncio
+import random
+
+import msgspec
+
+from fuchsiacroft.config import follower, held
+from fuchsiacroft.config.delta import Delta
+from fuchsiacroft.config.document import Workspace
+from fuchsiacroft.config.feed import Fetch, News
+from fuchsiacroft.config.settings import Addresses, Member, Settings
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.bus import MemoryNetwork
+from fuchsiacroft.utils.clock import now
+
+IN_FORCE_TARGET_S = 5.0
+CONTROL = "10.0.0.1:1"
+ENTRIES = 20
+
+
+def address(i: int) -> str:
+    return f"10.0.1.{i}:1"
+
+
+def delta(i: int) -> Delta:
+    return Delta(put_workspaces=(Workspace(f"w{i}", [f"h{i}"], "t"),))
+
+
+class Source:
+    """A control member that serves a document and knows its own age."""
+
+    def __init__(self, network: MemoryNetwork) -> None:
+        self.held = held.create()
+        self.confirmed_at = 0.0
+        self.frozen = False
+        self.fetches = 0
+        self.in_force: dict[str, int] = {}
+        network.bus("control", CONTROL).handle(Fetch, self.answer)
+
+    async def answer(self, sender: str, fetch: Fetch) -> News | None:
+        self.fetches += 1
+        self.in_force |= fetch.in_force
+        news = await self.held.wait_for_news(fetch)
+        return msgspec.structs.replace(news, age_s=0.0)
+
+    def change(self, count: int = 1) -> int:
+        for _ in range(count):
+            version = self.held.version + 1
+            news = News(version, first_version=version, deltas=(delta(version),))
+            self.held.take(news)
+        return self.held.version
+
+
+class Domain:
+    """The followers of one failure domain on a network in memory."""
+
+    def __init__(self, size: int = ENTRIES, seed: int = 1) -> None:
+        self.network = MemoryNetwork(seed)
+        self.source = Source(self.network)
+        self.members = [Member(f"e{i}", "d", address(i)) for i in range(size)]
+        self.documents: dict[int, held.HeldDocument] = {}
+        self.followers: dict[int, follower.Follower] = {}
+        self.buses = {}
+
+    async def start(self, *numbers: int) -> None:
+        for i in numbers or range(len(self.members)):
+            settings = Settings(
+                node=f"e{i}",
+                failure_domain="d",
+                region="r",
+                addresses=Addresses(operators="10.0.2.1:1", peers=address(i)),
+                control=[Member("c", "d", CONTROL)],
+                entries=self.members,
+            )
+            kernel = Kernel()
+            self.buses[i] = self.network.bus(f"e{i}", address(i))
+            self.documents[i] = held.create()
+            self.followers[i] = follower.create(settings, rng=random.Random(i))
+            for service in (self.buses[i], self.documents[i], self.followers[i]):
+                kernel.add(service)
+            await kernel.start()
+
+    async def stop(self, *numbers: int) -> None:
+        for i in numbers or list(self.followers):
+            await self.followers.pop(i).stop()
+            await self.buses.pop(i).stop()
+            self.documents.pop(i)
+
+    def relays(self) -> list[int]:
+        return [
+            i
+            for i, one in self.followers.items()
+            if CONTROL in one._sources.preferred()
+        ]
+
+    def cut_control(self, *numbers: int) -> None:
+        for i in numbers or range(len(self.members)):
+            self.network.cut_link(address(i), CONTROL)
+
+    async def seconds_until(self, version: int, limit: float = 30.0) -> float:
+        began_at = now()
+        while any(doc.version < version for doc in self.documents.values()):
+            if now() - began_at > limit:
+                return float("inf")
+            await asyncio.sleep(0.01)
+        return now() - began_at
+
+
+class FollowerTests(PausedTestCase):
+    """A change is in force everywhere in time and never goes back."""
+
+    def test_a_change_reaches_every_entry_through_two_relays(self):
+        async def scenario():
+            domain = Domain()
+            await domain.start()
+            domain.source.change()
+            await domain.seconds_until(1)
+            await asyncio.sleep(10)
+            domain.source.fetches = 0
+            seconds = await domain.seconds_until(domain.source.change())
+            await asyncio.sleep(10)
+            fetches = domain.source.fetches
+            await domain.stop()
+            return seconds, fetches, domain.source.in_force
+
+        seconds, fetches, in_force = self.run_paused(scenario())
+        self.assertLess(seconds, 1.0)
+        self.assertLess(fetches, 2 * 10 / follower.FETCH_WAIT_S + 10)
+        self.assertEqual({2}, set(in_force.values()))
+        self.assertEqual(ENTRIES, len(in_force))
+
+    def test_a_change_is_in_force_in_time_when_the_relays_die(self):
+        async def scenario():
+            domain = Domain()
+            await domain.start()
+            await domain.seconds_until(domain.source.change())
+            await asyncio.sleep(5)
+            await domain.stop(*domain.relays())
+            seconds = await domain.seconds_until(domain.source.change())
+            await domain.stop()
+            return seconds
+
+        self.assertLess(self.run_paused(scenario()), IN_FORCE_TARGET_S)
+
+    def test_followers_leave_relays_that_are_cut_off_from_control(self):
+        async def scenario():
+            domain = Domain()
+            await domain.start()
+            await domain.seconds_until(domain.source.change())
+            await asyncio.sleep(5)
+            domain.cut_control(*domain.relays())
+            await asyncio.sleep(5)
+            seconds = await domain.seconds_until(domain.source.change())
+            await domain.stop()
+            return seconds
+
+        self.assertLess(self.run_paused(scenario()), IN_FORCE_TARGET_S)
+
+    def test_an_entry_restarted_in_a_cut_off_domain_takes_the_newest_version(self):
+        async def scenario():
+            domain = Domain()
+            await domain.start(*range(1, ENTRIES))
+            await domain.seconds_until(domain.source.change(5))
+            domain.cut_control()
+            await domain.start(0)
+            seconds = await domain.seconds_until(5)
+            await asyncio.sleep(follower.START_TIMEOUT_S)
+            ready = domain.followers[0].why_not_ready()
+            await domain.stop()
+            return seconds, ready
+
+        seconds, ready = self.run_paused(scenario())
+        self.assertLess(seconds, IN_FORCE_TARGET_S)
+        self.assertIsNone(ready)
+
+    def test_hundreds_of_missed_changes_are_caught_up(self):
+        async def scenario(missed: int):
+            domain = Domain()
+            await domain.start(*range(1, ENTRIES))
+            await domain.seconds_until(domain.source.change())
+            domain.source.change(missed)
+            await domain.start(0)
+            seconds = await domain.seconds_until(missed + 1)
+            same = domain.documents[0].document == domain.source.held.document
+            await domain.stop()
+            return seconds, same
+
+        for missed in (300, 2 * held.HELD_DELTAS):
+            with self.subTest(missed=missed):
+                seconds, same = self.run_paused(scenario(missed))
+                self.assertLess(seconds, 1.0)
+                self.assertTrue(same)
+
+    def test_an_old_or_late_answer_never_takes_a_version_back(self):
+        async def scenario():
+            document = held.create()
+            document.take(News(1, first_version=1, deltas=(delta(1),)))
+            document.take(News(2, first_version=2, deltas=(delta(2),)))
+            newest = document.document
+            for news in (
+                News(1, first_version=1, deltas=(delta(9),)),
+                News(1, document=held.EMPTY),
+                News(2, document=held.EMPTY),
+                News(4, first_version=4, deltas=(delta(4),)),
+            ):
+                document.take(news)
+            return document.version, document.document == newest
+
+        self.assertEqual((2, True), self.run_paused(scenario()))
--- a/fuchsiacroft/tests/fakes/cluster.py
+++ b/fuchsiacroft/tests/fakes/cluster.py
@@ -85,11 +85,18 @@
         """Return a URL on one of a node's addresses."""
         return f"http://{self.nodes[name].addresses[address]}{path}"
 
+    async def wait_healthy(self, session: aiohttp.ClientSession) -> None:
+        """Wait until every entry and control member answers."""
+        await self._wait_all(session, "/healthz")
+
     async def wait_ready(self, session: aiohttp.ClientSession) -> None:
         """Wait until every entry and control member says it is ready."""
+        await self._wait_all(session, "/readyz")
+
+    async def _wait_all(self, session: aiohttp.ClientSession, path: str) -> None:
         for name, node in self.nodes.items():
             if "operators" in node.addresses and name in self.running:
-                await self._wait(session, self.url(name, "operators", "/readyz"), name)
+                await self._wait(session, self.url(name, "operators", path), name)
 
     async def _wait(self, session, url: str, name: str) -> None:
         async with asyncio.timeout(READY_TIMEOUT_S):
--- a/fuchsiacroft/tests/whole_path_tests.py
+++ b/fuchsiacroft/tests/whole_path_tests.py
@@ -23,13 +23,14 @@
         self.cluster.start()
         self.session = aiohttp.ClientSession()
         self.addAsyncCleanup(self.session.close)
-        await self.cluster.wait_ready(self.session)
+        await self.cluster.wait_healthy(self.session)
         document = cluster.sample_document()
         status, answer = await self.cluster.put_document(
             self.session, document, 0, "first"
         )
         self.assertEqual((200, 1), (status, answer["version"]))
         await self.cluster.wait_in_force(self.session, 1)
+        await self.cluster.wait_ready(self.session)
 
     async def test_requests_are_served_through_every_entry(self):
         for entry in self.cluster.named("entry"):
