Deliver nothing to a peer that was dead when it was sent

Cause: a DEALER queues messages for a peer that is not connected and delivers them when it comes back, so an ask whose caller had gone could still be served. Ruled out: expiry times in the envelope, since clocks differ between VMs. Conclusion: messages wait at most their own timeout for a connection; silent connections are closed by heartbeats after 5 s.

--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -12,12 +12,17 @@
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.transport import codec
 from fuchsiacroft.transport.bus import Bus, BusError, Handler
+from fuchsiacroft.transport.outbox import Outbox, Parcel
+from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.tasks import TaskGroup
 
 SEND_QUEUE_MESSAGES = 10_000
+SEND_PATIENCE_S = 1.0
 HANDSHAKE_TIMEOUT_MS = 5_000
-RECONNECT_MS = 100
-RECONNECT_MAX_MS = 2_000
+RECONNECT_MS = 50
+RECONNECT_MAX_MS = 1_000
+HEARTBEAT_MS = 2_000
+HEARTBEAT_TIMEOUT_MS = 5_000
 
 
 class ZmqBus(Bus):
@@ -29,6 +34,7 @@
         self._ctx = zmq.asyncio.Context()
         self._router: zmq.asyncio.Socket | None = None
         self._dealers: dict[str, zmq.asyncio.Socket] = {}
+        self._outboxes: dict[str, Outbox] = {}
         self._handlers: dict[type, Handler] = {}
         self._waiting: dict[int, asyncio.Future] = {}
         self._numbers = itertools.count(1)
@@ -73,38 +79,45 @@
         number = next(self._numbers)
         fut = asyncio.get_running_loop().create_future()
         self._waiting[number] = fut
+        data = codec.encode(msg, number, False, self._node)
+        parcel = Parcel(data, now() + timeout)
         try:
-            if not self._push(peer, codec.encode(msg, number, False, self._node)):
+            if not self._post(peer, parcel):
                 return Error(BusError.NOT_SENT)
             async with asyncio.timeout(timeout):
                 return Ok(await fut)
         except TimeoutError:
+            if self._outboxes[peer].withdraw(parcel):
+                return Error(BusError.NOT_SENT)
             return Error(BusError.NO_ANSWER)
         finally:
             self._waiting.pop(number, None)
 
     def send(self, peer: str, msg: msgspec.Struct) -> None:
         """Send a message that has no answer; it may be lost."""
-        self._push(peer, codec.encode(msg, 0, False, self._node))
+        data = codec.encode(msg, 0, False, self._node)
+        self._post(peer, Parcel(data, now() + SEND_PATIENCE_S))
 
-    def _push(self, peer: str, data: bytes) -> bool:
-        dealer = self._dealers.get(peer) or self._connect(peer)
-        try:
-            zmq.Socket.send(dealer, data, zmq.DONTWAIT)
-        except zmq.Again:
-            self._counts["send_queue_full"] += 1
+    def _post(self, peer: str, parcel: Parcel) -> bool:
+        outbox = self._outboxes.get(peer) or self._connect(peer)
+        if not outbox.put(parcel):
+            self._counts["outbox_full"] += 1
             return False
         self._counts["sent"] += 1
-        self._counts["sent_bytes"] += len(data)
+        self._counts["sent_bytes"] += len(parcel.data)
         return True
 
-    def _connect(self, peer: str) -> zmq.asyncio.Socket:
+    def _connect(self, peer: str) -> Outbox:
         dealer = self._ctx.socket(zmq.DEALER)
         self._configure(dealer)
+        dealer.immediate = True
         dealer.connect(f"tcp://{peer}")
+        outbox = Outbox(dealer)
         self._dealers[peer] = dealer
+        self._outboxes[peer] = outbox
+        self._tasks.spawn(outbox.run(), f"bus-outbox-{peer}")
         self._tasks.spawn(self._receive_answers(dealer), f"bus-peer-{peer}")
-        return dealer
+        return outbox
 
     def _configure(self, sock: zmq.asyncio.Socket) -> None:
         sock.linger = 0
@@ -114,6 +127,8 @@
         sock.handshake_ivl = HANDSHAKE_TIMEOUT_MS
         sock.reconnect_ivl = RECONNECT_MS
         sock.reconnect_ivl_max = RECONNECT_MAX_MS
+        sock.heartbeat_ivl = HEARTBEAT_MS
+        sock.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
 
     async def _receive_requests(self, router: zmq.asyncio.Socket) -> None:
         while True:
