--- a/fuchsiacroft/membership/__init__.py
+++ b/fuchsiacroft/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Who is there: entries and backend servers."""
+"""Entries of a failure domain: who is alive, and who owns which backend server."""
--- /dev/null
+++ b/fuchsiacroft/membership/wire.py
@@ -0,0 +1,96 @@
+"""Messages of the membership protocol between the entries of a domain."""
+
+import enum
+
+import msgspec
+
+from fuchsiacroft.transport import codec
+
+
+class Status(enum.IntEnum):
+    """What is believed of an entry."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class Update(msgspec.Struct, frozen=True, array_like=True):
+    """One claim about one entry.
+
+    Of two claims the one with the higher incarnation holds. Only the entry
+    itself raises its incarnation. `accuser` names who suspects it.
+    """
+
+    node: str
+    peers: str
+    boot_id: str
+    incarnation: int
+    status: Status
+    accuser: str = ""
+
+
+@codec.message("membership.ping")
+class Ping(msgspec.Struct, frozen=True, array_like=True):
+    """Asks an entry whether it is alive; `view` is the sender's view hash."""
+
+    domain: str
+    sender: Update
+    view: int
+    updates: tuple[Update, ...]
+
+
+@codec.message("membership.ack")
+class Ack(msgspec.Struct, frozen=True, array_like=True):
+    """Answers a `Ping`."""
+
+    sender: Update
+    view: int
+    updates: tuple[Update, ...]
+
+
+@codec.message("membership.indirect_ping")
+class IndirectPing(msgspec.Struct, frozen=True, array_like=True):
+    """Asks an entry to probe another one for the sender."""
+
+    domain: str
+    target: Update
+
+
+@codec.message("membership.indirect_ack")
+class IndirectAck(msgspec.Struct, frozen=True, array_like=True):
+    """Answers an `IndirectPing`; `ack` is None if the target was silent."""
+
+    ack: Ack | None
+
+
+@codec.message("membership.gossip")
+class Gossip(msgspec.Struct, frozen=True, array_like=True):
+    """Carries fresh claims; has no answer."""
+
+    domain: str
+    updates: tuple[Update, ...]
+
+
+@codec.message("membership.sync")
+class Sync(msgspec.Struct, frozen=True, array_like=True):
+    """Carries the sender's whole table, for joining and after a mismatch."""
+
+    domain: str
+    members: tuple[Update, ...]
+
+
+@codec.message("membership.sync_answer")
+class SyncAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Answers a `Sync` with the whole table of the entry asked."""
+
+    members: tuple[Update, ...]
+
+
+@codec.message("membership.leave")
+class Leave(msgspec.Struct, frozen=True, array_like=True):
+    """Announces that the sender leaves."""
+
+    domain: str
+    sender: Update
