Give each backend server one owner that knows every permit

Two entries that both believe in their ownership would hand out the same slots twice. A new owner is ready only after every live entry has shown the same view and told its permits, and after the leases of lost entries have run out; an owner goes on only while another entry confirms its view. An entry becomes an owner one lease after its start, and a leaving one is asked, not waited out.

Ruled out: yielding on being asked, whatever the asker's view (a backend server without an owner while views differ); a lease from the declaration of death (waits 5 s longer than one from the last answered probe).

--- /dev/null
+++ b/fuchsiacroft/membership/ownership.py
@@ -0,0 +1,202 @@
+"""The service "ownership": which entry hands out permits for a backend server.
+
+Every name has one owner among the active entries of the domain, by rendezvous
+hashing. A new owner is ready only when every live entry has shown the same
+view and told which permits it holds, and when the leases of lost entries have
+run out. An owner stays ready while another entry confirms its view.
+"""
+
+import asyncio
+
+from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.membership import rendezvous
+from fuchsiacroft.membership.lease import OWNERSHIP_LEASE_S
+from fuchsiacroft.membership.permits import (
+    HeldPermit,
+    HeldPermitsAnswer,
+    HeldPermitsRequest,
+    NoPermits,
+    PermitHolder,
+)
+from fuchsiacroft.membership.service import Membership
+from fuchsiacroft.membership.table import EntryInfo
+from fuchsiacroft.membership.takeover import TakeoverInquiry
+from fuchsiacroft.membership.wire import Status
+from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils import clock
+from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.tasks import TaskGroup
+
+IDLE_CHECK_S = 1.0
+PERMIT_START_S = 2.0
+
+
+class OwnershipTable(Service):
+    """Tells who owns a backend server, and whether we may hand out permits.
+
+    A permit must be used within `PERMIT_START_S` of being asked for; that is
+    less than `OWNERSHIP_LEASE_S`, so an entry that is cut off starts nothing
+    once its lease has run out.
+    """
+
+    name = "ownership"
+
+    def __init__(self, settings: Settings) -> None:
+        self._drain_timeout = settings.drain_timeout_s
+        self._holder: PermitHolder = NoPermits()
+        self._watched: set[str] = set()
+        self._taken: dict[str, float] = {}
+        self._owners: dict[str, EntryInfo | None] = {}
+        self._wake = asyncio.Event()
+        self._tasks = TaskGroup("ownership")
+
+    async def start(self, kernel: Kernel) -> None:
+        """Answer other owners, and take over what falls to us."""
+        self._membership = kernel.get("membership", Membership)
+        bus = kernel.get("bus", Bus)
+        self._inquiry = TakeoverInquiry(bus, self._membership)
+        self._membership.on_change(self._on_change)
+        bus.handle(HeldPermitsRequest, self._on_request)
+        self._tasks.spawn(self._activate(), "ownership-activate")
+        self._tasks.spawn(self._take_over(), "ownership-takeover")
+
+    async def stop(self) -> None:
+        """End every background task."""
+        await self._tasks.cancel()
+
+    def dump(self) -> dict:
+        """Return the backend servers watched and those that we own."""
+        return {
+            "watched": len(self._watched),
+            "ready": sorted(name for name in self._watched if self.is_ready(name)),
+        }
+
+    def attach(self, holder: PermitHolder) -> None:
+        """Name the part that holds permits."""
+        self._holder = holder
+
+    def watch(self, backend_server: str) -> None:
+        """Take the backend server over whenever it falls to us."""
+        if backend_server not in self._watched:
+            self._watched.add(backend_server)
+            self._wake.set()
+
+    def forget(self, backend_server: str) -> None:
+        """Stop watching a backend server that is gone."""
+        self._watched.discard(backend_server)
+        self._taken.pop(backend_server, None)
+        self._owners.pop(backend_server, None)
+
+    def owner_of(self, backend_server: str) -> EntryInfo | None:
+        """Return the owner in our view, ready or not."""
+        if backend_server not in self._watched:
+            return self._choose(backend_server)
+        if backend_server not in self._owners:
+            self._owners[backend_server] = self._choose(backend_server)
+        return self._owners[backend_server]
+
+    def is_ready(self, backend_server: str) -> bool:
+        """Tell whether we own a watched backend server and its takeover ended."""
+        taken_at = self._taken.get(backend_server)
+        if taken_at is None or not self._is_mine(backend_server):
+            return False
+        lease = self._membership.lease
+        return lease.confirmed_for() > 0 and taken_at >= lease.unbroken_since
+
+    def holder_expired(self, node: str, boot_id: str) -> bool:
+        """Tell whether the permits of an entry process count no more."""
+        record = self._membership.record(node)
+        if record is None or record.update.boot_id != boot_id:
+            return True
+        if record.present:
+            return False
+        if record.update.status is Status.DEAD:
+            return self._membership.lease_left_of(record) <= 0
+        gone_for = clock.now() - record.since
+        return gone_for > self._drain_timeout + OWNERSHIP_LEASE_S
+
+    async def _activate(self) -> None:
+        """Become an owner once the leases from before our start are out."""
+        await asyncio.sleep(OWNERSHIP_LEASE_S)
+        self._membership.activate()
+
+    async def _take_over(self) -> None:
+        while True:
+            self._wake.clear()
+            wait = IDLE_CHECK_S
+            pending = self._pending()
+            if pending:
+                wait = await self._inquire(pending)
+            try:
+                async with asyncio.timeout(wait):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _inquire(self, pending: tuple[str, ...]) -> float:
+        """Try to take over; return how long to wait before the next look."""
+        began = clock.now()
+        heard = await self._inquiry.ask(pending)
+        if heard.wait_s > 0:
+            return heard.wait_s
+        for name in pending:
+            if name in self._watched and self._is_mine(name):
+                self._adopt(name, heard.permits)
+                self._taken[name] = began
+        event("info", "ownership_taken", backend_servers=len(pending))
+        return IDLE_CHECK_S
+
+    def _adopt(self, name: str, permits: tuple[HeldPermit, ...]) -> None:
+        every = {permit.permit_id: permit for permit in self._holder.held(name)}
+        for permit in permits:
+            if permit.backend_server == name:
+                every.setdefault(permit.permit_id, permit)
+        counted = tuple(
+            permit
+            for permit in every.values()
+            if not self.holder_expired(permit.holder, permit.boot_id)
+        )
+        self._holder.adopt(name, counted)
+
+    def _pending(self) -> tuple[str, ...]:
+        return tuple(
+            name
+            for name in self._watched
+            if self._is_mine(name) and not self.is_ready(name)
+        )
+
+    def _is_mine(self, backend_server: str) -> bool:
+        owner = self.owner_of(backend_server)
+        return owner is not None and owner.node == self._membership.me.node
+
+    def _choose(self, backend_server: str) -> EntryInfo | None:
+        active = (entry for entry in self._membership.alive() if entry.active)
+        return rendezvous.choose(backend_server, active)
+
+    def _on_change(self, alive: tuple[EntryInfo, ...]) -> None:
+        self._owners.clear()
+        for name in tuple(self._taken):
+            if not self._is_mine(name):
+                del self._taken[name]
+        self._wake.set()
+
+    async def _on_request(
+        self, sender: str, request: HeldPermitsRequest
+    ) -> HeldPermitsAnswer | None:
+        if request.domain != self._membership.domain:
+            return None
+        view = self._membership.view
+        if request.view != view and not self._membership.left:
+            return HeldPermitsAnswer(view, (), 0.0)
+        permits = [
+            permit
+            for name in request.backend_servers
+            for permit in self._holder.held(name)
+        ]
+        return HeldPermitsAnswer(view, tuple(permits), self._inquiry.wait_for_lost())
+
+
+def create(settings: Settings) -> OwnershipTable:
+    """Return the ownership table of an entry."""
+    return OwnershipTable(settings)
--- a/fuchsiacroft/membership/prober.py
+++ b/fuchsiacroft/membership/prober.py
@@ -10,11 +10,14 @@
 from fuchsiacroft.membership.view import LocalView
 from fuchsiacroft.membership.wire import Ack, IndirectAck, IndirectPing, Ping, Update
 from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils import clock
 
 PROBE_PERIOD_S = 1.0
 PROBE_TIMEOUT_S = 0.3
 INDIRECT_TIMEOUT_S = 0.6
 SUSPECT_PROBE_PERIOD_S = 0.5
+LEASE_PROBE_PERIOD_S = 0.5
+CONFIRMED_ENOUGH_S = 3.0
 HELPERS = 3
 
 
@@ -44,12 +47,23 @@
         self.counts["pings"] += 1
         view = self._view
         ping = Ping(view.domain, view.me, view.hash, view.news_for(target.node))
+        sent_at = clock.now()
         match await self._bus.request(target.peers, ping, timeout):
             case Result(tag="ok", ok=Ack() as ack):
                 view.hear(ack.sender, ack.view, ack.updates)
+                if ack.view == view.hash:
+                    view.lease.confirm(sent_at)
                 return ack if ack.sender.node == target.node else None
         return None
 
+    async def keep_lease(self) -> None:
+        """Probe more often while no other entry confirms our view."""
+        while True:
+            await asyncio.sleep(LEASE_PROBE_PERIOD_S)
+            peers = self._view.peers()
+            if peers and self._view.lease.confirmed_for() < CONFIRMED_ENOUGH_S:
+                await self.ping(self._rng.choice(peers), PROBE_TIMEOUT_S)
+
     async def answer_indirect(self, request: IndirectPing) -> IndirectAck:
         """Probe an entry for another one."""
         return IndirectAck(await self.ping(request.target, PROBE_TIMEOUT_S))
--- a/fuchsiacroft/membership/service.py
+++ b/fuchsiacroft/membership/service.py
@@ -9,8 +9,9 @@
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.exceptions import SettingsError
 from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.membership.lease import OWNERSHIP_LEASE_S, ViewLease
 from fuchsiacroft.membership.prober import Prober
-from fuchsiacroft.membership.table import EntryInfo, MemberRecord
+from fuchsiacroft.membership.table import EntryInfo, MemberRecord, info_of
 from fuchsiacroft.membership.view import Listener, LocalView
 from fuchsiacroft.membership.wire import (
     Ack,
@@ -65,6 +66,7 @@
         self._view = LocalView(settings.failure_domain, me, self._tasks)
         self._view.listeners.append(self._wake)
         self._prober: Prober | None = None
+        self._answered: dict[str, float] = {}
         self._joined_at: float | None = None
         self._started_at = 0.0
 
@@ -82,6 +84,7 @@
         self._started_at = clock.now()
         self._view.open()
         self._tasks.spawn(self._prober.run(), "membership-probe")
+        self._tasks.spawn(self._prober.keep_lease(), "membership-lease")
         self._tasks.spawn(self._join(), "membership-join")
         self._tasks.spawn(self._pass_on(), "membership-gossip")
 
@@ -102,6 +105,7 @@
             "boot_id": self.boot_id,
             "domain": self._view.domain,
             "joined": self.joined,
+            "lease_left_s": round(self.lease.confirmed_for(), 3),
             "health_score": self._prober.health.score,
             "probes": dict(self._prober.counts),
             **self._view.dump(),
@@ -110,8 +114,7 @@
     @property
     def me(self) -> EntryInfo:
         """Return this entry."""
-        mine = self._view.me
-        return EntryInfo(mine.node, mine.peers, mine.incarnation, mine.boot_id)
+        return info_of(self._view.me)
 
     @property
     def joined(self) -> bool:
@@ -124,14 +127,48 @@
         return self._started_at
 
     @property
-    def confirmed_at(self) -> float | None:
-        """Return when another entry last showed the same view as ours."""
-        return self._view.confirmed_at
+    def lease(self) -> ViewLease:
+        """Return the lease that equal views of other entries renew."""
+        return self._view.lease
+
+    @property
+    def view(self) -> int:
+        """Return the hash of the live entries; equal views hash equally."""
+        return self._view.hash
+
+    @property
+    def generation(self) -> int:
+        """Return how often the set of live entries changed."""
+        return self._view.generation
+
+    @property
+    def left(self) -> bool:
+        """Tell whether this entry has announced that it leaves."""
+        return self._view.left
+
+    @property
+    def domain(self) -> str:
+        """Return the failure domain."""
+        return self._view.domain
+
+    def activate(self) -> None:
+        """Announce that this entry may own backend servers."""
+        if not self._view.left:
+            self._view.activate()
+
+    def lease_left_of(self, record: MemberRecord) -> float:
+        """Return for how many seconds a lost entry may still hold its lease."""
+        answered = self._answered.get(record.update.node, self._started_at)
+        return max(0.0, answered + OWNERSHIP_LEASE_S - clock.now())
 
     def alive(self) -> tuple[EntryInfo, ...]:
         """Return the live entries of the domain, ourselves included."""
         return self._view.alive()
 
+    def record(self, node: str) -> MemberRecord | None:
+        """Return what is remembered of an entry."""
+        return self._view.table.get(node)
+
     def gone(self) -> tuple[MemberRecord, ...]:
         """Return the entries that died or left and are still remembered."""
         return self._view.gone()
@@ -159,7 +196,7 @@
         while True:
             await asyncio.sleep(RECONNECT_PERIOD_S * self._rng.uniform(0.5, 1.5))
             await self._reconnect()
-            self._view.table.forget_old(clock.now())
+            self._forget_old()
 
     async def _reconnect(self) -> None:
         since = self._view.mismatch_since
@@ -172,6 +209,12 @@
         if lost:
             await self._sync(self._rng.choice(lost))
 
+    def _forget_old(self) -> None:
+        self._view.table.forget_old(clock.now())
+        for node in tuple(self._answered):
+            if self._view.table.get(node) is None:
+                del self._answered[node]
+
     def _lost_addresses(self) -> list[str]:
         alive = {entry.peers for entry in self.alive()}
         dead = {
@@ -205,6 +248,7 @@
             return None
         self._view.hear(ping.sender, ping.view, ping.updates)
         news = self._view.news_for(ping.sender.node, ping.sender)
+        self._answered[ping.sender.node] = clock.now()
         return Ack(self._view.me, self._view.hash, news)
 
     async def _on_indirect_ping(
--- a/fuchsiacroft/membership/table.py
+++ b/fuchsiacroft/membership/table.py
@@ -19,6 +19,7 @@
     peers: str
     incarnation: int
     boot_id: str
+    active: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,8 +32,7 @@
     @property
     def info(self) -> EntryInfo:
         """Return the entry without its status."""
-        claim = self.update
-        return EntryInfo(claim.node, claim.peers, claim.incarnation, claim.boot_id)
+        return info_of(self.update)
 
     @property
     def present(self) -> bool:
@@ -120,6 +120,13 @@
                 self._view ^= _hash(record.update)
 
 
+def info_of(claim: Update) -> EntryInfo:
+    """Return the entry that a claim is about."""
+    return EntryInfo(
+        claim.node, claim.peers, claim.incarnation, claim.boot_id, claim.active
+    )
+
+
 def _resolve(old: Update | None, claim: Update) -> Update | None:
     """Return what to believe after a claim, or None if nothing changes."""
     if old is None or claim.incarnation > old.incarnation:
@@ -142,4 +149,6 @@
 
 
 def _hash(claim: Update) -> int:
-    return xxhash.xxh64_intdigest(f"{claim.node}/{claim.boot_id}".encode())
+    return xxhash.xxh64_intdigest(
+        f"{claim.node}/{claim.boot_id}/{claim.active}".encode()
+    )
--- a/fuchsiacroft/membership/view.py
+++ b/fuchsiacroft/membership/view.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from fuchsiacroft.membership.gossip import GossipQueue
+from fuchsiacroft.membership.lease import ViewLease
 from fuchsiacroft.membership.suspicion import Suspicion
 from fuchsiacroft.membership.table import EntryInfo, MemberRecord, MemberTable
 from fuchsiacroft.membership.wire import Status, Update
@@ -27,8 +28,9 @@
         self.counts: Counter[str] = Counter()
         self.table = MemberTable()
         self.gossip = GossipQueue()
-        self.confirmed_at: float | None = None
+        self.lease = ViewLease()
         self.mismatch_since: float | None = None
+        self.generation = 0
         self.accused: Callable[[Update], None] = lambda target: None
         self.listeners: list[Listener] = []
         self.on_self_suspected: Callable[[], None] = lambda: None
@@ -119,10 +121,18 @@
         claim = msgspec.structs.replace(
             record.update, status=Status.SUSPECT, accuser=self._me.node
         )
+        known = self.suspects(target.node)
         self.merge(claim)
-        if self.suspects(target.node):
+        if not known and self.suspects(target.node):
             self.accused(claim)
 
+    def activate(self) -> None:
+        """Announce that we may own backend servers."""
+        mine = self._me
+        self._publish(
+            msgspec.structs.replace(mine, incarnation=mine.incarnation + 1, active=True)
+        )
+
     def leave(self) -> Update:
         """Mark ourselves as leaving and return the claim."""
         self._publish(msgspec.structs.replace(self._me, status=Status.LEFT))
@@ -201,7 +211,6 @@
     def _compare(self, view: int) -> None:
         now = clock.now()
         if view == self.hash:
-            self.confirmed_at = now
             self.mismatch_since = None
         elif self.mismatch_since is None:
             self.mismatch_since = now
@@ -209,8 +218,10 @@
     def _notify(self, claim: Update) -> None:
         before = self._alive
         self._alive = tuple(record.info for record in self.table.present())
+        self.lease.set_alone(len(self._alive) <= 1)
         if _identities(before) == _identities(self._alive):
             return
+        self.generation += 1
         event(
             "info",
             "membership_changed",
@@ -223,5 +234,5 @@
             listener(self._alive)
 
 
-def _identities(entries: tuple[EntryInfo, ...]) -> list[tuple[str, str]]:
-    return [(entry.node, entry.boot_id) for entry in entries]
+def _identities(entries: tuple[EntryInfo, ...]) -> list[tuple[str, str, bool]]:
+    return [(entry.node, entry.boot_id, entry.active) for entry in entries]
--- a/fuchsiacroft/membership/wire.py
+++ b/fuchsiacroft/membership/wire.py
@@ -20,7 +20,8 @@
     """One claim about one entry.
 
     Of two claims the one with the higher incarnation holds. Only the entry
-    itself raises its incarnation. `accuser` names who suspects it.
+    itself raises its incarnation. `accuser` names who suspects it. `active`
+    is false until the entry may own backend servers.
     """
 
     node: str
@@ -29,6 +30,7 @@
     incarnation: int
     status: Status
     accuser: str = ""
+    active: bool = False
 
 
 @codec.message("membership.ping")
--- /dev/null
+++ b/fuchsiacroft/tests/membership/ownership_tests.py
@@ -0,0 +1,207 @@
+"""Failure tests of the ownership of backend servers."""
+
+import asyncio
+import random
+from collections import Counter
+
+from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.membership import ownership
+from fuchsiacroft.membership.lease import OWNERSHIP_LEASE_S
+from fuchsiacroft.membership.permits import HeldPermit, PermitHolder
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.entries import Domain, address_of, settings_of
+
+NAMES = tuple(f"gpu-{i}" for i in range(12))
+READY_S = 12.0
+LOOK_S = 0.05
+
+
+class Permits(PermitHolder):
+    """Permits of one entry, by backend server."""
+
+    def __init__(self):
+        self.here = {}
+        self.counted = {}
+
+    def held(self, backend_server):
+        return self.here.get(backend_server, ())
+
+    def adopt(self, backend_server, permits):
+        self.counted[backend_server] = permits
+
+
+class OwningDomain(Domain):
+    """Entries that own backend servers."""
+
+    def __init__(self, seed=0):
+        super().__init__(seed)
+        self.tables = {}
+        self.holders = {}
+
+    def services(self, number, member):
+        cfg: Settings = settings_of(number)
+        table = ownership.create(cfg)
+        self.tables[number] = table
+        self.holders[number] = Permits()
+        table.attach(self.holders[number])
+        for name in NAMES:
+            table.watch(name)
+        return (table,)
+
+    def ready(self, name):
+        return [n for n in self.members if self.tables[n].is_ready(name)]
+
+    def all_ready(self):
+        return all(len(self.ready(name)) == 1 for name in NAMES)
+
+    async def watch_over(self, test, seconds):
+        """Check that no backend server ever has two owners that are ready."""
+        for _ in range(int(seconds / LOOK_S)):
+            await asyncio.sleep(LOOK_S)
+            for name in NAMES:
+                test.assertLessEqual(len(self.ready(name)), 1, name)
+
+    async def until_ready(self):
+        while not self.all_ready():
+            await asyncio.sleep(LOOK_S)
+
+    def permit(self, number, name):
+        """Let an entry hold a permit."""
+        member = self.members[number]
+        permit = HeldPermit(f"p{number}-{name}", name, member.me.node, member.boot_id)
+        self.holders[number].here[name] = (permit,)
+        return permit
+
+
+class OwnershipTests(PausedTestCase):
+    """At most one owner is ready, and it knows every permit."""
+
+    def play(self, scenario, seed=0):
+        async def run():
+            domain = OwningDomain(seed)
+            try:
+                async with asyncio.timeout(3600):
+                    await scenario(domain)
+            finally:
+                await domain.stop()
+
+        self.run_paused(run())
+
+    def test_each_backend_server_has_one_ready_owner(self):
+        async def scenario(domain):
+            await domain.start(*range(5))
+            await domain.watch_over(self, READY_S)
+            self.assertTrue(domain.all_ready())
+            owners = Counter(domain.ready(name)[0] for name in NAMES)
+            self.assertGreater(len(owners), 2)
+
+        self.play(scenario)
+
+    def test_nothing_is_handed_out_before_leases_of_before_the_start_are_out(self):
+        async def scenario(domain):
+            await domain.start(0, 1)
+            await asyncio.sleep(OWNERSHIP_LEASE_S - LOOK_S)
+            self.assertFalse(any(domain.ready(name) for name in NAMES))
+
+        self.play(scenario)
+
+    def test_a_joining_entry_takes_over_with_the_permits_of_others(self):
+        async def scenario(domain):
+            await domain.start(0, 1, 2)
+            await domain.until_ready()
+            permits = {name: domain.permit(1, name) for name in NAMES}
+            await domain.start(3)
+            await domain.watch_over(self, READY_S)
+            self.assertTrue(domain.all_ready())
+            taken = [name for name in NAMES if domain.ready(name) == [3]]
+            self.assertTrue(taken)
+            for name in taken:
+                self.assertEqual(
+                    (permits[name],), domain.holders[3].counted[name], name
+                )
+
+        self.play(scenario)
+
+    def test_a_leaving_entry_hands_over_without_a_wait(self):
+        async def scenario(domain):
+            await domain.start(0, 1, 2)
+            await domain.until_ready()
+            lost = [name for name in NAMES if domain.ready(name) == [2]]
+            permits = {name: domain.permit(2, name) for name in lost}
+            await domain.members[2].leave()
+            await domain.watch_over(self, 0.5)
+            self.assertTrue(domain.all_ready())
+            for name in lost:
+                (owner,) = domain.ready(name)
+                counted = domain.holders[owner].counted[name]
+                self.assertEqual((permits[name],), counted)
+
+        self.play(scenario)
+
+    def test_a_cut_off_owner_stops_before_its_successor_starts(self):
+        async def scenario(domain):
+            await domain.start(*range(4))
+            await domain.until_ready()
+            for number in range(1, 4):
+                domain.network.cut_link(address_of(0), address_of(number))
+            for _ in range(int(40 / LOOK_S)):
+                await asyncio.sleep(LOOK_S)
+                alone = domain.seen(0) == {0}
+                for name in NAMES:
+                    ready = domain.ready(name)
+                    if not alone:
+                        self.assertLessEqual(len(ready), 1, name)
+            domain.network.heal()
+            await asyncio.sleep(READY_S)
+            await domain.watch_over(self, READY_S)
+            self.assertTrue(domain.all_ready())
+
+        self.play(scenario)
+
+    def test_a_dead_owner_is_replaced_within_its_lease_of_being_unseated(self):
+        async def scenario(domain):
+            await domain.start(*range(4))
+            await domain.until_ready()
+            await domain.kill(1)
+            while domain.seen(0) != {0, 2, 3}:
+                await asyncio.sleep(LOOK_S)
+            await domain.watch_over(self, OWNERSHIP_LEASE_S)
+            self.assertTrue(domain.all_ready())
+
+        self.play(scenario)
+
+    def test_one_way_links_and_loss_never_make_two_owners(self):
+        async def scenario(domain):
+            await domain.start(*range(4))
+            await domain.until_ready()
+            rng = random.Random(7)
+            for _ in range(12):
+                domain.network.loss = rng.choice((0.0, 0.2))
+                one, other = rng.sample(range(4), 2)
+                domain.network.cut.add((address_of(one), address_of(other)))
+                await domain.watch_over(self, rng.uniform(1, 12))
+                if rng.random() < 0.5:
+                    domain.network.heal()
+            domain.network.heal()
+            domain.network.loss = 0.0
+            await domain.watch_over(self, 30)
+            self.assertTrue(domain.all_ready())
+
+        self.play(scenario)
+
+    def test_restarts_and_departures_never_make_two_owners(self):
+        async def scenario(domain):
+            await domain.start(*range(5))
+            await domain.until_ready()
+            rng = random.Random(3)
+            for _ in range(8):
+                number = rng.choice(sorted(domain.members))
+                if rng.random() < 0.5:
+                    await domain.members[number].leave()
+                await domain.kill(number)
+                await domain.watch_over(self, rng.uniform(0.1, 6))
+                await domain.start(number)
+            await domain.watch_over(self, 30)
+            self.assertTrue(domain.all_ready())
+
+        self.play(scenario)
