Share a backend server's limit between the sides of a split domain

After a split each side owned every backend server with its whole limit. A side that lost entries now hands out only its part, counted by who has answered it since, until the lost ones return or all announcements arrive on its side.

Without the mechanism both new tests fail.

--- a/fuchsiacroft/membership/ownership.py
+++ b/fuchsiacroft/membership/ownership.py
@@ -20,6 +20,7 @@
     PermitHolder,
 )
 from fuchsiacroft.membership.service import Membership
+from fuchsiacroft.membership.split_guard import SplitGuard
 from fuchsiacroft.membership.table import EntryInfo
 from fuchsiacroft.membership.takeover import TakeoverInquiry
 from fuchsiacroft.membership.wire import Status
@@ -56,6 +57,7 @@
         self._membership = kernel.get("membership", Membership)
         bus = kernel.get("bus", Bus)
         self._inquiry = TakeoverInquiry(bus, self._membership)
+        self._guard = SplitGuard(self._membership)
         self._membership.on_change(self._on_change)
         bus.handle(HeldPermitsRequest, self._on_request)
         self._tasks.spawn(self._activate(), "ownership-activate")
@@ -87,6 +89,7 @@
         self._watched.discard(backend_server)
         self._taken.pop(backend_server, None)
         self._owners.pop(backend_server, None)
+        self._guard.forget(backend_server)
 
     def owner_of(self, backend_server: str) -> EntryInfo | None:
         """Return the owner in our view, ready or not."""
@@ -104,6 +107,17 @@
         lease = self._membership.lease
         return lease.confirmed_for() > 0 and taken_at >= lease.unbroken_since
 
+    def note_announcement(self, backend_server: str) -> None:
+        """Note each announcement of a backend server that reaches its owner."""
+        self._guard.note_announcement(backend_server)
+
+    def share(self, backend_server: str) -> float:
+        """Return the part, up to 1, of its limit that we may hand out.
+
+        It is less than 1 while the domain may be split in two.
+        """
+        return self._guard.share(backend_server)
+
     def holder_expired(self, node: str, boot_id: str) -> bool:
         """Tell whether the permits of an entry process count no more."""
         record = self._membership.record(node)
@@ -126,7 +140,7 @@
             self._wake.clear()
             wait = IDLE_CHECK_S
             pending = self._pending()
-            if pending:
+            if pending or self._guard.unsettled():
                 wait = await self._inquire(pending)
             try:
                 async with asyncio.timeout(wait):
@@ -138,6 +152,9 @@
         """Try to take over; return how long to wait before the next look."""
         began = clock.now()
         heard = await self._inquiry.ask(pending)
+        self._guard.note_reached(heard.reached, heard.agreed)
+        if not pending:
+            return IDLE_CHECK_S
         if heard.wait_s > 0:
             return heard.wait_s
         for name in pending:
--- a/fuchsiacroft/membership/service.py
+++ b/fuchsiacroft/membership/service.py
@@ -156,10 +156,14 @@
         if not self._view.left:
             self._view.activate()
 
+    def last_answered(self, record: MemberRecord) -> float:
+        """Return when we last answered a probe of an entry, or our start."""
+        return self._answered.get(record.update.node, self._started_at)
+
     def lease_left_of(self, record: MemberRecord) -> float:
         """Return for how many seconds a lost entry may still hold its lease."""
-        answered = self._answered.get(record.update.node, self._started_at)
-        return max(0.0, answered + OWNERSHIP_LEASE_S - clock.now())
+        ends_at = self.last_answered(record) + OWNERSHIP_LEASE_S
+        return max(0.0, ends_at - clock.now())
 
     def alive(self) -> tuple[EntryInfo, ...]:
         """Return the live entries of the domain, ourselves included."""
@@ -169,6 +173,14 @@
         """Return what is remembered of an entry."""
         return self._view.table.get(node)
 
+    def present(self) -> tuple[MemberRecord, ...]:
+        """Return the records of the live entries."""
+        return self._view.table.present()
+
+    def records(self) -> tuple[MemberRecord, ...]:
+        """Return the records of all entries, live or gone."""
+        return self._view.table.records()
+
     def gone(self) -> tuple[MemberRecord, ...]:
         """Return the entries that died or left and are still remembered."""
         return self._view.gone()
--- a/fuchsiacroft/membership/table.py
+++ b/fuchsiacroft/membership/table.py
@@ -24,10 +24,11 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberRecord:
-    """The claim held about an entry, and when its status began."""
+    """The claim held about an entry, and when its status and presence began."""
 
     update: Update
     since: float
+    joined_at: float
 
     @property
     def info(self) -> EntryInfo:
@@ -112,8 +113,13 @@
         old = self._records.get(claim.node)
         same = old is not None and old.update.status == claim.status
         same = same and old.update.boot_id == claim.boot_id
-        since = old.since if same else now
-        self._records[claim.node] = MemberRecord(claim, since)
+        stays = old is not None and old.present
+        stays = stays and old.update.boot_id == claim.boot_id
+        self._records[claim.node] = MemberRecord(
+            claim,
+            since=old.since if same else now,
+            joined_at=old.joined_at if stays else now,
+        )
         self._view = 0
         for record in self._records.values():
             if record.present:
--- a/fuchsiacroft/membership/takeover.py
+++ b/fuchsiacroft/membership/takeover.py
@@ -21,10 +21,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Heard:
-    """The permits that all others hold, or how long to wait and ask again."""
+    """The permits that all others hold, or how long to wait and ask again.
+
+    `agreed` is true if every live entry showed our view, `reached` names those
+    that answered.
+    """
 
     permits: tuple[HeldPermit, ...] = ()
     wait_s: float = 0.0
+    agreed: bool = False
+    reached: frozenset[str] = frozenset()
 
 
 class TakeoverInquiry:
@@ -51,12 +57,17 @@
             asyncio.gather(*(self._request(peer.peers, request) for peer in live)),
             self._ask_leaving(request),
         )
+        reached = frozenset(
+            peer.node
+            for peer, answer in zip(live, answers, strict=True)
+            if answer is not None
+        )
         agreed = all(answer is not None and answer.view == view for answer in answers)
         if not agreed or self._membership.generation != generation:
-            return Heard(wait_s=RETRY_S)
+            return Heard(wait_s=RETRY_S, reached=reached)
         wait = max([self.wait_for_lost(), parting.wait_s, *(a.wait_s for a in answers)])
         permits = [permit for answer in answers for permit in answer.permits]
-        return Heard(parting.permits + tuple(permits), wait)
+        return Heard(parting.permits + tuple(permits), wait, True, reached)
 
     def _is_me(self, node: str) -> bool:
         return node == self._membership.me.node
--- a/fuchsiacroft/tests/membership/ownership_tests.py
+++ b/fuchsiacroft/tests/membership/ownership_tests.py
@@ -1,6 +1,7 @@
 """Failure tests of the ownership of backend servers."""
 
 import asyncio
+import itertools
 import random
 from collections import Counter
 
@@ -205,3 +206,40 @@
             self.assertTrue(domain.all_ready())
 
         self.play(scenario)
+
+    def test_the_sides_of_a_split_share_a_limit(self):
+        async def scenario(domain):
+            await domain.start(*range(5))
+            await domain.until_ready()
+            for one, other in itertools.product((0, 1), (2, 3, 4)):
+                domain.network.cut_link(address_of(one), address_of(other))
+            for _ in range(int(90 / LOOK_S)):
+                await asyncio.sleep(LOOK_S)
+                for name in NAMES:
+                    shares = [domain.tables[n].share(name) for n in domain.ready(name)]
+                    self.assertLessEqual(sum(shares), 1.0 if len(shares) > 1 else 2.0)
+            self.assertEqual([2, 2], [len(domain.ready(name)) for name in NAMES[:2]])
+
+        self.play(scenario)
+
+    def test_a_side_that_hears_every_announcement_has_the_whole_limit(self):
+        async def scenario(domain):
+            await domain.start(0, 1)
+            await domain.until_ready()
+            await domain.kill(0)
+            while domain.seen(1) != {1}:
+                await asyncio.sleep(LOOK_S)
+            table = domain.tables[1]
+            self.assertEqual(0.5, table.share("heard"))
+            for i in range(24):
+                table.note_announcement("heard")
+                if i % 2:
+                    table.note_announcement("half-heard")
+                await asyncio.sleep(1)
+            self.assertEqual(1.0, table.share("heard"))
+            self.assertEqual(0.5, table.share("half-heard"))
+            await domain.start(0)
+            await asyncio.sleep(READY_S)
+            self.assertEqual(1.0, table.share("half-heard"))
+
+        self.play(scenario)
