--- a/fuchsiacroft/tests/membership/digests_tests.py
+++ b/fuchsiacroft/tests/membership/digests_tests.py
@@ -10,8 +10,10 @@
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.bus import MemoryNetwork
 from fuchsiacroft.tests.fakes.entries import address_of, settings_of
+from fuchsiacroft.utils import clock
 
-SETTLED_S = 12.0
+SETTLED_S = 14.0
+FRESH_S = 5.0
 
 
 class Fixed(DigestSource):
@@ -79,9 +81,10 @@
                 self.assertEqual(others, set(known))
                 for load in known.values():
                     total = load.of("lens-assistant")
-                    self.assertEqual(ServiceLoad("lens-assistant", 12, 4), total)
+                    self.assertEqual(ServiceLoad("lens-assistant", 36, 12), total)
+                    self.assertLess(clock.now() - load.dated_at, FRESH_S)
 
-        self.play(scenario)
+        self.play(scenario, 12)
 
     def test_a_domain_cut_off_ages_out(self):
         async def scenario(region):
