Give the stand-ins faults by HTTP, orders, a prefix cache and bounded memory

Cause: the failure tests of routing, control and the data plane need engines that break streams, freeze, refuse, keep a limited prefix cache with numbered events, and take orders under fencing numbers.

Counts, runs and orders forget their oldest.

Tests: python tools/run_tests.py fuchsiacroft.tests.standin.engine_tests

--- a/fuchsiacroft/commands/standin.py
+++ b/fuchsiacroft/commands/standin.py
@@ -30,6 +30,21 @@
         "work_s", 0.02, "seconds a call of an application", flag_values=values
     )
     flags.DEFINE_bool("can_crash", False, "let marked requests end it", values)
+    flags.DEFINE_bool(
+        "checks_fencing", True, "refuse orders with an old fencing number", values
+    )
+    flags.DEFINE_integer(
+        "cache_blocks", 4096, "prefix blocks that it caches", flag_values=values
+    )
+    flags.DEFINE_float(
+        "load_lag_s", 0.0, "age of the reported load", flag_values=values
+    )
+    flags.DEFINE_integer(
+        "knee", 8, "requests from which token gaps grow", flag_values=values
+    )
+    flags.DEFINE_float(
+        "load_model_s", 0.2, "seconds to load a model", flag_values=values
+    )
 
 
 def run(values: flags.FlagValues) -> int:
@@ -41,10 +56,9 @@
 
 async def _serve(values: flags.FlagValues) -> None:
     if values.kind == "engine":
-        speed = engine.EngineSpeed(values.prefill_rate, values.token_gap_s)
-        server = engine.create(speed, values.can_crash)
+        server = engine.create(_speed(values), values.can_crash, values.checks_fencing)
     else:
-        server = application.create(values.work_s)
+        server = application.create(values.work_s, values.can_crash)
     listener = Listener(server.app(), values.address)
     await listener.start()
     first = announcer.announcement(
@@ -55,7 +69,7 @@
         slots=values.slots,
         generation=values.generation,
     )
-    announcing = announcer.Announcer(first, values.entries, server.load)
+    announcing = announcer.Announcer(first, values.entries, server.describe)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
@@ -65,3 +79,14 @@
     await stopping.wait()
     task.cancel()
     await listener.stop()
+
+
+def _speed(values: flags.FlagValues) -> engine.EngineSpeed:
+    return engine.EngineSpeed(
+        prefill_tokens_per_s=values.prefill_rate,
+        token_gap_s=values.token_gap_s,
+        knee=values.knee,
+        cache_blocks=values.cache_blocks,
+        load_lag_s=values.load_lag_s,
+        load_model_s=values.load_model_s,
+    )
--- a/fuchsiacroft/entry/admission.py
+++ b/fuchsiacroft/entry/admission.py
@@ -11,6 +11,7 @@
 
 from fuchsiacroft.config.document import ServiceSpec, Tier, Workspace, hash_key
 from fuchsiacroft.config.held import HeldDocument
+from fuchsiacroft.entry import prefixes
 from fuchsiacroft.entry.ledger_key import is_past_retention, ledger_key
 from fuchsiacroft.entry.problems import Problem, Ran
 from fuchsiacroft.entry.request import CallerRequest
@@ -21,8 +22,6 @@
 KEY_HEADER = "Idempotency-Key"
 BYTES_PER_TOKEN = 4
 DEFAULT_OUTPUT_TOKENS = 256
-PREFIX_BLOCK_BYTES = 1024
-MAX_PREFIX_BLOCKS = 32
 MAX_KEY_LENGTH = 255
 
 HOP_HEADERS = frozenset(
@@ -157,7 +156,7 @@
             size=content.size,
             idempotent=idempotent,
             fingerprint=digest.hex(),
-            prefixes=_prefixes(content.body) if spec.kind == "model" else (),
+            prefixes=prefixes.digests(content.body) if spec.kind == "model" else (),
             first_token_target_s=spec.first_token_target_s,
             token_gap_target_s=spec.token_gap_target_s,
         )
@@ -236,14 +235,3 @@
         for name, value in req.headers.items()
         if name.lower() not in HOP_HEADERS and name.lower() not in dropped
     )
-
-
-def _prefixes(body: bytes | None) -> tuple[int, ...]:
-    digest = xxhash.xxh64()
-    prefixes = []
-    whole = len(body or b"") // PREFIX_BLOCK_BYTES
-    for i in range(min(whole, MAX_PREFIX_BLOCKS)):
-        start = i * PREFIX_BLOCK_BYTES
-        digest.update(body[start : start + PREFIX_BLOCK_BYTES])
-        prefixes.append(digest.intdigest())
-    return tuple(prefixes)
--- a/fuchsiacroft/standin/announcer.py
+++ b/fuchsiacroft/standin/announcer.py
@@ -9,6 +9,8 @@
 
 from fuchsiacroft.membership.announcement import Announcement, Offer, ReportedLoad
 
+Describe = Callable[[Announcement], Announcement]
+
 ANNOUNCE_PERIOD_S = 1.0
 ANNOUNCE_TIMEOUT_S = 1.0
 
@@ -17,11 +19,11 @@
     """Posts an announcement a second to the first entry that takes it."""
 
     def __init__(
-        self, announcement: Announcement, entries: list[str], load: Callable
+        self, announcement: Announcement, entries: list[str], describe: Describe
     ) -> None:
         self._announcement = announcement
         self._entries = entries
-        self._load = load
+        self._describe = describe
         self._next = 0
         self.leaving = False
         self.changed = asyncio.Event()
@@ -45,9 +47,8 @@
         self.changed.set()
 
     async def _announce(self, session: aiohttp.ClientSession) -> None:
-        announcement = msgspec.structs.replace(
-            self._announcement, load=self._load(), leaving=self.leaving
-        )
+        described = self._describe(self._announcement)
+        announcement = msgspec.structs.replace(described, leaving=self.leaving)
         body = msgspec.json.encode(announcement)
         for _ in self._entries:
             entry = self._entries[self._next % len(self._entries)]
--- /dev/null
+++ b/fuchsiacroft/standin/counts.py
@@ -0,0 +1,25 @@
+"""Counts by request id that forget the oldest ids."""
+
+from collections import OrderedDict
+
+MAX_IDS = 200_000
+
+
+class BoundedCounter:
+    """Counts for the newest `MAX_IDS` ids."""
+
+    def __init__(self, max_ids: int = MAX_IDS) -> None:
+        self._max_ids = max_ids
+        self._counts: OrderedDict[str, int] = OrderedDict()
+
+    def add(self, key: str) -> int:
+        """Count one more for an id and return its count."""
+        count = self._counts.get(key, 0) + 1
+        self._counts[key] = count
+        if len(self._counts) > self._max_ids:
+            self._counts.popitem(last=False)
+        return count
+
+    def as_dict(self) -> dict[str, int]:
+        """Return every count that is kept."""
+        return dict(self._counts)
