--- a/fuchsiacroft/tests/standin/engine_tests.py
+++ b/fuchsiacroft/tests/standin/engine_tests.py
@@ -31,12 +31,14 @@
             return await res.read()
 
     async def test_a_broken_stream_resumes_at_its_offset(self):
-        whole = await self._run("whole")
         await self.session.post("/fault", json={"break_after": 2})
         with self.assertRaises(aiohttp.ClientPayloadError):
-            await self._run("whole-2")
-        async with self.session.get("/runs/whole-2?offset=30") as res:
+            await self._run("broken")
+        async with self.session.get("/runs/broken?offset=0") as res:
+            whole = await res.read()
+        async with self.session.get("/runs/broken?offset=30") as res:
             rest = await res.read()
+        self.assertEqual(5, whole.count(b"data: "))
         self.assertEqual(whole[30:], rest)
 
     async def test_a_run_without_a_reader_is_cancelled(self):
