--- a/fuchsiacroft/config/settings.py
+++ b/fuchsiacroft/config/settings.py
@@ -1,7 +1,7 @@
 """The settings of one process, read from a JSON file."""
 
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 from expression import Error, Ok, Result
@@ -50,10 +50,15 @@
 class Policies(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Which implementation takes each decision."""
 
-    route: str = "expected_wait"
-    order: str = "tier_slack"
-    limit: str = "adaptive"
-    shed: str = "lowest_tier"
+    route: Literal[
+        "round_robin", "least_connections", "power_of_two", "expected_finish"
+    ] = "expected_finish"
+    order: Literal["arrival", "tier_slack"] = "tier_slack"
+    limit: Literal["fixed", "learned"] = "learned"
+    shed: Literal["reject_newest", "lowest_tier"] = "lowest_tier"
+    borrow: Literal["own_desk", "late_binding"] = "late_binding"
+    straggler: Literal["ignore", "set_aside"] = "set_aside"
+    queue_limit: Annotated[int, msgspec.Meta(gt=0)] = defaults.QUEUE_LIMIT_REQUESTS
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/fuchsiacroft/entry/process.py
+++ b/fuchsiacroft/entry/process.py
@@ -7,7 +7,14 @@
 from fuchsiacroft.exceptions import SettingsError
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.membership import backend_servers
-from fuchsiacroft.routing import desk, scheduler
+from fuchsiacroft.routing import (
+    desk,
+    lending,
+    owners,
+    quarantine,
+    scheduler,
+    spill,
+)
 from fuchsiacroft.transport import zmq_bus
 from fuchsiacroft.utils.metrics import Metrics
 
@@ -18,6 +25,7 @@
     if addresses.peers is None or addresses.callers is None:
         raise SettingsError("an entry needs addresses.peers and addresses.callers")
     metrics = Metrics()
+    owned_by = owners.create(settings)
     front = callers.create(settings, metrics)
     ops = operations.create(addresses.operators, metrics)
     ops.add_check(front.why_not_ready)
@@ -27,8 +35,11 @@
         held.create(),
         follower.create(settings),
         backend_servers.create(settings),
-        desk.create(settings.node),
-        scheduler.create(settings),
+        quarantine.create(settings),
+        desk.create(settings.node, settings.policies, owned_by),
+        lending.create({member.node: member.peers for member in settings.entries}),
+        spill.create(settings),
+        scheduler.create(settings, owned_by),
         backend_client.create(),
         ledger_client.create(settings),
         dispatch.create(),
--- a/fuchsiacroft/membership/backend_servers.py
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -92,6 +92,14 @@
         """Return every backend server heard of lately."""
         return tuple(self._servers.values())
 
+    def offering(self, service: str) -> list[BackendServer]:
+        """Return the backend servers that offer a service."""
+        return [
+            server
+            for server in self._servers.values()
+            if any(offer.service == service for offer in server.announcement.offers)
+        ]
+
     def get(self, name: str) -> BackendServer | None:
         """Return the backend server of that name."""
         return self._servers.get(name)
--- /dev/null
+++ b/fuchsiacroft/model/__init__.py
@@ -0,0 +1,1 @@
+"""A model of the systems served: engines, applications, callers, network."""
--- /dev/null
+++ b/fuchsiacroft/model/network.py
@@ -0,0 +1,118 @@
+"""A network in memory: seeded delays, losses, doubled messages and cuts."""
+
+import asyncio
+import random
+from collections import Counter
+
+import msgspec
+from expression import Error, Ok, Result
+
+from fuchsiacroft.transport import codec
+from fuchsiacroft.transport.bus import Bus, BusError, Handler
+from fuchsiacroft.utils.tasks import TaskGroup
+
+
+class MemoryNetwork:
+    """Carries encoded messages between the buses of one model or test."""
+
+    def __init__(self, seed: int = 0, delay: tuple[float, float] = (0.001, 0.002)):
+        self.random = random.Random(seed)
+        self.delay = delay
+        self.loss = 0.0
+        self.doubled = 0.0
+        self.cut: set[tuple[str, str]] = set()
+        self.buses: dict[str, MemoryBus] = {}
+        self.counts: Counter[str] = Counter()
+
+    def bus(self, node: str, address: str) -> "MemoryBus":
+        """Return a new bus; an earlier one at the address is unplugged."""
+        bus = MemoryBus(self, node, address)
+        self.buses[address] = bus
+        return bus
+
+    def cut_link(self, one: str, other: str) -> None:
+        """Lose every message between two addresses, both ways."""
+        self.cut |= {(one, other), (other, one)}
+
+    def heal(self) -> None:
+        """Carry messages again on every link."""
+        self.cut.clear()
+
+    async def carry(self, source: str, target: str, data: bytes) -> None:
+        """Deliver one message after its delay, unless it is lost."""
+        if self.random.random() < self.loss:
+            return
+        await asyncio.sleep(self.random.uniform(*self.delay))
+        if (source, target) in self.cut or source not in self.buses:
+            return
+        bus = self.buses.get(target)
+        if bus is not None:
+            self.counts["messages"] += 1
+            self.counts["bytes"] += len(data)
+            bus.receive(source, data)
+
+
+class MemoryBus(Bus):
+    """One process's bus on a `MemoryNetwork`."""
+
+    def __init__(self, network: MemoryNetwork, node: str, address: str) -> None:
+        self._network = network
+        self._node = node
+        self._address = address
+        self._handlers: dict[type, Handler] = {}
+        self._waiting: dict[int, asyncio.Future] = {}
+        self._number = 0
+        self._tasks = TaskGroup(f"bus-{node}")
+
+    def handle(self, kind: type[msgspec.Struct], handler: Handler) -> None:
+        """Register the handler for one message type."""
+        self._handlers[kind] = handler
+
+    async def request(
+        self, peer: str, msg: msgspec.Struct, timeout: float
+    ) -> Result[msgspec.Struct, BusError]:
+        """Send a message and wait for its answer."""
+        self._number += 1
+        number = self._number
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[number] = fut
+        self._post(peer, codec.encode(msg, number, False, self._node))
+        try:
+            async with asyncio.timeout(timeout):
+                return Ok(await fut)
+        except TimeoutError:
+            return Error(BusError.NO_ANSWER)
+        finally:
+            self._waiting.pop(number, None)
+
+    def send(self, peer: str, msg: msgspec.Struct) -> None:
+        """Send a message that has no answer."""
+        self._post(peer, codec.encode(msg, 0, False, self._node))
+
+    async def stop(self) -> None:
+        """Unplug this bus and forget what it was sending."""
+        if self._network.buses.get(self._address) is self:
+            del self._network.buses[self._address]
+        await self._tasks.cancel()
+
+    def receive(self, source: str, data: bytes) -> None:
+        """Take one message off the network."""
+        envelope, msg = codec.decode(data).ok
+        if not envelope.reply:
+            self._tasks.spawn(self._answer(source, envelope, msg))
+            return
+        fut = self._waiting.get(envelope.number)
+        if fut is not None and not fut.done():
+            fut.set_result(msg)
+
+    async def _answer(self, source: str, envelope, msg) -> None:
+        handler = self._handlers.get(type(msg))
+        answer = await handler(envelope.sender, msg) if handler else None
+        if answer is not None and envelope.number:
+            data = codec.encode(answer, envelope.number, True, self._node)
+            self._post(source, data)
+
+    def _post(self, peer: str, data: bytes) -> None:
+        copies = 2 if self._network.random.random() < self._network.doubled else 1
+        for _ in range(copies):
+            self._tasks.spawn(self._network.carry(self._address, peer, data))
--- a/fuchsiacroft/routing/ask.py
+++ b/fuchsiacroft/routing/ask.py
@@ -34,6 +34,7 @@
     prefixes: tuple[int, ...] = ()
     first_token_target_s: float = 1.3
     token_gap_target_s: float = 0.044
+    retries_per_s: float = 10.0
 
 
 class RefusalReason(enum.Enum):
@@ -54,7 +55,11 @@
 
 
 class RunOutcome(enum.Enum):
-    """How a run on a backend server ended, as seen by the entry."""
+    """How a run on a backend server ended, as seen by the entry.
+
+    `NOT_DISPATCHED`: the connection could not be opened. `CUT`: ended to make
+    room. `UNUSED`: the permit was given back without a try.
+    """
 
     COMPLETED = "completed"
     REFUSED = "refused"
@@ -62,6 +67,8 @@
     CONNECTION_LOST = "connection_lost"
     NOT_DISPATCHED = "not_dispatched"
     CANCELLED = "cancelled"
+    CUT = "cut"
+    UNUSED = "unused"
 
 
 class RunReport(msgspec.Struct, frozen=True):
--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -3,12 +3,14 @@
 import asyncio
 import itertools
 import uuid
-from dataclasses import dataclass, field
+from collections.abc import Callable
 
 from expression import Error, Ok, Result
 
+from fuchsiacroft.config.settings import Policies
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.backend_servers import BackendDirectory, BackendServer
+from fuchsiacroft.routing import health, policies
 from fuchsiacroft.routing.ask import (
     Ask,
     Permit,
@@ -17,162 +19,432 @@
     RunOutcome,
     RunReport,
 )
+from fuchsiacroft.routing.line import Line, later
+from fuchsiacroft.routing.order import Waiter
+from fuchsiacroft.routing.owned import OwnedServer, Run
+from fuchsiacroft.routing.owners import Owners
+from fuchsiacroft.routing.policies import Decisions
+from fuchsiacroft.routing.quarantine import Quarantine, Treatment
+from fuchsiacroft.routing.waits import spread_retry_s
 from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.tasks import TaskGroup
 
-RETRY_AFTER_S = 1.0
-QUEUE_LIMIT = 2_000
-
-
-@dataclass(slots=True)
-class OwnedServer:
-    """A backend server whose permits this entry hands out."""
-
-    server: BackendServer
-    running: dict[str, Permit] = field(default_factory=dict)
-
-    @property
-    def room(self) -> int:
-        """Return how many more requests may run there now."""
-        announcement = self.server.announcement
-        if announcement.leaving:
-            return 0
-        return announcement.slots - len(self.running)
-
-
-@dataclass(slots=True, eq=False)
-class Waiter:
-    """An ask in a queue."""
-
-    ask: Ask
-    number: int
-    deadline: float
-    fut: asyncio.Future
+PRESS_PERIOD_S = 0.1
+SWEEP_PERIOD_S = 0.5
+LATEST_START_MARGIN = 0.9
+MIN_WAIT_SHARE = 0.1
+SET_ASIDE_SHARE = 0.34
+NEW_DESK_S = 8.0
 
 
 class Desk(Service):
-    """One queue for each service, ordered by tier and then by arrival."""
+    """Queues asks by service and grants permits as room comes free."""
 
     name = "desk"
 
-    def __init__(self, node: str) -> None:
+    def __init__(self, node: str, decisions: Decisions, owners: Owners) -> None:
         self._node = node
+        self._decisions = decisions
+        self._owners = owners
         self._owned: dict[str, OwnedServer] = {}
-        self._queues: dict[str, list[Waiter]] = {}
+        self._lines: dict[str, Line] = {}
+        self._joined: dict[str, float] = {}
         self._numbers = itertools.count()
         self._life = uuid.uuid4().hex[:8]
+        self._tasks = TaskGroup("desk")
+        self._quarantine: Quarantine | None = None
+        self.on_cut: Callable[[Permit, float], None] = lambda permit, retry_s: None
 
     async def start(self, kernel: Kernel) -> None:
         """Follow the directory of backend servers."""
+        self._started_at = now()
+        self._quarantine = kernel.find("quarantine", Quarantine)
         directory = kernel.get("backend_servers", BackendDirectory)
         directory.listeners.gone.append(self._on_gone)
+        self._tasks.spawn(self._sweep(), "desk-sweep")
+
+    async def stop(self) -> None:
+        """Stop looking after the runs."""
+        await self._tasks.cancel()
 
     def dump(self) -> dict:
-        """Return the owned backend servers and the queues."""
+        """Return the owned backend servers, the queues and the speeds."""
         return {
             "owned": {
                 name: {
                     "running": sorted(owned.running),
-                    "room": owned.room,
+                    "room": owned.room(0),
+                    "limit": owned.limit.allowed(0),
+                    "slow": owned.health.is_slow,
+                    "slowness": round(owned.health.slowness, 2),
                 }
                 for name, owned in self._owned.items()
             },
-            "waiting": {name: len(queue) for name, queue in self._queues.items()},
+            "lines": {name: line.dump() for name, line in self._lines.items()},
+            "speeds": self._decisions.estimates.dump(),
+            "prefixes": len(self._decisions.prefixes),
         }
 
+    def note(self, server: BackendServer) -> None:
+        """Note an announcement of a backend server, owned or not."""
+        if server.boot_id not in self._joined:
+            self._joined[server.boot_id] = now()
+        self._decisions.prefixes.note_events(
+            server.name, server.announcement.cache_events
+        )
+
     def own(self, server: BackendServer) -> None:
         """Take a backend server over, or note its newest announcement."""
         owned = self._owned.get(server.name)
         if owned is None or owned.server.boot_id != server.boot_id:
-            self._owned[server.name] = OwnedServer(server)
+            self.disown(server.name)
+            owned = self._owned[server.name] = self._new_owned(server)
         else:
             owned.server = server
         for offer in server.announcement.offers:
-            self._serve(offer.service)
+            line = self._line(offer.service)
+            line.servers[server.name] = owned
+            self._serve(line)
 
     def disown(self, name: str) -> None:
         """Hand out no more permits for a backend server."""
-        self._owned.pop(name, None)
+        if self._owned.pop(name, None) is None:
+            return
+        for line in self._lines.values():
+            line.servers.pop(name, None)
 
-    def offers(self, service: str) -> bool:
+    def owns(self, service: str) -> bool:
         """Tell whether an owned backend server offers the service."""
-        return any(_offers(owned, service) for owned in self._owned.values())
+        line = self._lines.get(service)
+        return line is not None and bool(line.servers)
 
-    async def acquire(self, ask: Ask) -> Result[Permit, Refusal]:
+    def lines(self) -> dict[str, Line]:
+        """Return the queues by service."""
+        return self._lines
+
+    def grant_now(self, ask: Ask) -> Permit | None:
+        """Return a permit if there is room and nobody goes before the ask."""
+        line = self._line(ask.service)
+        head = line.queue.head()
+        if head is not None and head.ask.rank <= ask.rank:
+            return None
+        if self._treatment(ask) is not Treatment.FREE:
+            return None
+        owned = self._choose(ask, line)
+        if owned is None:
+            return None
+        line.waits.note_start(ask.rank)
+        return self._grant(ask, owned)
+
+    async def acquire(self, ask: Ask, position: int = 0) -> Result[Permit, Refusal]:
         """Wait for a permit until the ask's timeout."""
-        queue = self._queues.setdefault(ask.service, [])
-        if len(queue) >= QUEUE_LIMIT:
-            return Error(Refusal(RefusalReason.OVERLOADED, RETRY_AFTER_S))
-        fut = asyncio.get_running_loop().create_future()
-        deadline = now() + ask.timeout_s
-        waiter = Waiter(ask, next(self._numbers), deadline, fut)
-        queue.append(waiter)
-        queue.sort(key=lambda waiting: (waiting.ask.rank, waiting.number))
-        self._serve(ask.service)
+        line = self._line(ask.service)
+        waiter = self._waiter(ask, position)
+        match self._treatment(ask):
+            case Treatment.REFUSED:
+                return Error(Refusal(RefusalReason.QUARANTINED, 0.0))
+            case Treatment.ALONE:
+                line.alone.append(waiter)
+                waiter.alone = True
+            case _:
+                refusal = self._enqueue(waiter, line)
+                if refusal is not None:
+                    return Error(refusal)
+        self._serve(line)
         try:
-            async with asyncio.timeout_at(deadline):
-                return Ok(await fut)
+            async with asyncio.timeout_at(waiter.deadline):
+                return await waiter.fut
         except TimeoutError:
             self._give_back(waiter)
-            return Error(Refusal(RefusalReason.TIMED_OUT, RETRY_AFTER_S))
+            return Error(self._refusal(RefusalReason.TIMED_OUT, waiter.ask, line))
         except asyncio.CancelledError:
             self._give_back(waiter)
             raise
         finally:
-            if waiter in queue:
-                queue.remove(waiter)
+            line.leave(waiter)
+            self._free_held(waiter, line)
 
     def release(self, permit: Permit, report: RunReport) -> None:
         """Take a permit back with what was seen of its run."""
         owned = self._owned.get(permit.backend_server)
-        if owned is None or owned.running.pop(permit.permit_id, None) is None:
+        if owned is None or owned.server.boot_id != permit.boot_id:
+            self._forget_cut(permit)
+            return
+        run = owned.running.pop(permit.permit_id, None)
+        self._forget_cut(permit)
+        if run is None:
             return
+        self._learn(owned, run, report)
         for offer in owned.server.announcement.offers:
-            self._serve(offer.service)
+            self._serve(self._line(offer.service))
 
-    def _give_back(self, waiter: Waiter) -> None:
-        if waiter.fut.done() and not waiter.fut.cancelled():
-            report = RunReport(RunOutcome.NOT_DISPATCHED)
-            self.release(waiter.fut.result(), report)
-
-    def _serve(self, service: str) -> None:
-        queue = self._queues.get(service)
-        while queue:
-            owned = self._roomiest(service)
+    def note_served_elsewhere(self, ask: Ask) -> None:
+        """Count a waiter that another owner served as one that left."""
+        self._line(ask.service).waits.note_start(ask.rank)
+
+    def prefix_gain_s(self, ask: Ask, backend_server: str, generation: str) -> float:
+        """Return the seconds of prefill that its cache is likely to save."""
+        cached = self._decisions.prefixes.cached_tokens(ask, backend_server)
+        speed = self._decisions.estimates.speed(ask.service, generation)
+        return cached / speed.prefill_tokens_per_s.value
+
+    def note_run_elsewhere(self, ask: Ask, backend_server: str) -> None:
+        """Note where a run was dispatched under another owner's permit."""
+        self._decisions.prefixes.note_run(ask, backend_server)
+
+    def refusal(self, reason: RefusalReason, ask: Ask) -> Refusal:
+        """Return a refusal with the time to retry after."""
+        return self._refusal(reason, ask, self._line(ask.service))
+
+    def _line(self, service: str) -> Line:
+        line = self._lines.get(service)
+        if line is None:
+            line = self._lines[service] = Line(service, self._decisions.queue())
+        return line
+
+    def _treatment(self, ask: Ask) -> Treatment:
+        if self._quarantine is None or not ask.fingerprint:
+            return Treatment.FREE
+        return self._quarantine.treatment(ask.fingerprint)
+
+    def _new_owned(self, server: BackendServer) -> OwnedServer:
+        joined_at = self._joined.get(server.boot_id, now())
+        is_new = joined_at > self._started_at + NEW_DESK_S
+        return OwnedServer(
+            server=server,
+            limit=self._decisions.limit(
+                server.announcement, joined_at if is_new else None
+            ),
+            health=self._decisions.health(self._may_set_aside),
+        )
+
+    def _may_set_aside(self) -> bool:
+        slow = sum(owned.health.is_slow for owned in self._owned.values())
+        return (slow + 1) <= max(1, SET_ASIDE_SHARE * len(self._owned))
+
+    def _waiter(self, ask: Ask, position: int) -> Waiter:
+        run_s = self._decisions.estimates.run_s(ask)
+        arrived_at = now()
+        deadline = arrived_at + ask.timeout_s
+        earliest = arrived_at + MIN_WAIT_SHARE * ask.timeout_s
+        return Waiter(
+            ask=ask,
+            number=next(self._numbers),
+            arrived_at=arrived_at,
+            deadline=deadline,
+            run_s=run_s,
+            latest_start=max(deadline - LATEST_START_MARGIN * run_s, earliest),
+            fut=asyncio.get_running_loop().create_future(),
+            position=position,
+        )
+
+    def _enqueue(self, waiter: Waiter, line: Line) -> Refusal | None:
+        shed = self._decisions.shed
+        servers = list(line.servers.values())
+        if not shed.admits(waiter, line.queue, line.waits, servers):
+            self._evict_lower(waiter.ask.rank, line)
+            return self._refusal(RefusalReason.OVERLOADED, waiter.ask, line)
+        line.queue.add(waiter)
+        press_at = shed.press_at(waiter)
+        if press_at is not None:
+            later(waiter, press_at, self._press, waiter, line)
+        give_up_at = shed.give_up_at(waiter)
+        if give_up_at is not None:
+            later(waiter, give_up_at, self._give_up, waiter, line)
+        return None
+
+    def _serve(self, line: Line) -> None:
+        self._serve_alone(line)
+        while True:
+            waiter = line.queue.head()
+            if waiter is None:
+                return
+            if waiter.is_settled:
+                line.queue.remove(waiter)
+                continue
+            owned = self._choose(waiter.ask, line)
             if owned is None:
                 return
-            waiter = queue.pop(0)
-            if not waiter.fut.done():
-                waiter.fut.set_result(self._permit(waiter.ask, owned))
+            line.queue.remove(waiter)
+            line.queue.started(waiter)
+            line.waits.note_start(waiter.ask.rank)
+            waiter.fut.set_result(Ok(self._grant(waiter.ask, owned)))
 
-    def _roomiest(self, service: str) -> OwnedServer | None:
-        offering = [
+    def _serve_alone(self, line: Line) -> None:
+        for waiter in list(line.alone):
+            if waiter.is_settled or not line.servers:
+                continue
+            owned = self._held_server(waiter, line)
+            if owned is None or owned.running:
+                continue
+            owned.held_for = None
+            line.alone.remove(waiter)
+            permit = self._grant(waiter.ask, owned)
+            owned.running[permit.permit_id].alone = True
+            waiter.fut.set_result(Ok(permit))
+
+    def _held_server(self, waiter: Waiter, line: Line) -> OwnedServer | None:
+        free = [
             owned
-            for owned in self._owned.values()
-            if owned.room > 0 and _offers(owned, service)
+            for owned in line.servers.values()
+            if owned.held_for in (None, waiter.number)
+            and not owned.server.announcement.leaving
         ]
-        return max(offering, key=lambda owned: owned.room, default=None)
+        held = [owned for owned in free if owned.held_for == waiter.number]
+        if held:
+            return held[0]
+        if any(owned.held_for is not None for owned in line.servers.values()):
+            return None
+        owned = min(free, key=lambda owned: len(owned.running), default=None)
+        if owned is not None:
+            owned.held_for = waiter.number
+        return owned
 
-    def _permit(self, ask: Ask, owned: OwnedServer) -> Permit:
+    def _free_held(self, waiter: Waiter, line: Line) -> None:
+        if not waiter.alone:
+            return
+        for owned in line.servers.values():
+            if owned.held_for == waiter.number:
+                owned.held_for = None
+        self._serve(line)
+
+    def _choose(self, ask: Ask, line: Line) -> OwnedServer | None:
+        roomy = line.roomy(ask.rank, self._decisions.rng)
+        roomy = [owned for owned in roomy if self._owners.is_ready(owned.name)]
+        return self._decisions.route.choose(ask, roomy) if roomy else None
+
+    def _grant(self, ask: Ask, owned: OwnedServer) -> Permit:
+        decisions = self._decisions
+        cached = decisions.prefixes.cached_tokens(ask, owned.name)
+        speed = decisions.estimates.speed(ask.service, owned.generation)
+        ratio = decisions.estimates.output_ratio(ask.service)
         permit = Permit(
             permit_id=f"{self._node}-{self._life}-{next(self._numbers)}",
             ask=ask,
-            backend_server=owned.server.name,
+            backend_server=owned.name,
             boot_id=owned.server.boot_id,
             address=owned.server.announcement.address,
             owner=self._node,
             cut=asyncio.get_running_loop().create_future(),
         )
-        owned.running[permit.permit_id] = permit
+        owned.running[permit.permit_id] = Run(
+            permit=permit,
+            started_at=now(),
+            expected_s=speed.run_s(ask, ratio, cached),
+            prefill_s=speed.prefill_s(ask, cached),
+            cached_tokens=cached,
+        )
+        owned.health.note_start()
+        decisions.prefixes.note_run(ask, owned.name)
         return permit
 
+    def _give_back(self, waiter: Waiter) -> None:
+        if not waiter.fut.done() or waiter.fut.cancelled():
+            return
+        match waiter.fut.result():
+            case Result(tag="ok", ok=permit):
+                self.release(permit, RunReport(RunOutcome.UNUSED))
+
+    def _learn(self, owned: OwnedServer, run: Run, report: RunReport) -> None:
+        ask = run.permit.ask
+        if report.outcome is RunOutcome.UNUSED:
+            return
+        if report.outcome is RunOutcome.CONNECTION_LOST:
+            owned.note_lost(ask.fingerprint)
+        if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
+            self._quarantine.clear(ask.fingerprint)
+        estimates = self._decisions.estimates
+        speed = estimates.speed(ask.service, owned.generation)
+        owned.health.note(ask, speed, run.expected_s, report)
+        owned.limit.note(ask, len(owned.running), report)
+        if not owned.health.is_slow:
+            estimates.note(ask, owned.generation, run.cached_tokens, report)
+
+    def _press(self, waiter: Waiter, line: Line) -> None:
+        if waiter.is_settled or not waiter.queued:
+            return
+        line.pressing.add(waiter)
+        if len(line.cuts_pending) < len(line.pressing):
+            servers = [
+                owned for owned in line.servers.values() if not owned.health.is_slow
+            ]
+            run = self._decisions.shed.victim(waiter.ask.rank, servers)
+            if run is not None:
+                self._cut(run, line)
+        later(waiter, now() + PRESS_PERIOD_S, self._press, waiter, line)
+
+    def _cut(self, run: Run, line: Line) -> None:
+        run.cutting = True
+        permit = run.permit
+        line.cuts_pending.add(permit.permit_id)
+        retry_s = self._retry_s(permit.ask, line)
+        event("info", "run_cut", service=line.service, rank=permit.ask.rank)
+        if not permit.cut.done():
+            permit.cut.set_result(retry_s)
+        self.on_cut(permit, retry_s)
+
+    def _forget_cut(self, permit: Permit) -> None:
+        line = self._lines.get(permit.ask.service)
+        if line is not None:
+            line.cuts_pending.discard(permit.permit_id)
+
+    def _give_up(self, waiter: Waiter, line: Line) -> None:
+        if waiter.is_settled or not waiter.queued:
+            return
+        servers = list(line.servers.values())
+        victim = self._decisions.shed.victim(waiter.ask.rank, servers)
+        if victim is not None or line.cuts_pending:
+            later(waiter, now() + PRESS_PERIOD_S, self._give_up, waiter, line)
+            return
+        self._evict_lower(waiter.ask.rank, line)
+        self._refuse(waiter, line)
+
+    def _evict_lower(self, rank: int, line: Line) -> None:
+        for lower in self._decisions.shed.evicted(rank, line.queue):
+            self._refuse(lower, line)
+
+    def _refuse(self, waiter: Waiter, line: Line) -> None:
+        refusal = self._refusal(RefusalReason.OVERLOADED, waiter.ask, line)
+        line.queue.remove(waiter)
+        if not waiter.fut.done():
+            waiter.fut.set_result(Error(refusal))
+
+    def _refusal(self, reason: RefusalReason, ask: Ask, line: Line) -> Refusal:
+        return Refusal(reason, self._retry_s(ask, line))
+
+    def _retry_s(self, ask: Ask, line: Line) -> float:
+        share = line.queue.share_of(ask)
+        wait_s = line.wait_s(ask.rank, ask.workspace, share)
+        return spread_retry_s(wait_s, self._decisions.rng)
+
     def _on_gone(self, server: BackendServer) -> None:
+        owned = self._owned.get(server.name)
+        self._decisions.prefixes.forget(server.name)
+        self._joined.pop(server.boot_id, None)
+        if owned is None:
+            return
+        if self._quarantine is not None and owned.server.boot_id == server.boot_id:
+            death = f"{server.name} {server.boot_id}"
+            self._quarantine.blame(death, owned.suspects())
         self.disown(server.name)
 
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            for owned in list(self._owned.values()):
+                self._look_for_overdue(owned)
+            for line in self._lines.values():
+                self._serve(line)
 
-def _offers(owned: OwnedServer, service: str) -> bool:
-    return any(offer.service == service for offer in owned.server.announcement.offers)
+    def _look_for_overdue(self, owned: OwnedServer) -> None:
+        overdue = sum(
+            health.is_overdue(run.spent_s(), run.expected_s)
+            for run in owned.running.values()
+        )
+        owned.health.note_overdue(overdue)
 
 
-def create(node: str) -> Desk:
+def create(node: str, chosen: Policies, owners: Owners, seed: int = 0) -> Desk:
     """Return the desk of an entry."""
-    return Desk(node)
+    return Desk(node, policies.create(chosen, seed), owners)
--- /dev/null
+++ b/fuchsiacroft/routing/estimates.py
@@ -0,0 +1,127 @@
+"""How long requests run, learned from the runs that this entry has seen.
+
+Speeds are kept for each service and hardware generation. Until a run has been
+seen, defaults stand in.
+"""
+
+import math
+from dataclasses import dataclass
+
+from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport
+
+NEW_WEIGHT = 0.1
+DEFAULT_TOKEN_GAP_S = 0.03
+DEFAULT_PREFILL_TOKENS_PER_S = 5_000.0
+DEFAULT_PLAIN_RUN_S = 0.05
+MIN_PROMPT_TOKENS = 200
+MIN_OUTPUT_TOKENS = 3
+MIN_PLAIN_SAMPLES = 10
+FLOOR_RISE = 1.0005
+
+
+@dataclass(slots=True)
+class Average:
+    """An exponentially weighted mean; the first samples weigh equally."""
+
+    value: float
+    samples: int = 0
+
+    def add(self, sample: float) -> None:
+        """Take one sample in."""
+        self.samples += 1
+        weight = max(NEW_WEIGHT, 1.0 / self.samples)
+        self.value += weight * (sample - self.value)
+
+
+class Speed:
+    """The speed of one service on one hardware generation."""
+
+    def __init__(self) -> None:
+        self.token_gap_s = Average(DEFAULT_TOKEN_GAP_S)
+        self.prefill_tokens_per_s = Average(DEFAULT_PREFILL_TOKENS_PER_S)
+        self.plain_run_s = Average(DEFAULT_PLAIN_RUN_S)
+        self.plain_floor_s = math.inf
+
+    def note_plain(self, duration_s: float) -> None:
+        """Take in a plain run; the floor is the lowest mean, slowly rising."""
+        self.plain_run_s.add(duration_s)
+        if self.plain_run_s.samples >= MIN_PLAIN_SAMPLES:
+            raised = self.plain_floor_s * FLOOR_RISE
+            self.plain_floor_s = min(raised, self.plain_run_s.value)
+
+    def run_s(self, ask: Ask, output_ratio: float, cached_tokens: int = 0) -> float:
+        """Return the seconds that a run of the ask is expected to take."""
+        if not is_model(ask):
+            return self.plain_run_s.value
+        decode_s = ask.size.output_tokens * output_ratio * self.token_gap_s.value
+        return self.prefill_s(ask, cached_tokens) + decode_s
+
+    def prefill_s(self, ask: Ask, cached_tokens: int = 0) -> float:
+        """Return the seconds of prefill, less what is cached."""
+        wanted = max(0, ask.size.prompt_tokens - cached_tokens)
+        return wanted / self.prefill_tokens_per_s.value
+
+
+class Estimates:
+    """Speeds by service and generation, and how much of its limit is written."""
+
+    def __init__(self) -> None:
+        self._speeds: dict[tuple[str, str], Speed] = {}
+        self._services: dict[str, Speed] = {}
+        self._output_ratios: dict[str, Average] = {}
+
+    def speed(self, service: str, generation: str) -> Speed:
+        """Return the speed of a service on a generation."""
+        return self._speeds.setdefault((service, generation), Speed())
+
+    def run_s(self, ask: Ask) -> float:
+        """Return the expected seconds of a run on any backend server."""
+        speed = self._services.get(ask.service)
+        if speed is None:
+            speed = self._services[ask.service] = Speed()
+        return speed.run_s(ask, self.output_ratio(ask.service))
+
+    def output_ratio(self, service: str) -> float:
+        """Return the mean share of the asked-for output that is written."""
+        ratio = self._output_ratios.get(service)
+        return 1.0 if ratio is None else ratio.value
+
+    def note(self, ask: Ask, generation: str, cached: int, report: RunReport) -> None:
+        """Learn from a run that completed."""
+        if report.outcome is not RunOutcome.COMPLETED:
+            return
+        whole = self._services.setdefault(ask.service, Speed())
+        for speed in (whole, self.speed(ask.service, generation)):
+            _learn(speed, ask, cached, report)
+        if is_model(ask) and report.output_tokens:
+            ratio = self._output_ratios.setdefault(ask.service, Average(1.0))
+            ratio.add(min(1.0, report.output_tokens / ask.size.output_tokens))
+
+    def dump(self) -> dict:
+        """Return the speeds by service and generation."""
+        return {
+            f"{service}/{generation}": {
+                "token_gap_s": round(speed.token_gap_s.value, 5),
+                "prefill_tokens_per_s": round(speed.prefill_tokens_per_s.value),
+                "plain_run_s": round(speed.plain_run_s.value, 4),
+            }
+            for (service, generation), speed in self._speeds.items()
+        }
+
+
+def is_model(ask: Ask) -> bool:
+    """Tell whether the ask is for a model service."""
+    return ask.size.output_tokens > 0
+
+
+def _learn(speed: Speed, ask: Ask, cached: int, report: RunReport) -> None:
+    if not is_model(ask):
+        speed.note_plain(report.duration_s)
+        return
+    if report.token_gap_s is not None and report.output_tokens >= MIN_OUTPUT_TOKENS:
+        speed.token_gap_s.add(report.token_gap_s)
+    filled = ask.size.prompt_tokens - cached
+    if report.first_token_s and filled >= MIN_PROMPT_TOKENS:
+        rate = filled / report.first_token_s
+        if math.isfinite(rate):
+            speed.prefill_tokens_per_s.add(rate)
--- /dev/null
+++ b/fuchsiacroft/routing/lending.py
@@ -0,0 +1,159 @@
+"""The owner's side of borrowing: permits that other entries hold.
+
+A lent permit is renewed by its holder. When its lease runs out, the holder is
+gone, its connection to the backend server is closed, and the room is free.
+"""
+
+import asyncio
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from expression import Result
+
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.routing.ask import Permit, RunOutcome, RunReport
+from fuchsiacroft.routing.desk import Desk
+from fuchsiacroft.routing.messages import (
+    AskPermit,
+    CutRun,
+    PermitGiven,
+    PermitRefused,
+    ReleasePermit,
+    RenewPermits,
+    WithdrawAsk,
+)
+from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.tasks import TaskGroup
+
+LEASE_S = 5.0
+SWEEP_PERIOD_S = 0.5
+MAX_WITHDRAWN = 10_000
+
+
+@dataclass(slots=True)
+class Lent:
+    """A permit that another entry holds until its lease ends."""
+
+    permit: Permit
+    holder: str
+    ask_id: str
+    expires_at: float
+
+
+class Lending(Service):
+    """Answers other entries' asks from the own desk."""
+
+    name = "lending"
+
+    def __init__(self, addresses: dict[str, str]) -> None:
+        self._addresses = addresses
+        self._lent: dict[str, Lent] = {}
+        self._by_ask: dict[str, str] = {}
+        self._asking: dict[str, asyncio.Task] = {}
+        self._withdrawn: OrderedDict[str, None] = OrderedDict()
+        self._tasks = TaskGroup("lending")
+
+    async def start(self, kernel: Kernel) -> None:
+        """Answer asks, and look after the leases."""
+        self._desk = kernel.get("desk", Desk)
+        self._desk.on_cut = self._on_cut
+        self._bus = kernel.get("bus", Bus)
+        self._bus.handle(AskPermit, self._on_ask)
+        self._bus.handle(ReleasePermit, self._on_release)
+        self._bus.handle(RenewPermits, self._on_renew)
+        self._bus.handle(WithdrawAsk, self._on_withdraw)
+        self._tasks.spawn(self._sweep(), "lending-sweep")
+
+    async def stop(self) -> None:
+        """Forget the leases."""
+        await self._tasks.cancel()
+
+    def dump(self) -> dict:
+        """Return the lent permits by holder."""
+        return {
+            "lent": {permit_id: lent.holder for permit_id, lent in self._lent.items()},
+            "asking": len(self._asking),
+        }
+
+    def adopt(self, permit: Permit, holder: str) -> None:
+        """Take over the lease of a permit that an earlier owner gave."""
+        self._lend(permit, holder, permit.permit_id)
+
+    def _lend(self, permit: Permit, holder: str, ask_id: str) -> None:
+        lent = Lent(permit, holder, ask_id, now() + LEASE_S)
+        self._lent[permit.permit_id] = lent
+        self._by_ask[ask_id] = permit.permit_id
+
+    async def _on_ask(self, sender: str, msg: AskPermit):
+        if msg.ask_id in self._withdrawn or msg.ask_id in self._asking:
+            return None
+        if msg.ask_id in self._by_ask:
+            return None
+        self._asking[msg.ask_id] = asyncio.current_task()
+        try:
+            outcome = await self._desk.acquire(msg.ask, msg.position)
+        finally:
+            del self._asking[msg.ask_id]
+        match outcome:
+            case Result(tag="ok", ok=permit):
+                self._lend(permit, sender, msg.ask_id)
+                return PermitGiven(
+                    permit.permit_id,
+                    permit.backend_server,
+                    permit.boot_id,
+                    permit.address,
+                )
+            case Result(error=refusal):
+                return PermitRefused(refusal)
+
+    async def _on_withdraw(self, sender: str, msg: WithdrawAsk) -> None:
+        self._withdrawn[msg.ask_id] = None
+        if len(self._withdrawn) > MAX_WITHDRAWN:
+            self._withdrawn.popitem(last=False)
+        task = self._asking.get(msg.ask_id)
+        if task is not None:
+            task.cancel()
+        permit_id = self._by_ask.get(msg.ask_id)
+        if permit_id is not None:
+            self._take_back(permit_id, RunReport(RunOutcome.UNUSED))
+
+    async def _on_release(self, sender: str, msg: ReleasePermit) -> None:
+        self._take_back(msg.permit_id, msg.report)
+
+    async def _on_renew(self, sender: str, msg: RenewPermits) -> None:
+        for permit_id in msg.permit_ids:
+            lent = self._lent.get(permit_id)
+            if lent is not None and lent.holder == sender:
+                lent.expires_at = now() + LEASE_S
+
+    def _on_cut(self, permit: Permit, retry_after_s: float) -> None:
+        lent = self._lent.get(permit.permit_id)
+        address = self._addresses.get(lent.holder) if lent is not None else None
+        if address is not None:
+            self._bus.send(address, CutRun(permit.permit_id, retry_after_s))
+
+    def _take_back(self, permit_id: str, report: RunReport) -> None:
+        lent = self._lent.pop(permit_id, None)
+        if lent is None:
+            return
+        self._by_ask.pop(lent.ask_id, None)
+        self._desk.release(lent.permit, report)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            expired = [
+                permit_id
+                for permit_id, lent in self._lent.items()
+                if lent.expires_at < now()
+            ]
+            for permit_id in expired:
+                event("info", "lease_expired", permit_id=permit_id)
+                self._take_back(permit_id, RunReport(RunOutcome.UNUSED))
+
+
+def create(addresses: dict[str, str]) -> Lending:
+    """Return the lending side; `addresses` are the entries' by node name."""
+    return Lending(addresses)
--- /dev/null
+++ b/fuchsiacroft/routing/limit_learned.py
@@ -0,0 +1,116 @@
+"""Limits learned from the first-token times and token gaps that we measure.
+
+A limit grows by one while it is in use and its runs keep their targets with
+some reserve, and shrinks by a tenth when they don't. What one backend server
+has learned is where the next of its generation begins, after a ramp in which
+a newly joined one warms up.
+"""
+
+from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport
+from fuchsiacroft.routing.estimates import Average, Estimates, is_model
+from fuchsiacroft.routing.limit import Limit
+from fuchsiacroft.utils.clock import now
+
+RAMP_S = 8.0
+RAMP_FIRST = 2
+ADJUST_PERIOD_S = 1.0
+SHRINK_FACTOR = 0.9
+SHRINK_ABOVE = 1.0
+GROW_BELOW = 0.9
+IN_USE_SHARE = 0.85
+MAX_SLOTS_FACTOR = 2
+RESERVE_SHARE = 0.12
+MIN_LIMIT_WITH_RESERVE = 4
+PLAIN_SLOWDOWN = 2.0
+LARGEST_RATIO = 4.0
+
+
+class LearnedLimits:
+    """What is known of each service and generation."""
+
+    def __init__(self, estimates: Estimates) -> None:
+        self.estimates = estimates
+        self._learned: dict[tuple[str, str], Average] = {}
+
+    def first(self, service: str, generation: str, slots: int) -> float:
+        """Return where a backend server of that kind begins."""
+        learned = self._learned.get((service, generation))
+        return float(slots) if learned is None else learned.value
+
+    def note(self, service: str, generation: str, limit: float) -> None:
+        """Take in a limit that has just been adjusted."""
+        learned = self._learned.setdefault((service, generation), Average(limit))
+        learned.add(limit)
+
+
+class LearnedLimit(Limit):
+    """A limit that follows the measured targets."""
+
+    def __init__(
+        self,
+        limits: LearnedLimits,
+        service: str,
+        generation: str,
+        slots: int,
+        ramp_from: float | None,
+    ) -> None:
+        self._limits = limits
+        self._kind = (service, generation)
+        self._most = max(1, slots) * MAX_SLOTS_FACTOR
+        self._limit = max(1.0, limits.first(service, generation, max(1, slots)))
+        self._ramp_from = ramp_from
+        self._ratio = Average(0.0)
+        self._adjusted_at = now()
+
+    def allowed(self, rank: int) -> int:
+        """Return the limit; the last part of it is kept for the top tier."""
+        limit = int(self._limit)
+        if self._ramp_from is not None:
+            limit = min(limit, self._ramp())
+        if rank > 0 and limit >= MIN_LIMIT_WITH_RESERVE:
+            limit -= max(1, round(limit * RESERVE_SHARE))
+        return limit
+
+    def note(self, ask: Ask, running: int, report: RunReport) -> None:
+        """Compare a run with its targets, and adjust once a period."""
+        ratio = self._ratio_to_target(ask, report)
+        if ratio is None:
+            return
+        self._ratio.add(min(ratio, LARGEST_RATIO))
+        if now() - self._adjusted_at < ADJUST_PERIOD_S:
+            return
+        if self._ratio.value > SHRINK_ABOVE:
+            self._adjust(max(1.0, self._limit * SHRINK_FACTOR))
+        elif self._ratio.value < GROW_BELOW and self._is_in_use(running):
+            self._adjust(min(self._most, self._limit + 1.0))
+
+    def _adjust(self, limit: float) -> None:
+        self._limit = limit
+        self._adjusted_at = now()
+        self._ratio = Average(0.0)
+        self._limits.note(*self._kind, limit)
+
+    def _is_in_use(self, running: int) -> bool:
+        return running + 1 >= IN_USE_SHARE * self.allowed(1)
+
+    def _ramp(self) -> int:
+        age = now() - self._ramp_from
+        if age >= RAMP_S:
+            self._ramp_from = None
+            return int(self._limit)
+        return RAMP_FIRST + int((self._limit - RAMP_FIRST) * age / RAMP_S)
+
+    def _ratio_to_target(self, ask: Ask, report: RunReport) -> float | None:
+        if report.outcome not in (RunOutcome.COMPLETED, RunOutcome.CUT):
+            return None
+        speed = self._limits.estimates.speed(*self._kind)
+        if not is_model(ask):
+            usual = PLAIN_SLOWDOWN * speed.plain_floor_s
+            return report.duration_s / usual
+        ratios = []
+        if report.token_gap_s is not None:
+            ratios.append(report.token_gap_s / ask.token_gap_target_s)
+        if report.first_token_s is not None:
+            target = max(ask.first_token_target_s, 2.0 * speed.prefill_s(ask))
+            ratios.append(report.first_token_s / target)
+        return max(ratios, default=None)
--- a/fuchsiacroft/routing/messages.py
+++ b/fuchsiacroft/routing/messages.py
@@ -1,4 +1,8 @@
-"""Messages between the entry that holds a request and an owner of permits."""
+"""Messages between the entry that holds a request and owners of permits.
+
+An ask that waits at several owners goes under one `ask_id`; each new try has
+a new one.
+"""
 
 import msgspec
 
@@ -8,14 +12,19 @@
 
 @codec.message("routing.ask_permit")
 class AskPermit(msgspec.Struct, frozen=True):
-    """Ask an owner for a permit; it answers when it has one or gives up."""
+    """Ask an owner for a permit; it answers when it has one or gives up.
+
+    `position` is 0 at the owner asked first, and counts the others.
+    """
 
+    ask_id: str
     ask: Ask
+    position: int = 0
 
 
 @codec.message("routing.permit_given")
 class PermitGiven(msgspec.Struct, frozen=True):
-    """A permit of the answering owner."""
+    """A permit of the answering owner, to be renewed within its lease."""
 
     permit_id: str
     backend_server: str
@@ -38,11 +47,22 @@
     report: RunReport
 
 
+@codec.message("routing.renew_permits")
+class RenewPermits(msgspec.Struct, frozen=True):
+    """The sender still holds these permits of the receiver."""
+
+    permit_ids: tuple[str, ...]
+
+
 @codec.message("routing.withdraw_ask")
 class WithdrawAsk(msgspec.Struct, frozen=True):
-    """The request no longer waits; a permit given meanwhile is given back."""
+    """The ask no longer waits; a permit given meanwhile is given back.
+
+    `served` says that another owner gave the permit.
+    """
 
-    request_id: str
+    ask_id: str
+    served: bool = False
 
 
 @codec.message("routing.cut_run")
@@ -51,3 +71,45 @@
 
     permit_id: str
     retry_after_s: float
+
+
+class ServiceLoad(msgspec.Struct, frozen=True):
+    """The state of one service in a failure domain, as one entry sees it.
+
+    `room` counts free places on its owned backend servers.
+    """
+
+    service: str
+    room: int
+    waiting: int
+
+
+@codec.message("routing.load_digest")
+class LoadDigest(msgspec.Struct, frozen=True):
+    """What an entry tells entries of other failure domains, once a period."""
+
+    failure_domain: str
+    services: tuple[ServiceLoad, ...]
+
+
+@codec.message("routing.suspected")
+class Suspected(msgspec.Struct, frozen=True):
+    """A backend server died; these fingerprints were running there."""
+
+    death: str
+    fingerprints: tuple[str, ...]
+
+
+@codec.message("routing.cleared")
+class Cleared(msgspec.Struct, frozen=True):
+    """A suspected fingerprint completed on another backend server."""
+
+    fingerprint: str
+
+
+@codec.message("routing.quarantined")
+class Quarantined(msgspec.Struct, frozen=True):
+    """A fingerprint was put into quarantine, or lifted by an operator."""
+
+    fingerprint: str
+    lifted: bool = False
--- /dev/null
+++ b/fuchsiacroft/routing/order.py
@@ -0,0 +1,124 @@
+"""The order of waiting work: the interface, and first come first served."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import Counter, deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from fuchsiacroft.routing.ask import Ask
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """An ask in a queue; times are on the loop's clock, in seconds.
+
+    `latest_start` is the last time at which its run, as estimated, would end
+    in time. `position` is 0 at the owner asked first, and counts the others.
+    `fut` gets a `Result[Permit, Refusal]`.
+    """
+
+    ask: Ask
+    number: int
+    arrived_at: float
+    deadline: float
+    run_s: float
+    latest_start: float
+    fut: asyncio.Future
+    position: int = 0
+    alone: bool = False
+    queued: bool = False
+    timers: list[asyncio.TimerHandle] = field(default_factory=list)
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the ask has its answer or nobody waits for it."""
+        return self.fut.done()
+
+
+class WaitingQueue(ABC):
+    """The asks that wait for one service."""
+
+    def __init__(self) -> None:
+        self._ranks: Counter[int] = Counter()
+        self._workspaces: Counter[tuple[int, str]] = Counter()
+
+    def add(self, waiter: Waiter) -> None:
+        """Take a waiter in."""
+        waiter.queued = True
+        self._ranks[waiter.ask.rank] += 1
+        self._workspaces[waiter.ask.rank, waiter.ask.workspace] += 1
+        self._put(waiter)
+
+    def remove(self, waiter: Waiter) -> None:
+        """Take a waiter out, wherever it stands; its place is freed lazily."""
+        if not waiter.queued:
+            return
+        waiter.queued = False
+        self._ranks[waiter.ask.rank] -= 1
+        place = (waiter.ask.rank, waiter.ask.workspace)
+        self._workspaces[place] -= 1
+        if not self._workspaces[place]:
+            del self._workspaces[place]
+
+    def __len__(self) -> int:
+        """Return how many wait."""
+        return self._ranks.total()
+
+    def waiting(self, rank: int, workspace: str | None = None) -> int:
+        """Return how many wait at a rank, of one workspace or of all."""
+        if workspace is None:
+            return self._ranks[rank]
+        return self._workspaces.get((rank, workspace), 0)
+
+    def by_rank(self) -> dict[int, int]:
+        """Return how many wait at each rank."""
+        return {rank: count for rank, count in sorted(self._ranks.items()) if count}
+
+    @abstractmethod
+    def _put(self, waiter: Waiter) -> None:
+        """Store a waiter."""
+
+    @abstractmethod
+    def head(self) -> Waiter | None:
+        """Return the waiter that runs next."""
+
+    @abstractmethod
+    def started(self, waiter: Waiter) -> None:
+        """Note that a waiter, removed already, was given a permit."""
+
+    @abstractmethod
+    def share_of(self, ask: Ask) -> float:
+        """Return the part of its tier's room that goes to the workspace."""
+
+    @abstractmethod
+    def __iter__(self) -> Iterator[Waiter]:
+        """Go through all who wait, in no particular order."""
+
+
+class ArrivalQueue(WaitingQueue):
+    """First come, first served."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._waiters: deque[Waiter] = deque()
+
+    def _put(self, waiter: Waiter) -> None:
+        self._waiters.append(waiter)
+
+    def head(self) -> Waiter | None:
+        """Return the waiter that came first."""
+        while self._waiters and not self._waiters[0].queued:
+            self._waiters.popleft()
+        return self._waiters[0] if self._waiters else None
+
+    def started(self, waiter: Waiter) -> None:
+        """Do nothing: only arrival counts."""
+
+    def share_of(self, ask: Ask) -> float:
+        """Return 1: workspaces are not told apart."""
+        return 1.0
+
+    def __iter__(self) -> Iterator[Waiter]:
+        """Go through all who wait."""
+        return (waiter for waiter in list(self._waiters) if waiter.queued)
--- /dev/null
+++ b/fuchsiacroft/routing/quarantine.py
@@ -0,0 +1,151 @@
+"""Requests that crash backend servers: suspected, run alone, quarantined.
+
+When a backend server dies, every fingerprint that it was running is suspected
+under the name of that death. A fingerprint with two deaths is guilty when it is
+the only such one in the latest death, and is quarantined; of several, each
+runs alone until it completes (cleared) or kills again (quarantined). Entries
+share deaths, so counts agree whichever entry a resend comes through.
+"""
+
+import enum
+from dataclasses import dataclass, field
+
+from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.routing.messages import Cleared, Quarantined, Suspected
+from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
+
+FORGET_S = 600.0
+DEATHS_TO_ISOLATE = 2
+MAX_FINGERPRINTS = 20_000
+
+
+class Treatment(enum.Enum):
+    """How a request of a fingerprint may run."""
+
+    FREE = "free"
+    ALONE = "alone"
+    REFUSED = "refused"
+
+
+@dataclass(slots=True)
+class Suspicion:
+    """The deaths that a fingerprint was running in, and the last one's time."""
+
+    deaths: set[str] = field(default_factory=set)
+    quarantined: bool = False
+    noted_at: float = 0.0
+
+
+class Quarantine(Service):
+    """Knows which fingerprints are suspected, and shares it with the entries."""
+
+    name = "quarantine"
+
+    def __init__(self, settings: Settings) -> None:
+        self._others = [
+            member.peers for member in settings.entries if member.node != settings.node
+        ]
+        self._suspicions: dict[str, Suspicion] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        """Hear of other entries' suspicions."""
+        self._bus = kernel.get("bus", Bus)
+        self._bus.handle(Suspected, self._on_suspected)
+        self._bus.handle(Cleared, self._on_cleared)
+        self._bus.handle(Quarantined, self._on_quarantined)
+
+    def dump(self) -> dict:
+        """Return the suspected and quarantined fingerprints."""
+        return {
+            fingerprint: {
+                "deaths": sorted(suspicion.deaths),
+                "quarantined": suspicion.quarantined,
+                "noted_s_ago": round(now() - suspicion.noted_at, 1),
+            }
+            for fingerprint, suspicion in self._suspicions.items()
+        }
+
+    def treatment(self, fingerprint: str) -> Treatment:
+        """Return how a request of this fingerprint may run."""
+        suspicion = self._suspicions.get(fingerprint)
+        if suspicion is None:
+            return Treatment.FREE
+        if suspicion.noted_at < now() - FORGET_S:
+            del self._suspicions[fingerprint]
+            return Treatment.FREE
+        if suspicion.quarantined:
+            return Treatment.REFUSED
+        isolated = len(suspicion.deaths) >= DEATHS_TO_ISOLATE
+        return Treatment.ALONE if isolated else Treatment.FREE
+
+    def blame(self, death: str, fingerprints: set[str]) -> None:
+        """Suspect what a backend server was running when it died."""
+        names = tuple(sorted(name for name in fingerprints if name))
+        if not names:
+            return
+        event("warning", "backend_server_died", death=death, suspects=len(names))
+        self._suspect(death, names)
+        self._send(Suspected(death, names))
+        guilty = [name for name in names if self._is_isolated(name)]
+        if len(guilty) == 1:
+            self._quarantine(guilty[0])
+
+    def clear(self, fingerprint: str) -> None:
+        """Note that a request completed; a suspect is innocent."""
+        if self._suspicions.pop(fingerprint, None) is not None:
+            self._send(Cleared(fingerprint))
+
+    def lift(self, fingerprint: str) -> bool:
+        """Let a fingerprint run again, by an operator's word."""
+        known = self._suspicions.pop(fingerprint, None) is not None
+        if known:
+            event("info", "quarantine_lifted", fingerprint=fingerprint)
+            self._send(Quarantined(fingerprint, lifted=True))
+        return known
+
+    def _is_isolated(self, fingerprint: str) -> bool:
+        return self.treatment(fingerprint) is not Treatment.FREE
+
+    def _quarantine(self, fingerprint: str) -> None:
+        self._suspicion(fingerprint).quarantined = True
+        event("warning", "quarantined", fingerprint=fingerprint)
+        self._send(Quarantined(fingerprint))
+
+    def _suspect(self, death: str, fingerprints: tuple[str, ...]) -> None:
+        for fingerprint in fingerprints:
+            suspicion = self._suspicion(fingerprint)
+            suspicion.deaths.add(death)
+            suspicion.noted_at = now()
+
+    def _suspicion(self, fingerprint: str) -> Suspicion:
+        suspicion = self._suspicions.get(fingerprint)
+        if suspicion is None:
+            if len(self._suspicions) >= MAX_FINGERPRINTS:
+                self._suspicions.pop(next(iter(self._suspicions)))
+            suspicion = Suspicion(noted_at=now())
+            self._suspicions[fingerprint] = suspicion
+        return suspicion
+
+    def _send(self, msg) -> None:
+        for peer in self._others:
+            self._bus.send(peer, msg)
+
+    async def _on_suspected(self, sender: str, msg: Suspected) -> None:
+        self._suspect(msg.death, msg.fingerprints)
+
+    async def _on_cleared(self, sender: str, msg: Cleared) -> None:
+        self._suspicions.pop(msg.fingerprint, None)
+
+    async def _on_quarantined(self, sender: str, msg: Quarantined) -> None:
+        if msg.lifted:
+            self._suspicions.pop(msg.fingerprint, None)
+        else:
+            self._suspicion(msg.fingerprint).quarantined = True
+
+
+def create(settings: Settings) -> Quarantine:
+    """Return the quarantine of an entry."""
+    return Quarantine(settings)
--- /dev/null
+++ b/fuchsiacroft/routing/race.py
@@ -0,0 +1,90 @@
+"""Waits for a permit at several owners at once; the first grant wins."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+from expression import Error, Ok, Result
+
+from fuchsiacroft.routing.ask import Permit, Refusal, RefusalReason
+
+Outcome = Result[Permit, Refusal]
+
+
+class Race:
+    """The tries of one ask, by the node that is asked.
+
+    `give_back` gets every permit that is granted besides the first.
+    """
+
+    def __init__(self, give_back: Callable[[Permit], None]) -> None:
+        self._give_back = give_back
+        self._tries: dict[str, asyncio.Task] = {}
+        self._pending: set[asyncio.Task] = set()
+        self._refusals: list[Refusal] = []
+        self.winner: Permit | None = None
+
+    @property
+    def asked(self) -> int:
+        """Return how many nodes have been asked."""
+        return len(self._tries)
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether a permit was given or every try has ended."""
+        return self.winner is not None or not self._pending
+
+    @property
+    def has_refusals(self) -> bool:
+        """Tell whether any node has refused."""
+        return bool(self._refusals)
+
+    def has_asked(self, node: str) -> bool:
+        """Tell whether a node has been asked."""
+        return node in self._tries
+
+    def start(self, node: str, coro: Coroutine[None, None, Outcome]) -> None:
+        """Ask one more node."""
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tries[node] = task
+        self._pending.add(task)
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait until a try ends, at most `timeout_s` seconds."""
+        done, self._pending = await asyncio.wait(
+            self._pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            self._take(task)
+
+    def outcome(self) -> Outcome:
+        """Return the permit, or the refusal that promises the soonest retry."""
+        if self.winner is not None:
+            return Ok(self.winner)
+        for refusal in self._refusals:
+            if refusal.reason is RefusalReason.QUARANTINED:
+                return Error(refusal)
+        return Error(min(self._refusals, key=lambda refusal: refusal.retry_after_s))
+
+    def close(self) -> None:
+        """Withdraw every other try."""
+        for task in self._pending:
+            task.cancel()
+            task.add_done_callback(self._after_close)
+        self._pending = set()
+
+    def _take(self, task: asyncio.Task) -> None:
+        match task.result():
+            case Result(tag="ok", ok=permit):
+                if self.winner is None:
+                    self.winner = permit
+                else:
+                    self._give_back(permit)
+            case Result(error=refusal):
+                self._refusals.append(refusal)
+
+    def _after_close(self, task: asyncio.Task) -> None:
+        if task.cancelled() or task.exception() is not None:
+            return
+        match task.result():
+            case Result(tag="ok", ok=permit):
+                self._give_back(permit)
--- /dev/null
+++ b/fuchsiacroft/routing/route_expected.py
@@ -0,0 +1,57 @@
+"""The backend server on which a request is expected to end first.
+
+Expected are its prefill, less what is likely cached there, and its output at
+the pace that we have measured, slowed by the runs beside it. A reported load
+counts only for the runs that we cannot account for, less so as it ages, and at
+most up to a bound, so that a wrong report moves little work.
+"""
+
+from fuchsiacroft.routing.ask import Ask
+from fuchsiacroft.routing.estimates import Estimates, is_model
+from fuchsiacroft.routing.owned import OwnedServer
+from fuchsiacroft.routing.prefixes import PrefixIndex
+from fuchsiacroft.routing.route import Route
+from fuchsiacroft.utils.clock import now
+
+MAX_UNKNOWN_SHARE = 0.25
+REPORT_HALF_LIFE_S = 1.0
+CROWDING_WEIGHT = 0.5
+
+
+class ExpectedFinish(Route):
+    """Prefill saved against crowding, by own measurements."""
+
+    def __init__(self, estimates: Estimates, prefixes: PrefixIndex) -> None:
+        self._estimates = estimates
+        self._prefixes = prefixes
+
+    def choose(self, ask: Ask, roomy: list[OwnedServer]) -> OwnedServer:
+        """Return the one with the least expected time to the end."""
+        if len(roomy) == 1:
+            return roomy[0]
+        return min(roomy, key=lambda owned: self._expected_s(ask, owned))
+
+    def _expected_s(self, ask: Ask, owned: OwnedServer) -> float:
+        speed = self._estimates.speed(ask.service, owned.generation)
+        crowding = 1.0 + CROWDING_WEIGHT * _crowding(ask, owned)
+        if not is_model(ask):
+            return speed.plain_run_s.value * crowding * owned.health.slowness
+        cached = self._prefixes.cached_tokens(ask, owned.name)
+        ratio = self._estimates.output_ratio(ask.service)
+        run_s = speed.run_s(ask, ratio, cached)
+        return run_s * crowding * owned.health.slowness
+
+
+def _crowding(ask: Ask, owned: OwnedServer) -> float:
+    limit = max(1, owned.limit.allowed(ask.rank))
+    return (len(owned.running) + _unknown_runs(owned, limit)) / limit
+
+
+def _unknown_runs(owned: OwnedServer, limit: int) -> float:
+    load = owned.server.announcement.load
+    if load is None:
+        return 0.0
+    age = max(0.0, load.age_s) + now() - owned.server.heard_at
+    unknown = load.running + load.waiting - len(owned.running)
+    weight = 0.5 ** (age / REPORT_HALF_LIFE_S)
+    return min(max(0.0, unknown * weight), MAX_UNKNOWN_SHARE * limit)
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -1,13 +1,20 @@
-"""Finds a permit for a request: at the own desk, or at another owner's."""
+"""Finds a permit for a request: at the own desk, and at other owners.
+
+An ask that is not served at once waits at its own desk and at other owners of
+the failure domain; the first grant wins and the others are withdrawn.
+"""
 
 import asyncio
+import random
+import uuid
 
-import xxhash
+import msgspec
 from expression import Error, Ok, Result
 
 from fuchsiacroft.config.settings import Member, Settings
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.backend_servers import BackendDirectory, BackendServer
+from fuchsiacroft.routing import owners
 from fuchsiacroft.routing.ask import (
     Ask,
     Permit,
@@ -23,13 +30,24 @@
     PermitGiven,
     PermitRefused,
     ReleasePermit,
+    RenewPermits,
     WithdrawAsk,
 )
+from fuchsiacroft.routing.owners import Owners
+from fuchsiacroft.routing.quarantine import Quarantine
+from fuchsiacroft.routing.race import Race
+from fuchsiacroft.routing.retries import RetryBudgets
+from fuchsiacroft.routing.spill import Spilling
 from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.tasks import TaskGroup
 
 ANSWER_MARGIN_S = 0.5
-RETRY_AFTER_S = 1.0
+RENEW_PERIOD_S = 1.0
+LOOK_AGAIN_S = 0.5
+MAX_OWNERS = 8
+MIN_GAIN_S = 0.1
+MAX_HEAD_START_S = 0.1
 
 
 class Scheduler(Service):
@@ -37,145 +55,255 @@
 
     name = "scheduler"
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, owned_by: Owners, seed: int) -> None:
         self._node = settings.node
-        self._peers = [
-            member
-            for member in settings.entries
-            if member.failure_domain == settings.failure_domain
-        ]
+        self._policies = settings.policies
+        self._members = {member.node: member for member in settings.entries}
+        self._owners = owned_by
+        self._random = random.Random(seed)
         self._tasks = TaskGroup("scheduler")
-        self._borrowed: dict[str, tuple[Permit, str]] = {}
-        self._lent: dict[str, tuple[Permit, str]] = {}
-        self._asking: dict[str, asyncio.Task] = {}
+        self._held: dict[str, Permit] = {}
+        self._retries = RetryBudgets()
+        self._spilling: Spilling | None = None
+        self._quarantine: Quarantine | None = None
+        self._draining = False
 
     async def start(self, kernel: Kernel) -> None:
-        """Follow the directory and answer other entries."""
+        """Follow the directory, hear of cuts, and renew borrowed permits."""
         self._desk = kernel.get("desk", Desk)
+        self._spilling = kernel.find("spilling", Spilling)
+        self._quarantine = kernel.find("quarantine", Quarantine)
         self._directory = kernel.get("backend_servers", BackendDirectory)
         self._directory.listeners.heard.append(self._on_heard)
         self._bus = kernel.get("bus", Bus)
-        self._bus.handle(AskPermit, self._on_ask)
-        self._bus.handle(ReleasePermit, self._on_release)
-        self._bus.handle(WithdrawAsk, self._on_withdraw)
         self._bus.handle(CutRun, self._on_cut)
+        self._tasks.spawn(self._renew(), "permit-renewal")
+
+    async def drain(self) -> None:
+        """Give out no permit for a new request."""
+        self._draining = True
 
     async def stop(self) -> None:
-        """Drop every ask."""
+        """Renew nothing any more."""
         await self._tasks.cancel()
 
     def dump(self) -> dict:
-        """Return the permits borrowed and lent."""
-        return {"borrowed": sorted(self._borrowed), "lent": sorted(self._lent)}
+        """Return the permits in use, and the owner that gave each."""
+        return {
+            "held": {permit_id: held.owner for permit_id, held in self._held.items()}
+        }
+
+    def held(self, backend_server: str) -> tuple[Permit, ...]:
+        """Return the permits in use here for one backend server."""
+        return tuple(
+            permit
+            for permit in self._held.values()
+            if permit.backend_server == backend_server
+        )
 
     async def acquire(self, ask: Ask) -> Result[Permit, Refusal]:
         """Wait for a permit from whoever owns backend servers of the service."""
-        if self._desk.offers(ask.service):
-            return await self._desk.acquire(ask)
-        owner = self._other_owner(ask.service)
-        if owner is None:
-            refusal = Refusal(RefusalReason.NO_BACKEND_SERVER, RETRY_AFTER_S)
-            return Error(refusal)
-        return await self._borrow(ask, owner)
+        if self._draining:
+            return Error(self._desk.refusal(RefusalReason.DRAINING, ask))
+        if not self._retries.allows(ask):
+            return Error(self._desk.refusal(RefusalReason.OVERLOADED, ask))
+        outcome = await self._acquire(ask)
+        match outcome:
+            case Result(tag="ok", ok=permit):
+                self._held[permit.permit_id] = permit
+                self._desk.note_run_elsewhere(ask, permit.backend_server)
+            case Result(error=refusal):
+                if refusal.reason is not RefusalReason.QUARANTINED:
+                    self._retries.note_refused(ask)
+        return outcome
 
     def release(self, permit: Permit, report: RunReport) -> None:
-        """Give a permit back to its owner."""
-        if permit.owner == self._node:
-            self._desk.release(permit, report)
+        """Give a permit back to its owner, or to the one that took over."""
+        self._held.pop(permit.permit_id, None)
+        if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
+            self._quarantine.clear(permit.ask.fingerprint)
+        for owner in self._owners_for(permit):
+            if owner == self._node:
+                self._desk.release(permit, report)
+            else:
+                self._send(owner, ReleasePermit(permit.permit_id, report))
+
+    def _owners_for(self, permit: Permit) -> set[str]:
+        owner = self._owners.owner_of(permit.backend_server)
+        if self._directory.get(permit.backend_server) is None or owner is None:
+            return {permit.owner}
+        return {permit.owner, owner.node}
+
+    async def _acquire(self, ask: Ask) -> Result[Permit, Refusal]:
+        known = self._owners_of(ask)
+        first = self._first(ask, known)
+        if first == self._node:
+            permit = self._desk.grant_now(ask)
+            if permit is not None:
+                self._note_wait(ask.service, waits=False)
+                return Ok(permit)
+        return await self._race(ask, first)
+
+    async def _race(self, ask: Ask, first: str | None) -> Result[Permit, Refusal]:
+        race = Race(self._give_back)
+        ask_id = uuid.uuid4().hex
+        started_at = now()
+        try:
+            if first is not None and first != self._node:
+                race.start(first, self._try(first, ask_id, ask, 0, race))
+                await race.wait(MAX_HEAD_START_S)
+            while race.winner is None:
+                waited_s = now() - started_at
+                if waited_s >= ask.timeout_s:
+                    break
+                self._widen(race, ask_id, ask, waited_s)
+                if race.is_over:
+                    break
+                await race.wait(LOOK_AGAIN_S)
+        finally:
+            race.close()
+        if race.asked == 0:
+            return Error(self._desk.refusal(RefusalReason.NO_BACKEND_SERVER, ask))
+        if race.winner is not None and race.winner.owner != self._node:
+            self._desk.note_served_elsewhere(ask)
+        return self._outcome(race, ask)
+
+    def _outcome(self, race: Race, ask: Ask) -> Result[Permit, Refusal]:
+        if race.winner is None and not race.has_refusals:
+            return Error(self._desk.refusal(RefusalReason.TIMED_OUT, ask))
+        return race.outcome()
+
+    def _widen(self, race: Race, ask_id: str, ask: Ask, waited_s: float) -> None:
+        left = _shortened(ask, waited_s)
+        known = self._owners_of(ask)
+        if self._policies.borrow == "own_desk" and self._node in known:
+            known = {self._node: known[self._node]}
+        names = sorted(known, key=lambda node: node != self._node)
+        for node in names[:MAX_OWNERS]:
+            if not race.has_asked(node):
+                position = race.asked
+                race.start(node, self._try(node, ask_id, left, position, race))
+        self._spill(race, ask_id, left, must=not known)
+
+    def _spill(self, race: Race, ask_id: str, ask: Ask, must: bool) -> None:
+        if self._spilling is None:
             return
-        borrowed = self._borrowed.pop(permit.permit_id, None)
-        if borrowed is not None:
-            self._bus.send(borrowed[1], ReleasePermit(permit.permit_id, report))
+        if not self._note_wait(ask.service, waits=True) and not must:
+            return
+        target = self._spilling.target(ask.service, must)
+        if target is not None and not race.has_asked(target.node):
+            position = race.asked
+            race.start(target.node, self._try(target.node, ask_id, ask, position, race))
+
+    def _note_wait(self, service: str, waits: bool) -> bool:
+        return self._spilling is not None and self._spilling.note(service, waits)
 
-    async def _borrow(self, ask: Ask, owner: Member) -> Result[Permit, Refusal]:
-        timeout = ask.timeout_s + ANSWER_MARGIN_S
+    async def _try(
+        self, node: str, ask_id: str, ask: Ask, position: int, race: Race
+    ) -> Result[Permit, Refusal]:
+        if node == self._node:
+            return await self._desk.acquire(ask, position)
+        return await self._borrow(node, AskPermit(ask_id, ask, position), race)
+
+    async def _borrow(
+        self, node: str, msg: AskPermit, race: Race
+    ) -> Result[Permit, Refusal]:
+        peer = self._members[node].peers
+        timeout_s = msg.ask.timeout_s + ANSWER_MARGIN_S
         try:
-            answer = await self._bus.request(owner.peers, AskPermit(ask), timeout)
+            answer = await self._bus.request(peer, msg, timeout_s)
         except asyncio.CancelledError:
-            self._bus.send(owner.peers, WithdrawAsk(ask.request_id))
+            served = race.winner is not None
+            self._bus.send(peer, WithdrawAsk(msg.ask_id, served))
             raise
         match answer:
             case Result(tag="ok", ok=PermitGiven() as given):
-                permit = self._permit(ask, owner, given)
-                self._borrowed[permit.permit_id] = (permit, owner.peers)
-                return Ok(permit)
+                return Ok(_permit(msg.ask, node, given))
             case Result(tag="ok", ok=PermitRefused(refusal=refusal)):
                 return Error(refusal)
-        self._bus.send(owner.peers, WithdrawAsk(ask.request_id))
-        return Error(Refusal(RefusalReason.TIMED_OUT, RETRY_AFTER_S))
-
-    def _permit(self, ask: Ask, owner: Member, given: PermitGiven) -> Permit:
-        return Permit(
-            permit_id=given.permit_id,
-            ask=ask,
-            backend_server=given.backend_server,
-            boot_id=given.boot_id,
-            address=given.address,
-            owner=owner.node,
-            cut=asyncio.get_running_loop().create_future(),
-        )
+        self._bus.send(peer, WithdrawAsk(msg.ask_id))
+        return Error(self._desk.refusal(RefusalReason.TIMED_OUT, msg.ask))
 
-    async def _on_ask(self, sender: str, msg: AskPermit):
-        task = asyncio.current_task()
-        self._asking[msg.ask.request_id] = task
-        try:
-            match await self._desk.acquire(msg.ask):
-                case Result(tag="ok", ok=permit):
-                    self._lent[permit.permit_id] = (permit, sender)
-                    return PermitGiven(
-                        permit.permit_id,
-                        permit.backend_server,
-                        permit.boot_id,
-                        permit.address,
-                    )
-                case Result(error=refusal):
-                    return PermitRefused(refusal)
-        finally:
-            self._asking.pop(msg.ask.request_id, None)
+    def _give_back(self, permit: Permit) -> None:
+        self.release(permit, RunReport(RunOutcome.UNUSED))
 
-    async def _on_withdraw(self, sender: str, msg: WithdrawAsk) -> None:
-        task = self._asking.get(msg.request_id)
-        if task is not None:
-            task.cancel()
-            return
-        for permit, _ in list(self._lent.values()):
-            if permit.ask.request_id == msg.request_id:
-                self._take_back(permit, RunReport(RunOutcome.NOT_DISPATCHED))
+    def _owners_of(self, ask: Ask) -> dict[str, list[BackendServer]]:
+        known: dict[str, list[BackendServer]] = {}
+        for server in self._directory.offering(ask.service):
+            owner = self._owners.owner_of(server.name)
+            if owner is not None and not server.announcement.leaving:
+                known.setdefault(owner.node, []).append(server)
+        return known
 
-    async def _on_release(self, sender: str, msg: ReleasePermit) -> None:
-        lent = self._lent.get(msg.permit_id)
-        if lent is not None:
-            self._take_back(lent[0], msg.report)
+    def _first(self, ask: Ask, known: dict[str, list[BackendServer]]) -> str | None:
+        if self._policies.route != "expected_finish" or not ask.prefixes:
+            return self._node if self._node in known else None
+        best = self._node if self._node in known else None
+        most = MIN_GAIN_S + self._gain_s(ask, known.get(self._node, []))
+        for node, servers in known.items():
+            gain_s = self._gain_s(ask, servers)
+            if node != self._node and gain_s > most:
+                best, most = node, gain_s
+        return best
 
-    async def _on_cut(self, sender: str, msg: CutRun) -> None:
-        borrowed = self._borrowed.get(msg.permit_id)
-        if borrowed is not None and not borrowed[0].cut.done():
-            borrowed[0].cut.set_result(msg.retry_after_s)
+    def _gain_s(self, ask: Ask, servers: list[BackendServer]) -> float:
+        return max(
+            (
+                self._desk.prefix_gain_s(
+                    ask, server.name, server.announcement.generation
+                )
+                for server in servers
+            ),
+            default=0.0,
+        )
+
+    async def _renew(self) -> None:
+        while True:
+            await asyncio.sleep(RENEW_PERIOD_S)
+            by_owner: dict[str, list[str]] = {}
+            for permit in self._held.values():
+                for owner in self._owners_for(permit) - {self._node}:
+                    by_owner.setdefault(owner, []).append(permit.permit_id)
+            for owner, permit_ids in by_owner.items():
+                self._send(owner, RenewPermits(tuple(permit_ids)))
 
-    def _take_back(self, permit: Permit, report: RunReport) -> None:
-        del self._lent[permit.permit_id]
-        self._desk.release(permit, report)
+    def _send(self, node: str, msg) -> None:
+        member = self._members.get(node)
+        if member is not None:
+            self._bus.send(member.peers, msg)
+
+    async def _on_cut(self, sender: str, msg: CutRun) -> None:
+        permit = self._held.get(msg.permit_id)
+        if permit is not None and not permit.cut.done():
+            permit.cut.set_result(msg.retry_after_s)
 
     def _on_heard(self, server: BackendServer) -> None:
-        if self._owner_of(server.name).node == self._node:
+        self._desk.note(server)
+        owner: Member | None = self._owners.owner_of(server.name)
+        if owner is not None and owner.node == self._node:
             self._desk.own(server)
         else:
             self._desk.disown(server.name)
 
-    def _other_owner(self, service: str) -> Member | None:
-        for server in self._directory.all():
-            offers = {offer.service for offer in server.announcement.offers}
-            if service in offers and not server.announcement.leaving:
-                return self._owner_of(server.name)
-        return None
 
-    def _owner_of(self, name: str) -> Member:
-        return max(
-            self._peers,
-            key=lambda member: xxhash.xxh64_intdigest((member.node + name).encode()),
-        )
+def create(
+    settings: Settings, owned_by: Owners | None = None, seed: int = 0
+) -> Scheduler:
+    """Return the scheduler of an entry."""
+    return Scheduler(settings, owned_by or owners.create(settings), seed)
 
 
-def create(settings: Settings) -> Scheduler:
-    """Return the scheduler of an entry."""
-    return Scheduler(settings)
+def _permit(ask: Ask, owner: str, given: PermitGiven) -> Permit:
+    return Permit(
+        permit_id=given.permit_id,
+        ask=ask,
+        backend_server=given.backend_server,
+        boot_id=given.boot_id,
+        address=given.address,
+        owner=owner,
+        cut=asyncio.get_running_loop().create_future(),
+    )
+
+
+def _shortened(ask: Ask, waited_s: float) -> Ask:
+    return msgspec.structs.replace(ask, timeout_s=max(0.0, ask.timeout_s - waited_s))
--- /dev/null
+++ b/fuchsiacroft/routing/spill.py
@@ -0,0 +1,152 @@
+"""When work goes to another failure domain of the region, and to which entry.
+
+Entries tell a few entries of each other domain, once a period, how much room
+their own backend servers have. What was heard weighs less as it ages and is
+dropped when old. A service begins to spill after its asks have waited for a
+while, and stops only after none has waited for longer: this hysteresis keeps
+work from swinging between domains.
+"""
+
+import asyncio
+import math
+import random
+from dataclasses import dataclass
+
+from fuchsiacroft.config.settings import Member, Settings
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.routing.desk import Desk
+from fuchsiacroft.routing.messages import LoadDigest, ServiceLoad
+from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.tasks import TaskGroup
+
+DIGEST_PERIOD_S = 1.0
+DIGEST_PEERS = 2
+DIGEST_KEPT_S = 4.0
+HALF_LIFE_S = 1.5
+START_AFTER_S = 0.5
+STOP_AFTER_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A digest and when it came."""
+
+    member: Member
+    services: dict[str, ServiceLoad]
+    heard_at: float
+
+
+@dataclass(slots=True)
+class Pressure:
+    """Since when a service's asks have waited, and when one last did."""
+
+    waits_since: float | None = None
+    waited_at: float = -math.inf
+    spilling: bool = False
+
+
+class Spilling(Service):
+    """Keeps the digests of other domains, and the hysteresis by service."""
+
+    name = "spilling"
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self._domain = settings.failure_domain
+        self._members = {
+            member.node: member
+            for member in settings.entries
+            if member.failure_domain != settings.failure_domain
+        }
+        self._heard: dict[str, Heard] = {}
+        self._pressures: dict[str, Pressure] = {}
+        self._random = random.Random(seed)
+        self._tasks = TaskGroup("spilling")
+
+    async def start(self, kernel: Kernel) -> None:
+        """Send and hear digests."""
+        self._desk = kernel.get("desk", Desk)
+        self._bus = kernel.get("bus", Bus)
+        self._bus.handle(LoadDigest, self._on_digest)
+        self._tasks.spawn(self._tell(), "spill-digests")
+
+    async def stop(self) -> None:
+        """Send no more digests."""
+        await self._tasks.cancel()
+
+    def dump(self) -> dict:
+        """Return what was heard, with its age, and what spills."""
+        return {
+            "heard": {
+                node: {
+                    "age_s": round(now() - heard.heard_at, 2),
+                    "room": {name: load.room for name, load in heard.services.items()},
+                }
+                for node, heard in self._heard.items()
+            },
+            "spilling": [name for name, p in self._pressures.items() if p.spilling],
+        }
+
+    def note(self, service: str, waits: bool) -> bool:
+        """Note whether an ask has to wait; return whether the service spills."""
+        pressure = self._pressures.setdefault(service, Pressure())
+        if waits:
+            pressure.waited_at = now()
+            if pressure.waits_since is None:
+                pressure.waits_since = now()
+            if now() - pressure.waits_since >= START_AFTER_S:
+                pressure.spilling = True
+        elif now() - pressure.waited_at >= STOP_AFTER_S:
+            pressure.waits_since = None
+            pressure.spilling = False
+        return pressure.spilling
+
+    def target(self, service: str, must: bool) -> Member | None:
+        """Return an entry with room elsewhere; with `must`, any that serves it."""
+        best = None
+        most = 0.0
+        for heard in self._heard.values():
+            age_s = now() - heard.heard_at
+            load = heard.services.get(service)
+            if load is None or age_s > DIGEST_KEPT_S:
+                continue
+            room = max(load.room - load.waiting, 1 if must else 0)
+            weight = room * 0.5 ** (age_s / HALF_LIFE_S) * self._random.uniform(0.5, 1)
+            if weight > most:
+                best, most = heard.member, weight
+        return best
+
+    async def _tell(self) -> None:
+        while True:
+            await asyncio.sleep(DIGEST_PERIOD_S * self._random.uniform(0.9, 1.1))
+            digest = LoadDigest(self._domain, self._services())
+            for domain in {member.failure_domain for member in self._members.values()}:
+                peers = [
+                    member.peers
+                    for member in self._members.values()
+                    if member.failure_domain == domain
+                ]
+                for peer in self._random.sample(peers, min(DIGEST_PEERS, len(peers))):
+                    self._bus.send(peer, digest)
+
+    def _services(self) -> tuple[ServiceLoad, ...]:
+        return tuple(
+            ServiceLoad(
+                service=name,
+                room=sum(max(0, owned.room(1)) for owned in line.servers.values()),
+                waiting=len(line.queue),
+            )
+            for name, line in self._desk.lines().items()
+            if line.servers
+        )
+
+    async def _on_digest(self, sender: str, msg: LoadDigest) -> None:
+        member = self._members.get(sender)
+        if member is not None:
+            services = {load.service: load for load in msg.services}
+            self._heard[sender] = Heard(member, services, now())
+
+
+def create(settings: Settings, seed: int = 0) -> Spilling:
+    """Return the spilling of an entry."""
+    return Spilling(settings, seed)
--- a/fuchsiacroft/tests/fakes/loop.py
+++ b/fuchsiacroft/tests/fakes/loop.py
@@ -1,40 +1,5 @@
 """An event loop whose clock tests pause and advance."""
 
-import asyncio
-import selectors
+from fuchsiacroft.model.loop import AdvancingSelector, PausedLoop, run
 
-
-class AdvancingSelector(selectors.DefaultSelector):
-    """Advance the clock instead of waiting when nothing is ready."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.now = 0.0
-
-    def select(self, timeout=None):
-        """Return what is ready; with nothing ready, advance by `timeout`."""
-        ready = super().select(0)
-        if ready:
-            return ready
-        if timeout is None:
-            return super().select(timeout)
-        self.now += max(timeout, 0.0)
-        return ready
-
-
-class PausedLoop(asyncio.SelectorEventLoop):
-    """A loop whose time moves only when every task is waiting for it."""
-
-    def __init__(self) -> None:
-        self._advancing = AdvancingSelector()
-        super().__init__(self._advancing)
-
-    def time(self) -> float:
-        """Return the paused clock in seconds."""
-        return self._advancing.now
-
-
-def run(coro):
-    """Run a coroutine on a paused loop to its end."""
-    with asyncio.Runner(loop_factory=PausedLoop) as runner:
-        return runner.run(coro)
+__all__ = ["AdvancingSelector", "PausedLoop", "run"]
