Authenticate processes by CURVE keys that change without a restart

Any process that reached a peers address could speak on the bus. With keys in the settings, a ZAP handler lets in only accepted public keys; others are refused and counted. A peer may be listed with two keys: a failed handshake tries the other one. A removed key loses its connection, as the listener is bound again (a trial showed that unbind closes the accepted connections, and a bind on the same socket takes the new secret).

Ruled out: a second listening address for the second key. Faults in $.keys printed the value, a secret, and now name the schema rule only.

--- a/fuchsiacroft/config/faults.py
+++ b/fuchsiacroft/config/faults.py
@@ -8,6 +8,8 @@
 from jsonschema import Draft202012Validator
 from jsonschema.exceptions import ValidationError
 
+SECRET_PART = "$.keys"
+
 
 @dataclass(frozen=True, slots=True)
 class Fault:
@@ -53,6 +55,8 @@
 
 def _explain(error: ValidationError) -> list[Fault]:
     path = error.json_path
+    if _is_secret(path):
+        return _explain_secret(error, path)
     if error.validator == "additionalProperties":
         return _unknown_keys(error, path)
     if error.validator == "enum":
@@ -66,6 +70,25 @@
     return [Fault(path, error.message)]
 
 
+def _is_secret(path: str) -> bool:
+    return path == SECRET_PART or path.startswith(SECRET_PART + ".")
+
+
+def _explain_secret(error: ValidationError, path: str) -> list[Fault]:
+    """Name a fault without the value, which may hold a secret key."""
+    if error.validator == "additionalProperties":
+        return _unknown_keys(error, path)
+    if error.validator == "required":
+        return [Fault(path, error.message)]
+    if error.context:
+        inner = [one for one in error.context if one.validator != "type"]
+        if inner:
+            return [
+                fault for one in inner for fault in _explain_secret(one, one.json_path)
+            ]
+    return [Fault(path, f"does not fit the schema ({error.validator})")]
+
+
 def _unknown_keys(error: ValidationError, path: str) -> list[Fault]:
     known = list(error.schema.get("properties", {}))
     faults = []
--- a/fuchsiacroft/config/settings.py
+++ b/fuchsiacroft/config/settings.py
@@ -4,6 +4,7 @@
 from typing import Annotated, Literal
 
 import msgspec
+import zmq
 from expression import Error, Ok, Result
 
 from fuchsiacroft.config import defaults
@@ -23,21 +24,39 @@
     console: Address | None = None
 
 
+MAX_SHARED_KEYS = 2
+CurveKey = Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9A-Za-z.\-:+=^!/*?&<>()\[\]{}@%$#]{40}$")
+]
+
+
 class Member(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Another process of the system, by its node name and addresses."""
+    """Another process of the system, by its node name and addresses.
+
+    `public_keys` are the CURVE keys it may use: one, or two while it changes.
+    """
 
     node: Name
     failure_domain: Name
     peers: Address
     operators: Address | None = None
+    public_keys: Annotated[list[CurveKey], msgspec.Meta(max_length=2)] = []
 
 
 class Keys(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """CURVE keys between processes, Z85 text; `accepted` are public keys."""
+    """CURVE keys between processes, Z85 text; `accepted` are public keys.
+
+    Peers whose `public_keys` are not given use one of the `accepted` keys, of
+    which there may then be two at most.
+    """
 
-    public: str
-    secret: str
-    accepted: list[str] = []
+    public: CurveKey
+    secret: CurveKey
+    accepted: list[CurveKey] = []
+
+    def __repr__(self) -> str:
+        """Return a text without the secret key."""
+        return f"Keys(public={self.public!r}, accepted={len(self.accepted)})"
 
 
 class Tls(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -87,6 +106,22 @@
         return Error([Fault(str(path), f"cannot be read: {exc.strerror}")])
     match check(data, Settings):
         case Result(tag="ok", ok=settings):
-            return Ok(settings)
+            faults = _check_keys(settings)
+            return Error(faults) if faults else Ok(settings)
         case Result(error=faults):
             return Error(faults)
+
+
+def _check_keys(settings: Settings) -> list[Fault]:
+    keys = settings.keys
+    if keys is None:
+        return []
+    faults = []
+    if zmq.curve_public(keys.secret.encode()).decode() != keys.public:
+        faults.append(Fault("$.keys.public", "does not belong to $.keys.secret"))
+    for part in ("control", "entries"):
+        for i, member in enumerate(getattr(settings, part)):
+            if not member.public_keys and len(keys.accepted) > MAX_SHARED_KEYS:
+                text = "is needed if more than two keys are accepted"
+                faults.append(Fault(f"$.{part}[{i}].public_keys", text))
+    return faults
--- /dev/null
+++ b/fuchsiacroft/tests/transport/keys_tests.py
@@ -0,0 +1,168 @@
+"""Failure tests of the keys between processes, over real sockets."""
+
+import asyncio
+
+import msgspec
+import zmq
+
+from fuchsiacroft.config.settings import Addresses, Keys, Member, Settings
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.tests.base import SocketTestCase
+from fuchsiacroft.tests.fakes.ports import free_address
+from fuchsiacroft.transport import codec, keys, zmq_bus
+
+TIMEOUT_S = 5.0
+REFUSED_S = 0.4
+
+
+@codec.message("test.keyed_ping")
+class KeyedPing(msgspec.Struct, frozen=True):
+    """A test message."""
+
+    text: str
+
+
+def new_pair():
+    return tuple(part.decode() for part in zmq.curve_keypair())
+
+
+class Process:
+    """A bus with its own keys."""
+
+    def __init__(self, name, pair=None, address=None):
+        self.name = name
+        self.pair = pair or new_pair()
+        self.address = address or free_address()
+        self.ring = None
+        self.bus = None
+
+    def settings(self, accepted, peers=()):
+        members = [
+            Member(peer.name, "a", peer.address, public_keys=list(listed))
+            for peer, listed in peers
+        ]
+        return Settings(
+            node=self.name,
+            failure_domain="a",
+            region="r",
+            addresses=Addresses("127.0.0.1:1", peers=self.address),
+            entries=members,
+            keys=Keys(*self.pair, accepted=list(accepted)),
+        )
+
+    async def start(self, test, accepted, peers=()):
+        self.ring = keys.create(self.settings(accepted, peers))
+        self.bus = zmq_bus.create(self.name, self.address, self.ring)
+        await self.bus.start(Kernel())
+        test.addAsyncCleanup(self.bus.stop)
+
+        async def echo(sender, ping):
+            return KeyedPing(f"{sender}:{ping.text}")
+
+        self.bus.handle(KeyedPing, echo)
+
+    async def asks(self, other, timeout=TIMEOUT_S):
+        return await self.bus.request(other.address, KeyedPing("hi"), timeout)
+
+    def refused(self, name="refused_unknown_key"):
+        return self.bus.dump()["handshakes"].get(name, 0)
+
+
+class KeysTests(SocketTestCase):
+    """Only accepted keys connect, and keys change without a restart."""
+
+    async def asyncSetUp(self):
+        self.server = Process("server")
+        self.client = Process("client")
+        self.both = [self.server.pair[0], self.client.pair[0]]
+        peers = [(self.server, [self.server.pair[0]])]
+        await self.server.start(self, self.both)
+        await self.client.start(self, self.both, peers)
+
+    async def test_accepted_peers_talk(self):
+        self.assertTrue((await self.client.asks(self.server)).is_ok())
+
+    async def test_an_unknown_key_is_refused_and_counted(self):
+        stranger = Process("stranger")
+        peers = [(self.server, [self.server.pair[0]])]
+        await stranger.start(self, self.both, peers)
+        answer = await stranger.asks(self.server, REFUSED_S)
+        self.assertTrue(answer.is_error())
+        self.assertGreater(self.server.refused(), 0)
+
+    async def test_a_peer_without_keys_is_refused_and_counted(self):
+        plain = zmq_bus.create("plain", free_address())
+        await plain.start(Kernel())
+        self.addAsyncCleanup(plain.stop)
+        ask = plain.request(self.server.address, KeyedPing("hi"), REFUSED_S)
+        self.assertTrue((await ask).is_error())
+        self.assertGreater(self.server.refused("failed"), 0)
+
+    async def test_a_peer_whose_key_is_not_known_is_not_sent_to(self):
+        accepted = [*self.both, new_pair()[0]]
+        loner = Process("loner")
+        await loner.start(self, accepted)
+        answer = await loner.asks(self.server, REFUSED_S)
+        self.assertIs(zmq_bus.BusError.NOT_SENT, answer.error)
+
+    async def test_a_removed_key_loses_its_connection(self):
+        self.assertTrue((await self.client.asks(self.server)).is_ok())
+        self.server.ring.replace(self.server.settings([self.server.pair[0]]))
+        await asyncio.sleep(0.2)
+        self.assertTrue((await self.client.asks(self.server, REFUSED_S)).is_error())
+        self.assertGreater(self.server.refused(), 0)
+
+    async def test_a_server_changes_its_key_while_two_are_valid(self):
+        new = new_pair()
+        listed = [self.server.pair[0], new[0]]
+        self.client.ring.replace(
+            self.client.settings(self.both, [(self.server, listed)])
+        )
+        self.assertTrue((await self.client.asks(self.server)).is_ok())
+        self.server.pair = new
+        self.server.ring.replace(self.server.settings(self.both))
+        await asyncio.sleep(0.1)
+        self.assertTrue((await self.client.asks(self.server)).is_ok())
+        self.client.ring.replace(
+            self.client.settings(self.both, [(self.server, [new[0]])])
+        )
+        self.assertTrue((await self.client.asks(self.server)).is_ok())
+
+    async def test_a_client_changes_its_key_while_two_are_valid(self):
+        new = new_pair()
+        self.server.ring.replace(self.server.settings([*self.both, new[0]]))
+        self.assertTrue((await self.client.asks(self.server)).is_ok())
+        self.client.pair = new
+        peers = [(self.server, [self.server.pair[0]])]
+        self.client.ring.replace(self.client.settings(self.both, peers))
+        self.assertTrue((await self.client.asks(self.server)).is_ok())
+        self.server.ring.replace(self.server.settings([self.server.pair[0], new[0]]))
+        await asyncio.sleep(0.2)
+        self.assertTrue((await self.client.asks(self.server)).is_ok())
+
+    async def test_one_key_shared_by_all_rotates(self):
+        old, new = new_pair(), new_pair()
+        one, two = Process("one", old), Process("two", old)
+        for process in (one, two):
+            await process.start(self, [old[0]])
+        self.assertTrue((await one.asks(two)).is_ok())
+        for process in (one, two):
+            process.ring.replace(process.settings([old[0], new[0]]))
+        for process in (one, two):
+            process.pair = new
+            process.ring.replace(process.settings([old[0], new[0]]))
+            await asyncio.sleep(0.1)
+            self.assertTrue((await one.asks(two)).is_ok())
+            self.assertTrue((await two.asks(one)).is_ok())
+        for process in (one, two):
+            process.ring.replace(process.settings([new[0]]))
+        await asyncio.sleep(0.2)
+        self.assertTrue((await one.asks(two)).is_ok())
+
+    async def test_secrets_are_in_no_dump_and_no_text(self):
+        await self.client.asks(self.server)
+        secret = self.server.pair[1]
+        settings = self.server.settings(self.both)
+        texts = (repr(settings), str(settings), str(self.server.bus.dump()))
+        for text in texts:
+            self.assertNotIn(secret, text)
--- /dev/null
+++ b/fuchsiacroft/transport/keys.py
@@ -0,0 +1,108 @@
+"""The CURVE keys of one process, replaced while it runs."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import zmq
+from zmq.utils import z85
+
+from fuchsiacroft.config.settings import MAX_SHARED_KEYS, Keys, Settings
+
+
+@dataclass(frozen=True, slots=True)
+class KeyChange:
+    """What a replacement asks for.
+
+    `listener` is true if connections accepted before may not stay, `clients`
+    if the connections that we opened must be opened anew.
+    """
+
+    listener: bool
+    clients: bool
+
+
+class KeyRing:
+    """Our key pair, the public keys we accept, and those that peers use."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._listeners: list[Callable[[KeyChange], None]] = []
+        self._keys: Keys | None = None
+        self._peer_keys: dict[str, tuple[str, ...]] = {}
+        self._take(settings)
+
+    @property
+    def enabled(self) -> bool:
+        """Tell whether connections are encrypted and authenticated."""
+        return self._keys is not None
+
+    def on_change(self, listener: Callable[[KeyChange], None]) -> None:
+        """Call `listener` after every replacement."""
+        self._listeners.append(listener)
+
+    def replace(self, settings: Settings) -> bool:
+        """Put the keys of new settings in force; return whether they differ."""
+        keys, peer_keys = self._keys, self._peer_keys
+        self._take(settings)
+        if (keys, peer_keys) == (self._keys, self._peer_keys):
+            return False
+        own = _pair(keys) != _pair(self._keys)
+        removed = _accepted(keys) - _accepted(self._keys)
+        shared = _accepted(keys) != _accepted(self._keys)
+        clients = own or shared or peer_keys != self._peer_keys
+        for listener in self._listeners:
+            listener(KeyChange(own or bool(removed), clients))
+        return True
+
+    def accepts(self, public_key: bytes) -> bool:
+        """Tell whether a peer with this public key, as 32 bytes, may connect."""
+        if self._keys is None:
+            return False
+        return z85.encode(public_key).decode() in self._keys.accepted
+
+    def keys_of(self, peer: str) -> tuple[str, ...]:
+        """Return the keys that the peer at an address may use, best first."""
+        listed = self._peer_keys.get(peer)
+        if listed:
+            return listed
+        accepted = self._keys.accepted if self._keys is not None else []
+        if len(accepted) > MAX_SHARED_KEYS:
+            return ()
+        own = self._keys.public if self._keys is not None else ""
+        return tuple(sorted(accepted, key=lambda key: key != own))
+
+    def apply_to_listener(self, sock: zmq.Socket) -> None:
+        """Let a socket accept encrypted connections at its next bind."""
+        if self._keys is None:
+            return
+        sock.curve_server = True
+        sock.curve_publickey = self._keys.public.encode()
+        sock.curve_secretkey = self._keys.secret.encode()
+
+    def apply_to_client(self, sock: zmq.Socket, server_key: str) -> None:
+        """Let a socket connect to the holder of a key."""
+        if self._keys is None:
+            return
+        sock.curve_publickey = self._keys.public.encode()
+        sock.curve_secretkey = self._keys.secret.encode()
+        sock.curve_serverkey = server_key.encode()
+
+    def _take(self, settings: Settings) -> None:
+        self._keys = settings.keys
+        self._peer_keys = {
+            member.peers: tuple(member.public_keys)
+            for member in (*settings.control, *settings.entries)
+            if member.public_keys
+        }
+
+
+def _pair(keys: Keys | None) -> tuple[str, str] | None:
+    return None if keys is None else (keys.public, keys.secret)
+
+
+def _accepted(keys: Keys | None) -> frozenset[str]:
+    return frozenset(keys.accepted if keys is not None else ())
+
+
+def create(settings: Settings) -> KeyRing:
+    """Return the key ring of a process; without keys it encrypts nothing."""
+    return KeyRing(settings)
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -12,7 +12,10 @@
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.transport import codec
 from fuchsiacroft.transport.bus import Bus, BusError, Handler
+from fuchsiacroft.transport.keys import KeyChange, KeyRing
 from fuchsiacroft.transport.outbox import Outbox, Parcel
+from fuchsiacroft.transport.zmq_link import KeyTrial
+from fuchsiacroft.transport.zmq_listener import BusListener
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.tasks import TaskGroup
 
@@ -21,6 +24,7 @@
 HANDSHAKE_TIMEOUT_MS = 5_000
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 1_000
+RETIRE_S = 10.0
 HEARTBEAT_MS = 2_000
 HEARTBEAT_TIMEOUT_MS = 5_000
 
@@ -28,11 +32,12 @@
 class ZmqBus(Bus):
     """Listens on one address and keeps one connection to each peer used."""
 
-    def __init__(self, node: str, address: str) -> None:
+    def __init__(self, node: str, address: str, ring: KeyRing | None) -> None:
         self._node = node
         self._address = address
         self._ctx = zmq.asyncio.Context()
-        self._router: zmq.asyncio.Socket | None = None
+        self._ring = ring if ring is not None and ring.enabled else None
+        self._listener: BusListener | None = None
         self._dealers: dict[str, zmq.asyncio.Socket] = {}
         self._outboxes: dict[str, Outbox] = {}
         self._handlers: dict[type, Handler] = {}
@@ -43,10 +48,15 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Bind the listening socket and begin to receive."""
-        self._router = self._ctx.socket(zmq.ROUTER)
-        self._configure(self._router)
-        self._router.bind(f"tcp://{self._address}")
-        self._tasks.spawn(self._receive_requests(self._router), "bus-router")
+        router = self._ctx.socket(zmq.ROUTER)
+        self._configure(router)
+        self._listener = BusListener(self._ctx, router, self._address, self._ring)
+        self._listener.bind()
+        for coro in self._listener.loops():
+            self._tasks.spawn(coro, "bus-listener")
+        if self._ring is not None:
+            self._ring.on_change(self._on_key_change)
+        self._tasks.spawn(self._receive_requests(router), "bus-router")
 
     async def stop(self) -> None:
         """Close every socket and fail the requests still waiting."""
@@ -55,8 +65,8 @@
             fut.cancel()
         for dealer in self._dealers.values():
             dealer.close(0)
-        if self._router is not None:
-            self._router.close(0)
+        if self._listener is not None:
+            self._listener.close()
         self._ctx.destroy(0)
 
     def dump(self) -> dict:
@@ -65,7 +75,9 @@
             "address": self._address,
             "peers": sorted(self._dealers),
             "waiting": len(self._waiting),
+            "encrypted": self._ring is not None,
             "counts": dict(self._counts),
+            "handshakes": dict(self._listener.counts) if self._listener else {},
         }
 
     def handle(self, kind: type[msgspec.Struct], handler: Handler) -> None:
@@ -82,12 +94,13 @@
         data = codec.encode(msg, number, False, self._node)
         parcel = Parcel(data, now() + timeout)
         try:
-            if not self._post(peer, parcel):
+            outbox = self._post(peer, parcel)
+            if outbox is None:
                 return Error(BusError.NOT_SENT)
             async with asyncio.timeout(timeout):
                 return Ok(await fut)
         except TimeoutError:
-            if self._outboxes[peer].withdraw(parcel):
+            if outbox.withdraw(parcel):
                 return Error(BusError.NOT_SENT)
             return Error(BusError.NO_ANSWER)
         finally:
@@ -98,20 +111,32 @@
         data = codec.encode(msg, 0, False, self._node)
         self._post(peer, Parcel(data, now() + SEND_PATIENCE_S))
 
-    def _post(self, peer: str, parcel: Parcel) -> bool:
-        outbox = self._outboxes.get(peer) or self._connect(peer)
+    def _post(self, peer: str, parcel: Parcel) -> Outbox | None:
+        outbox = self._outboxes.get(peer)
+        if outbox is None:
+            outbox = self._connect(peer)
+        if outbox is None:
+            self._counts["no_key_for_peer"] += 1
+            return None
         if not outbox.put(parcel):
             self._counts["outbox_full"] += 1
-            return False
+            return None
         self._counts["sent"] += 1
         self._counts["sent_bytes"] += len(parcel.data)
-        return True
+        return outbox
 
-    def _connect(self, peer: str) -> Outbox:
+    def _connect(self, peer: str) -> Outbox | None:
+        if self._ring is not None and not self._ring.keys_of(peer):
+            return None
         dealer = self._ctx.socket(zmq.DEALER)
         self._configure(dealer)
         dealer.immediate = True
-        dealer.connect(f"tcp://{peer}")
+        if self._ring is None:
+            dealer.connect(f"tcp://{peer}")
+        else:
+            trial = KeyTrial(dealer, peer, self._ring)
+            trial.connect()
+            self._tasks.spawn(trial.run(), f"bus-keys-{peer}")
         outbox = Outbox(dealer)
         self._dealers[peer] = dealer
         self._outboxes[peer] = outbox
@@ -130,6 +155,21 @@
         sock.heartbeat_ivl = HEARTBEAT_MS
         sock.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
 
+    def _on_key_change(self, change: KeyChange) -> None:
+        if change.clients:
+            for peer in tuple(self._dealers):
+                self._outboxes.pop(peer)
+                self._tasks.spawn(self._retire(self._dealers.pop(peer)), "bus-retire")
+        if change.listener:
+            self._tasks.spawn(self._listener.bind_again(), "bus-rebind")
+
+    async def _retire(self, dealer: zmq.asyncio.Socket) -> None:
+        """Close a connection once its answers have had time to arrive."""
+        try:
+            await asyncio.sleep(RETIRE_S)
+        finally:
+            dealer.close(0)
+
     async def _receive_requests(self, router: zmq.asyncio.Socket) -> None:
         while True:
             frames = await router.recv_multipart()
@@ -176,6 +216,9 @@
         return []
 
 
-def create(node: str, address: str) -> ZmqBus:
-    """Return a bus for the node that will listen on `address`."""
-    return ZmqBus(node, address)
+def create(node: str, address: str, ring: KeyRing | None = None) -> ZmqBus:
+    """Return a bus for the node that will listen on `address`.
+
+    With keys in the ring every connection is encrypted and authenticated.
+    """
+    return ZmqBus(node, address, ring)
