Guard the operators' API in one place and show what a raced change met

Cause: each handler checked the token by itself, refusals left no trace, and a conflict said only that another change came first.

One middleware now checks the token for every path under /v1/ and writes one audit event for each refusal; accepted changes are events with operator, credential number, change id, version and source. A conflict lists the items that differ between the held and the newest version.

--- a/fuchsiacroft/control/api.py
+++ b/fuchsiacroft/control/api.py
@@ -1,15 +1,32 @@
 """The operators' API: the document, its history, and who has it in force."""
 
-import hmac
-
 import msgspec
 from aiohttp import web
-from expression import Result
+from expression import Error, Ok, Result
 
-from fuchsiacroft.config import delta, document
+from fuchsiacroft.config import changes, delta, document
 from fuchsiacroft.config.document import Document
 from fuchsiacroft.config.faults import Fault
 from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.control.api_guard import (
+    audit,
+    guard,
+    json_answer,
+    operator_of,
+    refusal,
+)
+from fuchsiacroft.control.api_messages import (
+    CHANGE_ID_HEADER,
+    MAX_CHANGE_ID_LENGTH,
+    ChangeAnswer,
+    Conflict,
+    DocumentAnswer,
+    DocumentFault,
+    HistoryAnswer,
+    InForceAnswer,
+    InvalidDocument,
+    MemberStatus,
+)
 from fuchsiacroft.control.configuration import (
     ChangeAccepted,
     ChangeConflict,
@@ -21,11 +38,12 @@
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.operations import Operations
 from fuchsiacroft.utils import clock
-from fuchsiacroft.utils.logs import event
 
 PROPOSE_TIMEOUT_S = 3.0
-CHANGE_ID_HEADER = "Fuchsiacroft-Change-Id"
-OPERATOR_HEADER = "Fuchsiacroft-Operator"
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+DEFAULT_HISTORY_VERSIONS = 100
+MAX_HISTORY_VERSIONS = 2_000
+NO_QUORUM = "no quorum of control VMs answers"
 
 
 class OperatorApi(Service):
@@ -34,7 +52,7 @@
     name = "operator_api"
 
     def __init__(self, settings: Settings, state: ConfigurationState) -> None:
-        self._token_hashes = settings.operator_token_hashes
+        self._settings = settings
         self._state = state
 
     async def start(self, kernel: Kernel) -> None:
@@ -44,91 +62,117 @@
 
     def add_routes(self, operations: Operations) -> None:
         """Add the routes; called before the listener starts."""
+        operations.app.middlewares.append(guard(self._settings.operator_token_hashes))
         router = operations.app.router
         router.add_get("/v1/document", self._get_document)
         router.add_put("/v1/document", self._put_document)
+        router.add_post("/v1/document/check", self._check_document)
         router.add_get("/v1/in-force", self._get_in_force)
         router.add_get("/v1/history", self._get_history)
+        router.add_get("/v1/status", self._get_status)
 
     async def _get_document(self, req: web.Request) -> web.Response:
-        if not self._authorized(req):
-            return _unauthorized()
         if (await self._log.read_barrier(PROPOSE_TIMEOUT_S)).is_error():
-            return _problem(503, "no quorum of control VMs answers")
-        return _json(
-            200, {"version": self._state.version, "document": self._state.document}
-        )
+            return refusal(503, NO_QUORUM)
+        version = _number(req, "version", self._state.version)
+        found = None if version is None else self._state.document_at(version)
+        if found is None:
+            newest = self._state.version
+            return refusal(404, f"this version is not remembered; newest is {newest}")
+        return json_answer(200, DocumentAnswer(version, found))
 
     async def _get_in_force(self, req: web.Request) -> web.Response:
-        if not self._authorized(req):
-            return _unauthorized()
-        state = self._state
-        return _json(200, {"version": state.version, "in_force": self._feed.in_force()})
+        in_force = self._feed.in_force()
+        return json_answer(200, InForceAnswer(self._state.version, in_force))
 
     async def _get_history(self, req: web.Request) -> web.Response:
-        if not self._authorized(req):
-            return _unauthorized()
-        newest = self._state.history()[-100:]
-        return _json(200, {"versions": newest})
+        limit = _number(req, "limit", DEFAULT_HISTORY_VERSIONS)
+        if limit is None or not 1 <= limit <= MAX_HISTORY_VERSIONS:
+            return refusal(400, f"limit must be 1 to {MAX_HISTORY_VERSIONS}")
+        return json_answer(200, HistoryAnswer(self._state.history()[-limit:]))
+
+    async def _get_status(self, req: web.Request) -> web.Response:
+        status = MemberStatus(
+            node=self._settings.node,
+            failure_domain=self._settings.failure_domain,
+            version=self._state.version,
+            leads=self._log.is_leader,
+            term=self._log.term,
+            leader_peer=self._log.leader_peer,
+            in_force=self._feed.in_force(),
+        )
+        return json_answer(200, status)
+
+    async def _check_document(self, req: web.Request) -> web.Response:
+        match await _read_document(req):
+            case Result(tag="ok"):
+                return json_answer(200, InvalidDocument("no faults", ()))
+            case Result(error=response):
+                return response
 
     async def _put_document(self, req: web.Request) -> web.Response:
-        if not self._authorized(req):
-            return _unauthorized()
         held = req.headers.get("If-Match", "").strip('"')
         change_id = req.headers.get(CHANGE_ID_HEADER, "")
-        if not held.isdigit() or not change_id:
-            return _problem(
+        if not (held.isascii() and held.isdigit()) or not change_id:
+            return refusal(
                 428, f"If-Match (the version held) and {CHANGE_ID_HEADER} are needed"
             )
-        try:
-            value = msgspec.json.decode(await req.read())
-        except (msgspec.MsgspecError, RecursionError) as exc:
-            return _faults([Fault("$", f"is not JSON: {exc}")])
-        match document.parse(value):
-            case Result(tag="ok", ok=parsed):
-                return await self._change(req, int(held), change_id, parsed)
-            case Result(error=faults):
-                return _faults(faults)
+        if len(change_id) > MAX_CHANGE_ID_LENGTH:
+            detail = f"{CHANGE_ID_HEADER} is longer than {MAX_CHANGE_ID_LENGTH}"
+            return refusal(400, detail)
+        match await _read_document(req):
+            case Result(tag="ok", ok=wanted):
+                return await self._change(req, int(held), change_id, wanted)
+            case Result(error=response):
+                return response
 
     async def _change(
         self, req: web.Request, held: int, change_id: str, wanted: Document
     ) -> web.Response:
         if (await self._log.read_barrier(PROPOSE_TIMEOUT_S)).is_error():
-            return _problem(503, "no quorum of control VMs answers; nothing changed")
-        if held > self._state.version:
-            return _conflict(self._state.version, "this version does not exist yet")
-        operator = req.headers.get(OPERATOR_HEADER, "unnamed")
+            return refusal(503, f"{NO_QUORUM}; nothing changed")
+        newest = self._state.version
+        if held > newest:
+            detail = f"version {held} does not exist yet; the newest is {newest}"
+            return json_answer(409, Conflict("conflict", detail, newest))
         command = ChangeDocument(
             held_version=held,
             change_id=change_id,
-            operator=operator,
+            operator=operator_of(req),
             delta=delta.between(self._state.document, wanted),
             changed_at=clock.wall(),
         )
         match await self._log.propose(command, PROPOSE_TIMEOUT_S):
             case Result(tag="ok", ok=applied):
-                return self._answer(applied.result, operator)
+                return self._answer(req, held, applied.result)
             case Result(error=ProposeError.UNKNOWN):
-                return _problem(
+                return refusal(
                     504, "the outcome is unknown; send it again, same change id"
                 )
             case _:
-                return _problem(503, "no quorum; nothing changed")
+                return refusal(503, "no quorum; nothing changed")
 
-    def _answer(self, result: msgspec.Struct, operator: str) -> web.Response:
+    def _answer(
+        self, req: web.Request, held: int, result: msgspec.Struct
+    ) -> web.Response:
         match result:
             case ChangeAccepted(version=version, resent=resent):
-                event("info", "document_changed", version=version, operator=operator)
-                return _json(200, {"version": version, "resent": resent})
-            case ChangeConflict(version=version, operator=other):
-                return _conflict(version, f"version {version} by {other} came first")
-
-    def _authorized(self, req: web.Request) -> bool:
-        scheme, _, token = req.headers.get("Authorization", "").partition(" ")
-        if scheme != "Bearer":
-            return False
-        hashed = document.hash_key(token)
-        return any(hmac.compare_digest(hashed, known) for known in self._token_hashes)
+                audit("info", "document_changed", req, version=version, resent=resent)
+                return json_answer(200, ChangeAnswer(version, resent))
+            case ChangeConflict():
+                return json_answer(409, self._conflict(held))
+
+    def _conflict(self, held: int) -> Conflict:
+        newest = self._state.version
+        records = self._state.since(held) or []
+        operators = tuple(dict.fromkeys(record.operator for record in records))
+        old = self._state.document_at(held)
+        changed = None
+        if old is not None:
+            changed = changes.between(old, self._state.document)
+        names = ", ".join(operators) or "others"
+        detail = f"version {newest} by {names} came first; nothing changed"
+        return Conflict("conflict", detail, newest, operators, changed)
 
 
 def create(settings: Settings, state: ConfigurationState) -> OperatorApi:
@@ -136,23 +180,30 @@
     return OperatorApi(settings, state)
 
 
-def _json(status: int, value: object) -> web.Response:
-    body = msgspec.json.encode(value)
-    return web.Response(status=status, body=body, content_type="application/json")
-
+async def _read_document(req: web.Request) -> Result[Document, web.Response]:
+    if (req.content_length or 0) > MAX_DOCUMENT_BYTES:
+        return Error(refusal(413, f"at most {MAX_DOCUMENT_BYTES} bytes"))
+    data = await req.read()
+    if len(data) > MAX_DOCUMENT_BYTES:
+        return Error(refusal(413, f"at most {MAX_DOCUMENT_BYTES} bytes"))
+    try:
+        value = msgspec.json.decode(data)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        return Error(_faults([Fault("$", f"is not JSON: {exc}")]))
+    match document.parse(value):
+        case Result(tag="ok", ok=parsed):
+            return Ok(parsed)
+        case Result(error=faults):
+            return Error(_faults(faults))
 
-def _problem(status: int, detail: str) -> web.Response:
-    return _json(status, {"title": "refused", "detail": detail})
 
-
-def _conflict(version: int, detail: str) -> web.Response:
-    return _json(409, {"title": "conflict", "detail": detail, "version": version})
+def _number(req: web.Request, name: str, default: int) -> int | None:
+    text = req.query.get(name)
+    if text is None:
+        return default
+    return int(text) if text.isascii() and text.isdigit() else None
 
 
 def _faults(faults: list[Fault]) -> web.Response:
-    listed = [{"path": fault.path, "message": fault.message} for fault in faults]
-    return _json(422, {"title": "invalid document", "faults": listed})
-
-
-def _unauthorized() -> web.Response:
-    return _problem(401, "an operator token is needed")
+    listed = tuple(DocumentFault(fault.path, fault.message) for fault in faults)
+    return json_answer(422, InvalidDocument("invalid document", listed))
--- /dev/null
+++ b/fuchsiacroft/control/api_guard.py
@@ -0,0 +1,100 @@
+"""Who may use the operators' API, and the audit log of what they did."""
+
+import hmac
+
+import msgspec
+from aiohttp import web
+
+from fuchsiacroft.config.document import hash_key
+from fuchsiacroft.control.api_messages import (
+    CHANGE_ID_HEADER,
+    MAX_CHANGE_ID_LENGTH,
+    MAX_OPERATOR_LENGTH,
+    OPERATOR_HEADER,
+    Refused,
+)
+from fuchsiacroft.utils.logs import event
+
+API_PREFIX = "/v1/"
+CREDENTIAL = web.RequestKey("credential", int)
+UNNAMED = "unnamed"
+
+
+def json_answer(status: int, value: object) -> web.Response:
+    """Return a JSON answer."""
+    body = msgspec.json.encode(value)
+    return web.Response(status=status, body=body, content_type="application/json")
+
+
+def refusal(status: int, detail: str) -> web.Response:
+    """Return the answer to a request that changed nothing."""
+    return json_answer(status, Refused("refused", detail))
+
+
+def guard(token_hashes: list[str]):
+    """Return the middleware that asks for an operator token under `/v1/`.
+
+    It also writes one `operator_refused` event for each refused request.
+    """
+
+    @web.middleware
+    async def check(req: web.Request, handler) -> web.StreamResponse:
+        if not req.path.startswith(API_PREFIX):
+            return await handler(req)
+        credential = _credential(req, token_hashes)
+        if credential is None:
+            response = refusal(401, "an operator token is needed")
+        else:
+            req[CREDENTIAL] = credential
+            response = await _handle(req, handler)
+        if response.status >= 400:
+            audit("warning", "operator_refused", req, status=response.status)
+        return response
+
+    return check
+
+
+def audit(level: str, name: str, req: web.Request, **fields: object) -> None:
+    """Write who asked for what, from where; `credential` counts from 0."""
+    event(
+        level,
+        name,
+        operator=operator_of(req),
+        credential=req.get(CREDENTIAL, "none"),
+        source=req.remote,
+        method=req.method,
+        path=req.path,
+        change_id=_short(req.headers.get(CHANGE_ID_HEADER, "none")),
+        **fields,
+    )
+
+
+def operator_of(req: web.Request) -> str:
+    """Return the name that the operator gave, cut to its greatest length."""
+    name = req.headers.get(OPERATOR_HEADER, "").strip()
+    return name[:MAX_OPERATOR_LENGTH] or UNNAMED
+
+
+async def _handle(req: web.Request, handler) -> web.StreamResponse:
+    try:
+        return await handler(req)
+    except web.HTTPRequestEntityTooLarge as exc:
+        return refusal(exc.status, "the body is too large")
+    except web.HTTPException as exc:
+        return refusal(exc.status, exc.reason)
+
+
+def _credential(req: web.Request, token_hashes: list[str]) -> int | None:
+    scheme, _, token = req.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer":
+        return None
+    hashed = hash_key(token.strip())
+    found = None
+    for i, known in enumerate(token_hashes):
+        if hmac.compare_digest(hashed, known):
+            found = i
+    return found
+
+
+def _short(text: str) -> str:
+    return text[:MAX_CHANGE_ID_LENGTH]
--- a/fuchsiacroft/control/configuration.py
+++ b/fuchsiacroft/control/configuration.py
@@ -4,6 +4,7 @@
 document's.
 """
 
+import itertools
 from collections import OrderedDict, deque
 
 import msgspec
@@ -64,6 +65,7 @@
     document: Document
     history: list[VersionRecord]
     changes: list[tuple[str, int]]
+    base: Document = EMPTY
 
 
 class ConfigurationState(StateMachine):
@@ -74,7 +76,8 @@
     def __init__(self) -> None:
         self.version = 0
         self.document = EMPTY
-        self._history: deque[VersionRecord] = deque(maxlen=HISTORY_VERSIONS)
+        self._base = EMPTY
+        self._history: deque[VersionRecord] = deque()
         self._changes: OrderedDict[str, int] = OrderedDict()
         self._listeners: list = []
 
@@ -111,6 +114,18 @@
         """Return the remembered versions, the oldest first."""
         return list(self._history)
 
+    def document_at(self, version: int) -> Document | None:
+        """Return the document as it was at a version, or None if forgotten."""
+        if version == self.version:
+            return self.document
+        oldest = self.version - len(self._history)
+        if not oldest <= version < self.version:
+            return None
+        document = self._base
+        for record in itertools.islice(self._history, version - oldest):
+            document = apply(document, record.delta)
+        return document
+
     def snapshot(self) -> bytes:
         """Return the document, its history and the remembered change ids."""
         return msgspec.msgpack.encode(
@@ -119,6 +134,7 @@
                 self.document,
                 list(self._history),
                 list(self._changes.items()),
+                self._base,
             )
         )
 
@@ -127,7 +143,8 @@
         saved = msgspec.msgpack.decode(data, type=_Snapshot)
         self.version = saved.version
         self.document = saved.document
-        self._history = deque(saved.history, maxlen=HISTORY_VERSIONS)
+        self._base = saved.base
+        self._history = deque(saved.history)
         self._changes = OrderedDict(saved.changes)
         self._notify()
 
@@ -143,6 +160,8 @@
                 command.delta,
             )
         )
+        if len(self._history) > HISTORY_VERSIONS:
+            self._base = apply(self._base, self._history.popleft().delta)
         self._changes[command.change_id] = self.version
         while len(self._changes) > REMEMBERED_CHANGES:
             self._changes.popitem(last=False)
