Add the operators' commands: apply, status, history, diff, rollback, dump

Cause: the document could be changed only by hand-written HTTP requests, and nothing said when a version is in force everywhere.

The commands share one client, which asks one control member after the other and sends a change again under its change id. Exit codes tell a conflict, an unreachable control plane and a version that is not in force everywhere yet from each other. The operator token comes from a file or the environment only. check reads settings and document together and warns of what is allowed but probably not meant; entry and control share their start and say in one line why they cannot start.

--- a/fuchsiacroft/__main__.py
+++ b/fuchsiacroft/__main__.py
@@ -5,52 +5,83 @@
 
 from absl import flags
 
+from fuchsiacroft.commands import exit_codes
+from fuchsiacroft.commands.exit_codes import ExitCode
 from fuchsiacroft.config.faults import nearest
 
 COMMANDS = {
     "entry": "run an entry: take callers' requests and dispatch them",
     "control": "run a control member: configuration, ledger, leases, orders",
-    "standin": "run a stand-in model engine or plain application",
     "check": "check settings and a document, and print every fault",
+    "apply": "put a document in force everywhere",
+    "status": "show versions, control members, entries, backend servers, queues",
+    "history": "show the versions of the document",
+    "diff": "show what differs between two versions",
+    "rollback": "put an older version's document in force again",
+    "dump": "print the whole state of a process",
+    "standin": "run a stand-in model engine or plain application",
 }
-
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
+HELP_FLAGS = ("--help", "-h", "-help", "--helpfull", "help")
+DEFAULT_EXIT_CODES = (ExitCode.OK, ExitCode.FAILED, ExitCode.USAGE)
 
 
 def main(argv: list[str]) -> int:
     """Run the command named first; return the exit code."""
     name = argv[1] if len(argv) > 1 else "--help"
-    if name in ("--help", "-h", "help"):
+    if name in HELP_FLAGS:
         print(usage())
-        return EXIT_OK
+        return ExitCode.OK
     if name not in COMMANDS:
         hint = nearest(name, list(COMMANDS))
         print(f'unknown command "{name}"{hint}\n\n{usage()}', file=sys.stderr)
-        return EXIT_USAGE
+        return ExitCode.USAGE
     module = importlib.import_module(f"fuchsiacroft.commands.{name.replace('-', '_')}")
     values = flags.FlagValues()
     module.define_flags(values)
-    if any(arg in ("--help", "-h") for arg in argv[2:]):
-        print(f"{module.__doc__}\n{values.main_module_help() or values.get_help()}")
-        return EXIT_OK
+    if any(arg in HELP_FLAGS for arg in argv[2:]):
+        print(command_help(name, module, values))
+        return ExitCode.OK
     try:
-        values([f"fuchsiacroft {name}", *argv[2:]])
+        rest = values([f"fuchsiacroft {name}", *argv[2:]])
     except flags.Error as exc:
         print(f"{name}: {exc}", file=sys.stderr)
-        return EXIT_USAGE
-    return module.run(values)
+        return ExitCode.USAGE
+    if len(rest) > 1:
+        print(f'{name}: "{rest[1]}" is not a flag', file=sys.stderr)
+        return ExitCode.USAGE
+    try:
+        return int(module.run(values))
+    except KeyboardInterrupt:
+        return ExitCode.FAILED
 
 
 def usage() -> str:
     """Return the list of commands and exit codes."""
     lines = ["usage: fuchsiacroft COMMAND [--flag=VALUE ...]", "", "commands:"]
     lines += [f"  {name:9} {text}" for name, text in COMMANDS.items()]
-    lines += ["", "exit codes: 0 done, 1 failed or refused, 2 wrong usage"]
+    lines += ["", "fuchsiacroft COMMAND --help lists its flags.", "", "exit codes:"]
+    lines.append(exit_codes.listing(tuple(ExitCode)))
     return "\n".join(lines)
 
 
+def command_help(name: str, module, values: flags.FlagValues) -> str:
+    """Return a command's description, flags and exit codes."""
+    lines = [f"usage: fuchsiacroft {name} [--flag=VALUE ...]", ""]
+    lines += [module.__doc__.strip(), "", "flags:"]
+    for flag_name in values:
+        flag = values[flag_name]
+        lines += [f"  --{flag_name}{_default(flag)}", f"      {flag.help}"]
+    codes = getattr(module, "EXIT_CODES", DEFAULT_EXIT_CODES)
+    lines += ["", "exit codes:", exit_codes.listing(codes)]
+    return "\n".join(lines)
+
+
+def _default(flag: flags.Flag) -> str:
+    if flag.default in (None, "", []):
+        return ""
+    return f" (default: {flag.default_as_str})"
+
+
 def run() -> None:
     """Run the command line and exit with its code."""
     sys.exit(main(sys.argv))
--- a/fuchsiacroft/commands/check.py
+++ b/fuchsiacroft/commands/check.py
@@ -1,53 +1,75 @@
-"""Check settings and an operators' document, and print every fault."""
+"""Check settings and an operators' document, and print every fault.
 
+Each fault names its JSON path, the allowed values and the nearest known name.
+Warnings are printed for what is allowed but probably not meant.
+"""
+
+import sys
 from pathlib import Path
 
 import msgspec
 from absl import flags
-from expression import Result
+from expression import Error, Result
 
 from fuchsiacroft.commands.common import print_faults
-from fuchsiacroft.config import document, settings
+from fuchsiacroft.commands.exit_codes import ExitCode
+from fuchsiacroft.config import document, settings, warnings
+from fuchsiacroft.config.document import Document
 from fuchsiacroft.config.faults import Fault
+from fuchsiacroft.config.settings import Settings
+
+EXIT_CODES = (ExitCode.OK, ExitCode.FAILED, ExitCode.USAGE)
+SCHEMAS = {"settings": Settings, "document": Document}
 
 
 def define_flags(values: flags.FlagValues) -> None:
     """Define the flags of this command."""
     flags.DEFINE_string("settings", None, "a settings file to check", values)
     flags.DEFINE_string("document", None, "a document file to check", values)
-    flags.DEFINE_enum(
-        "schema", None, ["settings", "document"], "print this JSON Schema", values
-    )
+    flags.DEFINE_enum("schema", None, list(SCHEMAS), "print this JSON Schema", values)
 
 
 def run(values: flags.FlagValues) -> int:
-    """Print a schema, or the faults of the named files."""
+    """Print a schema, or the faults and warnings of the named files."""
     if values.schema:
-        cls = settings.Settings if values.schema == "settings" else document.Document
-        print(
-            msgspec.json.format(msgspec.json.encode(msgspec.json.schema(cls))).decode()
-        )
-        return 0
-    faults = []
+        print(schema(values.schema))
+        return ExitCode.OK
+    if not values.settings and not values.document:
+        print("--settings, --document or --schema is needed", file=sys.stderr)
+        return ExitCode.USAGE
+    faults: list[Fault] = []
+    found: list[Fault] = []
     if values.settings:
-        faults += _faults(settings.load(Path(values.settings)))
+        match settings.load(Path(values.settings)):
+            case Result(tag="ok", ok=loaded):
+                found += warnings.of_settings(loaded)
+            case Result(error=listed):
+                faults += listed
     if values.document:
-        faults += _check_document(Path(values.document))
+        match read_document(Path(values.document)):
+            case Result(tag="ok", ok=parsed):
+                found += warnings.of_document(parsed)
+            case Result(error=listed):
+                faults += listed
     print_faults(faults)
-    if not faults:
-        print("no faults")
-    return 1 if faults else 0
+    for warning in found:
+        print(f"warning: {warning}", file=sys.stderr)
+    print(f"{len(faults)} faults, {len(found)} warnings" if faults else "no faults")
+    return ExitCode.FAILED if faults else ExitCode.OK
+
 
+def schema(name: str) -> str:
+    """Return a JSON Schema by the name of what it describes."""
+    encoded = msgspec.json.encode(msgspec.json.schema(SCHEMAS[name]))
+    return msgspec.json.format(encoded).decode()
 
-def _check_document(path: Path) -> list[Fault]:
+
+def read_document(path: Path) -> Result[Document, list[Fault]]:
+    """Return the document in a file, or every fault in it."""
     try:
         value = msgspec.json.decode(path.read_bytes())
     except OSError as exc:
-        return [Fault(str(path), f"cannot be read: {exc.strerror}")]
+        return Error([Fault(str(path), f"cannot be read: {exc.strerror}")])
     except (msgspec.MsgspecError, RecursionError) as exc:
-        return [Fault("$", f"is not JSON: {exc}")]
-    return _faults(document.parse(value))
-
-
-def _faults(result: Result) -> list[Fault]:
-    return [] if result.is_ok() else result.error
+        return Error([Fault("$", f"is not JSON: {exc}")])
+    return document.parse(value)
--- a/fuchsiacroft/commands/common.py
+++ b/fuchsiacroft/commands/common.py
@@ -1,14 +1,20 @@
 """What several commands share."""
 
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
+import zmq
 from absl import flags
 from expression import Result
 
+from fuchsiacroft.commands.exit_codes import ExitCode
 from fuchsiacroft.config import settings
 from fuchsiacroft.config.faults import Fault
 from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.exceptions import SettingsError
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.utils import logs, process
 
 
 def define_settings(values: flags.FlagValues) -> None:
@@ -29,6 +35,27 @@
             return None
 
 
+def run_process(values: flags.FlagValues, create: Callable[[Settings], Kernel]) -> int:
+    """Run a process of the system until a signal stops it."""
+    loaded = load_settings(values)
+    if loaded is None:
+        return ExitCode.FAILED
+    logs.configure(loaded.log_level)
+
+    async def serve() -> None:
+        await process.serve(create(loaded), loaded.node)
+
+    try:
+        process.run(serve())
+    except SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return ExitCode.FAILED
+    except (OSError, zmq.ZMQError) as exc:
+        print(f"cannot start: {exc}", file=sys.stderr)
+        return ExitCode.FAILED
+    return ExitCode.OK
+
+
 def print_faults(faults: list[Fault]) -> None:
     """Print one fault a line on standard error."""
     for fault in faults:
--- a/fuchsiacroft/commands/control.py
+++ b/fuchsiacroft/commands/control.py
@@ -1,12 +1,11 @@
-"""Run the control process."""
+"""Run a control member: configuration, ledger, leases, orders to engines.
 
-import sys
+It runs until SIGTERM or SIGINT, then ends its work in progress and exits.
+"""
 
 from absl import flags
 
-from fuchsiacroft.commands.common import define_settings, load_settings
-from fuchsiacroft.exceptions import SettingsError
-from fuchsiacroft.utils import logs, process
+from fuchsiacroft.commands.common import define_settings, run_process
 
 
 def define_flags(values: flags.FlagValues) -> None:
@@ -18,17 +17,4 @@
     """Run the process until a signal stops it."""
     from fuchsiacroft.control.process import create
 
-    settings = load_settings(values)
-    if settings is None:
-        return 1
-    logs.configure(settings.log_level)
-
-    async def serve() -> None:
-        await process.serve(create(settings), settings.node)
-
-    try:
-        process.run(serve())
-    except SettingsError as exc:
-        print(exc, file=sys.stderr)
-        return 1
-    return 0
+    return run_process(values, create)
--- /dev/null
+++ b/fuchsiacroft/commands/dump.py
@@ -0,0 +1,48 @@
+"""Print the whole state of one process as JSON, without keys or tokens."""
+
+import sys
+
+import msgspec
+from absl import flags
+from expression import Result
+
+from fuchsiacroft import operators_client
+from fuchsiacroft.commands.exit_codes import ExitCode
+from fuchsiacroft.utils import logs, process
+
+EXIT_CODES = (ExitCode.OK, ExitCode.USAGE, ExitCode.UNREACHABLE)
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Define the flags of this command."""
+    flags.DEFINE_string(
+        "address", None, "the operators' address of the process, IP:PORT", values
+    )
+    flags.mark_flag_as_required("address", values)
+    flags.DEFINE_string("service", None, "print only the service of this name", values)
+
+
+def run(values: flags.FlagValues) -> int:
+    """Print the state; return the exit code."""
+    logs.configure("ERROR")
+    return process.run(_dump(values))
+
+
+async def _dump(values: flags.FlagValues) -> int:
+    async with operators_client.create([], "") as client:
+        match await client.dump(values.address):
+            case Result(tag="ok", ok=state):
+                return _print(state, values.service)
+            case Result(error=reason):
+                print(f"{values.address}: {reason}", file=sys.stderr)
+                return ExitCode.UNREACHABLE
+
+
+def _print(state: dict, service: str | None) -> int:
+    if service is not None and service not in state:
+        known = ", ".join(state)
+        print(f'no service "{service}"; there are {known}', file=sys.stderr)
+        return ExitCode.USAGE
+    wanted = state if service is None else state[service]
+    print(msgspec.json.format(msgspec.json.encode(wanted)).decode())
+    return ExitCode.OK
--- /dev/null
+++ b/fuchsiacroft/commands/history.py
@@ -0,0 +1,67 @@
+"""Print the versions of the document: when, by whom, and what changed."""
+
+import datetime
+
+from absl import flags
+from expression import Result
+
+from fuchsiacroft.commands import operators
+from fuchsiacroft.commands.exit_codes import ExitCode
+from fuchsiacroft.commands.operators import Access
+from fuchsiacroft.config.delta import Delta
+from fuchsiacroft.operators_client import OperatorsClient
+
+EXIT_CODES = (ExitCode.OK, ExitCode.FAILED, ExitCode.USAGE, ExitCode.UNREACHABLE)
+DEFAULT_VERSIONS = 20
+MAX_VERSIONS = 2_000
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Define the flags of this command."""
+    operators.define_access(values)
+    flags.DEFINE_integer(
+        "limit",
+        DEFAULT_VERSIONS,
+        "how many of the newest versions to print",
+        lower_bound=1,
+        upper_bound=MAX_VERSIONS,
+        flag_values=values,
+    )
+
+
+def run(values: flags.FlagValues) -> int:
+    """Print the history, the newest version last; return the exit code."""
+
+    async def work(client: OperatorsClient, access: Access) -> int:
+        match await client.history(values.limit):
+            case Result(tag="ok", ok=records):
+                for record in records:
+                    print(
+                        f"{record.version}  {time_text(record.changed_at)}  "
+                        f"{record.operator}  {summary(record.delta)}  "
+                        f"change id {record.change_id}"
+                    )
+                return ExitCode.OK
+            case Result(error=error):
+                return operators.print_error(error)
+
+    return operators.run(values, work)
+
+
+def time_text(seconds: float) -> str:
+    """Return a time of day, UTC, from seconds since the epoch."""
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def summary(delta: Delta) -> str:
+    """Return the names of the items that a delta puts or removes."""
+    parts = [f"service {item.name}" for item in delta.put_services]
+    parts += [f"service {name} removed" for name in delta.removed_services]
+    parts += [f"workspace {item.name}" for item in delta.put_workspaces]
+    parts += [f"workspace {name} removed" for name in delta.removed_workspaces]
+    if delta.tiers is not None:
+        parts.append("tiers")
+    if delta.rules is not None:
+        parts.append("rules")
+    return ", ".join(parts) or "no change"
--- /dev/null
+++ b/fuchsiacroft/commands/operators.py
@@ -0,0 +1,176 @@
+"""What the commands that use the operators' API share."""
+
+import getpass
+import os
+import ssl
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from absl import flags
+from expression import Error, Ok, Result
+
+from fuchsiacroft import operators_client
+from fuchsiacroft.commands.common import load_settings
+from fuchsiacroft.commands.exit_codes import ExitCode
+from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.control.api_messages import Conflict
+from fuchsiacroft.operators_client import Denied, Faulty, OperatorsClient, Unreachable
+from fuchsiacroft.utils import logs, process
+
+TOKEN_VARIABLE = "FUCHSIACROFT_TOKEN"
+
+
+@dataclass(frozen=True, slots=True)
+class Access:
+    """Whom to ask, and with which token; `settings` if a file was given."""
+
+    control: list[str]
+    token: str
+    tls: ssl.SSLContext | None
+    settings: Settings | None
+
+    @property
+    def entries(self) -> dict[str, str]:
+        """Return the operators' addresses of the entries in the settings."""
+        if self.settings is None:
+            return {}
+        return {
+            member.node: member.operators
+            for member in self.settings.entries
+            if member.operators
+        }
+
+
+def define_access(values: flags.FlagValues) -> None:
+    """Define the flags that say whom to ask; the token is never a flag."""
+    flags.DEFINE_string(
+        "settings",
+        None,
+        "a settings file; its control members are asked, its entries expected",
+        values,
+    )
+    flags.DEFINE_list(
+        "control",
+        [],
+        "operators' addresses of control members, IP:PORT,..., instead of --settings",
+        values,
+    )
+    flags.DEFINE_string(
+        "token_file",
+        None,
+        f"a file that holds the operator token; without it ${TOKEN_VARIABLE}",
+        values,
+    )
+    flags.DEFINE_string(
+        "ca_file", None, "PEM certificates to trust; turns on TLS", values
+    )
+
+
+def define_operator(values: flags.FlagValues) -> None:
+    """Define the flag that names who makes a change."""
+    flags.DEFINE_string(
+        "operator", None, "your name in the history; default: the user", values
+    )
+
+
+def operator_name(values: flags.FlagValues) -> str:
+    """Return the name under which a change enters the history."""
+    if values.operator:
+        return values.operator
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unnamed"
+
+
+def run(
+    values: flags.FlagValues,
+    work: Callable[[OperatorsClient, Access], Awaitable[int]],
+) -> int:
+    """Run `work` with a client; return its exit code."""
+    logs.configure("ERROR")
+    match read_access(values):
+        case Result(tag="ok", ok=access):
+            pass
+        case Result(error=reason):
+            print(reason, file=sys.stderr)
+            return ExitCode.USAGE
+
+    async def main() -> int:
+        client = operators_client.create(access.control, access.token, access.tls)
+        async with client:
+            return await work(client, access)
+
+    return process.run(main())
+
+
+def read_access(values: flags.FlagValues) -> Result[Access, str]:
+    """Return whom to ask, or what is missing."""
+    settings = None
+    if values.settings:
+        settings = load_settings(values)
+        if settings is None:
+            return Error(f"the settings in {values.settings} have faults")
+    control = list(values.control) or _control_of(settings)
+    if not control:
+        return Error("--control, or --settings with control members, is needed")
+    match read_token(values.token_file):
+        case Result(tag="ok", ok=token):
+            pass
+        case Result(error=reason):
+            return Error(reason)
+    try:
+        tls = _tls(values.ca_file)
+    except (OSError, ssl.SSLError) as exc:
+        return Error(f"--ca_file cannot be used: {exc}")
+    return Ok(Access(control, token, tls, settings))
+
+
+def read_token(token_file: str | None) -> Result[str, str]:
+    """Return the operator token of a file or of the environment."""
+    if token_file:
+        try:
+            token = Path(token_file).read_text(encoding="utf-8").strip()
+        except (OSError, UnicodeDecodeError) as exc:
+            return Error(f"--token_file cannot be read: {exc}")
+    else:
+        token = os.environ.get(TOKEN_VARIABLE, "").strip()
+    if not token:
+        return Error(f"an operator token is needed: --token_file or ${TOKEN_VARIABLE}")
+    return Ok(token)
+
+
+def print_error(error: Unreachable | Denied | Faulty | Conflict) -> int:
+    """Explain on standard error why nothing was done; return the exit code."""
+    match error:
+        case Conflict(detail=detail, changes=changed):
+            print(f"conflict: {detail}", file=sys.stderr)
+            print_changes(changed, file=sys.stderr)
+            return ExitCode.CONFLICT
+        case Unreachable():
+            print(error, file=sys.stderr)
+            return ExitCode.UNREACHABLE
+        case _:
+            print(error, file=sys.stderr)
+            return ExitCode.FAILED
+
+
+def print_changes(changed, file=None) -> None:
+    """Print one changed item a line."""
+    if changed is None:
+        print("  the held version is too old to compare with", file=file)
+        return
+    for change in changed:
+        print(f"  {change}", file=file)
+
+
+def _control_of(settings: Settings | None) -> list[str]:
+    if settings is None:
+        return []
+    return [member.operators for member in settings.control if member.operators]
+
+
+def _tls(ca_file: str | None) -> ssl.SSLContext | None:
+    return ssl.create_default_context(cafile=ca_file) if ca_file else None
--- /dev/null
+++ b/fuchsiacroft/commands/status.py
@@ -0,0 +1,107 @@
+"""Show control members, versions in force, entries, backend servers and queues.
+
+Entries, backend servers and queues are shown for the entries of --settings.
+"""
+
+import msgspec
+from absl import flags
+from expression import Result
+
+from fuchsiacroft import overview
+from fuchsiacroft.commands import operators
+from fuchsiacroft.commands.exit_codes import ExitCode
+from fuchsiacroft.commands.operators import Access
+from fuchsiacroft.commands.waiting import nodes_behind
+from fuchsiacroft.control.api_messages import InForceAnswer, MemberStatus
+from fuchsiacroft.operators_client import OperatorsClient
+from fuchsiacroft.overview import BackendServerState, EntryState, Overview
+
+EXIT_CODES = (
+    ExitCode.OK,
+    ExitCode.FAILED,
+    ExitCode.USAGE,
+    ExitCode.UNREACHABLE,
+    ExitCode.NOT_IN_FORCE,
+)
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Define the flags of this command."""
+    operators.define_access(values)
+    flags.DEFINE_bool("json", False, "print JSON instead of lines", values)
+
+
+def run(values: flags.FlagValues) -> int:
+    """Print the status; exit 5 if a node is behind the newest version."""
+
+    async def work(client: OperatorsClient, access: Access) -> int:
+        match await client.in_force():
+            case Result(tag="ok", ok=in_force):
+                pass
+            case Result(error=error):
+                return operators.print_error(error)
+        members = await client.members()
+        seen = await overview.read(client, access.entries)
+        if values.json:
+            _print_json(in_force, members, seen)
+        else:
+            _print_lines(in_force, members, seen)
+        behind = nodes_behind(in_force, in_force.version, set(access.entries))
+        return ExitCode.NOT_IN_FORCE if behind else ExitCode.OK
+
+    return operators.run(values, work)
+
+
+def _print_json(
+    in_force: InForceAnswer, members: dict[str, MemberStatus | str], seen: Overview
+) -> None:
+    value = {
+        "version": in_force.version,
+        "in_force": in_force.in_force,
+        "control": members,
+        "entries": seen.entries,
+        "backend_servers": seen.backend_servers,
+    }
+    print(msgspec.json.format(msgspec.json.encode(value)).decode())
+
+
+def _print_lines(
+    in_force: InForceAnswer, members: dict[str, MemberStatus | str], seen: Overview
+) -> None:
+    print(f"newest version: {in_force.version}")
+    print("\ncontrol members:")
+    for address, member in members.items():
+        print(f"  {address}  {_member(member)}")
+    print("\nversion in force:")
+    for node, version in in_force.in_force.items():
+        print(f"  {node}  {version}")
+    print("\nentries:")
+    for entry in seen.entries:
+        print(f"  {entry.node}  {_entry(entry)}")
+    print("\nbackend servers:")
+    for server in seen.backend_servers:
+        print(f"  {server.name}  {_backend_server(server)}")
+
+
+def _member(member: MemberStatus | str) -> str:
+    if isinstance(member, str):
+        return f"no status: {member}"
+    role = "leader" if member.leads else "follower"
+    return f"{member.node}  {role}  term {member.term}  version {member.version}"
+
+
+def _entry(entry: EntryState) -> str:
+    if entry.problem:
+        return f"no state: {entry.problem}"
+    queues = ", ".join(f"{name} {count}" for name, count in entry.waiting.items())
+    text = f"version {entry.version}  in progress {entry.in_progress}"
+    text += f"  waiting {queues or 'none'}"
+    return text + ("  draining" if entry.draining else "")
+
+
+def _backend_server(server: BackendServerState) -> str:
+    running = "?" if server.running is None else server.running
+    text = f"{server.failure_domain}  {', '.join(server.services)}"
+    text += f"  running {running} of {server.slots}  owner {server.owner or 'none'}"
+    text += f"  heard {server.heard_s_ago} s ago"
+    return text + ("  leaving" if server.leaving else "")
--- /dev/null
+++ b/fuchsiacroft/operators_client.py
@@ -0,0 +1,311 @@
+"""The client of the operators' API, for the commands and the console.
+
+It asks one control member after the other until one answers. A change may be
+sent again under its change id, so a lost answer costs nothing.
+"""
+
+import asyncio
+import ssl
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+from expression import Error, Ok, Result
+
+from fuchsiacroft.control.api_messages import (
+    CHANGE_ID_HEADER,
+    OPERATOR_HEADER,
+    ChangeAnswer,
+    Conflict,
+    DocumentAnswer,
+    DocumentFault,
+    HistoryAnswer,
+    InForceAnswer,
+    InvalidDocument,
+    MemberStatus,
+    Refused,
+)
+from fuchsiacroft.control.configuration import VersionRecord
+from fuchsiacroft.utils.clock import now
+
+ATTEMPT_TIMEOUT_S = 4.0
+CHANGE_TIMEOUT_S = 20.0
+READ_TIMEOUT_S = 10.0
+RETRY_PAUSE_S = 0.3
+PARALLEL_DUMPS = 32
+TRY_ANOTHER = (429, 500, 502, 503, 504)
+
+
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """No control member gave an answer; `reasons` has one for each."""
+
+    reasons: tuple[str, ...]
+
+    def __str__(self) -> str:
+        return "no control member answers: " + "; ".join(self.reasons)
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """A control member refused the request."""
+
+    status: int
+    detail: str
+
+    def __str__(self) -> str:
+        return f"refused ({self.status}): {self.detail}"
+
+
+@dataclass(frozen=True, slots=True)
+class Faulty:
+    """The document has faults."""
+
+    faults: tuple[DocumentFault, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(str(fault) for fault in self.faults)
+
+
+ReadError = Unreachable | Denied
+ChangeError = Unreachable | Denied | Faulty | Conflict
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A document that is to replace version `held`, under a change id."""
+
+    document: bytes
+    held: int
+    change_id: str
+    operator: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: bytes
+
+
+class OperatorsClient:
+    """Asks the control members at the given addresses, `IP:PORT` each."""
+
+    def __init__(
+        self, control: list[str], token: str, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self._control = list(control)
+        self._token = token
+        self._tls = tls
+        self._scheme = "https" if tls else "http"
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "OperatorsClient":
+        """Open the connections."""
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=ATTEMPT_TIMEOUT_S),
+            connector=aiohttp.TCPConnector(ssl=self._tls or True),
+        )
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close the connections."""
+        await self._session.close()
+
+    async def document(
+        self, version: int | None = None
+    ) -> Result[DocumentAnswer, ReadError]:
+        """Return the newest document, or the one of a version."""
+        query = "" if version is None else f"?version={version}"
+        return await self._read(f"/v1/document{query}", DocumentAnswer)
+
+    async def history(self, limit: int) -> Result[list[VersionRecord], ReadError]:
+        """Return the newest versions, the oldest of them first."""
+        answer = await self._read(f"/v1/history?limit={limit}", HistoryAnswer)
+        return answer.map(lambda history: history.versions)
+
+    async def change(self, change: Change) -> Result[ChangeAnswer, ChangeError]:
+        """Send a change until one control member answers."""
+        headers = {
+            "If-Match": f'"{change.held}"',
+            CHANGE_ID_HEADER: change.change_id,
+            OPERATOR_HEADER: change.operator,
+        }
+        answer = await self._ask(
+            "PUT", "/v1/document", CHANGE_TIMEOUT_S, headers, change.document
+        )
+        return answer.bind(_change_result)
+
+    async def check(self, document: bytes) -> Result[None, ChangeError]:
+        """Have a draft checked; nothing changes."""
+        answer = await self._ask(
+            "POST", "/v1/document/check", READ_TIMEOUT_S, {}, document
+        )
+        return answer.bind(_check_result)
+
+    async def members(self) -> dict[str, MemberStatus | str]:
+        """Return each control member's status, or why it has none, by address."""
+        answers = await asyncio.gather(
+            *(self._try("GET", peer, "/v1/status", {}, None) for peer in self._control)
+        )
+        return {
+            peer: _member_status(answer)
+            for peer, answer in zip(self._control, answers, strict=True)
+        }
+
+    async def in_force(self) -> Result[InForceAnswer, ReadError]:
+        """Return the newest version each process is known to have in force.
+
+        A process reports to one control member at a time, so all are asked.
+        """
+        answers = await asyncio.gather(
+            *(
+                self._try("GET", peer, "/v1/in-force", {}, None)
+                for peer in self._control
+            )
+        )
+        reasons = []
+        heard = []
+        for peer, answer in zip(self._control, answers, strict=True):
+            match answer:
+                case Result(tag="ok", ok=_Answer(status=200, body=body)):
+                    heard.append(msgspec.json.decode(body, type=InForceAnswer))
+                case Result(tag="ok", ok=refused):
+                    return Error(_denied(refused))
+                case Result(error=reason):
+                    reasons.append(f"{peer}: {reason}")
+        return Ok(_merged(heard)) if heard else Error(Unreachable(tuple(reasons)))
+
+    async def dump(self, address: str) -> Result[dict, str]:
+        """Return the state of the process at an operators' address."""
+        match await self._try("GET", address, "/dump", {}, None):
+            case Result(tag="ok", ok=_Answer(status=200, body=body)):
+                return Ok(msgspec.json.decode(body))
+            case Result(tag="ok", ok=answer):
+                return Error(f"status {answer.status}")
+            case Result(error=reason):
+                return Error(reason)
+
+    async def dumps(self, addresses: list[str]) -> dict[str, Result[dict, str]]:
+        """Return the state of several processes by address."""
+        gate = asyncio.Semaphore(PARALLEL_DUMPS)
+
+        async def one(address: str) -> Result[dict, str]:
+            async with gate:
+                return await self.dump(address)
+
+        found = await asyncio.gather(*(one(address) for address in addresses))
+        return dict(zip(addresses, found, strict=True))
+
+    async def _read(self, path: str, kind: type) -> Result:
+        answer = await self._ask("GET", path, READ_TIMEOUT_S, {}, None)
+        match answer:
+            case Result(tag="ok", ok=_Answer(status=200, body=body)):
+                return Ok(msgspec.json.decode(body, type=kind))
+            case Result(tag="ok", ok=refused):
+                return Error(_denied(refused))
+            case Result(error=unreachable):
+                return Error(unreachable)
+
+    async def _ask(
+        self, method: str, path: str, timeout: float, headers: dict, body: bytes | None
+    ) -> Result[_Answer, Unreachable]:
+        """Ask one member after the other; the one that answers is asked first."""
+        deadline = now() + timeout
+        reasons: dict[str, str] = {}
+        while True:
+            for peer in list(self._control):
+                match await self._try(method, peer, path, headers, body):
+                    case Result(tag="ok", ok=answer) if _is_final(answer):
+                        self._prefer(peer)
+                        return Ok(answer)
+                    case Result(tag="ok", ok=answer):
+                        reasons[peer] = _denied(answer).detail
+                    case Result(error=reason):
+                        reasons[peer] = reason
+            if now() + RETRY_PAUSE_S >= deadline:
+                listed = (f"{peer}: {reason}" for peer, reason in reasons.items())
+                return Error(Unreachable(tuple(listed)))
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _try(
+        self, method: str, peer: str, path: str, headers: dict, body: bytes | None
+    ) -> Result[_Answer, str]:
+        url = f"{self._scheme}://{peer}{path}"
+        headers = {"Authorization": f"Bearer {self._token}"} | headers
+        try:
+            async with self._session.request(
+                method, url, headers=headers, data=body
+            ) as res:
+                return Ok(_Answer(res.status, await res.read()))
+        except TimeoutError:
+            return Error("no answer in time")
+        except (aiohttp.ClientError, OSError) as exc:
+            return Error(_reason(exc))
+
+    def _prefer(self, peer: str) -> None:
+        self._control.remove(peer)
+        self._control.insert(0, peer)
+
+
+def create(
+    control: list[str], token: str, tls: ssl.SSLContext | None = None
+) -> OperatorsClient:
+    """Return a client, to be used as an async context manager."""
+    return OperatorsClient(control, token, tls)
+
+
+def _is_final(answer: _Answer) -> bool:
+    return answer.status not in TRY_ANOTHER
+
+
+def _change_result(answer: _Answer) -> Result[ChangeAnswer, ChangeError]:
+    match answer.status:
+        case 200:
+            return Ok(msgspec.json.decode(answer.body, type=ChangeAnswer))
+        case 409:
+            return Error(msgspec.json.decode(answer.body, type=Conflict))
+        case _:
+            return Error(_faulty_or_denied(answer))
+
+
+def _check_result(answer: _Answer) -> Result[None, ChangeError]:
+    return Ok(None) if answer.status == 200 else Error(_faulty_or_denied(answer))
+
+
+def _faulty_or_denied(answer: _Answer) -> Faulty | Denied:
+    if answer.status == 422:
+        invalid = msgspec.json.decode(answer.body, type=InvalidDocument)
+        return Faulty(invalid.faults)
+    return _denied(answer)
+
+
+def _denied(answer: _Answer) -> Denied:
+    try:
+        detail = msgspec.json.decode(answer.body, type=Refused).detail
+    except msgspec.MsgspecError:
+        detail = answer.body[:200].decode(errors="replace")
+    return Denied(answer.status, detail)
+
+
+def _member_status(answer: Result[_Answer, str]) -> MemberStatus | str:
+    match answer:
+        case Result(tag="ok", ok=_Answer(status=200, body=body)):
+            return msgspec.json.decode(body, type=MemberStatus)
+        case Result(tag="ok", ok=refused):
+            return str(_denied(refused))
+        case Result(error=reason):
+            return reason
+
+
+def _merged(answers: list[InForceAnswer]) -> InForceAnswer:
+    in_force: dict[str, int] = {}
+    for answer in answers:
+        for node, version in answer.in_force.items():
+            in_force[node] = max(version, in_force.get(node, 0))
+    newest = max(answer.version for answer in answers)
+    return InForceAnswer(newest, dict(sorted(in_force.items())))
+
+
+def _reason(exc: Exception) -> str:
+    os_error = getattr(exc, "os_error", exc)
+    return getattr(os_error, "strerror", None) or type(exc).__name__
--- /dev/null
+++ b/fuchsiacroft/overview.py
@@ -0,0 +1,130 @@
+"""What operators see of the running system, read from the entries' dumps."""
+
+from dataclasses import dataclass, field
+
+from expression import Result
+
+from fuchsiacroft.operators_client import OperatorsClient
+
+
+@dataclass(frozen=True, slots=True)
+class EntryState:
+    """An entry: `problem` says why its state is not known, if it is not.
+
+    `waiting` counts the requests in its queues by service.
+    """
+
+    node: str
+    address: str
+    problem: str = ""
+    version: int = 0
+    in_progress: int = 0
+    draining: bool = False
+    waiting: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class BackendServerState:
+    """A backend server as its owner, or else any entry, sees it.
+
+    `running` counts the requests that its owner let run there; it is None
+    when no owner answered. `heard_s_ago` is the age of its announcement.
+    """
+
+    name: str
+    failure_domain: str
+    services: tuple[str, ...]
+    role: str
+    generation: str
+    slots: int
+    leaving: bool
+    heard_s_ago: float
+    running: int | None = None
+    owner: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Overview:
+    """The entries and the backend servers, each sorted by name."""
+
+    entries: tuple[EntryState, ...]
+    backend_servers: tuple[BackendServerState, ...]
+
+
+async def read(client: OperatorsClient, entries: dict[str, str]) -> Overview:
+    """Ask each entry, given by node name and operators' address, for its state."""
+    found = await client.dumps(list(entries.values()))
+    states = {}
+    dumps = {}
+    for node, address in sorted(entries.items()):
+        match found[address]:
+            case Result(tag="ok", ok=dump):
+                dumps[node] = dump
+                states[node] = _entry(node, address, dump)
+            case Result(error=reason):
+                states[node] = EntryState(node, address, problem=reason)
+    return Overview(tuple(states.values()), _backend_servers(dumps))
+
+
+def _entry(node: str, address: str, dump: dict) -> EntryState:
+    callers = _part(dump, "callers")
+    waiting = _part(dump, "desk").get("waiting")
+    return EntryState(
+        node=node,
+        address=address,
+        version=_part(dump, "document").get("version", 0),
+        in_progress=callers.get("in_progress", 0),
+        draining=bool(callers.get("draining")),
+        waiting=_counts(waiting),
+    )
+
+
+def _backend_servers(dumps: dict[str, dict]) -> tuple[BackendServerState, ...]:
+    servers: dict[str, BackendServerState] = {}
+    for node, dump in dumps.items():
+        owned = _part(_part(dump, "desk"), "owned")
+        for name, seen in _part(dump, "backend_servers").items():
+            if not isinstance(seen, dict) or "announcement" not in seen:
+                continue
+            if name in servers and name not in owned:
+                continue
+            servers[name] = _backend_server(name, seen, node, owned.get(name))
+    return tuple(servers[name] for name in sorted(servers))
+
+
+def _backend_server(
+    name: str, seen: dict, node: str, owned: dict | None
+) -> BackendServerState:
+    announcement = seen["announcement"]
+    running = None if owned is None else _size(owned.get("running"))
+    return BackendServerState(
+        name=name,
+        failure_domain=announcement.get("failure_domain", ""),
+        services=tuple(
+            offer.get("service", "") for offer in announcement.get("offers", ())
+        ),
+        role=announcement.get("role", ""),
+        generation=announcement.get("generation", ""),
+        slots=announcement.get("slots", 0),
+        leaving=bool(announcement.get("leaving")),
+        heard_s_ago=seen.get("heard_s_ago", 0.0),
+        running=running,
+        owner=None if owned is None else node,
+    )
+
+
+def _part(dump: dict, name: str) -> dict:
+    part = dump.get(name)
+    return part if isinstance(part, dict) else {}
+
+
+def _counts(value: object) -> dict[str, int]:
+    if not isinstance(value, dict):
+        return {}
+    return {str(name): _size(item) for name, item in value.items()}
+
+
+def _size(value: object) -> int:
+    if isinstance(value, int):
+        return value
+    return len(value) if isinstance(value, (list, dict)) else 0
--- /dev/null
+++ b/fuchsiacroft/tests/commands/check_tests.py
@@ -0,0 +1,113 @@
+"""Tests of the command line and of `check`."""
+
+import contextlib
+import io
+import json
+import tempfile
+from pathlib import Path
+
+import msgspec
+
+from fuchsiacroft.__main__ import COMMANDS, main
+from fuchsiacroft.commands.exit_codes import ExitCode
+from fuchsiacroft.config.document import hash_key
+from fuchsiacroft.tests.base import TestCase
+from fuchsiacroft.tests.fakes.cluster import sample_document
+
+SETTINGS = {
+    "node": "entry-1",
+    "failure_domain": "mvd-cordon",
+    "region": "mvd",
+    "addresses": {"operators": "10.0.0.1:7001", "peers": "10.0.0.1:7002"},
+    "operator_token_hashes": [hash_key("token")],
+}
+
+
+class CommandTestCase(TestCase):
+    """Runs commands and keeps what they print."""
+
+    def run_command(self, *args):
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = main(["fuchsiacroft", *args])
+        return code, out.getvalue(), err.getvalue()
+
+
+class CommandLineTests(CommandTestCase):
+    """Usage, help and exit codes."""
+
+    def test_every_command_has_help_with_its_exit_codes(self):
+        for name in COMMANDS:
+            with self.subTest(command=name):
+                code, out, _ = self.run_command(name, "--help")
+                self.assertEqual(ExitCode.OK, code)
+                self.assertIn(f"usage: fuchsiacroft {name}", out)
+                self.assertIn("exit codes:\n  0  done", out)
+
+    def test_no_flag_takes_a_token(self):
+        for name in COMMANDS:
+            _, out, _ = self.run_command(name, "--help")
+            self.assertNotRegex(out, r"--token\b")
+
+    def test_the_nearest_command_is_named(self):
+        code, _, err = self.run_command("aply")
+        self.assertEqual(ExitCode.USAGE, code)
+        self.assertIn('did you mean "apply"?', err)
+
+    def test_unknown_flags_and_loose_words_are_wrong_usage(self):
+        for args in (("check", "--setings=x"), ("check", "x"), ("check",), ("apply",)):
+            code, _, err = self.run_command(*args)
+            self.assertEqual(ExitCode.USAGE, code)
+            self.assertTrue(err)
+
+
+class CheckTests(CommandTestCase):
+    """Faults and warnings of settings and document together."""
+
+    def check(self, settings=None, document=None):
+        flags = []
+        with tempfile.TemporaryDirectory() as folder:
+            files = {"settings": settings, "document": document}
+            for name, value in files.items():
+                if value is not None:
+                    path = Path(folder, name)
+                    path.write_bytes(msgspec.json.encode(value))
+                    flags.append(f"--{name}={path}")
+            return self.run_command("check", *flags)
+
+    def test_good_files_have_no_faults(self):
+        code, out, err = self.check(SETTINGS, sample_document())
+        self.assertEqual((ExitCode.OK, "no faults\n", ""), (code, out, err))
+
+    def test_the_faults_of_both_files_are_printed(self):
+        bad = dict(SETTINGS, nod="x")
+        document = sample_document()
+        document["services"][0]["kind"] = "modell"
+        code, _, err = self.check(bad, document)
+        self.assertEqual(ExitCode.FAILED, code)
+        self.assertIn("$.nod: unknown key; known are node, failure_domain", err)
+        self.assertIn('did you mean "node"?', err)
+        self.assertIn("$.services[0].kind", err)
+        self.assertIn('did you mean "model"?', err)
+
+    def test_a_doubled_address_is_a_warning(self):
+        same = "10.0.0.1:7002"
+        other = {"node": "entry-2", "failure_domain": "mvd-cordon", "peers": same}
+        code, _, err = self.check(dict(SETTINGS, entries=[other]))
+        self.assertEqual(ExitCode.OK, code)
+        self.assertIn(
+            f"warning: $.addresses.peers: {same} stands in $.entries[0].peers too", err
+        )
+
+    def test_a_rule_that_never_decides_is_a_warning(self):
+        document = sample_document()
+        rule = {"service": "counter", "idempotent": True, "methods": ["POST"]}
+        document["rules"].append(dict(rule, path_prefix="/bookings/old"))
+        _, _, err = self.check(document=document)
+        self.assertIn("$.rules[1]: never decides: $.rules[0] matches", err)
+
+    def test_the_schema_is_published(self):
+        for name in ("settings", "document"):
+            code, out, _ = self.run_command("check", f"--schema={name}")
+            self.assertEqual(ExitCode.OK, code)
+            self.assertIn("$defs", json.loads(out))
--- /dev/null
+++ b/fuchsiacroft/tests/commands/operators_commands_tests.py
@@ -0,0 +1,158 @@
+"""Tests of the commands that use the operators' API, and their exit codes."""
+
+import contextlib
+import io
+import json
+import os
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+import msgspec
+
+from fuchsiacroft.__main__ import main
+from fuchsiacroft.commands.exit_codes import ExitCode
+from fuchsiacroft.tests.base import TestCase
+from fuchsiacroft.tests.fakes.cluster import sample_document
+from fuchsiacroft.tests.fakes.control_thread import TOKEN, ControlThread
+from fuchsiacroft.tests.fakes.ports import free_address
+
+
+class OperatorsCommandsTests(TestCase):
+    """One control member answers; another address is dead."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.control = ControlThread(self.folder / "data")
+        self.control.start()
+        self.addCleanup(self.control.stop)
+        self.addresses = f"{free_address()},{self.control.operators}"
+        variables = mock.patch.dict(os.environ, {"FUCHSIACROFT_TOKEN": TOKEN})
+        variables.start()
+        self.addCleanup(variables.stop)
+
+    def run_command(self, name, *flags):
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = main(["fuchsiacroft", name, f"--control={self.addresses}", *flags])
+        return code, out.getvalue(), err.getvalue()
+
+    def write(self, document):
+        path = self.folder / "document.json"
+        path.write_bytes(msgspec.json.encode(document))
+        return f"--document={path}"
+
+    def apply(self, document, *flags):
+        return self.run_command("apply", self.write(document), *flags)
+
+    def test_apply_skips_a_control_member_that_is_down(self):
+        code, out, _ = self.apply(sample_document())
+        self.assertEqual((ExitCode.OK, "accepted as version 1\n"), (code, out))
+
+    def test_apply_may_be_sent_again(self):
+        flags = ("--held=0", "--change_id=c1")
+        self.apply(sample_document(), *flags)
+        code, out, _ = self.apply(sample_document(), *flags)
+        self.assertEqual(ExitCode.OK, code)
+        self.assertEqual("accepted as version 1 (accepted before)\n", out)
+
+    def test_apply_shows_what_the_other_changed(self):
+        self.apply(sample_document())
+        other = sample_document()
+        other["tiers"][0]["timeout_s"] = 20
+        self.apply(other, "--operator=beat")
+        code, _, err = self.apply(sample_document(), "--held=1")
+        self.assertEqual(ExitCode.CONFLICT, code)
+        self.assertIn("version 2 by beat came first", err)
+        self.assertIn('tiers: "counter" changed (timeout_s)', err)
+
+    def test_apply_prints_every_fault(self):
+        bad = sample_document()
+        bad["workspaces"][0]["tier"] = "countr"
+        code, _, err = self.apply(bad)
+        self.assertEqual(ExitCode.FAILED, code)
+        self.assertIn('$.workspaces[0].tier: "countr" is not known', err)
+        self.assertIn('did you mean "counter"?', err)
+
+    def test_apply_says_who_does_not_have_the_version(self):
+        settings = msgspec.to_builtins(self.control.settings)
+        settings["entries"] = [
+            {
+                "node": "entry-9",
+                "failure_domain": "mvd-cordon",
+                "peers": free_address(),
+                "operators": free_address(),
+            }
+        ]
+        path = self.folder / "settings.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        code, _, err = self.apply(
+            sample_document(), f"--settings={path}", "--wait_s=0.3"
+        )
+        self.assertEqual(ExitCode.NOT_IN_FORCE, code)
+        self.assertIn("version 1 in force on 0 of 1", err)
+        self.assertIn("not in force on entry-9", err)
+
+    def test_rollback_makes_a_new_version_of_an_old_document(self):
+        self.apply(sample_document())
+        other = sample_document()
+        del other["workspaces"][2]
+        self.apply(other)
+        code, out, err = self.run_command("rollback", "--to=1")
+        self.assertEqual((ExitCode.OK, "accepted as version 3\n"), (code, out))
+        self.assertIn('workspaces: "shop-2" added', err)
+        code, out, err = self.run_command("diff", "--old=1", "--new=3")
+        self.assertEqual((ExitCode.OK, ""), (code, out))
+        self.assertIn("no differences", err)
+        _, out, _ = self.run_command("diff", "--old=2", "--new=3")
+        self.assertEqual('  workspaces: "shop-2" added\n', out)
+
+    def test_history_names_operators_and_items(self):
+        self.apply(sample_document(), "--operator=ana", "--change_id=c1")
+        code, out, _ = self.run_command("history")
+        self.assertEqual(ExitCode.OK, code)
+        self.assertRegex(out, r"^1  \d{4}-.*Z  ana  .*workspace shop-0.*change id c1")
+
+    def test_status_shows_each_control_member(self):
+        self.apply(sample_document())
+        code, out, _ = self.run_command("status")
+        self.assertEqual(ExitCode.OK, code)
+        self.assertIn("newest version: 1", out)
+        self.assertIn("control-1  leader", out)
+        self.assertIn("no status: Connect call failed", out.replace("\n", " "))
+        code, out, _ = self.run_command("status", "--json")
+        self.assertEqual(1, json.loads(out)["version"])
+
+    def test_without_a_control_member_the_change_may_be_sent_again(self):
+        self.addresses = free_address()
+        with mock.patch("fuchsiacroft.operators_client.CHANGE_TIMEOUT_S", 0.1):
+            code, _, err = self.apply(sample_document(), "--held=0")
+        self.assertEqual(ExitCode.UNREACHABLE, code)
+        self.assertIn("no control member answers", err)
+
+    def test_the_token_is_needed_and_comes_from_a_file_or_the_environment(self):
+        del os.environ["FUCHSIACROFT_TOKEN"]
+        code, _, err = self.run_command("status")
+        self.assertEqual(ExitCode.USAGE, code)
+        self.assertIn("an operator token is needed", err)
+        path = self.folder / "token"
+        path.write_text("wrong\n")
+        code, _, err = self.run_command("history", f"--token_file={path}")
+        self.assertEqual(ExitCode.FAILED, code)
+        self.assertIn("refused (401)", err)
+        path.write_text(TOKEN + "\n")
+        code, _, _ = self.run_command("history", f"--token_file={path}")
+        self.assertEqual(ExitCode.OK, code)
+
+    def test_dump_prints_one_service(self):
+        out = io.StringIO()
+        address = self.control.operators
+        with contextlib.redirect_stdout(out):
+            code = main(
+                ["fuchsiacroft", "dump", f"--address={address}", "--service=document"]
+            )
+        self.assertEqual(ExitCode.OK, code)
+        self.assertEqual(0, json.loads(out.getvalue())["version"])
--- a/fuchsiacroft/utils/process.py
+++ b/fuchsiacroft/utils/process.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import signal
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 import uvloop
 
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.utils.logs import event
 
+T = TypeVar("T")
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -26,7 +30,7 @@
     event("info", "stopped", node=node)
 
 
-def run(main) -> None:
-    """Run a coroutine on uvloop to its end."""
+def run(main: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine on uvloop to its end and return its result."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(main)
+        return runner.run(main)
