--- a/fuchsiacroft/control/api.py
+++ b/fuchsiacroft/control/api.py
@@ -82,7 +82,7 @@
         return json_answer(200, DocumentAnswer(version, found))
 
     async def _get_in_force(self, req: web.Request) -> web.Response:
-        in_force = self._feed.in_force()
+        in_force = await self._feed.in_force()
         return json_answer(200, InForceAnswer(self._state.version, in_force))
 
     async def _get_history(self, req: web.Request) -> web.Response:
@@ -99,7 +99,7 @@
             leads=self._log.is_leader,
             term=self._log.term,
             leader_peer=self._log.leader_peer,
-            in_force=self._feed.in_force(),
+            in_force=await self._feed.in_force(),
         )
         return json_answer(200, status)
 
--- a/fuchsiacroft/tests/commands/operators_commands_tests.py
+++ b/fuchsiacroft/tests/commands/operators_commands_tests.py
@@ -26,13 +26,16 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
-        self.control = ControlThread(self.folder / "data")
+        self.control = ControlThread()
         self.control.start()
         self.addCleanup(self.control.stop)
         self.addresses = f"{free_address()},{self.control.operators}"
         variables = mock.patch.dict(os.environ, {"FUCHSIACROFT_TOKEN": TOKEN})
         variables.start()
         self.addCleanup(variables.stop)
+        configure = mock.patch("fuchsiacroft.utils.logs.configure")
+        configure.start()
+        self.addCleanup(configure.stop)
 
     def run_command(self, name, *flags):
         out, err = io.StringIO(), io.StringIO()
--- a/fuchsiacroft/tests/control/api_tests.py
+++ b/fuchsiacroft/tests/control/api_tests.py
@@ -1,8 +1,5 @@
 """Tests of the operators' API over HTTP."""
 
-import tempfile
-from pathlib import Path
-
 import aiohttp
 import msgspec
 from loguru import logger
@@ -17,9 +14,7 @@
     """Changes under a version and a change id, reads, refusals, audit."""
 
     async def asyncSetUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.control = ControlThread(Path(folder.name))
+        self.control = ControlThread()
         self.control.start()
         self.addCleanup(self.control.stop)
         self.session = aiohttp.ClientSession(f"http://{self.control.operators}")
--- a/fuchsiacroft/tests/fakes/control_thread.py
+++ b/fuchsiacroft/tests/fakes/control_thread.py
@@ -1,25 +1,29 @@
-"""A control member in a thread of its own, for tests of its clients."""
+"""The operators' API of a control member, in a thread of its own.
+
+The log is a `LocalLog` and the bus in memory, so that it starts at once.
+"""
 
 import asyncio
 import threading
-from pathlib import Path
-
-import aiohttp
 
+from fuchsiacroft import operations
+from fuchsiacroft.config import held
 from fuchsiacroft.config.document import hash_key
 from fuchsiacroft.config.settings import Addresses, Member, Settings
-from fuchsiacroft.control import process
+from fuchsiacroft.control import api, configuration, feed, local_log
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.tests.fakes.bus import MemoryNetwork
 from fuchsiacroft.tests.fakes.ports import free_addresses
+from fuchsiacroft.utils.metrics import Metrics
 
 TOKEN = "operator-token"
 READY_TIMEOUT_S = 10.0
-POLL_S = 0.02
 
 
 class ControlThread:
     """Runs a control member on loopback until it is stopped."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self) -> None:
         self.operators, peers = free_addresses(2)
         self.settings = Settings(
             node="control-1",
@@ -27,7 +31,6 @@
             region="mvd",
             addresses=Addresses(operators=self.operators, peers=peers),
             control=[Member("control-1", "mvd-cordon", peers, self.operators)],
-            data_folder=str(folder),
             operator_token_hashes=[hash_key(TOKEN)],
         )
         self._loop = asyncio.new_event_loop()
@@ -36,7 +39,7 @@
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
-        """Start it and wait until it answers for the document."""
+        """Start it and wait until it answers."""
         self._thread.start()
         if not self._ready.wait(READY_TIMEOUT_S):
             raise RuntimeError("the control member did not start")
@@ -51,20 +54,29 @@
         self._loop.close()
 
     async def _serve(self) -> None:
-        kernel = process.create(self.settings)
+        kernel = _kernel(self.settings)
         await kernel.start()
-        await self._wait_for_leader()
         self._ready.set()
         await self._stopping.wait()
         await kernel.drain()
         await kernel.stop()
 
-    async def _wait_for_leader(self) -> None:
-        headers = {"Authorization": f"Bearer {TOKEN}"}
-        url = f"http://{self.operators}/v1/document"
-        async with aiohttp.ClientSession(headers=headers) as session:
-            while True:
-                async with session.get(url) as res:
-                    if res.status == 200:
-                        return
-                await asyncio.sleep(POLL_S)
+
+def _kernel(settings: Settings) -> Kernel:
+    state = configuration.ConfigurationState()
+    log = local_log.create()
+    log.register("configuration", state)
+    ops = operations.create(settings.addresses.operators, Metrics())
+    operator_api = api.create(settings, state)
+    operator_api.add_routes(ops)
+    kernel = Kernel()
+    for service in (
+        MemoryNetwork().bus(settings.node, settings.addresses.peers),
+        held.create(),
+        log,
+        feed.create(settings, state),
+        operator_api,
+        ops,
+    ):
+        kernel.add(service)
+    return kernel
