Add a model of the systems served and the experiment command

Replays one trace under each policy set against the real desks and schedulers on a network in memory.

--- a/fuchsiacroft/__main__.py
+++ b/fuchsiacroft/__main__.py
@@ -11,6 +11,7 @@
     "entry": "run an entry: take callers' requests and dispatch them",
     "control": "run a control member: configuration, ledger, leases, orders",
     "standin": "run a stand-in model engine or plain application",
+    "experiment": "replay traces under each policy set in a model",
     "check": "check settings and a document, and print every fault",
 }
 
@@ -46,7 +47,7 @@
 def usage() -> str:
     """Return the list of commands and exit codes."""
     lines = ["usage: fuchsiacroft COMMAND [--flag=VALUE ...]", "", "commands:"]
-    lines += [f"  {name:9} {text}" for name, text in COMMANDS.items()]
+    lines += [f"  {name:10} {text}" for name, text in COMMANDS.items()]
     lines += ["", "exit codes: 0 done, 1 failed or refused, 2 wrong usage"]
     return "\n".join(lines)
 
--- /dev/null
+++ b/fuchsiacroft/model/engine.py
@@ -0,0 +1,116 @@
+"""A model of a continuously batching engine.
+
+Prefill is shared by the prompts in it, and slows decoding beside it. The token
+gap is flat up to a knee of running requests and then grows with them; beyond
+the room of the KV cache, requests are preempted and recomputed, and
+throughput falls. Prefixes are cached in limited memory.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from fuchsiacroft.model.server import ModelServer, ServerRun
+from fuchsiacroft.model.shared_work import SharedWork
+from fuchsiacroft.routing.prefixes import TOKENS_PER_BLOCK
+from fuchsiacroft.utils.clock import now
+
+PREFILL_SLOWS_DECODE = 1.25
+
+
+@dataclass(frozen=True, slots=True)
+class Generation:
+    """A hardware generation's speeds; `kv_tokens` is its KV cache."""
+
+    name: str
+    prefill_tokens_per_s: float
+    token_gap_s: float
+    knee_runs: int
+    kv_tokens: int
+    cached_blocks: int
+
+
+OLDER = Generation("gen-a", 8_000.0, 0.030, 16, 60_000, 200)
+NEWER = Generation("gen-b", 14_000.0, 0.020, 20, 90_000, 300)
+
+
+class ModelEngine(ModelServer):
+    """Prefills, then decodes, every request that it is given."""
+
+    def __init__(self, generation: Generation) -> None:
+        super().__init__()
+        self.generation = generation
+        self.prefilled_tokens = 0.0
+        self._prefill = SharedWork()
+        self._decode = SharedWork()
+        self._cache: OrderedDict[int, None] = OrderedDict()
+        self._kv_used = 0
+
+    def token_gap_s(self) -> float:
+        """Return the present seconds between tokens of one run."""
+        running = len(self._decode) + len(self._prefill)
+        gap_s = self.generation.token_gap_s * self.slowdown
+        gap_s *= max(1.0, running / self.generation.knee_runs)
+        gap_s *= max(1.0, self._kv_used / self.generation.kv_tokens) ** 2
+        return gap_s * (PREFILL_SLOWS_DECODE if len(self._prefill) else 1.0)
+
+    def _prefill_rate(self) -> float:
+        if not len(self._prefill):
+            return 0.0
+        whole = self.generation.prefill_tokens_per_s / self.slowdown
+        return whole / len(self._prefill)
+
+    def _begin(self, run: ServerRun) -> None:
+        run.prompt_left = max(16, run.arrival.prompt_tokens - self._cached(run))
+        self._kv_used += _kv_tokens(run)
+        self._prefill.add(run, run.prompt_left)
+
+    def _abandon(self, run: ServerRun) -> None:
+        self._kv_used -= _kv_tokens(run)
+        if run.first_token_at is None:
+            run.prefilled = run.prompt_left - self._prefill.remove(run)
+            self.prefilled_tokens += run.prefilled
+        else:
+            self._decode.remove(run)
+
+    def _work(self, seconds: float) -> None:
+        self._prefill.advance(seconds, self._prefill_rate())
+        self._decode.advance(seconds, 1.0 / self.token_gap_s())
+
+    def _due_in(self) -> float:
+        decode_in = self._decode.due_in(1.0 / self.token_gap_s())
+        return min(self._prefill.due_in(self._prefill_rate()), decode_in)
+
+    def _finish_due(self) -> None:
+        for run in self._decode.pop_done():
+            self._kv_used -= _kv_tokens(run)
+            self._complete(run)
+        for run in self._prefill.pop_done():
+            run.prefilled = run.prompt_left
+            self.prefilled_tokens += run.prefilled
+            run.first_token_at = now()
+            self._fill_cache(run)
+            if run.arrival.crashes:
+                self._decode.add(run, run.arrival.output_tokens)
+                self.kill()
+                return
+            self._decode.add(run, run.arrival.output_tokens)
+
+    def _cached(self, run: ServerRun) -> int:
+        blocks = 0
+        for prefix in run.arrival.prefixes:
+            if prefix not in self._cache:
+                break
+            self._cache.move_to_end(prefix)
+            blocks += 1
+        return blocks * TOKENS_PER_BLOCK
+
+    def _fill_cache(self, run: ServerRun) -> None:
+        for prefix in run.arrival.prefixes:
+            self._cache[prefix] = None
+            self._cache.move_to_end(prefix)
+        while len(self._cache) > self.generation.cached_blocks:
+            self._cache.popitem(last=False)
+
+
+def _kv_tokens(run: ServerRun) -> int:
+    return run.arrival.prompt_tokens + run.arrival.output_tokens
--- /dev/null
+++ b/fuchsiacroft/model/outcomes.py
@@ -0,0 +1,100 @@
+"""What became of the requests of one model run, and its measures."""
+
+import enum
+import math
+from collections import Counter
+from dataclasses import dataclass, field
+
+from fuchsiacroft.model.trace import Arrival
+
+
+class Ending(enum.Enum):
+    """How a request ended for its caller."""
+
+    ANSWERED = "answered"
+    LATE = "late"
+    REFUSED = "refused"
+    CUT = "cut"
+    LOST = "lost"
+    ENTRY_LOST = "entry_lost"
+    UNANSWERED = "unanswered"
+
+
+@dataclass(slots=True)
+class Record:
+    """One request: its ending, what it used, and when its caller knew."""
+
+    arrival: Arrival
+    ending: Ending = Ending.UNANSWERED
+    starts: int = 0
+    ended_at_s: float = math.inf
+    first_token_s: float | None = None
+    token_gap_s: float | None = None
+    prefilled: float = 0.0
+
+    @property
+    def is_useful(self) -> bool:
+        """Tell whether a whole answer came in time."""
+        return self.ending is Ending.ANSWERED
+
+
+@dataclass(slots=True)
+class Outcomes:
+    """All records of a run, and the promises that were seen broken."""
+
+    records: list[Record] = field(default_factory=list)
+    inversions: int = 0
+    broken: Counter[str] = field(default_factory=Counter)
+    messages: int = 0
+    refused_late: int = 0
+
+    def measures(self) -> "Measures":
+        """Return the figures of the run."""
+        ranks = sorted({record.arrival.rank for record in self.records})
+        useful = [record for record in self.records if record.is_useful]
+        return Measures(
+            goodput=tuple(_share(self.records, rank) for rank in ranks),
+            total=len(useful),
+            tokens=sum(record.arrival.output_tokens for record in useful),
+            offered=len(self.records),
+            wasted=sum(r.prefilled for r in self.records if not r.is_useful),
+            prefilled=sum(record.prefilled for record in self.records),
+            endings=Counter(record.ending.value for record in self.records),
+            inversions=self.inversions,
+            broken=sum(self.broken.values()),
+            first_token_p95_s=_p95(
+                [r.first_token_s for r in useful if r.arrival.rank == 0]
+            ),
+            token_gap_p95_s=_p95([r.token_gap_s for r in useful]),
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Measures:
+    """Goodput is the part of each rank's requests answered in time.
+
+    `total` counts useful answers and `tokens` their output; `wasted` counts
+    prompt tokens prefilled for answers that were of no use.
+    """
+
+    goodput: tuple[float, ...]
+    total: int
+    tokens: int
+    offered: int
+    wasted: float
+    prefilled: float
+    endings: Counter[str]
+    inversions: int
+    broken: int
+    first_token_p95_s: float
+    token_gap_p95_s: float
+
+
+def _share(records: list[Record], rank: int) -> float:
+    of_rank = [record for record in records if record.arrival.rank == rank]
+    return sum(record.is_useful for record in of_rank) / len(of_rank)
+
+
+def _p95(values: list[float | None]) -> float:
+    known = sorted(value for value in values if value is not None)
+    return known[int(0.95 * (len(known) - 1))] if known else math.nan
--- /dev/null
+++ b/fuchsiacroft/model/server.py
@@ -0,0 +1,140 @@
+"""What the models of engines and applications have in common."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+
+from fuchsiacroft.model.trace import Arrival
+from fuchsiacroft.utils.clock import now
+
+
+class ConnectFailedError(Exception):
+    """The server is not there; nothing was sent."""
+
+
+class ServerLostError(Exception):
+    """The server died while it ran a request."""
+
+
+@dataclass(slots=True, eq=False)
+class ServerRun:
+    """One run on a server; times in seconds on the loop's clock."""
+
+    arrival: Arrival
+    done: asyncio.Future
+    started_at: float
+    first_token_at: float | None = None
+    ended_at: float | None = None
+    prompt_left: int = 0
+    prefilled: float = 0.0
+
+
+class ModelServer(ABC):
+    """Admits everything, knows no priorities, and can be slowed or killed."""
+
+    def __init__(self) -> None:
+        self.slowdown = 1.0
+        self.alive = True
+        self.leaving_since: float | None = None
+        self.runs: set[ServerRun] = set()
+        self._advanced_at = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self, arrival: Arrival) -> ServerRun:
+        """Begin a run."""
+        if not self.alive:
+            raise ConnectFailedError
+        self._advance()
+        done = asyncio.get_running_loop().create_future()
+        run = ServerRun(arrival, done, started_at=now())
+        self.runs.add(run)
+        self._begin(run)
+        self._schedule()
+        return run
+
+    def cancel(self, run: ServerRun) -> None:
+        """End a run whose caller is gone."""
+        if run not in self.runs:
+            return
+        self._advance()
+        self._abandon(run)
+        self._end(run)
+        self._schedule()
+
+    def slow_down(self, factor: float) -> None:
+        """Run this many times slower from now on."""
+        self._advance()
+        self.slowdown = factor
+        self._schedule()
+
+    def kill(self) -> None:
+        """Die; every run is lost."""
+        self._advance()
+        self.alive = False
+        for run in list(self.runs):
+            self._abandon(run)
+            self._end(run)
+            if not run.done.done():
+                run.done.set_exception(ServerLostError())
+        self._schedule()
+
+    def _end(self, run: ServerRun) -> None:
+        run.ended_at = now()
+        self.runs.discard(run)
+
+    def _complete(self, run: ServerRun) -> None:
+        self._end(run)
+        if not run.done.done():
+            run.done.set_result(run)
+
+    def _advance(self) -> None:
+        seconds = now() - self._advanced_at
+        self._advanced_at = now()
+        if seconds > 0.0:
+            self._work(seconds)
+
+    def _schedule(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        due_in = self._due_in()
+        if self.alive and due_in < 1e9:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(due_in, self._tick)
+
+    def _tick(self) -> None:
+        self._advance()
+        self._finish_due()
+        self._schedule()
+
+    @abstractmethod
+    def _begin(self, run: ServerRun) -> None:
+        """Put a run to work."""
+
+    @abstractmethod
+    def _abandon(self, run: ServerRun) -> None:
+        """Take a run out before its end."""
+
+    @abstractmethod
+    def _work(self, seconds: float) -> None:
+        """Advance every run."""
+
+    @abstractmethod
+    def _due_in(self) -> float:
+        """Return the seconds until the next change."""
+
+    @abstractmethod
+    def _finish_due(self) -> None:
+        """Complete what is done."""
+
+
+@dataclass(frozen=True, slots=True)
+class Slot:
+    """Where a server stands: names, domain and what it announces."""
+
+    name: str
+    domain: str
+    service: str
+    generation: str
+    slots: int
+    server: ModelServer = field(repr=False)
--- /dev/null
+++ b/fuchsiacroft/model/world.py
@@ -0,0 +1,258 @@
+"""A modelled deployment: real schedulers, modelled servers and callers."""
+
+import asyncio
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from fuchsiacroft.config.settings import Addresses, Member, Policies, Settings
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.membership import backend_servers
+from fuchsiacroft.membership.announcement import (
+    Announced,
+    Announcement,
+    Offer,
+    ReportedLoad,
+)
+from fuchsiacroft.model.application import ModelApplication
+from fuchsiacroft.model.engine import NEWER, OLDER, ModelEngine
+from fuchsiacroft.model.network import MemoryNetwork
+from fuchsiacroft.model.server import Slot
+from fuchsiacroft.model.trace import Deployment, mean_work
+from fuchsiacroft.routing import desk, lending, owners, quarantine, scheduler, spill
+from fuchsiacroft.routing.desk import Desk
+from fuchsiacroft.routing.lending import Lending
+from fuchsiacroft.routing.owners import RendezvousOwners
+from fuchsiacroft.routing.scheduler import Scheduler
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.tasks import TaskGroup
+
+ENGINES_A_DOMAIN = 3
+ENGINE_SLOTS = 32
+APPLICATION_SLOTS = 16
+APPLICATION_WORKERS = 8
+ANNOUNCE_PERIOD_S = 1.0
+DETECTION_S = 2.5
+REGION_DELAY_S = (0.0005, 0.0015)
+
+
+@dataclass(frozen=True, slots=True)
+class Conditions:
+    """How the load reports are: seconds late, or missing, or scaled wrongly."""
+
+    report_lag_s: float = 1.0
+    reports: bool = True
+    report_factor: float = 1.0
+
+
+@dataclass(slots=True)
+class ModelEntry:
+    """One entry with its real services."""
+
+    member: Member
+    kernel: Kernel
+    owned_by: RendezvousOwners
+    alive: bool = True
+    callers: set[asyncio.Task] = field(default_factory=set)
+
+    @property
+    def scheduler(self) -> Scheduler:
+        """Return the entry's scheduler."""
+        return self.kernel.get("scheduler", Scheduler)
+
+
+class World:
+    """Builds a deployment, lets servers announce, and injects failures."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        policies: Policies,
+        seed: int,
+        conditions: Conditions,
+    ) -> None:
+        self.deployment = deployment
+        self.conditions = conditions
+        self.random = random.Random(f"world {seed}")
+        self.network = MemoryNetwork(seed, REGION_DELAY_S)
+        self.slots = _slots(deployment)
+        self.by_name = {slot.name: slot for slot in self.slots}
+        self.members = _members(deployment)
+        self.entries = [
+            self._entry(member, policies, seed * 100 + i)
+            for i, member in enumerate(self.members)
+        ]
+        self._boots = {slot.name: f"{slot.name}-1" for slot in self.slots}
+        self._tasks = TaskGroup("world")
+
+    async def start(self) -> None:
+        """Start every entry, and let every server announce itself."""
+        for entry in self.entries:
+            await entry.kernel.start()
+        for slot in self.slots:
+            self._tasks.spawn(self._announce(slot))
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await self._tasks.cancel()
+        for entry in self.entries:
+            await entry.kernel.stop()
+
+    def pick(self) -> ModelEntry:
+        """Return the entry that the balancer gives a new request to."""
+        return self.random.choice([entry for entry in self.entries if entry.alive])
+
+    def boot_of(self, name: str) -> str:
+        """Return the boot id of a server's present life."""
+        return self._boots[name]
+
+    def kill_entry(self, entry: ModelEntry) -> None:
+        """End an entry without a word."""
+        entry.alive = False
+        self.network.buses.pop(entry.member.peers, None)
+        for task in list(entry.callers):
+            task.cancel()
+        self._tasks.spawn(self._replace_owner(entry))
+
+    def cut_domain(self, domain: str) -> None:
+        """Lose every message between one domain and the others."""
+        for one in self.members:
+            for other in self.members:
+                if (one.failure_domain == domain) != (other.failure_domain == domain):
+                    self.network.cut_link(one.peers, other.peers)
+
+    async def _replace_owner(self, dead: ModelEntry) -> None:
+        await asyncio.sleep(DETECTION_S)
+        domain = dead.member.failure_domain
+        live = [e for e in self.entries if e.alive]
+        neighbours = [e for e in live if e.member.failure_domain == domain]
+        members = [entry.member for entry in neighbours]
+        for entry in neighbours:
+            entry.owned_by.replace(members)
+        await asyncio.sleep(ANNOUNCE_PERIOD_S)
+        for entry in neighbours:
+            self._adopt(entry, live)
+
+    def _adopt(self, owner: ModelEntry, live: list[ModelEntry]) -> None:
+        own_desk = owner.kernel.get("desk", Desk)
+        own_lending = owner.kernel.get("lending", Lending)
+        for holder in live:
+            for slot in self.slots:
+                for permit in holder.scheduler.held(slot.name):
+                    if permit.owner == owner.member.node:
+                        continue
+                    adopted = own_desk.adopt(permit)
+                    if adopted and holder is not owner:
+                        own_lending.adopt(permit, holder.member.node)
+
+    def _entry(self, member: Member, policies: Policies, seed: int) -> ModelEntry:
+        settings = Settings(
+            node=member.node,
+            failure_domain=member.failure_domain,
+            region="region",
+            addresses=Addresses(operators="127.0.0.1:1"),
+            entries=self.members,
+            policies=policies,
+        )
+        owned_by = owners.create(settings)
+        kernel = Kernel()
+        for service in (
+            self.network.bus(member.node, member.peers),
+            backend_servers.create(settings),
+            quarantine.create(settings),
+            desk.create(member.node, policies, owned_by, seed),
+            lending.create({other.node: other.peers for other in self.members}),
+            spill.create(settings, seed),
+            scheduler.create(settings, owned_by, seed),
+        ):
+            kernel.add(service)
+        return ModelEntry(member, kernel, owned_by)
+
+    async def _announce(self, slot: Slot) -> None:
+        bus = self.network.bus(slot.name, f"server-{slot.name}")
+        loads: deque[tuple[float, int]] = deque()
+        await asyncio.sleep(self.random.uniform(0.0, ANNOUNCE_PERIOD_S))
+        while slot.server.alive:
+            loads.append((now(), len(slot.server.runs)))
+            announced = Announced(self._announcement(slot, loads))
+            for entry in self.entries:
+                if entry.alive and entry.member.failure_domain == slot.domain:
+                    bus.send(entry.member.peers, announced)
+            await asyncio.sleep(ANNOUNCE_PERIOD_S)
+
+    def _announcement(
+        self, slot: Slot, loads: deque[tuple[float, int]]
+    ) -> Announcement:
+        return Announcement(
+            name=slot.name,
+            boot_id=self._boots[slot.name],
+            failure_domain=slot.domain,
+            address="127.0.0.1:1",
+            offers=(Offer(slot.service),),
+            slots=slot.slots,
+            generation=slot.generation,
+            load=self._reported(loads),
+            leaving=slot.server.leaving_since is not None,
+        )
+
+    def _reported(self, loads: deque[tuple[float, int]]) -> ReportedLoad | None:
+        if not self.conditions.reports:
+            return None
+        oldest = now() - self.conditions.report_lag_s
+        while len(loads) > 1 and loads[1][0] <= oldest:
+            loads.popleft()
+        at, running = loads[0]
+        factor = self.conditions.report_factor
+        return ReportedLoad(running=int(running * factor), age_s=now() - at)
+
+
+def capacity_per_s(deployment: Deployment) -> float:
+    """Return the arrivals a second that keep every engine busy, cold caches."""
+    prompt, output = mean_work(deployment)
+    total = 0.0
+    for slot in _slots(deployment):
+        if isinstance(slot.server, ModelEngine):
+            speed = slot.server.generation
+            prefill_s = prompt / speed.prefill_tokens_per_s
+            total += 1.0 / (prefill_s + output * speed.token_gap_s / speed.knee_runs)
+    return total
+
+
+def _members(deployment: Deployment) -> list[Member]:
+    return [
+        Member(
+            node=f"{domain}-entry-{i}",
+            failure_domain=domain,
+            peers=f"10.0.{number}.{i + 1}:7000",
+        )
+        for number, domain in enumerate(deployment.domains)
+        for i in range(deployment.entries[number])
+    ]
+
+
+def _slots(deployment: Deployment) -> list[Slot]:
+    slots = []
+    for number, domain in enumerate(deployment.domains):
+        for i in range(ENGINES_A_DOMAIN):
+            generation = NEWER if (number + i) % 2 else OLDER
+            slots.append(
+                Slot(
+                    f"{domain}-engine-{i}",
+                    domain,
+                    deployment.model_service,
+                    generation.name,
+                    ENGINE_SLOTS,
+                    ModelEngine(generation),
+                )
+            )
+        slots.append(
+            Slot(
+                f"{domain}-app",
+                domain,
+                deployment.plain_service,
+                "gen-app",
+                APPLICATION_SLOTS,
+                ModelApplication(APPLICATION_WORKERS),
+            )
+        )
+    return slots
--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -179,6 +179,15 @@
         for offer in owned.server.announcement.offers:
             self._serve(self._line(offer.service))
 
+    def adopt(self, permit: Permit) -> bool:
+        """Take over a run that goes on under an earlier owner's permit."""
+        owned = self._owned.get(permit.backend_server)
+        if owned is None or owned.server.boot_id != permit.boot_id:
+            return False
+        if permit.permit_id not in owned.running:
+            owned.running[permit.permit_id] = self._run(permit, owned)
+        return True
+
     def note_served_elsewhere(self, ask: Ask) -> None:
         """Count a waiter that another owner served as one that left."""
         self._line(ask.service).waits.note_start(ask.rank)
@@ -315,10 +324,6 @@
         return self._decisions.route.choose(ask, roomy) if roomy else None
 
     def _grant(self, ask: Ask, owned: OwnedServer) -> Permit:
-        decisions = self._decisions
-        cached = decisions.prefixes.cached_tokens(ask, owned.name)
-        speed = decisions.estimates.speed(ask.service, owned.generation)
-        ratio = decisions.estimates.output_ratio(ask.service)
         permit = Permit(
             permit_id=f"{self._node}-{self._life}-{next(self._numbers)}",
             ask=ask,
@@ -328,16 +333,22 @@
             owner=self._node,
             cut=asyncio.get_running_loop().create_future(),
         )
-        owned.running[permit.permit_id] = Run(
+        owned.running[permit.permit_id] = self._run(permit, owned)
+        owned.health.note_start()
+        self._decisions.prefixes.note_run(ask, owned.name)
+        return permit
+
+    def _run(self, permit: Permit, owned: OwnedServer) -> Run:
+        decisions = self._decisions
+        cached = decisions.prefixes.cached_tokens(permit.ask, owned.name)
+        speed = decisions.estimates.speed(permit.ask.service, owned.generation)
+        ratio = decisions.estimates.output_ratio(permit.ask.service)
+        return Run(
             permit=permit,
             started_at=now(),
-            expected_s=speed.run_s(ask, ratio, cached),
-            prefill_s=speed.prefill_s(ask, cached),
+            expected_s=speed.run_s(permit.ask, ratio, cached),
             cached_tokens=cached,
         )
-        owned.health.note_start()
-        decisions.prefixes.note_run(ask, owned.name)
-        return permit
 
     def _give_back(self, waiter: Waiter) -> None:
         if not waiter.fut.done() or waiter.fut.cancelled():
--- a/fuchsiacroft/routing/owned.py
+++ b/fuchsiacroft/routing/owned.py
@@ -19,7 +19,6 @@
     permit: Permit
     started_at: float
     expected_s: float
-    prefill_s: float
     cached_tokens: int
     alone: bool = False
     cutting: bool = False
