Show the whole system on one machine with the demo command

Cause: there was no way to see the system at work without writing settings for a dozen processes.

All roles run in one process over loopback, through their public interfaces only. Each outcome is checked as it is shown, and the exit code is 0 only if each held: tiers served in order, a booking that runs once, a backend server that leaves and ends its running request, a change in force.

--- a/fuchsiacroft/__main__.py
+++ b/fuchsiacroft/__main__.py
@@ -10,6 +10,7 @@
 from fuchsiacroft.config.faults import nearest
 
 COMMANDS = {
+    "demo": "show the system on one machine, in under 30 s",
     "entry": "run an entry: take callers' requests and dispatch them",
     "control": "run a control member: configuration, ledger, leases, orders",
     "check": "check settings and a document, and print every fault",
--- /dev/null
+++ b/fuchsiacroft/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole system in one process over loopback, and what it shows."""
--- /dev/null
+++ b/fuchsiacroft/demo/outcomes.py
@@ -0,0 +1,208 @@
+"""The outcomes that the demo shows, each checked as it is shown."""
+
+import asyncio
+import statistics
+import time
+import uuid
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+from expression import Result
+
+from fuchsiacroft import operators_client
+from fuchsiacroft.config.document import Document
+from fuchsiacroft.demo.caller import Caller
+from fuchsiacroft.demo.system import DemoSystem, with_key
+from fuchsiacroft.operators_client import Change, OperatorsClient
+from fuchsiacroft.utils.clock import now
+
+IN_FORCE_TIMEOUT_S = 10.0
+POLL_S = 0.05
+BATCH = (24, 60)
+DESK = (6, 20)
+COUNTER = (6, 8)
+BATCH_HEAD_START_S = 0.2
+LEAVING_S = 2.0
+LONG_ANSWER_TOKENS = 400
+REQUESTS_WHILE_LEAVING = 8
+
+Say = Callable[[str], None]
+
+
+class Demo:
+    """Shows the outcomes one after the other; `failed` counts those not held."""
+
+    def __init__(
+        self, system: DemoSystem, session: aiohttp.ClientSession, say: Say
+    ) -> None:
+        self._system = system
+        self._session = session
+        self._say = say
+        self._caller = Caller(session, system.callers)
+        self._key = system.workspace_key
+        self.failed = 0
+
+    async def show(self) -> None:
+        """Show every outcome."""
+        client = operators_client.create(
+            [self._system.control], self._system.operator_token
+        )
+        async with client:
+            document = self._system.document()
+            await self._show_document(client, document)
+            await self._show_tiers()
+            await self._show_booking()
+            await self._show_leaving()
+            await self._show_change(client, document)
+
+    def _check(self, held: bool, text: str) -> None:
+        self._say(f"  {'held' if held else 'NOT HELD'}: {text}")
+        self.failed += not held
+
+    async def _show_document(self, client: OperatorsClient, document: Document) -> None:
+        self._say("\nAn operators' document takes effect everywhere")
+        seconds = await self._put(client, document, 0)
+        entries = len(self._system.operators)
+        self._check(
+            seconds is not None,
+            f"version 1 in force on {entries} entries{_in(seconds)}",
+        )
+        answer = await self._caller.ask(self._key, "counter", 1)
+        self._check(answer.is_whole, f"first answer after {answer.seconds:.2f} s")
+
+    async def _show_tiers(self) -> None:
+        self._say("\nThree tiers: 24 long batch requests, then 6 desk and 6 counter")
+        batch = asyncio.gather(*self._asks("batch", *BATCH))
+        await asyncio.sleep(BATCH_HEAD_START_S)
+        urgent = asyncio.gather(
+            *self._asks("desk", *DESK), *self._asks("counter", *COUNTER)
+        )
+        answers = {"batch": await batch}
+        mixed = await urgent
+        answers["desk"] = mixed[: DESK[0]]
+        answers["counter"] = mixed[DESK[0] :]
+        means = {}
+        for tier in ("counter", "desk", "batch"):
+            means[tier] = statistics.fmean(a.seconds for a in answers[tier])
+            longest = max(a.seconds for a in answers[tier])
+            self._say(
+                f"  {tier:8} {len(answers[tier])} requests, whole answer after "
+                f"{means[tier]:.2f} s on average, {longest:.2f} s at most"
+            )
+        whole = all(a.is_whole for some in answers.values() for a in some)
+        self._check(whole, "every request got its whole answer")
+        ordered = means["counter"] < means["desk"] < means["batch"]
+        self._check(ordered, "the more urgent, the sooner")
+
+    async def _show_booking(self) -> None:
+        self._say("\nA booking confirmation sent three times, through both entries")
+        booking = f"booking-{uuid.uuid4().hex[:8]}"
+        answers = [await self._caller.book(self._key, booking) for _ in range(3)]
+        same = len({(a.status, a.body) for a in answers}) == 1
+        self._check(same and answers[0].status == 200, "each try got the same answer")
+        counts = await self._counts("bookings-1")
+        runs = counts["bodies"].get(booking, 0)
+        self._check(runs == 1, f"it ran {runs} time(s) on the backend server")
+
+    async def _show_leaving(self) -> None:
+        self._say("\nA backend server leaves while a request runs on it")
+        running = asyncio.ensure_future(
+            self._caller.ask(self._key, "desk", LONG_ANSWER_TOKENS)
+        )
+        leaving = await self._busy_engine()
+        self._system.stand_ins[leaving].announcer.leave()
+        self._say(f"  {leaving} says that it is leaving")
+        await asyncio.sleep(LEAVING_S)
+        before = len((await self._counts(leaving))["started"])
+        others = await asyncio.gather(
+            *self._asks("counter", REQUESTS_WHILE_LEAVING, COUNTER[1])
+        )
+        after = len((await self._counts(leaving))["started"])
+        still_running = not running.done()
+        answer = await running
+        self._check(
+            after == before and still_running,
+            f"{after - before} of {len(others)} new requests were sent to it",
+        )
+        self._check(
+            all(a.is_whole for a in others), "each of them got its whole answer"
+        )
+        self._check(
+            answer.is_whole and answer.tries == 1,
+            f"its running request ended whole after {answer.seconds:.2f} s",
+        )
+
+    async def _show_change(self, client: OperatorsClient, document: Document) -> None:
+        self._say("\nA configuration change: the workspace gets another key")
+        new_key = f"{self._key}-2"
+        before = await self._caller.ask(new_key, "counter", 1)
+        seconds = await self._put(client, with_key(document, new_key), 1)
+        self._check(seconds is not None, f"version 2 in force{_in(seconds)}")
+        after = [await self._caller.ask(new_key, "counter", 1) for _ in range(2)]
+        self._check(
+            before.status == 401 and all(answer.is_whole for answer in after),
+            "the new key was refused before and is served by both entries now",
+        )
+
+    def _asks(self, tier: str, count: int, tokens: int):
+        return [self._caller.ask(self._key, tier, tokens) for _ in range(count)]
+
+    async def _put(
+        self, client: OperatorsClient, document: Document, held: int
+    ) -> float | None:
+        """Return the seconds until it was in force everywhere, or None."""
+        started_at = now()
+        data = msgspec.json.encode(document)
+        change = Change(data, held, uuid.uuid4().hex, "demo")
+        answer = await client.change(change)
+        if answer.is_error():
+            self._say(f"  {answer.error}")
+            return None
+        while now() < started_at + IN_FORCE_TIMEOUT_S:
+            dumps = await client.dumps(list(self._system.operators.values()))
+            if all(_version(dump) >= answer.ok.version for dump in dumps.values()):
+                return now() - started_at
+            await asyncio.sleep(POLL_S)
+        return None
+
+    async def _busy_engine(self) -> str:
+        while True:
+            for name in self._system.stand_ins:
+                if (await self._counts(name)).get("running"):
+                    return name
+            await asyncio.sleep(POLL_S)
+
+    async def _counts(self, name: str) -> dict:
+        address = self._system.stand_ins[name].address
+        async with self._session.get(f"http://{address}/counts") as res:
+            return await res.json()
+
+
+async def show(system: DemoSystem, say: Say) -> int:
+    """Start the system, show every outcome, stop it; return how many failed."""
+    started_at = time.monotonic()
+    timeout = aiohttp.ClientTimeout(total=30)
+    connector = aiohttp.TCPConnector(limit=0)
+    await system.start()
+    try:
+        async with aiohttp.ClientSession(
+            timeout=timeout, connector=connector
+        ) as session:
+            demo = Demo(system, session, say)
+            await demo.show()
+    finally:
+        await system.stop()
+    say(f"\n{time.monotonic() - started_at:.1f} s; outcomes not held: {demo.failed}")
+    return demo.failed
+
+
+def _version(dump: Result[dict, str]) -> int:
+    match dump:
+        case Result(tag="ok", ok=state):
+            return state["document"]["version"]
+    return -1
+
+
+def _in(seconds: float | None) -> str:
+    return "" if seconds is None else f" after {seconds:.3f} s"
