--- /dev/null
+++ b/fuchsiacroft/tests/fakes/control_thread.py
@@ -0,0 +1,82 @@
+"""The operators' API of a control member, in a thread of its own.
+
+The log is a `LocalLog` and the bus in memory, so that it starts at once.
+"""
+
+import asyncio
+import threading
+
+from fuchsiacroft import operations
+from fuchsiacroft.config import held
+from fuchsiacroft.config.document import hash_key
+from fuchsiacroft.config.settings import Addresses, Member, Settings
+from fuchsiacroft.control import api, configuration, feed, local_log
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.tests.fakes.bus import MemoryNetwork
+from fuchsiacroft.tests.fakes.ports import free_addresses
+from fuchsiacroft.utils.metrics import Metrics
+
+TOKEN = "operator-token"
+READY_TIMEOUT_S = 10.0
+
+
+class ControlThread:
+    """Runs a control member on loopback until it is stopped."""
+
+    def __init__(self) -> None:
+        self.operators, peers = free_addresses(2)
+        self.settings = Settings(
+            node="control-1",
+            failure_domain="mvd-cordon",
+            region="mvd",
+            addresses=Addresses(operators=self.operators, peers=peers),
+            control=[Member("control-1", "mvd-cordon", peers, self.operators)],
+            operator_token_hashes=[hash_key(TOKEN)],
+        )
+        self._loop = asyncio.new_event_loop()
+        self._ready = threading.Event()
+        self._stopping = asyncio.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Start it and wait until it answers."""
+        self._thread.start()
+        if not self._ready.wait(READY_TIMEOUT_S):
+            raise RuntimeError("the control member did not start")
+
+    def stop(self) -> None:
+        """Stop it and wait for its end."""
+        self._loop.call_soon_threadsafe(self._stopping.set)
+        self._thread.join(READY_TIMEOUT_S)
+
+    def _run(self) -> None:
+        self._loop.run_until_complete(self._serve())
+        self._loop.close()
+
+    async def _serve(self) -> None:
+        kernel = _kernel(self.settings)
+        await kernel.start()
+        self._ready.set()
+        await self._stopping.wait()
+        await kernel.drain()
+        await kernel.stop()
+
+
+def _kernel(settings: Settings) -> Kernel:
+    state = configuration.ConfigurationState()
+    log = local_log.create()
+    log.register("configuration", state)
+    ops = operations.create(settings.addresses.operators, Metrics())
+    operator_api = api.create(settings, state)
+    operator_api.add_routes(ops)
+    kernel = Kernel()
+    for service in (
+        MemoryNetwork().bus(settings.node, settings.addresses.peers),
+        held.create(),
+        log,
+        feed.create(settings, state),
+        operator_api,
+        ops,
+    ):
+        kernel.add(service)
+    return kernel
