Own backend servers by the live membership and count permits in a takeover

Cause: owners came from a fixed list, so a dead entry kept its backend servers and a new owner would not have known the runs in progress. Ruled out: a lease kept in the control log for each backend server (a write a second each, and nothing would be served in a cut-off domain). Conclusion: entries join and leave; their backend servers change hands.

--- a/fuchsiacroft/entry/process.py
+++ b/fuchsiacroft/entry/process.py
@@ -6,15 +6,17 @@
 from fuchsiacroft.entry import backend_client, callers, dispatch, ledger_client
 from fuchsiacroft.exceptions import SettingsError
 from fuchsiacroft.kernel import Kernel
-from fuchsiacroft.membership import backend_servers
+from fuchsiacroft.membership import backend_servers, ownership
+from fuchsiacroft.membership import service as membership
 from fuchsiacroft.routing import (
     desk,
     lending,
-    owners,
+    member_owners,
     quarantine,
     scheduler,
     spill,
 )
+from fuchsiacroft.routing.member_owners import MemberOwners
 from fuchsiacroft.transport import zmq_bus
 from fuchsiacroft.utils.metrics import Metrics
 
@@ -25,7 +27,9 @@
     if addresses.peers is None or addresses.callers is None:
         raise SettingsError("an entry needs addresses.peers and addresses.callers")
     metrics = Metrics()
-    owned_by = owners.create(settings)
+    members = membership.create(settings)
+    table = ownership.create(settings)
+    owned_by = MemberOwners(settings, table)
     front = callers.create(settings, metrics)
     ops = operations.create(addresses.operators, metrics)
     following = follower.create(settings)
@@ -36,12 +40,15 @@
         zmq_bus.create(settings.node, addresses.peers),
         held.create(),
         following,
+        members,
+        table,
         backend_servers.create(settings),
         quarantine.create(settings),
         desk.create(settings.node, settings.policies, owned_by),
         lending.create({member.node: member.peers for member in settings.entries}),
         spill.create(settings),
         scheduler.create(settings, owned_by),
+        member_owners.create(),
         backend_client.create(),
         ledger_client.create(settings),
         dispatch.create(),
--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -444,6 +444,7 @@
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
             for owned in list(self._owned.values()):
+                owned.share = self._owners.share(owned.name)
                 self._look_for_overdue(owned)
             for line in self._lines.values():
                 self._serve(line)
--- a/fuchsiacroft/routing/lending.py
+++ b/fuchsiacroft/routing/lending.py
@@ -77,6 +77,14 @@
             "asking": len(self._asking),
         }
 
+    def lent(self, backend_server: str) -> list[tuple[str, str]]:
+        """Return each permit lent for a backend server, with its holder."""
+        return [
+            (permit_id, lent.holder)
+            for permit_id, lent in self._lent.items()
+            if lent.permit.backend_server == backend_server
+        ]
+
     def adopt(self, permit: Permit, holder: str) -> None:
         """Take over the lease of a permit that an earlier owner gave."""
         self._lend(permit, holder, permit.permit_id)
--- /dev/null
+++ b/fuchsiacroft/routing/member_owners.py
@@ -0,0 +1,129 @@
+"""Owners of backend servers by the live membership, and their takeover.
+
+A takeover counts the permits that are still in use: each entry tells the ones
+that it holds, and the ones that it handed out and did not get back.
+"""
+
+import asyncio
+
+from fuchsiacroft.config.settings import Member, Settings
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.membership.backend_servers import BackendDirectory, BackendServer
+from fuchsiacroft.membership.ownership import OwnershipTable
+from fuchsiacroft.membership.permits import HeldPermit, PermitHolder
+from fuchsiacroft.membership.service import Membership
+from fuchsiacroft.membership.table import EntryInfo
+from fuchsiacroft.routing.ask import Ask, Permit
+from fuchsiacroft.routing.desk import Desk
+from fuchsiacroft.routing.lending import Lending
+from fuchsiacroft.routing.owners import Owners
+from fuchsiacroft.routing.scheduler import Scheduler
+
+
+class MemberOwners(Owners):
+    """Answers from the ownership table."""
+
+    def __init__(self, settings: Settings, table: OwnershipTable) -> None:
+        self._domain = settings.failure_domain
+        self._table = table
+
+    def owner_of(self, backend_server: str) -> Member | None:
+        """Return the owner, or None while no entry may own."""
+        info = self._table.owner_of(backend_server)
+        return _member(info, self._domain) if info is not None else None
+
+    def is_ready(self, backend_server: str) -> bool:
+        """Tell whether this entry owns it and its takeover has ended."""
+        return self._table.is_ready(backend_server)
+
+    def share(self, backend_server: str) -> float:
+        """Return the part of its limit that this side of a split may use."""
+        return self._table.share(backend_server)
+
+
+class Takeover(Service, PermitHolder):
+    """Keeps the ownership table and the permits in use in step."""
+
+    name = "takeover"
+
+    async def start(self, kernel: Kernel) -> None:
+        """Watch the backend servers and follow the membership."""
+        self._membership = kernel.get("membership", Membership)
+        self._table = kernel.get("ownership", OwnershipTable)
+        self._desk = kernel.get("desk", Desk)
+        self._lending = kernel.get("lending", Lending)
+        self._scheduler = kernel.get("scheduler", Scheduler)
+        self._directory = kernel.get("backend_servers", BackendDirectory)
+        self._table.attach(self)
+        self._directory.listeners.heard.insert(0, self._on_heard)
+        self._directory.listeners.gone.append(self._on_gone)
+        self._membership.on_change(self._on_change)
+
+    def held(self, backend_server: str) -> tuple[HeldPermit, ...]:
+        """Return the permits in use here, and those lent and not returned."""
+        me = self._membership.me
+        permits = [
+            HeldPermit(permit.permit_id, backend_server, me.node, me.boot_id)
+            for permit in self._scheduler.held(backend_server)
+        ]
+        for permit_id, holder in self._lending.lent(backend_server):
+            record = self._membership.record(holder)
+            if record is not None:
+                boot_id = record.update.boot_id
+                permits.append(HeldPermit(permit_id, backend_server, holder, boot_id))
+        return tuple(permits)
+
+    def adopt(self, backend_server: str, permits: tuple[HeldPermit, ...]) -> None:
+        """Count the permits in use before any new one is handed out."""
+        server = self._directory.get(backend_server)
+        if server is None:
+            return
+        self._desk.own(server)
+        mine = {
+            permit.permit_id: permit for permit in self._scheduler.held(backend_server)
+        }
+        for held in permits:
+            permit = mine.get(held.permit_id) or self._foreign(held, server)
+            if self._desk.adopt(permit) and held.permit_id not in mine:
+                self._lending.adopt(permit, held.holder)
+
+    def _foreign(self, held: HeldPermit, server: BackendServer) -> Permit:
+        """Return a permit for a run of which only its holder knows the ask."""
+        offers = server.announcement.offers
+        ask = Ask(
+            request_id=held.permit_id,
+            service=offers[0].service if offers else "",
+            rank=0,
+            timeout_s=0.0,
+            workspace="",
+            idempotent=False,
+        )
+        return Permit(
+            permit_id=held.permit_id,
+            ask=ask,
+            backend_server=server.name,
+            boot_id=server.boot_id,
+            address=server.announcement.address,
+            owner=self._membership.me.node,
+            cut=asyncio.get_running_loop().create_future(),
+        )
+
+    def _on_heard(self, server: BackendServer) -> None:
+        self._table.watch(server.name)
+        self._table.note_announcement(server.name)
+
+    def _on_gone(self, server: BackendServer) -> None:
+        self._table.forget(server.name)
+
+    def _on_change(self, alive: tuple[EntryInfo, ...]) -> None:
+        for server in self._directory.all():
+            self._scheduler.note_owner(server)
+
+
+def create() -> Takeover:
+    """Return the takeover of an entry."""
+    return Takeover()
+
+
+def _member(info: EntryInfo, domain: str) -> Member:
+    return Member(info.node, domain, info.peers)
--- a/fuchsiacroft/routing/owned.py
+++ b/fuchsiacroft/routing/owned.py
@@ -32,12 +32,14 @@
 class OwnedServer:
     """What the owner knows of one backend server in its present life.
 
+    `share` is the part of the limit that may be handed out from here.
     `held_for` is the number of the ask that waits to run there alone.
     """
 
     server: BackendServer
     limit: Limit
     health: Health
+    share: float = 1.0
     running: dict[str, Run] = field(default_factory=dict)
     held_for: int | None = None
     lost: deque[tuple[float, str]] = field(default_factory=deque)
@@ -58,7 +60,7 @@
             return 0
         if any(run.alone for run in self.running.values()):
             return 0
-        allowed = self.health.cap(self.limit.allowed(rank))
+        allowed = int(self.share * self.health.cap(self.limit.allowed(rank)))
         return allowed - len(self.running)
 
     def offers(self, service: str) -> bool:
--- a/fuchsiacroft/routing/owners.py
+++ b/fuchsiacroft/routing/owners.py
@@ -22,6 +22,13 @@
         heard or their leases have run out.
         """
 
+    def share(self, backend_server: str) -> float:
+        """Return the part, up to 1, of its limit that this entry may hand out.
+
+        It is less than 1 while the failure domain may be split in two.
+        """
+        return 1.0
+
 
 class RendezvousOwners(Owners):
     """Rendezvous hashing over a given list of entries."""
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -279,6 +279,10 @@
 
     def _on_heard(self, server: BackendServer) -> None:
         self._desk.note(server)
+        self.note_owner(server)
+
+    def note_owner(self, server: BackendServer) -> None:
+        """Own a backend server, or not, by who owns it now."""
         owner: Member | None = self._owners.owner_of(server.name)
         if owner is not None and owner.node == self._node:
             self._desk.own(server)
