Order engines toward a placement under fencing numbers

Nothing loaded a model that the document asked for. The leader works out a placement from replicas and demand and issues one order an engine at a time through the replicated log, at the weight store's rate. An order is sent with its leader's term and its log index as fencing number, and resent under the same id until it is answered. Engines that ignore numbers get nothing from a new leader for the old lease and the time a send may take. The last copy of a model is kept in the plan, and checked again when the order is sent.

Ruled out: the term alone as number, as a late order of the same term would pass; a local note of what was just unloaded, as a new leader lacks it.

--- a/fuchsiacroft/config/settings.py
+++ b/fuchsiacroft/config/settings.py
@@ -94,6 +94,9 @@
     tls: Tls | None = None
     operator_token_hashes: list[str] = []
     policies: Policies = Policies()
+    weight_loads_per_min: Annotated[float, msgspec.Meta(gt=0)] = (
+        defaults.WEIGHT_LOADS_PER_MIN
+    )
     log_level: str = defaults.LOG_LEVEL
     drain_timeout_s: float = defaults.DRAIN_TIMEOUT_S
 
--- /dev/null
+++ b/fuchsiacroft/control/engine_orders.py
@@ -0,0 +1,89 @@
+"""How orders reach an engine."""
+
+import enum
+from abc import ABC, abstractmethod
+
+import aiohttp
+import msgspec
+from expression import Error, Ok, Result
+
+from fuchsiacroft.kernel import Kernel, Service
+
+SEND_TIMEOUT_S = 2.0
+ANSWER_TIMEOUT_S = 120.0
+STATUS_OK = 200
+STATUS_FENCED = 409
+
+
+class EngineOrder(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The body of `POST /orders` on an engine."""
+
+    order_id: str
+    fencing: int
+    action: str
+    model: str = ""
+    version: str = ""
+    adapters: tuple[str, ...] = ()
+    role: str = ""
+
+
+class SendError(enum.Enum):
+    """Why an order is not known to be carried out.
+
+    `FENCED`: the engine has seen a higher number. `REFUSED`: the engine said
+    no. After `NO_ANSWER` it may have been carried out.
+    """
+
+    FENCED = "fenced"
+    REFUSED = "refused"
+    NO_ANSWER = "no_answer"
+
+
+class EngineOrders(Service, ABC):
+    """Sends orders to engines."""
+
+    name = "engine_orders"
+
+    @abstractmethod
+    async def send(self, address: str, order: EngineOrder) -> Result[None, SendError]:
+        """Send an order and wait until it is carried out."""
+
+
+class HttpEngineOrders(EngineOrders):
+    """Sends orders to `POST /orders` of the engine's address."""
+
+    def __init__(self) -> None:
+        self._client: aiohttp.ClientSession | None = None
+
+    async def start(self, kernel: Kernel) -> None:
+        """Open the client."""
+        timeout = aiohttp.ClientTimeout(
+            total=ANSWER_TIMEOUT_S, sock_connect=SEND_TIMEOUT_S
+        )
+        self._client = aiohttp.ClientSession(timeout=timeout)
+
+    async def stop(self) -> None:
+        """Close the client."""
+        if self._client is not None:
+            await self._client.close()
+
+    async def send(self, address: str, order: EngineOrder) -> Result[None, SendError]:
+        """Send an order and wait until it is carried out."""
+        body = msgspec.json.encode(order)
+        headers = {"Content-Type": "application/json"}
+        url = f"http://{address}/orders"
+        try:
+            async with self._client.post(url, data=body, headers=headers) as answer:
+                await answer.read()
+                status = answer.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return Error(SendError.NO_ANSWER)
+        if status == STATUS_OK:
+            return Ok(None)
+        fenced = status == STATUS_FENCED
+        return Error(SendError.FENCED if fenced else SendError.REFUSED)
+
+
+def create() -> HttpEngineOrders:
+    """Return the sender over HTTP."""
+    return HttpEngineOrders()
--- /dev/null
+++ b/fuchsiacroft/control/inventory.py
@@ -0,0 +1,175 @@
+"""The service "inventory": the engines and the demand of all failure domains.
+
+Entries report the engines that they own when these change, and all of them now
+and then. Nothing here is replicated: a new leader hears it anew.
+"""
+
+from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from fuchsiacroft.control.log import ReplicatedLog
+from fuchsiacroft.control.placement import Engine
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.transport import codec
+from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils.clock import now
+
+REFRESH_PERIOD_S = 20.0
+MAX_AGE_S = 3 * REFRESH_PERIOD_S
+MAX_ENGINES = 50_000
+
+
+class EngineStatus(msgspec.Struct, frozen=True, array_like=True):
+    """An engine as its owner knows it."""
+
+    name: str
+    boot_id: str
+    address: str
+    models: tuple[str, ...]
+    checks_fencing: bool
+    leaving: bool
+
+
+class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
+    """How many requests of a service run or wait at an entry."""
+
+    service: str
+    requests: int
+
+
+@codec.message("inventory.report")
+class EngineReport(msgspec.Struct, frozen=True, array_like=True):
+    """An entry's engines that changed (or all), those gone, and its demand."""
+
+    node: str
+    failure_domain: str
+    engines: tuple[EngineStatus, ...]
+    gone: tuple[str, ...]
+    demand: tuple[ServiceDemand, ...]
+
+
+@codec.message("inventory.answer")
+class ReportAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Tells whether the report was taken, and else who leads."""
+
+    taken: bool
+    term: int
+    leader: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class _Known:
+    engine: Engine
+    heard_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Demand:
+    demand: tuple[ServiceDemand, ...]
+    heard_at: float
+
+
+class Inventory(Service, ABC):
+    """What the leader knows of engines and demand."""
+
+    name = "inventory"
+
+    @abstractmethod
+    def engines(self) -> tuple[Engine, ...]:
+        """Return every engine heard of lately."""
+
+    @abstractmethod
+    def demand(self) -> Mapping[str, float]:
+        """Return the requests that run or wait, by service."""
+
+
+class ReportedInventory(Inventory):
+    """Keeps what entries report while this member leads."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, _Known] = {}
+        self._demand: dict[str, _Demand] = {}
+        self._counts: Counter[str] = Counter()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Take reports."""
+        self._log = kernel.get("log", ReplicatedLog)
+        kernel.get("bus", Bus).handle(EngineReport, self._on_report)
+
+    def dump(self) -> dict:
+        """Return the engines and the demand."""
+        return {
+            "engines": {
+                engine.name: {
+                    "domain": engine.failure_domain,
+                    "models": sorted(engine.models),
+                    "checks_fencing": engine.checks_fencing,
+                    "leaving": engine.leaving,
+                }
+                for engine in self.engines()
+            },
+            "demand": dict(self.demand()),
+            "counts": dict(self._counts),
+        }
+
+    def engines(self) -> tuple[Engine, ...]:
+        """Return every engine heard of lately."""
+        self._drop_aged()
+        return tuple(known.engine for known in self._known.values())
+
+    def demand(self) -> Mapping[str, float]:
+        """Return the requests that run or wait, by service."""
+        total: Counter[str] = Counter()
+        for part in self._demand.values():
+            for one in part.demand:
+                total[one.service] += one.requests
+        return total
+
+    async def _on_report(self, sender: str, report: EngineReport) -> ReportAnswer:
+        if not self._log.is_leader:
+            return ReportAnswer(False, self._log.term, self._log.leader_peer)
+        for name in report.gone:
+            self._known.pop(engine_key(report.failure_domain, name), None)
+        for status in report.engines:
+            self._take(report.failure_domain, status)
+        self._demand[report.node] = _Demand(report.demand, now())
+        return ReportAnswer(True, self._log.term, None)
+
+    def _take(self, domain: str, status: EngineStatus) -> None:
+        key = engine_key(domain, status.name)
+        if key not in self._known and len(self._known) >= MAX_ENGINES:
+            self._counts["dropped_full"] += 1
+            return
+        engine = Engine(
+            key,
+            status.boot_id,
+            status.address,
+            domain,
+            frozenset(status.models),
+            status.checks_fencing,
+            status.leaving,
+        )
+        self._known[key] = _Known(engine, now())
+
+    def _drop_aged(self) -> None:
+        oldest = now() - MAX_AGE_S
+        for name, known in tuple(self._known.items()):
+            if known.heard_at < oldest:
+                del self._known[name]
+        for node, part in tuple(self._demand.items()):
+            if part.heard_at < oldest:
+                del self._demand[node]
+
+
+def engine_key(failure_domain: str, name: str) -> str:
+    """Return the name of an engine among those of all failure domains."""
+    return f"{failure_domain}/{name}"
+
+
+def create() -> ReportedInventory:
+    """Return an empty inventory."""
+    return ReportedInventory()
--- /dev/null
+++ b/fuchsiacroft/control/order_sender.py
@@ -0,0 +1,104 @@
+"""Sends one order until the engine has carried it out or is gone."""
+
+import asyncio
+from abc import ABC, abstractmethod
+
+from expression import Result
+
+from fuchsiacroft.control.consensus.timing import LEASE_S
+from fuchsiacroft.control.engine_orders import (
+    SEND_TIMEOUT_S,
+    EngineOrder,
+    EngineOrders,
+    SendError,
+)
+from fuchsiacroft.control.order_state import Action, OrderRecord, Outcome
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
+
+OLD_LEADER_WAIT_S = LEASE_S + SEND_TIMEOUT_S
+RETRY_MIN_S = 0.5
+RETRY_MAX_S = 10.0
+
+
+class Term(ABC):
+    """One term of leadership, as a sender of orders needs it."""
+
+    number: int
+    began_at: float
+
+    @property
+    @abstractmethod
+    def holds(self) -> bool:
+        """Tell whether this member still leads, by its lease."""
+
+    @abstractmethod
+    def engine_is_gone(self, record: OrderRecord) -> bool:
+        """Tell whether the engine has ended its life since the order."""
+
+    @abstractmethod
+    def may_unload(self, record: OrderRecord) -> bool:
+        """Tell whether another engine still holds the model."""
+
+
+class OrderSender:
+    """Carries one order through while the term holds."""
+
+    def __init__(self, term: Term, orders: EngineOrders, record: OrderRecord) -> None:
+        self._term = term
+        self._orders = orders
+        self._record = record
+
+    async def run(self) -> Outcome | None:
+        """Return the outcome, or None if the term ended first."""
+        await self._wait_for_old_leader()
+        pause = RETRY_MIN_S
+        while self._term.holds:
+            outcome = await self._try_once()
+            if outcome is not None:
+                return outcome
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, RETRY_MAX_S)
+        return None
+
+    async def _wait_for_old_leader(self) -> None:
+        """Wait if the engine would take an order that the old leader just sent."""
+        if self._record.issue.target.checks_fencing:
+            return
+        left = self._term.began_at + OLD_LEADER_WAIT_S - now()
+        await asyncio.sleep(max(0.0, left))
+
+    async def _try_once(self) -> Outcome | None:
+        record = self._record
+        if self._term.engine_is_gone(record):
+            return Outcome.ENGINE_GONE
+        if record.issue.action is Action.UNLOAD and not self._term.may_unload(record):
+            return Outcome.WITHDRAWN
+        if not self._term.holds:
+            return None
+        order = _body(record, self._term.number)
+        match await self._orders.send(record.issue.target.address, order):
+            case Result(tag="ok"):
+                return Outcome.DONE
+            case Result(error=SendError() as reason):
+                event(
+                    "warning",
+                    "order_not_carried_out",
+                    order=record.issue.order_id,
+                    engine=record.issue.target.engine,
+                    reason=reason.value,
+                )
+        return None
+
+
+def _body(record: OrderRecord, term: int) -> EngineOrder:
+    issue = record.issue
+    return EngineOrder(
+        issue.order_id,
+        record.fencing(term),
+        issue.action.value,
+        issue.model,
+        issue.version,
+        issue.adapters,
+        issue.role,
+    )
--- /dev/null
+++ b/fuchsiacroft/control/order_state.py
@@ -0,0 +1,179 @@
+"""The replicated orders: at most one open for each engine.
+
+An order's fencing number is the leader's term and the index of the order in
+the log, so that a later order of the same term has a higher number too.
+"""
+
+import enum
+from collections import deque
+
+import msgspec
+
+from fuchsiacroft.control.log import StateMachine
+from fuchsiacroft.transport import codec
+
+TERM_SHIFT_BITS = 32
+REMEMBERED_ORDERS = 1_000
+
+
+class Action(enum.Enum):
+    """What an engine is ordered to do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+    ROLE = "role"
+
+
+class Outcome(enum.Enum):
+    """How an order ended."""
+
+    DONE = "done"
+    ENGINE_GONE = "engine_gone"
+    WITHDRAWN = "withdrawn"
+
+
+class Target(msgspec.Struct, frozen=True, array_like=True):
+    """The engine that an order is for, in one of its lives."""
+
+    engine: str
+    boot_id: str
+    address: str
+    checks_fencing: bool
+
+
+@codec.message("orders.open_term")
+class OpenTerm(msgspec.Struct, frozen=True):
+    """A new leader begins; orders of earlier terms are refused from here on."""
+
+    term: int
+
+
+@codec.message("orders.issue")
+class IssueOrder(msgspec.Struct, frozen=True):
+    """Record an order before it is sent; `order_id` makes it idempotent."""
+
+    term: int
+    order_id: str
+    target: Target
+    action: Action
+    model: str = ""
+    version: str = ""
+    adapters: tuple[str, ...] = ()
+    role: str = ""
+
+
+@codec.message("orders.settle")
+class SettleOrder(msgspec.Struct, frozen=True):
+    """Record the outcome of an order."""
+
+    order_id: str
+    outcome: Outcome
+
+
+@codec.message("orders.issued")
+class OrderIssued(msgspec.Struct, frozen=True):
+    """The order is recorded and may be sent."""
+
+    order_id: str
+
+
+@codec.message("orders.refused")
+class OrderRefused(msgspec.Struct, frozen=True):
+    """The order is not recorded: `old_term`, `engine_busy` or `model_busy`."""
+
+    reason: str
+
+
+class OrderRecord(msgspec.Struct, frozen=True):
+    """An order with its index in the log, and its outcome once it ended."""
+
+    index: int
+    issue: IssueOrder
+    outcome: Outcome | None = None
+
+    def fencing(self, term: int) -> int:
+        """Return the fencing number with which the leader of a term sends it."""
+        return term << TERM_SHIFT_BITS | self.index
+
+
+class _Snapshot(msgspec.Struct, frozen=True):
+    term: int
+    open: list[OrderRecord]
+    ended: list[OrderRecord]
+
+
+class OrderState(StateMachine):
+    """Open orders by engine, and the last ones that ended."""
+
+    commands = (OpenTerm, IssueOrder, SettleOrder)
+
+    def __init__(self) -> None:
+        self.term = 0
+        self._open: dict[str, OrderRecord] = {}
+        self._ended: deque[OrderRecord] = deque(maxlen=REMEMBERED_ORDERS)
+
+    def apply(self, index: int, command: msgspec.Struct) -> msgspec.Struct | None:
+        """Change the state."""
+        match command:
+            case OpenTerm(term=term):
+                self.term = max(self.term, term)
+            case IssueOrder():
+                return self._issue(index, command)
+            case SettleOrder():
+                self._settle(command)
+        return None
+
+    def open(self) -> tuple[OrderRecord, ...]:
+        """Return the orders without an outcome."""
+        return tuple(self._open.values())
+
+    def ended(self) -> tuple[OrderRecord, ...]:
+        """Return the last orders that ended, the oldest first."""
+        return tuple(self._ended)
+
+    def is_open(self, order_id: str) -> bool:
+        """Tell whether an order has no outcome yet."""
+        return any(one.issue.order_id == order_id for one in self._open.values())
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return msgspec.msgpack.encode(
+            _Snapshot(self.term, list(self._open.values()), list(self._ended))
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot."""
+        saved = msgspec.msgpack.decode(data, type=_Snapshot)
+        self.term = saved.term
+        self._open = {one.issue.target.engine: one for one in saved.open}
+        self._ended = deque(saved.ended, maxlen=REMEMBERED_ORDERS)
+
+    def _issue(self, index: int, order: IssueOrder) -> msgspec.Struct:
+        if self._is_known(order.order_id):
+            return OrderIssued(order.order_id)
+        if order.term < self.term:
+            return OrderRefused("old_term")
+        if order.target.engine in self._open:
+            return OrderRefused("engine_busy")
+        if order.action is Action.UNLOAD and self._is_unloading(order.model):
+            return OrderRefused("model_busy")
+        self._open[order.target.engine] = OrderRecord(index, order)
+        return OrderIssued(order.order_id)
+
+    def _settle(self, command: SettleOrder) -> None:
+        for engine, record in self._open.items():
+            if record.issue.order_id == command.order_id:
+                del self._open[engine]
+                ended = msgspec.structs.replace(record, outcome=command.outcome)
+                self._ended.append(ended)
+                return
+
+    def _is_known(self, order_id: str) -> bool:
+        ended = any(one.issue.order_id == order_id for one in self._ended)
+        return ended or self.is_open(order_id)
+
+    def _is_unloading(self, model: str) -> bool:
+        return any(
+            one.issue.action is Action.UNLOAD and one.issue.model == model
+            for one in self._open.values()
+        )
--- /dev/null
+++ b/fuchsiacroft/control/orders.py
@@ -0,0 +1,286 @@
+"""The service "orders": the leader brings engines to the placement."""
+
+import asyncio
+import dataclasses
+import uuid
+from collections import Counter
+
+from expression import Error, Ok, Result
+
+from fuchsiacroft.config.document import Document
+from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.control.configuration import ConfigurationState
+from fuchsiacroft.control.engine_orders import EngineOrders
+from fuchsiacroft.control.inventory import REFRESH_PERIOD_S, Inventory
+from fuchsiacroft.control.log import ReplicatedLog
+from fuchsiacroft.control.order_sender import OrderSender, Term
+from fuchsiacroft.control.order_state import (
+    Action,
+    IssueOrder,
+    OpenTerm,
+    OrderIssued,
+    OrderRecord,
+    OrderRefused,
+    OrderState,
+    Outcome,
+    SettleOrder,
+    Target,
+)
+from fuchsiacroft.control.placement import Engine, Placement, Step
+from fuchsiacroft.control.weight_rate import WeightRate
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.tasks import TaskGroup
+
+PLAN_PERIOD_S = 1.0
+PROPOSE_TIMEOUT_S = 5.0
+SETTLED_AFTER_S = REFRESH_PERIOD_S + 5.0
+REPORTED_WITHIN_S = 15.0
+
+
+class LeaderTerm(Term):
+    """Our leadership in one term: its rate, its senders, its last loads."""
+
+    def __init__(self, number: int, service: "OrderService", rate: WeightRate) -> None:
+        self.number = number
+        self.began_at = now()
+        self.rate = rate
+        self.sending: set[str] = set()
+        self.loaded: dict[str, tuple[float, IssueOrder]] = {}
+        self._service = service
+
+    @property
+    def holds(self) -> bool:
+        """Tell whether this member still leads, by its lease."""
+        log = self._service.log
+        return log.is_leader and log.term == self.number
+
+    def engine_is_gone(self, record: OrderRecord) -> bool:
+        """Tell whether the engine has ended its life since the order."""
+        target = record.issue.target
+        engine = self._service.engine(target.engine)
+        if engine is not None:
+            return engine.boot_id != target.boot_id
+        return now() - self.began_at > SETTLED_AFTER_S
+
+    def may_unload(self, record: OrderRecord) -> bool:
+        """Tell whether another engine still holds the model."""
+        issue = record.issue
+        if self._service.document.service(issue.model) is None:
+            return True
+        return any(
+            issue.model in engine.models
+            for engine in self._service.usable_engines()
+            if engine.name != issue.target.engine
+        )
+
+
+class OrderService(Service):
+    """Plans and sends orders while this member leads."""
+
+    name = "orders"
+
+    def __init__(
+        self, settings: Settings, state: OrderState, documents: ConfigurationState
+    ) -> None:
+        self._loads_per_min = settings.weight_loads_per_min
+        self._state = state
+        self._documents = documents
+        self._term: LeaderTerm | None = None
+        self._tasks = TaskGroup("orders")
+        self._counts: Counter[str] = Counter()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to watch for our leadership."""
+        self.log = kernel.get("log", ReplicatedLog)
+        self._orders = kernel.get("engine_orders", EngineOrders)
+        self._inventory = kernel.get("inventory", Inventory)
+        self._tasks.spawn(self._run(), "orders")
+
+    async def stop(self) -> None:
+        """Send nothing more."""
+        await self._tasks.cancel()
+
+    def dump(self) -> dict:
+        """Return the open orders and how the last ones ended."""
+        return {
+            "term": self._term.number if self._term else None,
+            "open": [_describe(record) for record in self._state.open()],
+            "ended": [_describe(record) for record in self._state.ended()[-20:]],
+            "counts": dict(self._counts),
+        }
+
+    @property
+    def document(self) -> Document:
+        """Return the newest document."""
+        return self._documents.document
+
+    def engine(self, name: str) -> Engine | None:
+        """Return an engine heard of lately."""
+        return next(
+            (one for one in self._inventory.engines() if one.name == name), None
+        )
+
+    def usable_engines(self) -> list[Engine]:
+        """Return engines that stay, without copies that orders unload."""
+        unloading = {
+            (issue.target.engine, issue.target.boot_id, issue.model)
+            for issue in self._last_orders().values()
+            if issue.action is Action.UNLOAD
+        }
+        return [
+            _without(engine, unloading)
+            for engine in self._inventory.engines()
+            if not engine.leaving
+        ]
+
+    async def change_role(self, engine: str, role: str) -> Result[str, str]:
+        """Order an engine into a role; return the order's id or why not."""
+        found = self.engine(engine)
+        if self._term is None or not self._term.holds:
+            return Error("not_leader")
+        if found is None:
+            return Error("unknown_engine")
+        return await self._issue(self._term, found, Action.ROLE, role=role)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(PLAN_PERIOD_S)
+            term = await self._current_term()
+            if term is None:
+                continue
+            self._send_open(term)
+            await self._plan(term)
+
+    async def _current_term(self) -> LeaderTerm | None:
+        if self._term is not None and self._term.holds:
+            return self._term
+        self._term = None
+        if not self.log.is_leader:
+            return None
+        term = LeaderTerm(self.log.term, self, WeightRate(self._loads_per_min))
+        opened = await self.log.propose(OpenTerm(term.number), PROPOSE_TIMEOUT_S)
+        if opened.is_ok() and term.holds:
+            self._term = term
+            event("info", "orders_begin", term=term.number)
+        return self._term
+
+    def _send_open(self, term: LeaderTerm) -> None:
+        for record in self._state.open():
+            if record.issue.order_id not in term.sending:
+                term.sending.add(record.issue.order_id)
+                self._tasks.spawn(self._carry_through(term, record), "order")
+
+    async def _carry_through(self, term: LeaderTerm, record: OrderRecord) -> None:
+        order_id = record.issue.order_id
+        outcome = await OrderSender(term, self._orders, record).run()
+        if outcome is Outcome.DONE and record.issue.action is Action.LOAD:
+            term.loaded[record.issue.target.engine] = (now(), record.issue)
+        if outcome is not None:
+            self._counts[outcome.value] += 1
+            settle = SettleOrder(order_id, outcome)
+            await self.log.propose(settle, PROPOSE_TIMEOUT_S)
+        term.sending.discard(order_id)
+
+    async def _plan(self, term: LeaderTerm) -> None:
+        if now() - term.began_at < SETTLED_AFTER_S:
+            return
+        open_ = self._state.open()
+        loading = Counter(
+            one.issue.model for one in open_ if one.issue.action is Action.LOAD
+        )
+        placement = Placement(
+            [spec for spec in self.document.services if spec.kind == "model"],
+            self._inventory.demand(),
+            self._engines_as_ordered(term),
+            {one.issue.target.engine for one in open_},
+        )
+        for step in placement.steps(loading, term.rate.available()):
+            await self._take_step(term, step)
+
+    async def _take_step(self, term: LeaderTerm, step: Step) -> None:
+        action = Action(step.action)
+        issued = await self._issue(term, step.engine, action, model=step.model)
+        if issued.is_ok() and action is Action.LOAD:
+            term.rate.spend()
+
+    async def _issue(
+        self, term: LeaderTerm, engine: Engine, action: Action, **what: str
+    ) -> Result[str, str]:
+        target = Target(
+            engine.name, engine.boot_id, engine.address, engine.checks_fencing
+        )
+        order = IssueOrder(term.number, uuid.uuid4().hex, target, action, **what)
+        match await self.log.propose(order, PROPOSE_TIMEOUT_S):
+            case Result(tag="ok", ok=applied):
+                return self._note_issued(order, applied.result)
+            case Result(error=reason):
+                return Error(reason.value)
+
+    def _note_issued(
+        self, order: IssueOrder, result: OrderIssued | OrderRefused
+    ) -> Result[str, str]:
+        if isinstance(result, OrderRefused):
+            self._counts[f"refused_{result.reason}"] += 1
+            return Error(result.reason)
+        self._counts["issued"] += 1
+        event(
+            "info",
+            "order_issued",
+            order=order.order_id,
+            engine=order.target.engine,
+            action=order.action.value,
+            model=order.model,
+        )
+        return Ok(order.order_id)
+
+    def _last_orders(self) -> dict[str, IssueOrder]:
+        """Return the last order for each engine, open or carried out."""
+        done = [one for one in self._state.ended() if one.outcome is Outcome.DONE]
+        orders = (*done, *self._state.open())
+        return {one.issue.target.engine: one.issue for one in orders}
+
+    def _engines_as_ordered(self, term: LeaderTerm) -> list[Engine]:
+        """Return the engines with loads counted that reports do not show yet."""
+        for name, (done_at, _) in tuple(term.loaded.items()):
+            if now() - done_at > REPORTED_WITHIN_S:
+                del term.loaded[name]
+        return [
+            _with_load(one, term.loaded.get(one.name)) for one in self.usable_engines()
+        ]
+
+
+def _with_load(engine: Engine, load: tuple[float, IssueOrder] | None) -> Engine:
+    if load is None or load[1].target.boot_id != engine.boot_id:
+        return engine
+    return dataclasses.replace(engine, models=engine.models | {load[1].model})
+
+
+def _without(engine: Engine, unloading: set[tuple[str, str, str]]) -> Engine:
+    kept = frozenset(
+        model
+        for model in engine.models
+        if (engine.name, engine.boot_id, model) not in unloading
+    )
+    return dataclasses.replace(engine, models=kept)
+
+
+def _describe(record: OrderRecord) -> dict:
+    issue = record.issue
+    return {
+        "order_id": issue.order_id,
+        "index": record.index,
+        "term": issue.term,
+        "engine": issue.target.engine,
+        "action": issue.action.value,
+        "model": issue.model,
+        "outcome": record.outcome.value if record.outcome else None,
+    }
+
+
+def create(
+    settings: Settings, state: OrderState, documents: ConfigurationState
+) -> OrderService:
+    """Return the order service; `state` is registered with the log as "orders"."""
+    return OrderService(settings, state, documents)
