--- /dev/null
+++ b/fuchsiacroft/tests/membership/engine_reports_tests.py
@@ -0,0 +1,146 @@
+"""Tests of what entries tell the leader of the engines they own."""
+
+import asyncio
+
+from fuchsiacroft.config import held
+from fuchsiacroft.config.document import Document, ServiceSpec
+from fuchsiacroft.config.settings import Addresses, Member, Settings
+from fuchsiacroft.control import inventory
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.membership import (
+    backend_servers,
+    engine_reports,
+    ownership,
+    service,
+)
+from fuchsiacroft.membership.announcement import Announced, Announcement, Offer
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.bus import MemoryNetwork
+from fuchsiacroft.tests.fakes.logs import Group
+
+ENTRY = "10.0.0.1:1"
+CONTROL = ("10.0.0.8:1", "10.0.0.9:1")
+REPORTED_S = 20.0
+SETTINGS = Settings(
+    node="entry",
+    failure_domain="d",
+    region="r",
+    addresses=Addresses("127.0.0.1:1", peers=ENTRY),
+    control=[Member(f"control-{at}", "d", at) for at in CONTROL],
+)
+
+
+def announcement(name, *offers):
+    return Announcement(
+        name, "b", "d", "10.0.0.2:1", tuple(Offer(one) for one in offers), 8
+    )
+
+
+class Site:
+    """One entry, two control members, and announcing backend servers."""
+
+    def __init__(self):
+        self.network = MemoryNetwork()
+        self.group = Group()
+        self.logs = []
+        self.inventories = []
+        self.announced = []
+        self.kernels = []
+
+    async def start(self):
+        for address in CONTROL:
+            await self.add(address, self.group.member(), inventory.create())
+        self.logs = self.group.members
+        document = held.create()
+        document.document = Document(
+            [], [ServiceSpec("m", "model"), ServiceSpec("p", "plain")], []
+        )
+        document._compile()
+        table = ownership.create(SETTINGS)
+        directory = backend_servers.create(SETTINGS)
+        directory.listeners.heard.append(lambda server: table.watch(server.name))
+        await self.add(
+            ENTRY,
+            service.create(SETTINGS),
+            table,
+            document,
+            directory,
+            engine_reports.create(SETTINGS),
+        )
+        self.announcing = asyncio.create_task(self.announce())
+
+    async def add(self, address, *services):
+        kernel = Kernel()
+        kernel.add(self.network.bus(address, address))
+        for one in services:
+            kernel.add(one)
+            if isinstance(one, inventory.ReportedInventory):
+                self.inventories.append(one)
+        await kernel.start()
+        self.kernels.append(kernel)
+
+    async def announce(self):
+        bus = self.network.bus("crowd", "10.0.0.3:1")
+        while True:
+            for one in self.announced:
+                bus.send(ENTRY, Announced(one))
+            await asyncio.sleep(1)
+
+    async def stop(self):
+        self.announcing.cancel()
+        for kernel in self.kernels:
+            await kernel.stop()
+
+    def known(self, member):
+        return {one.name: set(one.models) for one in self.inventories[member].engines()}
+
+
+class EngineReportsTests(PausedTestCase):
+    """The leader knows the engines, and a new leader hears them anew."""
+
+    def play(self, scenario):
+        async def run():
+            site = Site()
+            await site.start()
+            site.announced = [announcement("gpu-1", "m"), announcement("app", "p")]
+            await asyncio.sleep(REPORTED_S)
+            try:
+                await scenario(site)
+            finally:
+                await site.stop()
+
+        self.run_paused(run())
+
+    def test_engines_are_known_and_plain_backend_servers_are_not(self):
+        async def scenario(site):
+            self.assertEqual({"d/gpu-1": {"m"}}, site.known(0))
+
+        self.play(scenario)
+
+    def test_a_change_and_a_departure_are_reported(self):
+        async def scenario(site):
+            site.announced = [announcement("gpu-1")]
+            await asyncio.sleep(10)
+            self.assertEqual({"d/gpu-1": set()}, site.known(0))
+            site.announced = []
+            await asyncio.sleep(15)
+            self.assertEqual({}, site.known(0))
+
+        self.play(scenario)
+
+    def test_a_new_leader_hears_everything(self):
+        async def scenario(site):
+            site.group.elect(site.logs[1])
+            await asyncio.sleep(REPORTED_S)
+            self.assertEqual({"d/gpu-1": {"m"}}, site.known(1))
+
+        self.play(scenario)
+
+    def test_a_cut_off_entry_ages_out(self):
+        async def scenario(site):
+            for address in CONTROL:
+                site.network.cut_link(ENTRY, address)
+            await asyncio.sleep(inventory.MAX_AGE_S + 5)
+            self.assertEqual({}, site.known(0))
+
+        self.play(scenario)
