Pace prefill, keep room for higher tiers, and learn overruns

Cause: at capacity, top-tier answers came late though they never waited: prompts of long requests shared the engine's prefill with them; and tier 0 and 1 cut hundreds of lower runs in bursts. Ruled out: queueing (wait p95 0.0 s).

Now only two lower-tier prompts (four of the top tier) are in prefill at once, measured use of higher tiers with a margin is kept free, the top tier may overshoot a limit by a fifth before anything is cut, and a latest start counts the overrun that nine in ten runs keep to.

--- a/fuchsiacroft/config/settings.py
+++ b/fuchsiacroft/config/settings.py
@@ -55,6 +55,7 @@
     ] = "expected_finish"
     order: Literal["arrival", "tier_slack"] = "tier_slack"
     limit: Literal["fixed", "learned"] = "learned"
+    reserve: Literal["none", "measured"] = "measured"
     shed: Literal["reject_newest", "lowest_tier"] = "lowest_tier"
     borrow: Literal["own_desk", "late_binding"] = "late_binding"
     straggler: Literal["ignore", "set_aside"] = "set_aside"
--- a/fuchsiacroft/model/callers.py
+++ b/fuchsiacroft/model/callers.py
@@ -54,7 +54,7 @@
 
     def _send(self, arrival: Arrival) -> None:
         entry = self._world.pick()
-        record = Record(arrival)
+        record = Record(arrival, began_at=now())
         self.outcomes.records.append(record)
         task = asyncio.get_running_loop().create_task(self._serve(entry, record))
         for group in (self._open, entry.callers):
@@ -168,7 +168,8 @@
     record.prefilled += run.prefilled
     if run.first_token_at is None or not record.arrival.is_model:
         return
-    record.first_token_s = run.first_token_at - run.started_at
+    record.first_token_s = run.first_token_at - record.began_at
+    record.prefill_s = run.first_token_at - run.started_at
     decoded_s = run.ended_at - run.first_token_at
     record.token_gap_s = decoded_s / record.arrival.output_tokens
 
@@ -179,7 +180,7 @@
     done = outcome is RunOutcome.COMPLETED
     return RunReport(
         outcome=outcome,
-        first_token_s=record.first_token_s if run is not None else None,
+        first_token_s=record.prefill_s if run is not None else None,
         token_gap_s=record.token_gap_s if done else None,
         duration_s=now() - started_at,
         output_tokens=record.arrival.output_tokens if done else 0,
--- a/fuchsiacroft/model/engine.py
+++ b/fuchsiacroft/model/engine.py
@@ -1,6 +1,7 @@
 """A model of a continuously batching engine.
 
-Prefill is shared by the prompts in it, and slows decoding beside it. The token
+Prefill is shared by the prompts in it, and takes a share of the engine's time
+from the decoding beside it, which grows with the number of prompts. The token
 gap is flat up to a knee of running requests and then grows with them; beyond
 the room of the KV cache, requests are preempted and recomputed, and
 throughput falls. Prefixes are cached in limited memory.
@@ -14,7 +15,8 @@
 from fuchsiacroft.routing.prefixes import TOKENS_PER_BLOCK
 from fuchsiacroft.utils.clock import now
 
-PREFILL_SLOWS_DECODE = 1.25
+DECODE_SHARE = 0.65
+LEAST_DECODE_SHARE = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,14 +53,19 @@
         gap_s = self.generation.token_gap_s * self.slowdown
         gap_s *= max(1.0, running / self.generation.knee_runs)
         gap_s *= max(1.0, self._kv_used / self.generation.kv_tokens) ** 2
-        return gap_s * (PREFILL_SLOWS_DECODE if len(self._prefill) else 1.0)
+        return gap_s / self._decode_share()
 
     def _prefill_rate(self) -> float:
         if not len(self._prefill):
             return 0.0
         whole = self.generation.prefill_tokens_per_s / self.slowdown
+        if len(self._decode):
+            whole *= 1.0 - self._decode_share()
         return whole / len(self._prefill)
 
+    def _decode_share(self) -> float:
+        return max(LEAST_DECODE_SHARE, DECODE_SHARE ** len(self._prefill))
+
     def _begin(self, run: ServerRun) -> None:
         run.prompt_left = max(16, run.arrival.prompt_tokens - self._cached(run))
         self._kv_used += _kv_tokens(run)
--- a/fuchsiacroft/model/experiment.py
+++ b/fuchsiacroft/model/experiment.py
@@ -18,6 +18,7 @@
 BASELINE = {
     "order": "arrival",
     "limit": "fixed",
+    "reserve": "none",
     "shed": "reject_newest",
     "straggler": "ignore",
 }
--- a/fuchsiacroft/model/outcomes.py
+++ b/fuchsiacroft/model/outcomes.py
@@ -22,13 +22,18 @@
 
 @dataclass(slots=True)
 class Record:
-    """One request: its ending, what it used, and when its caller knew."""
+    """One request: its ending, what it used, and when its caller knew.
+
+    `first_token_s` counts from the arrival, `prefill_s` from the dispatch.
+    """
 
     arrival: Arrival
     ending: Ending = Ending.UNANSWERED
     starts: int = 0
     ended_at_s: float = math.inf
+    began_at: float = 0.0
     first_token_s: float | None = None
+    prefill_s: float | None = None
     token_gap_s: float | None = None
     prefilled: float = 0.0
 
--- a/fuchsiacroft/model/trace.py
+++ b/fuchsiacroft/model/trace.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from fuchsiacroft.routing.prefixes import TOKENS_PER_BLOCK
+
 BURST_PERIOD_S = 15.0
 BURST_S = 4.0
 BURST_FACTOR = 2.5
@@ -204,15 +206,16 @@
 
 
 def mean_work(deployment: Deployment, seed: int = 0) -> tuple[float, float]:
-    """Return mean prompt and output tokens of an arrival at a model service."""
+    """Return mean prompt, less what it shares, and output of a model arrival."""
     sample = [
         arrival
         for arrival in generate(deployment, 50.0, 200.0, seed)
         if arrival.is_model
     ]
-    prompt = sum(arrival.prompt_tokens for arrival in sample) / len(sample)
+    shared = sum(len(arrival.prefixes) for arrival in sample) * TOKENS_PER_BLOCK
+    prompt = sum(arrival.prompt_tokens for arrival in sample) - shared
     output = sum(arrival.output_tokens for arrival in sample) / len(sample)
-    return prompt, output
+    return prompt / len(sample), output
 
 
 def _of_kind(
--- a/fuchsiacroft/model/world.py
+++ b/fuchsiacroft/model/world.py
@@ -207,7 +207,7 @@
 
 
 def capacity_per_s(deployment: Deployment) -> float:
-    """Return the arrivals a second that keep every engine busy, cold caches."""
+    """Return the arrivals a second that keep every engine busy, caches warm."""
     prompt, output = mean_work(deployment)
     total = 0.0
     for slot in _slots(deployment):
--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -32,7 +32,7 @@
 
 PRESS_PERIOD_S = 0.1
 SWEEP_PERIOD_S = 0.5
-LATEST_START_MARGIN = 0.9
+MIN_WAKE_S = 0.01
 MIN_WAIT_SHARE = 0.1
 SET_ASIDE_SHARE = 0.34
 NEW_DESK_S = 8.0
@@ -75,7 +75,7 @@
                 name: {
                     "running": sorted(owned.running),
                     "room": owned.room(0),
-                    "limit": owned.limit.allowed(0),
+                    "limit": owned.limit.allowed(),
                     "slow": owned.health.is_slow,
                     "slowness": round(owned.health.slowness, 2),
                 }
@@ -140,7 +140,7 @@
     async def acquire(self, ask: Ask, position: int = 0) -> Result[Permit, Refusal]:
         """Wait for a permit until the ask's timeout."""
         line = self._line(ask.service)
-        waiter = self._waiter(ask, position)
+        waiter = self._waiter(ask, position, line)
         match self._treatment(ask):
             case Treatment.REFUSED:
                 return Error(Refusal(RefusalReason.QUARANTINED, 0.0))
@@ -171,7 +171,7 @@
         if owned is None or owned.server.boot_id != permit.boot_id:
             self._forget_cut(permit)
             return
-        run = owned.running.pop(permit.permit_id, None)
+        run = owned.remove(permit.permit_id)
         self._forget_cut(permit)
         if run is None:
             return
@@ -185,7 +185,7 @@
         if owned is None or owned.server.boot_id != permit.boot_id:
             return False
         if permit.permit_id not in owned.running:
-            owned.running[permit.permit_id] = self._run(permit, owned)
+            owned.add(self._run(permit, owned))
         return True
 
     def note_served_elsewhere(self, ask: Ask) -> None:
@@ -226,14 +226,17 @@
                 server.announcement, joined_at if is_new else None
             ),
             health=self._decisions.health(self._may_set_aside),
+            reserve=self._decisions.reserve(),
         )
 
     def _may_set_aside(self) -> bool:
         slow = sum(owned.health.is_slow for owned in self._owned.values())
         return (slow + 1) <= max(1, SET_ASIDE_SHARE * len(self._owned))
 
-    def _waiter(self, ask: Ask, position: int) -> Waiter:
-        run_s = self._decisions.estimates.run_s(ask)
+    def _waiter(self, ask: Ask, position: int, line: Line) -> Waiter:
+        estimates = self._decisions.estimates
+        run_s = estimates.run_s(ask)
+        longest_s = line.slowest_run_s(ask, estimates) * estimates.overrun(ask.service)
         arrived_at = now()
         deadline = arrived_at + ask.timeout_s
         earliest = arrived_at + MIN_WAIT_SHARE * ask.timeout_s
@@ -243,7 +246,7 @@
             arrived_at=arrived_at,
             deadline=deadline,
             run_s=run_s,
-            latest_start=max(deadline - LATEST_START_MARGIN * run_s, earliest),
+            latest_start=max(deadline - longest_s, earliest),
             fut=asyncio.get_running_loop().create_future(),
             position=position,
         )
@@ -274,12 +277,24 @@
                 continue
             owned = self._choose(waiter.ask, line)
             if owned is None:
+                self._wake_later(line)
                 return
             line.queue.remove(waiter)
             line.queue.started(waiter)
             line.waits.note_start(waiter.ask.rank)
             waiter.fut.set_result(Ok(self._grant(waiter.ask, owned)))
 
+    def _wake_later(self, line: Line) -> None:
+        end = line.next_prefill_end()
+        if end is None or line.wake is not None:
+            return
+        at = max(end, now() + MIN_WAKE_S)
+        line.wake = asyncio.get_running_loop().call_at(at, self._wake, line)
+
+    def _wake(self, line: Line) -> None:
+        line.wake = None
+        self._serve(line)
+
     def _serve_alone(self, line: Line) -> None:
         for waiter in list(line.alone):
             if waiter.is_settled or not line.servers:
@@ -333,7 +348,7 @@
             owner=self._node,
             cut=asyncio.get_running_loop().create_future(),
         )
-        owned.running[permit.permit_id] = self._run(permit, owned)
+        owned.add(self._run(permit, owned))
         owned.health.note_start()
         self._decisions.prefixes.note_run(ask, owned.name)
         return permit
@@ -347,6 +362,7 @@
             permit=permit,
             started_at=now(),
             expected_s=speed.run_s(permit.ask, ratio, cached),
+            prefill_s=speed.prefill_s(permit.ask, cached),
             cached_tokens=cached,
         )
 
@@ -370,16 +386,21 @@
         owned.health.note(ask, speed, run.expected_s, report)
         owned.limit.note(ask, len(owned.running), report)
         if not owned.health.is_slow:
-            estimates.note(ask, owned.generation, run.cached_tokens, report)
+            filled = ask.size.prompt_tokens - run.cached_tokens
+            filled = filled if run.was_first_prefill else 0
+            estimates.note(ask, owned.generation, filled, report)
+            if report.outcome is RunOutcome.COMPLETED:
+                ratio = run.spent_s() / run.expected_s
+                estimates.note_overrun(ask.service, ratio)
 
     def _press(self, waiter: Waiter, line: Line) -> None:
         if waiter.is_settled or not waiter.queued:
             return
         line.pressing.add(waiter)
-        if len(line.cuts_pending) < len(line.pressing):
-            servers = [
-                owned for owned in line.servers.values() if not owned.health.is_slow
-            ]
+        servers = [owned for owned in line.servers.values() if not owned.health.is_slow]
+        rank = waiter.ask.rank
+        is_full = all(owned.free(rank) <= 0 for owned in servers)
+        if is_full and len(line.cuts_pending) < len(line.pressing):
             run = self._decisions.shed.victim(waiter.ask.rank, servers)
             if run is not None:
                 self._cut(run, line)
--- a/fuchsiacroft/routing/estimates.py
+++ b/fuchsiacroft/routing/estimates.py
@@ -10,6 +10,9 @@
 from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport
 
 NEW_WEIGHT = 0.1
+QUANTILE = 0.9
+STEP = 0.03
+FIRST_OVERRUN = 1.2
 DEFAULT_TOKEN_GAP_S = 0.03
 DEFAULT_PREFILL_TOKENS_PER_S = 5_000.0
 DEFAULT_PLAIN_RUN_S = 0.05
@@ -33,6 +36,19 @@
         self.value += weight * (sample - self.value)
 
 
+class UpperBound:
+    """Follows a high quantile of a ratio by small steps."""
+
+    def __init__(self, value: float) -> None:
+        self.value = value
+
+    def add(self, sample: float) -> None:
+        """Move up if the sample is above, and a little down if below."""
+        above = sample > self.value
+        step = QUANTILE if above else QUANTILE - 1.0
+        self.value = max(1.0, self.value + STEP * step)
+
+
 class Speed:
     """The speed of one service on one hardware generation."""
 
@@ -69,6 +85,19 @@
         self._speeds: dict[tuple[str, str], Speed] = {}
         self._services: dict[str, Speed] = {}
         self._output_ratios: dict[str, Average] = {}
+        self._overruns: dict[str, UpperBound] = {}
+
+    def overrun(self, service: str) -> float:
+        """Return how many times the expected time nine in ten runs keep to."""
+        bound = self._overruns.get(service)
+        return FIRST_OVERRUN if bound is None else bound.value
+
+    def note_overrun(self, service: str, ratio: float) -> None:
+        """Take in a run's time over its expected time."""
+        bound = self._overruns.get(service)
+        if bound is None:
+            bound = self._overruns[service] = UpperBound(FIRST_OVERRUN)
+        bound.add(ratio)
 
     def speed(self, service: str, generation: str) -> Speed:
         """Return the speed of a service on a generation."""
@@ -86,13 +115,23 @@
         ratio = self._output_ratios.get(service)
         return 1.0 if ratio is None else ratio.value
 
-    def note(self, ask: Ask, generation: str, cached: int, report: RunReport) -> None:
-        """Learn from a run that completed."""
+    def note(
+        self,
+        ask: Ask,
+        generation: str,
+        filled_tokens: int,
+        report: RunReport,
+    ) -> None:
+        """Learn from a run that completed.
+
+        `filled_tokens` were prefilled with no other prompt beside them; 0
+        when others were.
+        """
         if report.outcome is not RunOutcome.COMPLETED:
             return
         whole = self._services.setdefault(ask.service, Speed())
         for speed in (whole, self.speed(ask.service, generation)):
-            _learn(speed, ask, cached, report)
+            _learn(speed, ask, filled_tokens, report)
         if is_model(ask) and report.output_tokens:
             ratio = self._output_ratios.setdefault(ask.service, Average(1.0))
             ratio.add(min(1.0, report.output_tokens / ask.size.output_tokens))
@@ -114,14 +153,13 @@
     return ask.size.output_tokens > 0
 
 
-def _learn(speed: Speed, ask: Ask, cached: int, report: RunReport) -> None:
+def _learn(speed: Speed, ask: Ask, filled_tokens: int, report: RunReport) -> None:
     if not is_model(ask):
         speed.note_plain(report.duration_s)
         return
     if report.token_gap_s is not None and report.output_tokens >= MIN_OUTPUT_TOKENS:
         speed.token_gap_s.add(report.token_gap_s)
-    filled = ask.size.prompt_tokens - cached
-    if report.first_token_s and filled >= MIN_PROMPT_TOKENS:
-        rate = filled / report.first_token_s
+    if report.first_token_s and filled_tokens >= MIN_PROMPT_TOKENS:
+        rate = filled_tokens / report.first_token_s
         if math.isfinite(rate):
             speed.prefill_tokens_per_s.add(rate)
--- a/fuchsiacroft/routing/limit.py
+++ b/fuchsiacroft/routing/limit.py
@@ -6,11 +6,20 @@
 
 
 class Limit(ABC):
-    """The limit of one backend server."""
+    """The limit of one backend server.
+
+    `paces_prefill` says whether the prompts in prefill are limited as well.
+    """
+
+    paces_prefill = False
 
     @abstractmethod
-    def allowed(self, rank: int) -> int:
-        """Return how many may run at once when one of this rank starts."""
+    def allowed(self) -> int:
+        """Return how many may run at once."""
+
+    @abstractmethod
+    def overshoot(self) -> int:
+        """Return how many more the top tier may run for a short while."""
 
     @abstractmethod
     def note(self, ask: Ask, running: int, report: RunReport) -> None:
@@ -23,9 +32,13 @@
     def __init__(self, slots: int) -> None:
         self._slots = max(1, slots)
 
-    def allowed(self, rank: int) -> int:
+    def allowed(self) -> int:
         """Return the announced slots."""
         return self._slots
 
+    def overshoot(self) -> int:
+        """Return 0."""
+        return 0
+
     def note(self, ask: Ask, running: int, report: RunReport) -> None:
         """Do nothing: the limit is fixed."""
--- a/fuchsiacroft/routing/limit_learned.py
+++ b/fuchsiacroft/routing/limit_learned.py
@@ -13,16 +13,15 @@
 
 RAMP_S = 8.0
 RAMP_FIRST = 2
-ADJUST_PERIOD_S = 1.0
+MIN_RUNS = 4
 SHRINK_FACTOR = 0.9
 SHRINK_ABOVE = 1.0
 GROW_BELOW = 0.9
 IN_USE_SHARE = 0.85
 MAX_SLOTS_FACTOR = 2
-RESERVE_SHARE = 0.12
-MIN_LIMIT_WITH_RESERVE = 4
 PLAIN_SLOWDOWN = 2.0
 LARGEST_RATIO = 4.0
+OVERSHOOT_SHARE = 0.2
 
 
 class LearnedLimits:
@@ -46,6 +45,8 @@
 class LearnedLimit(Limit):
     """A limit that follows the measured targets."""
 
+    paces_prefill = True
+
     def __init__(
         self,
         limits: LearnedLimits,
@@ -62,22 +63,25 @@
         self._ratio = Average(0.0)
         self._adjusted_at = now()
 
-    def allowed(self, rank: int) -> int:
-        """Return the limit; the last part of it is kept for the top tier."""
+    def allowed(self) -> int:
+        """Return the limit, or the part of it that the ramp has reached."""
         limit = int(self._limit)
-        if self._ramp_from is not None:
-            limit = min(limit, self._ramp())
-        if rank > 0 and limit >= MIN_LIMIT_WITH_RESERVE:
-            limit -= max(1, round(limit * RESERVE_SHARE))
-        return limit
+        return limit if self._ramp_from is None else min(limit, self._ramp())
+
+    def overshoot(self) -> int:
+        """Return a part of the limit; short runs of the top tier use it."""
+        return max(1, int(self._limit * OVERSHOOT_SHARE))
 
     def note(self, ask: Ask, running: int, report: RunReport) -> None:
-        """Compare a run with its targets, and adjust once a period."""
+        """Compare a run with its targets, and adjust after a few runs.
+
+        Runs that began under an earlier limit say nothing of the present one.
+        """
         ratio = self._ratio_to_target(ask, report)
-        if ratio is None:
+        if ratio is None or now() - report.duration_s < self._adjusted_at:
             return
         self._ratio.add(min(ratio, LARGEST_RATIO))
-        if now() - self._adjusted_at < ADJUST_PERIOD_S:
+        if self._ratio.samples < MIN_RUNS:
             return
         if self._ratio.value > SHRINK_ABOVE:
             self._adjust(max(1.0, self._limit * SHRINK_FACTOR))
@@ -91,7 +95,7 @@
         self._limits.note(*self._kind, limit)
 
     def _is_in_use(self, running: int) -> bool:
-        return running + 1 >= IN_USE_SHARE * self.allowed(1)
+        return running + 1 >= IN_USE_SHARE * self.allowed()
 
     def _ramp(self) -> int:
         age = now() - self._ramp_from
--- a/fuchsiacroft/routing/line.py
+++ b/fuchsiacroft/routing/line.py
@@ -3,6 +3,8 @@
 import asyncio
 import math
 
+from fuchsiacroft.routing.ask import Ask
+from fuchsiacroft.routing.estimates import Estimates
 from fuchsiacroft.routing.order import Waiter, WaitingQueue
 from fuchsiacroft.routing.owned import OwnedServer
 from fuchsiacroft.routing.waits import Waits
@@ -21,16 +23,33 @@
         self.alone: list[Waiter] = []
         self.pressing: set[Waiter] = set()
         self.cuts_pending: set[str] = set()
+        self.wake: asyncio.TimerHandle | None = None
 
     def roomy(self, rank: int, rng) -> list[OwnedServer]:
         """Return servers with room for a rank, at most a few at random."""
         found = [owned for owned in self.servers.values() if owned.room(rank) > 0]
         return rng.sample(found, MAX_COMPARED) if len(found) > MAX_COMPARED else found
 
-    def wait_s(self, waiter_rank: int, workspace: str, share: float) -> float:
+    def next_prefill_end(self) -> float | None:
+        """Return when the next prompt is likely out of prefill."""
+        ends = [owned.prefills[0] for owned in self.servers.values() if owned.prefills]
+        return min(ends, default=None)
+
+    def slowest_run_s(self, ask: Ask, estimates: Estimates) -> float:
+        """Return the expected run time on the slowest generation in use."""
+        ratio = estimates.output_ratio(ask.service)
+        kinds = {
+            owned.generation
+            for owned in self.servers.values()
+            if not owned.health.is_slow
+        }
+        times = [estimates.speed(ask.service, kind).run_s(ask, ratio) for kind in kinds]
+        return max(times, default=estimates.run_s(ask))
+
+    def wait_s(self, rank: int, workspace: str, share: float) -> float:
         """Return the expected wait of a new ask."""
-        ahead = self.queue.waiting(waiter_rank, workspace)
-        return self.waits.wait_s(waiter_rank, ahead, share)
+        ahead = self.queue.waiting(rank, workspace)
+        return self.waits.wait_s(rank, ahead, share)
 
     def leave(self, waiter: Waiter) -> None:
         """Take a waiter out of every list, and stop its timers."""
--- a/fuchsiacroft/routing/owned.py
+++ b/fuchsiacroft/routing/owned.py
@@ -1,5 +1,6 @@
 """A backend server whose permits this entry hands out, and its runs."""
 
+import heapq
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -7,9 +8,12 @@
 from fuchsiacroft.routing.ask import Permit
 from fuchsiacroft.routing.health import Health
 from fuchsiacroft.routing.limit import Limit
+from fuchsiacroft.routing.reserve import Reserve
 from fuchsiacroft.utils.clock import now
 
 LOST_KEPT_S = 15.0
+TOP_PREFILLS = 4
+LOWER_PREFILLS = 2
 
 
 @dataclass(slots=True, eq=False)
@@ -19,7 +23,10 @@
     permit: Permit
     started_at: float
     expected_s: float
+    prefill_s: float
     cached_tokens: int
+    prefill_until: float = 0.0
+    was_first_prefill: bool = False
     alone: bool = False
     cutting: bool = False
 
@@ -38,8 +45,10 @@
     server: BackendServer
     limit: Limit
     health: Health
+    reserve: Reserve
     running: dict[str, Run] = field(default_factory=dict)
     held_for: int | None = None
+    prefills: list[float] = field(default_factory=list)
     lost: deque[tuple[float, str]] = field(default_factory=deque)
 
     @property
@@ -53,13 +62,51 @@
         return self.server.announcement.generation
 
     def room(self, rank: int) -> int:
-        """Return how many more requests of this rank may run there now."""
+        """Return how many more requests of this rank may start there now."""
+        free = self.free(rank)
+        if free <= 0:
+            return 0
+        most = TOP_PREFILLS if rank == 0 else LOWER_PREFILLS
+        return min(free, most - self.prefilling())
+
+    def free(self, rank: int) -> int:
+        """Return the free places for this rank, whatever prefill goes on."""
         if self.server.announcement.leaving or self.held_for is not None:
             return 0
         if any(run.alone for run in self.running.values()):
             return 0
-        allowed = self.health.cap(self.limit.allowed(rank))
-        return allowed - len(self.running)
+        allowed = self.health.cap(self.limit.allowed())
+        if rank == 0:
+            allowed += self.limit.overshoot()
+        free = allowed - len(self.running)
+        if free <= 0 or not self.running:
+            return free
+        unreserved = allowed - self.reserve.kept_from(rank)
+        return min(free, unreserved - self.reserve.below(rank))
+
+    def prefilling(self) -> int:
+        """Return how many prompts are likely still in prefill."""
+        at = now()
+        while self.prefills and self.prefills[0] <= at:
+            heapq.heappop(self.prefills)
+        return len(self.prefills)
+
+    def add(self, run: Run) -> None:
+        """Begin a run; prompts in prefill share the engine."""
+        self.running[run.permit.permit_id] = run
+        self.reserve.note(run.permit.ask.rank, 1)
+        if run.prefill_s > 0.0 and self.limit.paces_prefill:
+            beside = self.prefilling()
+            run.was_first_prefill = beside == 0
+            run.prefill_until = now() + run.prefill_s * (1 + beside)
+            heapq.heappush(self.prefills, run.prefill_until)
+
+    def remove(self, permit_id: str) -> Run | None:
+        """End a run; return None if it was not running."""
+        run = self.running.pop(permit_id, None)
+        if run is not None:
+            self.reserve.note(run.permit.ask.rank, -1)
+        return run
 
     def offers(self, service: str) -> bool:
         """Tell whether it offers the service."""
--- a/fuchsiacroft/routing/policies.py
+++ b/fuchsiacroft/routing/policies.py
@@ -12,6 +12,7 @@
 from fuchsiacroft.routing.order import ArrivalQueue, WaitingQueue
 from fuchsiacroft.routing.order_slack import SlackQueue
 from fuchsiacroft.routing.prefixes import PrefixIndex
+from fuchsiacroft.routing.reserve import MeasuredReserve, NoReserve, Reserve
 from fuchsiacroft.routing.route import LeastConnections, PowerOfTwo, RoundRobin, Route
 from fuchsiacroft.routing.route_expected import ExpectedFinish
 from fuchsiacroft.routing.shed import RejectNewest, Shedding
@@ -43,6 +44,10 @@
             self.limits, service, announcement.generation, announcement.slots, ramp_from
         )
 
+    def reserve(self) -> Reserve:
+        """Return the reserve of a backend server not yet used."""
+        return NoReserve() if self.policies.reserve == "none" else MeasuredReserve()
+
     def health(self, may_set_aside) -> Health:
         """Return the health of a backend server not yet measured."""
         if self.policies.straggler == "ignore":
--- a/fuchsiacroft/routing/route_expected.py
+++ b/fuchsiacroft/routing/route_expected.py
@@ -33,17 +33,18 @@
 
     def _expected_s(self, ask: Ask, owned: OwnedServer) -> float:
         speed = self._estimates.speed(ask.service, owned.generation)
-        crowding = 1.0 + CROWDING_WEIGHT * _crowding(ask, owned)
+        crowding = 1.0 + CROWDING_WEIGHT * _crowding(owned)
         if not is_model(ask):
             return speed.plain_run_s.value * crowding * owned.health.slowness
         cached = self._prefixes.cached_tokens(ask, owned.name)
         ratio = self._estimates.output_ratio(ask.service)
         run_s = speed.run_s(ask, ratio, cached)
+        run_s += speed.prefill_s(ask, cached) * owned.prefilling()
         return run_s * crowding * owned.health.slowness
 
 
-def _crowding(ask: Ask, owned: OwnedServer) -> float:
-    limit = max(1, owned.limit.allowed(ask.rank))
+def _crowding(owned: OwnedServer) -> float:
+    limit = max(1, owned.limit.allowed())
     return (len(owned.running) + _unknown_runs(owned, limit)) / limit
 
 
