Add the console: forms for operators over the operators' API

Pages are rendered on the server and work without JavaScript. The console holds no state: the operator token travels sealed in a cookie, a form carries the version it was made from and its change id. A raced form shows who changed what and can be applied to the newest version; a resent form is answered with the version it was accepted as. A key is shown by the one page that created it. Ruled out: keeping sessions or drafts in the process, which would bind an operator to one console.

--- a/fuchsiacroft/__main__.py
+++ b/fuchsiacroft/__main__.py
@@ -13,6 +13,7 @@
     "demo": "show the system on one machine, in under 30 s",
     "entry": "run an entry: take callers' requests and dispatch them",
     "control": "run a control member: configuration, ledger, leases, orders",
+    "console": "run the console: forms for operators",
     "check": "check settings and a document, and print every fault",
     "apply": "put a document in force everywhere",
     "status": "show versions, control members, entries, backend servers, queues",
--- /dev/null
+++ b/fuchsiacroft/console/pages.py
@@ -0,0 +1,57 @@
+"""Renders the console's pages from their templates."""
+
+import importlib.resources
+from dataclasses import dataclass
+
+import jinja2
+from aiohttp import web
+
+from fuchsiacroft.commands.history import summary, time_text
+from fuchsiacroft.console.forms import FORMS
+
+PACKAGE = "fuchsiacroft.console"
+STYLE = "style.css"
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One line of a page's error summary; `field` is the field to go to."""
+
+    text: str
+    field: str = ""
+
+
+class Pages:
+    """The compiled templates; values are escaped by default."""
+
+    def __init__(self) -> None:
+        self._environment = jinja2.Environment(
+            loader=jinja2.FunctionLoader(_read_template),
+            autoescape=True,
+            undefined=jinja2.StrictUndefined,
+            trim_blocks=True,
+            lstrip_blocks=True,
+        )
+        self._environment.globals["forms"] = FORMS
+        self._environment.filters["time_text"] = time_text
+        self._environment.filters["delta_summary"] = summary
+        self.style = _read(STYLE)
+
+    def render(self, template: str, status: int = 200, **values: object):
+        """Return the response that shows a template."""
+        base = {"session": None, "csrf": "", "problems": [], "notice": ""}
+        text = self._environment.get_template(template).render(base | values)
+        return web.Response(status=status, text=text, content_type="text/html")
+
+
+def create() -> Pages:
+    """Return the pages of the console."""
+    return Pages()
+
+
+def _read_template(name: str) -> str:
+    return _read(f"templates/{name}")
+
+
+def _read(name: str) -> str:
+    return importlib.resources.files(PACKAGE).joinpath(name).read_text("utf-8")
--- a/fuchsiacroft/tests/fakes/control_thread.py
+++ b/fuchsiacroft/tests/fakes/control_thread.py
@@ -45,7 +45,9 @@
             raise RuntimeError("the control member did not start")
 
     def stop(self) -> None:
-        """Stop it and wait for its end."""
+        """Stop it and wait for its end; a second call does nothing."""
+        if not self._thread.is_alive():
+            return
         self._loop.call_soon_threadsafe(self._stopping.set)
         self._thread.join(READY_TIMEOUT_S)
 
