--- a/fuchsiacroft/config/faults.py
+++ b/fuchsiacroft/config/faults.py
@@ -8,6 +8,17 @@
 from jsonschema import Draft202012Validator
 from jsonschema.exceptions import ValidationError
 
+MAX_SHOWN_CHARS = 100
+TYPE_NAMES = {
+    "integer": "a whole number",
+    "number": "a number",
+    "string": "a text",
+    "boolean": "true or false",
+    "array": "a list",
+    "object": "an object",
+    "null": "null",
+}
+
 
 @dataclass(frozen=True, slots=True)
 class Fault:
@@ -63,7 +74,28 @@
         inner = max(error.context, key=lambda err: len(err.absolute_path))
         if inner.json_path != path:
             return _explain(inner)
-    return [Fault(path, error.message)]
+    return [Fault(path, _in_words(error))]
+
+
+def _in_words(error: ValidationError) -> str:
+    value = msgspec.json.encode(error.instance).decode()[:MAX_SHOWN_CHARS]
+    limit = error.validator_value
+    match error.validator:
+        case "type":
+            wanted = [limit] if isinstance(limit, str) else limit
+            names = " or ".join(TYPE_NAMES.get(name, name) for name in wanted)
+            return f"{value} is not {names}"
+        case "required":
+            return error.message
+        case "minimum":
+            return f"{value} is less than {limit}"
+        case "exclusiveMinimum":
+            return f"{value} is not more than {limit}"
+        case "maximum":
+            return f"{value} is more than {limit}"
+        case "pattern":
+            return f"{value} does not have the form {limit}"
+    return error.message
 
 
 def _unknown_keys(error: ValidationError, path: str) -> list[Fault]:
--- a/fuchsiacroft/operators_client.py
+++ b/fuchsiacroft/operators_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import ssl
 from dataclasses import dataclass
 
@@ -307,5 +308,5 @@
 
 
 def _reason(exc: Exception) -> str:
-    os_error = getattr(exc, "os_error", exc)
-    return getattr(os_error, "strerror", None) or type(exc).__name__
+    number = getattr(exc, "errno", None)
+    return os.strerror(number) if number else type(exc).__name__
--- a/fuchsiacroft/tests/config/document_tests.py
+++ b/fuchsiacroft/tests/config/document_tests.py
@@ -31,3 +31,18 @@
         (fault,) = document.parse(bad).error
         self.assertEqual("$.rules[0].service", fault.path)
         self.assertIn('did you mean "lens-assistant"', fault.message)
+
+    def test_wrong_values_are_explained_in_words(self):
+        tiers = [
+            {"name": "a b", "rank": "first"},
+            {"name": "c", "rank": 100, "timeout_s": 0},
+            {"name": "d", "rank": -1},
+        ]
+        faults = {
+            f.path: f.message for f in document.parse(GOOD | {"tiers": tiers}).error
+        }
+        self.assertEqual('"first" is not a whole number', faults["$.tiers[0].rank"])
+        self.assertIn('"a b" does not have the form', faults["$.tiers[0].name"])
+        self.assertEqual("100 is more than 99", faults["$.tiers[1].rank"])
+        self.assertEqual("0 is not more than 0", faults["$.tiers[1].timeout_s"])
+        self.assertEqual("-1 is less than 0", faults["$.tiers[2].rank"])
