--- a/fuchsiacroft/__main__.py
+++ b/fuchsiacroft/__main__.py
@@ -21,6 +21,8 @@
     "diff": "show what differs between two versions",
     "rollback": "put an older version's document in force again",
     "dump": "print the whole state of a process",
+    "keys": "generate CURVE key pairs for the settings",
+    "experiment": "replay traces under each policy set in a model",
     "standin": "run a stand-in model engine or plain application",
 }
 HELP_FLAGS = ("--help", "-h", "-help", "--helpfull", "help")
@@ -60,7 +62,7 @@
 def usage() -> str:
     """Return the list of commands and exit codes."""
     lines = ["usage: fuchsiacroft COMMAND [--flag=VALUE ...]", "", "commands:"]
-    lines += [f"  {name:9} {text}" for name, text in COMMANDS.items()]
+    lines += [f"  {name:10} {text}" for name, text in COMMANDS.items()]
     lines += ["", "fuchsiacroft COMMAND --help lists its flags.", "", "exit codes:"]
     lines.append(exit_codes.listing(tuple(ExitCode)))
     return "\n".join(lines)
