Wire keys, certificates, orders and the inspection into the processes

Cause: these parts stood beside the processes and no process used them. Ruled out: a separate process for keys (a process starts no other).

--- a/fuchsiacroft/__main__.py
+++ b/fuchsiacroft/__main__.py
@@ -21,6 +21,7 @@
     "diff": "show what differs between two versions",
     "rollback": "put an older version's document in force again",
     "dump": "print the whole state of a process",
+    "inspect": "show what a stopped control member's data folder holds",
     "keys": "generate CURVE key pairs for the settings",
     "experiment": "replay traces under each policy set in a model",
     "standin": "run a stand-in model engine or plain application",
--- a/fuchsiacroft/commands/common.py
+++ b/fuchsiacroft/commands/common.py
@@ -35,7 +35,9 @@
             return None
 
 
-def run_process(values: flags.FlagValues, create: Callable[[Settings], Kernel]) -> int:
+def run_process(
+    values: flags.FlagValues, create: Callable[[Settings, Path], Kernel]
+) -> int:
     """Run a process of the system until a signal stops it."""
     loaded = load_settings(values)
     if loaded is None:
@@ -43,7 +45,7 @@
     logs.configure(loaded.log_level)
 
     async def serve() -> None:
-        await process.serve(create(loaded), loaded.node)
+        await process.serve(create(loaded, Path(values.settings)), loaded.node)
 
     try:
         process.run(serve())
--- a/fuchsiacroft/commands/inspect.py
+++ b/fuchsiacroft/commands/inspect.py
@@ -3,6 +3,8 @@
 import sys
 from pathlib import Path
 
+from absl import flags
+
 from fuchsiacroft.control import recovery
 from fuchsiacroft.control.folder import DiskFolder
 from fuchsiacroft.control.records import Fault
@@ -11,11 +13,24 @@
 LAST_ENTRIES = 5
 
 
-def run(data_folder: str) -> int:
+def define_flags(values: flags.FlagValues) -> None:
+    """Define the flags of this command."""
+    flags.DEFINE_string(
+        "data_folder", None, "the data folder of a stopped control member", values
+    )
+    flags.mark_flag_as_required("data_folder", values)
+
+
+def run(values: flags.FlagValues) -> int:
     """Print what a stopped member's folder holds, changing nothing.
 
     Return 0 for an intact folder, 1 for a damaged one, 2 for no folder.
     """
+    return inspect(values.data_folder)
+
+
+def inspect(data_folder: str) -> int:
+    """Print what a data folder holds."""
     path = Path(data_folder)
     if not path.is_dir():
         print(f"no folder {path}", file=sys.stderr)
--- a/fuchsiacroft/config/settings.py
+++ b/fuchsiacroft/config/settings.py
@@ -82,7 +82,11 @@
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """All settings of one process."""
+    """All settings of one process.
+
+    `tunnels` maps the peers address of another process to the address to
+    connect to instead, where a VM is reached through one.
+    """
 
     node: Name
     failure_domain: Name
@@ -90,6 +94,7 @@
     addresses: Addresses
     control: list[Member] = []
     entries: list[Member] = []
+    tunnels: dict[str, Address] = {}
     data_folder: str | None = None
     keys: Keys | None = None
     tls: Tls | None = None
--- a/fuchsiacroft/entry/callers.py
+++ b/fuchsiacroft/entry/callers.py
@@ -1,6 +1,7 @@
 """The callers' HTTP interface of an entry."""
 
 import asyncio
+import ssl
 
 from aiohttp import web
 from expression import Result
@@ -27,7 +28,9 @@
 
     name = "callers"
 
-    def __init__(self, settings: Settings, metrics: Metrics) -> None:
+    def __init__(
+        self, settings: Settings, metrics: Metrics, tls: ssl.SSLContext | None
+    ) -> None:
         self._settings = settings
         self._in_progress = 0
         self.draining = False
@@ -41,7 +44,7 @@
         app.router.add_post("/v1/completions", self._model)
         app.router.add_post("/v1/chat/completions", self._model)
         app.router.add_route("*", "/services/{service}{path:(/.*)?}", self._plain)
-        self._listener = Listener(app, settings.addresses.callers)
+        self._listener = Listener(app, settings.addresses.callers, tls)
 
     async def start(self, kernel: Kernel) -> None:
         """Listen for callers."""
@@ -111,6 +114,8 @@
         )
 
 
-def create(settings: Settings, metrics: Metrics) -> Callers:
+def create(
+    settings: Settings, metrics: Metrics, tls: ssl.SSLContext | None = None
+) -> Callers:
     """Return the callers' interface of an entry."""
-    return Callers(settings, metrics)
+    return Callers(settings, metrics, tls)
--- a/fuchsiacroft/entry/process.py
+++ b/fuchsiacroft/entry/process.py
@@ -1,13 +1,17 @@
 """Puts the services of an entry together."""
 
+from pathlib import Path
+
 from fuchsiacroft import operations
 from fuchsiacroft.config import follower, held
 from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.config.sources import Peer
 from fuchsiacroft.entry import backend_client, callers, dispatch, ledger_client
 from fuchsiacroft.exceptions import SettingsError
 from fuchsiacroft.kernel import Kernel
-from fuchsiacroft.membership import backend_servers, ownership
+from fuchsiacroft.membership import backend_servers, engine_reports, ownership
 from fuchsiacroft.membership import service as membership
+from fuchsiacroft.membership.service import Membership
 from fuchsiacroft.routing import (
     desk,
     lending,
@@ -17,32 +21,37 @@
     spill,
 )
 from fuchsiacroft.routing.member_owners import MemberOwners
-from fuchsiacroft.transport import zmq_bus
+from fuchsiacroft.transport import security
 from fuchsiacroft.utils.metrics import Metrics
 
 
-def create(settings: Settings) -> Kernel:
-    """Return the kernel of an entry, ready to start."""
+def create(settings: Settings, path: Path | None = None) -> Kernel:
+    """Return the kernel of an entry, ready to start.
+
+    Keys are reloaded when the settings file at `path` changes.
+    """
     addresses = settings.addresses
     if addresses.peers is None or addresses.callers is None:
         raise SettingsError("an entry needs addresses.peers and addresses.callers")
     metrics = Metrics()
+    secured = security.create(settings)
     members = membership.create(settings)
     table = ownership.create(settings)
     owned_by = MemberOwners(settings, table)
-    front = callers.create(settings, metrics)
-    ops = operations.create(addresses.operators, metrics)
-    following = follower.create(settings)
+    front = callers.create(settings, metrics, secured.context)
+    ops = operations.create(addresses.operators, metrics, secured.context)
+    following = follower.create(settings, lambda: _peers(members))
     ops.add_check(following.why_not_ready)
     ops.add_check(front.why_not_ready)
     kernel = Kernel()
     for service in (
-        zmq_bus.create(settings.node, addresses.peers),
+        security.bus(settings, secured),
         held.create(),
         following,
         members,
         table,
         backend_servers.create(settings),
+        engine_reports.create(settings),
         quarantine.create(settings),
         desk.create(settings.node, settings.policies, owned_by),
         lending.create({member.node: member.peers for member in settings.entries}),
@@ -56,4 +65,9 @@
         front,
     ):
         kernel.add(service)
+    security.add_reload(kernel, path, settings, secured)
     return kernel
+
+
+def _peers(members: Membership) -> tuple[Peer, ...]:
+    return tuple(Peer(entry.node, entry.peers) for entry in members.alive())
--- a/fuchsiacroft/tests/commands/inspect_tests.py
+++ b/fuchsiacroft/tests/commands/inspect_tests.py
@@ -14,7 +14,7 @@
 def inspected(path: str) -> tuple[int, str]:
     out = io.StringIO()
     with contextlib.redirect_stdout(out), contextlib.redirect_stderr(out):
-        code = inspect.run(path)
+        code = inspect.inspect(path)
     return code, out.getvalue()
 
 
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections import Counter
+from collections.abc import Mapping
 
 import msgspec
 import zmq
@@ -32,9 +33,16 @@
 class ZmqBus(Bus):
     """Listens on one address and keeps one connection to each peer used."""
 
-    def __init__(self, node: str, address: str, ring: KeyRing | None) -> None:
+    def __init__(
+        self,
+        node: str,
+        address: str,
+        ring: KeyRing | None,
+        tunnels: Mapping[str, str],
+    ) -> None:
         self._node = node
         self._address = address
+        self._tunnels = tunnels
         self._ctx = zmq.asyncio.Context()
         self._ring = ring if ring is not None and ring.enabled else None
         self._listener: BusListener | None = None
@@ -131,10 +139,11 @@
         dealer = self._ctx.socket(zmq.DEALER)
         self._configure(dealer)
         dealer.immediate = True
+        endpoint = f"tcp://{self._tunnels.get(peer, peer)}"
         if self._ring is None:
-            dealer.connect(f"tcp://{peer}")
+            dealer.connect(endpoint)
         else:
-            trial = KeyTrial(dealer, peer, self._ring)
+            trial = KeyTrial(dealer, peer, endpoint, self._ring)
             trial.connect()
             self._tasks.spawn(trial.run(), f"bus-keys-{peer}")
         outbox = Outbox(dealer)
@@ -216,9 +225,15 @@
         return []
 
 
-def create(node: str, address: str, ring: KeyRing | None = None) -> ZmqBus:
+def create(
+    node: str,
+    address: str,
+    ring: KeyRing | None = None,
+    tunnels: Mapping[str, str] | None = None,
+) -> ZmqBus:
     """Return a bus for the node that will listen on `address`.
 
     With keys in the ring every connection is encrypted and authenticated.
+    `tunnels` maps a peer's address to the one to connect to instead.
     """
-    return ZmqBus(node, address, ring)
+    return ZmqBus(node, address, ring, tunnels or {})
--- a/fuchsiacroft/transport/zmq_link.py
+++ b/fuchsiacroft/transport/zmq_link.py
@@ -22,9 +22,11 @@
     disconnects and connects again with the next key on the same socket.
     """
 
-    def __init__(self, dealer: zmq.asyncio.Socket, peer: str, ring: KeyRing) -> None:
+    def __init__(
+        self, dealer: zmq.asyncio.Socket, peer: str, endpoint: str, ring: KeyRing
+    ) -> None:
         self._dealer = dealer
-        self._endpoint = f"tcp://{peer}"
+        self._endpoint = endpoint
         self._ring = ring
         self._keys = ring.keys_of(peer)
         self._next = 0
