Replay traces against real processes under faults, and judge by counting

Cause: no promise was proved on real processes yet. Ruled out: trust in the system's own counters; the stand-ins write down each run, and the judges count those lines.

--- a/fuchsiacroft/__main__.py
+++ b/fuchsiacroft/__main__.py
@@ -23,6 +23,7 @@
     "dump": "print the whole state of a process",
     "inspect": "show what a stopped control member's data folder holds",
     "keys": "generate CURVE key pairs for the settings",
+    "replay": "play a recorded trace against a running system and judge it",
     "experiment": "replay traces under each policy set in a model",
     "standin": "run a stand-in model engine or plain application",
 }
--- a/fuchsiacroft/model/trace.py
+++ b/fuchsiacroft/model/trace.py
@@ -19,7 +19,10 @@
 
 
 class Arrival(msgspec.Struct, frozen=True):
-    """One request of a trace; `at_s` counts from the trace's start."""
+    """One request of a trace; `at_s` counts from the trace's start.
+
+    `resend_of` names an earlier arrival that is sent again with its key.
+    """
 
     at_s: float
     request_id: str
@@ -35,6 +38,7 @@
     idempotent: bool = True
     prefixes: tuple[int, ...] = ()
     crashes: bool = False
+    resend_of: str = ""
 
     @property
     def is_model(self) -> bool:
--- a/fuchsiacroft/standin/application.py
+++ b/fuchsiacroft/standin/application.py
@@ -10,9 +10,8 @@
 import msgspec
 from aiohttp import web
 
-from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
 from fuchsiacroft.membership.announcement import Announcement, ReportedLoad
-from fuchsiacroft.standin.counts import BoundedCounter
+from fuchsiacroft.standin.counts import BoundedCounter, note_run
 from fuchsiacroft.standin.faults import CRASH_TEXT, FaultState, abort
 
 CHUNK_BYTES = 64 * 1024
@@ -54,8 +53,7 @@
             if refusal is not None:
                 return refusal
             await self._faults.thaw()
-            request_id = req.headers.get(REQUEST_ID_HEADER, "")
-            self._started.add(request_id)
+            request_id = note_run(req, self._started)
             self._bodies.add(body.decode(errors="replace")[:200])
             await asyncio.sleep(self._work_s * self._faults.fault.slowdown)
             if self._faults.breaks_now(0):
@@ -75,7 +73,7 @@
     async def _echo(self, req: web.Request) -> web.StreamResponse:
         response = web.StreamResponse()
         response.content_length = req.content_length
-        self._started.add(req.headers.get(REQUEST_ID_HEADER, ""))
+        note_run(req, self._started)
         await response.prepare(req)
         async for chunk in req.content.iter_any():
             await response.write(chunk)
@@ -86,7 +84,7 @@
         left = int(req.match_info["count"])
         response = web.StreamResponse()
         response.content_length = left
-        self._started.add(req.headers.get(REQUEST_ID_HEADER, ""))
+        note_run(req, self._started)
         await response.prepare(req)
         chunks = 0
         while left:
--- a/fuchsiacroft/standin/counts.py
+++ b/fuchsiacroft/standin/counts.py
@@ -2,6 +2,13 @@
 
 from collections import OrderedDict
 
+from aiohttp import web
+
+from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
+from fuchsiacroft.utils.logs import event
+
+TRACE_HEADER = "Trace-Id"
+
 MAX_IDS = 200_000
 
 
@@ -23,3 +30,15 @@
     def as_dict(self) -> dict[str, int]:
         """Return every count that is kept."""
         return dict(self._counts)
+
+
+def note_run(req: web.Request, started: BoundedCounter) -> str:
+    """Count a run and write it down at once; return its request id.
+
+    The line outlives the process, so runs can be counted after a crash.
+    """
+    request_id = req.headers.get(REQUEST_ID_HEADER, "")
+    trace_id = req.headers.get(TRACE_HEADER, "")
+    started.add(request_id)
+    event("info", "run_started", request_id=request_id, trace_id=trace_id)
+    return request_id
--- a/fuchsiacroft/standin/engine.py
+++ b/fuchsiacroft/standin/engine.py
@@ -15,7 +15,7 @@
 from fuchsiacroft.entry import prefixes
 from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
 from fuchsiacroft.membership.announcement import Announcement, ReportedLoad
-from fuchsiacroft.standin.counts import BoundedCounter
+from fuchsiacroft.standin.counts import BoundedCounter, note_run
 from fuchsiacroft.standin.faults import CRASH_TEXT, FaultState, abort
 from fuchsiacroft.standin.orders import OrderBook
 from fuchsiacroft.standin.prefix_cache import PrefixCache
@@ -125,6 +125,7 @@
     async def _complete(self, req: web.Request) -> web.StreamResponse:
         body = await req.read()
         if self._can_crash and CRASH_TEXT in body:
+            note_run(req, self._started)
             os._exit(70)
         refusal = self._faults.refusal()
         if refusal is not None:
@@ -137,8 +138,7 @@
         return await self._whole(run)
 
     def _start(self, req: web.Request, body: bytes, wanted: int) -> Run:
-        request_id = req.headers.get(REQUEST_ID_HEADER, "")
-        self._started.add(request_id)
+        request_id = note_run(req, self._started)
         tokens = len(body) // BYTES_PER_TOKEN
         hits = self._cache.use(prefixes.digests(body))
         run = Run(request_id, wanted, tokens, hits * BLOCK_TOKENS, unread_since=now())
--- a/fuchsiacroft/tests/fakes/cluster.py
+++ b/fuchsiacroft/tests/fakes/cluster.py
@@ -13,6 +13,7 @@
 
 from fuchsiacroft.config.document import hash_key
 from fuchsiacroft.tests.fakes.ports import free_addresses
+from fuchsiacroft.tests.fakes.relay import Links, Relay
 
 OPERATOR_TOKEN = "operator-token"
 READY_TIMEOUT_S = 20.0
@@ -33,24 +34,54 @@
 
 @dataclass(frozen=True)
 class Shape:
-    """How many processes of each kind stand in each failure domain."""
+    """How many processes of each kind stand in each failure domain.
+
+    With `relayed`, links between failure domains go through relays that a test
+    can cut.
+    """
 
     domains: tuple[str, ...] = DOMAINS
     entries: tuple[int, ...] = (3, 2, 2)
     control: int = 3
     engines: int = 3
     applications: int = 1
+    relayed: bool = False
     engine_flags: tuple[str, ...] = ()
     application_flags: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class RelaySpec:
+    """A relay that passes connections from a domain on to an address."""
+
+    listen: str
+    source: str
+    target: str
+    address: str
+
+
 @dataclass
 class Cluster:
     """The processes of one test, started from a folder of settings."""
 
     folder: Path
     nodes: dict[str, Node]
+    relay_specs: list[RelaySpec] = field(default_factory=list)
     running: dict[str, subprocess.Popen] = field(default_factory=dict)
+    links: Links = field(default_factory=Links)
+    relays: list[Relay] = field(default_factory=list)
+
+    async def start_relays(self) -> None:
+        """Start the relays between failure domains, in this process."""
+        for spec in self.relay_specs:
+            relay = Relay(self.links, spec.source, spec.target, spec.address)
+            await relay.start(spec.listen)
+            self.relays.append(relay)
+
+    async def stop_relays(self) -> None:
+        """Stop the relays."""
+        for relay in self.relays:
+            await relay.stop()
 
     def start(self, *names: str) -> None:
         """Start the named processes, or all of them."""
@@ -145,6 +176,22 @@
                 ] < version:
                     await asyncio.sleep(POLL_S)
 
+    async def wait_owned(self, session: aiohttp.ClientSession) -> None:
+        """Wait until every backend server has an owner that is ready."""
+        wanted = len(self.named("engine")) + len(self.named("app"))
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                dumps = [await self.dump(session, e.name) for e in self.named("entry")]
+                ready = sum(len(dump["ownership"]["ready"]) for dump in dumps)
+                if ready == wanted:
+                    return
+                await asyncio.sleep(POLL_S)
+
+    async def newest_version(self, session: aiohttp.ClientSession) -> int:
+        """Return the newest version that a control member holds."""
+        dumps = [await self.dump(session, c.name) for c in self.named("control")]
+        return max(dump["document"]["version"] for dump in dumps)
+
     async def dump(self, session: aiohttp.ClientSession, name: str) -> dict:
         """Return a process's state."""
         async with session.get(self.url(name, "operators", "/dump")) as res:
@@ -166,7 +213,7 @@
     """Write the settings of a cluster into a folder and return it, not started."""
     planner = _Planner(folder, shape)
     planner.plan()
-    return Cluster(folder, planner.nodes)
+    return Cluster(folder, planner.nodes, planner.relays)
 
 
 class _Planner:
@@ -175,8 +222,11 @@
         self._shape = shape
         total = sum(shape.entries) * 4 + shape.control * 2
         total += len(shape.domains) * (shape.engines + shape.applications)
+        total += len(shape.domains) * (sum(shape.entries) + shape.control)
         self._free = iter(free_addresses(total))
         self.nodes: dict[str, Node] = {}
+        self.relays: list[RelaySpec] = []
+        self._tunnels: dict[str, dict[str, str]] = {}
 
     def plan(self) -> None:
         shape = self._shape
@@ -193,6 +243,9 @@
             "control": [_member(*node) for node in control],
             "entries": [_member(*node) for node in entries],
         }
+        if shape.relayed:
+            for domain in shape.domains:
+                self._tunnels[domain] = self._relay_from(domain, control + entries)
         for name, domain, addresses in control:
             self._process("control", name, domain, addresses, members)
         for name, domain, addresses in entries:
@@ -206,6 +259,15 @@
             for i in range(shape.applications):
                 self._standin("application", f"app-{domain}-{i}", domain, announce)
 
+    def _relay_from(self, source: str, nodes: list[tuple]) -> dict[str, str]:
+        tunnels = {}
+        for _, target, addresses in nodes:
+            if target != source:
+                peers = addresses["peers"]
+                tunnels[peers] = next(self._free)
+                self.relays.append(RelaySpec(tunnels[peers], source, target, peers))
+        return tunnels
+
     def _addresses(self, count: int) -> dict[str, str]:
         kinds = ("operators", "peers", "callers", "backend_servers")[:count]
         return {kind: next(self._free) for kind in kinds}
@@ -216,6 +278,7 @@
             "failure_domain": domain,
             "region": "mvd",
             "addresses": addresses,
+            "tunnels": self._tunnels.get(domain, {}),
             "operator_token_hashes": [hash_key(OPERATOR_TOKEN)],
             **members,
         }
--- /dev/null
+++ b/fuchsiacroft/tests/faults/scenario.py
@@ -0,0 +1,144 @@
+"""One run: a cluster, a trace played against it, faults, and the judgement."""
+
+import asyncio
+import random
+import tempfile
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import aiohttp
+
+from fuchsiacroft.model import trace
+from fuchsiacroft.model.trace import LENTES, Arrival
+from fuchsiacroft.replay import report, stated
+from fuchsiacroft.replay.outcome import Outcome
+from fuchsiacroft.replay.player import Door, Player
+from fuchsiacroft.replay.stated import RunLog, Stated
+from fuchsiacroft.tests.fakes import cluster
+from fuchsiacroft.tests.faults.actions import ACTIONS, Scene
+
+TIERS = {0: "counter", 1: "desk", 2: "batch"}
+KEYS = {name: f"key-{i}" for i, (name, _, _) in enumerate(LENTES.workspaces)}
+RESEND_SHARE = 0.5
+RESEND_AFTER_S = (0.05, 4.0)
+SETTLE_S = 8.0
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What to run: the load, the faults with their times, and the seed.
+
+    `faults` are names of actions; each strikes `gap_s` after the one before
+    and all are mended `mend_after_s` after the last.
+    """
+
+    seed: int
+    faults: Sequence[str] = ()
+    model_requests_per_s: float = 12.0
+    length_s: float = 14.0
+    first_fault_s: float = 3.0
+    gap_s: float = 1.0
+    mend_after_s: float = 4.0
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """What came out: wrong sentences, and the lines of the report."""
+
+    wrong: list[str]
+    lines: list[str]
+    outcomes: list[Outcome]
+
+
+def run(plan: Plan, wanted: Stated) -> Verdict:
+    """Run a plan on real processes and judge it."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(_run(plan, wanted, Path(folder)))
+
+
+def arrivals(plan: Plan) -> list[Arrival]:
+    """Return the plan's trace, with resends of non-idempotent requests."""
+    rng = random.Random(plan.seed)
+    made = trace.generate(LENTES, plan.model_requests_per_s, plan.length_s, plan.seed)
+    resent = [
+        _resend(arrival, rng)
+        for arrival in made
+        if not arrival.idempotent and rng.random() < RESEND_SHARE
+    ]
+    return sorted(made + resent, key=lambda arrival: arrival.at_s)
+
+
+def _resend(arrival: Arrival, rng: random.Random) -> Arrival:
+    fields = {name: getattr(arrival, name) for name in arrival.__struct_fields__}
+    fields["at_s"] += rng.uniform(*RESEND_AFTER_S)
+    fields["resend_of"] = arrival.request_id
+    fields["request_id"] = f"{arrival.request_id}-again"
+    return Arrival(**fields)
+
+
+async def _run(plan: Plan, wanted: Stated, folder: Path) -> Verdict:
+    shape = cluster.Shape(relayed=True, engine_flags=("--can_crash",))
+    running = cluster.create(folder, shape)
+    await running.start_relays()
+    running.start()
+    try:
+        async with aiohttp.ClientSession() as session:
+            scene = Scene(running, session, random.Random(plan.seed))
+            await _prepare(scene)
+            doors = [
+                Door(node.addresses["callers"], node.domain)
+                for node in running.named("entry")
+            ]
+            player = Player(doors, KEYS, TIERS, plan.seed)
+            faults = asyncio.create_task(_strike(scene, plan))
+            outcomes = await player.play(arrivals(plan))
+            await faults
+            still = await _still_serves(scene)
+    finally:
+        running.stop()
+        await running.stop_relays()
+    log = _run_log(folder)
+    wrong = stated.judge(wanted, outcomes, log) + still
+    return Verdict(wrong, report.lines(outcomes, log), outcomes)
+
+
+async def _prepare(scene: Scene) -> None:
+    running, session = scene.cluster, scene.session
+    await running.wait_healthy(session)
+    status, answer = await running.put_document(
+        session, cluster.sample_document(), 0, "first"
+    )
+    if status != 200:
+        raise AssertionError(answer)
+    await running.wait_in_force(session, 1)
+    await running.wait_ready(session)
+    await running.wait_owned(session)
+
+
+async def _strike(scene: Scene, plan: Plan) -> None:
+    await asyncio.sleep(plan.first_fault_s)
+    mends = []
+    for name in plan.faults:
+        mends.append(await ACTIONS[name](scene))
+        await asyncio.sleep(plan.gap_s)
+    await asyncio.sleep(plan.mend_after_s)
+    for mend in mends:
+        await mend()
+
+
+async def _still_serves(scene: Scene) -> list[str]:
+    """Return what is not whole again some seconds after the faults."""
+    try:
+        async with asyncio.timeout(SETTLE_S + cluster.READY_TIMEOUT_S):
+            await scene.cluster.wait_ready(scene.session)
+            newest = await scene.cluster.newest_version(scene.session)
+            await scene.cluster.wait_in_force(scene.session, newest)
+    except (TimeoutError, RuntimeError) as exc:
+        return [f"not whole again after the faults: {exc!r}"]
+    return []
+
+
+def _run_log(folder: Path) -> RunLog:
+    logs = [*folder.glob("engine-*.log"), *folder.glob("app-*.log")]
+    return stated.read_run_log(logs)
--- /dev/null
+++ b/tools/run_faults.py
@@ -0,0 +1,60 @@
+"""Run the fault scenarios on real processes and print a table.
+
+`python tools/run_faults.py [--seed=N] [--pairs=N] [FAULT ...]`: each fault
+alone, and seeded pairs of them; or only the faults named, together. Exits 1
+when a promise was broken.
+"""
+
+import argparse
+import random
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from fuchsiacroft.replay.stated import Stated, goodput
+from fuchsiacroft.tests.faults.actions import ACTIONS
+from fuchsiacroft.tests.faults.scenario import Plan, run
+
+
+def plans(args: argparse.Namespace) -> list[Plan]:
+    """Return what to run."""
+    if args.faults:
+        return [Plan(args.seed, tuple(args.faults))]
+    rng = random.Random(args.seed)
+    single = [Plan(args.seed, (name,)) for name in ACTIONS]
+    pairs = [
+        Plan(args.seed + i, tuple(rng.sample(list(ACTIONS), 2)))
+        for i in range(args.pairs)
+    ]
+    return [Plan(args.seed), *single, *pairs]
+
+
+def main() -> int:
+    """Run every plan and print a row for each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--pairs", type=int, default=6)
+    parser.add_argument("--verbose", action="store_true")
+    parser.add_argument("faults", nargs="*", metavar="FAULT")
+    args = parser.parse_args()
+    broken = 0
+    for plan in plans(args):
+        verdict = run(plan, Stated())
+        shares = " ".join(
+            f"{rank}:{share:.3f}" for rank, share in goodput(verdict.outcomes).items()
+        )
+        name = "+".join(plan.faults) or "calm"
+        print(f"{name:32} seed={plan.seed} goodput {shares} {verdict.lines[-1]}")
+        if args.verbose:
+            print("\n".join(verdict.lines))
+        for sentence in verdict.wrong:
+            print(f"  wrong: {sentence}")
+        broken += bool(verdict.wrong)
+        sys.stdout.flush()
+    print(f"{broken} runs with a broken promise")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
