--- a/fuchsiacroft/control/consensus/applying.py
+++ b/fuchsiacroft/control/consensus/applying.py
@@ -57,14 +57,16 @@
             self._by_command[command] = machine
 
     async def run(self) -> None:
-        """Apply entries as they are committed."""
+        """Apply entries as they are committed; a failure halts the member."""
         member = self._member
-        while True:
-            await member.commit_advanced.wait()
-            member.commit_advanced.clear()
-            while member.applied < member.commit and member.verified:
-                self._apply_slice()
-                await asyncio.sleep(0)
+        try:
+            while True:
+                await member.commit_advanced.wait()
+                member.commit_advanced.clear()
+                await self._catch_up()
+        except Exception as exc:
+            member.halt(f"applying entry {member.applied + 1} failed: {exc!r}")
+            raise
 
     async def stop(self) -> None:
         """Leave the outcome of waiting proposals unknown."""
@@ -127,6 +129,12 @@
             "since_snapshot": self._since_snapshot,
         }
 
+    async def _catch_up(self) -> None:
+        member = self._member
+        while member.applied < member.commit and member.verified:
+            self._apply_slice()
+            await asyncio.sleep(0)
+
     def _apply_slice(self) -> None:
         member = self._member
         last = min(member.commit, member.applied + APPLY_SLICE_ENTRIES)
--- a/fuchsiacroft/control/consensus/elections.py
+++ b/fuchsiacroft/control/consensus/elections.py
@@ -81,14 +81,17 @@
         configuration = member.configuration
         needed = configuration.majority() - 1
         others = [v for v in configuration.voters() if v.identity != member.identity]
-        tasks = [asyncio.ensure_future(self._request(v, term, pre)) for v in others]
+        pending = {
+            asyncio.ensure_future(self._request(voter, term, pre)) for voter in others
+        }
         try:
-            for answer in asyncio.as_completed(tasks):
-                if needed <= 0:
-                    break
-                needed -= await answer
+            while needed > 0 and pending:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                needed -= sum(task.result() for task in done)
         finally:
-            for task in tasks:
+            for task in pending:
                 task.cancel()
         return needed <= 0
 
--- a/fuchsiacroft/control/consensus/joining.py
+++ b/fuchsiacroft/control/consensus/joining.py
@@ -20,6 +20,7 @@
 GROUP_BYTES = 4
 FIRST_TERM = 1
 
+ACCEPTED = (HelloStatus.WELCOME, HelloStatus.FRESH)
 REFUSED = (HelloStatus.STALE, HelloStatus.REMOVED)
 
 
@@ -73,7 +74,7 @@
     async def _ask_all(self) -> list[HelloReply]:
         member = self._member
         known = {found.address for found in member.configuration.members}
-        others = (known | set(self._addresses)) - {member.address}
+        others = sorted((known | set(self._addresses)) - {member.address})
         answers = await asyncio.gather(*(self._ask(address) for address in others))
         return [reply for reply in answers if reply is not None]
 
@@ -115,7 +116,7 @@
 
     def _return(self, replies: list[HelloReply]) -> None:
         configuration = self._member.configuration
-        welcome = {r.identity for r in replies if r.status is HelloStatus.WELCOME}
+        welcome = {r.identity for r in replies if r.status in ACCEPTED}
         voters = {voter.identity for voter in configuration.voters()}
         needed = configuration.majority() - (self._member.identity in voters)
         if len(welcome & voters) >= needed:
--- a/fuchsiacroft/control/consensus/member.py
+++ b/fuchsiacroft/control/consensus/member.py
@@ -53,6 +53,7 @@
         self.leaderless_since = 0.0
         self.halted: str | None = None
         self.heard_at = 0.0
+        self.terms_led: set[int] = set()
         self.marks: dict[str, Mark] = {}
         self.commit_advanced = asyncio.Event()
         self.role_changed = asyncio.Event()
@@ -86,6 +87,8 @@
         self.marks = {mark.identity: mark for mark in state.marks}
         self.log.reset(state.base, state.entries)
         self.configurations.clear()
+        self.commit = 0
+        self.applied = 0
         if state.snapshot is not None:
             snapshot = state.snapshot
             self.configurations.reset(
@@ -122,6 +125,7 @@
 
     def lead(self) -> None:
         """Become the leader of the current term."""
+        self.terms_led.add(self.term)
         self._change(Role.LEADER, self.identity)
 
     def grant_vote(self, candidate: str) -> None:
--- a/fuchsiacroft/control/consensus/proposals.py
+++ b/fuchsiacroft/control/consensus/proposals.py
@@ -106,7 +106,7 @@
             answer = await member.bus.request(address, msg, wait)
             if answer.is_ok():
                 return _outcome(answer.ok)
-            unsure = True
+            unsure = True  # The leader may have taken it and not answered.
         return Error(ProposeError.UNKNOWN if unsure else ProposeError.NOT_LEADER)
 
     def _still_led(self, address: str, term: int) -> bool:
@@ -124,10 +124,17 @@
         return _reply(outcome)
 
     def _accept(self, msg: ForwardRequest) -> asyncio.Future:
+        """Append a proposal for the term that this process leads or led.
+
+        An earlier process may have taken a proposal of a term that this one
+        never led, so that its fate is unknown.
+        """
         leadership = self._leadership()
-        if leadership is None or leadership.term != msg.term:
-            return _settled(Error(ProposeError.NOT_LEADER))
-        return self._append(msg.kind, msg.body)
+        if leadership is not None and leadership.term == msg.term:
+            return self._append(msg.kind, msg.body)
+        led = msg.term in self._member.terms_led
+        exc = ProposeError.NOT_LEADER if led else ProposeError.UNKNOWN
+        return _settled(Error(exc))
 
     def _remember(self, key: tuple[str, int], fut: asyncio.Future) -> None:
         """Keep an outcome, refusals too, so that a resent proposal gets it."""
--- a/fuchsiacroft/control/consensus/service.py
+++ b/fuchsiacroft/control/consensus/service.py
@@ -136,6 +136,11 @@
         """Return the state of this member, for inspection."""
         return self._member
 
+    @property
+    def leadership(self) -> Leadership | None:
+        """Return the term that this member leads, for inspection."""
+        return self._leader
+
     async def _open(self) -> None:
         state = await self._storage.open()
         self._snapshot = state.snapshot
--- /dev/null
+++ b/fuchsiacroft/tests/control/consensus/checker.py
@@ -0,0 +1,115 @@
+"""The invariants of a group, checked while it works.
+
+1. At most one member leads each term.
+2. At most one member holds a lease at any time.
+3. Every member applies the same command at the same index, and each once.
+4. An acknowledged command is in every later state.
+5. A command refused with `NOT_LEADER` or `NO_QUORUM` is in no state.
+6. A write or read that begins after another was acknowledged comes after it.
+"""
+
+from expression import Result
+
+from fuchsiacroft.control.log import Applied, ProposeError
+from fuchsiacroft.tests.fakes.group import Group, Node
+
+
+class Checker:
+    """Remembers what was promised and compares it with what is seen."""
+
+    def __init__(self, group: Group) -> None:
+        self.group = group
+        self.leaders: dict[int, str] = {}
+        self.applied: dict[int, int] = {}
+        self.index_of: dict[int, int] = {}
+        self.acknowledged: set[int] = set()
+        self.refused: set[int] = set()
+        self.last_acknowledged = 0
+        self.counts = {"ok": 0, "refused": 0, "unknown": 0, "reads": 0, "no_read": 0}
+        group.on_apply = self.note_apply
+        group.on_start = self.watch
+
+    def watch(self, node: Node) -> None:
+        """Note each election that the member wins."""
+        member = node.log.member
+        lead = member.lead
+
+        def note_lead():
+            known = self.leaders.setdefault(member.term, member.identity)
+            self.require(known == member.identity, f"two leaders in {member.term}")
+            lead()
+
+        member.lead = note_lead
+
+    def note_apply(self, index: int, value: int) -> None:
+        """Compare an applied command with what others applied there."""
+        known = self.applied.setdefault(index, value)
+        self.require(known == value, f"{known} and {value} at index {index}")
+        place = self.index_of.setdefault(value, index)
+        self.require(place == index, f"{value} at indexes {place} and {index}")
+        self.require(value not in self.refused, f"{value} was refused and applied")
+
+    def note_outcome(
+        self, value: int, began_after: int, outcome: Result[Applied, ProposeError]
+    ) -> None:
+        """Note what a proposer was told."""
+        match outcome:
+            case Result(tag="ok", ok=applied):
+                self.counts["ok"] += 1
+                self.require(applied.index > began_after, f"{value} came before")
+                self.acknowledged.add(value)
+                self.last_acknowledged = max(self.last_acknowledged, applied.index)
+            case Result(error=ProposeError.UNKNOWN):
+                self.counts["unknown"] += 1
+            case _:
+                self.counts["refused"] += 1
+                self.require(value not in self.index_of, f"{value} refused, applied")
+                self.refused.add(value)
+
+    def note_read(
+        self, node: Node, began_after: int, outcome: Result[int, ProposeError]
+    ) -> None:
+        """Compare a read with what was acknowledged before it began."""
+        if outcome.is_error():
+            self.counts["no_read"] += 1
+            return
+        self.counts["reads"] += 1
+        self.require(outcome.ok >= began_after, f"stale read at {node.name}")
+
+    def check_leases(self) -> None:
+        """Compare the leases held at this moment."""
+        holders = []
+        for node in self.group.nodes:
+            if node.runs and not node.folder.dead and holds_lease(node):
+                holders.append(node.name)
+        self.require(len(holders) <= 1, f"leases held by {holders}")
+
+    def check_states(self) -> None:
+        """Compare the final states with each other and with the promises."""
+        states = {node.name: node.machine.values for node in self.group.nodes}
+        first = next(iter(states.values()))
+        for name, values in states.items():
+            self.require(values == first, f"states differ at {name}")
+        self.require(len(set(first)) == len(first), "a command was applied twice")
+        missing = self.acknowledged - set(first)
+        self.require(not missing, f"acknowledged and lost: {sorted(missing)[:5]}")
+        wrong = self.refused & set(first)
+        self.require(not wrong, f"refused and applied: {sorted(wrong)[:5]}")
+
+    def require(self, holds: bool, text: str) -> None:
+        """Fail the search with the text."""
+        if not holds:
+            self.violation = text
+            raise ViolationError(text)
+
+    violation: str | None = None
+
+
+class ViolationError(AssertionError):
+    """An invariant does not hold."""
+
+
+def holds_lease(node: Node) -> bool:
+    """Tell whether a member would serve as leader now."""
+    leadership = node.log.leadership
+    return leadership is not None and leadership.holds_lease
--- /dev/null
+++ b/fuchsiacroft/tests/control/consensus/search.py
@@ -0,0 +1,291 @@
+"""A seeded search over faults and interleavings of a group.
+
+Run `python -m fuchsiacroft.tests.control.consensus.search --first=1 --seeds=200`
+for the long form; each line names the seed that repeats it.
+"""
+
+import asyncio
+import random
+import sys
+import time
+from contextlib import ExitStack
+from unittest import mock
+
+from absl import app, flags
+
+from fuchsiacroft.control.consensus import timing
+from fuchsiacroft.tests.control.consensus.checker import Checker, ViolationError
+from fuchsiacroft.tests.fakes import loop
+from fuchsiacroft.tests.fakes.group import Group, Node, Write
+from fuchsiacroft.utils import clock, logs
+from fuchsiacroft.utils.tasks import TaskGroup
+
+FLAGS = flags.FLAGS
+
+SAMPLE_S = 0.005
+FAULTY_S = 30.0
+HEALED_S = 60.0
+
+SMALL_LIMITS = {
+    "SNAPSHOT_ENTRIES": 25,
+    "KEPT_ENTRIES": 5,
+    "PIECE_BYTES": 64,
+    "BATCH_ENTRIES": 4,
+}
+
+
+class Search:
+    """One run of a group under one seed's faults."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.group = Group(self.random.choice((3, 3, 3, 5)), seed)
+        self.checker = Checker(self.group)
+        self.tasks = TaskGroup("search")
+        self.values = iter(range(1, 1_000_000))
+        self.impaired: set[str] = set()
+        self.images: dict[str, object] = {}
+        self.faults: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Work under faults, heal, and compare the states."""
+        group = self.group
+        await group.start()
+        for node in group.nodes:
+            self.tasks.spawn(self._write_forever(node))
+            self.tasks.spawn(self._read_forever(node))
+        self.tasks.spawn(self._sample_forever())
+        end = clock.now() + FAULTY_S
+        while clock.now() < end:
+            await asyncio.sleep(self.random.uniform(0.05, 2.0))
+            await self._inject()
+            self._raise_violation()
+        await self._heal()
+        await self._settle()
+        self._raise_violation()
+        await self.tasks.cancel()
+        await group.stop()
+
+    def _raise_violation(self) -> None:
+        if self.checker.violation is not None:
+            raise ViolationError(self.checker.violation)
+
+    async def _write_forever(self, node: Node) -> None:
+        while True:
+            await asyncio.sleep(self.random.uniform(0, 0.3))
+            if node.runs:
+                count = self.random.choice((1, 1, 3))
+                await asyncio.gather(*(self._write(node) for _ in range(count)))
+
+    async def _write(self, node: Node) -> None:
+        value = next(self.values)
+        began_after = self.checker.last_acknowledged
+        timeout = self.random.uniform(0.2, 3.0)
+        outcome = await node.log.propose(Write(value), timeout)
+        self.checker.note_outcome(value, began_after, outcome)
+
+    async def _read_forever(self, node: Node) -> None:
+        while True:
+            await asyncio.sleep(self.random.uniform(0, 0.3))
+            if node.runs:
+                began_after = self.checker.last_acknowledged
+                outcome = await node.log.read_barrier(self.random.uniform(0.1, 1))
+                self.checker.note_read(node, began_after, outcome)
+
+    async def _sample_forever(self) -> None:
+        while True:
+            await asyncio.sleep(SAMPLE_S)
+            self.checker.check_leases()
+
+    async def _inject(self) -> None:
+        faults = (
+            self._restart,
+            self._restart,
+            self._lose_power_at_sync,
+            self._cut_one_way,
+            self._isolate,
+            self._disturb,
+            self._heal_network,
+            self._heal_network,
+            self._lose_disk,
+            self._take_image,
+            self._restore_image,
+            self._fill_disk,
+        )
+        fault = self.random.choice(faults)
+        if await fault():
+            name = fault.__name__.strip("_")
+            self.faults[name] = self.faults.get(name, 0) + 1
+
+    async def _restart(self) -> bool:
+        node = self.random.choice(self.group.nodes)
+        await node.kill(power_loss=self.random.random() < 0.7)
+        self.tasks.spawn(self._start_later(node))
+        return True
+
+    async def _start_later(self, node: Node) -> None:
+        await asyncio.sleep(self.random.uniform(0.01, 2.0))
+        if not node.runs:
+            await node.start()
+
+    async def _lose_power_at_sync(self) -> bool:
+        node = self.random.choice(self.group.nodes)
+        if not node.runs:
+            return False
+        node.disk.lose_power_at = node.disk.syncs + self.random.randint(1, 12)
+        node.disk.on_power_loss = lambda: self.tasks.spawn(self._replace(node))
+        return True
+
+    async def _replace(self, node: Node) -> None:
+        await node.kill()
+        await self._start_later(node)
+
+    async def _cut_one_way(self) -> bool:
+        one, other = self.random.sample(self.group.nodes, 2)
+        self.group.network.cut.add((one.address, other.address))
+        return True
+
+    async def _isolate(self) -> bool:
+        one = self.random.choice(self.group.nodes)
+        way = self.random.choice(("in", "out", "both"))
+        for other in self.group.nodes:
+            if way != "in":
+                self.group.network.cut.add((one.address, other.address))
+            if way != "out":
+                self.group.network.cut.add((other.address, one.address))
+        return True
+
+    async def _disturb(self) -> bool:
+        network = self.group.network
+        network.loss = self.random.choice((0.0, 0.05, 0.3))
+        network.doubled = self.random.choice((0.0, 0.1, 0.5))
+        network.late = self.random.choice((0.0, 0.05, 0.2))
+        network.delay = self.random.choice(((0.001, 0.002), (0.001, 0.1)))
+        return True
+
+    async def _heal_network(self) -> bool:
+        self.group.network.heal()
+        network = self.group.network
+        network.loss = network.doubled = network.late = 0.0
+        network.delay = (0.001, 0.002)
+        return True
+
+    async def _lose_disk(self) -> bool:
+        node = self.random.choice(self.group.nodes)
+        if not self._may_impair():
+            return False
+        await node.kill()
+        node.lose_disk()
+        self.images.pop(node.name, None)
+        self.tasks.spawn(self._start_later(node))
+        return True
+
+    async def _take_image(self) -> bool:
+        node = self.random.choice(self.group.nodes)
+        self.images[node.name] = node.disk.copy()
+        return True
+
+    async def _restore_image(self) -> bool:
+        node = self.random.choice(self.group.nodes)
+        image = self.images.pop(node.name, None)
+        if image is None or not self._may_impair():
+            return False
+        await node.kill()
+        node.disk = image
+        self.tasks.spawn(self._start_later(node))
+        return True
+
+    async def _fill_disk(self) -> bool:
+        node = self.random.choice(self.group.nodes)
+        node.disk.free_bytes = self.random.randint(0, 500)
+        self.tasks.spawn(self._free_disk(node))
+        return True
+
+    async def _free_disk(self, node: Node) -> None:
+        disk = node.disk
+        await asyncio.sleep(self.random.uniform(0.5, 4.0))
+        disk.free_bytes = None
+
+    def _may_impair(self) -> bool:
+        """Tell whether every member is a voter that has all that is committed.
+
+        A group survives one disk at a time; the next may go once the last is
+        repaired.
+        """
+        leader = self.group.leader()
+        if leader is None or not all(node.runs for node in self.group.nodes):
+            return False
+        member = leader.log.member
+        voters = {voter.identity for voter in member.configuration.voters()}
+        if member.configurations.index > member.commit:
+            return False
+        mine = {node.log.member.identity for node in self.group.nodes}
+        if voters != mine:
+            return False
+        peers = leader.log.leadership.peers.values()
+        return all(peer.match >= member.commit for peer in peers)
+
+    async def _heal(self) -> None:
+        await self._heal_network()
+        for node in self.group.nodes:
+            node.disk.free_bytes = None
+            node.disk.lose_power_at = None
+
+    async def _settle(self) -> None:
+        """Wait until every member runs, votes and has the same state."""
+        await self.group.wait(self._is_whole, HEALED_S)
+        await self.group.wait(lambda: not self._any_full(), HEALED_S)
+        node = self.random.choice(self.group.nodes)
+        outcome = await node.log.propose(Write(next(self.values)), 5.0)
+        self.checker.require(outcome.is_ok(), "a healed group refuses a write")
+        await self.tasks.cancel()
+        for node in self.group.nodes:
+            barrier = await node.log.read_barrier(5.0)
+            self.checker.require(barrier.is_ok(), "a healed group refuses a read")
+        await asyncio.sleep(1.0)
+        self.checker.check_states()
+
+    def _any_full(self) -> bool:
+        return any(node.log.member.storage.is_full for node in self.group.nodes)
+
+    def _is_whole(self) -> bool:
+        leader = self.group.leader()
+        if leader is None or not all(node.runs for node in self.group.nodes):
+            return False
+        voters = leader.log.member.configuration.voters()
+        mine = {node.log.member.identity for node in self.group.nodes}
+        return {voter.identity for voter in voters} == mine
+
+
+def run_seed(seed: int) -> Search:
+    """Run one seed; a broken invariant raises `ViolationError`."""
+    with ExitStack() as stack:
+        for name, value in SMALL_LIMITS.items():
+            stack.enter_context(mock.patch.object(timing, name, value))
+        search = Search(seed)
+        loop.run(search.run())
+    return search
+
+
+def main(argv: list[str]) -> None:
+    """Run the seeds and print a line for each."""
+    logs.configure(FLAGS.level)
+    failed = 0
+    for seed in range(FLAGS.first, FLAGS.first + FLAGS.seeds):
+        started = time.monotonic()
+        try:
+            search = run_seed(seed)
+            text = f"holds {search.checker.counts} {search.faults}"
+        except Exception as exc:
+            failed += 1
+            text = f"FAILS {exc!r}"[:2000]
+        print(f"seed={seed} took={time.monotonic() - started:.1f}s {text}", flush=True)
+    print(f"{FLAGS.seeds - failed} hold, {failed} fail")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("first", 1, "The first seed.")
+    flags.DEFINE_integer("seeds", 20, "How many seeds to run.")
+    flags.DEFINE_string("level", "CRITICAL", "The lowest level of events shown.")
+    app.run(main)
--- a/fuchsiacroft/tests/fakes/group.py
+++ b/fuchsiacroft/tests/fakes/group.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -10,8 +11,8 @@
 from fuchsiacroft.control.log import StateMachine
 from fuchsiacroft.control.storage import Storage
 from fuchsiacroft.kernel import Kernel
-from fuchsiacroft.tests.fakes.bus import MemoryNetwork
 from fuchsiacroft.tests.fakes.folder import MemoryDisk, MemoryFolder
+from fuchsiacroft.tests.fakes.network import LateNetwork
 from fuchsiacroft.transport import codec
 from fuchsiacroft.utils import clock
 
@@ -33,8 +34,9 @@
 class ListMachine(StateMachine):
     """A list of the values written, in order."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_apply: Callable[[int, int], None] | None = None) -> None:
         self.values: list[int] = []
+        self._on_apply = on_apply
 
     @property
     def commands(self):
@@ -42,6 +44,8 @@
 
     def apply(self, index, command):
         self.values.append(command.value)
+        if self._on_apply is not None:
+            self._on_apply(index, command.value)
         return Written(len(self.values))
 
     def snapshot(self) -> bytes:
@@ -76,7 +80,7 @@
 
     async def start(self) -> None:
         """Start a new process on the disk."""
-        self.machine = ListMachine()
+        self.machine = ListMachine(self.group.on_apply)
         self.folder = MemoryFolder(self.disk)
         self.bus = self.group.network.bus(self.name, self.address)
         storage = Storage(self.folder, self.name)
@@ -84,6 +88,7 @@
         log = consensus.create(self.group.settings(self), self.bus, storage, rng)
         log.register("list", self.machine)
         self.log = log
+        self.group.on_start(self)
         await log.start(Kernel())
 
     async def kill(self, power_loss: bool = True) -> None:
@@ -113,7 +118,9 @@
 
     def __init__(self, size: int = 3, seed: int = 0) -> None:
         self.random = random.Random(seed)
-        self.network = MemoryNetwork(self.random.randrange(1 << 30))
+        self.network = LateNetwork(self.random.randrange(1 << 30))
+        self.on_apply: Callable[[int, int], None] | None = None
+        self.on_start: Callable[[Node], None] = lambda node: None
         self.nodes = [Node(self, number) for number in range(1, size + 1)]
 
     def settings(self, node: Node) -> Settings:
@@ -131,6 +138,7 @@
         """Stop every member."""
         for node in self.nodes:
             await node.kill(power_loss=False)
+        await self.network.tasks.cancel()
 
     def leader(self) -> Node | None:
         """Return the member that leads, if any."""
--- /dev/null
+++ b/fuchsiacroft/tests/fakes/network.py
@@ -0,0 +1,47 @@
+"""A network in memory whose messages outlive their sender and may come late."""
+
+import asyncio
+
+from fuchsiacroft.tests.fakes.bus import MemoryBus, MemoryNetwork
+from fuchsiacroft.transport import codec
+from fuchsiacroft.utils.tasks import TaskGroup
+
+
+class LateNetwork(MemoryNetwork):
+    """Some messages come up to `late_s` later than the others."""
+
+    def __init__(self, seed: int = 0) -> None:
+        super().__init__(seed)
+        self.late = 0.0
+        self.late_s = 3.0
+        self.tasks = TaskGroup("network")
+
+    async def carry(self, source: str, target: str, data: bytes) -> None:
+        """Deliver one message later, whether or not its sender still runs."""
+        if self.random.random() < self.loss:
+            return
+        delay = self.random.uniform(*self.delay)
+        if self.random.random() < self.late:
+            delay += self.random.uniform(0, self.late_s)
+        receiver = self.buses.get(target)
+        is_reply = codec.decode(data).ok[0].reply
+        self.tasks.spawn(
+            self._deliver(source, target, data, delay, receiver if is_reply else None)
+        )
+
+    async def _deliver(
+        self,
+        source: str,
+        target: str,
+        data: bytes,
+        delay: float,
+        only: MemoryBus | None,
+    ) -> None:
+        await asyncio.sleep(delay)
+        bus = self.buses.get(target)
+        if bus is None or (source, target) in self.cut:
+            return
+        if only is None or bus is only:
+            self.counts["messages"] += 1
+            self.counts["bytes"] += len(data)
+            bus.receive(source, data)
