Search interleavings of a group for broken invariants

Cause: a group's faults meet in orders that no hand-written test covers.

The search runs the same code on a network and disks in memory with a paused clock: messages dropped, doubled, late and reordered, one-way cuts, full disks, power lost at any sync point, emptied disks and disks restored from an older image. It states its six invariants in checker.py; a seed repeats a run.

Two findings were faults of the search itself: the disk changed under a running process, and request numbers used again by a restarted process.

--- a/fuchsiacroft/control/consensus/joining.py
+++ b/fuchsiacroft/control/consensus/joining.py
@@ -13,7 +13,7 @@
 from fuchsiacroft.control.consensus import timing
 from fuchsiacroft.control.consensus.member import Member, encode_configuration
 from fuchsiacroft.control.consensus.messages import Hello, HelloReply, HelloStatus
-from fuchsiacroft.control.records import Configuration, GroupMember
+from fuchsiacroft.control.records import Configuration, GroupMember, Position
 from fuchsiacroft.utils import clock
 from fuchsiacroft.utils.logs import event
 
@@ -58,13 +58,20 @@
         """Say hello until this member is verified and a member."""
         member = self._member
         while member.halted is None and not self._is_settled():
+            promised = self._promised()
             replies = await self._ask_all()
-            await self._judge(replies)
+            if promised == self._promised():
+                await self._judge(replies)
             period = timing.HELLO_PERIOD_S
             if member.verified:
                 period = timing.HELLO_IDLE_PERIOD_S
             await asyncio.sleep(period)
 
+    def _promised(self) -> tuple[int, str, Position]:
+        """Return what a hello says; answers to an earlier one are void."""
+        member = self._member
+        return member.term, member.vote, member.log.last
+
     def _is_settled(self) -> bool:
         member = self._member
         if not member.verified:
@@ -115,13 +122,25 @@
         await self._restart()
 
     def _return(self, replies: list[HelloReply]) -> None:
-        configuration = self._member.configuration
+        """Return to the group once a majority of its voters accepts this disk.
+
+        The newest configuration that any of them knows counts: this disk's
+        own may name members that have been replaced since.
+        """
+        configuration = self._newest(replies)
         welcome = {r.identity for r in replies if r.status in ACCEPTED}
         voters = {voter.identity for voter in configuration.voters()}
         needed = configuration.majority() - (self._member.identity in voters)
         if len(welcome & voters) >= needed:
             self._verify()
 
+    def _newest(self, replies: list[HelloReply]) -> Configuration:
+        index, newest = self._member.configurations.index, self._member.configuration
+        for reply in replies:
+            if reply.configuration_index > index:
+                index, newest = reply.configuration_index, reply.configuration
+        return newest
+
     def _join(self, replies: list[HelloReply]) -> None:
         others = set(self._addresses) - {self._member.address}
         fresh = [r for r in replies if r.status is HelloStatus.FRESH]
@@ -160,7 +179,14 @@
         if status is HelloStatus.UNKNOWN and not msg.group:
             joiner = Joiner(msg.identity, msg.node, msg.address, clock.now())
             self.joiners[msg.address] = joiner
-        return HelloReply(member.identity, member.node, member.address, status)
+        return HelloReply(
+            member.identity,
+            member.node,
+            member.address,
+            status,
+            member.configurations.index,
+            member.configuration,
+        )
 
     def _status(self, msg: Hello) -> HelloStatus:
         member = self._member
--- a/fuchsiacroft/control/consensus/messages.py
+++ b/fuchsiacroft/control/consensus/messages.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from fuchsiacroft.control.records import Entry, Mark
+from fuchsiacroft.control.records import Configuration, Entry, Mark
 from fuchsiacroft.transport import codec
 
 
@@ -181,9 +181,11 @@
 
 @codec.message("consensus.hello_reply")
 class HelloReply(msgspec.Struct, frozen=True, array_like=True):
-    """The answer to a hello, by a member of that identity."""
+    """The answer to a hello, with the replier's configuration."""
 
     identity: str
     node: str
     address: str
     status: HelloStatus
+    configuration_index: int
+    configuration: Configuration
--- a/fuchsiacroft/control/storage.py
+++ b/fuchsiacroft/control/storage.py
@@ -87,7 +87,7 @@
             raise InvariantError(f"{place}: {fault.reason}; {REJOIN_ADVICE}")
         state = result.ok
         if state.identity is None:
-            state.identity = await self._folder.run(self._create_identity)
+            state.identity = await self._name_disk()
         await self._folder.run(partial(self._clean, state.segments))
         self._segments = state.segments
         self._sequence = state.sequence
@@ -173,6 +173,17 @@
             "failure": self._failure,
         }
 
+    async def _name_disk(self) -> Identity:
+        """Write a new identity, once there is space for it."""
+        while True:
+            try:
+                return await self._folder.run(self._create_identity)
+            except OSError as exc:
+                if exc.errno not in FULL_ERRORS:
+                    raise
+            event("error", "disk_full", full=True)
+            await asyncio.sleep(FULL_RETRY_S)
+
     def _note_change(self) -> None:
         self._queued += 1
         self._wake.set()
--- a/fuchsiacroft/tests/control/consensus/search.py
+++ b/fuchsiacroft/tests/control/consensus/search.py
@@ -101,6 +101,8 @@
         faults = (
             self._restart,
             self._restart,
+            self._restart_all,
+            self._isolate,
             self._lose_power_at_sync,
             self._cut_one_way,
             self._isolate,
@@ -118,7 +120,7 @@
             self.faults[name] = self.faults.get(name, 0) + 1
 
     async def _restart(self) -> bool:
-        node = self.random.choice(self.group.nodes)
+        node = self._pick()
         await node.kill(power_loss=self.random.random() < 0.7)
         self.tasks.spawn(self._start_later(node))
         return True
@@ -129,7 +131,7 @@
             await node.start()
 
     async def _lose_power_at_sync(self) -> bool:
-        node = self.random.choice(self.group.nodes)
+        node = self._pick()
         if not node.runs:
             return False
         node.disk.lose_power_at = node.disk.syncs + self.random.randint(1, 12)
@@ -146,7 +148,7 @@
         return True
 
     async def _isolate(self) -> bool:
-        one = self.random.choice(self.group.nodes)
+        one = self._pick()
         way = self.random.choice(("in", "out", "both"))
         for other in self.group.nodes:
             if way != "in":
@@ -171,32 +173,30 @@
         return True
 
     async def _lose_disk(self) -> bool:
-        node = self.random.choice(self.group.nodes)
+        node = self._pick()
         if not self._may_impair():
             return False
-        await node.kill()
-        node.lose_disk()
+        await node.lose_disk()
         self.images.pop(node.name, None)
         self.tasks.spawn(self._start_later(node))
         return True
 
     async def _take_image(self) -> bool:
-        node = self.random.choice(self.group.nodes)
+        node = self._pick()
         self.images[node.name] = node.disk.copy()
         return True
 
     async def _restore_image(self) -> bool:
-        node = self.random.choice(self.group.nodes)
+        node = self._pick()
         image = self.images.pop(node.name, None)
         if image is None or not self._may_impair():
             return False
-        await node.kill()
-        node.disk = image
+        await node.kill(disk=image)
         self.tasks.spawn(self._start_later(node))
         return True
 
     async def _fill_disk(self) -> bool:
-        node = self.random.choice(self.group.nodes)
+        node = self._pick()
         node.disk.free_bytes = self.random.randint(0, 500)
         self.tasks.spawn(self._free_disk(node))
         return True
@@ -206,6 +206,20 @@
         await asyncio.sleep(self.random.uniform(0.5, 4.0))
         disk.free_bytes = None
 
+    def _pick(self) -> Node:
+        """Return the leader as often as any other member."""
+        leader = self.group.leader()
+        if leader is not None and self.random.random() < 0.5:
+            return leader
+        return self.random.choice(self.group.nodes)
+
+    async def _restart_all(self) -> bool:
+        for node in self.group.nodes:
+            await node.kill(power_loss=self.random.random() < 0.8)
+        for node in self.group.nodes:
+            self.tasks.spawn(self._start_later(node))
+        return True
+
     def _may_impair(self) -> bool:
         """Tell whether every member is a voter that has all that is committed.
 
@@ -237,7 +251,7 @@
         await self.group.wait(lambda: not self._any_full(), HEALED_S)
         node = self.random.choice(self.group.nodes)
         outcome = await node.log.propose(Write(next(self.values)), 5.0)
-        self.checker.require(outcome.is_ok(), "a healed group refuses a write")
+        self.checker.require(outcome.is_ok(), f"a healed group: {outcome}")
         await self.tasks.cancel()
         for node in self.group.nodes:
             barrier = await node.log.read_barrier(5.0)
@@ -252,6 +266,8 @@
         leader = self.group.leader()
         if leader is None or not all(node.runs for node in self.group.nodes):
             return False
+        if not all(node.log.leader_peer for node in self.group.nodes):
+            return False
         voters = leader.log.member.configuration.voters()
         mine = {node.log.member.identity for node in self.group.nodes}
         return {voter.identity for voter in voters} == mine
--- /dev/null
+++ b/fuchsiacroft/tests/control/consensus/search_tests.py
@@ -0,0 +1,21 @@
+"""A small fixed part of the seeded search."""
+
+from fuchsiacroft.tests.base import TestCase
+from fuchsiacroft.tests.control.consensus import search
+from fuchsiacroft.utils import logs
+
+SEEDS = range(1, 9)
+
+
+class SearchTests(TestCase):
+    """The invariants hold under the faults of each seed."""
+
+    def test_the_invariants_hold(self):
+        logs.configure("CRITICAL")
+        done = 0
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                counts = search.run_seed(seed).checker.counts
+                self.assertGreater(counts["reads"], 0)
+                done += counts["ok"]
+        self.assertGreater(done, 500)
--- a/fuchsiacroft/tests/fakes/bus.py
+++ b/fuchsiacroft/tests/fakes/bus.py
@@ -64,6 +64,10 @@
         self._number = 0
         self._tasks = TaskGroup(f"bus-{node}")
 
+    def skip_numbers(self, number: int) -> None:
+        """Begin to number requests after `number`."""
+        self._number = number
+
     def handle(self, kind: type[msgspec.Struct], handler: Handler) -> None:
         """Register the handler for one message type."""
         self._handlers[kind] = handler
--- a/fuchsiacroft/tests/fakes/group.py
+++ b/fuchsiacroft/tests/fakes/group.py
@@ -91,15 +91,21 @@
         self.group.on_start(self)
         await log.start(Kernel())
 
-    async def kill(self, power_loss: bool = True) -> None:
-        """Stop the process at once; with a power loss unsynced bytes go."""
+    async def kill(
+        self, power_loss: bool = True, disk: MemoryDisk | None = None
+    ) -> None:
+        """Stop the process at once; with a power loss unsynced bytes go.
+
+        With `disk` the next process finds that disk.
+        """
         log, bus, self.log = self.log, self.bus, None
+        old, self.disk = self.disk, disk or self.disk
         if log is None:
             return
         if not self.folder.dead:
             self.folder.dead = True
             if power_loss:
-                self.disk.power_loss()
+                old.power_loss()
         await bus.stop()
         await log.stop()
 
@@ -108,9 +114,9 @@
         await self.kill()
         await self.start()
 
-    def lose_disk(self) -> None:
-        """Replace the disk by an empty one."""
-        self.disk = MemoryDisk(self.group.random.randrange(1 << 30))
+    async def lose_disk(self) -> None:
+        """Kill the process and replace its disk by an empty one."""
+        await self.kill(disk=MemoryDisk(self.group.random.randrange(1 << 30)))
 
 
 class Group:
--- a/fuchsiacroft/tests/fakes/network.py
+++ b/fuchsiacroft/tests/fakes/network.py
@@ -6,16 +6,26 @@
 from fuchsiacroft.transport import codec
 from fuchsiacroft.utils.tasks import TaskGroup
 
+NUMBERS_PER_BUS = 1_000_000
+
 
 class LateNetwork(MemoryNetwork):
     """Some messages come up to `late_s` later than the others."""
 
     def __init__(self, seed: int = 0) -> None:
         super().__init__(seed)
+        self._bus_count = 0
         self.late = 0.0
         self.late_s = 3.0
         self.tasks = TaskGroup("network")
 
+    def bus(self, node: str, address: str) -> MemoryBus:
+        """Return a new bus, whose numbers no earlier bus has used."""
+        bus = super().bus(node, address)
+        self._bus_count += 1
+        bus.skip_numbers(self._bus_count * NUMBERS_PER_BUS)
+        return bus
+
     async def carry(self, source: str, target: str, data: bytes) -> None:
         """Deliver one message later, whether or not its sender still runs."""
         if self.random.random() < self.loss:
