--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -20,7 +20,7 @@
     RunReport,
 )
 from fuchsiacroft.routing.line import Line, later
-from fuchsiacroft.routing.order import Waiter
+from fuchsiacroft.routing.order import LAST_TRY, Waiter
 from fuchsiacroft.routing.owned import OwnedServer, Run
 from fuchsiacroft.routing.owners import Owners
 from fuchsiacroft.routing.policies import Decisions
@@ -254,10 +254,12 @@
     def _enqueue(self, waiter: Waiter, line: Line) -> Refusal | None:
         shed = self._decisions.shed
         servers = list(line.servers.values())
-        if not shed.admits(waiter, line.queue, line.waits, servers):
+        if not self._may_wait(waiter, line, servers):
             self._evict_lower(waiter.ask.rank, line)
             return self._refusal(RefusalReason.OVERLOADED, waiter.ask, line)
         line.queue.add(waiter)
+        if waiter.position == LAST_TRY:
+            self._serve(line)
         press_at = shed.press_at(waiter)
         if press_at is not None:
             later(waiter, press_at, self._press, waiter, line)
@@ -266,6 +268,16 @@
             later(waiter, give_up_at, self._give_up, waiter, line)
         return None
 
+    def _may_wait(self, waiter: Waiter, line: Line, servers: list[OwnedServer]) -> bool:
+        shed = self._decisions.shed
+        rank = waiter.ask.rank
+        if waiter.position == LAST_TRY:
+            has_room = any(owned.room(rank) > 0 for owned in servers)
+            return has_room or shed.victim(rank, servers) is not None
+        if waiter.position > 0:
+            return True
+        return shed.admits(waiter, line.queue, line.waits, servers)
+
     def _serve(self, line: Line) -> None:
         self._serve_alone(line)
         while True:
@@ -399,8 +411,8 @@
         line.pressing.add(waiter)
         servers = [owned for owned in line.servers.values() if not owned.health.is_slow]
         rank = waiter.ask.rank
-        is_full = all(owned.free(rank) <= 0 for owned in servers)
-        if is_full and len(line.cuts_pending) < len(line.pressing):
+        must = rank > 0 or all(owned.free(rank) <= 0 for owned in servers)
+        if must and len(line.cuts_pending) < len(line.pressing):
             run = self._decisions.shed.victim(waiter.ask.rank, servers)
             if run is not None:
                 self._cut(run, line)
@@ -426,7 +438,9 @@
             return
         servers = list(line.servers.values())
         victim = self._decisions.shed.victim(waiter.ask.rank, servers)
-        if victim is not None or line.cuts_pending:
+        if victim is not None:
+            self._cut(victim, line)
+        if line.cuts_pending:
             later(waiter, now() + PRESS_PERIOD_S, self._give_up, waiter, line)
             return
         self._evict_lower(waiter.ask.rank, line)
--- a/fuchsiacroft/routing/messages.py
+++ b/fuchsiacroft/routing/messages.py
@@ -14,7 +14,8 @@
 class AskPermit(msgspec.Struct, frozen=True):
     """Ask an owner for a permit; it answers when it has one or gives up.
 
-    `position` is 0 at the owner asked first, and counts the others.
+    `position` is 0 at the owner asked first, and counts the others; a last try
+    is granted at once, or has a run of a lower tier cut, or is refused.
     """
 
     ask_id: str
--- a/fuchsiacroft/routing/order.py
+++ b/fuchsiacroft/routing/order.py
@@ -8,13 +8,16 @@
 
 from fuchsiacroft.routing.ask import Ask
 
+LAST_TRY = -1
+
 
 @dataclass(slots=True, eq=False)
 class Waiter:
     """An ask in a queue; times are on the loop's clock, in seconds.
 
     `latest_start` is the last time at which its run, as estimated, would end
-    in time. `position` is 0 at the owner asked first, and counts the others.
+    in time. `position` is 0 at the owner asked first, which alone may refuse
+    early, and counts the others; it is `LAST_TRY` after that refusal.
     `fut` gets a `Result[Permit, Refusal]`.
     """
 
--- a/fuchsiacroft/routing/race.py
+++ b/fuchsiacroft/routing/race.py
@@ -20,7 +20,7 @@
         self._give_back = give_back
         self._tries: dict[str, asyncio.Task] = {}
         self._pending: set[asyncio.Task] = set()
-        self._refusals: list[Refusal] = []
+        self._refusals: dict[str, Refusal] = {}
         self.winner: Permit | None = None
 
     @property
@@ -38,6 +38,10 @@
         """Tell whether any node has refused."""
         return bool(self._refusals)
 
+    def refusal_of(self, node: str) -> Refusal | None:
+        """Return a node's refusal, if it has refused."""
+        return self._refusals.get(node)
+
     def has_asked(self, node: str) -> bool:
         """Tell whether a node has been asked."""
         return node in self._tries
@@ -60,10 +64,12 @@
         """Return the permit, or the refusal that promises the soonest retry."""
         if self.winner is not None:
             return Ok(self.winner)
-        for refusal in self._refusals:
+        for refusal in self._refusals.values():
             if refusal.reason is RefusalReason.QUARANTINED:
                 return Error(refusal)
-        return Error(min(self._refusals, key=lambda refusal: refusal.retry_after_s))
+        return Error(
+            min(self._refusals.values(), key=lambda refusal: refusal.retry_after_s)
+        )
 
     def close(self) -> None:
         """Withdraw every other try."""
@@ -80,7 +86,10 @@
                 else:
                     self._give_back(permit)
             case Result(error=refusal):
-                self._refusals.append(refusal)
+                self._refusals[self._node_of(task)] = refusal
+
+    def _node_of(self, task: asyncio.Task) -> str:
+        return next(node for node, own in self._tries.items() if own is task)
 
     def _after_close(self, task: asyncio.Task) -> None:
         if task.cancelled() or task.exception() is not None:
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -33,6 +33,7 @@
     RenewPermits,
     WithdrawAsk,
 )
+from fuchsiacroft.routing.order import LAST_TRY
 from fuchsiacroft.routing.owners import Owners
 from fuchsiacroft.routing.quarantine import Quarantine
 from fuchsiacroft.routing.race import Race
@@ -149,10 +150,11 @@
         ask_id = uuid.uuid4().hex
         started_at = now()
         try:
-            if first is not None and first != self._node:
+            if first is not None:
                 race.start(first, self._try(first, ask_id, ask, 0, race))
-                await race.wait(MAX_HEAD_START_S)
-            while race.winner is None:
+                head_start_s = 0.0 if first == self._node else MAX_HEAD_START_S
+                await race.wait(head_start_s)
+            while race.winner is None and not _is_refused_early(race, first):
                 waited_s = now() - started_at
                 if waited_s >= ask.timeout_s:
                     break
@@ -166,8 +168,23 @@
             return Error(self._desk.refusal(RefusalReason.NO_BACKEND_SERVER, ask))
         if race.winner is not None and race.winner.owner != self._node:
             self._desk.note_served_elsewhere(ask)
+        if _is_refused_early(race, first):
+            return await self._last_tries(race, first, ask, now() - started_at)
         return self._outcome(race, ask)
 
+    async def _last_tries(
+        self, race: Race, first: str, ask: Ask, waited_s: float
+    ) -> Result[Permit, Refusal]:
+        left = _shortened(ask, waited_s)
+        for node in list(self._owners_of(ask))[:MAX_OWNERS]:
+            if node == first:
+                continue
+            ask_id = uuid.uuid4().hex
+            match await self._try(node, ask_id, left, LAST_TRY, race):
+                case Result(tag="ok", ok=permit):
+                    return Ok(permit)
+        return Error(race.refusal_of(first))
+
     def _outcome(self, race: Race, ask: Ask) -> Result[Permit, Refusal]:
         if race.winner is None and not race.has_refusals:
             return Error(self._desk.refusal(RefusalReason.TIMED_OUT, ask))
@@ -236,9 +253,12 @@
         return known
 
     def _first(self, ask: Ask, known: dict[str, list[BackendServer]]) -> str | None:
+        if self._node in known:
+            best = self._node
+        else:
+            best = self._random.choice(list(known)) if known else None
         if self._policies.route != "expected_finish" or not ask.prefixes:
-            return self._node if self._node in known else None
-        best = self._node if self._node in known else None
+            return best
         most = MIN_GAIN_S + self._gain_s(ask, known.get(self._node, []))
         for node, servers in known.items():
             gain_s = self._gain_s(ask, servers)
@@ -293,6 +313,13 @@
     return Scheduler(settings, owned_by or owners.create(settings), seed)
 
 
+def _is_refused_early(race: Race, first: str | None) -> bool:
+    if first is None or race.winner is not None:
+        return False
+    refusal = race.refusal_of(first)
+    return refusal is not None and refusal.reason is RefusalReason.OVERLOADED
+
+
 def _permit(ask: Ask, owner: str, given: PermitGiven) -> Permit:
     return Permit(
         permit_id=given.permit_id,
--- a/fuchsiacroft/routing/shed_lowest.py
+++ b/fuchsiacroft/routing/shed_lowest.py
@@ -6,7 +6,7 @@
 which the least engine time has been spent. Non-idempotent runs are never cut.
 """
 
-from fuchsiacroft.routing.order import Waiter, WaitingQueue
+from fuchsiacroft.routing.order import LAST_TRY, Waiter, WaitingQueue
 from fuchsiacroft.routing.owned import OwnedServer, Run
 from fuchsiacroft.routing.shed import Shedding
 from fuchsiacroft.routing.waits import Waits
@@ -51,6 +51,8 @@
         their latest start is near. Owners asked later press later, so that
         one ask has one run cut.
         """
+        if waiter.position == LAST_TRY:
+            return waiter.arrived_at
         slack_s = max(0.0, waiter.latest_start - waiter.arrived_at)
         margin_s = min(PRESS_MARGIN_S, PRESS_MARGIN_SHARE * slack_s)
         patience_s = slack_s - margin_s
