--- a/fuchsiacroft/model/callers.py
+++ b/fuchsiacroft/model/callers.py
@@ -91,7 +91,9 @@
         run = None
         started_at = now()
         try:
-            run = slot.server.start(record.arrival)
+            run = slot.server.start(
+                record.arrival, lambda: entry.scheduler.note_first_token(permit)
+            )
             self._note_start(slot.server, record)
             outcome = RunOutcome.CANCELLED
             outcome = await _watch(run, permit, deadline)
--- a/fuchsiacroft/model/engine.py
+++ b/fuchsiacroft/model/engine.py
@@ -95,6 +95,7 @@
             run.prefilled = run.prompt_left
             self.prefilled_tokens += run.prefilled
             run.first_token_at = now()
+            run.on_first_token()
             self._fill_cache(run)
             if run.arrival.crashes:
                 self._decode.add(run, run.arrival.output_tokens)
--- a/fuchsiacroft/model/server.py
+++ b/fuchsiacroft/model/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from fuchsiacroft.model.trace import Arrival
@@ -22,6 +23,7 @@
 
     arrival: Arrival
     done: asyncio.Future
+    on_first_token: Callable[[], None] = field(repr=False)
     started_at: float
     first_token_at: float | None = None
     ended_at: float | None = None
@@ -40,13 +42,13 @@
         self._advanced_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
-    def start(self, arrival: Arrival) -> ServerRun:
-        """Begin a run."""
+    def start(self, arrival: Arrival, on_first_token: Callable[[], None]) -> ServerRun:
+        """Begin a run; `on_first_token` is called when its prefill is over."""
         if not self.alive:
             raise ConnectFailedError
         self._advance()
         done = asyncio.get_running_loop().create_future()
-        run = ServerRun(arrival, done, started_at=now())
+        run = ServerRun(arrival, done, on_first_token, started_at=now())
         self.runs.add(run)
         self._begin(run)
         self._schedule()
--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -179,6 +179,12 @@
         for offer in owned.server.announcement.offers:
             self._serve(self._line(offer.service))
 
+    def note_first_token(self, permit: Permit) -> None:
+        """Note that a run's prefill is over, so that the next may begin."""
+        owned = self._owned.get(permit.backend_server)
+        if owned is not None and owned.end_prefill(permit.permit_id):
+            self._serve(self._line(permit.ask.service))
+
     def adopt(self, permit: Permit) -> bool:
         """Take over a run that goes on under an earlier owner's permit."""
         owned = self._owned.get(permit.backend_server)
@@ -291,10 +297,13 @@
             if owned is None:
                 self._wake_later(line)
                 return
-            line.queue.remove(waiter)
-            line.queue.started(waiter)
-            line.waits.note_start(waiter.ask.rank)
-            waiter.fut.set_result(Ok(self._grant(waiter.ask, owned)))
+            self._start(waiter, line, owned)
+
+    def _start(self, waiter: Waiter, line: Line, owned: OwnedServer) -> None:
+        line.queue.remove(waiter)
+        line.queue.started(waiter)
+        line.waits.note_start(waiter.ask.rank)
+        waiter.fut.set_result(Ok(self._grant(waiter.ask, owned)))
 
     def _wake_later(self, line: Line) -> None:
         end = line.next_prefill_end()
@@ -411,9 +420,9 @@
         line.pressing.add(waiter)
         servers = [owned for owned in line.servers.values() if not owned.health.is_slow]
         rank = waiter.ask.rank
-        must = rank > 0 or all(owned.free(rank) <= 0 for owned in servers)
-        if must and len(line.cuts_pending) < len(line.pressing):
-            run = self._decisions.shed.victim(waiter.ask.rank, servers)
+        is_full = all(owned.free(rank) <= 0 for owned in servers)
+        if is_full and len(line.cuts_pending) < len(line.pressing):
+            run = self._decisions.shed.victim(rank, servers)
             if run is not None:
                 self._cut(run, line)
         later(waiter, now() + PRESS_PERIOD_S, self._press, waiter, line)
--- a/fuchsiacroft/routing/lending.py
+++ b/fuchsiacroft/routing/lending.py
@@ -16,6 +16,7 @@
 from fuchsiacroft.routing.messages import (
     AskPermit,
     CutRun,
+    FirstToken,
     PermitGiven,
     PermitRefused,
     ReleasePermit,
@@ -62,6 +63,7 @@
         self._bus = kernel.get("bus", Bus)
         self._bus.handle(AskPermit, self._on_ask)
         self._bus.handle(ReleasePermit, self._on_release)
+        self._bus.handle(FirstToken, self._on_first_token)
         self._bus.handle(RenewPermits, self._on_renew)
         self._bus.handle(WithdrawAsk, self._on_withdraw)
         self._tasks.spawn(self._sweep(), "lending-sweep")
@@ -122,6 +124,11 @@
     async def _on_release(self, sender: str, msg: ReleasePermit) -> None:
         self._take_back(msg.permit_id, msg.report)
 
+    async def _on_first_token(self, sender: str, msg: FirstToken) -> None:
+        lent = self._lent.get(msg.permit_id)
+        if lent is not None:
+            self._desk.note_first_token(lent.permit)
+
     async def _on_renew(self, sender: str, msg: RenewPermits) -> None:
         for permit_id in msg.permit_ids:
             lent = self._lent.get(permit_id)
--- a/fuchsiacroft/routing/line.py
+++ b/fuchsiacroft/routing/line.py
@@ -32,7 +32,9 @@
 
     def next_prefill_end(self) -> float | None:
         """Return when the next prompt is likely out of prefill."""
-        ends = [owned.prefills[0] for owned in self.servers.values() if owned.prefills]
+        ends = [
+            end for owned in self.servers.values() for end in owned.prefills.values()
+        ]
         return min(ends, default=None)
 
     def slowest_run_s(self, ask: Ask, estimates: Estimates) -> float:
--- a/fuchsiacroft/routing/messages.py
+++ b/fuchsiacroft/routing/messages.py
@@ -48,6 +48,13 @@
     report: RunReport
 
 
+@codec.message("routing.first_token")
+class FirstToken(msgspec.Struct, frozen=True):
+    """The run of a permit has sent its first token: its prefill is over."""
+
+    permit_id: str
+
+
 @codec.message("routing.renew_permits")
 class RenewPermits(msgspec.Struct, frozen=True):
     """The sender still holds these permits of the receiver."""
--- a/fuchsiacroft/routing/owned.py
+++ b/fuchsiacroft/routing/owned.py
@@ -1,6 +1,5 @@
 """A backend server whose permits this entry hands out, and its runs."""
 
-import heapq
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -25,7 +24,6 @@
     expected_s: float
     prefill_s: float
     cached_tokens: int
-    prefill_until: float = 0.0
     was_first_prefill: bool = False
     alone: bool = False
     cutting: bool = False
@@ -48,7 +46,7 @@
     reserve: Reserve
     running: dict[str, Run] = field(default_factory=dict)
     held_for: int | None = None
-    prefills: list[float] = field(default_factory=list)
+    prefills: dict[str, float] = field(default_factory=dict)
     lost: deque[tuple[float, str]] = field(default_factory=deque)
 
     @property
@@ -85,25 +83,31 @@
         return min(free, unreserved - self.reserve.below(rank))
 
     def prefilling(self) -> int:
-        """Return how many prompts are likely still in prefill."""
+        """Return how many prompts are in prefill, as far as is known."""
         at = now()
-        while self.prefills and self.prefills[0] <= at:
-            heapq.heappop(self.prefills)
+        over = [permit_id for permit_id, until in self.prefills.items() if until <= at]
+        for permit_id in over:
+            del self.prefills[permit_id]
         return len(self.prefills)
 
     def add(self, run: Run) -> None:
         """Begin a run; prompts in prefill share the engine."""
-        self.running[run.permit.permit_id] = run
+        permit_id = run.permit.permit_id
+        self.running[permit_id] = run
         self.reserve.note(run.permit.ask.rank, 1)
         if run.prefill_s > 0.0 and self.limit.paces_prefill:
             beside = self.prefilling()
             run.was_first_prefill = beside == 0
-            run.prefill_until = now() + run.prefill_s * (1 + beside)
-            heapq.heappush(self.prefills, run.prefill_until)
+            self.prefills[permit_id] = now() + run.prefill_s * (1 + beside)
+
+    def end_prefill(self, permit_id: str) -> bool:
+        """Note a run's first token; return whether it was in prefill."""
+        return self.prefills.pop(permit_id, None) is not None
 
     def remove(self, permit_id: str) -> Run | None:
         """End a run; return None if it was not running."""
         run = self.running.pop(permit_id, None)
+        self.prefills.pop(permit_id, None)
         if run is not None:
             self.reserve.note(run.permit.ask.rank, -1)
         return run
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -27,6 +27,7 @@
 from fuchsiacroft.routing.messages import (
     AskPermit,
     CutRun,
+    FirstToken,
     PermitGiven,
     PermitRefused,
     ReleasePermit,
@@ -118,6 +119,13 @@
                     self._retries.note_refused(ask)
         return outcome
 
+    def note_first_token(self, permit: Permit) -> None:
+        """Tell the owner that a run's first token has come."""
+        if permit.owner == self._node:
+            self._desk.note_first_token(permit)
+        else:
+            self._send(permit.owner, FirstToken(permit.permit_id))
+
     def release(self, permit: Permit, report: RunReport) -> None:
         """Give a permit back to its owner, or to the one that took over."""
         self._held.pop(permit.permit_id, None)
