Compare a backend server's speed with peers across entries

Cause: an owner often has one backend server of a generation, and compared a straggler with itself. Digests now carry measured speeds and how many servers are set aside, so the reference is a median over entries, and the cap on those set aside counts the whole domain.

--- a/fuchsiacroft/commands/experiment.py
+++ b/fuchsiacroft/commands/experiment.py
@@ -13,7 +13,8 @@
 
 HEADER = (
     "deployment scenario load policies | goodput by tier % (min-max) | top/empty % | "
-    "total (min-max) | tokens | wasted prefill | refused cut late lost | "
+    "total (min-max) | model total (min-max) | tokens | wasted prefill | "
+    "refused cut late lost | "
     "inversions broken | first token p95 s, gap p95 ms"
 )
 
@@ -90,6 +91,7 @@
     )
     return (
         f"{cell.name:17} | {tiers} | {top} | {_spread([m.total for m in found], 0)} | "
+        f"{_spread([m.model_total for m in found], 0)} | "
         f"{mean(m.tokens for m in found):.0f} | "
         f"{mean(m.wasted for m in found):.0f} | {ended} | "
         f"{sum(m.inversions for m in found)} {sum(m.broken for m in found)} | "
--- a/fuchsiacroft/model/outcomes.py
+++ b/fuchsiacroft/model/outcomes.py
@@ -60,6 +60,7 @@
         return Measures(
             goodput=tuple(_share(self.records, rank) for rank in ranks),
             total=len(useful),
+            model_total=sum(record.arrival.is_model for record in useful),
             tokens=sum(record.arrival.output_tokens for record in useful),
             offered=len(self.records),
             wasted=sum(r.prefilled for r in self.records if not r.is_useful),
@@ -78,12 +79,14 @@
 class Measures:
     """Goodput is the part of each rank's requests answered in time.
 
-    `total` counts useful answers and `tokens` their output; `wasted` counts
-    prompt tokens prefilled for answers that were of no use.
+    `total` counts useful answers, `model_total` those of model services, and
+    `tokens` their output; `wasted` counts prompt tokens prefilled for answers
+    that were of no use.
     """
 
     goodput: tuple[float, ...]
     total: int
+    model_total: int
     tokens: int
     offered: int
     wasted: float
--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -19,6 +19,7 @@
     RunOutcome,
     RunReport,
 )
+from fuchsiacroft.routing.estimates import Estimates
 from fuchsiacroft.routing.line import Line, later
 from fuchsiacroft.routing.order import LAST_TRY, Waiter
 from fuchsiacroft.routing.owned import OwnedServer, Run
@@ -54,6 +55,7 @@
         self._life = uuid.uuid4().hex[:8]
         self._tasks = TaskGroup("desk")
         self._quarantine: Quarantine | None = None
+        self.neighbours: Callable[[str], tuple[int, int]] = lambda service: (0, 0)
         self.on_cut: Callable[[Permit, float], None] = lambda permit, retry_s: None
 
     async def start(self, kernel: Kernel) -> None:
@@ -198,12 +200,21 @@
         """Count a waiter that another owner served as one that left."""
         self._line(ask.service).waits.note_start(ask.rank)
 
+    def learn_elsewhere(self, ask: Ask, generation: str, report: RunReport) -> None:
+        """Learn a speed from an own run on another owner's backend server."""
+        self._decisions.estimates.note(ask, generation, 0, report)
+
     def prefix_gain_s(self, ask: Ask, backend_server: str, generation: str) -> float:
         """Return the seconds of prefill that its cache is likely to save."""
         cached = self._decisions.prefixes.cached_tokens(ask, backend_server)
         speed = self._decisions.estimates.speed(ask.service, generation)
         return cached / speed.prefill_tokens_per_s.value
 
+    @property
+    def estimates(self) -> Estimates:
+        """Return the measured speeds."""
+        return self._decisions.estimates
+
     def note_run_elsewhere(self, ask: Ask, backend_server: str) -> None:
         """Note where a run was dispatched under another owner's permit."""
         self._decisions.prefixes.note_run(ask, backend_server)
@@ -225,19 +236,27 @@
 
     def _new_owned(self, server: BackendServer) -> OwnedServer:
         joined_at = self._joined.get(server.boot_id, now())
+        services = tuple(offer.service for offer in server.announcement.offers)
         is_new = joined_at > self._started_at + NEW_DESK_S
         return OwnedServer(
             server=server,
             limit=self._decisions.limit(
                 server.announcement, joined_at if is_new else None
             ),
-            health=self._decisions.health(self._may_set_aside),
+            health=self._decisions.health(lambda: self._may_set_aside(services)),
             reserve=self._decisions.reserve(),
         )
 
-    def _may_set_aside(self) -> bool:
-        slow = sum(owned.health.is_slow for owned in self._owned.values())
-        return (slow + 1) <= max(1, SET_ASIDE_SHARE * len(self._owned))
+    def _may_set_aside(self, services: tuple[str, ...]) -> bool:
+        """Tell whether the rest of the domain can carry the services."""
+        for service in services:
+            line = self._line(service)
+            servers, slow = self.neighbours(service)
+            servers += len(line.servers)
+            slow += sum(owned.health.is_slow for owned in line.servers.values())
+            if servers < 2 or slow + 1 > max(1, SET_ASIDE_SHARE * servers):
+                return False
+        return True
 
     def _waiter(self, ask: Ask, position: int, line: Line) -> Waiter:
         estimates = self._decisions.estimates
@@ -403,8 +422,8 @@
         if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
             self._quarantine.clear(ask.fingerprint)
         estimates = self._decisions.estimates
-        speed = estimates.speed(ask.service, owned.generation)
-        owned.health.note(ask, speed, run.expected_s, report)
+        usual = estimates.reference(ask.service, owned.generation)
+        owned.health.note(ask, usual, run.expected_s, report)
         owned.limit.note(ask, len(owned.running), report)
         if not owned.health.is_slow:
             filled = ask.size.prompt_tokens - run.cached_tokens
--- a/fuchsiacroft/routing/estimates.py
+++ b/fuchsiacroft/routing/estimates.py
@@ -6,11 +6,12 @@
 
 import math
 from dataclasses import dataclass
+from statistics import median
 
 from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport
 
 NEW_WEIGHT = 0.1
-QUANTILE = 0.9
+QUANTILE = 0.95
 STEP = 0.03
 FIRST_OVERRUN = 1.2
 DEFAULT_TOKEN_GAP_S = 0.03
@@ -20,6 +21,8 @@
 MIN_OUTPUT_TOKENS = 3
 MIN_PLAIN_SAMPLES = 10
 FLOOR_RISE = 1.0005
+MAX_PEERS = 16
+MIN_RUNS = 5
 
 
 @dataclass(slots=True)
@@ -78,6 +81,14 @@
         return wanted / self.prefill_tokens_per_s.value
 
 
+@dataclass(frozen=True, slots=True)
+class Reference:
+    """What a generation usually takes, by the median of several entries."""
+
+    token_gap_s: float
+    plain_run_s: float
+
+
 class Estimates:
     """Speeds by service and generation, and how much of its limit is written."""
 
@@ -86,9 +97,36 @@
         self._services: dict[str, Speed] = {}
         self._output_ratios: dict[str, Average] = {}
         self._overruns: dict[str, UpperBound] = {}
+        self._peers: dict[tuple[str, str], dict[str, Reference]] = {}
+
+    def note_peer(self, node: str, kind: tuple[str, str], seen: Reference) -> None:
+        """Note what another entry has measured of a service and generation."""
+        peers = self._peers.setdefault(kind, {})
+        peers.pop(node, None)
+        peers[node] = seen
+        if len(peers) > MAX_PEERS:
+            del peers[next(iter(peers))]
+
+    def reference(self, service: str, generation: str) -> Reference:
+        """Return the median of the own and the other entries' measurements."""
+        speed = self.speed(service, generation)
+        own = Reference(speed.token_gap_s.value, speed.plain_run_s.value)
+        seen = [own, *self._peers.get((service, generation), {}).values()]
+        return Reference(
+            median(entry.token_gap_s for entry in seen),
+            median(entry.plain_run_s for entry in seen),
+        )
+
+    def measured(self) -> dict[tuple[str, str], Reference]:
+        """Return the own measurements that rest on several runs."""
+        return {
+            kind: Reference(speed.token_gap_s.value, speed.plain_run_s.value)
+            for kind, speed in self._speeds.items()
+            if speed.token_gap_s.samples + speed.plain_run_s.samples >= MIN_RUNS
+        }
 
     def overrun(self, service: str) -> float:
-        """Return how many times the expected time nine in ten runs keep to."""
+        """Return how many times the expected time nineteen in twenty runs keep to."""
         bound = self._overruns.get(service)
         return FIRST_OVERRUN if bound is None else bound.value
 
--- a/fuchsiacroft/routing/health.py
+++ b/fuchsiacroft/routing/health.py
@@ -8,7 +8,7 @@
 from abc import ABC, abstractmethod
 
 from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport
-from fuchsiacroft.routing.estimates import Average, Speed, is_model
+from fuchsiacroft.routing.estimates import Average, Reference, is_model
 from fuchsiacroft.utils.clock import now
 
 SLOW_ABOVE = 2.0
@@ -41,8 +41,8 @@
         """Note that a run starts."""
 
     @abstractmethod
-    def note(self, ask: Ask, speed: Speed, expected_s: float, report: RunReport):
-        """Learn from a run that ended; `speed` is that of its peers."""
+    def note(self, ask: Ask, usual: Reference, expected_s: float, report: RunReport):
+        """Learn from a run that ended; `usual` is what its peers take."""
 
     @abstractmethod
     def note_overdue(self, runs: int) -> None:
@@ -56,7 +56,7 @@
         """Return the limit unchanged."""
         return allowed
 
-    def note(self, ask: Ask, speed: Speed, expected_s: float, report: RunReport):
+    def note(self, ask: Ask, usual: Reference, expected_s: float, report: RunReport):
         """Do nothing."""
 
     def note_start(self) -> None:
@@ -95,7 +95,7 @@
         if self.is_slow:
             self._probe_at = now() + PROBE_PERIOD_S
 
-    def note(self, ask: Ask, speed: Speed, expected_s: float, report: RunReport):
+    def note(self, ask: Ask, usual: Reference, expected_s: float, report: RunReport):
         """Compare a run with what its peers take."""
         if report.outcome is RunOutcome.NOT_DISPATCHED:
             self._note_connect_failure()
@@ -105,7 +105,7 @@
         elif report.outcome is RunOutcome.COMPLETED:
             self._connect_failures = 0
             self._failures.add(0.0)
-            self._ratio.add(_ratio(ask, speed, expected_s, report))
+            self._ratio.add(_ratio(ask, usual, expected_s, report))
         self._judge()
 
     def note_overdue(self, runs: int) -> None:
@@ -144,9 +144,9 @@
     return spent_s > OVERDUE_FACTOR * expected_s + OVERDUE_MARGIN_S
 
 
-def _ratio(ask: Ask, speed: Speed, expected_s: float, report: RunReport) -> float:
+def _ratio(ask: Ask, usual: Reference, expected_s: float, report: RunReport) -> float:
     if is_model(ask):
         if report.token_gap_s is not None:
-            return report.token_gap_s / speed.token_gap_s.value
+            return report.token_gap_s / usual.token_gap_s
         return report.duration_s / max(expected_s, 0.001)
-    return report.duration_s / speed.plain_run_s.value
+    return report.duration_s / usual.plain_run_s
--- a/fuchsiacroft/routing/messages.py
+++ b/fuchsiacroft/routing/messages.py
@@ -82,22 +82,34 @@
 
 
 class ServiceLoad(msgspec.Struct, frozen=True):
-    """The state of one service in a failure domain, as one entry sees it.
+    """The state of one service on the backend servers that one entry owns.
 
-    `room` counts free places on its owned backend servers.
+    `room` counts free places; `slow` of the `servers` are set aside.
     """
 
     service: str
     room: int
     waiting: int
+    servers: int
+    slow: int
+
+
+class MeasuredSpeed(msgspec.Struct, frozen=True):
+    """The speed of a service on a hardware generation as one entry measured."""
+
+    service: str
+    generation: str
+    token_gap_s: float
+    plain_run_s: float
 
 
 @codec.message("routing.load_digest")
 class LoadDigest(msgspec.Struct, frozen=True):
-    """What an entry tells entries of other failure domains, once a period."""
+    """What an entry tells a few others, once a period."""
 
     failure_domain: str
     services: tuple[ServiceLoad, ...]
+    speeds: tuple[MeasuredSpeed, ...] = ()
 
 
 @codec.message("routing.suspected")
--- a/fuchsiacroft/routing/owned.py
+++ b/fuchsiacroft/routing/owned.py
@@ -11,7 +11,7 @@
 from fuchsiacroft.utils.clock import now
 
 LOST_KEPT_S = 15.0
-TOP_PREFILLS = 4
+TOP_PREFILLS = 3
 LOWER_PREFILLS = 2
 
 
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -131,6 +131,10 @@
         self._held.pop(permit.permit_id, None)
         if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
             self._quarantine.clear(permit.ask.fingerprint)
+        server = self._directory.get(permit.backend_server)
+        if permit.owner != self._node and server is not None:
+            generation = server.announcement.generation
+            self._desk.learn_elsewhere(permit.ask, generation, report)
         for owner in self._owners_for(permit):
             if owner == self._node:
                 self._desk.release(permit, report)
--- a/fuchsiacroft/routing/spill.py
+++ b/fuchsiacroft/routing/spill.py
@@ -1,10 +1,10 @@
 """When work goes to another failure domain of the region, and to which entry.
 
-Entries tell a few entries of each other domain, once a period, how much room
-their own backend servers have. What was heard weighs less as it ages and is
-dropped when old. A service begins to spill after its asks have waited for a
-while, and stops only after none has waited for longer: this hysteresis keeps
-work from swinging between domains.
+Entries tell a few entries of each domain, once a period, how much room their
+own backend servers have and which speeds they have measured. What was heard
+weighs less as it ages and is dropped when old. A service begins to spill after
+its asks have waited for a while, and stops only after none has waited for
+longer: this hysteresis keeps work from swinging between domains.
 """
 
 import asyncio
@@ -15,7 +15,8 @@
 from fuchsiacroft.config.settings import Member, Settings
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.routing.desk import Desk
-from fuchsiacroft.routing.messages import LoadDigest, ServiceLoad
+from fuchsiacroft.routing.estimates import Reference
+from fuchsiacroft.routing.messages import LoadDigest, MeasuredSpeed, ServiceLoad
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.tasks import TaskGroup
@@ -33,6 +34,7 @@
     """A digest and when it came."""
 
     member: Member
+    is_near: bool
     services: dict[str, ServiceLoad]
     heard_at: float
 
@@ -56,7 +58,7 @@
         self._members = {
             member.node: member
             for member in settings.entries
-            if member.failure_domain != settings.failure_domain
+            if member.node != settings.node
         }
         self._heard: dict[str, Heard] = {}
         self._pressures: dict[str, Pressure] = {}
@@ -66,6 +68,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Send and hear digests."""
         self._desk = kernel.get("desk", Desk)
+        self._desk.neighbours = self._neighbours
         self._bus = kernel.get("bus", Bus)
         self._bus.handle(LoadDigest, self._on_digest)
         self._tasks.spawn(self._tell(), "spill-digests")
@@ -108,7 +111,7 @@
         for heard in self._heard.values():
             age_s = now() - heard.heard_at
             load = heard.services.get(service)
-            if load is None or age_s > DIGEST_KEPT_S:
+            if heard.is_near or load is None or age_s > DIGEST_KEPT_S:
                 continue
             room = max(load.room - load.waiting, 1 if must else 0)
             weight = room * 0.5 ** (age_s / HALF_LIFE_S) * self._random.uniform(0.5, 1)
@@ -119,7 +122,7 @@
     async def _tell(self) -> None:
         while True:
             await asyncio.sleep(DIGEST_PERIOD_S * self._random.uniform(0.9, 1.1))
-            digest = LoadDigest(self._domain, self._services())
+            digest = LoadDigest(self._domain, self._services(), self._speeds())
             for domain in {member.failure_domain for member in self._members.values()}:
                 peers = [
                     member.peers
@@ -135,16 +138,40 @@
                 service=name,
                 room=sum(max(0, owned.room(1)) for owned in line.servers.values()),
                 waiting=len(line.queue),
+                servers=len(line.servers),
+                slow=sum(owned.health.is_slow for owned in line.servers.values()),
             )
             for name, line in self._desk.lines().items()
             if line.servers
         )
 
+    def _speeds(self) -> tuple[MeasuredSpeed, ...]:
+        return tuple(
+            MeasuredSpeed(service, generation, seen.token_gap_s, seen.plain_run_s)
+            for (service, generation), seen in self._desk.estimates.measured().items()
+        )
+
+    def _neighbours(self, service: str) -> tuple[int, int]:
+        """Return how many servers the other owners here have, and the slow ones."""
+        oldest = now() - DIGEST_KEPT_S
+        loads = [
+            heard.services[service]
+            for heard in self._heard.values()
+            if heard.is_near and heard.heard_at >= oldest and service in heard.services
+        ]
+        return sum(load.servers for load in loads), sum(load.slow for load in loads)
+
     async def _on_digest(self, sender: str, msg: LoadDigest) -> None:
         member = self._members.get(sender)
-        if member is not None:
-            services = {load.service: load for load in msg.services}
-            self._heard[sender] = Heard(member, services, now())
+        if member is None:
+            return
+        is_near = member.failure_domain == self._domain
+        services = {load.service: load for load in msg.services}
+        self._heard[sender] = Heard(member, is_near, services, now())
+        for speed in msg.speeds:
+            seen = Reference(speed.token_gap_s, speed.plain_run_s)
+            kind = (speed.service, speed.generation)
+            self._desk.estimates.note_peer(sender, kind, seen)
 
 
 def create(settings: Settings, seed: int = 0) -> Spilling:
