--- a/fuchsiacroft/config/faults.py
+++ b/fuchsiacroft/config/faults.py
@@ -8,6 +8,18 @@
 from jsonschema import Draft202012Validator
 from jsonschema.exceptions import ValidationError
 
+SECRET_PART = "$.keys"
+MAX_SHOWN_CHARS = 100
+TYPE_NAMES = {
+    "integer": "a whole number",
+    "number": "a number",
+    "string": "a text",
+    "boolean": "true or false",
+    "array": "a list",
+    "object": "an object",
+    "null": "null",
+}
+
 
 @dataclass(frozen=True, slots=True)
 class Fault:
@@ -53,6 +65,8 @@
 
 def _explain(error: ValidationError) -> list[Fault]:
     path = error.json_path
+    if _is_secret(path):
+        return _explain_secret(error, path)
     if error.validator == "additionalProperties":
         return _unknown_keys(error, path)
     if error.validator == "enum":
@@ -63,7 +77,49 @@
         inner = max(error.context, key=lambda err: len(err.absolute_path))
         if inner.json_path != path:
             return _explain(inner)
-    return [Fault(path, error.message)]
+    return [Fault(path, _in_words(error))]
+
+
+def _in_words(error: ValidationError) -> str:
+    value = "this value"
+    if not isinstance(error.instance, (dict, list)):
+        value = msgspec.json.encode(error.instance).decode()[:MAX_SHOWN_CHARS]
+    limit = error.validator_value
+    match error.validator:
+        case "type":
+            wanted = [limit] if isinstance(limit, str) else limit
+            names = " or ".join(TYPE_NAMES.get(name, name) for name in wanted)
+            return f"{value} is not {names}"
+        case "required":
+            return error.message
+        case "minimum":
+            return f"{value} is less than {limit}"
+        case "exclusiveMinimum":
+            return f"{value} is not more than {limit}"
+        case "maximum":
+            return f"{value} is more than {limit}"
+        case "pattern":
+            return f"{value} does not have the form {limit}"
+    return error.message
+
+
+def _is_secret(path: str) -> bool:
+    return path == SECRET_PART or path.startswith(SECRET_PART + ".")
+
+
+def _explain_secret(error: ValidationError, path: str) -> list[Fault]:
+    """Name a fault without the value, which may hold a secret key."""
+    if error.validator == "additionalProperties":
+        return _unknown_keys(error, path)
+    if error.validator == "required":
+        return [Fault(path, error.message)]
+    if error.context:
+        inner = [one for one in error.context if one.validator != "type"]
+        if inner:
+            return [
+                fault for one in inner for fault in _explain_secret(one, one.json_path)
+            ]
+    return [Fault(path, f"does not fit the schema ({error.validator})")]
 
 
 def _unknown_keys(error: ValidationError, path: str) -> list[Fault]:
--- a/fuchsiacroft/routing/owned.py
+++ b/fuchsiacroft/routing/owned.py
@@ -37,6 +37,7 @@
 class OwnedServer:
     """What the owner knows of one backend server in its present life.
 
+    `share` is the part of the limit that may be handed out from here.
     `held_for` is the number of the ask that waits to run there alone.
     """
 
@@ -44,6 +45,7 @@
     limit: Limit
     health: Health
     reserve: Reserve
+    share: float = 1.0
     running: dict[str, Run] = field(default_factory=dict)
     held_for: int | None = None
     prefills: dict[str, float] = field(default_factory=dict)
@@ -76,6 +78,7 @@
         allowed = self.health.cap(self.limit.allowed())
         if rank == 0:
             allowed += self.limit.overshoot()
+        allowed = int(self.share * allowed)
         free = allowed - len(self.running)
         if free <= 0 or not self.running:
             return free
