--- a/fuchsiacroft/model/engine.py
+++ b/fuchsiacroft/model/engine.py
@@ -10,6 +10,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+from fuchsiacroft.membership.announcement import CacheEvent
 from fuchsiacroft.model.server import ModelServer, ServerRun
 from fuchsiacroft.model.shared_work import SharedWork
 from fuchsiacroft.routing.prefixes import TOKENS_PER_BLOCK
@@ -46,6 +47,13 @@
         self._decode = SharedWork()
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._kv_used = 0
+        self._events: list[CacheEvent] = []
+        self._event_number = 0
+
+    def take_events(self) -> tuple[CacheEvent, ...]:
+        """Return the cache events since the last call."""
+        events, self._events = tuple(self._events), []
+        return events
 
     def token_gap_s(self) -> float:
         """Return the present seconds between tokens of one run."""
@@ -114,10 +122,17 @@
 
     def _fill_cache(self, run: ServerRun) -> None:
         for prefix in run.arrival.prefixes:
+            if prefix not in self._cache:
+                self._note_event(prefix, cached=True)
             self._cache[prefix] = None
             self._cache.move_to_end(prefix)
         while len(self._cache) > self.generation.cached_blocks:
-            self._cache.popitem(last=False)
+            prefix, _ = self._cache.popitem(last=False)
+            self._note_event(prefix, cached=False)
+
+    def _note_event(self, prefix: int, cached: bool) -> None:
+        self._event_number += 1
+        self._events.append(CacheEvent(self._event_number, prefix, cached))
 
 
 def _kv_tokens(run: ServerRun) -> int:
--- a/fuchsiacroft/model/world.py
+++ b/fuchsiacroft/model/world.py
@@ -11,6 +11,7 @@
 from fuchsiacroft.membership.announcement import (
     Announced,
     Announcement,
+    CacheEvent,
     Offer,
     ReportedLoad,
 )
@@ -38,11 +39,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Conditions:
-    """How the load reports are: seconds late, or missing, or scaled wrongly."""
+    """How load reports are: seconds late, or missing, or scaled wrongly.
+
+    `event_loss` is the part of the cache events that is lost.
+    """
 
     report_lag_s: float = 1.0
     reports: bool = True
     report_factor: float = 1.0
+    event_loss: float = 0.02
 
 
 @dataclass(slots=True)
@@ -193,8 +198,16 @@
             generation=slot.generation,
             load=self._reported(loads),
             leaving=slot.server.leaving_since is not None,
+            cache_events=self._cache_events(slot),
         )
 
+    def _cache_events(self, slot: Slot) -> tuple[CacheEvent, ...]:
+        if not isinstance(slot.server, ModelEngine):
+            return ()
+        events = slot.server.take_events()
+        lost = self.conditions.event_loss
+        return tuple(event for event in events if self.random.random() >= lost)
+
     def _reported(self, loads: deque[tuple[float, int]]) -> ReportedLoad | None:
         if not self.conditions.reports:
             return None
--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -415,7 +415,7 @@
 
     def _learn(self, owned: OwnedServer, run: Run, report: RunReport) -> None:
         ask = run.permit.ask
-        if report.outcome is RunOutcome.UNUSED:
+        if report.outcome is RunOutcome.UNUSED or run.is_foreign:
             return
         if report.outcome is RunOutcome.CONNECTION_LOST:
             owned.note_lost(ask.fingerprint)
@@ -516,6 +516,7 @@
         overdue = sum(
             health.is_overdue(run.spent_s(), run.expected_s)
             for run in owned.running.values()
+            if not run.is_foreign
         )
         owned.health.note_overdue(overdue)
 
--- a/fuchsiacroft/routing/owned.py
+++ b/fuchsiacroft/routing/owned.py
@@ -28,6 +28,11 @@
     alone: bool = False
     cutting: bool = False
 
+    @property
+    def is_foreign(self) -> bool:
+        """Tell whether only its holder knows the ask, after a takeover."""
+        return self.permit.ask.timeout_s <= 0.0
+
     def spent_s(self) -> float:
         """Return the engine time spent on it, prefill counted in full."""
         return max(now() - self.started_at, 0.0)
