--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -19,8 +19,9 @@
     RunOutcome,
     RunReport,
 )
+from fuchsiacroft.routing.estimates import Estimates
 from fuchsiacroft.routing.line import Line, later
-from fuchsiacroft.routing.order import Waiter
+from fuchsiacroft.routing.order import LAST_TRY, Waiter
 from fuchsiacroft.routing.owned import OwnedServer, Run
 from fuchsiacroft.routing.owners import Owners
 from fuchsiacroft.routing.policies import Decisions
@@ -54,6 +55,7 @@
         self._life = uuid.uuid4().hex[:8]
         self._tasks = TaskGroup("desk")
         self._quarantine: Quarantine | None = None
+        self.neighbours: Callable[[str], tuple[int, int]] = lambda service: (0, 0)
         self.on_cut: Callable[[Permit, float], None] = lambda permit, retry_s: None
 
     async def start(self, kernel: Kernel) -> None:
@@ -179,6 +181,12 @@
         for offer in owned.server.announcement.offers:
             self._serve(self._line(offer.service))
 
+    def note_first_token(self, permit: Permit) -> None:
+        """Note that a run's prefill is over, so that the next may begin."""
+        owned = self._owned.get(permit.backend_server)
+        if owned is not None and owned.end_prefill(permit.permit_id):
+            self._serve(self._line(permit.ask.service))
+
     def adopt(self, permit: Permit) -> bool:
         """Take over a run that goes on under an earlier owner's permit."""
         owned = self._owned.get(permit.backend_server)
@@ -192,12 +200,21 @@
         """Count a waiter that another owner served as one that left."""
         self._line(ask.service).waits.note_start(ask.rank)
 
+    def learn_elsewhere(self, ask: Ask, generation: str, report: RunReport) -> None:
+        """Learn a speed from an own run on another owner's backend server."""
+        self._decisions.estimates.note(ask, generation, 0, report)
+
     def prefix_gain_s(self, ask: Ask, backend_server: str, generation: str) -> float:
         """Return the seconds of prefill that its cache is likely to save."""
         cached = self._decisions.prefixes.cached_tokens(ask, backend_server)
         speed = self._decisions.estimates.speed(ask.service, generation)
         return cached / speed.prefill_tokens_per_s.value
 
+    @property
+    def estimates(self) -> Estimates:
+        """Return the measured speeds."""
+        return self._decisions.estimates
+
     def note_run_elsewhere(self, ask: Ask, backend_server: str) -> None:
         """Note where a run was dispatched under another owner's permit."""
         self._decisions.prefixes.note_run(ask, backend_server)
@@ -219,19 +236,27 @@
 
     def _new_owned(self, server: BackendServer) -> OwnedServer:
         joined_at = self._joined.get(server.boot_id, now())
+        services = tuple(offer.service for offer in server.announcement.offers)
         is_new = joined_at > self._started_at + NEW_DESK_S
         return OwnedServer(
             server=server,
             limit=self._decisions.limit(
                 server.announcement, joined_at if is_new else None
             ),
-            health=self._decisions.health(self._may_set_aside),
+            health=self._decisions.health(lambda: self._may_set_aside(services)),
             reserve=self._decisions.reserve(),
         )
 
-    def _may_set_aside(self) -> bool:
-        slow = sum(owned.health.is_slow for owned in self._owned.values())
-        return (slow + 1) <= max(1, SET_ASIDE_SHARE * len(self._owned))
+    def _may_set_aside(self, services: tuple[str, ...]) -> bool:
+        """Tell whether the rest of the domain can carry the services."""
+        for service in services:
+            line = self._line(service)
+            servers, slow = self.neighbours(service)
+            servers += len(line.servers)
+            slow += sum(owned.health.is_slow for owned in line.servers.values())
+            if servers < 2 or slow + 1 > max(1, SET_ASIDE_SHARE * servers):
+                return False
+        return True
 
     def _waiter(self, ask: Ask, position: int, line: Line) -> Waiter:
         estimates = self._decisions.estimates
@@ -254,10 +279,12 @@
     def _enqueue(self, waiter: Waiter, line: Line) -> Refusal | None:
         shed = self._decisions.shed
         servers = list(line.servers.values())
-        if not shed.admits(waiter, line.queue, line.waits, servers):
+        if not self._may_wait(waiter, line, servers):
             self._evict_lower(waiter.ask.rank, line)
             return self._refusal(RefusalReason.OVERLOADED, waiter.ask, line)
         line.queue.add(waiter)
+        if waiter.position == LAST_TRY:
+            self._serve(line)
         press_at = shed.press_at(waiter)
         if press_at is not None:
             later(waiter, press_at, self._press, waiter, line)
@@ -266,6 +293,16 @@
             later(waiter, give_up_at, self._give_up, waiter, line)
         return None
 
+    def _may_wait(self, waiter: Waiter, line: Line, servers: list[OwnedServer]) -> bool:
+        shed = self._decisions.shed
+        rank = waiter.ask.rank
+        if waiter.position == LAST_TRY:
+            has_room = any(owned.room(rank) > 0 for owned in servers)
+            return has_room or shed.victim(rank, servers) is not None
+        if waiter.position > 0:
+            return True
+        return shed.admits(waiter, line.queue, line.waits, servers)
+
     def _serve(self, line: Line) -> None:
         self._serve_alone(line)
         while True:
@@ -279,10 +316,13 @@
             if owned is None:
                 self._wake_later(line)
                 return
-            line.queue.remove(waiter)
-            line.queue.started(waiter)
-            line.waits.note_start(waiter.ask.rank)
-            waiter.fut.set_result(Ok(self._grant(waiter.ask, owned)))
+            self._start(waiter, line, owned)
+
+    def _start(self, waiter: Waiter, line: Line, owned: OwnedServer) -> None:
+        line.queue.remove(waiter)
+        line.queue.started(waiter)
+        line.waits.note_start(waiter.ask.rank)
+        waiter.fut.set_result(Ok(self._grant(waiter.ask, owned)))
 
     def _wake_later(self, line: Line) -> None:
         end = line.next_prefill_end()
@@ -375,15 +415,15 @@
 
     def _learn(self, owned: OwnedServer, run: Run, report: RunReport) -> None:
         ask = run.permit.ask
-        if report.outcome is RunOutcome.UNUSED:
+        if report.outcome is RunOutcome.UNUSED or run.is_foreign:
             return
         if report.outcome is RunOutcome.CONNECTION_LOST:
             owned.note_lost(ask.fingerprint)
         if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
             self._quarantine.clear(ask.fingerprint)
         estimates = self._decisions.estimates
-        speed = estimates.speed(ask.service, owned.generation)
-        owned.health.note(ask, speed, run.expected_s, report)
+        usual = estimates.reference(ask.service, owned.generation)
+        owned.health.note(ask, usual, run.expected_s, report)
         owned.limit.note(ask, len(owned.running), report)
         if not owned.health.is_slow:
             filled = ask.size.prompt_tokens - run.cached_tokens
@@ -401,7 +441,7 @@
         rank = waiter.ask.rank
         is_full = all(owned.free(rank) <= 0 for owned in servers)
         if is_full and len(line.cuts_pending) < len(line.pressing):
-            run = self._decisions.shed.victim(waiter.ask.rank, servers)
+            run = self._decisions.shed.victim(rank, servers)
             if run is not None:
                 self._cut(run, line)
         later(waiter, now() + PRESS_PERIOD_S, self._press, waiter, line)
@@ -426,7 +466,9 @@
             return
         servers = list(line.servers.values())
         victim = self._decisions.shed.victim(waiter.ask.rank, servers)
-        if victim is not None or line.cuts_pending:
+        if victim is not None:
+            self._cut(victim, line)
+        if line.cuts_pending:
             later(waiter, now() + PRESS_PERIOD_S, self._give_up, waiter, line)
             return
         self._evict_lower(waiter.ask.rank, line)
@@ -474,6 +516,7 @@
         overdue = sum(
             health.is_overdue(run.spent_s(), run.expected_s)
             for run in owned.running.values()
+            if not run.is_foreign
         )
         owned.health.note_overdue(overdue)
 
--- a/fuchsiacroft/routing/messages.py
+++ b/fuchsiacroft/routing/messages.py
@@ -14,7 +14,8 @@
 class AskPermit(msgspec.Struct, frozen=True):
     """Ask an owner for a permit; it answers when it has one or gives up.
 
-    `position` is 0 at the owner asked first, and counts the others.
+    `position` is 0 at the owner asked first, and counts the others; a last try
+    is granted at once, or has a run of a lower tier cut, or is refused.
     """
 
     ask_id: str
@@ -47,6 +48,13 @@
     report: RunReport
 
 
+@codec.message("routing.first_token")
+class FirstToken(msgspec.Struct, frozen=True):
+    """The run of a permit has sent its first token: its prefill is over."""
+
+    permit_id: str
+
+
 @codec.message("routing.renew_permits")
 class RenewPermits(msgspec.Struct, frozen=True):
     """The sender still holds these permits of the receiver."""
@@ -74,22 +82,34 @@
 
 
 class ServiceLoad(msgspec.Struct, frozen=True):
-    """The state of one service in a failure domain, as one entry sees it.
+    """The state of one service on the backend servers that one entry owns.
 
-    `room` counts free places on its owned backend servers.
+    `room` counts free places; `slow` of the `servers` are set aside.
     """
 
     service: str
     room: int
     waiting: int
+    servers: int
+    slow: int
+
+
+class MeasuredSpeed(msgspec.Struct, frozen=True):
+    """The speed of a service on a hardware generation as one entry measured."""
+
+    service: str
+    generation: str
+    token_gap_s: float
+    plain_run_s: float
 
 
 @codec.message("routing.load_digest")
 class LoadDigest(msgspec.Struct, frozen=True):
-    """What an entry tells entries of other failure domains, once a period."""
+    """What an entry tells a few others, once a period."""
 
     failure_domain: str
     services: tuple[ServiceLoad, ...]
+    speeds: tuple[MeasuredSpeed, ...] = ()
 
 
 @codec.message("routing.suspected")
