--- a/fuchsiacroft/commands/dump.py
+++ b/fuchsiacroft/commands/dump.py
@@ -1,5 +1,6 @@
 """Print the whole state of one process as JSON, without keys or tokens."""
 
+import ssl
 import sys
 
 import msgspec
@@ -7,6 +8,7 @@
 from expression import Result
 
 from fuchsiacroft import operators_client
+from fuchsiacroft.commands import operators
 from fuchsiacroft.commands.exit_codes import ExitCode
 from fuchsiacroft.utils import logs, process
 
@@ -20,16 +22,24 @@
     )
     flags.mark_flag_as_required("address", values)
     flags.DEFINE_string("service", None, "print only the service of this name", values)
+    flags.DEFINE_string(
+        "ca_file", None, "PEM certificates to trust; turns on TLS", values
+    )
 
 
 def run(values: flags.FlagValues) -> int:
     """Print the state; return the exit code."""
     logs.configure("ERROR")
-    return process.run(_dump(values))
+    match operators.client_tls(values.ca_file):
+        case Result(tag="ok", ok=tls):
+            return process.run(_dump(values, tls))
+        case Result(error=reason):
+            print(reason, file=sys.stderr)
+            return ExitCode.USAGE
 
 
-async def _dump(values: flags.FlagValues) -> int:
-    async with operators_client.create([], "") as client:
+async def _dump(values: flags.FlagValues, tls: ssl.SSLContext | None) -> int:
+    async with operators_client.create([], "", tls) as client:
         match await client.dump(values.address):
             case Result(tag="ok", ok=state):
                 return _print(state, values.service)
--- a/fuchsiacroft/commands/operators.py
+++ b/fuchsiacroft/commands/operators.py
@@ -121,11 +121,9 @@
             pass
         case Result(error=reason):
             return Error(reason)
-    try:
-        tls = _tls(values.ca_file)
-    except (OSError, ssl.SSLError) as exc:
-        return Error(f"--ca_file cannot be used: {exc}")
-    return Ok(Access(control, token, tls, settings))
+    return client_tls(values.ca_file).map(
+        lambda tls: Access(control, token, tls, settings)
+    )
 
 
 def read_token(token_file: str | None) -> Result[str, str]:
@@ -142,6 +140,16 @@
     return Ok(token)
 
 
+def client_tls(ca_file: str | None) -> Result[ssl.SSLContext | None, str]:
+    """Return the context that trusts a file's certificates; None without a file."""
+    if not ca_file:
+        return Ok(None)
+    try:
+        return Ok(ssl.create_default_context(cafile=ca_file))
+    except (OSError, ssl.SSLError) as exc:
+        return Error(f"--ca_file cannot be used: {exc}")
+
+
 def print_error(error: Unreachable | Denied | Faulty | Conflict) -> int:
     """Explain on standard error why nothing was done; return the exit code."""
     match error:
@@ -170,7 +178,3 @@
     if settings is None:
         return []
     return [member.operators for member in settings.control if member.operators]
-
-
-def _tls(ca_file: str | None) -> ssl.SSLContext | None:
-    return ssl.create_default_context(cafile=ca_file) if ca_file else None
--- a/fuchsiacroft/config/settings.py
+++ b/fuchsiacroft/config/settings.py
@@ -60,10 +60,14 @@
 
 
 class Tls(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Files of the certificate chain and private key, in PEM."""
+    """Files of the certificate chain and private key, in PEM.
+
+    `ca` holds the certificates that clients trust; by default the system's.
+    """
 
     certificate: str
     key: str
+    ca: str | None = None
 
 
 class Policies(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/fuchsiacroft/operations.py
+++ b/fuchsiacroft/operations.py
@@ -1,5 +1,6 @@
 """The operators' view of one process: health, readiness, metrics, dump."""
 
+import ssl
 from collections.abc import Callable
 
 import msgspec
@@ -21,11 +22,13 @@
 
     name = "operations"
 
-    def __init__(self, address: str, metrics: Metrics) -> None:
+    def __init__(
+        self, address: str, metrics: Metrics, tls: ssl.SSLContext | None = None
+    ) -> None:
         self.app = web.Application(client_max_size=64 * 1024 * 1024)
         self.metrics = metrics
         self._checks: list[Readiness] = []
-        self._listener = Listener(self.app, address)
+        self._listener = Listener(self.app, address, tls)
         self._kernel: Kernel | None = None
         self.app.router.add_get("/healthz", self._healthz)
         self.app.router.add_get("/readyz", self._readyz)
@@ -64,6 +67,8 @@
         return web.Response(body=body, content_type="application/json")
 
 
-def create(address: str, metrics: Metrics) -> Operations:
+def create(
+    address: str, metrics: Metrics, tls: ssl.SSLContext | None = None
+) -> Operations:
     """Return the operations service for an address."""
-    return Operations(address, metrics)
+    return Operations(address, metrics, tls)
