--- a/fuchsiacroft/utils/logs.py
+++ b/fuchsiacroft/utils/logs.py
@@ -8,11 +8,20 @@
 
 LINE_FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
 
+LIBRARY_SINK = 0
+
+_sink: int | None = LIBRARY_SINK
+
 
 def configure(level: str = "INFO") -> None:
-    """Send events of the given level and above to standard error."""
-    logger.remove()
-    logger.add(
+    """Send events of the given level and above to standard error.
+
+    Only the sink set up here before is replaced; others stay.
+    """
+    global _sink
+    if _sink is not None:
+        logger.remove(_sink)
+    _sink = logger.add(
         sys.stderr,
         level=level.upper(),
         format=LINE_FORMAT,
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,9 +1,11 @@
 """Run every test, pass over the entries of KNOWN-RED.txt, and print a verdict.
 
 Exits 0 when each test passed or is listed in KNOWN-RED.txt, 1 when a test
-failed that is not listed, or a listed test passed or does not exist.
+failed that is not listed, a listed test passed or does not exist, or the tests
+took longer than `TIMEOUT_S`.
 """
 
+import faulthandler
 import sys
 import time
 import unittest
@@ -12,6 +14,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 SLOWEST = 5
+TIMEOUT_S = 900
 TESTS = ROOT / "fuchsiacroft" / "tests"
 
 
@@ -70,6 +73,7 @@
 
 def main() -> int:
     """Run the tests named on the command line, or all of them."""
+    faulthandler.dump_traceback_later(TIMEOUT_S, exit=True)
     sys.path.insert(0, str(ROOT))
     loader = unittest.TestLoader()
     names = sys.argv[1:]
