Doubt a disk after its machine restarted, and test each mechanism

Cause: a member that came back with an older disk while the only member that knew better was away voted with forgotten promises: a test with 3 members lost 20 acknowledged commands (leader away, follower's disk restored, third member behind).

The identity file names the machine's start (boot id) in which the disk was last trusted. After a restart of the machine a member hears from one member of each majority that it was part of before it takes part, votes in later terms only, and only for logs that reach the furthest that it was told.

Ruled out: doubt at every start of the process (two crashed processes beside one dead VM could not go on); evidence from peers alone (it may be away with its holder).

A leader with a full disk handed over before it could know that all disks were full.

--- a/fuchsiacroft/control/consensus/elections.py
+++ b/fuchsiacroft/control/consensus/elections.py
@@ -7,7 +7,7 @@
 from fuchsiacroft.control.consensus import timing
 from fuchsiacroft.control.consensus.member import Member, Role
 from fuchsiacroft.control.consensus.messages import VoteReply, VoteRequest
-from fuchsiacroft.control.records import GroupMember
+from fuchsiacroft.control.records import GroupMember, Position
 from fuchsiacroft.utils import clock
 
 
@@ -51,6 +51,8 @@
             return False
         if member.storage.is_full or member.is_installing:
             return False
+        if not member.reaches_floor(member.log.last):
+            return False
         return member.is_voter and member.role is not Role.LEADER
 
     async def _poll(self) -> bool:
@@ -140,4 +142,6 @@
 
     def _is_up_to_date(self, msg: VoteRequest) -> bool:
         last = self._member.log.last
+        if not self._member.reaches_floor(Position(msg.last_index, msg.last_term)):
+            return False
         return (msg.last_term, msg.last_index) >= (last.term, last.index)
--- a/fuchsiacroft/control/consensus/joining.py
+++ b/fuchsiacroft/control/consensus/joining.py
@@ -62,6 +62,7 @@
             replies = await self._ask_all()
             if promised == self._promised():
                 await self._judge(replies)
+            await self._trust()
             period = timing.HELLO_PERIOD_S
             if member.verified:
                 period = timing.HELLO_IDLE_PERIOD_S
@@ -74,7 +75,7 @@
 
     def _is_settled(self) -> bool:
         member = self._member
-        if not member.verified:
+        if not member.verified or not member.storage.is_same_boot:
             return False
         return member.configuration.find(member.identity) is not None
 
@@ -122,17 +123,40 @@
         await self._restart()
 
     def _return(self, replies: list[HelloReply]) -> None:
-        """Return to the group once a majority of its voters accepts this disk.
+        """Return to the group once enough of its voters accept this disk.
 
         The newest configuration that any of them knows counts: this disk's
         own may name members that have been replaced since.
         """
+        member = self._member
         configuration = self._newest(replies)
-        welcome = {r.identity for r in replies if r.status in ACCEPTED}
-        voters = {voter.identity for voter in configuration.voters()}
-        needed = configuration.majority() - (self._member.identity in voters)
-        if len(welcome & voters) >= needed:
-            self._verify()
+        voters = configuration.voters()
+        others = [v for v in voters if v.identity != member.identity]
+        accepted = {r.identity for r in replies if r.status in ACCEPTED}
+        welcome = [v for v in others if v.identity in accepted]
+        if len(welcome) < configuration.majority() - (len(voters) - len(others)):
+            return
+        gone = self._gone(others, replies)
+        if member.storage.is_same_boot or len(welcome) + len(gone) >= _intersecting(
+            len(voters), len(others)
+        ):
+            self._verify(replies)
+
+    def _gone(
+        self, others: list[GroupMember], replies: list[HelloReply]
+    ) -> list[GroupMember]:
+        """Return the voters whose disk is gone for good.
+
+        Another disk answers at their address, or the settings drop it. They
+        will never tell what this disk promised.
+        """
+        answered = {reply.address: reply.identity for reply in replies}
+        return [
+            voter
+            for voter in others
+            if voter.address not in self._addresses
+            or answered.get(voter.address, voter.identity) != voter.identity
+        ]
 
     def _newest(self, replies: list[HelloReply]) -> Configuration:
         index, newest = self._member.configurations.index, self._member.configuration
@@ -144,8 +168,11 @@
     def _join(self, replies: list[HelloReply]) -> None:
         others = set(self._addresses) - {self._member.address}
         fresh = [r for r in replies if r.status is HelloStatus.FRESH]
-        if len(replies) >= len(others) // 2:
-            self._verify()
+        needed = (len(others) + 1) // 2
+        if not self._member.storage.is_same_boot:
+            needed = _intersecting(len(others) + 1, len(others))
+        if len(replies) >= needed:
+            self._verify(replies)
         if len(fresh) == len(replies) == len(others) and self._is_first():
             self._form(fresh)
 
@@ -166,10 +193,31 @@
         member.follow(FIRST_TERM, "")
         member.append_new(*encode_configuration(Configuration(group, tuple(members))))
 
-    def _verify(self) -> None:
-        if not self._member.verified:
-            self._member.verified = True
-            self._on_verified()
+    def _verify(self, replies: list[HelloReply]) -> None:
+        """Take part; a disk in doubt does so with a floor for its votes.
+
+        The floor is found again in each round, as a disk that set it may be
+        gone since.
+        """
+        member = self._member
+        if not member.storage.is_same_boot and replies:
+            last = max((r.last for r in replies), key=lambda p: (p.term, p.index))
+            member.vote_floor = last
+        if member.verified:
+            return
+        if not member.storage.is_same_boot and replies:
+            member.void_votes(max(reply.term for reply in replies))
+        member.verified = True
+        self._on_verified()
+
+    async def _trust(self) -> None:
+        """Trust the disk again once it holds all that it may have promised."""
+        member = self._member
+        if member.storage.is_same_boot or not member.verified:
+            return
+        if member.reaches_floor(member.log.last):
+            await member.storage.sync()
+            await member.storage.trust()
 
     async def _on_hello(self, sender: str, msg: Hello) -> HelloReply | None:
         member = self._member
@@ -186,6 +234,8 @@
             status,
             member.configurations.index,
             member.configuration,
+            member.term,
+            member.log.last,
         )
 
     def _status(self, msg: Hello) -> HelloStatus:
@@ -212,3 +262,13 @@
         if msg.term != mark.term:
             return msg.term < mark.term
         return msg.last_index < mark.index
+
+
+def _intersecting(voters: int, others: int) -> int:
+    """Return how many others share a member with every majority.
+
+    A disk that may be an older one must hear from one member of each majority
+    that it was part of.
+    """
+    majority = voters // 2 + 1
+    return min(voters - majority + 1, others)
--- a/fuchsiacroft/control/consensus/leadership.py
+++ b/fuchsiacroft/control/consensus/leadership.py
@@ -25,6 +25,7 @@
         self._appended = asyncio.Event()
         self._durable = 0
         self._started_at = clock.now()
+        self._space_at = clock.now()
         self._first_index = 0
 
     def start(self) -> None:
@@ -144,10 +145,16 @@
             if clock.now() - lost_at > timing.ELECTION_TIMEOUT_MAX_S:
                 event("warning", "lease_lost", term=self.term)
                 self._member.follow(self.term, "")
-            elif self._member.storage.is_full and self._others_have_space():
+            elif self._is_full_for_long() and self._others_have_space():
                 event("warning", "leader_disk_full", term=self.term)
                 self._member.follow(self.term, "")
 
+    def _is_full_for_long(self) -> bool:
+        """Tell whether the disk has been full while peers could say theirs."""
+        if not self._member.storage.is_full:
+            self._space_at = clock.now()
+        return clock.now() - self._space_at > timing.FULL_HANDOVER_S
+
     def _others_have_space(self) -> bool:
         """Tell whether a majority could go on without this member's disk."""
         voters = self._member.configuration.voters()
--- a/fuchsiacroft/control/consensus/member.py
+++ b/fuchsiacroft/control/consensus/member.py
@@ -49,6 +49,7 @@
         self.commit = 0
         self.applied = 0
         self.verified = False
+        self.vote_floor = Position(0, 0)
         self.is_installing = False
         self.leaderless_since = 0.0
         self.halted: str | None = None
@@ -123,6 +124,17 @@
         self.storage.save_term(self.term, self.vote)
         self._change(Role.CANDIDATE, "")
 
+    def void_votes(self, term: int) -> None:
+        """Vote in later terms only: the disk may have forgotten a vote."""
+        self.term = max(self.term, term)
+        self.vote = self.identity
+        self.storage.save_term(self.term, self.vote)
+
+    def reaches_floor(self, last: Position) -> bool:
+        """Tell whether a log has all that this member may have acknowledged."""
+        floor = self.vote_floor
+        return (last.term, last.index) >= (floor.term, floor.index)
+
     def lead(self) -> None:
         """Become the leader of the current term."""
         self.terms_led.add(self.term)
--- a/fuchsiacroft/control/consensus/messages.py
+++ b/fuchsiacroft/control/consensus/messages.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from fuchsiacroft.control.records import Configuration, Entry, Mark
+from fuchsiacroft.control.records import Configuration, Entry, Mark, Position
 from fuchsiacroft.transport import codec
 
 
@@ -189,3 +189,5 @@
     status: HelloStatus
     configuration_index: int
     configuration: Configuration
+    term: int
+    last: Position
--- a/fuchsiacroft/control/records.py
+++ b/fuchsiacroft/control/records.py
@@ -16,7 +16,8 @@
 SNAPSHOT_MAGIC = b"FCSNP"
 FRAME_MAGIC = b"\xfcFRM"
 
-_HEADER = struct.Struct("<5sH")
+_HEADER = struct.Struct("<5sHI")
+_HEADER_START = struct.Struct("<5sH")
 _FRAME = struct.Struct("<4sIQQ")
 HEADER_BYTES = _HEADER.size
 
@@ -101,11 +102,16 @@
 
 
 class Identity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Who the disk belongs to; a new disk has a new identity."""
+    """Who the disk belongs to; a new disk has a new identity.
+
+    `boot` names the machine's start in which the disk was last known to hold
+    every promise of this identity.
+    """
 
     format: int
     identity: str
     node: str
+    boot: str
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -133,12 +139,23 @@
 
 def header(magic: bytes) -> bytes:
     """Return the first bytes of a file of that kind."""
-    return _HEADER.pack(magic, FORMAT_VERSION)
+    start = _HEADER_START.pack(magic, FORMAT_VERSION)
+    return start + xxhash.xxh32_intdigest(start).to_bytes(4, "little")
+
+
+def is_header_whole(data: bytes) -> bool:
+    """Tell whether a file begins with a header as it was written."""
+    if len(data) < HEADER_BYTES:
+        return False
+    digest = xxhash.xxh32_intdigest(data[: _HEADER_START.size])
+    return _HEADER.unpack_from(data)[2] == digest
 
 
 def header_fault(data: bytes, magic: bytes) -> str | None:
     """Return why a file's header is refused, or None."""
-    found, version = _HEADER.unpack_from(data)
+    if not is_header_whole(data):
+        return "damaged: the header is not whole"
+    found, version, _ = _HEADER.unpack_from(data)
     if found != magic:
         return "not a file of this kind"
     if version != FORMAT_VERSION:
--- a/fuchsiacroft/control/recovery.py
+++ b/fuchsiacroft/control/recovery.py
@@ -93,8 +93,6 @@
         return None
     name = found[-1]
     data = folder.read(name)
-    if len(data) < records.HEADER_BYTES:
-        return Fault(name, 0, "damaged: no header")
     fault = records.header_fault(data, records.SNAPSHOT_MAGIC)
     if fault is not None:
         return Fault(name, 0, fault)
@@ -111,9 +109,10 @@
     data = folder.read(name)
     segment = Segment(name, 0)
     state.segments.append(segment)
-    if len(data) < records.HEADER_BYTES:
+    whole = records.is_header_whole(data)
+    if is_last and not whole and not records.has_frame_after(data, 0):
         segment.torn = True
-        return None if is_last else Fault(name, 0, "damaged: no header")
+        return None
     fault = records.header_fault(data, records.SEGMENT_MAGIC)
     if fault is not None:
         return Fault(name, 0, fault)
--- a/fuchsiacroft/control/storage.py
+++ b/fuchsiacroft/control/storage.py
@@ -42,6 +42,7 @@
 
 SEGMENT_LIMIT_BYTES = 8 * 1024 * 1024
 FULL_RETRY_S = 1.0
+BOOT_ID_FILE = Path("/proc/sys/kernel/random/boot_id")
 FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 IDENTITY_BYTES = 8
 
@@ -55,9 +56,11 @@
 class Storage:
     """The durable files of one member."""
 
-    def __init__(self, folder: Folder, node: str) -> None:
+    def __init__(self, folder: Folder, node: str, boot: str) -> None:
         self._folder = folder
         self._node = node
+        self._boot = boot
+        self._identity: Identity | None = None
         self._tasks = TaskGroup("storage")
         self._wake = asyncio.Event()
         self._entries: list[Entry] = []
@@ -88,6 +91,7 @@
         state = result.ok
         if state.identity is None:
             state.identity = await self._name_disk()
+        self._identity = state.identity
         await self._folder.run(partial(self._clean, state.segments))
         self._segments = state.segments
         self._sequence = state.sequence
@@ -147,6 +151,27 @@
         await self._folder.run(partial(self._remove_covered, snapshot.index))
         return Ok(None)
 
+    @property
+    def is_same_boot(self) -> bool:
+        """Tell whether the machine has run since the disk was last trusted.
+
+        After a restart of the machine the disk may be an older one.
+        """
+        return self._identity is not None and self._identity.boot == self._boot
+
+    async def trust(self) -> Result[None, str]:
+        """Note that the disk holds every promise of its identity."""
+        identity = msgspec.structs.replace(self._identity, boot=self._boot)
+        data = msgspec.json.encode(identity)
+        try:
+            await self._folder.run(partial(self._write_aside, IDENTITY_FILE, data))
+        except OSError as exc:
+            if exc.errno not in FULL_ERRORS:
+                raise
+            return Error("full")
+        self._identity = identity
+        return Ok(None)
+
     async def read_snapshot(self) -> bytes | None:
         """Return the encoded last snapshot, or None."""
         return await self._folder.run(self._read_snapshot)
@@ -303,7 +328,10 @@
 
     def _create_identity(self) -> Identity:
         identity = Identity(
-            records.FORMAT_VERSION, secrets.token_hex(IDENTITY_BYTES), self._node
+            records.FORMAT_VERSION,
+            secrets.token_hex(IDENTITY_BYTES),
+            self._node,
+            self._boot,
         )
         self._write_aside(IDENTITY_FILE, msgspec.json.encode(identity))
         return identity
@@ -346,6 +374,11 @@
         self._folder.sync_folder()
 
 
+def boot_id() -> str:
+    """Return what names this start of the machine."""
+    return BOOT_ID_FILE.read_text(encoding="ascii").strip()
+
+
 def create(data_folder: str | Path, node: str) -> Storage:
     """Return the storage of a node in a folder on disk, which it locks."""
-    return Storage(DiskFolder(Path(data_folder)), node)
+    return Storage(DiskFolder(Path(data_folder)), node, boot_id())
--- /dev/null
+++ b/fuchsiacroft/tests/control/consensus/leases_tests.py
@@ -0,0 +1,213 @@
+"""Tests of elections, the lease, and a leader that is cut off."""
+
+import asyncio
+
+from fuchsiacroft.control.consensus import timing
+from fuchsiacroft.control.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    VoteReply,
+    VoteRequest,
+)
+from fuchsiacroft.control.log import ProposeError
+from fuchsiacroft.control.records import Entry
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.group import Group, Node
+from fuchsiacroft.utils import clock
+
+FAILOVER_S = 2.0
+
+
+class LeaseTests(PausedTestCase):
+    """A leader serves within its lease only, and is replaced after it."""
+
+    def run_group(self, scenario, size: int = 3, seed: int = 0) -> None:
+        """Run a scenario on a group that has a leader."""
+
+        async def run():
+            group = Group(size, seed)
+            await group.start()
+            await scenario(group, await group.wait_leader())
+            await group.stop()
+
+        self.run_paused(run())
+
+    def test_a_new_leader_follows_a_dead_one_within_two_seconds(self):
+        async def scenario(group, leader):
+            await leader.kill()
+            await group.wait_leader(FAILOVER_S)
+
+        for seed in range(10):
+            self.run_group(scenario, seed=seed)
+
+    def test_a_cut_off_leader_stops_serving_in_its_lease(self):
+        for ways in (("out",), ("in",), ("in", "out")):
+            with self.subTest(ways=ways):
+                self.run_group(lambda group, leader, w=ways: self.cut(group, leader, w))
+
+    async def cut(self, group: Group, leader: Node, ways: tuple[str, ...]) -> None:
+        """Cut the leader off for long, and look at what it did."""
+        await group.write(leader, 1, 2, 3)
+        cut_at = clock.now()
+        self.cut_links(group, leader, ways)
+        lost = asyncio.ensure_future(group.write(leader, 666, timeout=60))
+        new = await self.wait_other_leader(group, leader)
+        self.assertLess(clock.now() - cut_at, 2 * timing.ELECTION_TIMEOUT_MAX_S + 1)
+        refused = (await group.write(leader, 667, timeout=0.5))[0]
+        self.assertIn(refused.error, (ProposeError.NO_QUORUM, ProposeError.UNKNOWN))
+        await group.write(new, 4, 5)
+        await asyncio.sleep(120)
+        group.network.heal()
+        await group.wait(lambda: leader.machine.values == new.machine.values)
+        await asyncio.sleep(5)
+        self.assertEqual([1, 2, 3, 4, 5], leader.machine.values)
+        self.assertTrue((await lost)[0].is_error())
+
+    def cut_links(self, group: Group, node: Node, ways: tuple[str, ...]) -> None:
+        """Lose what a member sends, or what it would receive."""
+        for other in group.nodes:
+            if "out" in ways:
+                group.network.cut.add((node.address, other.address))
+            if "in" in ways:
+                group.network.cut.add((other.address, node.address))
+
+    async def wait_other_leader(self, group: Group, old: Node) -> Node:
+        """Wait for a new leader; never may both serve."""
+        while True:
+            leaders = [node for node in group.nodes if node.leads]
+            self.assertLessEqual(len(leaders), 1)
+            if leaders and leaders[0] is not old:
+                return leaders[0]
+            await asyncio.sleep(0.002)
+
+    def test_the_lease_ends_before_any_election_may_begin(self):
+        self.assertLess(timing.LEASE_S, timing.ELECTION_TIMEOUT_MIN_S)
+
+    def test_a_minority_refuses_at_once(self):
+        async def scenario(group, leader):
+            self.cut_links(group, leader, ("in", "out"))
+            await asyncio.sleep(10)
+            began = clock.now()
+            outcome = (await group.write(leader, 1, timeout=30))[0]
+            self.assertEqual(ProposeError.NO_QUORUM, outcome.error)
+            self.assertLess(clock.now() - began, 0.1)
+
+        self.run_group(scenario)
+
+    def test_a_follower_that_hears_nobody_unseats_no_leader(self):
+        async def scenario(group, leader):
+            term = leader.log.term
+            follower = next(node for node in group.nodes if node is not leader)
+            for way in ("in", "out"):
+                self.cut_links(group, follower, (way,))
+                await asyncio.sleep(20)
+                group.network.heal()
+                await asyncio.sleep(5)
+            self.assertTrue(leader.leads)
+            self.assertEqual(term, leader.log.term)
+
+        self.run_group(scenario)
+
+    def test_a_voter_that_hears_a_leader_gives_no_vote(self):
+        async def scenario(group, leader):
+            one, other = [node for node in group.nodes if node is not leader]
+            reply = await self.ask_vote(one, other, leader.log.term + 1)
+            self.assertFalse(reply.granted)
+            self.assertEqual(leader.log.term, other.log.term)
+
+        self.run_group(scenario)
+
+    def test_a_restarted_voter_waits_before_it_votes(self):
+        async def scenario(group, leader):
+            one, other = [node for node in group.nodes if node is not leader]
+            await other.restart()
+            await group.wait(lambda: other.log.member.verified)
+            group.network.cut_link(leader.address, other.address)
+            reply = await self.ask_vote(one, other, leader.log.term + 1)
+            self.assertFalse(reply.granted)
+
+        self.run_group(scenario)
+
+    def test_a_vote_is_durable_before_it_is_given(self):
+        async def scenario(group, leader):
+            one, other = [node for node in group.nodes if node is not leader]
+            await leader.kill()
+            await asyncio.sleep(timing.ELECTION_TIMEOUT_MIN_S)
+            other.disk.latency = 0.2
+            term = one.log.term + 5
+            began = clock.now()
+            reply = await self.ask_vote(one, other, term)
+            self.assertTrue(reply.granted)
+            self.assertGreaterEqual(clock.now() - began, 0.1)
+            other.disk.latency = 0.001
+            await other.restart()
+            self.assertEqual(one.log.member.identity, other.log.member.vote)
+            self.assertEqual(term, other.log.term)
+
+        self.run_group(scenario)
+
+    def test_entries_are_durable_before_they_are_acknowledged(self):
+        async def scenario(group, leader):
+            one = next(node for node in group.nodes if node is not leader)
+            one.disk.latency = 0.2
+            last = one.log.member.log.last
+            member = leader.log.member
+            msg = AppendRequest(
+                member.configuration.group,
+                member.identity,
+                one.log.member.identity,
+                member.term,
+                last.index,
+                last.term,
+                0,
+                [Entry(last.index + 1, member.term, "", b"")],
+                [],
+            )
+            began = clock.now()
+            answer = await leader.bus.request(one.address, msg, 5)
+            self.assertIsInstance(answer.ok, AppendReply)
+            self.assertTrue(answer.ok.matched)
+            self.assertGreaterEqual(clock.now() - began, 0.1)
+
+        self.run_group(scenario)
+
+    def test_a_leader_counts_its_own_entry_once_it_is_durable(self):
+        async def scenario(group, leader):
+            one, other = [node for node in group.nodes if node is not leader]
+            await other.kill()
+            leader.disk.latency = 0.5
+            began = clock.now()
+            await group.write(leader, 1)
+            self.assertGreaterEqual(clock.now() - began, 0.2)
+
+        self.run_group(scenario)
+
+    def test_an_older_terms_entry_is_not_counted(self):
+        async def scenario(group, leader):
+            leadership = leader.log.leadership
+            commit = leader.log.member.commit
+            leader.log.member.log.append(
+                Entry(commit + 1, leader.log.term - 1, "", b"")
+            )
+            leadership._durable = commit + 1
+            for peer in leadership.peers.values():
+                peer.match = commit + 1
+            leadership.note_progress()
+            self.assertEqual(commit, leader.log.member.commit)
+
+        self.run_group(scenario)
+
+    async def ask_vote(self, one: Node, other: Node, term: int) -> VoteReply:
+        """Ask a member for its vote in another's name."""
+        member = one.log.member
+        last = member.log.last
+        msg = VoteRequest(
+            member.configuration.group,
+            member.identity,
+            other.log.member.identity,
+            term,
+            last.index,
+            last.term,
+            False,
+        )
+        return (await one.bus.request(other.address, msg, 5)).ok
--- /dev/null
+++ b/fuchsiacroft/tests/control/consensus/members_tests.py
@@ -0,0 +1,310 @@
+"""Tests of forming a group, losing disks, and changing members."""
+
+import asyncio
+from unittest import mock
+
+from fuchsiacroft.control.consensus import timing
+from fuchsiacroft.control.log import ProposeError
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.group import Group, Node
+
+
+def is_whole(group: Group) -> bool:
+    """Tell whether the voters are exactly the disks in use."""
+    leader = group.leader()
+    if leader is None:
+        return False
+    voters = leader.log.member.configuration.voters()
+    mine = {node.log.member.identity for node in group.nodes if node.runs}
+    return {voter.identity for voter in voters} == mine
+
+
+class MembersTests(PausedTestCase):
+    """A disk that forgot its promises never votes with them."""
+
+    def run_group(self, scenario, size: int = 3) -> None:
+        """Run a scenario on a whole group."""
+
+        async def run():
+            group = Group(size)
+            await group.start()
+            leader = await group.wait_leader()
+            await scenario(group, leader)
+            await group.stop()
+
+        self.run_paused(run())
+
+    def test_no_group_forms_until_every_member_is_there(self):
+        async def scenario():
+            group = Group()
+            await group.nodes[0].start()
+            await group.nodes[1].start()
+            await asyncio.sleep(20)
+            for node in group.nodes[:2]:
+                self.assertFalse(node.log.member.is_formed)
+            await group.nodes[2].start()
+            await group.wait_leader()
+            await group.stop()
+
+        self.run_paused(scenario())
+
+    def test_empty_disks_form_no_second_group(self):
+        async def scenario(group, leader):
+            await group.write(leader, 1, 2, 3)
+            others = [node for node in group.nodes if node is not leader]
+            await leader.kill()
+            for node in others:
+                await node.lose_disk()
+                await node.start()
+            await asyncio.sleep(20)
+            for node in others:
+                self.assertFalse(node.log.member.is_formed)
+            await leader.start()
+            await asyncio.sleep(20)
+            self.assertIsNone(group.leader())
+            for node in others:
+                self.assertFalse(node.log.member.is_formed)
+                outcome = (await group.write(node, 4, timeout=1))[0]
+                self.assertEqual(ProposeError.NO_QUORUM, outcome.error)
+
+        self.run_group(scenario)
+
+    def test_a_second_loss_right_after_a_repair_loses_nothing(self):
+        for seed in range(3):
+            for follower in (0, 1):
+
+                async def scenario(group, leader, n=follower):
+                    others = [node for node in group.nodes if node is not leader]
+                    await self.lose_one_after_another(group, leader, others[n])
+
+                with self.subTest(seed=seed, follower=follower):
+                    self.run_group(scenario)
+
+    async def lose_one_after_another(self, group: Group, first: Node, second: Node):
+        """Replace one disk, and the next as soon as the group is whole."""
+        await group.write(first, *range(100))
+        for node in (first, second, first):
+            await node.lose_disk()
+            await node.start()
+            await group.wait(lambda: is_whole(group), 30)
+        await group.wait_leader()
+        node = group.leader()
+        self.assertTrue((await node.log.read_barrier(5)).is_ok())
+        self.assertEqual(list(range(100)), sorted(node.machine.values))
+
+    def test_an_emptied_disk_has_no_vote_until_it_caught_up(self):
+        async def scenario(group, leader):
+            one, other = [node for node in group.nodes if node is not leader]
+            await other.kill()
+            await group.write(leader, *range(50))
+            await one.lose_disk()
+            await leader.kill()
+            await one.start()
+            await other.start()
+            await asyncio.sleep(30)
+            self.assertIsNone(group.leader(), "the rest misses committed entries")
+            await leader.start()
+            await group.wait(lambda: is_whole(group), 30)
+            await group.wait(lambda: len(one.machine.values) == 50)
+
+        self.run_group(scenario)
+
+    def test_an_older_disk_rejoins_under_a_new_identity(self):
+        async def scenario(group, leader):
+            one, other = [node for node in group.nodes if node is not leader]
+            await group.write(leader, *range(10))
+            image = one.disk.copy()
+            await group.write(leader, *range(10, 20))
+            await other.kill()
+            await group.write(leader, *range(20, 30))
+            identity = one.log.member.identity
+            await one.kill(disk=image)
+            await one.start()
+            await other.start()
+            await group.wait(lambda: one.log.member.identity not in ("", identity))
+            await group.wait(lambda: is_whole(group), 30)
+            await group.wait(lambda: len(one.machine.values) == 30)
+
+        self.run_group(scenario)
+
+    def test_an_older_disk_never_votes_with_forgotten_promises(self):
+        async def scenario(group, leader):
+            one, other = [node for node in group.nodes if node is not leader]
+            image = one.disk.copy()
+            await other.kill()
+            await group.write(leader, *range(20))
+            await one.kill(disk=image)
+            await leader.kill()
+            await other.start()
+            await one.start()
+            await asyncio.sleep(30)
+            await leader.start()
+            await group.wait(lambda: len(leader.machine.values) == 20, 30)
+            await group.wait_leader()
+            self.assertEqual(list(range(20)), sorted(leader.machine.values))
+
+        self.run_group(scenario)
+
+    def test_two_changes_are_never_pending_at_once(self):
+        async def scenario(group, leader):
+            others = [node for node in group.nodes if node is not leader]
+            for node in others[:2]:
+                await node.lose_disk()
+            seen = []
+            member = leader.log.member
+            note = member.configurations.note
+
+            def noted(entry):
+                if entry.kind == "configuration":
+                    seen.append((member.configurations.index, member.commit))
+                note(entry)
+
+            member.configurations.note = noted
+            for node in others[:2]:
+                await node.start()
+            await group.wait(lambda: is_whole(group), 60)
+            self.assertGreaterEqual(len(seen), 6)
+            for index, commit in seen:
+                self.assertLessEqual(index, commit)
+
+        self.run_group(scenario, size=5)
+
+    def test_successive_configurations_share_every_majority(self):
+        async def scenario(group, leader):
+            one = next(node for node in group.nodes if node is not leader)
+            seen = [leader.log.member.configuration]
+            note = leader.log.member.configurations.note
+
+            def noted(entry):
+                note(entry)
+                if entry.kind == "configuration":
+                    seen.append(leader.log.member.configuration)
+
+            leader.log.member.configurations.note = noted
+            await one.lose_disk()
+            await one.start()
+            await group.wait(lambda: is_whole(group), 30)
+            for before, after in zip(seen, seen[1:], strict=False):
+                voters = [{v.identity for v in c.voters()} for c in (before, after)]
+                self.assertLessEqual(len(voters[0] ^ voters[1]), 1)
+
+        self.run_group(scenario)
+
+    def test_a_learner_is_seated_only_once_it_has_all_that_is_committed(self):
+        async def scenario(group, leader):
+            one = next(node for node in group.nodes if node is not leader)
+            await one.lose_disk()
+            await group.write(leader, *range(100))
+            await one.start()
+            member = leader.log.member
+
+            def is_voter():
+                found = member.configuration.find(one.log.member.identity)
+                return found is not None and found.voter
+
+            def is_learner():
+                found = member.configuration.find(one.log.member.identity)
+                return found is not None
+
+            await group.wait(is_learner, 30)
+            one.disk.latency = 3.0
+            await asyncio.sleep(2)
+            self.assertFalse(is_voter())
+            one.disk.latency = 0.001
+            await group.wait(is_voter, 30)
+
+        self.run_group(scenario)
+
+
+class SnapshotTests(PausedTestCase):
+    """A member that missed much gets a snapshot in pieces."""
+
+    def test_a_member_catches_up_by_a_snapshot_in_pieces(self):
+        limits = {"SNAPSHOT_ENTRIES": 100, "KEPT_ENTRIES": 10, "PIECE_BYTES": 100}
+
+        async def scenario():
+            group = Group()
+            await group.start()
+            leader = await group.wait_leader()
+            one = next(node for node in group.nodes if node is not leader)
+            await one.kill()
+            await group.write(leader, *range(1000))
+            group.network.loss = 0.1
+            await one.start()
+            await group.wait(lambda: one.machine.values == leader.machine.values, 60)
+            group.network.loss = 0.0
+            await group.write(leader, *range(1000, 1010))
+            for node in group.nodes:
+                await node.kill()
+            await group.start()
+            leader = await group.wait_leader()
+            self.assertTrue((await leader.log.read_barrier(5)).is_ok())
+            self.assertEqual(1010, len(leader.machine.values))
+            await group.stop()
+
+        with mock.patch.multiple(timing, **limits):
+            self.run_paused(scenario())
+
+    def test_the_transfer_keeps_to_its_rate(self):
+        limits = {
+            "SNAPSHOT_ENTRIES": 100,
+            "KEPT_ENTRIES": 10,
+            "PIECE_BYTES": 100,
+            "TRANSFER_BYTES_PER_S": 500,
+        }
+
+        async def scenario():
+            group = Group()
+            await group.start()
+            leader = await group.wait_leader()
+            one = next(node for node in group.nodes if node is not leader)
+            await one.kill()
+            await group.write(leader, *range(1000))
+            began = asyncio.get_running_loop().time()
+            await one.start()
+            await group.wait(lambda: one.machine.values == leader.machine.values, 60)
+            took = asyncio.get_running_loop().time() - began
+            self.assertGreater(took, 2.0)
+            await group.stop()
+
+        with mock.patch.multiple(timing, **limits):
+            self.run_paused(scenario())
+
+
+class FullDiskTests(PausedTestCase):
+    """A full disk refuses work and loses nothing."""
+
+    def test_a_group_with_full_disks_refuses_proposals_and_still_reads(self):
+        async def scenario():
+            group = Group()
+            await group.start()
+            leader = await group.wait_leader()
+            await group.write(leader, 1, 2)
+            for node in group.nodes:
+                node.disk.free_bytes = 0
+            await group.write(leader, 3, timeout=2)
+            outcome = (await group.write(leader, 4, timeout=2))[0]
+            self.assertEqual(ProposeError.NO_QUORUM, outcome.error)
+            self.assertTrue((await leader.log.read_barrier(2)).is_ok())
+            for node in group.nodes:
+                node.disk.free_bytes = None
+            await asyncio.sleep(3)
+            self.assertTrue((await group.write(leader, 5))[0].is_ok())
+            self.assertEqual([1, 2, 3, 5], leader.machine.values)
+            await group.stop()
+
+        self.run_paused(scenario())
+
+    def test_a_leader_with_a_full_disk_hands_over(self):
+        async def scenario():
+            group = Group()
+            await group.start()
+            leader = await group.wait_leader()
+            leader.disk.free_bytes = 0
+            await group.write(leader, 1, timeout=2)
+            await group.wait(lambda: group.leader() not in (None, leader))
+            outcome = (await group.write(leader, 2))[0]
+            self.assertTrue(outcome.is_ok())
+            await group.stop()
+
+        self.run_paused(scenario())
--- a/fuchsiacroft/tests/control/consensus/search.py
+++ b/fuchsiacroft/tests/control/consensus/search.py
@@ -126,6 +126,7 @@
         return True
 
     async def _start_later(self, node: Node) -> None:
+        node.boot += self.random.random() < 0.5
         await asyncio.sleep(self.random.uniform(0.01, 2.0))
         if not node.runs:
             await node.start()
--- a/fuchsiacroft/tests/control/storage_tests.py
+++ b/fuchsiacroft/tests/control/storage_tests.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from unittest import mock
 
+from fuchsiacroft.control import records
 from fuchsiacroft.control import storage as storage_module
 from fuchsiacroft.control.records import (
     Configuration,
@@ -31,7 +32,7 @@
 
 
 async def opened(disk: MemoryDisk):
-    storage = Storage(MemoryFolder(disk), "node")
+    storage = Storage(MemoryFolder(disk), "node", "boot")
     return storage, await storage.open()
 
 
@@ -147,13 +148,30 @@
 
         self.run_paused(scenario())
 
-    def test_another_format_version_is_refused(self):
+    def test_a_torn_header_is_cut(self):
         async def scenario():
             disk = MemoryDisk()
             storage, _ = await opened(disk)
             storage.append(entries(1, 1))
             await storage.sync()
-            disk.files[self.segment(disk)].data[5] = 99
+            name = self.segment(disk)
+            for offset in range(records.HEADER_BYTES):
+                image = disk.copy()
+                torn = image.files[name].data
+                torn[offset] ^= 0xFF
+                del torn[-1]
+                state = await read_back(image)
+                self.assertEqual([], state.entries)
+
+        self.run_paused(scenario())
+
+    def test_another_format_version_is_refused(self):
+        async def scenario():
+            disk = MemoryDisk()
+            storage, _ = await opened(disk)
+            with mock.patch.object(records, "FORMAT_VERSION", 99):
+                storage.append(entries(1, 1))
+                await storage.sync()
             with self.assertRaisesRegex(InvariantError, "format version 99"):
                 await opened(disk)
 
--- a/fuchsiacroft/tests/fakes/group.py
+++ b/fuchsiacroft/tests/fakes/group.py
@@ -63,6 +63,7 @@
         self.name = f"control-{number}"
         self.address = f"10.0.0.{number}:7000"
         self.disk = MemoryDisk(group.random.randrange(1 << 30))
+        self.boot = 0
         self.machine = ListMachine()
         self.log: consensus.ConsensusLog | None = None
         self.bus = None
@@ -83,7 +84,7 @@
         self.machine = ListMachine(self.group.on_apply)
         self.folder = MemoryFolder(self.disk)
         self.bus = self.group.network.bus(self.name, self.address)
-        storage = Storage(self.folder, self.name)
+        storage = Storage(self.folder, self.name, f"boot-{self.boot}")
         rng = random.Random(self.group.random.randrange(1 << 30))
         log = consensus.create(self.group.settings(self), self.bus, storage, rng)
         log.register("list", self.machine)
@@ -96,8 +97,9 @@
     ) -> None:
         """Stop the process at once; with a power loss unsynced bytes go.
 
-        With `disk` the next process finds that disk.
+        With `disk` the machine starts again with that disk.
         """
+        self.boot += disk is not None
         log, bus, self.log = self.log, self.bus, None
         old, self.disk = self.disk, disk or self.disk
         if log is None:
