Let one member go on after a majority of the disks is lost

Cause: with two of three disks lost for good no quorum comes back, and the third still holds the state.

commands/recover.py makes the stopped member the only voter, under a new group id, so that members of the old group halt instead of mixing in. Ruled out: keeping the group's id (an old majority that still lives would be told that it was removed, and would discard its disks).

--- a/fuchsiacroft/commands/inspect.py
+++ b/fuchsiacroft/commands/inspect.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from fuchsiacroft.control import recovery
+from fuchsiacroft.control.consensus.configurations import recovered_configuration
 from fuchsiacroft.control.folder import DiskFolder
 from fuchsiacroft.control.records import Fault
 from fuchsiacroft.control.recovery import Recovered
@@ -43,6 +44,7 @@
     lines = [f"identity={identity.identity} node={identity.node}" if identity else ""]
     lines.append(f"term={state.term} vote={state.vote or '-'}")
     lines.extend(_snapshot_lines(state))
+    lines.extend(_member_lines(state))
     for segment in state.segments:
         torn = " torn_tail=yes" if segment.torn else ""
         lines.append(f"file={segment.name} bytes={segment.size}{torn}")
@@ -63,7 +65,13 @@
     lines = [f"snapshot={snapshot.index} term={snapshot.term}"]
     for name, data in snapshot.machines.items():
         lines.append(f"state={name} bytes={len(data)}")
-    for member in snapshot.configuration.members:
+    return lines
+
+
+def _member_lines(state: Recovered) -> list[str]:
+    lines = []
+    configuration = recovered_configuration(state)
+    for member in configuration.members:
         role = "voter" if member.voter else "learner"
         lines.append(f"{role}={member.node} {member.address} {member.identity}")
     return lines
--- /dev/null
+++ b/fuchsiacroft/commands/recover.py
@@ -0,0 +1,42 @@
+"""Going on with one member after a majority of the disks is lost for good."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+from expression import Result
+
+from fuchsiacroft.control import storage
+from fuchsiacroft.control.consensus.takeover import make_only_voter
+from fuchsiacroft.control.records import Configuration
+from fuchsiacroft.exceptions import InvariantError
+
+
+def run(data_folder: str) -> int:
+    """Make the stopped member of this folder the only voter of a new group.
+
+    Return 0 once that is durable, 1 if the folder is refused, 2 for no folder.
+    """
+    path = Path(data_folder)
+    if not path.is_dir():
+        print(f"no folder {path}", file=sys.stderr)
+        return 2
+    try:
+        result = asyncio.run(_recover(path))
+    except InvariantError as exc:
+        print(f"refused: {exc}", file=sys.stderr)
+        return 1
+    if result.is_error():
+        print(f"refused: {result.error}", file=sys.stderr)
+        return 1
+    print(f"only voter of group {result.ok.group}: {result.ok.members[0].address}")
+    print("empty the data folders of all other members before they are started")
+    return 0
+
+
+async def _recover(path: Path) -> Result[Configuration, str]:
+    held = storage.create(path, "")
+    try:
+        return await make_only_voter(held)
+    finally:
+        await held.close()
--- a/fuchsiacroft/control/consensus/configurations.py
+++ b/fuchsiacroft/control/consensus/configurations.py
@@ -4,6 +4,7 @@
 
 from fuchsiacroft.control import records
 from fuchsiacroft.control.records import Configuration, Entry
+from fuchsiacroft.control.recovery import Recovered
 
 CONFIGURATION_KIND = "configuration"
 NO_CONFIGURATION = Configuration("", ())
@@ -54,3 +55,14 @@
         if place < 0:
             return 0, NO_CONFIGURATION
         return self._indexes[place], self._items[place]
+
+
+def recovered_configuration(state: Recovered) -> Configuration:
+    """Return the configuration in force on a disk that was read back."""
+    configuration = NO_CONFIGURATION
+    if state.snapshot is not None:
+        configuration = state.snapshot.configuration
+    for entry in state.entries:
+        if entry.kind == CONFIGURATION_KIND:
+            configuration = records.decode_configuration(entry.body)
+    return configuration
--- /dev/null
+++ b/fuchsiacroft/tests/commands/recover_tests.py
@@ -0,0 +1,65 @@
+"""Tests of going on alone after the loss of a majority."""
+
+import asyncio
+import contextlib
+import io
+import tempfile
+import unittest
+from pathlib import Path
+
+from fuchsiacroft.commands import recover
+from fuchsiacroft.control.consensus.takeover import make_only_voter
+from fuchsiacroft.control.storage import Storage
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.folder import MemoryFolder
+from fuchsiacroft.tests.fakes.group import Group
+
+
+class TakeoverTests(PausedTestCase):
+    """The last disk goes on, and others rejoin it with empty disks."""
+
+    def test_the_last_disk_goes_on_and_emptied_ones_join_it(self):
+        async def scenario():
+            group = Group()
+            await group.start()
+            leader = await group.wait_leader()
+            await group.write(leader, *range(20))
+            await asyncio.sleep(1)
+            last, *lost = group.nodes
+            for node in group.nodes:
+                await node.kill()
+            images = [node.disk.copy() for node in lost]
+            storage = Storage(MemoryFolder(last.disk), last.name, f"boot-{last.boot}")
+            self.assertTrue((await make_only_voter(storage)).is_ok())
+            await storage.close()
+            await last.start()
+            await group.wait(lambda: last.leads)
+            self.assertEqual(20, len(last.machine.values))
+            for node in lost:
+                await node.lose_disk()
+                await node.start()
+            await group.wait(lambda: len(self.voters(last)) == 3, 30)
+            outcome = (await group.write(lost[0], 20))[0]
+            self.assertTrue(outcome.is_ok())
+            await lost[0].kill(disk=images[0])
+            await lost[0].start()
+            await asyncio.sleep(3)
+            self.assertIsNotNone(lost[0].log.member.halted, "it is of the old group")
+            await group.stop()
+
+        self.run_paused(scenario())
+
+    def voters(self, node):
+        """Return the voters as a member knows them."""
+        return node.log.member.configuration.voters()
+
+
+class RecoverTests(unittest.TestCase):
+    """The command refuses what it can't use."""
+
+    def test_a_folder_without_a_group_is_refused(self):
+        err = io.StringIO()
+        with tempfile.TemporaryDirectory() as path, contextlib.redirect_stderr(err):
+            self.assertEqual(1, recover.run(path))
+            self.assertEqual(2, recover.run(str(Path(path) / "none")))
+        self.assertIn("no voter", err.getvalue())
