--- /dev/null
+++ b/fuchsiacroft/control/segments.py
@@ -0,0 +1,103 @@
+"""The segments of a member's log on disk. Every method blocks."""
+
+from fuchsiacroft.control import records
+from fuchsiacroft.control.folder import Folder
+from fuchsiacroft.control.recovery import (
+    ASIDE_SUFFIX,
+    SEGMENT_PREFIX,
+    Recovered,
+    Segment,
+)
+from fuchsiacroft.utils.logs import event
+
+SEGMENT_LIMIT_BYTES = 8 * 1024 * 1024
+
+
+class Segments:
+    """Writes frames, each synced before the next, and drops old segments."""
+
+    def __init__(self, folder: Folder) -> None:
+        self._folder = folder
+        self._segments: list[Segment] = []
+        self._active: Segment | None = None
+        self.sequence = 0
+        self.syncs = 0
+
+    def __len__(self) -> int:
+        """Return how many segments there are."""
+        return len(self._segments)
+
+    def adopt(self, state: Recovered) -> None:
+        """Take over what was read back, and cut a torn tail."""
+        self._segments = state.segments
+        self._active = None
+        self.sequence = state.sequence
+        if self._segments and self._segments[-1].torn:
+            self._cut()
+
+    def write(self, payload: bytes, last_index: int) -> None:
+        """Write and sync one frame; on an error nothing of it stays."""
+        sequence = self.sequence + 1
+        frame = records.encode_frame(sequence, payload)
+        segment = self._active
+        is_new = segment is None or segment.size >= SEGMENT_LIMIT_BYTES
+        if is_new:
+            segment = Segment(f"{SEGMENT_PREFIX}{sequence:020d}", 0)
+            frame = records.header(records.SEGMENT_MAGIC) + frame
+        try:
+            self._folder.append(segment.name, frame)
+            self._folder.sync(segment.name)
+            if is_new:
+                self._folder.sync_folder()
+        except OSError:
+            self._undo(segment)
+            raise
+        if is_new:
+            self._active = segment
+            self._segments.append(segment)
+        segment.size += len(frame)
+        segment.last_index = max(segment.last_index, last_index)
+        self.sequence = sequence
+        self.syncs += 1
+
+    def remove_covered(self, index: int) -> None:
+        """Drop the segments whose entries a durable snapshot covers."""
+        while self._segments:
+            segment = self._segments[0]
+            if self._active in (None, segment) or segment.last_index > index:
+                break
+            self._folder.remove(segment.name)
+            self._folder.sync_folder()
+            del self._segments[0]
+
+    def _undo(self, segment: Segment) -> None:
+        if segment.size:
+            self._folder.truncate(segment.name, segment.size)
+        else:
+            self._folder.remove(segment.name)
+
+    def _cut(self) -> None:
+        segment = self._segments[-1]
+        event("warning", "torn_tail_cut", file=segment.name, size=segment.size)
+        if segment.size <= records.HEADER_BYTES:
+            self._folder.remove(segment.name)
+            self._folder.sync_folder()
+            del self._segments[-1]
+            return
+        self._folder.truncate(segment.name, segment.size)
+        self._folder.sync(segment.name)
+        segment.torn = False
+
+
+def write_aside(folder: Folder, name: str, data: bytes) -> None:
+    """Replace a whole file so that a crash leaves the old one or the new."""
+    aside = name + ASIDE_SUFFIX
+    folder.remove(aside)
+    try:
+        folder.append(aside, data)
+        folder.sync(aside)
+    except OSError:
+        folder.remove(aside)
+        raise
+    folder.rename(aside, name)
+    folder.sync_folder()
--- a/fuchsiacroft/control/storage.py
+++ b/fuchsiacroft/control/storage.py
@@ -30,17 +30,15 @@
     ASIDE_SUFFIX,
     IDENTITY_FILE,
     REJOIN_ADVICE,
-    SEGMENT_PREFIX,
     SNAPSHOT_PREFIX,
     Recovered,
-    Segment,
     recover,
 )
+from fuchsiacroft.control.segments import Segments, write_aside
 from fuchsiacroft.exceptions import InvariantError
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import TaskGroup
 
-SEGMENT_LIMIT_BYTES = 8 * 1024 * 1024
 FULL_RETRY_S = 1.0
 BOOT_ID_FILE = Path("/proc/sys/kernel/random/boot_id")
 FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
@@ -71,10 +69,7 @@
         self._queued = 0
         self._durable = 0
         self._waiters: list[_Waiter] = []
-        self._segments: list[Segment] = []
-        self._active: Segment | None = None
-        self._sequence = 0
-        self._syncs = 0
+        self._segments = Segments(folder)
         self._failure: str | None = None
         self.is_full = False
 
@@ -92,9 +87,7 @@
         if state.identity is None:
             state.identity = await self._name_disk()
         self._identity = state.identity
-        await self._folder.run(partial(self._clean, state.segments))
-        self._segments = state.segments
-        self._sequence = state.sequence
+        await self._folder.run(partial(self._clean, state))
         self._term, self._vote, self._marks = state.term, state.vote, state.marks
         self._tasks.spawn(self._write_forever(), "storage-writer")
         return state
@@ -164,7 +157,8 @@
         identity = msgspec.structs.replace(self._identity, boot=self._boot)
         data = msgspec.json.encode(identity)
         try:
-            await self._folder.run(partial(self._write_aside, IDENTITY_FILE, data))
+            write = partial(write_aside, self._folder, IDENTITY_FILE, data)
+            await self._folder.run(write)
         except OSError as exc:
             if exc.errno not in FULL_ERRORS:
                 raise
@@ -182,7 +176,6 @@
         await self._folder.run(self._remove_all)
         self._entries, self._marks, self._reset = [], [], None
         self._durable = self._queued
-        self._active = None
         self._release()
 
     def dump(self) -> dict:
@@ -191,8 +184,8 @@
             "term": self._term,
             "vote": self._vote,
             "segments": len(self._segments),
-            "frames": self._sequence,
-            "syncs": self._syncs,
+            "frames": self._segments.sequence,
+            "syncs": self._segments.syncs,
             "queued": self._queued - self._durable,
             "full": self.is_full,
             "failure": self._failure,
@@ -233,7 +226,7 @@
 
     async def _try_write(self, payload: bytes, last_index: int) -> bool:
         try:
-            await self._folder.run(partial(self._write_frame, payload, last_index))
+            await self._folder.run(partial(self._segments.write, payload, last_index))
         except OSError as exc:
             if exc.errno in FULL_ERRORS:
                 self._note_full(True)
@@ -267,53 +260,10 @@
 
     # The methods below block and run off the event loop.
 
-    def _write_frame(self, payload: bytes, last_index: int) -> None:
-        sequence = self._sequence + 1
-        frame = records.encode_frame(sequence, payload)
-        segment = self._active
-        created = segment is None or segment.size >= SEGMENT_LIMIT_BYTES
-        if created:
-            name = f"{SEGMENT_PREFIX}{sequence:020d}"
-            segment = Segment(name, 0)
-            frame = records.header(records.SEGMENT_MAGIC) + frame
-        try:
-            self._folder.append(segment.name, frame)
-            self._folder.sync(segment.name)
-            if created:
-                self._folder.sync_folder()
-        except OSError:
-            self._undo(segment)
-            raise
-        if created:
-            self._segments.append(segment)
-            self._active = segment
-        segment.size += len(frame)
-        segment.last_index = max(segment.last_index, last_index)
-        self._sequence = sequence
-        self._syncs += 1
-
-    def _undo(self, segment: Segment) -> None:
-        if segment.size:
-            self._folder.truncate(segment.name, segment.size)
-        else:
-            self._folder.remove(segment.name)
-
-    def _write_aside(self, name: str, data: bytes) -> None:
-        aside = name + ASIDE_SUFFIX
-        self._folder.remove(aside)
-        try:
-            self._folder.append(aside, data)
-            self._folder.sync(aside)
-        except OSError:
-            self._folder.remove(aside)
-            raise
-        self._folder.rename(aside, name)
-        self._folder.sync_folder()
-
     def _write_snapshot(self, index: int, data: bytes) -> None:
         name = f"{SNAPSHOT_PREFIX}{index:020d}"
         head = records.header(records.SNAPSHOT_MAGIC)
-        self._write_aside(name, head + records.encode_frame(index, data))
+        write_aside(self._folder, name, head + records.encode_frame(index, data))
 
     def _read_snapshot(self) -> bytes | None:
         found = [
@@ -333,7 +283,7 @@
             self._node,
             self._boot,
         )
-        self._write_aside(IDENTITY_FILE, msgspec.json.encode(identity))
+        write_aside(self._folder, IDENTITY_FILE, msgspec.json.encode(identity))
         return identity
 
     def _remove_covered(self, index: int) -> None:
@@ -341,32 +291,13 @@
         for name in self._folder.names():
             if name.startswith(SNAPSHOT_PREFIX) and name < current:
                 self._folder.remove(name)
-        while self._segments:
-            segment = self._segments[0]
-            if self._active in (None, segment) or segment.last_index > index:
-                break
-            self._folder.remove(segment.name)
-            self._folder.sync_folder()
-            del self._segments[0]
-
-    def _clean(self, segments: list[Segment]) -> None:
+        self._segments.remove_covered(index)
+
+    def _clean(self, state: Recovered) -> None:
         for name in self._folder.names():
             if name.endswith(ASIDE_SUFFIX):
                 self._folder.remove(name)
-        if segments and segments[-1].torn:
-            self._cut(segments)
-
-    def _cut(self, segments: list[Segment]) -> None:
-        segment = segments[-1]
-        event("warning", "torn_tail_cut", file=segment.name, size=segment.size)
-        if segment.size <= records.HEADER_BYTES:
-            self._folder.remove(segment.name)
-            self._folder.sync_folder()
-            del segments[-1]
-            return
-        self._folder.truncate(segment.name, segment.size)
-        self._folder.sync(segment.name)
-        segment.torn = False
+        self._segments.adopt(state)
 
     def _remove_all(self) -> None:
         for name in reversed(self._folder.names()):
--- a/fuchsiacroft/tests/control/consensus/leases_tests.py
+++ b/fuchsiacroft/tests/control/consensus/leases_tests.py
@@ -117,6 +117,21 @@
 
         self.run_group(scenario)
 
+    def test_a_shorter_log_gets_no_vote(self):
+        async def scenario(group, leader):
+            one, other = [node for node in group.nodes if node is not leader]
+            await one.kill()
+            await group.write(leader, 1)
+            await leader.kill()
+            await one.start()
+            await group.wait(lambda: one.log.member.verified)
+            await asyncio.sleep(timing.ELECTION_TIMEOUT_MIN_S)
+            reply = await self.ask_vote(one, other, other.log.term + 5)
+            self.assertFalse(reply.granted)
+            await group.wait(lambda: other.leads)
+
+        self.run_group(scenario)
+
     def test_a_restarted_voter_waits_before_it_votes(self):
         async def scenario(group, leader):
             one, other = [node for node in group.nodes if node is not leader]
--- a/fuchsiacroft/tests/control/consensus/members_tests.py
+++ b/fuchsiacroft/tests/control/consensus/members_tests.py
@@ -145,6 +145,55 @@
 
         self.run_group(scenario)
 
+    def test_a_machine_may_restart_during_the_repair_of_another(self):
+        async def scenario(group, leader):
+            one, other = [node for node in group.nodes if node is not leader]
+            await group.write(leader, *range(10))
+            await one.lose_disk()
+            await other.kill()
+            other.boot += 1
+            await one.start()
+            await other.start()
+            await group.wait(lambda: is_whole(group), 30)
+            await group.wait(lambda: len(one.machine.values) == 10)
+
+        self.run_group(scenario)
+
+    def test_all_machines_restart_at_once(self):
+        async def scenario(group, leader):
+            await group.write(leader, *range(10))
+            for node in group.nodes:
+                await node.kill()
+                node.boot += 1
+            await group.start()
+            new = await group.wait_leader()
+            self.assertTrue((await new.log.read_barrier(5)).is_ok())
+            self.assertEqual(list(range(10)), sorted(new.machine.values))
+            await asyncio.sleep(2)
+            for node in group.nodes:
+                self.assertTrue(node.log.member.storage.is_same_boot)
+
+        self.run_group(scenario)
+
+    def test_a_member_moves_to_a_new_address(self):
+        async def scenario(group, leader):
+            await group.write(leader, *range(10))
+            moved = next(node for node in group.nodes if node is not leader)
+            old = moved.log.member.identity
+            await moved.lose_disk()
+            moved.address = "10.0.0.9:7000"
+            for node in group.nodes:
+                if node is not moved:
+                    await node.restart()
+                    await group.wait_leader()
+            await moved.start()
+            await group.wait(lambda: is_whole(group), 30)
+            members = group.leader().log.member.configuration
+            self.assertIsNone(members.find(old))
+            self.assertEqual(3, len(members.members))
+
+        self.run_group(scenario)
+
     def test_two_changes_are_never_pending_at_once(self):
         async def scenario(group, leader):
             others = [node for node in group.nodes if node is not leader]
--- a/fuchsiacroft/tests/control/storage_tests.py
+++ b/fuchsiacroft/tests/control/storage_tests.py
@@ -6,8 +6,7 @@
 from pathlib import Path
 from unittest import mock
 
-from fuchsiacroft.control import records
-from fuchsiacroft.control import storage as storage_module
+from fuchsiacroft.control import records, segments
 from fuchsiacroft.control.records import (
     Configuration,
     Entry,
@@ -131,7 +130,7 @@
     def test_a_missing_segment_stops_the_process(self):
         async def scenario():
             disk = MemoryDisk()
-            with mock.patch.object(storage_module, "SEGMENT_LIMIT_BYTES", 100):
+            with mock.patch.object(segments, "SEGMENT_LIMIT_BYTES", 100):
                 storage, _ = await opened(disk)
                 for index in range(1, 6):
                     storage.append(entries(index, index + 1))
@@ -178,7 +177,7 @@
         self.run_paused(scenario())
 
     def test_power_lost_at_every_sync_point_keeps_what_was_acknowledged(self):
-        with mock.patch.object(storage_module, "SEGMENT_LIMIT_BYTES", 400):
+        with mock.patch.object(segments, "SEGMENT_LIMIT_BYTES", 400):
             points = self.run_paused(self.work_and_crash(None))
             self.assertGreater(points, 40)
             for point in range(1, points + 1):
--- a/tools/bench_consensus.py
+++ b/tools/bench_consensus.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import resource
+import shutil
 import signal
 import statistics
 import subprocess
@@ -113,12 +114,41 @@
         return {
             "leader": self.log.is_leader,
             "count": self.machine.count,
+            "voters": [
+                voter.identity for voter in self.log.member.configuration.voters()
+            ],
+            "identity": self.log.member.identity,
             "cpu_s": usage.ru_utime + usage.ru_stime,
             "rss_mb": usage.ru_maxrss / 1024,
             "sent_bytes": self.bus.dump()["counts"].get("sent_bytes", 0),
             "syncs": self.log.dump()["storage"]["syncs"],
         }
 
+    async def _call_rate(self, call: Call) -> dict:
+        """Propose `count` claims at even intervals, `clients` a second."""
+        latencies: list[float] = []
+        failures = 0
+        loop = asyncio.get_running_loop()
+
+        async def propose(number: int, due: float) -> None:
+            nonlocal failures
+            claim = Claim("workspace-1", f"key-{number}", bytes(16))
+            outcome = await self.log.propose(claim, 10.0)
+            latencies.append(time.perf_counter() - due)
+            failures += outcome.is_error()
+
+        began = time.perf_counter()
+        tasks = []
+        for number in range(call.count):
+            due = began + number / call.clients
+            rest = due - time.perf_counter()
+            if rest > 0:
+                await asyncio.sleep(rest)
+            tasks.append(loop.create_task(propose(number, due)))
+        await asyncio.gather(*tasks)
+        took = time.perf_counter() - began
+        return {"took_s": took, "failures": failures, "latencies": latencies}
+
     async def _call_commit(self, call: Call) -> dict:
         """Propose claims from some clients at once; return the latencies."""
         latencies: list[float] = []
@@ -215,6 +245,21 @@
                     f"syncs={syncs}"
                 )
 
+    async def rate(self) -> None:
+        """Measure the latency at fixed rates, from the time that each was due."""
+        leader = await self.leader()
+        for rate in (1000, 2000, 4000):
+            call = Call("rate", rate * FLAGS.rate_s, rate)
+            data = await self.ask(leader, call)
+            cuts = statistics.quantiles(data["latencies"], n=1000)
+            print(
+                f"rate asked_per_s={rate} seconds={FLAGS.rate_s} "
+                f"failures={data['failures']} "
+                f"per_s={call.count / data['took_s']:.0f} "
+                f"p50_ms={cuts[499] * 1000:.1f} p99_ms={cuts[989] * 1000:.1f} "
+                f"p999_ms={cuts[998] * 1000:.1f}"
+            )
+
     async def failover(self) -> None:
         """Measure the time from the leader's death to the next commit."""
         times = []
@@ -269,6 +314,22 @@
             f"from_first_answer_s={done - answered:.2f}"
         )
 
+    async def replace(self) -> None:
+        """Measure how soon a member with an emptied folder votes again."""
+        leader = await self.leader()
+        follower = (leader + 1) % MEMBERS
+        self.end(follower)
+        shutil.rmtree(self.folder / f"control-{follower}")
+        began = time.monotonic()
+        self.start(follower)
+        while True:
+            state = await self.ask(follower, Call("state"), 0.2)
+            voters = (await self.ask(leader, Call("state")))["voters"]
+            if state is not None and state["identity"] in voters:
+                break
+            await asyncio.sleep(POLL_S)
+        print(f"replace voter_again_s={time.monotonic() - began:.2f}")
+
     async def idle(self) -> None:
         """Measure what an idle leader and follower cost."""
         leader = await self.leader()
@@ -287,7 +348,7 @@
 
 async def bench() -> None:
     """Run the parts asked for, then end every process."""
-    parts = FLAGS.only or ["commits", "catchup", "idle", "failover"]
+    parts = FLAGS.only or ["rate", "commits", "catchup", "replace", "idle", "failover"]
     with tempfile.TemporaryDirectory(dir=FLAGS.folder) as folder:
         run = Bench(Path(folder))
         await run.bus.start(Kernel())
@@ -322,6 +383,7 @@
     flags.DEFINE_string("folder", str(ROOT), "Where the data folders are put.")
     flags.DEFINE_list("only", [], "The parts to run.")
     flags.DEFINE_integer("commits", 40_000, "About how many commits to measure.")
+    flags.DEFINE_integer("rate_s", 10, "How long to propose at each rate.")
     flags.DEFINE_integer("missed", 300, "Changes missed by the stopped member.")
     flags.DEFINE_integer("failovers", 5, "How often to kill the leader.")
     flags.DEFINE_integer("idle_s", 10, "How long to watch each idle member.")
