Keep owners by name instead of hashing all names at each change

With 59 entries and 590 backend servers each change of the live entries hashed every name with every entry (34,810 hashes), and takeovers asked every 0.25 s while views still differed: 30 s of a domain's start sent 233,164 requests.

--- a/fuchsiacroft/membership/ownership.py
+++ b/fuchsiacroft/membership/ownership.py
@@ -10,7 +10,6 @@
 
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.kernel import Kernel, Service
-from fuchsiacroft.membership import rendezvous
 from fuchsiacroft.membership.lease import OWNERSHIP_LEASE_S
 from fuchsiacroft.membership.permits import (
     HeldPermit,
@@ -19,6 +18,7 @@
     NoPermits,
     PermitHolder,
 )
+from fuchsiacroft.membership.rendezvous import OwnerIndex
 from fuchsiacroft.membership.service import Membership
 from fuchsiacroft.membership.split_guard import SplitGuard
 from fuchsiacroft.membership.table import EntryInfo
@@ -30,6 +30,8 @@
 from fuchsiacroft.utils.tasks import TaskGroup
 
 IDLE_CHECK_S = 1.0
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 1.0
 PERMIT_START_S = 2.0
 
 
@@ -46,9 +48,10 @@
     def __init__(self, settings: Settings) -> None:
         self._drain_timeout = settings.drain_timeout_s
         self._holder: PermitHolder = NoPermits()
-        self._watched: set[str] = set()
+        self._owners = OwnerIndex()
+        self._mine: set[str] = set()
         self._taken: dict[str, float] = {}
-        self._owners: dict[str, EntryInfo | None] = {}
+        self._retry = RETRY_MIN_S
         self._wake = asyncio.Event()
         self._tasks = TaskGroup("ownership")
 
@@ -59,6 +62,7 @@
         self._inquiry = TakeoverInquiry(bus, self._membership)
         self._guard = SplitGuard(self._membership)
         self._membership.on_change(self._on_change)
+        self._on_change(self._membership.alive())
         bus.handle(HeldPermitsRequest, self._on_request)
         self._tasks.spawn(self._activate(), "ownership-activate")
         self._tasks.spawn(self._take_over(), "ownership-takeover")
@@ -70,8 +74,8 @@
     def dump(self) -> dict:
         """Return the backend servers watched and those that we own."""
         return {
-            "watched": len(self._watched),
-            "ready": sorted(name for name in self._watched if self.is_ready(name)),
+            "watched": len(self._owners),
+            "ready": sorted(name for name in self._mine if self.is_ready(name)),
         }
 
     def attach(self, holder: PermitHolder) -> None:
@@ -80,29 +84,26 @@
 
     def watch(self, backend_server: str) -> None:
         """Take the backend server over whenever it falls to us."""
-        if backend_server not in self._watched:
-            self._watched.add(backend_server)
+        self._owners.add(backend_server)
+        if self._is_me(self._owners.owner_of(backend_server)):
+            self._mine.add(backend_server)
             self._wake.set()
 
     def forget(self, backend_server: str) -> None:
         """Stop watching a backend server that is gone."""
-        self._watched.discard(backend_server)
+        self._owners.discard(backend_server)
+        self._mine.discard(backend_server)
         self._taken.pop(backend_server, None)
-        self._owners.pop(backend_server, None)
         self._guard.forget(backend_server)
 
     def owner_of(self, backend_server: str) -> EntryInfo | None:
         """Return the owner in our view, ready or not."""
-        if backend_server not in self._watched:
-            return self._choose(backend_server)
-        if backend_server not in self._owners:
-            self._owners[backend_server] = self._choose(backend_server)
-        return self._owners[backend_server]
+        return self._owners.owner_of(backend_server)
 
     def is_ready(self, backend_server: str) -> bool:
         """Tell whether we own a watched backend server and its takeover ended."""
         taken_at = self._taken.get(backend_server)
-        if taken_at is None or not self._is_mine(backend_server):
+        if taken_at is None or backend_server not in self._mine:
             return False
         lease = self._membership.lease
         return lease.confirmed_for() > 0 and taken_at >= lease.unbroken_since
@@ -142,6 +143,7 @@
             pending = self._pending()
             if pending or self._guard.unsettled():
                 wait = await self._inquire(pending)
+                await asyncio.sleep(self._retry)
             try:
                 async with asyncio.timeout(wait):
                     await self._wake.wait()
@@ -153,12 +155,14 @@
         began = clock.now()
         heard = await self._inquiry.ask(pending)
         self._guard.note_reached(heard.reached, heard.agreed)
-        if not pending:
-            return IDLE_CHECK_S
-        if heard.wait_s > 0:
-            return heard.wait_s
+        if not heard.agreed:
+            self._retry = min(self._retry * 2, RETRY_MAX_S)
+            return 0.0 if pending else IDLE_CHECK_S
+        self._retry = RETRY_MIN_S
+        if heard.wait_s > 0 or not pending:
+            return heard.wait_s or IDLE_CHECK_S
         for name in pending:
-            if name in self._watched and self._is_mine(name):
+            if name in self._mine:
                 self._adopt(name, heard.permits)
                 self._taken[name] = began
         event("info", "ownership_taken", backend_servers=len(pending))
@@ -177,25 +181,16 @@
         self._holder.adopt(name, counted)
 
     def _pending(self) -> tuple[str, ...]:
-        return tuple(
-            name
-            for name in self._watched
-            if self._is_mine(name) and not self.is_ready(name)
-        )
+        return tuple(name for name in self._mine if not self.is_ready(name))
 
-    def _is_mine(self, backend_server: str) -> bool:
-        owner = self.owner_of(backend_server)
+    def _is_me(self, owner: EntryInfo | None) -> bool:
         return owner is not None and owner.node == self._membership.me.node
 
-    def _choose(self, backend_server: str) -> EntryInfo | None:
-        active = (entry for entry in self._membership.alive() if entry.active)
-        return rendezvous.choose(backend_server, active)
-
     def _on_change(self, alive: tuple[EntryInfo, ...]) -> None:
-        self._owners.clear()
-        for name in tuple(self._taken):
-            if not self._is_mine(name):
-                del self._taken[name]
+        self._owners.replace(entry for entry in alive if entry.active)
+        self._mine = self._owners.owned_by(self._membership.me.node)
+        for name in self._taken.keys() - self._mine:
+            del self._taken[name]
         self._wake.set()
 
     async def _on_request(
--- a/fuchsiacroft/membership/takeover.py
+++ b/fuchsiacroft/membership/takeover.py
@@ -16,15 +16,14 @@
 from fuchsiacroft.transport.bus import Bus
 
 ANSWER_TIMEOUT_S = 0.5
-RETRY_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
 class Heard:
-    """The permits that all others hold, or how long to wait and ask again.
+    """The permits that all others hold, if they agree and no lease must end.
 
     `agreed` is true if every live entry showed our view, `reached` names those
-    that answered.
+    that answered, `wait_s` is how long a lost entry may hold its lease.
     """
 
     permits: tuple[HeldPermit, ...] = ()
@@ -64,7 +63,7 @@
         )
         agreed = all(answer is not None and answer.view == view for answer in answers)
         if not agreed or self._membership.generation != generation:
-            return Heard(wait_s=RETRY_S, reached=reached)
+            return Heard(reached=reached)
         wait = max([self.wait_for_lost(), parting.wait_s, *(a.wait_s for a in answers)])
         permits = [permit for answer in answers for permit in answer.permits]
         return Heard(parting.permits + tuple(permits), wait, True, reached)
--- /dev/null
+++ b/tools/bench_membership.py
@@ -0,0 +1,252 @@
+"""Measure membership, ownership and digests by the size of a failure domain.
+
+Prints costs per entry on a network in memory (the clock advances itself, so
+processor time is that of the protocol and of the network's stand-in), slopes,
+detection and takeover times, false positives under loss, and costs over real
+sockets on loopback.
+"""
+
+import asyncio
+import gc
+import statistics
+import sys
+import time
+import tracemalloc
+from pathlib import Path
+
+import uvloop
+from absl import app, flags
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from fuchsiacroft.kernel import Kernel  # noqa: E402
+from fuchsiacroft.membership import digests, ownership, service  # noqa: E402
+from fuchsiacroft.membership.digest_wire import ServiceLoad  # noqa: E402
+from fuchsiacroft.membership.digests import DigestSource  # noqa: E402
+from fuchsiacroft.tests.fakes import loop  # noqa: E402
+from fuchsiacroft.tests.fakes.entries import Domain, settings_of  # noqa: E402
+from fuchsiacroft.tests.fakes.ports import free_address  # noqa: E402
+from fuchsiacroft.transport import zmq_bus  # noqa: E402
+from fuchsiacroft.utils import logs  # noqa: E402
+
+FLAGS = flags.FLAGS
+flags.DEFINE_list("sizes", ["8", "16", "32", "59"], "entries of the domain")
+flags.DEFINE_list("socket_sizes", ["2", "4", "8"], "entries over real sockets")
+flags.DEFINE_integer("trials", 12, "deaths for each size")
+flags.DEFINE_integer("backend_servers", 10, "backend servers for each entry")
+
+SETTLE_S = 30.0
+STEADY_S = 60.0
+LOSSY_S = 300.0
+LOSS = 0.1
+LOOK_S = 0.05
+SOCKET_SETTLE_S = 8.0
+SOCKET_S = 8.0
+MODELS = 22
+
+
+class ManyModels(DigestSource):
+    """A load of as many services as there are models in steady use."""
+
+    def loads(self) -> tuple[ServiceLoad, ...]:
+        """Return the same load each time."""
+        return tuple(ServiceLoad(f"model-{i}", 100, 20) for i in range(MODELS))
+
+
+class MeasuredDomain(Domain):
+    """Entries with ownership, and digests on request."""
+
+    def __init__(self, seed: int, names: int, with_digests: bool) -> None:
+        super().__init__(seed)
+        self.tables = {}
+        self.names = [f"gpu-{i}" for i in range(names)]
+        self._with_digests = with_digests
+
+    def services(self, number, member):
+        """Return the ownership table, watching every backend server."""
+        cfg = settings_of(number)
+        table = ownership.create(cfg)
+        for name in self.names:
+            table.watch(name)
+        self.tables[number] = table
+        if not self._with_digests:
+            return (table,)
+        sender = digests.create(cfg, self.network.random)
+        sender.attach(ManyModels())
+        return table, sender
+
+    def owned_once(self, names: list[str]) -> bool:
+        """Tell whether each backend server has one owner that is ready."""
+        ready = [
+            sum(self.tables[n].is_ready(name) for n in self.members) for name in names
+        ]
+        return all(count == 1 for count in ready)
+
+    def sum_of(self, name: str) -> int:
+        """Return the sum of a counter over all entries."""
+        dumps = [member.dump()["counts"] for member in self.members.values()]
+        return sum(counts.get(name, 0) for counts in dumps)
+
+
+async def _started(size: int, seed: int, with_digests: bool = False):
+    names = size * FLAGS.backend_servers
+    domain = MeasuredDomain(seed, names, with_digests)
+    await domain.start(*range(size))
+    await asyncio.sleep(SETTLE_S)
+    return domain
+
+
+async def _steady(size: int, with_digests: bool) -> dict:
+    gc.collect()
+    tracemalloc.start()
+    domain = await _started(size, 1, with_digests)
+    gc.collect()
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    before = dict(domain.network.counts)
+    began = time.process_time()
+    await asyncio.sleep(STEADY_S)
+    spent = time.process_time() - began
+    counts = domain.network.counts
+    per = size * STEADY_S
+    row = {
+        "messages_per_s": (counts["messages"] - before["messages"]) / per,
+        "bytes_per_s": (counts["bytes"] - before["bytes"]) / per,
+        "cpu_percent": 100 * spent / per,
+        "memory_kb": memory / size / 1024,
+    }
+    await domain.stop()
+    return row
+
+
+async def _deaths(size: int) -> tuple[list[float], list[float]]:
+    """Kill entries one after the other; a small domain starts anew each time."""
+    seen, owned = [], []
+    while len(seen) < FLAGS.trials:
+        domain = await _started(size, len(seen))
+        for _ in range(max(1, size // 8)):
+            if len(seen) < FLAGS.trials:
+                known_s, owned_s = await _one_death(domain, len(seen))
+                seen.append(known_s)
+                owned.append(owned_s)
+        await domain.stop()
+    return seen, owned
+
+
+async def _one_death(domain: MeasuredDomain, trial: int) -> tuple[float, float]:
+    await asyncio.sleep(trial * 0.37)
+    victim = sorted(domain.members)[trial % len(domain.members)]
+    lost = [name for name in domain.names if domain.tables[victim].is_ready(name)]
+    await domain.kill(victim)
+    began = asyncio.get_running_loop().time()
+    rest = tuple(domain.members)
+    while not domain.agree_on(*rest):
+        await asyncio.sleep(LOOK_S)
+    known_s = asyncio.get_running_loop().time() - began
+    while not domain.owned_once(lost):
+        await asyncio.sleep(LOOK_S)
+    return known_s, asyncio.get_running_loop().time() - began
+
+
+async def _lossy(size: int) -> tuple[int, int]:
+    domain = await _started(size, 2)
+    before = domain.sum_of("declared_dead"), domain.sum_of("suspected")
+    domain.network.loss = LOSS
+    await asyncio.sleep(LOSSY_S)
+    after = domain.sum_of("declared_dead"), domain.sum_of("suspected")
+    await domain.stop()
+    return after[0] - before[0], after[1] - before[1]
+
+
+async def _sockets(size: int) -> dict:
+    addresses = [free_address() for _ in range(size)]
+    kernels = []
+    for number in range(size):
+        kernel = Kernel()
+        cfg = _socket_settings(number, addresses)
+        kernel.add(zmq_bus.create(cfg.node, addresses[number]))
+        kernel.add(service.create(cfg))
+        kernel.add(ownership.create(cfg))
+        await kernel.start()
+        kernels.append(kernel)
+    await asyncio.sleep(SOCKET_SETTLE_S)
+    before = [kernel.dump()["bus"]["counts"] for kernel in kernels]
+    began = time.process_time()
+    await asyncio.sleep(SOCKET_S)
+    spent = time.process_time() - began
+    after = [kernel.dump()["bus"]["counts"] for kernel in kernels]
+    alive = [len(kernel.dump()["membership"]["members"]) for kernel in kernels]
+    for kernel in kernels:
+        await kernel.stop()
+    sent = sum(b["sent"] - a["sent"] for a, b in zip(before, after, strict=True))
+    size_ = sum(
+        b["sent_bytes"] - a["sent_bytes"] for a, b in zip(before, after, strict=True)
+    )
+    per = size * SOCKET_S
+    return {
+        "members": min(alive),
+        "messages_per_s": sent / per,
+        "bytes_per_s": size_ / per,
+        "cpu_percent": 100 * spent / per,
+    }
+
+
+def _socket_settings(number: int, addresses: list[str]):
+    import msgspec
+
+    base = settings_of(number)
+    members = [
+        msgspec.structs.replace(member, peers=addresses[i])
+        for i, member in enumerate(base.entries)
+    ]
+    listening = msgspec.structs.replace(base.addresses, peers=addresses[number])
+    return msgspec.structs.replace(base, entries=members, addresses=listening)
+
+
+def _slope(points: list[tuple[float, float]]) -> float:
+    return statistics.linear_regression(*zip(*points, strict=True)).slope
+
+
+def _print_steady(sizes: list[int], with_digests: bool) -> None:
+    title = "with digests of 22 services" if with_digests else "without digests"
+    print(f"steady, per entry, {title} (network in memory)")
+    rows = {size: loop.run(_steady(size, with_digests)) for size in sizes}
+    for size, row in rows.items():
+        cells = "  ".join(f"{name}={value:.3f}" for name, value in row.items())
+        print(f"  entries={size:3}  {cells}")
+    for name in rows[sizes[0]]:
+        slope = _slope([(size, row[name]) for size, row in rows.items()])
+        print(f"  slope of {name} by entries: {slope:.4f}")
+
+
+def _print_deaths(sizes: list[int]) -> None:
+    print("seconds from a death until every entry knows, and until all is owned")
+    for size in sizes:
+        for name, times in zip(
+            ("known", "owned"), loop.run(_deaths(size)), strict=True
+        ):
+            p50, worst = statistics.median(times), max(times)
+            print(f"  entries={size:3}  {name}: p50={p50:.2f}  max={worst:.2f}")
+
+
+def main(argv: list[str]) -> None:
+    """Print every table."""
+    logs.configure("ERROR")
+    sizes = [int(size) for size in FLAGS.sizes]
+    _print_steady(sizes, False)
+    _print_steady(sizes, True)
+    _print_deaths([2, 3, *sizes])
+    print(f"declared dead though alive, at {LOSS:.0%} loss for {LOSSY_S:.0f} s")
+    for size in [2, *sizes]:
+        dead, suspected = loop.run(_lossy(size))
+        print(f"  entries={size:3}  declared_dead={dead}  suspicions={suspected}")
+    print("per entry over real sockets")
+    for size in map(int, FLAGS.socket_sizes):
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            row = runner.run(_sockets(size))
+        cells = "  ".join(f"{name}={value:.3f}" for name, value in row.items())
+        print(f"  entries={size:3}  {cells}")
+
+
+if __name__ == "__main__":
+    app.run(main)
