--- a/fuchsiacroft/__main__.py
+++ b/fuchsiacroft/__main__.py
@@ -13,6 +13,7 @@
     "demo": "show the system on one machine, in under 30 s",
     "entry": "run an entry: take callers' requests and dispatch them",
     "control": "run a control member: configuration, ledger, leases, orders",
+    "console": "run the console: forms for operators",
     "check": "check settings and a document, and print every fault",
     "apply": "put a document in force everywhere",
     "status": "show versions, control members, entries, backend servers, queues",
@@ -20,6 +21,9 @@
     "diff": "show what differs between two versions",
     "rollback": "put an older version's document in force again",
     "dump": "print the whole state of a process",
+    "inspect": "show what a stopped control member's data folder holds",
+    "keys": "generate CURVE key pairs for the settings",
+    "replay": "play a recorded trace against a running system and judge it",
     "experiment": "replay traces under each policy set in a model",
     "standin": "run a stand-in model engine or plain application",
 }
--- a/fuchsiacroft/model/trace.py
+++ b/fuchsiacroft/model/trace.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from fuchsiacroft.routing.prefixes import TOKENS_PER_BLOCK
+
 BURST_PERIOD_S = 15.0
 BURST_S = 4.0
 BURST_FACTOR = 2.5
@@ -17,7 +19,10 @@
 
 
 class Arrival(msgspec.Struct, frozen=True):
-    """One request of a trace; `at_s` counts from the trace's start."""
+    """One request of a trace; `at_s` counts from the trace's start.
+
+    `resend_of` names an earlier arrival that is sent again with its key.
+    """
 
     at_s: float
     request_id: str
@@ -33,6 +38,7 @@
     idempotent: bool = True
     prefixes: tuple[int, ...] = ()
     crashes: bool = False
+    resend_of: str = ""
 
     @property
     def is_model(self) -> bool:
@@ -204,15 +210,16 @@
 
 
 def mean_work(deployment: Deployment, seed: int = 0) -> tuple[float, float]:
-    """Return mean prompt and output tokens of an arrival at a model service."""
+    """Return mean prompt, less what it shares, and output of a model arrival."""
     sample = [
         arrival
         for arrival in generate(deployment, 50.0, 200.0, seed)
         if arrival.is_model
     ]
-    prompt = sum(arrival.prompt_tokens for arrival in sample) / len(sample)
+    shared = sum(len(arrival.prefixes) for arrival in sample) * TOKENS_PER_BLOCK
+    prompt = sum(arrival.prompt_tokens for arrival in sample) - shared
     output = sum(arrival.output_tokens for arrival in sample) / len(sample)
-    return prompt, output
+    return prompt / len(sample), output
 
 
 def _of_kind(
--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -19,8 +19,9 @@
     RunOutcome,
     RunReport,
 )
+from fuchsiacroft.routing.estimates import Estimates
 from fuchsiacroft.routing.line import Line, later
-from fuchsiacroft.routing.order import Waiter
+from fuchsiacroft.routing.order import LAST_TRY, Waiter
 from fuchsiacroft.routing.owned import OwnedServer, Run
 from fuchsiacroft.routing.owners import Owners
 from fuchsiacroft.routing.policies import Decisions
@@ -32,7 +33,7 @@
 
 PRESS_PERIOD_S = 0.1
 SWEEP_PERIOD_S = 0.5
-LATEST_START_MARGIN = 0.9
+MIN_WAKE_S = 0.01
 MIN_WAIT_SHARE = 0.1
 SET_ASIDE_SHARE = 0.34
 NEW_DESK_S = 8.0
@@ -54,6 +55,7 @@
         self._life = uuid.uuid4().hex[:8]
         self._tasks = TaskGroup("desk")
         self._quarantine: Quarantine | None = None
+        self.neighbours: Callable[[str], tuple[int, int]] = lambda service: (0, 0)
         self.on_cut: Callable[[Permit, float], None] = lambda permit, retry_s: None
 
     async def start(self, kernel: Kernel) -> None:
@@ -75,7 +77,7 @@
                 name: {
                     "running": sorted(owned.running),
                     "room": owned.room(0),
-                    "limit": owned.limit.allowed(0),
+                    "limit": owned.limit.allowed(),
                     "slow": owned.health.is_slow,
                     "slowness": round(owned.health.slowness, 2),
                 }
@@ -140,7 +142,7 @@
     async def acquire(self, ask: Ask, position: int = 0) -> Result[Permit, Refusal]:
         """Wait for a permit until the ask's timeout."""
         line = self._line(ask.service)
-        waiter = self._waiter(ask, position)
+        waiter = self._waiter(ask, position, line)
         match self._treatment(ask):
             case Treatment.REFUSED:
                 return Error(Refusal(RefusalReason.QUARANTINED, 0.0))
@@ -171,7 +173,7 @@
         if owned is None or owned.server.boot_id != permit.boot_id:
             self._forget_cut(permit)
             return
-        run = owned.running.pop(permit.permit_id, None)
+        run = owned.remove(permit.permit_id)
         self._forget_cut(permit)
         if run is None:
             return
@@ -179,25 +181,40 @@
         for offer in owned.server.announcement.offers:
             self._serve(self._line(offer.service))
 
+    def note_first_token(self, permit: Permit) -> None:
+        """Note that a run's prefill is over, so that the next may begin."""
+        owned = self._owned.get(permit.backend_server)
+        if owned is not None and owned.end_prefill(permit.permit_id):
+            self._serve(self._line(permit.ask.service))
+
     def adopt(self, permit: Permit) -> bool:
         """Take over a run that goes on under an earlier owner's permit."""
         owned = self._owned.get(permit.backend_server)
         if owned is None or owned.server.boot_id != permit.boot_id:
             return False
         if permit.permit_id not in owned.running:
-            owned.running[permit.permit_id] = self._run(permit, owned)
+            owned.add(self._run(permit, owned))
         return True
 
     def note_served_elsewhere(self, ask: Ask) -> None:
         """Count a waiter that another owner served as one that left."""
         self._line(ask.service).waits.note_start(ask.rank)
 
+    def learn_elsewhere(self, ask: Ask, generation: str, report: RunReport) -> None:
+        """Learn a speed from an own run on another owner's backend server."""
+        self._decisions.estimates.note(ask, generation, 0, report)
+
     def prefix_gain_s(self, ask: Ask, backend_server: str, generation: str) -> float:
         """Return the seconds of prefill that its cache is likely to save."""
         cached = self._decisions.prefixes.cached_tokens(ask, backend_server)
         speed = self._decisions.estimates.speed(ask.service, generation)
         return cached / speed.prefill_tokens_per_s.value
 
+    @property
+    def estimates(self) -> Estimates:
+        """Return the measured speeds."""
+        return self._decisions.estimates
+
     def note_run_elsewhere(self, ask: Ask, backend_server: str) -> None:
         """Note where a run was dispatched under another owner's permit."""
         self._decisions.prefixes.note_run(ask, backend_server)
@@ -219,21 +236,32 @@
 
     def _new_owned(self, server: BackendServer) -> OwnedServer:
         joined_at = self._joined.get(server.boot_id, now())
+        services = tuple(offer.service for offer in server.announcement.offers)
         is_new = joined_at > self._started_at + NEW_DESK_S
         return OwnedServer(
             server=server,
             limit=self._decisions.limit(
                 server.announcement, joined_at if is_new else None
             ),
-            health=self._decisions.health(self._may_set_aside),
+            health=self._decisions.health(lambda: self._may_set_aside(services)),
+            reserve=self._decisions.reserve(),
         )
 
-    def _may_set_aside(self) -> bool:
-        slow = sum(owned.health.is_slow for owned in self._owned.values())
-        return (slow + 1) <= max(1, SET_ASIDE_SHARE * len(self._owned))
+    def _may_set_aside(self, services: tuple[str, ...]) -> bool:
+        """Tell whether the rest of the domain can carry the services."""
+        for service in services:
+            line = self._line(service)
+            servers, slow = self.neighbours(service)
+            servers += len(line.servers)
+            slow += sum(owned.health.is_slow for owned in line.servers.values())
+            if servers < 2 or slow + 1 > max(1, SET_ASIDE_SHARE * servers):
+                return False
+        return True
 
-    def _waiter(self, ask: Ask, position: int) -> Waiter:
-        run_s = self._decisions.estimates.run_s(ask)
+    def _waiter(self, ask: Ask, position: int, line: Line) -> Waiter:
+        estimates = self._decisions.estimates
+        run_s = estimates.run_s(ask)
+        longest_s = line.slowest_run_s(ask, estimates) * estimates.overrun(ask.service)
         arrived_at = now()
         deadline = arrived_at + ask.timeout_s
         earliest = arrived_at + MIN_WAIT_SHARE * ask.timeout_s
@@ -243,7 +271,7 @@
             arrived_at=arrived_at,
             deadline=deadline,
             run_s=run_s,
-            latest_start=max(deadline - LATEST_START_MARGIN * run_s, earliest),
+            latest_start=max(deadline - longest_s, earliest),
             fut=asyncio.get_running_loop().create_future(),
             position=position,
         )
@@ -251,10 +279,12 @@
     def _enqueue(self, waiter: Waiter, line: Line) -> Refusal | None:
         shed = self._decisions.shed
         servers = list(line.servers.values())
-        if not shed.admits(waiter, line.queue, line.waits, servers):
+        if not self._may_wait(waiter, line, servers):
             self._evict_lower(waiter.ask.rank, line)
             return self._refusal(RefusalReason.OVERLOADED, waiter.ask, line)
         line.queue.add(waiter)
+        if waiter.position == LAST_TRY:
+            self._serve(line)
         press_at = shed.press_at(waiter)
         if press_at is not None:
             later(waiter, press_at, self._press, waiter, line)
@@ -263,6 +293,16 @@
             later(waiter, give_up_at, self._give_up, waiter, line)
         return None
 
+    def _may_wait(self, waiter: Waiter, line: Line, servers: list[OwnedServer]) -> bool:
+        shed = self._decisions.shed
+        rank = waiter.ask.rank
+        if waiter.position == LAST_TRY:
+            has_room = any(owned.room(rank) > 0 for owned in servers)
+            return has_room or shed.victim(rank, servers) is not None
+        if waiter.position > 0:
+            return True
+        return shed.admits(waiter, line.queue, line.waits, servers)
+
     def _serve(self, line: Line) -> None:
         self._serve_alone(line)
         while True:
@@ -274,11 +314,26 @@
                 continue
             owned = self._choose(waiter.ask, line)
             if owned is None:
+                self._wake_later(line)
                 return
-            line.queue.remove(waiter)
-            line.queue.started(waiter)
-            line.waits.note_start(waiter.ask.rank)
-            waiter.fut.set_result(Ok(self._grant(waiter.ask, owned)))
+            self._start(waiter, line, owned)
+
+    def _start(self, waiter: Waiter, line: Line, owned: OwnedServer) -> None:
+        line.queue.remove(waiter)
+        line.queue.started(waiter)
+        line.waits.note_start(waiter.ask.rank)
+        waiter.fut.set_result(Ok(self._grant(waiter.ask, owned)))
+
+    def _wake_later(self, line: Line) -> None:
+        end = line.next_prefill_end()
+        if end is None or line.wake is not None:
+            return
+        at = max(end, now() + MIN_WAKE_S)
+        line.wake = asyncio.get_running_loop().call_at(at, self._wake, line)
+
+    def _wake(self, line: Line) -> None:
+        line.wake = None
+        self._serve(line)
 
     def _serve_alone(self, line: Line) -> None:
         for waiter in list(line.alone):
@@ -333,7 +388,7 @@
             owner=self._node,
             cut=asyncio.get_running_loop().create_future(),
         )
-        owned.running[permit.permit_id] = self._run(permit, owned)
+        owned.add(self._run(permit, owned))
         owned.health.note_start()
         self._decisions.prefixes.note_run(ask, owned.name)
         return permit
@@ -347,6 +402,7 @@
             permit=permit,
             started_at=now(),
             expected_s=speed.run_s(permit.ask, ratio, cached),
+            prefill_s=speed.prefill_s(permit.ask, cached),
             cached_tokens=cached,
         )
 
@@ -359,28 +415,33 @@
 
     def _learn(self, owned: OwnedServer, run: Run, report: RunReport) -> None:
         ask = run.permit.ask
-        if report.outcome is RunOutcome.UNUSED:
+        if report.outcome is RunOutcome.UNUSED or run.is_foreign:
             return
         if report.outcome is RunOutcome.CONNECTION_LOST:
             owned.note_lost(ask.fingerprint)
         if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
             self._quarantine.clear(ask.fingerprint)
         estimates = self._decisions.estimates
-        speed = estimates.speed(ask.service, owned.generation)
-        owned.health.note(ask, speed, run.expected_s, report)
+        usual = estimates.reference(ask.service, owned.generation)
+        owned.health.note(ask, usual, run.expected_s, report)
         owned.limit.note(ask, len(owned.running), report)
         if not owned.health.is_slow:
-            estimates.note(ask, owned.generation, run.cached_tokens, report)
+            filled = ask.size.prompt_tokens - run.cached_tokens
+            filled = filled if run.was_first_prefill else 0
+            estimates.note(ask, owned.generation, filled, report)
+            if report.outcome is RunOutcome.COMPLETED:
+                ratio = run.spent_s() / run.expected_s
+                estimates.note_overrun(ask.service, ratio)
 
     def _press(self, waiter: Waiter, line: Line) -> None:
         if waiter.is_settled or not waiter.queued:
             return
         line.pressing.add(waiter)
-        if len(line.cuts_pending) < len(line.pressing):
-            servers = [
-                owned for owned in line.servers.values() if not owned.health.is_slow
-            ]
-            run = self._decisions.shed.victim(waiter.ask.rank, servers)
+        servers = [owned for owned in line.servers.values() if not owned.health.is_slow]
+        rank = waiter.ask.rank
+        is_full = all(owned.free(rank) <= 0 for owned in servers)
+        if is_full and len(line.cuts_pending) < len(line.pressing):
+            run = self._decisions.shed.victim(rank, servers)
             if run is not None:
                 self._cut(run, line)
         later(waiter, now() + PRESS_PERIOD_S, self._press, waiter, line)
@@ -405,7 +466,9 @@
             return
         servers = list(line.servers.values())
         victim = self._decisions.shed.victim(waiter.ask.rank, servers)
-        if victim is not None or line.cuts_pending:
+        if victim is not None:
+            self._cut(victim, line)
+        if line.cuts_pending:
             later(waiter, now() + PRESS_PERIOD_S, self._give_up, waiter, line)
             return
         self._evict_lower(waiter.ask.rank, line)
@@ -444,6 +507,7 @@
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
             for owned in list(self._owned.values()):
+                owned.share = self._owners.share(owned.name)
                 self._look_for_overdue(owned)
             for line in self._lines.values():
                 self._serve(line)
@@ -452,6 +516,7 @@
         overdue = sum(
             health.is_overdue(run.spent_s(), run.expected_s)
             for run in owned.running.values()
+            if not run.is_foreign
         )
         owned.health.note_overdue(overdue)
 
--- a/fuchsiacroft/routing/estimates.py
+++ b/fuchsiacroft/routing/estimates.py
@@ -6,10 +6,14 @@
 
 import math
 from dataclasses import dataclass
+from statistics import median
 
 from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport
 
 NEW_WEIGHT = 0.1
+QUANTILE = 0.95
+STEP = 0.03
+FIRST_OVERRUN = 1.2
 DEFAULT_TOKEN_GAP_S = 0.03
 DEFAULT_PREFILL_TOKENS_PER_S = 5_000.0
 DEFAULT_PLAIN_RUN_S = 0.05
@@ -17,6 +21,8 @@
 MIN_OUTPUT_TOKENS = 3
 MIN_PLAIN_SAMPLES = 10
 FLOOR_RISE = 1.0005
+MAX_PEERS = 16
+MIN_RUNS = 5
 
 
 @dataclass(slots=True)
@@ -33,6 +39,19 @@
         self.value += weight * (sample - self.value)
 
 
+class UpperBound:
+    """Follows a high quantile of a ratio by small steps."""
+
+    def __init__(self, value: float) -> None:
+        self.value = value
+
+    def add(self, sample: float) -> None:
+        """Move up if the sample is above, and a little down if below."""
+        above = sample > self.value
+        step = QUANTILE if above else QUANTILE - 1.0
+        self.value = max(1.0, self.value + STEP * step)
+
+
 class Speed:
     """The speed of one service on one hardware generation."""
 
@@ -62,6 +81,14 @@
         return wanted / self.prefill_tokens_per_s.value
 
 
+@dataclass(frozen=True, slots=True)
+class Reference:
+    """What a generation usually takes, by the median of several entries."""
+
+    token_gap_s: float
+    plain_run_s: float
+
+
 class Estimates:
     """Speeds by service and generation, and how much of its limit is written."""
 
@@ -69,6 +96,46 @@
         self._speeds: dict[tuple[str, str], Speed] = {}
         self._services: dict[str, Speed] = {}
         self._output_ratios: dict[str, Average] = {}
+        self._overruns: dict[str, UpperBound] = {}
+        self._peers: dict[tuple[str, str], dict[str, Reference]] = {}
+
+    def note_peer(self, node: str, kind: tuple[str, str], seen: Reference) -> None:
+        """Note what another entry has measured of a service and generation."""
+        peers = self._peers.setdefault(kind, {})
+        peers.pop(node, None)
+        peers[node] = seen
+        if len(peers) > MAX_PEERS:
+            del peers[next(iter(peers))]
+
+    def reference(self, service: str, generation: str) -> Reference:
+        """Return the median of the own and the other entries' measurements."""
+        speed = self.speed(service, generation)
+        own = Reference(speed.token_gap_s.value, speed.plain_run_s.value)
+        seen = [own, *self._peers.get((service, generation), {}).values()]
+        return Reference(
+            median(entry.token_gap_s for entry in seen),
+            median(entry.plain_run_s for entry in seen),
+        )
+
+    def measured(self) -> dict[tuple[str, str], Reference]:
+        """Return the own measurements that rest on several runs."""
+        return {
+            kind: Reference(speed.token_gap_s.value, speed.plain_run_s.value)
+            for kind, speed in self._speeds.items()
+            if speed.token_gap_s.samples + speed.plain_run_s.samples >= MIN_RUNS
+        }
+
+    def overrun(self, service: str) -> float:
+        """Return how many times the expected time nineteen in twenty runs keep to."""
+        bound = self._overruns.get(service)
+        return FIRST_OVERRUN if bound is None else bound.value
+
+    def note_overrun(self, service: str, ratio: float) -> None:
+        """Take in a run's time over its expected time."""
+        bound = self._overruns.get(service)
+        if bound is None:
+            bound = self._overruns[service] = UpperBound(FIRST_OVERRUN)
+        bound.add(ratio)
 
     def speed(self, service: str, generation: str) -> Speed:
         """Return the speed of a service on a generation."""
@@ -86,13 +153,23 @@
         ratio = self._output_ratios.get(service)
         return 1.0 if ratio is None else ratio.value
 
-    def note(self, ask: Ask, generation: str, cached: int, report: RunReport) -> None:
-        """Learn from a run that completed."""
+    def note(
+        self,
+        ask: Ask,
+        generation: str,
+        filled_tokens: int,
+        report: RunReport,
+    ) -> None:
+        """Learn from a run that completed.
+
+        `filled_tokens` were prefilled with no other prompt beside them; 0
+        when others were.
+        """
         if report.outcome is not RunOutcome.COMPLETED:
             return
         whole = self._services.setdefault(ask.service, Speed())
         for speed in (whole, self.speed(ask.service, generation)):
-            _learn(speed, ask, cached, report)
+            _learn(speed, ask, filled_tokens, report)
         if is_model(ask) and report.output_tokens:
             ratio = self._output_ratios.setdefault(ask.service, Average(1.0))
             ratio.add(min(1.0, report.output_tokens / ask.size.output_tokens))
@@ -114,14 +191,13 @@
     return ask.size.output_tokens > 0
 
 
-def _learn(speed: Speed, ask: Ask, cached: int, report: RunReport) -> None:
+def _learn(speed: Speed, ask: Ask, filled_tokens: int, report: RunReport) -> None:
     if not is_model(ask):
         speed.note_plain(report.duration_s)
         return
     if report.token_gap_s is not None and report.output_tokens >= MIN_OUTPUT_TOKENS:
         speed.token_gap_s.add(report.token_gap_s)
-    filled = ask.size.prompt_tokens - cached
-    if report.first_token_s and filled >= MIN_PROMPT_TOKENS:
-        rate = filled / report.first_token_s
+    if report.first_token_s and filled_tokens >= MIN_PROMPT_TOKENS:
+        rate = filled_tokens / report.first_token_s
         if math.isfinite(rate):
             speed.prefill_tokens_per_s.add(rate)
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -27,12 +27,14 @@
 from fuchsiacroft.routing.messages import (
     AskPermit,
     CutRun,
+    FirstToken,
     PermitGiven,
     PermitRefused,
     ReleasePermit,
     RenewPermits,
     WithdrawAsk,
 )
+from fuchsiacroft.routing.order import LAST_TRY
 from fuchsiacroft.routing.owners import Owners
 from fuchsiacroft.routing.quarantine import Quarantine
 from fuchsiacroft.routing.race import Race
@@ -117,11 +119,22 @@
                     self._retries.note_refused(ask)
         return outcome
 
+    def note_first_token(self, permit: Permit) -> None:
+        """Tell the owner that a run's first token has come."""
+        if permit.owner == self._node:
+            self._desk.note_first_token(permit)
+        else:
+            self._send(permit.owner, FirstToken(permit.permit_id))
+
     def release(self, permit: Permit, report: RunReport) -> None:
         """Give a permit back to its owner, or to the one that took over."""
         self._held.pop(permit.permit_id, None)
         if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
             self._quarantine.clear(permit.ask.fingerprint)
+        server = self._directory.get(permit.backend_server)
+        if permit.owner != self._node and server is not None:
+            generation = server.announcement.generation
+            self._desk.learn_elsewhere(permit.ask, generation, report)
         for owner in self._owners_for(permit):
             if owner == self._node:
                 self._desk.release(permit, report)
@@ -149,10 +162,11 @@
         ask_id = uuid.uuid4().hex
         started_at = now()
         try:
-            if first is not None and first != self._node:
+            if first is not None:
                 race.start(first, self._try(first, ask_id, ask, 0, race))
-                await race.wait(MAX_HEAD_START_S)
-            while race.winner is None:
+                head_start_s = 0.0 if first == self._node else MAX_HEAD_START_S
+                await race.wait(head_start_s)
+            while race.winner is None and not _is_refused_early(race, first):
                 waited_s = now() - started_at
                 if waited_s >= ask.timeout_s:
                     break
@@ -166,8 +180,23 @@
             return Error(self._desk.refusal(RefusalReason.NO_BACKEND_SERVER, ask))
         if race.winner is not None and race.winner.owner != self._node:
             self._desk.note_served_elsewhere(ask)
+        if _is_refused_early(race, first):
+            return await self._last_tries(race, first, ask, now() - started_at)
         return self._outcome(race, ask)
 
+    async def _last_tries(
+        self, race: Race, first: str, ask: Ask, waited_s: float
+    ) -> Result[Permit, Refusal]:
+        left = _shortened(ask, waited_s)
+        for node in list(self._owners_of(ask))[:MAX_OWNERS]:
+            if node == first:
+                continue
+            ask_id = uuid.uuid4().hex
+            match await self._try(node, ask_id, left, LAST_TRY, race):
+                case Result(tag="ok", ok=permit):
+                    return Ok(permit)
+        return Error(race.refusal_of(first))
+
     def _outcome(self, race: Race, ask: Ask) -> Result[Permit, Refusal]:
         if race.winner is None and not race.has_refusals:
             return Error(self._desk.refusal(RefusalReason.TIMED_OUT, ask))
@@ -236,9 +265,12 @@
         return known
 
     def _first(self, ask: Ask, known: dict[str, list[BackendServer]]) -> str | None:
+        if self._node in known:
+            best = self._node
+        else:
+            best = self._random.choice(list(known)) if known else None
         if self._policies.route != "expected_finish" or not ask.prefixes:
-            return self._node if self._node in known else None
-        best = self._node if self._node in known else None
+            return best
         most = MIN_GAIN_S + self._gain_s(ask, known.get(self._node, []))
         for node, servers in known.items():
             gain_s = self._gain_s(ask, servers)
@@ -279,6 +311,10 @@
 
     def _on_heard(self, server: BackendServer) -> None:
         self._desk.note(server)
+        self.note_owner(server)
+
+    def note_owner(self, server: BackendServer) -> None:
+        """Own a backend server, or not, by who owns it now."""
         owner: Member | None = self._owners.owner_of(server.name)
         if owner is not None and owner.node == self._node:
             self._desk.own(server)
@@ -293,6 +329,13 @@
     return Scheduler(settings, owned_by or owners.create(settings), seed)
 
 
+def _is_refused_early(race: Race, first: str | None) -> bool:
+    if first is None or race.winner is not None:
+        return False
+    refusal = race.refusal_of(first)
+    return refusal is not None and refusal.reason is RefusalReason.OVERLOADED
+
+
 def _permit(ask: Ask, owner: str, given: PermitGiven) -> Permit:
     return Permit(
         permit_id=given.permit_id,
