Dispatch at most once, resume streams, and answer cuts and deadlines at once

Cause: aiohttp's client sends GET, PUT, DELETE and HEAD a second time when the connection is lost, also on a new connection (force_close does not switch it off), so an idempotent method was dispatched twice. The time before the head of an answer did not obey the deadline, a cut did nothing, a broken stream was not resumed, plain services were sent POST /runs/ID/cancel, a booking whose caller left was cancelled midway, and refusals carried the request id "none".

An Attempt (an aiohttp client middleware) refuses the second sending and knows whether a byte may have left; a Run holds one request under one permit, ends at its deadline or cut, resumes by offset on the same boot, and releases its permit and settles its claim once. Non-idempotent runs go on when their caller leaves. Callers' HTTP moves to aiohttp's low-level server, so that requests which the parser refuses get a problem document too.

The benchmark now measures first tokens of streams opened at 60/s while the others run; the ramp is left out.

--- a/fuchsiacroft/config/held.py
+++ b/fuchsiacroft/config/held.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 
+from fuchsiacroft.config import defaults
 from fuchsiacroft.config import delta as deltas
 from fuchsiacroft.config.delta import Delta
 from fuchsiacroft.config.document import Document, Rule, ServiceSpec, Tier, Workspace
@@ -11,6 +12,8 @@
 from fuchsiacroft.utils.logs import event
 
 HELD_DELTAS = 1_000
+MAX_LABELLED_WORKSPACES = 50
+OTHER_WORKSPACES = "other"
 EMPTY = Document(tiers=[], services=[], workspaces=[])
 
 
@@ -48,6 +51,19 @@
         """Return the tier of that name."""
         return self._tiers.get(name)
 
+    @property
+    def max_model_body_bytes(self) -> int:
+        """Return the largest body that any model service takes."""
+        return self._max_model_body_bytes
+
+    def workspace_label(self, name: str) -> str:
+        """Return a workspace's name for metrics, or `other` for most of them.
+
+        The workspaces with the largest shares keep their names, the same ones
+        on every entry, so that the number of time series stays bounded.
+        """
+        return name if name in self._labelled else OTHER_WORKSPACES
+
     def rule(self, service: str, method: str, path: str) -> Rule | None:
         """Return the first rule that matches a request."""
         for rule in self._rules.get(service, ()):
@@ -121,6 +137,21 @@
         }
         self._services = {spec.name: spec for spec in self.document.services}
         self._tiers = {tier.name: tier for tier in self.document.tiers}
+        self._max_model_body_bytes = max(
+            (
+                spec.max_body_bytes
+                for spec in self.document.services
+                if spec.kind == "model"
+            ),
+            default=defaults.MAX_BODY_BYTES,
+        )
+        largest = sorted(
+            self.document.workspaces,
+            key=lambda workspace: (-workspace.share, workspace.name),
+        )
+        self._labelled = frozenset(
+            workspace.name for workspace in largest[:MAX_LABELLED_WORKSPACES]
+        )
         self._rules: dict[str, list[Rule]] = {}
         for rule in self.document.rules:
             self._rules.setdefault(rule.service, []).append(rule)
--- a/fuchsiacroft/entry/admission.py
+++ b/fuchsiacroft/entry/admission.py
@@ -1,7 +1,6 @@
 """Turns a caller's HTTP request into a `CallerRequest`, or refuses it."""
 
 import math
-import uuid
 from dataclasses import dataclass
 
 import msgspec
@@ -11,7 +10,9 @@
 
 from fuchsiacroft.config.document import ServiceSpec, Tier, Workspace, hash_key
 from fuchsiacroft.config.held import HeldDocument
-from fuchsiacroft.entry import prefixes
+from fuchsiacroft.entry import checks, heads, prefixes
+from fuchsiacroft.entry.body import HeldBodies, too_large
+from fuchsiacroft.entry.exchange import Exchange
 from fuchsiacroft.entry.ledger_key import is_past_retention, ledger_key
 from fuchsiacroft.entry.problems import Problem, Ran
 from fuchsiacroft.entry.request import CallerRequest
@@ -24,27 +25,6 @@
 DEFAULT_OUTPUT_TOKENS = 256
 MAX_KEY_LENGTH = 255
 
-HOP_HEADERS = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "idempotency-key",
-        "fuchsiacroft-tier",
-        "fuchsiacroft-timeout",
-        "fuchsiacroft-request-id",
-    }
-)
-
 
 class ModelBody(msgspec.Struct):
     """The fields of an OpenAI-shaped request that scheduling reads."""
@@ -71,17 +51,29 @@
 class Admission:
     """Checks requests against the document in force."""
 
-    def __init__(self, document: HeldDocument) -> None:
+    def __init__(self, document: HeldDocument, bodies: HeldBodies) -> None:
         self._document = document
+        self._bodies = bodies
 
-    async def model(self, req: web.Request, path: str) -> Admitted:
+    async def model(self, exchange: Exchange) -> Admitted:
         """Admit a request to a model service; its body names the service."""
-        match self._workspace(req):
+        http = exchange.http
+        match self._workspace(http):
             case Result(tag="ok", ok=workspace):
                 pass
             case Result(error=problem):
                 return Error(problem)
-        body = await req.read()
+        match await self._bodies.read(http, self._document.max_model_body_bytes):
+            case Result(tag="ok", ok=body):
+                pass
+            case Result(error=problem):
+                return Error(problem)
+        admitted = self._model(exchange, workspace, body)
+        if admitted.is_error():
+            self._bodies.release(body)
+        return admitted
+
+    def _model(self, exchange: Exchange, workspace: Workspace, body: bytes) -> Admitted:
         try:
             fields = msgspec.json.decode(body, type=ModelBody)
         except (msgspec.MsgspecError, RecursionError) as exc:
@@ -91,18 +83,19 @@
             detail = f'no model service "{fields.model}"'
             return Error(Problem(404, "unknown_service", detail))
         if len(body) > spec.max_body_bytes:
-            return Error(_too_large(spec))
+            return Error(too_large(spec.max_body_bytes))
         wanted = fields.max_completion_tokens or fields.max_tokens
         size = WorkSize(
             prompt_tokens=len(body) // BYTES_PER_TOKEN,
             output_tokens=max(1, wanted or DEFAULT_OUTPUT_TOKENS),
         )
-        content = Content(path, body, size, fields.stream)
-        return self._admit(req, workspace, spec, content)
+        content = Content(exchange.http.raw_path, body, size, fields.stream)
+        return self._admit(exchange, workspace, spec, content)
 
-    async def plain(self, req: web.Request, name: str, path: str) -> Admitted:
+    async def plain(self, exchange: Exchange, name: str, target: str) -> Admitted:
         """Admit a request to a plain service, named in the path."""
-        match self._workspace(req):
+        http = exchange.http
+        match self._workspace(http):
             case Result(tag="ok", ok=workspace):
                 pass
             case Result(error=problem):
@@ -110,21 +103,31 @@
         spec = self._document.service(name)
         if spec is None or spec.kind != "plain":
             return Error(Problem(404, "unknown_service", f'no plain service "{name}"'))
-        if (req.content_length or 0) > spec.max_body_bytes:
-            return Error(_too_large(spec))
-        body = None
-        rule = self._document.rule(name, req.method, path)
-        if not req.can_read_body or (rule is not None and not rule.idempotent):
-            body = await req.read()
-        return self._admit(req, workspace, spec, Content(path, body))
+        if (http.content_length or 0) > spec.max_body_bytes:
+            return Error(too_large(spec.max_body_bytes))
+        if not http.can_read_body:
+            return self._admit(exchange, workspace, spec, Content(target, b""))
+        rule = self._document.rule(name, http.method, checks.decoded_path(target))
+        if rule is None or rule.idempotent:
+            return self._admit(exchange, workspace, spec, Content(target, None))
+        match await self._bodies.read(http, spec.max_body_bytes):
+            case Result(tag="ok", ok=body):
+                pass
+            case Result(error=problem):
+                return Error(problem)
+        admitted = self._admit(exchange, workspace, spec, Content(target, body))
+        if admitted.is_error():
+            self._bodies.release(body)
+        return admitted
 
     def _admit(
         self,
-        req: web.Request,
+        exchange: Exchange,
         workspace: Workspace,
         spec: ServiceSpec,
         content: Content,
     ) -> Admitted:
+        req = exchange.http
         match self._tier(req, workspace, spec):
             case Result(tag="ok", ok=tier):
                 pass
@@ -134,7 +137,8 @@
         if timeout_s is None:
             detail = f"{TIMEOUT_HEADER} must be a positive number of seconds"
             return Error(Problem(400, "malformed", detail))
-        rule = self._document.rule(spec.name, req.method, content.path)
+        path = checks.decoded_path(content.path)
+        rule = self._document.rule(spec.name, req.method, path)
         idempotent = rule is None or rule.idempotent
         key = req.headers.get(KEY_HEADER, "")
         if not idempotent and rule.key_required and not key:
@@ -147,7 +151,7 @@
             return Error(Problem(409, "key_expired", detail, Ran.MAYBE))
         digest = _digest(req.method, content)
         ask = Ask(
-            request_id=uuid.uuid4().hex,
+            request_id=exchange.request_id,
             service=spec.name,
             rank=tier.rank,
             timeout_s=timeout_s,
@@ -164,10 +168,13 @@
             CallerRequest(
                 request_id=ask.request_id,
                 spec=spec,
+                tier=tier.name,
                 ask=ask,
                 method=req.method,
                 path=content.path,
-                headers=_passed_headers(req),
+                headers=heads.from_caller(
+                    req.headers.items(), req.headers.get("Connection", "")
+                ),
                 body=content.body,
                 stream=content.stream,
                 ledger_key=None
@@ -176,7 +183,7 @@
             )
         )
 
-    def _workspace(self, req: web.Request) -> Result[Workspace, Problem]:
+    def _workspace(self, req: web.BaseRequest) -> Result[Workspace, Problem]:
         scheme, _, key = req.headers.get("Authorization", "").partition(" ")
         workspace = None
         if scheme.lower() == "bearer":
@@ -186,7 +193,7 @@
         return Ok(workspace)
 
     def _tier(
-        self, req: web.Request, workspace: Workspace, spec: ServiceSpec
+        self, req: web.BaseRequest, workspace: Workspace, spec: ServiceSpec
     ) -> Result[Tier, Problem]:
         name = req.headers.get(TIER_HEADER, workspace.tier)
         tier = self._document.tier(name)
@@ -209,11 +216,7 @@
     return digest.digest()
 
 
-def _too_large(spec: ServiceSpec) -> Problem:
-    return Problem(413, "too_large", f"at most {spec.max_body_bytes} bytes")
-
-
-def _timeout(req: web.Request, tier: Tier) -> float | None:
+def _timeout(req: web.BaseRequest, tier: Tier) -> float | None:
     text = req.headers.get(TIMEOUT_HEADER)
     if text is None:
         return tier.timeout_s
@@ -224,14 +227,3 @@
     if not math.isfinite(wanted) or wanted <= 0:
         return None
     return min(wanted, tier.timeout_s)
-
-
-def _passed_headers(req: web.Request) -> tuple[tuple[str, str], ...]:
-    dropped = {
-        name.strip().lower() for name in req.headers.get("Connection", "").split(",")
-    }
-    return tuple(
-        (name, value)
-        for name, value in req.headers.items()
-        if name.lower() not in HOP_HEADERS and name.lower() not in dropped
-    )
--- a/fuchsiacroft/entry/backend_client.py
+++ b/fuchsiacroft/entry/backend_client.py
@@ -1,46 +1,103 @@
-"""Opens runs on backend servers over HTTP.
+"""Opens runs on backend servers over HTTP, each at most once.
 
-A request is written to one connection once. When the connection could not be
-opened, nothing was written; after that, the request may have run.
+aiohttp sends an idempotent method again by itself when the connection is lost,
+also on a new connection. An `Attempt` forbids the second sending and knows
+whether a byte of the request may have left.
 """
 
 import asyncio
+import enum
+from collections.abc import AsyncIterator
 
 import aiohttp
 from expression import Error, Ok, Result
+from yarl import URL
 
 from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
 from fuchsiacroft.entry.request import CallerRequest
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.routing.ask import Permit, RunOutcome
+from fuchsiacroft.utils.tasks import TaskGroup
 
+BOOT_ID_HEADER = "Fuchsiacroft-Boot-Id"
 CONNECT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 2.0
+CANCEL_TRIES = 3
+CANCEL_PAUSE_S = 0.2
+RESUME_TIMEOUT_S = 5.0
 READ_BUFFER_BYTES = 64 * 1024
+SKIPPED_HEADERS = ("User-Agent", "Accept-Encoding", "Accept", "Content-Type")
+
+Body = bytes | AsyncIterator[bytes] | None
+
+
+class AlreadySentError(aiohttp.ClientError):
+    """aiohttp tried to send a request a second time."""
+
+
+class Attempt:
+    """One try to dispatch; `sent` means that a byte may have left."""
+
+    def __init__(self) -> None:
+        self.sent = False
+
+    async def __call__(
+        self, req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        """Let the request through once (an aiohttp client middleware)."""
+        if self.sent:
+            raise AlreadySentError
+        req.attempt = self
+        return await handler(req)
+
+
+class SentOnceRequest(aiohttp.ClientRequest):
+    """Notes on its attempt when it begins to write to a connection."""
+
+    attempt: Attempt
+
+    async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
+        """Write the request."""
+        self.attempt.sent = True
+        return await super().send(conn)
+
+
+class ResumeError(enum.Enum):
+    """Why a stream was not resumed."""
+
+    RUN_GONE = "run_gone"
+    UNREACHABLE = "unreachable"
 
 
 class BackendClient(Service):
-    """The HTTP connections to backend servers."""
+    """The HTTP connections to backend servers, a new one for each request."""
 
     name = "backend_client"
 
+    def __init__(self) -> None:
+        self._tasks = TaskGroup("backend_client")
+
     async def start(self, kernel: Kernel) -> None:
-        """Open the connection pool."""
+        """Open the session."""
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            connector=aiohttp.TCPConnector(
+                limit=0, force_close=True, happy_eyeballs_delay=None
+            ),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            request_class=SentOnceRequest,
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
-            skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"),
+            skip_auto_headers=SKIPPED_HEADERS,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
     async def stop(self) -> None:
         """Close every connection."""
+        await self._tasks.cancel()
         await self._session.close()
 
     async def open(
-        self, permit: Permit, req: CallerRequest, body
+        self, permit: Permit, req: CallerRequest, body: Body, attempt: Attempt
     ) -> Result[aiohttp.ClientResponse, RunOutcome]:
         """Dispatch the request and return the answer's head.
 
@@ -50,25 +107,63 @@
         try:
             response = await self._session.request(
                 req.method,
-                f"http://{permit.address}{req.path}",
+                URL(f"http://{permit.address}{req.path}", encoded=True),
                 headers=headers,
                 data=body,
                 allow_redirects=False,
+                middlewares=(attempt,),
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            return Error(RunOutcome.NOT_DISPATCHED)
         except (aiohttp.ClientError, OSError):
-            return Error(RunOutcome.CONNECTION_LOST)
+            if attempt.sent:
+                return Error(RunOutcome.CONNECTION_LOST)
+            return Error(RunOutcome.NOT_DISPATCHED)
         return Ok(response)
 
-    async def cancel(self, permit: Permit) -> None:
-        """Tell a backend server to end a run; it may be gone."""
-        url = f"http://{permit.address}/runs/{permit.ask.request_id}/cancel"
+    async def resume(
+        self, permit: Permit, offset: int
+    ) -> Result[aiohttp.ClientResponse, ResumeError]:
+        """Read on a run of the same boot from a byte offset of its stream."""
+        run = f"/runs/{permit.ask.request_id}?offset={offset}"
+        headers = {BOOT_ID_HEADER: permit.boot_id}
         try:
-            async with asyncio.timeout(CANCEL_TIMEOUT_S):
-                (await self._session.post(url)).close()
+            async with asyncio.timeout(RESUME_TIMEOUT_S):
+                response = await self._session.get(
+                    URL(f"http://{permit.address}{run}", encoded=True),
+                    headers=headers,
+                    allow_redirects=False,
+                    middlewares=(Attempt(),),
+                )
         except (aiohttp.ClientError, OSError, TimeoutError):
-            return
+            return Error(ResumeError.UNREACHABLE)
+        if _continues(response, permit):
+            return Ok(response)
+        response.close()
+        return Error(ResumeError.RUN_GONE)
+
+    def cancel(self, permit: Permit) -> None:
+        """Tell a model engine in the background to end a run."""
+        self._tasks.spawn(self._cancel(permit), "cancel-run")
+
+    async def _cancel(self, permit: Permit) -> None:
+        url = f"http://{permit.address}/runs/{permit.ask.request_id}/cancel"
+        for _ in range(CANCEL_TRIES):
+            try:
+                async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                    response = await self._session.post(url, middlewares=(Attempt(),))
+                    response.close()
+                    return
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                await asyncio.sleep(CANCEL_PAUSE_S)
+
+
+def _continues(response: aiohttp.ClientResponse, permit: Permit) -> bool:
+    request_id = permit.ask.request_id
+    return (
+        response.status == 200
+        and response.content_type == "text/event-stream"
+        and response.headers.get(REQUEST_ID_HEADER, request_id) == request_id
+        and (response.headers.get(BOOT_ID_HEADER) or permit.boot_id) == permit.boot_id
+    )
 
 
 def create() -> BackendClient:
--- /dev/null
+++ b/fuchsiacroft/entry/body.py
@@ -0,0 +1,102 @@
+"""Reads callers' bodies, with bounds on size, time and memory."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from aiohttp import web
+from expression import Error, Ok, Result
+
+from fuchsiacroft.entry.problems import Problem, Ran
+
+READ_TIMEOUT_S = 30.0
+MAX_HELD_BYTES = 64 * 1024 * 1024
+RETRY_AFTER_S = 1.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class HeldBodies:
+    """Counts the bytes of whole bodies in memory, to bound them."""
+
+    def __init__(self, max_bytes: int = MAX_HELD_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self.held_bytes = 0
+
+    async def read(
+        self, http: web.BaseRequest, max_bytes: int
+    ) -> Result[bytes, Problem]:
+        """Read a whole body; its caller gives it back with `release`."""
+        if (http.content_length or 0) > max_bytes:
+            return Error(too_large(max_bytes))
+        if http.content.at_eof():
+            return Ok(b"")
+        body = bytearray()
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                await send_continue(http)
+                problem = await self._fill(http, body, max_bytes)
+        except TimeoutError:
+            detail = f"the body did not come within {READ_TIMEOUT_S:.0f} s"
+            problem = Problem(408, "body_too_slow", detail)
+        except web.RequestPayloadError as exc:
+            problem = Problem(400, "malformed", f"the body is refused: {exc}")
+        finally:
+            self.held_bytes -= len(body)
+        if problem is not None:
+            return Error(problem)
+        self.held_bytes += len(body)
+        return Ok(bytes(body))
+
+    def release(self, body: bytes | None) -> None:
+        """Give a body back that was read before."""
+        self.held_bytes -= len(body or b"")
+
+    async def _fill(
+        self, http: web.BaseRequest, body: bytearray, max_bytes: int
+    ) -> Problem | None:
+        while chunk := await http.content.readany():
+            body += chunk
+            self.held_bytes += len(chunk)
+            if len(body) > max_bytes:
+                return too_large(max_bytes)
+            if self.held_bytes > self._max_bytes:
+                detail = "too many large bodies at a time; the request did not run"
+                return Problem(503, "busy", detail, Ran.NO, RETRY_AFTER_S)
+        return None
+
+
+class Upload:
+    """A body that is streamed through; `problem` says why it broke off."""
+
+    def __init__(self, http: web.BaseRequest, max_bytes: int) -> None:
+        self._http = http
+        self._max_bytes = max_bytes
+        self._passed_bytes = 0
+        self.problem: Problem | None = None
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes; raise once it is too large or broken."""
+        await send_continue(self._http)
+        try:
+            while chunk := await self._http.content.readany():
+                self._passed_bytes += len(chunk)
+                if self._passed_bytes > self._max_bytes:
+                    raise self._broken(too_large(self._max_bytes, Ran.MAYBE))
+                yield chunk
+        except web.RequestPayloadError as exc:
+            detail = f"the body is refused: {exc}"
+            raise self._broken(Problem(400, "malformed", detail, Ran.MAYBE)) from exc
+
+    def _broken(self, problem: Problem) -> ValueError:
+        self.problem = problem
+        return ValueError(problem.detail)
+
+
+async def send_continue(http: web.BaseRequest) -> None:
+    """Tell a caller that waits for it to send its body."""
+    if http.headers.get("Expect", "").lower() == "100-continue":
+        http.transport.write(CONTINUE)
+
+
+def too_large(max_bytes: int, ran: Ran = Ran.NO) -> Problem:
+    """Return the problem of a body that is too large."""
+    return Problem(413, "too_large", f"at most {max_bytes} bytes", ran)
--- /dev/null
+++ b/fuchsiacroft/entry/caller_server.py
@@ -0,0 +1,77 @@
+"""The HTTP server for callers: aiohttp's low-level server, without routes.
+
+What aiohttp's parser refuses is answered with a problem document as well.
+"""
+
+import asyncio
+import ssl
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from fuchsiacroft.utils.http import split_address
+
+BACKLOG = 2_048
+KEEPALIVE_S = 75.0
+SHUTDOWN_TIMEOUT_S = 1.0
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+Refuse = Callable[[web.BaseRequest, int, str], web.StreamResponse]
+
+
+class CallerProtocol(web.RequestHandler):
+    """One caller's connection."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that could not be parsed, and close."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun")
+        response = self._manager.refuse(request, status, message or str(exc or ""))
+        response.force_close()
+        return response
+
+
+class CallerServer(web.Server):
+    """Listens for callers."""
+
+    def __init__(self, handler: Handler, refuse: Refuse) -> None:
+        super().__init__(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+            lingering_time=1.0,
+        )
+        self.refuse = refuse
+        self._listening: asyncio.Server | None = None
+
+    def __call__(self) -> CallerProtocol:
+        """Return the protocol of a new connection."""
+        return CallerProtocol(self, loop=self._loop, **self._kwargs)
+
+    async def listen(self, address: str, tls: ssl.SSLContext | None) -> None:
+        """Bind the address and accept connections."""
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        self._listening = await loop.create_server(
+            self, host, port, ssl=tls, backlog=BACKLOG
+        )
+
+    def close_idle(self) -> None:
+        """Close connections without a request, and the others after theirs."""
+        self.pre_shutdown()
+
+    async def close(self) -> None:
+        """Stop listening and close every connection."""
+        if self._listening is not None:
+            self._listening.close()
+        self.pre_shutdown()
+        await self.shutdown(SHUTDOWN_TIMEOUT_S)
--- a/fuchsiacroft/entry/callers.py
+++ b/fuchsiacroft/entry/callers.py
@@ -1,25 +1,31 @@
 """The callers' HTTP interface of an entry."""
 
 import asyncio
+import ssl
 
 from aiohttp import web
 from expression import Result
 
 from fuchsiacroft.config.held import HeldDocument
 from fuchsiacroft.config.settings import Settings
-from fuchsiacroft.entry import problems
+from fuchsiacroft.entry import checks
 from fuchsiacroft.entry.admission import Admission, Admitted
+from fuchsiacroft.entry.answer_metrics import AnswerMetrics
+from fuchsiacroft.entry.body import HeldBodies
+from fuchsiacroft.entry.caller_server import CallerServer
 from fuchsiacroft.entry.dispatch import Dispatcher
+from fuchsiacroft.entry.exchange import Exchange, new_request_id
 from fuchsiacroft.entry.problems import Problem, Ran
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.utils.clock import now
-from fuchsiacroft.utils.http import Listener
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.metrics import Metrics
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
+MODEL_PATHS = frozenset({"/v1/completions", "/v1/chat/completions"})
+PLAIN_PREFIX = "/services/"
+NOTICE_S = 1.0
 DRAIN_POLL_S = 0.05
-NO_ID = "none"
+DRAIN_RETRY_AFTER_S = 1.0
 
 
 class Callers(Service):
@@ -29,88 +35,160 @@
 
     def __init__(self, settings: Settings, metrics: Metrics) -> None:
         self._settings = settings
-        self._in_progress = 0
-        self.draining = False
-        self._answers = metrics.counter(
-            "fuchsiacroft_answers_total", "Answers to callers by service and status"
-        )
-        self._seconds = metrics.histogram(
-            "fuchsiacroft_answer_duration_seconds", "Time to the end of the answer"
-        )
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
-        app.router.add_post("/v1/completions", self._model)
-        app.router.add_post("/v1/chat/completions", self._model)
-        app.router.add_route("*", "/services/{service}{path:(/.*)?}", self._plain)
-        self._listener = Listener(app, settings.addresses.callers)
+        self._metrics = AnswerMetrics(metrics)
+        self._bodies = HeldBodies()
+        self._in_progress: set[Exchange] = set()
+        self._draining = False
+        self._refusing = False
+        self._server: CallerServer | None = None
 
     async def start(self, kernel: Kernel) -> None:
         """Listen for callers."""
-        self._admission = Admission(kernel.get("document", HeldDocument))
+        self._document = kernel.get("document", HeldDocument)
+        self._admission = Admission(self._document, self._bodies)
         self._dispatcher = kernel.get("dispatcher", Dispatcher)
-        await self._listener.start()
+        self._server = CallerServer(self._handle, self._refuse)
+        await self._server.listen(self._settings.addresses.callers, self._tls())
 
     async def drain(self) -> None:
-        """Refuse new requests and wait for those in progress."""
-        self.draining = True
+        """Be not ready first, then refuse new requests, then end those running."""
+        self._draining = True
+        await asyncio.sleep(NOTICE_S)
+        self._refusing = True
+        self._server.close_idle()
         deadline = now() + self._settings.drain_timeout_s
-        while self._in_progress and now() < deadline:
+        while self._is_busy and now() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
+        if self._is_busy:
+            event("error", "drain_timed_out", in_progress=len(self._in_progress))
 
     async def stop(self) -> None:
         """Stop listening."""
-        await self._listener.stop()
+        if self._server is not None:
+            await self._server.close()
 
     def dump(self) -> dict:
-        """Return how many requests are in progress."""
-        return {"in_progress": self._in_progress, "draining": self.draining}
+        """Return the requests in progress."""
+        return {
+            "in_progress": len(self._in_progress),
+            "draining": self._draining,
+            "held_body_bytes": self._bodies.held_bytes,
+            "requests": [
+                _described(exchange) for exchange in list(self._in_progress)[:1_000]
+            ],
+        }
 
     def why_not_ready(self) -> str | None:
         """Return why callers should go elsewhere, or None."""
-        return "draining" if self.draining else None
-
-    async def _model(self, req: web.Request) -> web.StreamResponse:
-        return await self._serve(req, lambda: self._admission.model(req, req.path_qs))
-
-    async def _plain(self, req: web.Request) -> web.StreamResponse:
-        name = req.match_info["service"]
-        path = req.raw_path[len(f"/services/{name}") :] or "/"
-        return await self._serve(req, lambda: self._admission.plain(req, name, path))
-
-    async def _serve(self, req: web.Request, admit) -> web.StreamResponse:
-        if self.draining:
-            problem = Problem(503, "draining", "this entry is stopping", Ran.NO, 1.0)
-            return problems.response(problem, NO_ID)
-        self._in_progress += 1
-        started_at = now()
+        return "draining" if self._draining else None
+
+    @property
+    def _is_busy(self) -> bool:
+        return bool(self._in_progress) or self._dispatcher.claimed_runs > 0
+
+    def _tls(self) -> ssl.SSLContext | None:
+        files = self._settings.tls
+        if files is None:
+            return None
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(files.certificate, files.key)
+        return context
+
+    async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        exchange = Exchange(http, new_request_id(), now())
+        self._in_progress.add(exchange)
+        status = 0
         try:
-            admitted: Admitted = await admit()
-            match admitted:
-                case Result(tag="ok", ok=accepted):
-                    response = await self._dispatcher.serve(req, accepted)
-                    self._count(accepted, response, started_at)
-                    return response
-                case Result(error=problem):
-                    return problems.response(problem, NO_ID)
+            response = await self._answer(exchange)
+            status = response.status
+            if self._draining and not response.prepared:
+                response.force_close()
+            return response
+        except (ConnectionError, asyncio.CancelledError):
+            exchange.left = True
+            raise
+        except Exception as exc:
+            status = 500
+            event("error", "request_failed", request_id=exchange.request_id, error=exc)
+            return self._failed(exchange)
         finally:
-            self._in_progress -= 1
-
-    def _count(self, accepted, response: web.StreamResponse, started_at: float) -> None:
-        service = accepted.spec.name
-        seconds = now() - started_at
-        self._answers.inc({"service": service, "status": str(response.status)})
-        self._seconds.observe({"service": service}, seconds)
-        event(
-            "info",
-            "answered",
-            request_id=accepted.request_id,
-            service=service,
-            workspace=accepted.ask.workspace,
-            rank=accepted.ask.rank,
-            status=response.status,
-            seconds=round(seconds, 4),
-        )
+            self._in_progress.discard(exchange)
+            if exchange.accepted is not None:
+                self._bodies.release(exchange.accepted.body)
+            self._metrics.note(exchange, status, self._document)
+
+    def _failed(self, exchange: Exchange) -> web.Response:
+        if exchange.http.writer.output_size > 0:
+            raise ConnectionError("the answer has begun")
+        detail = "a fault in the entry"
+        return exchange.refuse(Problem(500, "internal_error", detail, Ran.MAYBE))
+
+    async def _answer(self, exchange: Exchange) -> web.StreamResponse:
+        exchange.drains = self._draining
+        if self._refusing:
+            detail = "this entry is stopping"
+            problem = Problem(503, "draining", detail, Ran.NO, DRAIN_RETRY_AFTER_S)
+            return exchange.refuse(problem)
+        problem = checks.fault(exchange.http)
+        if problem is not None:
+            response = exchange.refuse(problem)
+            response.force_close()
+            return response
+        match await self._admit(exchange):
+            case Result(tag="ok", ok=accepted):
+                exchange.accepted = accepted
+                return await self._dispatcher.serve(exchange)
+            case Result(error=problem):
+                return exchange.refuse(problem)
+
+    async def _admit(self, exchange: Exchange) -> Admitted:
+        target = exchange.http.raw_path
+        path = target.partition("?")[0]
+        if path in MODEL_PATHS:
+            if exchange.http.method != "POST":
+                return _refused(405, "method_refused", "completions take POST")
+            return await self._admission.model(exchange)
+        if path.startswith(PLAIN_PREFIX):
+            name, slash, rest = target[len(PLAIN_PREFIX) :].partition("/")
+            if not slash:
+                name, mark, query = name.partition("?")
+                rest = mark + query
+            return await self._admission.plain(exchange, name, "/" + rest)
+        return _refused(404, "unknown_path", "see the callers' page for what is served")
+
+    def _refuse(
+        self, http: web.BaseRequest, status: int, message: str
+    ) -> web.StreamResponse:
+        exchange = Exchange(http, new_request_id(), now())
+        if status >= 500:
+            problem = Problem(500, "internal_error", "a fault in the entry", Ran.MAYBE)
+        else:
+            first_line = message.partition("\n")[0].strip()
+            problem = Problem(status, "malformed", first_line or "not HTTP")
+        response = exchange.refuse(problem)
+        self._metrics.note(exchange, status, self._document)
+        return response
 
 
 def create(settings: Settings, metrics: Metrics) -> Callers:
     """Return the callers' interface of an entry."""
     return Callers(settings, metrics)
+
+
+def _refused(status: int, code: str, detail: str) -> Admitted:
+    return Result.Error(Problem(status, code, detail))
+
+
+def _described(exchange: Exchange) -> dict:
+    accepted = exchange.accepted
+    described = {
+        "request_id": exchange.request_id,
+        "seconds": round(now() - exchange.started_at, 3),
+    }
+    if accepted is not None:
+        described |= {
+            "service": accepted.spec.name,
+            "tier": accepted.tier,
+            "workspace": accepted.ask.workspace,
+        }
+    return described
--- a/fuchsiacroft/entry/problems.py
+++ b/fuchsiacroft/entry/problems.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 REQUEST_ID_HEADER = "Fuchsiacroft-Request-Id"
+CONTENT_TYPE = "application/problem+json"
 
 
 class Ran(enum.Enum):
@@ -29,13 +30,14 @@
     retry_after_s: float | None = None
 
 
-def body(problem: Problem) -> bytes:
+def body(problem: Problem, request_id: str) -> bytes:
     """Return the JSON body of a problem."""
     fields = {
         "type": f"urn:fuchsiacroft:problem:{problem.code}",
         "title": problem.code.replace("_", " "),
         "status": problem.status,
         "detail": problem.detail,
+        "instance": f"urn:fuchsiacroft:request:{request_id}",
         "ran": problem.ran.value,
     }
     if problem.retry_after_s is not None:
@@ -43,14 +45,21 @@
     return msgspec.json.encode(fields)
 
 
+def event(problem: Problem, request_id: str) -> bytes:
+    """Return the problem as an event of a stream that has begun."""
+    return b"event: error\ndata: " + body(problem, request_id) + b"\n\n"
+
+
 def response(problem: Problem, request_id: str) -> web.Response:
     """Return the HTTP answer for a problem."""
     headers = {REQUEST_ID_HEADER: request_id}
     if problem.retry_after_s is not None:
         headers["Retry-After"] = str(max(1, math.ceil(problem.retry_after_s)))
+    if problem.status == 401:
+        headers["WWW-Authenticate"] = "Bearer"
     return web.Response(
         status=problem.status,
-        body=body(problem),
-        content_type="application/problem+json",
+        body=body(problem, request_id),
+        content_type=CONTENT_TYPE,
         headers=headers,
     )
--- a/fuchsiacroft/entry/request.py
+++ b/fuchsiacroft/entry/request.py
@@ -26,6 +26,7 @@
 
     request_id: str
     spec: ServiceSpec
+    tier: str
     ask: Ask
     method: str
     path: str
--- /dev/null
+++ b/fuchsiacroft/tests/fakes/data_plane.py
@@ -0,0 +1,203 @@
+"""An entry's data plane alone: permits and ledger are stand-ins."""
+
+import asyncio
+import itertools
+from collections import Counter, deque
+
+import aiohttp
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+from expression import Error, Ok
+
+from fuchsiacroft.config import held
+from fuchsiacroft.config.document import hash_key, parse
+from fuchsiacroft.config.feed import News
+from fuchsiacroft.config.settings import Addresses, Settings
+from fuchsiacroft.control.ledger import KeyState, KeyStatus
+from fuchsiacroft.entry import backend_client, callers, dispatch
+from fuchsiacroft.entry.ledger_client import LedgerClient
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.routing.ask import Permit, Refusal, RefusalReason
+from fuchsiacroft.routing.scheduler import Scheduler
+from fuchsiacroft.tests.base import SocketTestCase
+from fuchsiacroft.tests.fakes.ports import free_address
+from fuchsiacroft.utils.metrics import Metrics
+
+KEY = "key-1"
+AUTHORIZED = {"Authorization": f"Bearer {KEY}"}
+BOOT_ID = "boot-1"
+
+DOCUMENT = {
+    "tiers": [{"name": "counter", "rank": 0, "timeout_s": 30}],
+    "services": [
+        {"name": "lens-assistant", "kind": "model", "max_body_bytes": 100_000},
+        {"name": "counter", "kind": "plain", "max_body_bytes": 1_000_000},
+        {"name": "gateway", "kind": "plain", "max_body_bytes": 300_000_000},
+    ],
+    "workspaces": [
+        {"name": "shop-1", "key_hashes": [hash_key(KEY)], "tier": "counter"}
+    ],
+    "rules": [
+        {
+            "service": "counter",
+            "idempotent": False,
+            "methods": ["POST"],
+            "path_prefix": "/bookings",
+        }
+    ],
+}
+
+
+class FakeScheduler(Scheduler):
+    """Gives permits for the listed addresses, one after the other."""
+
+    def __init__(self) -> None:
+        self.addresses: deque[str] = deque()
+        self.given: list[Permit] = []
+        self.released: list[tuple[str, str]] = []
+        self._numbers = itertools.count()
+
+    async def start(self, kernel) -> None:
+        """Need nothing."""
+
+    async def stop(self) -> None:
+        """Hold nothing."""
+
+    async def drain(self) -> None:
+        """Wait for nothing."""
+
+    async def acquire(self, ask):
+        """Return a permit for the next address; the last one is kept."""
+        if not self.addresses:
+            return Error(Refusal(RefusalReason.NO_BACKEND_SERVER, 1.5))
+        address = self.addresses[0]
+        if len(self.addresses) > 1:
+            self.addresses.popleft()
+        permit = Permit(
+            permit_id=f"permit-{next(self._numbers)}",
+            ask=ask,
+            backend_server="backend-1",
+            boot_id=BOOT_ID,
+            address=address,
+            owner="entry-1",
+            cut=asyncio.get_running_loop().create_future(),
+        )
+        self.given.append(permit)
+        return Ok(permit)
+
+    def release(self, permit, report) -> None:
+        """Note the release."""
+        self.released.append((permit.permit_id, report.outcome.value))
+
+
+class FakeLedger(LedgerClient):
+    """Grants every claim and remembers what it was told."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple] = []
+        self.status = KeyStatus(KeyState.FREE)
+
+    async def start(self, kernel) -> None:
+        """Need nothing."""
+
+    async def stop(self) -> None:
+        """Hold nothing."""
+
+    async def drain(self) -> None:
+        """Wait for nothing."""
+
+    async def look_up(self, key):
+        """Return the status that the test set."""
+        return Ok(self.status)
+
+    async def claim(self, key, claim, lease_s):
+        """Grant the claim."""
+        self.told.append(("claim", claim))
+        return Ok(KeyStatus(KeyState.GRANTED))
+
+    def settle(self, key, claim, answer) -> None:
+        """Note an outcome."""
+        self.told.append(("settle", claim, answer))
+
+    def release(self, key, claim) -> None:
+        """Note that a claim was given back."""
+        self.told.append(("release", claim))
+
+
+class DataPlaneTestCase(SocketTestCase):
+    """One entry's data plane on loopback, without routing and control."""
+
+    async def asyncSetUp(self):
+        settings = Settings(
+            node="entry-1",
+            failure_domain="domain-1",
+            region="region-1",
+            addresses=Addresses(operators="127.0.0.1:1", callers=free_address()),
+            drain_timeout_s=5.0,
+        )
+        self.metrics = Metrics()
+        self.scheduler = FakeScheduler()
+        self.ledger = FakeLedger()
+        self.callers = callers.create(settings, self.metrics)
+        document = held.create()
+        document.take(News(1, document=parse(DOCUMENT).ok))
+        self.kernel = Kernel()
+        for service in (
+            document,
+            self.scheduler,
+            backend_client.create(),
+            self.ledger,
+            dispatch.create(),
+            self.callers,
+        ):
+            self.kernel.add(service)
+        await self.kernel.start()
+        self.addAsyncCleanup(self.kernel.stop)
+        self.address = settings.addresses.callers
+        self.session = aiohttp.ClientSession(f"http://{self.address}")
+        self.addAsyncCleanup(self.session.close)
+
+    async def serve(self, app: web.Application) -> aiohttp.ClientSession:
+        """Run a backend server, make it the next address, return a client."""
+        server = TestServer(app)
+        await server.start_server()
+        self.addAsyncCleanup(server.close)
+        self.scheduler.addresses.append(f"{server.host}:{server.port}")
+        session = aiohttp.ClientSession(server.make_url("/"))
+        self.addAsyncCleanup(session.close)
+        return session
+
+    async def serve_raw(self, handler) -> Counter:
+        """Run a backend server by a stream handler; count its requests."""
+        counts = Counter()
+
+        async def accept(reader, writer):
+            head = await reader.readuntil(b"\r\n\r\n")
+            counts["requests"] += 1
+            counts["head"] = head
+            await handler(reader, writer)
+            writer.close()
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.scheduler.addresses.append(f"127.0.0.1:{port}")
+        return counts
+
+    async def send_raw(self, data: bytes) -> bytes:
+        """Write bytes to the entry and return all that comes back."""
+        host, _, port = self.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        try:
+            async with asyncio.timeout(5):
+                return await reader.read()
+        finally:
+            writer.close()
+
+    async def wait_for(self, check, timeout_s: float = 3.0) -> None:
+        """Wait until a check holds."""
+        async with asyncio.timeout(timeout_s):
+            while not check():
+                await asyncio.sleep(0.01)
--- a/tools/bench_entry.py
+++ b/tools/bench_entry.py
@@ -11,8 +11,10 @@
 
 import asyncio
 import collections
+import functools
 import json
 import os
+import random
 import subprocess
 import sys
 import tempfile
@@ -36,6 +38,7 @@
 flags.DEFINE_enum("part", "bench", ["bench", "emitter", "load"], "what to be")
 flags.DEFINE_integer("seconds", 5, "seconds a trial")
 flags.DEFINE_integer("streams", 600, "open streams")
+flags.DEFINE_float("opens", 60.0, "streams opened a second while measuring")
 flags.DEFINE_list("rates", ["22400", "45000"], "chunks a second to offer")
 flags.DEFINE_integer("processes", 3, "emitters, and load generators")
 flags.DEFINE_integer("callers", 32, "callers of short requests")
@@ -48,6 +51,9 @@
 flags.DEFINE_float("start_at", 0.0, "monotonic time at which a load starts")
 
 RAMP_S = 1.5
+SETTLE_S = 0.3
+END_MARGIN_S = 0.5
+PROBE_TOKENS = 4
 HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n"
@@ -128,9 +134,10 @@
 class Reader(asyncio.Protocol):
     """Reads one stream and notes when each chunk came."""
 
-    def __init__(self, request: bytes, seen: "Seen") -> None:
+    def __init__(self, request: bytes, seen: "Seen", is_probe: bool) -> None:
         self._request = request
         self._seen = seen
+        self._is_probe = is_probe
         self._last_ns = 0
 
     def connection_made(self, transport) -> None:
@@ -142,14 +149,16 @@
     def data_received(self, data: bytes) -> None:
         """Note the chunks of one read."""
         now_ns = time.monotonic_ns()
+        if self._is_probe:
+            self._note_probe(data, now_ns)
+            return
         count = 0
         for part in data.split(b'"at":')[1:]:
             count += 1
             emitted_ns = int(part[: part.index(b"}")])
-            self._seen.ages_ns.append(now_ns - emitted_ns)
-        if count and not self._last_ns:
-            self._seen.firsts_ns.append(now_ns - self._sent_ns)
-        elif count:
+            if self._seen.in_window:
+                self._seen.ages_ns.append(now_ns - emitted_ns)
+        if count and self._last_ns and self._seen.in_window:
             self._seen.gaps_ns.append(now_ns - self._last_ns)
             self._seen.gaps_ns.extend([0] * (count - 1))
         if count:
@@ -159,11 +168,19 @@
             self._seen.done += 1
             self._transport.close()
 
+    def _note_probe(self, data: bytes, now_ns: int) -> None:
+        if not self._last_ns and b'"at":' in data:
+            self._last_ns = now_ns
+            self._seen.firsts_ns.append(now_ns - self._sent_ns)
+        if b"[DONE]" in data:
+            self._transport.close()
+
 
 class Seen:
     """What one load generator saw; times in nanoseconds."""
 
     def __init__(self) -> None:
+        self.in_window = False
         self.chunks = 0
         self.done = 0
         self.ages_ns: list[int] = []
@@ -202,10 +219,14 @@
         due = started + i * RAMP_S / FLAGS.streams
         await asyncio.sleep(max(0.0, due - time.monotonic()))
         request = stream_request(tokens, gap_s)
-        await loop.create_connection(lambda r=request: Reader(r, seen), host, port)
+        reader = functools.partial(Reader, request, seen, False)
+        await loop.create_connection(reader, host, port)
+    await asyncio.sleep(SETTLE_S)
     full_from = time.monotonic()
     at_full = seen.chunks
-    await asyncio.sleep(FLAGS.seconds - 1.0)
+    seen.in_window = True
+    await probe(seen, full_from + FLAGS.seconds - SETTLE_S - END_MARGIN_S, gap_s)
+    seen.in_window = False
     in_window = seen.chunks - at_full
     window_s = time.monotonic() - full_from
     deadline = time.monotonic() + 10
@@ -226,6 +247,18 @@
     )
 
 
+async def probe(seen: Seen, ends: float, gap_s: float) -> None:
+    """Open short streams at random times; their first tokens are measured."""
+    host, port = split_address(FLAGS.target)
+    loop = asyncio.get_running_loop()
+    arrivals = random.Random(port)
+    request = stream_request(PROBE_TOKENS, gap_s)
+    while time.monotonic() < ends:
+        reader = functools.partial(Reader, request, seen, True)
+        await loop.create_connection(reader, host, port)
+        await asyncio.sleep(arrivals.expovariate(FLAGS.opens / FLAGS.processes))
+
+
 async def load_short() -> None:
     """Call for short answers in a closed loop and note each duration."""
     host, port = split_address(FLAGS.target)
@@ -278,6 +311,7 @@
             domains=("bench",), entries=(1,), control=1, engines=0, applications=0
         )
         self._cluster = cluster.create(folder, shape)
+        _use_fixed_limits(folder)
         self._children: list[subprocess.Popen] = []
         self._emitters = free_addresses(FLAGS.processes)
 
@@ -301,7 +335,7 @@
             entry = node.addresses["backend_servers"]
             self._spawn("emitter", f"--address={address}", f"--entry={entry}")
         async with aiohttp.ClientSession() as session:
-            await self._cluster.wait_ready(session)
+            await self._cluster.wait_healthy(session)
             await self._cluster.put_document(session, bench_document(), 0, "bench")
             await self._cluster.wait_in_force(session, 1)
         await asyncio.sleep(2.5)
@@ -320,6 +354,8 @@
                 f"--target={target}",
                 f"--start_at={start_at}",
                 f"--seconds={FLAGS.seconds}",
+                f"--processes={FLAGS.processes}",
+                f"--opens={FLAGS.opens}",
                 *more,
             )
             for target in targets
@@ -374,6 +410,15 @@
         print(json.dumps({"trial": trial} | result), flush=True)
 
 
+def _use_fixed_limits(folder: Path) -> None:
+    """Let the emitters' slots be their limits: routing is not measured here."""
+    for path in folder.glob("entry-*.json"):
+        settings = json.loads(path.read_text())
+        policies = {"limit": "fixed", "straggler": "ignore", "route": "round_robin"}
+        settings["policies"] = policies
+        path.write_text(json.dumps(settings))
+
+
 def _stream_figures(seen: list[dict]) -> dict:
     firsts = [value for one in seen for value in one["firsts_ns"]]
     gaps = [value for one in seen for value in one["gaps_ns"]]
