--- a/fuchsiacroft/standin/application.py
+++ b/fuchsiacroft/standin/application.py
@@ -89,6 +89,8 @@
         self._started.add(req.headers.get(REQUEST_ID_HEADER, ""))
         await response.prepare(req)
         chunks = 0
+        if req.method == "HEAD":
+            return response
         while left:
             if self._faults.breaks_now(chunks):
                 abort(req)
--- a/tools/bench_entry.py
+++ b/tools/bench_entry.py
@@ -42,6 +42,7 @@
 flags.DEFINE_list("rates", ["22400", "45000"], "chunks a second to offer")
 flags.DEFINE_integer("processes", 3, "emitters, and load generators")
 flags.DEFINE_integer("callers", 32, "callers of short requests")
+flags.DEFINE_integer("body_mb", 200, "megabytes to echo; 0 measures no body")
 flags.DEFINE_bool("short", True, "measure short requests too")
 flags.DEFINE_string("address", "", "where an emitter listens")
 flags.DEFINE_string("target", "", "whom a load generator calls")
@@ -54,6 +55,7 @@
 SETTLE_S = 0.3
 END_MARGIN_S = 0.5
 PROBE_TOKENS = 4
+MEGABYTE = 1024 * 1024
 HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n"
@@ -308,7 +310,7 @@
 
     def __init__(self, folder: Path) -> None:
         shape = cluster.Shape(
-            domains=("bench",), entries=(1,), control=1, engines=0, applications=0
+            domains=("bench",), entries=(1,), control=1, engines=0, applications=1
         )
         self._cluster = cluster.create(folder, shape)
         _use_fixed_limits(folder)
@@ -324,6 +326,8 @@
                 self._print(f"stream-{rate:.0f}", await self._streams(rate))
             if FLAGS.short:
                 self._print("short", await self._short())
+            if FLAGS.body_mb:
+                self._print("body", await self._body())
         finally:
             for child in self._children:
                 child.kill()
@@ -406,6 +410,33 @@
         added = result["entry"]["p95_ms"] - result["direct"]["p95_ms"]
         return result | {"added_p95_ms": round(added, 3)} | usage
 
+    async def _body(self) -> dict:
+        """Echo one large body through the entry; its length must be kept."""
+        address = self._cluster.nodes["entry-bench-0"].addresses["callers"]
+        before = self._usage()
+        started = time.monotonic()
+        size = FLAGS.body_mb * MEGABYTE
+        headers = {"Authorization": f"Bearer {KEY}", "Content-Length": str(size)}
+        received = 0
+        async with (
+            aiohttp.ClientSession() as session,
+            session.put(
+                f"http://{address}/services/counter/echo",
+                data=_zeros(),
+                headers=headers,
+            ) as res,
+        ):
+            async for chunk in res.content.iter_any():
+                received += len(chunk)
+        after = self._usage()
+        return {
+            "status": res.status,
+            "received_mb": received // MEGABYTE,
+            "mb_per_s": round(FLAGS.body_mb / (time.monotonic() - started)),
+            "rss_before_mb": before["rss_mb"],
+            "rss_mb": after["rss_mb"],
+        }
+
     def _print(self, trial: str, result: dict) -> None:
         print(json.dumps({"trial": trial} | result), flush=True)
 
@@ -419,6 +450,11 @@
         path.write_text(json.dumps(settings))
 
 
+async def _zeros():
+    for _ in range(FLAGS.body_mb):
+        yield bytes(MEGABYTE)
+
+
 def _stream_figures(seen: list[dict]) -> dict:
     firsts = [value for one in seen for value in one["firsts_ns"]]
     gaps = [value for one in seen for value in one["gaps_ns"]]
@@ -455,6 +491,7 @@
         "services": [
             {"name": "bench-model", "kind": "model"},
             {"name": "bench-plain", "kind": "plain"},
+            {"name": "counter", "kind": "plain", "max_body_bytes": 2**30},
         ],
         "workspaces": [
             {
