Connect to backend servers without resolver and happy eyeballs

Cause: the profile of short requests shows 16% of the time in aiohttp's connector, which resolves names and races address families; backend servers announce an IP address and port.

BaseConnector's extension point opens the connection by the loop.

--- a/fuchsiacroft/entry/backend_client.py
+++ b/fuchsiacroft/entry/backend_client.py
@@ -62,6 +62,26 @@
         return await super().send(conn)
 
 
+class AddressConnector(aiohttp.BaseConnector):
+    """Opens a plain connection to an IP address and port, without a resolver."""
+
+    async def _create_connection(
+        self, req: aiohttp.ClientRequest, traces: list, timeout: aiohttp.ClientTimeout
+    ) -> aiohttp.client_proto.ResponseHandler:
+        """Connect once (aiohttp calls this for each new connection)."""
+        url = req.url
+        try:
+            async with asyncio.timeout(timeout.sock_connect):
+                _, protocol = await self._loop.create_connection(
+                    self._factory, url.raw_host, url.port
+                )
+        except TimeoutError:
+            raise
+        except OSError as exc:
+            raise aiohttp.ClientConnectorError(req.connection_key, exc) from exc
+        return protocol
+
+
 class ResumeError(enum.Enum):
     """Why a stream was not resumed."""
 
@@ -80,9 +100,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Open the session."""
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, force_close=True, happy_eyeballs_delay=None
-            ),
+            connector=AddressConnector(limit=0, force_close=True),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             request_class=SentOnceRequest,
             auto_decompress=False,
