--- a/fuchsiacroft/commands/operators.py
+++ b/fuchsiacroft/commands/operators.py
@@ -64,7 +64,10 @@
         values,
     )
     flags.DEFINE_string(
-        "ca_file", None, "PEM certificates to trust; turns on TLS", values
+        "ca_file",
+        None,
+        "PEM certificates to trust; turns on TLS; default: tls of --settings",
+        values,
     )
 
 
@@ -121,9 +124,11 @@
             pass
         case Result(error=reason):
             return Error(reason)
-    return client_tls(values.ca_file).map(
-        lambda tls: Access(control, token, tls, settings)
-    )
+    if settings is not None and not values.ca_file:
+        tls = operators_client.tls_context(settings.tls)
+    else:
+        tls = client_tls(values.ca_file)
+    return tls.map(lambda context: Access(control, token, context, settings))
 
 
 def read_token(token_file: str | None) -> Result[str, str]:
--- a/fuchsiacroft/config/settings.py
+++ b/fuchsiacroft/config/settings.py
@@ -78,6 +78,7 @@
     ] = "expected_finish"
     order: Literal["arrival", "tier_slack"] = "tier_slack"
     limit: Literal["fixed", "learned"] = "learned"
+    reserve: Literal["none", "measured"] = "measured"
     shed: Literal["reject_newest", "lowest_tier"] = "lowest_tier"
     borrow: Literal["own_desk", "late_binding"] = "late_binding"
     straggler: Literal["ignore", "set_aside"] = "set_aside"
@@ -85,7 +86,11 @@
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """All settings of one process."""
+    """All settings of one process.
+
+    `tunnels` maps the peers address of another process to the address to
+    connect to instead, where a VM is reached through one.
+    """
 
     node: Name
     failure_domain: Name
@@ -93,11 +98,15 @@
     addresses: Addresses
     control: list[Member] = []
     entries: list[Member] = []
+    tunnels: dict[str, Address] = {}
     data_folder: str | None = None
     keys: Keys | None = None
     tls: Tls | None = None
     operator_token_hashes: list[str] = []
     policies: Policies = Policies()
+    weight_loads_per_min: Annotated[float, msgspec.Meta(gt=0)] = (
+        defaults.WEIGHT_LOADS_PER_MIN
+    )
     log_level: str = defaults.LOG_LEVEL
     drain_timeout_s: float = defaults.DRAIN_TIMEOUT_S
 
--- a/fuchsiacroft/model/engine.py
+++ b/fuchsiacroft/model/engine.py
@@ -1,6 +1,7 @@
 """A model of a continuously batching engine.
 
-Prefill is shared by the prompts in it, and slows decoding beside it. The token
+Prefill is shared by the prompts in it, and takes a share of the engine's time
+from the decoding beside it, which grows with the number of prompts. The token
 gap is flat up to a knee of running requests and then grows with them; beyond
 the room of the KV cache, requests are preempted and recomputed, and
 throughput falls. Prefixes are cached in limited memory.
@@ -9,12 +10,14 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+from fuchsiacroft.membership.announcement import CacheEvent
 from fuchsiacroft.model.server import ModelServer, ServerRun
 from fuchsiacroft.model.shared_work import SharedWork
 from fuchsiacroft.routing.prefixes import TOKENS_PER_BLOCK
 from fuchsiacroft.utils.clock import now
 
-PREFILL_SLOWS_DECODE = 1.25
+DECODE_SHARE = 0.65
+LEAST_DECODE_SHARE = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +47,13 @@
         self._decode = SharedWork()
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._kv_used = 0
+        self._events: list[CacheEvent] = []
+        self._event_number = 0
+
+    def take_events(self) -> tuple[CacheEvent, ...]:
+        """Return the cache events since the last call."""
+        events, self._events = tuple(self._events), []
+        return events
 
     def token_gap_s(self) -> float:
         """Return the present seconds between tokens of one run."""
@@ -51,14 +61,19 @@
         gap_s = self.generation.token_gap_s * self.slowdown
         gap_s *= max(1.0, running / self.generation.knee_runs)
         gap_s *= max(1.0, self._kv_used / self.generation.kv_tokens) ** 2
-        return gap_s * (PREFILL_SLOWS_DECODE if len(self._prefill) else 1.0)
+        return gap_s / self._decode_share()
 
     def _prefill_rate(self) -> float:
         if not len(self._prefill):
             return 0.0
         whole = self.generation.prefill_tokens_per_s / self.slowdown
+        if len(self._decode):
+            whole *= 1.0 - self._decode_share()
         return whole / len(self._prefill)
 
+    def _decode_share(self) -> float:
+        return max(LEAST_DECODE_SHARE, DECODE_SHARE ** len(self._prefill))
+
     def _begin(self, run: ServerRun) -> None:
         run.prompt_left = max(16, run.arrival.prompt_tokens - self._cached(run))
         self._kv_used += _kv_tokens(run)
@@ -88,6 +103,7 @@
             run.prefilled = run.prompt_left
             self.prefilled_tokens += run.prefilled
             run.first_token_at = now()
+            run.on_first_token()
             self._fill_cache(run)
             if run.arrival.crashes:
                 self._decode.add(run, run.arrival.output_tokens)
@@ -106,10 +122,17 @@
 
     def _fill_cache(self, run: ServerRun) -> None:
         for prefix in run.arrival.prefixes:
+            if prefix not in self._cache:
+                self._note_event(prefix, cached=True)
             self._cache[prefix] = None
             self._cache.move_to_end(prefix)
         while len(self._cache) > self.generation.cached_blocks:
-            self._cache.popitem(last=False)
+            prefix, _ = self._cache.popitem(last=False)
+            self._note_event(prefix, cached=False)
+
+    def _note_event(self, prefix: int, cached: bool) -> None:
+        self._event_number += 1
+        self._events.append(CacheEvent(self._event_number, prefix, cached))
 
 
 def _kv_tokens(run: ServerRun) -> int:
--- a/fuchsiacroft/operators_client.py
+++ b/fuchsiacroft/operators_client.py
@@ -13,6 +13,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from fuchsiacroft.config.settings import Tls
 from fuchsiacroft.control.api_messages import (
     CHANGE_ID_HEADER,
     OPERATOR_HEADER,
@@ -255,6 +256,16 @@
     return OperatorsClient(control, token, tls)
 
 
+def tls_context(files: Tls | None) -> Result[ssl.SSLContext | None, str]:
+    """Return the context that trusts what settings say; None without TLS."""
+    if files is None:
+        return Ok(None)
+    try:
+        return Ok(ssl.create_default_context(cafile=files.ca))
+    except (OSError, ssl.SSLError) as exc:
+        return Error(f"{files.ca} cannot be used: {exc}")
+
+
 def _is_final(answer: _Answer) -> bool:
     return answer.status not in TRY_ANOTHER
 
