Run no timer of the paused clock before its time

The base loop runs timers that are due within its clock resolution, 1 ns. With other callbacks ready the paused clock does not advance, so a proposal that waits for the rest of its time, less than 1 ns, timed out at once and found its deadline still ahead, without end. Ruled out: a request that fails without waiting (the in-memory bus always waits).

The paused loop now runs a timer when its clock has reached it and never before.

--- a/fuchsiacroft/model/loop.py
+++ b/fuchsiacroft/model/loop.py
@@ -1,6 +1,7 @@
 """An event loop whose clock stands still until every task waits for it."""
 
 import asyncio
+import math
 import selectors
 
 
@@ -29,6 +30,19 @@
         self._advancing = AdvancingSelector()
         super().__init__(self._advancing)
 
+    @property
+    def _clock_resolution(self) -> float:
+        """Run a timer at its time and never before, so that time goes on.
+
+        The base class runs timers that are due within this many seconds; a
+        coroutine that waits for the rest of a shorter time would wait forever.
+        """
+        return math.ulp(self._advancing.now)
+
+    @_clock_resolution.setter
+    def _clock_resolution(self, seconds: float) -> None:
+        """Ignore the resolution of the machine's clock."""
+
     def time(self) -> float:
         """Return the paused clock in seconds."""
         return self._advancing.now
