--- a/fuchsiacroft/operations.py
+++ b/fuchsiacroft/operations.py
@@ -23,7 +23,7 @@
     name = "operations"
 
     def __init__(
-        self, address: str, metrics: Metrics, tls: ssl.SSLContext | None
+        self, address: str, metrics: Metrics, tls: ssl.SSLContext | None = None
     ) -> None:
         self.app = web.Application(client_max_size=64 * 1024 * 1024)
         self.metrics = metrics
