--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -153,7 +153,8 @@
                 refusal = self._enqueue(waiter, line)
                 if refusal is not None:
                     return Error(refusal)
-        self._serve(line)
+        if waiter.alone or line.queue.head() is waiter:
+            self._serve(line)
         try:
             async with asyncio.timeout_at(waiter.deadline):
                 return await waiter.fut
@@ -179,13 +180,13 @@
             return
         self._learn(owned, run, report)
         for offer in owned.server.announcement.offers:
-            self._serve(self._line(offer.service))
+            self._serve(self._line(offer.service), owned)
 
     def note_first_token(self, permit: Permit) -> None:
         """Note that a run's prefill is over, so that the next may begin."""
         owned = self._owned.get(permit.backend_server)
         if owned is not None and owned.end_prefill(permit.permit_id):
-            self._serve(self._line(permit.ask.service))
+            self._serve(self._line(permit.ask.service), owned)
 
     def adopt(self, permit: Permit) -> bool:
         """Take over a run that goes on under an earlier owner's permit."""
@@ -303,7 +304,8 @@
             return True
         return shed.admits(waiter, line.queue, line.waits, servers)
 
-    def _serve(self, line: Line) -> None:
+    def _serve(self, line: Line, only: OwnedServer | None = None) -> None:
+        """Start waiters while there is room; `only` says where it came free."""
         self._serve_alone(line)
         while True:
             waiter = line.queue.head()
@@ -312,7 +314,7 @@
             if waiter.is_settled:
                 line.queue.remove(waiter)
                 continue
-            owned = self._choose(waiter.ask, line)
+            owned = self._choose(waiter.ask, line, only)
             if owned is None:
                 self._wake_later(line)
                 return
@@ -346,6 +348,7 @@
             line.alone.remove(waiter)
             permit = self._grant(waiter.ask, owned)
             owned.running[permit.permit_id].alone = True
+            owned.runs_alone = True
             waiter.fut.set_result(Ok(permit))
 
     def _held_server(self, waiter: Waiter, line: Line) -> OwnedServer | None:
@@ -373,8 +376,13 @@
                 owned.held_for = None
         self._serve(line)
 
-    def _choose(self, ask: Ask, line: Line) -> OwnedServer | None:
-        roomy = line.roomy(ask.rank, self._decisions.rng)
+    def _choose(
+        self, ask: Ask, line: Line, only: OwnedServer | None = None
+    ) -> OwnedServer | None:
+        if only is not None:
+            roomy = [only] if only.room(ask.rank) > 0 else []
+        else:
+            roomy = line.roomy(ask.rank, self._decisions.rng)
         roomy = [owned for owned in roomy if self._owners.is_ready(owned.name)]
         return self._decisions.route.choose(ask, roomy) if roomy else None
 
--- a/fuchsiacroft/routing/owned.py
+++ b/fuchsiacroft/routing/owned.py
@@ -53,6 +53,7 @@
     share: float = 1.0
     running: dict[str, Run] = field(default_factory=dict)
     held_for: int | None = None
+    runs_alone: bool = False
     prefills: dict[str, float] = field(default_factory=dict)
     lost: deque[tuple[float, str]] = field(default_factory=deque)
 
@@ -78,12 +79,12 @@
         """Return the free places for this rank, whatever prefill goes on."""
         if self.server.announcement.leaving or self.held_for is not None:
             return 0
-        if any(run.alone for run in self.running.values()):
+        if self.runs_alone:
             return 0
-        allowed = self.health.cap(self.limit.allowed())
+        allowed = self.limit.allowed()
         if rank == 0:
             allowed += self.limit.overshoot()
-        allowed = int(self.share * allowed)
+        allowed = int(self.share * self.health.cap(allowed))
         free = allowed - len(self.running)
         if free <= 0 or not self.running:
             return free
@@ -92,6 +93,8 @@
 
     def prefilling(self) -> int:
         """Return how many prompts are in prefill, as far as is known."""
+        if not self.prefills:
+            return 0
         at = now()
         over = [permit_id for permit_id, until in self.prefills.items() if until <= at]
         for permit_id in over:
@@ -117,6 +120,7 @@
         run = self.running.pop(permit_id, None)
         self.prefills.pop(permit_id, None)
         if run is not None:
+            self.runs_alone = self.runs_alone and not run.alone
             self.reserve.note(run.permit.ask.rank, -1)
         return run
 
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -48,6 +48,7 @@
 RENEW_PERIOD_S = 1.0
 LOOK_AGAIN_S = 0.5
 MAX_OWNERS = 8
+OWNERS_KEPT_S = 0.25
 MIN_GAIN_S = 0.1
 MAX_HEAD_START_S = 0.1
 
@@ -65,6 +66,7 @@
         self._random = random.Random(seed)
         self._tasks = TaskGroup("scheduler")
         self._held: dict[str, Permit] = {}
+        self._owners_seen: dict[str, tuple[float, dict]] = {}
         self._retries = RetryBudgets()
         self._spilling: Spilling | None = None
         self._quarantine: Quarantine | None = None
@@ -257,11 +259,17 @@
         self.release(permit, RunReport(RunOutcome.UNUSED))
 
     def _owners_of(self, ask: Ask) -> dict[str, list[BackendServer]]:
+        """Return the owners of a service's backend servers, as of late."""
+        cached = self._owners_seen.get(ask.service)
+        if cached is not None and now() - cached[0] < OWNERS_KEPT_S:
+            return cached[1]
         known: dict[str, list[BackendServer]] = {}
         for server in self._directory.offering(ask.service):
             owner = self._owners.owner_of(server.name)
             if owner is not None and not server.announcement.leaving:
                 known.setdefault(owner.node, []).append(server)
+        if known:
+            self._owners_seen[ask.service] = (now(), known)
         return known
 
     def _first(self, ask: Ask, known: dict[str, list[BackendServer]]) -> str | None:
--- /dev/null
+++ b/tools/bench_desk.py
@@ -0,0 +1,111 @@
+"""Measure the microseconds of a desk's decisions with long queues.
+
+Usage: python tools/bench_desk.py. Many backend servers are full, thousands
+wait; then runs end and waiters are served one by one.
+"""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from expression import Result  # noqa: E402
+
+from fuchsiacroft.config.settings import Policies  # noqa: E402
+from fuchsiacroft.kernel import Kernel  # noqa: E402
+from fuchsiacroft.membership.announcement import Announcement, Offer  # noqa: E402
+from fuchsiacroft.membership.backend_servers import (  # noqa: E402
+    BackendDirectory,
+    BackendServer,
+    Listeners,
+)
+from fuchsiacroft.routing import desk  # noqa: E402
+from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport, WorkSize  # noqa: E402
+from fuchsiacroft.routing.owners import RendezvousOwners  # noqa: E402
+from fuchsiacroft.utils import clock, logs  # noqa: E402
+
+SLOTS = 16
+SERVERS = (1, 10, 200)
+WAITERS = (100, 5_000)
+WORKSPACES = 500
+REPORT = RunReport(RunOutcome.COMPLETED, 0.2, 0.03, 1.0, 30)
+
+
+class Directory(BackendDirectory):
+    """A directory that nothing announces itself to."""
+
+    def __init__(self) -> None:
+        self.listeners = Listeners()
+
+
+async def measure(servers: int, waiters: int) -> tuple[float, float]:
+    """Return microseconds for an ask that waits, and for a run that ends."""
+    kernel = Kernel()
+    kernel.add(Directory())
+    own = desk.create("node", Policies(queue_limit=100_000), RendezvousOwners([]))
+    await own.start(kernel)
+    for i in range(servers):
+        own.own(_server(f"server-{i}"))
+    permits = []
+    while (permit := own.grant_now(_ask(0))) is not None:
+        permits.append(permit)
+        own.note_first_token(permit)
+    tasks = [asyncio.create_task(own.acquire(_ask(i))) for i in range(waiters)]
+    began = time.perf_counter()
+    await asyncio.sleep(0)
+    queued_us = (time.perf_counter() - began) / waiters * 1e6
+    ended = permits[: min(len(permits), waiters)]
+    began = time.perf_counter()
+    for permit in ended:
+        own.note_first_token(permit)
+        own.release(permit, REPORT)
+    ended_us = (time.perf_counter() - began) / len(ended) * 1e6
+    await asyncio.sleep(0.01)
+    for task in tasks:
+        task.cancel()
+    outcomes = await asyncio.gather(*tasks, return_exceptions=True)
+    granted = sum(isinstance(o, Result) and o.is_ok() for o in outcomes)
+    await own.stop()
+    if not granted:
+        raise SystemExit("no waiter was served")
+    return queued_us, ended_us
+
+
+def main() -> None:
+    """Print a line for each size."""
+    logs.configure("ERROR")
+    print("servers waiters | ask that waits us | run that ends us")
+    for servers in SERVERS:
+        for waiters in WAITERS:
+            queued_us, ended_us = asyncio.run(measure(servers, waiters))
+            print(f"{servers:7} {waiters:7} | {queued_us:17.1f} | {ended_us:16.1f}")
+
+
+def _server(name: str) -> BackendServer:
+    announcement = Announcement(
+        name=name,
+        boot_id=name,
+        failure_domain="domain",
+        address="127.0.0.1:1",
+        offers=(Offer("service"),),
+        slots=SLOTS,
+    )
+    return BackendServer(announcement, clock.now())
+
+
+def _ask(i: int) -> Ask:
+    return Ask(
+        request_id=str(i),
+        service="service",
+        rank=i % 3,
+        timeout_s=300.0,
+        workspace=f"workspace-{i % WORKSPACES}",
+        size=WorkSize(1_000, 100),
+    )
+
+
+if __name__ == "__main__":
+    main()
