Weigh runs by their size against the learned limit

Cause: the learned limit counted a survey summary of 10,000 tokens like a tile question, and shrank to 9 runs when summaries filled the KV cache.

--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -78,6 +78,7 @@
                     "running": sorted(owned.running),
                     "room": owned.room(0),
                     "limit": owned.limit.allowed(),
+                    "load": round(owned.load, 2),
                     "slow": owned.health.is_slow,
                     "slowness": round(owned.health.slowness, 2),
                 }
@@ -387,6 +388,7 @@
         return self._decisions.route.choose(ask, roomy) if roomy else None
 
     def _grant(self, ask: Ask, owned: OwnedServer) -> Permit:
+        self._decisions.estimates.note_size(ask)
         permit = Permit(
             permit_id=f"{self._node}-{self._life}-{next(self._numbers)}",
             ask=ask,
@@ -406,8 +408,12 @@
         cached = decisions.prefixes.cached_tokens(permit.ask, owned.name)
         speed = decisions.estimates.speed(permit.ask.service, owned.generation)
         ratio = decisions.estimates.output_ratio(permit.ask.service)
+        weight = 1.0
+        if owned.limit.weighs_runs:
+            weight = decisions.estimates.weight(permit.ask)
         return Run(
             permit=permit,
+            weight=weight,
             started_at=now(),
             expected_s=speed.run_s(permit.ask, ratio, cached),
             prefill_s=speed.prefill_s(permit.ask, cached),
@@ -432,7 +438,7 @@
         estimates = self._decisions.estimates
         usual = estimates.reference(ask.service, owned.generation)
         owned.health.note(ask, usual, run.expected_s, report)
-        owned.limit.note(ask, len(owned.running), report)
+        owned.limit.note(ask, owned.load, report)
         if not owned.health.is_slow:
             filled = ask.size.prompt_tokens - run.cached_tokens
             filled = filled if run.was_first_prefill else 0
--- a/fuchsiacroft/routing/estimates.py
+++ b/fuchsiacroft/routing/estimates.py
@@ -13,6 +13,9 @@
 NEW_WEIGHT = 0.1
 QUANTILE = 0.95
 STEP = 0.03
+SIZE_WEIGHT = 0.01
+MIN_WEIGHT = 0.25
+MAX_WEIGHT = 4.0
 FIRST_OVERRUN = 1.2
 DEFAULT_TOKEN_GAP_S = 0.03
 DEFAULT_PREFILL_TOKENS_PER_S = 5_000.0
@@ -39,6 +42,19 @@
         self.value += weight * (sample - self.value)
 
 
+class SlowAverage(Average):
+    """A mean over many samples."""
+
+    def __init__(self) -> None:
+        super().__init__(0.0)
+
+    def add(self, sample: float) -> None:
+        """Take one sample in."""
+        self.samples += 1
+        weight = max(SIZE_WEIGHT, 1.0 / self.samples)
+        self.value += weight * (sample - self.value)
+
+
 class UpperBound:
     """Follows a high quantile of a ratio by small steps."""
 
@@ -97,8 +113,22 @@
         self._services: dict[str, Speed] = {}
         self._output_ratios: dict[str, Average] = {}
         self._overruns: dict[str, UpperBound] = {}
+        self._sizes: dict[str, SlowAverage] = {}
         self._peers: dict[tuple[str, str], dict[str, Reference]] = {}
 
+    def note_size(self, ask: Ask) -> None:
+        """Take in the size of a request that starts."""
+        if is_model(ask):
+            mean = self._sizes.setdefault(ask.service, SlowAverage())
+            mean.add(_tokens(ask))
+
+    def weight(self, ask: Ask) -> float:
+        """Return a request's size over the mean, within bounds."""
+        mean = self._sizes.get(ask.service)
+        if mean is None or not is_model(ask):
+            return 1.0
+        return min(MAX_WEIGHT, max(MIN_WEIGHT, _tokens(ask) / mean.value))
+
     def note_peer(self, node: str, kind: tuple[str, str], seen: Reference) -> None:
         """Note what another entry has measured of a service and generation."""
         peers = self._peers.setdefault(kind, {})
@@ -191,6 +221,10 @@
     return ask.size.output_tokens > 0
 
 
+def _tokens(ask: Ask) -> int:
+    return ask.size.prompt_tokens + ask.size.output_tokens
+
+
 def _learn(speed: Speed, ask: Ask, filled_tokens: int, report: RunReport) -> None:
     if not is_model(ask):
         speed.note_plain(report.duration_s)
--- a/fuchsiacroft/routing/limit.py
+++ b/fuchsiacroft/routing/limit.py
@@ -8,9 +8,11 @@
 class Limit(ABC):
     """The limit of one backend server.
 
+    It counts in runs of mean size, if `weighs_runs`, or simply in runs.
     `paces_prefill` says whether the prompts in prefill are limited as well.
     """
 
+    weighs_runs = False
     paces_prefill = False
 
     @abstractmethod
@@ -22,8 +24,8 @@
         """Return how many more the top tier may run for a short while."""
 
     @abstractmethod
-    def note(self, ask: Ask, running: int, report: RunReport) -> None:
-        """Learn from a run; `running` counts the others beside it."""
+    def note(self, ask: Ask, load: float, report: RunReport) -> None:
+        """Learn from a run; `load` is that of the others beside it."""
 
 
 class FixedLimit(Limit):
@@ -40,5 +42,5 @@
         """Return 0."""
         return 0
 
-    def note(self, ask: Ask, running: int, report: RunReport) -> None:
+    def note(self, ask: Ask, load: float, report: RunReport) -> None:
         """Do nothing: the limit is fixed."""
--- a/fuchsiacroft/routing/limit_learned.py
+++ b/fuchsiacroft/routing/limit_learned.py
@@ -45,6 +45,7 @@
 class LearnedLimit(Limit):
     """A limit that follows the measured targets."""
 
+    weighs_runs = True
     paces_prefill = True
 
     def __init__(
@@ -72,7 +73,7 @@
         """Return a part of the limit; short runs of the top tier use it."""
         return max(1, int(self._limit * OVERSHOOT_SHARE))
 
-    def note(self, ask: Ask, running: int, report: RunReport) -> None:
+    def note(self, ask: Ask, load: float, report: RunReport) -> None:
         """Compare a run with its targets, and adjust after a few runs.
 
         Runs that began under an earlier limit say nothing of the present one.
@@ -85,7 +86,7 @@
             return
         if self._ratio.value > SHRINK_ABOVE:
             self._adjust(max(1.0, self._limit * SHRINK_FACTOR))
-        elif self._ratio.value < GROW_BELOW and self._is_in_use(running):
+        elif self._ratio.value < GROW_BELOW and self._is_in_use(load):
             self._adjust(min(self._most, self._limit + 1.0))
 
     def _adjust(self, limit: float) -> None:
@@ -94,8 +95,8 @@
         self._ratio = Average(0.0)
         self._limits.note(*self._kind, limit)
 
-    def _is_in_use(self, running: int) -> bool:
-        return running + 1 >= IN_USE_SHARE * self.allowed()
+    def _is_in_use(self, load: float) -> bool:
+        return load + 1.0 >= IN_USE_SHARE * self.allowed()
 
     def _ramp(self) -> int:
         age = now() - self._ramp_from
--- a/fuchsiacroft/routing/owned.py
+++ b/fuchsiacroft/routing/owned.py
@@ -24,6 +24,7 @@
     expected_s: float
     prefill_s: float
     cached_tokens: int
+    weight: float = 1.0
     was_first_prefill: bool = False
     alone: bool = False
     cutting: bool = False
@@ -42,7 +43,8 @@
 class OwnedServer:
     """What the owner knows of one backend server in its present life.
 
-    `share` is the part of the limit that may be handed out from here.
+    `share` is the part of the limit that may be handed out from here, and
+    `load` what is handed out, in runs of mean size.
     `held_for` is the number of the ask that waits to run there alone.
     """
 
@@ -51,6 +53,7 @@
     health: Health
     reserve: Reserve
     share: float = 1.0
+    load: float = 0.0
     running: dict[str, Run] = field(default_factory=dict)
     held_for: int | None = None
     runs_alone: bool = False
@@ -67,16 +70,16 @@
         """Return its hardware generation."""
         return self.server.announcement.generation
 
-    def room(self, rank: int) -> int:
-        """Return how many more requests of this rank may start there now."""
+    def room(self, rank: int) -> float:
+        """Return the load left for requests of this rank that start now."""
         free = self.free(rank)
         if free <= 0:
             return 0
         most = TOP_PREFILLS if rank == 0 else LOWER_PREFILLS
         return min(free, most - self.prefilling())
 
-    def free(self, rank: int) -> int:
-        """Return the free places for this rank, whatever prefill goes on."""
+    def free(self, rank: int) -> float:
+        """Return the load left for this rank, whatever prefill goes on."""
         if self.server.announcement.leaving or self.held_for is not None:
             return 0
         if self.runs_alone:
@@ -85,7 +88,7 @@
         if rank == 0:
             allowed += self.limit.overshoot()
         allowed = int(self.share * self.health.cap(allowed))
-        free = allowed - len(self.running)
+        free = allowed - self.load
         if free <= 0 or not self.running:
             return free
         unreserved = allowed - self.reserve.kept_from(rank)
@@ -105,7 +108,8 @@
         """Begin a run; prompts in prefill share the engine."""
         permit_id = run.permit.permit_id
         self.running[permit_id] = run
-        self.reserve.note(run.permit.ask.rank, 1)
+        self.load += run.weight
+        self.reserve.note(run.permit.ask.rank, run.weight)
         if run.prefill_s > 0.0 and self.limit.paces_prefill:
             beside = self.prefilling()
             run.was_first_prefill = beside == 0
@@ -121,7 +125,8 @@
         self.prefills.pop(permit_id, None)
         if run is not None:
             self.runs_alone = self.runs_alone and not run.alone
-            self.reserve.note(run.permit.ask.rank, -1)
+            self.load -= run.weight
+            self.reserve.note(run.permit.ask.rank, -run.weight)
         return run
 
     def offers(self, service: str) -> bool:
--- a/fuchsiacroft/routing/reserve.py
+++ b/fuchsiacroft/routing/reserve.py
@@ -12,62 +12,62 @@
 
 MEMORY_S = 15.0
 MARGIN_DEVIATIONS = 2.0
-MIN_MEAN_RUNS = 0.05
+MIN_MEAN_LOAD = 0.05
 
 
 class Reserve(ABC):
     """Follows the runs of one backend server by rank."""
 
     @abstractmethod
-    def note(self, rank: int, change: int) -> None:
-        """Note that a run of a rank starts (1) or ends (-1)."""
+    def note(self, rank: int, change: float) -> None:
+        """Note the load that a run of a rank adds or takes away."""
 
     @abstractmethod
-    def kept_from(self, rank: int) -> int:
-        """Return the places that a request of this rank may not take."""
+    def kept_from(self, rank: int) -> float:
+        """Return the load that a request of this rank may not take."""
 
     @abstractmethod
-    def below(self, rank: int) -> int:
-        """Return how many runs of this rank and lower ones there are."""
+    def below(self, rank: int) -> float:
+        """Return the load of this rank and lower ones."""
 
 
 class NoReserve(Reserve):
     """The baseline: all room is for whoever comes."""
 
-    def note(self, rank: int, change: int) -> None:
+    def note(self, rank: int, change: float) -> None:
         """Do nothing."""
 
-    def kept_from(self, rank: int) -> int:
+    def kept_from(self, rank: int) -> float:
         """Return 0."""
         return 0
 
-    def below(self, rank: int) -> int:
+    def below(self, rank: int) -> float:
         """Return 0."""
         return 0
 
 
 class RankUse:
-    """The runs of one rank now, and their mean over the memory."""
+    """The load of one rank now, and its mean over the memory."""
 
     def __init__(self) -> None:
-        self.runs = 0
+        self.load = 0.0
         self._mean = 0.0
         self._at = now()
 
-    def note(self, change: int) -> None:
+    def note(self, change: float) -> None:
         """Count a start or an end."""
         self._follow()
-        self.runs += change
+        self.load += change
 
     def mean(self) -> float:
-        """Return the mean number of runs lately."""
+        """Return the mean load lately."""
         self._follow()
         return self._mean
 
     def _follow(self) -> None:
         at = now()
         fade = math.exp((self._at - at) / MEMORY_S)
-        self._mean = self._mean * fade + self.runs * (1.0 - fade)
+        self._mean = self._mean * fade + self.load * (1.0 - fade)
         self._at = at
 
 
@@ -77,20 +77,20 @@
     def __init__(self) -> None:
         self._ranks: dict[int, RankUse] = {}
 
-    def note(self, rank: int, change: int) -> None:
+    def note(self, rank: int, change: float) -> None:
         """Count a start or an end at a rank."""
         use = self._ranks.get(rank)
         if use is None:
             use = self._ranks[rank] = RankUse()
         use.note(change)
 
-    def kept_from(self, rank: int) -> int:
-        """Return the mean use of higher ranks with the margin, rounded down."""
+    def kept_from(self, rank: int) -> float:
+        """Return the mean use of higher ranks with the margin."""
         mean = sum(use.mean() for above, use in self._ranks.items() if above < rank)
-        if mean < MIN_MEAN_RUNS:
+        if mean < MIN_MEAN_LOAD:
             return 0
-        return int(mean + MARGIN_DEVIATIONS * math.sqrt(mean) + 0.5)
+        return mean + MARGIN_DEVIATIONS * math.sqrt(mean)
 
-    def below(self, rank: int) -> int:
-        """Return how many runs of this rank and lower ones there are."""
-        return sum(use.runs for other, use in self._ranks.items() if other >= rank)
+    def below(self, rank: int) -> float:
+        """Return the load of this rank and lower ones."""
+        return sum(use.load for other, use in self._ranks.items() if other >= rank)
--- a/fuchsiacroft/routing/route_expected.py
+++ b/fuchsiacroft/routing/route_expected.py
@@ -45,7 +45,7 @@
 
 def _crowding(owned: OwnedServer) -> float:
     limit = max(1, owned.limit.allowed())
-    return (len(owned.running) + _unknown_runs(owned, limit)) / limit
+    return (owned.load + _unknown_runs(owned, limit)) / limit
 
 
 def _unknown_runs(owned: OwnedServer, limit: int) -> float:
--- a/fuchsiacroft/routing/spill.py
+++ b/fuchsiacroft/routing/spill.py
@@ -136,7 +136,7 @@
         return tuple(
             ServiceLoad(
                 service=name,
-                room=sum(max(0, owned.room(1)) for owned in line.servers.values()),
+                room=int(sum(max(0, owned.room(1)) for owned in line.servers.values())),
                 waiting=len(line.queue),
                 servers=len(line.servers),
                 slow=sum(owned.health.is_slow for owned in line.servers.values()),
