--- a/fuchsiacroft/routing/reserve.py
+++ b/fuchsiacroft/routing/reserve.py
@@ -11,7 +11,7 @@
 from fuchsiacroft.utils.clock import now
 
 MEMORY_S = 15.0
-MARGIN_DEVIATIONS = 2.0
+MARGIN_DEVIATIONS = 1.0
 MIN_MEAN_LOAD = 0.05
 
 
--- a/fuchsiacroft/routing/shed_lowest.py
+++ b/fuchsiacroft/routing/shed_lowest.py
@@ -13,7 +13,7 @@
 from fuchsiacroft.utils.clock import now
 
 MIN_AHEAD = 4
-REFUSE_FACTOR = 1.5
+REFUSE_FACTOR = 2.5
 TOP_PATIENCE_SHARE = 0.4
 POSITION_DELAY_S = 0.05
 PRESS_MARGIN_S = 1.0
