Answer at once when every live owner has refused

Last tries now take a second at most, and an ask is over when all present owners have refused. The model now ends runs across a cut, as connections do.

--- a/fuchsiacroft/model/callers.py
+++ b/fuchsiacroft/model/callers.py
@@ -92,7 +92,9 @@
         started_at = now()
         try:
             run = slot.server.start(
-                record.arrival, lambda: entry.scheduler.note_first_token(permit)
+                record.arrival,
+                lambda: entry.scheduler.note_first_token(permit),
+                entry.member.failure_domain,
             )
             self._note_start(slot.server, record)
             outcome = RunOutcome.CANCELLED
--- a/fuchsiacroft/model/server.py
+++ b/fuchsiacroft/model/server.py
@@ -24,6 +24,7 @@
     arrival: Arrival
     done: asyncio.Future
     on_first_token: Callable[[], None] = field(repr=False)
+    domain: str
     started_at: float
     first_token_at: float | None = None
     ended_at: float | None = None
@@ -42,13 +43,18 @@
         self._advanced_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
-    def start(self, arrival: Arrival, on_first_token: Callable[[], None]) -> ServerRun:
-        """Begin a run; `on_first_token` is called when its prefill is over."""
+    def start(
+        self, arrival: Arrival, on_first_token: Callable[[], None], domain: str
+    ) -> ServerRun:
+        """Begin a run for an entry of a domain.
+
+        `on_first_token` is called when its prefill is over.
+        """
         if not self.alive:
             raise ConnectFailedError
         self._advance()
         done = asyncio.get_running_loop().create_future()
-        run = ServerRun(arrival, done, on_first_token, started_at=now())
+        run = ServerRun(arrival, done, on_first_token, domain, started_at=now())
         self.runs.add(run)
         self._begin(run)
         self._schedule()
@@ -63,6 +69,12 @@
         self._end(run)
         self._schedule()
 
+    def lose(self, run: ServerRun) -> None:
+        """End a run whose connection is cut."""
+        self.cancel(run)
+        if not run.done.done():
+            run.done.set_exception(ServerLostError())
+
     def slow_down(self, factor: float) -> None:
         """Run this many times slower from now on."""
         self._advance()
--- a/fuchsiacroft/model/world.py
+++ b/fuchsiacroft/model/world.py
@@ -120,11 +120,15 @@
         self._tasks.spawn(self._replace_owner(entry))
 
     def cut_domain(self, domain: str) -> None:
-        """Lose every message between one domain and the others."""
+        """Lose every message and run between one domain and the others."""
         for one in self.members:
             for other in self.members:
                 if (one.failure_domain == domain) != (other.failure_domain == domain):
                     self.network.cut_link(one.peers, other.peers)
+        for slot in self.slots:
+            for run in list(slot.server.runs):
+                if (run.domain == domain) != (slot.domain == domain):
+                    slot.server.lose(run)
 
     async def _replace_owner(self, dead: ModelEntry) -> None:
         await asyncio.sleep(DETECTION_S)
--- a/fuchsiacroft/routing/race.py
+++ b/fuchsiacroft/routing/race.py
@@ -1,7 +1,7 @@
 """Waits for a permit at several owners at once; the first grant wins."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 
 from expression import Error, Ok, Result
 
@@ -42,6 +42,10 @@
         """Return a node's refusal, if it has refused."""
         return self._refusals.get(node)
 
+    def have_refused(self, nodes: Iterable[str]) -> bool:
+        """Tell whether all of some nodes have refused."""
+        return all(node in self._refusals for node in nodes)
+
     def has_asked(self, node: str) -> bool:
         """Tell whether a node has been asked."""
         return node in self._tries
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -49,6 +49,7 @@
 LOOK_AGAIN_S = 0.5
 MAX_OWNERS = 8
 OWNERS_KEPT_S = 0.25
+LAST_TRY_S = 1.0
 MIN_GAIN_S = 0.1
 MAX_HEAD_START_S = 0.1
 
@@ -173,9 +174,9 @@
                 if waited_s >= ask.timeout_s:
                     break
                 self._widen(race, ask_id, ask, waited_s)
-                if race.is_over:
+                if race.is_over or self._is_lost(race, ask):
                     break
-                await race.wait(LOOK_AGAIN_S)
+                await race.wait(min(LOOK_AGAIN_S, ask.timeout_s - waited_s))
         finally:
             race.close()
         if race.asked == 0:
@@ -189,16 +190,21 @@
     async def _last_tries(
         self, race: Race, first: str, ask: Ask, waited_s: float
     ) -> Result[Permit, Refusal]:
-        left = _shortened(ask, waited_s)
+        last = _shortened(ask, max(waited_s, ask.timeout_s - LAST_TRY_S))
         for node in list(self._owners_of(ask))[:MAX_OWNERS]:
             if node == first:
                 continue
             ask_id = uuid.uuid4().hex
-            match await self._try(node, ask_id, left, LAST_TRY, race):
+            match await self._try(node, ask_id, last, LAST_TRY, race):
                 case Result(tag="ok", ok=permit):
                     return Ok(permit)
         return Error(race.refusal_of(first))
 
+    def _is_lost(self, race: Race, ask: Ask) -> bool:
+        """Tell whether every owner has refused, whoever else was asked."""
+        known = list(self._owners_of(ask))[:MAX_OWNERS]
+        return bool(known) and race.have_refused(known)
+
     def _outcome(self, race: Race, ask: Ask) -> Result[Permit, Refusal]:
         if race.winner is None and not race.has_refusals:
             return Error(self._desk.refusal(RefusalReason.TIMED_OUT, ask))
