--- a/fuchsiacroft/routing/order_slack.py
+++ b/fuchsiacroft/routing/order_slack.py
@@ -14,7 +14,7 @@
 from fuchsiacroft.routing.ask import Ask
 from fuchsiacroft.routing.order import Waiter, WaitingQueue
 
-MAX_STRETCH = 8.0
+MAX_STRETCH = 4.0
 COMPACT_LENGTH = 256
 
 
--- /dev/null
+++ b/fuchsiacroft/tests/fakes/routing_domain.py
@@ -0,0 +1,146 @@
+"""Entries of one failure domain with their real routing on a network in memory."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from fuchsiacroft.config.settings import Addresses, Member, Policies, Settings
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.membership import backend_servers
+from fuchsiacroft.membership.announcement import Announced, Announcement, Offer
+from fuchsiacroft.model.network import MemoryNetwork
+from fuchsiacroft.routing import desk, lending, owners, quarantine, scheduler, spill
+from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport, WorkSize
+from fuchsiacroft.routing.desk import Desk
+from fuchsiacroft.routing.lending import Lending
+from fuchsiacroft.routing.quarantine import Quarantine
+from fuchsiacroft.routing.scheduler import Scheduler
+from fuchsiacroft.utils.tasks import TaskGroup
+
+COMPLETED = RunReport(RunOutcome.COMPLETED, 0.2, 0.03, 1.0, 30)
+LOST = RunReport(RunOutcome.CONNECTION_LOST)
+
+
+@dataclass
+class Entry:
+    """One entry and its services."""
+
+    member: Member
+    kernel: Kernel
+
+    @property
+    def desk(self) -> Desk:
+        return self.kernel.get("desk", Desk)
+
+    @property
+    def scheduler(self) -> Scheduler:
+        return self.kernel.get("scheduler", Scheduler)
+
+    @property
+    def lending(self) -> Lending:
+        return self.kernel.get("lending", Lending)
+
+    @property
+    def quarantine(self) -> Quarantine:
+        return self.kernel.get("quarantine", Quarantine)
+
+    def running(self) -> int:
+        """Return the permits in use on owned backend servers."""
+        owned = self.desk.dump()["owned"].values()
+        return sum(len(server["running"]) for server in owned)
+
+
+@dataclass
+class RoutingDomain:
+    """A few entries; backend servers are announced by the test."""
+
+    size: int = 1
+    policies: Policies = field(default_factory=Policies)
+    network: MemoryNetwork = field(default_factory=MemoryNetwork)
+    entries: list[Entry] = field(default_factory=list)
+    announced: dict[str, Announced] = field(default_factory=dict)
+    tasks: TaskGroup = field(default_factory=lambda: TaskGroup("domain"))
+
+    async def start(self) -> "RoutingDomain":
+        members = [
+            Member(node=f"entry-{i}", failure_domain="d", peers=f"10.0.0.{i + 1}:7000")
+            for i in range(self.size)
+        ]
+        self.entries = [self._entry(member, members) for member in members]
+        for entry in self.entries:
+            await entry.kernel.start()
+        self.tasks.spawn(self._keep_announcing())
+        return self
+
+    async def stop(self) -> None:
+        await self.tasks.cancel()
+        for entry in self.entries:
+            await entry.kernel.stop()
+
+    async def announce(self, name: str, **fields) -> None:
+        """Let every entry hear an announcement, now and once a second."""
+        self.announced[name] = Announced(announcement(name, **fields))
+        await self._tell(self.announced[name])
+
+    async def _keep_announcing(self) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            for announced in list(self.announced.values()):
+                await self._tell(announced)
+
+    async def _tell(self, announced: Announced) -> None:
+        for entry in self.entries:
+            directory = entry.kernel.get(
+                "backend_servers", backend_servers.BackendDirectory
+            )
+            await directory._on_announced("server", announced)
+
+    def _entry(self, member: Member, members: list[Member]) -> Entry:
+        settings = Settings(
+            node=member.node,
+            failure_domain="d",
+            region="r",
+            addresses=Addresses(operators="127.0.0.1:1"),
+            entries=members,
+            policies=self.policies,
+        )
+        owned_by = owners.create(settings)
+        kernel = Kernel()
+        for service in (
+            self.network.bus(member.node, member.peers),
+            backend_servers.create(settings),
+            quarantine.create(settings),
+            desk.create(member.node, self.policies, owned_by),
+            lending.create({other.node: other.peers for other in members}),
+            spill.create(settings),
+            scheduler.create(settings, owned_by),
+        ):
+            kernel.add(service)
+        return Entry(member, kernel)
+
+
+def announcement(name: str, slots: int = 4, boot: str = "1", **fields) -> Announcement:
+    """Return an announcement of a backend server that offers "lens"."""
+    return Announcement(
+        name=name,
+        boot_id=f"{name}-{boot}",
+        failure_domain="d",
+        address="127.0.0.1:1",
+        offers=(Offer("lens"),),
+        slots=slots,
+        generation="gen",
+        **fields,
+    )
+
+
+def ask(request_id: str = "r", rank: int = 0, **fields) -> Ask:
+    """Return an ask for a short model request."""
+    values = {
+        "request_id": request_id,
+        "service": "lens",
+        "rank": rank,
+        "timeout_s": 20.0,
+        "workspace": "w",
+        "size": WorkSize(300, 30),
+        "fingerprint": request_id,
+    }
+    return Ask(**(values | fields))
--- /dev/null
+++ b/fuchsiacroft/tests/routing/borrowing_tests.py
@@ -0,0 +1,121 @@
+"""Permits between entries: late binding, leases, lost and doubled messages."""
+
+import asyncio
+
+from fuchsiacroft.routing.ask import RunOutcome, RunReport
+from fuchsiacroft.routing.lending import LEASE_S
+from fuchsiacroft.routing.messages import AskPermit, WithdrawAsk
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.routing_domain import COMPLETED, RoutingDomain, ask
+
+SERVERS = 6
+
+
+class BorrowingTests(PausedTestCase):
+    """Three entries that own two backend servers each, more or less."""
+
+    def play(self, scenario):
+        async def run():
+            domain = await RoutingDomain(size=3).start()
+            for i in range(SERVERS):
+                await domain.announce(f"s{i}", slots=2)
+            try:
+                await scenario(domain, *domain.entries)
+            finally:
+                await domain.stop()
+
+        self.run_paused(run())
+
+    def total(self, domain):
+        return sum(entry.running() for entry in domain.entries)
+
+    async def acquire(self, entry, count, **fields):
+        asks = [ask(f"r{i}", timeout_s=4.0, **fields) for i in range(count)]
+        results = await asyncio.gather(*map(entry.scheduler.acquire, asks))
+        return [result.ok for result in results if result.is_ok()]
+
+    def test_one_entry_uses_every_backend_server_and_gives_all_back(self):
+        async def scenario(domain, one, *others):
+            permits = await self.acquire(one, 12)
+            self.assertGreaterEqual(len(permits), 12)
+            self.assertEqual(len(permits), self.total(domain))
+            for permit in permits:
+                one.scheduler.release(permit, COMPLETED)
+            await asyncio.sleep(1.0)
+            self.assertEqual(0, self.total(domain))
+
+        self.play(scenario)
+
+    def test_a_lent_permit_of_a_dead_entry_expires_and_a_live_one_stays(self):
+        async def scenario(domain, one, two, three):
+            dead = await self.acquire(one, 6)
+            live = await self.acquire(two, 2)
+            domain.network.buses.pop(one.member.peers)
+            await asyncio.sleep(2 * LEASE_S)
+            remaining = two.running() + three.running()
+            kept = [permit for permit in live if permit.owner != one.member.node]
+            self.assertEqual(len(kept), remaining)
+            self.assertTrue(any(p.owner != one.member.node for p in dead))
+
+        self.play(scenario)
+
+    def test_lost_and_doubled_messages_leak_no_permit(self):
+        async def scenario(domain, one, *others):
+            domain.network.loss = 0.2
+            domain.network.doubled = 0.3
+            for _ in range(5):
+                for permit in await self.acquire(one, 12):
+                    one.scheduler.release(permit, COMPLETED)
+            domain.network.loss = 0.0
+            await asyncio.sleep(2 * LEASE_S)
+            self.assertEqual(0, self.total(domain))
+
+        self.play(scenario)
+
+    def test_a_withdrawal_that_overtakes_its_ask_leaves_nothing(self):
+        async def scenario(domain, one, two, three):
+            await two.lending._on_withdraw("entry-0", WithdrawAsk("a"))
+            answer = await two.lending._on_ask("entry-0", AskPermit("a", ask()))
+            self.assertIsNone(answer)
+            self.assertEqual(0, two.running())
+
+        self.play(scenario)
+
+    def test_a_cancelled_request_gives_back_what_was_granted_meanwhile(self):
+        async def scenario(domain, one, *others):
+            for delay_s in (0.0, 0.001, 0.002, 0.003, 0.004, 0.01):
+                tasks = [
+                    asyncio.create_task(one.scheduler.acquire(ask(f"r{i}")))
+                    for i in range(12)
+                ]
+                await asyncio.sleep(delay_s)
+                for task in tasks:
+                    task.cancel()
+                results = await asyncio.gather(*tasks, return_exceptions=True)
+                for result in results:
+                    if not isinstance(result, BaseException) and result.is_ok():
+                        one.scheduler.release(result.ok, COMPLETED)
+                await asyncio.sleep(1.0)
+                self.assertEqual(0, self.total(domain), delay_s)
+
+        self.play(scenario)
+
+    def test_a_run_of_another_entry_is_cut_through_its_owner(self):
+        async def scenario(domain, one, two, three):
+            await self.acquire(one, 40, rank=2)
+            held = [
+                permit for i in range(SERVERS) for permit in one.scheduler.held(f"s{i}")
+            ]
+            task = asyncio.create_task(two.scheduler.acquire(ask("top", rank=0)))
+            tops = [two.scheduler.acquire(ask(f"t{i}", rank=0)) for i in range(20)]
+            more = asyncio.gather(*tops)
+            await asyncio.wait([permit.cut for permit in held], timeout=3.0)
+            cut = [permit for permit in held if permit.cut.done()]
+            self.assertTrue(cut)
+            for permit in cut:
+                one.scheduler.release(permit, RunReport(RunOutcome.CUT))
+            self.assertTrue((await task).is_ok())
+            more.cancel()
+            await asyncio.gather(more, return_exceptions=True)
+
+        self.play(scenario)
--- /dev/null
+++ b/fuchsiacroft/tests/routing/desk_tests.py
@@ -0,0 +1,177 @@
+"""Permits, shedding and limits at one owner."""
+
+import asyncio
+
+from fuchsiacroft.config.settings import Policies
+from fuchsiacroft.membership.announcement import ReportedLoad
+from fuchsiacroft.routing.ask import RefusalReason, RunOutcome, RunReport, WorkSize
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.routing_domain import COMPLETED, RoutingDomain, ask
+
+AT_ONCE_S = 0.2
+SUMMARY = WorkSize(300, 400)
+
+
+class DeskTests(PausedTestCase):
+    """One entry that owns every backend server."""
+
+    def play(self, scenario, policies=None):
+        async def run():
+            domain = await RoutingDomain(policies=policies or Policies()).start()
+            try:
+                await scenario(domain, domain.entries[0])
+            finally:
+                await domain.stop()
+
+        self.run_paused(run())
+
+    async def fill(self, entry, count, **fields):
+        """Start runs whose prefill is over."""
+        permits = []
+        for i in range(count):
+            result = await entry.scheduler.acquire(ask(f"fill-{i}", **fields))
+            permits.append(result.ok)
+            entry.scheduler.note_first_token(result.ok)
+        return permits
+
+    async def until_full(self, entry, **fields):
+        """Start runs until none can start at once."""
+        permits = []
+        while True:
+            permit = entry.desk.grant_now(ask(f"full-{len(permits)}", **fields))
+            if permit is None:
+                return permits
+            entry.desk.note_first_token(permit)
+            permits.append(permit)
+
+    async def first_cut(self, runs):
+        """Wait until one of the runs is cut, and return all that are."""
+        cuts = [run.cut for run in runs]
+        await asyncio.wait(cuts, timeout=5.0, return_when=asyncio.FIRST_COMPLETED)
+        return [run for run in runs if run.cut.done()]
+
+    def test_a_lower_run_is_cut_for_the_top_tier(self):
+        async def scenario(domain, entry):
+            await domain.announce("s")
+            runs = await self.until_full(entry, rank=2)
+            tops = await self.until_full(entry, rank=0)
+            task = asyncio.create_task(entry.desk.acquire(ask("top")))
+            cut = await self.first_cut(runs)
+            self.assertEqual(1, len(cut))
+            self.assertGreater(cut[0].cut.result(), 0.5)
+            entry.desk.release(cut[0], RunReport(RunOutcome.CUT))
+            self.assertTrue((await task).is_ok())
+            self.assertFalse(any(run.cut.done() for run in tops))
+
+        self.play(scenario)
+
+    def test_a_non_idempotent_run_is_never_cut(self):
+        async def scenario(domain, entry):
+            await domain.announce("s")
+            runs = await self.until_full(entry, rank=2, idempotent=False)
+            extra = await self.until_full(entry, rank=0)
+            result = await entry.desk.acquire(ask("top", timeout_s=5.0))
+            self.assertTrue(result.is_error())
+            self.assertFalse(any(run.cut.done() for run in runs + extra))
+
+        self.play(scenario)
+
+    def test_the_run_with_the_least_time_spent_is_cut_first(self):
+        async def scenario(domain, entry):
+            await domain.announce("s")
+            old = await self.until_full(entry, rank=2)
+            await asyncio.sleep(5.0)
+            entry.desk.release(old.pop(), COMPLETED)
+            young = await self.until_full(entry, rank=2)
+            await self.until_full(entry, rank=0)
+            task = asyncio.create_task(entry.desk.acquire(ask("top")))
+            cut = await self.first_cut([*old, *young])
+            self.assertEqual(young, cut)
+            task.cancel()
+
+        self.play(scenario)
+
+    def test_what_cannot_end_in_time_is_refused_at_its_latest_start(self):
+        async def scenario(domain, entry):
+            await domain.announce("s")
+            await self.until_full(entry, rank=0)
+            before = asyncio.get_running_loop().time()
+            result = await entry.desk.acquire(ask("late", timeout_s=20.0, size=SUMMARY))
+            waited = asyncio.get_running_loop().time() - before
+            self.assertEqual(RefusalReason.OVERLOADED, result.error.reason)
+            self.assertLess(waited, 10.0)
+            self.assertGreater(result.error.retry_after_s, 0.5)
+
+        self.play(scenario)
+
+    def test_lower_waiters_are_answered_at_once_when_a_higher_one_is_refused(self):
+        async def scenario(domain, entry):
+            await domain.announce("s")
+            await self.until_full(entry, rank=0)
+            low = asyncio.create_task(
+                entry.desk.acquire(ask("low", rank=2, timeout_s=90.0))
+            )
+            await entry.desk.acquire(ask("high", rank=1, timeout_s=5.0))
+            result = await asyncio.wait_for(low, AT_ONCE_S)
+            self.assertEqual(RefusalReason.OVERLOADED, result.error.reason)
+
+        self.play(scenario)
+
+    def test_a_grant_that_meets_a_cancellation_leaks_no_permit(self):
+        async def scenario(domain, entry):
+            await domain.announce("s")
+            runs = await self.until_full(entry, rank=1)
+            for _ in range(50):
+                waiting = asyncio.create_task(entry.desk.acquire(ask("w", rank=1)))
+                await asyncio.sleep(0)
+                entry.desk.release(runs.pop(), COMPLETED)
+                waiting.cancel()
+                await asyncio.gather(waiting, return_exceptions=True)
+                runs += await self.until_full(entry, rank=1)
+            self.assertEqual(len(runs), entry.running())
+
+        self.play(scenario)
+
+    def test_a_leaving_backend_server_gets_nothing_from_the_announcement_on(self):
+        async def scenario(domain, entry):
+            await domain.announce("s")
+            self.assertIsNotNone(entry.desk.grant_now(ask()))
+            await domain.announce("s", leaving=True)
+            self.assertIsNone(entry.desk.grant_now(ask()))
+
+        self.play(scenario)
+
+    def test_a_newly_joined_backend_server_is_ramped_up(self):
+        async def scenario(domain, entry):
+            await domain.announce("old", slots=16)
+            await asyncio.sleep(20.0)
+            await domain.announce("new", slots=16)
+            at_first = entry.desk.dump()["owned"]["new"]["limit"]
+            await asyncio.sleep(20.0)
+            self.assertLess(at_first, 4)
+            self.assertEqual(16, entry.desk.dump()["owned"]["new"]["limit"])
+
+        self.play(scenario)
+
+    def test_wrong_load_reports_move_little_work(self):
+        async def scenario(domain, entry):
+            await domain.announce("a", slots=16, load=ReportedLoad(running=500))
+            await domain.announce("b", slots=16, load=ReportedLoad(running=0))
+            permits = await self.fill(entry, 16, rank=1)
+            on_a = sum(permit.backend_server == "a" for permit in permits)
+            self.assertGreaterEqual(on_a, 4)
+
+        self.play(scenario)
+
+    def test_a_new_boot_forgets_the_runs_of_the_last(self):
+        async def scenario(domain, entry):
+            await domain.announce("s")
+            permits = await self.until_full(entry, rank=1)
+            await domain.announce("s", boot="2")
+            self.assertEqual(0, entry.running())
+            for permit in permits:
+                entry.desk.release(permit, COMPLETED)
+            self.assertEqual(0, entry.running())
+            self.assertIsNotNone(entry.desk.grant_now(ask("again")))
+
+        self.play(scenario)
--- /dev/null
+++ b/fuchsiacroft/tests/routing/quarantine_tests.py
@@ -0,0 +1,106 @@
+"""Requests that crash backend servers."""
+
+import asyncio
+
+from fuchsiacroft.routing.ask import RefusalReason
+from fuchsiacroft.routing.quarantine import FORGET_S, Treatment
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.routing_domain import (
+    COMPLETED,
+    LOST,
+    RoutingDomain,
+    ask,
+)
+
+
+class QuarantineTests(PausedTestCase):
+    """Two entries and a request that ends every backend server it runs on."""
+
+    def play(self, scenario):
+        async def run():
+            domain = await RoutingDomain(size=2).start()
+            try:
+                await scenario(domain, *domain.entries)
+            finally:
+                await domain.stop()
+
+        self.run_paused(run())
+
+    async def crash(self, domain, entry, boot, *names):
+        """Run requests on a backend server that dies of them."""
+        await domain.announce("s", boot=f"{boot}")
+        permits = []
+        for name in names:
+            result = await entry.scheduler.acquire(ask(name, timeout_s=3.0))
+            if result.is_ok():
+                permits.append(result.ok)
+        for permit in permits:
+            entry.scheduler.release(permit, LOST)
+        await asyncio.sleep(0.1)
+        await domain.announce("s", boot=f"{boot}-after")
+        await asyncio.sleep(0.1)
+        return permits
+
+    def test_the_second_crash_quarantines_it_at_every_entry(self):
+        async def scenario(domain, one, two):
+            await self.crash(domain, one, 1, "bad", "neighbour")
+            await self.crash(domain, two, 2, "bad", "other")
+            for entry in (one, two):
+                result = await entry.scheduler.acquire(ask("bad"))
+                self.assertEqual(RefusalReason.QUARANTINED, result.error.reason)
+                self.assertTrue((await entry.scheduler.acquire(ask("other"))).is_ok())
+
+        self.play(scenario)
+
+    def test_a_neighbour_that_completes_is_cleared(self):
+        async def scenario(domain, one, two):
+            await self.crash(domain, one, 1, "bad", "neighbour")
+            result = await two.scheduler.acquire(ask("neighbour"))
+            two.scheduler.release(result.ok, COMPLETED)
+            await asyncio.sleep(0.1)
+            for entry in (one, two):
+                self.assertNotIn("neighbour", entry.quarantine.dump())
+                self.assertIn("bad", entry.quarantine.dump())
+
+        self.play(scenario)
+
+    def test_two_suspects_of_two_crashes_run_alone(self):
+        async def scenario(domain, one, two):
+            await self.crash(domain, one, 1, "bad", "unlucky")
+            await self.crash(domain, one, 2, "bad", "unlucky")
+            self.assertIs(Treatment.ALONE, one.quarantine.treatment("unlucky"))
+            await domain.announce("s", boot="3")
+            first = await one.scheduler.acquire(ask("unlucky"))
+            beside = await one.scheduler.acquire(ask("innocent", timeout_s=1.0))
+            self.assertTrue(first.is_ok())
+            self.assertTrue(beside.is_error())
+            one.scheduler.release(first.ok, COMPLETED)
+            await asyncio.sleep(0.1)
+            self.assertIs(Treatment.FREE, two.quarantine.treatment("unlucky"))
+
+        self.play(scenario)
+
+    def test_a_lost_connection_alone_blames_nobody(self):
+        async def scenario(domain, one, two):
+            await domain.announce("s")
+            result = await one.scheduler.acquire(ask("r"))
+            one.scheduler.release(result.ok, LOST)
+            await domain.announce("s")
+            self.assertEqual({}, one.quarantine.dump())
+
+        self.play(scenario)
+
+    def test_an_operator_lifts_it_and_time_forgets_it(self):
+        async def scenario(domain, one, two):
+            await self.crash(domain, one, 1, "bad")
+            await self.crash(domain, one, 2, "bad")
+            self.assertTrue(two.quarantine.lift("bad"))
+            self.assertFalse(two.quarantine.lift("bad"))
+            await asyncio.sleep(0.1)
+            self.assertIs(Treatment.FREE, one.quarantine.treatment("bad"))
+            await self.crash(domain, one, 3, "bad")
+            await asyncio.sleep(FORGET_S + 1.0)
+            self.assertIs(Treatment.FREE, one.quarantine.treatment("bad"))
+            self.assertEqual({}, one.quarantine.dump())
+
+        self.play(scenario)
