Begin limits lower and grow them by their distance to the target

Ten top-tier requests were refused because the same dead backend server was given to all three tries; a request now avoids what could not be reached.

--- a/fuchsiacroft/model/experiment.py
+++ b/fuchsiacroft/model/experiment.py
@@ -32,7 +32,14 @@
     ),
     "ours": Policies(),
 }
-SCENARIOS = ("calm", "straggler", "killed_entry", "killed_server", "cut_domain")
+SCENARIOS = (
+    "calm",
+    "straggler",
+    "killed_entry",
+    "killed_server",
+    "cut_domain",
+    "leaving",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +91,8 @@
             engine.kill()
         case "cut_domain":
             world.cut_domain(domain)
+        case "leaving":
+            engine.leaving_since = asyncio.get_running_loop().time()
     await asyncio.sleep(trial.length_s * (FAULT_END_SHARE - FAULT_SHARE))
     match trial.scenario:
         case "straggler":
--- a/fuchsiacroft/routing/ask.py
+++ b/fuchsiacroft/routing/ask.py
@@ -20,6 +20,7 @@
     `rank` 0 is the most urgent tier. `timeout_s` counts from the time at
     which the ask is received. `prefixes` are digests of the prompt's leading
     blocks, the shortest first. `fingerprint` names the request's content.
+    `avoid` names backend servers that could not be reached for this request.
     """
 
     request_id: str
@@ -35,6 +36,7 @@
     first_token_target_s: float = 1.3
     token_gap_target_s: float = 0.044
     retries_per_s: float = 10.0
+    avoid: tuple[str, ...] = ()
 
 
 class RefusalReason(enum.Enum):
--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -384,7 +384,11 @@
             roomy = [only] if only.room(ask.rank) > 0 else []
         else:
             roomy = line.roomy(ask.rank, self._decisions.rng)
-        roomy = [owned for owned in roomy if self._owners.is_ready(owned.name)]
+        roomy = [
+            owned
+            for owned in roomy
+            if owned.name not in ask.avoid and self._owners.is_ready(owned.name)
+        ]
         return self._decisions.route.choose(ask, roomy) if roomy else None
 
     def _grant(self, ask: Ask, owned: OwnedServer) -> Permit:
--- a/fuchsiacroft/routing/limit_learned.py
+++ b/fuchsiacroft/routing/limit_learned.py
@@ -13,11 +13,13 @@
 
 RAMP_S = 8.0
 RAMP_FIRST = 2
+FIRST_SHARE = 0.75
 MIN_RUNS = 4
 SHRINK_FACTOR = 0.9
 SHRINK_ABOVE = 1.1
 GROW_BELOW = 0.95
-IN_USE_SHARE = 0.85
+GROWTH = 0.6
+IN_USE_SHARE = 0.6
 MAX_SLOTS_FACTOR = 2
 PLAIN_SLOWDOWN = 2.0
 LARGEST_RATIO = 4.0
@@ -34,7 +36,7 @@
     def first(self, service: str, generation: str, slots: int) -> float:
         """Return where a backend server of that kind begins."""
         learned = self._learned.get((service, generation))
-        return float(slots) if learned is None else learned.value
+        return FIRST_SHARE * slots if learned is None else learned.value
 
     def note(self, service: str, generation: str, limit: float) -> None:
         """Take in a limit that has just been adjusted."""
@@ -87,7 +89,8 @@
         if self._ratio.value > SHRINK_ABOVE:
             self._adjust(max(1.0, self._limit * SHRINK_FACTOR))
         elif self._ratio.value < GROW_BELOW and self._is_in_use(load):
-            self._adjust(min(self._most, self._limit + 1.0))
+            step = max(1.0, self._limit * GROWTH * (1.0 - self._ratio.value))
+            self._adjust(min(self._most, self._limit + step))
 
     def _adjust(self, limit: float) -> None:
         self._limit = limit
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 import uuid
+from collections import OrderedDict
 
 import msgspec
 from expression import Error, Ok, Result
@@ -47,7 +48,9 @@
 ANSWER_MARGIN_S = 0.5
 RENEW_PERIOD_S = 1.0
 LOOK_AGAIN_S = 0.5
+MIN_WAIT_S = 0.001
 MAX_OWNERS = 8
+MAX_UNREACHED = 1_000
 OWNERS_KEPT_S = 0.25
 LAST_TRY_S = 1.0
 MIN_GAIN_S = 0.1
@@ -67,6 +70,7 @@
         self._random = random.Random(seed)
         self._tasks = TaskGroup("scheduler")
         self._held: dict[str, Permit] = {}
+        self._unreached: OrderedDict[str, tuple[str, ...]] = OrderedDict()
         self._owners_seen: dict[str, tuple[float, dict]] = {}
         self._retries = RetryBudgets()
         self._spilling: Spilling | None = None
@@ -112,6 +116,9 @@
             return Error(self._desk.refusal(RefusalReason.DRAINING, ask))
         if not self._retries.allows(ask):
             return Error(self._desk.refusal(RefusalReason.OVERLOADED, ask))
+        avoid = self._unreached.get(ask.request_id, ())
+        if avoid:
+            ask = msgspec.structs.replace(ask, avoid=avoid)
         outcome = await self._acquire(ask)
         match outcome:
             case Result(tag="ok", ok=permit):
@@ -132,6 +139,8 @@
     def release(self, permit: Permit, report: RunReport) -> None:
         """Give a permit back to its owner, or to the one that took over."""
         self._held.pop(permit.permit_id, None)
+        if report.outcome is RunOutcome.NOT_DISPATCHED:
+            self._note_unreached(permit)
         if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
             self._quarantine.clear(permit.ask.fingerprint)
         server = self._directory.get(permit.backend_server)
@@ -144,6 +153,13 @@
             else:
                 self._send(owner, ReleasePermit(permit.permit_id, report))
 
+    def _note_unreached(self, permit: Permit) -> None:
+        request_id = permit.ask.request_id
+        tried = self._unreached.pop(request_id, ())
+        self._unreached[request_id] = (*tried, permit.backend_server)
+        if len(self._unreached) > MAX_UNREACHED:
+            self._unreached.popitem(last=False)
+
     def _owners_for(self, permit: Permit) -> set[str]:
         owner = self._owners.owner_of(permit.backend_server)
         if self._directory.get(permit.backend_server) is None or owner is None:
@@ -171,7 +187,7 @@
                 await race.wait(head_start_s)
             while race.winner is None and not _is_refused_early(race, first):
                 waited_s = now() - started_at
-                if waited_s >= ask.timeout_s:
+                if waited_s >= ask.timeout_s - MIN_WAIT_S:
                     break
                 self._widen(race, ask_id, ask, waited_s)
                 if race.is_over or self._is_lost(race, ask):
--- /dev/null
+++ b/fuchsiacroft/tests/model/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the model of the systems served."""
--- a/fuchsiacroft/tests/routing/borrowing_tests.py
+++ b/fuchsiacroft/tests/routing/borrowing_tests.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+from expression import Ok
+
 from fuchsiacroft.routing.ask import RunOutcome, RunReport
 from fuchsiacroft.routing.lending import LEASE_S
 from fuchsiacroft.routing.messages import AskPermit, WithdrawAsk
+from fuchsiacroft.routing.race import Race
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.routing_domain import COMPLETED, RoutingDomain, ask
 
@@ -119,3 +122,25 @@
             await asyncio.gather(more, return_exceptions=True)
 
         self.play(scenario)
+
+
+class RaceTests(PausedTestCase):
+    """The tries of one ask."""
+
+    def test_a_grant_that_comes_after_the_close_is_given_back(self):
+        async def grant_late():
+            try:
+                await asyncio.sleep(5.0)
+            except asyncio.CancelledError:
+                return Ok("late")
+
+        async def play():
+            back = []
+            race = Race(back.append)
+            race.start("one", grant_late())
+            await race.wait(0.1)
+            race.close()
+            await asyncio.sleep(0.1)
+            return back
+
+        self.assertEqual(["late"], self.run_paused(play()))
