--- a/fuchsiacroft/commands/experiment.py
+++ b/fuchsiacroft/commands/experiment.py
@@ -9,6 +9,7 @@
 from fuchsiacroft.model.experiment import POLICY_SETS, SCENARIOS, Trial
 from fuchsiacroft.model.outcomes import Measures
 from fuchsiacroft.model.trace import DEPLOYMENTS
+from fuchsiacroft.model.world import Conditions
 from fuchsiacroft.utils import logs
 
 HEADER = (
@@ -35,6 +36,9 @@
     flags.DEFINE_list("loads", ["0.7", "1", "1.5", "3"], "times capacity", values)
     flags.DEFINE_list("seeds", ["1", "2", "3", "4", "5"], "which seeds", values)
     flags.DEFINE_float("length_s", 60.0, "seconds of each trace", flag_values=values)
+    flags.DEFINE_float("report_lag_s", 1.0, "age of load reports", flag_values=values)
+    flags.DEFINE_float("report_factor", 1.0, "wrong by", flag_values=values)
+    flags.DEFINE_bool("reports", True, "whether load is reported", values)
     flags.DEFINE_bool("empty", True, "compare with the top tier alone", values)
 
 
@@ -56,6 +60,11 @@
         load=load,
         scenario=scenario,
         length_s=values.length_s,
+        conditions=Conditions(
+            report_lag_s=values.report_lag_s,
+            reports=values.reports,
+            report_factor=values.report_factor,
+        ),
     )
     empty = None
     if values.empty:
--- a/fuchsiacroft/model/callers.py
+++ b/fuchsiacroft/model/callers.py
@@ -57,9 +57,10 @@
         record = Record(arrival, began_at=now())
         self.outcomes.records.append(record)
         task = asyncio.get_running_loop().create_task(self._serve(entry, record))
-        for group in (self._open, entry.callers):
-            group.add(task)
-            task.add_done_callback(group.discard)
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
+        entry.callers[task] = None
+        task.add_done_callback(entry.callers.pop)
 
     async def _serve(self, entry: ModelEntry, record: Record) -> None:
         began_at = now()
--- a/fuchsiacroft/model/server.py
+++ b/fuchsiacroft/model/server.py
@@ -31,6 +31,10 @@
     prompt_left: int = 0
     prefilled: float = 0.0
 
+    def name(self) -> str:
+        """Return the id of its request."""
+        return self.arrival.request_id
+
 
 class ModelServer(ABC):
     """Admits everything, knows no priorities, and can be slowed or killed."""
@@ -85,7 +89,7 @@
         """Die; every run is lost."""
         self._advance()
         self.alive = False
-        for run in list(self.runs):
+        for run in sorted(self.runs, key=ServerRun.name):
             self._abandon(run)
             self._end(run)
             if not run.done.done():
--- a/fuchsiacroft/model/world.py
+++ b/fuchsiacroft/model/world.py
@@ -18,7 +18,7 @@
 from fuchsiacroft.model.application import ModelApplication
 from fuchsiacroft.model.engine import NEWER, OLDER, ModelEngine
 from fuchsiacroft.model.network import MemoryNetwork
-from fuchsiacroft.model.server import Slot
+from fuchsiacroft.model.server import ServerRun, Slot
 from fuchsiacroft.model.trace import Deployment, mean_work
 from fuchsiacroft.routing import desk, lending, owners, quarantine, scheduler, spill
 from fuchsiacroft.routing.desk import Desk
@@ -58,7 +58,7 @@
     kernel: Kernel
     owned_by: RendezvousOwners
     alive: bool = True
-    callers: set[asyncio.Task] = field(default_factory=set)
+    callers: dict[asyncio.Task, None] = field(default_factory=dict)
 
     @property
     def scheduler(self) -> Scheduler:
@@ -126,7 +126,7 @@
                 if (one.failure_domain == domain) != (other.failure_domain == domain):
                     self.network.cut_link(one.peers, other.peers)
         for slot in self.slots:
-            for run in list(slot.server.runs):
+            for run in sorted(slot.server.runs, key=ServerRun.name):
                 if (run.domain == domain) != (slot.domain == domain):
                     slot.server.lose(run)
 
--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import uuid
 from collections.abc import Callable
 
 from expression import Error, Ok, Result
@@ -10,7 +9,7 @@
 from fuchsiacroft.config.settings import Policies
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.backend_servers import BackendDirectory, BackendServer
-from fuchsiacroft.routing import health, policies
+from fuchsiacroft.routing import health, isolation, policies
 from fuchsiacroft.routing.ask import (
     Ask,
     Permit,
@@ -20,18 +19,17 @@
     RunReport,
 )
 from fuchsiacroft.routing.estimates import Estimates
-from fuchsiacroft.routing.line import Line, later
+from fuchsiacroft.routing.grants import Grants
+from fuchsiacroft.routing.line import Line
 from fuchsiacroft.routing.order import LAST_TRY, Waiter
-from fuchsiacroft.routing.owned import OwnedServer, Run
+from fuchsiacroft.routing.owned import OwnedServer
 from fuchsiacroft.routing.owners import Owners
 from fuchsiacroft.routing.policies import Decisions
 from fuchsiacroft.routing.quarantine import Quarantine, Treatment
-from fuchsiacroft.routing.waits import spread_retry_s
+from fuchsiacroft.routing.shedder import Shedder
 from fuchsiacroft.utils.clock import now
-from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import TaskGroup
 
-PRESS_PERIOD_S = 0.1
 SWEEP_PERIOD_S = 0.5
 MIN_WAKE_S = 0.01
 MIN_WAIT_SHARE = 0.1
@@ -45,18 +43,17 @@
     name = "desk"
 
     def __init__(self, node: str, decisions: Decisions, owners: Owners) -> None:
-        self._node = node
         self._decisions = decisions
         self._owners = owners
         self._owned: dict[str, OwnedServer] = {}
         self._lines: dict[str, Line] = {}
         self._joined: dict[str, float] = {}
+        self._grants = Grants(node, decisions)
+        self._shedder = Shedder(decisions)
         self._numbers = itertools.count()
-        self._life = uuid.uuid4().hex[:8]
         self._tasks = TaskGroup("desk")
         self._quarantine: Quarantine | None = None
         self.neighbours: Callable[[str], tuple[int, int]] = lambda service: (0, 0)
-        self.on_cut: Callable[[Permit, float], None] = lambda permit, retry_s: None
 
     async def start(self, kernel: Kernel) -> None:
         """Follow the directory of backend servers."""
@@ -89,6 +86,10 @@
             "prefixes": len(self._decisions.prefixes),
         }
 
+    def tell_cuts(self, on_cut: Callable[[Permit, float], None]) -> None:
+        """Tell of each permit whose run must end, and when to retry."""
+        self._shedder.on_cut = on_cut
+
     def note(self, server: BackendServer) -> None:
         """Note an announcement of a backend server, owned or not."""
         if server.boot_id not in self._joined:
@@ -138,7 +139,7 @@
         if owned is None:
             return None
         line.waits.note_start(ask.rank)
-        return self._grant(ask, owned)
+        return self._grants.grant(ask, owned)
 
     async def acquire(self, ask: Ask, position: int = 0) -> Result[Permit, Refusal]:
         """Wait for a permit until the ask's timeout."""
@@ -161,7 +162,7 @@
                 return await waiter.fut
         except TimeoutError:
             self._give_back(waiter)
-            return Error(self._refusal(RefusalReason.TIMED_OUT, waiter.ask, line))
+            return Error(self._shedder.refusal(RefusalReason.TIMED_OUT, ask, line))
         except asyncio.CancelledError:
             self._give_back(waiter)
             raise
@@ -171,15 +172,16 @@
 
     def release(self, permit: Permit, report: RunReport) -> None:
         """Take a permit back with what was seen of its run."""
+        self._shedder.forget_cut(permit, self._lines.get(permit.ask.service))
         owned = self._owned.get(permit.backend_server)
         if owned is None or owned.server.boot_id != permit.boot_id:
-            self._forget_cut(permit)
             return
         run = owned.remove(permit.permit_id)
-        self._forget_cut(permit)
         if run is None:
             return
-        self._learn(owned, run, report)
+        if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
+            self._quarantine.clear(permit.ask.fingerprint)
+        self._grants.learn(owned, run, report)
         for offer in owned.server.announcement.offers:
             self._serve(self._line(offer.service), owned)
 
@@ -195,7 +197,7 @@
         if owned is None or owned.server.boot_id != permit.boot_id:
             return False
         if permit.permit_id not in owned.running:
-            owned.add(self._run(permit, owned))
+            owned.add(self._grants.run(permit, owned))
         return True
 
     def note_served_elsewhere(self, ask: Ask) -> None:
@@ -223,7 +225,7 @@
 
     def refusal(self, reason: RefusalReason, ask: Ask) -> Refusal:
         """Return a refusal with the time to retry after."""
-        return self._refusal(reason, ask, self._line(ask.service))
+        return self._shedder.refusal(reason, ask, self._line(ask.service))
 
     def _line(self, service: str) -> Line:
         line = self._lines.get(service)
@@ -279,32 +281,14 @@
         )
 
     def _enqueue(self, waiter: Waiter, line: Line) -> Refusal | None:
-        shed = self._decisions.shed
-        servers = list(line.servers.values())
-        if not self._may_wait(waiter, line, servers):
-            self._evict_lower(waiter.ask.rank, line)
-            return self._refusal(RefusalReason.OVERLOADED, waiter.ask, line)
+        if not self._shedder.may_wait(waiter, line):
+            return self._shedder.refuse_new(waiter.ask, line)
         line.queue.add(waiter)
         if waiter.position == LAST_TRY:
             self._serve(line)
-        press_at = shed.press_at(waiter)
-        if press_at is not None:
-            later(waiter, press_at, self._press, waiter, line)
-        give_up_at = shed.give_up_at(waiter)
-        if give_up_at is not None:
-            later(waiter, give_up_at, self._give_up, waiter, line)
+        self._shedder.watch(waiter, line)
         return None
 
-    def _may_wait(self, waiter: Waiter, line: Line, servers: list[OwnedServer]) -> bool:
-        shed = self._decisions.shed
-        rank = waiter.ask.rank
-        if waiter.position == LAST_TRY:
-            has_room = any(owned.room(rank) > 0 for owned in servers)
-            return has_room or shed.victim(rank, servers) is not None
-        if waiter.position > 0:
-            return True
-        return shed.admits(waiter, line.queue, line.waits, servers)
-
     def _serve(self, line: Line, only: OwnedServer | None = None) -> None:
         """Start waiters while there is room; `only` says where it came free."""
         self._serve_alone(line)
@@ -325,7 +309,7 @@
         line.queue.remove(waiter)
         line.queue.started(waiter)
         line.waits.note_start(waiter.ask.rank)
-        waiter.fut.set_result(Ok(self._grant(waiter.ask, owned)))
+        waiter.fut.set_result(Ok(self._grants.grant(waiter.ask, owned)))
 
     def _wake_later(self, line: Line) -> None:
         end = line.next_prefill_end()
@@ -342,40 +326,20 @@
         for waiter in list(line.alone):
             if waiter.is_settled or not line.servers:
                 continue
-            owned = self._held_server(waiter, line)
-            if owned is None or owned.running:
+            owned = isolation.hold_idle(waiter, line)
+            if owned is None:
                 continue
             owned.held_for = None
             line.alone.remove(waiter)
-            permit = self._grant(waiter.ask, owned)
+            permit = self._grants.grant(waiter.ask, owned)
             owned.running[permit.permit_id].alone = True
             owned.runs_alone = True
             waiter.fut.set_result(Ok(permit))
 
-    def _held_server(self, waiter: Waiter, line: Line) -> OwnedServer | None:
-        free = [
-            owned
-            for owned in line.servers.values()
-            if owned.held_for in (None, waiter.number)
-            and not owned.server.announcement.leaving
-        ]
-        held = [owned for owned in free if owned.held_for == waiter.number]
-        if held:
-            return held[0]
-        if any(owned.held_for is not None for owned in line.servers.values()):
-            return None
-        owned = min(free, key=lambda owned: len(owned.running), default=None)
-        if owned is not None:
-            owned.held_for = waiter.number
-        return owned
-
     def _free_held(self, waiter: Waiter, line: Line) -> None:
-        if not waiter.alone:
-            return
-        for owned in line.servers.values():
-            if owned.held_for == waiter.number:
-                owned.held_for = None
-        self._serve(line)
+        if waiter.alone:
+            isolation.let_go(waiter, line)
+            self._serve(line)
 
     def _choose(
         self, ask: Ask, line: Line, only: OwnedServer | None = None
@@ -391,39 +355,6 @@
         ]
         return self._decisions.route.choose(ask, roomy) if roomy else None
 
-    def _grant(self, ask: Ask, owned: OwnedServer) -> Permit:
-        self._decisions.estimates.note_size(ask)
-        permit = Permit(
-            permit_id=f"{self._node}-{self._life}-{next(self._numbers)}",
-            ask=ask,
-            backend_server=owned.name,
-            boot_id=owned.server.boot_id,
-            address=owned.server.announcement.address,
-            owner=self._node,
-            cut=asyncio.get_running_loop().create_future(),
-        )
-        owned.add(self._run(permit, owned))
-        owned.health.note_start()
-        self._decisions.prefixes.note_run(ask, owned.name)
-        return permit
-
-    def _run(self, permit: Permit, owned: OwnedServer) -> Run:
-        decisions = self._decisions
-        cached = decisions.prefixes.cached_tokens(permit.ask, owned.name)
-        speed = decisions.estimates.speed(permit.ask.service, owned.generation)
-        ratio = decisions.estimates.output_ratio(permit.ask.service)
-        weight = 1.0
-        if owned.limit.weighs_runs:
-            weight = decisions.estimates.weight(permit.ask)
-        return Run(
-            permit=permit,
-            weight=weight,
-            started_at=now(),
-            expected_s=speed.run_s(permit.ask, ratio, cached),
-            prefill_s=speed.prefill_s(permit.ask, cached),
-            cached_tokens=cached,
-        )
-
     def _give_back(self, waiter: Waiter) -> None:
         if not waiter.fut.done() or waiter.fut.cancelled():
             return
@@ -431,85 +362,6 @@
             case Result(tag="ok", ok=permit):
                 self.release(permit, RunReport(RunOutcome.UNUSED))
 
-    def _learn(self, owned: OwnedServer, run: Run, report: RunReport) -> None:
-        ask = run.permit.ask
-        if report.outcome is RunOutcome.UNUSED or run.is_foreign:
-            return
-        if report.outcome is RunOutcome.CONNECTION_LOST:
-            owned.note_lost(ask.fingerprint)
-        if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
-            self._quarantine.clear(ask.fingerprint)
-        estimates = self._decisions.estimates
-        usual = estimates.reference(ask.service, owned.generation)
-        owned.health.note(ask, usual, run.expected_s, report)
-        owned.limit.note(ask, owned.load, report)
-        if not owned.health.is_slow:
-            filled = ask.size.prompt_tokens - run.cached_tokens
-            filled = filled if run.was_first_prefill else 0
-            estimates.note(ask, owned.generation, filled, report)
-            if report.outcome is RunOutcome.COMPLETED:
-                ratio = run.spent_s() / run.expected_s
-                estimates.note_overrun(ask.service, ratio)
-
-    def _press(self, waiter: Waiter, line: Line) -> None:
-        if waiter.is_settled or not waiter.queued:
-            return
-        line.pressing.add(waiter)
-        servers = [owned for owned in line.servers.values() if not owned.health.is_slow]
-        rank = waiter.ask.rank
-        is_full = all(owned.free(rank) <= 0 for owned in servers)
-        if is_full and len(line.cuts_pending) < len(line.pressing):
-            run = self._decisions.shed.victim(rank, servers)
-            if run is not None:
-                self._cut(run, line)
-        later(waiter, now() + PRESS_PERIOD_S, self._press, waiter, line)
-
-    def _cut(self, run: Run, line: Line) -> None:
-        run.cutting = True
-        permit = run.permit
-        line.cuts_pending.add(permit.permit_id)
-        retry_s = self._retry_s(permit.ask, line)
-        event("info", "run_cut", service=line.service, rank=permit.ask.rank)
-        if not permit.cut.done():
-            permit.cut.set_result(retry_s)
-        self.on_cut(permit, retry_s)
-
-    def _forget_cut(self, permit: Permit) -> None:
-        line = self._lines.get(permit.ask.service)
-        if line is not None:
-            line.cuts_pending.discard(permit.permit_id)
-
-    def _give_up(self, waiter: Waiter, line: Line) -> None:
-        if waiter.is_settled or not waiter.queued:
-            return
-        servers = list(line.servers.values())
-        victim = self._decisions.shed.victim(waiter.ask.rank, servers)
-        if victim is not None:
-            self._cut(victim, line)
-        if line.cuts_pending:
-            later(waiter, now() + PRESS_PERIOD_S, self._give_up, waiter, line)
-            return
-        self._evict_lower(waiter.ask.rank, line)
-        self._refuse(waiter, line)
-
-    def _evict_lower(self, rank: int, line: Line) -> None:
-        for lower in self._decisions.shed.evicted(rank, line.queue):
-            self._refuse(lower, line)
-
-    def _refuse(self, waiter: Waiter, line: Line) -> None:
-        refusal = self._refusal(RefusalReason.OVERLOADED, waiter.ask, line)
-        line.queue.remove(waiter)
-        if not waiter.fut.done():
-            waiter.fut.set_result(Error(refusal))
-
-    def _refusal(self, reason: RefusalReason, ask: Ask, line: Line) -> Refusal:
-        return Refusal(reason, self._retry_s(ask, line))
-
-    def _retry_s(self, ask: Ask, line: Line) -> float:
-        share = line.queue.share_of(ask)
-        wait_s = line.wait_s(ask.rank, ask.workspace, share)
-        return spread_retry_s(wait_s, self._decisions.rng)
-
     def _on_gone(self, server: BackendServer) -> None:
         owned = self._owned.get(server.name)
         self._decisions.prefixes.forget(server.name)
--- a/fuchsiacroft/routing/lending.py
+++ b/fuchsiacroft/routing/lending.py
@@ -59,7 +59,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Answer asks, and look after the leases."""
         self._desk = kernel.get("desk", Desk)
-        self._desk.on_cut = self._on_cut
+        self._desk.tell_cuts(self._on_cut)
         self._bus = kernel.get("bus", Bus)
         self._bus.handle(AskPermit, self._on_ask)
         self._bus.handle(ReleasePermit, self._on_release)
--- a/fuchsiacroft/routing/race.py
+++ b/fuchsiacroft/routing/race.py
@@ -61,8 +61,9 @@
         done, self._pending = await asyncio.wait(
             self._pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
         )
-        for task in done:
-            self._take(task)
+        for task in self._tries.values():
+            if task in done:
+                self._take(task)
 
     def outcome(self) -> Outcome:
         """Return the permit, or the refusal that promises the soonest retry."""
@@ -77,9 +78,10 @@
 
     def close(self) -> None:
         """Withdraw every other try."""
-        for task in self._pending:
-            task.cancel()
-            task.add_done_callback(self._after_close)
+        for task in self._tries.values():
+            if task in self._pending:
+                task.cancel()
+                task.add_done_callback(self._after_close)
         self._pending = set()
 
     def _take(self, task: asyncio.Task) -> None:
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -160,11 +160,14 @@
         if len(self._unreached) > MAX_UNREACHED:
             self._unreached.popitem(last=False)
 
-    def _owners_for(self, permit: Permit) -> set[str]:
+    def _owners_for(self, permit: Permit) -> tuple[str, ...]:
+        """Return who gave a permit, and who owns its backend server by now."""
         owner = self._owners.owner_of(permit.backend_server)
         if self._directory.get(permit.backend_server) is None or owner is None:
-            return {permit.owner}
-        return {permit.owner, owner.node}
+            return (permit.owner,)
+        if owner.node == permit.owner:
+            return (permit.owner,)
+        return permit.owner, owner.node
 
     async def _acquire(self, ask: Ask) -> Result[Permit, Refusal]:
         known = self._owners_of(ask)
@@ -324,8 +327,9 @@
             await asyncio.sleep(RENEW_PERIOD_S)
             by_owner: dict[str, list[str]] = {}
             for permit in self._held.values():
-                for owner in self._owners_for(permit) - {self._node}:
+                for owner in self._owners_for(permit):
                     by_owner.setdefault(owner, []).append(permit.permit_id)
+            by_owner.pop(self._node, None)
             for owner, permit_ids in by_owner.items():
                 self._send(owner, RenewPermits(tuple(permit_ids)))
 
--- a/fuchsiacroft/routing/spill.py
+++ b/fuchsiacroft/routing/spill.py
@@ -60,6 +60,7 @@
             for member in settings.entries
             if member.node != settings.node
         }
+        self._domains = {member.failure_domain for member in self._members.values()}
         self._heard: dict[str, Heard] = {}
         self._pressures: dict[str, Pressure] = {}
         self._random = random.Random(seed)
@@ -123,7 +124,7 @@
         while True:
             await asyncio.sleep(DIGEST_PERIOD_S * self._random.uniform(0.9, 1.1))
             digest = LoadDigest(self._domain, self._services(), self._speeds())
-            for domain in {member.failure_domain for member in self._members.values()}:
+            for domain in sorted(self._domains):
                 peers = [
                     member.peers
                     for member in self._members.values()
