--- /dev/null
+++ b/fuchsiacroft/routing/candidates.py
@@ -0,0 +1,72 @@
+"""Whom an ask may wait at: the owners of the service's backend servers."""
+
+import random
+
+from fuchsiacroft.config.settings import Policies
+from fuchsiacroft.membership.backend_servers import BackendDirectory, BackendServer
+from fuchsiacroft.routing.ask import Ask
+from fuchsiacroft.routing.desk import Desk
+from fuchsiacroft.routing.owners import Owners
+from fuchsiacroft.utils.clock import now
+
+KEPT_S = 0.25
+MIN_GAIN_S = 0.1
+
+Owned = dict[str, list[BackendServer]]
+
+
+class Candidates:
+    """The owners by service, and the one to ask first."""
+
+    def __init__(self, node: str, owners: Owners, policies: Policies, seed: int):
+        self._node = node
+        self._owners = owners
+        self._by_prefix = policies.route == "expected_finish"
+        self._random = random.Random(seed)
+        self._seen: dict[str, tuple[float, Owned]] = {}
+
+    def attach(self, directory: BackendDirectory, desk: Desk) -> None:
+        """Name the services that this one looks things up in."""
+        self._directory = directory
+        self._desk = desk
+
+    def owners_of(self, service: str) -> Owned:
+        """Return the owners of a service's backend servers, as of late."""
+        seen = self._seen.get(service)
+        if seen is not None and now() - seen[0] < KEPT_S:
+            return seen[1]
+        known: Owned = {}
+        for server in self._directory.offering(service):
+            owner = self._owners.owner_of(server.name)
+            if owner is not None and not server.announcement.leaving:
+                known.setdefault(owner.node, []).append(server)
+        if known:
+            self._seen[service] = (now(), known)
+        return known
+
+    def first(self, ask: Ask) -> str | None:
+        """Return the owner to ask first.
+
+        It is this entry, if it owns any, unless another's caches save enough
+        prefill.
+        """
+        known = self.owners_of(ask.service)
+        if self._node in known:
+            best = self._node
+        else:
+            best = self._random.choice(list(known)) if known else None
+        if not self._by_prefix or not ask.prefixes:
+            return best
+        most = MIN_GAIN_S + self._gain_s(ask, known.get(self._node, []))
+        for node, servers in known.items():
+            gain_s = self._gain_s(ask, servers)
+            if node != self._node and gain_s > most:
+                best, most = node, gain_s
+        return best
+
+    def _gain_s(self, ask: Ask, servers: list[BackendServer]) -> float:
+        gains = (
+            self._desk.prefix_gain_s(ask, server.name, server.announcement.generation)
+            for server in servers
+        )
+        return max(gains, default=0.0)
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import random
 import uuid
 from collections import OrderedDict
 
@@ -24,15 +23,15 @@
     RunOutcome,
     RunReport,
 )
+from fuchsiacroft.routing.candidates import Candidates
 from fuchsiacroft.routing.desk import Desk
+from fuchsiacroft.routing.holding import Holding
 from fuchsiacroft.routing.messages import (
     AskPermit,
-    CutRun,
     FirstToken,
     PermitGiven,
     PermitRefused,
     ReleasePermit,
-    RenewPermits,
     WithdrawAsk,
 )
 from fuchsiacroft.routing.order import LAST_TRY
@@ -43,17 +42,13 @@
 from fuchsiacroft.routing.spill import Spilling
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
-from fuchsiacroft.utils.tasks import TaskGroup
 
 ANSWER_MARGIN_S = 0.5
-RENEW_PERIOD_S = 1.0
 LOOK_AGAIN_S = 0.5
 MIN_WAIT_S = 0.001
 MAX_OWNERS = 8
 MAX_UNREACHED = 1_000
-OWNERS_KEPT_S = 0.25
 LAST_TRY_S = 1.0
-MIN_GAIN_S = 0.1
 MAX_HEAD_START_S = 0.1
 
 
@@ -67,11 +62,9 @@
         self._policies = settings.policies
         self._members = {member.node: member for member in settings.entries}
         self._owners = owned_by
-        self._random = random.Random(seed)
-        self._tasks = TaskGroup("scheduler")
-        self._held: dict[str, Permit] = {}
+        self._holding = Holding(settings.node, self._members, owned_by)
+        self._candidates = Candidates(settings.node, owned_by, settings.policies, seed)
         self._unreached: OrderedDict[str, tuple[str, ...]] = OrderedDict()
-        self._owners_seen: dict[str, tuple[float, dict]] = {}
         self._retries = RetryBudgets()
         self._spilling: Spilling | None = None
         self._quarantine: Quarantine | None = None
@@ -85,8 +78,8 @@
         self._directory = kernel.get("backend_servers", BackendDirectory)
         self._directory.listeners.heard.append(self._on_heard)
         self._bus = kernel.get("bus", Bus)
-        self._bus.handle(CutRun, self._on_cut)
-        self._tasks.spawn(self._renew(), "permit-renewal")
+        self._candidates.attach(self._directory, self._desk)
+        self._holding.start(kernel)
 
     async def drain(self) -> None:
         """Give out no permit for a new request."""
@@ -94,21 +87,15 @@
 
     async def stop(self) -> None:
         """Renew nothing any more."""
-        await self._tasks.cancel()
+        await self._holding.stop()
 
     def dump(self) -> dict:
         """Return the permits in use, and the owner that gave each."""
-        return {
-            "held": {permit_id: held.owner for permit_id, held in self._held.items()}
-        }
+        return {"held": self._holding.dump()}
 
     def held(self, backend_server: str) -> tuple[Permit, ...]:
         """Return the permits in use here for one backend server."""
-        return tuple(
-            permit
-            for permit in self._held.values()
-            if permit.backend_server == backend_server
-        )
+        return self._holding.on(backend_server)
 
     async def acquire(self, ask: Ask) -> Result[Permit, Refusal]:
         """Wait for a permit from whoever owns backend servers of the service."""
@@ -122,7 +109,7 @@
         outcome = await self._acquire(ask)
         match outcome:
             case Result(tag="ok", ok=permit):
-                self._held[permit.permit_id] = permit
+                self._holding.add(permit)
                 self._desk.note_run_elsewhere(ask, permit.backend_server)
             case Result(error=refusal):
                 if refusal.reason is not RefusalReason.QUARANTINED:
@@ -134,11 +121,11 @@
         if permit.owner == self._node:
             self._desk.note_first_token(permit)
         else:
-            self._send(permit.owner, FirstToken(permit.permit_id))
+            self._holding.send(permit.owner, FirstToken(permit.permit_id))
 
     def release(self, permit: Permit, report: RunReport) -> None:
         """Give a permit back to its owner, or to the one that took over."""
-        self._held.pop(permit.permit_id, None)
+        self._holding.remove(permit)
         if report.outcome is RunOutcome.NOT_DISPATCHED:
             self._note_unreached(permit)
         if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
@@ -147,11 +134,11 @@
         if permit.owner != self._node and server is not None:
             generation = server.announcement.generation
             self._desk.learn_elsewhere(permit.ask, generation, report)
-        for owner in self._owners_for(permit):
+        for owner in self._holding.owners_for(permit):
             if owner == self._node:
                 self._desk.release(permit, report)
             else:
-                self._send(owner, ReleasePermit(permit.permit_id, report))
+                self._holding.send(owner, ReleasePermit(permit.permit_id, report))
 
     def _note_unreached(self, permit: Permit) -> None:
         request_id = permit.ask.request_id
@@ -160,18 +147,8 @@
         if len(self._unreached) > MAX_UNREACHED:
             self._unreached.popitem(last=False)
 
-    def _owners_for(self, permit: Permit) -> tuple[str, ...]:
-        """Return who gave a permit, and who owns its backend server by now."""
-        owner = self._owners.owner_of(permit.backend_server)
-        if self._directory.get(permit.backend_server) is None or owner is None:
-            return (permit.owner,)
-        if owner.node == permit.owner:
-            return (permit.owner,)
-        return permit.owner, owner.node
-
     async def _acquire(self, ask: Ask) -> Result[Permit, Refusal]:
-        known = self._owners_of(ask)
-        first = self._first(ask, known)
+        first = self._candidates.first(ask)
         if first == self._node:
             permit = self._desk.grant_now(ask)
             if permit is not None:
@@ -210,7 +187,7 @@
         self, race: Race, first: str, ask: Ask, waited_s: float
     ) -> Result[Permit, Refusal]:
         last = _shortened(ask, max(waited_s, ask.timeout_s - LAST_TRY_S))
-        for node in list(self._owners_of(ask))[:MAX_OWNERS]:
+        for node in list(self._candidates.owners_of(ask.service))[:MAX_OWNERS]:
             if node == first:
                 continue
             ask_id = uuid.uuid4().hex
@@ -221,7 +198,7 @@
 
     def _is_lost(self, race: Race, ask: Ask) -> bool:
         """Tell whether every owner has refused, whoever else was asked."""
-        known = list(self._owners_of(ask))[:MAX_OWNERS]
+        known = list(self._candidates.owners_of(ask.service))[:MAX_OWNERS]
         return bool(known) and race.have_refused(known)
 
     def _outcome(self, race: Race, ask: Ask) -> Result[Permit, Refusal]:
@@ -231,7 +208,7 @@
 
     def _widen(self, race: Race, ask_id: str, ask: Ask, waited_s: float) -> None:
         left = _shortened(ask, waited_s)
-        known = self._owners_of(ask)
+        known = self._candidates.owners_of(ask.service)
         if self._policies.borrow == "own_desk" and self._node in known:
             known = {self._node: known[self._node]}
         names = sorted(known, key=lambda node: node != self._node)
@@ -283,66 +260,6 @@
     def _give_back(self, permit: Permit) -> None:
         self.release(permit, RunReport(RunOutcome.UNUSED))
 
-    def _owners_of(self, ask: Ask) -> dict[str, list[BackendServer]]:
-        """Return the owners of a service's backend servers, as of late."""
-        cached = self._owners_seen.get(ask.service)
-        if cached is not None and now() - cached[0] < OWNERS_KEPT_S:
-            return cached[1]
-        known: dict[str, list[BackendServer]] = {}
-        for server in self._directory.offering(ask.service):
-            owner = self._owners.owner_of(server.name)
-            if owner is not None and not server.announcement.leaving:
-                known.setdefault(owner.node, []).append(server)
-        if known:
-            self._owners_seen[ask.service] = (now(), known)
-        return known
-
-    def _first(self, ask: Ask, known: dict[str, list[BackendServer]]) -> str | None:
-        if self._node in known:
-            best = self._node
-        else:
-            best = self._random.choice(list(known)) if known else None
-        if self._policies.route != "expected_finish" or not ask.prefixes:
-            return best
-        most = MIN_GAIN_S + self._gain_s(ask, known.get(self._node, []))
-        for node, servers in known.items():
-            gain_s = self._gain_s(ask, servers)
-            if node != self._node and gain_s > most:
-                best, most = node, gain_s
-        return best
-
-    def _gain_s(self, ask: Ask, servers: list[BackendServer]) -> float:
-        return max(
-            (
-                self._desk.prefix_gain_s(
-                    ask, server.name, server.announcement.generation
-                )
-                for server in servers
-            ),
-            default=0.0,
-        )
-
-    async def _renew(self) -> None:
-        while True:
-            await asyncio.sleep(RENEW_PERIOD_S)
-            by_owner: dict[str, list[str]] = {}
-            for permit in self._held.values():
-                for owner in self._owners_for(permit):
-                    by_owner.setdefault(owner, []).append(permit.permit_id)
-            by_owner.pop(self._node, None)
-            for owner, permit_ids in by_owner.items():
-                self._send(owner, RenewPermits(tuple(permit_ids)))
-
-    def _send(self, node: str, msg) -> None:
-        member = self._members.get(node)
-        if member is not None:
-            self._bus.send(member.peers, msg)
-
-    async def _on_cut(self, sender: str, msg: CutRun) -> None:
-        permit = self._held.get(msg.permit_id)
-        if permit is not None and not permit.cut.done():
-            permit.cut.set_result(msg.retry_after_s)
-
     def _on_heard(self, server: BackendServer) -> None:
         self._desk.note(server)
         self.note_owner(server)
