--- a/fuchsiacroft/routing/race.py
+++ b/fuchsiacroft/routing/race.py
@@ -1,7 +1,7 @@
 """Waits for a permit at several owners at once; the first grant wins."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 
 from expression import Error, Ok, Result
 
@@ -42,6 +42,10 @@
         """Return a node's refusal, if it has refused."""
         return self._refusals.get(node)
 
+    def have_refused(self, nodes: Iterable[str]) -> bool:
+        """Tell whether all of some nodes have refused."""
+        return all(node in self._refusals for node in nodes)
+
     def has_asked(self, node: str) -> bool:
         """Tell whether a node has been asked."""
         return node in self._tries
@@ -57,8 +61,9 @@
         done, self._pending = await asyncio.wait(
             self._pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
         )
-        for task in done:
-            self._take(task)
+        for task in self._tries.values():
+            if task in done:
+                self._take(task)
 
     def outcome(self) -> Outcome:
         """Return the permit, or the refusal that promises the soonest retry."""
@@ -73,9 +78,10 @@
 
     def close(self) -> None:
         """Withdraw every other try."""
-        for task in self._pending:
-            task.cancel()
-            task.add_done_callback(self._after_close)
+        for task in self._tries.values():
+            if task in self._pending:
+                task.cancel()
+                task.add_done_callback(self._after_close)
         self._pending = set()
 
     def _take(self, task: asyncio.Task) -> None:
