--- a/fuchsiacroft/entry/callers.py
+++ b/fuchsiacroft/entry/callers.py
@@ -169,8 +169,7 @@
     settings: Settings, metrics: Metrics, tls: ssl.SSLContext | None = None
 ) -> Callers:
     """Return the callers' interface of an entry."""
-        self._tls = tls
-    return Callers(settings, metrics)
+    return Callers(settings, metrics, tls)
 
 
 def _refused(status: int, code: str, detail: str) -> Admitted:
--- a/fuchsiacroft/model/loop.py
+++ b/fuchsiacroft/model/loop.py
@@ -5,9 +5,6 @@
 import selectors
 
 
-TICK_S = 1e-9
-
-
 class AdvancingSelector(selectors.DefaultSelector):
     """Advance the clock instead of waiting when nothing is ready."""
 
@@ -17,7 +14,6 @@
 
     def select(self, timeout=None):
         """Return what is ready; with nothing ready, advance by `timeout`."""
-        self.now += TICK_S
         ready = super().select(0)
         if ready:
             return ready
--- a/fuchsiacroft/tests/fakes/ledger_group.py
+++ b/fuchsiacroft/tests/fakes/ledger_group.py
@@ -20,7 +20,7 @@
         self.state = LedgerState()
         self.folder = MemoryFolder(self.disk)
         self.bus = self.group.network.bus(self.name, self.address)
-        storage = Storage(self.folder, self.name)
+        storage = Storage(self.folder, self.name, f"boot-{self.boot}")
         rng = random.Random(self.group.random.randrange(1 << 30))
         log = consensus.create(self.group.settings(self), self.bus, storage, rng)
         log.register("ledger", self.state)
