See every mechanism's test fail without it

Cause: a test that passes without its mechanism proves nothing.

One test waited without an end when its leader never came; it has a deadline.

--- a/fuchsiacroft/control/consensus/joining.py
+++ b/fuchsiacroft/control/consensus/joining.py
@@ -136,10 +136,9 @@
         welcome = [v for v in others if v.identity in accepted]
         if len(welcome) < configuration.majority() - (len(voters) - len(others)):
             return
-        gone = self._gone(others, replies)
-        if member.storage.is_same_boot or len(welcome) + len(gone) >= _intersecting(
-            len(voters), len(others)
-        ):
+        heard = len(welcome) + len(self._gone(others, replies))
+        is_heard = heard >= _intersecting(len(voters), len(others))
+        if member.storage.is_same_boot or is_heard:
             self._verify(replies)
 
     def _gone(
--- a/fuchsiacroft/tests/control/consensus/leases_tests.py
+++ b/fuchsiacroft/tests/control/consensus/leases_tests.py
@@ -16,6 +16,7 @@
 from fuchsiacroft.utils import clock
 
 FAILOVER_S = 2.0
+LEADER_WAIT_S = 30.0
 
 
 class LeaseTests(PausedTestCase):
@@ -73,12 +74,14 @@
 
     async def wait_other_leader(self, group: Group, old: Node) -> Node:
         """Wait for a new leader; never may both serve."""
-        while True:
+        deadline = clock.now() + LEADER_WAIT_S
+        while clock.now() < deadline:
             leaders = [node for node in group.nodes if node.leads]
             self.assertLessEqual(len(leaders), 1)
             if leaders and leaders[0] is not old:
                 return leaders[0]
             await asyncio.sleep(0.002)
+        raise AssertionError(f"no new leader within {LEADER_WAIT_S} s")
 
     def test_the_lease_ends_before_any_election_may_begin(self):
         self.assertLess(timing.LEASE_S, timing.ELECTION_TIMEOUT_MIN_S)
--- a/fuchsiacroft/tests/control/consensus/members_tests.py
+++ b/fuchsiacroft/tests/control/consensus/members_tests.py
@@ -209,6 +209,8 @@
                 note(entry)
 
             member.configurations.note = noted
+            for node in group.nodes:
+                node.disk.latency = 0.3
             for node in others[:2]:
                 await node.start()
             await group.wait(lambda: is_whole(group), 60)
