Read gauges from the services, and show that no secret is visible

Cause: /metrics told only of ended answers, and nothing checked that keys and tokens stay out of logs, dump and metrics.

Gauges are set from the services' dumps when metrics are asked for, with the unit at the end of each name. A test serves requests of a good and a wrong key and a booking in every role, and looks for the token, the keys and the prompt in all that is left. A broken invariant at the start is one line and exit 1.

--- a/fuchsiacroft/commands/common.py
+++ b/fuchsiacroft/commands/common.py
@@ -12,7 +12,7 @@
 from fuchsiacroft.config import settings
 from fuchsiacroft.config.faults import Fault
 from fuchsiacroft.config.settings import Settings
-from fuchsiacroft.exceptions import SettingsError
+from fuchsiacroft.exceptions import InvariantError, SettingsError
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.utils import logs, process
 
@@ -52,6 +52,9 @@
     except SettingsError as exc:
         print(exc, file=sys.stderr)
         return ExitCode.FAILED
+    except InvariantError as exc:
+        print(f"stopped, an invariant is broken: {exc}", file=sys.stderr)
+        return ExitCode.FAILED
     except (OSError, zmq.ZMQError) as exc:
         print(f"cannot start: {exc}", file=sys.stderr)
         return ExitCode.FAILED
--- /dev/null
+++ b/fuchsiacroft/gauges.py
@@ -0,0 +1,58 @@
+"""Gauges that are read from the services when metrics are asked for."""
+
+import resource
+from collections.abc import Iterator
+
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.utils.metrics import Metrics
+
+STATUS_FILE = "/proc/self/statm"
+DESCRIPTIONS = {
+    "fuchsiacroft_document_version": "Version of the document in force here",
+    "fuchsiacroft_requests_in_progress": "Callers' requests that have no end yet",
+    "fuchsiacroft_requests_waiting": "Requests in this entry's queues by service",
+    "fuchsiacroft_backend_servers": "Backend servers heard of lately",
+    "fuchsiacroft_backend_servers_owned": "Backend servers that this entry owns",
+    "fuchsiacroft_process_memory_bytes": "Resident memory of this process",
+    "fuchsiacroft_process_cpu_seconds": "Processor time of this process so far",
+}
+Sample = tuple[str, dict[str, str], float]
+
+
+class Gauges:
+    """Sets the gauges of one process from its services' dumps."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._gauges = {
+            name: metrics.gauge(name, text) for name, text in DESCRIPTIONS.items()
+        }
+
+    def read(self, kernel: Kernel) -> None:
+        """Set every gauge that this process has."""
+        state = kernel.dump()
+        for name, labels, value in (*_process(), *_services(state)):
+            self._gauges[name].set(labels, value)
+
+
+def _process() -> Iterator[Sample]:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    yield "fuchsiacroft_process_cpu_seconds", {}, usage.ru_utime + usage.ru_stime
+    with open(STATUS_FILE, encoding="ascii") as file:  # noqa: PTH123
+        pages = int(file.read().split()[1])
+    yield "fuchsiacroft_process_memory_bytes", {}, pages * resource.getpagesize()
+
+
+def _services(state: dict) -> Iterator[Sample]:
+    if "document" in state:
+        yield "fuchsiacroft_document_version", {}, state["document"]["version"]
+    if "callers" in state:
+        in_progress = state["callers"].get("in_progress", 0)
+        yield "fuchsiacroft_requests_in_progress", {}, in_progress
+    if "backend_servers" in state:
+        yield "fuchsiacroft_backend_servers", {}, len(state["backend_servers"])
+    desk = state.get("desk", {})
+    if "owned" in desk:
+        yield "fuchsiacroft_backend_servers_owned", {}, len(desk["owned"])
+    for service, count in desk.get("waiting", {}).items():
+        waiting = count if isinstance(count, int) else len(count)
+        yield "fuchsiacroft_requests_waiting", {"service": service}, waiting
--- a/fuchsiacroft/operations.py
+++ b/fuchsiacroft/operations.py
@@ -6,6 +6,7 @@
 import msgspec
 from aiohttp import web
 
+from fuchsiacroft.gauges import Gauges
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.utils.http import Listener
 from fuchsiacroft.utils.metrics import Metrics
@@ -27,6 +28,7 @@
     ) -> None:
         self.app = web.Application(client_max_size=64 * 1024 * 1024)
         self.metrics = metrics
+        self._gauges = Gauges(metrics)
         self._checks: list[Readiness] = []
         self._listener = Listener(self.app, address, tls)
         self._kernel: Kernel | None = None
@@ -58,6 +60,8 @@
         return web.Response(text="ready\n")
 
     async def _metrics(self, req: web.Request) -> web.Response:
+        if self._kernel is not None:
+            self._gauges.read(self._kernel)
         body, headers = self.metrics.render(req.headers.getall("Accept", []))
         return web.Response(body=body, headers=headers)
 
--- /dev/null
+++ b/fuchsiacroft/tests/operations_tests.py
@@ -0,0 +1,89 @@
+"""Tests of the operators' view, and of what it must never show."""
+
+import tempfile
+import uuid
+from pathlib import Path
+
+import aiohttp
+import msgspec
+from loguru import logger
+
+from fuchsiacroft import operators_client
+from fuchsiacroft.demo import system
+from fuchsiacroft.demo.caller import Caller
+from fuchsiacroft.operators_client import Change
+from fuchsiacroft.tests.base import SocketTestCase
+
+
+class OperationsTests(SocketTestCase):
+    """A served request, a booking and a change, and what is left of them."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.lines = []
+        sink = logger.add(self.lines.append, level=0, format="{message} {extra}")
+        self.addCleanup(logger.remove, sink)
+        self.system = system.create(Path(folder.name))
+        await self.system.start()
+        self.addAsyncCleanup(self.system.stop)
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+
+    async def serve(self):
+        token = self.system.operator_token
+        async with operators_client.create([self.system.control], token) as client:
+            data = msgspec.json.encode(self.system.document())
+            answer = await client.change(Change(data, 0, uuid.uuid4().hex, "ana"))
+            self.assertTrue(answer.is_ok())
+        caller = Caller(self.session, self.system.callers)
+        key = self.system.workspace_key
+        for _ in self.system.callers:
+            answer = await caller.ask(key, "counter", 2)
+            while answer.status == 401:
+                answer = await caller.ask(key, "counter", 2)
+            self.assertTrue(answer.is_whole, answer)
+        self.booking = f"booking-{uuid.uuid4().hex}"
+        answer = await caller.book(key, self.booking)
+        self.assertEqual(200, answer.status)
+        self.wrong_key = f"wrong-{uuid.uuid4().hex}"
+        await caller.ask(self.wrong_key, "counter", 2)
+
+    async def read(self, path):
+        texts = {}
+        addresses = {"control": self.system.control} | self.system.operators
+        for name, address in addresses.items():
+            async with self.session.get(f"http://{address}{path}") as res:
+                self.assertEqual(200, res.status)
+                texts[name] = await res.text()
+        return texts
+
+    async def test_what_a_served_request_leaves_behind(self):
+        await self.serve()
+        dumps = await self.read("/dump")
+        metrics = await self.read("/metrics")
+        with self.subTest("metrics tell the state, with units in their names"):
+            self.check_metrics(metrics)
+        with self.subTest("no key or token is shown anywhere"):
+            shown = "".join([*self.lines, *dumps.values(), *metrics.values()])
+            self.check_secrets(shown)
+
+    def check_metrics(self, metrics):
+        entry = metrics["entry-1"]
+        self.assertIn("fuchsiacroft_document_version 1", entry)
+        self.assertIn("fuchsiacroft_backend_servers 3", entry)
+        self.assertIn("fuchsiacroft_requests_in_progress 0", entry)
+        self.assertIn('fuchsiacroft_answers_total{service="lens-assistant"', entry)
+        self.assertIn("fuchsiacroft_process_memory_bytes", metrics["control"])
+
+    def check_secrets(self, shown):
+        self.assertIn("event=answered", shown)
+        secrets = {
+            "operator token": self.system.operator_token,
+            "workspace key": self.system.workspace_key,
+            "wrong key": self.wrong_key,
+            "idempotency key": self.booking,
+            "prompt": "front element",
+        }
+        for name, secret in secrets.items():
+            self.assertNotIn(secret, shown, f"the {name} is shown")
