--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 lint: $(VENV)/.installed
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
+	$(PYTHON) tools/write_reference.py --check
 
 format: $(VENV)/.installed
 	$(VENV)/bin/ruff format .
