--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -206,9 +206,8 @@
         if answer is None or not envelope.number:
             return
         data = codec.encode(answer, envelope.number, True, self._node)
-        try:
-            zmq.Socket.send_multipart(router, [identity, data], zmq.DONTWAIT)
-        except zmq.ZMQError:
+        sent = router.send_multipart([identity, data], zmq.DONTWAIT)
+        if sent.exception() is not None:
             self._counts["answer_not_sent"] += 1
             return
         self._counts["sent"] += 1
