--- a/fuchsiacroft/tests/faults/scenario.py
+++ b/fuchsiacroft/tests/faults/scenario.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import aiohttp
+import msgspec
 
 from fuchsiacroft.model import trace
 from fuchsiacroft.model.trace import LENTES, Arrival
@@ -70,11 +71,12 @@
 
 
 def _resend(arrival: Arrival, rng: random.Random) -> Arrival:
-    fields = {name: getattr(arrival, name) for name in arrival.__struct_fields__}
-    fields["at_s"] += rng.uniform(*RESEND_AFTER_S)
-    fields["resend_of"] = arrival.request_id
-    fields["request_id"] = f"{arrival.request_id}-again"
-    return Arrival(**fields)
+    return msgspec.structs.replace(
+        arrival,
+        at_s=arrival.at_s + rng.uniform(*RESEND_AFTER_S),
+        request_id=f"{arrival.request_id}-again",
+        resend_of=arrival.request_id,
+    )
 
 
 async def _run(plan: Plan, wanted: Stated, folder: Path) -> Verdict:
