--- a/fuchsiacroft/routing/lending.py
+++ b/fuchsiacroft/routing/lending.py
@@ -149,6 +149,12 @@
         if address is not None:
             self._bus.send(address, CutRun(permit.permit_id, retry_after_s))
 
+    def _repeat_cuts(self) -> None:
+        """Tell holders again of runs that have not ended; a message may be lost."""
+        for lent in self._lent.values():
+            if lent.permit.cut.done():
+                self._on_cut(lent.permit, lent.permit.cut.result())
+
     def _take_back(self, permit_id: str, report: RunReport) -> None:
         lent = self._lent.pop(permit_id, None)
         if lent is None:
@@ -164,6 +170,7 @@
                 for permit_id, lent in self._lent.items()
                 if lent.expires_at < now()
             ]
+            self._repeat_cuts()
             for permit_id in expired:
                 event("info", "lease_expired", permit_id=permit_id)
                 self._take_back(permit_id, RunReport(RunOutcome.UNUSED))
--- a/fuchsiacroft/tests/routing/borrowing_tests.py
+++ b/fuchsiacroft/tests/routing/borrowing_tests.py
@@ -123,6 +123,23 @@
 
         self.play(scenario)
 
+    def test_a_cut_whose_message_is_lost_is_told_again(self):
+        async def scenario(domain, one, *others):
+            await self.acquire(one, 12)
+            lenders = [entry for entry in others if entry.lending.dump()["lent"]]
+            lent = next(iter(lenders[0].lending._lent.values())).permit
+            domain.network.loss = 1.0
+            lent.cut.set_result(2.0)
+            lenders[0].lending._on_cut(lent, 2.0)
+            await asyncio.sleep(0.01)
+            domain.network.loss = 0.0
+            await asyncio.sleep(1.0)
+            held = one.scheduler.held(lent.backend_server)
+            cut = [permit for permit in held if permit.cut.done()]
+            self.assertEqual([lent.permit_id], [permit.permit_id for permit in cut])
+
+        self.play(scenario)
+
 
 class RaceTests(PausedTestCase):
     """The tries of one ask."""
