--- a/fuchsiacroft/routing/messages.py
+++ b/fuchsiacroft/routing/messages.py
@@ -1,7 +1,6 @@
 """Messages between the entry that holds a request and owners of permits.
 
-An ask that waits at several owners goes under one `ask_id`; each new try has
-a new one.
+An ask may wait at several owners. Each try at an owner has its own `ask_id`.
 """
 
 import msgspec
--- a/fuchsiacroft/routing/race.py
+++ b/fuchsiacroft/routing/race.py
@@ -6,6 +6,9 @@
 from expression import Error, Ok, Result
 
 from fuchsiacroft.routing.ask import Permit, Refusal, RefusalReason
+from fuchsiacroft.utils.clock import now
+
+ASK_AGAIN_S = 2.0
 
 Outcome = Result[Permit, Refusal]
 
@@ -21,6 +24,7 @@
         self._tries: dict[str, asyncio.Task] = {}
         self._pending: set[asyncio.Task] = set()
         self._refusals: dict[str, Refusal] = {}
+        self._refused_at: dict[str, float] = {}
         self.winner: Permit | None = None
 
     @property
@@ -46,12 +50,17 @@
         """Tell whether all of some nodes have refused."""
         return all(node in self._refusals for node in nodes)
 
-    def has_asked(self, node: str) -> bool:
-        """Tell whether a node has been asked."""
-        return node in self._tries
+    def may_ask(self, node: str) -> bool:
+        """Tell whether a node was not asked yet, or refused a while ago."""
+        if node not in self._tries:
+            return True
+        refused_at = self._refused_at.get(node)
+        return refused_at is not None and now() - refused_at >= ASK_AGAIN_S
 
     def start(self, node: str, coro: Coroutine[None, None, Outcome]) -> None:
-        """Ask one more node."""
+        """Ask a node; an earlier refusal of it counts no more."""
+        self._refusals.pop(node, None)
+        self._refused_at.pop(node, None)
         task = asyncio.get_running_loop().create_task(coro)
         self._tries[node] = task
         self._pending.add(task)
@@ -92,7 +101,9 @@
                 else:
                     self._give_back(permit)
             case Result(error=refusal):
-                self._refusals[self._node_of(task)] = refusal
+                node = self._node_of(task)
+                self._refusals[node] = refusal
+                self._refused_at[node] = now()
 
     def _node_of(self, task: asyncio.Task) -> str:
         return next(node for node, own in self._tries.items() if own is task)
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -158,18 +158,17 @@
 
     async def _race(self, ask: Ask, first: str | None) -> Result[Permit, Refusal]:
         race = Race(self._give_back)
-        ask_id = uuid.uuid4().hex
         started_at = now()
         try:
             if first is not None:
-                race.start(first, self._try(first, ask_id, ask, 0, race))
+                race.start(first, self._try(first, ask, 0, race))
                 head_start_s = 0.0 if first == self._node else MAX_HEAD_START_S
                 await race.wait(head_start_s)
             while race.winner is None and not _is_refused_early(race, first):
                 waited_s = now() - started_at
                 if waited_s >= ask.timeout_s - MIN_WAIT_S:
                     break
-                self._widen(race, ask_id, ask, waited_s)
+                self._widen(race, ask, waited_s)
                 if race.is_over or self._is_lost(race, ask):
                     break
                 await race.wait(min(LOOK_AGAIN_S, ask.timeout_s - waited_s))
@@ -190,8 +189,7 @@
         for node in list(self._candidates.owners_of(ask.service))[:MAX_OWNERS]:
             if node == first:
                 continue
-            ask_id = uuid.uuid4().hex
-            match await self._try(node, ask_id, last, LAST_TRY, race):
+            match await self._try(node, last, LAST_TRY, race):
                 case Result(tag="ok", ok=permit):
                     return Ok(permit)
         return Error(race.refusal_of(first))
@@ -206,37 +204,39 @@
             return Error(self._desk.refusal(RefusalReason.TIMED_OUT, ask))
         return race.outcome()
 
-    def _widen(self, race: Race, ask_id: str, ask: Ask, waited_s: float) -> None:
+    def _widen(self, race: Race, ask: Ask, waited_s: float) -> None:
         left = _shortened(ask, waited_s)
         known = self._candidates.owners_of(ask.service)
         if self._policies.borrow == "own_desk" and self._node in known:
             known = {self._node: known[self._node]}
         names = sorted(known, key=lambda node: node != self._node)
         for node in names[:MAX_OWNERS]:
-            if not race.has_asked(node):
+            if race.may_ask(node):
                 position = race.asked
-                race.start(node, self._try(node, ask_id, left, position, race))
-        self._spill(race, ask_id, left, must=not known)
+                race.start(node, self._try(node, left, position, race))
+        self._spill(race, left, must=not known)
 
-    def _spill(self, race: Race, ask_id: str, ask: Ask, must: bool) -> None:
+    def _spill(self, race: Race, ask: Ask, must: bool) -> None:
         if self._spilling is None:
             return
         if not self._note_wait(ask.service, waits=True) and not must:
             return
         target = self._spilling.target(ask.service, must)
-        if target is not None and not race.has_asked(target.node):
+        if target is not None and race.may_ask(target.node):
             position = race.asked
-            race.start(target.node, self._try(target.node, ask_id, ask, position, race))
+            race.start(target.node, self._try(target.node, ask, position, race))
 
     def _note_wait(self, service: str, waits: bool) -> bool:
         return self._spilling is not None and self._spilling.note(service, waits)
 
     async def _try(
-        self, node: str, ask_id: str, ask: Ask, position: int, race: Race
+        self, node: str, ask: Ask, position: int, race: Race
     ) -> Result[Permit, Refusal]:
         if node == self._node:
             return await self._desk.acquire(ask, position)
-        return await self._borrow(node, AskPermit(ask_id, ask, position), race)
+        return await self._borrow(
+            node, AskPermit(uuid.uuid4().hex, ask, position), race
+        )
 
     async def _borrow(
         self, node: str, msg: AskPermit, race: Race
