--- a/fuchsiacroft/tests/control/storage_tests.py
+++ b/fuchsiacroft/tests/control/storage_tests.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from unittest import mock
 
-from fuchsiacroft.control import storage as storage_module
+from fuchsiacroft.control import records, segments
 from fuchsiacroft.control.records import (
     Configuration,
     Entry,
@@ -31,7 +31,7 @@
 
 
 async def opened(disk: MemoryDisk):
-    storage = Storage(MemoryFolder(disk), "node")
+    storage = Storage(MemoryFolder(disk), "node", "boot")
     return storage, await storage.open()
 
 
@@ -130,7 +130,7 @@
     def test_a_missing_segment_stops_the_process(self):
         async def scenario():
             disk = MemoryDisk()
-            with mock.patch.object(storage_module, "SEGMENT_LIMIT_BYTES", 100):
+            with mock.patch.object(segments, "SEGMENT_LIMIT_BYTES", 100):
                 storage, _ = await opened(disk)
                 for index in range(1, 6):
                     storage.append(entries(index, index + 1))
@@ -147,20 +147,37 @@
 
         self.run_paused(scenario())
 
-    def test_another_format_version_is_refused(self):
+    def test_a_torn_header_is_cut(self):
         async def scenario():
             disk = MemoryDisk()
             storage, _ = await opened(disk)
             storage.append(entries(1, 1))
             await storage.sync()
-            disk.files[self.segment(disk)].data[5] = 99
+            name = self.segment(disk)
+            for offset in range(records.HEADER_BYTES):
+                image = disk.copy()
+                torn = image.files[name].data
+                torn[offset] ^= 0xFF
+                del torn[-1]
+                state = await read_back(image)
+                self.assertEqual([], state.entries)
+
+        self.run_paused(scenario())
+
+    def test_another_format_version_is_refused(self):
+        async def scenario():
+            disk = MemoryDisk()
+            storage, _ = await opened(disk)
+            with mock.patch.object(records, "FORMAT_VERSION", 99):
+                storage.append(entries(1, 1))
+                await storage.sync()
             with self.assertRaisesRegex(InvariantError, "format version 99"):
                 await opened(disk)
 
         self.run_paused(scenario())
 
     def test_power_lost_at_every_sync_point_keeps_what_was_acknowledged(self):
-        with mock.patch.object(storage_module, "SEGMENT_LIMIT_BYTES", 400):
+        with mock.patch.object(segments, "SEGMENT_LIMIT_BYTES", 400):
             points = self.run_paused(self.work_and_crash(None))
             self.assertGreater(points, 40)
             for point in range(1, points + 1):
--- a/fuchsiacroft/tests/model/__init__.py
+++ b/fuchsiacroft/tests/model/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the model of the systems served."""
+"""Tests of `fuchsiacroft.model`."""
--- a/tools/bench_entry.py
+++ b/tools/bench_entry.py
@@ -11,8 +11,10 @@
 
 import asyncio
 import collections
+import functools
 import json
 import os
+import random
 import subprocess
 import sys
 import tempfile
@@ -36,9 +38,11 @@
 flags.DEFINE_enum("part", "bench", ["bench", "emitter", "load"], "what to be")
 flags.DEFINE_integer("seconds", 5, "seconds a trial")
 flags.DEFINE_integer("streams", 600, "open streams")
+flags.DEFINE_float("opens", 60.0, "streams opened a second while measuring")
 flags.DEFINE_list("rates", ["22400", "45000"], "chunks a second to offer")
 flags.DEFINE_integer("processes", 3, "emitters, and load generators")
 flags.DEFINE_integer("callers", 32, "callers of short requests")
+flags.DEFINE_integer("body_mb", 200, "megabytes to echo; 0 measures no body")
 flags.DEFINE_bool("short", True, "measure short requests too")
 flags.DEFINE_string("address", "", "where an emitter listens")
 flags.DEFINE_string("target", "", "whom a load generator calls")
@@ -48,6 +52,10 @@
 flags.DEFINE_float("start_at", 0.0, "monotonic time at which a load starts")
 
 RAMP_S = 1.5
+SETTLE_S = 0.3
+END_MARGIN_S = 0.5
+PROBE_TOKENS = 4
+MEGABYTE = 1024 * 1024
 HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n"
@@ -128,9 +136,10 @@
 class Reader(asyncio.Protocol):
     """Reads one stream and notes when each chunk came."""
 
-    def __init__(self, request: bytes, seen: "Seen") -> None:
+    def __init__(self, request: bytes, seen: "Seen", is_probe: bool) -> None:
         self._request = request
         self._seen = seen
+        self._is_probe = is_probe
         self._last_ns = 0
 
     def connection_made(self, transport) -> None:
@@ -142,14 +151,16 @@
     def data_received(self, data: bytes) -> None:
         """Note the chunks of one read."""
         now_ns = time.monotonic_ns()
+        if self._is_probe:
+            self._note_probe(data, now_ns)
+            return
         count = 0
         for part in data.split(b'"at":')[1:]:
             count += 1
             emitted_ns = int(part[: part.index(b"}")])
-            self._seen.ages_ns.append(now_ns - emitted_ns)
-        if count and not self._last_ns:
-            self._seen.firsts_ns.append(now_ns - self._sent_ns)
-        elif count:
+            if self._seen.in_window:
+                self._seen.ages_ns.append(now_ns - emitted_ns)
+        if count and self._last_ns and self._seen.in_window:
             self._seen.gaps_ns.append(now_ns - self._last_ns)
             self._seen.gaps_ns.extend([0] * (count - 1))
         if count:
@@ -159,11 +170,19 @@
             self._seen.done += 1
             self._transport.close()
 
+    def _note_probe(self, data: bytes, now_ns: int) -> None:
+        if not self._last_ns and b'"at":' in data:
+            self._last_ns = now_ns
+            self._seen.firsts_ns.append(now_ns - self._sent_ns)
+        if b"[DONE]" in data:
+            self._transport.close()
+
 
 class Seen:
     """What one load generator saw; times in nanoseconds."""
 
     def __init__(self) -> None:
+        self.in_window = False
         self.chunks = 0
         self.done = 0
         self.ages_ns: list[int] = []
@@ -202,10 +221,14 @@
         due = started + i * RAMP_S / FLAGS.streams
         await asyncio.sleep(max(0.0, due - time.monotonic()))
         request = stream_request(tokens, gap_s)
-        await loop.create_connection(lambda r=request: Reader(r, seen), host, port)
+        reader = functools.partial(Reader, request, seen, False)
+        await loop.create_connection(reader, host, port)
+    await asyncio.sleep(SETTLE_S)
     full_from = time.monotonic()
     at_full = seen.chunks
-    await asyncio.sleep(FLAGS.seconds - 1.0)
+    seen.in_window = True
+    await probe(seen, full_from + FLAGS.seconds - SETTLE_S - END_MARGIN_S, gap_s)
+    seen.in_window = False
     in_window = seen.chunks - at_full
     window_s = time.monotonic() - full_from
     deadline = time.monotonic() + 10
@@ -226,6 +249,18 @@
     )
 
 
+async def probe(seen: Seen, ends: float, gap_s: float) -> None:
+    """Open short streams at random times; their first tokens are measured."""
+    host, port = split_address(FLAGS.target)
+    loop = asyncio.get_running_loop()
+    arrivals = random.Random(port)
+    request = stream_request(PROBE_TOKENS, gap_s)
+    while time.monotonic() < ends:
+        reader = functools.partial(Reader, request, seen, True)
+        await loop.create_connection(reader, host, port)
+        await asyncio.sleep(arrivals.expovariate(FLAGS.opens / FLAGS.processes))
+
+
 async def load_short() -> None:
     """Call for short answers in a closed loop and note each duration."""
     host, port = split_address(FLAGS.target)
@@ -275,9 +310,10 @@
 
     def __init__(self, folder: Path) -> None:
         shape = cluster.Shape(
-            domains=("bench",), entries=(1,), control=1, engines=0, applications=0
+            domains=("bench",), entries=(1,), control=1, engines=0, applications=1
         )
         self._cluster = cluster.create(folder, shape)
+        _use_fixed_limits(folder)
         self._children: list[subprocess.Popen] = []
         self._emitters = free_addresses(FLAGS.processes)
 
@@ -290,6 +326,8 @@
                 self._print(f"stream-{rate:.0f}", await self._streams(rate))
             if FLAGS.short:
                 self._print("short", await self._short())
+            if FLAGS.body_mb:
+                self._print("body", await self._body())
         finally:
             for child in self._children:
                 child.kill()
@@ -301,7 +339,7 @@
             entry = node.addresses["backend_servers"]
             self._spawn("emitter", f"--address={address}", f"--entry={entry}")
         async with aiohttp.ClientSession() as session:
-            await self._cluster.wait_ready(session)
+            await self._cluster.wait_healthy(session)
             await self._cluster.put_document(session, bench_document(), 0, "bench")
             await self._cluster.wait_in_force(session, 1)
         await asyncio.sleep(2.5)
@@ -320,6 +358,8 @@
                 f"--target={target}",
                 f"--start_at={start_at}",
                 f"--seconds={FLAGS.seconds}",
+                f"--processes={FLAGS.processes}",
+                f"--opens={FLAGS.opens}",
                 *more,
             )
             for target in targets
@@ -339,7 +379,8 @@
         spent = self._usage()
         cpu_s = spent["cpu_s"] - before["cpu_s"]
         busy = round(cpu_s / (time.monotonic() - started - 1.0), 2)
-        return direct, via, {"cores": busy, "rss_mb": spent["rss_mb"]}
+        usage = {"cores": busy, "cpu_s": cpu_s, "rss_mb": spent["rss_mb"]}
+        return direct, via, usage
 
     def _usage(self) -> dict:
         pid = self._cluster.running["entry-bench-0"].pid
@@ -360,7 +401,9 @@
             added = result["entry"][name] - result["direct"][name]
             result[f"added_{name}"] = round(added, 3)
         ratio = result["entry"]["chunks_per_s"] / result["direct"]["chunks_per_s"]
-        return result | {"ratio": round(ratio, 3)} | usage
+        chunks = sum(one["chunks"] for one in via)
+        cost = {"cpu_us_per_chunk": round(1e6 * usage.pop("cpu_s") / chunks, 1)}
+        return result | {"ratio": round(ratio, 3)} | cost | usage
 
     async def _short(self) -> dict:
         direct, via, usage = await self._pair(
@@ -368,12 +411,55 @@
         )
         result = {"direct": _short_figures(direct), "entry": _short_figures(via)}
         added = result["entry"]["p95_ms"] - result["direct"]["p95_ms"]
-        return result | {"added_p95_ms": round(added, 3)} | usage
+        calls = result["entry"]["requests_per_s"] * FLAGS.seconds
+        cost = {"cpu_us_per_request": round(1e6 * usage.pop("cpu_s") / calls)}
+        return result | {"added_p95_ms": round(added, 3)} | cost | usage
+
+    async def _body(self) -> dict:
+        """Echo one large body through the entry; its length must be kept."""
+        address = self._cluster.nodes["entry-bench-0"].addresses["callers"]
+        before = self._usage()
+        started = time.monotonic()
+        size = FLAGS.body_mb * MEGABYTE
+        headers = {"Authorization": f"Bearer {KEY}", "Content-Length": str(size)}
+        received = 0
+        async with (
+            aiohttp.ClientSession() as session,
+            session.put(
+                f"http://{address}/services/counter/echo",
+                data=_zeros(),
+                headers=headers,
+            ) as res,
+        ):
+            async for chunk in res.content.iter_any():
+                received += len(chunk)
+        after = self._usage()
+        return {
+            "status": res.status,
+            "received_mb": received // MEGABYTE,
+            "mb_per_s": round(FLAGS.body_mb / (time.monotonic() - started)),
+            "rss_before_mb": before["rss_mb"],
+            "rss_mb": after["rss_mb"],
+        }
 
     def _print(self, trial: str, result: dict) -> None:
         print(json.dumps({"trial": trial} | result), flush=True)
 
 
+def _use_fixed_limits(folder: Path) -> None:
+    """Let the emitters' slots be their limits: routing is not measured here."""
+    for path in folder.glob("entry-*.json"):
+        settings = json.loads(path.read_text())
+        policies = {"limit": "fixed", "straggler": "ignore", "route": "round_robin"}
+        settings["policies"] = policies
+        path.write_text(json.dumps(settings))
+
+
+async def _zeros():
+    for _ in range(FLAGS.body_mb):
+        yield bytes(MEGABYTE)
+
+
 def _stream_figures(seen: list[dict]) -> dict:
     firsts = [value for one in seen for value in one["firsts_ns"]]
     gaps = [value for one in seen for value in one["gaps_ns"]]
@@ -410,6 +496,7 @@
         "services": [
             {"name": "bench-model", "kind": "model"},
             {"name": "bench-plain", "kind": "plain"},
+            {"name": "counter", "kind": "plain", "max_body_bytes": 2**30},
         ],
         "workspaces": [
             {
