--- a/fuchsiacroft/routing/limit_learned.py
+++ b/fuchsiacroft/routing/limit_learned.py
@@ -13,11 +13,13 @@
 
 RAMP_S = 8.0
 RAMP_FIRST = 2
+FIRST_SHARE = 0.75
 MIN_RUNS = 4
 SHRINK_FACTOR = 0.9
-SHRINK_ABOVE = 1.0
-GROW_BELOW = 0.9
-IN_USE_SHARE = 0.85
+SHRINK_ABOVE = 1.1
+GROW_BELOW = 0.95
+GROWTH = 0.6
+IN_USE_SHARE = 0.6
 MAX_SLOTS_FACTOR = 2
 PLAIN_SLOWDOWN = 2.0
 LARGEST_RATIO = 4.0
@@ -34,7 +36,7 @@
     def first(self, service: str, generation: str, slots: int) -> float:
         """Return where a backend server of that kind begins."""
         learned = self._learned.get((service, generation))
-        return float(slots) if learned is None else learned.value
+        return FIRST_SHARE * slots if learned is None else learned.value
 
     def note(self, service: str, generation: str, limit: float) -> None:
         """Take in a limit that has just been adjusted."""
@@ -45,6 +47,7 @@
 class LearnedLimit(Limit):
     """A limit that follows the measured targets."""
 
+    weighs_runs = True
     paces_prefill = True
 
     def __init__(
@@ -72,7 +75,7 @@
         """Return a part of the limit; short runs of the top tier use it."""
         return max(1, int(self._limit * OVERSHOOT_SHARE))
 
-    def note(self, ask: Ask, running: int, report: RunReport) -> None:
+    def note(self, ask: Ask, load: float, report: RunReport) -> None:
         """Compare a run with its targets, and adjust after a few runs.
 
         Runs that began under an earlier limit say nothing of the present one.
@@ -85,8 +88,9 @@
             return
         if self._ratio.value > SHRINK_ABOVE:
             self._adjust(max(1.0, self._limit * SHRINK_FACTOR))
-        elif self._ratio.value < GROW_BELOW and self._is_in_use(running):
-            self._adjust(min(self._most, self._limit + 1.0))
+        elif self._ratio.value < GROW_BELOW and self._is_in_use(load):
+            step = max(1.0, self._limit * GROWTH * (1.0 - self._ratio.value))
+            self._adjust(min(self._most, self._limit + step))
 
     def _adjust(self, limit: float) -> None:
         self._limit = limit
@@ -94,8 +98,8 @@
         self._ratio = Average(0.0)
         self._limits.note(*self._kind, limit)
 
-    def _is_in_use(self, running: int) -> bool:
-        return running + 1 >= IN_USE_SHARE * self.allowed()
+    def _is_in_use(self, load: float) -> bool:
+        return load + 1.0 >= IN_USE_SHARE * self.allowed()
 
     def _ramp(self) -> int:
         age = now() - self._ramp_from
--- a/fuchsiacroft/standin/application.py
+++ b/fuchsiacroft/standin/application.py
@@ -87,6 +87,8 @@
         note_run(req, self._started)
         await response.prepare(req)
         chunks = 0
+        if req.method == "HEAD":
+            return response
         while left:
             if self._faults.breaks_now(chunks):
                 abort(req)
--- a/fuchsiacroft/transport/outbox.py
+++ b/fuchsiacroft/transport/outbox.py
@@ -74,9 +74,6 @@
         return True
 
     def _send(self, parcel: Parcel) -> bool:
-        try:
-            zmq.Socket.send(self._dealer, parcel.data, zmq.DONTWAIT)
-        except zmq.Again:
-            return False
-        parcel.sent = True
-        return True
+        sent = self._dealer.send(parcel.data, zmq.DONTWAIT)
+        parcel.sent = sent.exception() is None
+        return parcel.sent
