Wait for an election before the disk group's first proposals

Cause: the test proposed while no leader stood; with four suites at once the first election took longer than the 2 s after which a member says NO_QUORUM. Ruled out: a lost commit (the outcomes were refusals, not UNKNOWN). Conclusion: a race of the test; the outcomes are asserted as before.

--- a/fuchsiacroft/tests/control/consensus/disk_group_tests.py
+++ b/fuchsiacroft/tests/control/consensus/disk_group_tests.py
@@ -15,6 +15,9 @@
 SIZE = 3
 TIMEOUT_S = 10.0
 
+ELECTION_WAIT_S = 60.0
+POLL_S = 0.05
+
 
 class DiskGroupTests(SocketTestCase):
     """What was committed is there after every process was started again."""
@@ -44,8 +47,15 @@
             await bus.start(Kernel())
             await log.start(Kernel())
             started.append((bus, log, machine))
+        await self.wait_leader(started)
         return started
 
+    async def wait_leader(self, started):
+        """Wait for an election, whose time depends on the machine's disks."""
+        async with asyncio.timeout(ELECTION_WAIT_S):
+            while not all(log.leader_peer for _, log, _ in started):
+                await asyncio.sleep(POLL_S)
+
     async def stop_group(self, started):
         for bus, log, _ in started:
             await log.stop()
