Count non-idempotent runs whose callers have left

Cause: such a run ends after its exchange was counted, so its outcome was in no metric and no log line.

Failing first without the listener: no outcome="completed" in the metrics.

--- a/fuchsiacroft/entry/answer_metrics.py
+++ b/fuchsiacroft/entry/answer_metrics.py
@@ -61,6 +61,14 @@
             self._note_run(exchange, labels, seconds, document)
         self._log(exchange, shown, seconds)
 
+    def note_run_ended_alone(self, exchange: Exchange) -> None:
+        """Count and log a non-idempotent run that ended after its caller left."""
+        outcome = exchange.outcome.value
+        self._runs.inc(self._labels(exchange) | {"outcome": outcome})
+        event(
+            "info", "run_ended_alone", request_id=exchange.request_id, outcome=outcome
+        )
+
     def _labels(self, exchange: Exchange) -> dict[str, str]:
         accepted = exchange.accepted
         if accepted is None:
--- a/fuchsiacroft/entry/callers.py
+++ b/fuchsiacroft/entry/callers.py
@@ -50,6 +50,7 @@
         self._document = kernel.get("document", HeldDocument)
         self._admission = Admission(self._document, self._bodies)
         self._dispatcher = kernel.get("dispatcher", Dispatcher)
+        self._dispatcher.ended_alone.append(self._metrics.note_run_ended_alone)
         self._server = CallerServer(self._handle, self._refuse)
         await self._server.listen(self._settings.addresses.callers, self._tls)
 
--- a/fuchsiacroft/entry/dispatch.py
+++ b/fuchsiacroft/entry/dispatch.py
@@ -1,6 +1,7 @@
 """The path of one admitted request: ledger, permit, one dispatch, answer."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 from aiohttp import web
@@ -32,12 +33,16 @@
 
 
 class Dispatcher(Service):
-    """Takes an admitted request to its answer."""
+    """Takes an admitted request to its answer.
+
+    `ended_alone` is told of runs that ended after their callers had left.
+    """
 
     name = "dispatcher"
 
     def __init__(self) -> None:
         self._claimed_runs = TaskGroup("dispatcher")
+        self.ended_alone: list[Callable[[Exchange], None]] = []
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the services on the path."""
@@ -92,8 +97,14 @@
         if exchange.accepted.ledger_key is None:
             return await run.serve()
         task = self._claimed_runs.spawn(run.serve(), "claimed-run")
+        task.add_done_callback(lambda _: self._ended(exchange))
         return await asyncio.shield(task)
 
+    def _ended(self, exchange: Exchange) -> None:
+        if exchange.left:
+            for listener in self.ended_alone:
+                listener(exchange)
+
 
 def create() -> Dispatcher:
     """Return the dispatcher of an entry."""
--- a/fuchsiacroft/tests/entry/dispatch_tests.py
+++ b/fuchsiacroft/tests/entry/dispatch_tests.py
@@ -127,6 +127,8 @@
         await self.wait_for(lambda: len(self.ledger.told) == 2)
         (_, claim), (told, settled, answer) = self.ledger.told
         self.assertEqual(("settle", claim, 200), (told, settled, answer.status))
+        await asyncio.sleep(0)
+        self.assertIn('outcome="completed"', self.metrics.render([])[0].decode())
         self.assertEqual([("permit-0", "completed")], self.scheduler.released)
 
     async def test_a_claim_whose_request_was_not_sent_is_given_back(self):
