Freeze an engine and stop an entry as separate processes

The frozen engine's stream ends with timed_out at its deadline; the stream that runs when the entry is told to stop comes whole, and the entry exits with 0.

--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -25,6 +25,7 @@
 from fuchsiacroft.routing.ask import Permit, RunOutcome, RunReport
 from fuchsiacroft.routing.scheduler import Scheduler
 from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
 
 LEASE_MARGIN_S = 30.0
 MAX_RESUMES = 3
@@ -234,12 +235,16 @@
     def _break_off(self, problem: Problem) -> None:
         """End an answer that has begun so that the caller sees it is not whole."""
         self._exchange.problem = problem
+        request_id = self._exchange.request_id
+        event(
+            "warning", "answer_broken_off", request_id=request_id, detail=problem.detail
+        )
         if self._sink.is_gone:
             return
         if self._response.content_type == "text/event-stream":
             if not self._progress.ends_between_events:
                 self._sink.write(b"\n\n")
-            self._sink.write(problems.event(problem, self._exchange.request_id))
+            self._sink.write(problems.event(problem, request_id))
         self._sink.close(LINGER_S)
 
     def _end(self) -> None:
--- /dev/null
+++ b/fuchsiacroft/tests/entry/process_faults_tests.py
@@ -0,0 +1,82 @@
+"""An engine that freezes and an entry that stops, as separate processes."""
+
+import asyncio
+import signal
+import tempfile
+from pathlib import Path
+
+import aiohttp
+
+from fuchsiacroft.tests.base import SocketTestCase
+from fuchsiacroft.tests.fakes import cluster
+
+ENTRY = "entry-mvd-cordon-0"
+ENGINE = "engine-mvd-cordon-0"
+ASK = {"model": "lens-assistant", "prompt": "kit?", "max_tokens": 60, "stream": True}
+
+
+class ProcessFaultTests(SocketTestCase):
+    """One entry, one control member and one engine, for all tests."""
+
+    @classmethod
+    def setUpClass(cls):
+        folder = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(folder.cleanup)
+        shape = cluster.Shape(
+            domains=("mvd-cordon",), entries=(1,), control=1, engines=1, applications=0
+        )
+        cls.cluster = cluster.create(Path(folder.name), shape)
+        cls.addClassCleanup(cls.cluster.stop)
+        cls.cluster.start()
+
+    async def asyncSetUp(self):
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+        await self.cluster.wait_healthy(self.session)
+        document = cluster.sample_document()
+        await self.cluster.put_document(self.session, document, 0, "first")
+        await self.cluster.wait_in_force(self.session, 1)
+        async with asyncio.timeout(10):
+            while (await self.stream(max_tokens=1))[0] != 200:
+                await asyncio.sleep(0.1)
+
+    async def stream(self, started: asyncio.Event | None = None, **more):
+        """Return the status, the body, and whether it ended as it should."""
+        url = self.cluster.url(ENTRY, "callers", "/v1/completions")
+        headers = {"Authorization": "Bearer key-1"} | more.pop("headers", {})
+        body = b""
+        async with self.session.post(url, json=ASK | more, headers=headers) as res:
+            try:
+                async for chunk in res.content.iter_any():
+                    body += chunk
+                    if started is not None:
+                        started.set()
+            except aiohttp.ClientPayloadError:
+                return res.status, body, False
+            return res.status, body, True
+
+    async def during_a_stream(self, fault, **more):
+        started = asyncio.Event()
+        call = asyncio.create_task(self.stream(started, **more))
+        async with asyncio.timeout(10):
+            await started.wait()
+            fault()
+            return await call
+
+    async def test_a_frozen_engine_ends_its_stream_at_the_deadline(self):
+        status, body, whole = await self.during_a_stream(
+            lambda: self.cluster.kill(ENGINE, signal.SIGSTOP),
+            headers={"Fuchsiacroft-Timeout": "1"},
+        )
+        self.assertEqual((200, False), (status, whole))
+        self.assertIn(b"timed_out", body)
+        self.cluster.kill(ENGINE, signal.SIGCONT)
+
+    async def test_a_stopped_entry_ends_its_streams_whole(self):
+        entry = self.cluster.running[ENTRY]
+        status, body, whole = await self.during_a_stream(
+            lambda: self.cluster.kill(ENTRY, signal.SIGTERM), max_tokens=200
+        )
+        self.assertEqual((200, True), (status, whole))
+        self.assertEqual(201, body.count(b"data: "))
+        self.assertEqual(0, await asyncio.to_thread(entry.wait, 10))
