Keep announcements and owners within a node's share in a large domain

Entries were also found by the settings' list only, so an owner that is not a seed could not be asked (KeyError in takeover_tests). Ruled out: gossip of every backend server (grows with backend servers). Conclusion: up to 8 entries hear all announcements, larger domains only the owner does, and owners tell three entries a second which services they have.

--- a/fuchsiacroft/entry/process.py
+++ b/fuchsiacroft/entry/process.py
@@ -12,10 +12,12 @@
 from fuchsiacroft.membership import backend_servers, engine_reports, ownership
 from fuchsiacroft.membership import service as membership
 from fuchsiacroft.membership.service import Membership
+from fuchsiacroft.routing import addresses as address_book
 from fuchsiacroft.routing import (
     desk,
     lending,
     member_owners,
+    owner_digests,
     quarantine,
     scheduler,
     spill,
@@ -38,6 +40,7 @@
     members = membership.create(settings)
     table = ownership.create(settings)
     owned_by = MemberOwners(settings, table)
+    book = address_book.create(settings, members.address_of)
     front = callers.create(settings, metrics, secured.context)
     ops = operations.create(addresses.operators, metrics, secured.context)
     following = follower.create(settings, lambda: _peers(members))
@@ -54,9 +57,10 @@
         engine_reports.create(settings),
         quarantine.create(settings),
         desk.create(settings.node, settings.policies, owned_by),
-        lending.create({member.node: member.peers for member in settings.entries}),
+        owner_digests.create(),
+        lending.create(book),
         spill.create(settings),
-        scheduler.create(settings, owned_by),
+        scheduler.create(settings, owned_by, addresses=book),
         member_owners.create(),
         backend_client.create(),
         ledger_client.create(settings),
--- a/fuchsiacroft/membership/backend_servers.py
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -1,15 +1,18 @@
 """The backend servers of this failure domain that have announced themselves."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import msgspec
 from aiohttp import web
 
-from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.config.settings import Member, Settings
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.announcement import Announced, Announcement
+from fuchsiacroft.membership.ownership import OwnershipTable
+from fuchsiacroft.membership.service import Membership
+from fuchsiacroft.membership.table import EntryInfo
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.http import Listener
@@ -17,6 +20,7 @@
 from fuchsiacroft.utils.tasks import TaskGroup
 
 SILENCE_S = 4.0
+FLOOD_ENTRIES = 8
 SWEEP_PERIOD_S = 0.5
 MAX_ANNOUNCEMENT_BYTES = 256 * 1024
 
@@ -62,6 +66,8 @@
     async def start(self, kernel: Kernel) -> None:
         """Listen for announcements, from backend servers and from entries."""
         self._bus = kernel.get("bus", Bus)
+        self._membership = kernel.find("membership", Membership)
+        self._ownership = kernel.find("ownership", OwnershipTable)
         self._bus.handle(Announced, self._on_announced)
         app = web.Application(client_max_size=MAX_ANNOUNCEMENT_BYTES)
         app.router.add_post("/announce", self._on_post)
@@ -104,6 +110,11 @@
         """Return the backend server of that name."""
         return self._servers.get(name)
 
+    def receive(self, announcement: Announcement) -> None:
+        """Take an announcement from a backend server and pass it on."""
+        self._hear(announcement)
+        self._pass_on(announcement)
+
     async def _on_post(self, req: web.Request) -> web.Response:
         try:
             announcement = msgspec.json.decode(await req.read(), type=Announcement)
@@ -116,19 +127,30 @@
             return web.json_response(
                 {"title": "other domain", "detail": detail}, status=409
             )
-        self._hear(announcement)
-        self._pass_on(announcement)
+        self.receive(announcement)
         return web.Response(status=204)
 
     async def _on_announced(self, sender: str, msg: Announced) -> None:
         self._hear(msg.announcement)
 
     def _pass_on(self, announcement: Announcement) -> None:
-        for member in self._settings.entries:
-            if member.node == self._settings.node:
-                continue
-            if member.failure_domain == self._settings.failure_domain:
-                self._bus.send(member.peers, Announced(announcement))
+        for entry in self._receivers(announcement):
+            if entry.node != self._settings.node:
+                self._bus.send(entry.peers, Announced(announcement))
+
+    def _receivers(self, announcement: Announcement) -> Sequence[EntryInfo | Member]:
+        """Return every entry of a small domain, and the owner in a large one."""
+        if self._membership is None or self._ownership is None:
+            return [
+                member
+                for member in self._settings.entries
+                if member.failure_domain == self._settings.failure_domain
+            ]
+        alive = self._membership.alive()
+        if len(alive) <= FLOOD_ENTRIES:
+            return alive
+        owner = self._ownership.owner_of(announcement.name)
+        return () if owner is None else (owner,)
 
     def _hear(self, announcement: Announcement) -> None:
         known = self._servers.get(announcement.name)
--- a/fuchsiacroft/membership/service.py
+++ b/fuchsiacroft/membership/service.py
@@ -169,6 +169,11 @@
         """Return the live entries of the domain, ourselves included."""
         return self._view.alive()
 
+    def address_of(self, node: str) -> str | None:
+        """Return the peers address of an entry of the domain, if it is known."""
+        record = self.record(node)
+        return record.update.peers if record is not None else None
+
     def record(self, node: str) -> MemberRecord | None:
         """Return what is remembered of an entry."""
         return self._view.table.get(node)
--- a/fuchsiacroft/model/world.py
+++ b/fuchsiacroft/model/world.py
@@ -20,7 +20,15 @@
 from fuchsiacroft.model.network import MemoryNetwork
 from fuchsiacroft.model.server import ServerRun, Slot
 from fuchsiacroft.model.trace import Deployment, mean_work
-from fuchsiacroft.routing import desk, lending, owners, quarantine, scheduler, spill
+from fuchsiacroft.routing import (
+    addresses,
+    desk,
+    lending,
+    owners,
+    quarantine,
+    scheduler,
+    spill,
+)
 from fuchsiacroft.routing.desk import Desk
 from fuchsiacroft.routing.lending import Lending
 from fuchsiacroft.routing.owners import RendezvousOwners
@@ -170,7 +178,7 @@
             backend_servers.create(settings),
             quarantine.create(settings),
             desk.create(member.node, policies, owned_by, seed),
-            lending.create({other.node: other.peers for other in self.members}),
+            lending.create(addresses.create(settings)),
             spill.create(settings, seed),
             scheduler.create(settings, owned_by, seed),
         ):
--- a/fuchsiacroft/routing/candidates.py
+++ b/fuchsiacroft/routing/candidates.py
@@ -6,10 +6,12 @@
 from fuchsiacroft.membership.backend_servers import BackendDirectory, BackendServer
 from fuchsiacroft.routing.ask import Ask
 from fuchsiacroft.routing.desk import Desk
+from fuchsiacroft.routing.owner_digests import OwnerDigests
 from fuchsiacroft.routing.owners import Owners
 from fuchsiacroft.utils.clock import now
 
 KEPT_S = 0.25
+MAX_OWNERS = 8
 MIN_GAIN_S = 0.1
 
 Owned = dict[str, list[BackendServer]]
@@ -25,13 +27,19 @@
         self._random = random.Random(seed)
         self._seen: dict[str, tuple[float, Owned]] = {}
 
-    def attach(self, directory: BackendDirectory, desk: Desk) -> None:
+    def attach(
+        self, directory: BackendDirectory, desk: Desk, digests: OwnerDigests | None
+    ) -> None:
         """Name the services that this one looks things up in."""
         self._directory = directory
         self._desk = desk
+        self._digests = digests
 
     def owners_of(self, service: str) -> Owned:
-        """Return the owners of a service's backend servers, as of late."""
+        """Return the owners of a service's backend servers, as of late.
+
+        Of many owners, it is this entry and a few at random.
+        """
         seen = self._seen.get(service)
         if seen is not None and now() - seen[0] < KEPT_S:
             return seen[1]
@@ -40,10 +48,22 @@
             owner = self._owners.owner_of(server.name)
             if owner is not None and not server.announcement.leaving:
                 known.setdefault(owner.node, []).append(server)
+        for node in self._digests.owners_of(service) if self._digests else ():
+            known.setdefault(node, [])
+        known = self._some(known)
         if known:
             self._seen[service] = (now(), known)
         return known
 
+    def _some(self, known: Owned) -> Owned:
+        if len(known) <= MAX_OWNERS:
+            return known
+        others = [node for node in known if node != self._node]
+        kept = self._random.sample(others, MAX_OWNERS - 1)
+        if self._node in known:
+            kept.append(self._node)
+        return {node: known[node] for node in kept}
+
     def first(self, ask: Ask) -> str | None:
         """Return the owner to ask first.
 
--- a/fuchsiacroft/routing/holding.py
+++ b/fuchsiacroft/routing/holding.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from fuchsiacroft.config.settings import Member
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.membership.backend_servers import BackendDirectory
+from fuchsiacroft.routing.addresses import AddressBook
 from fuchsiacroft.routing.ask import Permit
 from fuchsiacroft.routing.messages import CutRun, RenewPermits
 from fuchsiacroft.routing.owners import Owners
@@ -17,9 +17,9 @@
 class Holding:
     """Keeps the permits in use, renews them, and hears of cuts."""
 
-    def __init__(self, node: str, members: dict[str, Member], owners: Owners) -> None:
+    def __init__(self, node: str, addresses: AddressBook, owners: Owners) -> None:
         self._node = node
-        self._members = members
+        self._addresses = addresses
         self._owners = owners
         self._held: dict[str, Permit] = {}
         self._tasks = TaskGroup("holding")
@@ -66,9 +66,9 @@
 
     def send(self, node: str, msg) -> None:
         """Send a message to an entry by its node name."""
-        member = self._members.get(node)
-        if member is not None:
-            self._bus.send(member.peers, msg)
+        address = self._addresses.get(node)
+        if address is not None:
+            self._bus.send(address, msg)
 
     async def _renew(self) -> None:
         while True:
--- a/fuchsiacroft/routing/lending.py
+++ b/fuchsiacroft/routing/lending.py
@@ -11,6 +11,7 @@
 from expression import Result
 
 from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.routing.addresses import AddressBook
 from fuchsiacroft.routing.ask import Permit, RunOutcome, RunReport
 from fuchsiacroft.routing.desk import Desk
 from fuchsiacroft.routing.messages import (
@@ -48,7 +49,7 @@
 
     name = "lending"
 
-    def __init__(self, addresses: dict[str, str]) -> None:
+    def __init__(self, addresses: AddressBook) -> None:
         self._addresses = addresses
         self._lent: dict[str, Lent] = {}
         self._by_ask: dict[str, str] = {}
@@ -176,6 +177,6 @@
                 self._take_back(permit_id, RunReport(RunOutcome.UNUSED))
 
 
-def create(addresses: dict[str, str]) -> Lending:
-    """Return the lending side; `addresses` are the entries' by node name."""
+def create(addresses: AddressBook) -> Lending:
+    """Return the lending side of an entry."""
     return Lending(addresses)
--- /dev/null
+++ b/fuchsiacroft/routing/owner_digests.py
@@ -0,0 +1,98 @@
+"""Which entries of a large failure domain own backend servers of a service.
+
+In a small domain every entry hears every announcement. In a large one an
+announcement goes to its owner only, and each owner tells a few random entries
+which services it has, so that no message grows with the backend servers.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+import msgspec
+
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.membership.backend_servers import FLOOD_ENTRIES
+from fuchsiacroft.membership.service import Membership
+from fuchsiacroft.routing.desk import Desk
+from fuchsiacroft.transport import codec
+from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.tasks import TaskGroup
+
+TELL_PERIOD_S = 1.0
+TELL_PEERS = 3
+KEPT_S = 90.0
+
+
+@codec.message("routing.owned_services")
+class OwnedServices(msgspec.Struct, frozen=True):
+    """The services of the backend servers that the sender owns."""
+
+    services: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What an owner said, and when."""
+
+    services: frozenset[str]
+    heard_at: float
+
+
+class OwnerDigests(Service):
+    """Tells and hears which entry owns backend servers of which services."""
+
+    name = "owner_digests"
+
+    def __init__(self, seed: int) -> None:
+        self._told: dict[str, Told] = {}
+        self._random = random.Random(seed)
+        self._tasks = TaskGroup("owner_digests")
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to tell and to hear."""
+        self._membership = kernel.get("membership", Membership)
+        self._desk = kernel.get("desk", Desk)
+        self._bus = kernel.get("bus", Bus)
+        self._bus.handle(OwnedServices, self._on_owned)
+        self._tasks.spawn(self._tell(), "owner-digests")
+
+    async def stop(self) -> None:
+        """Tell nothing more."""
+        await self._tasks.cancel()
+
+    def dump(self) -> dict:
+        """Return what each owner said."""
+        return {node: sorted(told.services) for node, told in self._told.items()}
+
+    def owners_of(self, service: str) -> list[str]:
+        """Return the live entries that said they own the service's servers."""
+        alive = {entry.node for entry in self._membership.alive()}
+        oldest = now() - KEPT_S
+        return [
+            node
+            for node, told in self._told.items()
+            if node in alive and told.heard_at >= oldest and service in told.services
+        ]
+
+    async def _tell(self) -> None:
+        while True:
+            await asyncio.sleep(TELL_PERIOD_S * self._random.uniform(0.9, 1.1))
+            me = self._membership.me.node
+            others = [one for one in self._membership.alive() if one.node != me]
+            if len(others) < FLOOD_ENTRIES:
+                continue
+            owned = tuple(
+                name for name, line in self._desk.lines().items() if line.servers
+            )
+            for peer in self._random.sample(others, TELL_PEERS):
+                self._bus.send(peer.peers, OwnedServices(owned))
+
+    async def _on_owned(self, sender: str, msg: OwnedServices) -> None:
+        self._told[sender] = Told(frozenset(msg.services), now())
+
+
+def create(seed: int = 0) -> OwnerDigests:
+    """Return the digests of an entry."""
+    return OwnerDigests(seed)
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -14,7 +14,9 @@
 from fuchsiacroft.config.settings import Member, Settings
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.backend_servers import BackendDirectory, BackendServer
+from fuchsiacroft.routing import addresses as address_book
 from fuchsiacroft.routing import owners
+from fuchsiacroft.routing.addresses import AddressBook
 from fuchsiacroft.routing.ask import (
     Ask,
     Permit,
@@ -35,6 +37,7 @@
     WithdrawAsk,
 )
 from fuchsiacroft.routing.order import LAST_TRY
+from fuchsiacroft.routing.owner_digests import OwnerDigests
 from fuchsiacroft.routing.owners import Owners
 from fuchsiacroft.routing.quarantine import Quarantine
 from fuchsiacroft.routing.race import Race
@@ -46,7 +49,6 @@
 ANSWER_MARGIN_S = 0.5
 LOOK_AGAIN_S = 0.5
 MIN_WAIT_S = 0.001
-MAX_OWNERS = 8
 MAX_UNREACHED = 1_000
 LAST_TRY_S = 1.0
 MAX_HEAD_START_S = 0.1
@@ -57,12 +59,14 @@
 
     name = "scheduler"
 
-    def __init__(self, settings: Settings, owned_by: Owners, seed: int) -> None:
+    def __init__(
+        self, settings: Settings, owned_by: Owners, addresses: AddressBook, seed: int
+    ) -> None:
         self._node = settings.node
         self._policies = settings.policies
-        self._members = {member.node: member for member in settings.entries}
+        self._addresses = addresses
         self._owners = owned_by
-        self._holding = Holding(settings.node, self._members, owned_by)
+        self._holding = Holding(settings.node, addresses, owned_by)
         self._candidates = Candidates(settings.node, owned_by, settings.policies, seed)
         self._unreached: OrderedDict[str, tuple[str, ...]] = OrderedDict()
         self._retries = RetryBudgets()
@@ -78,7 +82,8 @@
         self._directory = kernel.get("backend_servers", BackendDirectory)
         self._directory.listeners.heard.append(self._on_heard)
         self._bus = kernel.get("bus", Bus)
-        self._candidates.attach(self._directory, self._desk)
+        digests = kernel.find("owner_digests", OwnerDigests)
+        self._candidates.attach(self._directory, self._desk, digests)
         self._holding.start(kernel)
 
     async def drain(self) -> None:
@@ -186,7 +191,7 @@
         self, race: Race, first: str, ask: Ask, waited_s: float
     ) -> Result[Permit, Refusal]:
         last = _shortened(ask, max(waited_s, ask.timeout_s - LAST_TRY_S))
-        for node in list(self._candidates.owners_of(ask.service))[:MAX_OWNERS]:
+        for node in list(self._candidates.owners_of(ask.service)):
             if node == first:
                 continue
             match await self._try(node, last, LAST_TRY, race):
@@ -196,7 +201,7 @@
 
     def _is_lost(self, race: Race, ask: Ask) -> bool:
         """Tell whether every owner has refused, whoever else was asked."""
-        known = list(self._candidates.owners_of(ask.service))[:MAX_OWNERS]
+        known = list(self._candidates.owners_of(ask.service))
         return bool(known) and race.have_refused(known)
 
     def _outcome(self, race: Race, ask: Ask) -> Result[Permit, Refusal]:
@@ -210,7 +215,7 @@
         if self._policies.borrow == "own_desk" and self._node in known:
             known = {self._node: known[self._node]}
         names = sorted(known, key=lambda node: node != self._node)
-        for node in names[:MAX_OWNERS]:
+        for node in names:
             if race.may_ask(node):
                 position = race.asked
                 race.start(node, self._try(node, left, position, race))
@@ -241,7 +246,9 @@
     async def _borrow(
         self, node: str, msg: AskPermit, race: Race
     ) -> Result[Permit, Refusal]:
-        peer = self._members[node].peers
+        peer = self._addresses.get(node)
+        if peer is None:
+            return Error(self._desk.refusal(RefusalReason.NO_BACKEND_SERVER, msg.ask))
         timeout_s = msg.ask.timeout_s + ANSWER_MARGIN_S
         try:
             answer = await self._bus.request(peer, msg, timeout_s)
@@ -274,10 +281,18 @@
 
 
 def create(
-    settings: Settings, owned_by: Owners | None = None, seed: int = 0
+    settings: Settings,
+    owned_by: Owners | None = None,
+    seed: int = 0,
+    addresses: AddressBook | None = None,
 ) -> Scheduler:
     """Return the scheduler of an entry."""
-    return Scheduler(settings, owned_by or owners.create(settings), seed)
+    return Scheduler(
+        settings,
+        owned_by or owners.create(settings),
+        addresses or address_book.create(settings),
+        seed,
+    )
 
 
 def _is_refused_early(race: Race, first: str | None) -> bool:
--- /dev/null
+++ b/fuchsiacroft/tests/fakes/full_domain.py
@@ -0,0 +1,190 @@
+"""Entries of one failure domain, whole but for HTTP, on a network in memory."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from expression import Result
+
+from fuchsiacroft.config import follower, held
+from fuchsiacroft.config.settings import Addresses, Member, Policies, Settings
+from fuchsiacroft.config.sources import Peer
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.membership import backend_servers, ownership
+from fuchsiacroft.membership import service as membership
+from fuchsiacroft.membership.announcement import Announcement, Offer
+from fuchsiacroft.membership.backend_servers import BackendDirectory
+from fuchsiacroft.membership.ownership import OwnershipTable
+from fuchsiacroft.model.network import MemoryNetwork
+from fuchsiacroft.routing import (
+    addresses,
+    desk,
+    lending,
+    member_owners,
+    owner_digests,
+    quarantine,
+    scheduler,
+    spill,
+)
+from fuchsiacroft.routing.ask import Ask, Permit, Refusal
+from fuchsiacroft.routing.desk import Desk
+from fuchsiacroft.routing.member_owners import MemberOwners
+from fuchsiacroft.routing.scheduler import Scheduler
+from fuchsiacroft.utils.tasks import TaskGroup
+
+DOMAIN = "d"
+ANNOUNCE_PERIOD_S = 1.0
+SEEDS = 3
+
+
+@dataclass
+class FullDomain:
+    """Entries with membership and ownership, and backend servers that announce.
+
+    `servers` maps a backend server's name to its announcement; each announces
+    once a second to a live entry at random.
+    """
+
+    size: int
+    seed: int = 1
+    control: list[Member] = field(default_factory=list)
+    network: MemoryNetwork = field(default_factory=MemoryNetwork)
+    kernels: dict[int, Kernel] = field(default_factory=dict)
+    policies: Policies = field(default_factory=Policies)
+    servers: dict[str, Announcement] = field(default_factory=dict)
+    tasks: TaskGroup = field(default_factory=lambda: TaskGroup("domain"))
+
+    def __post_init__(self) -> None:
+        self.random = random.Random(self.seed)
+
+    async def start(self, *numbers: int) -> None:
+        """Start the numbered entries, or all of them."""
+        for number in numbers or range(self.size):
+            self.kernels[number] = self._kernel(number)
+            await self.kernels[number].start()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await self.tasks.cancel()
+        for number in list(self.kernels):
+            await self.kill(number)
+
+    async def kill(self, number: int) -> None:
+        """Stop an entry without its leave."""
+        await self.kernels.pop(number).stop()
+
+    def serve(self, name: str, service: str, **fields) -> None:
+        """Add a backend server that announces from now on."""
+        self.servers[name] = Announcement(
+            name=name,
+            boot_id=f"{name}-1",
+            failure_domain=DOMAIN,
+            address="10.1.0.1:1",
+            offers=(Offer(service),),
+            slots=fields.pop("slots", 2),
+            generation="g",
+            **fields,
+        )
+        self.tasks.spawn(self._announce(name))
+
+    async def wait_ready(self, timeout: float = 60.0) -> None:
+        """Wait until every backend server has an owner that is ready."""
+        async with asyncio.timeout(timeout):
+            while sum(self.ready(number) for number in self.kernels) < len(
+                self.servers
+            ):
+                await asyncio.sleep(0.1)
+
+    def ready(self, number: int) -> int:
+        """Return how many backend servers an entry owns and may grant."""
+        table = self.get(number, "ownership", OwnershipTable)
+        return sum(table.is_ready(name) for name in self.servers)
+
+    def owner(self, name: str) -> int:
+        """Return the number of the entry that owns a backend server."""
+        for number in self.kernels:
+            if self.get(number, "ownership", OwnershipTable).is_ready(name):
+                return number
+        raise AssertionError(f"nobody owns {name}")
+
+    def get(self, number: int, name: str, kind: type):
+        """Return a service of an entry."""
+        return self.kernels[number].get(name, kind)
+
+    def desk(self, number: int) -> Desk:
+        """Return the desk of an entry."""
+        return self.get(number, "desk", Desk)
+
+    def scheduler(self, number: int) -> Scheduler:
+        """Return the scheduler of an entry."""
+        return self.get(number, "scheduler", Scheduler)
+
+    def acquire(self, number: int, ask: Ask) -> asyncio.Task[Result[Permit, Refusal]]:
+        """Ask for a permit through an entry."""
+        return asyncio.create_task(self.scheduler(number).acquire(ask))
+
+    async def _announce(self, name: str) -> None:
+        while True:
+            alive = sorted(self.kernels)
+            if alive:
+                directory = self.get(
+                    self.random.choice(alive), "backend_servers", BackendDirectory
+                )
+                directory.receive(self.servers[name])
+            await asyncio.sleep(ANNOUNCE_PERIOD_S)
+
+    def _kernel(self, number: int) -> Kernel:
+        members = [_member(i) for i in range(min(self.size, SEEDS + 1))]
+        if number >= len(members):
+            members.append(_member(number))
+        settings = Settings(
+            node=_member(number).node,
+            failure_domain=DOMAIN,
+            region="r",
+            addresses=Addresses(operators="10.0.9.1:1", peers=_member(number).peers),
+            control=self.control,
+            entries=members,
+            policies=self.policies,
+        )
+        alive = membership.create(settings, random.Random(self.seed + number))
+        table = ownership.create(settings)
+        owned_by = MemberOwners(settings, table)
+        book = addresses.create(settings, alive.address_of)
+        kernel = Kernel()
+        for service in (
+            self.network.bus(settings.node, settings.addresses.peers),
+            held.create(),
+            follower.create(
+                settings,
+                lambda: tuple(Peer(one.node, one.peers) for one in alive.alive()),
+                random.Random(self.seed + number),
+            ),
+            alive,
+            table,
+            backend_servers.create(settings),
+            quarantine.create(settings),
+            desk.create(settings.node, settings.policies, owned_by),
+            owner_digests.create(number),
+            lending.create(book),
+            spill.create(settings),
+            scheduler.create(settings, owned_by, number, book),
+            member_owners.create(),
+        ):
+            kernel.add(service)
+        return kernel
+
+
+def _member(number: int) -> Member:
+    return Member(f"e{number}", DOMAIN, f"10.0.{number // 250}.{number % 250 + 1}:1")
+
+
+def ask(request_id: str, service: str, timeout_s: float = 10.0, **fields) -> Ask:
+    """Return an ask for a short request."""
+    return Ask(
+        request_id=request_id,
+        service=service,
+        rank=fields.pop("rank", 0),
+        timeout_s=timeout_s,
+        workspace="w",
+        **fields,
+    )
--- a/fuchsiacroft/tests/fakes/routing_domain.py
+++ b/fuchsiacroft/tests/fakes/routing_domain.py
@@ -8,7 +8,15 @@
 from fuchsiacroft.membership import backend_servers
 from fuchsiacroft.membership.announcement import Announced, Announcement, Offer
 from fuchsiacroft.model.network import MemoryNetwork
-from fuchsiacroft.routing import desk, lending, owners, quarantine, scheduler, spill
+from fuchsiacroft.routing import (
+    addresses,
+    desk,
+    lending,
+    owners,
+    quarantine,
+    scheduler,
+    spill,
+)
 from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport, WorkSize
 from fuchsiacroft.routing.desk import Desk
 from fuchsiacroft.routing.lending import Lending
@@ -110,7 +118,7 @@
             backend_servers.create(settings),
             quarantine.create(settings),
             desk.create(member.node, self.policies, owned_by),
-            lending.create({other.node: other.peers for other in members}),
+            lending.create(addresses.create(settings)),
             spill.create(settings),
             scheduler.create(settings, owned_by),
         ):
--- /dev/null
+++ b/fuchsiacroft/tests/routing/takeover_tests.py
@@ -0,0 +1,116 @@
+"""Owners by membership: large domains, takeovers, leaving."""
+
+import asyncio
+
+import msgspec
+
+from fuchsiacroft.config.settings import Policies
+from fuchsiacroft.membership.backend_servers import FLOOD_ENTRIES, BackendDirectory
+from fuchsiacroft.routing.ask import RunOutcome, RunReport
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.full_domain import FullDomain, ask
+
+LEAVING_TARGET_S = 2.0
+LARGE = FLOOD_ENTRIES + 6
+SMALL = 3
+FIXED = Policies(limit="fixed", reserve="none")
+DONE = RunReport(RunOutcome.COMPLETED, 0.1, None, 0.2, 0)
+
+
+class TakeoverTests(PausedTestCase):
+    """Whoever owns a backend server knows every permit in use there."""
+
+    def run_domain(self, size: int, scenario):
+        async def whole():
+            domain = FullDomain(size, policies=FIXED)
+            await domain.start()
+            try:
+                return await scenario(domain)
+            finally:
+                await domain.stop()
+
+        return self.run_paused(whole())
+
+    def test_a_new_owner_counts_the_permits_of_the_dead_one(self):
+        async def scenario(domain):
+            domain.serve("s", "lens", slots=1)
+            await domain.wait_ready()
+            owner = domain.owner("s")
+            holder = (owner + 1) % SMALL
+            held = await domain.acquire(holder, ask("long", "lens"))
+            await domain.kill(owner)
+            await asyncio.sleep(15)
+            waiting = domain.acquire(holder, ask("next", "lens", timeout_s=20))
+            await asyncio.sleep(2)
+            granted_while_held = waiting.done() and waiting.result().is_ok()
+            domain.scheduler(holder).release(held.ok, DONE)
+            return granted_while_held, (await waiting).is_ok()
+
+        self.assertEqual((False, True), self.run_domain(SMALL, scenario))
+
+    def test_permits_of_a_dead_holder_come_free(self):
+        async def scenario(domain):
+            domain.serve("s", "lens", slots=1)
+            await domain.wait_ready()
+            owner = domain.owner("s")
+            holder = (owner + 1) % SMALL
+            await domain.acquire(holder, ask("long", "lens"))
+            await domain.kill(holder)
+            got = await domain.acquire(owner, ask("next", "lens", timeout_s=30))
+            return got.is_ok()
+
+        self.assertTrue(self.run_domain(SMALL, scenario))
+
+    def test_a_request_through_any_entry_of_a_large_domain_is_served(self):
+        async def scenario(domain):
+            for i in range(10):
+                domain.serve(f"s{i}", f"model-{i}")
+            await domain.wait_ready()
+            await asyncio.sleep(30)
+            served = 0
+            for number in range(LARGE):
+                for i in range(10):
+                    got = await domain.acquire(
+                        number, ask(f"{number}-{i}", f"model-{i}")
+                    )
+                    served += got.is_ok()
+                    if got.is_ok():
+                        domain.scheduler(number).release(got.ok, DONE)
+            return served
+
+        self.assertEqual(LARGE * 10, self.run_domain(LARGE, scenario))
+
+    def test_an_announcement_in_a_large_domain_goes_to_its_owner_only(self):
+        async def scenario(domain):
+            for i in range(40):
+                domain.serve(f"s{i}", "lens")
+            await domain.wait_ready()
+            await asyncio.sleep(10)
+            known = [
+                len(domain.get(number, "backend_servers", BackendDirectory).all())
+                for number in range(LARGE)
+            ]
+            return sum(known)
+
+        self.assertLess(self.run_domain(LARGE, scenario), 40 * LARGE / 2)
+
+    def test_a_leaving_backend_server_gets_no_new_work_from_any_entry(self):
+        async def scenario(domain):
+            domain.serve("s", "lens", slots=8)
+            await domain.wait_ready()
+            await asyncio.sleep(5)
+            domain.servers["s"] = msgspec.structs.replace(
+                domain.servers["s"], leaving=True
+            )
+            await asyncio.sleep(LEAVING_TARGET_S)
+            answers = await asyncio.gather(
+                *(
+                    domain.acquire(number, ask(f"r{number}", "lens", timeout_s=1))
+                    for number in range(domain.size)
+                )
+            )
+            return sum(answer.is_ok() for answer in answers)
+
+        for size in (SMALL, LARGE):
+            with self.subTest(size=size):
+                self.assertEqual(0, self.run_domain(size, scenario))
