--- a/fuchsiacroft/control/ledger.py
+++ b/fuchsiacroft/control/ledger.py
@@ -11,12 +11,14 @@
 import msgspec
 
 from fuchsiacroft.control.log import StateMachine
+from fuchsiacroft.control.used_keys import SavedBucket, UsedKeys
 from fuchsiacroft.transport import codec
 
 RETENTION_S = 86_400.0
 USED_KEYS_S = 30 * 86_400.0
 RELEASED_CLAIMS_S = 900.0
-MAX_USED_KEYS = 1_000_000
+MAX_LIVE_KEYS = 120_000
+MAX_USED_KEYS = 4_000_000
 MAX_STORED_BYTES = 32 * 1024 * 1024
 MAX_ANSWER_BYTES = 64 * 1024
 
@@ -109,7 +111,7 @@
 class _Snapshot(msgspec.Struct, frozen=True):
     clock: float
     entries: list[tuple[bytes, Entry]]
-    used: list[tuple[bytes, float]]
+    used: list[SavedBucket]
     released: list[tuple[str, float]] = []
 
 
@@ -118,13 +120,16 @@
 
     commands = (ClaimKey, SettleKey, ReleaseKey, AdvanceClock)
 
-    def __init__(self, max_used_keys: int = MAX_USED_KEYS) -> None:
+    def __init__(
+        self, max_live_keys: int = MAX_LIVE_KEYS, max_used_keys: int = MAX_USED_KEYS
+    ) -> None:
         self.clock = 0.0
         self.stored_bytes = 0
+        self._max_live_keys = max_live_keys
         self._max_used_keys = max_used_keys
         self._entries: OrderedDict[bytes, Entry] = OrderedDict()
         self._answered: OrderedDict[bytes, None] = OrderedDict()
-        self._used: OrderedDict[bytes, float] = OrderedDict()
+        self._used = UsedKeys(USED_KEYS_S)
         self._released: OrderedDict[str, float] = OrderedDict()
 
     def __len__(self) -> int:
@@ -161,7 +166,7 @@
     def snapshot(self) -> bytes:
         """Return every key and the clock."""
         entries = list(self._entries.items())
-        used = list(self._used.items())
+        used = self._used.save()
         released = list(self._released.items())
         return msgspec.msgpack.encode(_Snapshot(self.clock, entries, used, released))
 
@@ -170,7 +175,7 @@
         saved = msgspec.msgpack.decode(data, type=_Snapshot)
         self.clock = saved.clock
         self._entries = OrderedDict(saved.entries)
-        self._used = OrderedDict(saved.used)
+        self._used.load(saved.used)
         self._released = OrderedDict(saved.released)
         self._answered = OrderedDict(
             (key, None) for key, entry in saved.entries if _stored(entry)
@@ -186,7 +191,7 @@
         known = self.look_up(command.key, command.fingerprint)
         if known.state is not KeyState.FREE:
             return known
-        if not command.dated and len(self) >= self._max_used_keys:
+        if self._is_full(command):
             return KeyStatus(KeyState.FULL)
         self._entries[command.key] = Entry(
             command.fingerprint,
@@ -197,6 +202,11 @@
         )
         return KeyStatus(KeyState.GRANTED)
 
+    def _is_full(self, command: ClaimKey) -> bool:
+        if len(self._entries) >= self._max_live_keys:
+            return True
+        return not command.dated and len(self._used) >= self._max_used_keys
+
     def _settle(self, command: SettleKey) -> KeyStatus:
         entry = self._entries.get(command.key)
         if entry is None or entry.claim != command.claim:
@@ -217,7 +227,7 @@
     def _advance(self, command: AdvanceClock) -> KeyStatus:
         self.clock += command.by_s
         self._expire_entries()
-        _expire(self._used, self.clock)
+        self._used.expire(self.clock)
         _expire(self._released, self.clock)
         return KeyStatus(KeyState.FREE)
 
@@ -230,7 +240,7 @@
             self._answered.pop(key, None)
             self.stored_bytes -= _stored(entry)
             if not entry.dated:
-                self._used[key] = self.clock + USED_KEYS_S
+                self._used.add(key, self.clock)
 
     def _keep_answer(self, key: bytes, entry: Entry) -> None:
         self._answered[key] = None
