Find silent connections by use instead of by heartbeats

A retired connection's tasks end with it; the outbox's task stayed for ever.

Without the renewal, and without ending the tasks, one new test each fails.

--- a/fuchsiacroft/tests/transport/zmq_bus_tests.py
+++ b/fuchsiacroft/tests/transport/zmq_bus_tests.py
@@ -1,6 +1,7 @@
 """Tests of the bus over ZeroMQ."""
 
 import asyncio
+from unittest import mock
 
 import msgspec
 import zmq
@@ -8,8 +9,9 @@
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.tests.base import SocketTestCase
 from fuchsiacroft.tests.fakes.ports import free_address
-from fuchsiacroft.transport import codec, zmq_bus
+from fuchsiacroft.transport import codec, peer_link, zmq_bus
 from fuchsiacroft.transport.bus import BusError
+from fuchsiacroft.utils.http import split_address
 
 
 @codec.message("test.ping")
@@ -77,3 +79,66 @@
         self.client.send(self.address, Ping("first"))
         async with asyncio.timeout(5):
             await heard.wait()
+
+    async def test_a_connection_that_went_silent_is_opened_anew(self):
+        proxy = SilentProxy(self.address)
+        await proxy.start()
+        self.addAsyncCleanup(proxy.stop)
+        answer = await self.client.request(proxy.address, Ping("hello"), 5)
+        self.assertTrue(answer.is_ok())
+        proxy.freeze()
+        with mock.patch.object(peer_link, "SILENT_S", 0.1):
+            lost = await self.client.request(proxy.address, Ping("lost"), 0.3)
+        self.assertIs(BusError.NO_ANSWER, lost.error)
+        answer = await self.client.request(proxy.address, Ping("again"), 5)
+        self.assertTrue(answer.is_ok())
+
+    async def test_a_retired_connection_leaves_no_task(self):
+        with mock.patch.object(zmq_bus, "RETIRE_S", 0.05):
+            await self.client.request(self.address, Ping("hello"), 5)
+            (link,) = self.client._links.values()
+            before = len(self.client._tasks)
+            self.client._renew(self.address, link)
+            await asyncio.sleep(0.2)
+            answer = await self.client.request(self.address, Ping("again"), 5)
+        self.assertTrue(answer.is_ok())
+        self.assertEqual(before, len(self.client._tasks))
+
+
+class SilentProxy:
+    """Carries connections to an address until it freezes those it has."""
+
+    def __init__(self, target):
+        self.address = free_address()
+        self._target = split_address(target)
+        self._frozen = []
+        self._open = []
+        self._tasks = set()
+
+    async def start(self):
+        host, port = split_address(self.address)
+        self._server = await asyncio.start_server(self._accept, host, port)
+
+    def freeze(self):
+        """Carry nothing more on the connections that are open."""
+        self._frozen += self._open
+
+    async def stop(self):
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(self, reader, writer):
+        there = await asyncio.open_connection(*self._target)
+        mark = object()
+        self._open.append(mark)
+        for source, sink in ((reader, there[1]), (there[0], writer)):
+            task = asyncio.create_task(self._carry(mark, source, sink))
+            self._tasks.add(task)
+
+    async def _carry(self, mark, source, sink):
+        while data := await source.read(65_536):
+            if mark not in self._frozen:
+                sink.write(data)
+        sink.close()
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -14,7 +14,8 @@
 from fuchsiacroft.transport import codec
 from fuchsiacroft.transport.bus import Bus, BusError, Handler
 from fuchsiacroft.transport.keys import KeyChange, KeyRing
-from fuchsiacroft.transport.outbox import Outbox, Parcel
+from fuchsiacroft.transport.outbox import Parcel
+from fuchsiacroft.transport.peer_link import PeerLink
 from fuchsiacroft.transport.zmq_link import KeyTrial
 from fuchsiacroft.transport.zmq_listener import BusListener
 from fuchsiacroft.utils.clock import now
@@ -26,8 +27,8 @@
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 1_000
 RETIRE_S = 10.0
-HEARTBEAT_MS = 2_000
-HEARTBEAT_TIMEOUT_MS = 5_000
+HEARTBEAT_MS = 30_000
+HEARTBEAT_TIMEOUT_MS = 10_000
 
 
 class ZmqBus(Bus):
@@ -46,8 +47,7 @@
         self._ctx = zmq.asyncio.Context()
         self._ring = ring if ring is not None and ring.enabled else None
         self._listener: BusListener | None = None
-        self._dealers: dict[str, zmq.asyncio.Socket] = {}
-        self._outboxes: dict[str, Outbox] = {}
+        self._links: dict[str, PeerLink] = {}
         self._handlers: dict[type, Handler] = {}
         self._waiting: dict[int, asyncio.Future] = {}
         self._numbers = itertools.count(1)
@@ -71,8 +71,8 @@
         await self._tasks.cancel()
         for fut in self._waiting.values():
             fut.cancel()
-        for dealer in self._dealers.values():
-            dealer.close(0)
+        for link in self._links.values():
+            link.close()
         if self._listener is not None:
             self._listener.close()
         self._ctx.destroy(0)
@@ -81,7 +81,7 @@
         """Return counters and the peers connected to."""
         return {
             "address": self._address,
-            "peers": sorted(self._dealers),
+            "peers": sorted(self._links),
             "waiting": len(self._waiting),
             "encrypted": self._ring is not None,
             "counts": dict(self._counts),
@@ -102,14 +102,16 @@
         data = codec.encode(msg, number, False, self._node)
         parcel = Parcel(data, now() + timeout)
         try:
-            outbox = self._post(peer, parcel)
-            if outbox is None:
+            link = self._post(peer, parcel)
+            if link is None:
                 return Error(BusError.NOT_SENT)
             async with asyncio.timeout(timeout):
                 return Ok(await fut)
         except TimeoutError:
-            if outbox.withdraw(parcel):
+            if link.outbox.withdraw(parcel):
                 return Error(BusError.NOT_SENT)
+            if link.silent:
+                self._renew(peer, link)
             return Error(BusError.NO_ANSWER)
         finally:
             self._waiting.pop(number, None)
@@ -119,39 +121,36 @@
         data = codec.encode(msg, 0, False, self._node)
         self._post(peer, Parcel(data, now() + SEND_PATIENCE_S))
 
-    def _post(self, peer: str, parcel: Parcel) -> Outbox | None:
-        outbox = self._outboxes.get(peer)
-        if outbox is None:
-            outbox = self._connect(peer)
-        if outbox is None:
+    def _post(self, peer: str, parcel: Parcel) -> PeerLink | None:
+        link = self._links.get(peer) or self._connect(peer)
+        if link is None:
             self._counts["no_key_for_peer"] += 1
             return None
-        if not outbox.put(parcel):
+        if not link.outbox.put(parcel):
             self._counts["outbox_full"] += 1
             return None
         self._counts["sent"] += 1
         self._counts["sent_bytes"] += len(parcel.data)
-        return outbox
+        return link
 
-    def _connect(self, peer: str) -> Outbox | None:
+    def _connect(self, peer: str) -> PeerLink | None:
         if self._ring is not None and not self._ring.keys_of(peer):
             return None
         dealer = self._ctx.socket(zmq.DEALER)
         self._configure(dealer)
         dealer.immediate = True
+        link = PeerLink(dealer)
         endpoint = f"tcp://{self._tunnels.get(peer, peer)}"
         if self._ring is None:
             dealer.connect(endpoint)
         else:
             trial = KeyTrial(dealer, peer, endpoint, self._ring)
             trial.connect()
-            self._tasks.spawn(trial.run(), f"bus-keys-{peer}")
-        outbox = Outbox(dealer)
-        self._dealers[peer] = dealer
-        self._outboxes[peer] = outbox
-        self._tasks.spawn(outbox.run(), f"bus-outbox-{peer}")
-        self._tasks.spawn(self._receive_answers(dealer), f"bus-peer-{peer}")
-        return outbox
+            link.tasks.append(self._tasks.spawn(trial.run(), f"bus-keys-{peer}"))
+        for coro in (link.outbox.run(), self._receive_answers(link)):
+            link.tasks.append(self._tasks.spawn(coro, f"bus-peer-{peer}"))
+        self._links[peer] = link
+        return link
 
     def _configure(self, sock: zmq.asyncio.Socket) -> None:
         sock.linger = 0
@@ -166,18 +165,24 @@
 
     def _on_key_change(self, change: KeyChange) -> None:
         if change.clients:
-            for peer in tuple(self._dealers):
-                self._outboxes.pop(peer)
-                self._tasks.spawn(self._retire(self._dealers.pop(peer)), "bus-retire")
+            for peer, link in tuple(self._links.items()):
+                self._renew(peer, link)
         if change.listener:
             self._tasks.spawn(self._listener.bind_again(), "bus-rebind")
 
-    async def _retire(self, dealer: zmq.asyncio.Socket) -> None:
+    def _renew(self, peer: str, link: PeerLink) -> None:
+        """Let the next message to a peer open another connection."""
+        if self._links.get(peer) is link:
+            del self._links[peer]
+            self._counts["links_renewed"] += 1
+            self._tasks.spawn(self._retire(link), "bus-retire")
+
+    async def _retire(self, link: PeerLink) -> None:
         """Close a connection once its answers have had time to arrive."""
         try:
             await asyncio.sleep(RETIRE_S)
         finally:
-            dealer.close(0)
+            link.close()
 
     async def _receive_requests(self, router: zmq.asyncio.Socket) -> None:
         while True:
@@ -189,9 +194,10 @@
             for envelope, msg in self._decode(data):
                 self._tasks.spawn(self._answer(router, identity, envelope, msg))
 
-    async def _receive_answers(self, dealer: zmq.asyncio.Socket) -> None:
+    async def _receive_answers(self, link: PeerLink) -> None:
         while True:
-            data = await dealer.recv()
+            data = await link.dealer.recv()
+            link.note_heard()
             for envelope, msg in self._decode(data):
                 fut = self._waiting.get(envelope.number)
                 if envelope.reply and fut is not None and not fut.done():
