--- a/fuchsiacroft/membership/digests.py
+++ b/fuchsiacroft/membership/digests.py
@@ -30,10 +30,11 @@
 from fuchsiacroft.utils import clock
 from fuchsiacroft.utils.tasks import TaskGroup
 
-DIGEST_PERIOD_S = 1.0
+DIGEST_PERIOD_S = 2.0
 DIGEST_MAX_AGE_S = 15.0
-PART_MAX_AGE_S = 5.0
-FANOUT = 2
+PART_MAX_AGE_S = 8.0
+FANOUT_BETWEEN = 2
+FANOUT_WITHIN = 3
 MAX_DOMAINS = 16
 AGGREGATOR = "digest-aggregator"
 
@@ -165,7 +166,7 @@
         for domain, seeds in self._seeds.items():
             known = self._known.get(domain)
             targets = sorted({*seeds, *(known.contacts if known else ())})
-            for peer in self._rng.sample(targets, min(FANOUT, len(targets))):
+            for peer in self._rng.sample(targets, min(FANOUT_BETWEEN, len(targets))):
                 self._bus.send(peer, digest)
 
     def _contacts(self, alive: tuple[EntryInfo, ...]) -> tuple[str, ...]:
@@ -197,7 +198,7 @@
                 load.contacts,
                 load.loads,
             )
-            for peer in self._rng.sample(peers, min(FANOUT, len(peers))):
+            for peer in self._rng.sample(peers, min(FANOUT_WITHIN, len(peers))):
                 self._bus.send(peer.peers, digest)
 
     async def _on_part(self, sender: str, part: PartDigest) -> None:
