Stop the demo's entries together

Cause: each entry gives notice for a second before it stops, and the demo stopped one after the other. The slower engine's gap is shorter, so that its long answer does not hold the demo up.

--- a/fuchsiacroft/demo/system.py
+++ b/fuchsiacroft/demo/system.py
@@ -1,5 +1,6 @@
 """Two entries, a control member, two unlike engines and an application."""
 
+import asyncio
 import importlib.resources
 import secrets
 from dataclasses import dataclass
@@ -21,7 +22,7 @@
 DOMAIN = "mvd-cordon"
 ENTRIES = ("entry-1", "entry-2")
 ENGINE_SLOTS = 4
-TOKEN_GAPS_S = {"engine-fast": 0.008, "engine-slow": 0.016}
+TOKEN_GAPS_S = {"engine-fast": 0.008, "engine-slow": 0.012}
 BOOKING_S = 0.05
 DRAIN_TIMEOUT_S = 5.0
 
@@ -77,9 +78,9 @@
 
     async def stop(self) -> None:
         """End the work in progress and stop every role."""
-        for kernel in reversed(self._kernels):
-            await kernel.drain()
-            await kernel.stop()
+        control, *entries = self._kernels
+        await asyncio.gather(*(_end(kernel) for kernel in entries))
+        await _end(control)
         await self._tasks.cancel()
         for stand_in in self.stand_ins.values():
             await stand_in.listener.stop()
@@ -130,6 +131,11 @@
         self.stand_ins[name] = StandIn(address, listener, announcing)
 
 
+async def _end(kernel: Kernel) -> None:
+    await kernel.drain()
+    await kernel.stop()
+
+
 def with_key(document: Document, key: str) -> Document:
     """Return the document with one more key for its first workspace."""
     first, *others = document.workspaces
