--- /dev/null
+++ b/fuchsiacroft/tests/faults/fault_tests.py
@@ -0,0 +1,26 @@
+"""A short fixed part of the fault runs, judged by counting alone."""
+
+from fuchsiacroft.replay.stated import Stated
+from fuchsiacroft.tests.base import TestCase
+from fuchsiacroft.tests.faults.scenario import Plan, run
+
+SHORT = {"length_s": 8.0, "first_fault_s": 1.5, "mend_after_s": 2.5, "gap_s": 0.5}
+LOAD = 6.0
+
+
+class FaultTests(TestCase):
+    """No promise is broken, and the system is whole again afterwards."""
+
+    def check(self, *faults: str, seed: int, **more) -> None:
+        plan = Plan(seed, faults, model_requests_per_s=LOAD, **SHORT, **more)
+        verdict = run(plan, Stated())
+        self.assertEqual([], verdict.wrong, "\n".join(verdict.lines))
+
+    def test_an_entry_and_a_model_engine_die_while_operators_race(self):
+        self.check("kill_entry", "kill_engine", "race_operators", seed=11)
+
+    def test_a_failure_domain_is_cut_off_and_the_leader_dies(self):
+        self.check("cut_domain", "kill_leader", seed=12)
+
+    def test_a_request_that_crashes_backend_servers_is_sent_again(self):
+        self.check(seed=13, crashing=4)
--- a/fuchsiacroft/tests/faults/scenario.py
+++ b/fuchsiacroft/tests/faults/scenario.py
@@ -24,6 +24,9 @@
 RESEND_SHARE = 0.5
 RESEND_AFTER_S = (0.05, 4.0)
 SETTLE_S = 8.0
+CRASHING_AT_S = 1.5
+CRASHING_PERIOD_S = 2.0
+MAX_CRASHES = 2
 
 
 @dataclass(frozen=True)
@@ -31,11 +34,13 @@
     """What to run: the load, the faults with their times, and the seed.
 
     `faults` are names of actions; each strikes `gap_s` after the one before
-    and all are mended `mend_after_s` after the last.
+    and all are mended `mend_after_s` after the last. A request that crashes
+    its backend server is sent `crashing` times.
     """
 
     seed: int
     faults: Sequence[str] = ()
+    crashing: int = 0
     model_requests_per_s: float = 12.0
     length_s: float = 14.0
     first_fault_s: float = 3.0
@@ -67,7 +72,23 @@
         for arrival in made
         if not arrival.idempotent and rng.random() < RESEND_SHARE
     ]
-    return sorted(made + resent, key=lambda arrival: arrival.at_s)
+    made += resent + _crashing(plan, made)
+    return sorted(made, key=lambda arrival: arrival.at_s)
+
+
+def _crashing(plan: Plan, made: list[Arrival]) -> list[Arrival]:
+    """Return one request that crashes its backend server, sent again and again."""
+    first = next(arrival for arrival in made if arrival.is_model)
+    return [
+        msgspec.structs.replace(
+            first,
+            at_s=CRASHING_AT_S + CRASHING_PERIOD_S * i,
+            request_id=f"crashing-{i}",
+            resend_of="crashing",
+            crashes=True,
+        )
+        for i in range(plan.crashing)
+    ]
 
 
 def _resend(arrival: Arrival, rng: random.Random) -> Arrival:
@@ -94,14 +115,22 @@
             ]
             player = Player(doors, KEYS, TIERS, plan.seed)
             faults = asyncio.create_task(_strike(scene, plan))
+            restarting = None
+            if plan.crashing:
+                restarting = asyncio.create_task(_restart_crashed(running))
             outcomes = await player.play(arrivals(plan))
             await faults
+            if restarting is not None:
+                restarting.cancel()
             still = await _still_serves(scene)
     finally:
         running.stop()
         await running.stop_relays()
     log = _run_log(folder)
     wrong = stated.judge(wanted, outcomes, log) + still
+    crashes = sum(log.by_trace[f"crashing-{i}"] for i in range(plan.crashing))
+    if crashes > MAX_CRASHES:
+        wrong.append(f"one request crashed {crashes} backend servers")
     return Verdict(wrong, report.lines(outcomes, log), outcomes)
 
 
@@ -118,6 +147,15 @@
     await running.wait_owned(session)
 
 
+async def _restart_crashed(running: cluster.Cluster) -> None:
+    """Start backend servers that ended by themselves."""
+    while True:
+        await asyncio.sleep(0.5)
+        for node in running.named("engine"):
+            if running.running[node.name].poll() is not None:
+                running.start(node.name)
+
+
 async def _strike(scene: Scene, plan: Plan) -> None:
     await asyncio.sleep(plan.first_fault_s)
     mends = []
--- a/tools/run_faults.py
+++ b/tools/run_faults.py
@@ -27,7 +27,8 @@
         Plan(args.seed + i, tuple(rng.sample(list(ACTIONS), 2)))
         for i in range(args.pairs)
     ]
-    return [Plan(args.seed), *single, *pairs]
+    crashing = Plan(args.seed, crashing=5)
+    return [Plan(args.seed), crashing, *single, *pairs]
 
 
 def main() -> int:
@@ -45,6 +46,7 @@
             f"{rank}:{share:.3f}" for rank, share in goodput(verdict.outcomes).items()
         )
         name = "+".join(plan.faults) or "calm"
+        name += "+crashing" if plan.crashing else ""
         print(f"{name:32} seed={plan.seed} goodput {shares} {verdict.lines[-1]}")
         if args.verbose:
             print("\n".join(verdict.lines))
