--- a/tools/bench_membership.py
+++ b/tools/bench_membership.py
@@ -1,4 +1,4 @@
-"""Measure membership, ownership and digests by the size of a failure domain.
+"""Measure membership and ownership by the size of a failure domain.
 
 Prints costs per entry on a network in memory (the clock advances itself, so
 processor time is that of the protocol and of the network's stand-in), slopes,
@@ -20,9 +20,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from fuchsiacroft.kernel import Kernel  # noqa: E402
-from fuchsiacroft.membership import digests, ownership, service  # noqa: E402
-from fuchsiacroft.membership.digest_wire import ServiceLoad  # noqa: E402
-from fuchsiacroft.membership.digests import DigestSource  # noqa: E402
+from fuchsiacroft.membership import ownership, service  # noqa: E402
 from fuchsiacroft.tests.fakes import loop  # noqa: E402
 from fuchsiacroft.tests.fakes.entries import Domain, settings_of  # noqa: E402
 from fuchsiacroft.tests.fakes.ports import free_address  # noqa: E402
@@ -42,25 +40,15 @@
 LOOK_S = 0.05
 SOCKET_SETTLE_S = 8.0
 SOCKET_S = 8.0
-MODELS = 22
-
-
-class ManyModels(DigestSource):
-    """A load of as many services as there are models in steady use."""
-
-    def loads(self) -> tuple[ServiceLoad, ...]:
-        """Return the same load each time."""
-        return tuple(ServiceLoad(f"model-{i}", 100, 20) for i in range(MODELS))
 
 
 class MeasuredDomain(Domain):
-    """Entries with ownership, and digests on request."""
+    """Entries with ownership."""
 
-    def __init__(self, seed: int, names: int, with_digests: bool) -> None:
+    def __init__(self, seed: int, names: int) -> None:
         super().__init__(seed)
         self.tables = {}
         self.names = [f"gpu-{i}" for i in range(names)]
-        self._with_digests = with_digests
 
     def services(self, number, member):
         """Return the ownership table, watching every backend server."""
@@ -69,11 +57,7 @@
         for name in self.names:
             table.watch(name)
         self.tables[number] = table
-        if not self._with_digests:
-            return (table,)
-        sender = digests.create(cfg, self.network.random)
-        sender.attach(ManyModels())
-        return table, sender
+        return (table,)
 
     def owned_once(self, names: list[str]) -> bool:
         """Tell whether each backend server has one owner that is ready."""
@@ -88,18 +72,18 @@
         return sum(counts.get(name, 0) for counts in dumps)
 
 
-async def _started(size: int, seed: int, with_digests: bool = False):
+async def _started(size: int, seed: int):
     names = size * FLAGS.backend_servers
-    domain = MeasuredDomain(seed, names, with_digests)
+    domain = MeasuredDomain(seed, names)
     await domain.start(*range(size))
     await asyncio.sleep(SETTLE_S)
     return domain
 
 
-async def _steady(size: int, with_digests: bool) -> dict:
+async def _steady(size: int) -> dict:
     gc.collect()
     tracemalloc.start()
-    domain = await _started(size, 1, with_digests)
+    domain = await _started(size, 1)
     gc.collect()
     memory = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
@@ -207,10 +191,9 @@
     return statistics.linear_regression(*zip(*points, strict=True)).slope
 
 
-def _print_steady(sizes: list[int], with_digests: bool) -> None:
-    title = "with digests of 22 services" if with_digests else "without digests"
-    print(f"steady, per entry, {title} (network in memory)")
-    rows = {size: loop.run(_steady(size, with_digests)) for size in sizes}
+def _print_steady(sizes: list[int]) -> None:
+    print("steady, per entry (network in memory)")
+    rows = {size: loop.run(_steady(size)) for size in sizes}
     for size, row in rows.items():
         cells = "  ".join(f"{name}={value:.3f}" for name, value in row.items())
         print(f"  entries={size:3}  {cells}")
@@ -233,8 +216,7 @@
     """Print every table."""
     logs.configure("ERROR")
     sizes = [int(size) for size in FLAGS.sizes]
-    _print_steady(sizes, False)
-    _print_steady(sizes, True)
+    _print_steady(sizes)
     _print_deaths([2, 3, *sizes])
     print(f"declared dead though alive, at {LOSS:.0%} loss for {LOSSY_S:.0f} s")
     for size in [2, *sizes]:
