--- a/tools/bench_consensus.py
+++ b/tools/bench_consensus.py
@@ -124,6 +124,9 @@
             "syncs": self.log.dump()["storage"]["syncs"],
         }
 
+    async def _call_dump(self, call: Call) -> dict:
+        return {"log": self.log.dump(), "bus": self.bus.dump()}
+
     async def _call_rate(self, call: Call) -> dict:
         """Propose `count` claims at even intervals, `clients` a second."""
         latencies: list[float] = []
@@ -234,6 +237,9 @@
                 call = Call("commit", count, clients)
                 before = await self.ask(number, Call("state"))
                 data = await self.ask(number, call)
+                if data is None:
+                    await self._show_stall(place, clients)
+                    continue
                 after = await self.ask(number, Call("state"))
                 cuts = statistics.quantiles(data["latencies"], n=1000)
                 syncs = after["syncs"] - before["syncs"]
@@ -245,6 +251,12 @@
                     f"syncs={syncs}"
                 )
 
+    async def _show_stall(self, place: str, clients: int) -> None:
+        """Print every member's state after a call without an answer."""
+        print(f"commits at={place} clients={clients} no answer")
+        for number in range(MEMBERS):
+            print(json.dumps(await self.ask(number, Call("dump"), 2.0)))
+
     async def rate(self) -> None:
         """Measure the latency at fixed rates, from the time that each was due."""
         leader = await self.leader()
