--- a/fuchsiacroft/commands/operators.py
+++ b/fuchsiacroft/commands/operators.py
@@ -16,7 +16,8 @@
 from fuchsiacroft.commands.exit_codes import ExitCode
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.control.api_messages import Conflict
-from fuchsiacroft.operators_client import Denied, Faulty, OperatorsClient, Unreachable
+from fuchsiacroft.operators_client import OperatorsClient
+from fuchsiacroft.operators_results import Denied, Faulty, Unreachable
 from fuchsiacroft.utils import logs, process
 
 TOKEN_VARIABLE = "FUCHSIACROFT_TOKEN"
--- a/fuchsiacroft/console/context.py
+++ b/fuchsiacroft/console/context.py
@@ -11,13 +11,8 @@
 from fuchsiacroft.console.pages import Pages, Problem
 from fuchsiacroft.console.sessions import Session
 from fuchsiacroft.control.api_messages import ChangeAnswer, Conflict
-from fuchsiacroft.operators_client import (
-    Change,
-    ChangeError,
-    Denied,
-    OperatorsClient,
-    Unreachable,
-)
+from fuchsiacroft.operators_client import Change, OperatorsClient
+from fuchsiacroft.operators_results import ChangeError, Denied, Unreachable
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiacroft/console/items.py
+++ b/fuchsiacroft/console/items.py
@@ -18,7 +18,7 @@
 from fuchsiacroft.console.forms import FORMS, Form
 from fuchsiacroft.console.pages import Problem
 from fuchsiacroft.control.api_messages import Conflict
-from fuchsiacroft.operators_client import ChangeError, Faulty
+from fuchsiacroft.operators_results import ChangeError, Faulty
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiacroft/console/keys.py
+++ b/fuchsiacroft/console/keys.py
@@ -11,7 +11,7 @@
 from fuchsiacroft.console.forms import WORKSPACES
 from fuchsiacroft.console.pages import Problem
 from fuchsiacroft.control.api_messages import Conflict
-from fuchsiacroft.operators_client import ChangeError
+from fuchsiacroft.operators_results import ChangeError
 
 KEY_BYTES = 32
 
--- a/fuchsiacroft/console/login.py
+++ b/fuchsiacroft/console/login.py
@@ -9,7 +9,8 @@
 from fuchsiacroft.console.pages import Pages, Problem
 from fuchsiacroft.console.sessions import Session, Sessions
 from fuchsiacroft.control.api_messages import MAX_OPERATOR_LENGTH
-from fuchsiacroft.operators_client import Denied, OperatorsClient
+from fuchsiacroft.operators_client import OperatorsClient
+from fuchsiacroft.operators_results import Denied
 from fuchsiacroft.utils.logs import event
 
 
--- a/fuchsiacroft/operators_client.py
+++ b/fuchsiacroft/operators_client.py
@@ -18,16 +18,20 @@
     CHANGE_ID_HEADER,
     OPERATOR_HEADER,
     ChangeAnswer,
-    Conflict,
     DocumentAnswer,
-    DocumentFault,
     HistoryAnswer,
     InForceAnswer,
-    InvalidDocument,
     MemberStatus,
-    Refused,
 )
 from fuchsiacroft.control.configuration import VersionRecord
+from fuchsiacroft.operators_results import (
+    Answer,
+    ChangeError,
+    ReadError,
+    Unreachable,
+    member_status,
+    merged,
+)
 from fuchsiacroft.utils.clock import now
 
 ATTEMPT_TIMEOUT_S = 4.0
@@ -35,42 +39,6 @@
 READ_TIMEOUT_S = 10.0
 RETRY_PAUSE_S = 0.3
 PARALLEL_DUMPS = 32
-TRY_ANOTHER = (429, 500, 502, 503, 504)
-
-
-@dataclass(frozen=True, slots=True)
-class Unreachable:
-    """No control member gave an answer; `reasons` has one for each."""
-
-    reasons: tuple[str, ...]
-
-    def __str__(self) -> str:
-        return "no control member answers: " + "; ".join(self.reasons)
-
-
-@dataclass(frozen=True, slots=True)
-class Denied:
-    """A control member refused the request."""
-
-    status: int
-    detail: str
-
-    def __str__(self) -> str:
-        return f"refused ({self.status}): {self.detail}"
-
-
-@dataclass(frozen=True, slots=True)
-class Faulty:
-    """The document has faults."""
-
-    faults: tuple[DocumentFault, ...]
-
-    def __str__(self) -> str:
-        return "\n".join(str(fault) for fault in self.faults)
-
-
-ReadError = Unreachable | Denied
-ChangeError = Unreachable | Denied | Faulty | Conflict
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,12 +51,6 @@
     operator: str
 
 
-@dataclass(frozen=True, slots=True)
-class _Answer:
-    status: int
-    body: bytes
-
-
 class OperatorsClient:
     """Asks the control members at the given addresses, `IP:PORT` each."""
 
@@ -135,14 +97,14 @@
         answer = await self._ask(
             "PUT", "/v1/document", CHANGE_TIMEOUT_S, headers, change.document
         )
-        return answer.bind(_change_result)
+        return answer.bind(Answer.change_result)
 
     async def check(self, document: bytes) -> Result[None, ChangeError]:
         """Have a draft checked; nothing changes."""
         answer = await self._ask(
             "POST", "/v1/document/check", READ_TIMEOUT_S, {}, document
         )
-        return answer.bind(_check_result)
+        return answer.bind(Answer.check_result)
 
     async def members(self) -> dict[str, MemberStatus | str]:
         """Return each control member's status, or why it has none, by address."""
@@ -150,7 +112,7 @@
             *(self._try("GET", peer, "/v1/status", {}, None) for peer in self._control)
         )
         return {
-            peer: _member_status(answer)
+            peer: member_status(answer)
             for peer, answer in zip(self._control, answers, strict=True)
         }
 
@@ -169,18 +131,18 @@
         heard = []
         for peer, answer in zip(self._control, answers, strict=True):
             match answer:
-                case Result(tag="ok", ok=_Answer(status=200, body=body)):
+                case Result(tag="ok", ok=Answer(status=200, body=body)):
                     heard.append(msgspec.json.decode(body, type=InForceAnswer))
                 case Result(tag="ok", ok=refused):
-                    return Error(_denied(refused))
+                    return Error(refused.denied())
                 case Result(error=reason):
                     reasons.append(f"{peer}: {reason}")
-        return Ok(_merged(heard)) if heard else Error(Unreachable(tuple(reasons)))
+        return Ok(merged(heard)) if heard else Error(Unreachable(tuple(reasons)))
 
     async def dump(self, address: str) -> Result[dict, str]:
         """Return the state of the process at an operators' address."""
         match await self._try("GET", address, "/dump", {}, None):
-            case Result(tag="ok", ok=_Answer(status=200, body=body)):
+            case Result(tag="ok", ok=Answer(status=200, body=body)):
                 return Ok(msgspec.json.decode(body))
             case Result(tag="ok", ok=answer):
                 return Error(f"status {answer.status}")
@@ -200,28 +162,22 @@
 
     async def _read(self, path: str, kind: type) -> Result:
         answer = await self._ask("GET", path, READ_TIMEOUT_S, {}, None)
-        match answer:
-            case Result(tag="ok", ok=_Answer(status=200, body=body)):
-                return Ok(msgspec.json.decode(body, type=kind))
-            case Result(tag="ok", ok=refused):
-                return Error(_denied(refused))
-            case Result(error=unreachable):
-                return Error(unreachable)
+        return answer.bind(lambda got: got.read(kind))
 
     async def _ask(
         self, method: str, path: str, timeout: float, headers: dict, body: bytes | None
-    ) -> Result[_Answer, Unreachable]:
+    ) -> Result[Answer, Unreachable]:
         """Ask one member after the other; the one that answers is asked first."""
         deadline = now() + timeout
         reasons: dict[str, str] = {}
         while True:
             for peer in list(self._control):
                 match await self._try(method, peer, path, headers, body):
-                    case Result(tag="ok", ok=answer) if _is_final(answer):
+                    case Result(tag="ok", ok=answer) if answer.is_final:
                         self._prefer(peer)
                         return Ok(answer)
                     case Result(tag="ok", ok=answer):
-                        reasons[peer] = _denied(answer).detail
+                        reasons[peer] = answer.denied().detail
                     case Result(error=reason):
                         reasons[peer] = reason
             if now() + RETRY_PAUSE_S >= deadline:
@@ -231,14 +187,14 @@
 
     async def _try(
         self, method: str, peer: str, path: str, headers: dict, body: bytes | None
-    ) -> Result[_Answer, str]:
+    ) -> Result[Answer, str]:
         url = f"{self._scheme}://{peer}{path}"
         headers = {"Authorization": f"Bearer {self._token}"} | headers
         try:
             async with self._session.request(
                 method, url, headers=headers, data=body
             ) as res:
-                return Ok(_Answer(res.status, await res.read()))
+                return Ok(Answer(res.status, await res.read()))
         except TimeoutError:
             return Error("no answer in time")
         except (aiohttp.ClientError, OSError) as exc:
@@ -266,58 +222,6 @@
         return Error(f"{files.ca} cannot be used: {exc}")
 
 
-def _is_final(answer: _Answer) -> bool:
-    return answer.status not in TRY_ANOTHER
-
-
-def _change_result(answer: _Answer) -> Result[ChangeAnswer, ChangeError]:
-    match answer.status:
-        case 200:
-            return Ok(msgspec.json.decode(answer.body, type=ChangeAnswer))
-        case 409:
-            return Error(msgspec.json.decode(answer.body, type=Conflict))
-        case _:
-            return Error(_faulty_or_denied(answer))
-
-
-def _check_result(answer: _Answer) -> Result[None, ChangeError]:
-    return Ok(None) if answer.status == 200 else Error(_faulty_or_denied(answer))
-
-
-def _faulty_or_denied(answer: _Answer) -> Faulty | Denied:
-    if answer.status == 422:
-        invalid = msgspec.json.decode(answer.body, type=InvalidDocument)
-        return Faulty(invalid.faults)
-    return _denied(answer)
-
-
-def _denied(answer: _Answer) -> Denied:
-    try:
-        detail = msgspec.json.decode(answer.body, type=Refused).detail
-    except msgspec.MsgspecError:
-        detail = answer.body[:200].decode(errors="replace")
-    return Denied(answer.status, detail)
-
-
-def _member_status(answer: Result[_Answer, str]) -> MemberStatus | str:
-    match answer:
-        case Result(tag="ok", ok=_Answer(status=200, body=body)):
-            return msgspec.json.decode(body, type=MemberStatus)
-        case Result(tag="ok", ok=refused):
-            return str(_denied(refused))
-        case Result(error=reason):
-            return reason
-
-
-def _merged(answers: list[InForceAnswer]) -> InForceAnswer:
-    in_force: dict[str, int] = {}
-    for answer in answers:
-        for node, version in answer.in_force.items():
-            in_force[node] = max(version, in_force.get(node, 0))
-    newest = max(answer.version for answer in answers)
-    return InForceAnswer(newest, dict(sorted(in_force.items())))
-
-
 def _reason(exc: Exception) -> str:
     number = getattr(exc, "errno", None)
     return os.strerror(number) if number else type(exc).__name__
