Pass on short renewals, tell first tokens, demand and boots, and lift quarantines

Ruled out: passing on fewer announcements, since silence ends a membership. Conclusion: the parts that were built now reach each other.

--- a/fuchsiacroft/entry/admission.py
+++ b/fuchsiacroft/entry/admission.py
@@ -157,6 +157,7 @@
             timeout_s=timeout_s,
             workspace=workspace.name,
             share=workspace.share,
+            retries_per_s=workspace.retries_per_s,
             size=content.size,
             idempotent=idempotent,
             fingerprint=digest.hex(),
--- a/fuchsiacroft/entry/dispatch.py
+++ b/fuchsiacroft/entry/dispatch.py
@@ -121,5 +121,5 @@
         refusal.reason.value,
         "the request did not run",
         Ran.NO,
-        refusal.retry_after_s,
+        refusal.retry_after_s or None,
     )
--- a/fuchsiacroft/entry/process.py
+++ b/fuchsiacroft/entry/process.py
@@ -6,7 +6,13 @@
 from fuchsiacroft.config import follower, held
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.config.sources import Peer
-from fuchsiacroft.entry import backend_client, callers, dispatch, ledger_client
+from fuchsiacroft.entry import (
+    backend_client,
+    callers,
+    dispatch,
+    ledger_client,
+    quarantine_api,
+)
 from fuchsiacroft.exceptions import SettingsError
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.membership import backend_servers, engine_reports, ownership
@@ -22,6 +28,7 @@
     scheduler,
     spill,
 )
+from fuchsiacroft.routing.demand import DeskDemand
 from fuchsiacroft.routing.member_owners import MemberOwners
 from fuchsiacroft.transport import security
 from fuchsiacroft.utils.metrics import Metrics
@@ -46,6 +53,10 @@
     following = follower.create(settings, lambda: _peers(members))
     ops.add_check(following.why_not_ready)
     ops.add_check(front.why_not_ready)
+    tokens = settings.operator_token_hashes
+    own_desk = desk.create(settings.node, settings.policies, owned_by)
+    reports = engine_reports.create(settings)
+    reports.attach(DeskDemand(own_desk))
     kernel = Kernel()
     for service in (
         security.bus(settings, secured),
@@ -54,9 +65,9 @@
         members,
         table,
         backend_servers.create(settings),
-        engine_reports.create(settings),
+        reports,
         quarantine.create(settings),
-        desk.create(settings.node, settings.policies, owned_by),
+        own_desk,
         owner_digests.create(),
         lending.create(book),
         spill.create(settings),
@@ -65,6 +76,7 @@
         backend_client.create(),
         ledger_client.create(settings),
         dispatch.create(),
+        quarantine_api.create(ops, tokens),
         ops,
         front,
     ):
--- a/fuchsiacroft/entry/progress.py
+++ b/fuchsiacroft/entry/progress.py
@@ -1,5 +1,6 @@
 """What has been relayed of one answer."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from fuchsiacroft.utils.clock import now
@@ -26,12 +27,15 @@
     tokens: int = 0
     tail: bytes = b""
     kept: bytearray = field(default_factory=bytearray)
+    on_first_byte: Callable[[], None] | None = None
 
     def note(self, chunk: bytes) -> None:
         """Count a chunk that is about to be sent on."""
         self.last_byte_at = now()
         if self.first_byte_at is None:
             self.first_byte_at = self.last_byte_at
+            if self.on_first_byte is not None:
+                self.on_first_byte()
         self.sent_bytes += len(chunk)
         self.tokens += chunk.count(SSE_FIELD)
         if len(chunk) >= TAIL_BYTES:
--- /dev/null
+++ b/fuchsiacroft/entry/quarantine_api.py
@@ -0,0 +1,39 @@
+"""The operators' routes of an entry: requests in quarantine, and their lifting."""
+
+from aiohttp import web
+
+from fuchsiacroft.control.api_guard import audit, guard, json_answer, refusal
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.operations import Operations
+from fuchsiacroft.routing.quarantine import Quarantine
+
+
+class QuarantineApi(Service):
+    """Routes under `/v1/quarantine` on the operators' address of an entry."""
+
+    name = "quarantine_api"
+
+    def __init__(self, operations: Operations, token_hashes: list[str]) -> None:
+        operations.app.middlewares.append(guard(token_hashes))
+        router = operations.app.router
+        router.add_get("/v1/quarantine", self._list)
+        router.add_delete("/v1/quarantine/{fingerprint}", self._lift)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Look up the quarantine."""
+        self._quarantine = kernel.get("quarantine", Quarantine)
+
+    async def _list(self, req: web.Request) -> web.Response:
+        return json_answer(200, self._quarantine.dump())
+
+    async def _lift(self, req: web.Request) -> web.Response:
+        fingerprint = req.match_info["fingerprint"]
+        if not self._quarantine.lift(fingerprint):
+            return refusal(404, "no such fingerprint is suspected")
+        audit("info", "quarantine_lift_asked", req, fingerprint=fingerprint)
+        return json_answer(200, {"lifted": fingerprint})
+
+
+def create(operations: Operations, token_hashes: list[str]) -> QuarantineApi:
+    """Return the routes, added to an entry's operators' address."""
+    return QuarantineApi(operations, token_hashes)
--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -58,7 +58,7 @@
         self._permit = permit
         self._deadline = deadline
         self._attempt = Attempt()
-        self._progress = Progress(now())
+        self._progress = Progress(now(), on_first_byte=self._note_first_byte)
         self._upload: Upload | None = None
         self._upstream: aiohttp.ClientResponse | None = None
         self._response: web.StreamResponse | None = None
@@ -117,6 +117,10 @@
                 return known_keys.answer(status, self._exchange)
         return self._exchange.refuse(known_keys.no_quorum())
 
+    def _note_first_byte(self) -> None:
+        if self._req.spec.kind == "model":
+            self._services.scheduler.note_first_token(self._permit)
+
     def _body(self):
         if self._req.body is not None:
             return self._req.body or None
--- a/fuchsiacroft/membership/announcement.py
+++ b/fuchsiacroft/membership/announcement.py
@@ -53,6 +53,16 @@
     cache_events: tuple[CacheEvent, ...] = ()
 
 
+@codec.message("membership.renewed")
+class Renewed(msgspec.Struct, frozen=True, array_like=True):
+    """An announcement that differs from the last one in these fields only."""
+
+    name: str
+    boot_id: str
+    load: ReportedLoad | None
+    cache_events: tuple[CacheEvent, ...]
+
+
 @codec.message("membership.announced")
 class Announced(msgspec.Struct, frozen=True):
     """An announcement passed on between entries."""
--- a/fuchsiacroft/membership/backend_servers.py
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -9,8 +9,9 @@
 
 from fuchsiacroft.config.settings import Member, Settings
 from fuchsiacroft.kernel import Kernel, Service
-from fuchsiacroft.membership.announcement import Announced, Announcement
+from fuchsiacroft.membership.announcement import Announced, Announcement, Renewed
 from fuchsiacroft.membership.ownership import OwnershipTable
+from fuchsiacroft.membership.passed_on import PassedOn
 from fuchsiacroft.membership.service import Membership
 from fuchsiacroft.membership.table import EntryInfo
 from fuchsiacroft.transport.bus import Bus
@@ -59,6 +60,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._servers: dict[str, BackendServer] = {}
+        self._passed = PassedOn()
         self._tasks = TaskGroup("backend_servers")
         self._listener: Listener | None = None
         self.listeners = Listeners()
@@ -69,6 +71,7 @@
         self._membership = kernel.find("membership", Membership)
         self._ownership = kernel.find("ownership", OwnershipTable)
         self._bus.handle(Announced, self._on_announced)
+        self._bus.handle(Renewed, self._on_renewed)
         app = web.Application(client_max_size=MAX_ANNOUNCEMENT_BYTES)
         app.router.add_post("/announce", self._on_post)
         address = self._settings.addresses.backend_servers
@@ -133,10 +136,20 @@
     async def _on_announced(self, sender: str, msg: Announced) -> None:
         self._hear(msg.announcement)
 
+    async def _on_renewed(self, sender: str, msg: Renewed) -> None:
+        known = self._servers.get(msg.name)
+        if known is not None and known.boot_id == msg.boot_id:
+            self._hear(
+                msgspec.structs.replace(
+                    known.announcement, load=msg.load, cache_events=msg.cache_events
+                )
+            )
+
     def _pass_on(self, announcement: Announcement) -> None:
         for entry in self._receivers(announcement):
             if entry.node != self._settings.node:
-                self._bus.send(entry.peers, Announced(announcement))
+                msg = self._passed.message(entry.node, announcement, now())
+                self._bus.send(entry.peers, msg)
 
     def _receivers(self, announcement: Announcement) -> Sequence[EntryInfo | Member]:
         """Return every entry of a small domain, and the owner in a large one."""
@@ -165,6 +178,7 @@
 
     def _forget(self, server: BackendServer, reason: str) -> None:
         del self._servers[server.name]
+        self._passed.forget(server.name)
         event("info", "backend_server_gone", backend_server=server.name, reason=reason)
         for listener in self.listeners.gone:
             listener(server)
--- a/fuchsiacroft/routing/lending.py
+++ b/fuchsiacroft/routing/lending.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from expression import Result
@@ -40,6 +41,7 @@
 
     permit: Permit
     holder: str
+    holder_boot: str
     ask_id: str
     expires_at: float
 
@@ -51,6 +53,7 @@
 
     def __init__(self, addresses: AddressBook) -> None:
         self._addresses = addresses
+        self.boot_of: Callable[[str], str] = lambda node: ""
         self._lent: dict[str, Lent] = {}
         self._by_ask: dict[str, str] = {}
         self._asking: dict[str, asyncio.Task] = {}
@@ -80,10 +83,13 @@
             "asking": len(self._asking),
         }
 
-    def lent(self, backend_server: str) -> list[tuple[str, str]]:
-        """Return each permit lent for a backend server, with its holder."""
+    def lent(self, backend_server: str) -> list[tuple[str, str, str]]:
+        """Return each permit lent for a backend server, with its holder's boot id.
+
+        Each is a permit id, the holder's node name, and its boot id.
+        """
         return [
-            (permit_id, lent.holder)
+            (permit_id, lent.holder, lent.holder_boot)
             for permit_id, lent in self._lent.items()
             if lent.permit.backend_server == backend_server
         ]
@@ -93,7 +99,8 @@
         self._lend(permit, holder, permit.permit_id)
 
     def _lend(self, permit: Permit, holder: str, ask_id: str) -> None:
-        lent = Lent(permit, holder, ask_id, now() + LEASE_S)
+        boot = self.boot_of(holder)
+        lent = Lent(permit, holder, boot, ask_id, now() + LEASE_S)
         self._lent[permit.permit_id] = lent
         self._by_ask[ask_id] = permit.permit_id
 
--- a/fuchsiacroft/routing/member_owners.py
+++ b/fuchsiacroft/routing/member_owners.py
@@ -54,6 +54,7 @@
         self._lending = kernel.get("lending", Lending)
         self._scheduler = kernel.get("scheduler", Scheduler)
         self._directory = kernel.get("backend_servers", BackendDirectory)
+        self._lending.boot_of = self._boot_of
         self._table.attach(self)
         self._directory.listeners.heard.insert(0, self._on_heard)
         self._directory.listeners.gone.append(self._on_gone)
@@ -66,11 +67,10 @@
             HeldPermit(permit.permit_id, backend_server, me.node, me.boot_id)
             for permit in self._scheduler.held(backend_server)
         ]
-        for permit_id, holder in self._lending.lent(backend_server):
-            record = self._membership.record(holder)
-            if record is not None:
-                boot_id = record.update.boot_id
-                permits.append(HeldPermit(permit_id, backend_server, holder, boot_id))
+        permits += [
+            HeldPermit(permit_id, backend_server, holder, boot_id)
+            for permit_id, holder, boot_id in self._lending.lent(backend_server)
+        ]
         return tuple(permits)
 
     def adopt(self, backend_server: str, permits: tuple[HeldPermit, ...]) -> None:
@@ -87,6 +87,10 @@
             if self._desk.adopt(permit) and held.permit_id not in mine:
                 self._lending.adopt(permit, held.holder)
 
+    def _boot_of(self, node: str) -> str:
+        record = self._membership.record(node)
+        return record.update.boot_id if record is not None else ""
+
     def _foreign(self, held: HeldPermit, server: BackendServer) -> Permit:
         """Return a permit for a run of which only its holder knows the ask."""
         offers = server.announcement.offers
--- /dev/null
+++ b/fuchsiacroft/tests/entry/quarantine_api_tests.py
@@ -0,0 +1,60 @@
+"""Tests of the operators' routes for the quarantine."""
+
+import aiohttp
+
+from fuchsiacroft import operations
+from fuchsiacroft.config.document import hash_key
+from fuchsiacroft.config.settings import Addresses, Settings
+from fuchsiacroft.entry import quarantine_api
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.model.network import MemoryNetwork
+from fuchsiacroft.routing import quarantine
+from fuchsiacroft.routing.quarantine import Treatment
+from fuchsiacroft.tests.base import SocketTestCase
+from fuchsiacroft.tests.fakes.ports import free_address
+from fuchsiacroft.utils.metrics import Metrics
+
+TOKEN = {"Authorization": "Bearer operator"}
+
+
+class QuarantineApiTests(SocketTestCase):
+    """An operator with a token sees the quarantine and lifts it."""
+
+    async def asyncSetUp(self):
+        address = free_address()
+        self.url = f"http://{address}/v1/quarantine"
+        settings = Settings("e", "d", "r", Addresses(operators=address))
+        self.quarantine = quarantine.create(settings)
+        ops = operations.create(address, Metrics())
+        kernel = Kernel()
+        for service in (
+            MemoryNetwork().bus("e", "10.0.0.1:1"),
+            self.quarantine,
+            quarantine_api.create(ops, [hash_key("operator")]),
+            ops,
+        ):
+            kernel.add(service)
+        await kernel.start()
+        self.addAsyncCleanup(kernel.stop)
+        self.quarantine.blame("death-1", {"bad"})
+        self.quarantine.blame("death-2", {"bad"})
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+
+    async def test_a_lifted_request_may_run_again(self):
+        self.assertIs(Treatment.REFUSED, self.quarantine.treatment("bad"))
+        async with self.session.get(self.url, headers=TOKEN) as res:
+            self.assertTrue((await res.json())["bad"]["quarantined"])
+        async with self.session.delete(f"{self.url}/bad", headers=TOKEN) as res:
+            self.assertEqual(200, res.status)
+        self.assertIs(Treatment.FREE, self.quarantine.treatment("bad"))
+
+    async def test_without_a_token_nothing_is_shown_or_lifted(self):
+        for call in (self.session.get, self.session.delete):
+            async with call(f"{self.url}/bad") as res:
+                self.assertEqual(401, res.status)
+        self.assertIs(Treatment.REFUSED, self.quarantine.treatment("bad"))
+
+    async def test_an_unknown_fingerprint_is_told(self):
+        async with self.session.delete(f"{self.url}/other", headers=TOKEN) as res:
+            self.assertEqual(404, res.status)
