--- a/fuchsiacroft/membership/backend_servers.py
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -1,15 +1,19 @@
 """The backend servers of this failure domain that have announced themselves."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import msgspec
 from aiohttp import web
 
-from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.config.settings import Member, Settings
 from fuchsiacroft.kernel import Kernel, Service
-from fuchsiacroft.membership.announcement import Announced, Announcement
+from fuchsiacroft.membership.announcement import Announced, Announcement, Renewed
+from fuchsiacroft.membership.ownership import OwnershipTable
+from fuchsiacroft.membership.passed_on import PassedOn
+from fuchsiacroft.membership.service import Membership
+from fuchsiacroft.membership.table import EntryInfo
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.http import Listener
@@ -17,6 +21,7 @@
 from fuchsiacroft.utils.tasks import TaskGroup
 
 SILENCE_S = 4.0
+FLOOD_ENTRIES = 8
 SWEEP_PERIOD_S = 0.5
 MAX_ANNOUNCEMENT_BYTES = 256 * 1024
 
@@ -55,6 +60,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._servers: dict[str, BackendServer] = {}
+        self._passed = PassedOn()
         self._tasks = TaskGroup("backend_servers")
         self._listener: Listener | None = None
         self.listeners = Listeners()
@@ -62,7 +68,10 @@
     async def start(self, kernel: Kernel) -> None:
         """Listen for announcements, from backend servers and from entries."""
         self._bus = kernel.get("bus", Bus)
+        self._membership = kernel.find("membership", Membership)
+        self._ownership = kernel.find("ownership", OwnershipTable)
         self._bus.handle(Announced, self._on_announced)
+        self._bus.handle(Renewed, self._on_renewed)
         app = web.Application(client_max_size=MAX_ANNOUNCEMENT_BYTES)
         app.router.add_post("/announce", self._on_post)
         address = self._settings.addresses.backend_servers
@@ -104,6 +113,11 @@
         """Return the backend server of that name."""
         return self._servers.get(name)
 
+    def receive(self, announcement: Announcement) -> None:
+        """Take an announcement from a backend server and pass it on."""
+        self._hear(announcement)
+        self._pass_on(announcement)
+
     async def _on_post(self, req: web.Request) -> web.Response:
         try:
             announcement = msgspec.json.decode(await req.read(), type=Announcement)
@@ -116,19 +130,40 @@
             return web.json_response(
                 {"title": "other domain", "detail": detail}, status=409
             )
-        self._hear(announcement)
-        self._pass_on(announcement)
+        self.receive(announcement)
         return web.Response(status=204)
 
     async def _on_announced(self, sender: str, msg: Announced) -> None:
         self._hear(msg.announcement)
 
+    async def _on_renewed(self, sender: str, msg: Renewed) -> None:
+        known = self._servers.get(msg.name)
+        if known is not None and known.boot_id == msg.boot_id:
+            self._hear(
+                msgspec.structs.replace(
+                    known.announcement, load=msg.load, cache_events=msg.cache_events
+                )
+            )
+
     def _pass_on(self, announcement: Announcement) -> None:
-        for member in self._settings.entries:
-            if member.node == self._settings.node:
-                continue
-            if member.failure_domain == self._settings.failure_domain:
-                self._bus.send(member.peers, Announced(announcement))
+        for entry in self._receivers(announcement):
+            if entry.node != self._settings.node:
+                msg = self._passed.message(entry.node, announcement, now())
+                self._bus.send(entry.peers, msg)
+
+    def _receivers(self, announcement: Announcement) -> Sequence[EntryInfo | Member]:
+        """Return every entry of a small domain, and the owner in a large one."""
+        if self._membership is None or self._ownership is None:
+            return [
+                member
+                for member in self._settings.entries
+                if member.failure_domain == self._settings.failure_domain
+            ]
+        alive = self._membership.alive()
+        if len(alive) <= FLOOD_ENTRIES:
+            return alive
+        owner = self._ownership.owner_of(announcement.name)
+        return () if owner is None else (owner,)
 
     def _hear(self, announcement: Announcement) -> None:
         known = self._servers.get(announcement.name)
@@ -143,6 +178,7 @@
 
     def _forget(self, server: BackendServer, reason: str) -> None:
         del self._servers[server.name]
+        self._passed.forget(server.name)
         event("info", "backend_server_gone", backend_server=server.name, reason=reason)
         for listener in self.listeners.gone:
             listener(server)
