--- a/tools/bench_capacity.py
+++ b/tools/bench_capacity.py
@@ -1,6 +1,6 @@
 """Measure the slopes behind docs/CAPACITY.md and print its tables.
 
-`python tools/bench_capacity.py [--short]`: about four minutes. Network and
+`python tools/bench_capacity.py [--only=TABLE]`: about four minutes for all. Network and
 clock of the domain's entries are stand-ins in memory; idle costs are those of
 real processes on loopback.
 """
@@ -107,13 +107,13 @@
     return run_paused(scenario())
 
 
-def domain_tables(sizes: tuple[int, ...]) -> None:
+def domain_tables() -> None:
     """Print what an entry at rest costs by entries and by backend servers."""
     for title, points in (
         (
             f"An entry at rest, by entries of its domain (n), {SERVERS_OF_TARGET} "
             "backend servers an entry",
-            [(size, SERVERS_OF_TARGET, size) for size in sizes],
+            [(size, SERVERS_OF_TARGET, size) for size in ENTRY_SIZES],
         ),
         (
             "An entry at rest in a domain of 16, by backend servers an entry (n)",
@@ -257,7 +257,7 @@
 
 
 async def measure_idle(shape: cluster.Shape) -> dict[str, tuple[float, ...]]:
-    """Return by role: % of a core, MB, and KB a second of messages sent."""
+    """Return by role: % of a core, MB, and KB and messages sent a second."""
     with tempfile.TemporaryDirectory() as folder:
         running = cluster.create(Path(folder), shape)
         running.start()
@@ -285,6 +285,7 @@
                         100 * (after[name][0] - before[name][0]) / IDLE_S,
                         after[name][1],
                         (after[name][2] - before[name][2]) / IDLE_S / KB,
+                        (after[name][3] - before[name][3]) / IDLE_S,
                     )
                     for name in mine
                 ),
@@ -294,15 +295,16 @@
     return idle
 
 
-async def idle_marks(running, session) -> dict[str, tuple[float, float, int]]:
-    """Return processor seconds, MB and bytes sent of each process."""
+async def idle_marks(running, session) -> dict[str, tuple[float, ...]]:
+    """Return processor seconds, MB, bytes and messages sent of each process."""
     marks = {}
     for name in [node.name for node in running.nodes.values()]:
         if not name.startswith(("entry", "control")):
             continue
         dump = await running.dump(session, name)
         seconds, size = read_proc(running.running[name].pid)
-        marks[name] = (seconds, size, dump["bus"]["counts"]["sent_bytes"])
+        counts = dump["bus"]["counts"]
+        marks[name] = (seconds, size, counts["sent_bytes"], counts["sent"])
     return marks
 
 
@@ -315,9 +317,11 @@
         "entry: % of a core",
         "entry: MB",
         "entry: KB/s sent",
+        "entry: messages/s sent",
         "control: % of a core",
         "control: MB",
         "control: KB/s sent",
+        "control: messages/s sent",
     )
     seen = []
     for entries in (2, 4, 6, 8):
@@ -337,15 +341,20 @@
 def main() -> None:
     """Measure and print every table."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--short", action="store_true", help="smaller domains only")
+    tables = {
+        "document": document_table,
+        "history": history_table,
+        "ledger": ledger_table,
+        "idle": idle_table,
+        "domain": domain_tables,
+    }
+    parser.add_argument("--only", choices=list(tables))
     args = parser.parse_args()
     logs.configure("ERROR")
     logging.disable(logging.WARNING)
-    document_table()
-    history_table()
-    ledger_table()
-    idle_table()
-    domain_tables(ENTRY_SIZES[:2] if args.short else ENTRY_SIZES)
+    for name, table in tables.items():
+        if args.only in (None, name):
+            table()
 
 
 if __name__ == "__main__":
