--- a/fuchsiacroft/config/follower.py
+++ b/fuchsiacroft/config/follower.py
@@ -46,7 +46,7 @@
         self._bus = kernel.get("bus", Bus)
         self._bus.handle(Fetch, self._on_fetch)
         self._tasks.spawn(self._start_from_newest(), "follower-start")
-        self._tasks.spawn(self._run(), "follower")
+        self._tasks.keep(self._run(), "follower")
 
     async def stop(self) -> None:
         """Stop fetching."""
--- a/fuchsiacroft/control/consensus/service.py
+++ b/fuchsiacroft/control/consensus/service.py
@@ -71,8 +71,8 @@
         ):
             part.register()
         for part in (self._joining, self._elections, self._applying, self._membership):
-            self._tasks.spawn(part.run(), type(part).__name__.lower())
-        self._tasks.spawn(self._end_leaderships(), "leadership-end")
+            self._tasks.keep(part.run(), type(part).__name__.lower())
+        self._tasks.keep(self._end_leaderships(), "leadership-end")
 
     async def stop(self) -> None:
         """Take no further part, and release the disk."""
--- a/fuchsiacroft/control/feed.py
+++ b/fuchsiacroft/control/feed.py
@@ -44,7 +44,7 @@
         self._bus.handle(Fetch, self._on_fetch)
         self._bus.handle(AskInForce, self._on_ask)
         self._copy()
-        self._tasks.spawn(self._confirm(), "feed-confirm")
+        self._tasks.keep(self._confirm(), "feed-confirm")
 
     async def stop(self) -> None:
         """Stop confirming."""
--- a/fuchsiacroft/control/ledger_service.py
+++ b/fuchsiacroft/control/ledger_service.py
@@ -55,7 +55,7 @@
         for kind in (ClaimKey, SettleKey, ReleaseKey):
             bus.handle(kind, self._on_command)
         bus.handle(LookUpKey, self._on_look_up)
-        self._tasks.spawn(self._keep_clock(), "ledger-clock")
+        self._tasks.keep(self._keep_clock(), "ledger-clock")
 
     async def stop(self) -> None:
         """Stop the clock."""
--- a/fuchsiacroft/control/orders.py
+++ b/fuchsiacroft/control/orders.py
@@ -96,7 +96,7 @@
         self.log = kernel.get("log", ReplicatedLog)
         self._orders = kernel.get("engine_orders", EngineOrders)
         self._inventory = kernel.get("inventory", Inventory)
-        self._tasks.spawn(self._run(), "orders")
+        self._tasks.keep(self._run(), "orders")
 
     async def stop(self) -> None:
         """Send nothing more."""
--- a/fuchsiacroft/control/storage.py
+++ b/fuchsiacroft/control/storage.py
@@ -89,7 +89,7 @@
         self._identity = state.identity
         await self._folder.run(partial(self._clean, state))
         self._term, self._vote, self._marks = state.term, state.vote, state.marks
-        self._tasks.spawn(self._write_forever(), "storage-writer")
+        self._tasks.keep(self._write_forever(), "storage-writer")
         return state
 
     async def close(self) -> None:
--- a/fuchsiacroft/membership/backend_servers.py
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -78,7 +78,7 @@
         if address is not None:
             self._listener = Listener(app, address)
             await self._listener.start()
-        self._tasks.spawn(self._sweep(), "backend-sweep")
+        self._tasks.keep(self._sweep(), "backend-sweep")
 
     async def stop(self) -> None:
         """Stop listening."""
--- a/fuchsiacroft/membership/engine_reports.py
+++ b/fuchsiacroft/membership/engine_reports.py
@@ -67,7 +67,7 @@
         self._directory = kernel.get("backend_servers", BackendDirectory)
         self._ownership = kernel.get("ownership", OwnershipTable)
         self._document = kernel.get("document", HeldDocument)
-        self._tasks.spawn(self._run(), "engine-reports")
+        self._tasks.keep(self._run(), "engine-reports")
 
     async def stop(self) -> None:
         """Report no more."""
--- a/fuchsiacroft/membership/ownership.py
+++ b/fuchsiacroft/membership/ownership.py
@@ -65,7 +65,7 @@
         self._on_change(self._membership.alive())
         bus.handle(HeldPermitsRequest, self._on_request)
         self._tasks.spawn(self._activate(), "ownership-activate")
-        self._tasks.spawn(self._take_over(), "ownership-takeover")
+        self._tasks.keep(self._take_over(), "ownership-takeover")
 
     async def stop(self) -> None:
         """End every background task."""
--- a/fuchsiacroft/membership/service.py
+++ b/fuchsiacroft/membership/service.py
@@ -83,10 +83,10 @@
         self._bus.handle(Leave, self._on_leave)
         self._started_at = clock.now()
         self._view.open()
-        self._tasks.spawn(self._prober.run(), "membership-probe")
-        self._tasks.spawn(self._prober.keep_lease(), "membership-lease")
-        self._tasks.spawn(self._join(), "membership-join")
-        self._tasks.spawn(self._pass_on(), "membership-gossip")
+        self._tasks.keep(self._prober.run(), "membership-probe")
+        self._tasks.keep(self._prober.keep_lease(), "membership-lease")
+        self._tasks.keep(self._join(), "membership-join")
+        self._tasks.keep(self._pass_on(), "membership-gossip")
 
     async def drain(self) -> None:
         """Leave, if `leave` was not called before."""
--- a/fuchsiacroft/routing/desk.py
+++ b/fuchsiacroft/routing/desk.py
@@ -61,7 +61,7 @@
         self._quarantine = kernel.find("quarantine", Quarantine)
         directory = kernel.get("backend_servers", BackendDirectory)
         directory.listeners.gone.append(self._on_gone)
-        self._tasks.spawn(self._sweep(), "desk-sweep")
+        self._tasks.keep(self._sweep(), "desk-sweep")
 
     async def stop(self) -> None:
         """Stop looking after the runs."""
--- a/fuchsiacroft/routing/holding.py
+++ b/fuchsiacroft/routing/holding.py
@@ -29,7 +29,7 @@
         self._directory = kernel.get("backend_servers", BackendDirectory)
         self._bus = kernel.get("bus", Bus)
         self._bus.handle(CutRun, self._on_cut)
-        self._tasks.spawn(self._renew(), "permit-renewal")
+        self._tasks.keep(self._renew(), "permit-renewal")
 
     async def stop(self) -> None:
         """Renew nothing any more."""
--- a/fuchsiacroft/routing/lending.py
+++ b/fuchsiacroft/routing/lending.py
@@ -70,7 +70,7 @@
         self._bus.handle(FirstToken, self._on_first_token)
         self._bus.handle(RenewPermits, self._on_renew)
         self._bus.handle(WithdrawAsk, self._on_withdraw)
-        self._tasks.spawn(self._sweep(), "lending-sweep")
+        self._tasks.keep(self._sweep(), "lending-sweep")
 
     async def stop(self) -> None:
         """Forget the leases."""
--- a/fuchsiacroft/routing/owner_digests.py
+++ b/fuchsiacroft/routing/owner_digests.py
@@ -56,7 +56,7 @@
         self._desk = kernel.get("desk", Desk)
         self._bus = kernel.get("bus", Bus)
         self._bus.handle(OwnedServices, self._on_owned)
-        self._tasks.spawn(self._tell(), "owner-digests")
+        self._tasks.keep(self._tell(), "owner-digests")
 
     async def stop(self) -> None:
         """Tell nothing more."""
--- a/fuchsiacroft/routing/spill.py
+++ b/fuchsiacroft/routing/spill.py
@@ -72,7 +72,7 @@
         self._desk.neighbours = self._neighbours
         self._bus = kernel.get("bus", Bus)
         self._bus.handle(LoadDigest, self._on_digest)
-        self._tasks.spawn(self._tell(), "spill-digests")
+        self._tasks.keep(self._tell(), "spill-digests")
 
     async def stop(self) -> None:
         """Send no more digests."""
--- a/fuchsiacroft/tests/control/consensus/disk_group_tests.py
+++ b/fuchsiacroft/tests/control/consensus/disk_group_tests.py
@@ -47,6 +47,7 @@
             await bus.start(Kernel())
             await log.start(Kernel())
             started.append((bus, log, machine))
+        self.addAsyncCleanup(self.stop_group, started)
         await self.wait_leader(started)
         return started
 
--- a/fuchsiacroft/tests/fakes/cluster.py
+++ b/fuchsiacroft/tests/fakes/cluster.py
@@ -132,9 +132,7 @@
     async def _wait(self, session, url: str, name: str) -> None:
         async with asyncio.timeout(READY_TIMEOUT_S):
             while True:
-                if self.running[name].poll() is not None:
-                    log = (self.folder / f"{name}.log").read_text()[-3000:]
-                    raise RuntimeError(f"{name} ended: {log}")
+                self._check_running(name)
                 try:
                     async with session.get(url) as res:
                         if res.status == 200:
@@ -143,6 +141,11 @@
                     pass
                 await asyncio.sleep(POLL_S)
 
+    def _check_running(self, name: str) -> None:
+        if self.running[name].poll() is not None:
+            log = (self.folder / f"{name}.log").read_text()[-3000:]
+            raise RuntimeError(f"{name} ended: {log}")
+
     async def put_document(
         self, session: aiohttp.ClientSession, document: dict, held: int, change_id: str
     ) -> tuple[int, dict]:
@@ -185,6 +188,8 @@
                 ready = sum(len(dump["ownership"]["ready"]) for dump in dumps)
                 if ready == wanted:
                     return
+                for node in self.named("engine") + self.named("app"):
+                    self._check_running(node.name)
                 await asyncio.sleep(POLL_S)
 
     async def newest_version(self, session: aiohttp.ClientSession) -> int:
--- a/fuchsiacroft/transport/key_reload.py
+++ b/fuchsiacroft/transport/key_reload.py
@@ -45,7 +45,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Begin to watch."""
-        self._tasks.spawn(self._watch(), "keys-watch")
+        self._tasks.keep(self._watch(), "keys-watch")
 
     async def stop(self) -> None:
         """Stop watching."""
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -61,10 +61,10 @@
         self._listener = BusListener(self._ctx, router, self._address, self._ring)
         self._listener.bind()
         for coro in self._listener.loops():
-            self._tasks.spawn(coro, "bus-listener")
+            self._tasks.keep(coro, "bus-listener")
         if self._ring is not None:
             self._ring.on_change(self._on_key_change)
-        self._tasks.spawn(self._receive_requests(router), "bus-router")
+        self._tasks.keep(self._receive_requests(router), "bus-router")
 
     async def stop(self) -> None:
         """Close every socket and fail the requests still waiting."""
--- a/fuchsiacroft/utils/process.py
+++ b/fuchsiacroft/utils/process.py
@@ -7,8 +7,10 @@
 
 import uvloop
 
+from fuchsiacroft.exceptions import InvariantError
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.tasks import SERVICE_FAILED
 
 T = TypeVar("T")
 
@@ -16,18 +18,39 @@
 
 
 async def serve(kernel: Kernel, node: str) -> None:
-    """Run the services until a signal asks for a graceful shutdown."""
+    """Run the services until a signal asks for a graceful shutdown.
+
+    A service that fails stops the process at once with `InvariantError`.
+    """
     stopping = asyncio.Event()
+    failures: list[BaseException] = []
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(
+        lambda loop, context: _on_failure(context, failures, stopping)
+    )
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stopping.set)
     await kernel.start()
     event("info", "ready", node=node)
     await stopping.wait()
-    event("info", "draining", node=node)
-    await kernel.drain()
+    if not failures:
+        event("info", "draining", node=node)
+        await kernel.drain()
     await kernel.stop()
     event("info", "stopped", node=node)
+    if failures:
+        raise InvariantError(f"a service failed: {failures[0]!r}")
+
+
+def _on_failure(
+    context: dict, failures: list[BaseException], stopping: asyncio.Event
+) -> None:
+    """Stop for a service that failed; log what libraries report."""
+    exc = context.get("exception")
+    event("error", "loop_error", message=context["message"], error=repr(exc))
+    if exc is not None and context["message"] == SERVICE_FAILED:
+        failures.append(exc)
+        stopping.set()
 
 
 def run(main: Coroutine[Any, Any, T]) -> T:
--- a/fuchsiacroft/utils/tasks.py
+++ b/fuchsiacroft/utils/tasks.py
@@ -3,8 +3,11 @@
 import asyncio
 from collections.abc import Coroutine
 
+from fuchsiacroft.exceptions import InvariantError
 from fuchsiacroft.utils.logs import event
 
+SERVICE_FAILED = "a service failed"
+
 
 class TaskGroup:
     """The background tasks of one service, cancelled together."""
@@ -20,6 +23,15 @@
         task.add_done_callback(self._ended)
         return task
 
+    def keep(self, coro: Coroutine, name: str) -> asyncio.Task:
+        """Start a task without which the process is not whole.
+
+        Its failure stops the process, so that it is started again.
+        """
+        task = self.spawn(coro, name)
+        task.add_done_callback(_stop_process)
+        return task
+
     def __len__(self) -> int:
         """Return how many tasks have not ended."""
         return len(self._tasks)
@@ -38,3 +50,13 @@
         exc = task.exception()
         if exc is not None:
             event("error", "task_failed", owner=self._owner, error=repr(exc))
+        if isinstance(exc, InvariantError):
+            _stop_process(task)
+
+
+def _stop_process(task: asyncio.Task) -> None:
+    """Report a failure to the loop's handler, which ends the process."""
+    if task.cancelled() or task.exception() is None:
+        return
+    context = {"message": SERVICE_FAILED, "exception": task.exception()}
+    asyncio.get_running_loop().call_exception_handler(context)
