--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -17,7 +17,7 @@
 SEND_QUEUE_MESSAGES = 10_000
 HANDSHAKE_TIMEOUT_MS = 5_000
 RECONNECT_MS = 100
-RECONNECT_MAX_MS = 2_000
+RECONNECT_MAX_MS = 400
 
 
 class ZmqBus(Bus):
--- a/tools/bench_consensus.py
+++ b/tools/bench_consensus.py
@@ -34,6 +34,7 @@
 FLAGS = flags.FLAGS
 
 MEMBERS = 3
+PREFIX = "bench-data-"
 READY_TIMEOUT_S = 20.0
 CALL_TIMEOUT_S = 60.0
 POLL_S = 0.01
@@ -309,6 +310,7 @@
         follower = (leader + 1) % MEMBERS
         self.end(follower)
         await self.ask(leader, Call("commit", FLAGS.missed, 10))
+        await asyncio.sleep(FLAGS.down_s)
         wanted = (await self.ask(leader, Call("state")))["count"]
         began = time.monotonic()
         self.start(follower)
@@ -322,7 +324,8 @@
             await asyncio.sleep(POLL_S)
         done = time.monotonic()
         print(
-            f"catchup missed={FLAGS.missed} from_process_start_s={done - began:.2f} "
+            f"catchup missed={FLAGS.missed} down_s={FLAGS.down_s} "
+            f"from_process_start_s={done - began:.2f} "
             f"from_first_answer_s={done - answered:.2f}"
         )
 
@@ -361,7 +364,9 @@
 async def bench() -> None:
     """Run the parts asked for, then end every process."""
     parts = FLAGS.only or ["rate", "commits", "catchup", "replace", "idle", "failover"]
-    with tempfile.TemporaryDirectory(dir=FLAGS.folder) as folder:
+    end = asyncio.current_task().cancel
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, end)
+    with tempfile.TemporaryDirectory(dir=FLAGS.folder, prefix=PREFIX) as folder:
         run = Bench(Path(folder))
         await run.bus.start(Kernel())
         try:
@@ -397,6 +402,7 @@
     flags.DEFINE_integer("commits", 40_000, "About how many commits to measure.")
     flags.DEFINE_integer("rate_s", 10, "How long to propose at each rate.")
     flags.DEFINE_integer("missed", 300, "Changes missed by the stopped member.")
+    flags.DEFINE_integer("down_s", 5, "How long the stopped member stays down.")
     flags.DEFINE_integer("failovers", 5, "How often to kill the leader.")
     flags.DEFINE_integer("idle_s", 10, "How long to watch each idle member.")
     app.run(main)
