--- a/fuchsiacroft/__main__.py
+++ b/fuchsiacroft/__main__.py
@@ -22,6 +22,7 @@
     "rollback": "put an older version's document in force again",
     "dump": "print the whole state of a process",
     "inspect": "show what a stopped control member's data folder holds",
+    "recover": "go on with one control member after a majority is lost for good",
     "keys": "generate CURVE key pairs for the settings",
     "replay": "play a recorded trace against a running system and judge it",
     "experiment": "replay traces under each policy set in a model",
--- a/fuchsiacroft/commands/recover.py
+++ b/fuchsiacroft/commands/recover.py
@@ -4,6 +4,7 @@
 import sys
 from pathlib import Path
 
+from absl import flags
 from expression import Result
 
 from fuchsiacroft.control import storage
@@ -12,7 +13,20 @@
 from fuchsiacroft.exceptions import InvariantError
 
 
-def run(data_folder: str) -> int:
+def define_flags(values: flags.FlagValues) -> None:
+    """Define the flags of this command."""
+    flags.DEFINE_string(
+        "data_folder", None, "the data folder of a stopped control member", values
+    )
+    flags.mark_flag_as_required("data_folder", values)
+
+
+def run(values: flags.FlagValues) -> int:
+    """Make the member of the named folder the only voter of a new group."""
+    return recover(values.data_folder)
+
+
+def recover(data_folder: str) -> int:
     """Make the stopped member of this folder the only voter of a new group.
 
     Return 0 once that is durable, 1 if the folder is refused, 2 for no folder.
--- a/fuchsiacroft/control/consensus/service.py
+++ b/fuchsiacroft/control/consensus/service.py
@@ -83,6 +83,14 @@
         await self._applying.stop()
         await self._storage.close()
 
+    def why_not_ready(self) -> str | None:
+        """Return why this member takes no part, or None."""
+        if self._member.halted:
+            return f"halted: {self._member.halted}"
+        if self._member.storage.failure:
+            return f"storage failed: {self._member.storage.failure}"
+        return None
+
     def dump(self) -> dict:
         """Return the state of this member and what it knows of the others."""
         member = self._member
--- a/fuchsiacroft/control/log.py
+++ b/fuchsiacroft/control/log.py
@@ -84,6 +84,10 @@
     def term(self) -> int:
         """Return the current term; the leader's is the fencing number."""
 
+    def why_not_ready(self) -> str | None:
+        """Return why this member takes no part, or None."""
+        return None
+
     @property
     @abstractmethod
     def leader_peer(self) -> str | None:
--- a/fuchsiacroft/control/process.py
+++ b/fuchsiacroft/control/process.py
@@ -44,6 +44,7 @@
     log.register("ledger", ledger_state)
     log.register("orders", orders_state)
     ops = operations.create(settings.addresses.operators, Metrics(), secured.context)
+    ops.add_check(log.why_not_ready)
     operator_api = api.create(settings, document_state)
     operator_api.add_routes(ops)
     kernel = Kernel()
--- a/fuchsiacroft/tests/commands/recover_tests.py
+++ b/fuchsiacroft/tests/commands/recover_tests.py
@@ -60,6 +60,6 @@
     def test_a_folder_without_a_group_is_refused(self):
         err = io.StringIO()
         with tempfile.TemporaryDirectory() as path, contextlib.redirect_stderr(err):
-            self.assertEqual(1, recover.run(path))
-            self.assertEqual(2, recover.run(str(Path(path) / "none")))
+            self.assertEqual(1, recover.recover(path))
+            self.assertEqual(2, recover.recover(str(Path(path) / "none")))
         self.assertIn("no voter", err.getvalue())
