--- a/fuchsiacroft/tests/fakes/full_domain.py
+++ b/fuchsiacroft/tests/fakes/full_domain.py
@@ -42,7 +42,7 @@
     """Entries with membership and ownership, and backend servers that announce.
 
     `servers` maps a backend server's name to its announcement; each announces
-    once a second to a live entry at random.
+    once a second to one entry as long as that lives.
     """
 
     size: int
@@ -124,12 +124,12 @@
         return asyncio.create_task(self.scheduler(number).acquire(ask))
 
     async def _announce(self, name: str) -> None:
+        number = self.random.randrange(self.size)
         while True:
-            alive = sorted(self.kernels)
-            if alive:
-                directory = self.get(
-                    self.random.choice(alive), "backend_servers", BackendDirectory
-                )
+            if number not in self.kernels and self.kernels:
+                number = self.random.choice(sorted(self.kernels))
+            if number in self.kernels:
+                directory = self.get(number, "backend_servers", BackendDirectory)
                 directory.receive(self.servers[name])
             await asyncio.sleep(ANNOUNCE_PERIOD_S)
 
