Give the storage the property that readiness asks for

Cause: why_not_ready read Storage.failure, which did not exist, so /readyz of each control member answered 500 and every run on real processes waited for it in vain (whole_path_tests and the three fault_tests failed). Ruled out: a slow start; the test on the paused clock fails with AttributeError. Conclusion: a member is ready until it is halted or its disk has failed.

--- a/fuchsiacroft/control/storage.py
+++ b/fuchsiacroft/control/storage.py
@@ -178,6 +178,11 @@
         self._durable = self._queued
         self._release()
 
+    @property
+    def failure(self) -> str | None:
+        """Return why nothing can be written any more, or None."""
+        return self._failure
+
     def dump(self) -> dict:
         """Return counters of the files and syncs."""
         return {
