Ask the listed neighbours for the document before the membership has joined

Cause: at its start an entry knows only itself as alive, so in a cut-off domain it asked no neighbour of its own and could begin without the newest version. Ruled out: waiting for the membership, which takes longer than the document. Conclusion: a restarted entry of a cut-off domain is ready with the newest version within a second.

--- a/fuchsiacroft/config/sources.py
+++ b/fuchsiacroft/config/sources.py
@@ -35,6 +35,12 @@
         self._node = settings.node
         self._domain = settings.failure_domain
         self._control = [member.peers for member in settings.control]
+        self._listed = [
+            member.peers
+            for member in settings.entries
+            if member.failure_domain == settings.failure_domain
+            and member.node != settings.node
+        ]
         self._others = [
             member.peers
             for member in settings.entries
@@ -52,7 +58,8 @@
 
     def order(self) -> list[str]:
         """Return every source to try, in this order."""
-        neighbours = [peer.address for peer in self._alive() if peer.node != self._node]
+        alive = [peer.address for peer in self._alive() if peer.node != self._node]
+        neighbours = alive or self._listed
         groups = (
             self.preferred(),
             self._control,
--- a/fuchsiacroft/tests/config/follower_tests.py
+++ b/fuchsiacroft/tests/config/follower_tests.py
@@ -10,6 +10,7 @@
 from fuchsiacroft.config.document import Workspace
 from fuchsiacroft.config.feed import Fetch, News
 from fuchsiacroft.config.settings import Addresses, Member, Settings
+from fuchsiacroft.config.sources import Alive, Peer
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.bus import MemoryNetwork
@@ -64,7 +65,7 @@
         self.followers: dict[int, follower.Follower] = {}
         self.buses = {}
 
-    async def start(self, *numbers: int) -> None:
+    async def start(self, *numbers: int, alive: Alive | None = None) -> None:
         for i in numbers or range(len(self.members)):
             settings = Settings(
                 node=f"e{i}",
@@ -77,7 +78,7 @@
             kernel = Kernel()
             self.buses[i] = self.network.bus(f"e{i}", address(i))
             self.documents[i] = held.create()
-            self.followers[i] = follower.create(settings, rng=random.Random(i))
+            self.followers[i] = follower.create(settings, alive, random.Random(i))
             for service in (self.buses[i], self.documents[i], self.followers[i]):
                 kernel.add(service)
             await kernel.start()
@@ -175,6 +176,21 @@
         self.assertLess(seconds, IN_FORCE_TARGET_S)
         self.assertIsNone(ready)
 
+    def test_an_entry_that_has_not_joined_yet_asks_the_listed_neighbours(self):
+        async def scenario():
+            domain = Domain()
+            await domain.start(*range(1, ENTRIES))
+            await domain.seconds_until(domain.source.change(5))
+            domain.cut_control()
+            await domain.start(0, alive=lambda: (Peer("e0", address(0)),))
+            await asyncio.sleep(follower.START_TIMEOUT_S + 0.1)
+            version = domain.documents[0].version
+            ready = domain.followers[0].why_not_ready()
+            await domain.stop()
+            return version, ready
+
+        self.assertEqual((5, None), self.run_paused(scenario()))
+
     def test_hundreds_of_missed_changes_are_caught_up(self):
         async def scenario(missed: int):
             domain = Domain()
