Answer first requests that arrive while an entry stops

Conclusion: idle connections close at once, unheard ones after half a second. The replay's report names each lost and short request.

--- a/fuchsiacroft/entry/caller_server.py
+++ b/fuchsiacroft/entry/caller_server.py
@@ -13,6 +13,7 @@
 
 BACKLOG = 2_048
 KEEPALIVE_S = 75.0
+LAST_REQUESTS_S = 0.5
 SHUTDOWN_TIMEOUT_S = 1.0
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -20,9 +21,13 @@
 
 
 class CallerProtocol(web.RequestHandler):
-    """One caller's connection."""
+    """One caller's connection; `heard` tells whether a request has come on it."""
 
-    __slots__ = ()
+    __slots__ = ("heard",)
+
+    def __init__(self, *args, **kwargs) -> None:
+        super().__init__(*args, **kwargs)
+        self.heard = False
 
     def handle_error(
         self,
@@ -66,12 +71,19 @@
         )
 
     def close_idle(self) -> None:
-        """Close connections without a request, and the others after theirs."""
-        self.pre_shutdown()
+        """Close connections that are idle, and the others after their request.
+
+        One on which no request has come yet stays: its first may be on its way.
+        """
+        for conn in self.connections:
+            if conn.heard:
+                conn.close()
 
     async def close(self) -> None:
-        """Stop listening and close every connection."""
+        """Stop listening, hear first requests out, and close every connection."""
         if self._listening is not None:
             self._listening.close()
+        if self.connections:
+            await asyncio.sleep(LAST_REQUESTS_S)
         self.pre_shutdown()
         await self.shutdown(SHUTDOWN_TIMEOUT_S)
--- a/fuchsiacroft/entry/callers.py
+++ b/fuchsiacroft/entry/callers.py
@@ -92,6 +92,7 @@
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         exchange = Exchange(http, new_request_id(), now())
+        http.protocol.heard = True
         self._in_progress.add(exchange)
         status = 0
         try:
--- a/fuchsiacroft/replay/report.py
+++ b/fuchsiacroft/replay/report.py
@@ -11,6 +11,7 @@
 LOWEST_MS = 1
 HIGHEST_MS = 600_000
 DIGITS = 3
+NAMED_ENDS = (End.LOST, End.SHORT)
 PERCENTILES = (50.0, 95.0, 99.0)
 
 
@@ -24,6 +25,13 @@
         told = " ".join(f"{end.value}={ends[end]}" for end in End if ends[end])
         report.append(f"rank={rank} requests={len(mine)} goodput={share:.4f} {told}")
         report.append(f"rank={rank} {_latencies(mine)}")
+    report += [
+        f"{outcome.end.value} {outcome.trace_id} service={outcome.service} "
+        f"rank={outcome.rank} domain={outcome.domain} sent_at={outcome.sent_at:.3f} "
+        f"ended_at={outcome.ended_at:.3f} status={outcome.status}"
+        for outcome in outcomes
+        if outcome.end in NAMED_ENDS
+    ]
     counted = stated.counts(outcomes, log)
     report.append(" ".join(f"{name}={count}" for name, count in counted.items()))
     return report
--- a/fuchsiacroft/tests/entry/http_tests.py
+++ b/fuchsiacroft/tests/entry/http_tests.py
@@ -288,3 +288,25 @@
             self.assertEqual(200, (await running)[0])
             await draining
         self.assertEqual(0, self.callers.dump()["in_progress"])
+
+    async def test_a_connection_whose_request_is_on_its_way_gets_its_refusal(self):
+        app = application.create(0.0)
+        await self.serve(app.app())
+        url = self.session._base_url
+        with mock.patch("fuchsiacroft.entry.callers.NOTICE_S", 0.01):
+            drained = await asyncio.open_connection(url.host, url.port)
+            await asyncio.sleep(0.05)
+            await self.callers.drain()
+        drained[1].write(get(b"/services/counter/x"))
+        late = await asyncio.open_connection(url.host, url.port)
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(self.callers.stop())
+        await asyncio.sleep(0.05)
+        late[1].write(get(b"/services/counter/x"))
+        async with asyncio.timeout(5):
+            for reader, writer in (drained, late):
+                answer = await reader.read()
+                writer.close()
+                self.assertIn(b" 503 ", answer.partition(b"\r\n")[0])
+                self.assertIn(b'"ran":"no"', answer)
+        await stopping
