--- a/fuchsiacroft/replay/report.py
+++ b/fuchsiacroft/replay/report.py
@@ -11,7 +11,7 @@
 LOWEST_MS = 1
 HIGHEST_MS = 600_000
 DIGITS = 3
-NAMED_ENDS = (End.LOST, End.SHORT)
+NAMED_ENDS = (End.LOST, End.SHORT, End.REFUSED)
 PERCENTILES = (50.0, 95.0, 99.0)
 
 
@@ -28,7 +28,8 @@
     report += [
         f"{outcome.end.value} {outcome.trace_id} service={outcome.service} "
         f"rank={outcome.rank} domain={outcome.domain} sent_at={outcome.sent_at:.3f} "
-        f"ended_at={outcome.ended_at:.3f} status={outcome.status}"
+        f"ended_at={outcome.ended_at:.3f} status={outcome.status} "
+        f"reason={outcome.reason} ran={outcome.ran}"
         for outcome in outcomes
         if outcome.end in NAMED_ENDS
     ]
--- a/fuchsiacroft/replay/stated.py
+++ b/fuchsiacroft/replay/stated.py
@@ -86,11 +86,17 @@
 
 
 def count_inversions(outcomes: list[Outcome]) -> int:
-    """Count requests shed while a lower tier ran where they could have run."""
+    """Count requests shed while a lower tier ran where they could have run.
+
+    A request that was dispatched and timed out on its backend server was not
+    shed; only a refusal that says "not run" is one.
+    """
     shed = [
         outcome
         for outcome in outcomes
-        if outcome.end is End.REFUSED and outcome.reason in SHED_REASONS
+        if outcome.end is End.REFUSED
+        and outcome.reason in SHED_REASONS
+        and outcome.ran == "no"
     ]
     ran = [
         outcome
--- a/fuchsiacroft/tests/replay/judge_tests.py
+++ b/fuchsiacroft/tests/replay/judge_tests.py
@@ -4,6 +4,7 @@
 
 from fuchsiacroft.model.trace import Arrival
 from fuchsiacroft.replay import stated
+from fuchsiacroft.replay.outcome import End, Outcome
 from fuchsiacroft.replay.player import Door, Player
 from fuchsiacroft.replay.stated import Stated
 from fuchsiacroft.tests.base import SocketTestCase
@@ -70,6 +71,27 @@
                 wrong = await self.judged(broken, Stated(cut=0))
                 self.assertTrue(any(w.startswith(f"{name}:") for w in wrong), wrong)
 
+    async def test_only_what_did_not_run_was_shed(self):
+        low = Outcome("l", "m", 1, "d", True, End.WHOLE, 0, 9, 9, first_token_s=1)
+        for ran, shed in (("no", 1), ("maybe", 0), ("yes", 0)):
+            with self.subTest(ran=ran):
+                high = Outcome(
+                    "h",
+                    "m",
+                    0,
+                    "d",
+                    True,
+                    End.REFUSED,
+                    2,
+                    5,
+                    3,
+                    "",
+                    504,
+                    ran,
+                    "timed_out",
+                )
+                self.assertEqual(shed, stated.count_inversions([low, high]))
+
     async def test_goodput_below_the_stated_share_is_caught(self):
         wanted = Stated(goodput={"0": 0.9})
         wrong = await self.judged(Broken.LIES, wanted)
