--- a/fuchsiacroft/__main__.py
+++ b/fuchsiacroft/__main__.py
@@ -13,6 +13,7 @@
     "demo": "show the system on one machine, in under 30 s",
     "entry": "run an entry: take callers' requests and dispatch them",
     "control": "run a control member: configuration, ledger, leases, orders",
+    "platform": "run a role of the system on the users' platform",
     "console": "run the console: forms for operators",
     "check": "check settings and a document, and print every fault",
     "apply": "put a document in force everywhere",
--- a/fuchsiacroft/commands/common.py
+++ b/fuchsiacroft/commands/common.py
@@ -42,10 +42,16 @@
     loaded = load_settings(values)
     if loaded is None:
         return ExitCode.FAILED
-    logs.configure(loaded.log_level)
+    path = Path(values.settings)
+    return run_kernel(lambda: create(loaded, path), loaded.node, loaded.log_level)
+
+
+def run_kernel(create: Callable[[], Kernel], node: str, log_level: str) -> int:
+    """Run the services of a process until a signal stops it."""
+    logs.configure(log_level, to_stdout=True)
 
     async def serve() -> None:
-        await process.serve(create(loaded, Path(values.settings)), loaded.node)
+        await process.serve(create(), node)
 
     try:
         process.run(serve())
@@ -58,6 +64,8 @@
     except (OSError, zmq.ZMQError) as exc:
         print(f"cannot start: {exc}", file=sys.stderr)
         return ExitCode.FAILED
+    finally:
+        logs.close()
     return ExitCode.OK
 
 
--- /dev/null
+++ b/fuchsiacroft/commands/platform.py
@@ -0,0 +1,34 @@
+"""Run a role of the system on the users' platform.
+
+The platform names the settings file in the environment. The process runs until
+SIGTERM or SIGINT, then ends its work in progress and exits.
+"""
+
+import sys
+
+from absl import flags
+from expression import Result
+
+from fuchsiacroft.commands.common import run_kernel
+from fuchsiacroft.commands.exit_codes import ExitCode
+
+ROLES = ("entry", "control")
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Define the flag that names the role."""
+    flags.DEFINE_enum("role", None, ROLES, "what this process does", values)
+    flags.mark_flag_as_required("role", values)
+
+
+def run(values: flags.FlagValues) -> int:
+    """Run the process until a signal stops it."""
+    from fuchsiacroft.platform import processes, settings
+
+    match settings.load():
+        case Result(tag="ok", ok=wire):
+            create = processes.entry if values.role == "entry" else processes.control
+            return run_kernel(lambda: create(wire), wire.node_name, "INFO")
+        case Result(error=fault):
+            print(fault, file=sys.stderr)
+    return ExitCode.FAILED
--- a/fuchsiacroft/config/settings.py
+++ b/fuchsiacroft/config/settings.py
@@ -89,7 +89,9 @@
     """All settings of one process.
 
     `tunnels` maps the peers address of another process to the address to
-    connect to instead, where a VM is reached through one.
+    connect to instead, where a VM is reached through one. A control member with
+    an empty disk forms a group with others only if `may_form_group`; where that
+    is false it joins the group that there is.
     """
 
     node: Name
@@ -100,6 +102,7 @@
     entries: list[Member] = []
     tunnels: dict[str, Address] = {}
     data_folder: str | None = None
+    may_form_group: bool = True
     keys: Keys | None = None
     tls: Tls | None = None
     operator_token_hashes: list[str] = []
--- a/fuchsiacroft/control/consensus/joining.py
+++ b/fuchsiacroft/control/consensus/joining.py
@@ -43,9 +43,11 @@
         addresses: tuple[str, ...],
         restart: Callable[[], Awaitable[None]],
         on_verified: Callable[[], None],
+        may_form: bool = True,
     ) -> None:
         self._member = member
         self._addresses = addresses
+        self._may_form = may_form
         self._restart = restart
         self._on_verified = on_verified
         self.joiners: dict[str, Joiner] = {}
@@ -172,7 +174,8 @@
             needed = _intersecting(len(others) + 1, len(others))
         if len(replies) >= needed:
             self._verify(replies)
-        if len(fresh) == len(replies) == len(others) and self._is_first():
+        is_new = len(fresh) == len(replies) == len(others)
+        if self._may_form and is_new and self._is_first():
             self._form(fresh)
 
     def _is_first(self) -> bool:
--- a/fuchsiacroft/control/consensus/service.py
+++ b/fuchsiacroft/control/consensus/service.py
@@ -37,6 +37,7 @@
         member: Member,
         addresses: tuple[str, ...],
         rng: random.Random,
+        may_form: bool = True,
     ) -> None:
         self._member = member
         self._storage = member.storage
@@ -49,7 +50,7 @@
         self._proposals = Proposals(member, self._applying, self._leadership)
         self._reads = Reads(member, self._applying, self._leadership)
         self._joining = Joining(
-            member, addresses, self._start_afresh, self._on_verified
+            member, addresses, self._start_afresh, self._on_verified, may_form
         )
         self._membership = Membership(
             member, self._joining, addresses, self._leadership
@@ -196,4 +197,5 @@
     listed = {member.peers for member in settings.control} | {address}
     member = Member(settings.node, address, bus, storage)
     rng = rng or random.Random()
-    return ConsensusLog(member, tuple(sorted(listed)), rng)
+    listed_addresses = tuple(sorted(listed))
+    return ConsensusLog(member, listed_addresses, rng, settings.may_form_group)
--- /dev/null
+++ b/fuchsiacroft/control/publisher.py
@@ -0,0 +1,130 @@
+"""Publishes bodies through the replicated log, and serves them to entries."""
+
+import asyncio
+import enum
+import zlib
+
+import msgspec
+from expression import Error, Ok, Result
+
+from fuchsiacroft.config.published_feed import FetchPublished, PublishedNews
+from fuchsiacroft.control.log import ProposeError, ReplicatedLog
+from fuchsiacroft.control.published import Publish, PublishedState, PublishOutcome
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.tasks import TaskGroup
+
+CONFIRM_PERIOD_S = 0.5
+"""Between two read barriers that show this member up to date."""
+CONFIRMED_S = 2.0
+"""For how long a read barrier counts: several periods, below a few seconds."""
+MAX_FETCH_WAIT_S = 5.0
+COMPRESSION_LEVEL = 3
+
+
+class ReadError(enum.Enum):
+    """Why no body is returned."""
+
+    UNSURE = "unsure"
+    NOTHING_PUBLISHED = "nothing_published"
+
+
+class Published(msgspec.Struct, frozen=True):
+    """A version and its body."""
+
+    version: int
+    body: bytes
+
+
+class Publisher(Service):
+    """The published body on a control member."""
+
+    name = "publisher"
+
+    def __init__(self, state: PublishedState) -> None:
+        self._state = state
+        self._changed = asyncio.Event()
+        self._confirmed_at: float | None = None
+        self._tasks = TaskGroup("publisher")
+        state.on_change(self._on_change)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Answer the entries' fetches."""
+        self._log = kernel.get("log", ReplicatedLog)
+        bus = kernel.get("bus", Bus)
+        bus.handle(FetchPublished, self._on_fetch)
+        self._tasks.keep(self._confirm(), "publisher-confirm")
+
+    async def stop(self) -> None:
+        """End the background task."""
+        await self._tasks.cancel()
+
+    def dump(self) -> dict:
+        """Return the version held, its size, and whether it is confirmed."""
+        return {
+            "version": self._state.version,
+            "compressed_bytes": len(self._state.body),
+            "confirmed": self.is_confirmed,
+        }
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Tell whether a quorum answered lately."""
+        at = self._confirmed_at
+        return at is not None and now() - at < CONFIRMED_S
+
+    async def publish(
+        self, version: int, body: bytes, timeout_s: float
+    ) -> Result[PublishOutcome, ProposeError]:
+        """Commit a body; it is durable on a majority when this returns."""
+        started_at = now()
+        barrier = await self._log.read_barrier(timeout_s)
+        if barrier.is_error():
+            return Error(barrier.error)
+        if version <= self._state.version:
+            return Ok(PublishOutcome(self._state.version, False))
+        command = Publish(version, zlib.compress(body, COMPRESSION_LEVEL))
+        left_s = max(timeout_s - (now() - started_at), 0.0)
+        match await self._log.propose(command, left_s):
+            case Result(tag="ok", ok=applied):
+                return Ok(applied.result)
+            case Result(error=exc):
+                return Error(exc)
+
+    async def read(self, timeout_s: float) -> Result[Published, ReadError]:
+        """Return the newest body, or that this member cannot be sure of it."""
+        if (await self._log.read_barrier(timeout_s)).is_error():
+            return Error(ReadError.UNSURE)
+        if not self._state.version:
+            return Error(ReadError.NOTHING_PUBLISHED)
+        return Ok(Published(self._state.version, zlib.decompress(self._state.body)))
+
+    async def _confirm(self) -> None:
+        while True:
+            asked_at = now()
+            if (await self._log.read_barrier(CONFIRM_PERIOD_S)).is_ok():
+                self._confirmed_at = asked_at
+            await asyncio.sleep(CONFIRM_PERIOD_S)
+
+    async def _on_fetch(self, sender: str, msg: FetchPublished) -> PublishedNews:
+        if msg.version >= self._state.version and msg.wait_s > 0:
+            changed = self._changed
+            try:
+                async with asyncio.timeout(min(msg.wait_s, MAX_FETCH_WAIT_S)):
+                    await changed.wait()
+            except TimeoutError:
+                pass  # No news is the answer.
+        body = self._state.body if self._state.version > msg.version else b""
+        return PublishedNews(self._state.version, body, self.is_confirmed)
+
+    def _on_change(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+        event("info", "version_committed", version=self._state.version)
+
+
+def create(state: PublishedState) -> Publisher:
+    """Return the publisher of a control member."""
+    return Publisher(state)
--- a/fuchsiacroft/entry/caller_server.py
+++ b/fuchsiacroft/entry/caller_server.py
@@ -29,6 +29,17 @@
         super().__init__(*args, **kwargs)
         self.heard = False
 
+    def close(self) -> None:
+        """Close the connection, an idle one at once.
+
+        aiohttp wakes the task of an idle connection, which ends without closing
+        the transport, so that the next request would be read and never answered.
+        """
+        is_idle = self._waiter is not None and not self._waiter.done()
+        super().close()
+        if is_idle and self.transport is not None:
+            self.transport.close()
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -79,11 +90,17 @@
             if conn.heard:
                 conn.close()
 
-    async def close(self) -> None:
-        """Stop listening, hear first requests out, and close every connection."""
-        if self._listening is not None:
-            self._listening.close()
+    async def stop_listening(self) -> None:
+        """Accept no more connections, and hear first requests out."""
+        if self._listening is None:
+            return
+        self._listening.close()
+        self._listening = None
         if self.connections:
             await asyncio.sleep(LAST_REQUESTS_S)
+
+    async def close(self) -> None:
+        """Stop listening and close every connection."""
+        await self.stop_listening()
         self.pre_shutdown()
         await self.shutdown(SHUTDOWN_TIMEOUT_S)
--- a/fuchsiacroft/entry/checks.py
+++ b/fuchsiacroft/entry/checks.py
@@ -26,6 +26,11 @@
 
 def fault(http: web.BaseRequest) -> Problem | None:
     """Return why a request is refused before it is read, or None."""
+    return message_fault(http) or _target_fault(http.raw_path)
+
+
+def message_fault(http: web.BaseRequest) -> Problem | None:
+    """Return what is wrong with a request's framing and method, or None."""
     if http.method in REFUSED_METHODS:
         return Problem(405, "method_refused", f"{http.method} is not served")
     headers = http.headers
@@ -40,7 +45,7 @@
         return _malformed("the only Transfer-Encoding served is chunked")
     if headers.get("Expect", "100-continue").lower() != "100-continue":
         return Problem(417, "expectation_failed", "only 100-continue is known")
-    return _target_fault(http.raw_path)
+    return None
 
 
 def decoded_path(target: str) -> str:
--- /dev/null
+++ b/fuchsiacroft/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The request path of an entry that routes by host and path."""
--- /dev/null
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -0,0 +1,204 @@
+"""Carries a request to backend servers until it has its answer."""
+
+import asyncio
+import random
+
+from aiohttp import web
+from expression import Error, Ok, Result
+
+from fuchsiacroft.config.published_follower import PublishedFollower
+from fuchsiacroft.config.route_table import Route
+from fuchsiacroft.entry import checks
+from fuchsiacroft.entry.body import HeldBodies
+from fuchsiacroft.entry.problems import Problem, Ran
+from fuchsiacroft.gateway.attempt import Ending, Try
+from fuchsiacroft.gateway.call import Call, Dialect
+from fuchsiacroft.gateway.session import Session
+from fuchsiacroft.gateway.upstream import Upstream
+from fuchsiacroft.gateway.waiting import max_wait_s
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.placing.placer import Placement, Placer
+from fuchsiacroft.routing.ask import Ask, Refusal, RefusalReason
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
+
+MAX_SENDS = 4
+"""Backend servers that one request is sent to, those that did not run it too."""
+NOT_READY_RETRY_S = 0.5
+MIN_LEFT_S = 0.01
+"""With less time left a backend server could not answer."""
+
+
+class BrokenOffError(Exception):
+    """An answer has begun that cannot be completed; the connection must end."""
+
+
+class Forwarder(Service):
+    """The steps of a request: read, place, try, and once more if that is safe."""
+
+    name = "forwarder"
+
+    def __init__(self, dialect: Dialect) -> None:
+        self._dialect = dialect
+        self._bodies = HeldBodies()
+        self._random = random.Random()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Look up what a request needs."""
+        self._tables = kernel.get("route_table", PublishedFollower)
+        self._placer = kernel.get("placer", Placer)
+        self._upstream = kernel.get("upstream", Upstream)
+
+    def dump(self) -> dict:
+        """Return the memory that bodies take."""
+        return {"held_body_bytes": self._bodies.held_bytes}
+
+    async def serve(self, session: Session) -> web.StreamResponse:
+        """Return the answer to a request."""
+        problem = checks.message_fault(session.http)
+        if problem is not None:
+            response = self._refuse(session, problem)
+            response.force_close()
+            return response
+        match self._admit(session):
+            case Result(tag="error", error=problem):
+                return self._refuse(session, problem)
+        limits = self._tables.table.limits
+        match await self._bodies.read(session.http, limits.max_body_bytes):
+            case Result(tag="ok", ok=body):
+                session.body = body
+            case Result(error=problem):
+                return self._refuse(session, problem)
+        try:
+            async with asyncio.timeout_at(session.deadline):
+                return await self._until_answered(session)
+        except TimeoutError:
+            return self._late(session)
+        finally:
+            self._bodies.release(session.body)
+
+    def _admit(self, session: Session) -> Result[None, Problem]:
+        table = self._tables.table
+        if table is None:
+            detail = "no route table yet; the request did not run"
+            return Error(Problem(503, "not_ready", detail, Ran.NO, NOT_READY_RETRY_S))
+        match self._dialect.read(session.http, table, self._choose_service):
+            case Result(tag="ok", ok=call):
+                session.call = call
+                session.deadline = session.started_at + call.timeout_s
+                return Ok(None)
+            case Result(error=problem):
+                return Error(problem)
+
+    def _choose_service(self, route: Route) -> str:
+        return route.choose_service(self._random)
+
+    async def _until_answered(self, session: Session) -> web.StreamResponse:
+        failure: web.StreamResponse | None = None
+        while True:
+            match await self._place(session):
+                case Result(tag="ok", ok=placement):
+                    pass
+                case Result(error=refusal):
+                    return self._end_without(session, failure, refusal)
+            attempt = Try(
+                session, placement, self._dialect, self._upstream, self._placer
+            )
+            ending = await attempt.run()
+            if ending is Ending.ANSWERED:
+                return attempt.answer
+            if ending is Ending.FAILED:
+                failure = attempt.answer
+            if not self._may_go_on(session, ending):
+                return self._end_without(session, failure, None)
+            event(
+                "info",
+                "request_sent_again",
+                request_id=session.request_id,
+                after=ending.value,
+                runs=session.runs,
+                tried=",".join(session.tried),
+                left_s=round(session.left_s, 3),
+            )
+
+    def _may_go_on(self, session: Session, ending: Ending) -> bool:
+        if session.left_s < MIN_LEFT_S or len(session.tried) >= MAX_SENDS:
+            return False
+        if ending is Ending.NOT_RUN:
+            return session.runs == 0 or session.may_run_again
+        return session.may_run_again
+
+    async def _place(self, session: Session) -> Result[Placement, Refusal]:
+        call = session.call
+        left_s = session.left_s
+        ask = _ask(call, session, left_s)
+        is_first = not session.tried
+        asked_at = now()
+        outcome = await self._placer.acquire(
+            ask,
+            charge=call.charge if is_first else 0.0,
+            repeats=session.sends > 0,
+            max_wait_s=max_wait_s(call, left_s),
+        )
+        session.waited_s += now() - asked_at
+        return outcome
+
+    def _end_without(
+        self,
+        session: Session,
+        failure: web.StreamResponse | None,
+        refusal: Refusal | None,
+    ) -> web.StreamResponse:
+        """Return the last answer that can be given, after the tries are over."""
+        if session.begun is not None:
+            raise BrokenOffError("no backend server continues the stream")
+        if failure is not None:
+            return failure
+        if session.runs:
+            detail = "the backend server broke off; the request may have run"
+            return self._refuse(session, Problem(502, "broken_off", detail, Ran.MAYBE))
+        return self._refuse(session, _problem(refusal))
+
+    def _late(self, session: Session) -> web.StreamResponse:
+        if session.begun is not None:
+            raise BrokenOffError("the time of the request is over")
+        if session.runs or session.sends:
+            detail = "no answer within the time of the request; it may have run"
+            return self._refuse(session, Problem(504, "timed_out", detail, Ran.MAYBE))
+        detail = "no place within the time of the request; it did not run"
+        problem = Problem(503, "timed_out", detail, Ran.NO, NOT_READY_RETRY_S)
+        return self._refuse(session, problem)
+
+    def _refuse(self, session: Session, problem: Problem) -> web.Response:
+        session.problem = problem
+        return self._dialect.refuse(problem, session.request_id)
+
+
+def _ask(call: Call, session: Session, left_s: float) -> Ask:
+    return Ask(
+        request_id=call.request_id,
+        service=call.service,
+        rank=call.rank,
+        timeout_s=left_s,
+        workspace=call.workspace,
+        size=call.size,
+        idempotent=call.route.kind.may_repeat,
+        first_token_target_s=call.route.latency_target_s,
+        token_gap_target_s=call.route.gap_target_s,
+        avoid=tuple(session.tried),
+    )
+
+
+def _problem(refusal: Refusal | None) -> Problem:
+    if refusal is None:
+        detail = "backend servers refused the request; it did not run"
+        return Problem(503, "overloaded", detail, Ran.NO, NOT_READY_RETRY_S)
+    status = 429 if refusal.reason is RefusalReason.OVER_QUOTA else 503
+    detail = f"{refusal.reason.value.replace('_', ' ')}; the request did not run"
+    code = refusal.reason.value
+    return Problem(status, code, detail, Ran.NO, refusal.retry_after_s)
+
+
+def create(dialect: Dialect) -> Forwarder:
+    """Return the forwarder of an entry."""
+    return Forwarder(dialect)
--- /dev/null
+++ b/fuchsiacroft/gateway/front.py
@@ -0,0 +1,167 @@
+"""The callers' side of the gateway: connections, draining, and each ending."""
+
+import asyncio
+
+from aiohttp import web
+
+from fuchsiacroft.config.published_follower import PublishedFollower
+from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.entry.caller_server import CallerServer
+from fuchsiacroft.entry.problems import Problem, Ran
+from fuchsiacroft.gateway.call import Dialect
+from fuchsiacroft.gateway.forwarder import BrokenOffError, Forwarder
+from fuchsiacroft.gateway.session import Session
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
+
+NOTICE_S = 2.5
+"""After two missed questions, a second apart, the balancer sends no more here."""
+DRAIN_POLL_S = 0.05
+
+
+class Front(Service):
+    """Listens for callers and answers each request once."""
+
+    name = "front"
+
+    def __init__(self, settings: Settings, dialect: Dialect) -> None:
+        self._settings = settings
+        self._dialect = dialect
+        self._in_progress: set[Session] = set()
+        self._draining = False
+        self._server: CallerServer | None = None
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen for callers."""
+        self._forwarder = kernel.get("forwarder", Forwarder)
+        self._tables = kernel.get("route_table", PublishedFollower)
+        self._server = CallerServer(self._handle, self._refuse)
+        await self._server.listen(self._settings.addresses.callers, None)
+
+    async def drain(self) -> None:
+        """Be not ready, serve what still comes, and end what is in progress."""
+        self._draining = True
+        deadline = now() + self._settings.drain_timeout_s
+        await asyncio.sleep(NOTICE_S)
+        await self._end_requests(deadline)
+        await self._server.stop_listening()
+        await self._end_requests(deadline)
+        if self._in_progress:
+            event("error", "drain_timed_out", in_progress=len(self._in_progress))
+
+    async def _end_requests(self, deadline: float) -> None:
+        """Wait until nothing is in progress; close what is idle meanwhile."""
+        while now() < deadline:
+            self._server.close_idle()
+            if not self._in_progress:
+                return
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            await self._server.close()
+
+    def dump(self) -> dict:
+        """Return the requests in progress."""
+        return {
+            "draining": self._draining,
+            "in_progress": [
+                {
+                    "request_id": session.request_id,
+                    "seconds": round(now() - session.started_at, 3),
+                    "tried": session.tried,
+                }
+                for session in list(self._in_progress)[:1_000]
+            ],
+        }
+
+    def why_not_ready(self) -> str | None:
+        """Return why callers should go elsewhere, or None."""
+        return "draining" if self._draining else None
+
+    async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        session = Session(http, self._dialect.request_id(http), now())
+        http.protocol.heard = True
+        self._in_progress.add(session)
+        status = 0
+        try:
+            response = await self._forwarder.serve(session)
+            status = response.status
+            if self._draining and not response.prepared:
+                response.force_close()
+            return response
+        except BrokenOffError:
+            self._abort(http)
+            raise ConnectionError("the answer was broken off") from None
+        except (ConnectionError, asyncio.CancelledError):
+            session.caller_left = True
+            raise
+        except Exception as exc:
+            status = 500
+            event(
+                "error",
+                "request_failed",
+                request_id=session.request_id,
+                error=repr(exc),
+            )
+            return self._failed(session)
+        finally:
+            self._in_progress.discard(session)
+            self._log(session, status)
+
+    def _failed(self, session: Session) -> web.Response:
+        if session.begun is not None:
+            self._abort(session.http)
+            raise ConnectionError("the answer has begun")
+        problem = Problem(500, "internal_error", "a fault in the entry", Ran.MAYBE)
+        session.problem = problem
+        return self._dialect.refuse(problem, session.request_id)
+
+    def _abort(self, http: web.BaseRequest) -> None:
+        """End a connection so that what was sent does not look complete."""
+        if http.transport is not None:
+            http.transport.abort()
+
+    def _refuse(
+        self, http: web.BaseRequest, status: int, message: str
+    ) -> web.StreamResponse:
+        session = Session(http, "", now())
+        first_line = message.partition("\n")[0].strip()
+        problem = Problem(status, "malformed", first_line or "not HTTP")
+        if status >= 500:
+            problem = Problem(500, "internal_error", "a fault in the entry", Ran.MAYBE)
+        session.problem = problem
+        self._log(session, status)
+        return self._dialect.refuse(problem, "")
+
+    def _log(self, session: Session, status: int) -> None:
+        call = session.call
+        problem = session.problem
+        first_at = session.first_event_at
+        first_s = None if first_at is None else first_at - session.started_at
+        event(
+            "info",
+            "request_ended",
+            request_id=session.request_id,
+            status="left" if session.caller_left else status,
+            route=call.route.name if call else "-",
+            service=call.service if call else "-",
+            workspace=call.workspace if call else "-",
+            rank=call.rank if call else "-",
+            version=call.table_version if call else self._tables.version,
+            version_age_s=round(self._tables.age_s, 3),
+            tried=",".join(session.tried) or "-",
+            runs=session.runs,
+            waited_s=round(session.waited_s, 4),
+            first_event_s="-" if first_s is None else round(first_s, 4),
+            seconds=round(now() - session.started_at, 4),
+            problem=problem.code if problem else "-",
+            retry_after_s=problem.retry_after_s if problem else "-",
+        )
+
+
+def create(settings: Settings, dialect: Dialect) -> Front:
+    """Return the callers' side of an entry."""
+    return Front(settings, dialect)
--- /dev/null
+++ b/fuchsiacroft/gateway/upstream.py
@@ -0,0 +1,77 @@
+"""The connections to backend servers, a new one for each request.
+
+A connection that carries one request only cannot mix up answers, and its end
+tells the backend server that the caller has left.
+"""
+
+import aiohttp
+from expression import Error, Ok, Result
+from yarl import URL
+
+from fuchsiacroft.entry.backend_client import (
+    READ_BUFFER_BYTES,
+    SKIPPED_HEADERS,
+    AddressConnector,
+    Attempt,
+    SentOnceRequest,
+)
+from fuchsiacroft.gateway.call import Call, Headers
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.routing.ask import RunOutcome
+
+CONNECT_TIMEOUT_S = 0.35
+"""A connection inside a region takes some milliseconds, or a lost packet more."""
+
+
+class Upstream(Service):
+    """Sends requests to backend servers, each once."""
+
+    name = "upstream"
+
+    async def start(self, kernel: Kernel) -> None:
+        """Open the session."""
+        self._session = aiohttp.ClientSession(
+            connector=AddressConnector(limit=0, force_close=True),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            request_class=SentOnceRequest,
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+            skip_auto_headers=SKIPPED_HEADERS,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        await self._session.close()
+
+    async def open(
+        self,
+        address: str,
+        call: Call,
+        headers: Headers,
+        body: bytes,
+        attempt: Attempt,
+    ) -> Result[aiohttp.ClientResponse, RunOutcome]:
+        """Send a request and return the answer's head.
+
+        The error is `NOT_DISPATCHED` only if no byte was written.
+        """
+        try:
+            response = await self._session.request(
+                call.method,
+                URL(f"http://{address}{call.target}", encoded=True),
+                headers=headers,
+                data=body or None,
+                allow_redirects=False,
+                middlewares=(attempt,),
+            )
+        except (aiohttp.ClientError, OSError, ValueError):
+            if attempt.sent:
+                return Error(RunOutcome.CONNECTION_LOST)
+            return Error(RunOutcome.NOT_DISPATCHED)
+        return Ok(response)
+
+
+def create() -> Upstream:
+    """Return the connections of an entry."""
+    return Upstream()
--- a/fuchsiacroft/kernel.py
+++ b/fuchsiacroft/kernel.py
@@ -16,6 +16,9 @@
     async def start(self, kernel: "Kernel") -> None:
         """Look up other services and begin to work."""
 
+    def reload(self) -> None:
+        """Look at files that may have changed; called on SIGHUP."""
+
     async def drain(self) -> None:
         """Refuse new work and wait for the work in progress to end."""
 
@@ -59,6 +62,11 @@
             self._started.append(service)
             event("debug", "service_started", service=service.name)
 
+    def reload(self) -> None:
+        """Have every started service look at its files."""
+        for service in self._started:
+            service.reload()
+
     async def drain(self) -> None:
         """Drain every started service, the last started first."""
         for service in reversed(self._started):
--- /dev/null
+++ b/fuchsiacroft/membership/control_members.py
@@ -0,0 +1,42 @@
+"""The addresses of the control members, as a control member knows them."""
+
+from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.control.consensus import ConsensusLog
+from fuchsiacroft.kernel import Kernel, Service
+
+
+class ControlMembers(Service):
+    """Those in the replicated log's configuration, and those in the settings."""
+
+    name = "control_members"
+
+    def __init__(self, settings: Settings) -> None:
+        self._own = settings.addresses.peers
+        self._listed = {member.peers for member in settings.control}
+
+    def set_listed(self, addresses: tuple[str, ...]) -> None:
+        """Take over the addresses that changed settings name."""
+        self._listed = set(addresses)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Look up the replicated log."""
+        self._log = kernel.get("log", ConsensusLog)
+
+    def dump(self) -> dict:
+        """Return the addresses."""
+        return {"addresses": self.all()}
+
+    def all(self) -> tuple[str, ...]:
+        """Return every address, this member's included."""
+        members = self._log.member.configuration.members
+        known = {member.address for member in members} or self._listed
+        return tuple(sorted(known | {self._own}))
+
+    def others(self) -> tuple[str, ...]:
+        """Return the addresses of the other members."""
+        return tuple(address for address in self.all() if address != self._own)
+
+
+def create(settings: Settings) -> ControlMembers:
+    """Return the control members as one of them knows them."""
+    return ControlMembers(settings)
--- /dev/null
+++ b/fuchsiacroft/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Where each request runs, when it waits, and when it is refused."""
--- /dev/null
+++ b/fuchsiacroft/placing/allocator.py
@@ -0,0 +1,277 @@
+"""Decides where requests run, which wait and which are refused.
+
+Nothing here knows of a network or a task: every call is told the time and
+returns what it decided. The load that the rules answer: more requests than the
+backend servers have places for, of which the urgent ones take few.
+
+A request is placed at once if a place is free and nobody as urgent waits. It
+waits if its turn is expected before the wait would make it late, and is
+refused at once otherwise, so that its caller may go elsewhere or come back.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from fuchsiacroft.config.route_table import RouteTable
+from fuchsiacroft.membership.registry_wire import ServerRecord
+from fuchsiacroft.placing.limits import SharedLimits
+from fuchsiacroft.placing.messages import HeldRun, PlaceRequest
+from fuchsiacroft.placing.queue import Queue, Waiter
+from fuchsiacroft.placing.quotas import Quotas
+from fuchsiacroft.placing.retry_budget import RetryBudget
+from fuchsiacroft.placing.server_load import Run, ServerLoad
+from fuchsiacroft.routing.ask import (
+    Ask,
+    Refusal,
+    RefusalReason,
+    RunOutcome,
+    RunReport,
+)
+
+FAR_DOMAIN_COST_S = 0.02
+"""What sending a request to another failure domain must gain."""
+RUN_GRACE_S = 1.0
+"""Past its timeout, a run whose end was never told is over."""
+NOMINAL_RUN_S = 0.3
+"""The mean run of a service until some have ended."""
+LEARNING_RATE = 0.05
+MIN_RETRY_AFTER_S = 0.2
+QUOTA_RETRY_MAX_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """A run may begin on a backend server."""
+
+    run_id: str
+    backend_server: str
+    address: str
+    waited_s: float
+    free_places: int
+
+
+Decision = Place | Refusal | Waiter
+
+
+class Allocator:
+    """The queue of each service and the runs on each backend server."""
+
+    def __init__(self, limits: SharedLimits) -> None:
+        self._servers: dict[str, ServerLoad] = {}
+        self._runs: dict[str, ServerLoad] = {}
+        self._queues: dict[str, Queue] = {}
+        self._waiters: dict[str, Waiter] = {}
+        self._mean_run_s: dict[str, float] = {}
+        self.quotas = Quotas(limits.quotas)
+        self.retries = RetryBudget(limits.retries)
+
+    def dump(self) -> dict:
+        """Return the servers, the queues and the quotas."""
+        return {
+            "servers": {
+                name: {
+                    "runs": len(load.runs),
+                    "slots": load.slots,
+                    "gap_ms": round((load.gap_s or 0) * 1000, 3),
+                    "failures": round(load.failures, 3),
+                }
+                for name, load in self._servers.items()
+            },
+            "waiting": {name: q.by_rank() for name, q in self._queues.items()},
+            "quotas": self.quotas.dump(),
+        }
+
+    def waiting(self, service: str) -> int:
+        """Return how many requests wait for a service."""
+        queue = self._queues.get(service)
+        return len(queue) if queue is not None else 0
+
+    def set_table(self, table: RouteTable) -> None:
+        """Take over the quotas of a new route table."""
+        self.quotas.replace(table.workspaces)
+
+    def set_servers(self, records: Iterable[ServerRecord]) -> None:
+        """Take over the backend servers that take work."""
+        found = {record.name: record for record in records}
+        for name in self._servers.keys() - found.keys():
+            gone = self._servers.pop(name)
+            for run_id in gone.runs:
+                self._runs.pop(run_id, None)
+        for name, record in found.items():
+            load = self._servers.get(name)
+            if load is None or load.record.incarnation != record.incarnation:
+                for run_id in load.runs if load is not None else ():
+                    self._runs.pop(run_id, None)
+                self._servers[name] = ServerLoad(record)
+            else:
+                load.record = record
+
+    def place(self, request: PlaceRequest, at: float) -> Decision:
+        """Place a request, let it wait, or refuse it."""
+        refusal = self._over_limits(request, at)
+        if refusal is not None:
+            return refusal
+        service = request.ask.service
+        queue = self._queues.setdefault(service, Queue())
+        if queue.ahead_of(request.ask.rank) == 0:
+            load = self._choose(request, at)
+            if load is not None:
+                return self._begin(request, load, at, at)
+        decision = self._wait(request, queue, at)
+        if isinstance(decision, Refusal):
+            self._give_back(request)
+        return decision
+
+    def note_read(self, run_id: str) -> None:
+        """Note that the prompt of a run has been read."""
+        load = self._runs.get(run_id)
+        if load is not None:
+            load.note_read(run_id)
+
+    def end(self, run_id: str, report: RunReport, at: float) -> None:
+        """End a run, or forget a request that waits."""
+        waiter = self._waiters.pop(run_id, None)
+        if waiter is not None:
+            self._queues[waiter.request.ask.service].remove(waiter)
+            self._give_back(waiter.request)
+        load = self._runs.pop(run_id, None)
+        if load is None:
+            return
+        run = load.end(run_id)
+        if run is None:
+            return
+        load.learn(run, report, at)
+        if report.outcome is RunOutcome.COMPLETED:
+            self._learn_mean(run.ask.service, at - run.started_at)
+
+    def adopt(self, held: HeldRun, at: float) -> None:
+        """Count a run that began before this allocator was asked."""
+        load = self._servers.get(held.backend_server)
+        if load is None or held.run_id in self._runs:
+            return
+        run = Run(held.run_id, held.ask, at, at + _longest_s(held.ask), False)
+        load.begin(run)
+        self._runs[held.run_id] = load
+
+    def serve(self, at: float) -> list[tuple[Waiter, Place]]:
+        """Place the waiters for which there is room now."""
+        placed = []
+        for service, queue in self._queues.items():
+            if queue.head() is not None and self._has_room(service, at):
+                placed.extend(self._serve(queue, at))
+        return placed
+
+    def give_up(self, at: float) -> list[tuple[Waiter, Refusal]]:
+        """Refuse the waiters whose time is over, and end forgotten runs."""
+        refused = []
+        for waiter in list(self._waiters.values()):
+            if waiter.until <= at:
+                refused.append((waiter, self._refuse_waiter(waiter)))
+        for load in self._servers.values():
+            for run in list(load.runs.values()):
+                if run.ends_by <= at:
+                    load.end(run.run_id)
+                    self._runs.pop(run.run_id, None)
+        return refused
+
+    def _over_limits(self, request: PlaceRequest, at: float) -> Refusal | None:
+        ask = request.ask
+        if not any(load.offers(ask.service) for load in self._servers.values()):
+            return Refusal(RefusalReason.NO_BACKEND_SERVER, MIN_RETRY_AFTER_S)
+        wait_s = self.quotas.take(ask.workspace, request.charge, at)
+        if wait_s > 0:
+            wait_s = min(max(wait_s, MIN_RETRY_AFTER_S), QUOTA_RETRY_MAX_S)
+            return Refusal(RefusalReason.OVER_QUOTA, wait_s)
+        if request.repeats and not self.retries.take_repeat(ask.service, at):
+            return Refusal(RefusalReason.RETRY_BUDGET, MIN_RETRY_AFTER_S)
+        if not request.repeats:
+            self.retries.note_first(ask.service, at)
+        return None
+
+    def _wait(self, request: PlaceRequest, queue: Queue, at: float) -> Decision:
+        ask = request.ask
+        expected_s = self._expected_wait_s(ask, queue.ahead_of(ask.rank))
+        if expected_s > request.max_wait_s:
+            return Refusal(RefusalReason.OVERLOADED, _retry_after_s(expected_s))
+        waiter = Waiter(request, at, at + request.max_wait_s)
+        queue.add(waiter)
+        self._waiters[request.run_id] = waiter
+        return waiter
+
+    def _expected_wait_s(self, ask: Ask, ahead: int) -> float:
+        slots = sum(
+            load.slots for load in self._servers.values() if load.offers(ask.service)
+        )
+        mean_s = self._mean_run_s.get(ask.service, NOMINAL_RUN_S)
+        return (ahead + 1) * mean_s / max(slots, 1)
+
+    def _serve(self, queue: Queue, at: float) -> list[tuple[Waiter, Place]]:
+        placed = []
+        for waiter in queue.waiters():
+            load = self._choose(waiter.request, at)
+            if load is None:
+                if not self._has_room(waiter.request.ask.service, at):
+                    break
+                continue
+            queue.remove(waiter)
+            self._waiters.pop(waiter.request.run_id, None)
+            place = self._begin(waiter.request, load, at, waiter.arrived_at)
+            placed.append((waiter, place))
+        return placed
+
+    def _has_room(self, service: str, at: float) -> bool:
+        return any(
+            load.free(at) > 0 for load in self._servers.values() if load.offers(service)
+        )
+
+    def _choose(self, request: PlaceRequest, at: float) -> ServerLoad | None:
+        """Return the free server with the earliest expected end, or None."""
+        ask = request.ask
+        best, least = None, float("inf")
+        for load in self._servers.values():
+            if load.name in ask.avoid or not load.offers(ask.service):
+                continue
+            if load.free(at) <= 0:
+                continue
+            cost_s = load.expected_s(ask)
+            if load.failure_domain != request.failure_domain:
+                cost_s += FAR_DOMAIN_COST_S
+            if cost_s < least:
+                best, least = load, cost_s
+        return best
+
+    def _begin(
+        self, request: PlaceRequest, load: ServerLoad, at: float, since: float
+    ) -> Place:
+        ask = request.ask
+        reading = ask.size.prompt_tokens > 0
+        run = Run(request.run_id, ask, at, at + _longest_s(ask), reading)
+        free = load.free(at)
+        load.begin(run)
+        self._runs[run.run_id] = load
+        address = load.record.announcement.address
+        return Place(run.run_id, load.name, address, at - since, free)
+
+    def _refuse_waiter(self, waiter: Waiter) -> Refusal:
+        ask = waiter.request.ask
+        queue = self._queues[ask.service]
+        queue.remove(waiter)
+        self._waiters.pop(waiter.request.run_id, None)
+        self._give_back(waiter.request)
+        expected_s = self._expected_wait_s(ask, queue.ahead_of(ask.rank))
+        return Refusal(RefusalReason.TIMED_OUT, _retry_after_s(expected_s))
+
+    def _give_back(self, request: PlaceRequest) -> None:
+        self.quotas.give_back(request.ask.workspace, request.charge)
+
+    def _learn_mean(self, service: str, run_s: float) -> None:
+        known = self._mean_run_s.get(service, run_s)
+        self._mean_run_s[service] = known + LEARNING_RATE * (run_s - known)
+
+
+def _longest_s(ask: Ask) -> float:
+    return ask.timeout_s + RUN_GRACE_S
+
+
+def _retry_after_s(expected_s: float) -> float:
+    return max(expected_s, MIN_RETRY_AFTER_S)
--- /dev/null
+++ b/fuchsiacroft/placing/messages.py
@@ -0,0 +1,81 @@
+"""Messages between the entry that holds a request and the coordinator."""
+
+import msgspec
+
+from fuchsiacroft.routing.ask import Ask, Refusal, RunReport
+from fuchsiacroft.transport import codec
+
+
+@codec.message("placing.request")
+class PlaceRequest(msgspec.Struct, frozen=True):
+    """Ask for a place to run; answered when there is one or none will be.
+
+    `run_id` is new for each try. `charge` is what the request takes of its
+    workspace's quota, 0 if that was taken before. `repeats` tells that an
+    earlier try reached a backend server. `max_wait_s` bounds the wait.
+    """
+
+    run_id: str
+    ask: Ask
+    failure_domain: str
+    charge: float
+    repeats: bool
+    max_wait_s: float
+
+
+@codec.message("placing.placed")
+class Placed(msgspec.Struct, frozen=True):
+    """Run there; the coordinator counts the run until it is told of its end."""
+
+    run_id: str
+    backend_server: str
+    address: str
+
+
+@codec.message("placing.not_placed")
+class NotPlaced(msgspec.Struct, frozen=True):
+    """The request does not run now."""
+
+    refusal: Refusal
+
+
+@codec.message("placing.first_event")
+class FirstEvent(msgspec.Struct, frozen=True):
+    """A run has sent its first event: its prompt has been read."""
+
+    run_id: str
+
+
+@codec.message("placing.run_ended")
+class RunEnded(msgspec.Struct, frozen=True):
+    """A run ended, or its request no longer waits."""
+
+    run_id: str
+    report: RunReport
+
+
+class HeldRun(msgspec.Struct, frozen=True):
+    """A run in progress, as its entry knows it."""
+
+    run_id: str
+    backend_server: str
+    ask: Ask
+
+
+@codec.message("placing.ping")
+class Ping(msgspec.Struct, frozen=True):
+    """Is the coordinator there? `epoch` is its life as last heard.
+
+    `runs` are all of the sender's if the coordinator's life is new to it.
+    """
+
+    node: str
+    epoch: str
+    runs: tuple[HeldRun, ...]
+
+
+@codec.message("placing.pong")
+class Pong(msgspec.Struct, frozen=True):
+    """The coordinator's life; a sender that knew another tells its runs."""
+
+    epoch: str
--- /dev/null
+++ b/fuchsiacroft/placing/server_load.py
@@ -0,0 +1,133 @@
+"""One backend server as the coordinator sees it: its runs, speed and health."""
+
+from dataclasses import dataclass, field
+
+from fuchsiacroft.membership.registry_wire import ServerRecord
+from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport
+
+LEARNING_RATE = 0.15
+"""Weight of the newest run in a moving average."""
+ASIDE_MIN_S = 0.3
+ASIDE_MAX_S = 3.0
+"""How long a server that could not be reached is left alone, at first and most."""
+READ_TOKENS_PER_S = 100_000.0
+"""Prompt tokens that a model engine reads, until its own speed is known."""
+FAILURE_COST_S = 2.0
+"""What a certain failure costs, against seconds of a run's time."""
+NOMINAL_GAP_S = 0.0025
+NOMINAL_RUN_S = 0.025
+"""A token's time and a plain run's, until a server's own are known."""
+PLAIN_SLOTS = 8
+"""Places of a plain server that does not tell how many it has."""
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """A request that runs, or is about to, on one backend server."""
+
+    run_id: str
+    ask: Ask
+    started_at: float
+    ends_by: float
+    reading: bool
+
+
+@dataclass(slots=True, eq=False)
+class ServerLoad:
+    """Counts what runs on a backend server and learns from how it ended."""
+
+    record: ServerRecord
+    runs: dict[str, Run] = field(default_factory=dict)
+    gap_s: float | None = None
+    plain_s: float | None = None
+    failures: float = 0.0
+    aside_until: float = 0.0
+    aside_s: float = 0.0
+    reading_tokens: int = 0
+
+    @property
+    def name(self) -> str:
+        """Return the backend server's name."""
+        return self.record.name
+
+    @property
+    def failure_domain(self) -> str:
+        """Return its failure domain."""
+        return self.record.announcement.failure_domain
+
+    @property
+    def slots(self) -> int:
+        """Return how many requests it runs at a time."""
+        return self.record.announcement.slots or PLAIN_SLOTS
+
+    def offers(self, service: str) -> bool:
+        """Tell whether it serves a service."""
+        return any(o.service == service for o in self.record.announcement.offers)
+
+    def free(self, at: float) -> int:
+        """Return how many more requests it may run now."""
+        if at < self.aside_until:
+            return 0
+        return self.slots - len(self.runs)
+
+    def expected_s(self, ask: Ask) -> float:
+        """Return the expected time of a run that begins now."""
+        failure_s = self.failures * FAILURE_COST_S
+        if not ask.size.prompt_tokens:
+            run_s = self.plain_s or NOMINAL_RUN_S
+            return run_s * (1 + len(self.runs) / self.slots) + failure_s
+        gap_s = self.gap_s or NOMINAL_GAP_S
+        speed = READ_TOKENS_PER_S * NOMINAL_GAP_S / gap_s
+        reading_s = (self.reading_tokens + ask.size.prompt_tokens) / speed
+        return reading_s + ask.size.output_tokens * gap_s + failure_s
+
+    def begin(self, run: Run) -> None:
+        """Count a run."""
+        self.runs[run.run_id] = run
+        if run.reading:
+            self.reading_tokens += run.ask.size.prompt_tokens
+
+    def note_read(self, run_id: str) -> None:
+        """Note that a run's prompt has been read."""
+        run = self.runs.get(run_id)
+        if run is not None and run.reading:
+            run.reading = False
+            self.reading_tokens -= run.ask.size.prompt_tokens
+
+    def end(self, run_id: str) -> Run | None:
+        """Count a run no more; return it."""
+        self.note_read(run_id)
+        return self.runs.pop(run_id, None)
+
+    def learn(self, run: Run, report: RunReport, at: float) -> None:
+        """Take in how a run ended."""
+        match report.outcome:
+            case RunOutcome.UNUSED | RunOutcome.CANCELLED | RunOutcome.CUT:
+                return
+            case RunOutcome.NOT_DISPATCHED | RunOutcome.CONNECTION_LOST:
+                self._set_aside(at)
+            case RunOutcome.COMPLETED:
+                self.aside_s = 0.0
+                self.aside_until = 0.0
+                self._learn_speed(run.ask, report)
+        failed = 0.0 if report.outcome is RunOutcome.COMPLETED else 1.0
+        if report.outcome is not RunOutcome.REFUSED:
+            self.failures += LEARNING_RATE * (failed - self.failures)
+
+    def _set_aside(self, at: float) -> None:
+        if at < self.aside_until:
+            return
+        self.aside_s = min(max(self.aside_s * 2, ASIDE_MIN_S), ASIDE_MAX_S)
+        self.aside_until = at + self.aside_s
+
+    def _learn_speed(self, ask: Ask, report: RunReport) -> None:
+        if not ask.size.prompt_tokens:
+            self.plain_s = _averaged(self.plain_s, report.duration_s)
+        elif report.token_gap_s is not None:
+            self.gap_s = _averaged(self.gap_s, report.token_gap_s)
+
+
+def _averaged(known: float | None, seen: float) -> float:
+    if known is None:
+        return seen
+    return known + LEARNING_RATE * (seen - known)
--- /dev/null
+++ b/fuchsiacroft/platform/control_api.py
@@ -0,0 +1,118 @@
+"""The calls that replicas and the operator make at a control member."""
+
+from aiohttp import web
+from expression import Result
+
+from fuchsiacroft.control.publisher import Publisher, ReadError
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.membership.registry import ServerRegistry
+from fuchsiacroft.platform import documents, heartbeats
+from fuchsiacroft.utils.http import Listener
+from fuchsiacroft.utils.logs import event
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+ANSWER_S = 0.8
+"""Callers go on to another node after a second without a response."""
+ANSWER_S_A_BYTE = 5e-6
+"""Callers wait longer for large bodies."""
+
+
+class ControlApi(Service):
+    """Serves `/v1/config` and `/v1/replicas/ID`."""
+
+    name = "control_api"
+
+    def __init__(self, address: str) -> None:
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_get("/v1/config", self._get_config)
+        app.router.add_put("/v1/config", self._put_config)
+        app.router.add_put("/v1/replicas/{id}", self._put_replica)
+        app.router.add_delete("/v1/replicas/{id}", self._delete_replica)
+        self._listener = Listener(app, address)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen for callers."""
+        self._publisher = kernel.get("publisher", Publisher)
+        self._registry = kernel.get("registry", ServerRegistry)
+        await self._listener.start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._listener.stop()
+
+    async def _get_config(self, req: web.Request) -> web.Response:
+        match await self._publisher.read(ANSWER_S):
+            case Result(tag="ok", ok=published):
+                return web.Response(
+                    body=published.body, content_type="application/json"
+                )
+            case Result(error=ReadError.NOTHING_PUBLISHED):
+                return _refused(503, "no configuration yet")
+        return _refused(503, "no quorum; the newest version is not known")
+
+    async def _put_config(self, req: web.Request) -> web.Response:
+        body = await req.read()
+        match documents.parse(body):
+            case Result(tag="ok", ok=table):
+                pass
+            case Result(error=faults):
+                shown = "; ".join(str(fault) for fault in faults[:20])
+                event("info", "configuration_refused", reason=shown)
+                return _refused(400, shown)
+        timeout_s = ANSWER_S + ANSWER_S_A_BYTE * len(body)
+        match await self._publisher.publish(table.version, body, timeout_s):
+            case Result(tag="ok", ok=outcome):
+                event(
+                    "info",
+                    "configuration_acknowledged",
+                    version=table.version,
+                    held=outcome.version,
+                    taken=outcome.taken,
+                )
+                return web.json_response({"version": outcome.version})
+            case Result(error=exc):
+                event(
+                    "warning",
+                    "configuration_unanswered",
+                    version=table.version,
+                    reason=exc.value,
+                )
+        return _refused(503, "no quorum; send it again")
+
+    async def _put_replica(self, req: web.Request) -> web.Response:
+        replica_id = req.match_info["id"]
+        match heartbeats.parse(replica_id, await req.read()):
+            case Result(tag="ok", ok=record):
+                return _noted(replica_id, await self._registry.report(record))
+            case Result(error=reason):
+                event("info", "heartbeat_refused", replica=replica_id, reason=reason)
+        return _refused(400, reason)
+
+    async def _delete_replica(self, req: web.Request) -> web.Response:
+        replica_id = req.match_info["id"]
+        match heartbeats.parse_leave(await req.read()):
+            case Result(tag="ok", ok=born_ms):
+                return _noted(
+                    replica_id, await self._registry.leave(replica_id, born_ms)
+                )
+            case Result(error=reason):
+                event("info", "leave_refused", replica=replica_id, reason=reason)
+        return _refused(400, reason)
+
+
+def create(address: str) -> ControlApi:
+    """Return the calls of a control member."""
+    return ControlApi(address)
+
+
+def _noted(replica_id: str, outcome: Result[None, str]) -> web.Response:
+    match outcome:
+        case Result(tag="ok"):
+            return web.json_response({})
+        case Result(error=reason):
+            event("warning", "report_not_obeyed", replica=replica_id, reason=reason)
+    return _refused(503, reason)
+
+
+def _refused(status: int, reason: str) -> web.Response:
+    return web.json_response({"reason": reason}, status=status)
--- /dev/null
+++ b/fuchsiacroft/platform/documents.py
@@ -0,0 +1,220 @@
+"""Reads the operator's configurations into route tables.
+
+A configuration is refused as a whole, with every fault named.
+"""
+
+from collections.abc import Iterator
+
+import msgspec
+from expression import Error, Ok, Result
+
+from fuchsiacroft.config import route_table
+from fuchsiacroft.config.faults import Fault
+from fuchsiacroft.config.route_table import (
+    CallerLimits,
+    Kind,
+    Quota,
+    Route,
+    RouteTable,
+    Service,
+    Target,
+    Workspace,
+)
+
+MS = 1000.0
+TOKENS_UNIT = "tokens"
+
+
+class WireSplit(msgspec.Struct, rename="camel"):
+    """One part of a route's split."""
+
+    service: str
+    weight: float
+
+
+class WireRoute(msgspec.Struct, rename="camel"):
+    """A route; `target_latency_ms` is up to the first event for streams."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    service: str | None = None
+    traffic_split: list[WireSplit] | None = None
+    target_latency_ms: float = 0.0
+    target_gap_ms: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    public: bool = False
+    stream_resume: bool = False
+
+
+class WireEngine(msgspec.Struct, rename="camel"):
+    """What is said of model engines; `stride` are tokens in an event."""
+
+    slots: int = 0
+    stride: int = 1
+
+
+class WireService(msgspec.Struct, rename="camel"):
+    """A service of the configuration."""
+
+    name: str
+    health_path: str = "/"
+    max_connections: int = 0
+    engine: WireEngine | None = None
+
+
+class WireLimits(msgspec.Struct, rename="camel"):
+    """What clients may send."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class WireTenant(msgspec.Struct, rename="camel"):
+    """A tenant; a rate of 0 means that it has no quota."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = ""
+    plain_tokens: float = 1.0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class WireConfig(msgspec.Struct, rename="camel"):
+    """A complete configuration."""
+
+    version: int
+    routes: list[WireRoute]
+    services: list[WireService]
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    tenants: list[WireTenant] = []
+
+
+_DECODER = msgspec.json.Decoder(WireConfig)
+
+
+def parse(body: bytes) -> Result[RouteTable, list[Fault]]:
+    """Return the route table of a configuration, or every fault in it."""
+    try:
+        wire = _DECODER.decode(body)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as exc:
+        return Error([Fault("$", f"cannot be read: {exc}")])
+    faults = list(_faults(wire))
+    if faults:
+        return Error(faults)
+    return Ok(_table(wire))
+
+
+def _faults(wire: WireConfig) -> Iterator[Fault]:
+    if wire.version < 1:
+        yield Fault("$.version", "must be 1 or more")
+    services = {service.name for service in wire.services}
+    places: set[tuple[str, str]] = set()
+    for i, route in enumerate(wire.routes):
+        path = f"$.routes[{i}]"
+        yield from _route_faults(route, path, services)
+        place = (route.host.lower(), route.path_prefix)
+        if place in places:
+            yield Fault(path, "another route has this host and prefix")
+        places.add(place)
+    yield from _key_faults(wire.tenants)
+
+
+def _route_faults(route: WireRoute, path: str, services: set[str]) -> Iterator[Fault]:
+    if route.timeout_ms <= 0:
+        yield Fault(f"{path}.timeoutMs", "must be more than 0")
+    if route.kind not in ("safe", "unsafe", "stream"):
+        yield Fault(f"{path}.kind", f'"{route.kind}" is not known')
+    targets = _targets(route)
+    for target in targets:
+        if target.service not in services:
+            yield Fault(path, f'names no service "{target.service}"')
+        if target.weight < 0:
+            yield Fault(path, "a weight is less than 0")
+    if sum(target.weight for target in targets) <= 0:
+        yield Fault(path, "has no weight for any service")
+
+
+def _key_faults(tenants: list[WireTenant]) -> Iterator[Fault]:
+    owners: dict[str, str] = {}
+    for i, tenant in enumerate(tenants):
+        for key in tenant.api_keys:
+            if owners.setdefault(key, tenant.name) != tenant.name:
+                yield Fault(f"$.tenants[{i}].apiKeys", "a key has another tenant too")
+
+
+def _targets(route: WireRoute) -> tuple[Target, ...]:
+    if route.traffic_split is not None:
+        return tuple(Target(s.service, s.weight) for s in route.traffic_split)
+    if route.service is None:
+        return ()
+    return (Target(route.service, 1.0),)
+
+
+def _table(wire: WireConfig) -> RouteTable:
+    limits = wire.limits
+    return route_table.create(
+        version=wire.version,
+        routes=[_route(route) for route in wire.routes],
+        services=[_service(service) for service in wire.services],
+        workspaces=[(_workspace(t), tuple(t.api_keys)) for t in wire.tenants],
+        limits=CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / MS,
+            limits.idle_timeout_ms / MS,
+        ),
+    )
+
+
+def _route(route: WireRoute) -> Route:
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        kind=_kind(route),
+        timeout_s=route.timeout_ms / MS,
+        latency_target_s=(route.target_latency_ms or route.timeout_ms) / MS,
+        gap_target_s=route.target_gap_ms / MS,
+        rank=route.priority,
+        targets=tuple(t for t in _targets(route) if t.weight > 0),
+        attempts=max(route.max_attempts, 1),
+        is_public=route.public,
+    )
+
+
+def _kind(route: WireRoute) -> Kind:
+    if route.kind == "safe":
+        return Kind.IDEMPOTENT
+    if route.kind == "unsafe":
+        return Kind.ONCE
+    return Kind.RESUMABLE if route.stream_resume else Kind.STREAM
+
+
+def _service(service: WireService) -> Service:
+    engine = service.engine
+    return Service(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.max_connections,
+        event_tokens=max(engine.stride, 1) if engine is not None else 1,
+    )
+
+
+def _workspace(tenant: WireTenant) -> Workspace:
+    quota = None
+    if tenant.rate_per_s > 0:
+        quota = Quota(
+            units_per_s=tenant.rate_per_s,
+            burst=tenant.burst,
+            counts_tokens=tenant.unit == TOKENS_UNIT,
+            plain_units=tenant.plain_tokens,
+        )
+    return Workspace(tenant.name, tenant.priority, quota)
--- /dev/null
+++ b/fuchsiacroft/platform/processes.py
@@ -0,0 +1,84 @@
+"""Puts the services of the two programs on the platform together."""
+
+from fuchsiacroft import operations
+from fuchsiacroft.config import published_follower
+from fuchsiacroft.control import consensus, publisher, storage
+from fuchsiacroft.control.published import PublishedState
+from fuchsiacroft.exceptions import SettingsError
+from fuchsiacroft.gateway import forwarder, front, upstream
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.membership import control_members, registry, roster
+from fuchsiacroft.placing import coordinator, placer
+from fuchsiacroft.platform import (
+    control_api,
+    dialect,
+    documents,
+    readiness,
+    settings,
+    settings_watch,
+)
+from fuchsiacroft.platform.settings import WireSettings
+from fuchsiacroft.transport import security
+from fuchsiacroft.utils.metrics import Metrics
+
+
+def control(wire: WireSettings) -> Kernel:
+    """Return the kernel of a control member, ready to start."""
+    if wire.bind.control_plane is None:
+        raise SettingsError("a control member needs bind.controlPlane")
+    if wire.data_dir is None:
+        raise SettingsError("a control member needs dataDir")
+    cfg = settings.of_control(wire)
+    bus = security.bus(cfg, security.create(cfg))
+    state = PublishedState()
+    log = consensus.create(cfg, bus, storage.create(wire.data_dir, cfg.node))
+    log.register("published", state)
+    ops = operations.create(cfg.addresses.operators, Metrics())
+    ops.add_check(log.why_not_ready)
+    members = control_members.create(cfg)
+    kernel = Kernel()
+    for service in (
+        bus,
+        log,
+        members,
+        publisher.create(state),
+        registry.create(cfg, wire.heartbeat_s),
+        ops,
+        control_api.create(wire.bind.control_plane),
+        settings_watch.create(wire, members.set_listed),
+    ):
+        kernel.add(service)
+    return kernel
+
+
+def entry(wire: WireSettings) -> Kernel:
+    """Return the kernel of an entry, ready to start."""
+    if wire.bind.data_plane is None or wire.bind.readiness is None:
+        raise SettingsError("an entry needs bind.dataPlane and bind.readiness")
+    cfg = settings.of_entry(wire)
+    words = dialect.create()
+    known = roster.create(cfg)
+    tables = published_follower.create(documents.parse)
+    callers = front.create(cfg, words)
+    ready = readiness.create(
+        wire.bind.readiness,
+        callers.why_not_ready,
+        tables.why_not_ready,
+        known.why_not_ready,
+    )
+    kernel = Kernel()
+    for service in (
+        security.bus(cfg, security.create(cfg)),
+        known,
+        tables,
+        coordinator.create(wire.shared_limits),
+        placer.create(cfg),
+        upstream.create(),
+        forwarder.create(words),
+        operations.create(cfg.addresses.operators, Metrics()),
+        callers,
+        ready,
+        settings_watch.create(wire, known.set_seeds),
+    ):
+        kernel.add(service)
+    return kernel
--- /dev/null
+++ b/fuchsiacroft/platform/settings.py
@@ -0,0 +1,143 @@
+"""Reads the platform's settings file into the product's settings.
+
+Fields that are not read here are ignored, as new ones may come.
+"""
+
+import os
+from pathlib import Path
+
+import msgspec
+from expression import Error, Ok, Result
+
+from fuchsiacroft.config.faults import Fault
+from fuchsiacroft.config.settings import Addresses, Member, Settings
+from fuchsiacroft.placing.limits import SharedLimits
+from fuchsiacroft.placing.quotas import Tolerance
+from fuchsiacroft.placing.retry_budget import RetryLimits
+
+PATH_VARIABLE = "FUCHSIACROFT_CONFIG"
+METRICS_PORT = 9464
+"""Where `deploy/system.toml` says that each role serves its metrics."""
+CONTROL_PORT_OFFSET = 0
+ENTRY_PORT_OFFSET = 1
+"""Ports between processes, from the start of the free range of each machine."""
+DRAIN_MARGIN_S = 1.0
+"""What a stop needs of the grace after the last request has ended."""
+RETRY_MARGIN = 0.5
+"""Of the budget for retries, the part used: two entries may decide at a time."""
+
+
+class WireBind(msgspec.Struct, rename="camel"):
+    """Addresses to listen on, for what the role serves."""
+
+    data_plane: str | None = None
+    readiness: str | None = None
+    control_plane: str | None = None
+
+
+class WireBounds(msgspec.Struct, rename="camel"):
+    """Values of the rules in force; seconds where the name ends in S."""
+
+    grace_s: float = 8.0
+    retry_budget_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    budget_slack: float = 20.0
+    quota_window_s: float = 8.0
+    quota_overshoot: float = 0.0
+    quota_slack: float = 0.0
+
+
+class WireSettings(msgspec.Struct, rename="camel"):
+    """The settings file of a process."""
+
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    bind: WireBind
+    port_range: tuple[int, int]
+    seeds: list[str]
+    bootstrap: bool = False
+    data_dir: str | None = None
+    heartbeat_ms: float = 1_000.0
+    bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+
+    @property
+    def control_peers(self) -> str:
+        """Return where a control member listens for other processes."""
+        return f"{self.ip}:{self.port_range[0] + CONTROL_PORT_OFFSET}"
+
+    @property
+    def control_seeds(self) -> tuple[str, ...]:
+        """Return where the control members named as seeds listen for processes."""
+        port = self.port_range[0] + CONTROL_PORT_OFFSET
+        hosts = [seed.rpartition(":")[0] for seed in self.seeds]
+        return tuple(f"{host}:{port}" for host in hosts)
+
+    @property
+    def entry_peers(self) -> str:
+        """Return where an entry listens for other processes."""
+        return f"{self.ip}:{self.port_range[0] + ENTRY_PORT_OFFSET}"
+
+    @property
+    def heartbeat_s(self) -> float:
+        """Return how often replicas tell of themselves."""
+        return self.heartbeat_ms / 1000
+
+    @property
+    def shared_limits(self) -> SharedLimits:
+        """Return what all entries together keep."""
+        bounds = self.bounds
+        retries = RetryLimits(
+            bounds.retry_budget_ratio * RETRY_MARGIN,
+            bounds.retry_window_s,
+            bounds.budget_slack * RETRY_MARGIN,
+        )
+        quotas = Tolerance(
+            bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack
+        )
+        return SharedLimits(retries, quotas)
+
+
+def load(path: Path | None = None) -> Result[WireSettings, Fault]:
+    """Return the settings in the file that the platform names."""
+    path = path or Path(os.environ.get(PATH_VARIABLE, ""))
+    try:
+        return Ok(msgspec.json.decode(path.read_bytes(), type=WireSettings))
+    except OSError as exc:
+        return Error(Fault(str(path), f"cannot be read: {exc.strerror}"))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        return Error(Fault(str(path), str(exc)))
+
+
+def of_control(wire: WireSettings) -> Settings:
+    """Return the product's settings of a control member."""
+    return _settings(wire, Addresses(_operators(wire), peers=wire.control_peers))
+
+
+def of_entry(wire: WireSettings) -> Settings:
+    """Return the product's settings of an entry."""
+    addresses = Addresses(
+        _operators(wire), peers=wire.entry_peers, callers=wire.bind.data_plane
+    )
+    return _settings(wire, addresses)
+
+
+def _settings(wire: WireSettings, addresses: Addresses) -> Settings:
+    return Settings(
+        node=wire.node_name,
+        failure_domain=wire.zone,
+        region=wire.region,
+        addresses=addresses,
+        control=[
+            Member(f"seed-{number}", wire.zone, address)
+            for number, address in enumerate(wire.control_seeds)
+        ],
+        data_folder=wire.data_dir,
+        may_form_group=wire.bootstrap,
+        drain_timeout_s=max(wire.bounds.grace_s - DRAIN_MARGIN_S, 1.0),
+    )
+
+
+def _operators(wire: WireSettings) -> str:
+    return f"{wire.ip}:{METRICS_PORT}"
--- a/fuchsiacroft/routing/ask.py
+++ b/fuchsiacroft/routing/ask.py
@@ -47,6 +47,8 @@
     TIMED_OUT = "timed_out"
     QUARANTINED = "quarantined"
     DRAINING = "draining"
+    OVER_QUOTA = "over_quota"
+    RETRY_BUDGET = "retry_budget"
 
 
 class Refusal(msgspec.Struct, frozen=True):
--- a/fuchsiacroft/utils/logs.py
+++ b/fuchsiacroft/utils/logs.py
@@ -6,23 +6,29 @@
 
 from loguru import logger
 
+from fuchsiacroft.utils.line_writer import LineWriter
+
 LINE_FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
 
 LIBRARY_SINK = 0
 
 _sink: int | None = LIBRARY_SINK
+_writer: LineWriter | None = None
 
 
-def configure(level: str = "INFO") -> None:
-    """Send events of the given level and above to standard error.
+def configure(level: str = "INFO", to_stdout: bool = False) -> None:
+    """Send events of the given level and above to standard error or output.
 
-    Only the sink set up here before is replaced; others stay.
+    Processes that serve log to standard output and never wait for its reader;
+    commands that print results there log to standard error. Only the sink set
+    up here before is replaced; others stay.
     """
-    global _sink
+    global _sink, _writer
     if _sink is not None:
         logger.remove(_sink)
+    _writer = LineWriter(sys.stdout.fileno()) if to_stdout else None
     _sink = logger.add(
-        sys.stderr,
+        _writer.write if _writer is not None else sys.stderr,
         level=level.upper(),
         format=LINE_FORMAT,
         backtrace=False,
@@ -31,6 +37,12 @@
     logging.basicConfig(handlers=[LibraryHandler()], level=logging.WARNING, force=True)
 
 
+def close() -> None:
+    """Write the lines that are still held back, at the end of a process."""
+    if _writer is not None:
+        _writer.close()
+
+
 class LibraryHandler(logging.Handler):
     """Writes what libraries log as events of the same form."""
 
--- a/fuchsiacroft/utils/process.py
+++ b/fuchsiacroft/utils/process.py
@@ -20,7 +20,8 @@
 async def serve(kernel: Kernel, node: str) -> None:
     """Run the services until a signal asks for a graceful shutdown.
 
-    A service that fails stops the process at once with `InvariantError`.
+    SIGHUP has the services look at their files. A service that fails stops the
+    process at once with `InvariantError`.
     """
     stopping = asyncio.Event()
     failures: list[BaseException] = []
@@ -30,6 +31,7 @@
     )
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, kernel, node)
     await kernel.start()
     event("info", "ready", node=node)
     await stopping.wait()
@@ -42,6 +44,11 @@
         raise InvariantError(f"a service failed: {failures[0]!r}")
 
 
+def _reload(kernel: Kernel, node: str) -> None:
+    event("info", "reloading", node=node)
+    kernel.reload()
+
+
 def _on_failure(
     context: dict, failures: list[BaseException], stopping: asyncio.Event
 ) -> None:
