--- a/fuchsiacroft/commands/platform.py
+++ b/fuchsiacroft/commands/platform.py
@@ -25,10 +25,11 @@
     """Run the process until a signal stops it."""
     from fuchsiacroft.platform import processes, settings
 
-    match settings.load():
+    path = settings.path()
+    match settings.load(path):
         case Result(tag="ok", ok=wire):
             create = processes.entry if values.role == "entry" else processes.control
-            return run_kernel(lambda: create(wire), wire.node_name, "INFO")
+            return run_kernel(lambda: create(wire, path), wire.node_name, "INFO")
         case Result(error=fault):
             print(fault, file=sys.stderr)
     return ExitCode.FAILED
--- a/fuchsiacroft/config/published_follower.py
+++ b/fuchsiacroft/config/published_follower.py
@@ -7,8 +7,9 @@
 from expression import Result
 
 from fuchsiacroft.config.published_feed import FetchPublished, PublishedNews
+from fuchsiacroft.config.route_source import RouteSource
 from fuchsiacroft.config.route_table import RouteTable
-from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
@@ -27,11 +28,9 @@
 Decode = Callable[[bytes], Result[RouteTable, object]]
 
 
-class PublishedFollower(Service):
+class PublishedFollower(RouteSource):
     """Holds the route table in force; its version never goes down."""
 
-    name = "route_table"
-
     def __init__(self, decode: Decode) -> None:
         self._decode = decode
         self._table: RouteTable | None = None
@@ -55,11 +54,11 @@
 
     def dump(self) -> dict:
         """Return the version in force and its age."""
-        return {"version": self.version, "age_s": round(self.age_s, 3)}
+        return {"version": self.held_version, "age_s": round(self.age_s, 3)}
 
     @property
-    def version(self) -> int:
-        """Return the version in force, 0 if there is none."""
+    def held_version(self) -> int:
+        """Return the version held, in force or not yet; 0 if there is none."""
         return self._table.version if self._table is not None else 0
 
     @property
@@ -91,7 +90,7 @@
     async def _follow(self, address: str) -> None:
         while True:
             wait_s = FETCH_WAIT_S if self._confirmed else 0.0
-            fetch = FetchPublished(self.version, wait_s)
+            fetch = FetchPublished(self.held_version, wait_s)
             match await self._bus.request(address, fetch, FETCH_TIMEOUT_S):
                 case Result(tag="ok", ok=PublishedNews() as news):
                     self._take(news, address)
@@ -101,9 +100,9 @@
                     await asyncio.sleep(PAUSE_S)
 
     def _take(self, news: PublishedNews, source: str) -> None:
-        if news.body and news.version > self.version:
+        if news.body and news.version > self.held_version:
             self._replace(news, source)
-        if news.confirmed and news.version and self.version >= news.version:
+        if news.confirmed and news.version and self.held_version >= news.version:
             self._confirmed = True
             self._confirmed_at = now()
 
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -20,7 +20,8 @@
 """Latency targets after which a silent backend server is given up for another."""
 MIN_SILENCE_S = 1.5
 """A stream's shortest silence: its prompt may wait behind others."""
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+LAST_TRY_SHARE = 0.5
+"""Of the time left, what another backend server must have for its try."""
 SERVER_ERROR = 500
 MIN_EVENTS_FOR_GAP = 3
 
@@ -201,7 +202,7 @@
         silence_s = SILENCE_TARGETS * route.latency_target_s
         if route.kind.is_stream:
             silence_s = max(silence_s, MIN_SILENCE_S)
-        return min(silence_s, left_s)
+        return min(silence_s, left_s * (1 - LAST_TRY_SHARE))
 
     def _outcome_of(self, ending: Ending) -> RunOutcome:
         match ending:
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 from expression import Error, Ok, Result
 
-from fuchsiacroft.config.published_follower import PublishedFollower
+from fuchsiacroft.config.route_source import RouteSource
 from fuchsiacroft.config.route_table import Route
 from fuchsiacroft.entry import checks
 from fuchsiacroft.entry.body import HeldBodies
@@ -45,7 +45,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Look up what a request needs."""
-        self._tables = kernel.get("route_table", PublishedFollower)
+        self._tables = kernel.get("route_table", RouteSource)
         self._placer = kernel.get("placer", Placer)
         self._upstream = kernel.get("upstream", Upstream)
 
--- a/fuchsiacroft/gateway/front.py
+++ b/fuchsiacroft/gateway/front.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from fuchsiacroft.config.published_follower import PublishedFollower
+from fuchsiacroft.config.route_source import RouteSource
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.entry.caller_server import CallerServer
 from fuchsiacroft.entry.problems import Problem, Ran
@@ -35,7 +35,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Listen for callers."""
         self._forwarder = kernel.get("forwarder", Forwarder)
-        self._tables = kernel.get("route_table", PublishedFollower)
+        self._tables = kernel.get("route_table", RouteSource)
         self._server = CallerServer(self._handle, self._refuse)
         await self._server.listen(self._settings.addresses.callers, None)
 
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -5,13 +5,14 @@
 
 from expression import Error, Ok, Result
 
-from fuchsiacroft.config.published_follower import PublishedFollower
+from fuchsiacroft.config.route_source import RouteSource
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.placing.allocator import Allocator, Place
 from fuchsiacroft.placing.limits import SharedLimits
 from fuchsiacroft.placing.messages import (
     FirstEvent,
+    HeldRun,
     NotPlaced,
     Ping,
     Placed,
@@ -49,7 +50,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Answer the other entries."""
-        self._tables = kernel.get("route_table", PublishedFollower)
+        self._tables = kernel.get("route_table", RouteSource)
         bus = kernel.get("bus", Bus)
         bus.handle(PlaceRequest, self._on_request)
         bus.handle(FirstEvent, self._on_first_event)
@@ -93,6 +94,11 @@
         self.allocator.end(run_id, report, now())
         self._serve()
 
+    def adopt(self, runs: tuple[HeldRun, ...]) -> None:
+        """Count runs that another coordinator gave places to."""
+        for held in runs:
+            self.allocator.adopt(held, now())
+
     def _note_table(self) -> None:
         table = self._tables.table
         if table is not None and table.version != self._version:
@@ -135,8 +141,7 @@
         self.end(msg.run_id, msg.report)
 
     async def _on_ping(self, sender: str, msg: Ping) -> Pong:
-        for held in msg.runs:
-            self.allocator.adopt(held, now())
+        self.adopt(msg.runs)
         return Pong(self.epoch)
 
 
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -133,12 +133,13 @@
             self._send(placement.keeper, FirstEvent(placement.run_id))
 
     def release(self, placement: Placement, report: RunReport) -> None:
-        """Tell the coordinator how a run ended."""
+        """Tell whoever gave the place, and the coordinator since, how a run ended."""
         self._held.pop(placement.run_id, None)
-        if placement.keeper == self._node:
-            self._own.end(placement.run_id, report)
-        else:
-            self._send(placement.keeper, RunEnded(placement.run_id, report))
+        for keeper in {placement.keeper, self._asked} - {""}:
+            if keeper == self._node:
+                self._own.end(placement.run_id, report)
+            else:
+                self._send(keeper, RunEnded(placement.run_id, report))
 
     async def _decide(self, request: PlaceRequest) -> Result[tuple[str, str], Refusal]:
         try:
@@ -201,11 +202,19 @@
                     coordinator=keeper.node,
                     before=self._asked,
                 )
-                self._asked = keeper.node
+                self._hand_over(keeper)
             if keeper.node != self._node:
                 await self._ping(keeper)
             await asyncio.sleep(PING_PERIOD_S)
 
+    def _hand_over(self, keeper: EntryRecord) -> None:
+        """Have a new coordinator count the runs that are in progress here."""
+        self._asked = keeper.node
+        if keeper.node == self._node:
+            self._own.adopt(self._runs())
+        else:
+            self._epochs.pop(keeper.node, None)
+
     async def _ping(self, keeper: EntryRecord) -> None:
         known = self._epochs.get(keeper.node, "")
         runs = () if known else self._runs()
--- a/fuchsiacroft/platform/processes.py
+++ b/fuchsiacroft/platform/processes.py
@@ -1,5 +1,7 @@
 """Puts the services of the two programs on the platform together."""
 
+from pathlib import Path
+
 from fuchsiacroft import operations
 from fuchsiacroft.config import published_follower
 from fuchsiacroft.control import consensus, publisher, storage
@@ -22,7 +24,7 @@
 from fuchsiacroft.utils.metrics import Metrics
 
 
-def control(wire: WireSettings) -> Kernel:
+def control(wire: WireSettings, path: Path) -> Kernel:
     """Return the kernel of a control member, ready to start."""
     if wire.bind.control_plane is None:
         raise SettingsError("a control member needs bind.controlPlane")
@@ -45,13 +47,13 @@
         registry.create(cfg, wire.heartbeat_s),
         ops,
         control_api.create(wire.bind.control_plane),
-        settings_watch.create(wire, members.set_listed),
+        settings_watch.create(wire, path, members.set_listed),
     ):
         kernel.add(service)
     return kernel
 
 
-def entry(wire: WireSettings) -> Kernel:
+def entry(wire: WireSettings, path: Path) -> Kernel:
     """Return the kernel of an entry, ready to start."""
     if wire.bind.data_plane is None or wire.bind.readiness is None:
         raise SettingsError("an entry needs bind.dataPlane and bind.readiness")
@@ -78,7 +80,7 @@
         operations.create(cfg.addresses.operators, Metrics()),
         callers,
         ready,
-        settings_watch.create(wire, known.set_seeds),
+        settings_watch.create(wire, path, known.set_seeds),
     ):
         kernel.add(service)
     return kernel
--- a/fuchsiacroft/platform/settings.py
+++ b/fuchsiacroft/platform/settings.py
@@ -99,9 +99,13 @@
         return SharedLimits(retries, quotas)
 
 
-def load(path: Path | None = None) -> Result[WireSettings, Fault]:
-    """Return the settings in the file that the platform names."""
-    path = path or Path(os.environ.get(PATH_VARIABLE, ""))
+def path() -> Path:
+    """Return the settings file that the platform names."""
+    return Path(os.environ.get(PATH_VARIABLE, ""))
+
+
+def load(path: Path) -> Result[WireSettings, Fault]:
+    """Return the settings in a file."""
     try:
         return Ok(msgspec.json.decode(path.read_bytes(), type=WireSettings))
     except OSError as exc:
--- a/fuchsiacroft/platform/settings_watch.py
+++ b/fuchsiacroft/platform/settings_watch.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from pathlib import Path
 
 from expression import Result
 
@@ -26,8 +27,9 @@
 
     name = "settings_watch"
 
-    def __init__(self, wire: WireSettings, on_seeds: OnSeeds) -> None:
+    def __init__(self, wire: WireSettings, path: Path, on_seeds: OnSeeds) -> None:
         self._held = wire
+        self._path = path
         self._on_seeds = on_seeds
         self._tasks = TaskGroup("settings_watch")
 
@@ -41,7 +43,7 @@
 
     def reload(self) -> None:
         """Read the file and take over what changed."""
-        match settings.load():
+        match settings.load(self._path):
             case Result(tag="ok", ok=wire):
                 self._take(wire)
             case Result(error=fault):
@@ -61,6 +63,6 @@
             self.reload()
 
 
-def create(wire: WireSettings, on_seeds: OnSeeds) -> SettingsWatch:
-    """Return the watch of a process that started with these settings."""
-    return SettingsWatch(wire, on_seeds)
+def create(wire: WireSettings, path: Path, on_seeds: OnSeeds) -> SettingsWatch:
+    """Return the watch of a process that started with the settings in a file."""
+    return SettingsWatch(wire, path, on_seeds)
--- /dev/null
+++ b/fuchsiacroft/tests/fakes/memory_region.py
@@ -0,0 +1,123 @@
+"""Control members and entries of one region on a network in memory."""
+
+from fuchsiacroft.config.route_source import RouteSource
+from fuchsiacroft.config.route_table import RouteTable
+from fuchsiacroft.config.settings import Addresses, Member, Settings
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.membership.control_members import ControlMembers
+from fuchsiacroft.membership.registry import ServerRegistry
+from fuchsiacroft.membership.roster import Roster
+from fuchsiacroft.placing.coordinator import Coordinator
+from fuchsiacroft.placing.limits import SharedLimits
+from fuchsiacroft.placing.placer import Placer
+from fuchsiacroft.tests.fakes.bus import MemoryNetwork
+
+HEARTBEAT_S = 1.0
+DOMAINS = ("mvd-cordon", "mvd-pocitos", "mvd-carrasco")
+
+
+class FixedMembers(ControlMembers):
+    """Control members that do not change."""
+
+    def __init__(self, own: str, addresses: tuple[str, ...]) -> None:
+        self._own = own
+        self._addresses = addresses
+
+    async def start(self, kernel: Kernel) -> None:
+        """Look nothing up."""
+
+    def all(self) -> tuple[str, ...]:
+        return self._addresses
+
+
+class FixedTable(RouteSource):
+    """A route table that is always in force."""
+
+    def __init__(self, table: RouteTable | None) -> None:
+        self._table = table
+
+    @property
+    def table(self) -> RouteTable | None:
+        return self._table
+
+    @property
+    def age_s(self) -> float:
+        return 0.0
+
+
+class Control:
+    """The registry of one control member."""
+
+    def __init__(self, region: "MemoryRegion", number: int) -> None:
+        self.address = region.controls[number]
+        self.node = f"core-{number}"
+        self.bus = region.network.bus(self.node, self.address)
+        addresses = Addresses("10.0.0.1:1", peers=self.address)
+        settings = Settings(self.node, DOMAINS[number], "mvd", addresses)
+        self.registry = ServerRegistry(settings, HEARTBEAT_S)
+        self.kernel = Kernel()
+        for service in (
+            self.bus,
+            FixedMembers(self.address, region.controls),
+            self.registry,
+        ):
+            self.kernel.add(service)
+
+
+class Entry:
+    """The roster and the placer of one entry."""
+
+    def __init__(self, region: "MemoryRegion", number: int) -> None:
+        self.node = f"edge-{number}"
+        self.address = f"10.2.0.{number}:7601"
+        domain = DOMAINS[number % len(DOMAINS)]
+        settings = Settings(
+            self.node,
+            domain,
+            "mvd",
+            Addresses("10.0.0.1:1", peers=self.address),
+            control=[
+                Member(f"seed-{i}", domain, peer)
+                for i, peer in enumerate(region.controls)
+            ],
+        )
+        self.bus = region.network.bus(self.node, self.address)
+        self.roster = Roster(settings)
+        self.coordinator = Coordinator(SharedLimits())
+        self.placer = Placer(settings)
+        self.kernel = Kernel()
+        for service in (
+            self.bus,
+            self.roster,
+            FixedTable(region.table),
+            self.coordinator,
+            self.placer,
+        ):
+            self.kernel.add(service)
+
+
+class MemoryRegion:
+    """Three control members and some entries, started one after the other."""
+
+    def __init__(self, entries: int = 3, table: RouteTable | None = None) -> None:
+        self.network = MemoryNetwork()
+        self.table = table
+        self.controls = tuple(f"10.1.0.{number}:7600" for number in range(3))
+        self.members = [Control(self, number) for number in range(3)]
+        self.entries = [Entry(self, number) for number in range(entries)]
+
+    async def start(self) -> None:
+        """Start every process."""
+        for process in (*self.members, *self.entries):
+            await process.kernel.start()
+
+    async def stop(self) -> None:
+        """Stop every process."""
+        for process in (*self.entries, *self.members):
+            await process.kernel.stop()
+
+    def isolate(self, address: str) -> None:
+        """Lose every message from and to an address."""
+        for other in tuple(self.network.buses):
+            if other != address:
+                self.network.cut_link(address, other)
--- /dev/null
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -0,0 +1,285 @@
+"""The two programs on loopback, with the calls that the platform makes."""
+
+import asyncio
+import itertools
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.platform import processes
+from fuchsiacroft.platform.settings import WireSettings
+from fuchsiacroft.tests.base import SocketTestCase
+from fuchsiacroft.tests.fakes.replica import Replica, plain
+
+HOST = "shop.example"
+DATA_PORT, READY_PORT, CONTROL_PORT, PEERS_PORT, REPLICA_PORT = (
+    8221,
+    8224,
+    8229,
+    7600,
+    80,
+)
+_nets = itertools.count(1)
+_ids = itertools.count(1)
+
+ROUTES = (
+    ("safe", "/stock/", "till", "safe", 2, 600),
+    ("unsafe", "/book/", "till", "unsafe", 1, 600),
+    ("stream", "/advice/", "lens", "stream", 1, 4000),
+    ("resumable", "/report/", "lens", "stream", 2, 4000),
+)
+
+
+def config(version: int = 1, **changes) -> dict:
+    """Return a configuration with a route for each kind of request."""
+    routes = [
+        {
+            "name": name,
+            "host": HOST,
+            "pathPrefix": prefix,
+            "kind": kind,
+            "timeoutMs": timeout_ms,
+            "targetLatencyMs": 300,
+            "targetGapMs": 300,
+            "priority": 0,
+            "service": service,
+            "maxAttempts": attempts,
+            "public": False,
+            "streamResume": name == "resumable",
+        }
+        for name, prefix, service, kind, attempts, timeout_ms in ROUTES
+    ]
+    services = [
+        {"name": "lens", "healthPath": "/healthz", "maxConnections": 290},
+        {"name": "till", "healthPath": "/healthz", "maxConnections": 96},
+    ]
+    tenants = [{"name": "paysandu", "apiKeys": ["key-1"]}]
+    document = {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": {"maxBodyBytes": 100_000, "idleTimeoutMs": 15_000},
+        "tenants": tenants,
+    }
+    return document | changes
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A response as the client saw it; `whole` tells that its end was seen."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool = True
+
+
+class PlatformRegion:
+    """Three control members and two entries, each with an address of its own."""
+
+    def __init__(self, entries: int = 2) -> None:
+        net = f"127.{next(_nets) + 50}"
+        self._net = net
+        self._folder = tempfile.TemporaryDirectory()
+        self.controls = [f"{net}.1.{n}" for n in (1, 2, 3)]
+        self.edges = [f"{net}.2.{n}" for n in range(1, entries + 1)]
+        self.kernels: dict[str, Kernel] = {}
+        self.replicas: list[Replica] = []
+        self._sequence = itertools.count(1)
+
+    def settings(self, ip: str) -> WireSettings:
+        """Return the settings of the machine with this address."""
+        is_control = ip in self.controls
+        bind = {"controlPlane": f"{ip}:{CONTROL_PORT}"}
+        if not is_control:
+            bind = {
+                "dataPlane": f"{ip}:{DATA_PORT}",
+                "readiness": f"{ip}:{READY_PORT}",
+            }
+        return msgspec.convert(
+            {
+                "nodeName": f"node-{ip}",
+                "ip": ip,
+                "zone": "mvd-cordon",
+                "region": "mvd",
+                "bind": bind,
+                "portRange": [PEERS_PORT, PEERS_PORT + 15],
+                "seeds": [f"{peer}:{CONTROL_PORT}" for peer in self.controls],
+                "bootstrap": True,
+                "dataDir": str(Path(self._folder.name) / ip) if is_control else None,
+                "heartbeatMs": 1200,
+                "bounds": {"graceS": 8},
+            },
+            WireSettings,
+        )
+
+    async def start(self) -> None:
+        """Start every process and put the first configuration in force."""
+        for ip in (*self.controls, *self.edges):
+            await self.start_process(ip)
+        async with asyncio.timeout(15):
+            while (await self.put_config(config())) != 200:
+                await asyncio.sleep(0.1)
+            for ip in self.edges:
+                while (await self.ready(ip)) != 200:
+                    await asyncio.sleep(0.05)
+
+    async def start_process(self, ip: str) -> None:
+        """Start the process of a machine."""
+        create = processes.control if ip in self.controls else processes.entry
+        wire = self.settings(ip)
+        path = Path(self._folder.name) / f"{ip}.json"
+        path.write_bytes(msgspec.json.encode(wire))
+        kernel = create(wire, path)
+        self.kernels[ip] = kernel
+        await kernel.start()
+
+    async def stop(self) -> None:
+        """Stop every process and replica."""
+        for kernel in reversed(list(self.kernels.values())):
+            await kernel.stop()
+        for replica in self.replicas:
+            await replica.stop()
+        self._folder.cleanup()
+
+    async def add_replica(self, service: str, behave=plain) -> Replica:
+        """Start a replica that has told of itself everywhere."""
+        number = len(self.replicas) + 1
+        address = f"{self._net}.3.{number}:{8000 + number}"
+        replica = Replica(f"i-{number}", address, behave)
+        await replica.start()
+        self.replicas.append(replica)
+        await self.beat(replica, service)
+        await asyncio.sleep(0.1)
+        return replica
+
+    async def beat(
+        self, replica: Replica, service: str, state: str = "ready", control: int = 0
+    ) -> int:
+        """Send a heartbeat; return the status of its answer."""
+        body = {
+            "service": service,
+            "address": replica.address,
+            "zone": "mvd-cordon",
+            "slots": 4,
+            "state": state,
+            "sequence": next(self._sequence),
+            "born": 1_000,
+        }
+        url = self.url(control, f"/v1/replicas/{replica.replica_id}")
+        return await self.call("PUT", url, msgspec.json.encode(body))
+
+    def url(self, control: int, path: str) -> str:
+        """Return the URL of a call at a control member."""
+        return f"http://{self.controls[control]}:{CONTROL_PORT}{path}"
+
+    async def put_config(self, document: dict | bytes, control: int = 0) -> int:
+        """Send a configuration; return the status of the answer."""
+        body = (
+            document if isinstance(document, bytes) else msgspec.json.encode(document)
+        )
+        return await self.call("PUT", self.url(control, "/v1/config"), body)
+
+    async def get_config(self, control: int = 0) -> tuple[int, bytes]:
+        """Read the configuration."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(self.url(control, "/v1/config")) as response,
+        ):
+            return response.status, await response.read()
+
+    async def ready(self, ip: str) -> int:
+        """Ask an entry whether it takes clients."""
+        return await self.call("GET", f"http://{ip}:{READY_PORT}/v1/readyz")
+
+    async def call(self, method: str, url: str, body: bytes = b"") -> int:
+        """Make a call; return the status of its answer, 0 if there is none."""
+        async with aiohttp.ClientSession() as session:
+            try:
+                async with session.request(method, url, data=body) as response:
+                    await response.read()
+                    return response.status
+            except aiohttp.ClientError:
+                return 0
+
+    async def ask(
+        self,
+        path: str,
+        *more: str,
+        method: str = "GET",
+        body: bytes = b"",
+        edge: int = 0,
+        key: str = "key-1",
+    ) -> Answer:
+        """Send a request as a client would, on a connection of its own."""
+        reader, writer = await self.connect(edge)
+        try:
+            writer.write(self.request(path, *more, method=method, body=body, key=key))
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+    async def connect(self, edge: int = 0):
+        """Open a client's connection to an entry."""
+        return await asyncio.open_connection(self.edges[edge], DATA_PORT)
+
+    def request(
+        self,
+        path: str,
+        *more: str,
+        method: str = "GET",
+        body: bytes = b"",
+        key: str = "key-1",
+    ) -> bytes:
+        """Return the bytes of a request; `more` are further header lines."""
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"Fuchsiacroft-Attempt-Id: {next(_ids):016x}",
+            f"X-Api-Key: {key}",
+            *more,
+        ]
+        if body or method == "POST":
+            lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join((*lines, "", "")).encode() + body
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read one response off a client's connection."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    line, *rest = head.rstrip("\r\n").split("\r\n")
+    headers = {}
+    for text in rest:
+        name, _, value = text.partition(": ")
+        headers[name.lower()] = value
+    status = int(line.split()[1])
+    if headers.get("transfer-encoding") == "chunked":
+        body, whole = await _read_chunks(reader)
+        return Answer(status, headers, body, whole)
+    length = int(headers.get("content-length", 0))
+    return Answer(status, headers, await reader.readexactly(length))
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
+    body = b""
+    try:
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        return body, False
+    return body, True
+
+
+class PlatformTestCase(SocketTestCase):
+    """Tests with a region of their own."""
+
+    async def asyncSetUp(self) -> None:
+        self.region = PlatformRegion()
+        await self.region.start()
+        self.addAsyncCleanup(self.region.stop)
--- /dev/null
+++ b/fuchsiacroft/tests/membership/registry_tests.py
@@ -0,0 +1,132 @@
+"""Tests of backend servers that register, leave and fall silent."""
+
+import asyncio
+
+from fuchsiacroft.membership.registry_wire import Life
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.memory_region import HEARTBEAT_S, MemoryRegion
+from fuchsiacroft.tests.membership.server_table_tests import record
+
+
+class RegistryTests(PausedTestCase):
+    """What one control member hears, every entry obeys."""
+
+    def played(self, scenario) -> None:
+        async def play() -> None:
+            region = MemoryRegion()
+            await region.start()
+            await asyncio.sleep(1.5)
+            try:
+                await scenario(region)
+            finally:
+                await region.stop()
+
+        self.run_paused(play())
+
+    def test_a_server_is_known_everywhere_soon(self):
+        async def scenario(region):
+            await region.members[0].registry.report(record())
+            await asyncio.sleep(0.1)
+            for entry in region.entries:
+                self.assertEqual(["i-1"], [r.name for r in entry.roster.servers()])
+
+        self.played(scenario)
+
+    def test_a_leave_is_confirmed_only_once_every_entry_obeys_it(self):
+        async def scenario(region):
+            registry = region.members[1].registry
+            await registry.report(record())
+            await asyncio.sleep(0.1)
+            outcome = await registry.report(record(sequence=2, life=Life.LEAVING))
+            self.assertTrue(outcome.is_ok())
+            for entry in region.entries:
+                self.assertEqual((), entry.roster.servers())
+
+        self.played(scenario)
+
+    def test_a_leave_is_not_confirmed_while_an_entry_does_not_answer(self):
+        async def scenario(region):
+            registry = region.members[1].registry
+            await registry.report(record())
+            await asyncio.sleep(0.1)
+            region.isolate(region.entries[2].address)
+            leaving = record(sequence=2, life=Life.LEAVING)
+            self.assertTrue((await registry.report(leaving)).is_error())
+            # Once the entry counts as gone, the next report is confirmed.
+            await asyncio.sleep(2.0)
+            again = record(sequence=3, life=Life.LEAVING)
+            self.assertTrue((await registry.report(again)).is_ok())
+
+        self.played(scenario)
+
+    def test_an_entry_that_was_cut_off_learns_of_the_leave(self):
+        async def scenario(region):
+            registry = region.members[0].registry
+            entry = region.entries[2]
+            await registry.report(record())
+            await asyncio.sleep(0.1)
+            region.isolate(entry.address)
+            await registry.report(record(sequence=2, life=Life.LEAVING))
+            self.assertEqual(1, len(entry.roster.servers()))
+            region.network.heal()
+            await asyncio.sleep(1.5)
+            self.assertEqual((), entry.roster.servers())
+
+        self.played(scenario)
+
+    def test_a_control_member_that_has_just_started_confirms_no_leave(self):
+        async def scenario(region):
+            del region
+            fresh = MemoryRegion()
+            await fresh.start()
+            leaving = record(sequence=2, life=Life.LEAVING)
+            outcome = await fresh.members[0].registry.report(leaving)
+            self.assertTrue(outcome.is_error())
+            await fresh.stop()
+
+        self.played(scenario)
+
+    def test_a_silent_server_is_forgotten(self):
+        async def scenario(region):
+            await region.members[0].registry.report(record())
+            await asyncio.sleep(0.1)
+            await asyncio.sleep(8 * HEARTBEAT_S)
+            for entry in region.entries:
+                self.assertEqual((), entry.roster.servers())
+
+        self.played(scenario)
+
+    def test_a_server_whose_heartbeats_go_on_is_kept(self):
+        async def scenario(region):
+            for sequence in range(1, 15):
+                registry = region.members[sequence % 3].registry
+                await registry.report(record(sequence=sequence))
+                await asyncio.sleep(HEARTBEAT_S)
+            for entry in region.entries:
+                self.assertEqual(1, len(entry.roster.servers()))
+
+        self.played(scenario)
+
+    def test_servers_stay_known_while_no_control_member_answers(self):
+        async def scenario(region):
+            await region.members[0].registry.report(record())
+            await asyncio.sleep(0.5)
+            for address in region.controls:
+                region.isolate(address)
+            await asyncio.sleep(20.0)
+            for entry in region.entries:
+                self.assertEqual(1, len(entry.roster.servers()))
+
+        self.played(scenario)
+
+    def test_a_late_leave_of_an_earlier_life_ends_nothing(self):
+        async def scenario(region):
+            registry = region.members[0].registry
+            await registry.report(record(born_ms=2_000))
+            await registry.leave("i-1", born_ms=1_000)
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, len(region.entries[0].roster.servers()))
+            await registry.leave("i-1", born_ms=2_000)
+            self.assertEqual((), region.entries[0].roster.servers())
+
+        self.played(scenario)
--- /dev/null
+++ b/fuchsiacroft/tests/placing/allocator_tests.py
@@ -0,0 +1,211 @@
+"""Tests of placing, waiting and refusing, without a network or a clock."""
+
+import itertools
+
+from fuchsiacroft.config.route_table import Quota, Workspace
+from fuchsiacroft.membership.registry_wire import Life
+from fuchsiacroft.placing.allocator import Allocator, Place
+from fuchsiacroft.placing.limits import SharedLimits
+from fuchsiacroft.placing.messages import HeldRun, PlaceRequest
+from fuchsiacroft.placing.queue import Waiter
+from fuchsiacroft.placing.retry_budget import RetryLimits
+from fuchsiacroft.routing.ask import (
+    Ask,
+    Refusal,
+    RefusalReason,
+    RunOutcome,
+    RunReport,
+    WorkSize,
+)
+from fuchsiacroft.tests.base import TestCase
+from fuchsiacroft.tests.membership.server_table_tests import record
+
+DONE = RunReport(RunOutcome.COMPLETED, token_gap_s=0.0025, duration_s=0.3)
+LOST = RunReport(RunOutcome.CONNECTION_LOST, duration_s=0.1)
+_numbers = itertools.count()
+
+
+def request(
+    *,
+    rank: int = 0,
+    service: str = "lens",
+    domain: str = "mvd-cordon",
+    charge: float = 0.0,
+    max_wait_s: float = 0.2,
+    repeats: bool = False,
+    avoid: tuple[str, ...] = (),
+) -> PlaceRequest:
+    """Return a request for a place."""
+    run_id = f"run-{next(_numbers)}"
+    size = WorkSize(1_000, 100)
+    ask = Ask(run_id, service, rank, 8.0, "tills", size=size, avoid=avoid)
+    return PlaceRequest(run_id, ask, domain, charge, repeats, max_wait_s)
+
+
+class AllocatorTests(TestCase):
+    """The rules for requests that find no free place, and for those that do."""
+
+    def setUp(self):
+        super().setUp()
+        limits = SharedLimits(retries=RetryLimits(0.2, 10.0, 2.0))
+        self.allocator = Allocator(limits)
+        self.servers("i-1")
+
+    def servers(self, *names: str) -> None:
+        self.allocator.set_servers(
+            [
+                record(name, address=f"10.0.0.{number}:80")
+                for number, name in enumerate(names, 1)
+            ]
+        )
+
+    def fill(self, at: float = 0.0) -> list[Place]:
+        """Take every place with requests of the lowest rank."""
+        places = []
+        while True:
+            decision = self.allocator.place(request(rank=30), at)
+            if not isinstance(decision, Place):
+                if isinstance(decision, Waiter):
+                    self.allocator.end(decision.request.run_id, DONE, at)
+                return places
+            places.append(decision)
+
+    def test_no_more_runs_than_places(self):
+        self.assertEqual(11, len(self.fill()))
+
+    def test_a_waiter_gets_the_place_that_comes_free(self):
+        places = self.fill()
+        waiter = self.allocator.place(request(), 0.0)
+        self.assertIsInstance(waiter, Waiter)
+        self.assertEqual([], self.allocator.serve(0.0))
+        self.allocator.end(places[0].run_id, DONE, 0.1)
+        [(served, place)] = self.allocator.serve(0.1)
+        self.assertIs(waiter, served)
+        self.assertAlmostEqual(0.1, place.waited_s)
+
+    def test_the_urgent_go_first_though_they_came_last(self):
+        places = self.fill()
+        plain = self.allocator.place(request(rank=2), 0.0)
+        urgent = self.allocator.place(request(rank=0), 0.05)
+        self.allocator.end(places[0].run_id, DONE, 0.1)
+        self.assertEqual([urgent], [w for w, _ in self.allocator.serve(0.1)])
+        self.allocator.end(places[1].run_id, DONE, 0.15)
+        self.assertEqual([plain], [w for w, _ in self.allocator.serve(0.15)])
+
+    def test_a_burst_is_refused_at_once_where_its_turn_would_come_too_late(self):
+        """Twice the places arrive at once; those past the bound hear it at once."""
+        self.fill()
+        decisions = [self.allocator.place(request(rank=1), 0.0) for _ in range(40)]
+        waiting = [one for one in decisions if isinstance(one, Waiter)]
+        refused = [one for one in decisions if isinstance(one, Refusal)]
+        self.assertTrue(waiting)
+        self.assertTrue(refused)
+        self.assertEqual(decisions, waiting + refused)
+        for refusal in refused:
+            self.assertIs(RefusalReason.OVERLOADED, refusal.reason)
+            self.assertGreater(refusal.retry_after_s, 0.0)
+
+    def test_a_burst_of_others_does_not_refuse_the_urgent(self):
+        self.fill()
+        for _ in range(40):
+            self.allocator.place(request(rank=1), 0.0)
+        self.assertIsInstance(self.allocator.place(request(rank=0), 0.0), Waiter)
+
+    def test_a_waiter_is_given_up_at_its_bound_and_not_later(self):
+        self.fill()
+        waiter = self.allocator.place(request(max_wait_s=0.2), 0.0)
+        self.assertEqual([], self.allocator.give_up(0.19))
+        [(given_up, refusal)] = self.allocator.give_up(0.2)
+        self.assertIs(waiter, given_up)
+        self.assertIs(RefusalReason.TIMED_OUT, refusal.reason)
+        self.assertEqual(0, self.allocator.waiting("lens"))
+
+    def test_a_server_that_leaves_gets_nothing_more(self):
+        leaving = record("i-1", sequence=2, life=Life.LEAVING)
+        self.allocator.set_servers([r for r in [leaving] if r.life is Life.SERVING])
+        refusal = self.allocator.place(request(), 0.0)
+        self.assertIs(RefusalReason.NO_BACKEND_SERVER, refusal.reason)
+
+    def test_a_server_that_was_lost_is_left_alone_and_tried_again(self):
+        self.servers("i-1", "i-2")
+        first = self.allocator.place(request(), 0.0)
+        self.allocator.end(first.run_id, LOST, 0.1)
+        names = {self.allocator.place(request(), 0.1).backend_server for _ in range(5)}
+        self.assertEqual(1, len(names))
+        self.assertNotIn(first.backend_server, names)
+        later = {self.allocator.place(request(), 5.0).backend_server for _ in range(9)}
+        self.assertIn(first.backend_server, later)
+
+    def test_a_server_that_fails_its_requests_gets_fewer(self):
+        self.servers("i-1", "i-2")
+        failed = RunReport(RunOutcome.FAILED, duration_s=0.01)
+        for number in range(40):
+            place = self.allocator.place(request(), number * 0.1)
+            report = failed if place.backend_server == "i-1" else DONE
+            self.allocator.end(place.run_id, report, number * 0.1 + 0.05)
+        names = [self.allocator.place(request(), 9.0).backend_server for _ in range(8)]
+        self.assertGreaterEqual(names.count("i-2"), 6)
+
+    def test_another_try_goes_to_another_server(self):
+        self.servers("i-1", "i-2")
+        decision = self.allocator.place(request(avoid=("i-1",)), 0.0)
+        self.assertEqual("i-2", decision.backend_server)
+
+    def test_faster_servers_are_chosen_first(self):
+        self.servers("i-1", "i-2")
+        for name, gap_s in (("i-1", 0.005), ("i-2", 0.002)):
+            place = self.allocator.place(
+                request(avoid=tuple({"i-1", "i-2"} - {name})), 0.0
+            )
+            report = RunReport(RunOutcome.COMPLETED, token_gap_s=gap_s)
+            self.allocator.end(place.run_id, report, 0.3)
+        names = [self.allocator.place(request(), 1.0).backend_server for _ in range(3)]
+        self.assertEqual(["i-2"] * 3, names)
+
+    def test_runs_of_a_server_that_is_replaced_are_forgotten(self):
+        place = self.allocator.place(request(), 0.0)
+        self.allocator.set_servers([record("i-1", born_ms=2_000)])
+        self.allocator.end(place.run_id, DONE, 0.1)
+        self.assertEqual(11, len(self.fill(0.1)))
+
+    def test_runs_of_before_a_takeover_count(self):
+        for _ in range(4):
+            ask = request().ask
+            self.allocator.adopt(HeldRun(ask.request_id, "i-1", ask), 0.0)
+        self.assertEqual(7, len(self.fill()))
+
+    def test_a_run_whose_end_is_never_told_frees_its_place(self):
+        self.fill()
+        self.allocator.give_up(100.0)
+        self.assertEqual(11, len(self.fill(100.0)))
+
+    def test_a_quota_refuses_what_lies_beyond_it_and_says_until_when(self):
+        quota = Quota(units_per_s=100.0, burst=400.0, counts_tokens=True)
+        workspace = Workspace("tills", quota=quota)
+        self.allocator.quotas.replace({"tills": workspace})
+        first = self.allocator.place(request(charge=90.0), 0.0)
+        self.assertIsInstance(first, Place)
+        refusal = self.allocator.place(request(charge=90.0), 0.0)
+        self.assertIs(RefusalReason.OVER_QUOTA, refusal.reason)
+        later = self.allocator.place(request(charge=90.0), refusal.retry_after_s + 0.01)
+        self.assertIsInstance(later, Place)
+
+    def test_what_waited_in_vain_takes_nothing_of_the_quota(self):
+        quota = Quota(units_per_s=0.001, burst=400.0, counts_tokens=True)
+        self.allocator.quotas.replace({"tills": Workspace("tills", quota=quota)})
+        self.fill()
+        self.allocator.place(request(charge=100.0), 0.0)
+        self.allocator.give_up(1.0)
+        again = self.allocator.place(request(charge=100.0), 1.0)
+        self.assertIsInstance(again, Waiter)
+
+    def test_repeats_stay_within_the_budget_of_the_service(self):
+        granted = 0
+        for _ in range(10):
+            self.allocator.place(request(), 0.0)
+        for _ in range(20):
+            decision = self.allocator.place(request(repeats=True), 1.0)
+            granted += not isinstance(decision, Refusal)
+        self.assertEqual(4, granted)
+        later = self.allocator.place(request(repeats=True), 12.0)
+        self.assertNotIsInstance(later, Refusal)
--- /dev/null
+++ b/fuchsiacroft/tests/placing/placer_tests.py
@@ -0,0 +1,141 @@
+"""Tests of whom the entries ask for places, also while processes are lost."""
+
+import asyncio
+
+from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport, WorkSize
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.memory_region import MemoryRegion
+from fuchsiacroft.tests.membership.server_table_tests import record
+
+DONE = RunReport(RunOutcome.COMPLETED, token_gap_s=0.0025, duration_s=0.3)
+SLOTS = 11
+
+
+def ask(request_id: str = "a-1", rank: int = 0) -> Ask:
+    """Return a request of a model service."""
+    return Ask(request_id, "lens", rank, 8.0, "tills", size=WorkSize(1_000, 100))
+
+
+class PlacerTests(PausedTestCase):
+    """One entry decides for all in reach, and each for itself without it."""
+
+    def played(self, scenario) -> None:
+        async def play() -> None:
+            region = MemoryRegion()
+            await region.start()
+            await asyncio.sleep(1.5)
+            await region.members[0].registry.report(record())
+            await asyncio.sleep(0.2)
+            try:
+                await scenario(region)
+            finally:
+                await region.stop()
+
+        self.run_paused(play())
+
+    async def keep_alive(self, region: MemoryRegion, seconds: float) -> None:
+        """Let time pass while the backend server goes on with its heartbeats."""
+        for _ in range(int(seconds)):
+            self.sequence = getattr(self, "sequence", 1) + 1
+            for member in region.members:
+                beat = record(sequence=self.sequence)
+                asyncio.ensure_future(member.registry.report(beat))
+            await asyncio.sleep(1.0)
+
+    async def acquire(self, entry, number: int = 1, max_wait_s: float = 0.1):
+        return await asyncio.gather(
+            *(
+                entry.placer.acquire(ask(f"a-{i}"), 0.0, False, max_wait_s)
+                for i in range(number)
+            )
+        )
+
+    def test_all_entries_agree_on_one_coordinator(self):
+        async def scenario(region):
+            names = {entry.placer.coordinator().node for entry in region.entries}
+            self.assertEqual(1, len(names))
+
+        self.played(scenario)
+
+    def test_places_are_counted_over_all_entries(self):
+        async def scenario(region):
+            outcomes = []
+            for entry in region.entries:
+                outcomes += await self.acquire(entry, 5)
+            granted = [one for one in outcomes if one.is_ok()]
+            self.assertEqual(SLOTS, len(granted))
+
+        self.played(scenario)
+
+    def test_a_released_place_serves_another_entry(self):
+        async def scenario(region):
+            first, second, _ = region.entries
+            held = [one.ok for one in await self.acquire(first, SLOTS)]
+            waiting = asyncio.ensure_future(self.acquire(second, 1, 2.0))
+            await asyncio.sleep(0.05)
+            self.assertFalse(waiting.done())
+            first.placer.release(held[0], DONE)
+            [outcome] = await waiting
+            self.assertTrue(outcome.is_ok())
+
+        self.played(scenario)
+
+    def test_an_entry_decides_alone_once_the_coordinator_is_lost(self):
+        async def scenario(region):
+            keeper = region.entries[0].placer.coordinator()
+            others = [e for e in region.entries if e.node != keeper.node]
+            region.isolate(keeper.peers)
+            await self.keep_alive(region, 1)
+            for entry in others:
+                began_at = asyncio.get_running_loop().time()
+                [outcome] = await self.acquire(entry)
+                self.assertTrue(outcome.is_ok())
+                taken_s = asyncio.get_running_loop().time() - began_at
+                self.assertLess(taken_s, 0.5)
+
+        self.played(scenario)
+
+    def test_the_next_coordinator_counts_runs_that_are_in_progress(self):
+        async def scenario(region):
+            keeper = region.entries[0].placer.coordinator()
+            others = [e for e in region.entries if e.node != keeper.node]
+            await self.acquire(others[0], 6)
+            await self.acquire(others[1], 5)
+            region.isolate(keeper.peers)
+            await self.keep_alive(region, 5)
+            outcomes = []
+            for entry in others:
+                outcomes += await self.acquire(entry, 3)
+            self.assertEqual([], [one for one in outcomes if one.is_ok()])
+
+        self.played(scenario)
+
+    def test_a_request_that_is_given_up_frees_its_place_in_the_queue(self):
+        async def scenario(region):
+            first, second, _ = region.entries
+            held = [one.ok for one in await self.acquire(first, SLOTS)]
+            waiting = asyncio.ensure_future(self.acquire(second, 1, 5.0))
+            await asyncio.sleep(0.1)
+            waiting.cancel()
+            await asyncio.sleep(0.1)
+            first.placer.release(held[0], DONE)
+            await asyncio.sleep(0.1)
+            [outcome] = await self.acquire(first)
+            self.assertTrue(outcome.is_ok())
+
+        self.played(scenario)
+
+    def test_parts_that_are_cut_off_share_the_limits(self):
+        async def scenario(region):
+            lonely = region.entries[2]
+            region.isolate(lonely.address)
+            await self.keep_alive(region, 5)
+            shares = [
+                entry.coordinator.allocator.quotas.share
+                for entry in region.entries
+                if entry.placer.coordinator().node == entry.node
+            ]
+            self.assertEqual(2, len(shares))
+            self.assertAlmostEqual(1.0, sum(shares))
+
+        self.played(scenario)
--- /dev/null
+++ b/fuchsiacroft/tests/platform/drain_tests.py
@@ -0,0 +1,55 @@
+"""Tests of a planned stop of an entry."""
+
+import asyncio
+
+from fuchsiacroft.tests.fakes.platform_region import PlatformTestCase, read_answer
+from fuchsiacroft.tests.fakes.replica import answer
+
+
+async def slow(req, writer):
+    """Answer after a while."""
+    await asyncio.sleep(0.4)
+    writer.write(answer(req, b"slow"))
+
+
+class DrainTests(PlatformTestCase):
+    """A stop cuts no request, and no connection is read and left unanswered."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.region.add_replica("till", slow)
+        self.kernel = self.region.kernels[self.region.edges[0]]
+
+    async def stop(self) -> None:
+        await self.kernel.drain()
+        await self.kernel.stop()
+        self.region.kernels.pop(self.region.edges[0])
+
+    async def test_it_is_not_ready_at_once_and_answers_what_still_comes(self):
+        stopping = asyncio.ensure_future(self.stop())
+        await asyncio.sleep(0.05)
+        self.assertEqual(503, await self.region.ready(self.region.edges[0]))
+        for _ in range(5):
+            got = await self.region.ask("/book/1/", method="POST")
+            self.assertEqual((200, b"slow"), (got.status, got.body))
+        await stopping
+
+    async def test_an_idle_kept_connection_is_closed_and_not_read_in_vain(self):
+        reader, writer = await self.region.connect()
+        writer.write(self.region.request("/stock/1/"))
+        await read_answer(reader)
+        stopping = asyncio.ensure_future(self.stop())
+        async with asyncio.timeout(4.0):
+            self.assertEqual(b"", await reader.read())
+        self.assertFalse(stopping.done())
+        writer.close()
+        await stopping
+
+    async def test_a_first_request_on_an_open_connection_is_answered(self):
+        reader, writer = await self.region.connect()
+        stopping = asyncio.ensure_future(self.stop())
+        await asyncio.sleep(2.7)
+        writer.write(self.region.request("/book/1/", method="POST"))
+        self.assertEqual(200, (await read_answer(reader)).status)
+        writer.close()
+        await stopping
--- /dev/null
+++ b/fuchsiacroft/tests/platform/requests_tests.py
@@ -0,0 +1,302 @@
+"""Tests of requests through the gateway, against replicas of every temper."""
+
+import asyncio
+
+from fuchsiacroft.tests.fakes.platform_region import (
+    HOST,
+    PlatformTestCase,
+    read_answer,
+)
+from fuchsiacroft.tests.fakes.replica import (
+    LAST_CHUNK,
+    SEAL,
+    answer,
+    chunk,
+    head,
+    sse,
+    stream_head,
+)
+
+
+async def not_executed(req, writer):
+    """Refuse without having run the request."""
+    writer.write(answer(req, b"", "503 Busy", "Fuchsiacroft-Not-Executed: 1"))
+
+
+async def failing(req, writer):
+    """Run the request and fail."""
+    writer.write(answer(req, b"sorry", "500 Error"))
+
+
+async def torn(req, writer):
+    """Break off in the middle of an answer."""
+    writer.write(answer(req, b"0123456789")[:-4])
+    await writer.drain()
+    writer.transport.abort()
+
+
+async def mute(req, writer):
+    """Take the request and say nothing."""
+    await asyncio.sleep(30)
+
+
+async def garbage(req, writer):
+    """Answer with bytes that are no response."""
+    writer.write(b"\x00\x01\x02 what?\r\n\r\n")
+
+
+async def streaming(req, writer):
+    """Stream three events after the one that the caller has."""
+    first = int(req.get("Last-Event-Id") or 0) + 1
+    writer.write(stream_head(req))
+    for number in range(first, 4):
+        writer.write(chunk(sse(number)))
+        await writer.drain()
+    writer.write(LAST_CHUNK)
+
+
+class PassedOnTests(PlatformTestCase):
+    """Requests and answers pass unchanged."""
+
+    async def test_a_request_reaches_the_replica_as_it_was_sent(self):
+        replica = await self.region.add_replica("till")
+        await self.region.ask(
+            "/book/a%2Fb//c/?q=1&q=%20x",
+            "Fuchsiacroft-Deadline-Ms: 500",
+            "X-Other: 1",
+            "X-Other: 2",
+            "Fuchsiacroft-Tenant: forged",
+            "Fuchsiacroft-Hold: h-1",
+            "Kv-From: 10.0.0.1:1/x",
+            "Connection: X-Hop",
+            "X-Hop: mine",
+            method="POST",
+            body=b"\x00body",
+        )
+        [got] = replica.received
+        self.assertEqual("POST /book/a%2Fb//c/?q=1&q=%20x HTTP/1.1", got.line)
+        self.assertEqual(b"\x00body", got.body)
+        others = [value for name, value in got.headers if name == "X-Other"]
+        self.assertEqual(["1", "2"], others)
+        self.assertEqual("paysandu", got.get("Fuchsiacroft-Tenant"))
+        self.assertEqual("i-1", got.get("Fuchsiacroft-Expect-Replica"))
+        self.assertEqual(HOST, got.get("Host"))
+        left_ms = int(got.get("Fuchsiacroft-Deadline-Ms"))
+        self.assertTrue(300 < left_ms <= 500, left_ms)
+        for name in ("X-Api-Key", "Fuchsiacroft-Hold", "Kv-From", "X-Hop"):
+            self.assertIsNone(got.get(name), name)
+
+    async def test_a_body_in_chunks_reaches_the_replica_whole(self):
+        replica = await self.region.add_replica("till")
+        reader, writer = await self.region.connect()
+        lines = ("Transfer-Encoding: chunked",)
+        writer.write(self.region.request("/stock/1/", *lines))
+        writer.write(chunk(b"one ") + chunk(b"two") + LAST_CHUNK)
+        self.assertEqual(200, (await read_answer(reader)).status)
+        self.assertEqual(b"one two", replica.received[0].body)
+        writer.close()
+
+    async def test_an_answer_comes_back_with_its_seal_and_status(self):
+        async def created(req, writer):
+            writer.write(answer(req, b"made", "201 Created", "X-Mine: 1"))
+
+        await self.region.add_replica("till", created)
+        got = await self.region.ask("/book/1/", method="POST")
+        self.assertEqual((201, b"made"), (got.status, got.body))
+        self.assertEqual("seal-1", got.headers["fuchsiacroft-replica-seal"])
+        self.assertEqual("1", got.headers["x-mine"])
+
+    async def test_an_answer_that_ends_with_its_connection_is_whole(self):
+        async def unframed(req, writer):
+            writer.write(head("200 OK", SEAL) + b"until the end")
+
+        await self.region.add_replica("till", unframed)
+        got = await self.region.ask("/book/1/", method="POST")
+        self.assertEqual((200, b"until the end"), (got.status, got.body))
+
+    async def test_bytes_after_an_answer_belong_to_no_request(self):
+        async def chatty(req, writer):
+            writer.write(answer(req, b"fine") + answer(req, b"extra"))
+
+        await self.region.add_replica("till", chatty)
+        reader, writer = await self.region.connect()
+        for _ in range(3):
+            writer.write(self.region.request("/stock/1/"))
+            self.assertEqual(b"fine", (await read_answer(reader)).body)
+        writer.close()
+
+    async def test_two_lengths_are_refused_and_reach_no_replica(self):
+        replica = await self.region.add_replica("till")
+        got = await self.region.ask(
+            "/stock/1/", "Transfer-Encoding: chunked", "Content-Length: 4"
+        )
+        self.assertEqual(400, got.status)
+        self.assertEqual([], replica.received)
+
+
+class RefusalTests(PlatformTestCase):
+    """What is refused has not run, and says when to come back."""
+
+    async def test_unknown_paths_hosts_and_keys(self):
+        replica = await self.region.add_replica("till")
+        self.assertEqual(404, (await self.region.ask("/other/")).status)
+        self.assertEqual(401, (await self.region.ask("/stock/1/", key="no")).status)
+        self.assertEqual([], replica.received)
+
+    async def test_no_replica_is_told_at_once(self):
+        got = await self.region.ask("/advice/1/", method="POST")
+        self.assertEqual(503, got.status)
+        self.assertGreater(float(got.headers["retry-after"]), 0.0)
+
+    async def test_a_body_that_is_too_large(self):
+        got = await self.region.ask("/book/1/", method="POST", body=b"x" * 100_001)
+        self.assertEqual(413, got.status)
+
+
+class FailureTests(PlatformTestCase):
+    """A request is repeated only where that is safe."""
+
+    async def test_a_request_that_did_not_run_is_sent_elsewhere(self):
+        await self.region.add_replica("till", not_executed)
+        await self.region.add_replica("till")
+        for _ in range(4):
+            got = await self.region.ask("/book/1/", method="POST")
+            self.assertEqual((200, b"fine"), (got.status, got.body))
+
+    async def test_a_request_that_may_have_run_once_only_is_not_repeated(self):
+        for behave in (torn, garbage, failing):
+            with self.subTest(behave.__name__):
+                first = await self.region.add_replica("till", behave)
+                second = await self.region.add_replica("till", behave)
+                got = await self.region.ask("/book/1/", method="POST")
+                self.assertIn(got.status, (500, 502))
+                runs = len(first.received) + len(second.received)
+                self.assertEqual(1, runs)
+                for replica in (first, second):
+                    await replica.stop()
+                    await self.region.beat(replica, "till", "draining")
+
+    async def test_a_safe_request_is_repeated_and_answered(self):
+        for behave in (torn, garbage, failing, mute):
+            with self.subTest(behave.__name__):
+                bad = await self.region.add_replica("till", behave)
+                good = await self.region.add_replica("till")
+                for _ in range(3):
+                    got = await self.region.ask("/stock/1/")
+                    self.assertEqual((200, b"fine"), (got.status, got.body))
+                for replica in (bad, good):
+                    await replica.stop()
+                    await self.region.beat(replica, "till", "draining")
+
+    async def test_a_replicas_own_failure_is_passed_on_at_last(self):
+        await self.region.add_replica("till", failing)
+        got = await self.region.ask("/stock/1/")
+        self.assertEqual((500, b"sorry"), (got.status, got.body))
+        self.assertIn("fuchsiacroft-replica-seal", got.headers)
+
+    async def test_a_request_ends_at_the_time_of_its_route(self):
+        await self.region.add_replica("till", mute)
+        began_at = asyncio.get_running_loop().time()
+        got = await self.region.ask("/book/1/", method="POST")
+        taken_s = asyncio.get_running_loop().time() - began_at
+        self.assertEqual(504, got.status)
+        self.assertNotIn("retry-after", got.headers)
+        self.assertTrue(0.5 < taken_s < 0.9, taken_s)
+
+    async def test_a_client_that_leaves_frees_the_replica(self):
+        replica = await self.region.add_replica("till", mute)
+        reader, writer = await self.region.connect()
+        writer.write(self.region.request("/book/1/", method="POST"))
+        await asyncio.sleep(0.2)
+        writer.close()
+        await asyncio.sleep(0.2)
+        self.assertEqual(1, replica.closed_early)
+
+    async def test_an_answer_of_another_request_is_not_passed_on(self):
+        async def mixed_up(req, writer):
+            writer.write(
+                head(
+                    "200 OK",
+                    SEAL,
+                    "Fuchsiacroft-Attempt-Id: other",
+                    "Content-Length: 4",
+                )
+                + b"them"
+            )
+
+        await self.region.add_replica("till", mixed_up)
+        got = await self.region.ask("/book/1/", method="POST")
+        self.assertEqual(502, got.status)
+
+
+class StreamTests(PlatformTestCase):
+    """Streams end whole, or visibly not."""
+
+    async def test_a_stream_is_passed_on(self):
+        await self.region.add_replica("lens", streaming)
+        got = await self.region.ask("/advice/1/", method="POST")
+        self.assertEqual((200, sse(1, 2, 3), True), (got.status, got.body, got.whole))
+        self.assertEqual("seal-1", got.headers["fuchsiacroft-replica-seal"])
+
+    async def test_events_are_passed_on_as_they_come(self):
+        async def slow(req, writer):
+            writer.write(stream_head(req) + chunk(sse(1)))
+            await writer.drain()
+            await asyncio.sleep(1.0)
+            writer.write(chunk(sse(2)) + LAST_CHUNK)
+
+        await self.region.add_replica("lens", slow)
+        reader, writer = await self.region.connect()
+        writer.write(self.region.request("/advice/1/", method="POST"))
+        async with asyncio.timeout(0.7):
+            await reader.readuntil(b"piece 1\n\n")
+        writer.close()
+
+    async def test_a_stream_goes_on_at_another_replica(self):
+        async def breaking(req, writer):
+            writer.write(stream_head(req) + chunk(sse(1)))
+            writer.write(chunk(b"id: 2\ndata: pie"))
+            await writer.drain()
+            writer.transport.abort()
+
+        bad = await self.region.add_replica("lens", breaking)
+        await asyncio.sleep(0.1)
+        taken = asyncio.ensure_future(self.region.ask("/report/1/", method="POST"))
+        while not bad.received:
+            await asyncio.sleep(0)
+        good = await self.region.add_replica("lens", streaming)
+        got = await taken
+        if good.received:
+            self.assertEqual("1", good.received[0].get("Last-Event-Id"))
+            self.assertEqual((sse(1, 2, 3), True), (got.body, got.whole))
+        else:
+            self.assertFalse(got.whole)
+        again = await self.region.ask("/report/1/", method="POST")
+        self.assertEqual((sse(1, 2, 3), True), (again.body, again.whole))
+
+    async def test_a_stream_that_may_not_go_on_ends_visibly_short(self):
+        async def breaking(req, writer):
+            writer.write(stream_head(req) + chunk(sse(1)))
+            await writer.drain()
+            writer.transport.abort()
+
+        first = await self.region.add_replica("lens", breaking)
+        second = await self.region.add_replica("lens", breaking)
+        got = await self.region.ask("/advice/1/", method="POST")
+        self.assertEqual((sse(1), False), (got.body, got.whole))
+        self.assertEqual(1, len(first.received) + len(second.received))
+
+    async def test_an_event_without_its_end_is_never_passed_on_as_the_last(self):
+        async def short(req, writer):
+            writer.write(stream_head(req) + chunk(sse(1)))
+            writer.write(chunk(b"id: 2\ndata: pie") + LAST_CHUNK)
+
+        await self.region.add_replica("lens", short)
+        got = await self.region.ask("/advice/1/", method="POST")
+        self.assertEqual((sse(1), False), (got.body, got.whole))
+
+    async def test_the_clients_last_event_is_told(self):
+        replica = await self.region.add_replica("lens", streaming)
+        got = await self.region.ask("/report/1/", "Last-Event-Id: 2", method="POST")
+        self.assertEqual(sse(3), got.body)
+        self.assertEqual("2", replica.received[0].get("Last-Event-Id"))
