Take a reset for no end of an answer, and refuse what may outlast a stop

Ruled out: waiting longer than the grace; closing the listener, as callers then see a refused connection instead of an answer that says when to come back.

Tests, both failing without the change: an answer without a length that is reset is not whole; a late request that may outlast the stop is refused.

--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -25,6 +25,8 @@
 MAX_SENDS = 4
 """Backend servers that one request is sent to, those that did not run it too."""
 NOT_READY_RETRY_S = 0.5
+DRAINING_RETRY_S = 0.05
+"""Another entry takes the request at once."""
 MIN_LEFT_S = 0.01
 """With less time left a backend server could not answer."""
 
@@ -53,8 +55,14 @@
         """Return the memory that bodies take."""
         return {"held_body_bytes": self._bodies.held_bytes}
 
-    async def serve(self, session: Session) -> web.StreamResponse:
-        """Return the answer to a request."""
+    async def serve(
+        self, session: Session, ends_at: float | None = None
+    ) -> web.StreamResponse:
+        """Return the answer to a request.
+
+        The process stops at `ends_at`, on the loop's clock; a request that may
+        last longer is refused.
+        """
         problem = checks.message_fault(session.http)
         if problem is not None:
             response = self._refuse(session, problem)
@@ -63,6 +71,10 @@
         match self._admit(session):
             case Result(tag="error", error=problem):
                 return self._refuse(session, problem)
+        if ends_at is not None and session.deadline > ends_at:
+            detail = "this entry is stopping; the request did not run"
+            problem = Problem(503, "draining", detail, Ran.NO, DRAINING_RETRY_S)
+            return self._refuse(session, problem)
         limits = self._tables.table.limits
         match await self._bodies.read(session.http, limits.max_body_bytes):
             case Result(tag="ok", ok=body):
--- a/fuchsiacroft/gateway/front.py
+++ b/fuchsiacroft/gateway/front.py
@@ -30,6 +30,7 @@
         self._dialect = dialect
         self._in_progress: set[Session] = set()
         self._draining = False
+        self._ends_at: float | None = None
         self._server: CallerServer | None = None
 
     async def start(self, kernel: Kernel) -> None:
@@ -44,6 +45,7 @@
         self._draining = True
         deadline = now() + self._settings.drain_timeout_s
         await asyncio.sleep(NOTICE_S)
+        self._ends_at = deadline
         await self._end_requests(deadline)
         await self._server.stop_listening()
         await self._end_requests(deadline)
@@ -87,7 +89,7 @@
         self._in_progress.add(session)
         status = 0
         try:
-            response = await self._forwarder.serve(session)
+            response = await self._forwarder.serve(session, self._ends_at)
             status = response.status
             if self._draining and not response.prepared:
                 response.force_close()
--- a/fuchsiacroft/gateway/upstream.py
+++ b/fuchsiacroft/gateway/upstream.py
@@ -4,7 +4,10 @@
 tells the backend server that the caller has left.
 """
 
+from functools import partial
+
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from expression import Error, Ok, Result
 from yarl import URL
 
@@ -23,6 +26,29 @@
 """A connection inside a region takes some milliseconds, or a lost packet more."""
 
 
+class ResetAwareHandler(ResponseHandler):
+    """A connection on which a reset ends no answer.
+
+    aiohttp takes any end of a connection for the end of an answer without a
+    length, a reset too.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Mark an answer that a reset cuts off as broken."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError("the answer was reset"))
+        super().connection_lost(exc)
+
+
+class UpstreamConnector(AddressConnector):
+    """Opens connections whose resets are told from their ends."""
+
+    def __init__(self) -> None:
+        super().__init__(limit=0, force_close=True)
+        self._factory = partial(ResetAwareHandler, loop=self._loop)
+
+
 class Upstream(Service):
     """Sends requests to backend servers, each once."""
 
@@ -31,7 +57,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Open the session."""
         self._session = aiohttp.ClientSession(
-            connector=AddressConnector(limit=0, force_close=True),
+            connector=UpstreamConnector(),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             request_class=SentOnceRequest,
             auto_decompress=False,
--- a/fuchsiacroft/tests/platform/drain_tests.py
+++ b/fuchsiacroft/tests/platform/drain_tests.py
@@ -1,6 +1,7 @@
 """Tests of a planned stop of an entry."""
 
 import asyncio
+import contextlib
 
 from fuchsiacroft.tests.fakes.platform_region import PlatformTestCase, read_answer
 from fuchsiacroft.tests.fakes.replica import answer
@@ -45,6 +46,27 @@
         writer.close()
         await stopping
 
+    async def test_a_late_request_that_may_outlast_the_stop_is_refused(self):
+        stopping = asyncio.ensure_future(self.stop())
+        async with self.busy():
+            await asyncio.sleep(4.2)
+            got = await self.region.ask("/advice/1/", method="POST")
+            self.assertEqual(503, got.status)
+            self.assertLess(float(got.headers["retry-after"]), 0.2)
+        await stopping
+
+    @contextlib.asynccontextmanager
+    async def busy(self):
+        """Keep a request in progress, so that the entry goes on draining."""
+
+        async def ask() -> None:
+            while True:
+                await self.region.ask("/book/1/", method="POST")
+
+        asking = asyncio.ensure_future(ask())
+        yield
+        asking.cancel()
+
     async def test_a_first_request_on_an_open_connection_is_answered(self):
         reader, writer = await self.region.connect()
         stopping = asyncio.ensure_future(self.stop())
--- a/fuchsiacroft/tests/platform/requests_tests.py
+++ b/fuchsiacroft/tests/platform/requests_tests.py
@@ -1,6 +1,8 @@
 """Tests of requests through the gateway, against replicas of every temper."""
 
 import asyncio
+import socket
+import struct
 
 from fuchsiacroft.tests.fakes.platform_region import (
     HOST,
@@ -114,6 +116,20 @@
         got = await self.region.ask("/book/1/", method="POST")
         self.assertEqual((200, b"until the end"), (got.status, got.body))
 
+    async def test_an_answer_without_a_length_that_is_reset_is_not_whole(self):
+        async def reset(req, writer):
+            writer.write(head("200 OK", SEAL) + b"until the")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
+
+        await self.region.add_replica("till", reset)
+        got = await self.region.ask("/book/1/", method="POST")
+        self.assertEqual(502, got.status)
+
     async def test_bytes_after_an_answer_belong_to_no_request(self):
         async def chatty(req, writer):
             writer.write(answer(req, b"fine") + answer(req, b"extra"))
