Let one entry decide for each failure domain, and split quotas by demand

One coordinator for the region was out of reach again and again over a link with losses, and whoever took over meanwhile spent each workspace's whole quota once more. Every request of a domain also hung on a link between domains.

Change: a coordinator for each failure domain; requests spill to a domain with room; quotas are split by what each domain's workspaces ask for and stay split as they were while a domain is silent; an entry that decides alone keeps to its part of every server and quota; a stopping entry hands over at once.

Ruled out: longer time-outs for the region's coordinator (a lost coordinator then stops all); a strict lease (seconds without service at each change).

--- a/fuchsiacroft/gateway/front.py
+++ b/fuchsiacroft/gateway/front.py
@@ -12,6 +12,7 @@
 from fuchsiacroft.gateway.forwarder import BrokenOffError, Forwarder
 from fuchsiacroft.gateway.session import Session
 from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
 
@@ -36,6 +37,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Listen for callers."""
         self._forwarder = kernel.get("forwarder", Forwarder)
+        self._roster = kernel.get("roster", Roster)
         self._tables = kernel.get("route_table", RouteSource)
         self._server = CallerServer(self._handle, self._refuse)
         await self._server.listen(self._settings.addresses.callers, None)
@@ -43,6 +45,7 @@
     async def drain(self) -> None:
         """Be not ready, serve what still comes, and end what is in progress."""
         self._draining = True
+        self._roster.leave()
         deadline = now() + self._settings.drain_timeout_s
         await asyncio.sleep(NOTICE_S)
         self._ends_at = deadline
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -72,14 +72,11 @@
         self._greet_all()
         self._tasks.keep(self._sweep(), "roster-sweep")
 
-    async def drain(self) -> None:
-        """Tell the control members that this entry leaves."""
+    def leave(self) -> None:
+        """Tell the control members from now on that this entry drains."""
+        me = self.me
         self.me = EntryRecord(
-            self.me.node,
-            self.me.failure_domain,
-            self.me.peers,
-            self.me.started_ms,
-            leaving=True,
+            me.node, me.failure_domain, me.peers, me.started_ms, leaving=True
         )
 
     async def stop(self) -> None:
--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -14,6 +14,7 @@
 
 from fuchsiacroft.config.route_table import RouteTable
 from fuchsiacroft.membership.registry_wire import ServerRecord
+from fuchsiacroft.placing.demand import Demand
 from fuchsiacroft.placing.limits import SharedLimits
 from fuchsiacroft.placing.messages import HeldRun, PlaceRequest
 from fuchsiacroft.placing.queue import Queue, Waiter
@@ -28,8 +29,6 @@
     RunReport,
 )
 
-FAR_DOMAIN_COST_S = 0.02
-"""What sending a request to another failure domain must gain."""
 RUN_GRACE_S = 1.0
 """Past its timeout, a run whose end was never told is over."""
 NOMINAL_RUN_S = 0.3
@@ -62,6 +61,8 @@
         self._queues: dict[str, Queue] = {}
         self._waiters: dict[str, Waiter] = {}
         self._mean_run_s: dict[str, float] = {}
+        self.slot_share = 1.0
+        self.demand = Demand()
         self.quotas = Quotas(limits.quotas)
         self.retries = RetryBudget(limits.retries)
 
@@ -108,19 +109,58 @@
 
     def place(self, request: PlaceRequest, at: float) -> Decision:
         """Place a request, let it wait, or refuse it."""
-        refusal = self._over_limits(request, at)
+        refusal = self.admit(request, at)
         if refusal is not None:
             return refusal
-        service = request.ask.service
-        queue = self._queues.setdefault(service, Queue())
-        if queue.ahead_of(request.ask.rank) == 0:
-            load = self._choose(request, at)
-            if load is not None:
-                return self._begin(request, load, at, at)
-        decision = self._wait(request, queue, at)
-        if isinstance(decision, Refusal):
-            self._give_back(request)
-        return decision
+        return self.place_now(request, at) or self.wait(request, at)
+
+    def admit(self, request: PlaceRequest, at: float) -> Refusal | None:
+        """Take a request's part of shared limits; return why it has none left."""
+        ask = request.ask
+        self.demand.note(ask.workspace, request.charge, at)
+        wait_s = self.quotas.take(ask.workspace, request.charge, at)
+        if wait_s > 0:
+            wait_s = min(max(wait_s, MIN_RETRY_AFTER_S), QUOTA_RETRY_MAX_S)
+            return Refusal(RefusalReason.OVER_QUOTA, wait_s)
+        if request.repeats and not self.retries.take_repeat(ask.service, at):
+            self.give_back(request)
+            return Refusal(RefusalReason.RETRY_BUDGET, MIN_RETRY_AFTER_S)
+        if not request.repeats:
+            self.retries.note_first(ask.service, at)
+        return None
+
+    def place_now(self, request: PlaceRequest, at: float) -> Place | None:
+        """Place an admitted request if there is room that nobody waits for."""
+        queue = self._queues.get(request.ask.service)
+        if queue is not None and queue.ahead_of(request.ask.rank):
+            return None
+        load = self._choose(request, at)
+        return None if load is None else self._begin(request, load, at, at)
+
+    def wait(self, request: PlaceRequest, at: float) -> Waiter | Refusal:
+        """Let an admitted request wait if its turn will come in time."""
+        ask = request.ask
+        if not any(load.offers(ask.service) for load in self._servers.values()):
+            self.give_back(request)
+            return Refusal(RefusalReason.NO_BACKEND_SERVER, MIN_RETRY_AFTER_S)
+        queue = self._queues.setdefault(ask.service, Queue())
+        expected_s = self._expected_wait_s(ask, queue.ahead_of(ask.rank))
+        if expected_s > request.max_wait_s:
+            self.give_back(request)
+            return Refusal(RefusalReason.OVERLOADED, _retry_after_s(expected_s))
+        waiter = Waiter(request, at, at + request.max_wait_s)
+        queue.add(waiter)
+        self._waiters[request.run_id] = waiter
+        return waiter
+
+    def rooms(self, at: float) -> dict[str, int]:
+        """Return the free places of each service, less those who wait."""
+        rooms: dict[str, int] = {}
+        for load in self._servers.values():
+            free = max(load.free(at, self.slot_share), 0)
+            for offer in load.record.announcement.offers:
+                rooms[offer.service] = rooms.get(offer.service, 0) + free
+        return {name: free - self.waiting(name) for name, free in rooms.items()}
 
     def note_read(self, run_id: str) -> None:
         """Note that the prompt of a run has been read."""
@@ -133,7 +173,7 @@
         waiter = self._waiters.pop(run_id, None)
         if waiter is not None:
             self._queues[waiter.request.ask.service].remove(waiter)
-            self._give_back(waiter.request)
+            self.give_back(waiter.request)
         load = self._runs.pop(run_id, None)
         if load is None:
             return
@@ -174,30 +214,6 @@
                     self._runs.pop(run.run_id, None)
         return refused
 
-    def _over_limits(self, request: PlaceRequest, at: float) -> Refusal | None:
-        ask = request.ask
-        if not any(load.offers(ask.service) for load in self._servers.values()):
-            return Refusal(RefusalReason.NO_BACKEND_SERVER, MIN_RETRY_AFTER_S)
-        wait_s = self.quotas.take(ask.workspace, request.charge, at)
-        if wait_s > 0:
-            wait_s = min(max(wait_s, MIN_RETRY_AFTER_S), QUOTA_RETRY_MAX_S)
-            return Refusal(RefusalReason.OVER_QUOTA, wait_s)
-        if request.repeats and not self.retries.take_repeat(ask.service, at):
-            return Refusal(RefusalReason.RETRY_BUDGET, MIN_RETRY_AFTER_S)
-        if not request.repeats:
-            self.retries.note_first(ask.service, at)
-        return None
-
-    def _wait(self, request: PlaceRequest, queue: Queue, at: float) -> Decision:
-        ask = request.ask
-        expected_s = self._expected_wait_s(ask, queue.ahead_of(ask.rank))
-        if expected_s > request.max_wait_s:
-            return Refusal(RefusalReason.OVERLOADED, _retry_after_s(expected_s))
-        waiter = Waiter(request, at, at + request.max_wait_s)
-        queue.add(waiter)
-        self._waiters[request.run_id] = waiter
-        return waiter
-
     def _expected_wait_s(self, ask: Ask, ahead: int) -> float:
         slots = sum(
             load.slots for load in self._servers.values() if load.offers(ask.service)
@@ -221,7 +237,9 @@
 
     def _has_room(self, service: str, at: float) -> bool:
         return any(
-            load.free(at) > 0 for load in self._servers.values() if load.offers(service)
+            load.free(at, self.slot_share) > 0
+            for load in self._servers.values()
+            if load.offers(service)
         )
 
     def _choose(self, request: PlaceRequest, at: float) -> ServerLoad | None:
@@ -231,11 +249,9 @@
         for load in self._servers.values():
             if load.name in ask.avoid or not load.offers(ask.service):
                 continue
-            if load.free(at) <= 0:
+            if load.free(at, self.slot_share) <= 0:
                 continue
             cost_s = load.expected_s(ask)
-            if load.failure_domain != request.failure_domain:
-                cost_s += FAR_DOMAIN_COST_S
             if cost_s < least:
                 best, least = load, cost_s
         return best
@@ -246,7 +262,7 @@
         ask = request.ask
         reading = ask.size.prompt_tokens > 0
         run = Run(request.run_id, ask, at, at + _longest_s(ask), reading)
-        free = load.free(at)
+        free = load.free(at, self.slot_share)
         load.begin(run)
         self._runs[run.run_id] = load
         address = load.record.announcement.address
@@ -257,11 +273,12 @@
         queue = self._queues[ask.service]
         queue.remove(waiter)
         self._waiters.pop(waiter.request.run_id, None)
-        self._give_back(waiter.request)
+        self.give_back(waiter.request)
         expected_s = self._expected_wait_s(ask, queue.ahead_of(ask.rank))
         return Refusal(RefusalReason.TIMED_OUT, _retry_after_s(expected_s))
 
-    def _give_back(self, request: PlaceRequest) -> None:
+    def give_back(self, request: PlaceRequest) -> None:
+        """Return what a request took of its workspace's quota."""
         self.quotas.give_back(request.ask.workspace, request.charge)
 
     def _learn_mean(self, service: str, run_s: float) -> None:
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -1,4 +1,4 @@
-"""Runs an allocator for whoever asks: this entry, or all of the region."""
+"""Runs an allocator for whoever asks: this entry, or all of its domain."""
 
 import asyncio
 import secrets
@@ -6,7 +6,9 @@
 from expression import Error, Ok, Result
 
 from fuchsiacroft.config.route_source import RouteSource
+from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.membership.registry_wire import ServerRecord
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.placing.allocator import Allocator, Place
 from fuchsiacroft.placing.limits import SharedLimits
@@ -19,9 +21,11 @@
     PlaceRequest,
     Pong,
     RunEnded,
+    SpillRequest,
 )
+from fuchsiacroft.placing.neighbours import Neighbours
 from fuchsiacroft.placing.queue import Waiter
-from fuchsiacroft.routing.ask import Refusal, RunReport
+from fuchsiacroft.routing.ask import Refusal, RefusalReason, RunReport
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.tasks import TaskGroup
@@ -30,20 +34,24 @@
 """How late a waiter may be given up, or a server that was set aside be used."""
 EPOCH_BYTES = 6
 
-Outcome = Result[Place, Refusal]
+Outcome = Result[Placed, Refusal]
 
 
 class Coordinator(Service):
     """Answers requests for places, from this entry and from others.
 
-    Every entry runs one; the entries agree by `Placer` on whose they ask.
+    Every entry runs one for the backend servers of its failure domain; the
+    entries of the domain agree by `Placer` on whose they ask.
     """
 
     name = "coordinator"
 
-    def __init__(self, limits: SharedLimits) -> None:
+    def __init__(self, settings: Settings, limits: SharedLimits) -> None:
         self.epoch = secrets.token_hex(EPOCH_BYTES)
         self.allocator = Allocator(limits)
+        self._node = settings.node
+        self._peers = settings.addresses.peers
+        self._domain = settings.failure_domain
         self._waiting: dict[str, asyncio.Future[Outcome]] = {}
         self._version = 0
         self._tasks = TaskGroup("coordinator")
@@ -51,14 +59,17 @@
     async def start(self, kernel: Kernel) -> None:
         """Answer the other entries."""
         self._tables = kernel.get("route_table", RouteSource)
+        self._neighbours = kernel.get("neighbours", Neighbours)
         bus = kernel.get("bus", Bus)
         bus.handle(PlaceRequest, self._on_request)
+        bus.handle(SpillRequest, self._on_spill)
         bus.handle(FirstEvent, self._on_first_event)
         bus.handle(RunEnded, self._on_ended)
         bus.handle(Ping, self._on_ping)
         roster = kernel.get("roster", Roster)
         roster.on_servers(self._on_servers)
-        self.allocator.set_servers(roster.servers())
+        self._on_servers(roster.servers())
+        self._neighbours.tell_of(self.allocator)
         self._tasks.keep(self._tick(), "coordinator-tick")
 
     async def stop(self) -> None:
@@ -72,18 +83,19 @@
     async def place(self, request: PlaceRequest) -> Outcome:
         """Return a place, or why there is none, after a wait if need be."""
         self._note_table()
-        decision = self.allocator.place(request, now())
-        match decision:
-            case Place():
-                return Ok(decision)
-            case Refusal():
-                return Error(decision)
-        fut = asyncio.get_running_loop().create_future()
-        self._waiting[request.run_id] = fut
-        try:
-            return await fut
-        finally:
-            self._waiting.pop(request.run_id, None)
+        refusal = self.allocator.admit(request, now())
+        if refusal is not None:
+            return Error(refusal)
+        place = self.allocator.place_now(request, now())
+        if place is not None:
+            return Ok(self._placed(place))
+        spilled = await self._neighbours.spill(request)
+        if spilled is not None:
+            return Ok(spilled)
+        decision = self.allocator.wait(request, now())
+        if isinstance(decision, Refusal):
+            return Error(decision)
+        return await self._turn_of(request)
 
     def note_read(self, run_id: str) -> None:
         """Note that the prompt of a run has been read."""
@@ -99,14 +111,33 @@
         for held in runs:
             self.allocator.adopt(held, now())
 
+    async def _turn_of(self, request: PlaceRequest) -> Outcome:
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[request.run_id] = fut
+        self._serve()
+        try:
+            return await fut
+        finally:
+            self._waiting.pop(request.run_id, None)
+
+    def _placed(self, place: Place) -> Placed:
+        return Placed(
+            place.run_id, place.backend_server, place.address, self._node, self._peers
+        )
+
     def _note_table(self) -> None:
         table = self._tables.table
         if table is not None and table.version != self._version:
             self._version = table.version
             self.allocator.set_table(table)
 
-    def _on_servers(self, records) -> None:
-        self.allocator.set_servers(records)
+    def _on_servers(self, records: tuple[ServerRecord, ...]) -> None:
+        near = [
+            record
+            for record in records
+            if record.announcement.failure_domain == self._domain
+        ]
+        self.allocator.set_servers(near)
         self._serve()
 
     async def _tick(self) -> None:
@@ -118,7 +149,7 @@
 
     def _serve(self) -> None:
         for waiter, place in self.allocator.serve(now()):
-            self._settle(waiter, Ok(place))
+            self._settle(waiter, Ok(self._placed(place)))
 
     def _settle(self, waiter: Waiter, outcome: Outcome) -> None:
         fut = self._waiting.get(waiter.request.run_id)
@@ -129,11 +160,17 @@
         self, sender: str, msg: PlaceRequest
     ) -> Placed | NotPlaced | None:
         match await self.place(msg):
-            case Result(tag="ok", ok=place):
-                return Placed(place.run_id, place.backend_server, place.address)
+            case Result(tag="ok", ok=placed):
+                return placed
             case Result(error=refusal):
                 return NotPlaced(refusal)
 
+    async def _on_spill(self, sender: str, msg: SpillRequest) -> Placed | NotPlaced:
+        place = self.allocator.place_now(msg.request, now())
+        if place is None:
+            return NotPlaced(Refusal(RefusalReason.OVERLOADED, 0.0))
+        return self._placed(place)
+
     async def _on_first_event(self, sender: str, msg: FirstEvent) -> None:
         self.note_read(msg.run_id)
 
@@ -145,6 +182,6 @@
         return Pong(self.epoch)
 
 
-def create(limits: SharedLimits) -> Coordinator:
+def create(settings: Settings, limits: SharedLimits) -> Coordinator:
     """Return the coordinator of an entry."""
-    return Coordinator(limits)
+    return Coordinator(settings, limits)
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -17,19 +17,30 @@
 
     run_id: str
     ask: Ask
-    failure_domain: str
     charge: float
     repeats: bool
     max_wait_s: float
 
 
+@codec.message("placing.spill")
+class SpillRequest(msgspec.Struct, frozen=True):
+    """Another domain's coordinator asks for a place that is free now."""
+
+    request: PlaceRequest
+
+
 @codec.message("placing.placed")
 class Placed(msgspec.Struct, frozen=True):
-    """Run there; the coordinator counts the run until it is told of its end."""
+    """Run there; `keeper` counts the run until it is told of its end.
+
+    `keeper_peers` is the address at which the keeper is told.
+    """
 
     run_id: str
     backend_server: str
     address: str
+    keeper: str
+    keeper_peers: str
 
 
 @codec.message("placing.not_placed")
@@ -62,6 +73,25 @@
     ask: Ask
 
 
+class ServiceRoom(msgspec.Struct, frozen=True):
+    """Free places of a service in one failure domain."""
+
+    service: str
+    free: int
+
+
+@codec.message("placing.domain_load")
+class DomainLoad(msgspec.Struct, frozen=True):
+    """What the coordinator of a failure domain tells the others.
+
+    `demand` holds the units a second that each workspace asked for lately.
+    """
+
+    failure_domain: str
+    rooms: tuple[ServiceRoom, ...]
+    demand: dict[str, float]
+
+
 @codec.message("placing.ping")
 class Ping(msgspec.Struct, frozen=True):
     """Is the coordinator there? `epoch` is its life as last heard.
--- /dev/null
+++ b/fuchsiacroft/placing/neighbours.py
@@ -0,0 +1,164 @@
+"""What the coordinators of a region's failure domains tell each other.
+
+A few times a second each tells the others how much room its domain has and
+what its workspaces ask for. By that they split quotas, and send requests to a
+domain with room when their own has none.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+from expression import Result
+
+from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.membership.registry_wire import EntryRecord
+from fuchsiacroft.membership.roster import Roster
+from fuchsiacroft.placing.allocator import Allocator
+from fuchsiacroft.placing.messages import (
+    DomainLoad,
+    Placed,
+    PlaceRequest,
+    ServiceRoom,
+    SpillRequest,
+)
+from fuchsiacroft.placing.shares import Shares
+from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.tasks import TaskGroup
+
+TELL_PERIOD_S = 0.1
+FRESH_S = 0.5
+"""How long a domain's room counts after it was told."""
+SPILL_TIMEOUT_S = 0.08
+"""Several ways there and back inside a region; a lost packet takes longer."""
+BACK_OFF_S = 1.0
+"""How long a domain that did not answer is asked nothing."""
+
+
+@dataclass(slots=True)
+class Neighbour:
+    """The room of another domain as told, less what was sent there since."""
+
+    rooms: dict[str, int]
+    heard_at: float
+    avoid_until: float = 0.0
+
+
+class Neighbours(Service):
+    """The other failure domains, as the coordinator of one sees them."""
+
+    name = "neighbours"
+
+    def __init__(self, settings: Settings) -> None:
+        self._node = settings.node
+        self._domain = settings.failure_domain
+        self._neighbours: dict[str, Neighbour] = {}
+        self._random = random.Random()
+        self._tasks = TaskGroup("neighbours")
+        self.shares = Shares()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Hear the other coordinators, and tell them while this is one."""
+        self._bus = kernel.get("bus", Bus)
+        self._roster = kernel.get("roster", Roster)
+        self._bus.handle(DomainLoad, self._on_load)
+
+    async def stop(self) -> None:
+        """Tell nothing more."""
+        await self._tasks.cancel()
+
+    def dump(self) -> dict:
+        """Return the room of the other domains and the age of that."""
+        return {
+            domain: {"rooms": seen.rooms, "age_s": round(now() - seen.heard_at, 3)}
+            for domain, seen in self._neighbours.items()
+        }
+
+    def tell_of(self, allocator: Allocator) -> None:
+        """Begin to tell of what an allocator knows, while it acts for the domain."""
+        self._tasks.keep(self._tell(allocator), "neighbours-tell")
+
+    @property
+    def is_acting(self) -> bool:
+        """Tell whether this entry is the coordinator of its domain."""
+        found = coordinator_of(self._roster.entries(), self._domain)
+        return found is None or found.node == self._node
+
+    async def spill(self, request: PlaceRequest) -> Placed | None:
+        """Return a place in another domain, or None if there is none."""
+        domain = self._with_room(request.ask.service)
+        if domain is None:
+            return None
+        keeper = coordinator_of(self._roster.entries(), domain)
+        if keeper is None:
+            return None
+        seen = self._neighbours[domain]
+        seen.rooms[request.ask.service] -= 1
+        asked = SpillRequest(request)
+        match await self._bus.request(keeper.peers, asked, SPILL_TIMEOUT_S):
+            case Result(tag="ok", ok=Placed() as placed):
+                return placed
+            case Result(tag="ok"):
+                seen.rooms[request.ask.service] = 0
+            case _:
+                seen.avoid_until = now() + BACK_OFF_S
+                event("info", "neighbour_silent", domain=domain, keeper=keeper.node)
+        return None
+
+    def _with_room(self, service: str) -> str | None:
+        """Return the domain with the most room for a service."""
+        at = now()
+        best, most = None, 0
+        for domain, seen in self._neighbours.items():
+            if at - seen.heard_at > FRESH_S or at < seen.avoid_until:
+                continue
+            room = seen.rooms.get(service, 0)
+            if room > most:
+                best, most = domain, room
+        return best
+
+    async def _tell(self, allocator: Allocator) -> None:
+        while True:
+            await asyncio.sleep(TELL_PERIOD_S * self._random.uniform(0.9, 1.1))
+            entries = self._roster.entries()
+            domains = {entry.failure_domain for entry in entries} | {self._domain}
+            self.shares.set_domains(max(len(domains), len(self._neighbours) + 1))
+            if not self.is_acting:
+                continue
+            at = now()
+            demand = allocator.demand.rates(at)
+            self.shares.update(demand, at)
+            rooms = tuple(ServiceRoom(*room) for room in allocator.rooms(at).items())
+            load = DomainLoad(self._domain, rooms, demand)
+            for domain in domains - {self._domain}:
+                keeper = coordinator_of(entries, domain)
+                if keeper is not None:
+                    self._bus.send(keeper.peers, load)
+
+    async def _on_load(self, sender: str, msg: DomainLoad) -> None:
+        at = now()
+        rooms = {room.service: room.free for room in msg.rooms}
+        known = self._neighbours.get(msg.failure_domain)
+        avoid_until = known.avoid_until if known is not None else 0.0
+        self._neighbours[msg.failure_domain] = Neighbour(rooms, at, avoid_until)
+        self.shares.hear(msg.failure_domain, msg.demand, at)
+
+
+def coordinator_of(
+    entries: tuple[EntryRecord, ...], failure_domain: str
+) -> EntryRecord | None:
+    """Return the entry of a domain that decides for it: the one that is oldest."""
+    staying = [
+        entry
+        for entry in entries
+        if entry.failure_domain == failure_domain and not entry.leaving
+    ]
+    return min(staying, key=lambda e: (e.started_ms, e.node), default=None)
+
+
+def create(settings: Settings) -> Neighbours:
+    """Return the other domains as an entry sees them."""
+    return Neighbours(settings)
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -1,15 +1,16 @@
 """Finds a place for each of this entry's requests.
 
-The entries in reach of each other ask one of them, the one that has run for
+The entries of a failure domain ask one of them, the one that has run for
 longest, so that what runs where is known exactly in one place. It is soft
-state: whoever cannot reach that entry decides by its own counts meanwhile, and
-the entries of a failure domain that is cut off have one of their own. Two
-that decide at a time cost some queueing on backend servers, and no promise.
+state: whoever cannot reach that entry decides by its own counts meanwhile,
+within its part of every server and quota. Two that decide at a time cost some
+queueing on backend servers, and no promise.
 """
 
 import asyncio
 import itertools
 import secrets
+from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
@@ -28,6 +29,7 @@
     Pong,
     RunEnded,
 )
+from fuchsiacroft.placing.neighbours import Neighbours, coordinator_of
 from fuchsiacroft.routing.ask import Ask, Refusal, RunOutcome, RunReport
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
@@ -36,32 +38,29 @@
 
 PING_PERIOD_S = 0.2
 PING_TIMEOUT_S = 0.3
-SUSPECT_S = 1.0
-"""How long a coordinator that did not answer is passed over."""
-ANSWER_MARGIN_S = 0.3
+SUSPECT_S = 0.6
+"""How long a coordinator that did not answer is not asked."""
+ANSWER_MARGIN_S = 0.4
 """What an answer may take besides the wait that was asked for."""
 LIFE_BYTES = 3
 KNOWN_ENTRIES_S = 30.0
 """How long an entry that is out of reach keeps its part of shared limits."""
 
 
+@dataclass(frozen=True, slots=True, eq=False)
 class Placement:
     """A place that this entry was given, and who counts its run."""
 
-    __slots__ = ("address", "ask", "backend_server", "keeper", "run_id")
-
-    def __init__(
-        self, run_id: str, ask: Ask, backend_server: str, address: str, keeper: str
-    ) -> None:
-        self.run_id = run_id
-        self.ask = ask
-        self.backend_server = backend_server
-        self.address = address
-        self.keeper = keeper
+    run_id: str
+    ask: Ask
+    backend_server: str
+    address: str
+    keeper: str
+    keeper_peers: str
 
 
 class Placer(Service):
-    """Asks the coordinator, or decides alone while there is none."""
+    """Asks the domain's coordinator, or decides alone while there is none."""
 
     name = "placer"
 
@@ -70,12 +69,12 @@
         self._domain = settings.failure_domain
         self._life = secrets.token_hex(LIFE_BYTES)
         self._numbers = itertools.count()
-        self._suspected: dict[str, float] = {}
+        self._suspected_until = 0.0
         self._epochs: dict[str, str] = {}
         self._held: dict[str, Placement] = {}
-        self._known: dict[str, float] = {}
+        self._known: dict[str, tuple[str, float]] = {}
         self._lost = asyncio.Event()
-        self._asked = ""
+        self._asked: EntryRecord | None = None
         self._tasks = TaskGroup("placer")
 
     async def start(self, kernel: Kernel) -> None:
@@ -83,6 +82,8 @@
         self._bus = kernel.get("bus", Bus)
         self._roster = kernel.get("roster", Roster)
         self._own = kernel.get("coordinator", Coordinator)
+        self._neighbours = kernel.get("neighbours", Neighbours)
+        self._own.allocator.quotas.share_of = self._share_of
         self._tasks.keep(self._watch(), "placer-watch")
 
     async def stop(self) -> None:
@@ -91,125 +92,121 @@
 
     def dump(self) -> dict:
         """Return who is asked, and the runs in progress."""
-        return {"coordinator": self.coordinator().node, "held": len(self._held)}
+        return {
+            "coordinator": self.coordinator().node,
+            "suspected": now() < self._suspected_until,
+            "held": len(self._held),
+        }
 
     def coordinator(self) -> EntryRecord:
-        """Return the entry that decides for this one."""
-        at = now()
-        entries = [
-            entry
-            for entry in self._roster.entries()
-            if not entry.leaving and self._suspected.get(entry.node, 0.0) <= at
-        ]
-        if not entries:
-            return self._roster.me
-        return min(entries, key=lambda entry: (entry.started_ms, entry.node))
+        """Return the entry that decides for this domain."""
+        found = coordinator_of(self._roster.entries(), self._domain)
+        return found if found is not None else self._roster.me
 
     async def acquire(
         self, ask: Ask, charge: float, repeats: bool, max_wait_s: float
     ) -> Result[Placement, Refusal]:
         """Return a place to run now, or why there is none."""
         run_id = f"{self._node}-{self._life}-{next(self._numbers)}"
-        request = PlaceRequest(run_id, ask, self._domain, charge, repeats, max_wait_s)
+        request = PlaceRequest(run_id, ask, charge, repeats, max_wait_s)
         keeper = self.coordinator()
         outcome = None
-        if keeper.node != self._node:
+        if keeper.node != self._node and now() >= self._suspected_until:
             outcome = await self._ask(keeper, request)
         if outcome is None:
-            keeper = self._roster.me
             outcome = await self._decide(request)
         if outcome.is_error():
             return Error(outcome.error)
-        backend_server, address = outcome.ok
-        placement = Placement(run_id, ask, backend_server, address, keeper.node)
+        placed = outcome.ok
+        placement = Placement(
+            run_id,
+            ask,
+            placed.backend_server,
+            placed.address,
+            placed.keeper,
+            placed.keeper_peers,
+        )
         self._held[run_id] = placement
         return Ok(placement)
 
     def note_first_event(self, placement: Placement) -> None:
-        """Tell the coordinator that a run's prompt has been read."""
+        """Tell the keeper that a run's prompt has been read."""
         if placement.keeper == self._node:
             self._own.note_read(placement.run_id)
         else:
-            self._send(placement.keeper, FirstEvent(placement.run_id))
+            self._bus.send(placement.keeper_peers, FirstEvent(placement.run_id))
 
     def release(self, placement: Placement, report: RunReport) -> None:
         """Tell whoever gave the place, and the coordinator since, how a run ended."""
         self._held.pop(placement.run_id, None)
-        for keeper in {placement.keeper, self._asked} - {""}:
-            if keeper == self._node:
+        keepers = {placement.keeper: placement.keeper_peers}
+        if self._asked is not None:
+            keepers[self._asked.node] = self._asked.peers
+        for node, peers in keepers.items():
+            if node == self._node:
                 self._own.end(placement.run_id, report)
             else:
-                self._send(keeper, RunEnded(placement.run_id, report))
+                self._bus.send(peers, RunEnded(placement.run_id, report))
 
-    async def _decide(self, request: PlaceRequest) -> Result[tuple[str, str], Refusal]:
+    async def _decide(self, request: PlaceRequest) -> Result[Placed, Refusal]:
         try:
-            match await self._own.place(request):
-                case Result(tag="ok", ok=place):
-                    return Ok((place.backend_server, place.address))
-                case Result(error=refusal):
-                    return Error(refusal)
+            return await self._own.place(request)
         except asyncio.CancelledError:
             self._own.end(request.run_id, RunReport(RunOutcome.UNUSED))
             raise
 
     async def _ask(
         self, keeper: EntryRecord, request: PlaceRequest
-    ) -> Result[tuple[str, str], Refusal] | None:
+    ) -> Result[Placed, Refusal] | None:
         """Return the coordinator's decision, or None if it cannot be had."""
         timeout_s = request.max_wait_s + ANSWER_MARGIN_S
         asking = asyncio.ensure_future(
             self._bus.request(keeper.peers, request, timeout_s)
         )
         losing = asyncio.ensure_future(self._lost.wait())
+        unused = RunEnded(request.run_id, RunReport(RunOutcome.UNUSED))
         try:
             await asyncio.wait((asking, losing), return_when=asyncio.FIRST_COMPLETED)
             if asking.done():
-                answer = asking.result()
-                match answer:
+                match asking.result():
                     case Result(tag="ok", ok=Placed() as placed):
-                        return Ok((placed.backend_server, placed.address))
+                        return Ok(placed)
                     case Result(tag="ok", ok=NotPlaced(refusal=refusal)):
                         return Error(refusal)
-            self._send(
-                keeper.node, RunEnded(request.run_id, RunReport(RunOutcome.UNUSED))
-            )
-            self._suspect(keeper, "no answer to a request")
+                self._suspect(keeper, "no answer to a request")
+            self._bus.send(keeper.peers, unused)
             return None
         except asyncio.CancelledError:
-            self._send(
-                keeper.node, RunEnded(request.run_id, RunReport(RunOutcome.UNUSED))
-            )
+            self._bus.send(keeper.peers, unused)
             raise
         finally:
             asking.cancel()
             losing.cancel()
 
-    def _send(self, node: str, msg: FirstEvent | RunEnded) -> None:
-        for entry in self._roster.entries():
-            if entry.node == node:
-                self._bus.send(entry.peers, msg)
-                return
-
     async def _watch(self) -> None:
-        """Ping the coordinator, and share limits while entries are apart."""
+        """Ping the coordinator, and hand over to a new one."""
         while True:
-            self._share_limits()
+            self._note_known()
             keeper = self.coordinator()
-            if keeper.node != self._asked:
-                event(
-                    "info",
-                    "coordinator_chosen",
-                    coordinator=keeper.node,
-                    before=self._asked,
-                )
+            if self._asked is None or keeper.node != self._asked.node:
                 self._hand_over(keeper)
-            if keeper.node != self._node:
+            alone = keeper.node != self._node
+            near = max(len(self._near()), 1)
+            self._own.allocator.slot_share = 1 / near if alone else 1.0
+            domains = {domain for domain, _ in self._known.values()}
+            self._own.allocator.retries.share = (
+                self._part() if alone else 1 / len(domains)
+            )
+            if alone:
                 await self._ping(keeper)
             await asyncio.sleep(PING_PERIOD_S)
 
     def _hand_over(self, keeper: EntryRecord) -> None:
         """Have a new coordinator count the runs that are in progress here."""
-        self._asked = keeper.node
+        before = self._asked.node if self._asked is not None else "-"
+        event("info", "coordinator_chosen", coordinator=keeper.node, before=before)
+        self._asked = keeper
+        self._suspected_until = 0.0
         if keeper.node == self._node:
             self._own.adopt(self._runs())
         else:
@@ -233,25 +230,31 @@
         )
 
     def _suspect(self, keeper: EntryRecord, reason: str) -> None:
-        if self._suspected.get(keeper.node, 0.0) <= now():
+        if now() >= self._suspected_until:
             event("warning", "coordinator_lost", coordinator=keeper.node, reason=reason)
-        self._suspected[keeper.node] = now() + SUSPECT_S
+        self._suspected_until = now() + SUSPECT_S
         self._lost.set()
         self._lost = asyncio.Event()
 
-    def _share_limits(self) -> None:
-        """Spend the part of shared limits that falls to the entries in reach."""
+    def _near(self) -> list[EntryRecord]:
+        return [e for e in self._roster.entries() if e.failure_domain == self._domain]
+
+    def _note_known(self) -> None:
         at = now()
-        here = [entry.node for entry in self._roster.entries()]
-        for node in here:
-            self._known[node] = at
+        for entry in self._roster.entries():
+            self._known[entry.node] = (entry.failure_domain, at)
         oldest = at - KNOWN_ENTRIES_S
-        self._known = {n: seen for n, seen in self._known.items() if seen >= oldest}
-        share = len(here) / len(self._known)
-        if self.coordinator().node != self._node:
-            share = 1 / len(self._known)
-        self._own.allocator.quotas.share = share
-        self._own.allocator.retries.share = share
+        self._known = {n: seen for n, seen in self._known.items() if seen[1] >= oldest}
+
+    def _part(self) -> float:
+        """Return this entry's part of limits that all entries share."""
+        return 1 / max(len(self._known), 1)
+
+    def _share_of(self, workspace: str) -> float:
+        """Return the part of a quota that may be spent by decisions made here."""
+        if self.coordinator().node == self._node:
+            return self._neighbours.shares.of(workspace)
+        return self._part()
 
 
 def create(settings: Settings) -> Placer:
--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -1,5 +1,6 @@
 """Quotas of workspaces: token buckets that one process keeps for many."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from fuchsiacroft.config.route_table import Quota, Workspace
@@ -42,15 +43,15 @@
 class Quotas:
     """The buckets of every workspace that has a quota.
 
-    `share` is the part of each quota that may be spent here, while other
-    processes spend the rest.
+    `share_of` tells the part of a workspace's quota that may be spent here,
+    while other processes spend the rest.
     """
 
     def __init__(self, tolerance: Tolerance) -> None:
         self._tolerance = tolerance
         self._buckets: dict[str, Bucket] = {}
         self._workspaces: dict[str, Workspace] = {}
-        self.share = 1.0
+        self.share_of: Callable[[str], float] = lambda workspace: 1.0
 
     def replace(self, workspaces: dict[str, Workspace]) -> None:
         """Take over new limits; what a workspace has left is cut to them."""
@@ -67,16 +68,17 @@
 
     def take(self, workspace: str, units: float, at: float) -> float:
         """Take units if they are there; return 0, or the seconds until they are."""
-        bucket = self._bucket(workspace, at)
+        share = self.share_of(workspace)
+        bucket = self._bucket(workspace, share, at)
         if bucket is None or units <= 0:
             return 0.0
-        self._fill(bucket, at)
+        self._fill(bucket, share, at)
         # A request above the capacity passes with a full bucket and overdraws it.
-        needed = min(units, bucket.capacity * self.share)
+        needed = min(units, bucket.capacity * share)
         if bucket.units >= needed:
             bucket.units -= units
             return 0.0
-        rate = max(bucket.quota.units_per_s * self.share, 1e-9)
+        rate = max(bucket.quota.units_per_s * share, 1e-9)
         return (needed - bucket.units) / rate
 
     def give_back(self, workspace: str, units: float) -> None:
@@ -89,21 +91,21 @@
         """Return what each workspace has left."""
         return {name: round(bucket.units) for name, bucket in self._buckets.items()}
 
-    def _bucket(self, name: str, at: float) -> Bucket | None:
+    def _bucket(self, name: str, share: float, at: float) -> Bucket | None:
         bucket = self._buckets.get(name)
         if bucket is None:
             workspace = self._workspaces.get(name)
             if workspace is None or workspace.quota is None:
                 return None
             capacity = self._capacity(workspace.quota)
-            units = capacity * TAKEOVER_SHARE * self.share
+            units = capacity * TAKEOVER_SHARE * share
             bucket = Bucket(workspace.quota, capacity, units, at)
             self._buckets[name] = bucket
         return bucket
 
-    def _fill(self, bucket: Bucket, at: float) -> None:
-        grown = (at - bucket.filled_at) * bucket.quota.units_per_s * self.share
-        bucket.units = min(bucket.capacity * self.share, bucket.units + grown)
+    def _fill(self, bucket: Bucket, share: float, at: float) -> None:
+        grown = (at - bucket.filled_at) * bucket.quota.units_per_s * share
+        bucket.units = min(bucket.capacity * share, bucket.units + grown)
         bucket.filled_at = at
 
     def _capacity(self, quota: Quota) -> float:
--- a/fuchsiacroft/placing/server_load.py
+++ b/fuchsiacroft/placing/server_load.py
@@ -1,5 +1,6 @@
 """One backend server as the coordinator sees it: its runs, speed and health."""
 
+import math
 from dataclasses import dataclass, field
 
 from fuchsiacroft.membership.registry_wire import ServerRecord
@@ -50,11 +51,6 @@
         """Return the backend server's name."""
         return self.record.name
 
-    @property
-    def failure_domain(self) -> str:
-        """Return its failure domain."""
-        return self.record.announcement.failure_domain
-
     @property
     def slots(self) -> int:
         """Return how many requests it runs at a time."""
@@ -64,11 +60,11 @@
         """Tell whether it serves a service."""
         return any(o.service == service for o in self.record.announcement.offers)
 
-    def free(self, at: float) -> int:
-        """Return how many more requests it may run now."""
+    def free(self, at: float, share: float = 1.0) -> int:
+        """Return how many more requests it may run now, of a share of its slots."""
         if at < self.aside_until:
             return 0
-        return self.slots - len(self.runs)
+        return math.ceil(self.slots * share) - len(self.runs)
 
     def expected_s(self, ask: Ask) -> float:
         """Return the expected time of a run that begins now."""
--- a/fuchsiacroft/platform/processes.py
+++ b/fuchsiacroft/platform/processes.py
@@ -10,7 +10,7 @@
 from fuchsiacroft.gateway import forwarder, front, upstream
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.membership import control_members, registry, roster
-from fuchsiacroft.placing import coordinator, placer
+from fuchsiacroft.placing import coordinator, neighbours, placer
 from fuchsiacroft.platform import (
     control_api,
     dialect,
@@ -73,7 +73,8 @@
         security.bus(cfg, security.create(cfg)),
         known,
         tables,
-        coordinator.create(wire.shared_limits),
+        neighbours.create(cfg),
+        coordinator.create(cfg, wire.shared_limits),
         placer.create(cfg),
         upstream.create(),
         forwarder.create(words),
--- /dev/null
+++ b/fuchsiacroft/tests/placing/neighbours_tests.py
@@ -0,0 +1,166 @@
+"""Tests of failure domains that help each other and share quotas."""
+
+import asyncio
+
+from fuchsiacroft.config import route_table
+from fuchsiacroft.config.route_table import CallerLimits, Quota, Workspace
+from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport, WorkSize
+from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.memory_region import DOMAINS, MemoryRegion
+from fuchsiacroft.tests.membership.server_table_tests import record
+
+DONE = RunReport(RunOutcome.COMPLETED, token_gap_s=0.0025, duration_s=0.3)
+SLOTS = 11
+RATE = 1_000.0
+QUOTA = Quota(units_per_s=RATE, burst=RATE, counts_tokens=True)
+TABLE = route_table.create(
+    1, (), (), [(Workspace("tills", quota=QUOTA), ("key",))], CallerLimits()
+)
+
+
+def ask(request_id: str) -> Ask:
+    """Return a request of a model service."""
+    return Ask(request_id, "lens", 0, 8.0, "tills", size=WorkSize(1_000, 100))
+
+
+class NeighboursTests(PausedTestCase):
+    """Two entries in each of three domains; one server in the first."""
+
+    def played(self, scenario, servers: int = 1, table=None) -> None:
+        async def play() -> None:
+            region = MemoryRegion(DOMAINS * 2, table)
+            await region.start()
+            await asyncio.sleep(1.5)
+            self.sequence = 0
+            self.servers = servers
+            await self.beat(region)
+            beating = asyncio.ensure_future(self.beat_on(region))
+            await asyncio.sleep(0.5)
+            try:
+                await scenario(region)
+            finally:
+                beating.cancel()
+                await region.stop()
+
+        self.run_paused(play())
+
+    async def beat(self, region: MemoryRegion) -> None:
+        self.sequence += 1
+        for number in range(self.servers):
+            told = record(
+                f"i-{number}",
+                sequence=self.sequence,
+                address=f"10.9.0.{number}:80",
+                domain=DOMAINS[number],
+            )
+            for member in region.members:
+                await member.registry.report(told)
+
+    async def beat_on(self, region: MemoryRegion) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            await self.beat(region)
+
+    async def acquire(self, entry, number: int, charge: float = 0.0):
+        asked = (
+            entry.placer.acquire(ask(f"{entry.node}-{i}"), charge, False, 0.05)
+            for i in range(number)
+        )
+        return [one.ok for one in await asyncio.gather(*asked) if one.is_ok()]
+
+    def test_requests_go_to_the_domain_that_has_room(self):
+        async def scenario(region):
+            granted = await self.acquire(region.entries[1], SLOTS)
+            self.assertEqual(SLOTS, len(granted))
+            self.assertEqual([], await self.acquire(region.entries[0], 1))
+            for placement in granted:
+                region.entries[1].placer.release(placement, DONE)
+            await asyncio.sleep(0.3)
+            again = await self.acquire(region.entries[3], SLOTS)
+            self.assertEqual(SLOTS, len(again))
+
+        self.played(scenario)
+
+    def test_a_domain_that_is_cut_off_serves_with_what_it_has(self):
+        async def scenario(region):
+            for entry in region.entries:
+                if entry.domain != DOMAINS[1]:
+                    region.isolate(entry.address)
+            await asyncio.sleep(0.1)
+            near = [e for e in region.entries if e.domain == DOMAINS[1]]
+            began_at = asyncio.get_running_loop().time()
+            granted = await self.acquire(near[0], 4)
+            self.assertEqual(4, len(granted))
+            self.assertLess(asyncio.get_running_loop().time() - began_at, 1.0)
+
+        self.played(scenario, servers=3)
+
+    def test_a_quota_follows_the_demand(self):
+        async def scenario(region):
+            for _ in range(20):
+                await self.acquire(region.entries[0], 3, charge=10.0)
+                await self.acquire(region.entries[1], 1, charge=10.0)
+                await asyncio.sleep(0.1)
+            shares = [self.share(region, domain) for domain in DOMAINS]
+            self.assertAlmostEqual(1.0, sum(shares), delta=0.02)
+            self.assertGreater(shares[0], 2 * shares[1])
+            self.assertGreater(shares[1], 2 * shares[2])
+
+        self.played(scenario, servers=3, table=TABLE)
+
+    def test_domains_that_are_cut_off_do_not_raise_their_parts(self):
+        async def scenario(region):
+            for _ in range(10):
+                for entry in region.entries[:3]:
+                    await self.acquire(entry, 1, charge=10.0)
+                await asyncio.sleep(0.1)
+            for entry in region.entries:
+                if entry.domain == DOMAINS[2]:
+                    region.isolate(entry.address)
+            for _ in range(30):
+                for entry in region.entries[:3]:
+                    await self.acquire(entry, 4, charge=10.0)
+                await asyncio.sleep(0.1)
+            shares = [self.share(region, domain) for domain in DOMAINS]
+            self.assertLessEqual(sum(shares), 1.05)
+
+        self.played(scenario, servers=3, table=TABLE)
+
+    def test_a_quota_holds_in_every_window_while_coordinators_are_lost(self):
+        """One workspace asks for far more than it has, through every entry."""
+
+        async def scenario(region):
+            loop = asyncio.get_running_loop()
+            spent: list[tuple[float, float]] = []
+
+            async def press(entry) -> None:
+                while True:
+                    for placement in await self.acquire(entry, 1, charge=40.0):
+                        spent.append((loop.time(), 40.0))
+                        entry.placer.release(placement, DONE)
+                    await asyncio.sleep(0.02)
+
+            pressing = [asyncio.ensure_future(press(e)) for e in region.entries]
+            await asyncio.sleep(10.0)
+            region.isolate(region.entries[0].address)
+            await asyncio.sleep(4.0)
+            region.network.heal()
+            await asyncio.sleep(4.0)
+            for task in pressing:
+                task.cancel()
+            worst = max(
+                sum(units for at, units in spent if start <= at < start + 8.0)
+                for start, _ in spent
+            )
+            self.assertLessEqual(worst, (RATE * 8.0 + RATE) * 1.1 + 0.6 * RATE)
+            self.assertGreater(worst, RATE * 8.0 * 0.7)
+
+        self.played(scenario, servers=3, table=TABLE)
+
+    def share(self, region: MemoryRegion, domain: str) -> float:
+        """Return the part of the workspace's quota that a domain spends."""
+        for entry in region.entries:
+            acts = entry.placer.coordinator().node == entry.node
+            if entry.domain == domain and acts:
+                return entry.coordinator.allocator.quotas.share_of("tills")
+        raise AssertionError(domain)
