Count quotas over the window in which they are judged, in all domains together

A token bucket split three ways refuses large requests first.

Change: each domain counts what it let through over a sliding window and tells the others; a silent domain freezes the parts; a new coordinator counts what the one before spent; an entry that nobody answers spends half of its part; a workspace that asks for far more is paced. Found by the test that loses a coordinator under twelve times the quota: an entry that nobody answers went on spending its domain's part beside its successor.

Ruled out: a larger bucket (its rate stays below what the window allows).

--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -33,6 +33,8 @@
 HELLO_TIMEOUT_S = 0.8
 FRESH_S = 1.5
 """A control member that has not answered for longer is out of reach."""
+ENTRIES_KEPT_S = 15.0
+"""Control members that were all stopped at once are back before that."""
 SILENCE_S = 2.0
 """A server that no member in reach has named for so long is forgotten."""
 SWEEP_PERIOD_S = 0.25
@@ -123,20 +125,31 @@
         return self._servers.get(name)
 
     def entries(self) -> tuple[EntryRecord, ...]:
-        """Return the entries in reach of the control members that answer."""
+        """Return the entries in reach of the control members that answer.
+
+        While none answers, those last told of count for some time.
+        """
+        fresh = self._fresh()
         found = {self.me.node: self.me}
-        for address in self._fresh():
+        for address in fresh or self._answered_since(now() - ENTRIES_KEPT_S):
             for entry in self._entries.get(address, ()):
                 if entry.node != self.me.node:
                     found[entry.node] = entry
         return tuple(found.values())
 
+    @property
+    def reaches_control(self) -> bool:
+        """Tell whether a control member answered lately."""
+        return bool(self._fresh())
+
     def why_not_ready(self) -> str | None:
         """Return why no backend server can be chosen yet, or None."""
         return None if self._answered else "no control member has answered"
 
     def _fresh(self) -> list[str]:
-        oldest = now() - FRESH_S
+        return self._answered_since(now() - FRESH_S)
+
+    def _answered_since(self, oldest: float) -> list[str]:
         return [address for address, at in self._answered.items() if at >= oldest]
 
     def _greet_all(self) -> None:
--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -41,7 +41,6 @@
 """Late requests that wait may take the places of so many seconds, not more."""
 OVERLOAD_RETRY_S = 2.0
 """A burst's usual rest; who comes back sooner is refused once more."""
-QUOTA_RETRY_MAX_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,7 +84,6 @@
                 for name, load in self._servers.items()
             },
             "waiting": {name: q.by_rank() for name, q in self._queues.items()},
-            "quotas": self.quotas.dump(),
         }
 
     def waiting(self, service: str) -> int:
@@ -126,10 +124,9 @@
         self.demand.note(ask.workspace, request.charge, at)
         wait_s = self.quotas.take(ask.workspace, request.charge, at)
         if wait_s > 0:
-            wait_s = min(max(wait_s, MIN_RETRY_AFTER_S), QUOTA_RETRY_MAX_S)
             return Refusal(RefusalReason.OVER_QUOTA, wait_s)
         if request.repeats and not self.retries.take_repeat(ask.service, at):
-            self.give_back(request)
+            self.give_back(request, at)
             return Refusal(RefusalReason.RETRY_BUDGET, MIN_RETRY_AFTER_S)
         if not request.repeats:
             self.retries.note_first(ask.service, at)
@@ -147,7 +144,7 @@
         """Let an admitted request wait if its turn will come in time."""
         ask = request.ask
         if not any(load.offers(ask.service) for load in self._servers.values()):
-            self.give_back(request)
+            self.give_back(request, at)
             return Refusal(RefusalReason.NO_BACKEND_SERVER, MIN_RETRY_AFTER_S)
         queue = self._queues.setdefault(ask.service, Queue())
         waiter = Waiter(
@@ -160,7 +157,7 @@
         expected_s = self._expected_wait_s(ask, queue.ahead_of(ask.rank, late=False))
         waiter.late = expected_s > request.in_time_s
         if waiter.late and not self._has_late_room(queue, waiter):
-            self.give_back(request)
+            self.give_back(request, at)
             return Refusal(RefusalReason.OVERLOADED, OVERLOAD_RETRY_S)
         queue.add(waiter)
         self._waiters[request.run_id] = waiter
@@ -204,7 +201,7 @@
         waiter = self._waiters.pop(run_id, None)
         if waiter is not None:
             self._queues[waiter.request.ask.service].remove(waiter)
-            self.give_back(waiter.request)
+            self.give_back(waiter.request, at)
         load = self._runs.pop(run_id, None)
         if load is None:
             return
@@ -237,12 +234,12 @@
         refused = []
         for waiter in list(self._waiters.values()):
             if waiter.until <= at:
-                refused.append((waiter, self._refuse_waiter(waiter)))
+                refused.append((waiter, self._refuse_waiter(waiter, at)))
             elif not waiter.late and waiter.in_time_until <= at:
                 self._make_late(waiter)
         for queue in self._queues.values():
             while (last := self._one_too_many(queue)) is not None:
-                refused.append((last, self._refuse_waiter(last)))
+                refused.append((last, self._refuse_waiter(last, at)))
         for load in self._servers.values():
             for run in list(load.runs.values()):
                 if run.ends_by <= at:
@@ -301,10 +298,10 @@
         address = load.record.announcement.address
         return Place(run.run_id, load.name, address, at - since, free)
 
-    def _refuse_waiter(self, waiter: Waiter) -> Refusal:
+    def _refuse_waiter(self, waiter: Waiter, at: float) -> Refusal:
         self._queues[waiter.request.ask.service].remove(waiter)
         self._waiters.pop(waiter.request.run_id, None)
-        self.give_back(waiter.request)
+        self.give_back(waiter.request, at)
         return Refusal(RefusalReason.TIMED_OUT, OVERLOAD_RETRY_S)
 
     def _make_late(self, waiter: Waiter) -> None:
@@ -348,9 +345,9 @@
         ]
         return statistics.median(times) if times else NOMINAL_RUN_S
 
-    def give_back(self, request: PlaceRequest) -> None:
+    def give_back(self, request: PlaceRequest, at: float) -> None:
         """Return what a request took of its workspace's quota."""
-        self.quotas.give_back(request.ask.workspace, request.charge)
+        self.quotas.give_back(request.ask.workspace, request.charge, at)
 
     def _learn_mean(self, service: str, run_s: float) -> None:
         known = self._mean_run_s.get(service, run_s)
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -1,6 +1,7 @@
 """Runs an allocator for whoever asks: this entry, or all of its domain."""
 
 import asyncio
+import math
 import secrets
 
 from expression import Error, Ok, Result
@@ -54,6 +55,7 @@
         self._domain = settings.failure_domain
         self._waiting: dict[str, asyncio.Future[Outcome]] = {}
         self._version = 0
+        self.pinged_at = -math.inf
         self._tasks = TaskGroup("coordinator")
 
     async def start(self, kernel: Kernel) -> None:
@@ -134,7 +136,7 @@
         fut = self._waiting.get(waiter.request.run_id)
         if fut is None or fut.done():
             # The request was given up meanwhile; its place is given back.
-            self.allocator.give_back(waiter.request)
+            self.allocator.give_back(waiter.request, now())
             if placed is not None:
                 self._neighbours.cancel(placed)
         elif placed is not None:
@@ -201,8 +203,9 @@
         self.end(msg.run_id, msg.report)
 
     async def _on_ping(self, sender: str, msg: Ping) -> Pong:
+        self.pinged_at = now()
         self.adopt(msg.runs)
-        return Pong(self.epoch)
+        return Pong(self.epoch, self.allocator.quotas.spent(now()))
 
 
 def create(settings: Settings, limits: SharedLimits) -> Coordinator:
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -86,11 +86,13 @@
 class DomainLoad(msgspec.Struct, frozen=True):
     """What the coordinator of a failure domain tells the others.
 
-    `demand` holds the units a second that each workspace asked for lately.
+    `spent` holds the units that each workspace spent there in the window of
+    quotas, and `demand` those a second that it asked for lately.
     """
 
     failure_domain: str
     rooms: tuple[ServiceRoom, ...]
+    spent: dict[str, float]
     demand: dict[str, float]
 
 
@@ -108,6 +110,11 @@
 
 @codec.message("placing.pong")
 class Pong(msgspec.Struct, frozen=True):
-    """The coordinator's life; a sender that knew another tells its runs."""
+    """The coordinator's life; a sender that knew another tells its runs.
+
+    `spent` are the units that each workspace spent here in the window of
+    quotas, for whoever takes over.
+    """
 
     epoch: str
+    spent: dict[str, float] = {}
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -63,6 +63,7 @@
         self._random = random.Random()
         self._tasks = TaskGroup("neighbours")
         self.shares = Shares()
+        self.acts: Callable[[], bool] = lambda: False
         self.on_room: Callable[[], None] = lambda: None
 
     async def start(self, kernel: Kernel) -> None:
@@ -89,8 +90,7 @@
     @property
     def is_acting(self) -> bool:
         """Tell whether this entry is the coordinator of its domain."""
-        found = coordinator_of(self._roster.entries(), self._domain)
-        return found is None or found.node == self._node
+        return self.acts()
 
     def has_room(self, service: str) -> bool:
         """Tell whether another domain has room for a service."""
@@ -149,9 +149,10 @@
                 continue
             at = now()
             demand = allocator.demand.rates(at)
-            self.shares.update(demand, at)
+            spent = allocator.quotas.spent(at)
+            self.shares.update(spent, at)
             rooms = tuple(ServiceRoom(*room) for room in allocator.rooms(at).items())
-            load = DomainLoad(self._domain, rooms, demand)
+            load = DomainLoad(self._domain, rooms, spent, demand)
             for domain in domains - {self._domain}:
                 keeper = coordinator_of(entries, domain)
                 if keeper is not None:
@@ -163,7 +164,7 @@
         known = self._neighbours.get(msg.failure_domain)
         avoid_until = known.avoid_until if known is not None else 0.0
         self._neighbours[msg.failure_domain] = Neighbour(rooms, at, avoid_until)
-        self.shares.hear(msg.failure_domain, msg.demand, at)
+        self.shares.hear(msg.failure_domain, msg.spent, msg.demand, at)
         if any(free > 0 for free in rooms.values()):
             self.on_room()
 
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import itertools
+import math
 import secrets
 from dataclasses import dataclass
 
@@ -30,6 +31,7 @@
     RunEnded,
 )
 from fuchsiacroft.placing.neighbours import Neighbours, coordinator_of
+from fuchsiacroft.placing.quotas import Elsewhere
 from fuchsiacroft.routing.ask import Ask, Refusal, RunOutcome, RunReport
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
@@ -42,7 +44,13 @@
 """How long a coordinator that did not answer is not asked."""
 ANSWER_MARGIN_S = 0.4
 """What an answer may take besides the wait that was asked for."""
+CUT_OFF_S = 1.0
+"""After so long without a word from anybody an entry is by itself."""
 LIFE_BYTES = 3
+ALONE_SHARE = 0.5
+"""Of its part of a quota, what an entry spends that decides alone."""
+SPENT_KEPT_S = 5.0
+"""How long what a coordinator told of spent quotas counts for its successor."""
 KNOWN_ENTRIES_S = 30.0
 """How long an entry that is out of reach keeps its part of shared limits."""
 
@@ -83,6 +91,7 @@
         self._known: dict[str, tuple[str, float]] = {}
         self._lost = asyncio.Event()
         self._asked: EntryRecord | None = None
+        self._spent: tuple[dict[str, float], float] = ({}, -math.inf)
         self._tasks = TaskGroup("placer")
 
     async def start(self, kernel: Kernel) -> None:
@@ -91,7 +100,8 @@
         self._roster = kernel.get("roster", Roster)
         self._own = kernel.get("coordinator", Coordinator)
         self._neighbours = kernel.get("neighbours", Neighbours)
-        self._own.allocator.quotas.share_of = self._share_of
+        self._own.allocator.quotas.elsewhere = self._elsewhere
+        self._neighbours.acts = self.acts
         self._tasks.keep(self._watch(), "placer-watch")
 
     async def stop(self) -> None:
@@ -109,7 +119,14 @@
     def coordinator(self) -> EntryRecord:
         """Return the entry that decides for this domain."""
         found = coordinator_of(self._roster.entries(), self._domain)
-        return found if found is not None else self._roster.me
+        keeper = found if found is not None else self._roster.me
+        if self._asked is None or keeper.node != self._asked.node:
+            self._hand_over(keeper)
+        return keeper
+
+    def acts(self) -> bool:
+        """Tell whether this entry decides for its domain."""
+        return self.coordinator().node == self._node
 
     async def acquire(
         self, ask: Ask, charge: float, repeats: bool, patience: Patience
@@ -198,8 +215,6 @@
         while True:
             self._note_known()
             keeper = self.coordinator()
-            if self._asked is None or keeper.node != self._asked.node:
-                self._hand_over(keeper)
             alone = keeper.node != self._node
             near = max(len(self._near()), 1)
             self._own.allocator.slot_share = 1 / near if alone else 1.0
@@ -219,6 +234,9 @@
         self._suspected_until = 0.0
         if keeper.node == self._node:
             self._own.adopt(self._runs())
+            spent, told_at = self._spent
+            if now() - told_at < SPENT_KEPT_S:
+                self._own.allocator.quotas.adopt(spent, now())
         else:
             self._epochs.pop(keeper.node, None)
 
@@ -227,7 +245,8 @@
         runs = () if known else self._runs()
         ping = Ping(self._node, known, runs)
         match await self._bus.request(keeper.peers, ping, PING_TIMEOUT_S):
-            case Result(tag="ok", ok=Pong(epoch=epoch)):
+            case Result(tag="ok", ok=Pong(epoch=epoch, spent=spent)):
+                self._spent = (spent, now())
                 self._epochs[keeper.node] = epoch if epoch == known or not known else ""
             case _:
                 self._epochs.pop(keeper.node, None)
@@ -260,11 +279,19 @@
         """Return this entry's part of limits that all entries share."""
         return 1 / max(len(self._known), 1)
 
-    def _share_of(self, workspace: str) -> float:
-        """Return the part of a quota that may be spent by decisions made here."""
-        if self.coordinator().node == self._node:
-            return self._neighbours.shares.of(workspace)
-        return self._part()
+    def _is_cut_off(self, at: float) -> bool:
+        """Tell whether nobody answers, so that others may have taken over."""
+        if self._roster.reaches_control or len(self._known) <= 1:
+            return False
+        oldest = at - CUT_OFF_S
+        heard = self._neighbours.shares.heard_since(oldest)
+        return not heard and self._own.pinged_at < oldest
+
+    def _elsewhere(self, workspace: str, at: float) -> Elsewhere:
+        """Return what is spent of a quota by decisions that are not made here."""
+        if self.acts() and not self._is_cut_off(at):
+            return self._neighbours.shares.elsewhere(workspace, at)
+        return Elsewhere(share=ALONE_SHARE * self._part())
 
 
 def create(settings: Settings) -> Placer:
--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -1,16 +1,26 @@
-"""Quotas of workspaces: token buckets that one process keeps for many."""
+"""Quotas of workspaces, counted over a sliding window in several places.
 
+Each failure domain counts what it lets through, and hears from the others what
+they did. What the others let through since they last told is guessed by what
+they are asked for, so that all together stay below the limit. A workspace that
+asks for far more than its quota is paced, so that it does not spend a window's
+units in its first second and get nothing for the rest.
+"""
+
+from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from fuchsiacroft.config.route_table import Quota, Workspace
 
-TAKEOVER_SHARE = 0.25
-"""Of a full bucket, what a new keeper has: the one before may have spent it."""
-
-
-TOLERANCE_USED = 0.6
-"""Of the tolerance, the part used; the rest is for two keepers at a time."""
+TOLERANCE_USED = 0.8
+"""Of the tolerance, the part used; the rest is for what is guessed wrong."""
+GRAIN_S = 0.25
+"""Units of so many seconds are counted together."""
+PACE_SHARE = 0.2
+"""Of a window's units, those that may be spent at once."""
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,89 +34,120 @@
     overshoot: float = 0.0
     slack: float = 0.0
 
-    def room(self, quota: Quota) -> float:
-        """Return the units by which a bucket may be larger than its burst."""
+    def limit(self, quota: Quota) -> float:
+        """Return the units that may be spent in a window."""
         window = quota.units_per_s * self.window_s + quota.burst
-        return TOLERANCE_USED * (self.overshoot * window + self.slack)
+        return window + TOLERANCE_USED * (self.overshoot * window + self.slack)
 
 
 @dataclass(slots=True)
-class Bucket:
-    """What is left of one workspace's quota, of at most `capacity` units."""
+class Window:
+    """What one workspace spent lately, in grains of time, the oldest first.
+
+    `ahead` is what was spent beyond an even pace, as of `paced_at`.
+    """
 
-    quota: Quota
-    capacity: float
-    units: float
-    filled_at: float
+    grains: deque[list[float]] = field(default_factory=deque)
+    total: float = 0.0
+    ahead: float = 0.0
+    paced_at: float = 0.0
 
+    def add(self, units: float, at: float) -> None:
+        """Count units, or take them back if negative."""
+        if not self.grains or at - self.grains[-1][0] >= GRAIN_S:
+            self.grains.append([at, 0.0])
+        self.grains[-1][1] += units
+        self.total += units
+        self.ahead = max(self.ahead + units, 0.0)
+
+    def pace(self, units_per_s: float, at: float) -> None:
+        """Let time take its part of what was spent ahead."""
+        self.ahead = max(self.ahead - (at - self.paced_at) * units_per_s, 0.0)
+        self.paced_at = at
+
+    def forget(self, before: float) -> None:
+        """Drop the grains that ended before a time."""
+        while self.grains and self.grains[0][0] + GRAIN_S <= before:
+            self.total -= self.grains.popleft()[1]
 
-class Quotas:
-    """The buckets of every workspace that has a quota.
 
-    `share_of` tells the part of a workspace's quota that may be spent here,
-    while other processes spend the rest.
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """What others do with a workspace's quota.
+
+    `spent` are units that they let through in the window, and `share` the part
+    of the limit that may be spent here. `pace` is the part of the even pace
+    that falls to this place.
     """
 
+    spent: float = 0.0
+    share: float = 1.0
+    pace: float = 1.0
+
+
+class Quotas:
+    """The windows of every workspace that has a quota."""
+
     def __init__(self, tolerance: Tolerance) -> None:
         self._tolerance = tolerance
-        self._buckets: dict[str, Bucket] = {}
+        self._windows: dict[str, Window] = {}
         self._workspaces: dict[str, Workspace] = {}
-        self.share_of: Callable[[str], float] = lambda workspace: 1.0
+        self.elsewhere: Callable[[str, float], Elsewhere] = lambda name, at: Elsewhere()
 
     def replace(self, workspaces: dict[str, Workspace]) -> None:
-        """Take over new limits; what a workspace has left is cut to them."""
+        """Take over new limits; what was spent goes on to count."""
         self._workspaces = workspaces
-        for name in list(self._buckets):
-            workspace = workspaces.get(name)
-            if workspace is None or workspace.quota is None:
-                del self._buckets[name]
-                continue
-            bucket = self._buckets[name]
-            bucket.quota = workspace.quota
-            bucket.capacity = self._capacity(workspace.quota)
-            bucket.units = min(bucket.units, bucket.capacity)
+        for name in self._windows.keys() - workspaces.keys():
+            del self._windows[name]
 
     def take(self, workspace: str, units: float, at: float) -> float:
-        """Take units if they are there; return 0, or the seconds until they are."""
-        share = self.share_of(workspace)
-        bucket = self._bucket(workspace, share, at)
-        if bucket is None or units <= 0:
+        """Take units if they are there; return 0, or the seconds until they may be."""
+        found = self._workspaces.get(workspace)
+        if found is None or found.quota is None or units <= 0:
             return 0.0
-        self._fill(bucket, share, at)
-        # A request above the capacity passes with a full bucket and overdraws it.
-        needed = min(units, bucket.capacity * share)
-        if bucket.units >= needed:
-            bucket.units -= units
-            return 0.0
-        rate = max(bucket.quota.units_per_s * share, 1e-9)
-        return (needed - bucket.units) / rate
-
-    def give_back(self, workspace: str, units: float) -> None:
+        window = self._windows.setdefault(workspace, Window())
+        window.forget(at - self._tolerance.window_s)
+        elsewhere = self.elsewhere(workspace, at)
+        limit = self._tolerance.limit(found.quota) * elsewhere.share
+        room = limit - window.total - elsewhere.spent
+        # A request larger than the limit passes when nothing else was spent.
+        if room < min(units, limit):
+            return self._wait_s(window, units - room, at)
+        units_per_s = limit * elsewhere.pace / self._tolerance.window_s
+        at_once = PACE_SHARE * limit * elsewhere.pace
+        window.pace(units_per_s, at)
+        ahead = window.ahead + min(units, at_once) - at_once
+        if ahead > 0:
+            wait_s = ahead / units_per_s
+            return min(max(wait_s, RETRY_MIN_S), RETRY_MAX_S)
+        window.add(units, at)
+        return 0.0
+
+    def give_back(self, workspace: str, units: float, at: float) -> None:
         """Return the units of a request that did not run."""
-        bucket = self._buckets.get(workspace)
-        if bucket is not None:
-            bucket.units = min(bucket.units + units, bucket.capacity)
-
-    def dump(self) -> dict:
-        """Return what each workspace has left."""
-        return {name: round(bucket.units) for name, bucket in self._buckets.items()}
-
-    def _bucket(self, name: str, share: float, at: float) -> Bucket | None:
-        bucket = self._buckets.get(name)
-        if bucket is None:
-            workspace = self._workspaces.get(name)
-            if workspace is None or workspace.quota is None:
-                return None
-            capacity = self._capacity(workspace.quota)
-            units = capacity * TAKEOVER_SHARE * share
-            bucket = Bucket(workspace.quota, capacity, units, at)
-            self._buckets[name] = bucket
-        return bucket
-
-    def _fill(self, bucket: Bucket, share: float, at: float) -> None:
-        grown = (at - bucket.filled_at) * bucket.quota.units_per_s * share
-        bucket.units = min(bucket.capacity * share, bucket.units + grown)
-        bucket.filled_at = at
-
-    def _capacity(self, quota: Quota) -> float:
-        return quota.burst + self._tolerance.room(quota)
+        window = self._windows.get(workspace)
+        if window is not None and units > 0:
+            window.add(-units, at)
+
+    def spent(self, at: float) -> dict[str, float]:
+        """Return what each workspace spent in the window."""
+        for window in self._windows.values():
+            window.forget(at - self._tolerance.window_s)
+        return {name: w.total for name, w in self._windows.items() if w.total > 0}
+
+    def adopt(self, spent: dict[str, float], at: float) -> None:
+        """Count what the keeper before let through as if it were now."""
+        for name, units in spent.items():
+            window = self._windows.setdefault(name, Window())
+            window.add(units, at)
+            window.ahead -= units
+
+    def _wait_s(self, window: Window, missing: float, at: float) -> float:
+        """Return the seconds until so many units leave the window."""
+        freed = 0.0
+        for begun_at, units in window.grains:
+            freed += units
+            if freed >= missing:
+                until_s = begun_at + GRAIN_S + self._tolerance.window_s - at
+                return min(max(until_s, RETRY_MIN_S), RETRY_MAX_S)
+        return RETRY_MAX_S
--- a/fuchsiacroft/placing/shares.py
+++ b/fuchsiacroft/placing/shares.py
@@ -1,71 +1,88 @@
-"""The part of shared limits that falls to one failure domain.
+"""What a region's other failure domains do with shared quotas.
 
-Each domain's coordinator tells the others what its workspaces ask for. A quota
-is split by that demand. While any other domain is silent the split stays as it
-was, so that the parts of domains that cannot hear each other never grow
-together past the whole.
+While every domain is heard, each counts what all of them spent. While one is
+silent, nobody knows what it spends; each then keeps to the part of the quota
+that it had in what was last known, so that the parts of domains that cannot
+hear each other never add up to more than the whole.
 """
 
 from dataclasses import dataclass
 
+from fuchsiacroft.placing.quotas import Elsewhere
+
 FRESH_S = 0.3
 """A domain that has told nothing for longer, some periods, is silent."""
 KEPT_S = 60.0
 """A domain silent for longer has no entries any more; its part is free."""
 LEAST_SHARE = 0.02
-"""What a domain keeps of a quota that it did not ask for lately."""
+"""What a domain keeps of a quota that it did not spend from lately."""
+TOLD_AGE_S = 0.03
+"""How old what a domain tells is when it arrives, at most."""
 
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """What one other domain said of its demand, and when."""
+    """What another domain said that it spent and is asked for, and when."""
 
+    spent: dict[str, float]
     demand: dict[str, float]
     at: float
 
 
 class Shares:
-    """Splits each workspace's quota between the domains."""
+    """Keeps account of the other domains."""
 
     def __init__(self) -> None:
         self._told: dict[str, Told] = {}
-        self._shares: dict[str, float] = {}
+        self._parts: dict[str, float] = {}
+        self._is_frozen = True
         self._domains = 1
 
+    def heard_since(self, oldest: float) -> bool:
+        """Tell whether any other domain has told anything lately."""
+        return any(told.at >= oldest for told in self._told.values())
+
     def set_domains(self, count: int) -> None:
         """Note how many failure domains the region has."""
         self._domains = max(count, 1)
 
-    def hear(self, domain: str, demand: dict[str, float], at: float) -> None:
-        """Take in what another domain asks for."""
-        self._told[domain] = Told(demand, at)
-
-    def even(self) -> float:
-        """Return the part of one domain if all have the same."""
-        return 1.0 / self._domains
-
-    def of(self, workspace: str) -> float:
-        """Return this domain's part of a workspace's quota."""
-        return self._shares.get(workspace, self.even())
+    def hear(
+        self, domain: str, spent: dict[str, float], demand: dict[str, float], at: float
+    ) -> None:
+        """Take in what another domain says."""
+        self._told[domain] = Told(spent, demand, at)
+
+    def elsewhere(self, workspace: str, at: float) -> Elsewhere:
+        """Return what the others spent, or the part that is left to this domain."""
+        even = 1.0 / self._domains
+        part = self._parts.get(workspace, even)
+        if self._is_frozen:
+            return Elsewhere(share=part)
+        spent = sum(_guessed(told, workspace, at) for told in self._told.values())
+        return Elsewhere(spent, pace=max(part, even))
 
     def update(self, own: dict[str, float], at: float) -> None:
-        """Split the quotas anew, if every other domain has been heard lately."""
+        """Look who is silent, given what this domain spent itself."""
         self._told = {
             d: told for d, told in self._told.items() if at - told.at < KEPT_S
         }
-        others = list(self._told.values())
-        if len(others) + 1 < self._domains:
-            return
-        if any(at - told.at > FRESH_S for told in others):
-            return
-        names = set(own)
-        for told in others:
-            names |= told.demand.keys()
-        self._shares = {name: _share(name, own, others) for name in names}
-
-
-def _share(name: str, own: dict[str, float], others: list[Told]) -> float:
-    mine = own.get(name, 0.0)
-    total = mine + sum(told.demand.get(name, 0.0) for told in others)
-    spread = 1.0 - LEAST_SHARE * (len(others) + 1)
-    return LEAST_SHARE + spread * mine / total if total > 0 else 1 / (len(others) + 1)
+        others = self._told.values()
+        is_whole = len(others) + 1 >= self._domains
+        self._is_frozen = not is_whole or any(at - t.at > FRESH_S for t in others)
+        if not self._is_frozen:
+            names = set(own).union(*(told.spent for told in others))
+            self._parts = {name: self._share(name, own) for name in names}
+
+    def _share(self, name: str, own: dict[str, float]) -> float:
+        count = len(self._told) + 1
+        mine = own.get(name, 0.0)
+        total = mine + sum(told.spent.get(name, 0.0) for told in self._told.values())
+        if total <= 0:
+            return 1 / count
+        return LEAST_SHARE + (1.0 - LEAST_SHARE * count) * mine / total
+
+
+def _guessed(told: Told, workspace: str, at: float) -> float:
+    """Return what a domain has spent by now, at its demand since it told."""
+    age_s = at - told.at + TOLD_AGE_S
+    return told.spent.get(workspace, 0.0) + told.demand.get(workspace, 0.0) * age_s
