Admit control members that no settings list, and charge each run to its quota

Cause: a control VM that comes at another address was never admitted, as only listed addresses were; after a planned replacement a second loss would have left no majority.

Each run is charged. Half of the tolerance and a part for entries out of reach are kept back.

Ruled out: removing silent members without a successor (a short cut would shrink the group).

--- a/fuchsiacroft/config/settings.py
+++ b/fuchsiacroft/config/settings.py
@@ -91,7 +91,9 @@
     `tunnels` maps the peers address of another process to the address to
     connect to instead, where a VM is reached through one. A control member with
     an empty disk forms a group with others only if `may_form_group`; where that
-    is false it joins the group that there is.
+    is false it joins the group that there is. With `wanted_voters` the settings
+    need not list every control member: each that greets the group is admitted,
+    so many of them vote, and the others stand by for one that is lost.
     """
 
     node: Name
@@ -103,6 +105,7 @@
     tunnels: dict[str, Address] = {}
     data_folder: str | None = None
     may_form_group: bool = True
+    wanted_voters: Annotated[int, msgspec.Meta(ge=1)] | None = None
     keys: Keys | None = None
     tls: Tls | None = None
     operator_token_hashes: list[str] = []
--- a/fuchsiacroft/control/consensus/joining.py
+++ b/fuchsiacroft/control/consensus/joining.py
@@ -11,9 +11,10 @@
 from dataclasses import dataclass
 
 from fuchsiacroft.control.consensus import timing
-from fuchsiacroft.control.consensus.member import Member, encode_configuration
+from fuchsiacroft.control.consensus.member import Member, Role, encode_configuration
 from fuchsiacroft.control.consensus.messages import Hello, HelloReply, HelloStatus
 from fuchsiacroft.control.records import Configuration, GroupMember, Position
+from fuchsiacroft.exceptions import InvariantError
 from fuchsiacroft.utils import clock
 from fuchsiacroft.utils.logs import event
 
@@ -34,6 +35,17 @@
     seen_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class JoinPolicy:
+    """Whether empty disks form a group, and what a replaced member does.
+
+    It stops the process, to be started again as a new member, or halts.
+    """
+
+    may_form: bool = True
+    ends_when_replaced: bool = False
+
+
 class Joining:
     """Says hello until this member belongs to its group."""
 
@@ -43,13 +55,14 @@
         addresses: tuple[str, ...],
         restart: Callable[[], Awaitable[None]],
         on_verified: Callable[[], None],
-        may_form: bool = True,
+        policy: JoinPolicy,
     ) -> None:
+        self._policy = policy
         self._member = member
         self._addresses = addresses
-        self._may_form = may_form
         self._restart = restart
         self._on_verified = on_verified
+        self._told: set[str] = set()
         self.joiners: dict[str, Joiner] = {}
 
     def register(self) -> None:
@@ -57,9 +70,16 @@
         self._member.bus.handle(Hello, self._on_hello)
 
     async def run(self) -> None:
-        """Say hello until this member is verified and a member."""
+        """Say hello until this member is verified and a member.
+
+        One that hears of no leader for long says hello again: the group may
+        have put another in its place.
+        """
         member = self._member
-        while member.halted is None and not self._is_settled():
+        while member.halted is None:
+            if self._is_settled() and not self._is_forlorn():
+                await asyncio.sleep(timing.HELLO_IDLE_PERIOD_S)
+                continue
             promised = self._promised()
             replies = await self._ask_all()
             if promised == self._promised():
@@ -81,12 +101,22 @@
             return False
         return member.configuration.find(member.identity) is not None
 
+    def _is_forlorn(self) -> bool:
+        """Tell whether there has been no leader for longer than elections take."""
+        member = self._member
+        if member.role is Role.LEADER:
+            return False
+        return clock.now() - member.heard_at > timing.LEADERLESS_LIMIT_S
+
     async def _ask_all(self) -> list[HelloReply]:
         member = self._member
         known = {found.address for found in member.configuration.members}
-        others = sorted((known | set(self._addresses)) - {member.address})
+        others = sorted((known | set(self._addresses) | self._told) - {member.address})
         answers = await asyncio.gather(*(self._ask(address) for address in others))
-        return [reply for reply in answers if reply is not None]
+        replies = [reply for reply in answers if reply is not None]
+        for reply in replies:
+            self._told |= {found.address for found in reply.configuration.members}
+        return replies
 
     async def _ask(self, address: str) -> HelloReply | None:
         member = self._member
@@ -121,6 +151,8 @@
         event("error", "disk_outdated", identity=member.identity, term=member.term)
         if member.verified:
             member.halt("the group no longer knows this disk; restart to rejoin")
+            if self._policy.ends_when_replaced:
+                raise InvariantError(member.halted)
             return
         await self._restart()
 
@@ -175,7 +207,7 @@
         if len(replies) >= needed:
             self._verify(replies)
         is_new = len(fresh) == len(replies) == len(others)
-        if self._may_form and is_new and self._is_first():
+        if self._policy.may_form and is_new and self._is_first():
             self._form(fresh)
 
     def _is_first(self) -> bool:
--- a/fuchsiacroft/control/consensus/leadership.py
+++ b/fuchsiacroft/control/consensus/leadership.py
@@ -69,6 +69,10 @@
             peer.wake.set()
         return entry.index
 
+    def silent_s(self, identity: str) -> float:
+        """Return for how long a member has answered nothing in this term."""
+        return clock.now() - max(self._acked_at(identity), self._started_at)
+
     def note_progress(self) -> None:
         """Raise the commit index to what a majority holds durably."""
         member = self._member
--- a/fuchsiacroft/control/consensus/membership.py
+++ b/fuchsiacroft/control/consensus/membership.py
@@ -1,5 +1,9 @@
 """Membership change by the leader, one member at a time.
 
+Where the settings list every member, the configuration is brought to that
+list. Where they say how many are to vote, whoever greets is admitted, and one
+that stands by takes the place of a voter that is silent.
+
 A member with a new disk is added as a learner. Once it has caught up, the
 voter that it replaces is removed and the learner is made a voter, in two
 changes, so that every two successive configurations share a majority.
@@ -37,7 +41,9 @@
         joining: Joining,
         addresses: tuple[str, ...],
         leadership: GetLeadership,
+        wanted_voters: int | None = None,
     ) -> None:
+        self._wanted = wanted_voters
         self._member = member
         self._joining = joining
         self._addresses = addresses
@@ -63,12 +69,62 @@
         leadership.append(*encode_configuration(configuration))
 
     def _next_change(self, leadership: Leadership) -> Change | None:
+        if self._wanted is not None:
+            return (
+                self._admit_learner()
+                or self._seat_standby(leadership, self._wanted)
+                or self._remove_silent_learner(leadership)
+            )
         return (
             self._admit_learner()
             or self._seat_learner(leadership)
             or self._remove_unlisted()
         )
 
+    def _seat_standby(self, leadership: Leadership, wanted: int) -> Change | None:
+        """Make a learner a voter if there are too few, or one is silent."""
+        configuration = self._member.configuration
+        for learner in configuration.members:
+            if learner.voter or not self._is_caught_up(leadership, learner):
+                continue
+            replaced = self._same_address(learner)
+            if replaced is not None:
+                return self._without(replaced, "replaced")
+            if len(configuration.voters()) < wanted:
+                return self._made_voter(learner)
+            silent = self._silent_voter(leadership)
+            if silent is not None:
+                return self._without(silent, "silent")
+        return None
+
+    def _same_address(self, learner: GroupMember) -> GroupMember | None:
+        """Return the voter whose disk was at the learner's address before."""
+        for voter in self._member.configuration.voters():
+            if voter.address == learner.address:
+                return voter
+        return None
+
+    def _silent_voter(self, leadership: Leadership) -> GroupMember | None:
+        for voter in self._member.configuration.voters():
+            is_own = voter.identity == self._member.identity
+            silent_s = leadership.silent_s(voter.identity)
+            if not is_own and silent_s > timing.SILENT_VOTER_S:
+                return voter
+        return None
+
+    def _remove_silent_learner(self, leadership: Leadership) -> Change | None:
+        for found in self._member.configuration.members:
+            silent_s = leadership.silent_s(found.identity)
+            if not found.voter and silent_s > timing.SILENT_LEARNER_S:
+                return self._without(found, "silent")
+        return None
+
+    def _made_voter(self, learner: GroupMember) -> Change:
+        members = self._member.configuration.members
+        voter = GroupMember(learner.identity, learner.node, learner.address, True)
+        kept = tuple(found for found in members if found is not learner)
+        return Change(f"voter_{voter.address}", (*kept, voter))
+
     def _admit_learner(self) -> Change | None:
         for joiner in self._joining.joiners.values():
             if self._is_awaited(joiner):
@@ -82,7 +138,7 @@
         return None
 
     def _is_awaited(self, joiner: Joiner) -> bool:
-        if joiner.address not in self._addresses:
+        if self._wanted is None and joiner.address not in self._addresses:
             return False
         if clock.now() - joiner.seen_at > JOINER_LIFE_S:
             return False
@@ -98,9 +154,7 @@
                 return self._without(replaced, "replaced")
             if len(self._member.configuration.voters()) >= len(self._addresses):
                 continue
-            voter = GroupMember(learner.identity, learner.node, learner.address, True)
-            kept = tuple(found for found in members if found is not learner)
-            return Change(f"voter_{voter.address}", (*kept, voter))
+            return self._made_voter(learner)
         return None
 
     def _is_caught_up(self, leadership: Leadership, learner: GroupMember) -> bool:
@@ -111,11 +165,10 @@
 
     def _replaced_by(self, learner: GroupMember) -> GroupMember | None:
         """Return the voter whose place a caught-up learner takes."""
-        voters = self._member.configuration.voters()
-        for voter in voters:
-            if voter.address == learner.address:
-                return voter
-        for voter in voters:
+        same = self._same_address(learner)
+        if same is not None:
+            return same
+        for voter in self._member.configuration.voters():
             is_own = voter.identity == self._member.identity
             if voter.address not in self._addresses and not is_own:
                 return voter
--- a/fuchsiacroft/control/consensus/service.py
+++ b/fuchsiacroft/control/consensus/service.py
@@ -9,7 +9,7 @@
 from fuchsiacroft.control.consensus.applying import Applying
 from fuchsiacroft.control.consensus.elections import Elections
 from fuchsiacroft.control.consensus.following import Following
-from fuchsiacroft.control.consensus.joining import Joining
+from fuchsiacroft.control.consensus.joining import Joining, JoinPolicy
 from fuchsiacroft.control.consensus.leadership import Leadership
 from fuchsiacroft.control.consensus.member import Member
 from fuchsiacroft.control.consensus.membership import Membership
@@ -38,6 +38,7 @@
         addresses: tuple[str, ...],
         rng: random.Random,
         may_form: bool = True,
+        wanted_voters: int | None = None,
     ) -> None:
         self._member = member
         self._storage = member.storage
@@ -50,10 +51,14 @@
         self._proposals = Proposals(member, self._applying, self._leadership)
         self._reads = Reads(member, self._applying, self._leadership)
         self._joining = Joining(
-            member, addresses, self._start_afresh, self._on_verified, may_form
+            member,
+            addresses,
+            self._start_afresh,
+            self._on_verified,
+            JoinPolicy(may_form, ends_when_replaced=wanted_voters is not None),
         )
         self._membership = Membership(
-            member, self._joining, addresses, self._leadership
+            member, self._joining, addresses, self._leadership, wanted_voters
         )
 
     def register(self, name: str, machine: StateMachine) -> None:
@@ -198,4 +203,10 @@
     member = Member(settings.node, address, bus, storage)
     rng = rng or random.Random()
     listed_addresses = tuple(sorted(listed))
-    return ConsensusLog(member, listed_addresses, rng, settings.may_form_group)
+    return ConsensusLog(
+        member,
+        listed_addresses,
+        rng,
+        settings.may_form_group,
+        settings.wanted_voters,
+    )
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -151,7 +151,7 @@
         asked_at = now()
         outcome = await self._placer.acquire(
             ask,
-            charge=call.charge if is_first else 0.0,
+            charge=call.charge if is_first or session.runs else 0.0,
             repeats=session.sends > 0,
             patience=self._waiting.patience(call, left_s),
         )
--- a/fuchsiacroft/gateway/front.py
+++ b/fuchsiacroft/gateway/front.py
@@ -155,6 +155,7 @@
             service=call.service if call else "-",
             workspace=call.workspace if call else "-",
             rank=call.rank if call else "-",
+            units=call.charge if call else "-",
             version=call.table_version if call else self._tables.version,
             version_age_s=round(self._tables.age_s, 3),
             tried=",".join(session.tried) or "-",
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -10,8 +10,8 @@
 class PlaceRequest(msgspec.Struct, frozen=True):
     """Ask for a place to run; answered when there is one or none will be.
 
-    `run_id` is new for each try. `charge` is what the request takes of its
-    workspace's quota, 0 if that was taken before. `repeats` tells that an
+    `run_id` is new for each try. `charge` is what the try takes of the
+    workspace's quota, 0 after one that did not run. `repeats` tells that an
     earlier try reached a backend server. Placed within `in_time_s` the request
     can be answered in time; it may wait up to `max_wait_s`.
     """
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -11,7 +11,7 @@
 import itertools
 import math
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from expression import Error, Ok, Result
 
@@ -47,7 +47,7 @@
 CUT_OFF_S = 1.0
 """After so long without a word from anybody an entry is by itself."""
 LIFE_BYTES = 3
-ALONE_SHARE = 0.5
+ALONE_SHARE = 0.25
 """Of its part of a quota, what an entry spends that decides alone."""
 SPENT_KEPT_S = 5.0
 """How long what a coordinator told of spent quotas counts for its successor."""
@@ -289,9 +289,20 @@
 
     def _elsewhere(self, workspace: str, at: float) -> Elsewhere:
         """Return what is spent of a quota by decisions that are not made here."""
-        if self.acts() and not self._is_cut_off(at):
-            return self._neighbours.shares.elsewhere(workspace, at)
-        return Elsewhere(share=ALONE_SHARE * self._part())
+        alone = ALONE_SHARE * self._part()
+        if not self.acts() or self._is_cut_off(at):
+            return Elsewhere(share=alone)
+        found = self._neighbours.shares.elsewhere(workspace, at)
+        kept = 1.0 - alone * self._missing()
+        return replace(found, share=found.share * kept)
+
+    def _missing(self) -> int:
+        """Return how many entries of the domain are out of reach since lately."""
+        near = {entry.node for entry in self._near()}
+        return sum(
+            domain == self._domain and node not in near
+            for node, (domain, _) in self._known.items()
+        )
 
 
 def create(settings: Settings) -> Placer:
--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -13,8 +13,8 @@
 
 from fuchsiacroft.config.route_table import Quota, Workspace
 
-TOLERANCE_USED = 0.8
-"""Of the tolerance, the part used; the rest is for what is guessed wrong."""
+TOLERANCE_USED = 0.5
+"""Of the tolerance, the part used; the rest is for entries that are cut off."""
 GRAIN_S = 0.25
 """Units of so many seconds are counted together."""
 PACE_SHARE = 0.2
--- a/fuchsiacroft/platform/settings.py
+++ b/fuchsiacroft/platform/settings.py
@@ -47,6 +47,12 @@
     quota_slack: float = 0.0
 
 
+class WireTolerance(msgspec.Struct, rename="camel"):
+    """What may be lost at a time while every promise is kept."""
+
+    machines: int = 1
+
+
 class WireSettings(msgspec.Struct, rename="camel"):
     """The settings file of a process."""
 
@@ -60,6 +66,7 @@
     bootstrap: bool = False
     data_dir: str | None = None
     heartbeat_ms: float = 1_000.0
+    fault_tolerance: WireTolerance = msgspec.field(default_factory=WireTolerance)
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
 
     @property
@@ -139,6 +146,7 @@
         ],
         data_folder=wire.data_dir,
         may_form_group=wire.bootstrap,
+        wanted_voters=2 * wire.fault_tolerance.machines + 1,
         drain_timeout_s=max(wire.bounds.grace_s - DRAIN_MARGIN_S, 1.0),
     )
 
--- a/fuchsiacroft/tests/fakes/group.py
+++ b/fuchsiacroft/tests/fakes/group.py
@@ -124,18 +124,44 @@
 class Group:
     """The members named in one list of settings."""
 
-    def __init__(self, size: int = 3, seed: int = 0) -> None:
+    def __init__(
+        self, size: int = 3, seed: int = 0, wanted_voters: int | None = None
+    ) -> None:
+        self.wanted_voters = wanted_voters
+        self.may_form = True
         self.random = random.Random(seed)
         self.network = LateNetwork(self.random.randrange(1 << 30))
         self.on_apply: Callable[[int, int], None] | None = None
         self.on_start: Callable[[Node], None] = lambda node: None
         self.nodes = [Node(self, number) for number in range(1, size + 1)]
+        self.listed = tuple(self.nodes)
 
     def settings(self, node: Node) -> Settings:
         """Return the settings of one member."""
-        members = [Member(n.name, "hall-lausanne", n.address) for n in self.nodes]
+        members = [Member(n.name, "hall-lausanne", n.address) for n in self.listed]
         addresses = Addresses("10.0.0.1:1", peers=node.address)
-        return Settings(node.name, "hall-lausanne", "ch", addresses, members)
+        return Settings(
+            node.name,
+            "hall-lausanne",
+            "ch",
+            addresses,
+            members,
+            may_form_group=self.may_form,
+            wanted_voters=self.wanted_voters,
+        )
+
+    async def add(self) -> Node:
+        """Start a member with an empty disk that no settings list."""
+        self.may_form = False
+        node = Node(self, len(self.nodes) + 1)
+        self.nodes.append(node)
+        await node.start()
+        return node
+
+    def voters(self) -> set[str]:
+        """Return the names of those who vote, as the leader knows them."""
+        voters = self.leader().log.member.configuration.voters()
+        return {voter.node for voter in voters}
 
     async def start(self) -> None:
         """Start every member."""
--- a/fuchsiacroft/tests/placing/neighbours_tests.py
+++ b/fuchsiacroft/tests/placing/neighbours_tests.py
@@ -158,6 +158,35 @@
 
         self.played(scenario, servers=3, table=TABLE)
 
+    def test_a_quota_holds_while_some_entries_are_cut_off_from_all(self):
+        """Every third entry decides alone, under twelve times the quota."""
+
+        async def scenario(region):
+            loop = asyncio.get_running_loop()
+            spent: list[tuple[float, float]] = []
+
+            async def press(entry) -> None:
+                while True:
+                    for placement in await self.acquire(entry, 1, charge=40.0):
+                        spent.append((loop.time(), 40.0))
+                        entry.placer.release(placement, DONE)
+                    await asyncio.sleep(0.02)
+
+            pressing = [asyncio.ensure_future(press(e)) for e in region.entries]
+            await asyncio.sleep(9.0)
+            for entry in region.entries[3:5]:
+                region.isolate(entry.address)
+            await asyncio.sleep(9.0)
+            for task in pressing:
+                task.cancel()
+            worst = max(
+                sum(units for at, units in spent if start <= at < start + 8.0)
+                for start, _ in spent
+            )
+            self.assertLessEqual(worst, (RATE * 8.0 + RATE) * 1.1)
+
+        self.played(scenario, servers=3, table=TABLE)
+
     def share(self, region: MemoryRegion, domain: str) -> float:
         """Return the part of the workspace's quota that a domain spends."""
         for entry in region.entries:
--- a/fuchsiacroft/tests/platform/requests_tests.py
+++ b/fuchsiacroft/tests/platform/requests_tests.py
@@ -4,9 +4,11 @@
 import socket
 import struct
 
+from fuchsiacroft.placing.coordinator import Coordinator
 from fuchsiacroft.tests.fakes.platform_region import (
     HOST,
     PlatformTestCase,
+    config,
     read_answer,
 )
 from fuchsiacroft.tests.fakes.replica import (
@@ -204,6 +206,32 @@
                     await replica.stop()
                     await self.region.beat(replica, "till", "draining")
 
+    async def test_each_run_takes_its_part_of_the_quota(self):
+        tenants = [
+            {
+                "name": "paysandu",
+                "apiKeys": ["key-1"],
+                "unit": "tokens",
+                "plainTokens": 200,
+                "ratePerS": 100_000,
+                "burst": 100_000,
+            }
+        ]
+        await self.region.put_config(config(3, tenants=tenants))
+        await asyncio.sleep(0.3)
+        bad = await self.region.add_replica("till", failing)
+        good = await self.region.add_replica("till")
+        for _ in range(12):
+            await self.region.ask("/stock/1/")
+        runs = len(bad.received) + len(good.received)
+        self.assertGreater(runs, 12)
+        spent = 0.0
+        for ip in self.region.edges:
+            coordinator = self.region.kernels[ip].get("coordinator", Coordinator)
+            at = asyncio.get_running_loop().time()
+            spent += coordinator.allocator.quotas.spent(at).get("paysandu", 0.0)
+        self.assertEqual(200.0 * runs, spent)
+
     async def test_a_replicas_own_failure_is_passed_on_at_last(self):
         await self.region.add_replica("till", failing)
         got = await self.region.ask("/stock/1/")
