Lead from a request's id to its cause, and tell entries only what changed

Refusals named no inputs, the gateway had no metrics, a flood of refusals wrote without bound, and no page showed the way.

--- a/fuchsiacroft/gateway/front.py
+++ b/fuchsiacroft/gateway/front.py
@@ -10,11 +10,13 @@
 from fuchsiacroft.entry.problems import Problem, Ran
 from fuchsiacroft.gateway.call import Dialect
 from fuchsiacroft.gateway.forwarder import BrokenOffError, Forwarder
+from fuchsiacroft.gateway.records import RequestRecords
 from fuchsiacroft.gateway.session import Session
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.metrics import Metrics
 
 NOTICE_S = 2.5
 """After two missed questions, a second apart, the balancer sends no more here."""
@@ -26,8 +28,11 @@
 
     name = "front"
 
-    def __init__(self, settings: Settings, dialect: Dialect) -> None:
+    def __init__(
+        self, settings: Settings, dialect: Dialect, records: RequestRecords
+    ) -> None:
         self._settings = settings
+        self._records = records
         self._dialect = dialect
         self._in_progress: set[Session] = set()
         self._draining = False
@@ -114,7 +119,7 @@
             return self._failed(session)
         finally:
             self._in_progress.discard(session)
-            self._log(session, status)
+            self._record(session, status)
 
     def _failed(self, session: Session) -> web.Response:
         if session.begun is not None:
@@ -138,36 +143,15 @@
         if status >= 500:
             problem = Problem(500, "internal_error", "a fault in the entry", Ran.MAYBE)
         session.problem = problem
-        self._log(session, status)
+        self._record(session, status)
         return self._dialect.refuse(problem, "")
 
-    def _log(self, session: Session, status: int) -> None:
-        call = session.call
-        problem = session.problem
-        first_at = session.first_event_at
-        first_s = None if first_at is None else first_at - session.started_at
-        event(
-            "info",
-            "request_ended",
-            request_id=session.request_id,
-            status="left" if session.caller_left else status,
-            route=call.route.name if call else "-",
-            service=call.service if call else "-",
-            workspace=call.workspace if call else "-",
-            rank=call.rank if call else "-",
-            units=call.charge if call else "-",
-            version=call.table_version if call else self._tables.version,
-            version_age_s=round(self._tables.age_s, 3),
-            tried=",".join(session.tried) or "-",
-            runs=session.runs,
-            waited_s=round(session.waited_s, 4),
-            first_event_s="-" if first_s is None else round(first_s, 4),
-            seconds=round(now() - session.started_at, 4),
-            problem=problem.code if problem else "-",
-            retry_after_s=problem.retry_after_s if problem else "-",
-        )
-
-
-def create(settings: Settings, dialect: Dialect) -> Front:
+    def _record(self, session: Session, status: int) -> None:
+        version, age_s = self._tables.version, self._tables.age_s
+        self._records.note_version(version, age_s)
+        self._records.note(session, status, version, age_s)
+
+
+def create(settings: Settings, dialect: Dialect, metrics: Metrics) -> Front:
     """Return the callers' side of an entry."""
-    return Front(settings, dialect)
+    return Front(settings, dialect, RequestRecords(metrics))
--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -15,12 +15,14 @@
 from fuchsiacroft.membership.control_members import ControlMembers
 from fuchsiacroft.membership.registry_wire import (
     ChangeNoted,
+    EntryGone,
     EntryHello,
     EntryRecord,
     HelloAnswer,
     Life,
     ServerRecord,
     ServersChanged,
+    entries_digest,
 )
 from fuchsiacroft.membership.server_table import ServerTable
 from fuchsiacroft.transport.bus import Bus
@@ -33,8 +35,10 @@
 ENTRY_SILENCE_S = 1.5
 """Several greetings of an entry."""
 SWEEP_PERIOD_S = 0.25
-NOTE_TIMEOUT_S = 0.3
-"""An entry that answers later than this is cut off, frozen or slowed."""
+NOTE_TIMEOUT_S = 0.25
+NOTE_PAUSE_S = 0.02
+NOTE_PATIENCE_S = 0.5
+"""A report is answered within a second, whether the entries answer or not."""
 LEARN_ENTRIES_S = 1.0
 """After a start every entry has greeted this member, if it can reach it."""
 
@@ -51,6 +55,7 @@
         self._silence_s = SILENT_HEARTBEATS * heartbeat_s
         self._table = ServerTable()
         self._entries: dict[str, tuple[EntryRecord, float]] = {}
+        self._entries_digest = 0
         self._started_at = 0.0
         self._tasks = TaskGroup("registry")
 
@@ -59,6 +64,7 @@
         self._bus = kernel.get("bus", Bus)
         self._members = kernel.get("control_members", ControlMembers)
         self._bus.handle(EntryHello, self._on_hello)
+        self._bus.handle(EntryGone, self._on_gone)
         self._bus.handle(ServersChanged, self._on_changed)
         self._started_at = now()
         self._tasks.keep(self._sweep(), "registry-sweep")
@@ -108,16 +114,25 @@
     async def _tell_all(self, records: tuple[ServerRecord, ...]) -> Result[None, str]:
         if now() - self._started_at < LEARN_ENTRIES_S:
             return Error("this control member has just started")
+        deadline = now() + NOTE_PATIENCE_S
         silent = await self._tell_entries(records)
-        still = [node for node in silent if node in self._entries]
-        if still:
-            return Error(f"not noted by {','.join(sorted(still))}")
+        while silent and now() < deadline:
+            await asyncio.sleep(NOTE_PAUSE_S)
+            silent = await self._tell_entries(records, only=set(silent))
+        if silent:
+            return Error(f"not noted by {','.join(sorted(silent))}")
         return Ok(None)
 
-    async def _tell_entries(self, records: tuple[ServerRecord, ...]) -> list[str]:
-        """Tell every entry; return the nodes that did not answer."""
+    async def _tell_entries(
+        self, records: tuple[ServerRecord, ...], only: set[str] | None = None
+    ) -> list[str]:
+        """Tell every entry known; return the nodes that did not answer and remain."""
         message = ServersChanged(self._address, records)
-        entries = [entry for entry, _ in self._entries.values()]
+        entries = [
+            entry
+            for entry, _ in self._entries.values()
+            if only is None or entry.node in only
+        ]
         asked = [
             self._bus.request(entry.peers, message, NOTE_TIMEOUT_S) for entry in entries
         ]
@@ -125,7 +140,7 @@
         return [
             entry.node
             for entry, answer in zip(entries, answers, strict=True)
-            if answer.is_error()
+            if answer.is_error() and entry.node in self._entries
         ]
 
     def _tell_members(self, record: ServerRecord) -> None:
@@ -146,15 +161,34 @@
         entry = msg.entry
         if entry.node not in self._entries:
             event("info", "entry_joined", entry=entry.node, domain=entry.failure_domain)
-        self._entries[entry.node] = (entry, now())
-        is_same = msg.digest == self._table.digest
+        self._note_entry(entry)
+        knows_servers = msg.digest == self._table.digest
+        knows_entries = msg.entries_digest == self._entries_digest
+        entries = tuple(known for known, _ in self._entries.values())
         return HelloAnswer(
             controls=self._members.all(),
-            entries=tuple(known for known, _ in self._entries.values()),
+            entries_digest=self._entries_digest,
+            entries=None if knows_entries else entries,
             digest=self._table.digest,
-            records=None if is_same else self._table.records(),
+            records=None if knows_servers else self._table.records(),
         )
 
+    def _note_entry(self, entry: EntryRecord) -> None:
+        known = self._entries.get(entry.node)
+        self._entries[entry.node] = (entry, now())
+        if known is None or known[0] != entry:
+            self._entries_changed()
+
+    def _entries_changed(self) -> None:
+        entries = (known for known, _ in self._entries.values())
+        self._entries_digest = entries_digest(entries)
+
+    async def _on_gone(self, sender: str, msg: EntryGone) -> ChangeNoted:
+        if self._entries.pop(msg.node, None) is not None:
+            self._entries_changed()
+            event("info", "entry_left", entry=msg.node)
+        return ChangeNoted()
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
@@ -164,6 +198,7 @@
             for node, (_, heard_at) in list(self._entries.items()):
                 if heard_at < at - ENTRY_SILENCE_S:
                     del self._entries[node]
+                    self._entries_changed()
                     event("info", "entry_silent", entry=node)
 
     def _log(self, records: tuple[ServerRecord, ...], source: str) -> None:
--- a/fuchsiacroft/membership/registry_wire.py
+++ b/fuchsiacroft/membership/registry_wire.py
@@ -1,8 +1,10 @@
 """Messages about registered backend servers and entries."""
 
 import enum
+from collections.abc import Iterable
 
 import msgspec
+import xxhash
 
 from fuchsiacroft.membership.announcement import Announcement
 from fuchsiacroft.transport import codec
@@ -56,24 +58,42 @@
     leaving: bool = False
 
 
+def entries_digest(entries: Iterable[EntryRecord]) -> int:
+    """Return a hash of entries, whatever their order."""
+    texts = sorted(
+        f"{e.node} {e.failure_domain} {e.peers} {e.started_ms} {e.leaving}"
+        for e in entries
+    )
+    return xxhash.xxh3_64_intdigest("\n".join(texts).encode())
+
+
 @codec.message("registry.hello")
 class EntryHello(msgspec.Struct, frozen=True):
-    """An entry greets a control member; `digest` is of the table it has."""
+    """An entry greets a control member, with digests of what that told before."""
 
     entry: EntryRecord
     digest: int
+    entries_digest: int
 
 
 @codec.message("registry.hello_answer")
 class HelloAnswer(msgspec.Struct, frozen=True):
-    """The control members, the entries, and the table if its digest differs."""
+    """The control members; the entries and the table if their digests differ."""
 
     controls: tuple[str, ...]
-    entries: tuple[EntryRecord, ...]
+    entries_digest: int
+    entries: tuple[EntryRecord, ...] | None
     digest: int
     records: tuple[ServerRecord, ...] | None
 
 
+@codec.message("registry.gone")
+class EntryGone(msgspec.Struct, frozen=True):
+    """An entry stops now; nothing is told to it any more."""
+
+    node: str
+
+
 @codec.message("registry.changed")
 class ServersChanged(msgspec.Struct, frozen=True):
     """Records that changed at a control member, told to entries and members."""
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -16,6 +16,7 @@
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.registry_wire import (
     ChangeNoted,
+    EntryGone,
     EntryHello,
     EntryRecord,
     HelloAnswer,
@@ -31,6 +32,8 @@
 
 HELLO_PERIOD_S = 0.4
 HELLO_TIMEOUT_S = 0.8
+GONE_TIMEOUT_S = 0.15
+"""A stopping process has little time; who misses it finds the entry silent."""
 FRESH_S = 1.5
 """A control member that has not answered for longer is out of reach."""
 ENTRIES_KEPT_S = 15.0
@@ -39,6 +42,8 @@
 """A server that no member in reach has named for so long is forgotten."""
 SWEEP_PERIOD_S = 0.25
 
+NO_ENTRIES: tuple[int, tuple[EntryRecord, ...]] = (0, ())
+
 ServersListener = Callable[[tuple[ServerRecord, ...]], None]
 
 
@@ -59,7 +64,7 @@
         self._seeds = tuple(member.peers for member in settings.control)
         self._controls = self._seeds
         self._tables: dict[str, tuple[int, tuple[str, ...]]] = {}
-        self._entries: dict[str, tuple[EntryRecord, ...]] = {}
+        self._entries: dict[str, tuple[int, tuple[EntryRecord, ...]]] = {}
         self._answered: dict[str, float] = {}
         self._servers = ServerTable()
         self._greeting: dict[str, asyncio.Task] = {}
@@ -82,8 +87,14 @@
         )
 
     async def stop(self) -> None:
-        """Greet nobody any more."""
+        """Sign off, and greet nobody any more."""
         await self._tasks.cancel()
+        gone = EntryGone(self.me.node)
+        asked = [
+            self._bus.request(address, gone, GONE_TIMEOUT_S)
+            for address in self._controls
+        ]
+        await asyncio.gather(*asked)
 
     def dump(self) -> dict:
         """Return what is known, and from which control members."""
@@ -132,7 +143,7 @@
         fresh = self._fresh()
         found = {self.me.node: self.me}
         for address in fresh or self._answered_since(now() - ENTRIES_KEPT_S):
-            for entry in self._entries.get(address, ()):
+            for entry in self._entries.get(address, NO_ENTRIES)[1]:
                 if entry.node != self.me.node:
                     found[entry.node] = entry
         return tuple(found.values())
@@ -164,7 +175,8 @@
     async def _greet(self, address: str) -> None:
         while True:
             digest, _ = self._tables.get(address, (0, ()))
-            hello = EntryHello(self.me, digest)
+            entries_digest, _ = self._entries.get(address, NO_ENTRIES)
+            hello = EntryHello(self.me, digest, entries_digest)
             match await self._bus.request(address, hello, HELLO_TIMEOUT_S):
                 case Result(tag="ok", ok=HelloAnswer() as answer):
                     self._hear(address, answer)
@@ -176,7 +188,8 @@
         if address not in self._fresh():
             event("info", "control_member_reached", address=address)
         self._answered[address] = now()
-        self._entries[address] = answer.entries
+        if answer.entries is not None:
+            self._entries[address] = (answer.entries_digest, answer.entries)
         if answer.records is not None:
             self._merge(answer.records)
             names = tuple(record.name for record in answer.records)
--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -54,6 +54,18 @@
     free_places: int
 
 
+@dataclass(frozen=True, slots=True)
+class Pressure:
+    """What a request for a service met, for whoever asks why it was refused."""
+
+    free: int
+    slots: int
+    waiting: int
+    late: int
+    expected_wait_s: float
+    units_left: float
+
+
 Decision = Place | Refusal | Waiter
 
 
@@ -163,6 +175,25 @@
         self._waiters[request.run_id] = waiter
         return waiter
 
+    def pressure(self, ask: Ask, at: float) -> Pressure:
+        """Return what presses on a service, and on a workspace's quota."""
+        queue = self._queues.get(ask.service, Queue())
+        free = sum(
+            max(load.free(at, self.slot_share), 0)
+            for load in self._servers.values()
+            if load.offers(ask.service)
+        )
+        return Pressure(
+            free=free,
+            slots=self._slots(ask.service),
+            waiting=len(queue),
+            late=queue.late(),
+            expected_wait_s=self._expected_wait_s(
+                ask, queue.ahead_of(ask.rank, late=False)
+            ),
+            units_left=self.quotas.left(ask.workspace, at),
+        )
+
     def services_waited_for(self) -> list[str]:
         """Return the services for which requests wait."""
         return [name for name, queue in self._queues.items() if queue.head()]
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -29,11 +29,14 @@
 from fuchsiacroft.routing.ask import Refusal, RefusalReason, RunReport
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.log_budget import LogBudget
 from fuchsiacroft.utils.tasks import TaskGroup
 
 TICK_S = 0.02
 """How late a waiter may be given up, or a server that was set aside be used."""
 EPOCH_BYTES = 6
+REFUSAL_LINES = 50
+"""Refusals that are logged in a second; a flood of them has one cause."""
 
 Outcome = Result[Placed, Refusal]
 
@@ -55,6 +58,7 @@
         self._domain = settings.failure_domain
         self._waiting: dict[str, asyncio.Future[Outcome]] = {}
         self._version = 0
+        self._refusals = LogBudget("place_refused", REFUSAL_LINES)
         self.pinged_at = -math.inf
         self._tasks = TaskGroup("coordinator")
 
@@ -88,7 +92,7 @@
         self._note_table()
         refusal = self.allocator.admit(request, now())
         if refusal is not None:
-            return Error(refusal)
+            return self._refused(request, refusal)
         place = self.allocator.place_now(request, now())
         if place is not None:
             return Ok(self._placed(place))
@@ -97,7 +101,7 @@
             return Ok(spilled)
         decision = self.allocator.wait(request, now())
         if isinstance(decision, Refusal):
-            return Error(decision)
+            return self._refused(request, decision)
         return await self._turn_of(request)
 
     def note_read(self, run_id: str) -> None:
@@ -150,6 +154,28 @@
             place.run_id, place.backend_server, place.address, self._node, self._peers
         )
 
+    def _refused(self, request: PlaceRequest, refusal: Refusal) -> Outcome:
+        ask = request.ask
+        seen = self.allocator.pressure(ask, now())
+        self._refusals.event(
+            request_id=ask.request_id,
+            run_id=request.run_id,
+            reason=refusal.reason.value,
+            service=ask.service,
+            workspace=ask.workspace,
+            rank=ask.rank,
+            units=request.charge,
+            in_time_s=round(request.in_time_s, 3),
+            retry_after_s=round(refusal.retry_after_s, 3),
+            free=seen.free,
+            slots=seen.slots,
+            waiting=seen.waiting,
+            late=seen.late,
+            expected_wait_s=round(seen.expected_wait_s, 3),
+            units_left=f"{seen.units_left:.0f}",
+        )
+        return Error(refusal)
+
     def _note_table(self) -> None:
         table = self._tables.table
         if table is not None and table.version != self._version:
@@ -169,7 +195,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             for waiter, refusal in self.allocator.give_up(now()):
-                self._settle(waiter, Error(refusal))
+                self._settle(waiter, self._refused(waiter.request, refusal))
             self._serve()
 
     def _serve(self) -> None:
--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -7,6 +7,7 @@
 units in its first second and get nothing for the rest.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -123,6 +124,16 @@
         window.add(units, at)
         return 0.0
 
+    def left(self, workspace: str, at: float) -> float:
+        """Return the units that may be spent now, infinitely many without a quota."""
+        found = self._workspaces.get(workspace)
+        if found is None or found.quota is None:
+            return math.inf
+        elsewhere = self.elsewhere(workspace, at)
+        limit = self._tolerance.limit(found.quota) * elsewhere.share
+        spent = self._windows.get(workspace, Window()).total
+        return limit - spent - elsewhere.spent
+
     def give_back(self, workspace: str, units: float, at: float) -> None:
         """Return the units of a request that did not run."""
         window = self._windows.get(workspace)
--- a/fuchsiacroft/platform/processes.py
+++ b/fuchsiacroft/platform/processes.py
@@ -61,7 +61,8 @@
     words = dialect.create()
     known = roster.create(cfg)
     tables = published_follower.create(documents.parse)
-    callers = front.create(cfg, words)
+    metrics = Metrics()
+    callers = front.create(cfg, words, metrics)
     ready = readiness.create(
         wire.bind.readiness,
         callers.why_not_ready,
@@ -78,7 +79,7 @@
         placer.create(cfg),
         upstream.create(),
         forwarder.create(words),
-        operations.create(cfg.addresses.operators, Metrics()),
+        operations.create(cfg.addresses.operators, metrics),
         callers,
         ready,
         settings_watch.create(wire, path, known.set_seeds),
--- a/fuchsiacroft/tests/membership/registry_tests.py
+++ b/fuchsiacroft/tests/membership/registry_tests.py
@@ -59,6 +59,33 @@
 
         self.played(scenario)
 
+    def test_an_entry_that_stops_delays_no_leave(self):
+        async def scenario(region):
+            registry = region.members[1].registry
+            await registry.report(record())
+            await asyncio.sleep(0.1)
+            await region.entries[2].kernel.stop()
+            began_at = asyncio.get_running_loop().time()
+            leaving = record(sequence=2, life=Life.LEAVING)
+            self.assertTrue((await registry.report(leaving)).is_ok())
+            taken_s = asyncio.get_running_loop().time() - began_at
+            self.assertLess(taken_s, 0.1)
+
+        self.played(scenario)
+
+    def test_a_report_is_answered_within_a_second_in_any_case(self):
+        async def scenario(region):
+            registry = region.members[1].registry
+            await registry.report(record())
+            await asyncio.sleep(0.1)
+            region.isolate(region.entries[2].address)
+            began_at = asyncio.get_running_loop().time()
+            await registry.report(record(sequence=2, life=Life.LEAVING))
+            taken_s = asyncio.get_running_loop().time() - began_at
+            self.assertLess(taken_s, 0.9)
+
+        self.played(scenario)
+
     def test_an_entry_that_was_cut_off_learns_of_the_leave(self):
         async def scenario(region):
             registry = region.members[0].registry
