--- a/fuchsiacroft/config/document.py
+++ b/fuchsiacroft/config/document.py
@@ -4,6 +4,7 @@
 """
 
 import hashlib
+from collections.abc import Collection
 from typing import Annotated, Literal
 
 import msgspec
@@ -101,8 +102,8 @@
     faults = []
     for part in ("tiers", "services", "workspaces"):
         faults += _doubled_names(part, [item.name for item in getattr(document, part)])
-    tiers = [tier.name for tier in document.tiers]
-    services = [spec.name for spec in document.services]
+    tiers = dict.fromkeys(tier.name for tier in document.tiers)
+    services = dict.fromkeys(spec.name for spec in document.services)
     for i, spec in enumerate(document.services):
         for j, name in enumerate(spec.tiers):
             faults += _known(f"$.services[{i}].tiers[{j}]", name, tiers)
@@ -117,18 +118,20 @@
 
 
 def _doubled_names(part: str, names: list[str]) -> list[Fault]:
-    return [
-        Fault(f"$.{part}[{i}].name", f'"{name}" stands twice')
-        for i, name in enumerate(names)
-        if name in names[:i]
-    ]
+    seen: set[str] = set()
+    faults = []
+    for i, name in enumerate(names):
+        if name in seen:
+            faults.append(Fault(f"$.{part}[{i}].name", f'"{name}" stands twice'))
+        seen.add(name)
+    return faults
 
 
-def _known(path: str, name: str, known: list[str]) -> list[Fault]:
+def _known(path: str, name: str, known: Collection[str]) -> list[Fault]:
     if name in known:
         return []
     text = f'"{name}" is not known; known are {", ".join(known) or "none"}'
-    return [Fault(path, text + nearest(name, known))]
+    return [Fault(path, text + nearest(name, list(known)))]
 
 
 def _shared_keys(document: Document) -> list[Fault]:
--- a/fuchsiacroft/routing/shed_lowest.py
+++ b/fuchsiacroft/routing/shed_lowest.py
@@ -13,7 +13,9 @@
 from fuchsiacroft.utils.clock import now
 
 MIN_AHEAD = 4
+"""Requests ahead of one: fewer say nothing about how long they take."""
 REFUSE_FACTOR = 2.5
+"""Times its slack that a wait may be expected to last: estimates run high."""
 TOP_PATIENCE_SHARE = 0.4
 POSITION_DELAY_S = 0.05
 PRESS_MARGIN_S = 1.0
--- a/fuchsiacroft/tests/config/document_tests.py
+++ b/fuchsiacroft/tests/config/document_tests.py
@@ -1,5 +1,7 @@
 """Tests of the operators' document."""
 
+import time
+
 from fuchsiacroft.config import document
 from fuchsiacroft.tests.base import TestCase
 
@@ -26,6 +28,27 @@
         self.assertIn('did you mean "tiers"', faults["$.services[0].tierz"])
         self.assertIn("$.workspaces[0].tier", faults)
 
+    def test_a_large_document_takes_time_in_proportion_to_its_size(self):
+        def seconds(count: int) -> float:
+            workspaces = [
+                {"name": f"shop-{i}", "key_hashes": [f"{i:x}"], "tier": "counter"}
+                for i in range(count)
+            ]
+            began_at = time.process_time()
+            self.assertTrue(document.parse(GOOD | {"workspaces": workspaces}).is_ok())
+            return time.process_time() - began_at
+
+        seconds(100)
+        small = min(seconds(1_000) for _ in range(3))
+        large = min(seconds(10_000) for _ in range(3))
+        # In proportion would be 10 times; with the square of the size 100 times.
+        self.assertLess(large, 30 * small)
+
+    def test_a_name_that_stands_twice_is_named(self):
+        workspaces = [{"name": "shop", "key_hashes": [], "tier": "counter"}] * 2
+        (fault,) = document.parse(GOOD | {"workspaces": workspaces}).error
+        self.assertEqual("$.workspaces[1].name", fault.path)
+
     def test_unknown_names_are_refused(self):
         bad = dict(GOOD, rules=[{"service": "lens-asistant", "idempotent": False}])
         (fault,) = document.parse(bad).error
