--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -172,13 +172,12 @@
 def coordinator_of(
     entries: tuple[EntryRecord, ...], failure_domain: str
 ) -> EntryRecord | None:
-    """Return the entry of a domain that decides for it: the one that is oldest."""
-    staying = [
-        entry
-        for entry in entries
-        if entry.failure_domain == failure_domain and not entry.leaving
-    ]
-    return min(staying, key=lambda e: (e.started_ms, e.node), default=None)
+    """Return the entry of a domain that decides for it.
+
+    It is the oldest that stays, or the oldest of all while every one leaves.
+    """
+    near = [entry for entry in entries if entry.failure_domain == failure_domain]
+    return min(near, key=lambda e: (e.leaving, e.started_ms, e.node), default=None)
 
 
 def create(settings: Settings) -> Neighbours:
--- a/fuchsiacroft/tests/placing/neighbours_tests.py
+++ b/fuchsiacroft/tests/placing/neighbours_tests.py
@@ -84,6 +84,17 @@
 
         self.played(scenario)
 
+    def test_a_domain_whose_entries_all_leave_is_used_to_the_end(self):
+        async def scenario(region):
+            for entry in region.entries:
+                if entry.domain == DOMAINS[0]:
+                    entry.roster.leave()
+            await asyncio.sleep(1.5)
+            granted = await self.acquire(region.entries[1], SLOTS)
+            self.assertEqual(SLOTS, len(granted))
+
+        self.played(scenario)
+
     def test_a_domain_that_is_cut_off_serves_with_what_it_has(self):
         async def scenario(region):
             for entry in region.entries:
