Keep long prompts off servers where they make streams pause too long

On a slow engine each event of a stream waits for up to as many chunks of another's prompt as it has tokens: 9 x (6 ms + 41 ms) = 0.42 s against 0.3.

Change: a request whose prompt would do that waits for another server, for two fifths of the time in which it would still be in time.

--- a/fuchsiacroft/gateway/waiting.py
+++ b/fuchsiacroft/gateway/waiting.py
@@ -37,7 +37,7 @@
         run_s = FIRST_EVENT_S if route.kind.is_stream else PLAIN_RUN_S
         in_time_s = max(route.latency_target_s - run_s - used_s, 0.0)
         late_s = min(LATE_SHARE * left_s, SILENCE_S - run_s)
-        return Patience(in_time_s, max(late_s, in_time_s))
+        return Patience(in_time_s, max(late_s, in_time_s), call.event_tokens)
 
     def _used_s(self, call: Call) -> float:
         whole_s = max(self._whole_s.get(call.route.name, 0.0), call.deadline_s)
--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -37,6 +37,9 @@
 """The mean run of a service until some have ended."""
 LEARNING_RATE = 0.05
 MIN_RETRY_AFTER_S = 0.2
+CHOOSY_SHARE = 0.4
+"""Of the time in which it would be in time, how long a request waits for a server
+on which its prompt makes no stream pause for too long."""
 LATE_HORIZON_S = 1.0
 """Late requests that wait may take the places of so many seconds, not more."""
 OVERLOAD_RETRY_S = 2.0
@@ -285,7 +288,7 @@
     def _serve(self, queue: Queue, at: float) -> list[tuple[Waiter, Place]]:
         placed = []
         for waiter in queue.waiters():
-            load = self._choose(waiter.request, at)
+            load = self._choose(waiter.request, at, at - waiter.arrived_at)
             if load is None:
                 if not self._has_room(waiter.request.ask.service, at):
                     break
@@ -303,15 +306,23 @@
             if load.offers(service)
         )
 
-    def _choose(self, request: PlaceRequest, at: float) -> ServerLoad | None:
-        """Return the free server with the earliest expected end, or None."""
+    def _choose(
+        self, request: PlaceRequest, at: float, waited_s: float = 0.0
+    ) -> ServerLoad | None:
+        """Return the free server with the earliest expected end, or None.
+
+        A request that has time waits for one where it makes no stream pause.
+        """
         ask = request.ask
+        is_choosy = waited_s < CHOOSY_SHARE * request.in_time_s
         best, least = None, float("inf")
         for load in self._servers.values():
             if load.name in ask.avoid or not load.offers(ask.service):
                 continue
             if load.free(at, self.slot_share) <= 0:
                 continue
+            if is_choosy and load.would_stall(ask, request.event_tokens):
+                continue
             cost_s = load.expected_s(ask)
             if cost_s < least:
                 best, least = load, cost_s
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -13,7 +13,8 @@
     `run_id` is new for each try. `charge` is what the try takes of the
     workspace's quota, 0 after one that did not run. `repeats` tells that an
     earlier try reached a backend server. Placed within `in_time_s` the request
-    can be answered in time; it may wait up to `max_wait_s`.
+    can be answered in time; it may wait up to `max_wait_s`. One event of its
+    answer holds `event_tokens`.
     """
 
     run_id: str
@@ -22,6 +23,7 @@
     repeats: bool
     in_time_s: float
     max_wait_s: float
+    event_tokens: int = 1
 
 
 @codec.message("placing.spill")
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -69,10 +69,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Patience:
-    """How long a request may wait to be answered in time, and at all; seconds."""
+    """How long a request may wait to be answered in time, and at all; seconds.
+
+    One event of its answer holds `event_tokens`.
+    """
 
     in_time_s: float
     max_wait_s: float
+    event_tokens: int = 1
 
 
 class Placer(Service):
@@ -134,7 +138,13 @@
         """Return a place to run now, or why there is none."""
         run_id = f"{self._node}-{self._life}-{next(self._numbers)}"
         request = PlaceRequest(
-            run_id, ask, charge, repeats, patience.in_time_s, patience.max_wait_s
+            run_id,
+            ask,
+            charge,
+            repeats,
+            patience.in_time_s,
+            patience.max_wait_s,
+            patience.event_tokens,
         )
         keeper = self.coordinator()
         outcome = None
--- a/fuchsiacroft/placing/server_load.py
+++ b/fuchsiacroft/placing/server_load.py
@@ -13,6 +13,8 @@
 """How long a server that could not be reached is left alone, at first and most."""
 READ_TOKENS_PER_S = 100_000.0
 """Prompt tokens that a model engine reads, until its own speed is known."""
+READ_CHUNK_TOKENS = 2_048
+"""Prompt tokens that engines commonly read between two steps of decoding."""
 FAILURE_COST_S = 2.0
 """What a certain failure costs, against seconds of a run's time."""
 NOMINAL_GAP_S = 0.0025
@@ -75,6 +77,21 @@
         waiting_s = self.reading_tokens / self._reading_speed()
         return waiting_s + self.run_s(ask) + failure_s
 
+    def would_stall(self, ask: Ask, event_tokens: int) -> bool:
+        """Tell whether reading a prompt here makes streams pause for too long.
+
+        An engine reads a prompt in chunks, one between two tokens of each
+        stream, so a stream's event waits for as many chunks as it has tokens.
+        """
+        streams = len(self.runs) - sum(run.reading for run in self.runs.values())
+        if not ask.size.prompt_tokens or not streams:
+            return False
+        tokens = self.reading_tokens + ask.size.prompt_tokens
+        chunks = min(math.ceil(tokens / READ_CHUNK_TOKENS), event_tokens)
+        chunk_s = READ_CHUNK_TOKENS / self._reading_speed()
+        event_s = event_tokens * (self.gap_s or NOMINAL_GAP_S)
+        return chunks * chunk_s + event_s > ask.token_gap_target_s
+
     def run_s(self, ask: Ask) -> float:
         """Return the expected time of a run by itself."""
         if not ask.size.prompt_tokens:
--- a/fuchsiacroft/tests/placing/allocator_tests.py
+++ b/fuchsiacroft/tests/placing/allocator_tests.py
@@ -33,14 +33,26 @@
     in_time_s: float = 0.2,
     max_wait_s: float = 0.2,
     output_tokens: int = 100,
+    prompt_tokens: int = 1_000,
     repeats: bool = False,
     avoid: tuple[str, ...] = (),
 ) -> PlaceRequest:
     """Return a request for a place."""
     run_id = f"run-{next(_numbers)}"
-    size = WorkSize(1_000, output_tokens)
-    ask = Ask(run_id, service, rank, 8.0, "tills", size=size, avoid=avoid)
-    return PlaceRequest(run_id, ask, charge, repeats, in_time_s, max_wait_s)
+    size = WorkSize(prompt_tokens, output_tokens)
+    ask = Ask(
+        run_id,
+        service,
+        rank,
+        8.0,
+        "tills",
+        size=size,
+        avoid=avoid,
+        token_gap_target_s=0.3,
+    )
+    return PlaceRequest(
+        run_id, ask, charge, repeats, in_time_s, max_wait_s, event_tokens=9
+    )
 
 
 class AllocatorTests(TestCase):
@@ -218,6 +230,42 @@
         names = [self.allocator.place(request(), 1.0).backend_server for _ in range(3)]
         self.assertEqual(["i-2"] * 3, names)
 
+    def slow_and_fast(self) -> None:
+        """Have a slow server with a stream and room, and a fast one without."""
+        self.servers("i-1", "i-2")
+        for name, gap_s in (("i-1", 0.0062), ("i-2", 0.0012)):
+            other = "i-2" if name == "i-1" else "i-1"
+            place = self.allocator.place(request(avoid=(other,)), 0.0)
+            report = RunReport(RunOutcome.COMPLETED, token_gap_s=gap_s)
+            self.allocator.end(place.run_id, report, 0.3)
+        stream = self.allocator.place(request(avoid=("i-2",)), 1.0)
+        self.allocator.note_read(stream.run_id)
+        self.filled = [
+            self.allocator.place(request(avoid=("i-1",)), 1.0) for _ in range(11)
+        ]
+        for place in self.filled:
+            self.allocator.note_read(place.run_id)
+
+    def test_a_long_prompt_waits_for_a_server_where_no_stream_must_pause(self):
+        """On the slow server each event would wait for nine chunks of prompt."""
+        self.slow_and_fast()
+        long = self.allocator.place(request(prompt_tokens=40_000), 1.0)
+        self.assertIsInstance(long, Waiter)
+        short = self.allocator.place(request(prompt_tokens=600), 1.0)
+        if isinstance(short, Waiter):
+            [(_, short)] = self.allocator.serve(1.0)
+        self.assertEqual("i-1", short.backend_server)
+        self.allocator.end(self.filled[0].run_id, DONE, 1.02)
+        [(waiter, place)] = self.allocator.serve(1.02)
+        self.assertEqual((long, "i-2"), (waiter, place.backend_server))
+
+    def test_a_long_prompt_is_not_made_late_for_the_sake_of_others(self):
+        self.slow_and_fast()
+        self.allocator.place(request(prompt_tokens=40_000), 1.0)
+        self.assertEqual([], self.allocator.serve(1.05))
+        [(_, place)] = self.allocator.serve(1.1)
+        self.assertEqual("i-1", place.backend_server)
+
     def test_runs_of_a_server_that_is_replaced_are_forgotten(self):
         place = self.allocator.place(request(), 0.0)
         self.allocator.set_servers([record("i-1", born_ms=2_000)])
--- a/fuchsiacroft/tests/placing/neighbours_tests.py
+++ b/fuchsiacroft/tests/placing/neighbours_tests.py
@@ -142,28 +142,14 @@
         """One workspace asks for far more than it has, through every entry."""
 
         async def scenario(region):
-            loop = asyncio.get_running_loop()
-            spent: list[tuple[float, float]] = []
-
-            async def press(entry) -> None:
-                while True:
-                    for placement in await self.acquire(entry, 1, charge=40.0):
-                        spent.append((loop.time(), 40.0))
-                        entry.placer.release(placement, DONE)
-                    await asyncio.sleep(0.02)
-
-            pressing = [asyncio.ensure_future(press(e)) for e in region.entries]
-            await asyncio.sleep(10.0)
-            region.isolate(region.entries[0].address)
-            await asyncio.sleep(4.0)
-            region.network.heal()
-            await asyncio.sleep(4.0)
-            for task in pressing:
-                task.cancel()
-            worst = max(
-                sum(units for at, units in spent if start <= at < start + 8.0)
-                for start, _ in spent
-            )
+            async def disturb() -> None:
+                await asyncio.sleep(10.0)
+                region.isolate(region.entries[0].address)
+                await asyncio.sleep(4.0)
+                region.network.heal()
+                await asyncio.sleep(4.0)
+
+            worst = await self.worst_window(region, disturb())
             self.assertLessEqual(worst, (RATE * 8.0 + RATE) * 1.1 + 0.6 * RATE)
             self.assertGreater(worst, RATE * 8.0 * 0.7)
 
@@ -173,31 +159,38 @@
         """Every third entry decides alone, under twelve times the quota."""
 
         async def scenario(region):
-            loop = asyncio.get_running_loop()
-            spent: list[tuple[float, float]] = []
-
-            async def press(entry) -> None:
-                while True:
-                    for placement in await self.acquire(entry, 1, charge=40.0):
-                        spent.append((loop.time(), 40.0))
-                        entry.placer.release(placement, DONE)
-                    await asyncio.sleep(0.02)
-
-            pressing = [asyncio.ensure_future(press(e)) for e in region.entries]
-            await asyncio.sleep(9.0)
-            for entry in region.entries[3:5]:
-                region.isolate(entry.address)
-            await asyncio.sleep(9.0)
-            for task in pressing:
-                task.cancel()
-            worst = max(
-                sum(units for at, units in spent if start <= at < start + 8.0)
-                for start, _ in spent
-            )
+            async def disturb() -> None:
+                await asyncio.sleep(9.0)
+                for entry in region.entries[3:5]:
+                    region.isolate(entry.address)
+                await asyncio.sleep(9.0)
+
+            worst = await self.worst_window(region, disturb())
             self.assertLessEqual(worst, (RATE * 8.0 + RATE) * 1.1)
 
         self.played(scenario, servers=3, table=TABLE)
 
+    async def worst_window(self, region: MemoryRegion, disturbance) -> float:
+        """Press on a quota through every entry; return the most spent in 8 s."""
+        loop = asyncio.get_running_loop()
+        spent: list[tuple[float, float]] = []
+
+        async def press(entry) -> None:
+            while True:
+                for placement in await self.acquire(entry, 1, charge=40.0):
+                    spent.append((loop.time(), 40.0))
+                    entry.placer.release(placement, DONE)
+                await asyncio.sleep(0.02)
+
+        pressing = [asyncio.ensure_future(press(e)) for e in region.entries]
+        await disturbance
+        for task in pressing:
+            task.cancel()
+        return max(
+            sum(units for at, units in spent if start <= at < start + 8.0)
+            for start, _ in spent
+        )
+
     def share(self, region: MemoryRegion, domain: str) -> float:
         """Return the part of the workspace's quota that a domain spends."""
         for entry in region.entries:
