--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -61,6 +61,7 @@
         self._began_at = now()
         self._first_at: float | None = None
         self._last_at: float | None = None
+        self._longest_pause_s = 0.0
         self._events_before = session.events.count
         self.answer: web.StreamResponse | None = None
 
@@ -176,6 +177,8 @@
             self._placer.note_first_event(self._placement)
             if self._session.first_event_at is None:
                 self._session.first_event_at = at
+        if self._last_at is not None:
+            self._longest_pause_s = max(self._longest_pause_s, at - self._last_at)
         self._last_at = at
         await self._begin(response)
         await self._session.begun.write(whole)
@@ -235,6 +238,7 @@
             outcome=outcome.value,
             seconds=round(at - self._began_at, 4),
             events=self._events,
+            longest_pause_s=round(self._longest_pause_s, 3),
         )
 
     @property
