Let coordinators rest that nobody asks

Cause: each entry woke some 85 times a second for a queue and a telling that only the acting one of its domain has.

--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -1,6 +1,7 @@
 """Runs an allocator for whoever asks: this entry, or all of its domain."""
 
 import asyncio
+import contextlib
 import math
 import secrets
 
@@ -34,6 +35,8 @@
 
 TICK_S = 0.02
 """How late a waiter may be given up, or a server that was set aside be used."""
+IDLE_TICK_S = 0.25
+"""While nobody waits, how often runs are looked at whose end was never told."""
 EPOCH_BYTES = 6
 REFUSAL_LINES = 50
 """Refusals that are logged in a second; a flood of them has one cause."""
@@ -57,6 +60,7 @@
         self._peers = settings.addresses.peers
         self._domain = settings.failure_domain
         self._waiting: dict[str, asyncio.Future[Outcome]] = {}
+        self._has_waiters = asyncio.Event()
         self._version = 0
         self._refusals = LogBudget("place_refused", REFUSAL_LINES)
         self.pinged_at = -math.inf
@@ -121,6 +125,7 @@
     async def _turn_of(self, request: PlaceRequest) -> Outcome:
         fut = asyncio.get_running_loop().create_future()
         self._waiting[request.run_id] = fut
+        self._has_waiters.set()
         self._serve()
         try:
             return await fut
@@ -193,11 +198,19 @@
 
     async def _tick(self) -> None:
         while True:
+            if not self._waiting:
+                self._has_waiters.clear()
+                await self._wait_for_waiters()
             await asyncio.sleep(TICK_S)
             for waiter, refusal in self.allocator.give_up(now()):
                 self._settle(waiter, self._refused(waiter.request, refusal))
             self._serve()
 
+    async def _wait_for_waiters(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_TICK_S):
+                await self._has_waiters.wait()
+
     def _serve(self) -> None:
         for waiter, place in self.allocator.serve(now()):
             self._settle(waiter, Ok(self._placed(place)))
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -34,6 +34,8 @@
 
 TELL_PERIOD_S = 0.03
 """A place stays free for some tens of milliseconds while others wait."""
+IDLE_PERIOD_S = 0.2
+"""How soon an entry that begins to act tells the others."""
 FRESH_S = 0.2
 """How long a domain's room counts after it was told."""
 SPILL_TIMEOUT_S = 0.08
@@ -141,22 +143,27 @@
 
     async def _tell(self, allocator: Allocator) -> None:
         while True:
-            await asyncio.sleep(TELL_PERIOD_S * self._random.uniform(0.9, 1.1))
+            period_s = TELL_PERIOD_S if self.is_acting else IDLE_PERIOD_S
+            await asyncio.sleep(period_s * self._random.uniform(0.9, 1.1))
             entries = self._roster.entries()
             domains = {entry.failure_domain for entry in entries} | {self._domain}
             self.shares.set_domains(max(len(domains), len(self._neighbours) + 1))
-            if not self.is_acting:
-                continue
-            at = now()
-            demand = allocator.demand.rates(at)
-            spent = allocator.quotas.spent(at)
-            self.shares.update(spent, at)
-            rooms = tuple(ServiceRoom(*room) for room in allocator.rooms(at).items())
-            load = DomainLoad(self._domain, rooms, spent, demand)
-            for domain in domains - {self._domain}:
-                keeper = coordinator_of(entries, domain)
-                if keeper is not None:
-                    self._bus.send(keeper.peers, load)
+            if self.is_acting:
+                self._tell_now(allocator, entries, domains - {self._domain})
+
+    def _tell_now(
+        self, allocator: Allocator, entries: tuple[EntryRecord, ...], domains: set[str]
+    ) -> None:
+        at = now()
+        demand = allocator.demand.rates(at)
+        spent = allocator.quotas.spent(at)
+        self.shares.update(spent, at)
+        rooms = tuple(ServiceRoom(*room) for room in allocator.rooms(at).items())
+        load = DomainLoad(self._domain, rooms, spent, demand)
+        for domain in domains:
+            keeper = coordinator_of(entries, domain)
+            if keeper is not None:
+                self._bus.send(keeper.peers, load)
 
     async def _on_load(self, sender: str, msg: DomainLoad) -> None:
         at = now()
