--- a/fuchsiacroft/tests/docs_tests.py
+++ b/fuchsiacroft/tests/docs_tests.py
@@ -10,15 +10,27 @@
 GUIDE = ROOT / "docs" / "user-guide"
 METRIC = re.compile(r'"(fuchsiacroft_[a-z_]+)"')
 PROBLEM = re.compile(r'Problem\(\s*\d+,\s*"([a-z_]+)"')
+EVENT = re.compile(r'(?:event\(\s*"[a-z]+",|LogBudget\()\s*"([a-z_]+)"')
+GREPPED = re.compile(r"event=([a-z_]+)")
+REGION = (
+    "gateway/",
+    "placing/",
+    "platform/",
+    "config/published",
+    "control/publish",
+    "membership/registry",
+    "membership/roster",
+)
 FAILURE_EVENT = re.compile(r'event\(\s*"(?:warning|error)",\s*"([a-z_]+)"')
 
 
-def found(pattern: re.Pattern) -> set[str]:
-    """Return what a pattern captures in the program's source."""
+def found(pattern: re.Pattern, parts: tuple[str, ...] = ("",)) -> set[str]:
+    """Return what a pattern captures in the program's source, or in parts of it."""
     return {
         name
         for path in PACKAGE.rglob("*.py")
         if "tests" not in path.parts
+        and path.relative_to(PACKAGE).as_posix().startswith(parts)
         for name in pattern.findall(path.read_text(encoding="utf-8"))
     }
 
@@ -44,6 +56,25 @@
         missing = sorted(code for code in codes if f"`{code}`" not in page)
         self.assertEqual([], missing)
 
+    def test_every_event_of_a_region_is_described(self):
+        events = found(EVENT, REGION)
+        self.assertIn("place_refused", events)
+        page = text("logs-and-metrics.md")
+        missing = sorted(name for name in events if f"`{name}`" not in page)
+        self.assertEqual([], missing)
+
+    def test_every_event_that_operations_look_for_is_written(self):
+        page = (GUIDE.parent / "OPERATIONS.md").read_text(encoding="utf-8")
+        named = set(GREPPED.findall(page))
+        self.assertIn("place_refused", named)
+        events = found(EVENT)
+        unknown = [
+            name
+            for name in sorted(named)
+            if not any(event.startswith(name) for event in events)
+        ]
+        self.assertEqual([], unknown)
+
     def test_every_event_of_a_failure_is_described(self):
         events = found(FAILURE_EVENT)
         self.assertIn("disk_full", events)
--- /dev/null
+++ b/fuchsiacroft/tests/platform/settings_tests.py
@@ -0,0 +1,82 @@
+"""Tests of the platform's settings file, at the start and when it changes."""
+
+import tempfile
+from pathlib import Path
+
+import msgspec
+
+from fuchsiacroft.platform import settings
+from fuchsiacroft.platform.settings_watch import SettingsWatch
+from fuchsiacroft.tests.base import TestCase
+
+FILE = {
+    "nodeName": "core-mvd-cordon-1",
+    "role": "control",
+    "machineClass": "core",
+    "serves": ["control"],
+    "ip": "10.1.0.27",
+    "zone": "mvd-cordon",
+    "region": "mvd",
+    "bind": {"controlPlane": "10.1.0.27:8229"},
+    "portRange": [7600, 7615],
+    "seeds": ["10.1.0.27:8229", "10.2.0.19:8229", "10.3.0.16:8229"],
+    "bootstrap": False,
+    "dataDir": "/data/control",
+    "heartbeatMs": 1200,
+    "faultTolerance": {"machines": 2, "zones": 1, "regions": 0},
+    "bounds": {"graceS": 8, "quotaWindowS": 8, "quotaSlack": 140000},
+    "later": {"unknown": True},
+}
+
+
+class SettingsTests(TestCase):
+    """The file becomes the product's settings, or is refused with a reason."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "boot.json"
+        self.write()
+
+    def write(self, **changes) -> None:
+        self.path.write_bytes(msgspec.json.encode(FILE | changes))
+
+    def test_a_control_member_finds_the_others_by_their_seeds(self):
+        wire = settings.load(self.path).ok
+        cfg = settings.of_control(wire)
+        self.assertEqual("10.1.0.27:7600", cfg.addresses.peers)
+        peers = [member.peers for member in cfg.control]
+        self.assertEqual(["10.1.0.27:7600", "10.2.0.19:7600", "10.3.0.16:7600"], peers)
+        self.assertFalse(cfg.may_form_group)
+        self.assertEqual(5, cfg.wanted_voters)
+        self.assertLess(cfg.drain_timeout_s, 8.0)
+
+    def test_an_entry_listens_beside_a_control_member(self):
+        wire = settings.load(self.path).ok
+        self.assertEqual("10.1.0.27:7601", settings.of_entry(wire).addresses.peers)
+
+    def test_faulty_files_are_refused_with_a_reason(self):
+        faulty = {
+            "cut short": msgspec.json.encode(FILE)[:-9],
+            "no ip": msgspec.json.encode({**FILE, "ip": None}),
+            "seeds of another type": msgspec.json.encode({**FILE, "seeds": "x"}),
+        }
+        for name, body in faulty.items():
+            with self.subTest(name):
+                self.path.write_bytes(body)
+                self.assertIn(str(self.path), str(settings.load(self.path).error))
+        self.path.unlink()
+        self.assertIn("cannot be read", str(settings.load(self.path).error))
+
+    def test_changed_seeds_are_told_once_and_faulty_files_change_nothing(self):
+        told: list[tuple[str, ...]] = []
+        watch = SettingsWatch(settings.load(self.path).ok, self.path, told.append)
+        watch.reload()
+        self.assertEqual([], told)
+        self.write(seeds=["10.9.0.1:8229"])
+        watch.reload()
+        watch.reload()
+        self.path.write_bytes(b"{")
+        watch.reload()
+        self.assertEqual([("10.9.0.1:7600",)], told)
--- a/fuchsiacroft/tests/utils/process_tests.py
+++ b/fuchsiacroft/tests/utils/process_tests.py
@@ -1,6 +1,8 @@
 """Tests of a process's life when a service fails."""
 
 import asyncio
+import os
+import signal
 
 from fuchsiacroft.exceptions import InvariantError
 from fuchsiacroft.kernel import Kernel, Service
@@ -61,3 +63,33 @@
     async def test_one_failed_answer_does_not(self):
         failed, _ = await self.served(False, OSError("one answer"))
         self.assertFalse(failed)
+
+
+class Reloading(Service):
+    """Counts how often it is told to look at its files."""
+
+    name = "reloading"
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def reload(self) -> None:
+        self.count += 1
+
+
+class ReloadTests(SocketTestCase):
+    """SIGHUP has services look at their files and ends nothing."""
+
+    async def test_a_hang_up_reloads_and_the_process_goes_on(self):
+        service = Reloading()
+        kernel = Kernel()
+        kernel.add(service)
+        serving = asyncio.ensure_future(process.serve(kernel, "edge-1"))
+        await asyncio.sleep(0.1)
+        os.kill(os.getpid(), signal.SIGHUP)
+        await asyncio.sleep(0.1)
+        self.assertEqual(1, service.count)
+        self.assertFalse(serving.done())
+        os.kill(os.getpid(), signal.SIGTERM)
+        async with asyncio.timeout(2):
+            await serving
