Hold back a request that crashes each server that runs it

Change: requests are known by workspace, method, target and body; one that was running, or lost, when three servers died is refused, in all domains; one that completes is cleared.

Ruled out: the quarantine of routing/, which runs suspects alone under permits.

--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import xxhash
 from aiohttp import web
 from expression import Error, Ok, Result
 
@@ -82,6 +83,7 @@
         match await self._bodies.read(session.http, limits.max_body_bytes):
             case Result(tag="ok", ok=body):
                 session.body = body
+                session.fingerprint = _fingerprint(session.call, body)
             case Result(error=problem):
                 return self._refuse(session, problem)
         try:
@@ -198,12 +200,19 @@
         workspace=call.workspace,
         size=call.size,
         idempotent=call.route.kind.may_repeat,
+        fingerprint=session.fingerprint,
         first_token_target_s=call.route.latency_target_s,
         token_gap_target_s=call.route.gap_target_s,
         avoid=tuple(session.tried),
     )
 
 
+def _fingerprint(call: Call, body: bytes) -> str:
+    """Return what a request that is sent again has in common with its first."""
+    head = f"{call.workspace} {call.method} {call.host} {call.target}\n"
+    return xxhash.xxh3_64_hexdigest(head.encode() + body)
+
+
 def _problem(refusal: Refusal | None, left_s: float) -> Problem:
     if refusal is None:
         detail = "backend servers refused the request; it did not run"
--- a/fuchsiacroft/gateway/session.py
+++ b/fuchsiacroft/gateway/session.py
@@ -24,6 +24,7 @@
     started_at: float
     call: Call | None = None
     body: bytes = b""
+    fingerprint: str = ""
     deadline: float = 0.0
     runs: int = 0
     sends: int = 0
--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -16,6 +16,7 @@
 
 from fuchsiacroft.config.route_table import RouteTable
 from fuchsiacroft.membership.registry_wire import ServerRecord
+from fuchsiacroft.placing.crashes import Crashes
 from fuchsiacroft.placing.demand import Demand
 from fuchsiacroft.placing.limits import SharedLimits
 from fuchsiacroft.placing.messages import HeldRun, PlaceRequest
@@ -42,6 +43,8 @@
 on which its prompt makes no stream pause for too long."""
 LATE_HORIZON_S = 1.0
 """Late requests that wait may take the places of so many seconds, not more."""
+HELD_RETRY_S = 10.0
+"""A request that crashes backend servers is no use to its caller any sooner."""
 OVERLOAD_RETRY_S = 2.0
 """A burst's usual rest; who comes back sooner is refused once more."""
 
@@ -82,6 +85,7 @@
         self._waiters: dict[str, Waiter] = {}
         self._mean_run_s: dict[str, float] = {}
         self.slot_share = 1.0
+        self.crashes = Crashes()
         self.demand = Demand()
         self.quotas = Quotas(limits.quotas)
         self.retries = RetryBudget(limits.retries)
@@ -110,21 +114,26 @@
         """Take over the quotas of a new route table."""
         self.quotas.replace(table.workspaces)
 
-    def set_servers(self, records: Iterable[ServerRecord]) -> None:
+    def set_servers(self, records: Iterable[ServerRecord], at: float) -> None:
         """Take over the backend servers that take work."""
         found = {record.name: record for record in records}
         for name in self._servers.keys() - found.keys():
-            gone = self._servers.pop(name)
-            for run_id in gone.runs:
-                self._runs.pop(run_id, None)
+            self._forget(name, at)
         for name, record in found.items():
             load = self._servers.get(name)
-            if load is None or load.record.incarnation != record.incarnation:
-                for run_id in load.runs if load is not None else ():
-                    self._runs.pop(run_id, None)
-                self._servers[name] = ServerLoad(record)
-            else:
+            if load is not None and load.record.incarnation == record.incarnation:
                 load.record = record
+                continue
+            if load is not None:
+                self._forget(name, at)
+            self._servers[name] = ServerLoad(record)
+
+    def _forget(self, name: str, at: float) -> None:
+        """Count the runs of a server that is gone no more."""
+        gone = self._servers.pop(name)
+        self.crashes.note_death(gone.life, (), at)
+        for run_id in gone.runs:
+            self._runs.pop(run_id, None)
 
     def place(self, request: PlaceRequest, at: float) -> Decision:
         """Place a request, let it wait, or refuse it."""
@@ -136,6 +145,8 @@
     def admit(self, request: PlaceRequest, at: float) -> Refusal | None:
         """Take a request's part of shared limits; return why it has none left."""
         ask = request.ask
+        if self.crashes.holds(ask.fingerprint, at):
+            return Refusal(RefusalReason.QUARANTINED, HELD_RETRY_S)
         self.demand.note(ask.workspace, request.charge, at)
         wait_s = self.quotas.take(ask.workspace, request.charge, at)
         if wait_s > 0:
@@ -243,9 +254,23 @@
         if run is None:
             return
         load.learn(run, report, at)
+        self._note_crash(load, run, report, at)
         if report.outcome is RunOutcome.COMPLETED:
             self._learn_mean(run.ask.service, at - run.started_at)
 
+    def _note_crash(
+        self, load: ServerLoad, run: Run, report: RunReport, at: float
+    ) -> None:
+        """Take in what the end of a run says of its server's death."""
+        match report.outcome:
+            case RunOutcome.COMPLETED:
+                self.crashes.clear(run.ask.fingerprint)
+            case RunOutcome.CONNECTION_LOST:
+                self.crashes.note_lost(load.life, run.ask.fingerprint, at)
+            case RunOutcome.NOT_DISPATCHED:
+                running = [other.ask.fingerprint for other in load.runs.values()]
+                self.crashes.note_death(load.life, running, at)
+
     def adopt(self, held: HeldRun, at: float) -> None:
         """Count a run that began before this allocator was asked."""
         load = self._servers.get(held.backend_server)
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -193,7 +193,7 @@
             for record in records
             if record.announcement.failure_domain == self._domain
         ]
-        self.allocator.set_servers(near)
+        self.allocator.set_servers(near, now())
         self._serve()
 
     async def _tick(self) -> None:
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -89,13 +89,15 @@
     """What the coordinator of a failure domain tells the others.
 
     `spent` holds the units that each workspace spent there in the window of
-    quotas, and `demand` those a second that it asked for lately.
+    quotas, and `demand` those a second that it asked for lately. `suspects` are
+    fingerprints with the deaths of backend servers that they were there for.
     """
 
     failure_domain: str
     rooms: tuple[ServiceRoom, ...]
     spent: dict[str, float]
     demand: dict[str, float]
+    suspects: dict[str, tuple[str, ...]] = {}
 
 
 @codec.message("placing.ping")
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -65,6 +65,7 @@
         self._random = random.Random()
         self._tasks = TaskGroup("neighbours")
         self.shares = Shares()
+        self._allocator: Allocator | None = None
         self.acts: Callable[[], bool] = lambda: False
         self.on_room: Callable[[], None] = lambda: None
 
@@ -87,6 +88,7 @@
 
     def tell_of(self, allocator: Allocator) -> None:
         """Begin to tell of what an allocator knows, while it acts for the domain."""
+        self._allocator = allocator
         self._tasks.keep(self._tell(allocator), "neighbours-tell")
 
     @property
@@ -159,7 +161,8 @@
         spent = allocator.quotas.spent(at)
         self.shares.update(spent, at)
         rooms = tuple(ServiceRoom(*room) for room in allocator.rooms(at).items())
-        load = DomainLoad(self._domain, rooms, spent, demand)
+        suspects = allocator.crashes.told(at)
+        load = DomainLoad(self._domain, rooms, spent, demand, suspects)
         for domain in domains:
             keeper = coordinator_of(entries, domain)
             if keeper is not None:
@@ -172,6 +175,8 @@
         avoid_until = known.avoid_until if known is not None else 0.0
         self._neighbours[msg.failure_domain] = Neighbour(rooms, at, avoid_until)
         self.shares.hear(msg.failure_domain, msg.spent, msg.demand, at)
+        if self._allocator is not None and msg.suspects:
+            self._allocator.crashes.hear(msg.suspects, at)
         if any(free > 0 for free in rooms.values()):
             self.on_room()
 
--- a/fuchsiacroft/placing/server_load.py
+++ b/fuchsiacroft/placing/server_load.py
@@ -53,6 +53,11 @@
         """Return the backend server's name."""
         return self.record.name
 
+    @property
+    def life(self) -> str:
+        """Return what names this life of the server."""
+        return f"{self.name}/{self.record.born_ms}"
+
     @property
     def slots(self) -> int:
         """Return how many requests it runs at a time."""
--- a/fuchsiacroft/tests/placing/allocator_tests.py
+++ b/fuchsiacroft/tests/placing/allocator_tests.py
@@ -69,7 +69,8 @@
             [
                 record(name, address=f"10.0.0.{number}:80")
                 for number, name in enumerate(names, 1)
-            ]
+            ],
+            0.0,
         )
 
     def fill(self, at: float = 0.0) -> list[Place]:
@@ -190,7 +191,9 @@
 
     def test_a_server_that_leaves_gets_nothing_more(self):
         leaving = record("i-1", sequence=2, life=Life.LEAVING)
-        self.allocator.set_servers([r for r in [leaving] if r.life is Life.SERVING])
+        self.allocator.set_servers(
+            [r for r in [leaving] if r.life is Life.SERVING], 0.0
+        )
         refusal = self.allocator.place(request(), 0.0)
         self.assertIs(RefusalReason.NO_BACKEND_SERVER, refusal.reason)
 
@@ -268,7 +271,7 @@
 
     def test_runs_of_a_server_that_is_replaced_are_forgotten(self):
         place = self.allocator.place(request(), 0.0)
-        self.allocator.set_servers([record("i-1", born_ms=2_000)])
+        self.allocator.set_servers([record("i-1", born_ms=2_000)], 0.05)
         self.allocator.end(place.run_id, DONE, 0.1)
         self.assertEqual(11, len(self.fill(0.1)))
 
