Take the servers and their runs out of the allocator

Fleet knows servers, runs, speeds and which to choose; Allocator knows limits, queues and refusals. No change of behaviour is meant; the tests are the same but for the names.

--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -12,7 +12,8 @@
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.registry_wire import ServerRecord
 from fuchsiacroft.membership.roster import Roster
-from fuchsiacroft.placing.allocator import Allocator, Place
+from fuchsiacroft.placing.allocator import Allocator
+from fuchsiacroft.placing.fleet import Place
 from fuchsiacroft.placing.limits import SharedLimits
 from fuchsiacroft.placing.messages import (
     FirstEvent,
@@ -110,7 +111,7 @@
 
     def note_read(self, run_id: str) -> None:
         """Note that the prompt of a run has been read."""
-        self.allocator.note_read(run_id)
+        self.allocator.fleet.note_read(run_id)
 
     def end(self, run_id: str, report: RunReport) -> None:
         """End a run, or forget a request that waits."""
@@ -120,7 +121,7 @@
     def adopt(self, runs: tuple[HeldRun, ...]) -> None:
         """Count runs that another coordinator gave places to."""
         for held in runs:
-            self.allocator.adopt(held, now())
+            self.allocator.fleet.adopt(held, now())
 
     async def _turn_of(self, request: PlaceRequest) -> Outcome:
         fut = asyncio.get_running_loop().create_future()
@@ -193,7 +194,7 @@
             for record in records
             if record.announcement.failure_domain == self._domain
         ]
-        self.allocator.set_servers(near, now())
+        self.allocator.fleet.replace(near, now())
         self._serve()
 
     async def _tick(self) -> None:
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -161,7 +161,7 @@
         spent = allocator.quotas.spent(at)
         self.shares.update(spent, at)
         rooms = tuple(ServiceRoom(*room) for room in allocator.rooms(at).items())
-        suspects = allocator.crashes.told(at)
+        suspects = allocator.fleet.crashes.told(at)
         load = DomainLoad(self._domain, rooms, spent, demand, suspects)
         for domain in domains:
             keeper = coordinator_of(entries, domain)
@@ -176,7 +176,7 @@
         self._neighbours[msg.failure_domain] = Neighbour(rooms, at, avoid_until)
         self.shares.hear(msg.failure_domain, msg.spent, msg.demand, at)
         if self._allocator is not None and msg.suspects:
-            self._allocator.crashes.hear(msg.suspects, at)
+            self._allocator.fleet.crashes.hear(msg.suspects, at)
         if any(free > 0 for free in rooms.values()):
             self.on_room()
 
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -227,7 +227,7 @@
             keeper = self.coordinator()
             alone = keeper.node != self._node
             near = max(len(self._near()), 1)
-            self._own.allocator.slot_share = 1 / near if alone else 1.0
+            self._own.allocator.fleet.share = 1 / near if alone else 1.0
             domains = {domain for domain, _ in self._known.values()}
             self._own.allocator.retries.share = (
                 self._part() if alone else 1 / len(domains)
--- a/fuchsiacroft/tests/placing/allocator_tests.py
+++ b/fuchsiacroft/tests/placing/allocator_tests.py
@@ -4,7 +4,8 @@
 
 from fuchsiacroft.config.route_table import Quota, Workspace
 from fuchsiacroft.membership.registry_wire import Life
-from fuchsiacroft.placing.allocator import Allocator, Place
+from fuchsiacroft.placing.allocator import Allocator
+from fuchsiacroft.placing.fleet import Place
 from fuchsiacroft.placing.limits import SharedLimits
 from fuchsiacroft.placing.messages import HeldRun, PlaceRequest
 from fuchsiacroft.placing.queue import Waiter
@@ -65,7 +66,7 @@
         self.servers("i-1")
 
     def servers(self, *names: str) -> None:
-        self.allocator.set_servers(
+        self.allocator.fleet.replace(
             [
                 record(name, address=f"10.0.0.{number}:80")
                 for number, name in enumerate(names, 1)
@@ -191,7 +192,7 @@
 
     def test_a_server_that_leaves_gets_nothing_more(self):
         leaving = record("i-1", sequence=2, life=Life.LEAVING)
-        self.allocator.set_servers(
+        self.allocator.fleet.replace(
             [r for r in [leaving] if r.life is Life.SERVING], 0.0
         )
         refusal = self.allocator.place(request(), 0.0)
@@ -242,12 +243,12 @@
             report = RunReport(RunOutcome.COMPLETED, token_gap_s=gap_s)
             self.allocator.end(place.run_id, report, 0.3)
         stream = self.allocator.place(request(avoid=("i-2",)), 1.0)
-        self.allocator.note_read(stream.run_id)
+        self.allocator.fleet.note_read(stream.run_id)
         self.filled = [
             self.allocator.place(request(avoid=("i-1",)), 1.0) for _ in range(11)
         ]
         for place in self.filled:
-            self.allocator.note_read(place.run_id)
+            self.allocator.fleet.note_read(place.run_id)
 
     def test_a_long_prompt_waits_for_a_server_where_no_stream_must_pause(self):
         """On the slow server each event would wait for nine chunks of prompt."""
@@ -271,14 +272,14 @@
 
     def test_runs_of_a_server_that_is_replaced_are_forgotten(self):
         place = self.allocator.place(request(), 0.0)
-        self.allocator.set_servers([record("i-1", born_ms=2_000)], 0.05)
+        self.allocator.fleet.replace([record("i-1", born_ms=2_000)], 0.05)
         self.allocator.end(place.run_id, DONE, 0.1)
         self.assertEqual(11, len(self.fill(0.1)))
 
     def test_runs_of_before_a_takeover_count(self):
         for _ in range(4):
             ask = request().ask
-            self.allocator.adopt(HeldRun(ask.request_id, "i-1", ask), 0.0)
+            self.allocator.fleet.adopt(HeldRun(ask.request_id, "i-1", ask), 0.0)
         self.assertEqual(7, len(self.fill()))
 
     def test_a_run_whose_end_is_never_told_frees_its_place(self):
--- a/fuchsiacroft/tests/placing/crashes_tests.py
+++ b/fuchsiacroft/tests/placing/crashes_tests.py
@@ -1,7 +1,8 @@
 """Tests of requests that crash each backend server that runs them."""
 
-from fuchsiacroft.placing.allocator import Allocator, Place
+from fuchsiacroft.placing.allocator import Allocator
 from fuchsiacroft.placing.crashes import FORGET_S, Crashes
+from fuchsiacroft.placing.fleet import Place
 from fuchsiacroft.placing.limits import SharedLimits
 from fuchsiacroft.placing.messages import PlaceRequest
 from fuchsiacroft.routing.ask import Ask, Refusal, RefusalReason, RunOutcome, RunReport
@@ -69,7 +70,7 @@
     def test_a_request_sent_again_and_again_is_held_after_three_servers(self):
         allocator = Allocator(SharedLimits())
         names = [f"i-{number}" for number in range(6)]
-        allocator.set_servers(
+        allocator.fleet.replace(
             [
                 record(name, address=f"10.0.0.{number}:80")
                 for number, name in enumerate(names)
@@ -89,7 +90,7 @@
             allocator.end(decision.run_id, LOST, at + 0.1)
             # Another request finds that the server is down.
             life = f"{decision.backend_server}/1000"
-            allocator.crashes.note_death(life, (), at + 0.4)
+            allocator.fleet.crashes.note_death(life, (), at + 0.4)
         self.assertEqual(3, len(reached))
         number += 1
         other = allocator.place(self.request(number, "good"), at + 5.0)
