--- a/fuchsiacroft/gateway/upstream.py
+++ b/fuchsiacroft/gateway/upstream.py
@@ -21,10 +21,14 @@
 from fuchsiacroft.gateway.call import Call, Headers
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.routing.ask import RunOutcome
+from fuchsiacroft.utils.log_budget import LogBudget
 
 CONNECT_TIMEOUT_S = 0.35
 """A connection inside a region takes some milliseconds, or a lost packet more."""
 
+FAILURE_LINES = 50
+"""Failed sends that are logged in a second; many at a time have one cause."""
+
 
 class ResetAwareHandler(ResponseHandler):
     """A connection on which a reset ends no answer.
@@ -54,6 +58,9 @@
 
     name = "upstream"
 
+    def __init__(self) -> None:
+        self._failures = LogBudget("send_failed", FAILURE_LINES)
+
     async def start(self, kernel: Kernel) -> None:
         """Open the session."""
         self._session = aiohttp.ClientSession(
@@ -91,7 +98,13 @@
                 allow_redirects=False,
                 middlewares=(attempt,),
             )
-        except (aiohttp.ClientError, OSError, ValueError):
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
+            self._failures.event(
+                request_id=call.request_id,
+                address=address,
+                sent=attempt.sent,
+                error=repr(exc),
+            )
             if attempt.sent:
                 return Error(RunOutcome.CONNECTION_LOST)
             return Error(RunOutcome.NOT_DISPATCHED)
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -32,6 +32,7 @@
 )
 from fuchsiacroft.placing.neighbours import Neighbours, coordinator_of
 from fuchsiacroft.placing.quotas import Elsewhere
+from fuchsiacroft.placing.reach import Reach
 from fuchsiacroft.routing.ask import Ask, Refusal, RunOutcome, RunReport
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
@@ -51,8 +52,6 @@
 """Of its part of a quota, what an entry spends that decides alone."""
 SPENT_KEPT_S = 5.0
 """How long what a coordinator told of spent quotas counts for its successor."""
-KNOWN_ENTRIES_S = 30.0
-"""How long an entry that is out of reach keeps its part of shared limits."""
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -92,7 +91,6 @@
         self._suspected_until = 0.0
         self._epochs: dict[str, str] = {}
         self._held: dict[str, Placement] = {}
-        self._known: dict[str, tuple[str, float]] = {}
         self._lost = asyncio.Event()
         self._asked: EntryRecord | None = None
         self._spent: tuple[dict[str, float], float] = ({}, -math.inf)
@@ -102,6 +100,7 @@
         """Look after the coordinator."""
         self._bus = kernel.get("bus", Bus)
         self._roster = kernel.get("roster", Roster)
+        self._reach = Reach(self._roster, self._domain)
         self._own = kernel.get("coordinator", Coordinator)
         self._neighbours = kernel.get("neighbours", Neighbours)
         self._own.allocator.quotas.elsewhere = self._elsewhere
@@ -223,19 +222,27 @@
     async def _watch(self) -> None:
         """Ping the coordinator, and hand over to a new one."""
         while True:
-            self._note_known()
+            self._reach.note(now())
             keeper = self.coordinator()
-            alone = keeper.node != self._node
-            near = max(len(self._near()), 1)
-            self._own.allocator.fleet.share = 1 / near if alone else 1.0
-            domains = {domain for domain, _ in self._known.values()}
-            self._own.allocator.retries.share = (
-                self._part() if alone else 1 / len(domains)
-            )
-            if alone:
+            self._set_shares(acts=keeper.node == self._node)
+            if keeper.node != self._node:
                 await self._ping(keeper)
             await asyncio.sleep(PING_PERIOD_S)
 
+    def _set_shares(self, acts: bool) -> None:
+        """Set what decisions made here may use of servers and retries.
+
+        An entry that does not act for its domain decides only while it cannot
+        reach the one that does, and then within its part.
+        """
+        allocator = self._own.allocator
+        if acts:
+            allocator.fleet.share = 1.0
+            allocator.retries.share = 1 / self._reach.domains()
+        else:
+            allocator.fleet.share = 1 / max(len(self._reach.near()), 1)
+            allocator.retries.share = self._reach.part()
+
     def _hand_over(self, keeper: EntryRecord) -> None:
         """Have a new coordinator count the runs that are in progress here."""
         before = self._asked.node if self._asked is not None else "-"
@@ -275,23 +282,9 @@
         self._lost.set()
         self._lost = asyncio.Event()
 
-    def _near(self) -> list[EntryRecord]:
-        return [e for e in self._roster.entries() if e.failure_domain == self._domain]
-
-    def _note_known(self) -> None:
-        at = now()
-        for entry in self._roster.entries():
-            self._known[entry.node] = (entry.failure_domain, at)
-        oldest = at - KNOWN_ENTRIES_S
-        self._known = {n: seen for n, seen in self._known.items() if seen[1] >= oldest}
-
-    def _part(self) -> float:
-        """Return this entry's part of limits that all entries share."""
-        return 1 / max(len(self._known), 1)
-
     def _is_cut_off(self, at: float) -> bool:
         """Tell whether nobody answers, so that others may have taken over."""
-        if self._roster.reaches_control or len(self._known) <= 1:
+        if self._roster.reaches_control or self._reach.is_single():
             return False
         oldest = at - CUT_OFF_S
         heard = self._neighbours.shares.heard_since(oldest)
@@ -299,21 +292,13 @@
 
     def _elsewhere(self, workspace: str, at: float) -> Elsewhere:
         """Return what is spent of a quota by decisions that are not made here."""
-        alone = ALONE_SHARE * self._part()
+        alone = ALONE_SHARE * self._reach.part()
         if not self.acts() or self._is_cut_off(at):
             return Elsewhere(share=alone)
         found = self._neighbours.shares.elsewhere(workspace, at)
-        kept = 1.0 - alone * self._missing()
+        kept = 1.0 - alone * self._reach.missing()
         return replace(found, share=found.share * kept)
 
-    def _missing(self) -> int:
-        """Return how many entries of the domain are out of reach since lately."""
-        near = {entry.node for entry in self._near()}
-        return sum(
-            domain == self._domain and node not in near
-            for node, (domain, _) in self._known.items()
-        )
-
 
 def create(settings: Settings) -> Placer:
     """Return the placer of an entry."""
