--- a/fuchsiacroft/tests/platform/drain_tests.py
+++ b/fuchsiacroft/tests/platform/drain_tests.py
@@ -1,10 +1,15 @@
 """Tests of a planned stop of an entry."""
 
 import asyncio
-import contextlib
 
 from fuchsiacroft.tests.fakes.platform_region import PlatformTestCase, read_answer
-from fuchsiacroft.tests.fakes.replica import answer
+from fuchsiacroft.tests.fakes.replica import (
+    LAST_CHUNK,
+    answer,
+    chunk,
+    sse,
+    stream_head,
+)
 
 
 async def slow(req, writer):
@@ -13,6 +18,14 @@
     writer.write(answer(req, b"slow"))
 
 
+async def holding(req, writer):
+    """Stream an event, and another some seconds later."""
+    writer.write(stream_head(req) + chunk(sse(1)))
+    await writer.drain()
+    await asyncio.sleep(3.0)
+    writer.write(chunk(sse(2)) + LAST_CHUNK)
+
+
 class DrainTests(PlatformTestCase):
     """A stop cuts no request, and no connection is read and left unanswered."""
 
@@ -47,26 +60,18 @@
         await stopping
 
     async def test_a_late_request_that_may_outlast_the_stop_is_refused(self):
+        await self.region.add_replica("lens", holding)
         stopping = asyncio.ensure_future(self.stop())
-        async with self.busy():
-            await asyncio.sleep(4.2)
-            got = await self.region.ask("/advice/1/", method="POST")
-            self.assertEqual(503, got.status)
-            self.assertLess(float(got.headers["retry-after"]), 0.2)
+        await asyncio.sleep(2.0)
+        # A stream that goes on keeps the entry draining.
+        held = asyncio.ensure_future(self.region.ask("/advice/1/", method="POST"))
+        await asyncio.sleep(2.2)
+        got = await self.region.ask("/advice/2/", method="POST")
+        self.assertEqual(503, got.status)
+        self.assertLess(float(got.headers["retry-after"]), 0.2)
+        self.assertTrue((await held).whole)
         await stopping
 
-    @contextlib.asynccontextmanager
-    async def busy(self):
-        """Keep a request in progress, so that the entry goes on draining."""
-
-        async def ask() -> None:
-            while True:
-                await self.region.ask("/book/1/", method="POST")
-
-        asking = asyncio.ensure_future(ask())
-        yield
-        asking.cancel()
-
     async def test_a_first_request_on_an_open_connection_is_answered(self):
         reader, writer = await self.region.connect()
         stopping = asyncio.ensure_future(self.stop())
