--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -17,6 +17,8 @@
 """Past its timeout, a run whose end was never told is over."""
 NOMINAL_RUN_S = 0.3
 """The mean run of a service until some have ended."""
+LEAST_RUN_S = 0.001
+"""A run whose begin and end are heard in one turn of the loop takes no time by it."""
 LEARNING_RATE = 0.05
 CHOOSY_SHARE = 0.4
 """Of the time in which it would be in time, how long a request waits for a server
@@ -194,8 +196,9 @@
                 self.crashes.note_death(load.life, running, at)
 
     def _learn_mean(self, service: str, run_s: float) -> None:
-        known = self._mean_run_s.get(service, run_s)
-        self._mean_run_s[service] = known + LEARNING_RATE * (run_s - known)
+        known = self._mean_run_s.get(service, max(run_s, LEAST_RUN_S))
+        mean_s = known + LEARNING_RATE * (run_s - known)
+        self._mean_run_s[service] = max(mean_s, LEAST_RUN_S)
 
 
 def _longest_s(ask: Ask) -> float:
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -174,7 +174,10 @@
         known = self._neighbours.get(msg.failure_domain)
         avoid_until = known.avoid_until if known is not None else 0.0
         self._neighbours[msg.failure_domain] = Neighbour(rooms, at, avoid_until)
-        self.shares.hear(msg.failure_domain, msg.spent, msg.demand, at)
+        # A domain that this one cannot name hears nothing back and keeps to its
+        # part of each quota, so this one must too.
+        if coordinator_of(self._roster.entries(), msg.failure_domain) is not None:
+            self.shares.hear(msg.failure_domain, msg.spent, msg.demand, at)
         if self._allocator is not None and msg.suspects:
             self._allocator.fleet.crashes.hear(msg.suspects, at)
         if any(free > 0 for free in rooms.values()):
--- a/fuchsiacroft/tests/placing/neighbours_tests.py
+++ b/fuchsiacroft/tests/placing/neighbours_tests.py
@@ -170,13 +170,39 @@
 
         self.played(scenario, servers=3, table=TABLE)
 
+    def test_a_quota_holds_while_a_domain_is_cut_off_from_control_only(self):
+        """Its entries are heard by the other domains, and hear nothing of them."""
+
+        async def scenario(region):
+            others = [e for e in region.entries if e.domain != DOMAINS[2]]
+
+            async def disturb() -> None:
+                self.pause = {entry.node for entry in others}
+                await asyncio.sleep(9.0)
+                for entry in region.entries:
+                    if entry not in others:
+                        for address in region.controls:
+                            region.network.cut_link(entry.address, address)
+                await asyncio.sleep(3.0)
+                self.pause = set()
+                await asyncio.sleep(20.0)
+
+            worst = await self.worst_window(region, disturb())
+            self.assertLessEqual(worst, (RATE * 8.0 + RATE) * 1.1)
+
+        self.played(scenario, servers=3, table=TABLE)
+
     async def worst_window(self, region: MemoryRegion, disturbance) -> float:
         """Press on a quota through every entry; return the most spent in 8 s."""
         loop = asyncio.get_running_loop()
         spent: list[tuple[float, float]] = []
+        self.pause: set[str] = set()
 
         async def press(entry) -> None:
             while True:
+                if entry.node in self.pause:
+                    await asyncio.sleep(0.02)
+                    continue
                 for placement in await self.acquire(entry, 1, charge=40.0):
                     spent.append((loop.time(), 40.0))
                     entry.placer.release(placement, DONE)
