Open connections to backend servers by one piece of code

The entry and the gateway each built the same client session, and the gateway put its handling of resets on top of the entry's connector in a class of its own. Both now call entry/sent_once.py, and the connector they share knows a reset from an end.

Behaviour: none of the gateway's changes. The entry refuses answers without framing and streams without a closing event, so the handler alters no answer of it either. Ruled out: joining the two open() methods, which differ in what they log and what they catch.

--- a/fuchsiacroft/entry/backend_client.py
+++ b/fuchsiacroft/entry/backend_client.py
@@ -1,9 +1,4 @@
-"""Opens runs on backend servers over HTTP, each at most once.
-
-aiohttp sends an idempotent method again by itself when the connection is lost,
-also on a new connection. An `Attempt` forbids the second sending and knows
-whether a byte of the request may have left.
-"""
+"""Opens runs on backend servers over HTTP, each at most once."""
 
 import asyncio
 import enum
@@ -15,6 +10,7 @@
 
 from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
 from fuchsiacroft.entry.request import CallerRequest
+from fuchsiacroft.entry.sent_once import Attempt, open_session
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.routing.ask import Permit, RunOutcome
 from fuchsiacroft.utils.tasks import TaskGroup
@@ -25,63 +21,10 @@
 CANCEL_TRIES = 3
 CANCEL_PAUSE_S = 0.2
 RESUME_TIMEOUT_S = 5.0
-READ_BUFFER_BYTES = 64 * 1024
-SKIPPED_HEADERS = ("User-Agent", "Accept-Encoding", "Accept", "Content-Type")
 
 Body = bytes | AsyncIterator[bytes] | None
 
 
-class AlreadySentError(aiohttp.ClientError):
-    """aiohttp tried to send a request a second time."""
-
-
-class Attempt:
-    """One try to dispatch; `sent` means that a byte may have left."""
-
-    def __init__(self) -> None:
-        self.sent = False
-
-    async def __call__(
-        self, req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-    ) -> aiohttp.ClientResponse:
-        """Let the request through once (an aiohttp client middleware)."""
-        if self.sent:
-            raise AlreadySentError
-        req.attempt = self
-        return await handler(req)
-
-
-class SentOnceRequest(aiohttp.ClientRequest):
-    """Notes on its attempt when it begins to write to a connection."""
-
-    attempt: Attempt
-
-    async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
-        """Write the request."""
-        self.attempt.sent = True
-        return await super().send(conn)
-
-
-class AddressConnector(aiohttp.BaseConnector):
-    """Opens a plain connection to an IP address and port, without a resolver."""
-
-    async def _create_connection(
-        self, req: aiohttp.ClientRequest, traces: list, timeout: aiohttp.ClientTimeout
-    ) -> aiohttp.client_proto.ResponseHandler:
-        """Connect once (aiohttp calls this for each new connection)."""
-        url = req.url
-        try:
-            async with asyncio.timeout(timeout.sock_connect):
-                _, protocol = await self._loop.create_connection(
-                    self._factory, url.raw_host, url.port
-                )
-        except TimeoutError:
-            raise
-        except OSError as exc:
-            raise aiohttp.ClientConnectorError(req.connection_key, exc) from exc
-        return protocol
-
-
 class ResumeError(enum.Enum):
     """Why a stream was not resumed."""
 
@@ -99,15 +42,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Open the session."""
-        self._session = aiohttp.ClientSession(
-            connector=AddressConnector(limit=0, force_close=True),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-            request_class=SentOnceRequest,
-            auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
-            skip_auto_headers=SKIPPED_HEADERS,
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        self._session = open_session(CONNECT_TIMEOUT_S)
 
     async def stop(self) -> None:
         """Close every connection."""
--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -14,7 +14,7 @@
     StoredAnswer,
 )
 from fuchsiacroft.entry import heads, known_keys, problems
-from fuchsiacroft.entry.backend_client import Attempt, BackendClient, ResumeError
+from fuchsiacroft.entry.backend_client import BackendClient, ResumeError
 from fuchsiacroft.entry.body import Upload
 from fuchsiacroft.entry.exchange import Exchange
 from fuchsiacroft.entry.ledger_client import LedgerClient
@@ -22,6 +22,7 @@
 from fuchsiacroft.entry.problems import Problem, Ran
 from fuchsiacroft.entry.progress import Progress
 from fuchsiacroft.entry.relay import BodyRelay, CallerSink, SlowCallerError
+from fuchsiacroft.entry.sent_once import Attempt
 from fuchsiacroft.routing.ask import Permit, RunOutcome, RunReport
 from fuchsiacroft.routing.scheduler import Scheduler
 from fuchsiacroft.utils.clock import now
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from expression import Result
 
-from fuchsiacroft.entry.backend_client import Attempt
+from fuchsiacroft.entry.sent_once import Attempt
 from fuchsiacroft.gateway.call import Dialect
 from fuchsiacroft.gateway.session import Session
 from fuchsiacroft.gateway.upstream import Upstream
--- a/fuchsiacroft/gateway/upstream.py
+++ b/fuchsiacroft/gateway/upstream.py
@@ -4,20 +4,11 @@
 tells the backend server that the caller has left.
 """
 
-from functools import partial
-
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from expression import Error, Ok, Result
 from yarl import URL
 
-from fuchsiacroft.entry.backend_client import (
-    READ_BUFFER_BYTES,
-    SKIPPED_HEADERS,
-    AddressConnector,
-    Attempt,
-    SentOnceRequest,
-)
+from fuchsiacroft.entry.sent_once import Attempt, open_session
 from fuchsiacroft.gateway.call import Call, Headers
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.routing.ask import RunOutcome
@@ -25,34 +16,10 @@
 
 CONNECT_TIMEOUT_S = 0.35
 """A connection inside a region takes some milliseconds, or a lost packet more."""
-
 FAILURE_LINES = 50
 """Failed sends that are logged in a second; many at a time have one cause."""
 
 
-class ResetAwareHandler(ResponseHandler):
-    """A connection on which a reset ends no answer.
-
-    aiohttp takes any end of a connection for the end of an answer without a
-    length, a reset too.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Mark an answer that a reset cuts off as broken."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError("the answer was reset"))
-        super().connection_lost(exc)
-
-
-class UpstreamConnector(AddressConnector):
-    """Opens connections whose resets are told from their ends."""
-
-    def __init__(self) -> None:
-        super().__init__(limit=0, force_close=True)
-        self._factory = partial(ResetAwareHandler, loop=self._loop)
-
-
 class Upstream(Service):
     """Sends requests to backend servers, each once."""
 
@@ -63,15 +30,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Open the session."""
-        self._session = aiohttp.ClientSession(
-            connector=UpstreamConnector(),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-            request_class=SentOnceRequest,
-            auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
-            skip_auto_headers=SKIPPED_HEADERS,
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        self._session = open_session(CONNECT_TIMEOUT_S)
 
     async def stop(self) -> None:
         """Close every connection."""
