Keep one copy of the entry's own problems, and of the end of a record

Both interfaces for callers built the problem of an unparsed request and of a fault in the entry by hand, four copies in all; they call entry/problems now. A backend server's record after its end was copied field by field in two places, and an entry's that leaves in a third.

--- a/fuchsiacroft/entry/callers.py
+++ b/fuchsiacroft/entry/callers.py
@@ -8,7 +8,7 @@
 
 from fuchsiacroft.config.held import HeldDocument
 from fuchsiacroft.config.settings import Settings
-from fuchsiacroft.entry import checks
+from fuchsiacroft.entry import checks, problems
 from fuchsiacroft.entry.admission import Admission, Admitted
 from fuchsiacroft.entry.answer_metrics import AnswerMetrics
 from fuchsiacroft.entry.body import HeldBodies
@@ -117,8 +117,7 @@
     def _failed(self, exchange: Exchange) -> web.Response:
         if exchange.http.writer.output_size > 0:
             raise ConnectionError("the answer has begun")
-        detail = "a fault in the entry"
-        return exchange.refuse(Problem(500, "internal_error", detail, Ran.MAYBE))
+        return exchange.refuse(problems.INTERNAL_ERROR)
 
     async def _answer(self, exchange: Exchange) -> web.StreamResponse:
         exchange.drains = self._draining
@@ -157,12 +156,7 @@
         self, http: web.BaseRequest, status: int, message: str
     ) -> web.StreamResponse:
         exchange = Exchange(http, new_request_id(), now())
-        if status >= 500:
-            problem = Problem(500, "internal_error", "a fault in the entry", Ran.MAYBE)
-        else:
-            first_line = message.partition("\n")[0].strip()
-            problem = Problem(status, "malformed", first_line or "not HTTP")
-        response = exchange.refuse(problem)
+        response = exchange.refuse(problems.unparsed(status, message))
         self._metrics.note(exchange, status, self._document)
         return response
 
--- a/fuchsiacroft/entry/problems.py
+++ b/fuchsiacroft/entry/problems.py
@@ -30,6 +30,17 @@
     retry_after_s: float | None = None
 
 
+INTERNAL_ERROR = Problem(500, "internal_error", "a fault in the entry", Ran.MAYBE)
+
+
+def unparsed(status: int, message: str) -> Problem:
+    """Return the problem of a request that aiohttp's parser gave up with `status`."""
+    if status >= INTERNAL_ERROR.status:
+        return INTERNAL_ERROR
+    first_line = message.partition("\n")[0].strip()
+    return Problem(status, "malformed", first_line or "not HTTP")
+
+
 def body(problem: Problem, request_id: str) -> bytes:
     """Return the JSON body of a problem."""
     fields = {
--- a/fuchsiacroft/gateway/front.py
+++ b/fuchsiacroft/gateway/front.py
@@ -6,8 +6,8 @@
 
 from fuchsiacroft.config.route_source import RouteSource
 from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.entry import problems
 from fuchsiacroft.entry.caller_server import CallerServer
-from fuchsiacroft.entry.problems import Problem, Ran
 from fuchsiacroft.gateway.call import Dialect
 from fuchsiacroft.gateway.forwarder import BrokenOffError, Forwarder
 from fuchsiacroft.gateway.records import RequestRecords
@@ -125,9 +125,8 @@
         if session.begun is not None:
             self._abort(session.http)
             raise ConnectionError("the answer has begun")
-        problem = Problem(500, "internal_error", "a fault in the entry", Ran.MAYBE)
-        session.problem = problem
-        return self._dialect.refuse(problem, session.request_id)
+        session.problem = problems.INTERNAL_ERROR
+        return self._dialect.refuse(session.problem, session.request_id)
 
     def _abort(self, http: web.BaseRequest) -> None:
         """End a connection so that what was sent does not look complete."""
@@ -138,13 +137,9 @@
         self, http: web.BaseRequest, status: int, message: str
     ) -> web.StreamResponse:
         session = Session(http, "", now())
-        first_line = message.partition("\n")[0].strip()
-        problem = Problem(status, "malformed", first_line or "not HTTP")
-        if status >= 500:
-            problem = Problem(500, "internal_error", "a fault in the entry", Ran.MAYBE)
-        session.problem = problem
+        session.problem = problems.unparsed(status, message)
         self._record(session, status)
-        return self._dialect.refuse(problem, "")
+        return self._dialect.refuse(session.problem, session.request_id)
 
     def _record(self, session: Session, status: int) -> None:
         version, age_s = self._tables.version, self._tables.age_s
--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -106,10 +106,7 @@
         known = self._table.get(name)
         if known is None or (born_ms is not None and known.born_ms != born_ms):
             return Ok(None)
-        left = ServerRecord(
-            known.announcement, known.born_ms, known.sequence, Life.LEFT
-        )
-        return await self.report(left)
+        return await self.report(known.ended())
 
     async def _tell_all(self, records: tuple[ServerRecord, ...]) -> Result[None, str]:
         if now() - self._started_at < LEARN_ENTRIES_S:
--- a/fuchsiacroft/membership/registry_wire.py
+++ b/fuchsiacroft/membership/registry_wire.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections.abc import Iterable
+from typing import Self
 
 import msgspec
 import xxhash
@@ -43,6 +44,10 @@
         """Return what tells this life from all others."""
         return (self.announcement.name, self.born_ms)
 
+    def ended(self) -> Self:
+        """Return the record of this life after its end."""
+        return msgspec.structs.replace(self, life=Life.LEFT)
+
 
 class EntryRecord(msgspec.Struct, frozen=True):
     """An entry that greeted a control member lately.
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable, Iterable
 
+import msgspec
 from expression import Result
 
 from fuchsiacroft.config.settings import Settings
@@ -81,10 +82,7 @@
 
     def leave(self) -> None:
         """Tell the control members from now on that this entry drains."""
-        me = self.me
-        self.me = EntryRecord(
-            me.node, me.failure_domain, me.peers, me.started_ms, leaving=True
-        )
+        self.me = msgspec.structs.replace(self.me, leaving=True)
 
     async def stop(self) -> None:
         """Sign off, and greet nobody any more."""
--- a/fuchsiacroft/membership/server_table.py
+++ b/fuchsiacroft/membership/server_table.py
@@ -117,9 +117,7 @@
         return (*ended, record)
 
     def _end(self, record: ServerRecord, at: float) -> ServerRecord:
-        ended = ServerRecord(
-            record.announcement, record.born_ms, record.sequence, Life.LEFT
-        )
+        ended = record.ended()
         self._heard[record.name] = Heard(ended, at)
         return ended
 
