Drop the copy of a place, and count, average and ask in one way in placing

Placement repeated the fields of Placed beside the ask; the entry now holds HeldRun, which it sends anyhow, and hands Placed on. Fleet counted a run in two places and learned its mean with the floor applied twice; three moving averages were three formulas. Neighbours wrapped one callable in a property. Outcomes.refused_late in the model was never written or read.

Behaviour is unchanged: a mean of values not below the floor is not below it.

--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -11,7 +11,8 @@
 from fuchsiacroft.gateway.call import Dialect
 from fuchsiacroft.gateway.session import Session
 from fuchsiacroft.gateway.upstream import Upstream
-from fuchsiacroft.placing.placer import Placement, Placer
+from fuchsiacroft.placing.messages import Placed
+from fuchsiacroft.placing.placer import Placer
 from fuchsiacroft.routing.ask import RunOutcome, RunReport
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
@@ -37,7 +38,7 @@
 
 
 class Try:
-    """Sends a request to the backend server of a placement.
+    """Sends a request to the backend server of a place.
 
     `answer` is what the caller gets if the ending is `ANSWERED`, or a backend
     server's own failure if it is `FAILED`.
@@ -46,14 +47,14 @@
     def __init__(
         self,
         session: Session,
-        placement: Placement,
+        placed: Placed,
         dialect: Dialect,
         upstream: Upstream,
         placer: Placer,
     ) -> None:
         self._session = session
         self._call = session.call
-        self._placement = placement
+        self._placed = placed
         self._dialect = dialect
         self._upstream = upstream
         self._placer = placer
@@ -66,7 +67,7 @@
         self.answer: web.StreamResponse | None = None
 
     async def run(self) -> Ending:
-        """Return how the try ended; the placement is released in any case."""
+        """Return how the try ended; the place is given back in any case."""
         outcome = RunOutcome.CANCELLED
         try:
             ending = await self._run()
@@ -81,15 +82,15 @@
         session = self._session
         headers = self._dialect.to_backend(
             self._call,
-            self._placement.backend_server,
+            self._placed.backend_server,
             max(session.left_s, 0.0),
             session.resume_after,
         )
-        session.tried.append(self._placement.backend_server)
+        session.tried.append(self._placed.backend_server)
         try:
             async with asyncio.timeout(self._silence_s()):
                 opened = await self._upstream.open(
-                    self._placement.address,
+                    self._placed.address,
                     self._call,
                     headers,
                     session.body,
@@ -176,7 +177,7 @@
         at = now()
         if self._first_at is None:
             self._first_at = at
-            self._placer.note_first_event(self._placement)
+            self._placer.note_first_event(self._placed)
             if self._session.first_event_at is None:
                 self._session.first_event_at = at
         if self._last_at is not None:
@@ -230,13 +231,13 @@
             token_gap_s=self._token_gap_s(),
             duration_s=at - self._began_at,
         )
-        self._placer.release(self._placement, report)
+        self._placer.release(self._placed, report)
         event(
             "info",
             "run_ended",
             request_id=self._session.request_id,
-            backend_server=self._placement.backend_server,
-            keeper=self._placement.keeper,
+            backend_server=self._placed.backend_server,
+            keeper=self._placed.keeper,
             outcome=outcome.value,
             seconds=round(at - self._began_at, 4),
             events=self._events,
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -18,7 +18,8 @@
 from fuchsiacroft.gateway.upstream import Upstream
 from fuchsiacroft.gateway.waiting import Waiting
 from fuchsiacroft.kernel import Kernel, Service
-from fuchsiacroft.placing.placer import Placement, Placer
+from fuchsiacroft.placing.messages import Placed
+from fuchsiacroft.placing.placer import Placer
 from fuchsiacroft.routing.ask import Ask, Refusal, RefusalReason
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
@@ -114,13 +115,11 @@
         failure: web.StreamResponse | None = None
         while True:
             match await self._place(session):
-                case Result(tag="ok", ok=placement):
+                case Result(tag="ok", ok=placed):
                     pass
                 case Result(error=refusal):
                     return self._end_without(session, failure, refusal)
-            attempt = Try(
-                session, placement, self._dialect, self._upstream, self._placer
-            )
+            attempt = Try(session, placed, self._dialect, self._upstream, self._placer)
             ending = await attempt.run()
             if ending is Ending.ANSWERED:
                 return attempt.answer
@@ -145,7 +144,7 @@
             return session.runs == 0 or session.may_run_again
         return session.may_run_again
 
-    async def _place(self, session: Session) -> Result[Placement, Refusal]:
+    async def _place(self, session: Session) -> Result[Placed, Refusal]:
         call = session.call
         left_s = session.left_s
         ask = _ask(call, session, left_s)
--- a/fuchsiacroft/model/outcomes.py
+++ b/fuchsiacroft/model/outcomes.py
@@ -51,7 +51,6 @@
     inversions: int = 0
     broken: Counter[str] = field(default_factory=Counter)
     messages: int = 0
-    refused_late: int = 0
 
     def measures(self) -> "Measures":
         """Return the figures of the run."""
--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -10,7 +10,7 @@
 from fuchsiacroft.membership.registry_wire import ServerRecord
 from fuchsiacroft.placing.crashes import Crashes
 from fuchsiacroft.placing.messages import HeldRun, PlaceRequest
-from fuchsiacroft.placing.server_load import Run, ServerLoad
+from fuchsiacroft.placing.server_load import Run, ServerLoad, averaged
 from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport
 
 RUN_GRACE_S = 1.0
@@ -20,6 +20,7 @@
 LEAST_RUN_S = 0.001
 """A run whose begin and end are heard in one turn of the loop takes no time by it."""
 LEARNING_RATE = 0.05
+"""Weight of the newest run in the mean of its service."""
 CHOOSY_SHARE = 0.4
 """Of the time in which it would be in time, how long a request waits for a server
 on which its prompt makes no stream pause for too long."""
@@ -129,20 +130,17 @@
         """Count a run that begins now for a request that came at `since`."""
         ask = request.ask
         reading = ask.size.prompt_tokens > 0
-        run = Run(request.run_id, ask, at, at + _longest_s(ask), reading)
-        load.begin(run)
-        self._runs[run.run_id] = load
+        self._count(load, Run(request.run_id, ask, at, _ends_by(ask, at), reading))
         address = load.record.announcement.address
-        return Place(run.run_id, load.name, address, at - since)
+        return Place(request.run_id, load.name, address, at - since)
 
     def adopt(self, held: HeldRun, at: float) -> None:
         """Count a run that began under another coordinator."""
         load = self._servers.get(held.backend_server)
         if load is None or held.run_id in self._runs:
             return
-        run = Run(held.run_id, held.ask, at, at + _longest_s(held.ask), False)
-        load.begin(run)
-        self._runs[held.run_id] = load
+        ends_by = _ends_by(held.ask, at)
+        self._count(load, Run(held.run_id, held.ask, at, ends_by, reading=False))
 
     def note_read(self, run_id: str) -> None:
         """Note that the prompt of a run has been read."""
@@ -169,6 +167,10 @@
                     load.end(run.run_id)
                     self._runs.pop(run.run_id, None)
 
+    def _count(self, load: ServerLoad, run: Run) -> None:
+        load.begin(run)
+        self._runs[run.run_id] = load
+
     def _offering(self, service: str) -> Iterable[ServerLoad]:
         return (load for load in self._servers.values() if load.offers(service))
 
@@ -196,10 +198,10 @@
                 self.crashes.note_death(load.life, running, at)
 
     def _learn_mean(self, service: str, run_s: float) -> None:
-        known = self._mean_run_s.get(service, max(run_s, LEAST_RUN_S))
-        mean_s = known + LEARNING_RATE * (run_s - known)
-        self._mean_run_s[service] = max(mean_s, LEAST_RUN_S)
+        known = self._mean_run_s.get(service)
+        seen = max(run_s, LEAST_RUN_S)
+        self._mean_run_s[service] = averaged(known, seen, LEARNING_RATE)
 
 
-def _longest_s(ask: Ask) -> float:
-    return ask.timeout_s + RUN_GRACE_S
+def _ends_by(ask: Ask, at: float) -> float:
+    return at + ask.timeout_s + RUN_GRACE_S
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -91,11 +91,6 @@
         self._allocator = allocator
         self._tasks.keep(self._tell(allocator), "neighbours-tell")
 
-    @property
-    def is_acting(self) -> bool:
-        """Tell whether this entry is the coordinator of its domain."""
-        return self.acts()
-
     def has_room(self, service: str) -> bool:
         """Tell whether another domain has room for a service."""
         return self._with_room(service) is not None
@@ -145,12 +140,12 @@
 
     async def _tell(self, allocator: Allocator) -> None:
         while True:
-            period_s = TELL_PERIOD_S if self.is_acting else IDLE_PERIOD_S
+            period_s = TELL_PERIOD_S if self.acts() else IDLE_PERIOD_S
             await asyncio.sleep(period_s * self._random.uniform(0.9, 1.1))
             entries = self._roster.entries()
             domains = {entry.failure_domain for entry in entries} | {self._domain}
             self.shares.set_domains(max(len(domains), len(self._neighbours) + 1))
-            if self.is_acting:
+            if self.acts():
                 self._tell_now(allocator, entries, domains - {self._domain})
 
     def _tell_now(
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -54,18 +54,6 @@
 """How long what a coordinator told of spent quotas counts for its successor."""
 
 
-@dataclass(frozen=True, slots=True, eq=False)
-class Placement:
-    """A place that this entry was given, and who counts its run."""
-
-    run_id: str
-    ask: Ask
-    backend_server: str
-    address: str
-    keeper: str
-    keeper_peers: str
-
-
 @dataclass(frozen=True, slots=True)
 class Patience:
     """How long a request may wait to be answered in time, and at all; seconds.
@@ -90,7 +78,7 @@
         self._numbers = itertools.count()
         self._suspected_until = 0.0
         self._epochs: dict[str, str] = {}
-        self._held: dict[str, Placement] = {}
+        self._held: dict[str, HeldRun] = {}
         self._lost = asyncio.Event()
         self._asked: EntryRecord | None = None
         self._spent: tuple[dict[str, float], float] = ({}, -math.inf)
@@ -133,7 +121,7 @@
 
     async def acquire(
         self, ask: Ask, charge: float, repeats: bool, patience: Patience
-    ) -> Result[Placement, Refusal]:
+    ) -> Result[Placed, Refusal]:
         """Return a place to run now, or why there is none."""
         run_id = f"{self._node}-{self._life}-{next(self._numbers)}"
         request = PlaceRequest(
@@ -151,38 +139,28 @@
             outcome = await self._ask(keeper, request)
         if outcome is None:
             outcome = await self._decide(request)
-        if outcome.is_error():
-            return Error(outcome.error)
-        placed = outcome.ok
-        placement = Placement(
-            run_id,
-            ask,
-            placed.backend_server,
-            placed.address,
-            placed.keeper,
-            placed.keeper_peers,
-        )
-        self._held[run_id] = placement
-        return Ok(placement)
+        if outcome.is_ok():
+            self._held[run_id] = HeldRun(run_id, outcome.ok.backend_server, ask)
+        return outcome
 
-    def note_first_event(self, placement: Placement) -> None:
+    def note_first_event(self, placed: Placed) -> None:
         """Tell the keeper that a run's prompt has been read."""
-        if placement.keeper == self._node:
-            self._own.note_read(placement.run_id)
+        if placed.keeper == self._node:
+            self._own.note_read(placed.run_id)
         else:
-            self._bus.send(placement.keeper_peers, FirstEvent(placement.run_id))
+            self._bus.send(placed.keeper_peers, FirstEvent(placed.run_id))
 
-    def release(self, placement: Placement, report: RunReport) -> None:
+    def release(self, placed: Placed, report: RunReport) -> None:
         """Tell whoever gave the place, and the coordinator since, how a run ended."""
-        self._held.pop(placement.run_id, None)
-        keepers = {placement.keeper: placement.keeper_peers}
+        self._held.pop(placed.run_id, None)
+        keepers = {placed.keeper: placed.keeper_peers}
         if self._asked is not None:
             keepers[self._asked.node] = self._asked.peers
         for node, peers in keepers.items():
             if node == self._node:
-                self._own.end(placement.run_id, report)
+                self._own.end(placed.run_id, report)
             else:
-                self._bus.send(peers, RunEnded(placement.run_id, report))
+                self._bus.send(peers, RunEnded(placed.run_id, report))
 
     async def _decide(self, request: PlaceRequest) -> Result[Placed, Refusal]:
         try:
@@ -250,7 +228,7 @@
         self._asked = keeper
         self._suspected_until = 0.0
         if keeper.node == self._node:
-            self._own.adopt(self._runs())
+            self._own.adopt(tuple(self._held.values()))
             spent, told_at = self._spent
             if now() - told_at < SPENT_KEPT_S:
                 self._own.allocator.quotas.adopt(spent, now())
@@ -259,7 +237,7 @@
 
     async def _ping(self, keeper: EntryRecord) -> None:
         known = self._epochs.get(keeper.node, "")
-        runs = () if known else self._runs()
+        runs = () if known else tuple(self._held.values())
         ping = Ping(self._node, known, runs)
         match await self._bus.request(keeper.peers, ping, PING_TIMEOUT_S):
             case Result(tag="ok", ok=Pong(epoch=epoch, spent=spent)):
@@ -269,12 +247,6 @@
                 self._epochs.pop(keeper.node, None)
                 self._suspect(keeper, "no answer to a ping")
 
-    def _runs(self) -> tuple[HeldRun, ...]:
-        return tuple(
-            HeldRun(placement.run_id, placement.backend_server, placement.ask)
-            for placement in self._held.values()
-        )
-
     def _suspect(self, keeper: EntryRecord, reason: str) -> None:
         if now() >= self._suspected_until:
             event("warning", "coordinator_lost", coordinator=keeper.node, reason=reason)
--- a/fuchsiacroft/placing/server_load.py
+++ b/fuchsiacroft/placing/server_load.py
@@ -139,7 +139,7 @@
                 self._learn_speed(run.ask, report)
         failed = 0.0 if report.outcome is RunOutcome.COMPLETED else 1.0
         if report.outcome is not RunOutcome.REFUSED:
-            self.failures += LEARNING_RATE * (failed - self.failures)
+            self.failures = averaged(self.failures, failed, LEARNING_RATE)
 
     def _set_aside(self, at: float) -> None:
         if at < self.aside_until:
@@ -149,12 +149,11 @@
 
     def _learn_speed(self, ask: Ask, report: RunReport) -> None:
         if not ask.size.prompt_tokens:
-            self.plain_s = _averaged(self.plain_s, report.duration_s)
+            self.plain_s = averaged(self.plain_s, report.duration_s, LEARNING_RATE)
         elif report.token_gap_s is not None:
-            self.gap_s = _averaged(self.gap_s, report.token_gap_s)
+            self.gap_s = averaged(self.gap_s, report.token_gap_s, LEARNING_RATE)
 
 
-def _averaged(known: float | None, seen: float) -> float:
-    if known is None:
-        return seen
-    return known + LEARNING_RATE * (seen - known)
+def averaged(known: float | None, seen: float, weight: float) -> float:
+    """Return a moving average after one more value, which begins it if None."""
+    return seen if known is None else known + weight * (seen - known)
