Merge the entries told of only when they change

Each request looks three times or so at the entries in reach (who decides, which part of a quota is kept for whom), and each look merged what every control member told. The merge is kept until a member tells other entries, another set of members counts, or this entry leaves.

What is returned is the same.

--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -8,6 +8,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 import msgspec
 from expression import Result
@@ -48,6 +49,14 @@
 ServersListener = Callable[[tuple[ServerRecord, ...]], None]
 
 
+@dataclass(frozen=True, slots=True)
+class Merged:
+    """The entries that control members told of; every request looks at them."""
+
+    sources: list[str]
+    entries: tuple[EntryRecord, ...]
+
+
 class Roster(Service):
     """The processes and backend servers that an entry works with."""
 
@@ -66,6 +75,7 @@
         self._controls = self._seeds
         self._tables: dict[str, tuple[int, tuple[str, ...]]] = {}
         self._entries: dict[str, tuple[int, tuple[EntryRecord, ...]]] = {}
+        self._merged: Merged | None = None
         self._answered: dict[str, float] = {}
         self._servers = ServerTable()
         self._greeting: dict[str, asyncio.Task] = {}
@@ -83,6 +93,7 @@
     def leave(self) -> None:
         """Tell the control members from now on that this entry drains."""
         self.me = msgspec.structs.replace(self.me, leaving=True)
+        self._merged = None
 
     async def stop(self) -> None:
         """Sign off, and greet nobody any more."""
@@ -138,13 +149,10 @@
 
         While none answers, those last told of count for some time.
         """
-        fresh = self._fresh()
-        found = {self.me.node: self.me}
-        for address in fresh or self._answered_since(now() - ENTRIES_KEPT_S):
-            for entry in self._entries.get(address, NO_ENTRIES)[1]:
-                if entry.node != self.me.node:
-                    found[entry.node] = entry
-        return tuple(found.values())
+        sources = self._fresh() or self._answered_since(now() - ENTRIES_KEPT_S)
+        if self._merged is None or self._merged.sources != sources:
+            self._merged = Merged(sources, self._entries_of(sources))
+        return self._merged.entries
 
     @property
     def reaches_control(self) -> bool:
@@ -155,6 +163,14 @@
         """Return why no backend server can be chosen yet, or None."""
         return None if self._answered else "no control member has answered"
 
+    def _entries_of(self, sources: list[str]) -> tuple[EntryRecord, ...]:
+        found = {self.me.node: self.me}
+        for address in sources:
+            for entry in self._entries.get(address, NO_ENTRIES)[1]:
+                if entry.node != self.me.node:
+                    found[entry.node] = entry
+        return tuple(found.values())
+
     def _fresh(self) -> list[str]:
         return self._answered_since(now() - FRESH_S)
 
@@ -188,6 +204,7 @@
         self._answered[address] = now()
         if answer.entries is not None:
             self._entries[address] = (answer.entries_digest, answer.entries)
+            self._merged = None
         if answer.records is not None:
             self._merge(answer.records)
             names = tuple(record.name for record in answer.records)
--- a/fuchsiacroft/tests/membership/registry_tests.py
+++ b/fuchsiacroft/tests/membership/registry_tests.py
@@ -8,6 +8,11 @@
 from fuchsiacroft.tests.membership.server_table_tests import record
 
 
+def leaving(roster) -> list[str]:
+    """Return the nodes that a roster knows to leave."""
+    return [entry.node for entry in roster.entries() if entry.leaving]
+
+
 class RegistryTests(PausedTestCase):
     """What one control member hears, every entry obeys."""
 
@@ -146,6 +151,33 @@
 
         self.played(scenario)
 
+    def test_entries_are_known_as_they_were_told_last(self):
+        async def scenario(region):
+            leaver, other = region.entries[0].roster, region.entries[1].roster
+            self.assertEqual(len(region.entries), len(other.entries()))
+            leaver.leave()
+            self.assertEqual([leaver.me.node], leaving(leaver))
+            self.assertEqual([], leaving(other))
+            await asyncio.sleep(1.0)
+            self.assertEqual([leaver.me.node], leaving(other))
+            await region.entries[0].kernel.stop()
+            await asyncio.sleep(1.0)
+            self.assertNotIn(leaver.me.node, [e.node for e in other.entries()])
+
+        self.played(scenario)
+
+    def test_entries_stay_known_for_some_time_while_no_control_member_answers(self):
+        async def scenario(region):
+            roster = region.entries[1].roster
+            for member in region.members:
+                region.isolate(member.address)
+            await asyncio.sleep(10.0)
+            self.assertEqual(len(region.entries), len(roster.entries()))
+            await asyncio.sleep(10.0)
+            self.assertEqual([roster.me.node], [e.node for e in roster.entries()])
+
+        self.played(scenario)
+
     def test_a_late_leave_of_an_earlier_life_ends_nothing(self):
         async def scenario(region):
             registry = region.members[0].registry
