Give the benchmark of an entry one file a program

tools/bench_entry.py was three programs told apart by a flag, 531 lines, with the flags of all. The tests of certificates share their set-up; their assertions stay.

--- a/fuchsiacroft/tests/transport/key_reload_tests.py
+++ b/fuchsiacroft/tests/transport/key_reload_tests.py
@@ -148,13 +148,7 @@
 
     async def test_a_new_certificate_is_served_without_a_restart(self):
         files = write_certificate(self.folder, "one")
-        service = self.reloader(
-            tls={"certificate": files.certificate, "key": files.key}
-        )
-        address = free_address()
-        listener = Listener(web.Application(), address, self.context)
-        await listener.start()
-        self.addAsyncCleanup(listener.stop)
+        service, address = await self.served_with(files)
         self.assertEqual("one", await self.served_name(address))
         write_certificate(self.folder, "two")
         service.reload()
@@ -162,6 +156,16 @@
 
     async def test_a_certificate_without_its_key_keeps_the_old_one(self):
         files = write_certificate(self.folder, "one")
+        service, address = await self.served_with(files)
+        old_key = Path(files.key).read_bytes()
+        write_certificate(self.folder, "two")
+        Path(files.key).write_bytes(old_key)
+        service.reload()
+        self.assertEqual("one", await self.served_name(address))
+        self.assertEqual(1, service.dump()["counts"]["refused"])
+
+    async def served_with(self, files):
+        """Listen with a certificate; return what reloads it, and the address."""
         service = self.reloader(
             tls={"certificate": files.certificate, "key": files.key}
         )
@@ -169,12 +173,7 @@
         listener = Listener(web.Application(), address, self.context)
         await listener.start()
         self.addAsyncCleanup(listener.stop)
-        old_key = Path(files.key).read_bytes()
-        write_certificate(self.folder, "two")
-        Path(files.key).write_bytes(old_key)
-        service.reload()
-        self.assertEqual("one", await self.served_name(address))
-        self.assertEqual(1, service.dump()["counts"]["refused"])
+        return service, address
 
     async def served_name(self, address):
         context = ssl.create_default_context()
--- a/tools/bench_entry.py
+++ b/tools/bench_entry.py
@@ -1,20 +1,17 @@
 """Measure one entry process against direct calls in the same run.
 
 Separate processes: one control member, one entry, emitters in place of
-engines and load generators. An emitter writes its clock into each chunk, so
-that the load generator sees how old a chunk is when it arrives. Prints one
-JSON line for each trial: the direct figure, the figure through the entry, and
-the entry's processor time and memory.
+engines (`bench_entry_emitter.py`) and load generators (`bench_entry_load.py`).
+Prints one JSON line for each trial: the direct figure, the figure through the
+entry, and the entry's processor time and memory.
 
     python tools/bench_entry.py [--seconds=5] [--streams=600] [--rates=...]
 """
 
 import asyncio
 import collections
-import functools
 import json
 import os
-import random
 import subprocess
 import sys
 import tempfile
@@ -29,13 +26,10 @@
 sys.path.insert(0, str(ROOT))
 
 from fuchsiacroft.config.document import hash_key  # noqa: E402
-from fuchsiacroft.standin import announcer  # noqa: E402
 from fuchsiacroft.tests.fakes import cluster  # noqa: E402
 from fuchsiacroft.tests.fakes.ports import free_addresses  # noqa: E402
-from fuchsiacroft.utils.http import split_address  # noqa: E402
 
 FLAGS = flags.FLAGS
-flags.DEFINE_enum("part", "bench", ["bench", "emitter", "load"], "what to be")
 flags.DEFINE_integer("seconds", 5, "seconds a trial")
 flags.DEFINE_integer("streams", 600, "open streams")
 flags.DEFINE_float("opens", 60.0, "streams opened a second while measuring")
@@ -44,259 +38,14 @@
 flags.DEFINE_integer("callers", 32, "callers of short requests")
 flags.DEFINE_integer("body_mb", 200, "megabytes to echo; 0 measures no body")
 flags.DEFINE_bool("short", True, "measure short requests too")
-flags.DEFINE_string("address", "", "where an emitter listens")
-flags.DEFINE_string("target", "", "whom a load generator calls")
-flags.DEFINE_string("entry", "", "whom an emitter tells of itself")
-flags.DEFINE_string("kind", "stream", "stream or short")
-flags.DEFINE_float("rate", 1000.0, "chunks a second of one load generator")
-flags.DEFINE_float("start_at", 0.0, "monotonic time at which a load starts")
-
-RAMP_S = 1.5
-SETTLE_S = 0.3
-END_MARGIN_S = 0.5
-PROBE_TOKENS = 4
+
+EMITTER = "bench_entry_emitter.py"
+LOAD = "bench_entry_load.py"
 MEGABYTE = 1024 * 1024
-HEAD = (
-    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-    b"Transfer-Encoding: chunked\r\n\r\n"
-)
-SHORT = b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n0123456789abcdef"
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 KEY = "bench-key"
 
 
-class Emitter(asyncio.Protocol):
-    """Answers one connection: a paced stream of tokens, or a short answer."""
-
-    def __init__(self) -> None:
-        self._loop = asyncio.get_running_loop()
-        self._data = b""
-
-    def connection_made(self, transport) -> None:
-        """Keep the transport."""
-        self._transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        """Answer once a request is whole."""
-        self._data += data
-        head, end, body = self._data.partition(b"\r\n\r\n")
-        if not end:
-            return
-        if head.startswith(b"GET"):
-            self._data = b""
-            self._transport.write(SHORT)
-            return
-        length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
-        if len(body) < length:
-            return
-        self._data = b""
-        fields = json.loads(body)
-        self._left = fields["max_tokens"]
-        self._gap_s = fields["gap_s"]
-        self._next = self._loop.time()
-        self._transport.write(HEAD)
-        self._emit()
-
-    def _emit(self) -> None:
-        if self._transport.is_closing():
-            return
-        if not self._left:
-            self._transport.write(b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n")
-            return
-        self._left -= 1
-        text = (
-            f'data: {{"choices":[{{"text":" lens","at":{time.monotonic_ns()}}}]}}\n\n'
-        )
-        chunk = text.encode()
-        self._transport.write(b"%x\r\n%b\r\n" % (len(chunk), chunk))
-        self._next += self._gap_s
-        self._loop.call_at(self._next, self._emit)
-
-
-async def emit() -> None:
-    """Serve and announce until killed."""
-    host, port = split_address(FLAGS.address)
-    loop = asyncio.get_running_loop()
-    await loop.create_server(Emitter, host, port, backlog=2048)
-    if not FLAGS.entry:
-        await asyncio.Event().wait()
-    first = announcer.announcement(
-        name=f"emitter-{port}",
-        domain="bench",
-        address=FLAGS.address,
-        service="bench-model",
-        slots=5_000,
-        generation="g1",
-    )
-    offers = (announcer.Offer("bench-model"), announcer.Offer("bench-plain"))
-    first = announcer.msgspec.structs.replace(first, offers=offers)
-    await announcer.Announcer(first, [FLAGS.entry], lambda seen: seen).run()
-
-
-class Reader(asyncio.Protocol):
-    """Reads one stream and notes when each chunk came."""
-
-    def __init__(self, request: bytes, seen: "Seen", is_probe: bool) -> None:
-        self._request = request
-        self._seen = seen
-        self._is_probe = is_probe
-        self._last_ns = 0
-
-    def connection_made(self, transport) -> None:
-        """Send the request."""
-        self._transport = transport
-        self._sent_ns = time.monotonic_ns()
-        transport.write(self._request)
-
-    def data_received(self, data: bytes) -> None:
-        """Note the chunks of one read."""
-        now_ns = time.monotonic_ns()
-        if self._is_probe:
-            self._note_probe(data, now_ns)
-            return
-        count = 0
-        for part in data.split(b'"at":')[1:]:
-            count += 1
-            emitted_ns = int(part[: part.index(b"}")])
-            if self._seen.in_window:
-                self._seen.ages_ns.append(now_ns - emitted_ns)
-        if count and self._last_ns and self._seen.in_window:
-            self._seen.gaps_ns.append(now_ns - self._last_ns)
-            self._seen.gaps_ns.extend([0] * (count - 1))
-        if count:
-            self._last_ns = now_ns
-        self._seen.chunks += count
-        if b"[DONE]" in data:
-            self._seen.done += 1
-            self._transport.close()
-
-    def _note_probe(self, data: bytes, now_ns: int) -> None:
-        if not self._last_ns and b'"at":' in data:
-            self._last_ns = now_ns
-            self._seen.firsts_ns.append(now_ns - self._sent_ns)
-        if b"[DONE]" in data:
-            self._transport.close()
-
-
-class Seen:
-    """What one load generator saw; times in nanoseconds."""
-
-    def __init__(self) -> None:
-        self.in_window = False
-        self.chunks = 0
-        self.done = 0
-        self.ages_ns: list[int] = []
-        self.firsts_ns: list[int] = []
-        self.gaps_ns: list[int] = []
-
-
-def stream_request(tokens: int, gap_s: float) -> bytes:
-    """Return a streaming request as bytes."""
-    body = json.dumps(
-        {
-            "model": "bench-model",
-            "prompt": "a scratch on the front element?",
-            "max_tokens": tokens,
-            "gap_s": gap_s,
-            "stream": True,
-        }
-    ).encode()
-    head = (
-        f"POST /v1/completions HTTP/1.1\r\nHost: bench\r\nAuthorization: Bearer {KEY}"
-        f"\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
-    )
-    return head.encode() + body
-
-
-async def load_streams() -> None:
-    """Open the streams evenly over the ramp and read them to their ends."""
-    host, port = split_address(FLAGS.target)
-    loop = asyncio.get_running_loop()
-    gap_s = FLAGS.streams / FLAGS.rate
-    tokens = int((FLAGS.seconds + RAMP_S) / gap_s)
-    seen = Seen()
-    await asyncio.sleep(max(0.0, FLAGS.start_at - time.monotonic()))
-    started = time.monotonic()
-    for i in range(FLAGS.streams):
-        due = started + i * RAMP_S / FLAGS.streams
-        await asyncio.sleep(max(0.0, due - time.monotonic()))
-        request = stream_request(tokens, gap_s)
-        reader = functools.partial(Reader, request, seen, False)
-        await loop.create_connection(reader, host, port)
-    await asyncio.sleep(SETTLE_S)
-    full_from = time.monotonic()
-    at_full = seen.chunks
-    seen.in_window = True
-    await probe(seen, full_from + FLAGS.seconds - SETTLE_S - END_MARGIN_S, gap_s)
-    seen.in_window = False
-    in_window = seen.chunks - at_full
-    window_s = time.monotonic() - full_from
-    deadline = time.monotonic() + 10
-    while seen.done < FLAGS.streams and time.monotonic() < deadline:
-        await asyncio.sleep(0.05)
-    print(
-        json.dumps(
-            {
-                "chunks_per_s": in_window / window_s,
-                "done": seen.done,
-                "chunks": seen.chunks,
-                "wanted": tokens * FLAGS.streams,
-                "firsts_ns": seen.firsts_ns,
-                "gaps_ns": seen.gaps_ns[:: max(1, len(seen.gaps_ns) // 20_000)],
-                "ages_ns": seen.ages_ns[:: max(1, len(seen.ages_ns) // 20_000)],
-            }
-        )
-    )
-
-
-async def probe(seen: Seen, ends: float, gap_s: float) -> None:
-    """Open short streams at random times; their first tokens are measured."""
-    host, port = split_address(FLAGS.target)
-    loop = asyncio.get_running_loop()
-    arrivals = random.Random(port)
-    request = stream_request(PROBE_TOKENS, gap_s)
-    while time.monotonic() < ends:
-        reader = functools.partial(Reader, request, seen, True)
-        await loop.create_connection(reader, host, port)
-        await asyncio.sleep(arrivals.expovariate(FLAGS.opens / FLAGS.processes))
-
-
-async def load_short() -> None:
-    """Call for short answers in a closed loop and note each duration."""
-    host, port = split_address(FLAGS.target)
-    request = (
-        "GET /services/bench-plain/availability HTTP/1.1\r\nHost: bench\r\n"
-        f"Authorization: Bearer {KEY}\r\n\r\n"
-    ).encode()
-    await asyncio.sleep(max(0.0, FLAGS.start_at - time.monotonic()))
-    ends = time.monotonic() + FLAGS.seconds
-    times_ns: list[int] = []
-    statuses = collections.Counter()
-
-    async def call() -> None:
-        reader, writer = await asyncio.open_connection(host, port)
-        while time.monotonic() < ends:
-            sent_ns = time.monotonic_ns()
-            writer.write(request)
-            head = await reader.readuntil(b"\r\n\r\n")
-            length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
-            await reader.readexactly(length)
-            times_ns.append(time.monotonic_ns() - sent_ns)
-            statuses[head[9:12].decode()] += 1
-        writer.close()
-
-    await asyncio.gather(*(call() for _ in range(FLAGS.callers)))
-    print(
-        json.dumps(
-            {
-                "requests_per_s": len(times_ns) / FLAGS.seconds,
-                "times_ns": times_ns[:: max(1, len(times_ns) // 20_000)],
-                "statuses": statuses,
-            }
-        )
-    )
-
-
 def percentile_ms(values_ns: list[int], share: float) -> float:
     """Return a percentile of nanoseconds in milliseconds."""
     if not values_ns:
@@ -337,15 +86,15 @@
         node = self._cluster.nodes["entry-bench-0"]
         for address in self._emitters:
             entry = node.addresses["backend_servers"]
-            self._spawn("emitter", f"--address={address}", f"--entry={entry}")
+            self._spawn(EMITTER, f"--address={address}", f"--entry={entry}")
         async with aiohttp.ClientSession() as session:
             await self._cluster.wait_healthy(session)
             await self._cluster.put_document(session, bench_document(), 0, "bench")
             await self._cluster.wait_in_force(session, 1)
         await asyncio.sleep(2.5)
 
-    def _spawn(self, part: str, *more: str) -> subprocess.Popen:
-        command = [sys.executable, __file__, f"--part={part}", *more]
+    def _spawn(self, script: str, *more: str) -> subprocess.Popen:
+        command = [sys.executable, str(ROOT / "tools" / script), *more]
         child = subprocess.Popen(command, stdout=subprocess.PIPE, cwd=ROOT)
         self._children.append(child)
         return child
@@ -354,12 +103,11 @@
         start_at = time.monotonic() + 1.0
         children = [
             self._spawn(
-                "load",
+                LOAD,
                 f"--target={target}",
+                f"--key={KEY}",
                 f"--start_at={start_at}",
                 f"--seconds={FLAGS.seconds}",
-                f"--processes={FLAGS.processes}",
-                f"--opens={FLAGS.opens}",
                 *more,
             )
             for target in targets
@@ -395,6 +143,7 @@
             "--kind=stream",
             f"--streams={FLAGS.streams // FLAGS.processes}",
             f"--rate={rate / FLAGS.processes}",
+            f"--opens={FLAGS.opens / FLAGS.processes}",
         )
         result = {"direct": _stream_figures(direct), "entry": _stream_figures(via)}
         for name in ("first_p95_ms", "gap_p95_ms", "age_p95_ms"):
@@ -516,15 +265,9 @@
 
 
 def main(argv: list[str]) -> None:
-    """Be the part that the flags name."""
-    if FLAGS.part == "emitter":
-        run = emit
-    elif FLAGS.part == "load":
-        run = load_streams if FLAGS.kind == "stream" else load_short
-    else:
-        run = bench
+    """Run the benchmark."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(run())
+        runner.run(bench())
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tools/bench_entry_emitter.py
@@ -0,0 +1,107 @@
+"""Stand in for a fast model engine in `tools/bench_entry.py`.
+
+Writes its clock into each chunk of a stream, so that a reader sees how old the
+chunk is when it arrives.
+"""
+
+import asyncio
+import json
+import sys
+import time
+from pathlib import Path
+
+import uvloop
+from absl import app, flags
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from fuchsiacroft.standin import announcer  # noqa: E402
+from fuchsiacroft.utils.http import split_address  # noqa: E402
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("address", "", "where to listen")
+flags.DEFINE_string("entry", "", "whom to tell of itself; nobody if empty")
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+SHORT = b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n0123456789abcdef"
+
+
+class Emitter(asyncio.Protocol):
+    """Answers one connection: a paced stream of tokens, or a short answer."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._data = b""
+
+    def connection_made(self, transport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answer once a request is whole."""
+        self._data += data
+        head, end, body = self._data.partition(b"\r\n\r\n")
+        if not end:
+            return
+        if head.startswith(b"GET"):
+            self._data = b""
+            self._transport.write(SHORT)
+            return
+        length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+        if len(body) < length:
+            return
+        self._data = b""
+        fields = json.loads(body)
+        self._left = fields["max_tokens"]
+        self._gap_s = fields["gap_s"]
+        self._next = self._loop.time()
+        self._transport.write(HEAD)
+        self._emit()
+
+    def _emit(self) -> None:
+        if self._transport.is_closing():
+            return
+        if not self._left:
+            self._transport.write(b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n")
+            return
+        self._left -= 1
+        text = (
+            f'data: {{"choices":[{{"text":" lens","at":{time.monotonic_ns()}}}]}}\n\n'
+        )
+        chunk = text.encode()
+        self._transport.write(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+        self._next += self._gap_s
+        self._loop.call_at(self._next, self._emit)
+
+
+async def emit() -> None:
+    """Serve and announce until killed."""
+    host, port = split_address(FLAGS.address)
+    loop = asyncio.get_running_loop()
+    await loop.create_server(Emitter, host, port, backlog=2048)
+    if not FLAGS.entry:
+        await asyncio.Event().wait()
+    first = announcer.announcement(
+        name=f"emitter-{port}",
+        domain="bench",
+        address=FLAGS.address,
+        service="bench-model",
+        slots=5_000,
+        generation="g1",
+    )
+    offers = (announcer.Offer("bench-model"), announcer.Offer("bench-plain"))
+    first = announcer.msgspec.structs.replace(first, offers=offers)
+    await announcer.Announcer(first, [FLAGS.entry], lambda seen: seen).run()
+
+
+def main(argv: list[str]) -> None:
+    """Serve until killed."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(emit())
+
+
+if __name__ == "__main__":
+    app.run(main)
