Take units given back off where they were counted

Cause: a request that waits takes its part of the quota when it is admitted. When it was refused after its wait, its units were taken off the newest grain of the window, not off the one that held them. Once the old grain left the window they counted as gone twice, until the newest left too: for up to a wait's time the window let through what had been given back.

--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -78,7 +78,7 @@
         refusal = self.admit(request, at)
         if refusal is not None:
             return refusal
-        return self.place_now(request, at) or self.wait(request, at)
+        return self.place_now(request, at) or self.wait(request, at, at)
 
     def admit(self, request: PlaceRequest, at: float) -> Refusal | None:
         """Take a request's part of shared limits; return why it has none left."""
@@ -96,9 +96,9 @@
             self.retries.note_first(ask.service, at)
         return None
 
-    def give_back(self, request: PlaceRequest, at: float) -> None:
+    def give_back(self, request: PlaceRequest, admitted_at: float) -> None:
         """Return what a request took of its workspace's quota."""
-        self.quotas.give_back(request.ask.workspace, request.charge, at)
+        self.quotas.give_back(request.ask.workspace, request.charge, admitted_at)
 
     def place_now(self, request: PlaceRequest, at: float) -> Place | None:
         """Place an admitted request if there is room that nobody waits for."""
@@ -108,15 +108,18 @@
         load = self.fleet.choose(request, at)
         return None if load is None else self.fleet.begin(request, load, at, at)
 
-    def wait(self, request: PlaceRequest, at: float) -> Waiter | Refusal:
+    def wait(
+        self, request: PlaceRequest, admitted_at: float, at: float
+    ) -> Waiter | Refusal:
         """Let an admitted request wait if its turn will come in time."""
         ask = request.ask
         if not self.fleet.serves(ask.service):
-            self.give_back(request, at)
+            self.give_back(request, admitted_at)
             return Refusal(RefusalReason.NO_BACKEND_SERVER, MIN_RETRY_AFTER_S)
         queue = self._queues.setdefault(ask.service, Queue())
         waiter = Waiter(
             request,
+            admitted_at=admitted_at,
             arrived_at=at,
             in_time_until=at + request.in_time_s,
             until=at + request.max_wait_s,
@@ -124,7 +127,7 @@
             late=self._expected_wait_s(ask, queue) > request.in_time_s,
         )
         if waiter.late and not self._has_late_room(queue, waiter):
-            self.give_back(request, at)
+            self.give_back(request, admitted_at)
             return Refusal(RefusalReason.OVERLOADED, OVERLOAD_RETRY_S)
         self._add(queue, waiter)
         return waiter
@@ -134,7 +137,7 @@
         waiter = self._waiters.get(run_id)
         if waiter is not None:
             self._remove(waiter)
-            self.give_back(waiter.request, at)
+            self.give_back(waiter.request, waiter.admitted_at)
         self.fleet.end(run_id, report, at)
 
     def serve(self, at: float) -> list[tuple[Waiter, Place]]:
@@ -150,13 +153,13 @@
         refused = []
         for waiter in list(self._waiters.values()):
             if waiter.until <= at:
-                refused.append((waiter, self._refuse_waiter(waiter, at)))
+                refused.append((waiter, self._refuse_waiter(waiter)))
             elif not waiter.late and waiter.in_time_until <= at:
                 self._make_late(waiter)
         for service, queue in self._queues.items():
             while queue.late() > self._late_room(service):
                 last = queue.last_late()
-                refused.append((last, self._refuse_waiter(last, at)))
+                refused.append((last, self._refuse_waiter(last)))
         self.fleet.drop_forgotten(at)
         return refused
 
@@ -224,9 +227,9 @@
         self._queues[waiter.request.ask.service].remove(waiter)
         self._waiters.pop(waiter.request.run_id, None)
 
-    def _refuse_waiter(self, waiter: Waiter, at: float) -> Refusal:
+    def _refuse_waiter(self, waiter: Waiter) -> Refusal:
         self._remove(waiter)
-        self.give_back(waiter.request, at)
+        self.give_back(waiter.request, waiter.admitted_at)
         return Refusal(RefusalReason.TIMED_OUT, OVERLOAD_RETRY_S)
 
     def _make_late(self, waiter: Waiter) -> None:
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -95,16 +95,17 @@
     async def place(self, request: PlaceRequest) -> Outcome:
         """Return a place, or why there is none, after a wait if need be."""
         self._note_table()
-        refusal = self.allocator.admit(request, now())
+        admitted_at = now()
+        refusal = self.allocator.admit(request, admitted_at)
         if refusal is not None:
             return self._refused(request, refusal)
-        place = self.allocator.place_now(request, now())
+        place = self.allocator.place_now(request, admitted_at)
         if place is not None:
             return Ok(self._placed(place))
         spilled = await self._neighbours.spill(request)
         if spilled is not None:
             return Ok(spilled)
-        decision = self.allocator.wait(request, now())
+        decision = self.allocator.wait(request, admitted_at, now())
         if isinstance(decision, Refusal):
             return self._refused(request, decision)
         return await self._turn_of(request)
@@ -146,7 +147,7 @@
         fut = self._waiting.get(waiter.request.run_id)
         if fut is None or fut.done():
             # The request was given up meanwhile; its place is given back.
-            self.allocator.give_back(waiter.request, now())
+            self.allocator.give_back(waiter.request, waiter.admitted_at)
             if placed is not None:
                 self._neighbours.cancel(placed)
         elif placed is not None:
--- a/fuchsiacroft/placing/queue.py
+++ b/fuchsiacroft/placing/queue.py
@@ -20,13 +20,14 @@
 
 @dataclass(slots=True, eq=False)
 class Waiter:
-    """A request that waits.
+    """A request that waits, and took its part of a quota when it was admitted.
 
     It can be answered in time if it is placed before `in_time_until`, and is
     given up at `until`.
     """
 
     request: PlaceRequest
+    admitted_at: float
     arrived_at: float
     in_time_until: float
     until: float
--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -54,12 +54,24 @@
     paced_at: float = 0.0
 
     def add(self, units: float, at: float) -> None:
-        """Count units, or take them back if negative."""
+        """Count units."""
         if not self.grains or at - self.grains[-1][0] >= GRAIN_S:
             self.grains.append([at, 0.0])
         self.grains[-1][1] += units
         self.total += units
-        self.ahead = max(self.ahead + units, 0.0)
+        self.ahead += units
+
+    def take_back(self, units: float, taken_at: float) -> None:
+        """Count units no more where they were counted.
+
+        Taken off later ones instead, they would leave the window twice.
+        """
+        for grain in reversed(self.grains):
+            if grain[0] <= taken_at:
+                grain[1] -= units
+                self.total -= units
+                break
+        self.ahead = max(self.ahead - units, 0.0)
 
     def pace(self, units_per_s: float, at: float) -> None:
         """Let time take its part of what was spent ahead."""
@@ -134,11 +146,11 @@
         spent = self._windows.get(workspace, Window()).total
         return limit - spent - elsewhere.spent
 
-    def give_back(self, workspace: str, units: float, at: float) -> None:
+    def give_back(self, workspace: str, units: float, taken_at: float) -> None:
         """Return the units of a request that did not run."""
         window = self._windows.get(workspace)
         if window is not None and units > 0:
-            window.add(-units, at)
+            window.take_back(units, taken_at)
 
     def spent(self, at: float) -> dict[str, float]:
         """Return what each workspace spent in the window."""
--- a/fuchsiacroft/tests/placing/allocator_tests.py
+++ b/fuchsiacroft/tests/placing/allocator_tests.py
@@ -300,6 +300,34 @@
         )
         self.assertIsInstance(later, Place)
 
+    def test_what_waited_in_vain_lets_no_more_through_later(self):
+        """For two seconds all places are taken; after that there is room."""
+        rate, burst, window_s, free_at = 1_000.0, 1_000.0, 8.0, 2.0
+        quota = Quota(rate, burst, counts_tokens=True)
+        self.allocator.quotas.replace({"tills": Workspace("tills", quota=quota)})
+        held = self.fill()
+        admitted = []
+        for step in range(1_200):
+            at = step / 100
+            if at == free_at:
+                for place in held:
+                    self.allocator.end(place.run_id, DONE, at)
+            self.allocator.give_up(at)
+            asked = request(charge=50.0, in_time_s=1.5, max_wait_s=1.5)
+            decision = self.allocator.place(asked, at)
+            placed = [place for _, place in self.allocator.serve(at)]
+            if isinstance(decision, Place):
+                admitted.append(at)
+                placed.append(decision)
+            for place in placed:
+                self.allocator.end(place.run_id, DONE, at)
+        most = max(
+            sum(50.0 for at in admitted if start <= at < start + window_s)
+            for start in admitted
+        )
+        self.assertLessEqual(most, rate * window_s + burst)
+        self.assertGreater(most, 0.9 * rate * window_s)
+
     def test_what_waited_in_vain_takes_nothing_of_the_quota(self):
         quota = Quota(units_per_s=0.001, burst=100.0, counts_tokens=True)
         self.allocator.quotas.replace({"tills": Workspace("tills", quota=quota)})
