--- a/fuchsiacroft/tests/platform/requests_tests.py
+++ b/fuchsiacroft/tests/platform/requests_tests.py
@@ -118,6 +118,13 @@
         got = await self.region.ask("/book/1/", method="POST")
         self.assertEqual((200, b"until the end"), (got.status, got.body))
 
+    async def test_a_header_within_the_limits_is_passed_on(self):
+        replica = await self.region.add_replica("till")
+        value = "a" * 12_000  # Of 16,384 bytes that the configuration allows.
+        answered = await self.region.ask("/book", f"X-Long: {value}")
+        self.assertEqual(200, answered.status)
+        self.assertEqual(value, replica.received[0].get("X-Long"))
+
     async def test_an_answer_without_a_length_that_is_reset_is_not_whole(self):
         async def reset(req, writer):
             writer.write(head("200 OK", SEAL) + b"until the")
