Tell a try at a backend server from one sending of a request

gateway/attempt.py held a class Try with an Attempt of the entry inside, and its caller named the Try `attempt`. The class of gateway/attempt.py is Attempt now, and what forbids the second sending is Sending.

--- a/fuchsiacroft/entry/backend_client.py
+++ b/fuchsiacroft/entry/backend_client.py
@@ -10,7 +10,7 @@
 
 from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
 from fuchsiacroft.entry.request import CallerRequest
-from fuchsiacroft.entry.sent_once import Attempt, open_session
+from fuchsiacroft.entry.sent_once import Sending, open_session
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.routing.ask import Permit, RunOutcome
 from fuchsiacroft.utils.tasks import TaskGroup
@@ -50,7 +50,7 @@
         await self._session.close()
 
     async def open(
-        self, permit: Permit, req: CallerRequest, body: Body, attempt: Attempt
+        self, permit: Permit, req: CallerRequest, body: Body, sending: Sending
     ) -> Result[aiohttp.ClientResponse, RunOutcome]:
         """Dispatch the request and return the answer's head.
 
@@ -64,10 +64,10 @@
                 headers=headers,
                 data=body,
                 allow_redirects=False,
-                middlewares=(attempt,),
+                middlewares=(sending,),
             )
         except (aiohttp.ClientError, OSError):
-            if attempt.sent:
+            if sending.sent:
                 return Error(RunOutcome.CONNECTION_LOST)
             return Error(RunOutcome.NOT_DISPATCHED)
         return Ok(response)
@@ -84,7 +84,7 @@
                     URL(f"http://{permit.address}{run}", encoded=True),
                     headers=headers,
                     allow_redirects=False,
-                    middlewares=(Attempt(),),
+                    middlewares=(Sending(),),
                 )
         except (aiohttp.ClientError, OSError, TimeoutError):
             return Error(ResumeError.UNREACHABLE)
@@ -102,7 +102,7 @@
         for _ in range(CANCEL_TRIES):
             try:
                 async with asyncio.timeout(CANCEL_TIMEOUT_S):
-                    response = await self._session.post(url, middlewares=(Attempt(),))
+                    response = await self._session.post(url, middlewares=(Sending(),))
                     response.close()
                     return
             except (aiohttp.ClientError, OSError, TimeoutError):
--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -22,7 +22,7 @@
 from fuchsiacroft.entry.problems import Problem, Ran
 from fuchsiacroft.entry.progress import Progress
 from fuchsiacroft.entry.relay import BodyRelay, CallerSink, SlowCallerError
-from fuchsiacroft.entry.sent_once import Attempt
+from fuchsiacroft.entry.sent_once import Sending
 from fuchsiacroft.routing.ask import Permit, RunOutcome, RunReport
 from fuchsiacroft.routing.scheduler import Scheduler
 from fuchsiacroft.utils.clock import now
@@ -59,7 +59,7 @@
         self._req = exchange.accepted
         self._permit = permit
         self._deadline = deadline
-        self._attempt = Attempt()
+        self._sending = Sending()
         self._progress = Progress(now(), on_first_byte=self._note_first_byte)
         self._upload: Upload | None = None
         self._upstream: aiohttp.ClientResponse | None = None
@@ -93,7 +93,7 @@
             return refused
         body = self._body()
         match await self._services.client.open(
-            self._permit, self._req, body, self._attempt
+            self._permit, self._req, body, self._sending
         ):
             case Result(tag="ok", ok=upstream):
                 self._upstream = upstream
@@ -224,7 +224,7 @@
 
     def _with_ran(self, problem: Problem) -> Problem:
         ran = problem.ran
-        if not self._attempt.sent:
+        if not self._sending.sent:
             ran = Ran.NO
         elif self._upstream is not None:
             ran = Ran.YES
@@ -233,8 +233,8 @@
         )
 
     def _give_up(self, outcome: RunOutcome) -> None:
-        self._outcome = outcome if self._attempt.sent else RunOutcome.UNUSED
-        if self._attempt.sent and self._req.spec.kind == "model":
+        self._outcome = outcome if self._sending.sent else RunOutcome.UNUSED
+        if self._sending.sent and self._req.spec.kind == "model":
             self._services.client.cancel(self._permit)
 
     def _break_off(self, problem: Problem) -> None:
@@ -261,7 +261,7 @@
         if not self._claimed:
             return
         key, claim = self._req.ledger_key, self._permit.permit_id
-        if self._attempt.sent:
+        if self._sending.sent:
             self._services.ledger.settle(key, claim, self._stored())
         else:
             self._services.ledger.release(key, claim)
--- a/fuchsiacroft/entry/sent_once.py
+++ b/fuchsiacroft/entry/sent_once.py
@@ -1,7 +1,7 @@
 """HTTP requests that are sent once, each on a connection of its own.
 
 aiohttp sends an idempotent method again by itself when the connection is lost,
-also on a new connection. An `Attempt` forbids the second sending and knows
+also on a new connection. A `Sending` forbids the second sending and knows
 whether a byte of the request may have left.
 """
 
@@ -19,7 +19,7 @@
     """aiohttp tried to send a request a second time."""
 
 
-class Attempt:
+class Sending:
     """One try to dispatch; `sent` means that a byte may have left."""
 
     def __init__(self) -> None:
@@ -31,18 +31,18 @@
         """Let the request through once (an aiohttp client middleware)."""
         if self.sent:
             raise AlreadySentError
-        req.attempt = self
+        req.sending = self
         return await handler(req)
 
 
 class SentOnceRequest(aiohttp.ClientRequest):
-    """Notes on its attempt when it begins to write to a connection."""
+    """Notes on its `sending` when it begins to write to a connection."""
 
-    attempt: Attempt
+    sending: Sending
 
     async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
         """Write the request."""
-        self.attempt.sent = True
+        self.sending.sent = True
         return await super().send(conn)
 
 
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from expression import Result
 
-from fuchsiacroft.entry.sent_once import Attempt
+from fuchsiacroft.entry.sent_once import Sending
 from fuchsiacroft.gateway.call import Dialect
 from fuchsiacroft.gateway.session import Session
 from fuchsiacroft.gateway.upstream import Upstream
@@ -37,7 +37,7 @@
     SILENT = "silent"
 
 
-class Try:
+class Attempt:
     """Sends a request to the backend server of a place.
 
     `answer` is what the caller gets if the ending is `ANSWERED`, or a backend
@@ -58,7 +58,7 @@
         self._dialect = dialect
         self._upstream = upstream
         self._placer = placer
-        self._attempt = Attempt()
+        self._sending = Sending()
         self._began_at = now()
         self._first_at: float | None = None
         self._last_at: float | None = None
@@ -74,7 +74,7 @@
             outcome = self._outcome_of(ending)
             return ending
         finally:
-            if self._attempt.sent:
+            if self._sending.sent:
                 self._session.sends += 1
             self._release(outcome)
 
@@ -94,13 +94,13 @@
                     self._call,
                     headers,
                     session.body,
-                    self._attempt,
+                    self._sending,
                 )
         except TimeoutError:
             if session.left_s <= 0:
                 raise
-            session.runs += self._attempt.sent
-            return Ending.SILENT if self._attempt.sent else Ending.NOT_RUN
+            session.runs += self._sending.sent
+            return Ending.SILENT if self._sending.sent else Ending.NOT_RUN
         match opened:
             case Result(tag="ok", ok=response):
                 try:
@@ -200,7 +200,7 @@
     def _silence_s(self) -> float:
         """Return how long this backend server may be silent from now on."""
         left_s = max(self._session.left_s, 0.0)
-        if not self._session.may_run_again and self._attempt.sent:
+        if not self._session.may_run_again and self._sending.sent:
             return left_s
         route = self._call.route
         if not route.kind.may_repeat or route.attempts <= self._session.runs + 1:
@@ -216,7 +216,7 @@
                 return RunOutcome.COMPLETED
             case Ending.FAILED:
                 return RunOutcome.FAILED
-            case Ending.NOT_RUN if self._attempt.sent:
+            case Ending.NOT_RUN if self._sending.sent:
                 return RunOutcome.REFUSED
             case Ending.NOT_RUN:
                 return RunOutcome.NOT_DISPATCHED
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -12,7 +12,7 @@
 from fuchsiacroft.entry import checks
 from fuchsiacroft.entry.body import HeldBodies
 from fuchsiacroft.entry.problems import Problem, Ran
-from fuchsiacroft.gateway.attempt import Ending, Try
+from fuchsiacroft.gateway.attempt import Attempt, Ending
 from fuchsiacroft.gateway.call import Call, Dialect
 from fuchsiacroft.gateway.session import Session
 from fuchsiacroft.gateway.upstream import Upstream
@@ -119,7 +119,9 @@
                     pass
                 case Result(error=refusal):
                     return self._end_without(session, failure, refusal)
-            attempt = Try(session, placed, self._dialect, self._upstream, self._placer)
+            attempt = Attempt(
+                session, placed, self._dialect, self._upstream, self._placer
+            )
             ending = await attempt.run()
             if ending is Ending.ANSWERED:
                 return attempt.answer
--- a/fuchsiacroft/gateway/upstream.py
+++ b/fuchsiacroft/gateway/upstream.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok, Result
 from yarl import URL
 
-from fuchsiacroft.entry.sent_once import Attempt, open_session
+from fuchsiacroft.entry.sent_once import Sending, open_session
 from fuchsiacroft.gateway.call import Call, Headers
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.routing.ask import RunOutcome
@@ -42,7 +42,7 @@
         call: Call,
         headers: Headers,
         body: bytes,
-        attempt: Attempt,
+        sending: Sending,
     ) -> Result[aiohttp.ClientResponse, RunOutcome]:
         """Send a request and return the answer's head.
 
@@ -55,16 +55,16 @@
                 headers=headers,
                 data=body or None,
                 allow_redirects=False,
-                middlewares=(attempt,),
+                middlewares=(sending,),
             )
         except (aiohttp.ClientError, OSError, ValueError) as exc:
             self._failures.event(
                 request_id=call.request_id,
                 address=address,
-                sent=attempt.sent,
+                sent=sending.sent,
                 error=repr(exc),
             )
-            if attempt.sent:
+            if sending.sent:
                 return Error(RunOutcome.CONNECTION_LOST)
             return Error(RunOutcome.NOT_DISPATCHED)
         return Ok(response)
