Keep the limits of a configuration on headers, heads and idle connections

Cause: maxHeaderBytes, headerTimeoutMs and idleTimeoutMs were decoded and used by nobody; aiohttp's own bound of 8,190 bytes and 75 s held instead. Each new connection of an entry of a region now gets the limits in force: its parser's bound, the time for a head (408, nothing ran) and for being idle; target and headers together are counted for each request (431). A timer that is due after the process was paused reads first what has come meanwhile, so a request that waits in the socket is not lost with its connection.

Ruled out: 431 for one line over the parser's bound; the product's own interface answers 400 there, and its test stays.

--- a/fuchsiacroft/entry/caller_server.py
+++ b/fuchsiacroft/entry/caller_server.py
@@ -9,25 +9,51 @@
 
 from aiohttp import web
 
+from fuchsiacroft.config.route_table import CallerLimits
 from fuchsiacroft.utils.http import split_address
+from fuchsiacroft.utils.log_budget import LogBudget
 
 BACKLOG = 2_048
-KEEPALIVE_S = 75.0
 LAST_REQUESTS_S = 0.5
 SHUTDOWN_TIMEOUT_S = 1.0
-
+REREAD_S = 0.05
+"""After a pause of the process, bytes that wait are read before a timer counts."""
+SLOW_HEAD_LINES = 10
+"""A second; each caller that is slow again and again would write one."""
+HEAD_TIMED_OUT = (
+    b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
+Limits = Callable[[], CallerLimits]
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 Refuse = Callable[[web.BaseRequest, int, str], web.StreamResponse]
 
 
 class CallerProtocol(web.RequestHandler):
-    """One caller's connection; `heard` tells whether a request has come on it."""
+    """One caller's connection; `heard` tells whether a request has come on it.
+
+    The limits are those at its start.
+    """
 
-    __slots__ = ("heard",)
+    __slots__ = ("_head_timeout_s", "_head_timer", "_was_reread", "heard")
 
-    def __init__(self, *args, **kwargs) -> None:
-        super().__init__(*args, **kwargs)
+    def __init__(self, manager: "CallerServer", limits: CallerLimits, **more) -> None:
+        super().__init__(
+            manager,
+            keepalive_timeout=limits.idle_timeout_s,
+            max_line_size=limits.max_header_bytes,
+            max_field_size=limits.max_header_bytes,
+            **more,
+        )
         self.heard = False
+        self._head_timeout_s = limits.header_timeout_s
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._was_reread = False
+
+    @property
+    def _is_idle(self) -> bool:
+        """Tell whether no whole head has come that is not answered yet."""
+        return self._waiter is not None and not self._waiter.done()
 
     def close(self) -> None:
         """Close the connection, an idle one at once.
@@ -35,11 +61,53 @@
         aiohttp wakes the task of an idle connection, which ends without closing
         the transport, so that the next request would be read and never answered.
         """
-        is_idle = self._waiter is not None and not self._waiter.done()
+        is_idle = self._is_idle
         super().close()
         if is_idle and self.transport is not None:
             self.transport.close()
 
+    def data_received(self, data: bytes) -> None:
+        """Read what has come; the rest of a head must come within its time."""
+        super().data_received(data)
+        if not self._is_idle:
+            self._stop_head_timer()
+        elif self._head_timer is None and data.strip():
+            self._head_timer = self._loop.call_later(
+                self._head_timeout_s, self._reread_head
+            )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End what belongs to the connection."""
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _reread_head(self) -> None:
+        self._head_timer = self._loop.call_later(REREAD_S, self._give_up_head)
+
+    def _give_up_head(self) -> None:
+        self._head_timer = None
+        if self.transport is None or not self._is_idle:
+            return
+        self._manager.slow_heads.event(after_s=self._head_timeout_s)
+        self.transport.write(HEAD_TIMED_OUT)
+        self.close()
+
+    def _process_keepalive(self) -> None:
+        """Close an idle connection, after bytes that wait have been read."""
+        if self._is_idle and not self._was_reread:
+            self._was_reread = True
+            self._keepalive_handle = self._loop.call_later(
+                REREAD_S, self._process_keepalive
+            )
+            return
+        self._was_reread = False
+        super()._process_keepalive()
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -56,22 +124,20 @@
 
 
 class CallerServer(web.Server):
-    """Listens for callers."""
+    """Listens for callers; each new connection gets the limits of its moment."""
 
-    def __init__(self, handler: Handler, refuse: Refuse) -> None:
+    def __init__(self, handler: Handler, refuse: Refuse, limits: Limits) -> None:
         super().__init__(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=KEEPALIVE_S,
-            lingering_time=1.0,
+            handler, handler_cancellation=True, access_log=None, lingering_time=1.0
         )
         self.refuse = refuse
+        self.slow_heads = LogBudget("head_timed_out", SLOW_HEAD_LINES)
+        self._limits = limits
         self._listening: asyncio.Server | None = None
 
     def __call__(self) -> CallerProtocol:
         """Return the protocol of a new connection."""
-        return CallerProtocol(self, loop=self._loop, **self._kwargs)
+        return CallerProtocol(self, self._limits(), loop=self._loop, **self._kwargs)
 
     async def listen(self, address: str, tls: ssl.SSLContext | None) -> None:
         """Bind the address and accept connections."""
--- a/fuchsiacroft/entry/callers.py
+++ b/fuchsiacroft/entry/callers.py
@@ -7,6 +7,7 @@
 from expression import Result
 
 from fuchsiacroft.config.held import HeldDocument
+from fuchsiacroft.config.route_table import CallerLimits
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.entry import checks, problems
 from fuchsiacroft.entry.admission import Admission, Admitted
@@ -26,6 +27,10 @@
 NOTICE_S = 1.0
 DRAIN_POLL_S = 0.05
 DRAIN_RETRY_AFTER_S = 1.0
+LIMITS = CallerLimits(
+    max_header_bytes=8_190, header_timeout_s=75.0, idle_timeout_s=75.0
+)
+"""aiohttp's bound on a header, and a caller's longest silence at a proxy."""
 
 
 class Callers(Service):
@@ -51,7 +56,7 @@
         self._admission = Admission(self._document, self._bodies)
         self._dispatcher = kernel.get("dispatcher", Dispatcher)
         self._dispatcher.ended_alone.append(self._metrics.note_run_ended_alone)
-        self._server = CallerServer(self._handle, self._refuse)
+        self._server = CallerServer(self._handle, self._refuse, lambda: LIMITS)
         await self._server.listen(self._settings.addresses.callers, self._tls)
 
     async def drain(self) -> None:
--- a/fuchsiacroft/entry/checks.py
+++ b/fuchsiacroft/entry/checks.py
@@ -8,10 +8,11 @@
 
 from aiohttp import web
 
-from fuchsiacroft.entry.problems import Problem
+from fuchsiacroft.entry.problems import HEADERS_TOO_LARGE, Problem
 
 REFUSED_METHODS = frozenset({"CONNECT", "TRACE"})
 ENCODED_SEPARATORS = ("%2f", "%5c", "%00", "%25")
+HEADER_LINE_BYTES = len(": \r\n")
 SINGLE_HEADERS = (
     "Host",
     "Content-Length",
@@ -48,6 +49,14 @@
     return None
 
 
+def size_fault(http: web.BaseRequest, max_header_bytes: int) -> Problem | None:
+    """Return a problem if the target and the headers are larger than is allowed."""
+    size = len(http.raw_path)
+    for name, value in http.raw_headers:
+        size += len(name) + len(value) + HEADER_LINE_BYTES
+    return HEADERS_TOO_LARGE if size > max_header_bytes else None
+
+
 def decoded_path(target: str) -> str:
     """Return the path of a target as a backend server may read it."""
     return unquote(target.partition("?")[0])
--- a/fuchsiacroft/entry/problems.py
+++ b/fuchsiacroft/entry/problems.py
@@ -30,6 +30,9 @@
     retry_after_s: float | None = None
 
 
+HEADERS_TOO_LARGE = Problem(
+    431, "headers_too_large", "the headers are larger than is allowed"
+)
 INTERNAL_ERROR = Problem(500, "internal_error", "a fault in the entry", Ran.MAYBE)
 
 
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -68,7 +68,7 @@
         The process stops at `ends_at`, on the loop's clock; a request that may
         last longer is refused.
         """
-        problem = checks.message_fault(session.http)
+        problem = checks.message_fault(session.http) or self._size_fault(session)
         if problem is not None:
             response = self._refuse(session, problem)
             response.force_close()
@@ -95,6 +95,12 @@
         finally:
             self._bodies.release(session.body)
 
+    def _size_fault(self, session: Session) -> Problem | None:
+        table = self._tables.table
+        if table is None:
+            return None
+        return checks.size_fault(session.http, table.limits.max_header_bytes)
+
     def _admit(self, session: Session) -> Result[None, Problem]:
         table = self._tables.table
         if table is None:
--- a/fuchsiacroft/gateway/front.py
+++ b/fuchsiacroft/gateway/front.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from fuchsiacroft.config.route_source import RouteSource
+from fuchsiacroft.config.route_table import CallerLimits
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.entry import problems
 from fuchsiacroft.entry.caller_server import CallerServer
@@ -44,7 +45,7 @@
         self._forwarder = kernel.get("forwarder", Forwarder)
         self._roster = kernel.get("roster", Roster)
         self._tables = kernel.get("route_table", RouteSource)
-        self._server = CallerServer(self._handle, self._refuse)
+        self._server = CallerServer(self._handle, self._refuse, self._limits)
         await self._server.listen(self._settings.addresses.callers, None)
 
     async def drain(self) -> None:
@@ -121,6 +122,10 @@
             self._in_progress.discard(session)
             self._record(session, status)
 
+    def _limits(self) -> CallerLimits:
+        table = self._tables.table
+        return table.limits if table is not None else CallerLimits()
+
     def _failed(self, session: Session) -> web.Response:
         if session.begun is not None:
             self._abort(session.http)
--- /dev/null
+++ b/fuchsiacroft/tests/platform/caller_limits_tests.py
@@ -0,0 +1,94 @@
+"""Tests of the operator's limits on what callers send, and how long they take."""
+
+import asyncio
+import time
+
+from fuchsiacroft.tests.fakes.platform_region import (
+    PlatformTestCase,
+    config,
+    read_answer,
+)
+
+MAX_HEADER_BYTES = 9_000
+HEADER_TIMEOUT_S = 0.3
+IDLE_TIMEOUT_S = 0.6
+MARGIN_S = 0.4
+"""After a limit, until what follows from it must be seen."""
+
+
+class CallerLimitsTests(PlatformTestCase):
+    """A region whose configuration sets limits of its own."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        limits = {
+            "maxHeaderBytes": MAX_HEADER_BYTES,
+            "headerTimeoutMs": HEADER_TIMEOUT_S * 1000,
+            "idleTimeoutMs": IDLE_TIMEOUT_S * 1000,
+        }
+        await self.region.put_config(config(2, limits=limits))
+        self.replica = await self.region.add_replica("till")
+        await asyncio.sleep(0.2)
+        self.reader, self.writer = await self.region.connect()
+        self.addCleanup(self.writer.close)
+
+    async def ask(self, *more):
+        """Send a request on the connection at hand, and read its answer."""
+        self.writer.write(self.region.request("/stock/", *more))
+        async with asyncio.timeout(2):
+            return await read_answer(self.reader)
+
+    async def end(self, within_s):
+        """Return what still comes until the entry closes the connection."""
+        async with asyncio.timeout(within_s):
+            return await self.reader.read()
+
+    async def test_headers_within_the_limit_are_passed_on(self):
+        answered = await self.ask(f"X-Long: {'a' * (MAX_HEADER_BYTES - 400)}")
+        self.assertEqual(200, answered.status)
+
+    async def test_headers_beyond_the_limit_are_refused_as_too_large(self):
+        lines = [f"X-{n}: {'a' * 900}" for n in range(10)]
+        answered = await self.ask(*lines)
+        self.assertEqual(431, answered.status)
+        self.assertEqual([], self.replica.received)
+
+    async def test_a_raised_limit_holds_for_new_connections(self):
+        raised = {"maxHeaderBytes": 100_000}
+        await self.region.put_config(config(3, limits=raised))
+        await asyncio.sleep(0.2)
+        answered = await self.region.ask("/stock/", f"X-Long: {'a' * 50_000}")
+        self.assertEqual(200, answered.status)
+
+    async def test_a_head_that_does_not_end_is_given_up(self):
+        self.writer.write(self.region.request("/stock/")[:-10])
+        got = await self.end(HEADER_TIMEOUT_S + MARGIN_S)
+        self.assertTrue(got.startswith(b"HTTP/1.1 408 "), got)
+        self.assertEqual([], self.replica.received)
+
+    async def test_a_head_in_parts_is_read_within_its_time(self):
+        whole = self.region.request("/stock/")
+        self.writer.write(whole[:20])
+        await asyncio.sleep(HEADER_TIMEOUT_S / 2)
+        self.writer.write(whole[20:])
+        self.assertEqual(200, (await read_answer(self.reader)).status)
+        await asyncio.sleep(HEADER_TIMEOUT_S)
+        self.assertEqual(200, (await self.ask()).status)
+
+    async def test_an_idle_connection_is_closed_after_its_time(self):
+        await self.ask()
+        await asyncio.sleep(IDLE_TIMEOUT_S * 0.8)
+        self.assertEqual(200, (await self.ask()).status)
+        self.assertEqual(b"", await self.end(IDLE_TIMEOUT_S + MARGIN_S))
+
+    async def test_line_ends_between_requests_begin_no_head(self):
+        await self.ask()
+        self.writer.write(b"\r\n")
+        await asyncio.sleep(HEADER_TIMEOUT_S * 1.5)
+        self.assertEqual(200, (await self.ask()).status)
+
+    async def test_a_request_that_came_while_the_entry_was_paused_is_answered(self):
+        await self.ask()
+        self.writer.write(self.region.request("/stock/"))
+        time.sleep(IDLE_TIMEOUT_S * 1.5)
+        self.assertEqual(200, (await read_answer(self.reader)).status)
