End a stop within its time, whatever still runs

Cause, from the lines of edge-mvd-carrasco-2: drain timed out 7.5 s after SIGTERM, half a second late, since the wait for first requests on open connections came after the deadline; then the HTTP server waited a second for handlers that could not end. Now the wait lies before the deadline, and what has not ended by then is broken off at once, visibly, with status=cut in its line.

--- a/fuchsiacroft/gateway/front.py
+++ b/fuchsiacroft/gateway/front.py
@@ -8,7 +8,7 @@
 from fuchsiacroft.config.route_table import CallerLimits
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.entry import problems
-from fuchsiacroft.entry.caller_server import CallerServer
+from fuchsiacroft.entry.caller_server import LAST_REQUESTS_S, CallerServer
 from fuchsiacroft.gateway.call import Dialect
 from fuchsiacroft.gateway.forwarder import BrokenOffError, Forwarder
 from fuchsiacroft.gateway.records import RequestRecords
@@ -49,17 +49,21 @@
         await self._server.listen(self._settings.addresses.callers, None)
 
     async def drain(self) -> None:
-        """Be not ready, serve what still comes, and end what is in progress."""
+        """Be not ready, serve what still comes, and end what is in progress.
+
+        What has not ended after `drain_timeout_s` is broken off.
+        """
         self._draining = True
         self._roster.leave()
         deadline = now() + self._settings.drain_timeout_s
         await asyncio.sleep(NOTICE_S)
         self._ends_at = deadline
-        await self._end_requests(deadline)
+        await self._end_requests(deadline - LAST_REQUESTS_S)
         await self._server.stop_listening()
         await self._end_requests(deadline)
         if self._in_progress:
             event("error", "drain_timed_out", in_progress=len(self._in_progress))
+            self._break_off()
 
     async def _end_requests(self, deadline: float) -> None:
         """Wait until nothing is in progress; close what is idle meanwhile."""
@@ -69,6 +73,12 @@
                 return
             await asyncio.sleep(DRAIN_POLL_S)
 
+    def _break_off(self) -> None:
+        """End the connections of what is in progress, and so the runs."""
+        for session in list(self._in_progress):
+            session.broken_off = True
+            self._abort(session.http)
+
     async def stop(self) -> None:
         """Stop listening."""
         if self._server is not None:
@@ -107,7 +117,7 @@
             self._abort(http)
             raise ConnectionError("the answer was broken off") from None
         except (ConnectionError, asyncio.CancelledError):
-            session.caller_left = True
+            session.caller_left = not session.broken_off
             raise
         except Exception as exc:
             status = 500
--- a/fuchsiacroft/gateway/session.py
+++ b/fuchsiacroft/gateway/session.py
@@ -16,7 +16,7 @@
 
     `runs` counts the backend servers that may have run it, `sends` those that
     it was sent to. `tried` names them. `begun` is the answer whose head the
-    caller has.
+    caller has. `broken_off` tells that this entry ended the connection.
     """
 
     http: web.BaseRequest
@@ -35,6 +35,7 @@
     first_event_at: float | None = None
     waited_s: float = 0.0
     caller_left: bool = False
+    broken_off: bool = False
 
     @property
     def left_s(self) -> float:
--- a/fuchsiacroft/tests/platform/drain_tests.py
+++ b/fuchsiacroft/tests/platform/drain_tests.py
@@ -2,6 +2,10 @@
 
 import asyncio
 
+import msgspec
+from loguru import logger
+
+from fuchsiacroft.gateway.front import Front
 from fuchsiacroft.tests.fakes.platform_region import PlatformTestCase, read_answer
 from fuchsiacroft.tests.fakes.replica import (
     LAST_CHUNK,
@@ -26,6 +30,16 @@
     writer.write(chunk(sse(2)) + LAST_CHUNK)
 
 
+async def endless(req, writer):
+    """Stream an event now and then, until the connection ends."""
+    writer.write(stream_head(req))
+    number = 0
+    while not writer.is_closing():
+        number += 1
+        writer.write(chunk(sse(number)))
+        await asyncio.sleep(0.05)
+
+
 class DrainTests(PlatformTestCase):
     """A stop cuts no request, and no connection is read and left unanswered."""
 
@@ -80,3 +94,18 @@
         self.assertEqual(200, (await read_answer(reader)).status)
         writer.close()
         await stopping
+
+    async def test_a_stop_is_over_in_its_time_whatever_still_runs(self):
+        await self.region.add_replica("lens", endless)
+        front = self.kernel.get("front", Front)
+        front._settings = msgspec.structs.replace(front._settings, drain_timeout_s=3.5)
+        lines = []
+        sink = logger.add(lines.append, level="INFO", format="{message}")
+        self.addCleanup(logger.remove, sink)
+        cut = asyncio.ensure_future(self.region.ask("/advice/1/", method="POST"))
+        await asyncio.sleep(0.2)
+        async with asyncio.timeout(3.5 + 0.3):
+            await self.stop()
+        self.assertFalse((await cut).whole)
+        ended = [line for line in lines if "event=request_ended" in line]
+        self.assertIn("status=cut", ended[0])
