--- a/fuchsiacroft/__main__.py
+++ b/fuchsiacroft/__main__.py
@@ -22,6 +22,7 @@
     "diff": "show what differs between two versions",
     "rollback": "put an older version's document in force again",
     "dump": "print the whole state of a process",
+    "explain": "tell from logs how one request, or one belief, came about",
     "inspect": "show what a stopped control member's data folder holds",
     "recover": "go on with one control member after a majority is lost for good",
     "keys": "generate CURVE key pairs for the settings",
--- /dev/null
+++ b/fuchsiacroft/explain/log_files.py
@@ -0,0 +1,66 @@
+"""Reads the logs of several processes, large ones too, and tells how far it is."""
+
+import sys
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from expression import Result
+
+from fuchsiacroft.explain import log_line
+from fuchsiacroft.explain.log_line import LogLine
+
+PROGRESS_BYTES = 64 * 1024 * 1024
+"""Read between two lines of progress."""
+
+
+@dataclass(slots=True)
+class LogFiles:
+    """Log files; `faults` holds the lines that cannot be read, with the reason."""
+
+    paths: list[Path]
+    faults: dict[str, str] = field(default_factory=dict)
+
+    def lines(self, wanted: Callable[[str], bool]) -> Iterator[LogLine]:
+        """Yield the events of the lines whose text is wanted."""
+        total = sum(path.stat().st_size for path in self.paths)
+        done = told = 0
+        for path in self.paths:
+            with path.open(encoding="utf-8", errors="replace") as lines:
+                for number, text in enumerate(lines, 1):
+                    done += len(text)
+                    if done - told >= PROGRESS_BYTES:
+                        told = done
+                        _tell_progress(done, total)
+                    if wanted(text):
+                        yield from self._parsed(text, path, number)
+
+    def _parsed(self, text: str, path: Path, number: int) -> Iterator[LogLine]:
+        match log_line.parse(text.rstrip("\n"), path.stem):
+            case Result(tag="ok", ok=line):
+                yield line
+            case Result(error=reason):
+                self.faults[f"{path}:{number}"] = reason
+
+
+def _tell_progress(done: int, total: int) -> None:
+    print(f"read {done / 1e6:.0f} of {total / 1e6:.0f} MB", file=sys.stderr)
+
+
+def find(patterns: list[str]) -> list[Path]:
+    """Return the files of some paths: files themselves, or all of a folder."""
+    found: list[Path] = []
+    for pattern in patterns:
+        path = Path(pattern)
+        if path.is_dir():
+            found.extend(sorted(p for p in path.rglob("*") if p.is_file()))
+        elif path.is_file():
+            found.append(path)
+        else:
+            found.extend(p for p in sorted(_matching(path)) if p.is_file())
+    return found
+
+
+def _matching(path: Path) -> Iterator[Path]:
+    folder = path.parent if path.parent.name else Path()
+    return folder.glob(path.name)
--- /dev/null
+++ b/fuchsiacroft/explain/log_line.py
@@ -0,0 +1,49 @@
+"""Reads back the key=value lines that `utils.logs` writes."""
+
+import re
+from dataclasses import dataclass
+from datetime import datetime
+
+from expression import Error, Ok, Result
+
+PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+HEAD = "time="
+ESCAPES = {'\\"': '"', "\\n": "\n", "\\r": "\r"}
+ESCAPED = re.compile(r'\\["nr]')
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One event; `source` is the process that wrote it, `at` seconds since 1970."""
+
+    at: float
+    source: str
+    level: str
+    event: str
+    fields: dict[str, str]
+
+
+def parse(text: str, source: str) -> Result[LogLine, str]:
+    """Return the event of a line, or what is wrong with the line.
+
+    A word before the time, as collectors of logs put it, names the process.
+    """
+    before, head, rest = text.partition(HEAD)
+    if not head:
+        return Error("it has no time=")
+    pairs = {key: _value(value) for key, value in PAIR.findall(head + rest)}
+    event = pairs.pop("event", "")
+    if not event:
+        return Error("it has no event=")
+    try:
+        at = datetime.fromisoformat(pairs.pop("time")).timestamp()
+    except ValueError:
+        return Error("its time is no ISO 8601 time")
+    words = before.split()
+    name = words[-1] if words else source
+    return Ok(LogLine(at, name, pairs.pop("level", ""), event, pairs))
+
+
+def _value(text: str) -> str:
+    inner = text[1:-1] if text.startswith('"') else text
+    return ESCAPED.sub(lambda found: ESCAPES[found[0]], inner)
--- /dev/null
+++ b/fuchsiacroft/tests/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of stories told from logs."""
