Let urgent requests wait in two failure domains at a time

Coordinators now also tell the rank of the request that is next with them. A request that has to wait at home for over 50 ms, and would go before all who wait in another domain, waits there as well until it would be late, and takes the first place of the two. Its quota stays counted at home.

Also mended: a coordinator kept the future and the task of every waiting request whose caller left through another entry (the new test shows it), for good.

Ruled out: holding freed places back for others, which leaves them idle for the way there and back.

--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -16,7 +16,7 @@
 from fuchsiacroft.placing.demand import Demand
 from fuchsiacroft.placing.fleet import Fleet, Place
 from fuchsiacroft.placing.limits import SharedLimits
-from fuchsiacroft.placing.messages import PlaceRequest
+from fuchsiacroft.placing.messages import PlaceRequest, ServiceRoom
 from fuchsiacroft.placing.queue import Position, Queue, Waiter, position
 from fuchsiacroft.placing.quotas import Quotas
 from fuchsiacroft.placing.retry_budget import RetryBudget
@@ -182,12 +182,31 @@
         queue = self._queues[waiter.request.ask.service]
         self._add(queue, replace(waiter, gone=False))
 
-    def rooms(self, at: float) -> dict[str, int]:
-        """Return the free places of each service, less those who wait."""
-        return {
-            service: self.fleet.free(service, at) - self.waiting(service)
+    def withdraw(self, run_id: str) -> None:
+        """Take a waiter out that was placed elsewhere."""
+        waiter = self._waiters.get(run_id)
+        if waiter is not None:
+            self._remove(waiter)
+
+    def expected_wait_s(self, ask: Ask) -> float:
+        """Return when the turn of a request that comes now would be."""
+        return self._expected_wait_s(ask, self._queues.get(ask.service, Queue()))
+
+    def rooms(self, at: float) -> tuple[ServiceRoom, ...]:
+        """Return the room of each service, for other failure domains."""
+        return tuple(
+            ServiceRoom(
+                service,
+                self.fleet.free(service, at) - self.waiting(service),
+                self._head_rank(service),
+            )
             for service in self.fleet.services()
-        }
+        )
+
+    def _head_rank(self, service: str) -> int | None:
+        queue = self._queues.get(service)
+        head = queue.head() if queue is not None else None
+        return head.rank if head is not None else None
 
     def pressure(self, ask: Ask, at: float) -> Pressure:
         """Return what presses on a service, and on a workspace's quota."""
@@ -197,7 +216,7 @@
             slots=self.fleet.slots(ask.service),
             waiting=len(queue),
             late=queue.late(),
-            expected_wait_s=self._expected_wait_s(ask, queue),
+            expected_wait_s=self.expected_wait_s(ask),
             units_left=self.quotas.left(ask.workspace, at),
         )
 
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -5,6 +5,7 @@
 import math
 import secrets
 
+import msgspec
 from expression import Error, Ok, Result
 
 from fuchsiacroft.config.route_source import RouteSource
@@ -41,6 +42,11 @@
 EPOCH_BYTES = 6
 REFUSAL_LINES = 50
 """Refusals that are logged in a second; a flood of them has one cause."""
+LEAST_WAIT_ELSEWHERE_S = 0.05
+"""Two ways there and back between domains; a shorter wait is not worth the way."""
+NO_ROOM = Refusal(RefusalReason.OVERLOADED, 0.0)
+WITHDRAWN = Refusal(RefusalReason.TIMED_OUT, 0.0)
+"""What nobody hears any more: the caller left, or has a place elsewhere."""
 
 Outcome = Result[Placed, Refusal]
 
@@ -61,6 +67,7 @@
         self._peers = settings.addresses.peers
         self._domain = settings.failure_domain
         self._waiting: dict[str, asyncio.Future[Outcome]] = {}
+        self._guests: set[str] = set()
         self._has_waiters = asyncio.Event()
         self._version = 0
         self._refusals = LogBudget("place_refused", REFUSAL_LINES)
@@ -108,6 +115,8 @@
         decision = self.allocator.wait(request, admitted_at, now())
         if isinstance(decision, Refusal):
             return self._refused(request, decision)
+        if self._may_wait_elsewhere(decision):
+            return await self._first_turn_of(decision)
         return await self._turn_of(request)
 
     def note_read(self, run_id: str) -> None:
@@ -117,6 +126,9 @@
     def end(self, run_id: str, report: RunReport) -> None:
         """End a run, or forget a request that waits."""
         self.allocator.end(run_id, report, now())
+        fut = self._waiting.get(run_id)
+        if fut is not None and not fut.done():
+            fut.set_result(Error(WITHDRAWN))
         self._serve()
 
     def adopt(self, runs: tuple[HeldRun, ...]) -> None:
@@ -134,6 +146,36 @@
         finally:
             self._waiting.pop(request.run_id, None)
 
+    def _may_wait_elsewhere(self, waiter: Waiter) -> bool:
+        """Tell whether a turn here comes late, and one elsewhere perhaps before."""
+        ask = waiter.request.ask
+        return (
+            waiter.request.in_time_s > LEAST_WAIT_ELSEWHERE_S
+            and self.allocator.expected_wait_s(ask) > LEAST_WAIT_ELSEWHERE_S
+            and self._neighbours.has_less_urgent(ask)
+        )
+
+    async def _first_turn_of(self, waiter: Waiter) -> Outcome:
+        """Wait here and in another domain; take the place that comes first."""
+        elsewhere = self._tasks.spawn(self._wait_elsewhere(waiter), "wait-elsewhere")
+        try:
+            return await self._turn_of(waiter.request)
+        finally:
+            elsewhere.cancel()
+
+    async def _wait_elsewhere(self, waiter: Waiter) -> None:
+        request = waiter.request
+        wait_s = waiter.in_time_until - now()
+        placed = await self._neighbours.wait_elsewhere(request, wait_s)
+        if placed is None:
+            return
+        fut = self._waiting.get(request.run_id)
+        if fut is None or fut.done():
+            self._neighbours.cancel(placed)
+            return
+        self.allocator.withdraw(request.run_id)
+        fut.set_result(Ok(placed))
+
     def _spill_waiters(self) -> None:
         """Send who waits here to domains that have room."""
         for service in self.allocator.services_waited_for():
@@ -161,6 +203,12 @@
             place.run_id, place.backend_server, place.address, self._node, self._peers
         )
 
+    def _given_up(self, request: PlaceRequest, refusal: Refusal) -> Outcome:
+        """Return a refusal; that of a guest decides nothing and is not logged."""
+        if request.run_id in self._guests:
+            return Error(refusal)
+        return self._refused(request, refusal)
+
     def _refused(self, request: PlaceRequest, refusal: Refusal) -> Outcome:
         ask = request.ask
         seen = self.allocator.pressure(ask, now())
@@ -205,7 +253,7 @@
                 await self._wait_for_waiters()
             await asyncio.sleep(TICK_S)
             for waiter, refusal in self.allocator.give_up(now()):
-                self._settle(waiter, self._refused(waiter.request, refusal))
+                self._settle(waiter, self._given_up(waiter.request, refusal))
             self._serve()
 
     async def _wait_for_waiters(self) -> None:
@@ -233,9 +281,27 @@
 
     async def _on_spill(self, sender: str, msg: SpillRequest) -> Placed | NotPlaced:
         place = self.allocator.place_now(msg.request, now())
-        if place is None:
-            return NotPlaced(Refusal(RefusalReason.OVERLOADED, 0.0))
-        return self._placed(place)
+        if place is not None:
+            return self._placed(place)
+        if msg.wait_s > 0:
+            return await self._turn_of_guest(msg)
+        return NotPlaced(NO_ROOM)
+
+    async def _turn_of_guest(self, msg: SpillRequest) -> Placed | NotPlaced:
+        """Let another domain's request wait; its quota is counted there."""
+        wait_s = msg.wait_s
+        request = msgspec.structs.replace(
+            msg.request, charge=0.0, in_time_s=wait_s, max_wait_s=wait_s
+        )
+        decision = self.allocator.wait(request, now(), now())
+        if isinstance(decision, Refusal):
+            return NotPlaced(NO_ROOM)
+        self._guests.add(request.run_id)
+        try:
+            outcome = await self._turn_of(request)
+        finally:
+            self._guests.discard(request.run_id)
+        return outcome.ok if outcome.is_ok() else NotPlaced(NO_ROOM)
 
     async def _on_first_event(self, sender: str, msg: FirstEvent) -> None:
         self.note_read(msg.run_id)
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -28,9 +28,13 @@
 
 @codec.message("placing.spill")
 class SpillRequest(msgspec.Struct, frozen=True):
-    """Another domain's coordinator asks for a place that is free now."""
+    """Another domain's coordinator asks for a place.
+
+    If none is free now, the request may wait here for `wait_s` among others.
+    """
 
     request: PlaceRequest
+    wait_s: float = 0.0
 
 
 @codec.message("placing.placed")
@@ -78,10 +82,14 @@
 
 
 class ServiceRoom(msgspec.Struct, frozen=True):
-    """Free places of a service in one failure domain."""
+    """Free places of a service in one failure domain, less those who wait.
+
+    `head_rank` is that of the request that is placed next there, if any waits.
+    """
 
     service: str
     free: int
+    head_rank: int | None = None
 
 
 @codec.message("placing.domain_load")
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -8,7 +8,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from expression import Result
 
@@ -22,11 +21,11 @@
     Placed,
     PlaceRequest,
     RunEnded,
-    ServiceRoom,
     SpillRequest,
 )
+from fuchsiacroft.placing.neighbour import Neighbour
 from fuchsiacroft.placing.shares import Shares
-from fuchsiacroft.routing.ask import RunOutcome, RunReport
+from fuchsiacroft.routing.ask import Ask, RunOutcome, RunReport
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
@@ -36,23 +35,13 @@
 """A place stays free for some tens of milliseconds while others wait."""
 IDLE_PERIOD_S = 0.2
 """How soon an entry that begins to act tells the others."""
-FRESH_S = 0.2
-"""How long a domain's room counts after it was told."""
 SPILL_TIMEOUT_S = 0.08
-"""Several ways there and back inside a region; a lost packet takes longer."""
+"""Several ways there and back inside a region; a lost packet takes longer.
+A request that waits there is answered so long after its wait at the latest."""
 BACK_OFF_S = 1.0
 """How long a domain that did not answer is asked nothing."""
 
 
-@dataclass(slots=True)
-class Neighbour:
-    """The room of another domain as told, less what was sent there since."""
-
-    rooms: dict[str, int]
-    heard_at: float
-    avoid_until: float = 0.0
-
-
 class Neighbours(Service):
     """The other failure domains, as the coordinator of one sees them."""
 
@@ -82,7 +71,10 @@
     def dump(self) -> dict:
         """Return the room of the other domains and the age of that."""
         return {
-            domain: {"rooms": seen.rooms, "age_s": round(now() - seen.heard_at, 3)}
+            domain: {
+                "rooms": {name: seen.free(name) for name in seen.rooms},
+                "age_s": round(now() - seen.heard_at, 3),
+            }
             for domain, seen in self._neighbours.items()
         }
 
@@ -96,25 +88,51 @@
         return self._with_room(service) is not None
 
     async def spill(self, request: PlaceRequest) -> Placed | None:
-        """Return a place in another domain, or None if there is none."""
-        domain = self._with_room(request.ask.service)
+        """Return a place that is free in another domain, or None."""
+        service = request.ask.service
+        domain = self._with_room(service)
         if domain is None:
             return None
+        self._neighbours[domain].note_sent(service)
+        return await self._ask(domain, SpillRequest(request))
+
+    async def wait_elsewhere(
+        self, request: PlaceRequest, wait_s: float
+    ) -> Placed | None:
+        """Return a place that comes free in a domain where none as urgent waits."""
+        ask = request.ask
+        domain = self._with_less_urgent(ask)
+        if domain is None:
+            return None
+        self._neighbours[domain].note_waits(ask.service, ask.rank)
+        return await self._ask(domain, SpillRequest(request, wait_s))
+
+    def has_less_urgent(self, ask: Ask) -> bool:
+        """Tell whether a request would be the next to be placed in another domain."""
+        return self._with_less_urgent(ask) is not None
+
+    async def _ask(self, domain: str, asked: SpillRequest) -> Placed | None:
         keeper = coordinator_of(self._roster.entries(), domain)
         if keeper is None:
             return None
+        run_id = asked.request.run_id
         seen = self._neighbours[domain]
-        seen.rooms[request.ask.service] -= 1
-        asked = SpillRequest(request)
-        match await self._bus.request(keeper.peers, asked, SPILL_TIMEOUT_S):
+        try:
+            answer = await self._bus.request(
+                keeper.peers, asked, asked.wait_s + SPILL_TIMEOUT_S
+            )
+        except asyncio.CancelledError:
+            self._cancel(run_id, keeper.peers)
+            raise
+        match answer:
             case Result(tag="ok", ok=Placed() as placed):
                 return placed
             case Result(tag="ok"):
-                seen.rooms[request.ask.service] = 0
+                seen.note_full(asked.request.ask.service)
             case _:
                 seen.avoid_until = now() + BACK_OFF_S
                 # It may have given a place all the same.
-                self._cancel(request.run_id, keeper.peers)
+                self._cancel(run_id, keeper.peers)
                 event("info", "neighbour_silent", domain=domain, keeper=keeper.node)
         return None
 
@@ -128,15 +146,22 @@
 
     def _with_room(self, service: str) -> str | None:
         """Return the domain with the most room for a service."""
+        rooms = {name: seen.free(service) for name, seen in self._known()}
+        best = max(rooms, key=rooms.get, default=None)
+        return best if best is not None and rooms[best] > 0 else None
+
+    def _with_less_urgent(self, ask: Ask) -> str | None:
+        """Return the domain where a request goes before the least urgent one."""
+        ranks = {}
+        for name, seen in self._known():
+            rank = seen.urgency(ask.service, ask.rank)
+            if rank is not None:
+                ranks[name] = rank
+        return max(ranks, key=ranks.get, default=None)
+
+    def _known(self) -> list[tuple[str, Neighbour]]:
         at = now()
-        best, most = None, 0
-        for domain, seen in self._neighbours.items():
-            if at - seen.heard_at > FRESH_S or at < seen.avoid_until:
-                continue
-            room = seen.rooms.get(service, 0)
-            if room > most:
-                best, most = domain, room
-        return best
+        return [(n, seen) for n, seen in self._neighbours.items() if seen.is_known(at)]
 
     async def _tell(self, allocator: Allocator) -> None:
         while True:
@@ -155,7 +180,7 @@
         demand = allocator.demand.rates(at)
         spent = allocator.quotas.spent(at)
         self.shares.update(spent, at)
-        rooms = tuple(ServiceRoom(*room) for room in allocator.rooms(at).items())
+        rooms = allocator.rooms(at)
         suspects = allocator.fleet.crashes.told(at)
         load = DomainLoad(self._domain, rooms, spent, demand, suspects)
         for domain in domains:
@@ -165,7 +190,7 @@
 
     async def _on_load(self, sender: str, msg: DomainLoad) -> None:
         at = now()
-        rooms = {room.service: room.free for room in msg.rooms}
+        rooms = {room.service: room for room in msg.rooms}
         known = self._neighbours.get(msg.failure_domain)
         avoid_until = known.avoid_until if known is not None else 0.0
         self._neighbours[msg.failure_domain] = Neighbour(rooms, at, avoid_until)
@@ -175,7 +200,7 @@
             self.shares.hear(msg.failure_domain, msg.spent, msg.demand, at)
         if self._allocator is not None and msg.suspects:
             self._allocator.fleet.crashes.hear(msg.suspects, at)
-        if any(free > 0 for free in rooms.values()):
+        if any(room.free > 0 for room in msg.rooms):
             self.on_room()
 
 
--- a/fuchsiacroft/tests/placing/neighbours_tests.py
+++ b/fuchsiacroft/tests/placing/neighbours_tests.py
@@ -1,6 +1,7 @@
 """Tests of failure domains that help each other and share quotas."""
 
 import asyncio
+from collections import Counter
 
 from fuchsiacroft.config import route_table
 from fuchsiacroft.config.route_table import CallerLimits, Quota, Workspace
@@ -19,9 +20,9 @@
 )
 
 
-def ask(request_id: str) -> Ask:
+def ask(request_id: str, rank: int = 0) -> Ask:
     """Return a request of a model service."""
-    return Ask(request_id, "lens", 0, 8.0, "tills", size=WorkSize(1_000, 100))
+    return Ask(request_id, "lens", rank, 8.0, "tills", size=WorkSize(1_000, 100))
 
 
 class NeighboursTests(PausedTestCase):
@@ -84,6 +85,90 @@
 
         self.played(scenario)
 
+    def begin(self, entry, number: int, rank: int, wait_s: float = 2.0):
+        """Ask for places at an entry; return what will be decided."""
+        patience = Patience(wait_s, wait_s)
+        return [
+            asyncio.ensure_future(
+                entry.placer.acquire(
+                    ask(f"{entry.node}-{rank}-{i}", rank), 0.0, False, patience
+                )
+            )
+            for i in range(number)
+        ]
+
+    async def press(self, region, ranks: tuple[int, int, int]):
+        """Fill each domain, and let as many wait at the rank of each."""
+        running, waiting = [], []
+        for entry in region.entries[:3]:
+            running.append(await self.acquire(entry, SLOTS))
+        for entry, rank in zip(region.entries[:3], ranks, strict=True):
+            waiting.append(self.begin(entry, SLOTS, rank))
+        await asyncio.sleep(0.2)
+        return running, waiting
+
+    def release(self, entry, placements) -> None:
+        for placed in placements:
+            entry.placer.release(placed, DONE)
+
+    def test_the_urgent_take_places_where_the_less_urgent_wait(self):
+        async def scenario(region):
+            running, waiting = await self.press(region, (1, 5, 1))
+            self.release(region.entries[1], running[1][:1])
+            await asyncio.sleep(0.1)
+            urgent = waiting[0] + waiting[2]
+            [placed] = [fut.result().ok for fut in urgent if fut.done()]
+            self.assertEqual("i-1", placed.backend_server)
+            self.assertFalse(any(fut.done() for fut in waiting[1]))
+            # It no longer waits at home: the places there are for the others.
+            for number in (0, 2):
+                self.release(region.entries[number], running[number])
+            await asyncio.sleep(0.1)
+            self.assertTrue(all(fut.done() for fut in urgent))
+
+        self.played(scenario, servers=3)
+
+    def test_who_is_placed_at_home_no_longer_waits_elsewhere(self):
+        async def scenario(region):
+            running, waiting = await self.press(region, (1, 5, 1))
+            for number in (0, 2):
+                self.release(region.entries[number], running[number])
+            await asyncio.sleep(0.1)
+            homes = [fut.result().ok.backend_server for fut in waiting[0] + waiting[2]]
+            self.assertEqual({"i-0": SLOTS, "i-2": SLOTS}, Counter(homes))
+            self.release(region.entries[1], running[1])
+            await asyncio.sleep(0.1)
+            self.assertTrue(all(fut.done() for fut in waiting[1]))
+
+        self.played(scenario, servers=3)
+
+    def test_a_wait_in_a_domain_that_falls_silent_ends_at_home(self):
+        async def scenario(region):
+            running, _ = await self.press(region, (1, 5, 1))
+            [urgent] = self.begin(region.entries[3], 1, rank=0)
+            await asyncio.sleep(0.1)
+            for entry in region.entries:
+                if entry.domain == DOMAINS[1]:
+                    region.isolate(entry.address)
+            region.entries[0].placer.release(running[0][0], DONE)
+            await asyncio.sleep(0.1)
+            self.assertEqual("i-0", urgent.result().ok.backend_server)
+
+        self.played(scenario, servers=3)
+
+    def test_nothing_is_kept_of_waiters_whose_callers_left(self):
+        async def scenario(region):
+            await self.press(region, (1, 5, 1))
+            leaving = self.begin(region.entries[3], 5, rank=0)
+            await asyncio.sleep(0.1)
+            for fut in leaving:
+                fut.cancel()
+            await asyncio.sleep(3.0)
+            for entry in region.entries:
+                self.assertEqual({}, entry.coordinator._waiting)
+
+        self.played(scenario, servers=3)
+
     def test_a_domain_whose_entries_all_leave_is_used_to_the_end(self):
         async def scenario(region):
             for entry in region.entries:
