Begin a fault soak of real programs on the platform's interface

Entries and control members run as processes of their own on loopback; callers keep connections open, backend servers stand behind a proxy that delays, resets and silences, an operator changes and reads the configuration. Faults drawn from a seed come in series and overlap: programs are killed, stopped, paused, reloaded, disks wiped or torn, all control members killed, backend servers crash, leave and come back. The promises are judged by what callers, backend servers and the operator saw: runs at most once, refusals that are true, whole answers of the right request, ends in time, nothing lost in calm, leaves, versions, programs that end by themselves, service afterwards.

--- /dev/null
+++ b/fuchsiacroft/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults from outside on real programs, and the promises meanwhile."""
--- /dev/null
+++ b/fuchsiacroft/tests/soak/callers.py
@@ -0,0 +1,157 @@
+"""Callers that keep connections open and use them until the process is gone."""
+
+import asyncio
+import itertools
+import random
+
+from fuchsiacroft.tests.fakes.platform_region import HOST
+from fuchsiacroft.tests.soak.fleet import DATA_PORT, READY_PORT, Program
+from fuchsiacroft.tests.soak.observed import Attempt, Observed
+
+ROUTES = {
+    "safe": ("GET", "/stock/", 1.5),
+    "unsafe": ("POST", "/book/", 1.5),
+    "stream": ("POST", "/advice/", 3.0),
+    "resumable": ("POST", "/report/", 3.0),
+}
+"""Method, prefix and timeout in seconds of each route of the configuration."""
+PAUSE_S = (0.0, 0.08)
+GIVE_UP_S = 1.0
+"""Past its timeout, a caller waits no longer."""
+READY_PERIOD_S = 0.3
+READY_TIMEOUT_S = 0.5
+LEAVE_SHARE = 0.02
+"""Of the requests, those whose caller goes away midway."""
+
+
+class Balancer:
+    """Asks the entries whether they are ready, and sends new callers to those."""
+
+    def __init__(self, entries: list[Program]) -> None:
+        self._entries = entries
+        self._misses = dict.fromkeys((entry.ip for entry in entries), 2)
+
+    def ready(self) -> list[str]:
+        """Return the addresses of the entries that are ready."""
+        return [ip for ip, misses in self._misses.items() if misses < 2]
+
+    async def watch(self) -> None:
+        """Ask every entry again and again."""
+        while True:
+            await asyncio.gather(*(self._ask(entry.ip) for entry in self._entries))
+            await asyncio.sleep(READY_PERIOD_S)
+
+    async def _ask(self, ip: str) -> None:
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(ip, READY_PORT)
+                writer.write(b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+        except (OSError, TimeoutError):
+            line = b""
+        self._misses[ip] = 0 if b" 200 " in line else self._misses[ip] + 1
+
+
+class Caller:
+    """Sends one request after the other, on one connection while it lasts."""
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, balancer: Balancer, rng: random.Random, seen: Observed) -> None:
+        self._balancer = balancer
+        self._rng = rng
+        self._seen = seen
+        self._now = asyncio.get_running_loop().time
+        self._entry = ""
+        self._conn = None
+
+    async def call(self) -> None:
+        """Send requests until cancelled."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(*PAUSE_S))
+            if self._conn is None and not await self._connect():
+                continue
+            await self._ask(self._rng.choice(list(ROUTES)))
+
+    async def _connect(self) -> bool:
+        ready = self._balancer.ready()
+        if not ready:
+            return False
+        self._entry = self._rng.choice(ready)
+        try:
+            async with asyncio.timeout(1.0):
+                self._conn = await asyncio.open_connection(self._entry, DATA_PORT)
+        except (OSError, TimeoutError):
+            return False
+        return True
+
+    async def _ask(self, route: str) -> None:
+        method, prefix, timeout_s = ROUTES[route]
+        attempt_id = f"{next(self._numbers):016x}"
+        body = self._rng.randbytes(self._rng.randrange(1, 3_000))
+        body = body if method == "POST" else b""
+        attempt = Attempt(
+            attempt_id, route, self._entry, self._now(), timeout_s, body=body
+        )
+        self._seen.attempts.append(attempt)
+        reader, writer = self._conn
+        writer.write(_request(method, f"{prefix}{attempt_id}", attempt))
+        limit_s = timeout_s + GIVE_UP_S
+        if self._rng.random() < LEAVE_SHARE:
+            limit_s = self._rng.uniform(0.0, 0.1)
+            attempt.left = True
+        try:
+            async with asyncio.timeout(limit_s):
+                is_kept = await _read(reader, attempt)
+        except (OSError, EOFError, TimeoutError, ValueError):
+            is_kept = False
+        attempt.ended_at = self._now()
+        if not is_kept:
+            writer.close()
+            self._conn = None
+
+
+def _request(method: str, target: str, attempt: Attempt) -> bytes:
+    lines = (
+        f"{method} {target} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Fuchsiacroft-Attempt-Id: {attempt.attempt_id}",
+        f"Fuchsiacroft-Deadline-Ms: {attempt.timeout_s * 1000:.0f}",
+        "X-Api-Key: key-1",
+        f"Content-Length: {len(attempt.body)}",
+    )
+    return "\r\n".join((*lines, "", "")).encode() + attempt.body
+
+
+async def _read(reader: asyncio.StreamReader, attempt: Attempt) -> bool:
+    """Read one answer; return whether the connection may be used again."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    line, *rest = head.rstrip("\r\n").split("\r\n")
+    headers = {}
+    for text in rest:
+        name, _, value = text.partition(": ")
+        headers[name.lower()] = value
+    attempt.status = int(line.split()[1])
+    told = headers.get("fuchsiacroft-attempt-id")
+    attempt.genuine = told in (None, attempt.attempt_id)
+    if headers.get("transfer-encoding") == "chunked":
+        await _read_events(reader, attempt)
+    else:
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        expected = f"done {attempt.attempt_id}".encode()
+        if attempt.status == 200:
+            attempt.genuine = attempt.genuine and body == expected
+    attempt.whole = True
+    return headers.get("connection", "").lower() != "close"
+
+
+async def _read_events(reader: asyncio.StreamReader, attempt: Attempt) -> None:
+    rest = b""
+    while size := int(await reader.readuntil(b"\r\n"), 16):
+        rest += await reader.readexactly(size)
+        await reader.readexactly(2)
+        *events, rest = rest.split(b"\n\n")
+        for event in events:
+            attempt.events.append(int(event.split(b"\n")[0].removeprefix(b"id: ")))
+    await reader.readexactly(2)
--- /dev/null
+++ b/fuchsiacroft/tests/soak/run.py
@@ -0,0 +1,290 @@
+"""One run of the soak: programs, load, faults, and the judgement."""
+
+import asyncio
+import itertools
+import os
+import random
+import signal
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from fuchsiacroft.tests.soak import promises, schedule
+from fuchsiacroft.tests.soak.callers import Balancer, Caller
+from fuchsiacroft.tests.soak.fleet import CONTROL_PORT, Program
+from fuchsiacroft.tests.soak.observed import Observed
+from fuchsiacroft.tests.soak.operator import Operator
+from fuchsiacroft.tests.soak.proxy import Proxy
+from fuchsiacroft.tests.soak.schedule import PLANNED, Fault
+from fuchsiacroft.tests.soak.servers import SoakServer
+
+ZONES = ("mvd-cordon", "mvd-pocitos")
+CALLERS = 16
+START_TIMEOUT_S = 30.0
+RECOVERY_S = 8.0
+"""After the last fault is over, until all is served as before."""
+AFTER_S = 3.0
+"""How long is then watched."""
+DELAY_S = 0.15
+_nets = itertools.count(os.getpid() % 50)
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What to run; the folder, if any, keeps the logs."""
+
+    seed: int
+    length_s: float = 20.0
+    entries: int = 4
+    servers: int = 6
+    folder: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """The promises that were broken, and what was played."""
+
+    wrong: list[str]
+    faults: list[Fault]
+    attempts: int
+    served: int
+    runs: int
+
+
+def play(plan: Plan) -> Result:
+    """Play a plan to its end."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(_play(plan, Path(plan.folder or folder)))
+
+
+async def _play(plan: Plan, folder: Path) -> Result:
+    folder.mkdir(parents=True, exist_ok=True)
+    seen = Observed()
+    region = Region(plan, folder, seen)
+    faults = schedule.draw(plan.seed, plan.length_s)
+    try:
+        await region.start()
+        await region.strike(faults)
+    finally:
+        await region.stop()
+    served = sum(attempt.status == 200 for attempt in seen.attempts)
+    wrong = promises.broken(seen)
+    return Result(wrong, faults, len(seen.attempts), served, len(seen.runs))
+
+
+class Region:
+    """The programs, backend servers, callers and the operator of a run."""
+
+    def __init__(self, plan: Plan, folder: Path, seen: Observed) -> None:
+        net = f"127.{next(_nets) + 150}"
+        self._rng = random.Random(plan.seed)
+        self._seen = seen
+        self._now = asyncio.get_running_loop().time
+        self._controls = [
+            Program("control", f"{net}.1.{n}", ZONES[n % 2], folder, seen)
+            for n in (1, 2, 3)
+        ]
+        self._entries = [
+            Program("entry", f"{net}.2.{n}", ZONES[n % 2], folder, seen)
+            for n in range(1, plan.entries + 1)
+        ]
+        self._servers = [self._server(net, n) for n in range(1, plan.servers + 1)]
+        self._net = net
+        self._operator = Operator(self._controls, seen)
+        self._tasks: list[asyncio.Task] = []
+
+    def _server(self, net: str, number: int) -> SoakServer:
+        proxy = Proxy(f"{net}.4.{number}:80", f"{net}.3.{number}:80", self._rng)
+        service = ("till", "lens")[number % 2]
+        zone = ZONES[number // 2 % 2]
+        return SoakServer(f"i{number}", service, zone, proxy, self._seen)
+
+    async def start(self) -> None:
+        """Start everything, and wait until every entry is ready."""
+        seeds = [control.ip for control in self._controls]
+        for program in (*self._controls, *self._entries):
+            program.write_settings(seeds, bootstrap=program.role == "control")
+            await program.start()
+        for server in self._servers:
+            await server.proxy.start()
+            await self._start_server(server)
+        balancer = Balancer(self._entries)
+        self._spawn(balancer.watch())
+        async with asyncio.timeout(START_TIMEOUT_S):
+            await self._operator.configure()
+            while len(balancer.ready()) < len(self._entries):
+                await asyncio.sleep(0.1)
+        for control in self._controls:
+            control.write_settings(seeds, bootstrap=False)
+        self._spawn(self._operator.read())
+        for _ in range(CALLERS):
+            caller_rng = random.Random(self._rng.random())
+            self._spawn(Caller(balancer, caller_rng, self._seen).call())
+
+    async def strike(self, faults: list[Fault]) -> None:
+        """Let every fault strike at its time, and watch until all is well again."""
+        began = self._now()
+        striking = []
+        for fault in faults:
+            await asyncio.sleep(max(began + fault.at_s - self._now(), 0.0))
+            striking.append(self._spawn(self._play(fault)))
+        await asyncio.gather(*striking)
+        await asyncio.sleep(RECOVERY_S)
+        self._seen.calm_from = self._now()
+        await asyncio.sleep(AFTER_S)
+
+    async def stop(self) -> None:
+        """End everything that was started here."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for attempt in self._seen.attempts:
+            attempt.left = attempt.left or attempt.ended_at is None
+        for program in (*self._entries, *self._controls):
+            program.send(signal.SIGCONT)
+            await program.kill()
+        for server in self._servers:
+            await server.crash()
+            await server.proxy.stop()
+
+    def _spawn(self, coro) -> asyncio.Task:
+        task = asyncio.ensure_future(coro)
+        self._tasks.append(task)
+        return task
+
+    async def _play(self, fault: Fault) -> None:
+        began = self._now()
+        await getattr(self, f"_{fault.kind}")(fault)
+        if fault.kind not in PLANNED:
+            self._seen.disturbed.append((began, self._now()))
+
+    def _program(self, programs: list[Program], fault: Fault) -> Program | None:
+        """Return the target, unless another fault has it."""
+        program = programs[fault.pick % len(programs)]
+        return None if program.is_busy else program
+
+    async def _kill(self, program: Program | None, fault: Fault, before=None) -> None:
+        if program is None:
+            return
+        program.is_busy = True
+        await program.kill()
+        if before is not None:
+            before()
+        await asyncio.sleep(fault.for_s)
+        await program.start()
+        program.is_busy = False
+
+    async def _pause(self, program: Program | None, fault: Fault) -> None:
+        if program is None:
+            return
+        program.is_busy = True
+        program.send(signal.SIGSTOP)
+        await asyncio.sleep(fault.for_s)
+        program.send(signal.SIGCONT)
+        program.is_busy = False
+
+    async def _kill_entry(self, fault: Fault) -> None:
+        await self._kill(self._program(self._entries, fault), fault)
+
+    async def _pause_entry(self, fault: Fault) -> None:
+        await self._pause(self._program(self._entries, fault), fault)
+
+    async def _stop_entry(self, fault: Fault) -> None:
+        program = self._program(self._entries, fault)
+        if program is None:
+            return
+        program.is_busy = True
+        if not await program.stop():
+            self._seen.own_exits.append(f"{program.ip} outlasted its grace")
+        await program.start()
+        program.is_busy = False
+
+    async def _reload_entry(self, fault: Fault) -> None:
+        program = self._program(self._entries, fault)
+        if program is not None:
+            program.send(signal.SIGHUP)
+
+    async def _kill_control(self, fault: Fault) -> None:
+        await self._kill(self._program(self._controls, fault), fault)
+
+    async def _pause_control(self, fault: Fault) -> None:
+        await self._pause(self._program(self._controls, fault), fault)
+
+    async def _tear_control(self, fault: Fault) -> None:
+        program = self._program(self._controls, fault)
+        await self._kill(program, fault, program.tear if program else None)
+
+    async def _wipe_control(self, fault: Fault) -> None:
+        """Lose one disk, while every other member runs and has long done so."""
+        if any(control.is_busy for control in self._controls):
+            return
+        program = self._program(self._controls, fault)
+        for control in self._controls:
+            control.is_busy = True
+        await program.kill()
+        program.wipe()
+        await program.start()
+        # What it has to learn again counts as lost until then.
+        await asyncio.sleep(schedule.LASTS_S[1])
+        for control in self._controls:
+            control.is_busy = False
+
+    async def _kill_all_control(self, fault: Fault) -> None:
+        free = [control for control in self._controls if not control.is_busy]
+        await asyncio.gather(*(self._kill(control, fault) for control in free))
+
+    async def _crash_server(self, fault: Fault) -> None:
+        server = self._server_for(fault)
+        if server is None:
+            return
+        await server.crash()
+        await asyncio.sleep(fault.for_s)
+        await self._start_server(server)
+        server.is_busy = False
+
+    async def _leave_server(self, fault: Fault) -> None:
+        server = self._server_for(fault)
+        if server is None:
+            return
+        await server.leave()
+        await asyncio.sleep(promises.LEAVE_S + 1.0)
+        await server.crash()
+        await asyncio.sleep(fault.for_s)
+        await self._start_server(server)
+        server.is_busy = False
+
+    async def _delay_link(self, fault: Fault) -> None:
+        proxy = self._proxy(fault)
+        proxy.delay_s = DELAY_S
+        await asyncio.sleep(fault.for_s)
+        proxy.mend()
+
+    async def _reset_link(self, fault: Fault) -> None:
+        self._proxy(fault).reset()
+
+    async def _silence_link(self, fault: Fault) -> None:
+        proxy = self._proxy(fault)
+        proxy.silence()
+        await asyncio.sleep(fault.for_s)
+        proxy.mend()
+
+    async def _configure(self, fault: Fault) -> None:
+        await self._operator.configure()
+
+    async def _refuse_configuration(self, fault: Fault) -> None:
+        await self._operator.refuse()
+
+    def _proxy(self, fault: Fault) -> Proxy:
+        return self._servers[fault.pick % len(self._servers)].proxy
+
+    def _server_for(self, fault: Fault) -> SoakServer | None:
+        server = self._servers[fault.pick % len(self._servers)]
+        if server.is_busy:
+            return None
+        server.is_busy = True
+        return server
+
+    async def _start_server(self, server: SoakServer) -> None:
+        number = self._servers.index(server) + 1
+        controls = [f"{control.ip}:{CONTROL_PORT}" for control in self._controls]
+        await server.start(f"{self._net}.3.{number}:80", controls)
