Keep a request that is on its way to a third domain from a second place

Found by reading: a request that waited in two domains could be taken out of the queue, to be sent where a place was free, while the other wait gave it a place. It then held two places, and its units were given back to the quota though it ran. The answer of the other wait is now given back if the request is no longer in the queue.

--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -182,11 +182,12 @@
         queue = self._queues[waiter.request.ask.service]
         self._add(queue, replace(waiter, gone=False))
 
-    def withdraw(self, run_id: str) -> None:
-        """Take a waiter out that was placed elsewhere."""
+    def withdraw(self, run_id: str) -> bool:
+        """Take a waiter out that was placed elsewhere; return whether it was here."""
         waiter = self._waiters.get(run_id)
         if waiter is not None:
             self._remove(waiter)
+        return waiter is not None
 
     def expected_wait_s(self, ask: Ask) -> float:
         """Return when the turn of a request that comes now would be."""
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -1,7 +1,6 @@
 """Runs an allocator for whoever asks: this entry, or all of its domain."""
 
 import asyncio
-import contextlib
 import math
 import secrets
 
@@ -29,6 +28,7 @@
 )
 from fuchsiacroft.placing.neighbours import Neighbours
 from fuchsiacroft.placing.queue import Waiter
+from fuchsiacroft.placing.turns import Outcome, Turns
 from fuchsiacroft.routing.ask import Refusal, RefusalReason, RunReport
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
@@ -45,10 +45,6 @@
 LEAST_WAIT_ELSEWHERE_S = 0.05
 """Two ways there and back between domains; a shorter wait is not worth the way."""
 NO_ROOM = Refusal(RefusalReason.OVERLOADED, 0.0)
-WITHDRAWN = Refusal(RefusalReason.TIMED_OUT, 0.0)
-"""What nobody hears any more: the caller left, or has a place elsewhere."""
-
-Outcome = Result[Placed, Refusal]
 
 
 class Coordinator(Service):
@@ -66,9 +62,7 @@
         self._node = settings.node
         self._peers = settings.addresses.peers
         self._domain = settings.failure_domain
-        self._waiting: dict[str, asyncio.Future[Outcome]] = {}
-        self._guests: set[str] = set()
-        self._has_waiters = asyncio.Event()
+        self._turns = Turns()
         self._version = 0
         self._refusals = LogBudget("place_refused", REFUSAL_LINES)
         self.pinged_at = -math.inf
@@ -117,7 +111,7 @@
             return self._refused(request, decision)
         if self._may_wait_elsewhere(decision):
             return await self._first_turn_of(decision)
-        return await self._turn_of(request)
+        return await self._turn_of(request.run_id)
 
     def note_read(self, run_id: str) -> None:
         """Note that the prompt of a run has been read."""
@@ -126,9 +120,7 @@
     def end(self, run_id: str, report: RunReport) -> None:
         """End a run, or forget a request that waits."""
         self.allocator.end(run_id, report, now())
-        fut = self._waiting.get(run_id)
-        if fut is not None and not fut.done():
-            fut.set_result(Error(WITHDRAWN))
+        self._turns.withdraw(run_id)
         self._serve()
 
     def adopt(self, runs: tuple[HeldRun, ...]) -> None:
@@ -136,15 +128,13 @@
         for held in runs:
             self.allocator.fleet.adopt(held, now())
 
-    async def _turn_of(self, request: PlaceRequest) -> Outcome:
-        fut = asyncio.get_running_loop().create_future()
-        self._waiting[request.run_id] = fut
-        self._has_waiters.set()
+    async def _turn_of(self, run_id: str, *, is_guest: bool = False) -> Outcome:
+        fut = self._turns.begin(run_id, is_guest=is_guest)
         self._serve()
         try:
             return await fut
         finally:
-            self._waiting.pop(request.run_id, None)
+            self._turns.forget(run_id)
 
     def _may_wait_elsewhere(self, waiter: Waiter) -> bool:
         """Tell whether a turn here comes late, and one elsewhere perhaps before."""
@@ -159,7 +149,7 @@
         """Wait here and in another domain; take the place that comes first."""
         elsewhere = self._tasks.spawn(self._wait_elsewhere(waiter), "wait-elsewhere")
         try:
-            return await self._turn_of(waiter.request)
+            return await self._turn_of(waiter.request.run_id)
         finally:
             elsewhere.cancel()
 
@@ -169,12 +159,11 @@
         placed = await self._neighbours.wait_elsewhere(request, wait_s)
         if placed is None:
             return
-        fut = self._waiting.get(request.run_id)
-        if fut is None or fut.done():
+        # One that is no longer in the queue is being sent to a third domain.
+        if self.allocator.withdraw(request.run_id):
+            self._turns.settle(request.run_id, Ok(placed))
+        else:
             self._neighbours.cancel(placed)
-            return
-        self.allocator.withdraw(request.run_id)
-        fut.set_result(Ok(placed))
 
     def _spill_waiters(self) -> None:
         """Send who waits here to domains that have room."""
@@ -185,15 +174,15 @@
                     self._tasks.spawn(self._spill_waiter(waiter), "spill-waiter")
 
     async def _spill_waiter(self, waiter: Waiter) -> None:
+        run_id = waiter.request.run_id
         placed = await self._neighbours.spill(waiter.request)
-        fut = self._waiting.get(waiter.request.run_id)
-        if fut is None or fut.done():
+        if not self._turns.awaits(run_id):
             # The request was given up meanwhile; its place is given back.
             self.allocator.give_back(waiter.request, waiter.admitted_at)
             if placed is not None:
                 self._neighbours.cancel(placed)
         elif placed is not None:
-            fut.set_result(Ok(placed))
+            self._turns.settle(run_id, Ok(placed))
         else:
             self.allocator.put_back(waiter)
             self._serve()
@@ -205,7 +194,7 @@
 
     def _given_up(self, request: PlaceRequest, refusal: Refusal) -> Outcome:
         """Return a refusal; that of a guest decides nothing and is not logged."""
-        if request.run_id in self._guests:
+        if self._turns.is_guest(request.run_id):
             return Error(refusal)
         return self._refused(request, refusal)
 
@@ -248,27 +237,16 @@
 
     async def _tick(self) -> None:
         while True:
-            if not self._waiting:
-                self._has_waiters.clear()
-                await self._wait_for_waiters()
+            await self._turns.some(IDLE_TICK_S)
             await asyncio.sleep(TICK_S)
             for waiter, refusal in self.allocator.give_up(now()):
-                self._settle(waiter, self._given_up(waiter.request, refusal))
+                outcome = self._given_up(waiter.request, refusal)
+                self._turns.settle(waiter.request.run_id, outcome)
             self._serve()
 
-    async def _wait_for_waiters(self) -> None:
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(IDLE_TICK_S):
-                await self._has_waiters.wait()
-
     def _serve(self) -> None:
         for waiter, place in self.allocator.serve(now()):
-            self._settle(waiter, Ok(self._placed(place)))
-
-    def _settle(self, waiter: Waiter, outcome: Outcome) -> None:
-        fut = self._waiting.get(waiter.request.run_id)
-        if fut is not None and not fut.done():
-            fut.set_result(outcome)
+            self._turns.settle(waiter.request.run_id, Ok(self._placed(place)))
 
     async def _on_request(
         self, sender: str, msg: PlaceRequest
@@ -296,11 +274,7 @@
         decision = self.allocator.wait(request, now(), now())
         if isinstance(decision, Refusal):
             return NotPlaced(NO_ROOM)
-        self._guests.add(request.run_id)
-        try:
-            outcome = await self._turn_of(request)
-        finally:
-            self._guests.discard(request.run_id)
+        outcome = await self._turn_of(request.run_id, is_guest=True)
         return outcome.ok if outcome.is_ok() else NotPlaced(NO_ROOM)
 
     async def _on_first_event(self, sender: str, msg: FirstEvent) -> None:
--- a/fuchsiacroft/tests/placing/neighbours_tests.py
+++ b/fuchsiacroft/tests/placing/neighbours_tests.py
@@ -156,6 +156,27 @@
 
         self.played(scenario, servers=3)
 
+    def test_a_request_that_is_on_its_way_to_a_third_domain_takes_no_second_place(self):
+        async def scenario(region):
+            coordinator = region.entries[0].coordinator
+            running, waiting = await self.press(region, (1, 5, 1))
+            waiter = coordinator.allocator.take_head("lens")
+            placed = running[1][0]
+            cancelled = []
+            coordinator._neighbours.wait_elsewhere = self.answering(placed)
+            coordinator._neighbours.cancel = cancelled.append
+            await coordinator._wait_elsewhere(waiter)
+            self.assertEqual([placed], cancelled)
+            self.assertFalse(any(fut.done() for fut in waiting[0]))
+
+        self.played(scenario, servers=3)
+
+    def answering(self, placed):
+        async def wait_elsewhere(request, wait_s):
+            return placed
+
+        return wait_elsewhere
+
     def test_nothing_is_kept_of_waiters_whose_callers_left(self):
         async def scenario(region):
             await self.press(region, (1, 5, 1))
@@ -165,7 +186,7 @@
                 fut.cancel()
             await asyncio.sleep(3.0)
             for entry in region.entries:
-                self.assertEqual({}, entry.coordinator._waiting)
+                self.assertEqual(0, len(entry.coordinator._turns))
 
         self.played(scenario, servers=3)
 
