Take a segment that is a header alone for a write cut short

Traced through the disk in memory: power was lost at the first sync of a new segment and just its header of 11 bytes stayed. Recovery took that for a whole segment without frames; the next write opened a new segment of the same name, so a second header stood behind the first, and the restart after that found damage. The member could only rejoin with an empty disk.

--- a/fuchsiacroft/control/recovery.py
+++ b/fuchsiacroft/control/recovery.py
@@ -130,6 +130,8 @@
         state.sequence = frame.sequence
         replay(records.decode_batch(frame.payload), segment, state)
         segment.size = frame.end
+    # A header alone is a write cut short too: the next segment has this name.
+    segment.torn = is_last and segment.size == records.HEADER_BYTES
     return None
 
 
--- a/fuchsiacroft/tests/control/storage_tests.py
+++ b/fuchsiacroft/tests/control/storage_tests.py
@@ -164,6 +164,32 @@
 
         self.run_paused(scenario())
 
+    def test_a_new_segment_cut_short_at_any_byte_is_written_anew(self):
+        async def scenario():
+            disk = MemoryDisk()
+            storage, _ = await opened(disk)
+            storage.append(entries(1, 2))
+            await storage.sync()
+            await storage.close()
+            known = set(disk.files)
+            storage, _ = await opened(disk)
+            storage.append(entries(3, 3))
+            await storage.sync()
+            [name] = set(disk.files) - known
+            for size in range(len(disk.files[name].data)):
+                image = disk.copy()
+                del image.files[name].data[size:]
+                for index in (3, 4):
+                    storage, state = await opened(image)
+                    self.assertEqual(entries(1, index - 1), state.entries)
+                    storage.append(entries(index, index))
+                    await storage.sync()
+                    await storage.close()
+                state = await read_back(image)
+                self.assertEqual(entries(1, 4), state.entries)
+
+        self.run_paused(scenario())
+
     def test_another_format_version_is_refused(self):
         async def scenario():
             disk = MemoryDisk()
