Elect a leader at once where every voter has just started

A voter that has just started gives no vote for a second, since a leader's lease may rest on what it answered before. Where all voters were killed there is no leader.

A vote request now names the disks that told just now that they do not lead; a voter that has heard no leader since its start grants it if they are all that vote in any configuration of its log. Voters take turns, and one that voted while it asked does not stand.

--- a/fuchsiacroft/control/consensus/configurations.py
+++ b/fuchsiacroft/control/consensus/configurations.py
@@ -27,6 +27,11 @@
         """Return the index of the configuration in force."""
         return self._indexes[-1] if self._indexes else 0
 
+    @property
+    def voters_ever(self) -> set[str]:
+        """Return the disks that vote in any configuration of the log."""
+        return {voter.identity for item in self._items for voter in item.voters()}
+
     def reset(self, index: int, configuration: Configuration) -> None:
         """Forget all but one configuration."""
         self._indexes = [index]
--- a/fuchsiacroft/control/consensus/elections.py
+++ b/fuchsiacroft/control/consensus/elections.py
@@ -1,8 +1,9 @@
 """Elections: pre-vote, votes, and when a member stands as a candidate."""
 
 import asyncio
+import bisect
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from fuchsiacroft.control.consensus import timing
 from fuchsiacroft.control.consensus.member import Member, Role
@@ -27,11 +28,47 @@
 
     async def run(self) -> None:
         """Stand for election whenever no leader is heard for a timeout."""
+        await self._stand_at_start()
         while True:
             await self._wait_for_timeout()
             if self._may_stand() and await self._poll():
                 await self._campaign()
 
+    async def _stand_at_start(self) -> None:
+        """Stand before the first timeout, once every voter says that none leads.
+
+        A leader's lease may rest on a voter that has just started, so voters
+        wait for its end. When all have started anew there is no such leader.
+        """
+        member = self._member
+        turns = self._turns_to_stand()
+        while member.is_fresh and member.hears_leader():
+            await asyncio.sleep(next(turns) * timing.START_TURN_S)
+            if not member.is_fresh or not self._may_stand():
+                continue
+            term = member.term
+            unled = await self._unled()
+            is_as_before = member.is_fresh and member.term == term
+            if is_as_before and unled >= member.configurations.voters_ever:
+                await self._campaign(tuple(sorted(unled)))
+
+    def _turns_to_stand(self) -> Iterator[int]:
+        """Yield how many turns to wait, so that one voter stands at a time."""
+        voters = sorted(v.identity for v in self._member.configuration.voters())
+        yield 1 + bisect.bisect_left(voters, self._member.identity)
+        while True:
+            yield max(len(voters), 1)
+
+    async def _unled(self) -> set[str]:
+        """Return the voters that do not lead and would vote for this member."""
+        member = self._member
+        voters = member.configuration.voters()
+        others = [v for v in voters if v.identity != member.identity]
+        asked = (self._request(voter, member.term + 1, pre=True) for voter in others)
+        replies = await asyncio.gather(*asked)
+        told = {r.source for r in replies if r is not None and _does_not_lead(r)}
+        return told | {member.identity}
+
     async def _wait_for_timeout(self) -> None:
         member = self._member
         low, high = timing.ELECTION_TIMEOUT_MIN_S, timing.ELECTION_TIMEOUT_MAX_S
@@ -63,67 +100,84 @@
             return False
         return member.term == term and not member.hears_leader()
 
-    async def _campaign(self) -> None:
+    async def _campaign(self, unled: tuple[str, ...] = ()) -> None:
         member = self._member
         member.stand()
         term = member.term
         await member.storage.sync()
         if not self._is_candidate(term):
             return
-        if await self._ask(term, pre=False) and self._is_candidate(term):
+        if await self._ask(term, pre=False, unled=unled) and self._is_candidate(term):
             member.lead()
             self._on_elected()
 
     def _is_candidate(self, term: int) -> bool:
         return self._member.role is Role.CANDIDATE and self._member.term == term
 
-    async def _ask(self, term: int, pre: bool) -> bool:
+    async def _ask(self, term: int, pre: bool, unled: tuple[str, ...] = ()) -> bool:
         """Ask every voter and tell whether a majority granted."""
         member = self._member
         configuration = member.configuration
         needed = configuration.majority() - 1
         others = [v for v in configuration.voters() if v.identity != member.identity]
         pending = {
-            asyncio.ensure_future(self._request(voter, term, pre)) for voter in others
+            asyncio.ensure_future(self._request(voter, term, pre, unled))
+            for voter in others
         }
         try:
             while needed > 0 and pending:
                 done, pending = await asyncio.wait(
                     pending, return_when=asyncio.FIRST_COMPLETED
                 )
-                needed -= sum(task.result() for task in done)
+                needed -= sum(_grants(task.result(), term) for task in done)
         finally:
             for task in pending:
                 task.cancel()
         return needed <= 0
 
-    async def _request(self, voter: GroupMember, term: int, pre: bool) -> int:
+    async def _request(
+        self,
+        voter: GroupMember,
+        term: int,
+        pre: bool,
+        unled: tuple[str, ...] = (),
+    ) -> VoteReply | None:
+        """Ask one voter; return its reply, or None if there is none."""
         member = self._member
         last = member.log.last
         group = member.configuration.group
         msg = VoteRequest(
-            group, member.identity, voter.identity, term, last.index, last.term, pre
+            group,
+            member.identity,
+            voter.identity,
+            term,
+            last.index,
+            last.term,
+            pre,
+            unled,
         )
         answer = await member.bus.request(voter.address, msg, timing.VOTE_TIMEOUT_S)
         if answer.is_error() or answer.ok.source != voter.identity:
-            return 0
+            return None
         reply = answer.ok
         if not reply.granted:
             if reply.term > member.term:
                 member.follow(reply.term, "")
-            return 0
-        if not pre:
+        elif not pre:
             member.note_mark(voter.identity, term, 0)
-        return 1 if reply.term == term else 0
+        return reply
 
     async def _on_vote(self, sender: str, msg: VoteRequest) -> VoteReply | None:
         member = self._member
         if not member.accepts(msg.group, msg.target):
             return None
-        if self._is_loyal() or not self._is_up_to_date(msg):
-            if not msg.pre and not self._is_loyal() and msg.term > member.term:
+        is_loyal = self._is_loyal() and not self._is_released(msg)
+        is_up_to_date = self._is_up_to_date(msg)
+        if is_loyal or not is_up_to_date:
+            if not msg.pre and not is_loyal and msg.term > member.term:
                 member.follow(msg.term, "")
-            return VoteReply(member.identity, member.term, False)
+            is_fresh = member.is_fresh and is_up_to_date
+            return VoteReply(member.identity, member.term, False, is_fresh)
         if msg.pre:
             granted = msg.term > member.term
             term = msg.term if granted else member.term
@@ -140,8 +194,26 @@
         """Tell whether a leader's lease may rest on this member."""
         return self._member.role is Role.LEADER or self._member.hears_leader()
 
+    def _is_released(self, msg: VoteRequest) -> bool:
+        """Tell whether no lease can rest on what this member did before its start.
+
+        Each disk that may lead by any configuration of its log does not lead.
+        """
+        member = self._member
+        if msg.pre or not msg.unled or not member.is_fresh:
+            return False
+        return member.configurations.voters_ever <= set(msg.unled)
+
     def _is_up_to_date(self, msg: VoteRequest) -> bool:
         last = self._member.log.last
         if not self._member.reaches_floor(Position(msg.last_index, msg.last_term)):
             return False
         return (msg.last_term, msg.last_index) >= (last.term, last.index)
+
+
+def _grants(reply: VoteReply | None, term: int) -> bool:
+    return reply is not None and reply.granted and reply.term == term
+
+
+def _does_not_lead(reply: VoteReply) -> bool:
+    return reply.granted or reply.is_fresh
--- a/fuchsiacroft/control/consensus/following.py
+++ b/fuchsiacroft/control/consensus/following.py
@@ -87,6 +87,7 @@
         if term != self._matched_term:
             self._matched, self._matched_term = 0, term
         member.heard_at = clock.now()
+        member.has_heard_leader = True
 
     def _is_candidate(self) -> bool:
         return self._member.role is Role.CANDIDATE
--- a/fuchsiacroft/control/consensus/member.py
+++ b/fuchsiacroft/control/consensus/member.py
@@ -54,6 +54,7 @@
         self.leaderless_since = 0.0
         self.halted: str | None = None
         self.heard_at = 0.0
+        self.has_heard_leader = False
         self.terms_led: set[int] = set()
         self.marks: dict[str, Mark] = {}
         self.commit_advanced = asyncio.Event()
@@ -99,6 +100,7 @@
         for entry in state.entries:
             self.configurations.note(entry)
         self.heard_at = clock.now()
+        self.has_heard_leader = False
         self.leaderless_since = clock.now()
 
     def accepts(self, group: str, target: str) -> bool:
@@ -111,6 +113,11 @@
         """Tell whether a leader was heard within the shortest election timeout."""
         return clock.now() - self.heard_at < timing.ELECTION_TIMEOUT_MIN_S
 
+    @property
+    def is_fresh(self) -> bool:
+        """Tell whether it has neither led nor heard a leader since its start."""
+        return self.role is not Role.LEADER and not self.has_heard_leader
+
     def follow(self, term: int, leader: str) -> None:
         """Enter a term, or stay in it, as a follower."""
         if term > self.term:
--- a/fuchsiacroft/control/consensus/messages.py
+++ b/fuchsiacroft/control/consensus/messages.py
@@ -15,7 +15,10 @@
 
 @codec.message("consensus.vote")
 class VoteRequest(msgspec.Struct, frozen=True, array_like=True):
-    """A candidate asks for a vote, or with `pre` whether it would get one."""
+    """A candidate asks for a vote, or with `pre` whether it would get one.
+
+    `unled` names the disks whose members told it just now that they do not lead.
+    """
 
     group: str
     source: str
@@ -24,15 +27,21 @@
     last_index: int
     last_term: int
     pre: bool
+    unled: tuple[str, ...] = ()
 
 
 @codec.message("consensus.vote_reply")
 class VoteReply(msgspec.Struct, frozen=True, array_like=True):
-    """A vote granted in `term`, or a refusal with the voter's term."""
+    """A vote granted in `term`, or a refusal with the voter's term.
+
+    `is_fresh` tells that it refuses only because it has just started: it does
+    not lead, and has heard no leader since.
+    """
 
     source: str
     term: int
     granted: bool
+    is_fresh: bool = False
 
 
 @codec.message("consensus.beat")
--- a/fuchsiacroft/tests/control/consensus/leases_tests.py
+++ b/fuchsiacroft/tests/control/consensus/leases_tests.py
@@ -146,6 +146,64 @@
 
         self.run_group(scenario)
 
+    def test_a_group_that_was_killed_as_a_whole_leads_again_before_leases_end(self):
+        async def scenario(group, leader):
+            await group.write(leader, 1, 2)
+            for node in group.nodes:
+                await node.kill()
+            began = clock.now()
+            for node in group.nodes:
+                await node.start()
+            new = await group.wait_leader()
+            self.assertLess(clock.now() - began, 0.8 * timing.ELECTION_TIMEOUT_MIN_S)
+            await group.write(new, 3)
+            self.assertEqual([1, 2, 3], new.machine.values)
+
+        for seed in range(10):
+            self.run_group(scenario, seed=seed)
+
+    def test_one_member_at_a_time_stands_after_a_common_start(self):
+        async def scenario(group, leader):
+            term = max(node.log.term for node in group.nodes)
+            for node in group.nodes:
+                await node.kill()
+            for node in group.nodes:
+                await node.start()
+            new = await group.wait_leader()
+            self.assertEqual(term + 1, new.log.term)
+
+        for seed in range(30):
+            self.run_group(scenario, seed=seed)
+
+    def test_restarted_voters_wait_for_the_lease_of_a_leader_they_do_not_hear(self):
+        async def scenario(group, leader):
+            others = [node for node in group.nodes if node is not leader]
+            self.cut_links(group, leader, ("in", "out"))
+            for node in others:
+                await node.restart()
+            while leader.leads:
+                self.assertFalse(any(node.leads for node in others))
+                await asyncio.sleep(0.002)
+            await group.wait(lambda: any(node.leads for node in others))
+
+        for seed in range(10):
+            self.run_group(scenario, seed=seed)
+
+    def test_a_restarted_voter_is_released_only_by_the_word_of_every_voter(self):
+        async def scenario(group, leader):
+            one, other = [node for node in group.nodes if node is not leader]
+            identities = [node.log.member.identity for node in group.nodes]
+            all_but_leader = [i for i in identities if i != leader.log.member.identity]
+            for unled, granted in ((all_but_leader, False), (identities, True)):
+                await other.restart()
+                await group.wait(lambda: other.log.member.verified)
+                group.network.cut_link(leader.address, other.address)
+                term = other.log.term + 1
+                reply = await self.ask_vote(one, other, term, tuple(unled))
+                self.assertEqual(granted, reply.granted)
+
+        self.run_group(scenario)
+
     def test_a_vote_is_durable_before_it_is_given(self):
         async def scenario(group, leader):
             one, other = [node for node in group.nodes if node is not leader]
@@ -215,7 +273,9 @@
 
         self.run_group(scenario)
 
-    async def ask_vote(self, one: Node, other: Node, term: int) -> VoteReply:
+    async def ask_vote(
+        self, one: Node, other: Node, term: int, unled: tuple[str, ...] = ()
+    ) -> VoteReply:
         """Ask a member for its vote in another's name."""
         member = one.log.member
         last = member.log.last
@@ -227,5 +287,6 @@
             last.index,
             last.term,
             False,
+            unled,
         )
         return (await one.bus.request(other.address, msg, 5)).ok
