--- a/fuchsiacroft/control/consensus/elections.py
+++ b/fuchsiacroft/control/consensus/elections.py
@@ -54,8 +54,8 @@
 
     def _turns_to_stand(self) -> Iterator[int]:
         """Yield how many turns to wait, so that one voter stands at a time."""
-        voters = sorted(v.identity for v in self._member.configuration.voters())
-        yield 1 + bisect.bisect_left(voters, self._member.identity)
+        voters = sorted(v.address for v in self._member.configuration.voters())
+        yield 1 + bisect.bisect_left(voters, self._member.address)
         while True:
             yield max(len(voters), 1)
 
