Wait in tests of the platform until control members acknowledge leaves

Cause: a control member acknowledges no leave in its first second, as it may not know every entry yet, and the region's start used to take longer than that for the election alone; with an election at once the tests came too early. The fake region now waits for that second, as the test's case is a member that knows its entries; the checks are as they were.

Ruled out: the load; and shortening the second, which replaces knowing all entries.

--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.membership.registry import LEARN_ENTRIES_S
 from fuchsiacroft.platform import processes
 from fuchsiacroft.platform.settings import WireSettings
 from fuchsiacroft.tests.base import SocketTestCase
@@ -118,15 +119,21 @@
         )
 
     async def start(self) -> None:
-        """Start every process and put the first configuration in force."""
+        """Start every process and put the first configuration in force.
+
+        A control member acknowledges no leave until it has run for
+        `LEARN_ENTRIES_S`; that is over when this returns.
+        """
         for ip in (*self.controls, *self.edges):
             await self.start_process(ip)
+        settled_at = asyncio.get_running_loop().time() + LEARN_ENTRIES_S
         async with asyncio.timeout(15):
             while (await self.put_config(config())) != 200:
                 await asyncio.sleep(0.1)
             for ip in self.edges:
                 while (await self.ready(ip)) != 200:
                     await asyncio.sleep(0.05)
+        await asyncio.sleep(settled_at - asyncio.get_running_loop().time())
 
     async def start_process(self, ip: str) -> None:
         """Start the process of a machine."""
