Compute a waiting request's usual run once

Found reading the change: where places are taken, the median of a request's run over all servers was taken for its run time, for whether it is quick, for its expected wait and again for the wait elsewhere. A waiter keeps whether it is quick, and its expected wait follows from its position.

Checked: 90,000 random requests, placed, refused and given up, decided alike before and after (same hash); allocator, neighbours and placer tests, 48 passed. 745 and 694 µs for a request that waits or is refused at 100 servers.

--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -119,16 +119,17 @@
             self.give_back(request, admitted_at)
             return Refusal(RefusalReason.NO_BACKEND_SERVER, MIN_RETRY_AFTER_S)
         queue = self._queues.setdefault(ask.service, Queue())
+        run_s = self.fleet.usual_run_s(ask)
         waiter = Waiter(
             request,
             admitted_at=admitted_at,
             arrived_at=at,
             in_time_until=at + request.in_time_s,
             until=at + request.max_wait_s,
-            run_s=self.fleet.usual_run_s(ask),
-            is_quick=self._is_quick(ask),
-            late=self._expected_wait_s(ask, queue) > request.in_time_s,
+            run_s=run_s,
+            is_quick=self._is_quick(ask.service, run_s),
         )
+        waiter.late = self.expected_wait_s(waiter) > request.in_time_s
         if waiter.late and not self._has_late_room(queue, waiter):
             self.give_back(request, admitted_at)
             return Refusal(RefusalReason.OVERLOADED, OVERLOAD_RETRY_S)
@@ -189,9 +190,10 @@
             self._remove(waiter)
         return waiter is not None
 
-    def expected_wait_s(self, ask: Ask) -> float:
-        """Return when the turn of a request that comes now would be."""
-        return self._expected_wait_s(ask, self._queues.get(ask.service, Queue()))
+    def expected_wait_s(self, waiter: Waiter) -> float:
+        """Return when the turn of a request just like this one would be."""
+        service = waiter.request.ask.service
+        return self._expected_wait_s(service, waiter.position_in_time)
 
     def rooms(self, at: float) -> tuple[ServiceRoom, ...]:
         """Return the room of each service, for other failure domains."""
@@ -217,23 +219,26 @@
             slots=self.fleet.slots(ask.service),
             waiting=len(queue),
             late=queue.late(),
-            expected_wait_s=self.expected_wait_s(ask),
+            expected_wait_s=self._expected_wait_s(
+                ask.service, self._position_in_time(ask)
+            ),
             units_left=self.quotas.left(ask.workspace, at),
         )
 
-    def _is_quick(self, ask: Ask) -> bool:
-        """Tell whether a request takes a place for little of the usual time."""
-        usual_s = self.fleet.mean_run_s(ask.service)
-        return self.fleet.usual_run_s(ask) <= QUICK_SHARE * usual_s
+    def _is_quick(self, service: str, run_s: float) -> bool:
+        """Tell whether a run takes a place for little of the usual time."""
+        return run_s <= QUICK_SHARE * self.fleet.mean_run_s(service)
 
     def _position_in_time(self, ask: Ask) -> Position:
-        return position(ask.rank, is_late=False, is_quick=self._is_quick(ask))
+        is_quick = self._is_quick(ask.service, self.fleet.usual_run_s(ask))
+        return position(ask.rank, is_late=False, is_quick=is_quick)
 
-    def _expected_wait_s(self, ask: Ask, queue: Queue) -> float:
-        """Return when a new waiter's turn would come."""
-        ahead = queue.ahead_of(self._position_in_time(ask))
-        slots = max(self.fleet.slots(ask.service), 1)
-        return (ahead + 1) * self.fleet.mean_run_s(ask.service) / slots
+    def _expected_wait_s(self, service: str, place: Position) -> float:
+        """Return when the turn of a new waiter at a position would come."""
+        queue = self._queues.get(service)
+        ahead = queue.ahead_of(place) if queue is not None else 0
+        slots = max(self.fleet.slots(service), 1)
+        return (ahead + 1) * self.fleet.mean_run_s(service) / slots
 
     def _serve(
         self, service: str, queue: Queue, at: float
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -138,11 +138,10 @@
 
     def _may_wait_elsewhere(self, waiter: Waiter) -> bool:
         """Tell whether a turn here comes late, and one elsewhere perhaps before."""
-        ask = waiter.request.ask
         return (
             waiter.request.in_time_s > LEAST_WAIT_ELSEWHERE_S
-            and self.allocator.expected_wait_s(ask) > LEAST_WAIT_ELSEWHERE_S
-            and self._neighbours.has_less_urgent(ask)
+            and self.allocator.expected_wait_s(waiter) > LEAST_WAIT_ELSEWHERE_S
+            and self._neighbours.has_less_urgent(waiter.request.ask)
         )
 
     async def _first_turn_of(self, waiter: Waiter) -> Outcome:
--- a/fuchsiacroft/placing/queue.py
+++ b/fuchsiacroft/placing/queue.py
@@ -76,6 +76,11 @@
         """Return where in the queue it waits."""
         return position(self.rank, is_late=self.late, is_quick=self.is_quick)
 
+    @property
+    def position_in_time(self) -> Position:
+        """Return where it would wait if it could still be answered in time."""
+        return position(self.rank, is_late=False, is_quick=self.is_quick)
+
 
 class Queue:
     """The waiters of one service, in the order of their positions."""
