Keep the servers of each service at hand

Found reading the change: every question of the allocator about a service (places, free ones, the usual run, which server to take) went through all servers of the domain and their offers. The fleet keeps them by service; servers change seldom.

--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -4,7 +4,7 @@
 """
 
 import statistics
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from fuchsiacroft.membership.registry_wire import ServerRecord
@@ -44,6 +44,7 @@
 
     def __init__(self) -> None:
         self._servers: dict[str, ServerLoad] = {}
+        self._by_service: dict[str, list[ServerLoad]] = {}
         self._runs: dict[str, ServerLoad] = {}
         self._mean_run_s: dict[str, float] = {}
         self.share = 1.0
@@ -74,10 +75,14 @@
             if load is not None:
                 self._forget(name, at)
             self._servers[name] = ServerLoad(record)
+        self._by_service = {}
+        for load in self._servers.values():
+            for service in load.services:
+                self._by_service.setdefault(service, []).append(load)
 
     def serves(self, service: str) -> bool:
         """Tell whether any server offers a service."""
-        return any(True for _ in self._offering(service))
+        return bool(self._offering(service))
 
     def slots(self, service: str) -> int:
         """Return how many requests of a service run at a time."""
@@ -89,11 +94,7 @@
 
     def services(self) -> set[str]:
         """Return the services that are offered."""
-        return {
-            offer.service
-            for load in self._servers.values()
-            for offer in load.record.announcement.offers
-        }
+        return set(self._by_service)
 
     def mean_run_s(self, service: str) -> float:
         """Return the mean time of a service's runs."""
@@ -171,8 +172,8 @@
         load.begin(run)
         self._runs[run.run_id] = load
 
-    def _offering(self, service: str) -> Iterable[ServerLoad]:
-        return (load for load in self._servers.values() if load.offers(service))
+    def _offering(self, service: str) -> Sequence[ServerLoad]:
+        return self._by_service.get(service, ())
 
     def _free(self, load: ServerLoad, at: float) -> int:
         return max(load.free(at, self.share), 0)
--- a/fuchsiacroft/placing/server_load.py
+++ b/fuchsiacroft/placing/server_load.py
@@ -63,9 +63,10 @@
         """Return how many requests it runs at a time."""
         return self.record.announcement.slots or PLAIN_SLOTS
 
-    def offers(self, service: str) -> bool:
-        """Tell whether it serves a service."""
-        return any(o.service == service for o in self.record.announcement.offers)
+    @property
+    def services(self) -> set[str]:
+        """Return the services that it offers."""
+        return {offer.service for offer in self.record.announcement.offers}
 
     def free(self, at: float, share: float = 1.0) -> int:
         """Return how many more requests it may run now, of a share of its slots."""
