Take out state and copies that the change did not need

Read again: a connection's idle timer kept a flag for its second look, which is a second timer now; the voters beside a member were listed in two places; the verdict on a request added its details in each branch; beliefs were looked for by fifteen searches in each line; the limits' defaults stood in the platform's types and in the route table; the last late waiter was found by sorting the queue. A pattern of logs directly under / was looked for in the working folder.

Checked: 89 tests of what was touched, caller_limits_tests on uvloop too; explain prints the same for three requests; 90,000 random placements decided alike.

--- a/fuchsiacroft/commands/explain.py
+++ b/fuchsiacroft/commands/explain.py
@@ -63,10 +63,10 @@
     found = story.of_request(files, request_id, around_s)
     if not found.own:
         return _nothing(files, f"request {request_id}")
+    lines = found.lines
     own = set(map(id, found.own))
-    began = found.lines[0].at
-    for line in found.lines:
-        print(_shown(line, began, mark="*" if id(line) in own else " "))
+    for line in lines:
+        print(_shown(line, lines[0].at, mark="*" if id(line) in own else " "))
     print(f"\n{request_id}: {verdict.of(found)}")
     return ExitCode.OK
 
--- a/fuchsiacroft/control/consensus/elections.py
+++ b/fuchsiacroft/control/consensus/elections.py
@@ -62,9 +62,8 @@
     async def _unled(self) -> set[str]:
         """Return the voters that do not lead and would vote for this member."""
         member = self._member
-        voters = member.configuration.voters()
-        others = [v for v in voters if v.identity != member.identity]
-        asked = (self._request(voter, member.term + 1, pre=True) for voter in others)
+        term = member.term + 1
+        asked = (self._request(voter, term, pre=True) for voter in self._others())
         replies = await asyncio.gather(*asked)
         told = {r.source for r in replies if r is not None and _does_not_lead(r)}
         return told | {member.identity}
@@ -116,13 +115,10 @@
 
     async def _ask(self, term: int, pre: bool, unled: tuple[str, ...] = ()) -> bool:
         """Ask every voter and tell whether a majority granted."""
-        member = self._member
-        configuration = member.configuration
-        needed = configuration.majority() - 1
-        others = [v for v in configuration.voters() if v.identity != member.identity]
+        needed = self._member.configuration.majority() - 1
         pending = {
             asyncio.ensure_future(self._request(voter, term, pre, unled))
-            for voter in others
+            for voter in self._others()
         }
         try:
             while needed > 0 and pending:
@@ -135,6 +131,12 @@
                 task.cancel()
         return needed <= 0
 
+    def _others(self) -> list[GroupMember]:
+        """Return the voters beside this member."""
+        member = self._member
+        voters = member.configuration.voters()
+        return [voter for voter in voters if voter.identity != member.identity]
+
     async def _request(
         self,
         voter: GroupMember,
--- a/fuchsiacroft/entry/caller_server.py
+++ b/fuchsiacroft/entry/caller_server.py
@@ -35,7 +35,7 @@
     The limits are those at its start.
     """
 
-    __slots__ = ("_head_timeout_s", "_head_timer", "_was_reread", "heard")
+    __slots__ = ("_head_timeout_s", "_head_timer", "heard")
 
     def __init__(self, manager: "CallerServer", limits: CallerLimits, **more) -> None:
         super().__init__(
@@ -48,7 +48,6 @@
         self.heard = False
         self._head_timeout_s = limits.header_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
-        self._was_reread = False
 
     @property
     def _is_idle(self) -> bool:
@@ -99,14 +98,9 @@
 
     def _process_keepalive(self) -> None:
         """Close an idle connection, after bytes that wait have been read."""
-        if self._is_idle and not self._was_reread:
-            self._was_reread = True
-            self._keepalive_handle = self._loop.call_later(
-                REREAD_S, self._process_keepalive
-            )
-            return
-        self._was_reread = False
-        super()._process_keepalive()
+        self._keepalive_handle = self._loop.call_later(
+            REREAD_S, super()._process_keepalive
+        )
 
     def handle_error(
         self,
--- a/fuchsiacroft/explain/log_files.py
+++ b/fuchsiacroft/explain/log_files.py
@@ -57,10 +57,6 @@
         elif path.is_file():
             found.append(path)
         else:
-            found.extend(p for p in sorted(_matching(path)) if p.is_file())
+            matching = sorted(path.parent.glob(path.name)) if path.name else []
+            found.extend(p for p in matching if p.is_file())
     return found
-
-
-def _matching(path: Path) -> Iterator[Path]:
-    folder = path.parent if path.parent.name else Path()
-    return folder.glob(path.name)
--- a/fuchsiacroft/explain/story.py
+++ b/fuchsiacroft/explain/story.py
@@ -95,12 +95,13 @@
 
 
 def _tells_belief(text: str) -> bool:
-    return any(f"event={name}" in text for name in BELIEF_EVENTS)
+    words = text.partition("event=")[2].split(maxsplit=1)
+    return bool(words) and words[0] in BELIEF_EVENTS
 
 
 def _concerns(line: LogLine, story: Story) -> bool:
     """Tell whether a belief may have decided: of its servers, or in its processes."""
-    if line.event not in BELIEF_EVENTS or line.fields.get(REQUEST, NONE) != NONE:
+    if line.fields.get(REQUEST, NONE) != NONE:
         return False
     if SERVER in line.fields:
         return line.fields[SERVER] in story.servers
--- a/fuchsiacroft/explain/verdict.py
+++ b/fuchsiacroft/explain/verdict.py
@@ -31,19 +31,22 @@
     ending = story.ending
     if ending is None:
         return "its end is not in these logs: its entry ended, or lines were dropped"
-    status = ending.fields.get("status", "")
-    problem = ending.fields.get("problem", "-")
-    if problem == "timed_out" and ending.fields.get("runs") == "0":
-        return f"status {status}: no place came in its time{_details(story, ending)}"
+    return _sentence(ending.fields) + _details(story, ending)
+
+
+def _sentence(fields: dict[str, str]) -> str:
+    """Return how a request ended, by the fields of its last line."""
+    status = fields.get("status", "")
+    problem = fields.get("problem", "-")
+    if problem == "timed_out" and fields.get("runs") == "0":
+        return f"status {status}: no place came in its time"
     if problem in BY_PROBLEM:
-        return f"status {status}: {BY_PROBLEM[problem]}{_details(story, ending)}"
+        return f"status {status}: {BY_PROBLEM[problem]}"
     if status in BY_STATUS:
-        return f"{BY_STATUS[status]}{_details(story, ending)}"
+        return BY_STATUS[status]
     if status.startswith("5"):
-        return (
-            f"status {status}, which the backend server gave{_details(story, ending)}"
-        )
-    return f"status {status}{_details(story, ending)}"
+        return f"status {status}, which the backend server gave"
+    return f"status {status}"
 
 
 def _details(story: Story, ending: LogLine) -> str:
--- a/fuchsiacroft/placing/queue.py
+++ b/fuchsiacroft/placing/queue.py
@@ -135,5 +135,6 @@
 
     def last_late(self) -> Waiter | None:
         """Return the late waiter that is placed after all others."""
-        late = [waiter for waiter in self.waiters() if waiter.late]
-        return late[-1] if late else None
+        late = (item for item in self._heap if item[-1].late and not item[-1].gone)
+        last = max(late, default=None)
+        return last[-1] if last is not None else None
--- a/fuchsiacroft/platform/documents.py
+++ b/fuchsiacroft/platform/documents.py
@@ -22,6 +22,7 @@
 )
 
 MS = 1000.0
+DEFAULT_LIMITS = CallerLimits()
 TOKENS_UNIT = "tokens"
 
 
@@ -69,10 +70,10 @@
 class WireLimits(msgspec.Struct, rename="camel"):
     """What clients may send."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: int = DEFAULT_LIMITS.max_header_bytes
+    max_body_bytes: int = DEFAULT_LIMITS.max_body_bytes
+    header_timeout_ms: float = DEFAULT_LIMITS.header_timeout_s * MS
+    idle_timeout_ms: float = DEFAULT_LIMITS.idle_timeout_s * MS
 
 
 class WireTenant(msgspec.Struct, rename="camel"):
