Write the platform's wire once for all tests

The soak had copies of what the fake region writes and reads: settings, a backend server's report, a request's bytes, the head of an answer, a chunk, the ports. They stand in tests/fakes/platform_wire.py now. Out of the soak went a field and a flag that nothing read; a crash and a leave share the server's return.

--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -14,16 +14,17 @@
 from fuchsiacroft.platform import processes
 from fuchsiacroft.platform.settings import WireSettings
 from fuchsiacroft.tests.base import SocketTestCase
+from fuchsiacroft.tests.fakes import platform_wire
+from fuchsiacroft.tests.fakes.platform_wire import (
+    CONTROL_PORT,
+    DATA_PORT,
+    HOST,
+    READY_PORT,
+    read_chunk,
+    read_head,
+)
 from fuchsiacroft.tests.fakes.replica import Replica, plain
 
-HOST = "shop.example"
-DATA_PORT, READY_PORT, CONTROL_PORT, PEERS_PORT, REPLICA_PORT = (
-    8221,
-    8224,
-    8229,
-    7600,
-    80,
-)
 _nets = itertools.count(1)
 _ids = itertools.count(1)
 
@@ -94,29 +95,16 @@
 
     def settings(self, ip: str) -> WireSettings:
         """Return the settings of the machine with this address."""
-        is_control = ip in self.controls
-        bind = {"controlPlane": f"{ip}:{CONTROL_PORT}"}
-        if not is_control:
-            bind = {
-                "dataPlane": f"{ip}:{DATA_PORT}",
-                "readiness": f"{ip}:{READY_PORT}",
-            }
-        return msgspec.convert(
-            {
-                "nodeName": f"node-{ip}",
-                "ip": ip,
-                "zone": "mvd-cordon",
-                "region": "mvd",
-                "bind": bind,
-                "portRange": [PEERS_PORT, PEERS_PORT + 15],
-                "seeds": [f"{peer}:{CONTROL_PORT}" for peer in self.controls],
-                "bootstrap": True,
-                "dataDir": str(Path(self._folder.name) / ip) if is_control else None,
-                "heartbeatMs": 1200,
-                "bounds": {"graceS": 8},
-            },
-            WireSettings,
+        told = platform_wire.settings(
+            ip,
+            self.controls,
+            zone="mvd-cordon",
+            data_dir=Path(self._folder.name) / ip if ip in self.controls else None,
+            bootstrap=True,
+            heartbeatMs=1200,
+            bounds={"graceS": 8},
         )
+        return msgspec.convert(told, WireSettings)
 
     async def start(self) -> None:
         """Start every process and put the first configuration in force.
@@ -168,17 +156,17 @@
         self, replica: Replica, service: str, state: str = "ready", control: int = 0
     ) -> int:
         """Send a heartbeat; return the status of its answer."""
-        body = {
-            "service": service,
-            "address": replica.address,
-            "zone": "mvd-cordon",
-            "slots": 4,
-            "state": state,
-            "sequence": next(self._sequence),
-            "born": 1_000,
-        }
+        body = platform_wire.heartbeat(
+            service,
+            replica.address,
+            zone="mvd-cordon",
+            slots=4,
+            state=state,
+            sequence=next(self._sequence),
+            born=1_000,
+        )
         url = self.url(control, f"/v1/replicas/{replica.replica_id}")
-        return await self.call("PUT", url, msgspec.json.encode(body))
+        return await self.call("PUT", url, body)
 
     def url(self, control: int, path: str) -> str:
         """Return the URL of a call at a control member."""
@@ -243,27 +231,16 @@
         key: str = "key-1",
     ) -> bytes:
         """Return the bytes of a request; `more` are further header lines."""
-        lines = [
-            f"{method} {path} HTTP/1.1",
-            f"Host: {HOST}",
-            f"Fuchsiacroft-Attempt-Id: {next(_ids):016x}",
-            f"X-Api-Key: {key}",
-            *more,
-        ]
-        if body or method == "POST":
-            lines.append(f"Content-Length: {len(body)}")
-        return "\r\n".join((*lines, "", "")).encode() + body
+        attempt_id = f"{next(_ids):016x}"
+        sent = body if body or method == "POST" else None
+        return platform_wire.request(
+            method, path, attempt_id, f"X-Api-Key: {key}", *more, body=sent
+        )
 
 
 async def read_answer(reader: asyncio.StreamReader) -> Answer:
     """Read one response off a client's connection."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    line, *rest = head.rstrip("\r\n").split("\r\n")
-    headers = {}
-    for text in rest:
-        name, _, value = text.partition(": ")
-        headers[name.lower()] = value
-    status = int(line.split()[1])
+    status, headers = await read_head(reader)
     if headers.get("transfer-encoding") == "chunked":
         body, whole = await _read_chunks(reader)
         return Answer(status, headers, body, whole)
@@ -274,10 +251,8 @@
 async def _read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
     body = b""
     try:
-        while size := int(await reader.readuntil(b"\r\n"), 16):
-            body += await reader.readexactly(size)
-            await reader.readexactly(2)
-        await reader.readexactly(2)
+        while data := await read_chunk(reader):
+            body += data
     except (asyncio.IncompleteReadError, ConnectionError, ValueError):
         return body, False
     return body, True
--- /dev/null
+++ b/fuchsiacroft/tests/fakes/platform_wire.py
@@ -0,0 +1,73 @@
+"""What goes over the platform's wire in tests: settings, reports and requests."""
+
+import asyncio
+from pathlib import Path
+
+import msgspec
+
+HOST = "shop.example"
+DATA_PORT, READY_PORT, CONTROL_PORT, PEERS_PORT = 8221, 8224, 8229, 7600
+FREE_PORTS = 15
+"""After the first, the ports that the processes of a machine may use."""
+
+
+def settings(
+    ip: str, seeds: list[str], *, zone: str, data_dir: Path | None, **more: object
+) -> dict:
+    """Return the settings of an entry, or with `data_dir` of a control member."""
+    bind = {"controlPlane": f"{ip}:{CONTROL_PORT}"}
+    if data_dir is None:
+        bind = {
+            "dataPlane": f"{ip}:{DATA_PORT}",
+            "readiness": f"{ip}:{READY_PORT}",
+        }
+    return {
+        "nodeName": f"node-{ip}",
+        "ip": ip,
+        "zone": zone,
+        "region": "mvd",
+        "bind": bind,
+        "portRange": [PEERS_PORT, PEERS_PORT + FREE_PORTS],
+        "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
+        "dataDir": str(data_dir) if data_dir is not None else None,
+        **more,
+    }
+
+
+def heartbeat(service: str, address: str, **more: object) -> bytes:
+    """Return what a backend server reports of itself."""
+    return msgspec.json.encode({"service": service, "address": address, **more})
+
+
+def request(
+    method: str, target: str, attempt_id: str, *more: str, body: bytes | None = None
+) -> bytes:
+    """Return the bytes of a request; `more` are further header lines."""
+    lines = [
+        f"{method} {target} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Fuchsiacroft-Attempt-Id: {attempt_id}",
+        *more,
+    ]
+    if body is not None:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join((*lines, "", "")).encode() + (body or b"")
+
+
+async def read_head(reader: asyncio.StreamReader) -> tuple[int, dict[str, str]]:
+    """Read the head of an answer; return its status, and headers by lower name."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    line, *rest = head.rstrip("\r\n").split("\r\n")
+    headers = {}
+    for text in rest:
+        name, _, value = text.partition(": ")
+        headers[name.lower()] = value
+    return int(line.split()[1]), headers
+
+
+async def read_chunk(reader: asyncio.StreamReader) -> bytes:
+    """Read one chunk of a chunked body; the last one is empty."""
+    size = int(await reader.readuntil(b"\r\n"), 16)
+    data = await reader.readexactly(size)
+    await reader.readexactly(2)
+    return data
--- a/fuchsiacroft/tests/platform/requests_tests.py
+++ b/fuchsiacroft/tests/platform/requests_tests.py
@@ -6,11 +6,11 @@
 
 from fuchsiacroft.placing.coordinator import Coordinator
 from fuchsiacroft.tests.fakes.platform_region import (
-    HOST,
     PlatformTestCase,
     config,
     read_answer,
 )
+from fuchsiacroft.tests.fakes.platform_wire import HOST
 from fuchsiacroft.tests.fakes.replica import (
     LAST_CHUNK,
     SEAL,
--- a/fuchsiacroft/tests/soak/callers.py
+++ b/fuchsiacroft/tests/soak/callers.py
@@ -4,8 +4,14 @@
 import itertools
 import random
 
-from fuchsiacroft.tests.fakes.platform_region import HOST
-from fuchsiacroft.tests.soak.fleet import DATA_PORT, READY_PORT, Program
+from fuchsiacroft.tests.fakes import platform_wire
+from fuchsiacroft.tests.fakes.platform_wire import (
+    DATA_PORT,
+    READY_PORT,
+    read_chunk,
+    read_head,
+)
+from fuchsiacroft.tests.soak.fleet import Program
 from fuchsiacroft.tests.soak.observed import Attempt, Observed
 
 ROUTES = {
@@ -96,7 +102,16 @@
         )
         self._seen.attempts.append(attempt)
         reader, writer = self._conn
-        writer.write(_request(method, f"{prefix}{attempt_id}", attempt))
+        writer.write(
+            platform_wire.request(
+                method,
+                f"{prefix}{attempt_id}",
+                attempt_id,
+                f"Fuchsiacroft-Deadline-Ms: {timeout_s * 1000:.0f}",
+                "X-Api-Key: key-1",
+                body=body,
+            )
+        )
         limit_s = timeout_s + GIVE_UP_S
         if self._rng.random() < LEAVE_SHARE:
             limit_s = self._rng.uniform(0.0, 0.1)
@@ -112,27 +127,9 @@
             self._conn = None
 
 
-def _request(method: str, target: str, attempt: Attempt) -> bytes:
-    lines = (
-        f"{method} {target} HTTP/1.1",
-        f"Host: {HOST}",
-        f"Fuchsiacroft-Attempt-Id: {attempt.attempt_id}",
-        f"Fuchsiacroft-Deadline-Ms: {attempt.timeout_s * 1000:.0f}",
-        "X-Api-Key: key-1",
-        f"Content-Length: {len(attempt.body)}",
-    )
-    return "\r\n".join((*lines, "", "")).encode() + attempt.body
-
-
 async def _read(reader: asyncio.StreamReader, attempt: Attempt) -> bool:
     """Read one answer; return whether the connection may be used again."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    line, *rest = head.rstrip("\r\n").split("\r\n")
-    headers = {}
-    for text in rest:
-        name, _, value = text.partition(": ")
-        headers[name.lower()] = value
-    attempt.status = int(line.split()[1])
+    attempt.status, headers = await read_head(reader)
     told = headers.get("fuchsiacroft-attempt-id")
     attempt.genuine = told in (None, attempt.attempt_id)
     if headers.get("transfer-encoding") == "chunked":
@@ -148,10 +145,7 @@
 
 async def _read_events(reader: asyncio.StreamReader, attempt: Attempt) -> None:
     rest = b""
-    while size := int(await reader.readuntil(b"\r\n"), 16):
-        rest += await reader.readexactly(size)
-        await reader.readexactly(2)
-        *events, rest = rest.split(b"\n\n")
+    while data := await read_chunk(reader):
+        *events, rest = (rest + data).split(b"\n\n")
         for event in events:
             attempt.events.append(int(event.split(b"\n")[0].removeprefix(b"id: ")))
-    await reader.readexactly(2)
--- a/fuchsiacroft/tests/soak/fleet.py
+++ b/fuchsiacroft/tests/soak/fleet.py
@@ -10,12 +10,13 @@
 import msgspec
 
 from fuchsiacroft.platform.settings import PATH_VARIABLE
+from fuchsiacroft.tests.fakes import platform_wire
 from fuchsiacroft.tests.soak.observed import Observed
 
 REPOSITORY = Path(__file__).resolve().parents[3]
 GRACE_S = 6.0
 """After SIGTERM, until a process is killed."""
-DATA_PORT, READY_PORT, CONTROL_PORT, PEERS_PORT = 8221, 8224, 8229, 7600
+HEARTBEAT_MS = 300
 TORN_BYTES = b"\x00\xfftorn" * 3
 
 
@@ -28,7 +29,6 @@
         self.role = role
         self.ip = ip
         self.zone = zone
-        self.is_stopping = False
         self.is_busy = False
         self.data = folder / f"{ip}-data"
         self.log = folder / f"{ip}.log"
@@ -40,31 +40,21 @@
 
     def write_settings(self, seeds: list[str], bootstrap: bool) -> None:
         """Write the settings file."""
-        bind = {"controlPlane": f"{self.ip}:{CONTROL_PORT}"}
-        if self.role == "entry":
-            bind = {
-                "dataPlane": f"{self.ip}:{DATA_PORT}",
-                "readiness": f"{self.ip}:{READY_PORT}",
-            }
-        settings = {
-            "nodeName": f"node-{self.ip}",
-            "ip": self.ip,
-            "zone": self.zone,
-            "region": "mvd",
-            "bind": bind,
-            "portRange": [PEERS_PORT, PEERS_PORT + 15],
-            "seeds": [f"{ip}:{CONTROL_PORT}" for ip in seeds],
-            "bootstrap": bootstrap,
-            "dataDir": str(self.data) if self.role == "control" else None,
-            "heartbeatMs": 300,
-            "bounds": {"graceS": GRACE_S},
-        }
+        settings = platform_wire.settings(
+            self.ip,
+            seeds,
+            zone=self.zone,
+            data_dir=self.data if self.role == "control" else None,
+            bootstrap=bootstrap,
+            heartbeatMs=HEARTBEAT_MS,
+            bounds={"graceS": GRACE_S},
+        )
         self._settings.write_bytes(msgspec.json.encode(settings))
 
     async def start(self) -> None:
         """Start the process; its log goes on in the same file."""
         self.data.mkdir(exist_ok=True)
-        self.is_stopping = self._expected = False
+        self._expected = False
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -94,7 +84,7 @@
 
     async def stop(self) -> bool:
         """Stop the process as planned work does; return whether it kept its time."""
-        self._expected = self.is_stopping = True
+        self._expected = True
         self.send(signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S):
--- a/fuchsiacroft/tests/soak/observed.py
+++ b/fuchsiacroft/tests/soak/observed.py
@@ -28,13 +28,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """A backend server began to work on a request, after event `resumed_after`."""
+    """A backend server began to work on a request."""
 
     attempt_id: str
     server: str
     at: float
     body: bytes
-    resumed_after: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiacroft/tests/soak/operator.py
+++ b/fuchsiacroft/tests/soak/operator.py
@@ -6,8 +6,9 @@
 import msgspec
 
 from fuchsiacroft.tests.fakes.platform_region import config
+from fuchsiacroft.tests.fakes.platform_wire import CONTROL_PORT
 from fuchsiacroft.tests.soak.callers import ROUTES
-from fuchsiacroft.tests.soak.fleet import CONTROL_PORT, Program
+from fuchsiacroft.tests.soak.fleet import Program
 from fuchsiacroft.tests.soak.observed import Observed, Read
 
 READ_PERIOD_S = 0.3
--- a/fuchsiacroft/tests/soak/promises_tests.py
+++ b/fuchsiacroft/tests/soak/promises_tests.py
@@ -25,7 +25,7 @@
 def run(**changes) -> Run:
     """Return a run of that attempt."""
     fields = {"attempt_id": "a", "server": "i1-1", "at": 10.0, "body": b""}
-    return Run(**(fields | {"resumed_after": 0} | changes))
+    return Run(**(fields | changes))
 
 
 class PromisesTests(TestCase):
--- a/fuchsiacroft/tests/soak/run.py
+++ b/fuchsiacroft/tests/soak/run.py
@@ -9,9 +9,10 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from fuchsiacroft.tests.fakes.platform_wire import CONTROL_PORT
 from fuchsiacroft.tests.soak import promises, schedule
 from fuchsiacroft.tests.soak.callers import Balancer, Caller
-from fuchsiacroft.tests.soak.fleet import CONTROL_PORT, Program
+from fuchsiacroft.tests.soak.fleet import Program
 from fuchsiacroft.tests.soak.observed import Observed
 from fuchsiacroft.tests.soak.operator import Operator
 from fuchsiacroft.tests.soak.proxy import Proxy
@@ -235,12 +236,8 @@
 
     async def _crash_server(self, fault: Fault) -> None:
         server = self._server_for(fault)
-        if server is None:
-            return
-        await server.crash()
-        await asyncio.sleep(fault.for_s)
-        await self._start_server(server)
-        server.is_busy = False
+        if server is not None:
+            await self._replace_server(server, fault)
 
     async def _leave_server(self, fault: Fault) -> None:
         server = self._server_for(fault)
@@ -248,6 +245,9 @@
             return
         await server.leave()
         await asyncio.sleep(promises.LEAVE_S + 1.0)
+        await self._replace_server(server, fault)
+
+    async def _replace_server(self, server: SoakServer, fault: Fault) -> None:
         await server.crash()
         await asyncio.sleep(fault.for_s)
         await self._start_server(server)
--- a/fuchsiacroft/tests/soak/servers.py
+++ b/fuchsiacroft/tests/soak/servers.py
@@ -4,8 +4,8 @@
 import random
 
 import aiohttp
-import msgspec
 
+from fuchsiacroft.tests.fakes import platform_wire
 from fuchsiacroft.tests.fakes.replica import (
     LAST_CHUNK,
     Received,
@@ -83,21 +83,21 @@
     async def _tell(self) -> bool:
         """Send a heartbeat to some control member; return whether it was heard."""
         self._sequence += 1
-        body = {
-            "service": self._service,
-            "address": self.proxy.listen,
-            "zone": self._zone,
-            "slots": SLOTS,
-            "state": self._state,
-            "sequence": self._sequence,
-            "born": 1_000 + self._life,
-        }
+        body = platform_wire.heartbeat(
+            self._service,
+            self.proxy.listen,
+            zone=self._zone,
+            slots=SLOTS,
+            state=self._state,
+            sequence=self._sequence,
+            born=1_000 + self._life,
+        )
         url = f"http://{self._rng.choice(self._controls)}/v1/replicas/{self.life}"
         timeout = aiohttp.ClientTimeout(total=1.0)
         try:
             async with (
                 aiohttp.ClientSession(timeout=timeout) as session,
-                session.put(url, data=msgspec.json.encode(body)) as response,
+                session.put(url, data=body) as response,
             ):
                 return response.status == 200
         except (aiohttp.ClientError, TimeoutError):
@@ -109,16 +109,16 @@
             writer.write(head("421 Misdirected Request", "Content-Length: 0"))
             return
         attempt_id = req.get("Fuchsiacroft-Attempt-Id")
-        after = int(req.get("Last-Event-ID") or 0)
         at = self._clock()
-        self._seen.runs.append(Run(attempt_id, self.life, at, req.body, after))
+        self._seen.runs.append(Run(attempt_id, self.life, at, req.body))
         if self._service == "lens":
-            await self._stream(req, writer, after)
+            await self._stream(req, writer)
             return
         await asyncio.sleep(self._rng.uniform(*WORK_S))
         writer.write(answer(req, f"done {attempt_id}".encode()))
 
-    async def _stream(self, req: Received, writer, after: int) -> None:
+    async def _stream(self, req: Received, writer) -> None:
+        after = int(req.get("Last-Event-ID") or 0)
         writer.write(stream_head(req))
         for number in range(after + 1, EVENTS + 1):
             writer.write(chunk(sse(number)))
