Rejoin in the same process under a new identity after a replacement

Cause: a control member that was frozen or cut off until a standby replaced it ended its process, so that the platform had to start it again.

A member that an operator removed from a listed group still halts. discard() now waits for a write that is in progress.

--- a/fuchsiacroft/control/consensus/follower.py
+++ b/fuchsiacroft/control/consensus/follower.py
@@ -74,8 +74,13 @@
             return SnapshotReply(member.identity, member.term, 0)
         self._observe_leader(msg.term, msg.source)
         offset = self._snapshot_receiver.add_chunk(msg)
+        if offset < msg.size:
+            return SnapshotReply(member.identity, msg.term, offset)
         snapshot = self._snapshot_receiver.completed_snapshot()
-        if snapshot is not None and not await self._install_snapshot(snapshot):
+        if snapshot is None:
+            # The leader takes an offset of the full size as installed.
+            return SnapshotReply(member.identity, msg.term, 0)
+        if not await self._install_snapshot(snapshot):
             return None
         return SnapshotReply(member.identity, msg.term, offset)
 
--- a/fuchsiacroft/control/consensus/joining.py
+++ b/fuchsiacroft/control/consensus/joining.py
@@ -8,14 +8,13 @@
 
 import asyncio
 import secrets
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from fuchsiacroft.control.consensus import timing
 from fuchsiacroft.control.consensus.member import Member, Role, encode_configuration
 from fuchsiacroft.control.consensus.messages import Hello, HelloReply, HelloStatus
 from fuchsiacroft.control.records import Configuration, GroupMember, Position
-from fuchsiacroft.exceptions import InvariantError
 from fuchsiacroft.utils import clock
 from fuchsiacroft.utils.logs import event
 
@@ -38,14 +37,22 @@
 
 @dataclass(frozen=True, slots=True)
 class JoinPolicy:
-    """Whether empty disks may form a group, and what a replaced member does.
+    """Whether empty disks may form a group, and who belongs to it.
 
-    With `exits_when_replaced` the process exits, so that it is restarted as a new
-    member; otherwise the member halts.
+    With `wanted_voters` any member may join, and that many vote; otherwise the
+    settings list the members.
     """
 
     may_form_group: bool = True
-    exits_when_replaced: bool = False
+    wanted_voters: int | None = None
+
+    @property
+    def rejoins_when_replaced(self) -> bool:
+        """Return whether a replaced member joins again under a new identity.
+
+        A member that an operator removed from the settings halts instead.
+        """
+        return self.wanted_voters is not None
 
 
 class Joining:
@@ -55,15 +62,15 @@
         self,
         member: Member,
         addresses: tuple[str, ...],
-        reset_storage: Callable[[], Awaitable[None]],
         on_verified: Callable[[], None],
+        on_identity_lost: Callable[[], None],
         policy: JoinPolicy,
     ) -> None:
         self._policy = policy
         self._member = member
         self._addresses = addresses
-        self._reset_storage = reset_storage
         self._on_verified = on_verified
+        self._on_identity_lost = on_identity_lost
         self._learned_addresses: set[str] = set()
         self.joiners: dict[str, Joiner] = {}
 
@@ -85,7 +92,7 @@
             sent_state = self._hello_state()
             replies = await self._send_hellos()
             if sent_state == self._hello_state():
-                await self._handle_replies(replies)
+                self._handle_replies(replies)
             await self._update_disk_trust()
             period = timing.HELLO_PERIOD_S
             if member.verified:
@@ -145,30 +152,29 @@
         result = await member.bus.request(address, msg, timing.VOTE_TIMEOUT_S)
         return result.ok if result.is_ok() else None
 
-    async def _handle_replies(self, replies: list[HelloReply]) -> None:
+    def _handle_replies(self, replies: list[HelloReply]) -> None:
         statuses = [reply.status for reply in replies]
         if HelloStatus.OTHER_GROUP in statuses:
             self._member.halt("the other members belong to another group")
         elif any(status in REJECTING_STATUSES for status in statuses):
-            await self._discard_identity()
+            self._discard_identity()
         elif self._member.is_formed:
             self._rejoin(replies)
         else:
             self._join(replies)
 
-    async def _discard_identity(self) -> None:
-        """Handle a disk that is stale or removed from the group.
+    def _discard_identity(self) -> None:
+        """Give up the identity of a disk that is stale or removed from the group.
 
-        A verified member halts; otherwise the disk is reset to a new identity.
+        From then on this member takes part in nothing under its old identity.
         """
         member = self._member
         event("error", "disk_outdated", identity=member.identity, term=member.term)
-        if member.verified:
+        if member.verified and not self._policy.rejoins_when_replaced:
             member.halt("the group no longer knows this disk; restart to rejoin")
-            if self._policy.exits_when_replaced:
-                raise InvariantError(member.halted)
             return
-        await self._reset_storage()
+        member.retire("the group no longer knows this disk; joining as a new member")
+        self._on_identity_lost()
 
     def _rejoin(self, replies: list[HelloReply]) -> None:
         """Rejoin the group once enough of its voters accept this disk.
--- a/fuchsiacroft/control/consensus/member.py
+++ b/fuchsiacroft/control/consensus/member.py
@@ -211,10 +211,14 @@
             self.configurations.reset(index, snapshot.configuration)
         self.commit_index = max(self.commit_index, snapshot.index)
 
-    def halt(self, reason: str) -> None:
-        """Stop taking part in the group until the process is restarted."""
+    def retire(self, reason: str) -> None:
+        """Stop taking part in the group under this identity."""
         self.halted = reason
         self._set_role(Role.FOLLOWER, "")
+
+    def halt(self, reason: str) -> None:
+        """Stop taking part in the group until the process is restarted."""
+        self.retire(reason)
         event("critical", "member_halted", identity=self.identity, reason=reason)
 
     def _append(self, entry: Entry) -> None:
--- a/fuchsiacroft/control/consensus/snapshot_receiver.py
+++ b/fuchsiacroft/control/consensus/snapshot_receiver.py
@@ -25,7 +25,10 @@
         return len(self._data)
 
     def completed_snapshot(self) -> Snapshot | None:
-        """Return the snapshot if it is complete and its checksum matches, else None."""
+        """Return the snapshot if it is complete and its checksum matches, else None.
+
+        Data with another checksum are dropped, so that the transfer starts again.
+        """
         _, _, size, checksum = self._key
         if not size or len(self._data) != size:
             return None
--- a/fuchsiacroft/control/publisher.py
+++ b/fuchsiacroft/control/publisher.py
@@ -50,6 +50,7 @@
         self._state = state
         self._changed = asyncio.Event()
         self._confirmed_at: float | None = None
+        self._version = state.version
         self._tasks = BackgroundTasks("publisher")
         state.on_change(self._on_change)
 
@@ -129,9 +130,14 @@
         return PublishedUpdate(self._state.version, body, self.is_confirmed)
 
     def _on_change(self) -> None:
+        if self._state.version < self._version:
+            # This member joins the group anew and may lack later versions.
+            self._confirmed_at = None
+        else:
+            event("info", "version_committed", version=self._state.version)
+        self._version = self._state.version
         self._changed.set()
         self._changed = asyncio.Event()
-        event("info", "version_committed", version=self._state.version)
 
 
 def create(state: PublishedState) -> Publisher:
--- a/fuchsiacroft/control/storage.py
+++ b/fuchsiacroft/control/storage.py
@@ -8,10 +8,11 @@
 import asyncio
 import errno
 import secrets
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 from expression import Error, Ok, Result
@@ -44,6 +45,8 @@
 DISK_FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 IDENTITY_BYTES = 8
 
+T = TypeVar("T")
+
 
 @dataclass(slots=True)
 class _Waiter:
@@ -69,6 +72,7 @@
         self._queued_changes = 0
         self._durable_changes = 0
         self._waiters: list[_Waiter] = []
+        self._operations: set[asyncio.Future] = set()
         self._segments = Segments(folder)
         self._failure: str | None = None
         self.is_full = False
@@ -78,7 +82,7 @@
 
         Raises `InvariantError`, which stops the process, if a file is damaged.
         """
-        result = await self._folder.run(partial(recover, self._folder))
+        result = await self._run(partial(recover, self._folder))
         if result.is_error():
             fault = result.error
             location = f"{fault.file} at byte {fault.offset}"
@@ -87,7 +91,7 @@
         if state.identity is None:
             state.identity = await self._create_identity_when_possible()
         self._identity = state.identity
-        await self._folder.run(partial(self._prepare_files, state))
+        await self._run(partial(self._prepare_files, state))
         self._term, self._vote, self._marks = state.term, state.vote, state.marks
         self._tasks.spawn_critical(self._write_forever(), "storage-writer")
         return state
@@ -95,6 +99,8 @@
     async def close(self) -> None:
         """Stop writing; queued changes that are not synced may be lost."""
         await self._tasks.cancel()
+        for operation in self._operations:
+            operation.cancel()
         self._folder.close()
 
     def save_term(self, term: int, vote: str) -> None:
@@ -134,7 +140,7 @@
         """
         data = records.encode(snapshot)
         try:
-            await self._folder.run(partial(self._write_snapshot, snapshot.index, data))
+            await self._run(partial(self._write_snapshot, snapshot.index, data))
         except OSError as exc:
             if exc.errno not in DISK_FULL_ERRORS:
                 raise
@@ -145,7 +151,7 @@
             self._reset = Position(snapshot.index, snapshot.term)
             self._queue_change()
             await self.sync()
-        await self._folder.run(partial(self._remove_covered, snapshot.index))
+        await self._run(partial(self._remove_covered, snapshot.index))
         return Ok(None)
 
     @property
@@ -165,7 +171,7 @@
         data = msgspec.json.encode(identity)
         try:
             write = partial(write_atomically, self._folder, IDENTITY_FILE, data)
-            await self._folder.run(write)
+            await self._run(write)
         except OSError as exc:
             if exc.errno not in DISK_FULL_ERRORS:
                 raise
@@ -175,15 +181,22 @@
 
     async def read_snapshot(self) -> bytes | None:
         """Return the last snapshot, encoded, or None."""
-        return await self._folder.run(self._read_snapshot)
+        return await self._run(self._read_snapshot)
 
     async def discard(self) -> None:
-        """Delete all files, so that the next `open` creates a new identity."""
+        """Delete all files, so that the next `open` creates a new identity.
+
+        Callers that wait for a sync are cancelled: their changes are lost.
+        """
         await self._tasks.cancel()
-        await self._folder.run(self._remove_all)
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter.fut.cancel()
+        await asyncio.gather(*self._operations, return_exceptions=True)
+        await self._run(self._remove_all)
         self._entries, self._marks, self._reset = [], [], None
         self._durable_changes = self._queued_changes
-        self._complete_waiters()
+        self._set_full(False)
 
     @property
     def failure(self) -> str | None:
@@ -203,11 +216,18 @@
             "failure": self._failure,
         }
 
+    async def _run(self, func: Callable[[], T]) -> T:
+        """Run a blocking operation, which ends even if its caller is cancelled."""
+        operation = asyncio.ensure_future(self._folder.run(func))
+        self._operations.add(operation)
+        operation.add_done_callback(self._operations.discard)
+        return await asyncio.shield(operation)
+
     async def _create_identity_when_possible(self) -> Identity:
         """Write a new identity, retrying while the disk is full."""
         while True:
             try:
-                return await self._folder.run(self._create_identity)
+                return await self._run(self._create_identity)
             except OSError as exc:
                 if exc.errno not in DISK_FULL_ERRORS:
                     raise
@@ -238,7 +258,7 @@
 
     async def _try_write(self, payload: bytes, last_index: int) -> bool:
         try:
-            await self._folder.run(partial(self._segments.write, payload, last_index))
+            await self._run(partial(self._segments.write, payload, last_index))
         except OSError as exc:
             if exc.errno in DISK_FULL_ERRORS:
                 self._set_full(True)
--- a/fuchsiacroft/tests/control/storage_tests.py
+++ b/fuchsiacroft/tests/control/storage_tests.py
@@ -318,6 +318,32 @@
 
         self.run_paused(scenario())
 
+    def test_discarding_the_disk_acknowledges_no_pending_sync(self):
+        """Guards against an acknowledgement of data that the discard erases.
+
+        A sync still waits, and a write is in progress, when the disk is discarded.
+        """
+
+        async def scenario():
+            disk = MemoryDisk()
+            storage, before = await open_storage(disk)
+            disk.latency = 0.5
+            storage.append(entries(1, 5))
+            sync = asyncio.ensure_future(storage.sync())
+            await asyncio.sleep(0.3)
+            await storage.discard()
+            self.assertTrue(sync.cancelled())
+            self.assertEqual([], MemoryFolder(disk).list_files())
+            after = await storage.open()
+            self.assertNotEqual(before.identity.identity, after.identity.identity)
+            self.assertEqual([], after.entries)
+            storage.append(entries(1, 2))
+            await storage.sync()
+            await storage.close()
+            self.assertEqual(entries(1, 2), (await reopen(disk)).entries)
+
+        self.run_paused(scenario())
+
     def test_a_damaged_snapshot_stops_the_process(self):
         async def scenario():
             disk = MemoryDisk()
