Keep slots free for urgent requests and learn the engines' speeds

Estimates were constants that suit one speed of engine: prefill 100,000 tokens/s at a gap of 2.5 ms, 0.12 s to a first event, patience of 1.8 s, Retry-After of 2 s.

Change: a rank whose runs are longer than the mean leaves free about the deviation of the number of more urgent runs (placing/slot_reserve; its load means are shared with routing/reserve by routing/rank_load). Other domains are told the free slots by rank. Prefill speed and a new engine's gap are learned (placing/engine_speed), the time to a first event by prompt length too (gateway/response_estimates), both by utils/line_fit. A prompt that is late on the engines here goes to a domain where its first event comes in 0.7 of the time. Late streams wait as long as their callers do. Retry-After is the expected wait, spread (placing/retry_after).

--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -47,7 +47,8 @@
     """Sends a request to the backend server that the placer assigned.
 
     `response` is set when the result is `ANSWERED`, or `FAILED` if the backend
-    server answered with a server error.
+    server answered with a server error. `response_s` is the time from the start to
+    the first event of a stream, or to a complete plain response.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         self._longest_gap_s = 0.0
         self._events_before = context.event_splitter.count
         self.response: web.StreamResponse | None = None
+        self.response_s: float | None = None
 
     async def run(self) -> AttemptResult:
         """Run the attempt and return its result; the placement is always released."""
@@ -142,6 +144,7 @@
             if self._context.remaining_s <= 0:
                 raise
             return AttemptResult.SILENT
+        self.response_s = now() - self._started_at
         downstream = web.Response(status=response.status, body=body)
         downstream.headers.popall("Content-Type", None)
         for name, value in self._protocol.caller_response_headers(response):
@@ -191,6 +194,7 @@
         at = now()
         if self._first_event_at is None:
             self._first_event_at = at
+            self.response_s = at - self._started_at
             self._placer.report_first_event(self._placement)
             if self._context.first_event_at is None:
                 self._context.first_event_at = at
@@ -238,11 +242,7 @@
 
     def _release(self, outcome: RunOutcome) -> None:
         at = now()
-        first_event_s = (
-            None
-            if self._first_event_at is None
-            else self._first_event_at - self._started_at
-        )
+        first_event_s = None if self._first_event_at is None else self.response_s
         report = RunReport(
             outcome=outcome,
             first_token_s=first_event_s,
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -14,6 +14,7 @@
 from fuchsiacroft.entry.request_body import BodyBuffer
 from fuchsiacroft.gateway.attempt import Attempt, AttemptResult
 from fuchsiacroft.gateway.request_context import RequestContext
+from fuchsiacroft.gateway.response_estimates import ResponseEstimates
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter, RoutedRequest
 from fuchsiacroft.gateway.upstream import Upstream
 from fuchsiacroft.gateway.wait_policy import WaitPolicy, start_wait_s
@@ -48,7 +49,8 @@
         self._protocol = protocol
         self._bodies = BodyBuffer()
         self._random = random.Random()
-        self._wait_policy = WaitPolicy()
+        self._estimates = ResponseEstimates()
+        self._wait_policy = WaitPolicy(self._estimates)
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the services that requests need."""
@@ -144,6 +146,7 @@
                 context, placement, self._protocol, self._upstream, self._placer
             )
             result = await attempt.run()
+            self._record_response_time(context, attempt)
             if result is AttemptResult.ANSWERED:
                 return attempt.response
             if result is AttemptResult.FAILED:
@@ -160,6 +163,13 @@
                 left_s=round(context.remaining_s, 3),
             )
 
+    def _record_response_time(self, context: RequestContext, attempt: Attempt) -> None:
+        if attempt.response_s is not None:
+            request = context.request
+            self._estimates.record(
+                request.service, request.size.prompt_tokens, attempt.response_s
+            )
+
     def _may_retry(self, context: RequestContext, result: AttemptResult) -> bool:
         if context.remaining_s < MIN_REMAINING_S or len(context.tried) >= MAX_SENDS:
             return False
--- a/fuchsiacroft/gateway/wait_policy.py
+++ b/fuchsiacroft/gateway/wait_policy.py
@@ -11,16 +11,20 @@
 
 from collections import OrderedDict
 
+from fuchsiacroft.config.route_table import Route
+from fuchsiacroft.gateway.response_estimates import ResponseEstimates
 from fuchsiacroft.gateway.routed_request import RoutedRequest
 from fuchsiacroft.placing.placer import WaitLimits
 
-EXPECTED_FIRST_EVENT_S = 0.12
-"""Time to the first event; prefill shares the engine with other runs' decoding."""
-EXPECTED_PLAIN_RUN_S = 0.04
 LATE_WAIT_SHARE = 0.35
 """Share of the remaining time for a wait that misses the latency target."""
-MAX_RESPONSE_START_S = 1.8
-"""Callers give up on a response that has not begun after 2 s or more."""
+MIN_PATIENCE_S = 2.0
+PATIENCE_TARGETS = 4.0
+PATIENCE_GAPS = 8.0
+"""Callers give up on a stream without a first event after `MIN_PATIENCE_S`, or that
+many latency targets or gap targets, whichever is longest."""
+PATIENCE_SHARE = 0.9
+"""Share of that time within which a response should begin."""
 START_WAIT_SHARE = 0.5
 """Share of a caller's time that its request waits for the route table."""
 MAX_START_WAIT_S = 2.0
@@ -46,16 +50,19 @@
     was sent to another entry before.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, estimates: ResponseEstimates) -> None:
+        self._estimates = estimates
         self._total_s: OrderedDict[str, float] = OrderedDict()
 
     def limits(self, request: RoutedRequest, remaining_s: float) -> WaitLimits:
         """Return the queue wait limits of a request with `remaining_s` left."""
         route = request.route
         used_s = self._used_s(request) + request.timeout_s - remaining_s
-        run_s = EXPECTED_FIRST_EVENT_S if route.kind.is_stream else EXPECTED_PLAIN_RUN_S
+        run_s = self._estimates.expected_s(request.service, request.size.prompt_tokens)
         in_time_s = max(route.latency_target_s - run_s - used_s, 0.0)
-        late_s = min(LATE_WAIT_SHARE * remaining_s, MAX_RESPONSE_START_S - run_s)
+        late_s = LATE_WAIT_SHARE * remaining_s
+        if route.kind.is_stream:
+            late_s = max(min(late_s, PATIENCE_SHARE * _patience_s(route) - run_s), 0.0)
         return WaitLimits(in_time_s, max(late_s, in_time_s), request.event_tokens)
 
     def _used_s(self, request: RoutedRequest) -> float:
@@ -65,3 +72,12 @@
         if len(self._total_s) > MAX_ROUTES:
             self._total_s.popitem(last=False)
         return total_s - request.deadline_s
+
+
+def _patience_s(route: Route) -> float:
+    """Return how long callers of a route wait for the first event of a stream."""
+    return max(
+        MIN_PATIENCE_S,
+        PATIENCE_TARGETS * route.latency_target_s,
+        PATIENCE_GAPS * route.gap_target_s,
+    )
--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -14,6 +14,7 @@
 all processes, backend servers are known again within about a second.
 """
 
+import random
 from dataclasses import dataclass, replace
 
 from fuchsiacroft.config.route_table import RouteTable
@@ -23,6 +24,7 @@
 from fuchsiacroft.placing.messages import PlaceRequest, ServiceCapacity
 from fuchsiacroft.placing.queue import Position, Queue, Waiter, position
 from fuchsiacroft.placing.quotas import Quotas
+from fuchsiacroft.placing.retry_after import MIN_RETRY_AFTER_S, retry_after_s
 from fuchsiacroft.placing.retry_budget import RetryBudget
 from fuchsiacroft.routing.permits import (
     PermitRequest,
@@ -31,15 +33,14 @@
     RunReport,
 )
 
-MIN_RETRY_AFTER_S = 0.2
+IN_TIME_SHARE = 0.8
+"""Share of the target within which a first event is expected to be in time."""
 LATE_HORIZON_S = 1.0
 """At most as many late requests are queued as all slots serve in this time."""
 SHORT_RUN_SHARE = 0.5
 """Runs up to this share of the service's mean run time count as short."""
 QUARANTINE_RETRY_AFTER_S = 10.0
 """Retrying a request that crashes backend servers sooner does not help its caller."""
-OVERLOAD_RETRY_AFTER_S = 2.0
-"""Typical remaining time of a burst; an earlier retry would be refused again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +61,8 @@
 class Allocator:
     """Queues requests by service and places them on a fleet of backend servers."""
 
-    def __init__(self, limits: SharedLimits) -> None:
+    def __init__(self, limits: SharedLimits, rng: random.Random | None = None) -> None:
+        self._random = rng or random.Random()
         self._queues: dict[str, Queue] = {}
         self._waiters: dict[str, Waiter] = {}
         self.fleet = Fleet()
@@ -119,9 +121,24 @@
         queue = self._queues.get(request.ask.service)
         if queue and queue.ahead_of(self._position_in_time(request.ask)):
             return None
+        if not self._leaves_slots_free(request.ask, at):
+            return None
         load = self.fleet.choose(request, at)
         return None if load is None else self.fleet.begin(request, load, at, at)
 
+    def late_first_event_s(self, request: PlaceRequest, at: float) -> float | None:
+        """Return the expected time to the first event if it misses its target here.
+
+        None if the target is met, if no server is free, or without a prompt.
+        """
+        load = self.fleet.fastest_free(request, at)
+        tokens = request.ask.size.prompt_tokens
+        if load is None or not tokens:
+            return None
+        expected_s = load.first_event_s(tokens)
+        target_s = IN_TIME_SHARE * request.ask.first_token_target_s
+        return expected_s if expected_s > target_s else None
+
     def enqueue(
         self, request: PlaceRequest, admitted_at: float, at: float
     ) -> Waiter | Refusal:
@@ -141,10 +158,10 @@
         if not self.fleet.serves(permit_request.service):
             self._add(queue, waiter)
             return waiter
-        waiter.late = self.expected_wait_s(waiter) > request.in_time_s
+        waiter.late = self.expected_wait_s(waiter, at) > request.in_time_s
         if waiter.late and not self._has_late_capacity(queue, waiter):
             self.refund_quota(request, admitted_at)
-            return Refusal(RefusalReason.OVERLOADED, OVERLOAD_RETRY_AFTER_S)
+            return Refusal(RefusalReason.OVERLOADED, self._retry_after_s(waiter, at))
         self._add(queue, waiter)
         return waiter
 
@@ -169,7 +186,7 @@
         refused = []
         for waiter in list(self._waiters.values()):
             if waiter.expires_at <= at:
-                refused.append((waiter, self._expire(waiter)))
+                refused.append((waiter, self._expire(waiter, at)))
             elif not waiter.late and waiter.in_time_until <= at:
                 self._mark_late(waiter)
         for service, queue in self._queues.items():
@@ -177,20 +194,14 @@
                 service
             ):
                 last = queue.last_late()
-                refused.append((last, self._expire(last)))
+                refused.append((last, self._expire(last, at)))
         self.fleet.expire_runs(at)
         return refused
 
-    def services_with_waiters(self) -> list[str]:
-        """Return the services with queued requests."""
-        return [name for name, queue in self._queues.items() if queue.head()]
-
-    def pop_head(self, service: str) -> Waiter | None:
-        """Remove the next waiter, to place it in another domain or requeue it."""
-        waiter = self._queues[service].head()
-        if waiter is not None:
-            self._remove(waiter)
-        return waiter
+    def queue_heads(self) -> list[Waiter]:
+        """Return the next waiter of each service that has any."""
+        heads = (queue.head() for queue in self._queues.values())
+        return [head for head in heads if head is not None]
 
     def requeue(self, waiter: Waiter) -> None:
         """Return a removed waiter to its position in the queue."""
@@ -204,10 +215,10 @@
             self._remove(waiter)
         return waiter is not None
 
-    def expected_wait_s(self, waiter: Waiter) -> float:
+    def expected_wait_s(self, waiter: Waiter, at: float) -> float:
         """Return the expected wait of a new request of the same rank and run length."""
         service = waiter.request.ask.service
-        return self._expected_wait_s(service, waiter.position_in_time)
+        return self._expected_wait_s(service, waiter.position_in_time, at)
 
     def capacities(self, at: float) -> tuple[ServiceCapacity, ...]:
         """Return the spare capacity of each service, to report to other domains."""
@@ -216,10 +227,23 @@
                 service,
                 self.fleet.free(service, at) - self.waiting(service),
                 self._head_rank(service),
+                self._free_by_rank(service, at),
+                self.fleet.prefill(service, at),
             )
             for service in self.fleet.services()
         )
 
+    def _free_by_rank(self, service: str, at: float) -> dict[int, int]:
+        """Return the slots for long requests of each rank, less earlier waiters."""
+        queue = self._queues.get(service, Queue())
+        free = self.fleet.free(service, at)
+        return {
+            rank: free
+            - self.fleet.kept_free(service, rank, at)
+            - queue.ahead_of(position(rank, is_late=False, is_short=False))
+            for rank in self.fleet.ranks(service)
+        }
+
     def _head_rank(self, service: str) -> int | None:
         queue = self._queues.get(service)
         head = queue.head() if queue is not None else None
@@ -234,11 +258,17 @@
             waiting=len(queue),
             late=queue.late(),
             expected_wait_s=self._expected_wait_s(
-                permit_request.service, self._position_in_time(permit_request)
+                permit_request.service, self._position_in_time(permit_request), at
             ),
             units_left=self.quotas.remaining(permit_request.workspace, at),
         )
 
+    def _leaves_slots_free(self, permit_request: PermitRequest, at: float) -> bool:
+        """Return whether a request leaves the slots free that others may need."""
+        service = permit_request.service
+        kept = self.fleet.kept_free(service, permit_request.rank, at)
+        return not kept or self.fleet.free(service, at) > kept
+
     def _is_short(self, service: str, run_s: float) -> bool:
         """Return whether a run is short compared with the service's mean run time."""
         return run_s <= SHORT_RUN_SHARE * self.fleet.mean_run_s(service)
@@ -249,23 +279,37 @@
         )
         return position(permit_request.rank, is_late=False, is_short=is_short)
 
-    def _expected_wait_s(self, service: str, pos: Position) -> float:
-        """Return the expected wait of a new waiter at a position."""
+    def _expected_wait_s(self, service: str, pos: Position, at: float) -> float:
+        """Return the expected wait of a new waiter at a position.
+
+        More urgent requests go on to arrive, and take the slots of their mean load.
+        """
         queue = self._queues.get(service)
         ahead = queue.ahead_of(pos) if queue is not None else 0
-        slots = max(self.fleet.slots(service), 1)
+        slots = self.fleet.slots(service) - self.fleet.urgent_load(
+            service, pos.rank, at
+        )
+        slots = max(slots, 1)
         return (ahead + 1) * self.fleet.mean_run_s(service) / slots
 
     def _place_waiters_of(
         self, service: str, queue: Queue, at: float
     ) -> list[tuple[Waiter, Assignment]]:
         placed = []
+        free = self.fleet.free(service, at)
+        kept = {
+            rank: self.fleet.kept_free(service, rank, at)
+            for rank in self.fleet.ranks(service)
+        }
         for waiter in queue.waiters():
+            if not free:
+                break
+            if free <= kept.get(waiter.rank, 0):
+                continue
             load = self.fleet.choose(waiter.request, at, at - waiter.arrived_at)
             if load is None:
-                if not self.fleet.free(service, at):
-                    break
                 continue
+            free -= 1
             self._remove(waiter)
             assignment = self.fleet.begin(waiter.request, load, at, waiter.arrived_at)
             placed.append((waiter, assignment))
@@ -279,12 +323,19 @@
         self._queues[waiter.request.ask.service].remove(waiter)
         self._waiters.pop(waiter.request.run_id, None)
 
-    def _expire(self, waiter: Waiter) -> Refusal:
+    def _expire(self, waiter: Waiter, at: float) -> Refusal:
         self._remove(waiter)
         self.refund_quota(waiter.request, waiter.admitted_at)
         if not self.fleet.serves(waiter.request.ask.service):
             return Refusal(RefusalReason.NO_BACKEND_SERVER, MIN_RETRY_AFTER_S)
-        return Refusal(RefusalReason.TIMED_OUT, OVERLOAD_RETRY_AFTER_S)
+        return Refusal(RefusalReason.TIMED_OUT, self._retry_after_s(waiter, at))
+
+    def _retry_after_s(self, waiter: Waiter, at: float) -> float:
+        """Return when to come back: not sooner than after as long a wait again."""
+        service, rank = waiter.request.ask.service, waiter.rank
+        late = position(rank, is_late=True, is_short=waiter.is_short)
+        expected_s = self._expected_wait_s(service, late, at)
+        return retry_after_s(max(expected_s, at - waiter.arrived_at), self._random)
 
     def _mark_late(self, waiter: Waiter) -> None:
         """Move a waiter that missed its deadline behind those still in time."""
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -100,7 +100,10 @@
         refusal = self.allocator.admit(request, admitted_at)
         if refusal is not None:
             return self._refuse(request, refusal)
-        assignment = self.allocator.try_place(request, admitted_at)
+        faster = await self._place_on_faster_engine(request)
+        if faster is not None:
+            return Ok(faster)
+        assignment = self.allocator.try_place(request, now())
         if assignment is not None:
             return Ok(self._placed(assignment))
         spilled = await self._neighbours.spill(request)
@@ -113,6 +116,15 @@
             return await self._wait_here_and_remotely(decision)
         return await self._wait_for_placement(request.run_id)
 
+    async def _place_on_faster_engine(
+        self, request: PlaceRequest
+    ) -> SlotAssignment | None:
+        """Place a prompt in another domain if it is too long for the engines here."""
+        local_s = self.allocator.late_first_event_s(request, now())
+        if local_s is None:
+            return None
+        return await self._neighbours.spill_to_faster(request, local_s)
+
     def mark_prefilled(self, run_id: str) -> None:
         """Record that the prompt of a run has been prefilled."""
         self.allocator.fleet.mark_prefilled(run_id)
@@ -142,7 +154,7 @@
         """Return whether the wait is long here and may be shorter in another domain."""
         return (
             waiter.request.in_time_s > MIN_REMOTE_WAIT_S
-            and self.allocator.expected_wait_s(waiter) > MIN_REMOTE_WAIT_S
+            and self.allocator.expected_wait_s(waiter, now()) > MIN_REMOTE_WAIT_S
             and self._neighbours.would_be_next(waiter.request.ask)
         )
 
@@ -168,11 +180,10 @@
 
     def _spill_waiters(self) -> None:
         """Forward waiters to domains with spare capacity."""
-        for service in self.allocator.services_with_waiters():
-            if self._neighbours.has_capacity(service):
-                waiter = self.allocator.pop_head(service)
-                if waiter is not None:
-                    self._tasks.spawn(self._spill_waiter(waiter), "spill-waiter")
+        for head in self.allocator.queue_heads():
+            if self._neighbours.has_capacity(head.request.ask):
+                self.allocator.dequeue(head.request.run_id)
+                self._tasks.spawn(self._spill_waiter(head), "spill-waiter")
 
     async def _spill_waiter(self, waiter: Waiter) -> None:
         run_id = waiter.request.run_id
--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -9,8 +9,11 @@
 
 from fuchsiacroft.membership.registry_wire import ServerRecord
 from fuchsiacroft.placing.crashes import CrashTracker
-from fuchsiacroft.placing.messages import HeldRun, PlaceRequest
-from fuchsiacroft.placing.server_load import Run, ServerLoad, moving_average
+from fuchsiacroft.placing.engine_speed import EngineSpeeds
+from fuchsiacroft.placing.messages import EnginePrefill, HeldRun, PlaceRequest
+from fuchsiacroft.placing.moving_average import moving_average
+from fuchsiacroft.placing.server_load import Run, ServerLoad
+from fuchsiacroft.placing.slot_reserve import SlotReserve
 from fuchsiacroft.routing.permits import PermitRequest, RunOutcome, RunReport
 
 RUN_GRACE_S = 1.0
@@ -46,7 +49,10 @@
         self._servers: dict[str, ServerLoad] = {}
         self._by_service: dict[str, list[ServerLoad]] = {}
         self._runs: dict[str, ServerLoad] = {}
+        self._slots: dict[str, int] = {}
         self._mean_run_s: dict[str, float] = {}
+        self._reserves: dict[str, SlotReserve] = {}
+        self._speeds: dict[str, EngineSpeeds] = {}
         self.share = 1.0
         self.crashes = CrashTracker()
 
@@ -74,11 +80,15 @@
                 continue
             if load is not None:
                 self._remove_server(name, at)
-            self._servers[name] = ServerLoad(record)
+            self._servers[name] = ServerLoad(record, self._speeds_of(record))
         self._by_service = {}
         for load in self._servers.values():
             for service in load.services:
                 self._by_service.setdefault(service, []).append(load)
+        self._slots = {
+            service: sum(load.slots for load in loads)
+            for service, loads in self._by_service.items()
+        }
 
     def serves(self, service: str) -> bool:
         """Return whether any server offers a service."""
@@ -86,12 +96,26 @@
 
     def slots(self, service: str) -> int:
         """Return how many requests of a service can run concurrently."""
-        return sum(load.slots for load in self._servers_of(service))
+        return self._slots.get(service, 0)
 
     def free(self, service: str, at: float) -> int:
         """Return the free slots of a service."""
         return sum(self._free(load, at) for load in self._servers_of(service))
 
+    def kept_free(self, service: str, rank: int, at: float) -> int:
+        """Return how many slots of a service requests of a rank leave free."""
+        return self._reserve(service).kept_free(
+            rank, self.slots(service), self.mean_run_s(service), at
+        )
+
+    def urgent_load(self, service: str, rank: int, at: float) -> float:
+        """Return the recent mean number of runs that are more urgent than a rank."""
+        return self._reserve(service).urgent_load(rank, at)
+
+    def ranks(self, service: str) -> list[int]:
+        """Return the ranks of a service's requests, the most urgent first."""
+        return self._reserve(service).ranks()
+
     def services(self) -> set[str]:
         """Return the services that are offered."""
         return set(self._by_service)
@@ -108,6 +132,25 @@
         ]
         return statistics.median(times) if times else DEFAULT_RUN_S
 
+    def fastest_free(self, request: PlaceRequest, at: float) -> ServerLoad | None:
+        """Return the free server on which a prompt would be read first, or None."""
+        permit_request = request.ask
+        tokens = permit_request.size.prompt_tokens
+        free = [
+            load
+            for load in self._servers_of(permit_request.service)
+            if load.name not in permit_request.avoid and self._free(load, at)
+        ]
+        return min(free, key=lambda load: load.first_event_s(tokens), default=None)
+
+    def prefill(self, service: str, at: float) -> EnginePrefill | None:
+        """Return the prefill speed of the fastest free engine of a service."""
+        free = [load for load in self._servers_of(service) if self._free(load, at)]
+        fastest = max(free, key=lambda load: load.prefill_tokens_per_s, default=None)
+        if fastest is None:
+            return None
+        return EnginePrefill(int(fastest.prefill_tokens_per_s), fastest.prefill_tokens)
+
     def choose(
         self, request: PlaceRequest, at: float, waited_s: float = 0.0
     ) -> ServerLoad | None:
@@ -170,10 +213,11 @@
         run = load.end(run_id) if load is not None else None
         if run is None:
             return
+        self._record_end(run, at)
         load.record_result(run, report, at)
         self._track_crash(load, run, report, at)
         if report.outcome is RunOutcome.COMPLETED:
-            self._update_mean(run.permit_request.service, at - run.started_at)
+            self._update_mean(run.permit_request, at - run.started_at)
 
     def expire_runs(self, at: float) -> None:
         """Remove runs past their timeout whose end was not reported."""
@@ -182,10 +226,28 @@
                 if run.ends_by <= at:
                     load.end(run.run_id)
                     self._runs.pop(run.run_id, None)
+                    self._record_end(run, at)
 
     def _add_run(self, load: ServerLoad, run: Run) -> None:
         load.begin(run)
         self._runs[run.run_id] = load
+        permit_request = run.permit_request
+        self._reserve(permit_request.service).add(
+            permit_request.rank, 1, run.started_at
+        )
+
+    def _speeds_of(self, record: ServerRecord) -> EngineSpeeds:
+        """Return the speeds of the service that a server offers first."""
+        offers = record.announcement.offers
+        service = offers[0].service if offers else ""
+        return self._speeds.setdefault(service, EngineSpeeds())
+
+    def _record_end(self, run: Run, at: float) -> None:
+        permit_request = run.permit_request
+        self._reserve(permit_request.service).add(permit_request.rank, -1, at)
+
+    def _reserve(self, service: str) -> SlotReserve:
+        return self._reserves.setdefault(service, SlotReserve())
 
     def _servers_of(self, service: str) -> Sequence[ServerLoad]:
         return self._by_service.get(service, ())
@@ -197,8 +259,9 @@
         """Remove a server and its runs."""
         removed = self._servers.pop(name)
         self.crashes.record_crash(removed.instance_id, (), at)
-        for run_id in removed.runs:
-            self._runs.pop(run_id, None)
+        for run in removed.runs.values():
+            self._runs.pop(run.run_id, None)
+            self._record_end(run, at)
 
     def _track_crash(
         self, load: ServerLoad, run: Run, report: RunReport, at: float
@@ -217,9 +280,11 @@
                 ]
                 self.crashes.record_crash(load.instance_id, running, at)
 
-    def _update_mean(self, service: str, run_s: float) -> None:
+    def _update_mean(self, permit_request: PermitRequest, run_s: float) -> None:
+        service = permit_request.service
         known = self._mean_run_s.get(service)
         sample = max(run_s, MIN_RUN_S)
+        self._reserve(service).record_run(permit_request.rank, sample)
         self._mean_run_s[service] = moving_average(known, sample, LEARNING_RATE)
 
 
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -82,16 +82,31 @@
     ask: PermitRequest
 
 
+class EnginePrefill(msgspec.Struct, frozen=True, array_like=True):
+    """Prefill speed of an engine, and the prompt tokens that it has yet to read."""
+
+    tokens_per_s: int
+    backlog_tokens: int
+
+    def first_event_s(self, prompt_tokens: int) -> float:
+        """Return the expected time to the first event of a run that starts now."""
+        return (self.backlog_tokens + prompt_tokens) / max(self.tokens_per_s, 1)
+
+
 class ServiceCapacity(msgspec.Struct, frozen=True):
     """Spare capacity of a service in one failure domain.
 
     `free` is the number of free slots less the queue length. `head_rank` is the
-    rank of the next request in the queue, None if it is empty.
+    rank of the next request in the queue, None if it is empty. `free_by_rank` holds
+    the slots that long requests of a rank may use, less the waiters before them.
+    `prefill` is that of the fastest free engine.
     """
 
     service: str
     free: int
     head_rank: int | None = None
+    free_by_rank: dict[int, int] = {}
+    prefill: EnginePrefill | None = None
 
 
 @codec.message("placing.domain_load")
--- a/fuchsiacroft/placing/neighbour.py
+++ b/fuchsiacroft/placing/neighbour.py
@@ -1,5 +1,6 @@
 """Last reported capacity of another failure domain."""
 
+import math
 from dataclasses import dataclass
 
 import msgspec
@@ -22,10 +23,23 @@
         """Return whether the report is recent and the domain responds."""
         return at - self.received_at <= REPORT_TTL_S and at >= self.backoff_until
 
-    def free(self, service: str) -> int:
-        """Return the spare slots of a service."""
+    def free(self, service: str, rank: int) -> int:
+        """Return the spare slots of a service for requests of a rank.
+
+        A rank that the domain has not seen lately gets those of the next less urgent.
+        """
+        capacity = self.capacities.get(service)
+        if capacity is None:
+            return 0
+        known = min((r for r in capacity.free_by_rank if r >= rank), default=None)
+        return capacity.free if known is None else capacity.free_by_rank[known]
+
+    def first_event_s(self, service: str, prompt_tokens: int) -> float:
+        """Return the expected time to a first event there, infinity if unknown."""
         capacity = self.capacities.get(service)
-        return capacity.free if capacity is not None else 0
+        if capacity is None or capacity.prefill is None:
+            return math.inf
+        return capacity.prefill.first_event_s(prompt_tokens)
 
     def less_urgent_rank(self, service: str, rank: int) -> float | None:
         """Return the rank of the queue's head if a request of `rank` precedes it.
@@ -37,22 +51,30 @@
         if capacity is None:
             return None
         if capacity.head_rank is None:
-            return float("inf")
+            return math.inf
         return capacity.head_rank if capacity.head_rank > rank else None
 
     def record_sent(self, service: str) -> None:
         """Count a request that was sent for a free slot."""
-        self._change(service, free=self.free(service) - 1)
+        capacity = self.capacities.get(service)
+        if capacity is not None:
+            by_rank = {r: free - 1 for r, free in capacity.free_by_rank.items()}
+            self._change(service, free=capacity.free - 1, free_by_rank=by_rank)
 
-    def record_full(self, service: str) -> None:
-        """Record that no slot was free."""
-        self._change(service, free=0)
+    def record_full(self, service: str, rank: int) -> None:
+        """Record that no slot was free for a rank, nor for less urgent ones."""
+        capacity = self.capacities.get(service)
+        if capacity is not None:
+            by_rank = {
+                r: 0 if r >= rank else free for r, free in capacity.free_by_rank.items()
+            }
+            self._change(service, free=0, free_by_rank=by_rank)
 
     def record_waiter(self, service: str, rank: int) -> None:
         """Record that a request of this rank heads the queue."""
         self._change(service, head_rank=rank)
 
-    def _change(self, service: str, **changes: int) -> None:
+    def _change(self, service: str, **changes: object) -> None:
         capacity = self.capacities.get(service)
         if capacity is not None:
             self.capacities[service] = msgspec.structs.replace(capacity, **changes)
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -39,6 +39,9 @@
 """Several round trips within a region; the retransmission of a lost packet takes
 longer. A request queued in another domain is answered at most this long after its
 wait."""
+FASTER_SHARE = 0.7
+"""A request goes to another domain's engine if its first event comes in this share of
+the time that the engines here need."""
 BACKOFF_S = 1.0
 """How long no requests are sent to a domain that did not respond."""
 
@@ -73,7 +76,10 @@
         """Return the spare capacity of the other domains and the age of the reports."""
         return {
             domain: {
-                "rooms": {name: neighbour.free(name) for name in neighbour.capacities},
+                "rooms": {
+                    name: capacity.free
+                    for name, capacity in neighbour.capacities.items()
+                },
                 "age_s": round(now() - neighbour.received_at, 3),
             }
             for domain, neighbour in self._neighbours.items()
@@ -86,17 +92,30 @@
             self._broadcast_periodically(allocator), "neighbours-tell"
         )
 
-    def has_capacity(self, service: str) -> bool:
-        """Return whether another domain has spare capacity for a service."""
-        return self._domain_with_capacity(service) is not None
+    def has_capacity(self, permit_request: PermitRequest) -> bool:
+        """Return whether another domain has spare capacity for a request."""
+        return self._domain_with_capacity(permit_request) is not None
 
     async def spill(self, request: PlaceRequest) -> SlotAssignment | None:
         """Place a request on a free slot of another domain; return None on failure."""
-        service = request.ask.service
-        domain = self._domain_with_capacity(service)
+        domain = self._domain_with_capacity(request.ask)
         if domain is None:
             return None
-        self._neighbours[domain].record_sent(service)
+        self._neighbours[domain].record_sent(request.ask.service)
+        return await self._request_spill(domain, SpillRequest(request))
+
+    async def spill_to_faster(
+        self, request: PlaceRequest, local_s: float
+    ) -> SlotAssignment | None:
+        """Place a request where its first event comes much sooner than here.
+
+        Returns None if no other domain is expected to be that much faster, or if it
+        has no slot.
+        """
+        domain = self._faster_domain(request.ask, FASTER_SHARE * local_s)
+        if domain is None:
+            return None
+        self._neighbours[domain].record_sent(request.ask.service)
         return await self._request_spill(domain, SpillRequest(request))
 
     async def wait_in_other_domain(
@@ -138,7 +157,8 @@
             case Result(tag="ok", ok=SlotAssignment() as placed):
                 return placed
             case Result(tag="ok"):
-                neighbour.record_full(spill.request.ask.service)
+                permit_request = spill.request.ask
+                neighbour.record_full(permit_request.service, permit_request.rank)
             case _:
                 neighbour.backoff_until = now() + BACKOFF_S
                 # The domain may have placed the request although its reply is missing.
@@ -156,14 +176,29 @@
         unused = RunEnded(run_id, RunReport(RunOutcome.UNUSED))
         self._bus.send(coordinator_peers, unused)
 
-    def _domain_with_capacity(self, service: str) -> str | None:
-        """Return the domain with the most spare capacity for a service."""
+    def _domain_with_capacity(self, permit_request: PermitRequest) -> str | None:
+        """Return the domain with the most spare capacity for a request."""
         free_slots = {
-            name: neighbour.free(service) for name, neighbour in self._usable()
+            name: neighbour.free(permit_request.service, permit_request.rank)
+            for name, neighbour in self._usable()
         }
         best = max(free_slots, key=free_slots.get, default=None)
         return best if best is not None and free_slots[best] > 0 else None
 
+    def _faster_domain(
+        self, permit_request: PermitRequest, limit_s: float
+    ) -> str | None:
+        """Return the fastest domain with a slot and a first event within a limit."""
+        service = permit_request.service
+        tokens = permit_request.size.prompt_tokens
+        times = {
+            name: neighbour.first_event_s(service, tokens)
+            for name, neighbour in self._usable()
+            if neighbour.free(service, permit_request.rank) > 0
+        }
+        best = min(times, key=times.get, default=None)
+        return best if best is not None and times[best] <= limit_s else None
+
     def _domain_with_less_urgent(self, permit_request: PermitRequest) -> str | None:
         """Return the domain with the least urgent queue head that would be preceded."""
         ranks = {}
@@ -220,7 +255,10 @@
             self.shares.update_domain(msg.failure_domain, msg.spent, msg.demand, at)
         if self._allocator is not None and msg.suspects:
             self._allocator.fleet.crashes.merge(msg.suspects, at)
-        if any(capacity.free > 0 for capacity in msg.rooms):
+        if any(
+            capacity.free > 0 or any(n > 0 for n in capacity.free_by_rank.values())
+            for capacity in msg.rooms
+        ):
             self.on_capacity()
 
 
--- a/fuchsiacroft/placing/server_load.py
+++ b/fuchsiacroft/placing/server_load.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 
 from fuchsiacroft.membership.registry_wire import ServerRecord
+from fuchsiacroft.placing.engine_speed import EngineSpeeds
+from fuchsiacroft.placing.moving_average import moving_average
 from fuchsiacroft.routing.permits import PermitRequest, RunOutcome, RunReport
 
 LEARNING_RATE = 0.15
@@ -11,28 +13,29 @@
 BACKOFF_MIN_S = 0.3
 BACKOFF_MAX_S = 3.0
 """Minimum and maximum backoff of a server that could not be reached."""
-DEFAULT_PREFILL_TOKENS_PER_S = 100_000.0
-"""Prefill speed of a model engine until its own speed is known."""
 PREFILL_CHUNK_TOKENS = 2_048
 """Prompt tokens that engines commonly prefill between two decoding steps."""
 FAILURE_COST_S = 2.0
 """Cost of a certain failure, expressed in seconds of run time."""
-DEFAULT_TOKEN_GAP_S = 0.0025
 DEFAULT_PLAIN_RUN_S = 0.025
-"""Token gap and run time of a plain request until a server's own are known."""
+"""Run time of a plain request until a server's own is known."""
 DEFAULT_SLOTS = 8
 """Slots of a plain server that does not announce how many it has."""
 
 
 @dataclass(slots=True, eq=False)
 class Run:
-    """A request that runs, or is about to run, on a backend server."""
+    """A request that runs, or is about to run, on a backend server.
+
+    `tokens_to_prefill` are those of its prompt and of the prompts before it.
+    """
 
     run_id: str
     permit_request: PermitRequest
     started_at: float
     ends_by: float
     is_prefilling: bool
+    tokens_to_prefill: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -40,6 +43,7 @@
     """Tracks the runs on a backend server and its speed and failure rate."""
 
     record: ServerRecord
+    speeds: EngineSpeeds = field(default_factory=EngineSpeeds)
     runs: dict[str, Run] = field(default_factory=dict)
     token_gap_s: float | None = None
     plain_run_s: float | None = None
@@ -80,9 +84,13 @@
         if not permit_request.size.prompt_tokens:
             run_s = self.run_s(permit_request)
             return run_s * (1 + len(self.runs) / self.slots) + failure_s
-        waiting_s = self.prefill_tokens / self._prefill_tokens_per_s()
+        waiting_s = self.prefill_tokens / self.prefill_tokens_per_s
         return waiting_s + self.run_s(permit_request) + failure_s
 
+    def first_event_s(self, prompt_tokens: int) -> float:
+        """Return the expected time to the first event of a run that starts now."""
+        return (self.prefill_tokens + prompt_tokens) / self.prefill_tokens_per_s
+
     def would_stall(self, permit_request: PermitRequest, event_tokens: int) -> bool:
         """Return whether prefilling a prompt here stalls other streams for too long.
 
@@ -94,32 +102,33 @@
             return False
         tokens = self.prefill_tokens + permit_request.size.prompt_tokens
         chunks = min(math.ceil(tokens / PREFILL_CHUNK_TOKENS), event_tokens)
-        chunk_s = PREFILL_CHUNK_TOKENS / self._prefill_tokens_per_s()
-        event_s = event_tokens * (self.token_gap_s or DEFAULT_TOKEN_GAP_S)
+        chunk_s = PREFILL_CHUNK_TOKENS / self.prefill_tokens_per_s
+        event_s = event_tokens * self.gap_s
         return chunks * chunk_s + event_s > permit_request.token_gap_target_s
 
     def run_s(self, permit_request: PermitRequest) -> float:
         """Return the expected time of a run on an otherwise idle server."""
         if not permit_request.size.prompt_tokens:
             return self.plain_run_s or DEFAULT_PLAIN_RUN_S
-        prefill_s = permit_request.size.prompt_tokens / self._prefill_tokens_per_s()
-        return prefill_s + permit_request.size.output_tokens * (
-            self.token_gap_s or DEFAULT_TOKEN_GAP_S
-        )
-
-    def _prefill_tokens_per_s(self) -> float:
-        """Return the prefill speed, which is taken to scale with the decoding speed."""
-        return (
-            DEFAULT_PREFILL_TOKENS_PER_S
-            * DEFAULT_TOKEN_GAP_S
-            / (self.token_gap_s or DEFAULT_TOKEN_GAP_S)
-        )
+        prefill_s = permit_request.size.prompt_tokens / self.prefill_tokens_per_s
+        return prefill_s + permit_request.size.output_tokens * self.gap_s
+
+    @property
+    def gap_s(self) -> float:
+        """Return the token gap, that of other engines until its own is known."""
+        return self.token_gap_s or self.speeds.median_gap_s()
+
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """Return the prefill speed."""
+        return self.speeds.prefill_tokens_per_s(self.gap_s)
 
     def begin(self, run: Run) -> None:
         """Add a run."""
         self.runs[run.run_id] = run
         if run.is_prefilling:
             self.prefill_tokens += run.permit_request.size.prompt_tokens
+            run.tokens_to_prefill = self.prefill_tokens
 
     def mark_prefilled(self, run_id: str) -> None:
         """Record that the prompt of a run has been prefilled."""
@@ -143,7 +152,7 @@
             case RunOutcome.COMPLETED:
                 self.backoff_s = 0.0
                 self.backoff_until = 0.0
-                self._update_speed(run.permit_request, report)
+                self._update_speed(run, report)
         failed = 0.0 if report.outcome is RunOutcome.COMPLETED else 1.0
         if report.outcome is not RunOutcome.REFUSED:
             self.failure_rate = moving_average(self.failure_rate, failed, LEARNING_RATE)
@@ -154,17 +163,18 @@
         self.backoff_s = min(max(self.backoff_s * 2, BACKOFF_MIN_S), BACKOFF_MAX_S)
         self.backoff_until = at + self.backoff_s
 
-    def _update_speed(self, permit_request: PermitRequest, report: RunReport) -> None:
-        if not permit_request.size.prompt_tokens:
+    def _update_speed(self, run: Run, report: RunReport) -> None:
+        if not run.permit_request.size.prompt_tokens:
             self.plain_run_s = moving_average(
                 self.plain_run_s, report.duration_s, LEARNING_RATE
             )
-        elif report.token_gap_s is not None:
+            return
+        if report.token_gap_s:
+            self.speeds.record_gap(report.token_gap_s)
             self.token_gap_s = moving_average(
                 self.token_gap_s, report.token_gap_s, LEARNING_RATE
             )
-
-
-def moving_average(known: float | None, value: float, weight: float) -> float:
-    """Return a moving average updated with a value; `known` is None for the first."""
-    return value if known is None else known + weight * (value - known)
+        if report.first_token_s is not None and self.token_gap_s is not None:
+            self.speeds.record_prefill(
+                run.tokens_to_prefill, report.first_token_s, self.token_gap_s
+            )
--- a/fuchsiacroft/routing/reserve.py
+++ b/fuchsiacroft/routing/reserve.py
@@ -8,6 +8,7 @@
 import math
 from abc import ABC, abstractmethod
 
+from fuchsiacroft.routing.rank_load import RankLoads
 from fuchsiacroft.utils.clock import now
 
 AVERAGING_TIME_S = 15.0
@@ -46,55 +47,23 @@
         return 0
 
 
-class RankLoad:
-    """The current load of one rank, and its exponentially weighted mean."""
-
-    def __init__(self) -> None:
-        self.load = 0.0
-        self._mean = 0.0
-        self._updated_at = now()
-
-    def add(self, change: float) -> None:
-        """Record the load of a run that starts or ends."""
-        self._update_mean()
-        self.load += change
-
-    def mean(self) -> float:
-        """Return the recent mean load."""
-        self._update_mean()
-        return self._mean
-
-    def _update_mean(self) -> None:
-        at = now()
-        decay = math.exp((self._updated_at - at) / AVERAGING_TIME_S)
-        self._mean = self._mean * decay + self.load * (1.0 - decay)
-        self._updated_at = at
-
-
 class MeasuredReserve(CapacityReserve):
     """Reserves the mean load of higher tiers and a margin."""
 
     def __init__(self) -> None:
-        self._ranks: dict[int, RankLoad] = {}
+        self._loads = RankLoads(AVERAGING_TIME_S)
 
     def record_load(self, rank: int, change: float) -> None:
         """Record the load of a run that starts or ends at a rank."""
-        rank_load = self._ranks.get(rank)
-        if rank_load is None:
-            rank_load = self._ranks[rank] = RankLoad()
-        rank_load.add(change)
+        self._loads.add(rank, change, now())
 
     def reserved_above(self, rank: int) -> float:
         """Return the mean load of higher tiers with the margin."""
-        mean = sum(
-            rank_load.mean() for other, rank_load in self._ranks.items() if other < rank
-        )
+        mean = self._loads.mean_above(rank, now())
         if mean < MIN_MEAN_LOAD:
             return 0
         return mean + MARGIN_DEVIATIONS * math.sqrt(mean)
 
     def load_at_or_below(self, rank: int) -> float:
         """Return the load of this tier and lower ones."""
-        return sum(
-            rank_load.load for other, rank_load in self._ranks.items() if other >= rank
-        )
+        return self._loads.at_or_below(rank)
--- a/fuchsiacroft/tests/gateway/wait_policy_tests.py
+++ b/fuchsiacroft/tests/gateway/wait_policy_tests.py
@@ -1,6 +1,9 @@
 """Tests for the queue wait limits, given the deadlines that callers send."""
 
+from dataclasses import replace
+
 from fuchsiacroft.config.route_table import RequestKind, Route, Target
+from fuchsiacroft.gateway.response_estimates import ResponseEstimates
 from fuchsiacroft.gateway.routed_request import RoutedRequest
 from fuchsiacroft.gateway.wait_policy import (
     MAX_START_WAIT_S,
@@ -62,21 +65,46 @@
     """A request waits while it can meet its target, a late one for a share."""
 
     def test_first_attempt_waits_within_latency_target(self):
-        limits = WaitPolicy().limits(routed_request(8.0), 8.0)
+        limits = WaitPolicy(ResponseEstimates()).limits(routed_request(8.0), 8.0)
         self.assertTrue(0.1 < limits.in_time_s < 0.3)
         self.assertTrue(limits.in_time_s < limits.max_wait_s < 4.0)
 
     def test_retried_request_is_already_late(self):
-        policy = WaitPolicy()
+        policy = WaitPolicy(ResponseEstimates())
         policy.limits(routed_request(8.0), 8.0)
         limits = policy.limits(routed_request(5.5), 5.5)
         self.assertEqual(0.0, limits.in_time_s)
         self.assertGreater(limits.max_wait_s, 1.0)
 
     def test_time_spent_in_this_entry_counts(self):
-        limits = WaitPolicy().limits(routed_request(8.0), 7.7)
+        limits = WaitPolicy(ResponseEstimates()).limits(routed_request(8.0), 7.7)
         self.assertEqual(0.0, limits.in_time_s)
 
     def test_route_timeout_above_caller_deadline_is_not_late(self):
-        limits = WaitPolicy().limits(routed_request(4.0), 4.0)
+        limits = WaitPolicy(ResponseEstimates()).limits(routed_request(4.0), 4.0)
         self.assertGreater(limits.in_time_s, 0.1)
+
+    def test_a_long_prompt_on_slow_engines_leaves_less_time_to_wait(self):
+        """Guards against waits that were right for one speed of engine only.
+
+        Engines read 5 tokens in a ms, so a prompt of 600 tokens takes 0.12 s and one
+        of 100 tokens 0.02 s.
+        """
+        estimates = ResponseEstimates()
+        for number in range(200):
+            tokens = 100 * (1 + number % 8)
+            estimates.record("lens", tokens, tokens / 5_000)
+        limits = WaitPolicy(estimates).limits(routed_request(8.0), 8.0)
+        self.assertAlmostEqual(0.3 - 0.12, limits.in_time_s, delta=0.01)
+        quick = replace(routed_request(8.0), size=WorkSize(100, 100))
+        limits = WaitPolicy(estimates).limits(quick, 8.0)
+        self.assertAlmostEqual(0.3 - 0.02, limits.in_time_s, delta=0.01)
+
+    def test_a_late_request_waits_as_long_as_its_caller_does(self):
+        """Guards against a limit for streams of one latency target only."""
+        patient = replace(ROUTE, latency_target_s=2.0, timeout_s=15.0)
+        request = replace(
+            routed_request(15.0), route=patient, deadline_s=15.0, timeout_s=15.0
+        )
+        limits = WaitPolicy(ResponseEstimates()).limits(request, 15.0)
+        self.assertTrue(4.0 < limits.max_wait_s < 8.0, limits)
--- a/fuchsiacroft/tests/placing/allocator_search_tests.py
+++ b/fuchsiacroft/tests/placing/allocator_search_tests.py
@@ -109,10 +109,9 @@
 
     def pop_head(self) -> None:
         """Pop the next waiter, as when it is forwarded to another domain."""
-        if self.allocator.services_with_waiters():
-            waiter = self.allocator.pop_head("lens")
-            if waiter is not None:
-                self.popped.append(waiter)
+        for head in self.allocator.queue_heads():
+            self.allocator.dequeue(head.request.run_id)
+            self.popped.append(head)
 
     def requeue(self) -> None:
         """Requeue a popped waiter that no other domain placed."""
--- a/fuchsiacroft/tests/placing/allocator_tests.py
+++ b/fuchsiacroft/tests/placing/allocator_tests.py
@@ -308,6 +308,44 @@
         decision = self.allocator.place(request(avoid=("i-1",)), 0.0)
         self.assertEqual("i-2", decision.backend_server)
 
+    def test_clusters_of_urgent_requests_find_slots_beside_a_flood_of_long_ones(self):
+        """Guards against urgent requests that wait for the ends of long runs.
+
+        One server has 11 slots. Long requests of the least urgent rank always wait.
+        Three urgent ones arrive together every 0.6 s and run for 0.3 s; each must be
+        placed within 0.7 s. The long ones run for 2 s and must get most of the rest.
+        """
+        ends: list[tuple[float, str, int]] = []
+        waits: list[float] = []
+        long_runs = 0
+        for step in range(2_000):
+            at = step * 0.02
+            for end in [end for end in ends if end[0] <= at]:
+                ends.remove(end)
+                run_s = 2.0 if end[2] else 0.3
+                self.allocator.end(end[1], done(run_s), at)
+            asked = [request(rank=2, in_time_s=1.5, max_wait_s=3.0, output_tokens=800)]
+            if step % 30 == 0:
+                asked += [request(in_time_s=0.7, max_wait_s=1.5) for _ in range(3)]
+            found = [(0.0, self.allocator.place(req, at), req) for req in asked]
+            placed = [(w, d, r) for w, d, r in found if isinstance(d, Assignment)]
+            for waiter, assignment in self.allocator.place_waiters(at):
+                placed.append((at - waiter.arrived_at, assignment, waiter.request))
+            self.allocator.expire_waiters(at)
+            for waited_s, assignment, req in placed:
+                is_long = req.ask.rank == 2
+                ends.append(
+                    (at + (2.0 if is_long else 0.3), assignment.run_id, is_long)
+                )
+                if is_long:
+                    long_runs += at > 5.0
+                elif at > 5.0:
+                    waits.append(waited_s)
+        self.assertGreaterEqual(len(waits), 3 * 58 - 3)
+        self.assertLess(sum(wait > 0.7 for wait in waits) / len(waits), 0.02)
+        self.assertLess(sum(wait > 0.1 for wait in waits) / len(waits), 0.35)
+        self.assertGreater(long_runs, 0.6 * 11 * 35 / 2.0)
+
     def test_faster_servers_are_chosen_first(self):
         self.servers("i-1", "i-2")
         for name, gap_s in (("i-1", 0.005), ("i-2", 0.002)):
--- a/fuchsiacroft/tests/placing/neighbours_tests.py
+++ b/fuchsiacroft/tests/placing/neighbours_tests.py
@@ -13,6 +13,7 @@
 
 DONE = RunReport(RunOutcome.COMPLETED, token_gap_s=0.0025, duration_s=0.3)
 SLOTS = 11
+LEAST_URGENT = 30
 RATE = 1_000.0
 QUOTA = Quota(units_per_s=RATE, burst=RATE, counts_tokens=True)
 TABLE = route_table.create_route_table(
@@ -20,10 +21,12 @@
 )
 
 
-def permit_request(request_id: str, rank: int = 0) -> PermitRequest:
+def permit_request(
+    request_id: str, rank: int = 0, tokens: int = 1_000
+) -> PermitRequest:
     """Return a request to a model service."""
     return PermitRequest(
-        request_id, "lens", rank, 8.0, "tills", size=WorkSize(1_000, 100)
+        request_id, "lens", rank, 8.0, "tills", size=WorkSize(tokens, 100)
     )
 
 
@@ -65,10 +68,10 @@
             await asyncio.sleep(1.0)
             await self.send_heartbeat(region)
 
-    async def acquire(self, entry, number: int, charge: float = 0.0):
+    async def acquire(self, entry, number: int, charge: float = 0.0, rank: int = 0):
         requests = (
             entry.placer.acquire(
-                permit_request(f"{entry.node}-{i}"),
+                permit_request(f"{entry.node}-{i}", rank),
                 charge,
                 False,
                 WaitLimits(0.05, 0.05),
@@ -92,6 +95,36 @@
 
         self.run_region(scenario)
 
+    def test_a_long_prompt_goes_to_a_domain_with_a_faster_engine(self):
+        """Guards against late first events beside idle engines that are faster.
+
+        The engine of the first domain reads 25,000 tokens in a second, that of the
+        second 125,000. A prompt of 40,000 tokens is late on the slower one only.
+        """
+
+        async def scenario(region):
+            for number, gap_s in ((0, 0.01), (1, 0.002)):
+                entry = region.entries[number]
+                for _ in range(60):
+                    [placed] = await self.acquire(entry, 1)
+                    first_s = 1_000 * gap_s / 250
+                    entry.placer.release(
+                        placed, RunReport(RunOutcome.COMPLETED, first_s, gap_s, 0.3)
+                    )
+            await asyncio.sleep(0.3)
+            servers = []
+            for tokens in (1_000, 40_000):
+                outcome = await region.entries[0].placer.acquire(
+                    permit_request(f"p-{tokens}", tokens=tokens),
+                    0.0,
+                    False,
+                    WaitLimits(0.5, 0.5),
+                )
+                servers.append(outcome.ok.backend_server)
+            self.assertEqual(["i-0", "i-1"], servers)
+
+        self.run_region(scenario, servers=2)
+
     def submit(self, entry, number: int, rank: int, wait_s: float = 2.0):
         """Submit requests at an entry; return the futures of the decisions."""
         wait_limits = WaitLimits(wait_s, wait_s)
@@ -108,10 +141,13 @@
         ]
 
     async def fill_and_queue(self, region, ranks: tuple[int, int, int]):
-        """Fill each domain, and queue as many requests at the rank given for it."""
+        """Fill each domain, and queue as many requests at the rank given for it.
+
+        The runs that fill it are the least urgent, so no slot is kept free for them.
+        """
         running, waiting = [], []
         for entry in region.entries[:3]:
-            running.append(await self.acquire(entry, SLOTS))
+            running.append(await self.acquire(entry, SLOTS, rank=LEAST_URGENT))
         for entry, rank in zip(region.entries[:3], ranks, strict=True):
             waiting.append(self.submit(entry, SLOTS, rank))
         await asyncio.sleep(0.2)
@@ -172,7 +208,8 @@
         async def scenario(region):
             coordinator = region.entries[0].coordinator
             running, waiting = await self.fill_and_queue(region, (1, 5, 1))
-            waiter = coordinator.allocator.pop_head("lens")
+            [waiter] = coordinator.allocator.queue_heads()
+            coordinator.allocator.dequeue(waiter.request.run_id)
             placed = running[1][0]
             cancelled = []
             coordinator._neighbours.wait_in_other_domain = self.returning(placed)
--- a/fuchsiacroft/tests/platform/requests_tests.py
+++ b/fuchsiacroft/tests/platform/requests_tests.py
@@ -170,8 +170,11 @@
         )
         self.assertEqual([], replica.received)
 
-    async def test_a_missing_replica_is_reported_immediately(self):
+    async def test_a_missing_replica_is_reported_while_the_caller_can_retry(self):
+        """Guards against a wait for a replica that leaves no time for a retry."""
+        began = asyncio.get_running_loop().time()
         got = await self.region.send_request("/advice/1/", method="POST")
+        self.assertLess(asyncio.get_running_loop().time() - began, 2.0)
         self.assertEqual(503, got.status)
         self.assertGreater(float(got.headers["retry-after"]), 0.0)
 
