Send an entry's tables once a change and fewer messages at rest

Cause: with 89 entries and 8 control members most of the processor time goes to messages at rest, and much of what crosses failure domains to tables: each entry sent heartbeats at eight separate times, each member sent its whole table to each entry after each change, relayed each of some 70 heartbeats a second to seven others by itself, and told all entries of each relayed change.

Change: an entry sends its heartbeats in one round every 0.5 s. A reply tells digests; the entry asks for tables only where no other member, nor a notice, gave it the same ones. Heartbeats that change nothing are relayed in one message each 0.25 s. A relayed change reaches the entries by the member that got it, or by the next heartbeat. Long polls last longer where there are more members. LEFT records no longer count in a table's digest, as each table drops them at its own time. A heartbeat that arrives after its entry's stop no longer lists the entry again. Old entries don't send asks_full and get the old replies.

Measured: registry_tests count the transfers (entries x members before, at most one an entry now).

--- a/fuchsiacroft/config/published_follower.py
+++ b/fuchsiacroft/config/published_follower.py
@@ -16,10 +16,13 @@
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
-FETCH_WAIT_S = 1.0
-"""How long a control member may delay a reply; an update is sent at once."""
-FETCH_TIMEOUT_S = 1.6
-"""The wait plus time for a slow link."""
+FETCH_WAIT_S = 0.25
+"""How long a control member may delay a reply, for each member: any of them sends an
+update at once."""
+MIN_FETCH_WAIT_S = 1.0
+MAX_FETCH_WAIT_S = 2.0
+FETCH_MARGIN_S = 0.6
+"""Added to the wait for a slow link."""
 RETRY_DELAY_S = 0.15
 """Delay after a control member did not reply."""
 START_GRACE_S = 3.0
@@ -91,9 +94,9 @@
 
     async def _follow(self, address: str) -> None:
         while True:
-            wait_s = FETCH_WAIT_S if self._confirmed else 0.0
+            wait_s = self._fetch_wait_s() if self._confirmed else 0.0
             fetch = FetchPublishedUpdate(self.current_version, wait_s)
-            match await self._bus.request(address, fetch, FETCH_TIMEOUT_S):
+            match await self._bus.request(address, fetch, wait_s + FETCH_MARGIN_S):
                 case Result(tag="ok", ok=PublishedUpdate() as update):
                     self._apply_update(update, address)
                     if not wait_s:
@@ -101,6 +104,11 @@
                 case _:
                     await asyncio.sleep(RETRY_DELAY_S)
 
+    def _fetch_wait_s(self) -> float:
+        """Return how long each member may wait for an update before it replies."""
+        wait_s = FETCH_WAIT_S * len(self._follow_tasks)
+        return min(max(wait_s, MIN_FETCH_WAIT_S), MAX_FETCH_WAIT_S)
+
     def _apply_update(self, update: PublishedUpdate, source: str) -> None:
         if update.body and update.version > self.current_version:
             self._replace_table(update, source)
--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -1,8 +1,10 @@
 """The registry of backend servers on each control member.
 
-The table is soft state: every control member relays the reports it receives to
-the other members and to the entries, and a member that starts rebuilds its
-table from the heartbeats of the next one or two periods.
+The table is soft state: a control member relays the reports it receives to the
+other members, and a member that starts rebuilds its table from the heartbeats of
+the next one or two periods. A report that changes something is relayed at once, also
+to the entries that this member knows; other entries learn of it by the reply to
+their next heartbeat to any member.
 """
 
 import asyncio
@@ -54,7 +56,9 @@
         self._address = settings.addresses.peers
         self._server_timeout_s = MAX_MISSED_HEARTBEATS * heartbeat_s
         self._table = ServerTable()
+        self._unchanged: dict[str, ServerRecord] = {}
         self._entries: dict[str, tuple[EntryRecord, float]] = {}
+        self._stopped: dict[str, int] = {}
         self._entries_digest = 0
         self._started_at = 0.0
         self._tasks = BackgroundTasks("registry")
@@ -91,9 +95,11 @@
         some of them.
         """
         changed = self._table.merge(record, now())
-        self._notify_members(record)
         if changed:
+            self._notify_members((record,))
             self._log_changes(changed, "heartbeat")
+        else:
+            self._unchanged[record.name] = record
         known = self._table.get(record.name)
         is_ending = known is not None and known.life is not ServerState.SERVING
         if is_ending and known.instance_id == record.instance_id:
@@ -153,8 +159,8 @@
             if reply.is_error() and entry.node in self._entries
         ]
 
-    def _notify_members(self, record: ServerRecord) -> None:
-        message = ServersChanged(self._address, (record,))
+    def _notify_members(self, records: tuple[ServerRecord, ...]) -> None:
+        message = ServersChanged(self._address, records)
         for address in self._members.others():
             self._bus.send(address, message)
 
@@ -164,39 +170,44 @@
             changed.extend(self._table.merge(record, now()))
         if changed:
             self._log_changes(tuple(changed), sender)
-            self._tasks.spawn(self._notify_entries(tuple(changed)), "registry-tell")
         return ChangeAck()
 
     async def _on_heartbeat(
         self, sender: str, msg: EntryHeartbeat
     ) -> EntryHeartbeatReply:
-        entry = msg.entry
-        if entry.node not in self._entries:
-            event("info", "entry_joined", entry=entry.node, domain=entry.failure_domain)
-        self._record_entry(entry)
-        knows_servers = msg.digest == self._table.digest
-        knows_entries = msg.entries_digest == self._entries_digest
-        entries = tuple(known for known, _ in self._entries.values())
+        self._record_entry(msg.entry)
+        digest, entries_digest = self._table.digest, self._entries_digest
+        sends_servers = msg.asks_full and digest != msg.digest
+        sends_entries = msg.asks_full and entries_digest != msg.entries_digest
         return EntryHeartbeatReply(
             controls=self._members.all(),
-            entries_digest=self._entries_digest,
-            entries=None if knows_entries else entries,
-            digest=self._table.digest,
-            records=None if knows_servers else self._table.records(),
+            entries_digest=entries_digest,
+            entries=self._known_entries() if sends_entries else None,
+            digest=digest,
+            records=self._table.records() if sends_servers else None,
         )
 
+    def _known_entries(self) -> tuple[EntryRecord, ...]:
+        return tuple(known for known, _ in self._entries.values())
+
     def _record_entry(self, entry: EntryRecord) -> None:
+        """Record an entry's heartbeat, unless the same process has stopped since."""
+        if entry.started_ms <= self._stopped.get(entry.node, 0):
+            return
         known = self._entries.get(entry.node)
+        if known is None:
+            event("info", "entry_joined", entry=entry.node, domain=entry.failure_domain)
         self._entries[entry.node] = (entry, now())
         if known is None or known[0] != entry:
             self._entries_changed()
 
     def _entries_changed(self) -> None:
-        entries = (known for known, _ in self._entries.values())
-        self._entries_digest = entries_digest(entries)
+        self._entries_digest = entries_digest(self._known_entries())
 
     async def _on_entry_stopping(self, sender: str, msg: EntryStopping) -> ChangeAck:
-        if self._entries.pop(msg.node, None) is not None:
+        known = self._entries.pop(msg.node, None)
+        if known is not None:
+            self._stopped[msg.node] = known[0].started_ms
             self._entries_changed()
             event("info", "entry_left", entry=msg.node)
         return ChangeAck()
@@ -205,6 +216,7 @@
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
             at = now()
+            self._relay_unchanged()
             for name in self._table.remove_expired(at - self._server_timeout_s, at):
                 event("info", "backend_server_forgotten", backend_server=name)
             for node, (_, received_at) in list(self._entries.items()):
@@ -213,6 +225,12 @@
                     self._entries_changed()
                     event("info", "entry_silent", entry=node)
 
+    def _relay_unchanged(self) -> None:
+        """Relay the heartbeats that changed nothing, in one message."""
+        if self._unchanged:
+            self._notify_members(tuple(self._unchanged.values()))
+            self._unchanged.clear()
+
     def _log_changes(self, records: tuple[ServerRecord, ...], source: str) -> None:
         for record in records:
             event(
--- a/fuchsiacroft/membership/registry_wire.py
+++ b/fuchsiacroft/membership/registry_wire.py
@@ -74,19 +74,20 @@
 
 @codec.message("registry.hello")
 class EntryHeartbeat(msgspec.Struct, frozen=True):
-    """Heartbeat of an entry, with the digests it last got from the control member."""
+    """Heartbeat of an entry, with the digests it last got from the control member.
+
+    With `asks_full` the member replies with each table whose digest is another now.
+    """
 
     entry: EntryRecord
     digest: int
     entries_digest: int
+    asks_full: bool = True
 
 
 @codec.message("registry.hello_answer")
 class EntryHeartbeatReply(msgspec.Struct, frozen=True):
-    """Reply to a heartbeat.
-
-    It holds the entries and the records only if their digests differ.
-    """
+    """Reply to a heartbeat; tables that the entry knows or didn't ask for are None."""
 
     controls: tuple[str, ...]
     entries_digest: int
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -4,6 +4,10 @@
 the members notify it at once when a backend server changes. The replies of
 several members are merged. Information from unreachable members is used only
 while no member replies.
+
+A reply to a heartbeat tells the digests of the member's tables. The entry asks for
+the tables of one member after another, and only where no other member has sent it
+the same ones before, so a change is mostly transferred once.
 """
 
 import asyncio
@@ -33,7 +37,7 @@
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
-HEARTBEAT_PERIOD_S = 0.4
+HEARTBEAT_PERIOD_S = 0.5
 HEARTBEAT_TIMEOUT_S = 0.8
 STOP_NOTICE_TIMEOUT_S = 0.15
 """Short, as a stopping process has little time.
@@ -48,6 +52,7 @@
 """A server that no reachable member lists for this long is removed."""
 SWEEP_PERIOD_S = 0.25
 
+NO_SERVERS: tuple[int, tuple[str, ...]] = (0, ())
 NO_ENTRIES: tuple[int, tuple[EntryRecord, ...]] = (0, ())
 
 ServersListener = Callable[[tuple[ServerRecord, ...]], None]
@@ -82,7 +87,9 @@
         self._merged: MergedEntries | None = None
         self._replied_at: dict[str, float] = {}
         self._servers = ServerTable()
-        self._heartbeat_tasks: dict[str, asyncio.Task] = {}
+        self._awaited: set[str] = set()
+        self._differing: dict[str, EntryHeartbeatReply] = {}
+        self._is_fetching = False
         self._servers_listeners: list[ServersListener] = []
         self._controls_listeners: list[Callable[[tuple[str, ...]], None]] = []
         self._tasks = BackgroundTasks("roster")
@@ -91,7 +98,7 @@
         """Start to send heartbeats and to receive changes."""
         self._bus = kernel.get("bus", Bus)
         self._bus.register_handler(ServersChanged, self._on_changed)
-        self._update_heartbeat_tasks()
+        self._tasks.spawn_critical(self._send_heartbeats(), "roster-heartbeats")
         self._tasks.spawn_critical(self._sweep(), "roster-sweep")
 
     def start_draining(self) -> None:
@@ -188,30 +195,38 @@
     def _replied_since(self, oldest: float) -> list[str]:
         return [address for address, at in self._replied_at.items() if at >= oldest]
 
-    def _update_heartbeat_tasks(self) -> None:
-        for removed in self._heartbeat_tasks.keys() - set(self._controls):
-            self._heartbeat_tasks.pop(removed).cancel()
-            self._replied_at.pop(removed, None)
-        for address in self._controls:
-            if address not in self._heartbeat_tasks:
-                task = self._tasks.spawn_critical(
-                    self._send_heartbeats(address), f"greet-{address}"
-                )
-                self._heartbeat_tasks[address] = task
-
-    async def _send_heartbeats(self, address: str) -> None:
+    async def _send_heartbeats(self) -> None:
         while True:
-            digest, _ = self._known_servers.get(address, (0, ()))
-            entries_digest, _ = self._entries.get(address, NO_ENTRIES)
-            heartbeat = EntryHeartbeat(self.local_entry, digest, entries_digest)
-            match await self._bus.request(address, heartbeat, HEARTBEAT_TIMEOUT_S):
-                case Result(tag="ok", ok=EntryHeartbeatReply() as reply):
-                    self._on_reply(address, reply)
-                case _:
-                    self._on_missed_reply(address)
+            self._start_heartbeats()
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
+    def _start_heartbeats(self) -> None:
+        """Send a heartbeat to each control member that has replied to the last one."""
+        for address in self._controls:
+            if address not in self._awaited:
+                self._awaited.add(address)
+                self._tasks.spawn(self._heartbeat(address), f"heartbeat-{address}")
+
+    async def _heartbeat(self, address: str) -> None:
+        try:
+            await self._exchange(address, asks_full=False)
+        finally:
+            self._awaited.discard(address)
+
+    async def _exchange(self, address: str, *, asks_full: bool) -> None:
+        """Send a heartbeat and handle the reply."""
+        digest, _ = self._known_servers.get(address, NO_SERVERS)
+        entries_digest, _ = self._entries.get(address, NO_ENTRIES)
+        heartbeat = EntryHeartbeat(self.local_entry, digest, entries_digest, asks_full)
+        match await self._bus.request(address, heartbeat, HEARTBEAT_TIMEOUT_S):
+            case Result(tag="ok", ok=EntryHeartbeatReply() as reply):
+                self._on_reply(address, reply)
+            case _:
+                self._on_missed_reply(address)
+
     def _on_reply(self, address: str, reply: EntryHeartbeatReply) -> None:
+        if address not in self._controls:
+            return
         if address not in self._reachable_controls():
             event("info", "control_member_reached", address=address)
         self._replied_at[address] = now()
@@ -222,8 +237,45 @@
             self._merge(reply.records)
             names = tuple(record.name for record in reply.records)
             self._known_servers[address] = (reply.digest, names)
+        self._differing[address] = reply
+        if not self._adopt_known(address) and not self._is_fetching:
+            self._is_fetching = True
+            self._tasks.spawn(self._fetch_differing(), "roster-fetch")
         self._update_controls(reply.controls)
 
+    def _adopt_known(self, address: str) -> bool:
+        """Take tables with the same digests, this entry's own too, for a member's.
+
+        Returns whether both tables of the member are known then.
+        """
+        reply = self._differing[address]
+        servers = dict(self._known_servers.values()).get(reply.digest)
+        if servers is None and reply.digest == self._servers.digest:
+            servers = tuple(record.name for record in self._servers.records())
+        if servers is not None:
+            self._known_servers[address] = (reply.digest, servers)
+        entries = dict(self._entries.values()).get(reply.entries_digest)
+        if entries is not None:
+            listed = (reply.entries_digest, entries)
+            if self._entries.get(address) != listed:
+                self._entries[address] = listed
+                self._merged = None
+        if servers is None or entries is None:
+            return False
+        del self._differing[address]
+        return True
+
+    async def _fetch_differing(self) -> None:
+        """Ask for the tables of the members that no other member has sent."""
+        try:
+            while self._differing:
+                address = next(iter(self._differing))
+                if not self._adopt_known(address):
+                    del self._differing[address]
+                    await self._exchange(address, asks_full=True)
+        finally:
+            self._is_fetching = False
+
     def _on_missed_reply(self, address: str) -> None:
         at = self._replied_at.get(address)
         if (
@@ -236,9 +288,11 @@
     def _update_controls(self, reported: tuple[str, ...]) -> None:
         addresses = tuple(sorted(set(reported) | set(self._seeds)))
         if addresses != self._controls:
+            for removed in set(self._controls) - set(addresses):
+                self._replied_at.pop(removed, None)
             self._controls = addresses
             event("info", "control_members_changed", addresses=",".join(addresses))
-            self._update_heartbeat_tasks()
+            self._start_heartbeats()
             for listener in self._controls_listeners:
                 listener(addresses)
 
--- a/fuchsiacroft/membership/server_table.py
+++ b/fuchsiacroft/membership/server_table.py
@@ -49,10 +49,15 @@
     def digest(self) -> int:
         """Return a hash of the fields that affect requests.
 
-        Equal tables have equal hashes.
+        Equal tables have equal hashes. `LEFT` records don't count, since each table
+        drops them at its own time.
         """
         if self._digest is None:
-            texts = sorted(_fingerprint(record) for record in self.records())
+            texts = sorted(
+                _fingerprint(record)
+                for record in self.records()
+                if record.life is not ServerState.LEFT
+            )
             self._digest = xxhash.xxh3_64_intdigest("\n".join(texts).encode())
         return self._digest
 
--- a/fuchsiacroft/tests/membership/registry_tests.py
+++ b/fuchsiacroft/tests/membership/registry_tests.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from fuchsiacroft.membership.registry_wire import ServerState
+import msgspec
+
+from fuchsiacroft.membership.registry_wire import EntryHeartbeat, ServerState
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.memory_region import HEARTBEAT_S, MemoryRegion
 from fuchsiacroft.tests.membership.server_table_tests import record
@@ -168,6 +170,54 @@
 
         self.run_scenario(scenario)
 
+    def test_a_change_is_transferred_to_an_entry_once(self):
+        """Guards against transfers that grow with entries times members.
+
+        Every member learns of a new backend server and tells the entries' digests.
+        """
+
+        async def scenario(region):
+            sent = []
+            for member in region.members:
+                self.count_tables(member, sent)
+            await region.members[0].registry.report(record())
+            await asyncio.sleep(2.0)
+            for entry in region.entries:
+                self.assertEqual(1, len(entry.roster.servers()))
+            self.assertLessEqual(len(sent), len(region.entries))
+            await region.entries[0].kernel.stop()
+            await asyncio.sleep(2.0)
+            self.assertLessEqual(len(sent), 2 * len(region.entries))
+
+        self.run_scenario(scenario)
+
+    def count_tables(self, member, sent: list) -> None:
+        """Append to `sent` each reply of a member that holds a table."""
+        answer = member.registry._on_heartbeat
+
+        async def on_heartbeat(sender, msg):
+            reply = await answer(sender, msg)
+            if reply.records is not None or reply.entries is not None:
+                sent.append(reply)
+            return reply
+
+        member.bus.register_handler(EntryHeartbeat, on_heartbeat)
+
+    def test_a_heartbeat_that_arrives_after_the_stop_changes_nothing(self):
+        """Guards against an entry that is listed although it has stopped."""
+
+        async def scenario(region):
+            registry = region.members[0].registry
+            entry = region.entries[0].roster.local_entry
+            await region.entries[0].kernel.stop()
+            await registry._on_heartbeat(entry.node, EntryHeartbeat(entry, 0, 0))
+            self.assertNotIn(entry.node, registry.dump()["entries"])
+            again = msgspec.structs.replace(entry, started_ms=entry.started_ms + 1)
+            await registry._on_heartbeat(entry.node, EntryHeartbeat(again, 0, 0))
+            self.assertIn(entry.node, registry.dump()["entries"])
+
+        self.run_scenario(scenario)
+
     def test_entries_are_retained_for_a_time_while_no_control_member_replies(self):
         async def scenario(region):
             roster = region.entries[1].roster
