Place the longest requests of a rank as often as the others

Cause: each second of a run's length counted as half a second of later arrival, without a limit.

Change: the length counts for half a second at most. The new test plays one rank that exceeds the slots; without the limit its longest requests are not served.

--- a/fuchsiacroft/placing/queue.py
+++ b/fuchsiacroft/placing/queue.py
@@ -20,6 +20,8 @@
 
 RUN_LENGTH_WEIGHT = 0.5
 """Each second of expected run time counts as this many seconds of later arrival."""
+MAX_RUN_LENGTH_DELAY_S = 0.5
+"""Limit of that; without it the longest requests of a rank would never be placed."""
 
 
 class WaitClass(IntEnum):
@@ -115,7 +117,8 @@
 
     def add(self, waiter: Waiter) -> None:
         """Add a waiter."""
-        key = waiter.arrived_at + RUN_LENGTH_WEIGHT * waiter.run_s
+        delay_s = min(RUN_LENGTH_WEIGHT * waiter.run_s, MAX_RUN_LENGTH_DELAY_S)
+        key = waiter.arrived_at + delay_s
         pos = waiter.position
         heapq.heappush(self._heap, (pos, key, next(self._sequence), waiter))
         self._counts[pos] += 1
--- a/fuchsiacroft/tests/placing/allocator_tests.py
+++ b/fuchsiacroft/tests/placing/allocator_tests.py
@@ -308,6 +308,42 @@
         decision = self.allocator.place(request(avoid=("i-1",)), 0.0)
         self.assertEqual("i-2", decision.backend_server)
 
+    def test_the_longest_requests_of_a_rank_are_served_as_often_as_the_others(self):
+        """Guards against long requests that wait behind every later short one.
+
+        One server has 11 slots. Requests of one rank come faster than it serves them;
+        one in ten takes 6 s, the others 0.6 s.
+        """
+        ends: list[tuple[float, str, float]] = []
+        asked, served = Counter(), Counter()
+        for step in range(3_000):
+            at = step * 0.02
+            for end in [end for end in ends if end[0] <= at]:
+                ends.remove(end)
+                self.allocator.end(end[1], done(end[2]), at)
+            found = []
+            if step % 2 == 0:
+                is_long = step % 20 == 0
+                tokens = 2_400 if is_long else 240
+                req = request(in_time_s=1.5, max_wait_s=4.0, output_tokens=tokens)
+                decision = self.allocator.place(req, at)
+                asked[is_long] += 1
+                if isinstance(decision, Assignment):
+                    found.append((req, decision))
+            placed = self.allocator.place_waiters(at)
+            found += [(waiter.request, assignment) for waiter, assignment in placed]
+            self.allocator.expire_waiters(at)
+            for req, assignment in found:
+                is_long = req.ask.size.output_tokens == 2_400
+                served[is_long] += 1
+                run_s = 6.0 if is_long else 0.6
+                ends.append((at + run_s, assignment.run_id, run_s))
+        share = {is_long: served[is_long] / asked[is_long] for is_long in asked}
+        self.assertLess(share[False], 0.95)
+        self.assertGreater(
+            share[True], 0.5 * sum(served.values()) / sum(asked.values())
+        )
+
     def test_clusters_of_urgent_requests_find_slots_beside_a_flood_of_long_ones(self):
         """Guards against urgent requests that wait for the ends of long runs.
 
