--- a/fuchsiacroft/tests/platform/start_tests.py
+++ b/fuchsiacroft/tests/platform/start_tests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from fuchsiacroft.control.log import ReplicatedLog
 from fuchsiacroft.tests.base import SocketTestCase
 from fuchsiacroft.tests.fakes.platform_region import PlatformRegion, config
 from fuchsiacroft.tests.fakes.replica import LAST_CHUNK, chunk, sse_events, stream_head
@@ -25,7 +26,12 @@
         """Guards against refusals of requests that the entry could serve soon.
 
         Callers retry only a few times, and every other entry has just started too.
+        The control members have a leader already, so that the table comes soon.
         """
+        controls = [self.region.kernels[ip] for ip in self.region.controls]
+        async with asyncio.timeout(15):
+            while not any(c.get("log", ReplicatedLog).is_leader for c in controls):
+                await asyncio.sleep(0.02)
         sent = asyncio.ensure_future(
             self.region.send_request("/report/", "Fuchsiacroft-Deadline-Ms: 8000")
         )
