Serve the backend servers of domains without entries from another domain

Cause: an entry is the only one of its domain on small deployments.

Change: a second after a domain has lost its entries one other domain, the same for all coordinators, serves its backend servers, each with one request until one has had a response, as the whole domain may be cut off (placing/served_domains).

--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -29,9 +29,11 @@
 from fuchsiacroft.placing.neighbours import Neighbours
 from fuchsiacroft.placing.pending import PendingPlacements, PlacementResult
 from fuchsiacroft.placing.queue import Waiter
+from fuchsiacroft.placing.served_domains import ServedDomains
 from fuchsiacroft.routing.permits import Refusal, RefusalReason, RunReport
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.rate_limited_log import RateLimitedLog
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
@@ -61,7 +63,7 @@
         self.allocator = Allocator(limits)
         self._node = settings.node
         self._peers = settings.addresses.peers
-        self._domain = settings.failure_domain
+        self._served = ServedDomains(settings.failure_domain)
         self._pending = PendingPlacements()
         self._version = 0
         self._refusal_log = RateLimitedLog("place_refused", MAX_REFUSALS_LOGGED)
@@ -78,9 +80,9 @@
         bus.register_handler(FirstEvent, self._on_first_event)
         bus.register_handler(RunEnded, self._on_ended)
         bus.register_handler(Ping, self._on_ping)
-        roster = kernel.get("roster", Roster)
-        roster.on_servers_change(self._on_servers)
-        self._on_servers(roster.servers())
+        self._roster = kernel.get("roster", Roster)
+        self._roster.on_servers_change(self._on_servers)
+        self._on_servers(self._roster.servers())
         self._neighbours.start_broadcast(self.allocator)
         self._neighbours.on_capacity = self._spill_waiters
         self._tasks.spawn_critical(self._tick(), "coordinator-tick")
@@ -245,16 +247,30 @@
             self.allocator.set_route_table(table)
 
     def _on_servers(self, records: tuple[ServerRecord, ...]) -> None:
-        local = [
+        served = [
             record
             for record in records
-            if record.announcement.failure_domain == self._domain
+            if self._served.serves(record.announcement.failure_domain)
         ]
-        self.allocator.fleet.replace_servers(local, now())
+        self.allocator.fleet.replace_servers(served, now(), self._served.adopted)
         self._place_waiters()
 
+    def _update_served_domains(self) -> None:
+        """Adopt the backend servers of domains without entries, or return them."""
+        records = self._roster.servers()
+        has_changed = self._served.update(
+            (record.announcement.failure_domain for record in records),
+            (entry.failure_domain for entry in self._roster.entries()),
+            now(),
+        )
+        if has_changed:
+            adopted = ",".join(sorted(self._served.adopted)) or "-"
+            event("info", "domains_adopted", domains=adopted)
+            self._on_servers(records)
+
     async def _tick(self) -> None:
         while True:
+            self._update_served_domains()
             await self._pending.wait_for_any(IDLE_TICK_S)
             await asyncio.sleep(TICK_S)
             for waiter, refusal in self.allocator.expire_waiters(now()):
--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -4,7 +4,7 @@
 """
 
 import statistics
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 from dataclasses import dataclass
 
 from fuchsiacroft.membership.registry_wire import ServerRecord
@@ -68,8 +68,17 @@
             for name, load in self._servers.items()
         }
 
-    def replace_servers(self, records: Iterable[ServerRecord], at: float) -> None:
-        """Replace the set of backend servers that accept work."""
+    def replace_servers(
+        self,
+        records: Iterable[ServerRecord],
+        at: float,
+        adopted: Container[str] = (),
+    ) -> None:
+        """Replace the set of backend servers that accept work.
+
+        Those of the `adopted` domains may be cut off from here, so each gets one
+        request at first, until one has had a response.
+        """
         found = {record.name: record for record in records}
         for name in self._servers.keys() - found.keys():
             self._remove_server(name, at)
@@ -80,7 +89,9 @@
                 continue
             if load is not None:
                 self._remove_server(name, at)
-            self._servers[name] = ServerLoad(record, self._speeds_of(record))
+            load = ServerLoad(record, self._speeds_of(record))
+            load.is_unproven = record.announcement.failure_domain in adopted
+            self._servers[name] = load
         self._by_service = {}
         for load in self._servers.values():
             for service in load.services:
@@ -205,6 +216,7 @@
         """Record that the prompt of a run has been prefilled."""
         load = self._runs.get(run_id)
         if load is not None:
+            load.is_unproven = False
             load.mark_prefilled(run_id)
 
     def end(self, run_id: str, report: RunReport, at: float) -> None:
--- a/fuchsiacroft/placing/server_load.py
+++ b/fuchsiacroft/placing/server_load.py
@@ -40,7 +40,10 @@
 
 @dataclass(slots=True, eq=False)
 class ServerLoad:
-    """Tracks the runs on a backend server and its speed and failure rate."""
+    """Tracks the runs on a backend server and its speed and failure rate.
+
+    A server that is unproven, as it may not be reachable, runs one request at a time.
+    """
 
     record: ServerRecord
     speeds: EngineSpeeds = field(default_factory=EngineSpeeds)
@@ -51,6 +54,7 @@
     backoff_until: float = 0.0
     backoff_s: float = 0.0
     prefill_tokens: int = 0
+    is_unproven: bool = False
 
     @property
     def name(self) -> str:
@@ -76,7 +80,8 @@
         """Return how many more requests it may run now within a share of its slots."""
         if at < self.backoff_until:
             return 0
-        return math.ceil(self.slots * share) - len(self.runs)
+        slots = 1 if self.is_unproven else math.ceil(self.slots * share)
+        return slots - len(self.runs)
 
     def expected_s(self, permit_request: PermitRequest) -> float:
         """Return the expected cost of a run that starts now, in seconds."""
@@ -150,6 +155,7 @@
             case RunOutcome.NOT_DISPATCHED | RunOutcome.CONNECTION_LOST:
                 self._back_off(at)
             case RunOutcome.COMPLETED:
+                self.is_unproven = False
                 self.backoff_s = 0.0
                 self.backoff_until = 0.0
                 self._update_speed(run, report)
--- a/fuchsiacroft/tests/placing/neighbours_tests.py
+++ b/fuchsiacroft/tests/placing/neighbours_tests.py
@@ -22,12 +22,11 @@
 
 
 def permit_request(
-    request_id: str, rank: int = 0, tokens: int = 1_000
+    request_id: str, rank: int = 0, tokens: int = 1_000, avoid: tuple[str, ...] = ()
 ) -> PermitRequest:
     """Return a request to a model service."""
-    return PermitRequest(
-        request_id, "lens", rank, 8.0, "tills", size=WorkSize(tokens, 100)
-    )
+    size = WorkSize(tokens, 100)
+    return PermitRequest(request_id, "lens", rank, 8.0, "tills", size=size, avoid=avoid)
 
 
 class NeighboursTests(PausedTestCase):
@@ -125,6 +124,41 @@
 
         self.run_region(scenario, servers=2)
 
+    def test_a_domain_without_entries_is_served_by_another_one(self):
+        """Guards against idle backend servers beside refusals.
+
+        The entries of the second domain stop; its server and that of the first still
+        run. The other domains get the slots of both, one request first on the server
+        whose entries are gone. An entry that comes back takes its server back.
+        """
+
+        async def scenario(region):
+            lost = [entry for entry in region.entries if entry.domain == DOMAINS[1]]
+            for entry in lost:
+                await entry.kernel.stop()
+            await asyncio.sleep(2.5)
+            [first] = await self.acquire_at(region, "i-1", 1)
+            self.assertEqual([], await self.acquire_at(region, "i-1", 1))
+            region.entries[0].placer.release(first, DONE)
+            await asyncio.sleep(0.3)
+            self.assertEqual(SLOTS, len(await self.acquire_at(region, "i-1", SLOTS)))
+
+        self.run_region(scenario, servers=2)
+
+    async def acquire_at(self, region, server: str, number: int):
+        """Acquire slots on one server through an entry that still runs."""
+        requests = (
+            region.entries[0].placer.acquire(
+                permit_request(f"{server}-{i}", avoid=("i-0",)),
+                0.0,
+                False,
+                WaitLimits(0.05, 0.05),
+            )
+            for i in range(number)
+        )
+        outcomes = await asyncio.gather(*requests)
+        return [outcome.ok for outcome in outcomes if outcome.is_ok()]
+
     def submit(self, entry, number: int, rank: int, wait_s: float = 2.0):
         """Submit requests at an entry; return the futures of the decisions."""
         wait_limits = WaitLimits(wait_s, wait_s)
