Import less at a start and wake less at rest

Cause: each of some hundred processes imported the modules of both roles, and jsonschema, which only invalid values need; and coordinators were pinged five times a second.

--- a/fuchsiacroft/commands/platform.py
+++ b/fuchsiacroft/commands/platform.py
@@ -5,6 +5,7 @@
 """
 
 import sys
+from types import ModuleType
 
 from absl import flags
 from expression import Result
@@ -23,13 +24,26 @@
 
 def run(values: flags.FlagValues) -> int:
     """Run the process until a signal stops it."""
-    from fuchsiacroft.platform import processes, settings
+    from fuchsiacroft.platform import settings
 
     path = settings.path()
     match settings.load(path):
         case Result(tag="ok", ok=wire):
-            create = processes.entry if values.role == "entry" else processes.control
-            return run_kernel(lambda: create(wire, path), wire.node_name, "INFO")
+            process = _process(values.role)
+            return run_kernel(
+                lambda: process.create(wire, path), wire.node_name, "INFO"
+            )
         case Result(error=issue):
             print(issue, file=sys.stderr)
     return ExitCode.FAILED
+
+
+def _process(role: str) -> ModuleType:
+    """Return the module of a role; a start imports no more than that role needs."""
+    if role == "entry":
+        from fuchsiacroft.platform import entry_process
+
+        return entry_process
+    from fuchsiacroft.platform import control_process
+
+    return control_process
--- a/fuchsiacroft/config/validation.py
+++ b/fuchsiacroft/config/validation.py
@@ -2,11 +2,13 @@
 
 import difflib
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import msgspec
 from expression import Error, Ok, Result
-from jsonschema import Draft202012Validator
-from jsonschema.exceptions import ValidationError
+
+if TYPE_CHECKING:
+    from jsonschema.exceptions import ValidationError
 
 SECRET_PATH = "$.keys"
 MAX_SHOWN_CHARS = 100
@@ -56,6 +58,9 @@
 
 
 def _collect_issues(value: object, cls: type) -> list[ValidationIssue]:
+    # Imported for invalid values only, as every process would start later by it.
+    from jsonschema import Draft202012Validator
+
     validator = Draft202012Validator(msgspec.json.schema(cls))
     issues = []
     for error in validator.iter_errors(value):
@@ -63,7 +68,7 @@
     return sorted(issues, key=lambda issue: issue.path)
 
 
-def _issues_of(error: ValidationError) -> list[ValidationIssue]:
+def _issues_of(error: "ValidationError") -> list[ValidationIssue]:
     path = error.json_path
     if _is_secret(path):
         return _issues_of_secret(error, path)
@@ -82,7 +87,7 @@
     return [ValidationIssue(path, _describe(error))]
 
 
-def _describe(error: ValidationError) -> str:
+def _describe(error: "ValidationError") -> str:
     value = "this value"
     if not isinstance(error.instance, (dict, list)):
         value = msgspec.json.encode(error.instance).decode()[:MAX_SHOWN_CHARS]
@@ -109,7 +114,7 @@
     return path == SECRET_PATH or path.startswith(SECRET_PATH + ".")
 
 
-def _issues_of_secret(error: ValidationError, path: str) -> list[ValidationIssue]:
+def _issues_of_secret(error: "ValidationError", path: str) -> list[ValidationIssue]:
     """Describe an issue without the value, which may contain a secret key."""
     if error.validator == "additionalProperties":
         return _unknown_key_issues(error, path)
@@ -126,7 +131,7 @@
     return [ValidationIssue(path, f"does not fit the schema ({error.validator})")]
 
 
-def _unknown_key_issues(error: ValidationError, path: str) -> list[ValidationIssue]:
+def _unknown_key_issues(error: "ValidationError", path: str) -> list[ValidationIssue]:
     known = list(error.schema.get("properties", {}))
     issues = []
     for key in error.instance:
--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -41,7 +41,7 @@
 NOTIFY_RETRY_DELAY_S = 0.02
 NOTIFY_DEADLINE_S = 0.5
 """Keeps the response to a report below one second if entries do not reply."""
-ENTRY_DISCOVERY_S = 1.0
+ENTRY_DISCOVERY_S = 1.5
 """Time after which every reachable entry has sent this member a heartbeat."""
 
 
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -50,7 +50,7 @@
 """Longer than a restart of all control members at once takes."""
 SERVER_TIMEOUT_S = 2.0
 """A server that no reachable member lists for this long is removed."""
-SWEEP_PERIOD_S = 0.25
+SWEEP_PERIOD_S = 0.5
 
 NO_SERVERS: tuple[int, tuple[str, ...]] = (0, ())
 NO_ENTRIES: tuple[int, tuple[EntryRecord, ...]] = (0, ())
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -39,7 +39,7 @@
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
-PING_PERIOD_S = 0.2
+PING_PERIOD_S = 0.25
 PING_TIMEOUT_S = 0.3
 COORDINATOR_BACKOFF_S = 0.6
 """How long no requests are sent to a coordinator that did not respond."""
--- /dev/null
+++ b/fuchsiacroft/platform/control_process.py
@@ -0,0 +1,43 @@
+"""Assembles the services of a control member on the platform."""
+
+from pathlib import Path
+
+from fuchsiacroft import operations
+from fuchsiacroft.control import consensus, publisher, storage
+from fuchsiacroft.control.published import PublishedState
+from fuchsiacroft.exceptions import SettingsError
+from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.membership import control_members, registry
+from fuchsiacroft.platform import control_api, settings, settings_watch
+from fuchsiacroft.platform.settings import WireSettings
+from fuchsiacroft.transport import security
+from fuchsiacroft.utils.metrics import Metrics
+
+
+def create(wire: WireSettings, path: Path) -> Kernel:
+    """Return the kernel of a control member, ready to start."""
+    if wire.bind.control_plane is None:
+        raise SettingsError("a control member needs bind.controlPlane")
+    if wire.data_dir is None:
+        raise SettingsError("a control member needs dataDir")
+    cfg = settings.control_settings(wire)
+    bus = security.create_bus(cfg, security.create(cfg))
+    state = PublishedState()
+    log = consensus.create(cfg, bus, storage.create(wire.data_dir, cfg.node))
+    log.register_state_machine("published", state)
+    ops = operations.create(cfg.addresses.operators, Metrics())
+    ops.add_readiness_check(log.not_ready_reason)
+    members = control_members.create(cfg)
+    kernel = Kernel()
+    for service in (
+        bus,
+        log,
+        members,
+        publisher.create(state),
+        registry.create(cfg, wire.heartbeat_s),
+        ops,
+        control_api.create(wire.bind.control_plane),
+        settings_watch.create(wire, path, members.set_configured),
+    ):
+        kernel.add(service)
+    return kernel
--- a/fuchsiacroft/platform/processes.py
+++ b/fuchsiacroft/platform/entry_process.py
@@ -1,18 +1,15 @@
-"""Assembles the services of the platform's two programs, control member and entry."""
+"""Assembles the services of an entry on the platform."""
 
 from pathlib import Path
 
 from fuchsiacroft import operations
 from fuchsiacroft.config import published_follower
-from fuchsiacroft.control import consensus, publisher, storage
-from fuchsiacroft.control.published import PublishedState
 from fuchsiacroft.exceptions import SettingsError
 from fuchsiacroft.gateway import forwarder, frontend, upstream
 from fuchsiacroft.kernel import Kernel
-from fuchsiacroft.membership import control_members, registry, roster
+from fuchsiacroft.membership import roster
 from fuchsiacroft.placing import coordinator, neighbours, placer
 from fuchsiacroft.platform import (
-    control_api,
     documents,
     protocol_adapter,
     readiness,
@@ -24,36 +21,7 @@
 from fuchsiacroft.utils.metrics import Metrics
 
 
-def control(wire: WireSettings, path: Path) -> Kernel:
-    """Return the kernel of a control member, ready to start."""
-    if wire.bind.control_plane is None:
-        raise SettingsError("a control member needs bind.controlPlane")
-    if wire.data_dir is None:
-        raise SettingsError("a control member needs dataDir")
-    cfg = settings.control_settings(wire)
-    bus = security.create_bus(cfg, security.create(cfg))
-    state = PublishedState()
-    log = consensus.create(cfg, bus, storage.create(wire.data_dir, cfg.node))
-    log.register_state_machine("published", state)
-    ops = operations.create(cfg.addresses.operators, Metrics())
-    ops.add_readiness_check(log.not_ready_reason)
-    members = control_members.create(cfg)
-    kernel = Kernel()
-    for service in (
-        bus,
-        log,
-        members,
-        publisher.create(state),
-        registry.create(cfg, wire.heartbeat_s),
-        ops,
-        control_api.create(wire.bind.control_plane),
-        settings_watch.create(wire, path, members.set_configured),
-    ):
-        kernel.add(service)
-    return kernel
-
-
-def entry(wire: WireSettings, path: Path) -> Kernel:
+def create(wire: WireSettings, path: Path) -> Kernel:
     """Return the kernel of an entry, ready to start."""
     if wire.bind.data_plane is None or wire.bind.readiness is None:
         raise SettingsError("an entry needs bind.dataPlane and bind.readiness")
--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -11,7 +11,7 @@
 
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.membership.registry import ENTRY_DISCOVERY_S
-from fuchsiacroft.platform import processes
+from fuchsiacroft.platform import control_process, entry_process
 from fuchsiacroft.platform.settings import WireSettings
 from fuchsiacroft.tests.base import SocketTestCase
 from fuchsiacroft.tests.fakes import platform_wire
@@ -125,11 +125,11 @@
 
     async def start_process(self, ip: str) -> None:
         """Start the process with this address."""
-        create = processes.control if ip in self.controls else processes.entry
+        process = control_process if ip in self.controls else entry_process
         wire = self.settings(ip)
         path = Path(self._folder.name) / f"{ip}.json"
         path.write_bytes(msgspec.json.encode(wire))
-        kernel = create(wire, path)
+        kernel = process.create(wire, path)
         self.kernels[ip] = kernel
         await kernel.start()
 
