Let a request wait for quota that is free soon

Change: a request waits up to half of its in-time wait for its quota before it is refused. What is charged, and when, is unchanged. Also a clearer name in fleet.

--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -228,7 +228,7 @@
                 self.fleet.free(service, at) - self.waiting(service),
                 self._head_rank(service),
                 self._free_by_rank(service, at),
-                self.fleet.prefill(service, at),
+                self.fleet.fastest_prefill(service, at),
             )
             for service in self.fleet.services()
         )
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -44,6 +44,8 @@
 EPOCH_BYTES = 6
 MAX_REFUSALS_LOGGED = 50
 """Refusals logged per second; a flood of refusals has a single cause."""
+QUOTA_WAIT_SHARE = 0.5
+"""Share of its in-time wait that a request waits for its workspace's quota."""
 MIN_REMOTE_WAIT_S = 0.05
 """Two round trips between domains; forwarding costs more than a shorter wait."""
 NO_CAPACITY = Refusal(RefusalReason.OVERLOADED, 0.0)
@@ -98,8 +100,8 @@
     async def place(self, request: PlaceRequest) -> PlacementResult:
         """Place a request, waiting for a slot if necessary, or return a refusal."""
         self._refresh_route_table()
+        refusal = await self._admit(request)
         admitted_at = now()
-        refusal = self.allocator.admit(request, admitted_at)
         if refusal is not None:
             return self._refuse(request, refusal)
         faster = await self._place_on_faster_engine(request)
@@ -118,6 +120,20 @@
             return await self._wait_here_and_remotely(decision)
         return await self._wait_for_placement(request.run_id)
 
+    async def _admit(self, request: PlaceRequest) -> Refusal | None:
+        """Charge a request to the shared limits, or return a refusal.
+
+        A request whose quota is free again soon waits for it, as its caller's retry
+        would come later and may be the last one.
+        """
+        refusal = self.allocator.admit(request, now())
+        if refusal is None or refusal.reason is not RefusalReason.OVER_QUOTA:
+            return refusal
+        if refusal.retry_after_s > QUOTA_WAIT_SHARE * request.in_time_s:
+            return refusal
+        await asyncio.sleep(refusal.retry_after_s)
+        return self.allocator.admit(request, now())
+
     async def _place_on_faster_engine(
         self, request: PlaceRequest
     ) -> SlotAssignment | None:
--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -154,7 +154,7 @@
         ]
         return min(free, key=lambda load: load.first_event_s(tokens), default=None)
 
-    def prefill(self, service: str, at: float) -> EnginePrefill | None:
+    def fastest_prefill(self, service: str, at: float) -> EnginePrefill | None:
         """Return the prefill speed of the fastest free engine of a service."""
         free = [load for load in self._servers_of(service) if self._free(load, at)]
         fastest = max(free, key=lambda load: load.prefill_tokens_per_s, default=None)
--- a/fuchsiacroft/tests/placing/neighbours_tests.py
+++ b/fuchsiacroft/tests/placing/neighbours_tests.py
@@ -94,6 +94,33 @@
 
         self.run_region(scenario)
 
+    def test_a_request_waits_for_quota_that_is_free_soon(self):
+        """Guards against refusals of a workspace that is within its quota.
+
+        Two large requests come together; the quota is paced, so the second one is
+        admitted about a second later, while it can still be answered in time.
+        """
+
+        async def scenario(region):
+            entry = region.entries[0]
+            for expected in (False, True):
+                in_time_s = 4.0 if expected else 0.1
+                outcomes = []
+                for number in range(2):
+                    outcomes.append(
+                        await entry.placer.acquire(
+                            permit_request(f"{in_time_s}-{number}"),
+                            1_500.0,
+                            False,
+                            WaitLimits(in_time_s, in_time_s),
+                        )
+                    )
+                self.assertTrue(outcomes[0].is_ok())
+                self.assertIs(expected, outcomes[1].is_ok())
+                await asyncio.sleep(10.0)
+
+        self.run_region(scenario, table=TABLE)
+
     def test_a_long_prompt_goes_to_a_domain_with_a_faster_engine(self):
         """Guards against late first events beside idle engines that are faster.
 
