--- a/fuchsiacroft/tests/entry/streams_tests.py
+++ b/fuchsiacroft/tests/entry/streams_tests.py
@@ -57,6 +57,7 @@
         self.assertEqual([1], list(counts["started"].values()))
         self.assertEqual(expected.get("cancelled", 0), counts["cancelled"])
         self.assertEqual(1, len(self.scheduler.released), self.scheduler.released)
+        self.assertEqual(["permit-0"], self.scheduler.first_tokens)
 
     async def test_lost_stream_is_resumed_on_the_same_run(self):
         await self.backend.post("/fault", json={"break_after": 7, "break_times": 1})
--- a/fuchsiacroft/tests/fakes/data_plane.py
+++ b/fuchsiacroft/tests/fakes/data_plane.py
@@ -54,6 +54,7 @@
     def __init__(self) -> None:
         self.addresses: deque[str] = deque()
         self.granted: list[Permit] = []
+        self.first_tokens: list[str] = []
         self.released: list[tuple[str, str]] = []
         self._numbers = itertools.count()
 
@@ -85,6 +86,10 @@
         self.granted.append(permit)
         return Ok(permit)
 
+    def record_first_token(self, permit) -> None:
+        """Record the permit of the run."""
+        self.first_tokens.append(permit.permit_id)
+
     def release(self, permit, report) -> None:
         """Record the release."""
         self.released.append((permit.permit_id, report.outcome.value))
