Keep no slot free where all runs take about as long

Cause: a rank counted as one of long runs where its runs were longer than the mean.

Change: a rank's runs are long if they take twice as long as those of every more urgent rank.

--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -115,9 +115,7 @@
 
     def kept_free(self, service: str, rank: int, at: float) -> int:
         """Return how many slots of a service requests of a rank leave free."""
-        return self._reserve(service).kept_free(
-            rank, self.slots(service), self.mean_run_s(service), at
-        )
+        return self._reserve(service).kept_free(rank, self.slots(service), at)
 
     def urgent_load(self, service: str, rank: int, at: float) -> float:
         """Return the recent mean number of runs that are more urgent than a rank."""
--- a/fuchsiacroft/tests/placing/allocator_tests.py
+++ b/fuchsiacroft/tests/placing/allocator_tests.py
@@ -308,6 +308,30 @@
         decision = self.allocator.place(request(avoid=("i-1",)), 0.0)
         self.assertEqual("i-2", decision.backend_server)
 
+    def test_an_overload_of_equally_long_ranks_leaves_no_slot_free(self):
+        """Guards against idle slots beside refusals where all runs are alike.
+
+        Two ranks with runs of 0.6 s ask for more than the 11 slots; the urgent one asks
+        for half of them.
+        """
+        ends: list[tuple[float, str]] = []
+        used = 0
+        for step in range(2_000):
+            at = step * 0.02
+            for end in [end for end in ends if end[0] <= at]:
+                ends.remove(end)
+                self.allocator.end(end[1], done(0.6), at)
+            asked = [request(rank=1, in_time_s=0.2, max_wait_s=1.0)]
+            if step % 6 == 0:
+                asked.append(request(in_time_s=0.2, max_wait_s=1.0))
+            found = [self.allocator.place(req, at) for req in asked]
+            placed = [a for a in found if isinstance(a, Assignment)]
+            placed += [a for _, a in self.allocator.place_waiters(at)]
+            self.allocator.expire_waiters(at)
+            ends += [(at + 0.6, assignment.run_id) for assignment in placed]
+            used += len(ends) if at >= 5.0 else 0
+        self.assertGreater(used / 1_750, 0.97 * 11)
+
     def test_the_longest_requests_of_a_rank_are_served_as_often_as_the_others(self):
         """Guards against long requests that wait behind every later short one.
 
