Learn prefill speed from prompts that are read alone

Change: runs whose prompt was read at the same time as another one don't count. The new test fails with them: pairs of prompts make the engine look slow.

--- a/fuchsiacroft/placing/engine_speed.py
+++ b/fuchsiacroft/placing/engine_speed.py
@@ -3,7 +3,8 @@
 It answers engines of any speed and generation. Decoding speed is learned for each
 engine, since engines of a service differ; a new engine counts as the median of the
 others. Prefill speed is taken to be proportional to decoding speed, with a factor
-that is learned for the service.
+that is learned for the service, from prompts that were read alone: beside others a
+prompt takes longer, which would make busy engines look slow.
 """
 
 import statistics
@@ -44,7 +45,7 @@
         self._median_gap_s = statistics.median(self._gaps)
 
     def record_prefill(self, prompt_tokens: int, seconds: float, gap_s: float) -> None:
-        """Record the time to a first event after prompts of this length in all."""
+        """Record the time to a first event of a prompt that was read alone."""
         self._prefill.add(prompt_tokens, seconds / gap_s)
         self._tokens_per_gap = self._fit_tokens_per_gap()
 
--- a/fuchsiacroft/placing/server_load.py
+++ b/fuchsiacroft/placing/server_load.py
@@ -27,7 +27,7 @@
 class Run:
     """A request that runs, or is about to run, on a backend server.
 
-    `tokens_to_prefill` are those of its prompt and of the prompts before it.
+    `has_shared_prefill` is true if another prompt was read at the same time.
     """
 
     run_id: str
@@ -35,7 +35,7 @@
     started_at: float
     ends_by: float
     is_prefilling: bool
-    tokens_to_prefill: int = 0
+    has_shared_prefill: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -130,10 +130,12 @@
 
     def begin(self, run: Run) -> None:
         """Add a run."""
-        self.runs[run.run_id] = run
         if run.is_prefilling:
+            for other in self.runs.values():
+                if other.is_prefilling:
+                    other.has_shared_prefill = run.has_shared_prefill = True
             self.prefill_tokens += run.permit_request.size.prompt_tokens
-            run.tokens_to_prefill = self.prefill_tokens
+        self.runs[run.run_id] = run
 
     def mark_prefilled(self, run_id: str) -> None:
         """Record that the prompt of a run has been prefilled."""
@@ -180,7 +182,10 @@
             self.token_gap_s = moving_average(
                 self.token_gap_s, report.token_gap_s, LEARNING_RATE
             )
-        if report.first_token_s is not None and self.token_gap_s is not None:
+        if run.has_shared_prefill or report.first_token_s is None:
+            return
+        if self.token_gap_s is not None:
+            prompt_tokens = run.permit_request.size.prompt_tokens
             self.speeds.record_prefill(
-                run.tokens_to_prefill, report.first_token_s, self.token_gap_s
+                prompt_tokens, report.first_token_s, self.token_gap_s
             )
--- a/fuchsiacroft/tests/placing/engine_speed_tests.py
+++ b/fuchsiacroft/tests/placing/engine_speed_tests.py
@@ -43,6 +43,21 @@
             found_s = fleet.median_run_s(request(0, PROMPT_TOKENS).ask)
             self.assertAlmostEqual(run_s, found_s, delta=0.1 * run_s)
 
+    def test_prompts_read_at_the_same_time_do_not_change_the_prefill_speed(self):
+        """Guards against engines that look slow under load, and then are left idle."""
+        fleet = Fleet()
+        fleet.replace_servers([record("i-1", address="10.0.0.1:80")], 0.0)
+        before_s = fleet.median_run_s(request(0, PROMPT_TOKENS).ask)
+        for number in range(100):
+            pair, at = (request(2 * number, 9_000), request(2 * number + 1, 500)), 5.0
+            for req in pair:
+                fleet.begin(req, fleet.choose(req, at * number), at * number, 0.0)
+            for req in pair:
+                report = RunReport(RunOutcome.COMPLETED, 1.0, 0.0025, 1.2)
+                fleet.end(req.run_id, report, at * number + 1.2)
+        after_s = fleet.median_run_s(request(0, PROMPT_TOKENS).ask)
+        self.assertAlmostEqual(before_s, after_s, delta=0.01 * before_s)
+
     def test_a_new_engine_counts_as_the_median_of_the_others(self):
         speeds = EngineSpeeds()
         for gap_s in (0.006, 0.006, 0.02):
