--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -133,6 +133,7 @@
             )
         if unacknowledged:
             return Error(f"not acknowledged by {','.join(sorted(unacknowledged))}")
+        self._log_confirmed(records)
         return Ok(None)
 
     async def _notify_entries(
@@ -231,6 +232,17 @@
             self._notify_members(tuple(self._unchanged.values()))
             self._unchanged.clear()
 
+    def _log_confirmed(self, records: tuple[ServerRecord, ...]) -> None:
+        for record in records:
+            event(
+                "info",
+                "leave_confirmed",
+                backend_server=record.name,
+                born_ms=record.born_ms,
+                life=record.life.value,
+                entries=len(self._entries),
+            )
+
     def _log_changes(self, records: tuple[ServerRecord, ...], source: str) -> None:
         for record in records:
             event(
--- a/fuchsiacroft/transport/peer_link.py
+++ b/fuchsiacroft/transport/peer_link.py
@@ -19,10 +19,15 @@
         self.tasks: list[asyncio.Task] = []
         self._last_received_at = now()
 
+    @property
+    def silent_s(self) -> float:
+        """The seconds since a message was received from the peer."""
+        return now() - self._last_received_at
+
     @property
     def is_idle(self) -> bool:
         """Whether nothing was received from the peer for `IDLE_TIMEOUT_S`."""
-        return now() - self._last_received_at > IDLE_TIMEOUT_S
+        return self.silent_s > IDLE_TIMEOUT_S
 
     def record_received(self) -> None:
         """Record that a message was received from the peer."""
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -19,6 +19,7 @@
 from fuchsiacroft.transport.send_queue import QueuedMessage
 from fuchsiacroft.transport.zmq_listener import BusListener
 from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 HIGH_WATER_MARK = 10_000
@@ -118,6 +119,8 @@
             if link.send_queue.cancel(message):
                 return Error(BusError.NOT_SENT)
             if link.is_idle:
+                silent_s = round(link.silent_s, 3)
+                event("info", "link_silent", peer=peer, silent_s=silent_s)
                 self._replace_link(peer, link)
             return Error(BusError.NO_ANSWER)
         finally:
