--- a/fuchsiacroft/platform/settings.py
+++ b/fuchsiacroft/platform/settings.py
@@ -54,7 +54,10 @@
 
 
 class WireSettings(msgspec.Struct, rename="camel"):
-    """The settings file of a process."""
+    """The settings file of a process.
+
+    `tunnels` is the product's setting of that name; the platform's own files lack it.
+    """
 
     node_name: str
     ip: str
@@ -68,6 +71,7 @@
     heartbeat_ms: float = 1_000.0
     fault_tolerance: WireTolerance = msgspec.field(default_factory=WireTolerance)
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+    tunnels: dict[str, str] = {}
 
     @property
     def control_peers(self) -> str:
@@ -149,6 +153,7 @@
         data_folder=wire.data_dir,
         may_form_group=wire.bootstrap,
         wanted_voters=2 * wire.fault_tolerance.machines + 1,
+        tunnels=wire.tunnels,
         drain_timeout_s=max(wire.bounds.grace_s - DRAIN_MARGIN_S, 1.0),
     )
 
--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
@@ -23,6 +24,7 @@
     read_chunk,
     read_head,
 )
+from fuchsiacroft.tests.fakes.process_links import ProcessLinks
 from fuchsiacroft.tests.fakes.replica import Replica, respond_plain
 
 _nets = itertools.count(1)
@@ -81,14 +83,21 @@
 
 
 class PlatformRegion:
-    """Three control members and `entries` entries, each on its own loopback address."""
+    """Three control members and `entries` entries, each on its own loopback address.
 
-    def __init__(self, entries: int = 2) -> None:
+    Where links are to be disturbed, `links` are proxies between the processes.
+    """
+
+    def __init__(self, entries: int = 2, *, has_links: bool = False) -> None:
         net = f"127.{next(_nets) + 50}"
         self._net = net
         self._folder = tempfile.TemporaryDirectory()
         self.controls = [f"{net}.1.{n}" for n in (1, 2, 3)]
         self.entries = [f"{net}.2.{n}" for n in range(1, entries + 1)]
+        self.links: ProcessLinks | None = None
+        if has_links:
+            rng = random.Random(1)
+            self.links = ProcessLinks(net, self.controls, self.entries, rng)
         self.kernels: dict[str, Kernel] = {}
         self.replicas: list[Replica] = []
         self._sequence = itertools.count(1)
@@ -103,6 +112,7 @@
             bootstrap=True,
             heartbeatMs=1200,
             bounds={"graceS": 8},
+            tunnels=self.links.tunnels(ip) if self.links is not None else {},
         )
         return msgspec.convert(document, WireSettings)
 
@@ -112,6 +122,8 @@
         A control member does not acknowledge that a replica leaves until it has run
         for `ENTRY_DISCOVERY_S`; this returns after that time.
         """
+        if self.links is not None:
+            await self.links.start()
         for ip in (*self.controls, *self.entries):
             await self.start_process(ip)
         discovery_ends_at = asyncio.get_running_loop().time() + ENTRY_DISCOVERY_S
@@ -139,6 +151,8 @@
             await kernel.stop()
         for replica in self.replicas:
             await replica.stop()
+        if self.links is not None:
+            await self.links.stop()
         self._folder.cleanup()
 
     async def add_replica(self, service: str, handler=respond_plain) -> Replica:
--- a/fuchsiacroft/tests/soak/run.py
+++ b/fuchsiacroft/tests/soak/run.py
@@ -15,7 +15,7 @@
 from fuchsiacroft.tests.soak.fleet import Program
 from fuchsiacroft.tests.soak.observations import Observations
 from fuchsiacroft.tests.soak.operator import Operator
-from fuchsiacroft.tests.soak.proxy import Proxy
+from fuchsiacroft.tests.fakes.proxy import Proxy
 from fuchsiacroft.tests.soak.schedule import HARMLESS_KINDS, Fault
 from fuchsiacroft.tests.soak.servers import SoakServer
 
--- a/fuchsiacroft/tests/soak/servers.py
+++ b/fuchsiacroft/tests/soak/servers.py
@@ -18,7 +18,7 @@
 )
 from fuchsiacroft.tests.soak.invariants import STREAM_EVENTS
 from fuchsiacroft.tests.soak.observations import Observations, Run
-from fuchsiacroft.tests.soak.proxy import Proxy
+from fuchsiacroft.tests.fakes.proxy import Proxy
 
 HEARTBEAT_PERIOD_S = 0.3
 SLOTS = 8
