Replace a connection that carries nothing within about a second

Callers saw: an entry refused a route that had been added (404) and sent requests to a backend server whose leave was acknowledged, seconds after both.

Cause: an open connection between processes that carries nothing any more (it was silenced, or its kernel waits between two attempts after a cut) was replaced only once 5 s had passed without a message. An entry counts as in contact 3 s after such an outage, and the control members forget it after 1.5 s, so that they acknowledge leaves without it. The class of fault: a failure is detected later than the time from which promises bind.

Evidence: with the open connections of three entries silenced, all three answered 404 3 s later and reached the leaving server; link_silent came after 5 s.

Change: a connection without a message for 0.6 s on which a request timed out is replaced at once, and the timeout of a peer that answers on no connection doubles up to 5 s, so that a suspended one is sent few connections.

--- a/fuchsiacroft/tests/platform/outage_tests.py
+++ b/fuchsiacroft/tests/platform/outage_tests.py
@@ -1,7 +1,6 @@
 """Tests for what entries know after their connections have failed."""
 
 import asyncio
-import itertools
 
 from fuchsiacroft.membership.registry import ENTRY_TIMEOUT_S, SWEEP_PERIOD_S
 from fuchsiacroft.tests.base import SocketTestCase
@@ -37,18 +36,22 @@
         document = config(version=2)
         added = document["routes"][0] | {"name": "added", "pathPrefix": "/added/"}
         document["routes"].append(added)
-        for control in itertools.cycle(range(3)):
-            if await self.region.put_config(document, control) == 200:
-                return self.clock()
+        control = 0
+        while await self.region.put_config(document, control % 3) != 200:
+            control += 1
             await asyncio.sleep(0.1)
+        return self.clock()
 
     async def acknowledge_leave(self, replica):
         """Report that a server leaves until it is acknowledged; return when."""
-        for control in itertools.cycle(range(3)):
-            report = self.region.send_heartbeat(replica, "till", "draining", control)
-            if await report == 200:
-                return self.clock()
+        control = 0
+        while (
+            await self.region.send_heartbeat(replica, "till", "draining", control % 3)
+            != 200
+        ):
+            control += 1
             await asyncio.sleep(0.1)
+        return self.clock()
 
     async def sleep_until(self, at):
         await asyncio.sleep(at - self.clock())
--- a/fuchsiacroft/tests/soak/run.py
+++ b/fuchsiacroft/tests/soak/run.py
@@ -10,12 +10,12 @@
 from pathlib import Path
 
 from fuchsiacroft.tests.fakes.platform_wire import CONTROL_PORT
+from fuchsiacroft.tests.fakes.proxy import Proxy
 from fuchsiacroft.tests.soak import invariants, schedule
 from fuchsiacroft.tests.soak.callers import Balancer, Caller
 from fuchsiacroft.tests.soak.fleet import Program
 from fuchsiacroft.tests.soak.observations import Observations
 from fuchsiacroft.tests.soak.operator import Operator
-from fuchsiacroft.tests.fakes.proxy import Proxy
 from fuchsiacroft.tests.soak.schedule import HARMLESS_KINDS, Fault
 from fuchsiacroft.tests.soak.servers import SoakServer
 
--- a/fuchsiacroft/tests/soak/servers.py
+++ b/fuchsiacroft/tests/soak/servers.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from fuchsiacroft.tests.fakes import platform_wire
+from fuchsiacroft.tests.fakes.proxy import Proxy
 from fuchsiacroft.tests.fakes.replica import (
     LAST_CHUNK,
     ReceivedRequest,
@@ -18,7 +19,6 @@
 )
 from fuchsiacroft.tests.soak.invariants import STREAM_EVENTS
 from fuchsiacroft.tests.soak.observations import Observations, Run
-from fuchsiacroft.tests.fakes.proxy import Proxy
 
 HEARTBEAT_PERIOD_S = 0.3
 SLOTS = 8
--- a/fuchsiacroft/tests/transport/zmq_bus_tests.py
+++ b/fuchsiacroft/tests/transport/zmq_bus_tests.py
@@ -1,6 +1,7 @@
 """Tests for the message bus over ZeroMQ."""
 
 import asyncio
+import random
 import socket
 from unittest import mock
 
@@ -10,6 +11,7 @@
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.tests.base import SocketTestCase
 from fuchsiacroft.tests.fakes.ports import free_address
+from fuchsiacroft.tests.fakes.proxy import Proxy
 from fuchsiacroft.transport import codec, peer_link, zmq_bus
 from fuchsiacroft.transport.bus import BusError
 from fuchsiacroft.utils.http import split_address
@@ -117,18 +119,39 @@
         async with asyncio.timeout(5):
             await received.wait()
 
-    async def test_idle_connection_is_replaced(self):
-        proxy = FreezableProxy(self.address)
+    async def open_proxy(self) -> Proxy:
+        """Return a proxy to the server over which a request was answered."""
+        proxy = Proxy(free_address(), self.address, random.Random(1))
         await proxy.start()
         self.addAsyncCleanup(proxy.stop)
-        reply = await self.client.request(proxy.address, Ping("hello"), 5)
-        self.assertTrue(reply.is_ok())
-        proxy.freeze()
-        with mock.patch.object(peer_link, "IDLE_TIMEOUT_S", 0.1):
-            lost = await self.client.request(proxy.address, Ping("lost"), 0.3)
-        self.assertIs(BusError.NO_ANSWER, lost.error)
-        reply = await self.client.request(proxy.address, Ping("again"), 5)
+        reply = await self.client.request(proxy.listen, Ping("hello"), 5)
         self.assertTrue(reply.is_ok())
+        return proxy
+
+    async def request_until_answered(self, address: str) -> float:
+        """Send requests until one is answered; return the seconds that took."""
+        began = asyncio.get_running_loop().time()
+        while (await self.client.request(address, Ping("x"), 0.3)).is_error():
+            pass
+        return asyncio.get_running_loop().time() - began
+
+    async def test_a_silent_connection_delays_requests_for_seconds(self):
+        proxy = await self.open_proxy()
+        for _ in range(2):
+            proxy.silence_open()
+            taken_s = await self.request_until_answered(proxy.listen)
+            self.assertLess(taken_s, peer_link.MIN_SILENCE_TIMEOUT_S + 0.6)
+
+    async def test_a_suspended_peer_is_sent_ever_more_connections(self):
+        proxy = await self.open_proxy()
+        proxy.silence()
+        links = set()
+        for _ in range(12):
+            await self.client.request(proxy.listen, Ping("x"), 0.25)
+            links.add(self.client._links[proxy.listen])
+        self.assertLessEqual(len(links), 3)
+        proxy.clear_faults()
+        self.assertLess(await self.request_until_answered(proxy.listen), 2.0)
 
     async def test_replaced_connection_leaves_no_task(self):
         with mock.patch.object(zmq_bus, "LINK_CLOSE_DELAY_S", 0.05):
@@ -140,42 +163,3 @@
             reply = await self.client.request(self.address, Ping("again"), 5)
         self.assertTrue(reply.is_ok())
         self.assertEqual(before, len(self.client._tasks))
-
-
-class FreezableProxy:
-    """Proxies connections to an address and can freeze the open ones."""
-
-    def __init__(self, target):
-        self.address = free_address()
-        self._target = split_address(target)
-        self._frozen = []
-        self._open = []
-        self._tasks = set()
-
-    async def start(self):
-        host, port = split_address(self.address)
-        self._server = await asyncio.start_server(self._accept, host, port)
-
-    def freeze(self):
-        """Stop forwarding on the open connections."""
-        self._frozen += self._open
-
-    async def stop(self):
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def _accept(self, reader, writer):
-        upstream = await asyncio.open_connection(*self._target)
-        connection = object()
-        self._open.append(connection)
-        for source, sink in ((reader, upstream[1]), (upstream[0], writer)):
-            task = asyncio.create_task(self._forward(connection, source, sink))
-            self._tasks.add(task)
-
-    async def _forward(self, connection, source, sink):
-        while data := await source.read(65_536):
-            if connection not in self._frozen:
-                sink.write(data)
-        sink.close()
--- a/fuchsiacroft/transport/peer_link.py
+++ b/fuchsiacroft/transport/peer_link.py
@@ -7,14 +7,25 @@
 from fuchsiacroft.transport.send_queue import SendQueue
 from fuchsiacroft.utils.clock import now
 
-IDLE_TIMEOUT_S = 5.0
+MIN_SILENCE_TIMEOUT_S = 0.6
+"""Longer than the kernel takes to send a lost packet again, and shorter than the
+timeouts after which a lease or an entry is given up."""
+MAX_SILENCE_TIMEOUT_S = 5.0
+"""Limit of the doubled timeout, as a peer that is suspended does not answer on any
+connection."""
 
 
 class PeerLink:
     """A DEALER socket with its send queue, tasks and time of the last message."""
 
-    def __init__(self, dealer: zmq.asyncio.Socket) -> None:
+    def __init__(
+        self,
+        dealer: zmq.asyncio.Socket,
+        silence_timeout_s: float = MIN_SILENCE_TIMEOUT_S,
+    ) -> None:
         self.dealer = dealer
+        self._silence_timeout_s = silence_timeout_s
+        self._has_received = False
         self.send_queue = SendQueue(dealer)
         self.tasks: list[asyncio.Task] = []
         self._last_received_at = now()
@@ -25,12 +36,23 @@
         return now() - self._last_received_at
 
     @property
-    def is_idle(self) -> bool:
-        """Whether nothing was received from the peer for `IDLE_TIMEOUT_S`."""
-        return self.silent_s > IDLE_TIMEOUT_S
+    def is_silent(self) -> bool:
+        """Whether nothing was received from the peer for the silence timeout.
+
+        With a request unanswered, the connection may be dead although it is open.
+        """
+        return self.silent_s > self._silence_timeout_s
+
+    @property
+    def next_silence_timeout_s(self) -> float:
+        """The silence timeout of the link that replaces this one."""
+        if self._has_received:
+            return MIN_SILENCE_TIMEOUT_S
+        return min(2 * self._silence_timeout_s, MAX_SILENCE_TIMEOUT_S)
 
     def record_received(self) -> None:
         """Record that a message was received from the peer."""
+        self._has_received = True
         self._last_received_at = now()
 
     def close(self) -> None:
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -15,7 +15,7 @@
 from fuchsiacroft.transport.bus import Bus, BusError, Handler
 from fuchsiacroft.transport.key_fallback import KeyFallback
 from fuchsiacroft.transport.keys import KeyChange, KeyRing
-from fuchsiacroft.transport.peer_link import PeerLink
+from fuchsiacroft.transport.peer_link import MIN_SILENCE_TIMEOUT_S, PeerLink
 from fuchsiacroft.transport.send_queue import QueuedMessage
 from fuchsiacroft.transport.zmq_listener import BusListener
 from fuchsiacroft.utils.clock import now
@@ -118,10 +118,8 @@
         except TimeoutError:
             if link.send_queue.cancel(message):
                 return Error(BusError.NOT_SENT)
-            if link.is_idle:
-                silent_s = round(link.silent_s, 3)
-                event("info", "link_silent", peer=peer, silent_s=silent_s)
-                self._replace_link(peer, link)
+            if link.is_silent:
+                self._replace_silent_link(peer, link)
             return Error(BusError.NO_ANSWER)
         finally:
             self._pending.pop(number, None)
@@ -143,13 +141,15 @@
         self._counts["sent_bytes"] += len(message.data)
         return link
 
-    def _connect(self, peer: str) -> PeerLink | None:
+    def _connect(
+        self, peer: str, silence_timeout_s: float = MIN_SILENCE_TIMEOUT_S
+    ) -> PeerLink | None:
         if self._ring is not None and not self._ring.keys_of(peer):
             return None
         dealer = self._ctx.socket(zmq.DEALER)
         self._configure(dealer)
         dealer.immediate = True
-        link = PeerLink(dealer)
+        link = PeerLink(dealer, silence_timeout_s)
         endpoint = f"tcp://{self._tunnels.get(peer, peer)}"
         if self._ring is None:
             dealer.connect(endpoint)
@@ -181,6 +181,14 @@
         if change.rebind_listener:
             self._tasks.spawn(self._listener.rebind(), "bus-rebind")
 
+    def _replace_silent_link(self, peer: str, link: PeerLink) -> None:
+        """Open a new connection to a peer whose present one carries nothing."""
+        if self._links.get(peer) is not link:
+            return
+        event("info", "link_silent", peer=peer, silent_s=round(link.silent_s, 3))
+        self._replace_link(peer, link)
+        self._connect(peer, link.next_silence_timeout_s)
+
     def _replace_link(self, peer: str, link: PeerLink) -> None:
         """Drop the link, so that the next message to the peer opens a new one."""
         if self._links.get(peer) is link:
