Send no request to a backend server that its entry knows to be leaving

Callers saw: requests reached a backend server after its leave was acknowledged.

Cause: an entry sent a request wherever the coordinator placed it. A request may wait at a coordinator for seconds; one that is cut off from the control members, and no longer counts for the acknowledgement, placed it on the server that left.

Evidence: with a leave known to one entry and not to its coordinator, the entry sent the request there; the test failed before.

Change: the entry compares each placement with its own list, returns the slot unused, and has the request placed again without that server, in the time that is left and without a second charge to its quota. placement_declined tells it.

--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -12,12 +12,14 @@
 import math
 import secrets
 from dataclasses import dataclass, replace
+from typing import Self
 
+import msgspec
 from expression import Error, Ok, Result
 
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.kernel import Kernel, Service
-from fuchsiacroft.membership.registry_wire import EntryRecord
+from fuchsiacroft.membership.registry_wire import EntryRecord, ServerState
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.placing.coordinator import Coordinator
 from fuchsiacroft.placing.messages import (
@@ -66,6 +68,14 @@
     max_wait_s: float
     event_tokens: int = 1
 
+    def after(self, waited_s: float) -> Self:
+        """Return the limits of a request that has waited for some time."""
+        return replace(
+            self,
+            in_time_s=max(self.in_time_s - waited_s, 0.0),
+            max_wait_s=max(self.max_wait_s - waited_s, 0.0),
+        )
+
 
 class Placer(Service):
     """Requests slots from the domain's coordinator, or decides locally without it."""
@@ -127,7 +137,45 @@
         repeats: bool,
         wait_limits: WaitLimits,
     ) -> Result[SlotAssignment, Refusal]:
-        """Return a slot to run on now, or a refusal."""
+        """Return a slot to run on now, or a refusal.
+
+        The coordinator that placed the request may know less than this entry, which
+        declines a server that it knows to be leaving.
+        """
+        started_at = now()
+        limits = wait_limits
+        while True:
+            outcome = await self._acquire_slot(permit_request, charge, repeats, limits)
+            if outcome.is_error() or not self._is_leaving(outcome.ok.backend_server):
+                return outcome
+            self._decline(outcome.ok, permit_request)
+            avoid = (*permit_request.avoid, outcome.ok.backend_server)
+            permit_request = msgspec.structs.replace(permit_request, avoid=avoid)
+            charge = 0.0
+            limits = wait_limits.after(now() - started_at)
+
+    def _is_leaving(self, backend_server: str) -> bool:
+        record = self._roster.server(backend_server)
+        return record is not None and record.life is not ServerState.SERVING
+
+    def _decline(self, placed: SlotAssignment, permit_request: PermitRequest) -> None:
+        self.release(placed, RunReport(RunOutcome.UNUSED))
+        event(
+            "info",
+            "placement_declined",
+            request_id=permit_request.request_id,
+            backend_server=placed.backend_server,
+            keeper=placed.keeper,
+            reason="leaving",
+        )
+
+    async def _acquire_slot(
+        self,
+        permit_request: PermitRequest,
+        charge: float,
+        repeats: bool,
+        wait_limits: WaitLimits,
+    ) -> Result[SlotAssignment, Refusal]:
         run_id = f"{self._node}-{self._instance_id}-{next(self._run_numbers)}"
         request = PlaceRequest(
             run_id,
--- a/fuchsiacroft/tests/placing/placer_tests.py
+++ b/fuchsiacroft/tests/placing/placer_tests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from fuchsiacroft.membership.registry_wire import ServersChanged, ServerState
 from fuchsiacroft.placing.placer import WaitLimits
 from fuchsiacroft.routing.permits import PermitRequest, RunOutcome, RunReport, WorkSize
 from fuchsiacroft.tests.base import PausedTestCase
@@ -146,6 +147,20 @@
 
         self.run_region(scenario)
 
+    def test_a_request_is_sent_to_a_server_that_only_its_entry_knows_to_leave(self):
+        async def scenario(region):
+            node = region.entries[0].placer.coordinator().node
+            other = next(e for e in region.entries if e.placer._node != node)
+            left = record(sequence=9, life=ServerState.LEAVING)
+            await other.roster._on_changed("", ServersChanged("", (left,)))
+            (outcome,) = await self.acquire(other)
+            self.assertTrue(outcome.is_error(), outcome)
+            coordinator = next(e for e in region.entries if e.placer._node == node)
+            granted = await self.acquire(coordinator, SLOTS)
+            self.assertTrue(all(outcome.is_ok() for outcome in granted))
+
+        self.run_region(scenario)
+
     def test_a_draining_coordinator_is_replaced(self):
         async def scenario(region):
             coordinator = region.entries[0].placer.coordinator()
