Check versions and leaves at each entry in the soak, under silent links

The soak checked versions only where control members are read, and leaves with a bound of 3 s where 2 s are stated.

--- a/fuchsiacroft/tests/soak/fleet.py
+++ b/fuchsiacroft/tests/soak/fleet.py
@@ -38,7 +38,9 @@
         self._watch_task: asyncio.Task | None = None
         self._is_exit_expected = False
 
-    def write_settings(self, seeds: list[str], bootstrap: bool) -> None:
+    def write_settings(
+        self, seeds: list[str], tunnels: dict[str, str], *, bootstrap: bool
+    ) -> None:
         """Write the settings file."""
         settings = platform_wire.settings(
             self.ip,
@@ -48,6 +50,7 @@
             bootstrap=bootstrap,
             heartbeatMs=HEARTBEAT_MS,
             bounds={"graceS": GRACE_S},
+            tunnels=tunnels,
         )
         self._settings.write_bytes(msgspec.json.encode(settings))
 
--- a/fuchsiacroft/tests/soak/invariants.py
+++ b/fuchsiacroft/tests/soak/invariants.py
@@ -2,16 +2,29 @@
 
 from collections import defaultdict
 
-from fuchsiacroft.tests.soak.observations import Attempt, Observations, Run
+from fuchsiacroft.tests.soak.observations import (
+    Attempt,
+    FaultSpan,
+    Observations,
+    Run,
+)
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that a request has not run and will not run."""
+UNKNOWN_ROUTE = 404
 STREAM_EVENTS = 6
 """Number of events in a complete stream."""
 CONVERGE_S = 2.0
-"""Time after an acknowledgement from which reads must return that version."""
+"""Time after an acknowledgement from which a version must be read and be in force."""
+CONTACT_S = 3.0
+"""Time after a fault of an entry, or of any control member, until promises with a
+time bound hold again."""
+UNSTABLE_CONVERGE_S = 5.0
+"""Added to `CONVERGE_S` at entries while control members have faults."""
 LEAVE_S = 3.0
 """Time after an acknowledged leave from which a server must get no more requests."""
+DRAIN_S = 2.0
+"""The same for requests of entries that are in contact."""
 TIMEOUT_MARGIN_S = 2.0
 """Time after its timeout by which a request must have ended."""
 FAULT_FREE_S = 6.0
@@ -35,6 +48,7 @@
     found += _unknown_runs(observations)
     found += _leave_violations(observations)
     found += _configuration_violations(observations)
+    found += _route_violations(observations)
     found += _recovery_violations(observations)
     return found
 
@@ -72,8 +86,8 @@
 def _is_fault_free(attempt: Attempt, observations: Observations) -> bool:
     end = attempt.ended_at or attempt.sent_at
     return not any(
-        start <= end + 1.0 and attempt.sent_at <= stop + FAULT_FREE_S
-        for start, stop in observations.fault_spans
+        span.started_at <= end + 1.0 and attempt.sent_at <= span.ended_at + FAULT_FREE_S
+        for span in observations.fault_spans
     )
 
 
@@ -90,12 +104,54 @@
 
 
 def _leave_violations(observations: Observations) -> list[str]:
-    return [
-        f"{run.server} got {run.attempt_id} {run.at - left_at:.1f} s after its leave"
-        for server, left_at in observations.leaves
-        for run in observations.runs
-        if run.server == server and run.at > left_at + LEAVE_S
-    ]
+    entries = {a.attempt_id: a.entry for a in observations.attempts}
+    found = []
+    for server, left_at in observations.leaves:
+        for run in observations.runs:
+            entry = entries.get(run.attempt_id, "")
+            in_contact = _is_in_contact(entry, run.at, observations)
+            limit_s = DRAIN_S if in_contact else LEAVE_S
+            if run.server == server and run.at > left_at + limit_s:
+                found.append(
+                    f"{server} got {run.attempt_id} from {entry} at {run.at:.2f} s, "
+                    f"{run.at - left_at:.1f} s after its leave"
+                )
+    return found
+
+
+def _route_violations(observations: Observations) -> list[str]:
+    """Return where an entry in contact refused a route as only old versions would."""
+    acknowledged_at = {version: at for at, version in observations.acknowledged}
+    found = []
+    for probe in observations.route_probes:
+        at = acknowledged_at[probe.version]
+        bound_s = CONVERGE_S
+        if not _is_control_stable(probe.sent_at, observations):
+            bound_s += UNSTABLE_CONVERGE_S
+        if probe.status != UNKNOWN_ROUTE or probe.sent_at <= at + bound_s:
+            continue
+        if _is_in_contact(probe.entry, probe.sent_at, observations):
+            found.append(
+                f"{probe.entry} refused a route of version {probe.version} at "
+                f"{probe.sent_at:.2f} s, {probe.sent_at - at:.1f} s after its "
+                "acknowledgement"
+            )
+    return found
+
+
+def _is_in_contact(entry: str, at: float, observations: Observations) -> bool:
+    return not any(
+        span.node in ("", entry) and _affects(span, at)
+        for span in observations.entry_spans
+    )
+
+
+def _is_control_stable(at: float, observations: Observations) -> bool:
+    return not any(_affects(span, at) for span in observations.control_spans)
+
+
+def _affects(span: FaultSpan, at: float) -> bool:
+    return span.started_at <= at <= span.ended_at + CONTACT_S
 
 
 def _configuration_violations(observations: Observations) -> list[str]:
--- a/fuchsiacroft/tests/soak/invariants_tests.py
+++ b/fuchsiacroft/tests/soak/invariants_tests.py
@@ -2,7 +2,14 @@
 
 from fuchsiacroft.tests.base import TestCase
 from fuchsiacroft.tests.soak import invariants, schedule
-from fuchsiacroft.tests.soak.observations import Attempt, Observations, Run, VersionRead
+from fuchsiacroft.tests.soak.observations import (
+    Attempt,
+    FaultSpan,
+    Observations,
+    RouteProbe,
+    Run,
+    VersionRead,
+)
 
 ALL_EVENTS = list(range(1, invariants.STREAM_EVENTS + 1))
 
@@ -73,7 +80,9 @@
         self.assertIn(
             "its response was lost without a fault", self.violations([lost], [run()])
         )
-        near_fault = self.violations([lost], [run()], fault_spans=[(-3.0, -2.0)])
+        near_fault = self.violations(
+            [lost], [run()], fault_spans=[FaultSpan(-3.0, -2.0)]
+        )
         self.assertEqual("", near_fault)
         abandoned = attempt(status=None, sent_at=-1.0, ended_at=-0.5, is_abandoned=True)
         self.assertEqual("", self.violations([abandoned], [run()]))
@@ -83,11 +92,42 @@
         self.assertIn("another body", self.violations([attempt()], [run(body=b"x")]))
 
     def test_a_request_after_an_acknowledged_leave(self):
-        left_at = 10.0 - invariants.LEAVE_S - 0.1
-        found = self.violations([attempt()], [run()], leaves=[("i1-1", left_at)])
-        self.assertIn("after its leave", found)
-        found = self.violations([attempt()], [run()], leaves=[("i1-1", left_at + 0.2)])
+        out_of_contact = [FaultSpan(5.0, 9.0, "127.1.2.1")]
+        for limit_s, spans in (
+            (invariants.DRAIN_S, []),
+            (invariants.LEAVE_S, out_of_contact),
+        ):
+            left_at = 10.0 - limit_s - 0.1
+            found = self.violations(
+                [attempt()], [run()], leaves=[("i1-1", left_at)], entry_spans=spans
+            )
+            self.assertIn("after its leave", found)
+            in_time = [("i1-1", left_at + 0.2)]
+            found = self.violations(
+                [attempt()], [run()], leaves=in_time, entry_spans=spans
+            )
+            self.assertEqual("", found)
+
+    def test_an_entry_that_refuses_a_route_after_its_acknowledgement(self):
+        def violations(**more) -> str:
+            probes = [RouteProbe("127.1.2.1", 3, 10.0, 404)]
+            reads = [VersionRead("core", 9.0, 3)]
+            return self.violations(route_probes=probes, version_reads=reads, **more)
+
+        late = [(10.0 - invariants.CONVERGE_S - 0.1, 3)]
+        in_time = [(10.0 - invariants.CONVERGE_S + 0.1, 3)]
+        self.assertIn("refused a route", violations(acknowledged=late))
+        self.assertEqual("", violations(acknowledged=in_time))
+        for node, expected in (("", ""), ("127.1.2.1", ""), ("127.1.2.2", "refused")):
+            spans = [FaultSpan(5.0, 8.0, node)]
+            found = violations(acknowledged=late, entry_spans=spans)
+            self.assertEqual(bool(expected), expected in found and bool(found), node)
+        unstable = [FaultSpan(9.0, 9.5)]
+        found = violations(acknowledged=late, control_spans=unstable)
         self.assertEqual("", found)
+        very_late = [(10.0 - invariants.CONVERGE_S - 5.1, 3)]
+        found = violations(acknowledged=very_late, control_spans=unstable)
+        self.assertIn("refused a route", found)
 
     def test_versions_that_go_back_or_are_lost(self):
         reads = [VersionRead("core", 9.0, 3), VersionRead("core", 10.0, 2)]
--- a/fuchsiacroft/tests/soak/observations.py
+++ b/fuchsiacroft/tests/soak/observations.py
@@ -1,4 +1,7 @@
-"""What callers, backend servers and the operator observed in a run."""
+"""What callers, backend servers and the operator observed in a run.
+
+Times are those of the event loop.
+"""
 
 from dataclasses import dataclass, field
 
@@ -46,9 +49,32 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class RouteProbe:
+    """The status that an entry gave for the route that a version added."""
+
+    entry: str
+    version: int
+    sent_at: float
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class FaultSpan:
+    """The time of a fault; `node` is the address of its process, "" for all or none."""
+
+    started_at: float
+    ended_at: float
+    node: str = ""
+
+
 @dataclass(slots=True)
 class Observations:
-    """All observations of a run; `fault_spans` are start and end times of faults."""
+    """All observations of a run; `acknowledged` are times and versions.
+
+    `entry_spans` and `control_spans` are the faults of entries and control members,
+    `fault_spans` are those of any kind.
+    """
 
     attempts: list[Attempt] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
@@ -56,6 +82,9 @@
     acknowledged: list[tuple[float, int]] = field(default_factory=list)
     wrongly_accepted: list[str] = field(default_factory=list)
     leaves: list[tuple[str, float]] = field(default_factory=list)
-    fault_spans: list[tuple[float, float]] = field(default_factory=list)
+    route_probes: list[RouteProbe] = field(default_factory=list)
+    fault_spans: list[FaultSpan] = field(default_factory=list)
+    entry_spans: list[FaultSpan] = field(default_factory=list)
+    control_spans: list[FaultSpan] = field(default_factory=list)
     unexpected_exits: list[str] = field(default_factory=list)
     recovered_at: float = 0.0
--- a/fuchsiacroft/tests/soak/operator.py
+++ b/fuchsiacroft/tests/soak/operator.py
@@ -14,6 +14,8 @@
 READ_PERIOD_S = 0.3
 CALL_TIMEOUT_S = 1.0
 RESEND_PERIOD_S = 0.2
+KEPT_ROUTES = 3
+"""Number of versions for which a route that was added stays."""
 
 
 class Operator:
@@ -27,7 +29,10 @@
         self._submit_lock = asyncio.Lock()
 
     async def configure(self) -> None:
-        """Submit the next version, and resend it until it is acknowledged."""
+        """Submit the next version, and resend it until it is acknowledged.
+
+        Each version adds a route.
+        """
         async with self._submit_lock:
             self._version += 1
             body = msgspec.json.encode(document(self._version))
@@ -88,8 +93,17 @@
 
 
 def document(version: int) -> dict:
-    """Return a version of the configuration."""
+    """Return a version of the configuration, with the routes of the last ones."""
     configuration = config(version)
-    for route in configuration["routes"]:
+    routes = configuration["routes"]
+    for route in routes:
         route["timeoutMs"] = ROUTES[route["name"]][2] * 1000
+    for added in range(max(version - KEPT_ROUTES, 0), version + 1):
+        name = f"added-{added}"
+        routes.append(routes[0] | {"name": name, "pathPrefix": added_prefix(added)})
     return configuration
+
+
+def added_prefix(version: int) -> str:
+    """Return the path prefix of the route that a version added."""
+    return f"/added-{version}/"
--- a/fuchsiacroft/tests/soak/run.py
+++ b/fuchsiacroft/tests/soak/run.py
@@ -10,12 +10,14 @@
 from pathlib import Path
 
 from fuchsiacroft.tests.fakes.platform_wire import CONTROL_PORT
+from fuchsiacroft.tests.fakes.process_links import ProcessLinks
 from fuchsiacroft.tests.fakes.proxy import Proxy
 from fuchsiacroft.tests.soak import invariants, schedule
 from fuchsiacroft.tests.soak.callers import Balancer, Caller
 from fuchsiacroft.tests.soak.fleet import Program
-from fuchsiacroft.tests.soak.observations import Observations
+from fuchsiacroft.tests.soak.observations import FaultSpan, Observations
 from fuchsiacroft.tests.soak.operator import Operator
+from fuchsiacroft.tests.soak.route_prober import RouteProber
 from fuchsiacroft.tests.soak.schedule import HARMLESS_KINDS, Fault
 from fuchsiacroft.tests.soak.servers import SoakServer
 
@@ -27,18 +29,20 @@
 AFTER_RECOVERY_S = 3.0
 """How long the load continues after `RECOVERY_S`."""
 DELAY_S = 0.15
+CONFIGURE_PERIOD_S = 0.3
 _nets = itertools.count(os.getpid() % 50)
 
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """What to run; `folder`, if set, keeps the logs."""
+    """What to run, with which kinds of faults; `folder`, if set, keeps the logs."""
 
     seed: int
     length_s: float = 20.0
     entries: int = 4
     servers: int = 6
     folder: str | None = None
+    kinds: tuple[str, ...] = tuple(schedule.KINDS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +66,7 @@
     folder.mkdir(parents=True, exist_ok=True)
     observations = Observations()
     region = Region(plan, folder, observations)
-    faults = schedule.generate(plan.seed, plan.length_s)
+    faults = schedule.generate(plan.seed, plan.length_s, plan.kinds)
     try:
         await region.start()
         await region.inject_faults(faults)
@@ -91,6 +95,12 @@
             Program("entry", f"{net}.2.{n}", ZONES[n % 2], folder, observations)
             for n in range(1, plan.entries + 1)
         ]
+        self._links = ProcessLinks(
+            net,
+            [control.ip for control in self._controls],
+            [entry.ip for entry in self._entries],
+            self._rng,
+        )
         self._servers = [self._server(net, n) for n in range(1, plan.servers + 1)]
         self._net = net
         self._operator = Operator(self._controls, observations)
@@ -104,9 +114,9 @@
 
     async def start(self) -> None:
         """Start processes and backend servers and, once entries are ready, the load."""
-        seeds = [control.ip for control in self._controls]
+        await self._links.start()
         for program in (*self._controls, *self._entries):
-            program.write_settings(seeds, bootstrap=program.role == "control")
+            self._write_settings(program, bootstrap=program.role == "control")
             await program.start()
         for server in self._servers:
             await server.proxy.start()
@@ -118,12 +128,19 @@
             while len(balancer.ready()) < len(self._entries):
                 await asyncio.sleep(0.1)
         for control in self._controls:
-            control.write_settings(seeds, bootstrap=False)
+            self._write_settings(control, bootstrap=False)
         self._spawn(self._operator.poll_versions())
+        prober = RouteProber([e.ip for e in self._entries], self._observations)
+        self._spawn(prober.probe())
         for _ in range(CALLERS):
             caller_rng = random.Random(self._rng.random())
             self._spawn(Caller(balancer, caller_rng, self._observations).call())
 
+    def _write_settings(self, program: Program, *, bootstrap: bool) -> None:
+        seeds = [control.ip for control in self._controls]
+        tunnels = self._links.tunnels(program.ip)
+        program.write_settings(seeds, tunnels, bootstrap=bootstrap)
+
     async def inject_faults(self, faults: list[Fault]) -> None:
         """Inject every fault at its time, and continue until after recovery."""
         started_at = self._now()
@@ -149,6 +166,7 @@
         for server in self._servers:
             await server.crash()
             await server.proxy.stop()
+        await self._links.stop()
 
     def _spawn(self, coro) -> asyncio.Task:
         task = asyncio.ensure_future(coro)
@@ -159,7 +177,20 @@
         started_at = self._now()
         await getattr(self, f"_{fault.kind}")(fault)
         if fault.kind not in HARMLESS_KINDS:
-            self._observations.fault_spans.append((started_at, self._now()))
+            self._record_span(fault, started_at)
+
+    def _record_span(self, fault: Fault, started_at: float) -> None:
+        _, _, target = fault.kind.rpartition("_")
+        observations = self._observations
+        node = ""
+        if target == "entry":
+            node = self._entries[fault.target_index % len(self._entries)].ip
+        span = FaultSpan(started_at, self._now(), node)
+        observations.fault_spans.append(span)
+        if target in ("entry", "all"):
+            observations.entry_spans.append(span)
+        if target in ("control", "all"):
+            observations.control_spans.append(span)
 
     def _program(self, programs: list[Program], fault: Fault) -> Program | None:
         """Return the target, or None while another fault affects it."""
@@ -238,6 +269,32 @@
         unaffected = [control for control in self._controls if not control.is_busy]
         await asyncio.gather(*(self._kill(control, fault) for control in unaffected))
 
+    async def _silence_entry(self, fault: Fault) -> None:
+        self._silence(self._entries[fault.target_index % len(self._entries)])
+
+    async def _silence_control(self, fault: Fault) -> None:
+        self._silence(self._controls[fault.target_index % len(self._controls)])
+
+    async def _silence_all(self, fault: Fault) -> None:
+        self._silence(*self._controls, *self._entries)
+
+    def _silence(self, *programs: Program) -> None:
+        for program in programs:
+            self._links.silence_open(program.ip)
+
+    async def _cut_entry(self, fault: Fault) -> None:
+        await self._cut(self._program(self._entries, fault), fault)
+
+    async def _cut_control(self, fault: Fault) -> None:
+        await self._cut(self._program(self._controls, fault), fault)
+
+    async def _cut(self, program: Program | None, fault: Fault) -> None:
+        if program is None:
+            return
+        program.is_busy = True
+        await self._links.cut(program.ip, fault.duration_s)
+        program.is_busy = False
+
     async def _crash_server(self, fault: Fault) -> None:
         server = self._server_for(fault)
         if server is not None:
@@ -275,6 +332,12 @@
     async def _configure(self, fault: Fault) -> None:
         await self._operator.configure()
 
+    async def _configure_often(self, fault: Fault) -> None:
+        ends_at = self._now() + fault.duration_s
+        while self._now() < ends_at:
+            await self._operator.configure()
+            await asyncio.sleep(CONFIGURE_PERIOD_S)
+
     async def _refuse_configuration(self, fault: Fault) -> None:
         await self._operator.submit_faulty()
 
--- a/fuchsiacroft/tests/soak/schedule.py
+++ b/fuchsiacroft/tests/soak/schedule.py
@@ -1,6 +1,7 @@
 """A random fault schedule from a seed; faults come in series and may overlap."""
 
 import random
+from collections.abc import Collection
 from dataclasses import dataclass
 
 FAULT_FREE_S = 3.0
@@ -19,16 +20,24 @@
     "wipe_control": 1,
     "tear_control": 2,
     "kill_all_control": 1,
+    "silence_entry": 2,
+    "silence_control": 1,
+    "silence_all": 1,
+    "cut_entry": 2,
+    "cut_control": 2,
     "crash_server": 3,
     "leave_server": 3,
     "delay_link": 2,
     "reset_link": 2,
     "silence_link": 2,
     "configure": 4,
+    "configure_often": 2,
     "refuse_configuration": 1,
 }
 """Kinds of faults and of planned operations, with their weights."""
-HARMLESS_KINDS = frozenset({"configure", "refuse_configuration", "reload_entry"})
+HARMLESS_KINDS = frozenset(
+    {"configure", "configure_often", "refuse_configuration", "reload_entry"}
+)
 """Planned operations that must not affect any caller."""
 
 
@@ -45,10 +54,13 @@
     target_index: int
 
 
-def generate(seed: int, length_s: float) -> list[Fault]:
-    """Return the faults of a run in chronological order."""
+def generate(
+    seed: int, length_s: float, allowed: Collection[str] = KINDS
+) -> list[Fault]:
+    """Return the faults of a run, of the allowed kinds, in chronological order."""
     rng = random.Random(seed)
-    kinds = rng.choices(list(KINDS), list(KINDS.values()), k=1_000)
+    weights = {kind: weight for kind, weight in KINDS.items() if kind in allowed}
+    kinds = rng.choices(list(weights), list(weights.values()), k=1_000)
     faults, at_s = [], FAULT_FREE_S
     for kind in kinds:
         for _ in range(rng.randint(*SERIES_LENGTH_RANGE)):
--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -1,7 +1,8 @@
 """Run the soak test on real processes and print a row for each seed.
 
-`python tools/run_soak.py [--seed=N] [--runs=N] [--length_s=S] [--keep=FOLDER]`
-runs consecutive seeds, starting with --seed. Exits with 1 if an invariant was
+`python tools/run_soak.py [--seed=N] [--runs=N] [--length_s=S] [--keep=FOLDER]
+[--kinds KIND ...]` runs consecutive seeds, starting with --seed, with faults of the
+given kinds or of all. Exits with 1 if an invariant was
 violated; with --keep, the logs of each run are kept in FOLDER/SEED.
 """
 
@@ -13,6 +14,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from fuchsiacroft.tests.soak.run import Plan, run_soak
+from fuchsiacroft.tests.soak.schedule import KINDS
 
 MAX_PRINTED = 10
 """Maximum number of violations printed for each run."""
@@ -27,11 +29,14 @@
     parser.add_argument("--entries", type=int, default=4)
     parser.add_argument("--servers", type=int, default=6)
     parser.add_argument("--keep", metavar="FOLDER")
+    parser.add_argument("--kinds", nargs="+", choices=KINDS, default=tuple(KINDS))
     args = parser.parse_args()
     failed_runs = 0
     for seed in range(args.seed, args.seed + args.runs):
         folder = str(Path(args.keep) / str(seed)) if args.keep else None
-        plan = Plan(seed, args.length_s, args.entries, args.servers, folder)
+        plan = Plan(
+            seed, args.length_s, args.entries, args.servers, folder, tuple(args.kinds)
+        )
         started_at = time.monotonic()
         result = run_soak(plan)
         failed_runs += bool(result.violations)
