Soak servers that say they leave, or ask for a pause

Four of six servers say in their answers that they leave; one that is paused refuses with a Retry-After. Checked are requests sent 2 s after an entry passed on that a server leaves, in contact or not, and more than two requests of an entry in the rest of a pause.

--- a/fuchsiacroft/tests/soak/invariants.py
+++ b/fuchsiacroft/tests/soak/invariants.py
@@ -1,5 +1,6 @@
 """Checks the observations of a run; each violation is described in a sentence."""
 
+import math
 from collections import defaultdict
 
 from fuchsiacroft.tests.soak.observations import (
@@ -12,6 +13,10 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that a request has not run and will not run."""
 UNKNOWN_ROUTE = 404
+PAUSE_GRACE_S = 0.5
+"""Time after a Retry-After in which requests that were under way may arrive."""
+MAX_IN_PAUSE = 2
+"""Maximum number of requests of one entry in the rest of the pause."""
 STREAM_EVENTS = 6
 """Number of events in a complete stream."""
 CONVERGE_S = 2.0
@@ -47,6 +52,8 @@
         found += _attempt_violations(attempt, runs[attempt.attempt_id], observations)
     found += _unknown_runs(observations)
     found += _leave_violations(observations)
+    found += _said_leaving_violations(observations)
+    found += _pause_violations(observations)
     found += _configuration_violations(observations)
     found += _route_violations(observations)
     found += _recovery_violations(observations)
@@ -119,6 +126,58 @@
     return found
 
 
+def _said_leaving_violations(observations: Observations) -> list[str]:
+    """Return the requests to a server after its entry had passed on that it leaves."""
+    attempts = {attempt.attempt_id: attempt for attempt in observations.attempts}
+    told_at: dict[tuple[str, str], float] = {}
+    for run in observations.runs:
+        attempt = attempts.get(run.attempt_id)
+        if attempt is not None and attempt.says_leaving and attempt.ended_at:
+            key = (attempt.entry, run.server)
+            told_at[key] = min(attempt.ended_at, told_at.get(key, math.inf))
+    return [
+        f"{run.server} got {run.attempt_id} after its entry had passed on that it leaves"
+        for run in observations.runs
+        if (attempt := attempts.get(run.attempt_id)) is not None
+        and attempt.sent_at
+        > told_at.get((attempt.entry, run.server), math.inf) + DRAIN_S
+    ]
+
+
+def _pause_violations(observations: Observations) -> list[str]:
+    """Return the servers to which an entry sent too much in a pause."""
+    entries = {a.attempt_id: a.entry for a in observations.attempts}
+    arrivals = [
+        (arrival.server, entries.get(arrival.attempt_id), arrival.at)
+        for arrival in (*observations.runs, *observations.pauses)
+    ]
+    found = []
+    for pause in observations.pauses:
+        entry = entries.get(pause.attempt_id, "")
+        if _has_fault_within(entry, pause.at, pause.until, observations):
+            continue
+        early = sum(
+            server == pause.server
+            and sender == entry
+            and pause.at + PAUSE_GRACE_S < at < pause.until
+            for server, sender, at in arrivals
+        )
+        if early > MAX_IN_PAUSE:
+            found.append(
+                f"{entry} sent {early} requests to {pause.server} in its pause"
+            )
+    return found
+
+
+def _has_fault_within(
+    entry: str, start: float, end: float, observations: Observations
+) -> bool:
+    return any(
+        span.node in ("", entry) and span.started_at <= end and span.ended_at >= start
+        for span in observations.entry_spans
+    )
+
+
 def _route_violations(observations: Observations) -> list[str]:
     """Return where an entry in contact refused a route as only old versions would."""
     acknowledged_at = {version: at for at, version in observations.acknowledged}
--- a/fuchsiacroft/tests/soak/invariants_tests.py
+++ b/fuchsiacroft/tests/soak/invariants_tests.py
@@ -6,6 +6,7 @@
     Attempt,
     FaultSpan,
     Observations,
+    PauseRequest,
     RouteProbe,
     Run,
     VersionRead,
@@ -108,6 +109,31 @@
             )
             self.assertEqual("", found)
 
+    def test_a_request_to_a_server_that_said_it_leaves(self):
+        told = attempt(attempt_id="t", says_leaving=True, sent_at=1.0, ended_at=1.1)
+        runs = [run(attempt_id="t", at=1.0), run(at=10.0)]
+        in_time = attempt(sent_at=3.05, ended_at=3.1)
+        self.assertEqual("", self.violations([told, in_time], runs))
+        late = attempt(sent_at=3.2, ended_at=3.3)
+        found = self.violations([told, late], runs)
+        self.assertIn("passed on that it leaves", found)
+
+    def test_requests_in_a_pause(self):
+        pauses = [PauseRequest("a", "i1-1", 10.0, 12.0)]
+        sent = [attempt(attempt_id=f"b{n}") for n in range(4)]
+
+        def violations(at, number, **more) -> str:
+            runs = [run(attempt_id=f"b{n}", at=at) for n in range(number)]
+            refused = attempt(status=503, sent_at=-1.0, ended_at=-0.9)
+            return self.violations([refused, *sent], runs, pauses=pauses, **more)
+
+        self.assertIn("in its pause", violations(11.0, 3))
+        self.assertEqual("", violations(11.0, 2))
+        self.assertEqual("", violations(10.4, 3))
+        self.assertEqual("", violations(12.1, 3))
+        restart = [FaultSpan(10.5, 10.6, "127.1.2.1")]
+        self.assertEqual("", violations(11.0, 3, entry_spans=restart))
+
     def test_an_entry_that_refuses_a_route_after_its_acknowledgement(self):
         def violations(**more) -> str:
             probes = [RouteProbe("127.1.2.1", 3, 10.0, 404)]
@@ -118,10 +144,12 @@
         in_time = [(10.0 - invariants.CONVERGE_S + 0.1, 3)]
         self.assertIn("refused a route", violations(acknowledged=late))
         self.assertEqual("", violations(acknowledged=in_time))
-        for node, expected in (("", ""), ("127.1.2.1", ""), ("127.1.2.2", "refused")):
+        for node in ("", "127.1.2.1"):
             spans = [FaultSpan(5.0, 8.0, node)]
-            found = violations(acknowledged=late, entry_spans=spans)
-            self.assertEqual(bool(expected), expected in found and bool(found), node)
+            self.assertEqual("", violations(acknowledged=late, entry_spans=spans))
+        other = [FaultSpan(5.0, 8.0, "127.1.2.2")]
+        found = violations(acknowledged=late, entry_spans=other)
+        self.assertIn("refused a route", found)
         unstable = [FaultSpan(9.0, 9.5)]
         found = violations(acknowledged=late, control_spans=unstable)
         self.assertEqual("", found)
--- a/fuchsiacroft/tests/soak/observations.py
+++ b/fuchsiacroft/tests/soak/observations.py
@@ -12,7 +12,7 @@
 
     `status` is None if no response head was received. `is_complete` tells that the
     response was received to its end, `is_own_response` that it belongs to this
-    request. `events` are the ids of a stream's events. `is_abandoned` tells that the
+    request, `says_leaving` that its server leaves. `events` are the ids of a stream's events. `is_abandoned` tells that the
     caller closed the connection itself.
     """
 
@@ -28,6 +28,7 @@
     events: list[int] = field(default_factory=list)
     ended_at: float | None = None
     is_abandoned: bool = False
+    says_leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +41,16 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class PauseRequest:
+    """A backend server refused a request, and asked its entry to wait until a time."""
+
+    attempt_id: str
+    server: str
+    at: float
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class VersionRead:
     """A version that the operator read; `sent_at` is when the request was sent."""
@@ -78,6 +89,7 @@
 
     attempts: list[Attempt] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
+    pauses: list[PauseRequest] = field(default_factory=list)
     version_reads: list[VersionRead] = field(default_factory=list)
     acknowledged: list[tuple[float, int]] = field(default_factory=list)
     wrongly_accepted: list[str] = field(default_factory=list)
--- a/fuchsiacroft/tests/soak/run.py
+++ b/fuchsiacroft/tests/soak/run.py
@@ -308,6 +308,16 @@
         await asyncio.sleep(invariants.LEAVE_S + 1.0)
         await self._replace_server(server, fault)
 
+    async def _pause_server(self, fault: Fault) -> None:
+        """Make a server refuse requests with a Retry-After of the whole duration."""
+        server = self._server_for(fault)
+        if server is None:
+            return
+        server.pause_s = fault.duration_s
+        await asyncio.sleep(fault.duration_s)
+        server.pause_s = 0.0
+        server.is_busy = False
+
     async def _replace_server(self, server: SoakServer, fault: Fault) -> None:
         await server.crash()
         await asyncio.sleep(fault.duration_s)
--- a/fuchsiacroft/tests/soak/schedule.py
+++ b/fuchsiacroft/tests/soak/schedule.py
@@ -27,6 +27,7 @@
     "cut_control": 2,
     "crash_server": 3,
     "leave_server": 3,
+    "pause_server": 3,
     "delay_link": 2,
     "reset_link": 2,
     "silence_link": 2,
--- a/fuchsiacroft/tests/soak/servers.py
+++ b/fuchsiacroft/tests/soak/servers.py
@@ -18,12 +18,15 @@
     stream_head,
 )
 from fuchsiacroft.tests.soak.invariants import STREAM_EVENTS
-from fuchsiacroft.tests.soak.observations import Observations, Run
+from fuchsiacroft.tests.soak.observations import Observations, PauseRequest, Run
 
 HEARTBEAT_PERIOD_S = 0.3
 SLOTS = 8
 WORK_RANGE_S = (0.002, 0.03)
 EVENT_PERIOD_S = 0.02
+NOT_RUN = "Fuchsiacroft-Not-Executed: 1"
+SAYING_SERVERS = ("i1", "i2", "i5", "i6")
+"""Servers that also say in their answers that they leave."""
 
 
 class SoakServer:
@@ -48,9 +51,15 @@
         self._incarnation = 0
         self._sequence = 0
         self._state = "ready"
+        self.pause_s = 0.0
         self._replica: Replica | None = None
         self._heartbeat_task: asyncio.Task | None = None
 
+    @property
+    def _says_leaving(self) -> bool:
+        """Whether answers say that it leaves; some servers only report it."""
+        return self._state == "draining" and self.name in SAYING_SERVERS
+
     @property
     def instance_id(self) -> str:
         """The name of the current incarnation, which changes at each start."""
@@ -62,6 +71,7 @@
         self._incarnation += 1
         self._sequence = 0
         self._state = "ready"
+        self.pause_s = 0.0
         self._replica = Replica(self.instance_id, address, self._handle_request)
         await self._replica.start()
         self._heartbeat_task = asyncio.ensure_future(self._send_heartbeats())
@@ -119,16 +129,26 @@
             return
         attempt_id = req.get("Fuchsiacroft-Attempt-Id")
         at = self._clock()
+        if self.pause_s:
+            pause = PauseRequest(attempt_id, self.instance_id, at, at + self.pause_s)
+            self._observations.pauses.append(pause)
+            lines = (NOT_RUN, f"Retry-After: {self.pause_s:.3f}", *self._notices())
+            writer.write(response(req, b"", "503 Busy", *lines))
+            return
         self._observations.runs.append(Run(attempt_id, self.instance_id, at, req.body))
         if self._service == "lens":
             await self._stream(req, writer)
             return
         await asyncio.sleep(self._rng.uniform(*WORK_RANGE_S))
-        writer.write(response(req, f"done {attempt_id}".encode()))
+        body = f"done {attempt_id}".encode()
+        writer.write(response(req, body, "200 OK", *self._notices()))
+
+    def _notices(self) -> tuple[str, ...]:
+        return ("Server-Leaving: 1",) if self._says_leaving else ()
 
     async def _stream(self, req: ReceivedRequest, writer) -> None:
         last_event_id = int(req.get("Last-Event-ID") or 0)
-        writer.write(stream_head(req))
+        writer.write(stream_head(req, *self._notices()))
         for number in range(last_event_id + 1, STREAM_EVENTS + 1):
             writer.write(chunk(sse_events(number)))
             await writer.drain()
--- a/fuchsiacroft/tests/soak/soak_tests.py
+++ b/fuchsiacroft/tests/soak/soak_tests.py
@@ -3,6 +3,15 @@
 from fuchsiacroft.tests.base import TestCase
 from fuchsiacroft.tests.soak.run import Plan, run_soak
 
+SILENT_LINKS = (
+    "silence_entry",
+    "silence_all",
+    "cut_entry",
+    "cut_control",
+    "configure_often",
+    "leave_server",
+)
+
 
 class SoakTests(TestCase):
     """Real processes under injected faults."""
@@ -11,3 +20,16 @@
         result = run_soak(Plan(seed=1, length_s=10.0, entries=2, servers=4))
         self.assertEqual([], result.violations, result.faults)
         self.assertGreater(result.served, result.attempts / 2)
+
+    def test_a_member_that_is_cut_off_acknowledges_a_leave(self):
+        """Seed 21: no entry was known to it, so it waited for none."""
+        self.assert_holds(21)
+
+    def test_entries_with_silent_connections_miss_a_version(self):
+        """Seed 22: their connections were replaced only after five seconds."""
+        self.assert_holds(22)
+
+    def assert_holds(self, seed):
+        plan = Plan(seed=seed, length_s=25.0, kinds=SILENT_LINKS)
+        result = run_soak(plan)
+        self.assertEqual([], result.violations, result.faults)
