--- a/fuchsiacroft/tests/soak/invariants.py
+++ b/fuchsiacroft/tests/soak/invariants.py
@@ -136,7 +136,7 @@
             key = (attempt.entry, run.server)
             told_at[key] = min(attempt.ended_at, told_at.get(key, math.inf))
     return [
-        f"{run.server} got {run.attempt_id} after its entry had passed on that it leaves"
+        f"{run.server} got {run.attempt_id}, but its entry had passed on that it leaves"
         for run in observations.runs
         if (attempt := attempts.get(run.attempt_id)) is not None
         and attempt.sent_at
