Heed backend servers' notices in the product's own entry too

An entry of the product's own interface read neither that a backend server leaves nor when it wants to be asked again; the caller got the 503, and the next request went to the same server.

Change: membership/notice_recorder reads and logs the notices for both paths, and routing/server_availability applies them to permits: a permit for a server that said it leaves is returned unused, the server is marked as leaving for all entries (final for its boot), and a paused one is avoided by this entry only. routing/pause_wait, for both paths, lets requests wait or refuses them with the time that is left. Header: Fuchsiacroft-Leaving, since the platform's names stay in platform/. The stand-ins can be told to leave and to ask for a pause; the fault runs have pause_engine and say_leaving_engine.

--- a/fuchsiacroft/entry/backend_client.py
+++ b/fuchsiacroft/entry/backend_client.py
@@ -12,10 +12,14 @@
 from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
 from fuchsiacroft.entry.request import CallerRequest
 from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.membership.server_notices import ServerNotice
 from fuchsiacroft.routing.permits import Permit, RunOutcome
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 BOOT_ID_HEADER = "Fuchsiacroft-Boot-Id"
+LEAVING_HEADER = "Fuchsiacroft-Leaving"
+"""On an answer: the backend server leaves, if the value is 1."""
+UNAVAILABLE = 503
 CONNECT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 2.0
 CANCEL_TRIES = 3
@@ -109,6 +113,15 @@
                 await asyncio.sleep(CANCEL_PAUSE_S)
 
 
+def server_notice(response: aiohttp.ClientResponse) -> ServerNotice:
+    """Return what a backend server says of itself in a response."""
+    is_full = response.status == UNAVAILABLE
+    return ServerNotice(
+        is_leaving=response.headers.get(LEAVING_HEADER, "").strip() == "1",
+        retry_after=response.headers.get("Retry-After") if is_full else None,
+    )
+
+
 def _is_same_run(response: aiohttp.ClientResponse, permit: Permit) -> bool:
     request_id = permit.request.request_id
     return (
--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -13,7 +13,7 @@
     KeyStatus,
     StoredResponse,
 )
-from fuchsiacroft.entry import http_headers, ledger_responses, problems
+from fuchsiacroft.entry import backend_client, http_headers, ledger_responses, problems
 from fuchsiacroft.entry.at_most_once import SendGuard
 from fuchsiacroft.entry.backend_client import BackendClient, ResumeError
 from fuchsiacroft.entry.body_relay import BodyRelay, ResponseWriter, SlowCallerError
@@ -59,7 +59,7 @@
         self._request = exchange.request
         self._permit = permit
         self._deadline = deadline
-        self._send_guard = SendGuard()
+        self._send_guard = SendGuard(self._may_send)
         self._progress = ResponseProgress(now(), on_first_byte=self._record_first_byte)
         self._streamed_body: StreamedBody | None = None
         self._upstream: aiohttp.ClientResponse | None = None
@@ -97,14 +97,24 @@
         ):
             case Result(tag="ok", ok=upstream):
                 self._upstream = upstream
+                self._record_notice(upstream)
             case Result(error=RunOutcome.NOT_DISPATCHED):
-                self._outcome = RunOutcome.NOT_DISPATCHED
+                if not self._send_guard.withheld:
+                    self._outcome = RunOutcome.NOT_DISPATCHED
                 return None
             case Result():
                 self._outcome = RunOutcome.CONNECTION_LOST
                 return await self._connection_lost()
         return await self._relay_response()
 
+    def _may_send(self) -> bool:
+        return not self._services.scheduler.is_leaving(self._permit)
+
+    def _record_notice(self, response: aiohttp.ClientResponse) -> None:
+        notice = backend_client.server_notice(response)
+        timeout_s = self._request.permit_request.timeout_s
+        self._services.scheduler.record_notice(self._permit, notice, timeout_s)
+
     async def _claim(self) -> web.Response | None:
         key = self._request.ledger_key
         if key is None:
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -135,16 +135,15 @@
         notice = self._protocol.server_notice(response)
         if notice.is_leaving:
             self._context.notices.append(NoticeReason.LEAVING)
-            self._availability.record_leaving(self._server, self._request.request_id)
         if notice.retry_after is not None:
             self._context.notices.append(NoticeReason.PAUSED)
             self._context.paused.add(self._server.name)
-            self._availability.record_pause(
-                self._server,
-                notice.retry_after,
-                self._request.route.timeout_s,
-                self._request.request_id,
-            )
+        self._availability.record(
+            self._server,
+            notice,
+            self._request.route.timeout_s,
+            self._request.request_id,
+        )
 
     async def _read(self, response: aiohttp.ClientResponse) -> AttemptResult:
         if self._protocol.was_not_executed(response):
--- a/fuchsiacroft/gateway/routed_request.py
+++ b/fuchsiacroft/gateway/routed_request.py
@@ -9,6 +9,7 @@
 
 from fuchsiacroft.config.route_table import Route, RouteTable
 from fuchsiacroft.entry.problems import Problem
+from fuchsiacroft.membership.server_notices import ServerNotice
 from fuchsiacroft.routing.permits import WorkSize
 
 Headers = list[tuple[str, str]]
@@ -43,17 +44,6 @@
     table_version: int
 
 
-@dataclass(frozen=True, slots=True)
-class ServerNotice:
-    """What a backend server says of itself in a response.
-
-    `retry_after` is the value with which it asks this VM to stay away for a time.
-    """
-
-    is_leaving: bool = False
-    retry_after: str | None = None
-
-
 class ProtocolAdapter(ABC):
     """Translates one HTTP protocol of callers and backend servers."""
 
--- a/fuchsiacroft/membership/backend_servers.py
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -171,8 +171,19 @@
         owner = self._ownership.owner_of(announcement.name)
         return () if owner is None else (owner,)
 
+    def mark_leaving(self, name: str, boot_id: str) -> None:
+        """Record and relay that a server leaves, unless it has started again."""
+        known = self._servers.get(name)
+        if known is None or known.boot_id != boot_id or known.announcement.leaving:
+            return
+        self.receive(msgspec.structs.replace(known.announcement, leaving=True))
+
     def _update(self, announcement: Announcement) -> None:
         known = self._servers.get(announcement.name)
+        if known is not None and known.boot_id == announcement.boot_id:
+            # A leave is final for a boot, also if an announcement was under way.
+            leaving = announcement.leaving or known.announcement.leaving
+            announcement = msgspec.structs.replace(announcement, leaving=leaving)
         server = BackendServer(announcement, now())
         if known is None or known.boot_id != server.boot_id:
             if known is not None:
--- a/fuchsiacroft/membership/server_notices.py
+++ b/fuchsiacroft/membership/server_notices.py
@@ -24,6 +24,17 @@
     PAUSED = "paused"
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """What a backend server says of itself in one answer.
+
+    `retry_after` is the value with which it asks this VM to stay away for a time.
+    """
+
+    is_leaving: bool = False
+    retry_after: str | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ServerInstance:
     """One start of a backend server; `start` differs between the starts of one name."""
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -12,6 +12,7 @@
 import math
 import secrets
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import Self
 
 import msgspec
@@ -36,14 +37,9 @@
 from fuchsiacroft.placing.neighbours import Neighbours, coordinator_of
 from fuchsiacroft.placing.quotas import RemoteUsage
 from fuchsiacroft.placing.reachability import Reachability
-from fuchsiacroft.placing.server_availability import ServerAvailability, may_wait
-from fuchsiacroft.routing.permits import (
-    PermitRequest,
-    Refusal,
-    RefusalReason,
-    RunOutcome,
-    RunReport,
-)
+from fuchsiacroft.placing.server_availability import ServerAvailability
+from fuchsiacroft.routing.pause_wait import wait_for_servers
+from fuchsiacroft.routing.permits import PermitRequest, Refusal, RunOutcome, RunReport
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
@@ -154,8 +150,9 @@
         """
         started_at = now()
         limits = wait_limits
+        resumes_at = partial(self.availability.resumes_at, permit_request.service)
         while True:
-            refusal = await self._wait_for_servers(permit_request.service, limits)
+            refusal = await wait_for_servers(resumes_at, now() + limits.max_wait_s)
             if refusal is not None:
                 return Error(refusal)
             limits = wait_limits.after(now() - started_at)
@@ -177,19 +174,6 @@
             charge = 0.0
             limits = wait_limits.after(now() - started_at)
 
-    async def _wait_for_servers(
-        self, service: str, limits: WaitLimits
-    ) -> Refusal | None:
-        """Wait while all servers of a service want nothing, or return a refusal."""
-        waits_until = now() + limits.max_wait_s
-        while (resumes_at := self.availability.resumes_at(service)) > now():
-            if math.isinf(resumes_at):
-                return None
-            if not may_wait(resumes_at, waits_until - now(), now()):
-                return Refusal(RefusalReason.SERVERS_PAUSED, resumes_at - now())
-            await asyncio.sleep(resumes_at - now())
-        return None
-
     def _avoiding_paused(self, permit_request: PermitRequest) -> PermitRequest:
         paused = self.availability.paused(permit_request.service)
         if not paused:
--- a/fuchsiacroft/placing/server_availability.py
+++ b/fuchsiacroft/placing/server_availability.py
@@ -5,12 +5,9 @@
 members and the coordinators at once.
 """
 
-import math
 from collections.abc import Callable
-from datetime import UTC, datetime
-
-from expression import Result
 
+from fuchsiacroft.membership.notice_recorder import NoticeRecorder
 from fuchsiacroft.membership.registry_wire import (
     ServerRecord,
     ServersChanged,
@@ -20,14 +17,13 @@
 from fuchsiacroft.membership.server_notices import (
     NoticeReason,
     ServerInstance,
+    ServerNotice,
     ServerNotices,
 )
 from fuchsiacroft.placing.neighbours import coordinator_of
 from fuchsiacroft.placing.server_load import DEFAULT_SLOTS
 from fuchsiacroft.transport.bus import Bus
-from fuchsiacroft.utils import retry_after
 from fuchsiacroft.utils.clock import now
-from fuchsiacroft.utils.logs import event
 
 UNKNOWN_START = ""
 """Start of a server that the roster does not list any more."""
@@ -44,6 +40,7 @@
         self._roster = roster
         self._running = running
         self._notices = ServerNotices()
+        self._recorder = NoticeRecorder(self._notices)
         roster.on_servers_change(self._on_servers)
 
     def dump(self) -> dict:
@@ -91,17 +88,19 @@
         times = [self._resumes_at(record, at) for record in self._servers_of(service)]
         return min(times, default=at)
 
-    def record_leaving(self, server: ServerInstance, request_id: str) -> None:
-        """Record that a server said in the answer to a request that it leaves."""
-        if not self._notices.record_leaving(server):
+    def record(
+        self,
+        server: ServerInstance,
+        notice: ServerNotice,
+        longest_s: float,
+        request_id: str,
+    ) -> None:
+        """Record what a server said in an answer, and tell the others if it leaves.
+
+        A Retry-After without sense counts as `longest_s`.
+        """
+        if not self._recorder.record(server, notice, longest_s, request_id):
             return
-        event(
-            "info",
-            "server_says_leaving",
-            backend_server=server.name,
-            born_ms=server.start,
-            request_id=request_id,
-        )
         record = self._roster.server(server.name)
         if record is None or self.instance(server.name) != server:
             return
@@ -109,34 +108,6 @@
         if leaving is not None:
             self._notify(leaving)
 
-    def record_pause(
-        self, server: ServerInstance, value: str, longest_s: float, request_id: str
-    ) -> None:
-        """Record a server's Retry-After; one without sense counts as `longest_s`."""
-        match retry_after.parse(value, datetime.now(UTC)):
-            case Result(tag="ok", ok=seconds):
-                pass
-            case Result(error=problem):
-                seconds = longest_s
-                event(
-                    "warning",
-                    "retry_after_not_used",
-                    backend_server=server.name,
-                    value=value,
-                    reason=problem,
-                    request_id=request_id,
-                )
-        if seconds > 0:
-            self._notices.record_pause(server, seconds, now())
-        event(
-            "info",
-            "server_paused",
-            backend_server=server.name,
-            born_ms=server.start,
-            seconds=round(seconds, 3),
-            request_id=request_id,
-        )
-
     def _resumes_at(self, record: ServerRecord, at: float) -> float:
         return self._notices.resumes_at(
             self.instance(record.name),
@@ -168,10 +139,5 @@
             self._notices.forget(lambda server: self.instance(server.name) == server)
 
 
-def may_wait(resumes_at: float, max_wait_s: float, at: float) -> bool:
-    """Return whether a request may wait until a time."""
-    return not math.isinf(resumes_at) and resumes_at - at <= max_wait_s
-
-
 def _slots(record: ServerRecord | None) -> int:
     return (record.announcement.slots if record is not None else 0) or DEFAULT_SLOTS
--- a/fuchsiacroft/platform/protocol_adapter.py
+++ b/fuchsiacroft/platform/protocol_adapter.py
@@ -14,8 +14,8 @@
     Headers,
     ProtocolAdapter,
     RoutedRequest,
-    ServerNotice,
 )
+from fuchsiacroft.membership.server_notices import ServerNotice
 from fuchsiacroft.platform import header_names
 from fuchsiacroft.routing.permits import WorkSize
 
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -7,6 +7,7 @@
 import asyncio
 import uuid
 from collections import OrderedDict
+from functools import partial
 
 import msgspec
 from expression import Error, Ok, Result
@@ -14,6 +15,7 @@
 from fuchsiacroft.config.settings import Member, Settings
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.backend_servers import BackendDirectory, BackendServer
+from fuchsiacroft.membership.server_notices import NoticeReason, ServerNotice
 from fuchsiacroft.routing import addresses as address_book
 from fuchsiacroft.routing import owners
 from fuchsiacroft.routing.addresses import AddressBook
@@ -29,6 +31,7 @@
 from fuchsiacroft.routing.owner_candidates import OwnerCandidates
 from fuchsiacroft.routing.owner_digests import OwnerDigests
 from fuchsiacroft.routing.owners import Owners
+from fuchsiacroft.routing.pause_wait import wait_for_servers
 from fuchsiacroft.routing.permit_queue import PermitQueue
 from fuchsiacroft.routing.permits import (
     Permit,
@@ -41,6 +44,7 @@
 from fuchsiacroft.routing.quarantine import Quarantine
 from fuchsiacroft.routing.race import Race
 from fuchsiacroft.routing.retry_budgets import RetryBudgets
+from fuchsiacroft.routing.server_availability import ServerAvailability
 from fuchsiacroft.routing.spillover import Spillover
 from fuchsiacroft.routing.waiting_queue import LAST_ATTEMPT
 from fuchsiacroft.transport.bus import Bus
@@ -88,6 +92,7 @@
         digests = kernel.find("owner_digests", OwnerDigests)
         self._candidates.set_dependencies(self._directory, self._permit_queue, digests)
         self._held_permits.start(kernel)
+        self._availability = ServerAvailability(self._directory, self._running)
 
     async def drain(self) -> None:
         """Refuse permits for new requests."""
@@ -99,7 +104,10 @@
 
     def dump(self) -> dict:
         """Return the permits in use, with the owner that granted each."""
-        return {"held": self._held_permits.dump()}
+        return {
+            "held": self._held_permits.dump(),
+            "notices": self._availability.dump(),
+        }
 
     def held_permits(self, backend_server: str) -> tuple[Permit, ...]:
         """Return the permits in use here for one backend server."""
@@ -114,7 +122,7 @@
         avoid = self._unreachable.get(request.request_id, ())
         if avoid:
             request = msgspec.structs.replace(request, avoid=avoid)
-        outcome = await self._acquire(request)
+        outcome = await self._acquire_available(request)
         match outcome:
             case Result(tag="ok", ok=permit):
                 self._held_permits.add(permit)
@@ -124,6 +132,43 @@
                     self._retry_budgets.record_refusal(request)
         return outcome
 
+    def record_notice(
+        self, permit: Permit, notice: ServerNotice, longest_s: float
+    ) -> None:
+        """Record what the server of a permit said of itself in its answer."""
+        self._availability.record(permit, notice, longest_s)
+
+    def is_leaving(self, permit: Permit) -> bool:
+        """Return whether the server of a permit is known to leave."""
+        return self._availability.reason(permit) is NoticeReason.LEAVING
+
+    async def _acquire_available(
+        self, request: PermitRequest
+    ) -> Result[Permit, Refusal]:
+        """Acquire a permit for a server that takes requests from this entry."""
+        deadline = now() + request.timeout_s
+        resumes_at = partial(self._availability.resumes_at, request.service)
+        while True:
+            refusal = await wait_for_servers(resumes_at, deadline)
+            if refusal is not None:
+                return Error(refusal)
+            unavailable = self._availability.unavailable(request.service)
+            if unavailable:
+                avoid = (*request.avoid, *unavailable)
+                request = msgspec.structs.replace(request, avoid=avoid)
+            outcome = await self._acquire(request)
+            if outcome.is_error() or self._availability.reason(outcome.ok) is None:
+                return outcome
+            self._return_unused_permit(outcome.ok)
+            request = msgspec.structs.replace(
+                request,
+                avoid=(*request.avoid, outcome.ok.backend_server),
+                timeout_s=max(deadline - now(), 0.0),
+            )
+
+    def _running(self, backend_server: str) -> int:
+        return len(self._held_permits.for_server(backend_server))
+
     def record_first_token(self, permit: Permit) -> None:
         """Notify the owner of a run's first token."""
         if permit.owner == self._node:
--- /dev/null
+++ b/fuchsiacroft/routing/server_availability.py
@@ -0,0 +1,92 @@
+"""Which backend servers this entry may send requests to, by what they said."""
+
+import math
+from collections.abc import Callable
+
+from fuchsiacroft.membership.backend_servers import BackendDirectory, BackendServer
+from fuchsiacroft.membership.notice_recorder import NoticeRecorder
+from fuchsiacroft.membership.server_notices import (
+    NoticeReason,
+    ServerInstance,
+    ServerNotice,
+    ServerNotices,
+)
+from fuchsiacroft.routing.permits import Permit
+from fuchsiacroft.utils.clock import now
+
+
+class ServerAvailability:
+    """The availability of backend servers to the requests of this entry.
+
+    `running` returns how many permits of this entry are in use on a server.
+    """
+
+    def __init__(
+        self, directory: BackendDirectory, running: Callable[[str], int]
+    ) -> None:
+        self._directory = directory
+        self._running = running
+        self._notices = ServerNotices()
+        self._recorder = NoticeRecorder(self._notices)
+        directory.listeners.removed.append(self._on_removed)
+
+    def dump(self) -> dict:
+        """Return the notices in force."""
+        return self._notices.dump()
+
+    def record(self, permit: Permit, notice: ServerNotice, longest_s: float) -> None:
+        """Record what the server of a permit said, and tell the others if it leaves."""
+        server = ServerInstance(permit.backend_server, permit.boot_id)
+        request_id = permit.request.request_id
+        if self._recorder.record(server, notice, longest_s, request_id):
+            self._directory.mark_leaving(server.name, server.start)
+
+    def reason(self, permit: Permit) -> NoticeReason | None:
+        """Return why a permit is not to be used now, or None."""
+        known = self._directory.get(permit.backend_server)
+        slots = 0
+        if known is not None and known.boot_id == permit.boot_id:
+            if known.announcement.leaving:
+                return NoticeReason.LEAVING
+            slots = known.announcement.slots
+        if self._notices.is_empty:
+            return None
+        server = ServerInstance(permit.backend_server, permit.boot_id)
+        running = self._running(permit.backend_server)
+        return self._notices.reason(server, running, slots, now())
+
+    def unavailable(self, service: str) -> tuple[str, ...]:
+        """Return the servers of a service that get no request from this entry now."""
+        if self._notices.is_empty:
+            return ()
+        at = now()
+        return tuple(
+            server.name
+            for server in self._directory.offering(service)
+            if self._resumes_at(server, at) > at
+        )
+
+    def resumes_at(self, service: str) -> float:
+        """Return when a server of a service takes requests from this entry again.
+
+        This is now if one does already, or if none is known; infinity if all leave.
+        """
+        at = now()
+        if self._notices.is_empty:
+            return at
+        servers = self._directory.offering(service)
+        return min((self._resumes_at(server, at) for server in servers), default=at)
+
+    def _resumes_at(self, server: BackendServer, at: float) -> float:
+        if server.announcement.leaving:
+            return math.inf
+        return self._notices.resumes_at(
+            ServerInstance(server.name, server.boot_id),
+            self._running(server.name),
+            server.announcement.slots,
+            at,
+        )
+
+    def _on_removed(self, removed: BackendServer) -> None:
+        gone = ServerInstance(removed.name, removed.boot_id)
+        self._notices.forget(lambda server: server != gone)
--- a/fuchsiacroft/standin/faults.py
+++ b/fuchsiacroft/standin/faults.py
@@ -9,6 +9,8 @@
 import msgspec
 from aiohttp import web
 
+from fuchsiacroft.entry.backend_client import LEAVING_HEADER
+
 CRASH_TEXT = b"crash-this-engine"
 FROZEN_POLL_S = 0.02
 
@@ -20,8 +22,9 @@
     without closing connections. `break_after` aborts the connection of an
     answer after that many chunks, for the next `break_times` answers. `refuse`
     answers 503 before any work, `error_fast` answers 500 immediately.
-    `forget_runs` makes requests to resume a run fail with 404. `drop_done` ends
-    streams without their final event.
+    `pause_s` answers 503 with that Retry-After before any work, and `leaving` says in
+    all answers that the stand-in leaves. `forget_runs` makes requests to resume a run
+    fail with 404. `drop_done` ends streams without their final event.
     """
 
     slowdown: float = 1.0
@@ -30,6 +33,8 @@
     break_times: int = 1
     refuse: bool = False
     error_fast: bool = False
+    pause_s: float | None = None
+    leaving: bool = False
     forget_runs: bool = False
     drop_done: bool = False
 
@@ -45,15 +50,23 @@
         """Add the routes `/fault` and, as a short form, `/slowdown/FACTOR`."""
         app.router.add_post("/fault", self._set)
         app.router.add_post("/slowdown/{factor}", self._slow_down)
+        app.on_response_prepare.append(self._add_notice)
 
     def fault_response(self) -> web.Response | None:
         """Return the error response for a new request, or None."""
         if self.fault.refuse:
             return web.json_response({"error": "refused"}, status=503)
+        if self.fault.pause_s is not None:
+            headers = {"Retry-After": f"{self.fault.pause_s:.3f}"}
+            return web.json_response({"error": "paused"}, status=503, headers=headers)
         if self.fault.error_fast:
             return web.json_response({"error": "failed"}, status=500)
         return None
 
+    async def _add_notice(self, req: web.Request, response: web.Response) -> None:
+        if self.fault.leaving:
+            response.headers[LEAVING_HEADER] = "1"
+
     async def wait_while_frozen(self) -> None:
         """Wait until the stand-in is not frozen."""
         while self.fault.freeze:
--- a/fuchsiacroft/tests/entry/dispatch_tests.py
+++ b/fuchsiacroft/tests/entry/dispatch_tests.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from fuchsiacroft.membership.server_notices import ServerNotice
 from fuchsiacroft.standin import application
 from fuchsiacroft.tests.fakes.data_plane import AUTHORIZED, DataPlaneTestCase
 from fuchsiacroft.tests.fakes.ports import free_address
@@ -45,6 +46,25 @@
                 self.assertEqual((502, "maybe"), (res.status, body["ran"]))
                 self.assertEqual(1, counts["requests"])
 
+    async def test_what_a_backend_server_says_of_itself_is_lost(self):
+        app = application.create(0.0).app()
+        backend = await self.serve(app)
+        await backend.post("/fault", json={"leaving": True})
+        await self.call()
+        await backend.post("/fault", json={"pause_s": 0.5})
+        res, _ = await self.call()
+        self.assertEqual(503, res.status)
+        expected = [ServerNotice(is_leaving=True), ServerNotice(retry_after="0.500")]
+        self.assertEqual(expected, self.scheduler.notices)
+
+    async def test_a_request_is_sent_although_its_server_said_meanwhile_it_leaves(self):
+        counts = await self.serve_raw(never_respond)
+        self.scheduler.leaving = True
+        res, body = await self.call()
+        self.assertEqual((503, "no"), (res.status, body["ran"]))
+        self.assertEqual(0, counts["requests"])
+        self.assertEqual({"unused"}, {kind for _, kind in self.scheduler.released})
+
     async def test_refused_connection_is_retried(self):
         self.scheduler.addresses.append(free_address())
         app = application.create(0.0)
--- a/fuchsiacroft/tests/fakes/data_plane.py
+++ b/fuchsiacroft/tests/fakes/data_plane.py
@@ -17,6 +17,7 @@
 from fuchsiacroft.entry import backend_client, caller_api, dispatch
 from fuchsiacroft.entry.ledger_client import LedgerClient
 from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.membership.server_notices import ServerNotice
 from fuchsiacroft.routing.permits import Permit, Refusal, RefusalReason
 from fuchsiacroft.routing.scheduler import Scheduler
 from fuchsiacroft.tests.base import SocketTestCase
@@ -55,6 +56,8 @@
         self.addresses: deque[str] = deque()
         self.granted: list[Permit] = []
         self.first_tokens: list[str] = []
+        self.notices: list[ServerNotice] = []
+        self.leaving = False
         self.released: list[tuple[str, str]] = []
         self._numbers = itertools.count()
 
@@ -86,6 +89,14 @@
         self.granted.append(permit)
         return Ok(permit)
 
+    def record_notice(self, permit, notice, longest_s) -> None:
+        """Record what a backend server said of itself."""
+        self.notices.append(notice)
+
+    def is_leaving(self, permit) -> bool:
+        """Return what the test set."""
+        return self.leaving
+
     def record_first_token(self, permit) -> None:
         """Record the permit of the run."""
         self.first_tokens.append(permit.permit_id)
--- a/fuchsiacroft/tests/faults/actions.py
+++ b/fuchsiacroft/tests/faults/actions.py
@@ -13,6 +13,7 @@
 
 SLOWDOWN = 8
 RESTART_PAUSE_S = 0.5
+PAUSE_S = 1.5
 
 
 @dataclass(frozen=True)
@@ -131,6 +132,30 @@
     return recover
 
 
+async def pause_engine(context: FaultContext):
+    """Make a model engine refuse requests with a Retry-After."""
+    name = _choose_node(context, "engine")
+    await _set_fault(context, name, {"pause_s": PAUSE_S})
+
+    async def recover() -> None:
+        await _set_fault(context, name, {})
+
+    return recover
+
+
+async def say_leaving_engine(context: FaultContext):
+    """Make a model engine say in its answers that it leaves; it is restarted later."""
+    name = _choose_node(context, "engine")
+    await _set_fault(context, name, {"leaving": True})
+
+    async def recover() -> None:
+        context.cluster.kill(name)
+        context.cluster.running[name].wait()
+        context.cluster.start(name)
+
+    return recover
+
+
 async def race_operators(context: FaultContext):
     """Submit two changes concurrently with the same base version, one of them twice."""
     try:
@@ -184,6 +209,8 @@
         cut_one_way,
         stop_entry,
         leave_engine,
+        pause_engine,
+        say_leaving_engine,
         race_operators,
     )
 }
