Probe connections that carry messages one way only

A silent connection is noticed by a request without a reply. Load reports of coordinators, relays of backend servers' reports between control members and ends of runs have no reply, so between two coordinators whose connections went silent no report arrived until the library's own heartbeat, after 30 to 40 s: no request was passed on to the other domain, and quotas were divided without its use.

Change: a connection on which messages are sent while nothing has come back for a second is probed with a small request, and replaced without a reply.

--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -85,12 +85,20 @@
 class PlatformRegion:
     """Three control members and `entries` entries, each on its own loopback address.
 
-    Where links are to be disturbed, `links` are proxies between the processes.
+    Where links are to be disturbed, `links` are proxies between the processes. The
+    entries are spread over the failure domains `zones`.
     """
 
-    def __init__(self, entries: int = 2, *, has_links: bool = False) -> None:
+    def __init__(
+        self,
+        entries: int = 2,
+        *,
+        has_links: bool = False,
+        zones: tuple[str, ...] = ("mvd-cordon",),
+    ) -> None:
         net = f"127.{next(_nets) + 50}"
         self._net = net
+        self._zones = zones
         self._folder = tempfile.TemporaryDirectory()
         self.controls = [f"{net}.1.{n}" for n in (1, 2, 3)]
         self.entries = [f"{net}.2.{n}" for n in range(1, entries + 1)]
@@ -104,10 +112,11 @@
 
     def settings(self, ip: str) -> WireSettings:
         """Return the settings of the process with this address."""
+        number = self.entries.index(ip) if ip in self.entries else 0
         document = platform_wire.settings(
             ip,
             self.controls,
-            zone="mvd-cordon",
+            zone=self._zones[number % len(self._zones)],
             data_dir=Path(self._folder.name) / ip if ip in self.controls else None,
             bootstrap=True,
             heartbeatMs=1200,
--- a/fuchsiacroft/tests/platform/outage_tests.py
+++ b/fuchsiacroft/tests/platform/outage_tests.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from fuchsiacroft.membership.registry import ENTRY_TIMEOUT_S, SWEEP_PERIOD_S
+from fuchsiacroft.placing.neighbours import Neighbours
 from fuchsiacroft.tests.base import SocketTestCase
 from fuchsiacroft.tests.fakes.platform_region import PlatformRegion, config
 
@@ -16,6 +17,24 @@
 """Time after the start of an outage at which something changes."""
 
 
+class CoordinatorOutageTests(SocketTestCase):
+    """Connections between coordinators fail while new ones still work."""
+
+    async def test_coordinators_with_silent_connections_get_no_more_reports(self):
+        zones = ("mvd-cordon", "mvd-pocitos")
+        region = PlatformRegion(entries=2, has_links=True, zones=zones)
+        await region.start()
+        self.addAsyncCleanup(region.stop)
+        neighbours = [
+            region.kernels[ip].get("neighbours", Neighbours) for ip in region.entries
+        ]
+        for ip in region.entries:
+            region.links.silence_open(ip)
+        await asyncio.sleep(CONTACT_S)
+        for number, zone in enumerate(reversed(zones)):
+            self.assertLess(neighbours[number].dump()[zone]["age_s"], 0.5)
+
+
 class OutageTests(SocketTestCase):
     """Connections of processes fail while new ones still work."""
 
--- a/fuchsiacroft/tests/transport/zmq_bus_tests.py
+++ b/fuchsiacroft/tests/transport/zmq_bus_tests.py
@@ -142,6 +142,20 @@
             taken_s = await self.request_until_answered(proxy.listen)
             self.assertLess(taken_s, peer_link.MIN_SILENCE_TIMEOUT_S + 0.6)
 
+    async def test_messages_without_replies_are_lost_on_a_silent_connection(self):
+        proxy = await self.open_proxy()
+        received = asyncio.Event()
+
+        async def handler(sender, ping):
+            received.set()
+
+        self.server.register_handler(Ping, handler)
+        proxy.silence_open()
+        async with asyncio.timeout(peer_link.PROBE_AFTER_S + 1.0):
+            while not received.is_set():
+                self.client.send(proxy.listen, Ping("x"))
+                await asyncio.sleep(0.05)
+
     async def test_a_suspended_peer_is_sent_ever_more_connections(self):
         proxy = await self.open_proxy()
         proxy.silence()
--- a/fuchsiacroft/transport/peer_link.py
+++ b/fuchsiacroft/transport/peer_link.py
@@ -13,6 +13,8 @@
 MAX_SILENCE_TIMEOUT_S = 5.0
 """Limit of the doubled timeout, as a peer that is suspended does not answer on any
 connection."""
+PROBE_AFTER_S = 1.0
+"""A connection that carries messages one way only is probed after this silence."""
 
 
 class PeerLink:
@@ -28,6 +30,7 @@
         self._has_received = False
         self.send_queue = SendQueue(dealer)
         self.tasks: list[asyncio.Task] = []
+        self.is_probed = False
         self._last_received_at = now()
 
     @property
@@ -43,6 +46,11 @@
         """
         return self.silent_s > self._silence_timeout_s
 
+    @property
+    def needs_probe(self) -> bool:
+        """Whether only a probe can tell if messages still arrive at the peer."""
+        return not self.is_probed and self.silent_s > PROBE_AFTER_S
+
     @property
     def next_silence_timeout_s(self) -> float:
         """The silence timeout of the link that replaces this one."""
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -33,10 +33,16 @@
 The kernel repeats a lost connect only after a second. A round trip is shorter.
 """
 LINK_CLOSE_DELAY_S = 10.0
+PROBE_TIMEOUT_S = 0.3
 HEARTBEAT_MS = 30_000
 HEARTBEAT_TIMEOUT_MS = 10_000
 
 
+@codec.message("bus.probe")
+class LinkProbe(msgspec.Struct, frozen=True):
+    """Requests the same message as a reply."""
+
+
 class ZmqBus(Bus):
     """Listens on one address and keeps one connection to each peer in use."""
 
@@ -54,7 +60,7 @@
         self._ring = ring if ring is not None and ring.enabled else None
         self._listener: BusListener | None = None
         self._links: dict[str, PeerLink] = {}
-        self._handlers: dict[type, Handler] = {}
+        self._handlers: dict[type, Handler] = {LinkProbe: self._on_probe}
         self._pending: dict[int, asyncio.Future] = {}
         self._numbers = itertools.count(1)
         self._tasks = BackgroundTasks("bus")
@@ -127,7 +133,18 @@
     def send(self, peer: str, msg: msgspec.Struct) -> None:
         """Send a message that has no reply; it may be lost."""
         data = codec.encode(msg, 0, False, self._node)
-        self._enqueue(peer, QueuedMessage(data, now() + SEND_TIMEOUT_S))
+        link = self._enqueue(peer, QueuedMessage(data, now() + SEND_TIMEOUT_S))
+        if link is not None and link.needs_probe:
+            link.is_probed = True
+            self._tasks.spawn(self._probe(peer, link), f"bus-probe-{peer}")
+
+    async def _probe(self, peer: str, link: PeerLink) -> None:
+        """Request a reply, without which the link is replaced."""
+        await self.request(peer, LinkProbe(), PROBE_TIMEOUT_S)
+        link.is_probed = False
+
+    async def _on_probe(self, sender: str, msg: LinkProbe) -> LinkProbe:
+        return msg
 
     def _enqueue(self, peer: str, message: QueuedMessage) -> PeerLink | None:
         link = self._links.get(peer) or self._connect(peer)
