--- a/fuchsiacroft/routing/health.py
+++ b/fuchsiacroft/routing/health.py
@@ -12,16 +12,26 @@
 from fuchsiacroft.utils.clock import now
 
 SLOW_RATIO = 2.0
+"""A server that takes this many times as long as its peers is ejected."""
 RECOVERED_RATIO = 1.5
+"""Below `SLOW_RATIO`, so that a server at the limit is not ejected and readmitted in
+turn."""
 FAILING_SHARE = 0.5
 MIN_SAMPLES = 4
+"""One slow or failed run does not tell about the server."""
 MAX_CONNECT_FAILURES = 2
+"""A single failed connect may be a lost packet."""
 CONNECT_PAUSE_S = 2.0
+"""A server that restarts takes about that long."""
 OVERDUE_FACTOR = 3.0
 OVERDUE_MARGIN_S = 2.0
+"""A run is overdue after this much more than `OVERDUE_FACTOR` times what it should
+take, so that short runs are not overdue at once."""
 OVERDUE_RUNS = 2
+"""One overdue run may have been expected to be too short."""
 PROBE_PERIOD_S = 3.0
 PROBE_RUNS = 1
+"""A probe costs a caller time if the server is still slow, so one runs at a time."""
 
 FAILED_OUTCOMES = frozenset({RunOutcome.FAILED, RunOutcome.CONNECTION_LOST})
 
--- a/fuchsiacroft/routing/shedding_lowest_tier.py
+++ b/fuchsiacroft/routing/shedding_lowest_tier.py
@@ -17,9 +17,14 @@
 REFUSE_SLACK_FACTOR = 2.5
 """Highest ratio of expected wait to slack; above 1, as estimates run high."""
 TOP_TIER_WAIT_SHARE = 0.4
+"""Share of its first-token target that a top-tier request waits before it preempts; the
+rest is for its prompt."""
 POSITION_DELAY_S = 0.05
+"""Longer than an owner takes to report a grant to the others."""
 PREEMPT_MARGIN_S = 1.0
 PREEMPT_MARGIN_SHARE = 0.25
+"""Other tiers preempt this long before their latest start, at most a share of their
+slack."""
 
 
 class LowestTier(SheddingPolicy):
