Read notice headers and extend a request's avoided servers in one place each

No change of behaviour. http_headers.server_notice serves the platform's adapter and the product's own client; PermitRequest.avoiding replaces five copies in the two acquire loops, whose limits are now computed once a turn; what the two availability classes call unavailable has one name.

--- a/fuchsiacroft/entry/backend_client.py
+++ b/fuchsiacroft/entry/backend_client.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 from yarl import URL
 
+from fuchsiacroft.entry import http_headers
 from fuchsiacroft.entry.at_most_once import SendGuard, open_session
 from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
 from fuchsiacroft.entry.request import CallerRequest
@@ -19,7 +20,6 @@
 BOOT_ID_HEADER = "Fuchsiacroft-Boot-Id"
 LEAVING_HEADER = "Fuchsiacroft-Leaving"
 """On an answer: the backend server leaves, if the value is 1."""
-UNAVAILABLE = 503
 CONNECT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 2.0
 CANCEL_TRIES = 3
@@ -115,11 +115,7 @@
 
 def server_notice(response: aiohttp.ClientResponse) -> ServerNotice:
     """Return what a backend server says of itself in a response."""
-    is_full = response.status == UNAVAILABLE
-    return ServerNotice(
-        is_leaving=response.headers.get(LEAVING_HEADER, "").strip() == "1",
-        retry_after=response.headers.get("Retry-After") if is_full else None,
-    )
+    return http_headers.server_notice(response, LEAVING_HEADER)
 
 
 def _is_same_run(response: aiohttp.ClientResponse, permit: Permit) -> bool:
--- a/fuchsiacroft/entry/http_headers.py
+++ b/fuchsiacroft/entry/http_headers.py
@@ -1,4 +1,4 @@
-"""Filters the headers that are forwarded between callers and backend servers."""
+"""Filters and reads the headers between callers and backend servers."""
 
 from collections.abc import Iterable
 
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
+from fuchsiacroft.membership.server_notices import ServerNotice
 
 INTERNAL_PREFIX = "fuchsiacroft-"
 HOP_BY_HOP = frozenset(
@@ -29,6 +30,7 @@
 }
 STRIPPED_RESPONSE_HEADERS = HOP_BY_HOP | {"content-length", "date", "server"}
 BODILESS_STATUSES = frozenset({204, 304})
+UNAVAILABLE = 503
 
 
 def backend_request_headers(
@@ -56,6 +58,21 @@
     return response
 
 
+def server_notice(
+    upstream: aiohttp.ClientResponse, leaving_header: str
+) -> ServerNotice:
+    """Return what a backend server says of itself in a response.
+
+    The leaving header has the value 1 if it leaves. A Retry-After counts on a 503 only.
+    """
+    headers = upstream.headers
+    is_unavailable = upstream.status == UNAVAILABLE
+    return ServerNotice(
+        is_leaving=headers.get(leaving_header, "").strip() == "1",
+        retry_after=headers.get("Retry-After") if is_unavailable else None,
+    )
+
+
 def is_framed(upstream: aiohttp.ClientResponse) -> bool:
     """Whether a complete body can be distinguished from a lost connection."""
     if upstream.method == "HEAD" or upstream.status in BODILESS_STATUSES:
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -15,7 +15,6 @@
 from functools import partial
 from typing import Self
 
-import msgspec
 from expression import Error, Ok, Result
 
 from fuchsiacroft.config.settings import Settings
@@ -149,15 +148,19 @@
         declines a server that wants no request from it.
         """
         started_at = now()
-        limits = wait_limits
-        resumes_at = partial(self.availability.resumes_at, permit_request.service)
+        service = permit_request.service
+        resumes_at = partial(self.availability.resumes_at, service)
         while True:
-            refusal = await wait_for_servers(resumes_at, now() + limits.max_wait_s)
+            refusal = await wait_for_servers(
+                resumes_at, started_at + wait_limits.max_wait_s
+            )
             if refusal is not None:
                 return Error(refusal)
-            limits = wait_limits.after(now() - started_at)
             outcome = await self._acquire_slot(
-                self._avoiding_paused(permit_request), charge, repeats, limits
+                permit_request.avoiding(*self.availability.unavailable(service)),
+                charge,
+                repeats,
+                wait_limits.after(now() - started_at),
             )
             if outcome.is_error():
                 return outcome
@@ -170,17 +173,8 @@
                 return outcome
             self._decline(placed, permit_request, reason)
             if reason is NoticeReason.LEAVING:
-                avoid = (*permit_request.avoid, placed.backend_server)
-                permit_request = msgspec.structs.replace(permit_request, avoid=avoid)
+                permit_request = permit_request.avoiding(placed.backend_server)
             charge = 0.0
-            limits = wait_limits.after(now() - started_at)
-
-    def _avoiding_paused(self, permit_request: PermitRequest) -> PermitRequest:
-        paused = self.availability.paused(permit_request.service)
-        if not paused:
-            return permit_request
-        avoid = (*permit_request.avoid, *paused)
-        return msgspec.structs.replace(permit_request, avoid=avoid)
 
     def _running(self, backend_server: str) -> int:
         return sum(
--- a/fuchsiacroft/placing/server_availability.py
+++ b/fuchsiacroft/placing/server_availability.py
@@ -67,8 +67,8 @@
             now(),
         )
 
-    def paused(self, service: str) -> tuple[str, ...]:
-        """Return the servers of a service that want nothing from this VM now."""
+    def unavailable(self, service: str) -> tuple[str, ...]:
+        """Return the servers of a service that get no request from this VM now."""
         if self._notices.is_empty:
             return ()
         return tuple(
--- a/fuchsiacroft/platform/header_names.py
+++ b/fuchsiacroft/platform/header_names.py
@@ -16,8 +16,6 @@
 """On a response: the replica did not run the request."""
 SERVER_LEAVING = "Server-Leaving"
 """On a response: the replica leaves and wants no new requests, if the value is 1."""
-RETRY_AFTER = "Retry-After"
-"""On a replica's 503: it wants nothing from this machine for so long."""
 
 RESERVED = frozenset(
     {
--- a/fuchsiacroft/platform/protocol_adapter.py
+++ b/fuchsiacroft/platform/protocol_adapter.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from fuchsiacroft.config.route_table import Quota, Route, RouteTable, Workspace
+from fuchsiacroft.entry import http_headers
 from fuchsiacroft.entry.http_headers import HOP_BY_HOP
 from fuchsiacroft.entry.problems import ExecutionState, Problem
 from fuchsiacroft.gateway.routed_request import (
@@ -24,7 +25,6 @@
 )
 DROPPED_RESPONSE_HEADERS = HOP_BY_HOP | {"content-length", "date", "server"}
 MISDIRECTED = 421
-UNAVAILABLE = 503
 MIN_DEADLINE_MS = 1
 ROUTE_RANKS = 16
 """Weight of a workspace rank in a combined rank, above the usual route ranks."""
@@ -130,14 +130,7 @@
         """Return what the replica says of itself; a 421 comes from another one."""
         if response.status == MISDIRECTED:
             return ServerNotice()
-        leaving = response.headers.get(header_names.SERVER_LEAVING, "").strip()
-        is_full = response.status == UNAVAILABLE
-        return ServerNotice(
-            is_leaving=leaving == "1",
-            retry_after=response.headers.get(header_names.RETRY_AFTER)
-            if is_full
-            else None,
-        )
+        return http_headers.server_notice(response, header_names.SERVER_LEAVING)
 
     def matches_request(
         self, request: RoutedRequest, response: aiohttp.ClientResponse
@@ -159,7 +152,7 @@
             response.headers[header_names.REQUEST_ID] = request_id
         if problem.retry_after_s is not None and problem.ran is ExecutionState.NO:
             # The platform allows fractions of a second here.
-            response.headers[header_names.RETRY_AFTER] = f"{problem.retry_after_s:.3f}"
+            response.headers["Retry-After"] = f"{problem.retry_after_s:.3f}"
         return response
 
 
--- a/fuchsiacroft/routing/permits.py
+++ b/fuchsiacroft/routing/permits.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 from dataclasses import dataclass, field
+from typing import Self
 
 import msgspec
 
@@ -39,6 +40,12 @@
     retries_per_s: float = 10.0
     avoid: tuple[str, ...] = ()
 
+    def avoiding(self, *backend_servers: str) -> Self:
+        """Return this request with further backend servers to avoid."""
+        if not backend_servers:
+            return self
+        return msgspec.structs.replace(self, avoid=(*self.avoid, *backend_servers))
+
 
 class RefusalReason(enum.Enum):
     """Why no permit was granted."""
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -119,9 +119,7 @@
             return Error(self._permit_queue.refusal(RefusalReason.DRAINING, request))
         if not self._retry_budgets.allows(request):
             return Error(self._permit_queue.refusal(RefusalReason.OVERLOADED, request))
-        avoid = self._unreachable.get(request.request_id, ())
-        if avoid:
-            request = msgspec.structs.replace(request, avoid=avoid)
+        request = request.avoiding(*self._unreachable.get(request.request_id, ()))
         outcome = await self._acquire_available(request)
         match outcome:
             case Result(tag="ok", ok=permit):
@@ -152,7 +150,8 @@
             refusal = await wait_for_servers(resumes_at, deadline)
             if refusal is not None:
                 return Error(refusal)
-            outcome = await self._acquire(self._avoiding_unavailable(request))
+            unavailable = self._availability.unavailable(request.service)
+            outcome = await self._acquire(request.avoiding(*unavailable))
             if outcome.is_error():
                 return outcome
             permit = outcome.ok
@@ -160,19 +159,10 @@
             if reason is None:
                 return outcome
             self._return_unused_permit(permit)
-            avoid = request.avoid
             if reason is NoticeReason.LEAVING:
-                avoid = (*avoid, permit.backend_server)
-            request = msgspec.structs.replace(
-                request, avoid=avoid, timeout_s=max(deadline - now(), 0.0)
-            )
-
-    def _avoiding_unavailable(self, request: PermitRequest) -> PermitRequest:
-        unavailable = self._availability.unavailable(request.service)
-        if not unavailable:
-            return request
-        avoid = (*request.avoid, *unavailable)
-        return msgspec.structs.replace(request, avoid=avoid)
+                request = request.avoiding(permit.backend_server)
+            timeout_s = max(deadline - now(), 0.0)
+            request = msgspec.structs.replace(request, timeout_s=timeout_s)
 
     def _running(self, backend_server: str) -> int:
         return len(self._held_permits.for_server(backend_server))
--- a/fuchsiacroft/tests/soak/invariants.py
+++ b/fuchsiacroft/tests/soak/invariants.py
@@ -129,18 +129,18 @@
 def _said_leaving_violations(observations: Observations) -> list[str]:
     """Return the requests to a server after its entry had passed on that it leaves."""
     attempts = {attempt.attempt_id: attempt for attempt in observations.attempts}
-    told_at: dict[tuple[str, str], float] = {}
+    passed_on_at: dict[tuple[str, str], float] = {}
     for run in observations.runs:
         attempt = attempts.get(run.attempt_id)
         if attempt is not None and attempt.says_leaving and attempt.ended_at:
             key = (attempt.entry, run.server)
-            told_at[key] = min(attempt.ended_at, told_at.get(key, math.inf))
+            passed_on_at[key] = min(attempt.ended_at, passed_on_at.get(key, math.inf))
     return [
         f"{run.server} got {run.attempt_id}, but its entry had passed on that it leaves"
         for run in observations.runs
         if (attempt := attempts.get(run.attempt_id)) is not None
         and attempt.sent_at
-        > told_at.get((attempt.entry, run.server), math.inf) + DRAIN_S
+        > passed_on_at.get((attempt.entry, run.server), math.inf) + DRAIN_S
     ]
 
 
