--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -285,6 +285,7 @@
             seconds=round(at - self._started_at, 4),
             events=self._events,
             longest_pause_s=round(self._longest_gap_s, 3),
+            parts=",".join(self._request.shared_parts) or "-",
         )
 
     @property
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -247,6 +247,7 @@
         size=request.size,
         idempotent=request.route.kind.is_retryable,
         fingerprint=context.fingerprint,
+        shared_parts=request.shared_parts,
         first_token_target_s=request.route.latency_target_s,
         token_gap_target_s=request.route.gap_target_s,
         avoid=context.avoid,
--- a/fuchsiacroft/placing/crashes.py
+++ b/fuchsiacroft/placing/crashes.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from fuchsiacroft.utils.logs import event
+
 QUARANTINE_AFTER = 3
 """Crashes of this many servers; two may be a coincidence while servers fail."""
 LOST_CONNECTION_WINDOW_S = 4.0
@@ -53,7 +55,15 @@
             for fingerprint, lost_at in lost
             if lost_at >= at - LOST_CONNECTION_WINDOW_S
         }
-        for fingerprint in recent.union(running) - {""}:
+        suspects = recent.union(running) - {""}
+        if suspects:
+            event(
+                "warning",
+                "backend_server_died",
+                death=instance_id,
+                suspects=len(suspects),
+            )
+        for fingerprint in suspects:
             self._suspect(fingerprint, {instance_id}, at)
 
     def clear(self, fingerprint: str) -> None:
--- a/fuchsiacroft/platform/protocol_adapter.py
+++ b/fuchsiacroft/platform/protocol_adapter.py
@@ -28,6 +28,8 @@
 MIN_DEADLINE_MS = 1
 ROUTE_RANKS = 16
 """Weight of a workspace rank in a combined rank, above the usual route ranks."""
+MAX_SHARED_PARTS = 64
+"""Bounds what is kept of one request; further parts of its prompt are ignored."""
 
 
 class PlatformProtocolAdapter(ProtocolAdapter):
@@ -89,6 +91,7 @@
                 charge=_charge(headers, workspace),
                 last_event_id=headers.get(header_names.LAST_EVENT_ID),
                 event_tokens=table.services[service].event_tokens,
+                shared_parts=_shared_parts(headers.get(header_names.PROMPT_PARTS, "")),
                 table_version=table.version,
             )
         )
@@ -199,6 +202,12 @@
     return float(sum(counts)) if len(counts) == 2 else quota.plain_units
 
 
+def _shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts but the last, which no other request has."""
+    ids = [part.partition(":")[0].strip().lower() for part in text.split(",")]
+    return tuple(part for part in ids[:-1] if part)[:MAX_SHARED_PARTS]
+
+
 def _parse_ints(text: str) -> list[int]:
     try:
         return [int(part) for part in text.split(",")]
--- a/fuchsiacroft/routing/permits.py
+++ b/fuchsiacroft/routing/permits.py
@@ -21,7 +21,8 @@
     `rank` 0 is the highest-priority tier. `timeout_s` counts from the time at
     which the permit request is received. `prefixes` are digests of the prompt's
     leading blocks, the shortest first. `fingerprint` identifies the request's
-    content. `avoid` lists backend servers that earlier attempts tried; none of them is
+    content, and `shared_parts` the parts of its prompt that other requests may have
+    too. `avoid` lists backend servers that earlier attempts tried; none of them is
     chosen.
     """
 
@@ -35,6 +36,7 @@
     idempotent: bool = True
     fingerprint: str = ""
     prefixes: tuple[int, ...] = ()
+    shared_parts: tuple[str, ...] = ()
     first_token_target_s: float = 1.3
     token_gap_target_s: float = 0.044
     retries_per_s: float = 10.0
