--- a/fuchsiacroft/commands/platform.py
+++ b/fuchsiacroft/commands/platform.py
@@ -5,7 +5,8 @@
 """
 
 import sys
-from types import ModuleType
+from pathlib import Path
+from typing import TYPE_CHECKING
 
 from absl import flags
 from expression import Result
@@ -13,6 +14,10 @@
 from fuchsiacroft.commands.common import run_kernel
 from fuchsiacroft.commands.exit_codes import ExitCode
 
+if TYPE_CHECKING:
+    from fuchsiacroft.kernel import Kernel
+    from fuchsiacroft.platform.settings import WireSettings
+
 ROLES = ("entry", "control")
 
 
@@ -20,6 +25,12 @@
     """Define the flag that selects the role."""
     flags.DEFINE_enum("role", None, ROLES, "the role of this process", values)
     flags.mark_flag_as_required("role", values)
+    flags.DEFINE_list(
+        "operator_token_hashes",
+        [],
+        "SHA-256 hashes of the tokens that may lift a quarantine at an entry",
+        values,
+    )
 
 
 def run(values: flags.FlagValues) -> int:
@@ -29,21 +40,20 @@
     path = settings.path()
     match settings.load(path):
         case Result(tag="ok", ok=wire):
-            process = _process(values.role)
             return run_kernel(
-                lambda: process.create(wire, path), wire.node_name, "INFO"
+                lambda: _kernel(values, wire, path), wire.node_name, "INFO"
             )
         case Result(error=issue):
             print(issue, file=sys.stderr)
     return ExitCode.FAILED
 
 
-def _process(role: str) -> ModuleType:
-    """Return the module of a role; a start imports no more than that role needs."""
-    if role == "entry":
+def _kernel(values: flags.FlagValues, wire: "WireSettings", path: Path) -> "Kernel":
+    """Return the kernel of the role; a start imports no more than that role needs."""
+    if values.role == "entry":
         from fuchsiacroft.platform import entry_process
 
-        return entry_process
+        return entry_process.create(wire, path, values.operator_token_hashes)
     from fuchsiacroft.platform import control_process
 
-    return control_process
+    return control_process.create(wire, path)
--- a/fuchsiacroft/entry/process.py
+++ b/fuchsiacroft/entry/process.py
@@ -18,13 +18,13 @@
 from fuchsiacroft.membership import backend_servers, engine_reports, ownership
 from fuchsiacroft.membership import service as membership
 from fuchsiacroft.membership.service import Membership
+from fuchsiacroft.quarantine import service as quarantine
 from fuchsiacroft.routing import addresses as address_book
 from fuchsiacroft.routing import (
     leases,
     membership_owners,
     owner_digests,
     permit_queue,
-    quarantine,
     scheduler,
     spillover,
 )
@@ -66,7 +66,7 @@
         ownership_table,
         backend_servers.create(settings),
         reports,
-        quarantine.create(settings),
+        quarantine.create_for(settings),
         queue,
         owner_digests.create(),
         leases.create(peer_addresses),
--- a/fuchsiacroft/entry/quarantine_api.py
+++ b/fuchsiacroft/entry/quarantine_api.py
@@ -1,4 +1,4 @@
-"""The operator API of an entry for quarantined requests."""
+"""The operator API of an entry for quarantined content."""
 
 from aiohttp import web
 
@@ -10,7 +10,7 @@
 )
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.operations import Operations
-from fuchsiacroft.routing.quarantine import Quarantine
+from fuchsiacroft.quarantine.service import Quarantine
 
 
 class QuarantineApi(Service):
@@ -22,7 +22,7 @@
         operations.app.middlewares.append(token_auth_middleware(token_hashes))
         router = operations.app.router
         router.add_get("/v1/quarantine", self._list)
-        router.add_delete("/v1/quarantine/{fingerprint}", self._lift)
+        router.add_delete("/v1/quarantine/{content_id}", self._lift)
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the quarantine."""
@@ -32,11 +32,11 @@
         return json_response(200, self._quarantine.dump())
 
     async def _lift(self, req: web.Request) -> web.Response:
-        fingerprint = req.match_info["fingerprint"]
-        if not self._quarantine.lift(fingerprint):
-            return error_response(404, "unknown fingerprint")
-        log_audit_event("info", "quarantine_lift_asked", req, fingerprint=fingerprint)
-        return json_response(200, {"lifted": fingerprint})
+        content_id = req.match_info["content_id"]
+        if not self._quarantine.lift(content_id):
+            return error_response(404, "this content is not suspected")
+        log_audit_event("info", "quarantine_lift_asked", req, content_id=content_id)
+        return json_response(200, {"lifted": content_id})
 
 
 def create(operations: Operations, token_hashes: list[str]) -> QuarantineApi:
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -155,6 +155,12 @@
             r for r in self._servers.records() if r.life is ServerState.SERVING
         )
 
+    def leaving_servers(self) -> frozenset[str]:
+        """Return the names of the backend servers that leave by plan."""
+        return frozenset(
+            r.name for r in self._servers.records() if r.life is ServerState.LEAVING
+        )
+
     def server(self, name: str) -> ServerRecord | None:
         """Return the record of a backend server, or None."""
         return self._servers.get(name)
@@ -188,6 +194,11 @@
         """Return whether a control member has replied recently."""
         return bool(self._reachable_controls())
 
+    def peers(self) -> tuple[str, ...]:
+        """Return the addresses of the other entries."""
+        own = self.local_entry.peers
+        return tuple(e.peers for e in self.entries() if e.peers != own)
+
     def not_ready_reason(self) -> str | None:
         """Return why no backend server can be selected yet, or None."""
         return None if self._replied_at else "no control member has answered"
--- a/fuchsiacroft/model/simulation.py
+++ b/fuchsiacroft/model/simulation.py
@@ -20,12 +20,12 @@
 from fuchsiacroft.model.network import MemoryNetwork
 from fuchsiacroft.model.server import DeployedServer, ServerRun
 from fuchsiacroft.model.trace import Deployment, mean_tokens
+from fuchsiacroft.quarantine import service as quarantine
 from fuchsiacroft.routing import (
     addresses,
     leases,
     owners,
     permit_queue,
-    quarantine,
     scheduler,
     spillover,
 )
@@ -182,7 +182,7 @@
         for service in (
             self.network.bus(member.node, member.peers),
             backend_servers.create(settings),
-            quarantine.create(settings),
+            quarantine.create_for(settings),
             permit_queue.create(member.node, policies, owned_by, seed),
             leases.create(addresses.create(settings)),
             spillover.create(settings, seed),
--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -26,6 +26,7 @@
 from fuchsiacroft.placing.quotas import Quotas
 from fuchsiacroft.placing.retry_after import MIN_RETRY_AFTER_S, retry_after_s
 from fuchsiacroft.placing.retry_budget import RetryBudget
+from fuchsiacroft.quarantine.evidence import Treatment
 from fuchsiacroft.routing.permits import (
     PermitRequest,
     Refusal,
@@ -41,6 +42,7 @@
 """Runs up to this share of the service's mean run time count as short."""
 QUARANTINE_RETRY_AFTER_S = 10.0
 """Retrying a request that crashes backend servers sooner does not help its caller."""
+QUARANTINED = Refusal(RefusalReason.QUARANTINED, QUARANTINE_RETRY_AFTER_S)
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,8 +101,8 @@
         Returns a refusal if the request is quarantined or exceeds a limit.
         """
         permit_request = request.ask
-        if self.fleet.crashes.is_quarantined(permit_request.fingerprint, at):
-            return Refusal(RefusalReason.QUARANTINED, QUARANTINE_RETRY_AFTER_S)
+        if self.fleet.treatment(permit_request, at) is Treatment.REFUSED:
+            return QUARANTINED
         self.demand.record(permit_request.workspace, request.charge, at)
         wait_s = self.quotas.take(permit_request.workspace, request.charge, at)
         if wait_s > 0:
@@ -118,14 +120,26 @@
 
     def try_place(self, request: PlaceRequest, at: float) -> Assignment | None:
         """Place an admitted request if a slot is free and no waiter precedes it."""
-        queue = self._queues.get(request.ask.service)
-        if queue and queue.ahead_of(self._position_in_time(request.ask)):
+        if self._is_preceded(request.ask, at):
             return None
         if not self._leaves_slots_free(request.ask, at):
             return None
         load = self.fleet.choose(request, at)
         return None if load is None else self.fleet.begin(request, load, at, at)
 
+    def _is_preceded(self, permit_request: PermitRequest, at: float) -> bool:
+        """Return whether a waiter goes first that doesn't wait to run in isolation."""
+        queue = self._queues.get(permit_request.service)
+        pos = self._position_in_time(permit_request)
+        if not queue or not queue.ahead_of(pos):
+            return False
+        if self.fleet.crash_detector.evidence.is_empty:
+            return True
+        return any(
+            waiter.position <= pos and self._is_unrestricted(waiter, at)
+            for waiter in queue.waiters()
+        )
+
     def late_first_event_s(self, request: PlaceRequest, at: float) -> float | None:
         """Return the expected time to the first event if it misses its target here.
 
@@ -187,6 +201,8 @@
         for waiter in list(self._waiters.values()):
             if waiter.expires_at <= at:
                 refused.append((waiter, self._expire(waiter, at)))
+            elif self.fleet.treatment(waiter.request.ask, at) is Treatment.REFUSED:
+                refused.append((waiter, self._quarantine(waiter)))
             elif not waiter.late and waiter.in_time_until <= at:
                 self._mark_late(waiter)
         for service, queue in self._queues.items():
@@ -198,11 +214,22 @@
         self.fleet.expire_runs(at)
         return refused
 
-    def queue_heads(self) -> list[Waiter]:
-        """Return the next waiter of each service that has any."""
-        heads = (queue.head() for queue in self._queues.values())
+    def queue_heads(self, at: float) -> list[Waiter]:
+        """Return the next unrestricted waiter of each service that has any."""
+        heads = (self._unrestricted_head(queue, at) for queue in self._queues.values())
         return [head for head in heads if head is not None]
 
+    def _unrestricted_head(self, queue: Queue, at: float) -> Waiter | None:
+        head = queue.head()
+        if head is None or self._is_unrestricted(head, at):
+            return head
+        waiters = queue.waiters()
+        return next((w for w in waiters if self._is_unrestricted(w, at)), None)
+
+    def _is_unrestricted(self, waiter: Waiter, at: float) -> bool:
+        treatment = self.fleet.treatment(waiter.request.ask, at)
+        return treatment is Treatment.UNRESTRICTED
+
     def requeue(self, waiter: Waiter) -> None:
         """Return a removed waiter to its position in the queue."""
         queue = self._queues[waiter.request.ask.service]
@@ -330,6 +357,12 @@
             return Refusal(RefusalReason.NO_BACKEND_SERVER, MIN_RETRY_AFTER_S)
         return Refusal(RefusalReason.TIMED_OUT, self._retry_after_s(waiter, at))
 
+    def _quarantine(self, waiter: Waiter) -> Refusal:
+        """Refuse a waiter whose content has been convicted since it came."""
+        self._remove(waiter)
+        self.refund_quota(waiter.request, waiter.admitted_at)
+        return QUARANTINED
+
     def _retry_after_s(self, waiter: Waiter, at: float) -> float:
         """Return when to come back: not sooner than after as long a wait again."""
         service, rank = waiter.request.ask.service, waiter.rank
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -30,6 +30,7 @@
 from fuchsiacroft.placing.pending import PendingPlacements, PlacementResult
 from fuchsiacroft.placing.queue import Waiter
 from fuchsiacroft.placing.served_domains import ServedDomains
+from fuchsiacroft.quarantine.service import Quarantine
 from fuchsiacroft.routing.permits import Refusal, RefusalReason, RunReport
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
@@ -82,6 +83,8 @@
         bus.register_handler(FirstEvent, self._on_first_event)
         bus.register_handler(RunEnded, self._on_ended)
         bus.register_handler(Ping, self._on_ping)
+        quarantine = kernel.get("quarantine", Quarantine)
+        self.allocator.fleet.crash_detector.evidence = quarantine.evidence
         self._roster = kernel.get("roster", Roster)
         self._roster.on_servers_change(self._on_servers)
         self._on_servers(self._roster.servers())
@@ -145,7 +148,7 @@
 
     def mark_prefilled(self, run_id: str) -> None:
         """Record that the prompt of a run has been prefilled."""
-        self.allocator.fleet.mark_prefilled(run_id)
+        self.allocator.fleet.mark_prefilled(run_id, now())
 
     def end(self, run_id: str, report: RunReport) -> None:
         """End a run, or remove a request from the queue."""
@@ -198,7 +201,7 @@
 
     def _spill_waiters(self) -> None:
         """Forward waiters to domains with spare capacity."""
-        for head in self.allocator.queue_heads():
+        for head in self.allocator.queue_heads(now()):
             if self._neighbours.has_capacity(head.request.ask):
                 self.allocator.dequeue(head.request.run_id)
                 self._tasks.spawn(self._spill_waiter(head), "spill-waiter")
@@ -268,7 +271,9 @@
             for record in records
             if self._served.serves(record.announcement.failure_domain)
         ]
-        self.allocator.fleet.replace_servers(served, now(), self._served.adopted)
+        self.allocator.fleet.replace_servers(
+            served, now(), self._served.adopted, self._roster.leaving_servers()
+        )
         self._place_waiters()
 
     def _update_served_domains(self) -> None:
--- /dev/null
+++ b/fuchsiacroft/placing/crash_detector.py
@@ -0,0 +1,114 @@
+"""Recognizes crashes of backend servers from the ends of their runs.
+
+A run whose answer has begun and gone on for a while did not crash its server. The
+others are blamed when their server crashes.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from fuchsiacroft.placing.server_load import Run, ServerLoad
+from fuchsiacroft.quarantine.evidence import ANSWER_SURVIVAL_S, CrashEvidence
+from fuchsiacroft.routing.permits import RunOutcome, RunReport
+
+LOST_RETENTION_S = 4.0
+"""Runs may be lost this long before their server's crash is recognized."""
+ALL_LOST_S = 0.2
+"""A crashed server's runs are lost within this time of each other."""
+MIN_ALL_LOST = 2
+"""A single lost run may have another cause."""
+
+
+@dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run whose connection was lost; `is_suspect` unless its answer had begun."""
+
+    run: Run
+    at: float
+    is_suspect: bool
+
+
+class CrashDetector:
+    """Reports crashes and answers to the evidence, by the runs of each server."""
+
+    def __init__(self) -> None:
+        self.evidence = CrashEvidence()
+        self._lost: dict[str, list[LostRun]] = {}
+        self._begun: deque[Run] = deque()
+
+    def record_first_event(self, run: Run, at: float) -> None:
+        """Record that the answer of a run has begun."""
+        if run.begun_at is None:
+            run.begun_at = at
+            self._begun.append(run)
+
+    def record_end(
+        self, load: ServerLoad, run: Run, report: RunReport, at: float
+    ) -> None:
+        """Record the end of a run, which `load` no longer holds."""
+        match report.outcome:
+            case RunOutcome.COMPLETED:
+                self.evidence.record_answer(run.permit_request.content_ids, at)
+            case RunOutcome.CONNECTION_LOST:
+                self._record_lost(load, run, report, at)
+            case RunOutcome.NOT_DISPATCHED:
+                # Runs placed since then could not be dispatched either.
+                earlier = [
+                    other
+                    for other in load.runs.values()
+                    if other.started_at < run.started_at
+                ]
+                self._record_crash(load.instance_id, earlier, at)
+
+    def record_removed(self, load: ServerLoad, at: float) -> None:
+        """Record that a server has ended without a notice."""
+        self._record_crash(load.instance_id, (), at)
+
+    def clear_survivors(self, at: float) -> None:
+        """Record the answers that have gone on for `ANSWER_SURVIVAL_S`."""
+        while self._begun and at - self._begun[0].begun_at >= ANSWER_SURVIVAL_S:
+            run = self._begun.popleft()
+            if run.is_running:
+                self.evidence.record_answer(run.permit_request.content_ids, at)
+
+    def _record_lost(
+        self, load: ServerLoad, run: Run, report: RunReport, at: float
+    ) -> None:
+        is_suspect = not _has_survived(report)
+        lost = self._lost.setdefault(load.instance_id, [])
+        lost.append(LostRun(run, at, is_suspect))
+        lost[:] = [item for item in lost if item.at >= at - LOST_RETENTION_S]
+        if is_suspect:
+            self.evidence.record_lost_run(run.permit_request.content_ids, at)
+        recent = sum(item.at >= at - ALL_LOST_S for item in lost)
+        if not load.runs and recent >= MIN_ALL_LOST:
+            self._record_crash(load.instance_id, (), at)
+
+    def _record_crash(
+        self, instance_id: str, running: list[Run] | tuple[Run, ...], at: float
+    ) -> None:
+        lost = self._lost.pop(instance_id, [])
+        suspects = [
+            item.run
+            for item in lost
+            if item.is_suspect and item.at >= at - LOST_RETENTION_S
+        ]
+        suspects += [run for run in running if _may_have_crashed(run, at)]
+        content_ids = {
+            content_id
+            for run in suspects
+            for content_id in run.permit_request.content_ids
+        }
+        if content_ids:
+            self.evidence.record_crash(instance_id, content_ids, at)
+
+
+def _has_survived(report: RunReport) -> bool:
+    """Return whether the answer of an ended run had gone on for long enough."""
+    if report.first_token_s is None:
+        return False
+    return report.duration_s - report.first_token_s >= ANSWER_SURVIVAL_S
+
+
+def _may_have_crashed(run: Run, at: float) -> bool:
+    return run.begun_at is None or at - run.begun_at < ANSWER_SURVIVAL_S
--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -8,12 +8,14 @@
 from dataclasses import dataclass
 
 from fuchsiacroft.membership.registry_wire import ServerRecord
-from fuchsiacroft.placing.crashes import CrashTracker
+from fuchsiacroft.placing.crash_detector import CrashDetector
 from fuchsiacroft.placing.engine_speed import EngineSpeeds
+from fuchsiacroft.placing.isolation import IsolatedRuns
 from fuchsiacroft.placing.messages import EnginePrefill, HeldRun, PlaceRequest
 from fuchsiacroft.placing.moving_average import moving_average
 from fuchsiacroft.placing.server_load import Run, ServerLoad
 from fuchsiacroft.placing.slot_reserve import SlotReserve
+from fuchsiacroft.quarantine.evidence import Treatment
 from fuchsiacroft.routing.permits import PermitRequest, RunOutcome, RunReport
 
 RUN_GRACE_S = 1.0
@@ -54,7 +56,8 @@
         self._reserves: dict[str, SlotReserve] = {}
         self._speeds: dict[str, EngineSpeeds] = {}
         self.share = 1.0
-        self.crashes = CrashTracker()
+        self.crash_detector = CrashDetector()
+        self._isolated = IsolatedRuns()
 
     def dump(self) -> dict:
         """Return each server with its runs, speed and failure rate."""
@@ -73,14 +76,18 @@
         records: Iterable[ServerRecord],
         at: float,
         adopted: Container[str] = (),
+        leaving: Container[str] = (),
     ) -> None:
         """Replace the set of backend servers that accept work.
 
         Those of the `adopted` domains may be cut off from here, so each gets one
-        request at first, until one has had a response.
+        request at first, until one has had a response. A server that is missing now
+        has ended, unless it is named in `leaving`.
         """
         found = {record.name: record for record in records}
         for name in self._servers.keys() - found.keys():
+            if name not in leaving:
+                self.crash_detector.record_removed(self._servers[name], at)
             self._remove_server(name, at)
         for name, record in found.items():
             load = self._servers.get(name)
@@ -88,6 +95,7 @@
                 load.record = record
                 continue
             if load is not None:
+                self.crash_detector.record_removed(load, at)
                 self._remove_server(name, at)
             load = ServerLoad(record, self._speeds_of(record))
             load.is_unproven = record.announcement.failure_domain in adopted
@@ -166,9 +174,14 @@
         """Return the free server with the lowest expected cost, or None.
 
         While the request has time left, servers whose streams it would stall are
-        skipped.
+        skipped. A request with suspected content runs in isolation.
         """
         permit_request = request.ask
+        match self.treatment(permit_request, at):
+            case Treatment.REFUSED:
+                return None
+            case Treatment.ISOLATED:
+                return self._choose_isolated(permit_request, at)
         avoids_stalls = waited_s < STALL_AVOIDANCE_SHARE * request.in_time_s
         best, lowest_cost_s = None, float("inf")
         for load in self._servers_of(permit_request.service):
@@ -176,11 +189,40 @@
                 continue
             if avoids_stalls and load.would_stall(permit_request, request.event_tokens):
                 continue
+            if self._isolated.occupies(load):
+                continue
             cost_s = load.expected_s(permit_request)
             if cost_s < lowest_cost_s:
                 best, lowest_cost_s = load, cost_s
         return best
 
+    def treatment(self, permit_request: PermitRequest, at: float) -> Treatment:
+        """Return how a request may run, by what is known of its content."""
+        evidence = self.crash_detector.evidence
+        if evidence.is_empty:
+            return Treatment.UNRESTRICTED
+        return evidence.treatment(permit_request.content_ids, at)
+
+    def _choose_isolated(
+        self, permit_request: PermitRequest, at: float
+    ) -> ServerLoad | None:
+        loads = self._servers_of(permit_request.service)
+        free = [
+            load
+            for load in loads
+            if load.name not in permit_request.avoid and self._free(load, at)
+        ]
+        suspected = self._suspected_content(permit_request, at)
+        return self._isolated.choose(suspected, len(loads), free)
+
+    def _suspected_content(
+        self, permit_request: PermitRequest, at: float
+    ) -> frozenset[str]:
+        evidence = self.crash_detector.evidence
+        if evidence.is_empty:
+            return frozenset()
+        return evidence.suspected(permit_request.content_ids, at)
+
     def begin(
         self, request: PlaceRequest, load: ServerLoad, at: float, arrived_at: float
     ) -> Assignment:
@@ -195,6 +237,7 @@
                 at,
                 _ends_by(permit_request, at),
                 is_prefilling,
+                suspected_content=self._suspected_content(permit_request, at),
             ),
         )
         address = load.record.announcement.address
@@ -210,12 +253,14 @@
             load, Run(held_run.run_id, held_run.ask, at, ends_by, is_prefilling=False)
         )
 
-    def mark_prefilled(self, run_id: str) -> None:
-        """Record that the prompt of a run has been prefilled."""
+    def mark_prefilled(self, run_id: str, at: float) -> None:
+        """Record that the prompt of a run has been prefilled and its answer begins."""
         load = self._runs.get(run_id)
         if load is not None:
             load.is_unproven = False
             load.mark_prefilled(run_id)
+            self._isolated.discard(run_id)
+            self.crash_detector.record_first_event(load.runs[run_id], at)
 
     def end(self, run_id: str, report: RunReport, at: float) -> None:
         """Remove a run and update the statistics from its outcome."""
@@ -225,12 +270,13 @@
             return
         self._record_end(run, at)
         load.record_result(run, report, at)
-        self._track_crash(load, run, report, at)
+        self.crash_detector.record_end(load, run, report, at)
         if report.outcome is RunOutcome.COMPLETED:
             self._update_mean(run.permit_request, at - run.started_at)
 
     def expire_runs(self, at: float) -> None:
         """Remove runs past their timeout whose end was not reported."""
+        self.crash_detector.clear_survivors(at)
         for load in self._servers.values():
             for run in list(load.runs.values()):
                 if run.ends_by <= at:
@@ -240,6 +286,7 @@
 
     def _add_run(self, load: ServerLoad, run: Run) -> None:
         load.begin(run)
+        self._isolated.add(run, load)
         self._runs[run.run_id] = load
         permit_request = run.permit_request
         self._reserve(permit_request.service).add(
@@ -253,6 +300,7 @@
         return self._speeds.setdefault(service, EngineSpeeds())
 
     def _record_end(self, run: Run, at: float) -> None:
+        self._isolated.discard(run.run_id)
         permit_request = run.permit_request
         self._reserve(permit_request.service).add(permit_request.rank, -1, at)
 
@@ -268,28 +316,11 @@
     def _remove_server(self, name: str, at: float) -> None:
         """Remove a server and its runs."""
         removed = self._servers.pop(name)
-        self.crashes.record_crash(removed.instance_id, (), at)
         for run in removed.runs.values():
+            run.is_running = False
             self._runs.pop(run.run_id, None)
             self._record_end(run, at)
 
-    def _track_crash(
-        self, load: ServerLoad, run: Run, report: RunReport, at: float
-    ) -> None:
-        """Update the crash tracker from the outcome of a run."""
-        match report.outcome:
-            case RunOutcome.COMPLETED:
-                self.crashes.clear(run.permit_request.fingerprint)
-            case RunOutcome.CONNECTION_LOST:
-                self.crashes.record_lost_connection(
-                    load.instance_id, run.permit_request.fingerprint, at
-                )
-            case RunOutcome.NOT_DISPATCHED:
-                running = [
-                    other.permit_request.fingerprint for other in load.runs.values()
-                ]
-                self.crashes.record_crash(load.instance_id, running, at)
-
     def _update_mean(self, permit_request: PermitRequest, run_s: float) -> None:
         service = permit_request.service
         known = self._mean_run_s.get(service)
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -114,15 +114,13 @@
     """Periodic load report of a failure domain's coordinator to the others.
 
     `spent` holds the units that each workspace spent there in the quota window,
-    and `demand` its recent demand in units per second. `suspects` maps fingerprints
-    to the backend server instances that crashed while running them.
+    and `demand` its recent demand in units per second.
     """
 
     failure_domain: str
     rooms: tuple[ServiceCapacity, ...]
     spent: dict[str, float]
     demand: dict[str, float]
-    suspects: dict[str, tuple[str, ...]] = {}
 
 
 @codec.message("placing.ping")
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -58,7 +58,6 @@
         self._random = random.Random()
         self._tasks = BackgroundTasks("neighbours")
         self.shares = Shares()
-        self._allocator: Allocator | None = None
         self.is_coordinator: Callable[[], bool] = lambda: False
         self.on_capacity: Callable[[], None] = lambda: None
 
@@ -87,7 +86,6 @@
 
     def start_broadcast(self, allocator: Allocator) -> None:
         """Report an allocator's load while this entry is its domain's coordinator."""
-        self._allocator = allocator
         self._tasks.spawn_critical(
             self._broadcast_periodically(allocator), "neighbours-tell"
         )
@@ -236,8 +234,7 @@
         spent = allocator.quotas.spent(at)
         self.shares.update(spent, at)
         capacities = allocator.capacities(at)
-        suspects = allocator.fleet.crashes.suspects(at)
-        load = DomainLoad(self._domain, capacities, spent, demand, suspects)
+        load = DomainLoad(self._domain, capacities, spent, demand)
         for domain in domains:
             coordinator = coordinator_of(entries, domain)
             if coordinator is not None:
@@ -253,8 +250,6 @@
         # and keeps to its share of each quota, so this domain must do the same.
         if coordinator_of(self._roster.entries(), msg.failure_domain) is not None:
             self.shares.update_domain(msg.failure_domain, msg.spent, msg.demand, at)
-        if self._allocator is not None and msg.suspects:
-            self._allocator.fleet.crashes.merge(msg.suspects, at)
         if any(
             capacity.free > 0 or any(n > 0 for n in capacity.free_by_rank.values())
             for capacity in msg.rooms
--- a/fuchsiacroft/placing/server_load.py
+++ b/fuchsiacroft/placing/server_load.py
@@ -28,6 +28,8 @@
     """A request that runs, or is about to run, on a backend server.
 
     `has_shared_prefill` is true if another prompt was read at the same time.
+    `begun_at` is when the first event of its answer came. A run with
+    `suspected_content` runs in isolation.
     """
 
     run_id: str
@@ -36,6 +38,9 @@
     ends_by: float
     is_prefilling: bool
     has_shared_prefill: bool = False
+    begun_at: float | None = None
+    is_running: bool = True
+    suspected_content: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True, eq=False)
@@ -147,7 +152,10 @@
     def end(self, run_id: str) -> Run | None:
         """Remove a run and return it."""
         self.mark_prefilled(run_id)
-        return self.runs.pop(run_id, None)
+        run = self.runs.pop(run_id, None)
+        if run is not None:
+            run.is_running = False
+        return run
 
     def record_result(self, run: Run, report: RunReport, at: float) -> None:
         """Update speed, failure rate and backoff from the outcome of a run."""
--- a/fuchsiacroft/platform/entry_process.py
+++ b/fuchsiacroft/platform/entry_process.py
@@ -1,9 +1,11 @@
 """Assembles the services of an entry on the platform."""
 
+from collections.abc import Sequence
 from pathlib import Path
 
 from fuchsiacroft import operations
 from fuchsiacroft.config import published_follower
+from fuchsiacroft.entry import quarantine_api
 from fuchsiacroft.exceptions import SettingsError
 from fuchsiacroft.gateway import forwarder, frontend, upstream
 from fuchsiacroft.kernel import Kernel
@@ -17,12 +19,18 @@
     settings_watch,
 )
 from fuchsiacroft.platform.settings import WireSettings
+from fuchsiacroft.quarantine import service as quarantine
 from fuchsiacroft.transport import security
 from fuchsiacroft.utils.metrics import Metrics
 
 
-def create(wire: WireSettings, path: Path) -> Kernel:
-    """Return the kernel of an entry, ready to start."""
+def create(
+    wire: WireSettings, path: Path, operator_token_hashes: Sequence[str] = ()
+) -> Kernel:
+    """Return the kernel of an entry, ready to start.
+
+    Operators with one of the tokens may lift a quarantine at the metrics address.
+    """
     if wire.bind.data_plane is None or wire.bind.readiness is None:
         raise SettingsError("an entry needs bind.dataPlane and bind.readiness")
     cfg = settings.entry_settings(wire)
@@ -37,17 +45,20 @@
         tables.not_ready_reason,
         region_roster.not_ready_reason,
     )
+    ops = operations.create(cfg.addresses.operators, metrics)
     kernel = Kernel()
     for service in (
         security.create_bus(cfg, security.create(cfg)),
         region_roster,
         tables,
+        quarantine.create(region_roster.peers),
         neighbours.create(cfg),
         coordinator.create(cfg, wire.shared_limits),
         placer.create(cfg),
         upstream.create(),
         forwarder.create(adapter),
-        operations.create(cfg.addresses.operators, metrics),
+        quarantine_api.create(ops, list(operator_token_hashes)),
+        ops,
         callers,
         ready,
         settings_watch.create(wire, path, region_roster.set_seeds),
--- /dev/null
+++ b/fuchsiacroft/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of requests that crash backend servers."""
--- a/fuchsiacroft/routing/isolation.py
+++ b/fuchsiacroft/routing/isolation.py
@@ -5,6 +5,18 @@
 from fuchsiacroft.routing.waiting_queue import Waiter
 
 
+def has_run_with(suspected: frozenset[str], service_queue: ServiceQueue) -> bool:
+    """Return whether an isolated run has some of this content.
+
+    Its outcome tells whether other requests with the content may run.
+    """
+    return any(
+        run.is_isolated and not suspected.isdisjoint(run.permit.request.content_ids)
+        for owned in service_queue.servers.values()
+        for run in owned.running.values()
+    )
+
+
 def reserve_idle_server(
     waiter: Waiter, service_queue: ServiceQueue
 ) -> OwnedServer | None:
--- a/fuchsiacroft/routing/messages.py
+++ b/fuchsiacroft/routing/messages.py
@@ -110,26 +110,3 @@
     failure_domain: str
     services: tuple[ServiceLoad, ...]
     speeds: tuple[MeasuredSpeed, ...] = ()
-
-
-@codec.message("routing.suspected")
-class Suspected(msgspec.Struct, frozen=True):
-    """A backend server crashed while these fingerprints were running."""
-
-    death: str
-    fingerprints: tuple[str, ...]
-
-
-@codec.message("routing.cleared")
-class Cleared(msgspec.Struct, frozen=True):
-    """A suspected fingerprint completed on another backend server."""
-
-    fingerprint: str
-
-
-@codec.message("routing.quarantined")
-class Quarantined(msgspec.Struct, frozen=True):
-    """A fingerprint was quarantined, or its quarantine lifted by an operator."""
-
-    fingerprint: str
-    lifted: bool = False
--- a/fuchsiacroft/routing/owned_server.py
+++ b/fuchsiacroft/routing/owned_server.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from fuchsiacroft.membership.backend_servers import BackendServer
+from fuchsiacroft.quarantine.evidence import ANSWER_SURVIVAL_S
 from fuchsiacroft.routing.concurrency_limit import ConcurrencyLimit
 from fuchsiacroft.routing.health import ServerHealth
 from fuchsiacroft.routing.permits import Permit
@@ -28,12 +29,19 @@
     was_first_prefill: bool = False
     is_isolated: bool = False
     is_preempted: bool = False
+    first_token_at: float | None = None
 
     @property
     def is_foreign(self) -> bool:
         """Return whether the request is known to its holder only, after a takeover."""
         return self.permit.request.timeout_s <= 0.0
 
+    def has_survived(self) -> bool:
+        """Return whether its answer has gone on too long for it to crash the server."""
+        if self.first_token_at is None:
+            return False
+        return now() - self.first_token_at >= ANSWER_SURVIVAL_S
+
     def elapsed_s(self) -> float:
         """Return the seconds since its start, prefill included."""
         return max(now() - self.started_at, 0.0)
@@ -58,7 +66,7 @@
     reserved_for: int | None = None
     has_isolated_run: bool = False
     prefill_ends: dict[str, float] = field(default_factory=dict)
-    lost_runs: deque[tuple[float, str]] = field(default_factory=deque)
+    lost_runs: deque[tuple[float, tuple[str, ...]]] = field(default_factory=deque)
 
     @property
     def name(self) -> str:
@@ -138,16 +146,27 @@
             offer.service == service for offer in self.server.announcement.offers
         )
 
-    def record_lost_run(self, fingerprint: str) -> None:
+    def record_first_token(self, permit_id: str) -> None:
+        """Record that the answer of a run has begun."""
+        run = self.running.get(permit_id)
+        if run is not None and run.first_token_at is None:
+            run.first_token_at = now()
+
+    def record_lost_run(self, run: Run) -> None:
         """Record a run whose connection was lost, in case the server has crashed."""
-        self.lost_runs.append((now(), fingerprint))
+        if run.has_survived():
+            return
+        self.lost_runs.append((now(), run.permit.request.content_ids))
         while self.lost_runs and self.lost_runs[0][0] < now() - LOST_RUN_RETENTION_S:
             self.lost_runs.popleft()
 
     def suspects(self) -> set[str]:
-        """Return the fingerprints suspected if this backend server has crashed."""
+        """Return the content suspected if this backend server has crashed."""
         oldest = now() - LOST_RUN_RETENTION_S
-        lost = {
-            fingerprint for lost_at, fingerprint in self.lost_runs if lost_at >= oldest
-        }
-        return lost | {run.permit.request.fingerprint for run in self.running.values()}
+        suspects = [ids for lost_at, ids in self.lost_runs if lost_at >= oldest]
+        suspects += [
+            run.permit.request.content_ids
+            for run in self.running.values()
+            if not run.has_survived()
+        ]
+        return set().union(*suspects)
--- a/fuchsiacroft/routing/permit_issuer.py
+++ b/fuchsiacroft/routing/permit_issuer.py
@@ -60,7 +60,7 @@
         if report.outcome is RunOutcome.UNUSED or run.is_foreign:
             return
         if report.outcome is RunOutcome.CONNECTION_LOST:
-            owned.record_lost_run(request.fingerprint)
+            owned.record_lost_run(run)
         estimates = self._policies.estimates
         reference = estimates.reference(request.service, owned.generation)
         owned.health.record_run(request, reference, run.expected_s, report)
--- a/fuchsiacroft/routing/permit_queue.py
+++ b/fuchsiacroft/routing/permit_queue.py
@@ -9,6 +9,8 @@
 from fuchsiacroft.config.settings import Policies
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.backend_servers import BackendDirectory, BackendServer
+from fuchsiacroft.quarantine.evidence import Treatment
+from fuchsiacroft.quarantine.service import Quarantine
 from fuchsiacroft.routing import health, isolation, policies
 from fuchsiacroft.routing.estimates import RunEstimates
 from fuchsiacroft.routing.owned_server import OwnedServer
@@ -23,7 +25,6 @@
     RunReport,
 )
 from fuchsiacroft.routing.policies import PolicySet
-from fuchsiacroft.routing.quarantine import Quarantine, Treatment
 from fuchsiacroft.routing.service_queue import ServiceQueue
 from fuchsiacroft.routing.shedder import Shedder
 from fuchsiacroft.routing.waiting_queue import LAST_ATTEMPT, Waiter
@@ -31,6 +32,7 @@
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 SWEEP_PERIOD_S = 0.5
+QUARANTINED = Error(Refusal(RefusalReason.QUARANTINED, 0.0))
 MIN_WAKE_UP_DELAY_S = 0.01
 MIN_WAIT_SHARE = 0.1
 """Share of its timeout that a request may wait even if it may miss its deadline."""
@@ -159,10 +161,9 @@
         waiter = self._new_waiter(request, position, service_queue)
         match self._treatment(request):
             case Treatment.REFUSED:
-                return Error(Refusal(RefusalReason.QUARANTINED, 0.0))
+                return QUARANTINED
             case Treatment.ISOLATED:
-                service_queue.isolated_waiters.append(waiter)
-                waiter.is_isolated = True
+                self._isolate(waiter, service_queue)
             case _:
                 refusal = self._enqueue(waiter, service_queue)
                 if refusal is not None:
@@ -196,7 +197,7 @@
         if run is None:
             return
         if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
-            self._quarantine.clear(permit.request.fingerprint)
+            self._quarantine.record_answer(permit.request.content_ids)
         self._issuer.record_run(owned, run, report)
         for offer in owned.server.announcement.offers:
             self._grant_waiting(self._service_queue(offer.service), owned)
@@ -204,7 +205,10 @@
     def record_first_token(self, permit: Permit) -> None:
         """Record the end of a run's prefill, so that the next one may start."""
         owned = self._owned.get(permit.backend_server)
-        if owned is not None and owned.end_prefill(permit.permit_id):
+        if owned is None:
+            return
+        owned.record_first_token(permit.permit_id)
+        if owned.end_prefill(permit.permit_id):
             self._grant_waiting(self._service_queue(permit.request.service), owned)
 
     def adopt(self, permit: Permit) -> bool:
@@ -258,9 +262,14 @@
         return service_queue
 
     def _treatment(self, request: PermitRequest) -> Treatment:
-        if self._quarantine is None or not request.fingerprint:
+        if self._quarantine is None or self._quarantine.evidence.is_empty:
             return Treatment.UNRESTRICTED
-        return self._quarantine.treatment(request.fingerprint)
+        return self._quarantine.treatment(request.content_ids)
+
+    def _suspected_content(self, request: PermitRequest) -> frozenset[str]:
+        if self._quarantine is None:
+            return frozenset()
+        return self._quarantine.evidence.suspected(request.content_ids, now())
 
     def _new_owned_server(self, server: BackendServer) -> OwnedServer:
         joined_at = self._joined_at.get(server.boot_id, now())
@@ -335,6 +344,8 @@
             if waiter.is_settled:
                 service_queue.waiting.remove(waiter)
                 continue
+            if self._restrict(waiter, service_queue):
+                continue
             owned = self._choose_server(waiter.request, service_queue, freed_server)
             if owned is None:
                 self._schedule_wake_up(service_queue)
@@ -366,6 +377,12 @@
         for waiter in list(service_queue.isolated_waiters):
             if waiter.is_settled or not service_queue.servers:
                 continue
+            if self._treatment(waiter.request) is Treatment.REFUSED:
+                waiter.fut.set_result(QUARANTINED)
+                continue
+            suspected = self._suspected_content(waiter.request)
+            if isolation.has_run_with(suspected, service_queue):
+                continue
             owned = isolation.reserve_idle_server(waiter, service_queue)
             if owned is None:
                 continue
@@ -376,6 +393,22 @@
             owned.has_isolated_run = True
             waiter.fut.set_result(Ok(permit))
 
+    def _isolate(self, waiter: Waiter, service_queue: ServiceQueue) -> None:
+        service_queue.isolated_waiters.append(waiter)
+        waiter.is_isolated = True
+
+    def _restrict(self, waiter: Waiter, service_queue: ServiceQueue) -> bool:
+        """Refuse or isolate a waiter whose content became suspected since it came."""
+        treatment = self._treatment(waiter.request)
+        if treatment is Treatment.UNRESTRICTED:
+            return False
+        service_queue.waiting.remove(waiter)
+        if treatment is Treatment.REFUSED:
+            waiter.fut.set_result(QUARANTINED)
+        else:
+            self._isolate(waiter, service_queue)
+        return True
+
     def _release_reservation(self, waiter: Waiter, service_queue: ServiceQueue) -> None:
         if waiter.is_isolated:
             isolation.release_reservation(waiter, service_queue)
--- a/fuchsiacroft/routing/permits.py
+++ b/fuchsiacroft/routing/permits.py
@@ -42,6 +42,14 @@
     retries_per_s: float = 10.0
     avoid: tuple[str, ...] = ()
 
+    @property
+    def content_ids(self) -> tuple[str, ...]:
+        """Return the ids of what it has in common with its retries and others."""
+        fingerprint = (self.fingerprint,) if self.fingerprint else ()
+        parts = [f"part:{part}" for part in self.shared_parts]
+        prefixes = [f"prefix:{prefix:x}" for prefix in self.prefixes]
+        return (*fingerprint, *parts, *prefixes)
+
     def avoiding(self, *backend_servers: str) -> Self:
         """Return this request with further backend servers to avoid."""
         if not backend_servers:
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -16,6 +16,7 @@
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.backend_servers import BackendDirectory, BackendServer
 from fuchsiacroft.membership.server_notices import NoticeReason, ServerNotice
+from fuchsiacroft.quarantine.service import Quarantine
 from fuchsiacroft.routing import addresses as address_book
 from fuchsiacroft.routing import owners
 from fuchsiacroft.routing.addresses import AddressBook
@@ -41,7 +42,6 @@
     RunOutcome,
     RunReport,
 )
-from fuchsiacroft.routing.quarantine import Quarantine
 from fuchsiacroft.routing.race import Race
 from fuchsiacroft.routing.retry_budgets import RetryBudgets
 from fuchsiacroft.routing.server_availability import ServerAvailability
@@ -180,7 +180,7 @@
         if report.outcome is RunOutcome.NOT_DISPATCHED:
             self._record_unreachable(permit)
         if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
-            self._quarantine.clear(permit.request.fingerprint)
+            self._quarantine.record_answer(permit.request.content_ids)
         server = self._directory.get(permit.backend_server)
         if permit.owner != self._node and server is not None:
             generation = server.announcement.generation
--- a/fuchsiacroft/tests/entry/quarantine_api_tests.py
+++ b/fuchsiacroft/tests/entry/quarantine_api_tests.py
@@ -8,8 +8,8 @@
 from fuchsiacroft.entry import quarantine_api
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.model.network import MemoryNetwork
-from fuchsiacroft.routing import quarantine
-from fuchsiacroft.routing.quarantine import Treatment
+from fuchsiacroft.quarantine import service as quarantine
+from fuchsiacroft.quarantine.evidence import Treatment
 from fuchsiacroft.tests.base import SocketTestCase
 from fuchsiacroft.tests.fakes.ports import free_address
 from fuchsiacroft.utils.metrics import Metrics
@@ -24,7 +24,7 @@
         address = free_address()
         self.url = f"http://{address}/v1/quarantine"
         settings = Settings("e", "d", "r", Addresses(operators=address))
-        self.quarantine = quarantine.create(settings)
+        self.quarantine = quarantine.create_for(settings)
         ops = operations.create(address, Metrics())
         kernel = Kernel()
         for service in (
@@ -42,19 +42,19 @@
         self.addAsyncCleanup(self.session.close)
 
     async def test_lifted_request_may_run_again(self):
-        self.assertIs(Treatment.REFUSED, self.quarantine.treatment("bad"))
+        self.assertIs(Treatment.REFUSED, self.quarantine.treatment({"bad"}))
         async with self.session.get(self.url, headers=TOKEN) as res:
             self.assertTrue((await res.json())["bad"]["quarantined"])
         async with self.session.delete(f"{self.url}/bad", headers=TOKEN) as res:
             self.assertEqual(200, res.status)
-        self.assertIs(Treatment.UNRESTRICTED, self.quarantine.treatment("bad"))
+        self.assertIs(Treatment.UNRESTRICTED, self.quarantine.treatment({"bad"}))
 
     async def test_missing_token_is_rejected(self):
         for call in (self.session.get, self.session.delete):
             async with call(f"{self.url}/bad") as res:
                 self.assertEqual(401, res.status)
-        self.assertIs(Treatment.REFUSED, self.quarantine.treatment("bad"))
+        self.assertIs(Treatment.REFUSED, self.quarantine.treatment({"bad"}))
 
-    async def test_unknown_fingerprint_is_not_found(self):
+    async def test_unknown_content_is_not_found(self):
         async with self.session.delete(f"{self.url}/other", headers=TOKEN) as res:
             self.assertEqual(404, res.status)
--- a/fuchsiacroft/tests/fakes/full_domain.py
+++ b/fuchsiacroft/tests/fakes/full_domain.py
@@ -16,13 +16,13 @@
 from fuchsiacroft.membership.backend_servers import BackendDirectory
 from fuchsiacroft.membership.ownership import OwnershipTable
 from fuchsiacroft.model.network import MemoryNetwork
+from fuchsiacroft.quarantine import service as quarantine
 from fuchsiacroft.routing import (
     addresses,
     leases,
     membership_owners,
     owner_digests,
     permit_queue,
-    quarantine,
     scheduler,
     spillover,
 )
@@ -168,7 +168,7 @@
             members_service,
             table,
             backend_servers.create(settings),
-            quarantine.create(settings),
+            quarantine.create_for(settings),
             permit_queue.create(settings.node, settings.policies, owners),
             owner_digests.create(number),
             leases.create(peer_addresses),
--- a/fuchsiacroft/tests/fakes/memory_region.py
+++ b/fuchsiacroft/tests/fakes/memory_region.py
@@ -11,6 +11,7 @@
 from fuchsiacroft.placing.limits import SharedLimits
 from fuchsiacroft.placing.neighbours import Neighbours
 from fuchsiacroft.placing.placer import Placer
+from fuchsiacroft.quarantine.service import Quarantine
 from fuchsiacroft.tests.fakes.bus import MemoryNetwork
 
 HEARTBEAT_S = 1.0
@@ -84,6 +85,7 @@
         )
         self.bus = region.network.bus(self.node, self.address)
         self.roster = Roster(settings)
+        self.quarantine = Quarantine(self.roster.peers)
         self.neighbours = Neighbours(settings)
         self.coordinator = Coordinator(settings, SharedLimits())
         self.placer = Placer(settings)
@@ -92,6 +94,7 @@
             self.bus,
             self.roster,
             FixedTable(region.table),
+            self.quarantine,
             self.neighbours,
             self.coordinator,
             self.placer,
--- a/fuchsiacroft/tests/fakes/routing_domain.py
+++ b/fuchsiacroft/tests/fakes/routing_domain.py
@@ -12,19 +12,19 @@
     RelayedAnnouncement,
 )
 from fuchsiacroft.model.network import MemoryNetwork
+from fuchsiacroft.quarantine import service as quarantine
+from fuchsiacroft.quarantine.service import Quarantine
 from fuchsiacroft.routing import (
     addresses,
     leases,
     owners,
     permit_queue,
-    quarantine,
     scheduler,
     spillover,
 )
 from fuchsiacroft.routing.leases import PermitLeases
 from fuchsiacroft.routing.permit_queue import PermitQueue
 from fuchsiacroft.routing.permits import PermitRequest, RunOutcome, RunReport, WorkSize
-from fuchsiacroft.routing.quarantine import Quarantine
 from fuchsiacroft.routing.scheduler import Scheduler
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
@@ -120,7 +120,7 @@
         for service in (
             self.network.bus(member.node, member.peers),
             backend_servers.create(settings),
-            quarantine.create(settings),
+            quarantine.create_for(settings),
             permit_queue.create(member.node, self.policies, domain_owners),
             leases.create(addresses.create(settings)),
             spillover.create(settings),
--- a/fuchsiacroft/tests/placing/allocator_search_tests.py
+++ b/fuchsiacroft/tests/placing/allocator_search_tests.py
@@ -109,7 +109,7 @@
 
     def pop_head(self) -> None:
         """Pop the next waiter, as when it is forwarded to another domain."""
-        for head in self.allocator.queue_heads():
+        for head in self.allocator.queue_heads(self.at):
             self.allocator.dequeue(head.request.run_id)
             self.popped.append(head)
 
--- a/fuchsiacroft/tests/placing/allocator_tests.py
+++ b/fuchsiacroft/tests/placing/allocator_tests.py
@@ -426,12 +426,12 @@
             report = RunReport(RunOutcome.COMPLETED, token_gap_s=gap_s)
             self.allocator.end(assignment.run_id, report, 0.3)
         stream = self.allocator.place(request(avoid=("i-2",)), 1.0)
-        self.allocator.fleet.mark_prefilled(stream.run_id)
+        self.allocator.fleet.mark_prefilled(stream.run_id, 0.0)
         self.filled = [
             self.allocator.place(request(avoid=("i-1",)), 1.0) for _ in range(11)
         ]
         for assignment in self.filled:
-            self.allocator.fleet.mark_prefilled(assignment.run_id)
+            self.allocator.fleet.mark_prefilled(assignment.run_id, 0.0)
 
     def test_a_long_prompt_waits_for_a_server_without_a_stalled_stream(self):
         """On the slow server, each event would be delayed by nine prefill chunks."""
--- /dev/null
+++ b/fuchsiacroft/tests/placing/crash_detector_tests.py
@@ -0,0 +1,219 @@
+"""Tests of recognizing crashes from runs, and of placing suspected requests."""
+
+from fuchsiacroft.placing.allocator import Allocator
+from fuchsiacroft.placing.fleet import Assignment
+from fuchsiacroft.placing.limits import SharedLimits
+from fuchsiacroft.placing.messages import PlaceRequest
+from fuchsiacroft.placing.queue import Waiter
+from fuchsiacroft.quarantine.evidence import (
+    ANSWER_SURVIVAL_S,
+    CONVICTION_S,
+    Treatment,
+)
+from fuchsiacroft.routing.permits import (
+    PermitRequest,
+    Refusal,
+    RefusalReason,
+    RunOutcome,
+    RunReport,
+    WorkSize,
+)
+from fuchsiacroft.tests.base import TestCase
+from fuchsiacroft.tests.membership.server_table_tests import record
+
+LOST = RunReport(RunOutcome.CONNECTION_LOST)
+LOST_AFTER_ANSWER = RunReport(
+    RunOutcome.CONNECTION_LOST, first_token_s=0.1, duration_s=2.0
+)
+DONE = RunReport(RunOutcome.COMPLETED, duration_s=0.02)
+UNREACHABLE = RunReport(RunOutcome.NOT_DISPATCHED)
+
+
+class CrashDetectorTestCase(TestCase):
+    """An allocator with a few servers, and requests with prompt parts."""
+
+    servers = 8
+
+    def setUp(self):
+        super().setUp()
+        self.allocator = Allocator(SharedLimits())
+        self.records = [
+            record(f"i-{n}", address=f"10.0.0.{n}:80") for n in range(self.servers)
+        ]
+        self.allocator.fleet.replace_servers(self.records, 0.0)
+        self.evidence = self.allocator.fleet.crash_detector.evidence
+        self.sent = 0
+
+    def request(
+        self, *parts: str, fingerprint: str = "", wait_s: float = 0.1
+    ) -> PlaceRequest:
+        self.sent += 1
+        permit_request = PermitRequest(
+            f"a-{self.sent}",
+            "lens",
+            0,
+            1.0,
+            "tills",
+            size=WorkSize(1000, 100),
+            fingerprint=fingerprint or f"own-{self.sent}",
+            shared_parts=parts,
+            token_gap_target_s=9.0,
+        )
+        run_id = f"run-{self.sent}"
+        return PlaceRequest(run_id, permit_request, 0.0, False, wait_s, wait_s)
+
+    def place(self, *parts: str, at: float, **fields):
+        return self.allocator.place(self.request(*parts, **fields), at)
+
+    def place_on(self, server: str, *parts: str, at: float) -> Assignment:
+        """Place a request on one server."""
+        request = self.request(*parts)
+        load = self.allocator.fleet._servers[server]
+        return self.allocator.fleet.begin(request, load, at, at)
+
+    def treatment(self, part: str, at: float) -> Treatment:
+        return self.evidence.treatment((f"part:{part}",), at)
+
+
+class CrashDetectorTests(CrashDetectorTestCase):
+    """Which runs a crash is blamed on, and when it is recognized."""
+
+    def test_a_crash_is_recognized_when_all_runs_are_lost_at_once(self):
+        runs = [self.place_on("i-0", f"p-{n}", at=1.0) for n in range(3)]
+        for run in runs[:2]:
+            self.allocator.end(run.run_id, LOST, 1.1)
+        self.assertEqual({}, self.evidence.dump(1.1))
+        self.allocator.end(runs[2].run_id, LOST, 1.12)
+        for n in range(3):
+            self.assertIn(f"part:p-{n}", self.evidence.dump(1.12))
+
+    def test_runs_that_had_begun_their_answers_are_not_blamed(self):
+        begun = self.place_on("i-0", "begun", at=1.0)
+        new = self.place_on("i-0", "new", at=1.5)
+        self.allocator.end(begun.run_id, LOST_AFTER_ANSWER, 1.7)
+        self.allocator.end(new.run_id, LOST, 1.7)
+        self.assertIn("part:new", self.evidence.dump(1.7))
+        self.assertNotIn("part:begun", self.evidence.dump(1.7))
+
+    def test_runs_placed_on_a_server_after_its_crash_are_not_blamed(self):
+        lost = self.place_on("i-0", "lost", at=1.0)
+        self.allocator.end(lost.run_id, LOST, 1.1)
+        late = [self.place_on("i-0", f"late-{n}", at=1.2) for n in range(3)]
+        for run in late:
+            self.allocator.end(run.run_id, UNREACHABLE, 1.25)
+        self.assertIn("part:lost", self.evidence.dump(1.3))
+        for n in range(3):
+            self.assertNotIn(f"part:late-{n}", self.evidence.dump(1.3))
+
+    def test_one_lost_run_of_several_is_no_crash(self):
+        lost = self.place_on("i-0", "lost", at=1.0)
+        self.place_on("i-0", "other", at=1.0)
+        self.allocator.end(lost.run_id, LOST, 1.1)
+        self.assertEqual({}, self.evidence.dump(1.2))
+
+    def test_a_server_that_leaves_by_plan_has_not_crashed(self):
+        run = self.place_on("i-0", "lost", at=1.0)
+        self.allocator.end(run.run_id, LOST, 1.1)
+        self.allocator.fleet.replace_servers(self.records[1:], 1.2, (), {"i-0"})
+        self.assertEqual({}, self.evidence.dump(1.2))
+
+    def test_a_server_that_ends_without_notice_has_crashed(self):
+        run = self.place_on("i-0", "lost", at=1.0)
+        self.allocator.end(run.run_id, LOST, 1.1)
+        self.allocator.fleet.replace_servers(self.records[1:], 1.2)
+        self.assertIn("part:lost", self.evidence.dump(1.2))
+
+    def test_an_answer_that_goes_on_clears_its_parts(self):
+        self.evidence.record_crash("i-9/1", ("part:p",), 0.5)
+        run = self.place_on("i-0", "p", at=1.0)
+        self.allocator.fleet.mark_prefilled(run.run_id, 1.1)
+        self.allocator.expire_waiters(1.2)
+        self.assertIs(Treatment.ISOLATED, self.treatment("p", 1.2))
+        at = 1.1 + ANSWER_SURVIVAL_S
+        self.allocator.expire_waiters(at)
+        self.assertIs(Treatment.UNRESTRICTED, self.treatment("p", at))
+
+    def test_an_answer_that_breaks_off_at_once_clears_nothing(self):
+        self.evidence.record_crash("i-9/1", ("part:p",), 0.5)
+        run = self.place_on("i-0", "p", at=1.0)
+        self.allocator.fleet.mark_prefilled(run.run_id, 1.1)
+        self.allocator.end(run.run_id, LOST, 1.15)
+        self.allocator.expire_waiters(3.0)
+        self.assertIs(Treatment.ISOLATED, self.treatment("p", 3.0))
+
+
+class SuspectedRequestTests(CrashDetectorTestCase):
+    """The allocator isolates suspected requests and refuses convicted ones."""
+
+    def test_a_retried_request_crashes_two_servers_at_most(self):
+        reached = set()
+        for number in range(12):
+            decision = self.place(at=1.0 + number, fingerprint="bad")
+            if isinstance(decision, Refusal):
+                self.assertIs(RefusalReason.QUARANTINED, decision.reason)
+                break
+            self.assertIsInstance(decision, Assignment)
+            reached.add(decision.backend_server)
+            self.allocator.end(decision.run_id, LOST, 1.1 + number)
+            # Another request finds that the server is down.
+            server = next(r for r in self.records if r.name == decision.backend_server)
+            rest = [r for r in self.records if r is not server]
+            self.allocator.fleet.replace_servers(rest, 1.4 + number)
+            self.records = rest
+        self.assertEqual(2, len(reached))
+        self.assertIsInstance(self.place(at=6.0, fingerprint="good"), Assignment)
+
+    def convict(self, part: str, at: float) -> None:
+        for number in range(2):
+            content = (f"part:{part}", f"own-x{number}")
+            self.evidence.record_crash(f"x-{number}/1", content, at)
+
+    def test_a_waiter_whose_part_is_convicted_is_refused_at_once(self):
+        self.fill()
+        waiter = self.place("bad", at=1.0, wait_s=5.0)
+        self.assertIsInstance(waiter, Waiter)
+        self.convict("bad", 1.1)
+        [(refused, refusal)] = self.allocator.expire_waiters(1.2)
+        self.assertEqual(waiter.request.run_id, refused.request.run_id)
+        self.assertIs(RefusalReason.QUARANTINED, refusal.reason)
+
+    def fill(self) -> None:
+        while isinstance(self.place("p", at=0.9, wait_s=0.0), Assignment):
+            pass
+        self.allocator.expire_waiters(0.91)
+
+    def test_suspected_requests_with_one_part_run_one_at_a_time(self):
+        self.evidence.record_crash("i-9/1", ("part:p",), 0.5)
+        first = self.place("p", at=1.0, wait_s=5.0)
+        second = self.place("p", at=1.0, wait_s=5.0)
+        self.assertIsInstance(first, Assignment)
+        self.assertIsInstance(second, Waiter)
+        self.allocator.end(first.run_id, DONE, 1.1)
+        [(waiter, _)] = self.allocator.place_waiters(1.1)
+        self.assertEqual(second.request.run_id, waiter.request.run_id)
+
+    def test_nothing_is_placed_beside_an_isolated_run_before_its_answer(self):
+        self.evidence.record_crash("i-9/1", ("part:p",), 0.5)
+        isolated = self.place("p", at=1.0)
+        placed = [self.place("q", at=1.0) for _ in range(3 * self.servers)]
+        beside = [
+            run for run in placed if run.backend_server == isolated.backend_server
+        ]
+        self.assertEqual([], beside)
+        self.allocator.fleet.mark_prefilled(isolated.run_id, 1.2)
+        placed = [self.place("q", at=1.2) for _ in range(3 * self.servers)]
+        self.assertIn(isolated.backend_server, {run.backend_server for run in placed})
+
+    def test_a_suspected_request_at_the_head_does_not_hold_up_others(self):
+        self.evidence.record_crash("i-9/1", ("part:p",), 0.5)
+        self.place("p", at=1.0)
+        waiter = self.place("p", at=1.0, wait_s=5.0)
+        self.assertIsInstance(waiter, Waiter)
+        self.assertIsInstance(self.place("q", at=1.0), Assignment)
+        self.assertEqual([], self.allocator.queue_heads(1.0))
+
+    def test_a_convicted_part_stays_refused_while_requests_come(self):
+        self.convict("bad", 1.0)
+        for second in range(2, int(CONVICTION_S)):
+            refusal = self.place("bad", at=float(second))
+            self.assertIs(RefusalReason.QUARANTINED, refusal.reason)
--- a/fuchsiacroft/tests/placing/neighbours_tests.py
+++ b/fuchsiacroft/tests/placing/neighbours_tests.py
@@ -10,6 +10,7 @@
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.memory_region import DOMAINS, MemoryRegion
 from fuchsiacroft.tests.membership.server_table_tests import record
+from fuchsiacroft.utils.clock import now
 
 DONE = RunReport(RunOutcome.COMPLETED, token_gap_s=0.0025, duration_s=0.3)
 SLOTS = 11
@@ -269,7 +270,7 @@
         async def scenario(region):
             coordinator = region.entries[0].coordinator
             running, waiting = await self.fill_and_queue(region, (1, 5, 1))
-            [waiter] = coordinator.allocator.queue_heads()
+            [waiter] = coordinator.allocator.queue_heads(now())
             coordinator.allocator.dequeue(waiter.request.run_id)
             placed = running[1][0]
             cancelled = []
--- a/fuchsiacroft/tests/routing/quarantine_tests.py
+++ b/fuchsiacroft/tests/routing/quarantine_tests.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from fuchsiacroft.quarantine.evidence import RETENTION_S, Treatment
 from fuchsiacroft.routing.permits import RefusalReason
-from fuchsiacroft.routing.quarantine import RETENTION_S, Treatment
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.routing_domain import (
     COMPLETED,
@@ -70,7 +70,7 @@
         async def scenario(domain, one, two):
             await self.crash(domain, one, 1, "bad", "unlucky")
             await self.crash(domain, one, 2, "bad", "unlucky")
-            self.assertIs(Treatment.ISOLATED, one.quarantine.treatment("unlucky"))
+            self.assertIs(Treatment.ISOLATED, one.quarantine.treatment({"unlucky"}))
             await domain.announce("s", boot="3")
             first = await one.scheduler.acquire(permit_request("unlucky"))
             concurrent = await one.scheduler.acquire(
@@ -80,7 +80,7 @@
             self.assertTrue(concurrent.is_error())
             one.scheduler.release(first.ok, COMPLETED)
             await asyncio.sleep(0.1)
-            self.assertIs(Treatment.UNRESTRICTED, two.quarantine.treatment("unlucky"))
+            self.assertIs(Treatment.UNRESTRICTED, two.quarantine.treatment({"unlucky"}))
 
         self.play(scenario)
 
@@ -101,10 +101,10 @@
             self.assertTrue(two.quarantine.lift("bad"))
             self.assertFalse(two.quarantine.lift("bad"))
             await asyncio.sleep(0.1)
-            self.assertIs(Treatment.UNRESTRICTED, one.quarantine.treatment("bad"))
+            self.assertIs(Treatment.UNRESTRICTED, one.quarantine.treatment({"bad"}))
             await self.crash(domain, one, 3, "bad")
             await asyncio.sleep(RETENTION_S + 1.0)
-            self.assertIs(Treatment.UNRESTRICTED, one.quarantine.treatment("bad"))
+            self.assertIs(Treatment.UNRESTRICTED, one.quarantine.treatment({"bad"}))
             self.assertEqual({}, one.quarantine.dump())
 
         self.play(scenario)
