End connections that carry bytes without end, and keep large answers out of memory

Callers saw, in tests of our own (no record): a body without end filled the memory by 950 MB in 3 s, so the entry and all its requests would be lost; interim heads, blank lines and a chunk extension without end kept the event loop busy until the request's deadline; blank lines in a stream were relayed as events; and a stream without a length that ended before its first event reached the caller as an empty success, as it looks when a server crashes after its head.

Cause: a plain answer was kept whole whatever its size, and nothing bounded what comes besides an answer's body.

Change: a connection is aborted after 64 KiB (and 16 times the body's bytes) of anything but body, at both paths. An answer of more than 1 MiB is relayed while it arrives. Blank lines belong to the next event. An unframed stream needs an event.

--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -11,11 +11,22 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import EMPTY_PAYLOAD
 
 READ_BUFFER_BYTES = 64 * 1024
 SKIPPED_HEADERS = ("User-Agent", "Accept-Encoding", "Accept", "Content-Type")
 
 
+MAX_OVERHEAD_BYTES = 64 * 1024
+"""Bytes of a response besides its body: head, interim heads, framing and trailers."""
+MAX_OVERHEAD_RATIO = 16
+"""Further bytes of framing for each byte of the body; chunks may be small."""
+
+
+class NoAnswerError(aiohttp.ClientPayloadError):
+    """A backend server goes on sending bytes that are no answer."""
+
+
 class AlreadySentError(aiohttp.ClientError):
     """aiohttp tried to send a request again."""
 
@@ -64,13 +75,40 @@
         return await super().send(conn)
 
 
-class ResetAwareResponseHandler(ResponseHandler):
-    """A connection on which a reset does not complete a response.
+class CheckedResponseHandler(ResponseHandler):
+    """A connection on which only a whole response counts as one.
 
     aiohttp treats any close of a connection, even a reset, as the end of a
-    response that has no length.
+    response that has no length. It also parses interim heads, blank lines and
+    framing without end.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._received_bytes = 0
+        self._body: aiohttp.StreamReader | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, and abort the connection if they are no answer."""
+        super().data_received(data)
+        self._received_bytes += len(data)
+        if self._payload is not None and self._payload is not EMPTY_PAYLOAD:
+            self._body = self._payload
+        if self._body is not None and self._body.is_eof():
+            return
+        body_bytes = self._body.total_bytes if self._body is not None else 0
+        allowed = MAX_OVERHEAD_BYTES + (1 + MAX_OVERHEAD_RATIO) * body_bytes
+        if self._received_bytes > allowed:
+            self._abort()
+
+    def _abort(self) -> None:
+        exc = NoAnswerError(f"no answer within {self._received_bytes} bytes")
+        self.set_exception(exc)
+        if self._body is not None:
+            self._body.set_exception(exc)
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response that a reset truncates."""
         payload = self._payload
@@ -89,7 +127,7 @@
 
     def __init__(self) -> None:
         super().__init__(limit=0, force_close=True)
-        self._factory = partial(ResetAwareResponseHandler, loop=self._loop)
+        self._factory = partial(CheckedResponseHandler, loop=self._loop)
 
     async def _create_connection(
         self, req: aiohttp.ClientRequest, traces: list, timeout: aiohttp.ClientTimeout
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from expression import Result
 
+from fuchsiacroft.entry import http_headers
 from fuchsiacroft.entry.at_most_once import SendGuard
 from fuchsiacroft.gateway.request_context import RequestContext
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter
@@ -25,6 +26,8 @@
 RETRY_TIME_SHARE = 0.5
 """Share of the remaining time that is reserved for an attempt on another server."""
 SERVER_ERROR = 500
+MAX_BUFFERED_BYTES = 1024 * 1024
+"""Larger plain responses are relayed, which bounds the memory of a request."""
 MIN_EVENTS_FOR_GAP = 3
 
 
@@ -159,15 +162,20 @@
             return AttemptResult.BROKEN
 
     async def _buffer_response(self, response: aiohttp.ClientResponse) -> AttemptResult:
-        """Buffer the whole response, so that the caller gets all of it or none."""
+        """Buffer the whole response, so that the caller gets all of it or none.
+
+        A response too large for that is relayed while it arrives.
+        """
         try:
             async with asyncio.timeout(self._idle_timeout_s()):
-                body = await response.read()
+                body = await _read_at_most(response.content, MAX_BUFFERED_BYTES)
         except TimeoutError:
             if self._context.remaining_s <= 0:
                 raise
             return AttemptResult.SILENT
         self.response_s = now() - self._started_at
+        if not response.content.at_eof():
+            return await self._relay_body(body, response)
         downstream = web.Response(status=response.status, body=body)
         downstream.headers.popall("Content-Type", None)
         for name, value in self._protocol.caller_response_headers(response):
@@ -179,6 +187,20 @@
             else AttemptResult.ANSWERED
         )
 
+    async def _relay_body(
+        self, start: bytes, response: aiohttp.ClientResponse
+    ) -> AttemptResult:
+        """Relay a large response, of which `start` has been read."""
+        await self._start_response(response)
+        downstream = self._context.started_response
+        chunk = start
+        while chunk:
+            await downstream.write(chunk)
+            chunk = await response.content.readany()
+        await downstream.write_eof()
+        self.response = downstream
+        return AttemptResult.ANSWERED
+
     async def _relay_stream(self, response: aiohttp.ClientResponse) -> AttemptResult:
         """Relay a stream, writing only complete events to the caller."""
         splitter = self._context.event_splitter
@@ -206,6 +228,9 @@
             # A partial event means a truncated stream even if its framing is valid.
             splitter.discard_partial()
             return AttemptResult.BROKEN
+        if not self._events and not http_headers.is_framed(response):
+            # A server that crashes after the head looks like this, too.
+            return AttemptResult.BROKEN
         await self._start_response(response)
         await self._context.started_response.write_eof()
         self.response = self._context.started_response
@@ -301,3 +326,14 @@
             return None
         tokens = (self._events - 1) * self._request.event_tokens
         return (self._last_event_at - self._first_event_at) / tokens
+
+
+async def _read_at_most(content: aiohttp.StreamReader, limit: int) -> bytes:
+    """Read to the end, or until at least `limit` bytes have come."""
+    chunks = []
+    size = 0
+    while size < limit and not content.at_eof():
+        chunk = await content.readany()
+        chunks.append(chunk)
+        size += len(chunk)
+    return b"".join(chunks)
--- a/fuchsiacroft/gateway/events.py
+++ b/fuchsiacroft/gateway/events.py
@@ -1,6 +1,7 @@
 """Splits a server-sent event stream into complete events."""
 
 EVENT_END = b"\n\n"
+LINE_END = b"\n"
 ID_FIELD = b"id:"
 MAX_EVENT_BYTES = 1024 * 1024
 """Longer events are rejected; nothing else bounds the memory that buffers them."""
@@ -10,7 +11,7 @@
     """Returns complete events and buffers a partial one.
 
     `last_id` is the id of the last complete event; `count` is the number of
-    complete events.
+    complete events. Blank lines before an event are part of it.
     """
 
     def __init__(self) -> None:
@@ -32,7 +33,7 @@
         """Add bytes and return the events that are now complete."""
         data = self._partial + data if self._partial else data
         end = data.rfind(EVENT_END)
-        if end < 0:
+        if end < 0 or not data[:end].strip(LINE_END):
             self._partial = data
             return b""
         complete, self._partial = data[: end + 2], data[end + 2 :]
--- /dev/null
+++ b/fuchsiacroft/tests/entry/at_most_once_tests.py
@@ -0,0 +1,75 @@
+"""Tests of connections to backend servers that send bytes which are no answer."""
+
+import asyncio
+
+import aiohttp
+
+from fuchsiacroft.entry.at_most_once import SendGuard, open_session
+from fuchsiacroft.tests.base import SocketTestCase
+from fuchsiacroft.tests.fakes.ports import free_address
+from fuchsiacroft.tests.fakes.replica import response_head
+
+BLOCK = 64 * 1024
+MAX_SENT = 16 * 1024 * 1024
+"""The kernel buffers some megabytes on both sides."""
+CHUNKED = "Transfer-Encoding: chunked"
+ENDLESS = {
+    "interim heads": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 2_000),
+    "blank lines": (b"", b"\r\n" * 30_000),
+    "a header line": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"x" * BLOCK),
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"X-Many: y\r\n" * 5_000),
+    "a status line": (b"HTTP/1.1 200 ", b"x" * BLOCK),
+    "no protocol": (b"", b"\x00" * BLOCK),
+    "a chunk extension": (response_head("200 OK", CHUNKED) + b"5;", b"e" * BLOCK),
+    "trailers": (response_head("200 OK", CHUNKED) + b"0\r\n", b"X-T: y\r\n" * 5_000),
+}
+
+
+class EndlessBytesTests(SocketTestCase):
+    """A connection that goes on without an answer is closed after a few bytes."""
+
+    async def asyncSetUp(self) -> None:
+        self.address = free_address()
+        host, port = self.address.split(":")
+        self.sent = 0
+        self.start, self.block = b"", b""
+        self.tasks: set[asyncio.Task] = set()
+        server = await asyncio.start_server(self.serve, host, int(port))
+        self.addCleanup(server.close)
+        self.session = open_session(1.0)
+        self.addAsyncCleanup(self.session.close)
+
+    async def serve(self, reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.start)
+        try:
+            while self.block:
+                writer.write(self.block)
+                self.sent += len(self.block)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    async def read(self) -> bytes:
+        url = f"http://{self.address}/"
+        async with asyncio.timeout(3.0):
+            response = await self.session.get(url, middlewares=(SendGuard(),))
+            try:
+                return await response.read()
+            finally:
+                response.close()
+
+    async def test_bytes_without_end_that_are_no_answer_end_the_connection(self):
+        for name, (start, block) in ENDLESS.items():
+            with self.subTest(name):
+                self.start, self.block, self.sent = start, block, 0
+                with self.assertRaises(aiohttp.ClientError):
+                    await self.read()
+                self.assertLess(self.sent, MAX_SENT)
+
+    async def test_an_answer_in_chunks_of_one_byte_is_read(self):
+        body = b"1\r\nx\r\n" * 100_000 + b"0\r\n\r\n"
+        self.start = response_head("200 OK", CHUNKED) + body
+        self.assertEqual(b"x" * 100_000, await self.read())
