Move a stalled stream to another server, and keep a slow one while there is none

Both could happen here, by tests of our own: - a resumable stream that stalled after its head was never moved on a route with two attempts (an off-by-one in the idle timeout counted the run twice), and each byte of an unfinished event began a new idle period where one was in force; - a request whose server was slower than the idle timeout was given up and then answered 502, or its stream cut, if no other server was free.

Change: gateway/silence_watch. After an idle period without a whole event the request looks for a slot on another server, and leaves its server only once it has one. A retry that was not placed is returned to the retry budget, so that searching in vain spends none of it.

--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -1,7 +1,7 @@
 """A single attempt to run a request on a backend server."""
 
-import asyncio
 import enum
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 from aiohttp import web
@@ -11,6 +11,7 @@
 from fuchsiacroft.entry.at_most_once import SendGuard
 from fuchsiacroft.gateway.request_context import RequestContext
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter
+from fuchsiacroft.gateway.silence_watch import SilenceWatch
 from fuchsiacroft.gateway.upstream import Upstream
 from fuchsiacroft.membership.server_notices import NoticeReason
 from fuchsiacroft.placing.messages import SlotAssignment
@@ -21,6 +22,8 @@
 
 IDLE_TIMEOUT_TARGETS = 2.0
 """Idle timeout, in multiples of the latency target, before another server is tried."""
+IDLE_TIMEOUT_GAPS = 6.0
+"""Minimum idle timeout of a stream, in multiples of its gap target."""
 MIN_STREAM_IDLE_TIMEOUT_S = 1.5
 """Minimum idle timeout of a stream: its prompt may queue behind other prompts."""
 RETRY_TIME_SHARE = 0.5
@@ -31,13 +34,16 @@
 MIN_EVENTS_FOR_GAP = 3
 
 
+FindReplacement = Callable[[], Awaitable[SlotAssignment | None]]
+
+
 class AttemptResult(enum.Enum):
     """How an attempt ended.
 
     `FAILED`: the backend server answered with a server error. `BROKEN`: the connection
     was lost, or the response is incomplete or belongs to another request. `SILENT`: the
-    idle timeout passed. After `NOT_RUN` the request was not executed; after `BROKEN`
-    and `SILENT` it may have been.
+    idle timeout passed, and another server has a slot. After `NOT_RUN` the request was
+    not executed; after `BROKEN` and `SILENT` it may have been.
     """
 
     ANSWERED = "answered"
@@ -47,12 +53,18 @@
     SILENT = "silent"
 
 
+class _ServerLostError(Exception):
+    """The connection to the backend server was lost in the middle of a stream."""
+
+
 class Attempt:
     """Sends a request to the backend server that the placer assigned.
 
     `response` is set when the result is `ANSWERED`, or `FAILED` if the backend
     server answered with a server error. `response_s` is the time from the start to
-    the first event of a stream, or to a complete plain response.
+    the first event of a stream, or to a complete plain response. `replacement` is
+    the slot on another server that was assigned when this one was `SILENT`; a silent
+    server keeps the request while there is none, as it may only be slow.
     """
 
     def __init__(
@@ -62,6 +74,8 @@
         protocol: ProtocolAdapter,
         upstream: Upstream,
         placer: Placer,
+        *,
+        find_replacement: FindReplacement,
     ) -> None:
         self._context = context
         self._request = context.request
@@ -69,6 +83,8 @@
         self._protocol = protocol
         self._upstream = upstream
         self._placer = placer
+        self._find_replacement = find_replacement
+        self._has_run = False
         self._availability = placer.availability
         self._server = placer.availability.instance(placement.backend_server)
         self._send_guard = SendGuard(self._may_send)
@@ -79,6 +95,7 @@
         self._events_before = context.event_splitter.count
         self.response: web.StreamResponse | None = None
         self.response_s: float | None = None
+        self.replacement: SlotAssignment | None = None
 
     async def run(self) -> AttemptResult:
         """Run the attempt and return its result; the placement is always released."""
@@ -91,6 +108,14 @@
             if self._send_guard.sent:
                 self._context.sends += 1
             self._release(outcome)
+            if outcome is not RunOutcome.CONNECTION_LOST:
+                self._return_replacement()
+
+    def _return_replacement(self) -> None:
+        """Return the slot on another server if this one went on after all."""
+        if self.replacement is not None:
+            self._placer.release(self.replacement, RunReport(RunOutcome.UNUSED))
+            self.replacement = None
 
     async def _run(self) -> AttemptResult:
         context = self._context
@@ -102,7 +127,7 @@
         )
         context.tried.append(self._placement.backend_server)
         try:
-            async with asyncio.timeout(self._idle_timeout_s()):
+            async with self._watch():
                 opened = await self._upstream.open(
                     self._placement.address,
                     self._request,
@@ -111,12 +136,8 @@
                     self._send_guard,
                 )
         except TimeoutError:
-            if context.remaining_s <= 0:
-                raise
-            context.runs += self._send_guard.sent
-            return (
-                AttemptResult.SILENT if self._send_guard.sent else AttemptResult.NOT_RUN
-            )
+            self._count_run()
+            return self._silent()
         match opened:
             case Result(tag="ok", ok=response):
                 try:
@@ -126,9 +147,34 @@
                     response.close()
             case Result(error=RunOutcome.NOT_DISPATCHED):
                 return AttemptResult.NOT_RUN
-        context.runs += 1
+        self._count_run()
         return AttemptResult.BROKEN
 
+    def _count_run(self) -> None:
+        self._has_run = True
+        self._context.runs += 1
+
+    def _watch(self) -> SilenceWatch:
+        return SilenceWatch(self._idle_timeout_s, self._is_replaced)
+
+    def _silent(self) -> AttemptResult:
+        if self.replacement is None:
+            raise TimeoutError
+        return AttemptResult.SILENT
+
+    async def _is_replaced(self) -> bool:
+        """Return whether another server takes over from this one, which is silent."""
+        if not self._send_guard.sent or not self._may_run_elsewhere:
+            return False
+        self.replacement = await self._find_replacement()
+        return self.replacement is not None
+
+    @property
+    def _may_run_elsewhere(self) -> bool:
+        route = self._request.route
+        runs = self._context.runs + (not self._has_run)
+        return route.kind.is_retryable and runs < route.attempts
+
     def _may_send(self) -> bool:
         return self._availability.reason(self._server.name) is not NoticeReason.LEAVING
 
@@ -151,7 +197,7 @@
     async def _read(self, response: aiohttp.ClientResponse) -> AttemptResult:
         if self._protocol.was_not_executed(response):
             return AttemptResult.NOT_RUN
-        self._context.runs += 1
+        self._count_run()
         if not self._protocol.matches_request(self._request, response):
             return AttemptResult.BROKEN
         try:
@@ -167,12 +213,10 @@
         A response too large for that is relayed while it arrives.
         """
         try:
-            async with asyncio.timeout(self._idle_timeout_s()):
+            async with self._watch():
                 body = await _read_at_most(response.content, MAX_BUFFERED_BYTES)
         except TimeoutError:
-            if self._context.remaining_s <= 0:
-                raise
-            return AttemptResult.SILENT
+            return self._silent()
         self.response_s = now() - self._started_at
         if not response.content.at_eof():
             return await self._relay_body(body, response)
@@ -204,26 +248,15 @@
     async def _relay_stream(self, response: aiohttp.ClientResponse) -> AttemptResult:
         """Relay a stream, writing only complete events to the caller."""
         splitter = self._context.event_splitter
-        content = response.content
-        while True:
-            try:
-                async with asyncio.timeout(self._idle_timeout_s()):
-                    chunk = await content.readany()
-            except TimeoutError:
-                if self._context.remaining_s <= 0:
-                    raise
-                splitter.discard_partial()
-                return AttemptResult.SILENT
-            except (aiohttp.ClientError, OSError):
-                splitter.discard_partial()
-                return AttemptResult.BROKEN
-            if not chunk and content.at_eof():
-                break
-            events = splitter.feed(chunk)
-            if events:
-                await self._write_events(events, response)
-            if splitter.is_too_long:
-                break
+        try:
+            async with self._watch() as watch:
+                await self._relay_events(response, watch)
+        except TimeoutError:
+            splitter.discard_partial()
+            return self._silent()
+        except _ServerLostError:
+            splitter.discard_partial()
+            return AttemptResult.BROKEN
         if splitter.partial:
             # A partial event means a truncated stream even if its framing is valid.
             splitter.discard_partial()
@@ -236,6 +269,25 @@
         self.response = self._context.started_response
         return AttemptResult.ANSWERED
 
+    async def _relay_events(
+        self, response: aiohttp.ClientResponse, watch: SilenceWatch
+    ) -> None:
+        """Write complete events to the caller until the stream ends."""
+        splitter = self._context.event_splitter
+        content = response.content
+        while not splitter.is_too_long:
+            try:
+                chunk = await content.readany()
+            except (aiohttp.ClientError, OSError) as exc:
+                raise _ServerLostError from exc
+            if not chunk and content.at_eof():
+                return
+            events = splitter.feed(chunk)
+            if events:
+                watch.pause()
+                await self._write_events(events, response)
+                watch.resume()
+
     async def _write_events(
         self, events: bytes, response: aiohttp.ClientResponse
     ) -> None:
@@ -264,16 +316,15 @@
         await downstream.prepare(self._context.http)
 
     def _idle_timeout_s(self) -> float:
-        """Return the idle timeout that applies to this backend server now."""
+        """Return after how long without progress another server is looked for."""
         remaining_s = max(self._context.remaining_s, 0.0)
-        if not self._context.may_retry and self._send_guard.sent:
+        if not self._may_run_elsewhere:
             return remaining_s
         route = self._request.route
-        if not route.kind.is_retryable or route.attempts <= self._context.runs + 1:
-            return remaining_s
         timeout_s = IDLE_TIMEOUT_TARGETS * route.latency_target_s
         if route.kind.is_stream:
-            timeout_s = max(timeout_s, MIN_STREAM_IDLE_TIMEOUT_S)
+            gaps_s = IDLE_TIMEOUT_GAPS * route.gap_target_s
+            timeout_s = max(timeout_s, gaps_s, MIN_STREAM_IDLE_TIMEOUT_S)
         return min(timeout_s, remaining_s * (1 - RETRY_TIME_SHARE))
 
     def _run_outcome(self, result: AttemptResult) -> RunOutcome:
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from functools import partial
 
 import xxhash
 from aiohttp import web
@@ -20,7 +21,7 @@
 from fuchsiacroft.gateway.wait_policy import WaitPolicy, start_wait_s
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.placing.messages import SlotAssignment
-from fuchsiacroft.placing.placer import Placer
+from fuchsiacroft.placing.placer import Placer, WaitLimits
 from fuchsiacroft.routing.permits import PermitRequest, Refusal, RefusalReason
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
@@ -32,6 +33,8 @@
 """Short, because another entry can take the request immediately."""
 MAX_RETRY_AFTER_SHARE = 0.3
 """Longest Retry-After as a share of the caller's time; the rest is for its retry."""
+REPLACEMENT_WAIT_S = 0.05
+"""Short: the silent server may go on at any time."""
 MIN_REMAINING_S = 0.01
 """With less time remaining, no backend server could answer."""
 
@@ -136,22 +139,30 @@
 
     async def _run_attempts(self, context: RequestContext) -> web.StreamResponse:
         failure: web.StreamResponse | None = None
+        placement: SlotAssignment | None = None
         while True:
-            match await self._place(context):
-                case Result(tag="ok", ok=placement):
-                    pass
-                case Result(error=refusal):
-                    return self._final_response(context, failure, refusal)
+            if placement is None:
+                match await self._place(context):
+                    case Result(tag="ok", ok=placement):
+                        pass
+                    case Result(error=refusal):
+                        return self._final_response(context, failure, refusal)
             attempt = Attempt(
-                context, placement, self._protocol, self._upstream, self._placer
+                context,
+                placement,
+                self._protocol,
+                self._upstream,
+                self._placer,
+                find_replacement=partial(self._find_replacement, context),
             )
             result = await attempt.run()
+            placement = attempt.replacement
             self._record_response_time(context, attempt)
             if result is AttemptResult.ANSWERED:
                 return attempt.response
             if result is AttemptResult.FAILED:
                 failure = attempt.response
-            if not self._may_retry(context, result):
+            if placement is None and not self._may_retry(context, result):
                 return self._final_response(context, failure, None)
             event(
                 "info",
@@ -192,6 +203,21 @@
         context.waited_s += now() - started_at
         return outcome
 
+    async def _find_replacement(self, context: RequestContext) -> SlotAssignment | None:
+        """Return a slot on another server for a request whose server is silent."""
+        if len(context.tried) >= MAX_SENDS:
+            return None
+        request = context.request
+        outcome = await self._placer.acquire(
+            _permit_request(request, context, context.remaining_s),
+            charge=request.charge,
+            repeats=True,
+            wait_limits=WaitLimits(
+                REPLACEMENT_WAIT_S, REPLACEMENT_WAIT_S, request.event_tokens
+            ),
+        )
+        return outcome.ok if outcome.is_ok() else None
+
     def _final_response(
         self,
         context: RequestContext,
--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -108,15 +108,17 @@
         if wait_s > 0:
             return Refusal(RefusalReason.OVER_QUOTA, wait_s)
         if request.repeats and not self.retries.try_repeat(permit_request.service, at):
-            self.refund_quota(request, at)
+            self.quotas.refund(permit_request.workspace, request.charge, at)
             return Refusal(RefusalReason.RETRY_BUDGET, MIN_RETRY_AFTER_S)
         if not request.repeats:
             self.retries.record_first(permit_request.service, at)
         return None
 
-    def refund_quota(self, request: PlaceRequest, admitted_at: float) -> None:
-        """Return a request's charge to its workspace's quota."""
+    def refund(self, request: PlaceRequest, admitted_at: float) -> None:
+        """Return what a request that is not placed was charged to the shared limits."""
         self.quotas.refund(request.ask.workspace, request.charge, admitted_at)
+        if request.repeats:
+            self.retries.refund_repeat(request.ask.service)
 
     def try_place(self, request: PlaceRequest, at: float) -> Assignment | None:
         """Place an admitted request if a slot is free and no waiter precedes it."""
@@ -174,7 +176,7 @@
             return waiter
         waiter.late = self.expected_wait_s(waiter, at) > request.in_time_s
         if waiter.late and not self._has_late_capacity(queue, waiter):
-            self.refund_quota(request, admitted_at)
+            self.refund(request, admitted_at)
             return Refusal(RefusalReason.OVERLOADED, self._retry_after_s(waiter, at))
         self._add(queue, waiter)
         return waiter
@@ -184,7 +186,7 @@
         waiter = self._waiters.get(run_id)
         if waiter is not None:
             self._remove(waiter)
-            self.refund_quota(waiter.request, waiter.admitted_at)
+            self.refund(waiter.request, waiter.admitted_at)
         self.fleet.end(run_id, report, at)
 
     def place_waiters(self, at: float) -> list[tuple[Waiter, Assignment]]:
@@ -352,7 +354,7 @@
 
     def _expire(self, waiter: Waiter, at: float) -> Refusal:
         self._remove(waiter)
-        self.refund_quota(waiter.request, waiter.admitted_at)
+        self.refund(waiter.request, waiter.admitted_at)
         if not self.fleet.serves(waiter.request.ask.service):
             return Refusal(RefusalReason.NO_BACKEND_SERVER, MIN_RETRY_AFTER_S)
         return Refusal(RefusalReason.TIMED_OUT, self._retry_after_s(waiter, at))
@@ -360,7 +362,7 @@
     def _quarantine(self, waiter: Waiter) -> Refusal:
         """Refuse a waiter whose content has been convicted since it came."""
         self._remove(waiter)
-        self.refund_quota(waiter.request, waiter.admitted_at)
+        self.refund(waiter.request, waiter.admitted_at)
         return QUARANTINED
 
     def _retry_after_s(self, waiter: Waiter, at: float) -> float:
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -211,7 +211,7 @@
         placed = await self._neighbours.spill(waiter.request)
         if not self._pending.is_pending(run_id):
             # The request timed out or was cancelled meanwhile; release its slot.
-            self.allocator.refund_quota(waiter.request, waiter.admitted_at)
+            self.allocator.refund(waiter.request, waiter.admitted_at)
             if placed is not None:
                 self._neighbours.cancel(placed)
         elif placed is not None:
--- a/fuchsiacroft/placing/retry_budget.py
+++ b/fuchsiacroft/placing/retry_budget.py
@@ -48,6 +48,12 @@
         sent.repeats.append(at)
         return True
 
+    def refund_repeat(self, service: str) -> None:
+        """Return the newest retry, which was not sent."""
+        sent = self._sent.get(service)
+        if sent is not None and sent.repeats:
+            sent.repeats.pop()
+
     def _expire(self, times: deque[float], at: float) -> None:
         while times and times[0] < at - self._limits.window_s:
             times.popleft()
