Send nothing under a permission that ran out while the process stood still

Operators of similar systems saw a process that had been paused act on a permission that had run out.

Cause: what allows a send (slot, permit, deadline, headers) was checked or computed before the connection was opened, and the timers of the deadline run only after the callbacks that are due at the same moment.

Change: SendGuard checks until when its permission is valid, at the moment of the first byte: the deadline, half a second after the slot was assigned (the entry then requests another), and the permit's lease in the product's own entry.

--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from functools import partial
 
@@ -13,6 +14,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.streams import EMPTY_PAYLOAD
 
+from fuchsiacroft.utils.clock import now
+
 READ_BUFFER_BYTES = 64 * 1024
 SKIPPED_HEADERS = ("User-Agent", "Accept-Encoding", "Accept", "Content-Type")
 
@@ -32,20 +35,31 @@
 
 
 class WithheldError(aiohttp.ClientError):
-    """A request was not sent, as its backend server wants none any more."""
+    """A request was not sent, as it was no longer allowed."""
 
 
 class SendGuard:
     """Allows one send; `sent` is true once a byte may have been sent.
 
-    `may_send` is called when the connection is open. If it returns false, nothing is
-    sent and `withheld` is set.
+    `may_send` is called when the connection is open. If it returns false, or if
+    `valid_until` on the loop's clock has passed, nothing is sent and `withheld` is
+    set. A process that stood still may get here long after it was allowed to send.
     """
 
-    def __init__(self, may_send: Callable[[], bool] = lambda: True) -> None:
+    def __init__(
+        self,
+        may_send: Callable[[], bool] = lambda: True,
+        valid_until: float = math.inf,
+    ) -> None:
         self.sent = False
         self.withheld = False
         self._may_send = may_send
+        self._valid_until = valid_until
+
+    @property
+    def has_expired(self) -> bool:
+        """Whether the permission to send has run out."""
+        return now() >= self._valid_until
 
     async def __call__(
         self, req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
@@ -58,7 +72,7 @@
 
     def begin(self) -> None:
         """Record the send, or raise an error if it is not wanted any more."""
-        if not self._may_send():
+        if self.has_expired or not self._may_send():
             self.withheld = True
             raise WithheldError
         self.sent = True
--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -23,6 +23,7 @@
 from fuchsiacroft.entry.request_body import StreamedBody
 from fuchsiacroft.entry.response_progress import ResponseProgress
 from fuchsiacroft.entry.run_timeout import RunTimeout
+from fuchsiacroft.routing.leases import LEASE_S
 from fuchsiacroft.routing.permits import Permit, RunOutcome, RunReport
 from fuchsiacroft.routing.scheduler import Scheduler
 from fuchsiacroft.utils.clock import now
@@ -59,7 +60,8 @@
         self._request = exchange.request
         self._permit = permit
         self._deadline = deadline
-        self._send_guard = SendGuard(self._may_send)
+        valid_until = min(deadline, now() + LEASE_S)
+        self._send_guard = SendGuard(self._may_send, valid_until)
         self._progress = ResponseProgress(now(), on_first_byte=self._record_first_byte)
         self._streamed_body: StreamedBody | None = None
         self._upstream: aiohttp.ClientResponse | None = None
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -32,6 +32,8 @@
 MAX_BUFFERED_BYTES = 1024 * 1024
 """Larger plain responses are relayed, which bounds the memory of a request."""
 MIN_EVENTS_FOR_GAP = 3
+SEND_WITHIN_S = 0.5
+"""A slot that is used later is out of date, like the headers; another is requested."""
 
 
 FindReplacement = Callable[[], Awaitable[SlotAssignment | None]]
@@ -87,8 +89,9 @@
         self._has_run = False
         self._availability = placer.availability
         self._server = placer.availability.instance(placement.backend_server)
-        self._send_guard = SendGuard(self._may_send)
         self._started_at = now()
+        valid_until = min(context.deadline, self._started_at + SEND_WITHIN_S)
+        self._send_guard = SendGuard(self._may_send, valid_until)
         self._first_event_at: float | None = None
         self._last_event_at: float | None = None
         self._longest_gap_s = 0.0
@@ -146,6 +149,8 @@
                 finally:
                     response.close()
             case Result(error=RunOutcome.NOT_DISPATCHED):
+                if self._send_guard.withheld and self._send_guard.has_expired:
+                    context.tried.pop()
                 return AttemptResult.NOT_RUN
         self._count_run()
         return AttemptResult.BROKEN
--- a/fuchsiacroft/tests/entry/at_most_once_tests.py
+++ b/fuchsiacroft/tests/entry/at_most_once_tests.py
@@ -4,8 +4,8 @@
 
 import aiohttp
 
-from fuchsiacroft.entry.at_most_once import SendGuard, open_session
-from fuchsiacroft.tests.base import SocketTestCase
+from fuchsiacroft.entry.at_most_once import SendGuard, WithheldError, open_session
+from fuchsiacroft.tests.base import PausedTestCase, SocketTestCase
 from fuchsiacroft.tests.fakes.ports import free_address
 from fuchsiacroft.tests.fakes.replica import response_head
 
@@ -73,3 +73,18 @@
         body = b"1\r\nx\r\n" * 100_000 + b"0\r\n\r\n"
         self.start = response_head("200 OK", CHUNKED) + body
         self.assertEqual(b"x" * 100_000, await self.read())
+
+
+class ExpiredPermissionTests(PausedTestCase):
+    """A permission to send is checked when the connection is open."""
+
+    def test_a_permission_that_ran_out_during_the_connect_is_not_used(self):
+        async def run():
+            guard = SendGuard(valid_until=1.0)
+            await asyncio.sleep(1.0)
+            with self.assertRaises(WithheldError):
+                guard.begin()
+            self.assertFalse(guard.sent)
+            self.assertTrue(guard.withheld)
+
+        self.run_paused(run())
