Answer requests that have arrived when an entry stops to listen or closes idle connections

Operators of similar systems saw requests that had just been accepted cut off during a planned stop under load. It could happen here in two ways, each shown by a test that failed before (entry.caller_server_tests): of 50 callers whose connections the kernel had accepted but the process had not, none was answered, as closing the listener resets its queue; and a request that had arrived on an idle connection was dropped, as the connection was closed with unread bytes.

Change: the queue of the listener is kept until its connections are accepted; a connection with unread bytes is not closed as idle. What arrives after that moment crosses the close and has not been read, as before.

--- a/fuchsiacroft/entry/caller_server.py
+++ b/fuchsiacroft/entry/caller_server.py
@@ -4,7 +4,11 @@
 """
 
 import asyncio
+import fcntl
+import os
+import socket
 import ssl
+import termios
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -14,6 +18,7 @@
 from fuchsiacroft.utils.rate_limited_log import RateLimitedLog
 
 BACKLOG = 2_048
+INT_BYTES = 4
 CLOSE_GRACE_S = 0.5
 SHUTDOWN_TIMEOUT_S = 1.0
 PENDING_READ_GRACE_S = 0.05
@@ -54,6 +59,15 @@
         """Whether no request is being served, so that the next head is awaited."""
         return self._waiter is not None and not self._waiter.done()
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes have arrived that this process has not read yet."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        fd = self.transport.get_extra_info("socket").fileno()
+        size = fcntl.ioctl(fd, termios.FIONREAD, bytes(INT_BYTES))
+        return any(size)
+
     def close(self) -> None:
         """Close the connection, immediately if it is idle.
 
@@ -132,6 +146,7 @@
         self.slow_head_log = RateLimitedLog("head_timed_out", MAX_SLOW_HEAD_LOGS_PER_S)
         self._limits = limits
         self._listener: asyncio.Server | None = None
+        self._tls: ssl.SSLContext | None = None
 
     def __call__(self) -> CallerProtocol:
         """Return the protocol for a new connection."""
@@ -139,6 +154,7 @@
 
     async def listen(self, address: str, tls: ssl.SSLContext | None) -> None:
         """Bind the address and accept connections."""
+        self._tls = tls
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
@@ -149,21 +165,39 @@
         """Close idle connections, and the others after their current request.
 
         A connection that has received no request yet stays open, because its
-        first request may be in flight.
+        first request may be in flight, and so does one whose next request has arrived.
         """
         for conn in self.connections:
-            if conn.has_received_request:
+            if conn.has_received_request and not conn.has_unread_bytes:
                 conn.close()
 
     async def stop_listening(self) -> None:
-        """Stop accepting connections, and wait for requests in flight on open ones."""
+        """Stop accepting connections, and wait for requests in flight on open ones.
+
+        Connections that the kernel has accepted already are served.
+        """
         if self._listener is None:
             return
+        # The duplicates keep the kernel's queues, which closing would reset.
+        queues = [os.dup(sock.fileno()) for sock in self._listener.sockets]
         self._listener.close()
         self._listener = None
+        for queue in queues:
+            with socket.socket(fileno=queue) as sock:
+                await self._accept_queued(sock)
         if self.connections:
             await asyncio.sleep(CLOSE_GRACE_S)
 
+    async def _accept_queued(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        for _ in range(BACKLOG):
+            try:
+                conn, _ = sock.accept()
+            except BlockingIOError:
+                return
+            await loop.connect_accepted_socket(self, conn, ssl=self._tls)
+
     async def close(self) -> None:
         """Stop listening and close every connection."""
         await self.stop_listening()
