Send each order on a connection of its own, and none once the lease is lost

Both could happen with orders to engines, by tests that failed before (control.engine_orders_tests): connections were kept, so a copy of the answer to one order was taken for that of the next, and a leader that stood still while it connected sent its order although its lease had run out; an engine that does not check fencing tokens would carry it out beside the new leader's.

Change: orders are sent as requests to backend servers are, each on its own connection and at most once, and the term is checked when the connection is open.

--- a/fuchsiacroft/control/engine_orders.py
+++ b/fuchsiacroft/control/engine_orders.py
@@ -1,12 +1,15 @@
 """Delivery of orders to engines."""
 
+import asyncio
 import enum
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 import aiohttp
 import msgspec
 from expression import Error, Ok, Result
 
+from fuchsiacroft.entry.at_most_once import SendGuard, open_session
 from fuchsiacroft.kernel import Kernel, Service
 
 CONNECT_TIMEOUT_S = 2.0
@@ -45,8 +48,17 @@
     name = "engine_orders"
 
     @abstractmethod
-    async def send(self, address: str, order: EngineOrder) -> Result[None, SendError]:
-        """Send an order and wait until it is executed."""
+    async def send(
+        self,
+        address: str,
+        order: EngineOrder,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> Result[None, SendError]:
+        """Send an order and wait until it is executed.
+
+        `may_send` is called once the engine is connected; if it returns false, nothing
+        is sent.
+        """
 
 
 class HttpEngineOrders(EngineOrders):
@@ -57,23 +69,31 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Open the client."""
-        timeout = aiohttp.ClientTimeout(
-            total=RESPONSE_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
-        )
-        self._client = aiohttp.ClientSession(timeout=timeout)
+        self._client = open_session(CONNECT_TIMEOUT_S)
 
     async def stop(self) -> None:
         """Close the client."""
         if self._client is not None:
             await self._client.close()
 
-    async def send(self, address: str, order: EngineOrder) -> Result[None, SendError]:
-        """Send an order and wait until it is executed."""
+    async def send(
+        self,
+        address: str,
+        order: EngineOrder,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> Result[None, SendError]:
+        """Send an order on a connection of its own, at most once."""
         body = msgspec.json.encode(order)
         headers = {"Content-Type": "application/json"}
         url = f"http://{address}/orders"
+        guard = SendGuard(may_send)
         try:
-            async with self._client.post(url, data=body, headers=headers) as response:
+            async with (
+                asyncio.timeout(RESPONSE_TIMEOUT_S),
+                self._client.post(
+                    url, data=body, headers=headers, middlewares=(guard,)
+                ) as response,
+            ):
                 await response.read()
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError):
--- a/fuchsiacroft/control/order_sender.py
+++ b/fuchsiacroft/control/order_sender.py
@@ -86,7 +86,9 @@
         if not self._term.is_active:
             return None
         order = _engine_order(record, self._term.number)
-        match await self._orders.send(record.issue.target.address, order):
+        match await self._orders.send(
+            record.issue.target.address, order, lambda: self._term.is_active
+        ):
             case Result(tag="ok"):
                 return OrderOutcome.DONE
             case Result(error=SendError() as reason):
--- a/fuchsiacroft/tests/control/engine_orders_tests.py
+++ b/fuchsiacroft/tests/control/engine_orders_tests.py
@@ -1,9 +1,15 @@
 """Tests of orders over HTTP against the simulated engine."""
 
+import asyncio
+import contextlib
+from unittest import mock
+
+import aiohttp
 from aiohttp import web
 
 from fuchsiacroft.control import engine_orders
 from fuchsiacroft.control.engine_orders import EngineOrder, SendError
+from fuchsiacroft.entry.at_most_once import AddressConnector
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.standin.orders import OrderExecutor
 from fuchsiacroft.tests.base import SocketTestCase
@@ -45,6 +51,61 @@
         sent = await self.sender.send(address, EngineOrder("2", 6, "unload", "a"))
         self.assertTrue(sent.is_ok())
 
+    async def test_a_second_answer_is_not_taken_for_that_of_the_next_order(self):
+        address = await self.serve_twice()
+        first = await self.sender.send(address, EngineOrder("1", 7, "load", "a"))
+        await asyncio.sleep(0.05)
+        second = await self.sender.send(address, EngineOrder("2", 7, "unload", "a"))
+        self.assertTrue(first.is_ok())
+        self.assertIs(SendError.REFUSED, second.error)
+
+    async def serve_twice(self) -> str:
+        """Serve orders by 200 and then 503; a copy of the first answer comes late."""
+        statuses = iter((b"200 OK", b"503 Busy"))
+
+        async def serve(reader, writer) -> None:
+            copy = b""
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(copy)
+                    head = b"HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n" % next(statuses)
+                    writer.write(head)
+                    copy = head
+            writer.close()
+
+        address = free_address()
+        host, port = address.split(":")
+        server = await asyncio.start_server(serve, host, int(port))
+        self.addCleanup(server.close)
+        return address
+
+    async def test_a_leader_that_loses_its_lease_while_it_connects_sends_nothing(self):
+        address = await self.serve(False)
+        has_lease = True
+        connect = AddressConnector._create_connection
+
+        async def connect_and_lose_lease(connector, *args):
+            nonlocal has_lease
+            conn = await connect(connector, *args)
+            has_lease = False
+            return conn
+
+        order = EngineOrder("1", 7, "load", "a")
+        with mock.patch.object(
+            AddressConnector, "_create_connection", connect_and_lose_lease
+        ):
+            sent = await self.sender.send(address, order, lambda: has_lease)
+        self.assertIs(SendError.NO_ANSWER, sent.error)
+        self.assertEqual([], await self.executed(address))
+
+    async def executed(self, address: str) -> list:
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{address}/orders") as response,
+        ):
+            return (await response.json())["carried_out"]
+
     async def test_a_stopped_engine_gives_no_answer(self):
         sent = await self.sender.send(free_address(), EngineOrder("1", 7, "load"))
         self.assertIs(SendError.NO_ANSWER, sent.error)
--- a/fuchsiacroft/tests/control/orders_tests.py
+++ b/fuchsiacroft/tests/control/orders_tests.py
@@ -42,7 +42,7 @@
         self.unresponsive = set()
         self.lose_replies = False
 
-    async def send(self, address, order):
+    async def send(self, address, order, may_send=lambda: True):
         name = next(n for n, e in self.engines.items() if e.address == address)
         self.sent.append((now(), name, order))
         await asyncio.sleep(0.01)
