Reset connections of answers that broke off, also for callers without chunks

Operators of similar systems saw an answer that broke off halfway arrive as a complete success. It could happen here to a caller of HTTP/1.0: an aborted transport ends the connection in order, so a broken answer without a length looked whole, at the product's own entry; on the platform such callers got no stream at all (an empty connection).

Change: utils/connections.reset drops what is unsent and sends a reset; used wherever a started answer is given up. Streams to callers of HTTP/1.0 end with their connection.

--- a/fuchsiacroft/entry/body_relay.py
+++ b/fuchsiacroft/entry/body_relay.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from fuchsiacroft.entry.response_progress import ResponseProgress
+from fuchsiacroft.utils import connections
 
 WRITE_TIMEOUT_S = 30.0
 PARSER_PAUSE_BYTES = 4_096
@@ -62,7 +63,7 @@
         """Close the connection before the response is complete.
 
         A framed response is closed after its buffered data, or aborted after
-        `linger_s` seconds. Any other response is aborted at once, because an
+        `linger_s` seconds. Any other response is reset at once, because an
         orderly close would make it appear complete.
         """
         if self._has_framing:
@@ -70,7 +71,7 @@
             loop = asyncio.get_running_loop()
             loop.call_later(linger_s, self._transport.abort)
         else:
-            self._transport.abort()
+            connections.reset(self._transport)
 
     @property
     def _has_framing(self) -> bool:
--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -26,6 +26,7 @@
 from fuchsiacroft.routing.leases import LEASE_S
 from fuchsiacroft.routing.permits import Permit, RunOutcome, RunReport
 from fuchsiacroft.routing.scheduler import Scheduler
+from fuchsiacroft.utils import connections
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
 
@@ -80,7 +81,7 @@
             return await self._timed_out()
         except SlowCallerError:
             self._cancel(RunOutcome.CANCELLED)
-            self._exchange.http.transport.abort()
+            connections.reset(self._exchange.http.transport)
             return self._response
         except (ConnectionError, asyncio.CancelledError):
             self._exchange.caller_disconnected = True
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import aiohttp
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from expression import Result
 
 from fuchsiacroft.entry import http_headers
@@ -316,7 +316,8 @@
         downstream = web.StreamResponse(status=response.status)
         for name, value in self._protocol.caller_response_headers(response):
             downstream.headers.add(name, value)
-        downstream.enable_chunked_encoding()
+        if self._context.http.version >= HttpVersion11:
+            downstream.enable_chunked_encoding()
         self._context.started_response = downstream
         await downstream.prepare(self._context.http)
 
--- a/fuchsiacroft/gateway/frontend.py
+++ b/fuchsiacroft/gateway/frontend.py
@@ -15,6 +15,7 @@
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.roster import Roster
+from fuchsiacroft.utils import connections
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.metrics import Metrics
@@ -147,7 +148,7 @@
     def _abort(self, http: web.BaseRequest) -> None:
         """Reset a connection, so that a partial response does not look complete."""
         if http.transport is not None:
-            http.transport.abort()
+            connections.reset(http.transport)
 
     def _reject_unparsed(
         self, http: web.BaseRequest, status: int, message: str
--- a/fuchsiacroft/tests/platform/endless_answers_tests.py
+++ b/fuchsiacroft/tests/platform/endless_answers_tests.py
@@ -114,6 +114,29 @@
         self.assertEqual((200, False), (got.status, got.complete))
         self.assertEqual(sse_events(1), got.body)
 
+    async def send_old(self, path: str) -> bytes:
+        """Send a request of HTTP/1.0; return what comes until the orderly end."""
+        reader, writer = await self.region.connect()
+        data = self.region.encode_request(path)
+        writer.write(data.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        try:
+            return await reader.read()
+        finally:
+            writer.close()
+
+    async def test_a_caller_of_http_1_0_gets_a_stream_whole_or_a_reset(self):
+        await self.serve("lens", sse_events(1, 2), content_type="text/event-stream")
+        got = await self.send_old("/advice/1")
+        head, _, body = got.partition(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.0 200"))
+        self.assertEqual(sse_events(1, 2), body)
+
+    async def test_a_broken_stream_is_reset_for_a_caller_of_http_1_0(self):
+        body = sse_events(1, 2)[:-3]
+        await self.serve("lens", body, content_type="text/event-stream")
+        with self.assertRaises(ConnectionError):
+            await self.send_old("/advice/1")
+
     async def test_a_stream_without_an_event_is_no_answer(self):
         await self.serve("lens", b"", content_type="text/event-stream")
         got = await self.region.send_request("/advice/1")
