Bound the evidence on crashes so that a report of it fits into a message

The content of all crashes is bounded now, the digest of the evidence is kept until it changes, and only repeated content is looked through for verdicts.

--- a/fuchsiacroft/quarantine/evidence.py
+++ b/fuchsiacroft/quarantine/evidence.py
@@ -40,7 +40,9 @@
 """A run that crashes its server does so within this time after its answer began."""
 LOST_RUN_ISOLATION_S = 0.5
 """A crash is recognized within this time after the first lost connection, mostly."""
-MAX_CRASHES = 500
+MAX_CRASHES = 200
+MAX_BLAMED = 50_000
+"""Content of all crashes together; a report of it fits into a message."""
 MAX_ANSWERED = 50_000
 MAX_LOST = 5_000
 
@@ -71,6 +73,9 @@
     def __init__(self) -> None:
         self._crashes: OrderedDict[str, Crash] = OrderedDict()
         self._crashes_by_content: dict[str, set[str]] = {}
+        self._repeated: set[str] = set()
+        self._blamed = 0
+        self._digest: int | None = None
         self._answered_at: OrderedDict[str, float] = OrderedDict()
         self._lost_at: OrderedDict[str, float] = OrderedDict()
         self._changed_crashes: set[str] = set()
@@ -142,7 +147,7 @@
     def convictions(self, at: float) -> dict[str, frozenset[str]]:
         """Return convicted content, each with all that a refused request has."""
         found = {}
-        for content_id in tuple(self._crashes_by_content):
+        for content_id in self._repeated:
             culprits = self._culprits(content_id, at)
             if culprits:
                 found[content_id] = culprits
@@ -193,11 +198,13 @@
     def digest(self, at: float) -> int:
         """Return a hash of the crashes and of what they are still held against."""
         self._drop_expired(at)
-        lines = sorted(
-            f"{crash.instance_id} {' '.join(sorted(self._active_content(crash)))}"
-            for crash in self._crashes.values()
-        )
-        return xxhash.xxh3_64_intdigest("\n".join(lines).encode())
+        if self._digest is None:
+            lines = sorted(
+                f"{crash.instance_id} {' '.join(sorted(self._active_content(crash)))}"
+                for crash in self._crashes.values()
+            )
+            self._digest = xxhash.xxh3_64_intdigest("\n".join(lines).encode())
+        return self._digest
 
     def merge(self, report: EvidenceReport, at: float) -> None:
         """Add another entry's evidence."""
@@ -221,10 +228,17 @@
         if not content_ids:
             return False
         self._drop_expired(at)
+        if known is not None:
+            self._remove_crash(instance_id)
         self._crashes[instance_id] = Crash(instance_id, at, content_ids)
+        self._blamed += len(content_ids)
+        self._digest = None
         for content_id in content_ids:
-            self._crashes_by_content.setdefault(content_id, set()).add(instance_id)
-        if len(self._crashes) > MAX_CRASHES:
+            crashes = self._crashes_by_content.setdefault(content_id, set())
+            crashes.add(instance_id)
+            if len(crashes) >= CRASHES_TO_CONVICT:
+                self._repeated.add(content_id)
+        while len(self._crashes) > MAX_CRASHES or self._blamed > MAX_BLAMED:
             self._remove_crash(next(iter(self._crashes)))
         return True
 
@@ -239,13 +253,19 @@
 
     def _remove_crash(self, instance_id: str) -> None:
         crash = self._crashes.pop(instance_id)
+        self._blamed -= len(crash.content_ids)
+        self._digest = None
         for content_id in crash.content_ids:
             crashes = self._crashes_by_content[content_id]
             crashes.discard(instance_id)
+            if len(crashes) < CRASHES_TO_CONVICT:
+                self._repeated.discard(content_id)
             if not crashes:
                 del self._crashes_by_content[content_id]
 
     def _set_answered(self, content_id: str, at: float) -> None:
+        if content_id in self._crashes_by_content:
+            self._digest = None
         self._answered_at[content_id] = at
         self._answered_at.move_to_end(content_id)
         self._lost_at.pop(content_id, None)
--- a/fuchsiacroft/tests/quarantine/evidence_tests.py
+++ b/fuchsiacroft/tests/quarantine/evidence_tests.py
@@ -3,6 +3,8 @@
 import itertools
 import random
 
+import msgspec
+
 from fuchsiacroft.quarantine import evidence
 from fuchsiacroft.quarantine.evidence import (
     CONVICTION_S,
@@ -13,6 +15,7 @@
     Treatment,
 )
 from fuchsiacroft.tests.base import TestCase
+from fuchsiacroft.transport.codec import MAX_MESSAGE_BYTES
 
 REQUESTS_PER_SERVER = 5
 SERVERS = 18
@@ -121,9 +124,17 @@
     def test_memory_is_bounded_while_servers_keep_crashing(self):
         for number in range(3 * MAX_CRASHES):
             self.crash("a", f"b-{number}", at=0.1 * number)
-        report = self.evidence.report(0.3 * MAX_CRASHES)
+        at = 0.3 * MAX_CRASHES
+        report = self.evidence.report(at)
         self.assertEqual(MAX_CRASHES, len(report.crashes))
-        self.assertEqual(2 * MAX_CRASHES + 1, len(self.evidence.dump(150.0)))
+        self.assertEqual(2 * MAX_CRASHES + 1, len(self.evidence.dump(at)))
+
+    def test_a_report_fits_into_a_message_whatever_crashed(self):
+        for number in range(MAX_CRASHES):
+            content = [f"prefix:{number:04x}{n:012x}" for n in range(1_000)]
+            self.crash(*content, at=0.1 * number)
+        data = msgspec.msgpack.encode(self.evidence.report(30.0))
+        self.assertLess(len(data), MAX_MESSAGE_BYTES)
 
     def test_entries_agree_whatever_the_order_of_reports(self):
         for seed in range(40):
