Never continue a large answer that broke off with another server's

Once a part of such an answer has gone out, the request ends with a reset connection.

No other behaviour changes.

--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -1,15 +1,15 @@
 """A single attempt to run a request on a backend server."""
 
-import enum
 from collections.abc import Awaitable, Callable
 
 import aiohttp
-from aiohttp import HttpVersion11, web
+from aiohttp import web
 from expression import Result
 
-from fuchsiacroft.entry import http_headers
 from fuchsiacroft.entry.at_most_once import SendGuard
+from fuchsiacroft.gateway.attempt_result import AttemptResult
 from fuchsiacroft.gateway.request_context import RequestContext
+from fuchsiacroft.gateway.response_relay import ResponseRelay
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter
 from fuchsiacroft.gateway.silence_watch import SilenceWatch
 from fuchsiacroft.gateway.upstream import Upstream
@@ -28,10 +28,6 @@
 """Minimum idle timeout of a stream: its prompt may queue behind other prompts."""
 RETRY_TIME_SHARE = 0.5
 """Share of the remaining time that is reserved for an attempt on another server."""
-SERVER_ERROR = 500
-MAX_BUFFERED_BYTES = 1024 * 1024
-"""Larger plain responses are relayed, which bounds the memory of a request."""
-MIN_EVENTS_FOR_GAP = 3
 SEND_WITHIN_S = 0.5
 """A slot that is used later is out of date, like the headers; another is requested."""
 
@@ -39,26 +35,6 @@
 FindReplacement = Callable[[], Awaitable[SlotAssignment | None]]
 
 
-class AttemptResult(enum.Enum):
-    """How an attempt ended.
-
-    `FAILED`: the backend server answered with a server error. `BROKEN`: the connection
-    was lost, or the response is incomplete or belongs to another request. `SILENT`: the
-    idle timeout passed, and another server has a slot. After `NOT_RUN` the request was
-    not executed; after `BROKEN` and `SILENT` it may have been.
-    """
-
-    ANSWERED = "answered"
-    NOT_RUN = "not_run"
-    FAILED = "failed"
-    BROKEN = "broken"
-    SILENT = "silent"
-
-
-class _ServerLostError(Exception):
-    """The connection to the backend server was lost in the middle of a stream."""
-
-
 class Attempt:
     """Sends a request to the backend server that the placer assigned.
 
@@ -92,14 +68,22 @@
         self._started_at = now()
         valid_until = min(context.deadline, self._started_at + SEND_WITHIN_S)
         self._send_guard = SendGuard(self._may_send, valid_until)
-        self._first_event_at: float | None = None
-        self._last_event_at: float | None = None
-        self._longest_gap_s = 0.0
-        self._events_before = context.event_splitter.count
-        self.response: web.StreamResponse | None = None
-        self.response_s: float | None = None
+        self._relay = ResponseRelay(
+            context, protocol, self._watch, self._report_first_event
+        )
         self.replacement: SlotAssignment | None = None
 
+    @property
+    def response(self) -> web.StreamResponse | None:
+        """The response that the caller gets."""
+        return self._relay.response
+
+    @property
+    def response_s(self) -> float | None:
+        """The time until the response began."""
+        began_at = self._relay.began_at
+        return None if began_at is None else began_at - self._started_at
+
     async def run(self) -> AttemptResult:
         """Run the attempt and return its result; the placement is always released."""
         outcome = RunOutcome.CANCELLED
@@ -206,120 +190,12 @@
         if not self._protocol.matches_request(self._request, response):
             return AttemptResult.BROKEN
         try:
-            if self._request.route.kind.is_stream and response.status == 200:
-                return await self._relay_stream(response)
-            return await self._buffer_response(response)
-        except (aiohttp.ClientError, OSError):
-            return AttemptResult.BROKEN
-
-    async def _buffer_response(self, response: aiohttp.ClientResponse) -> AttemptResult:
-        """Buffer the whole response, so that the caller gets all of it or none.
-
-        A response too large for that is relayed while it arrives.
-        """
-        try:
-            async with self._watch():
-                body = await _read_at_most(response.content, MAX_BUFFERED_BYTES)
+            return await self._relay.relay(response)
         except TimeoutError:
             return self._silent()
-        self.response_s = now() - self._started_at
-        if not response.content.at_eof():
-            return await self._relay_body(body, response)
-        downstream = web.Response(status=response.status, body=body)
-        downstream.headers.popall("Content-Type", None)
-        for name, value in self._protocol.caller_response_headers(response):
-            downstream.headers.add(name, value)
-        self.response = downstream
-        return (
-            AttemptResult.FAILED
-            if response.status >= SERVER_ERROR
-            else AttemptResult.ANSWERED
-        )
 
-    async def _relay_body(
-        self, start: bytes, response: aiohttp.ClientResponse
-    ) -> AttemptResult:
-        """Relay a large response, of which `start` has been read."""
-        await self._start_response(response)
-        downstream = self._context.started_response
-        chunk = start
-        while chunk:
-            await downstream.write(chunk)
-            chunk = await response.content.readany()
-        await downstream.write_eof()
-        self.response = downstream
-        return AttemptResult.ANSWERED
-
-    async def _relay_stream(self, response: aiohttp.ClientResponse) -> AttemptResult:
-        """Relay a stream, writing only complete events to the caller."""
-        splitter = self._context.event_splitter
-        try:
-            async with self._watch() as watch:
-                await self._relay_events(response, watch)
-        except TimeoutError:
-            splitter.discard_partial()
-            return self._silent()
-        except _ServerLostError:
-            splitter.discard_partial()
-            return AttemptResult.BROKEN
-        if splitter.partial:
-            # A partial event means a truncated stream even if its framing is valid.
-            splitter.discard_partial()
-            return AttemptResult.BROKEN
-        if not self._events and not http_headers.is_framed(response):
-            # A server that crashes after the head looks like this, too.
-            return AttemptResult.BROKEN
-        await self._start_response(response)
-        await self._context.started_response.write_eof()
-        self.response = self._context.started_response
-        return AttemptResult.ANSWERED
-
-    async def _relay_events(
-        self, response: aiohttp.ClientResponse, watch: SilenceWatch
-    ) -> None:
-        """Write complete events to the caller until the stream ends."""
-        splitter = self._context.event_splitter
-        content = response.content
-        while not splitter.is_too_long:
-            try:
-                chunk = await content.readany()
-            except (aiohttp.ClientError, OSError) as exc:
-                raise _ServerLostError from exc
-            if not chunk and content.at_eof():
-                return
-            events = splitter.feed(chunk)
-            if events:
-                watch.pause()
-                await self._write_events(events, response)
-                watch.resume()
-
-    async def _write_events(
-        self, events: bytes, response: aiohttp.ClientResponse
-    ) -> None:
-        at = now()
-        if self._first_event_at is None:
-            self._first_event_at = at
-            self.response_s = at - self._started_at
-            self._placer.report_first_event(self._placement)
-            if self._context.first_event_at is None:
-                self._context.first_event_at = at
-        if self._last_event_at is not None:
-            self._longest_gap_s = max(self._longest_gap_s, at - self._last_event_at)
-        self._last_event_at = at
-        await self._start_response(response)
-        await self._context.started_response.write(events)
-
-    async def _start_response(self, response: aiohttp.ClientResponse) -> None:
-        """Send the response head, taken from the first server that sent an event."""
-        if self._context.started_response is not None:
-            return
-        downstream = web.StreamResponse(status=response.status)
-        for name, value in self._protocol.caller_response_headers(response):
-            downstream.headers.add(name, value)
-        if self._context.http.version >= HttpVersion11:
-            downstream.enable_chunked_encoding()
-        self._context.started_response = downstream
-        await downstream.prepare(self._context.http)
+    def _report_first_event(self) -> None:
+        self._placer.report_first_event(self._placement)
 
     def _idle_timeout_s(self) -> float:
         """Return after how long without progress another server is looked for."""
@@ -349,11 +225,13 @@
 
     def _release(self, outcome: RunOutcome) -> None:
         at = now()
-        first_event_s = None if self._first_event_at is None else self.response_s
+        times = self._relay.event_times
         report = RunReport(
             outcome=outcome,
-            first_token_s=first_event_s,
-            token_gap_s=self._token_gap_s(),
+            first_token_s=None if times.first_at is None else self.response_s,
+            token_gap_s=times.token_gap_s(
+                self._relay.events, self._request.event_tokens
+            ),
             duration_s=at - self._started_at,
         )
         self._placer.release(self._placement, report)
@@ -365,32 +243,7 @@
             keeper=self._placement.keeper,
             outcome=outcome.value,
             seconds=round(at - self._started_at, 4),
-            events=self._events,
-            longest_pause_s=round(self._longest_gap_s, 3),
+            events=self._relay.events,
+            longest_pause_s=round(times.longest_gap_s, 3),
             parts=",".join(self._request.shared_parts) or "-",
         )
-
-    @property
-    def _events(self) -> int:
-        return self._context.event_splitter.count - self._events_before
-
-    def _token_gap_s(self) -> float | None:
-        """Return the mean seconds between tokens, or None after too few events."""
-        if (
-            self._events < MIN_EVENTS_FOR_GAP
-            or self._first_event_at == self._last_event_at
-        ):
-            return None
-        tokens = (self._events - 1) * self._request.event_tokens
-        return (self._last_event_at - self._first_event_at) / tokens
-
-
-async def _read_at_most(content: aiohttp.StreamReader, limit: int) -> bytes:
-    """Read to the end, or until at least `limit` bytes have come."""
-    chunks = []
-    size = 0
-    while size < limit and not content.at_eof():
-        chunk = await content.readany()
-        chunks.append(chunk)
-        size += len(chunk)
-    return b"".join(chunks)
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -13,7 +13,8 @@
 from fuchsiacroft.entry import request_validation
 from fuchsiacroft.entry.problems import ExecutionState, Problem
 from fuchsiacroft.entry.request_body import BodyBuffer
-from fuchsiacroft.gateway.attempt import Attempt, AttemptResult
+from fuchsiacroft.gateway.attempt import Attempt
+from fuchsiacroft.gateway.attempt_result import AttemptResult
 from fuchsiacroft.gateway.request_context import RequestContext
 from fuchsiacroft.gateway.response_estimates import ResponseEstimates
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter, RoutedRequest
@@ -184,6 +185,8 @@
     def _may_retry(self, context: RequestContext, result: AttemptResult) -> bool:
         if context.remaining_s < MIN_REMAINING_S or len(context.tried) >= MAX_SENDS:
             return False
+        if context.has_started_body:
+            return False
         if result is AttemptResult.NOT_RUN:
             return context.runs == 0 or context.may_retry
         return context.may_retry
--- a/fuchsiacroft/gateway/request_context.py
+++ b/fuchsiacroft/gateway/request_context.py
@@ -20,6 +20,8 @@
     those of them that asked this VM to come back later. `notices` are what the servers'
     answers said of them.
     `started_response` is the response whose head the caller has received.
+    `has_started_body` is true once the caller has a part of a response that another
+    server can't continue.
     `aborted` is true when this entry reset the connection.
     """
 
@@ -36,6 +38,7 @@
     paused: set[str] = field(default_factory=set)
     notices: list[NoticeReason] = field(default_factory=list)
     started_response: web.StreamResponse | None = None
+    has_started_body: bool = False
     event_splitter: EventSplitter = field(default_factory=EventSplitter)
     problem: Problem | None = None
     first_event_at: float | None = None
--- /dev/null
+++ b/fuchsiacroft/gateway/response_relay.py
@@ -0,0 +1,179 @@
+"""Passes the response of one backend server on to the caller."""
+
+from collections.abc import Callable
+
+import aiohttp
+from aiohttp import HttpVersion11, web
+
+from fuchsiacroft.entry import http_headers
+from fuchsiacroft.gateway.attempt_result import AttemptResult
+from fuchsiacroft.gateway.event_times import EventTimes
+from fuchsiacroft.gateway.request_context import RequestContext
+from fuchsiacroft.gateway.routed_request import ProtocolAdapter
+from fuchsiacroft.gateway.silence_watch import SilenceWatch
+from fuchsiacroft.utils.clock import now
+
+SERVER_ERROR = 500
+MAX_BUFFERED_BYTES = 1024 * 1024
+"""Larger plain responses are relayed, which bounds the memory of a request."""
+
+
+class ServerLostError(Exception):
+    """The connection to the backend server was lost in the middle of a stream."""
+
+
+class ResponseRelay:
+    """Relays a stream by events, and any other response whole.
+
+    `watch` returns a watch for silence, whose `TimeoutError` is passed on.
+    `on_first_event` is called when the first event has come. `response` is set once
+    the caller has, or can get, the whole response. `began_at` is when the first event
+    of a stream or all of another response had come.
+    """
+
+    def __init__(
+        self,
+        context: RequestContext,
+        protocol: ProtocolAdapter,
+        watch: Callable[[], SilenceWatch],
+        on_first_event: Callable[[], None],
+    ) -> None:
+        self._context = context
+        self._protocol = protocol
+        self._watch = watch
+        self._on_first_event = on_first_event
+        self._splitter = context.event_splitter
+        self._events_before = self._splitter.count
+        self.event_times = EventTimes()
+        self.began_at: float | None = None
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def events(self) -> int:
+        """Return how many events the backend server has sent."""
+        return self._splitter.count - self._events_before
+
+    async def relay(self, upstream: aiohttp.ClientResponse) -> AttemptResult:
+        """Relay a response; raise `TimeoutError` if another server takes over."""
+        is_stream = self._context.request.route.kind.is_stream
+        try:
+            if is_stream and upstream.status == 200:
+                return await self._relay_stream(upstream)
+            return await self._relay_plain(upstream)
+        except (aiohttp.ClientError, OSError) as exc:
+            if isinstance(exc, TimeoutError):
+                raise
+            return AttemptResult.BROKEN
+
+    async def _relay_plain(self, upstream: aiohttp.ClientResponse) -> AttemptResult:
+        """Buffer the whole response, so that the caller gets all of it or none.
+
+        A response too large for that is relayed while it arrives.
+        """
+        async with self._watch():
+            body = await _read_at_most(upstream.content, MAX_BUFFERED_BYTES)
+        self.began_at = now()
+        if not upstream.content.at_eof():
+            return await self._relay_large(body, upstream)
+        downstream = web.Response(status=upstream.status, body=body)
+        downstream.headers.popall("Content-Type", None)
+        for name, value in self._protocol.caller_response_headers(upstream):
+            downstream.headers.add(name, value)
+        self.response = downstream
+        return (
+            AttemptResult.FAILED
+            if upstream.status >= SERVER_ERROR
+            else AttemptResult.ANSWERED
+        )
+
+    async def _relay_large(
+        self, start: bytes, upstream: aiohttp.ClientResponse
+    ) -> AttemptResult:
+        """Relay a large response, of which `start` has been read."""
+        self._context.has_started_body = True
+        await self._start_response(upstream)
+        downstream = self._context.started_response
+        chunk = start
+        while chunk:
+            await downstream.write(chunk)
+            chunk = await upstream.content.readany()
+        await downstream.write_eof()
+        self.response = downstream
+        return AttemptResult.ANSWERED
+
+    async def _relay_stream(self, upstream: aiohttp.ClientResponse) -> AttemptResult:
+        """Relay a stream, writing only complete events to the caller."""
+        try:
+            async with self._watch() as watch:
+                await self._relay_events(upstream, watch)
+        except TimeoutError:
+            self._splitter.discard_partial()
+            raise
+        except ServerLostError:
+            self._splitter.discard_partial()
+            return AttemptResult.BROKEN
+        if self._splitter.partial:
+            # A partial event means a truncated stream even if its framing is valid.
+            self._splitter.discard_partial()
+            return AttemptResult.BROKEN
+        if not self.events and not http_headers.is_framed(upstream):
+            # A server that crashes after the head looks like this, too.
+            return AttemptResult.BROKEN
+        await self._start_response(upstream)
+        await self._context.started_response.write_eof()
+        self.response = self._context.started_response
+        return AttemptResult.ANSWERED
+
+    async def _relay_events(
+        self, upstream: aiohttp.ClientResponse, watch: SilenceWatch
+    ) -> None:
+        """Write complete events to the caller until the stream ends."""
+        content = upstream.content
+        while not self._splitter.is_too_long:
+            try:
+                chunk = await content.readany()
+            except (aiohttp.ClientError, OSError) as exc:
+                raise ServerLostError from exc
+            if not chunk and content.at_eof():
+                return
+            events = self._splitter.feed(chunk)
+            if events:
+                watch.pause()
+                await self._write_events(events, upstream)
+                watch.resume()
+
+    async def _write_events(
+        self, events: bytes, upstream: aiohttp.ClientResponse
+    ) -> None:
+        at = now()
+        if self.began_at is None:
+            self.began_at = at
+            self._on_first_event()
+            if self._context.first_event_at is None:
+                self._context.first_event_at = at
+        self.event_times.record(at)
+        await self._start_response(upstream)
+        await self._context.started_response.write(events)
+
+    async def _start_response(self, upstream: aiohttp.ClientResponse) -> None:
+        """Send the response head, taken from the first server that sent an event."""
+        if self._context.started_response is not None:
+            return
+        downstream = web.StreamResponse(status=upstream.status)
+        for name, value in self._protocol.caller_response_headers(upstream):
+            downstream.headers.add(name, value)
+        if self._context.http.version >= HttpVersion11:
+            downstream.enable_chunked_encoding()
+        self._context.started_response = downstream
+        await downstream.prepare(self._context.http)
+
+
+async def _read_at_most(content: aiohttp.StreamReader, limit: int) -> bytes:
+    """Read to the end, or until at least `limit` bytes have come."""
+    chunks = []
+    size = 0
+    while size < limit and not content.at_eof():
+        chunk = await content.readany()
+        chunks.append(chunk)
+        size += len(chunk)
+    return b"".join(chunks)
--- a/fuchsiacroft/tests/platform/endless_answers_tests.py
+++ b/fuchsiacroft/tests/platform/endless_answers_tests.py
@@ -6,11 +6,13 @@
 from fuchsiacroft.tests.fakes.platform_region import PlatformTestCase
 from fuchsiacroft.tests.fakes.replica import (
     SEAL_HEADER,
+    response,
     response_head,
     sse_events,
 )
 
 BLOCK = 64 * 1024
+LARGE = 4 * 1024 * 1024
 MAX_GROWTH_KB = 48 * 1024
 STREAM = "Content-Type: text/event-stream"
 
@@ -101,6 +103,26 @@
         self.assertEqual((200, True), (got.status, got.complete))
         self.assertEqual(body, got.body)
 
+    async def test_a_large_answer_that_breaks_off_is_not_continued_elsewhere(self):
+        runs = []
+
+        async def break_off_at_first(req, writer):
+            runs.append(req)
+            whole = response(req, b"x" * LARGE)
+            if len(runs) > 1:
+                writer.write(whole)
+                return
+            writer.write(whole[: LARGE // 2])
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+
+        for _ in range(2):
+            await self.region.add_replica("till", break_off_at_first)
+        got = await self.region.send_request("/stock/1")
+        self.assertEqual((200, False), (got.status, got.complete))
+        self.assertEqual(1, len(runs))
+
     async def test_a_stream_is_complete_when_its_connection_ends_between_events(self):
         await self.serve("lens", sse_events(1, 2), content_type="text/event-stream")
         got = await self.region.send_request("/advice/1")
