Let prompt parts crash backend servers in the soak

A new kind of fault: while it lasts, some requests have a part that crashes each server that streams on it. All requests have parts now.

--- a/fuchsiacroft/tests/soak/callers.py
+++ b/fuchsiacroft/tests/soak/callers.py
@@ -26,6 +26,9 @@
 """How long a caller waits for a response after the request's timeout."""
 READY_CHECK_PERIOD_S = 0.3
 READY_TIMEOUT_S = 0.5
+SOUND_PARTS = 5
+DEADLY_PROBABILITY = 0.15
+"""Probability that a request has a deadly part, while there is one."""
 ABANDON_PROBABILITY = 0.02
 """Probability that a caller closes the connection before the response ends."""
 
@@ -96,6 +99,14 @@
             return False
         return True
 
+    def _prompt_parts(self, attempt_id: str) -> str:
+        """Return a part that all requests share, another one, and the request's own."""
+        middle = f"50{self._rng.randrange(SOUND_PARTS)}"
+        deadly = self._observations.deadly_parts
+        if deadly and self._rng.random() < DEADLY_PROBABILITY:
+            middle = self._rng.choice(deadly)
+        return f"c0:10,{middle}:100,{attempt_id}:50"
+
     async def _send_request(self, route: str) -> None:
         method, prefix, timeout_s = ROUTES[route]
         attempt_id = f"{next(self._numbers):016x}"
@@ -113,6 +124,7 @@
                 attempt_id,
                 f"Fuchsiacroft-Deadline-Ms: {timeout_s * 1000:.0f}",
                 "X-Api-Key: key-1",
+                f"Fuchsiacroft-Prefix-Hash: {self._prompt_parts(attempt_id)}",
                 body=body,
             )
         )
--- a/fuchsiacroft/tests/soak/invariants.py
+++ b/fuchsiacroft/tests/soak/invariants.py
@@ -7,6 +7,7 @@
     Attempt,
     FaultSpan,
     Observations,
+    PartCrash,
     Run,
 )
 
@@ -34,6 +35,10 @@
 """Time after its timeout by which a request must have ended."""
 FAULT_FREE_S = 6.0
 """Time without a fault before a request after which a lost response is a violation."""
+CRASHES_KNOWN = 5
+"""Crashes by one prompt part after which requests with it must be held back."""
+MAX_AFTER_CRASHES = 3
+"""Maximum number of requests with the part from entries in contact after that."""
 MIN_SERVED_SHARE = 0.95
 """Minimum share of requests served after the last fault ended."""
 
@@ -54,6 +59,7 @@
     found += _leave_violations(observations)
     found += _said_leaving_violations(observations)
     found += _pause_violations(observations)
+    found += _deadly_part_violations(observations)
     found += _configuration_violations(observations)
     found += _route_violations(observations)
     found += _recovery_violations(observations)
@@ -167,6 +173,30 @@
     return found
 
 
+def _deadly_part_violations(observations: Observations) -> list[str]:
+    """Return the prompt parts that went on crashing backend servers."""
+    entries = {a.attempt_id: a.entry for a in observations.attempts}
+    crashes: dict[str, list[PartCrash]] = defaultdict(list)
+    for crash in observations.part_crashes:
+        crashes[crash.part].append(crash)
+    found = []
+    for part, of_part in crashes.items():
+        if len(of_part) <= CRASHES_KNOWN:
+            continue
+        known_at = of_part[CRASHES_KNOWN - 1].at + CONTACT_S
+        late = [
+            crash
+            for crash in of_part
+            if crash.at > known_at
+            and _is_in_contact(
+                entries.get(crash.attempt_id, ""), crash.at, observations
+            )
+        ]
+        if len(late) > MAX_AFTER_CRASHES:
+            found.append(f"{part} crashed {len(late)} servers after it was known")
+    return found
+
+
 def _has_fault_within(
     entry: str, start: float, end: float, observations: Observations
 ) -> bool:
--- a/fuchsiacroft/tests/soak/observations.py
+++ b/fuchsiacroft/tests/soak/observations.py
@@ -51,6 +51,15 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class PartCrash:
+    """A backend server crashed by a request with a deadly prompt part."""
+
+    part: str
+    attempt_id: str
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class VersionRead:
     """A version that the operator read; `sent_at` is when the request was sent."""
@@ -83,6 +92,8 @@
 class Observations:
     """All observations of a run; `acknowledged` are times and versions.
 
+    `deadly_parts` are the prompt parts that crash backend servers now.
+
     `entry_spans` and `control_spans` are the faults of entries and control members,
     `fault_spans` are those of any kind.
     """
@@ -90,6 +101,8 @@
     attempts: list[Attempt] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     pauses: list[PauseRequest] = field(default_factory=list)
+    deadly_parts: list[str] = field(default_factory=list)
+    part_crashes: list[PartCrash] = field(default_factory=list)
     version_reads: list[VersionRead] = field(default_factory=list)
     acknowledged: list[tuple[float, int]] = field(default_factory=list)
     wrongly_accepted: list[str] = field(default_factory=list)
--- a/fuchsiacroft/tests/soak/run.py
+++ b/fuchsiacroft/tests/soak/run.py
@@ -30,6 +30,9 @@
 """How long the load continues after `RECOVERY_S`."""
 DELAY_S = 0.15
 CONFIGURE_PERIOD_S = 0.3
+TAINT_DURATIONS = 4.0
+"""A prompt part stays deadly for this many durations of its fault."""
+PART_CRASH = Fault(at_s=0.0, kind="crash_server", duration_s=1.0, target_index=0)
 _nets = itertools.count(os.getpid() % 50)
 
 
@@ -110,7 +113,9 @@
         proxy = Proxy(f"{net}.4.{number}:80", f"{net}.3.{number}:80", self._rng)
         service = ("till", "lens")[number % 2]
         zone = ZONES[number // 2 % 2]
-        return SoakServer(f"i{number}", service, zone, proxy, self._observations)
+        server = SoakServer(f"i{number}", service, zone, proxy, self._observations)
+        server.on_part_crash = self._on_part_crash
+        return server
 
     async def start(self) -> None:
         """Start processes and backend servers and, once entries are ready, the load."""
@@ -318,6 +323,19 @@
         server.pause_s = 0.0
         server.is_busy = False
 
+    async def _taint_server(self, fault: Fault) -> None:
+        """Let one prompt part crash every backend server that streams on it."""
+        part = f"dead{fault.target_index:04x}"
+        self._observations.deadly_parts.append(part)
+        await asyncio.sleep(TAINT_DURATIONS * fault.duration_s)
+        self._observations.deadly_parts.remove(part)
+        await asyncio.sleep(PART_CRASH.duration_s)
+
+    def _on_part_crash(self, server: SoakServer) -> None:
+        if not server.is_busy:
+            server.is_busy = True
+            self._spawn(self._replace_server(server, PART_CRASH))
+
     async def _replace_server(self, server: SoakServer, fault: Fault) -> None:
         await server.crash()
         await asyncio.sleep(fault.duration_s)
--- a/fuchsiacroft/tests/soak/servers.py
+++ b/fuchsiacroft/tests/soak/servers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+from collections.abc import Callable
+from typing import Self
 
 import aiohttp
 
@@ -18,7 +20,12 @@
     stream_head,
 )
 from fuchsiacroft.tests.soak.invariants import STREAM_EVENTS
-from fuchsiacroft.tests.soak.observations import Observations, PauseRequest, Run
+from fuchsiacroft.tests.soak.observations import (
+    Observations,
+    PartCrash,
+    PauseRequest,
+    Run,
+)
 
 HEARTBEAT_PERIOD_S = 0.3
 SLOTS = 8
@@ -46,6 +53,7 @@
         self._service = service
         self._zone = zone
         self._clock = asyncio.get_running_loop().time
+        self.on_part_crash: Callable[[Self], None] = lambda server: None
         self._observations = observations
         self._rng = random.Random(name)
         self._incarnation = 0
@@ -146,9 +154,23 @@
     def _notices(self) -> tuple[str, ...]:
         return ("Server-Leaving: 1",) if self._says_leaving else ()
 
+    def _is_deadly(self, req: ReceivedRequest) -> bool:
+        """Record a request with a deadly part; return whether it has one."""
+        parts = req.get("Fuchsiacroft-Prefix-Hash") or ""
+        for part in self._observations.deadly_parts:
+            if part in parts:
+                attempt_id = req.get("Fuchsiacroft-Attempt-Id")
+                crash = PartCrash(part, attempt_id, self._clock())
+                self._observations.part_crashes.append(crash)
+                return True
+        return False
+
     async def _stream(self, req: ReceivedRequest, writer) -> None:
         last_event_id = int(req.get("Last-Event-ID") or 0)
         writer.write(stream_head(req, *self._notices()))
+        if self._is_deadly(req):
+            self.on_part_crash(self)
+            return
         for number in range(last_event_id + 1, STREAM_EVENTS + 1):
             writer.write(chunk(sse_events(number)))
             await writer.drain()
