--- a/fuchsiacroft/routing/permits.py
+++ b/fuchsiacroft/routing/permits.py
@@ -44,11 +44,14 @@
 
     @property
     def content_ids(self) -> tuple[str, ...]:
-        """Return the ids of what it has in common with its retries and others."""
-        fingerprint = (self.fingerprint,) if self.fingerprint else ()
-        parts = [f"part:{part}" for part in self.shared_parts]
-        prefixes = [f"prefix:{prefix:x}" for prefix in self.prefixes]
-        return (*fingerprint, *parts, *prefixes)
+        """Return the ids of what it has in common with its retries and others.
+
+        They hold for its service: what crashes one may be answered by another.
+        """
+        ids = [self.fingerprint] if self.fingerprint else []
+        ids += [f"part:{part}" for part in self.shared_parts]
+        ids += [f"prefix:{prefix:x}" for prefix in self.prefixes]
+        return tuple(f"{content_id}@{self.service}" for content_id in ids)
 
     def avoiding(self, *backend_servers: str) -> Self:
         """Return this request with further backend servers to avoid."""
--- a/fuchsiacroft/tests/routing/quarantine_tests.py
+++ b/fuchsiacroft/tests/routing/quarantine_tests.py
@@ -61,8 +61,8 @@
             two.scheduler.release(result.ok, COMPLETED)
             await asyncio.sleep(0.1)
             for entry in (one, two):
-                self.assertNotIn("neighbour", entry.quarantine.dump())
-                self.assertIn("bad", entry.quarantine.dump())
+                self.assertNotIn("neighbour@lens", entry.quarantine.dump())
+                self.assertIn("bad@lens", entry.quarantine.dump())
 
         self.play(scenario)
 
@@ -70,7 +70,9 @@
         async def scenario(domain, one, two):
             await self.crash(domain, one, 1, "bad", "unlucky")
             await self.crash(domain, one, 2, "bad", "unlucky")
-            self.assertIs(Treatment.ISOLATED, one.quarantine.treatment({"unlucky"}))
+            self.assertIs(
+                Treatment.ISOLATED, one.quarantine.treatment({"unlucky@lens"})
+            )
             await domain.announce("s", boot="3")
             first = await one.scheduler.acquire(permit_request("unlucky"))
             concurrent = await one.scheduler.acquire(
@@ -80,7 +82,9 @@
             self.assertTrue(concurrent.is_error())
             one.scheduler.release(first.ok, COMPLETED)
             await asyncio.sleep(0.1)
-            self.assertIs(Treatment.UNRESTRICTED, two.quarantine.treatment({"unlucky"}))
+            self.assertIs(
+                Treatment.UNRESTRICTED, two.quarantine.treatment({"unlucky@lens"})
+            )
 
         self.play(scenario)
 
@@ -98,13 +102,17 @@
         async def scenario(domain, one, two):
             await self.crash(domain, one, 1, "bad")
             await self.crash(domain, one, 2, "bad")
-            self.assertTrue(two.quarantine.lift("bad"))
-            self.assertFalse(two.quarantine.lift("bad"))
+            self.assertTrue(two.quarantine.lift("bad@lens"))
+            self.assertFalse(two.quarantine.lift("bad@lens"))
             await asyncio.sleep(0.1)
-            self.assertIs(Treatment.UNRESTRICTED, one.quarantine.treatment({"bad"}))
+            self.assertIs(
+                Treatment.UNRESTRICTED, one.quarantine.treatment({"bad@lens"})
+            )
             await self.crash(domain, one, 3, "bad")
             await asyncio.sleep(RETENTION_S + 1.0)
-            self.assertIs(Treatment.UNRESTRICTED, one.quarantine.treatment({"bad"}))
+            self.assertIs(
+                Treatment.UNRESTRICTED, one.quarantine.treatment({"bad@lens"})
+            )
             self.assertEqual({}, one.quarantine.dump())
 
         self.play(scenario)
