Isolate runs for each service, and recheck waiters only when evidence changes

Found on reading the change: isolated runs of one service used up the places of all services (test, failed before), lost runs of servers that left were kept for ever, and each waiting request was judged fifty times a second as long as any crash was known.

--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -67,6 +67,7 @@
         self._random = rng or random.Random()
         self._queues: dict[str, Queue] = {}
         self._waiters: dict[str, Waiter] = {}
+        self._evidence_version = 0
         self.fleet = Fleet()
         self.demand = Demand()
         self.quotas = Quotas(limits.quotas)
@@ -199,12 +200,10 @@
 
     def expire_waiters(self, at: float) -> list[tuple[Waiter, Refusal]]:
         """Refuse expired and excess late waiters, and end runs past their timeout."""
-        refused = []
+        refused = self._quarantine_waiters(at)
         for waiter in list(self._waiters.values()):
             if waiter.expires_at <= at:
                 refused.append((waiter, self._expire(waiter, at)))
-            elif self.fleet.treatment(waiter.request.ask, at) is Treatment.REFUSED:
-                refused.append((waiter, self._quarantine(waiter)))
             elif not waiter.late and waiter.in_time_until <= at:
                 self._mark_late(waiter)
         for service, queue in self._queues.items():
@@ -359,11 +358,21 @@
             return Refusal(RefusalReason.NO_BACKEND_SERVER, MIN_RETRY_AFTER_S)
         return Refusal(RefusalReason.TIMED_OUT, self._retry_after_s(waiter, at))
 
-    def _quarantine(self, waiter: Waiter) -> Refusal:
-        """Refuse a waiter whose content has been convicted since it came."""
-        self._remove(waiter)
-        self.refund(waiter.request, waiter.admitted_at)
-        return QUARANTINED
+    def _quarantine_waiters(self, at: float) -> list[tuple[Waiter, Refusal]]:
+        """Refuse the waiters whose content has been convicted since they came."""
+        version = self.fleet.crash_detector.evidence.version
+        if version == self._evidence_version:
+            return []
+        self._evidence_version = version
+        convicted = [
+            waiter
+            for waiter in self._waiters.values()
+            if self.fleet.treatment(waiter.request.ask, at) is Treatment.REFUSED
+        ]
+        for waiter in convicted:
+            self._remove(waiter)
+            self.refund(waiter.request, waiter.admitted_at)
+        return [(waiter, QUARANTINED) for waiter in convicted]
 
     def _retry_after_s(self, waiter: Waiter, at: float) -> float:
         """Return when to come back: not sooner than after as long a wait again."""
--- a/fuchsiacroft/placing/crash_detector.py
+++ b/fuchsiacroft/placing/crash_detector.py
@@ -64,6 +64,10 @@
         """Record that a server has ended without a notice."""
         self._record_crash(load.instance_id, (), at)
 
+    def forget(self, load: ServerLoad) -> None:
+        """Drop what is known of the runs of a server that is no longer used."""
+        self._lost.pop(load.instance_id, None)
+
     def clear_survivors(self, at: float) -> None:
         """Record the answers that have gone on for `ANSWER_SURVIVAL_S`."""
         while self._begun and at - self._begun[0].begun_at >= ANSWER_SURVIVAL_S:
--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -206,14 +206,15 @@
     def _choose_isolated(
         self, permit_request: PermitRequest, at: float
     ) -> ServerLoad | None:
-        loads = self._servers_of(permit_request.service)
-        free = [
+        suspected = self._suspected_content(permit_request, at)
+        servers = [
             load
-            for load in loads
-            if load.name not in permit_request.avoid and self._free(load, at)
+            for load in self._servers_of(permit_request.service)
+            if load.name not in permit_request.avoid
         ]
-        suspected = self._suspected_content(permit_request, at)
-        return self._isolated.choose(suspected, len(loads), free)
+        return self._isolated.choose(
+            suspected, servers, lambda load: self._free(load, at) > 0
+        )
 
     def _suspected_content(
         self, permit_request: PermitRequest, at: float
@@ -316,6 +317,7 @@
     def _remove_server(self, name: str, at: float) -> None:
         """Remove a server and its runs."""
         removed = self._servers.pop(name)
+        self.crash_detector.forget(removed)
         for run in removed.runs.values():
             run.is_running = False
             self._runs.pop(run.run_id, None)
--- a/fuchsiacroft/placing/isolation.py
+++ b/fuchsiacroft/placing/isolation.py
@@ -5,7 +5,7 @@
 one request.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Collection
 
 from fuchsiacroft.placing.server_load import Run, ServerLoad
 
@@ -33,17 +33,23 @@
         return any(other is load for _, other in self._runs.values())
 
     def choose(
-        self, suspected: frozenset[str], servers: int, free: Iterable[ServerLoad]
+        self,
+        suspected: frozenset[str],
+        servers: Collection[ServerLoad],
+        is_free: Callable[[ServerLoad], bool],
     ) -> ServerLoad | None:
-        """Return the server for a run with suspected content, or None for now.
+        """Return the one of a service's servers for a run with suspected content.
 
-        `servers` is how many the service has, and `free` are those with a free slot.
+        None if the run has to wait; `servers` are those that it may run on.
         """
-        if len(self._runs) >= max(1, int(MAX_ISOLATED_SHARE * servers)):
+        occupied = [load for load in servers if self.occupies(load)]
+        if len(occupied) >= max(1, int(MAX_ISOLATED_SHARE * len(servers))):
             return None
         if any(run.suspected_content & suspected for run, _ in self._runs.values()):
             return None
-        candidates = [load for load in free if not self.occupies(load)]
+        candidates = [
+            load for load in servers if is_free(load) and load not in occupied
+        ]
         return min(candidates, key=_runs_at_risk, default=None)
 
 
--- a/fuchsiacroft/quarantine/evidence.py
+++ b/fuchsiacroft/quarantine/evidence.py
@@ -67,7 +67,8 @@
 class CrashEvidence:
     """The known crashes, and when content was last answered.
 
-    `on_change` is called when there is something new to share.
+    `on_change` is called when there is something new to share. `version` changes with
+    each change of what is held against content.
     """
 
     def __init__(self) -> None:
@@ -76,6 +77,7 @@
         self._repeated: set[str] = set()
         self._blamed = 0
         self._digest: int | None = None
+        self.version = 0
         self._answered_at: OrderedDict[str, float] = OrderedDict()
         self._lost_at: OrderedDict[str, float] = OrderedDict()
         self._changed_crashes: set[str] = set()
@@ -232,7 +234,7 @@
             self._remove_crash(instance_id)
         self._crashes[instance_id] = Crash(instance_id, at, content_ids)
         self._blamed += len(content_ids)
-        self._digest = None
+        self._record_change()
         for content_id in content_ids:
             crashes = self._crashes_by_content.setdefault(content_id, set())
             crashes.add(instance_id)
@@ -242,6 +244,10 @@
             self._remove_crash(next(iter(self._crashes)))
         return True
 
+    def _record_change(self) -> None:
+        self._digest = None
+        self.version += 1
+
     def _drop_expired(self, at: float) -> None:
         expired = [
             crash.instance_id
@@ -254,7 +260,7 @@
     def _remove_crash(self, instance_id: str) -> None:
         crash = self._crashes.pop(instance_id)
         self._blamed -= len(crash.content_ids)
-        self._digest = None
+        self._record_change()
         for content_id in crash.content_ids:
             crashes = self._crashes_by_content[content_id]
             crashes.discard(instance_id)
@@ -265,7 +271,7 @@
 
     def _set_answered(self, content_id: str, at: float) -> None:
         if content_id in self._crashes_by_content:
-            self._digest = None
+            self._record_change()
         self._answered_at[content_id] = at
         self._answered_at.move_to_end(content_id)
         self._lost_at.pop(content_id, None)
@@ -300,12 +306,14 @@
 
         A single crash does not restrict content that had answers shortly before.
         """
+        lost_at = self._lost_at.get(content_id)
+        if lost_at is None and content_id not in self._crashes_by_content:
+            return False
         crashes = self._active_crashes(content_id, at)
         if len(crashes) >= CRASHES_TO_CONVICT:
             return True
         if self._was_answered_before(content_id, crashes[0].at if crashes else at):
             return False
-        lost_at = self._lost_at.get(content_id)
         was_lost = lost_at is not None and at - lost_at <= LOST_RUN_ISOLATION_S
         return bool(crashes) or was_lost
 
--- a/fuchsiacroft/tests/membership/server_table_tests.py
+++ b/fuchsiacroft/tests/membership/server_table_tests.py
@@ -14,6 +14,7 @@
     life: ServerState = ServerState.SERVING,
     address: str = "10.0.0.1:80",
     domain: str = "mvd-cordon",
+    service: str = "lens",
 ) -> ServerRecord:
     """Return a report of a backend server."""
     announcement = Announcement(
@@ -21,7 +22,7 @@
         boot_id=f"{name}/{born_ms}",
         failure_domain=domain,
         address=address,
-        offers=(Offer("lens"),),
+        offers=(Offer(service),),
         slots=11,
     )
     return ServerRecord(announcement, born_ms, sequence, life)
--- a/fuchsiacroft/tests/placing/crash_detector_tests.py
+++ b/fuchsiacroft/tests/placing/crash_detector_tests.py
@@ -228,6 +228,15 @@
         placed = [self.place("q", at=1.2) for _ in range(3 * self.servers)]
         self.assertIn(isolated.backend_server, {run.backend_server for run in placed})
 
+    def test_isolated_runs_of_one_service_do_not_hold_up_those_of_another(self):
+        self.evidence.record_crash("i-9/1", ("part:p@lens", "part:p@till"), 0.5)
+        servers = [
+            record(f"t-{n}", address=f"10.0.1.{n}:80", service="till") for n in range(2)
+        ]
+        self.allocator.fleet.replace_servers([*self.records[:4], *servers], 0.6)
+        self.assertIsInstance(self.place("p", at=1.0), Assignment)
+        self.assertIsInstance(self.place("p", at=1.0, service="till"), Assignment)
+
     def test_a_suspected_request_at_the_head_does_not_hold_up_others(self):
         self.evidence.record_crash("i-9/1", ("part:p@lens",), 0.5)
         self.place("p", at=1.0)
