Let one entry try convicted content first

When a conviction ended, each failure domain would have tried a request at the same moment, three or more crashes at once. Each entry waits up to half as long again now, so the first trial decides for all (test on a network in memory).

--- a/fuchsiacroft/quarantine/evidence.py
+++ b/fuchsiacroft/quarantine/evidence.py
@@ -68,10 +68,12 @@
     """The known crashes, and when content was last answered.
 
     `on_change` is called when there is something new to share. `version` changes with
-    each change of what is held against content.
+    each change of what is held against content. Convictions last `conviction_factor`
+    times as long here; entries with different factors don't try content at once.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, conviction_factor: float = 1.0) -> None:
+        self._conviction_factor = conviction_factor
         self._crashes: OrderedDict[str, Crash] = OrderedDict()
         self._crashes_by_content: dict[str, set[str]] = {}
         self._repeated: set[str] = set()
@@ -339,7 +341,8 @@
         counted = incidents if was_answered else len(crashes)
         if counted < self._crashes_to_convict(content_id, crashes):
             return frozenset()
-        if at - crashes[-1].at > _conviction_s(incidents):
+        lasts_s = self._conviction_factor * _conviction_s(incidents)
+        if at - crashes[-1].at > lasts_s:
             return frozenset()
         return self._common_content(crashes)
 
--- a/fuchsiacroft/quarantine/service.py
+++ b/fuchsiacroft/quarantine/service.py
@@ -18,6 +18,8 @@
 COMPARE_PERIOD_S = 1.0
 COMPARE_TIMEOUT_S = 0.5
 RETRY_PERIOD_S = 0.1
+MAX_CONVICTION_FACTOR = 1.5
+"""Spreads the trials of convicted content, so that the first one decides for all."""
 MAX_REPORTS_PER_S = 2_000
 """Changes are collected so that an entry sends no more reports to its peers."""
 
@@ -38,7 +40,7 @@
         self._tasks = BackgroundTasks("quarantine")
         self._has_changes = asyncio.Event()
         self._convicted: set[str] = set()
-        self.evidence = CrashEvidence()
+        self.evidence = CrashEvidence(self._random.uniform(1.0, MAX_CONVICTION_FACTOR))
         self.evidence.on_change = self._has_changes.set
 
     async def start(self, kernel: Kernel) -> None:
--- a/fuchsiacroft/tests/quarantine/service_tests.py
+++ b/fuchsiacroft/tests/quarantine/service_tests.py
@@ -4,7 +4,7 @@
 
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.quarantine import service
-from fuchsiacroft.quarantine.evidence import Treatment
+from fuchsiacroft.quarantine.evidence import CONVICTION_S, Treatment
 from fuchsiacroft.quarantine.service import COMPARE_PERIOD_S, Quarantine
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.bus import MemoryNetwork
@@ -87,6 +87,28 @@
 
         self.play(scenario)
 
+    def test_entries_do_not_try_convicted_content_all_at_once(self):
+        async def scenario():
+            self.crash_at_two_entries()
+            await asyncio.sleep(CONVICTION_S)
+            self.assertEqual({Treatment.REFUSED}, self.treatments())
+            while self.treatments() == {Treatment.REFUSED}:
+                await asyncio.sleep(0.1)
+            self.assertIn(Treatment.REFUSED, self.treatments())
+            self.first_trying().record_crash("i-9/1", {"bad", "own-9"})
+            await asyncio.sleep(0.05)
+            self.assertEqual({Treatment.REFUSED}, self.treatments())
+
+        self.play(scenario)
+
+    def first_trying(self) -> Quarantine:
+        quarantines = [self.quarantine(address) for address in self.kernels]
+        return next(
+            quarantine
+            for quarantine in quarantines
+            if quarantine.treatment({"bad", "new"}) is Treatment.ISOLATED
+        )
+
     def test_an_answer_at_one_entry_clears_content_at_every_entry(self):
         async def scenario():
             self.crash_at_two_entries()
