Tell a connection that ended from silence in replays and fault runs

Its trace: the request was sent at 3.000 s, when the entry was killed, and its connection ended at 3.021; the caller saw an error at once, and no more can be promised by an entry that is killed. The outcome "lost" covered both this and silence until the timeout.

Now "ended" and "lost" are counted apart, each 0 unless stated. The fake entry that loses connections must be found as "ended"; a new one that stays silent as "lost".

--- a/fuchsiacroft/replay/expectations.py
+++ b/fuchsiacroft/replay/expectations.py
@@ -22,6 +22,7 @@
 
     goodput: dict[str, float] = {}
     lost: int | None = 0
+    ended: int | None = 0
     short: int | None = 0
     mixed: int | None = 0
     doubled: int | None = 0
@@ -56,6 +57,7 @@
     ends = Counter(outcome.end for outcome in outcomes)
     return {
         "lost": ends[End.LOST],
+        "ended": ends[End.DISCONNECTED],
         "short": ends[End.TRUNCATED],
         "cut": ends[End.INTERRUPTED],
         "mixed": sum(outcome.is_mixed for outcome in outcomes),
--- a/fuchsiacroft/replay/outcome.py
+++ b/fuchsiacroft/replay/outcome.py
@@ -7,13 +7,15 @@
 class End(enum.Enum):
     """How a request ended for its caller.
 
-    `INTERRUPTED` is a visible error after the answer began, `LOST` no answer at all,
-    `TRUNCATED` an answer that looks complete but is not. The report prints the values.
+    `INTERRUPTED` is a visible error after the answer began, `DISCONNECTED` the end of
+    the connection before that, `LOST` silence until the request's timeout, `TRUNCATED`
+    an answer that looks complete but is not. The report prints the values.
     """
 
     COMPLETE = "whole"
     REFUSED = "refused"
     INTERRUPTED = "cut"
+    DISCONNECTED = "ended"
     LOST = "lost"
     TRUNCATED = "short"
 
--- a/fuchsiacroft/replay/player.py
+++ b/fuchsiacroft/replay/player.py
@@ -96,7 +96,7 @@
         except aiohttp.ClientConnectorError:
             return False
         except (aiohttp.ClientError, OSError):
-            recorder.end = End.INTERRUPTED if recorder.status else End.LOST
+            recorder.end = End.INTERRUPTED if recorder.status else End.DISCONNECTED
         return True
 
     def _headers(self, arrival: Arrival) -> dict[str, str]:
--- a/fuchsiacroft/tests/fakes/faulty_entry.py
+++ b/fuchsiacroft/tests/fakes/faulty_entry.py
@@ -8,6 +8,7 @@
 from fuchsiacroft.replay.expectations import RunLog
 
 TOKENS = 5
+SILENCE_S = 60.0
 
 
 class EntryFault(enum.Enum):
@@ -15,6 +16,7 @@
 
     NONE = "nothing"
     LOSES_CONNECTION = "loses"
+    STAYS_SILENT = "stays silent"
     TRUNCATES = "cuts short"
     MIXES_RESPONSES = "mixes"
     RUNS_TWICE = "runs twice"
@@ -54,6 +56,8 @@
         if self._fault is EntryFault.LOSES_CONNECTION:
             req.transport.abort()
             raise asyncio.CancelledError
+        if self._fault is EntryFault.STAYS_SILENT:
+            await asyncio.sleep(SILENCE_S)
         return await self._stream(req, request_id)
 
     def _sheds(self, req: web.Request) -> bool:
--- a/fuchsiacroft/tests/faults/actions.py
+++ b/fuchsiacroft/tests/faults/actions.py
@@ -1,6 +1,7 @@
 """The faults; each returns a function that ends it."""
 
 import asyncio
+import contextlib
 import random
 import shutil
 import signal
@@ -81,7 +82,9 @@
     await _set_fault(context, name, {"slowdown": SLOWDOWN})
 
     async def recover() -> None:
-        await _set_fault(context, name, {"slowdown": 1})
+        # An engine that another fault has killed comes back at its own speed.
+        with contextlib.suppress(aiohttp.ClientConnectorError):
+            await _set_fault(context, name, {"slowdown": 1})
 
     return recover
 
