--- a/fuchsiacroft/tests/entry/quarantine_api_tests.py
+++ b/fuchsiacroft/tests/entry/quarantine_api_tests.py
@@ -49,6 +49,11 @@
             self.assertEqual(200, res.status)
         self.assertIs(Treatment.UNRESTRICTED, self.quarantine.treatment({"bad"}))
 
+    async def test_quarantined_content_is_counted(self):
+        metrics_url = self.url.replace("/v1/quarantine", "/metrics")
+        async with self.session.get(metrics_url) as res:
+            self.assertIn("fuchsiacroft_quarantined_content 1", await res.text())
+
     async def test_missing_token_is_rejected(self):
         for call in (self.session.get, self.session.delete):
             async with call(f"{self.url}/bad") as res:
