Send a request late rather than request slots for ever on a slow entry

Found on reading: an entry that always takes over half a second between a slot and the first byte would withhold each send and request the next slot until the deadline. A request is withheld for its slot's age once (test failed before); its deadline still holds.

--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -66,8 +66,7 @@
         self._availability = placer.availability
         self._server = placer.availability.instance(placement.backend_server)
         self._started_at = now()
-        valid_until = min(context.deadline, self._started_at + SEND_WITHIN_S)
-        self._send_guard = SendGuard(self._may_send, valid_until)
+        self._send_guard = SendGuard(self._may_send, self._valid_until())
         self._relay = ResponseRelay(
             context, protocol, self._watch, self._report_first_event
         )
@@ -135,10 +134,20 @@
             case Result(error=RunOutcome.NOT_DISPATCHED):
                 if self._send_guard.withheld and self._send_guard.has_expired:
                     context.tried.pop()
+                    context.was_late = True
                 return AttemptResult.NOT_RUN
         self._count_run()
         return AttemptResult.BROKEN
 
+    def _valid_until(self) -> float:
+        """Return until when the request may be sent with this slot.
+
+        A request that was late once is sent late rather than requesting slots for ever.
+        """
+        if self._context.was_late:
+            return self._context.deadline
+        return min(self._context.deadline, self._started_at + SEND_WITHIN_S)
+
     def _count_run(self) -> None:
         self._has_run = True
         self._context.runs += 1
--- a/fuchsiacroft/gateway/request_context.py
+++ b/fuchsiacroft/gateway/request_context.py
@@ -22,6 +22,7 @@
     `started_response` is the response whose head the caller has received.
     `has_started_body` is true once the caller has a part of a response that another
     server can't continue.
+    `was_late` is true after a slot could not be used in time.
     `aborted` is true when this entry reset the connection.
     """
 
@@ -39,6 +40,7 @@
     notices: list[NoticeReason] = field(default_factory=list)
     started_response: web.StreamResponse | None = None
     has_started_body: bool = False
+    was_late: bool = False
     event_splitter: EventSplitter = field(default_factory=EventSplitter)
     problem: Problem | None = None
     first_event_at: float | None = None
--- a/fuchsiacroft/tests/platform/pause_tests.py
+++ b/fuchsiacroft/tests/platform/pause_tests.py
@@ -27,13 +27,13 @@
 class PausedEntryTests(PlatformTestCase):
     """The process stands still once, right after a connection has been opened."""
 
-    async def send_with_pause(self, path: str, deadline_ms: int):
+    async def send_with_pause(self, path: str, deadline_ms: int, pauses: int = 1):
         connect = AddressConnector._create_connection
-        pauses = iter((PAUSE_S,))
+        lengths_s = iter((PAUSE_S,) * pauses)
 
         async def connect_then_pause(connector, *args):
             conn = await connect(connector, *args)
-            time.sleep(next(pauses, 0.0))
+            time.sleep(next(lengths_s, 0.0))
             return conn
 
         patched = mock.patch.object(
@@ -54,6 +54,11 @@
         deadline_ms = int(received.get("Fuchsiacroft-Deadline-Ms"))
         self.assertLess(deadline_ms + passed_ms, DEADLINE_MS + MAX_EXCESS_MS)
 
+    async def test_an_entry_that_is_slow_all_the_time_serves_requests(self):
+        await self.region.add_replica("lens", stream)
+        got = await self.send_with_pause("/advice/1", 4_000, pauses=5)
+        self.assertEqual(200, got.status)
+
     async def test_a_paused_entry_sends_nothing_after_the_deadline(self):
         replica = await self.region.add_replica("till")
         got = await self.send_with_pause("/book/1", 1_000)
