--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -131,6 +131,7 @@
             case Result(tag="ok", ok=request):
                 context.request = request
                 context.deadline = context.started_at + request.timeout_s
+                _log_taken_up(request)
                 return Ok(None)
             case Result(error=problem):
                 return Error(problem)
@@ -283,6 +284,19 @@
     )
 
 
+def _log_taken_up(request: RoutedRequest) -> None:
+    if request.resumes is None and request.last_event_id is None:
+        return
+    event(
+        "info",
+        "stream_taken_up",
+        request_id=request.request_id,
+        resumes=request.resumes or "-",
+        last_event_id=request.last_event_id or "-",
+        service=request.service,
+    )
+
+
 def _fingerprint(request: RoutedRequest, body: bytes) -> str:
     """Return a hash that a request and its retries have in common."""
     head = f"{request.workspace} {request.method} {request.host} {request.target}\n"
--- a/fuchsiacroft/membership/announcement.py
+++ b/fuchsiacroft/membership/announcement.py
@@ -53,6 +53,12 @@
     checks_fencing: bool = False
     cache_events: tuple[CacheEvent, ...] = ()
 
+    @property
+    def offered(self) -> str:
+        """Return the offered services and software versions, for logs."""
+        offers = (f"{offer.service}/{offer.version}" for offer in self.offers)
+        return ",".join(offers) or "-"
+
 
 @codec.message("membership.renewed")
 class RelayedRenewal(msgspec.Struct, frozen=True, array_like=True):
--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -289,6 +289,7 @@
                 sequence=record.sequence,
                 life=record.life.value,
                 address=record.announcement.address,
+                offers=record.announcement.offered,
                 source=source,
             )
 
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -346,6 +346,7 @@
                 born_ms=record.born_ms,
                 life=record.life.value,
                 address=record.announcement.address,
+                offers=record.announcement.offered,
             )
         if changed:
             self._notify_servers_listeners()
--- a/fuchsiacroft/membership/server_table.py
+++ b/fuchsiacroft/membership/server_table.py
@@ -138,11 +138,8 @@
 
 def _fingerprint(record: ServerRecord) -> str:
     announcement = record.announcement
-    offers = ",".join(
-        f"{offer.service}/{offer.version}" for offer in announcement.offers
-    )
     return (
         f"{announcement.name} {record.born_ms} {record.life.value} "
         f"{announcement.address} "
-        f"{announcement.failure_domain} {announcement.slots} {offers}"
+        f"{announcement.failure_domain} {announcement.slots} {announcement.offered}"
     )
--- a/fuchsiacroft/platform/protocol_adapter.py
+++ b/fuchsiacroft/platform/protocol_adapter.py
@@ -90,6 +90,7 @@
                 size=size,
                 charge=_charge(headers, workspace),
                 last_event_id=headers.get(header_names.LAST_EVENT_ID),
+                resumes=headers.get(header_names.RESUMES),
                 event_tokens=table.services[service].event_tokens,
                 shared_parts=_shared_parts(headers.get(header_names.PROMPT_PARTS, "")),
                 table_version=table.version,
