--- a/fuchsiacroft/gateway/routed_request.py
+++ b/fuchsiacroft/gateway/routed_request.py
@@ -22,11 +22,10 @@
     The caller waits for `deadline_s` from now; `timeout_s` is the shorter of
     that and the route's timeout. `charge` is deducted from the workspace's
     quota. `last_event_id` is the id of the last event that the caller has
-    received, and `resumes` the id of the
-    request that brought the first event of the stream that this one takes up.
-    `event_tokens` is the number of tokens in one event. `shared_parts`
-    are the ids of the parts of its prompt that other requests may have too. `headers`
-    are forwarded unchanged.
+    received, and `resumes` the id of the request that brought the first event of the
+    stream that this one takes up. `event_tokens` is the number of tokens in one event.
+    `shared_parts` are the ids of the parts of its prompt that other requests may have
+    too. `headers` are forwarded unchanged.
     """
 
     request_id: str
--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -164,7 +164,14 @@
             await self.links.stop()
         self._folder.cleanup()
 
-    async def add_replica(self, service: str, handler=respond_plain) -> Replica:
+    async def add_replica(
+        self,
+        service: str,
+        handler=respond_plain,
+        *,
+        version: str = "",
+        zone: str = "mvd-cordon",
+    ) -> Replica:
         """Start a replica and send one heartbeat for it to the first control member.
 
         The delay of 0.1 s lets the entries learn of the replica.
@@ -172,6 +179,7 @@
         number = len(self.replicas) + 1
         address = f"{self._net}.3.{number}:{8000 + number}"
         replica = Replica(f"i-{number}", address, handler)
+        replica.version, replica.zone = version, zone
         await replica.start()
         self.replicas.append(replica)
         await self.send_heartbeat(replica, service)
@@ -190,7 +198,8 @@
         body = platform_wire.heartbeat(
             service,
             replica.address,
-            zone="mvd-cordon",
+            zone=replica.zone,
+            version=replica.version,
             slots=4,
             state=state,
             sequence=next(self._sequence),
@@ -255,6 +264,10 @@
         """Open a client connection to an entry."""
         return await asyncio.open_connection(self.entries[entry], DATA_PORT)
 
+    def next_attempt_id(self) -> str:
+        """Return an id that no other request has."""
+        return f"{next(_ids):016x}"
+
     def encode_request(
         self,
         path: str,
@@ -262,9 +275,10 @@
         method: str = "GET",
         body: bytes = b"",
         key: str = "key-1",
+        attempt_id: str | None = None,
     ) -> bytes:
         """Return an encoded request; `more` are additional header lines."""
-        attempt_id = f"{next(_ids):016x}"
+        attempt_id = attempt_id or self.next_attempt_id()
         sent = body if body or method == "POST" else None
         return platform_wire.encode_request(
             method, path, attempt_id, f"X-Api-Key: {key}", *more, body=sent
--- a/fuchsiacroft/tests/fakes/replica.py
+++ b/fuchsiacroft/tests/fakes/replica.py
@@ -73,7 +73,8 @@
 class Replica:
     """Listens on loopback, records requests, and responds with the given handler.
 
-    `closed_early` counts connections that the client closed before the handler ended.
+    `version` and `zone` are what its heartbeats tell. `closed_early` counts
+    connections that the client closed before the handler ended.
     """
 
     def __init__(
@@ -82,6 +83,8 @@
         self.replica_id = replica_id
         self.address = address
         self.handler = handler
+        self.version = ""
+        self.zone = "mvd-cordon"
         self.received: list[ReceivedRequest] = []
         self.closed_early = 0
         self._server: asyncio.Server | None = None
--- /dev/null
+++ b/fuchsiacroft/tests/platform/stream_versions_tests.py
@@ -0,0 +1,152 @@
+"""Tests that streams go on at the software version and the service that began them."""
+
+import asyncio
+
+from fuchsiacroft.tests.base import SocketTestCase
+from fuchsiacroft.tests.fakes import versioned_streams
+from fuchsiacroft.tests.fakes.platform_region import PlatformRegion, config
+from fuchsiacroft.tests.fakes.versioned_streams import Stream, VersionedServer
+
+STREAMS = 24
+STREAM_PERIOD_S = 0.1
+HEARTBEAT_PERIOD_S = 0.5
+ENTRIES = 4
+BROKEN_EVERY = 3
+MIN_SHARE = 0.5
+"""Streams that are taken up go on at least half as often as new ones begin."""
+
+
+class StreamVersionsTestCase(SocketTestCase):
+    """Four entries in two failure domains; servers of two versions in the first."""
+
+    async def asyncSetUp(self):
+        self.region = PlatformRegion(ENTRIES, zones=("mvd-cordon", "mvd-pocitos"))
+        await self.region.start()
+        self.addAsyncCleanup(self.region.stop)
+        self.servers: list[VersionedServer] = []
+        self.heartbeats = asyncio.ensure_future(self.send_heartbeats())
+        self.addAsyncCleanup(self.stop_heartbeats)
+
+    async def stop_heartbeats(self):
+        self.heartbeats.cancel()
+        await asyncio.gather(self.heartbeats, return_exceptions=True)
+
+    async def send_heartbeats(self):
+        while True:
+            for server in self.servers:
+                await self.region.send_heartbeat(server.replica, server.service)
+            await asyncio.sleep(HEARTBEAT_PERIOD_S)
+
+    async def add_servers(self, version: str, count: int = 2, service: str = "lens"):
+        for _ in range(count):
+            replica = await self.region.add_replica(service, version=version)
+            self.servers.append(VersionedServer(replica, service))
+
+    async def end_servers(self, version: str):
+        for server in [s for s in self.servers if s.replica.version == version]:
+            self.servers.remove(server)
+            await server.replica.stop()
+            url = self.region.url(0, f"/v1/replicas/{server.replica.replica_id}")
+            await self.region.call("DELETE", url)
+
+    async def play(self, one_stream) -> list[Stream]:
+        """Run `one_stream(number)` for each stream, one after the other begun."""
+        async with asyncio.TaskGroup() as group:
+            tasks = []
+            for number in range(STREAMS):
+                tasks.append(group.create_task(one_stream(number)))
+                await asyncio.sleep(STREAM_PERIOD_S)
+        return [task.result() for task in tasks]
+
+    async def play_taken_up(
+        self, *, to_next: int = 1, pause_s: float = 0.1
+    ) -> list[Stream]:
+        """Take each stream up `to_next` entries further, after a pause."""
+
+        async def one_stream(number: int) -> Stream:
+            entry = number % ENTRIES
+            stream = await versioned_streams.begin(self.region, entry)
+            await asyncio.sleep(pause_s)
+            taker = (entry + to_next) % ENTRIES
+            await versioned_streams.take_up(self.region, stream, taker)
+            return stream
+
+        return await self.play(one_stream)
+
+    def assert_go_on(self, streams: list[Stream]):
+        """Check that no stream is mixed, and that enough of those begun go on."""
+        self.assertEqual([], versioned_streams.mixed(streams))
+        begun = [stream for stream in streams if stream.has_begun]
+        self.assertGreaterEqual(len(begun), MIN_SHARE * len(streams))
+        whole = sum(stream.is_whole for stream in begun)
+        self.assertGreaterEqual(whole, MIN_SHARE * len(begun))
+
+
+class TakenUpTests(StreamVersionsTestCase):
+    """Callers take up streams that were broken off."""
+
+    async def test_a_stream_goes_on_at_another_version_at_another_entry(self):
+        await self.add_servers("v1")
+        await self.add_servers("v1.1")
+        self.assert_go_on(await self.play_taken_up())
+
+    async def test_a_stream_goes_on_at_another_version_at_the_same_entry(self):
+        await self.add_servers("v1")
+        await self.add_servers("v1.1")
+        self.assert_go_on(await self.play_taken_up(to_next=0))
+
+    async def test_a_stream_taken_up_at_once_goes_on_at_another_version(self):
+        await self.add_servers("v1")
+        await self.add_servers("v1.1")
+        self.assert_go_on(await self.play_taken_up(pause_s=0.0))
+
+    async def test_a_stream_goes_on_at_another_version_after_its_entry_has_stopped(
+        self,
+    ):
+        await self.add_servers("v1")
+        await self.add_servers("v1.1")
+        streams = [await versioned_streams.begin(self.region, 0) for _ in range(12)]
+        await self.region.kernels.pop(self.region.entries[0]).stop()
+        for number, stream in enumerate(streams):
+            await versioned_streams.take_up(self.region, stream, 1 + number % 3)
+        self.assert_go_on(streams)
+
+    async def test_a_stream_whose_version_has_ended_goes_on_at_another(self):
+        await self.add_servers("v1")
+        streams = [await versioned_streams.begin(self.region, n % 4) for n in range(8)]
+        await self.add_servers("v1.1")
+        await self.end_servers("v1")
+        for number, stream in enumerate(streams):
+            await versioned_streams.take_up(self.region, stream, (number + 1) % 4)
+        self.assertEqual([[200, 503]] * len(streams), [s.statuses for s in streams])
+
+    async def test_a_stream_of_a_split_route_goes_on_at_another_service(self):
+        split = [{"service": "lens", "weight": 1}, {"service": "till", "weight": 1}]
+        document = config(version=2)
+        document["routes"][-1] |= {"service": None, "trafficSplit": split}
+        del document["routes"][-1]["service"]
+        self.assertEqual(200, await self.region.put_config(document))
+        await self.add_servers("v1")
+        await self.add_servers("v1", service="till")
+        await asyncio.sleep(1.0)
+        self.assert_go_on(await self.play_taken_up())
+
+
+class BrokenOffTests(StreamVersionsTestCase):
+    """Servers break off answers, which the entry completes at another server."""
+
+    async def test_an_answer_that_a_server_breaks_off_goes_on_at_another_version(self):
+        await self.add_servers("v1")
+        await self.add_servers("v1.1")
+
+        async def one_stream(number: int) -> Stream:
+            stream = versioned_streams.new_stream(self.region)
+            if number % BROKEN_EVERY == 0:
+                for server in self.servers:
+                    server.broken_paths.add(stream.path)
+            await versioned_streams.read_events(
+                self.region, stream, number % ENTRIES, attempt_id=stream.first_id
+            )
+            return stream
+
+        self.assert_go_on(await self.play(one_stream))
