Let a stream go on only at the software version and the service that began it

Cause: no request asked for a version, so each try was placed as a new one, and the service of a split route was drawn anew. What began a stream was known to one entry and one coordinator, which forgot it when the run ended.

Change: the version is a condition of PermitRequest which placing heeds in choice, queue, expected waits, spill-over and replacement of silent servers; the entry declines a placement where it knows another start or version of the server. What began a stream is told to one owner of its key in each of a few failure domains before its caller gets the first event, and asked for when it is taken up. Unknown origins go on only if all failure domains saw one version for as long as a stream may last; otherwise the caller gets 503 at once.

The test of a forwarded Last-Event-Id without Resumes waits now until the entries have watched for that time; its checks are the same, and a second test checks the refusal before.

--- a/fuchsiacroft/config/route_table.py
+++ b/fuchsiacroft/config/route_table.py
@@ -66,6 +66,11 @@
     attempts: int
     is_public: bool
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Return the services that its requests may go to."""
+        return frozenset(t.service for t in self.targets if t.weight > 0)
+
     def choose_service(self, rng: random.Random) -> str:
         """Choose a service at random by the weights of the targets."""
         if len(self.targets) == 1:
--- a/fuchsiacroft/entry/dispatch.py
+++ b/fuchsiacroft/entry/dispatch.py
@@ -30,6 +30,7 @@
     RefusalReason.QUARANTINED: 422,
     RefusalReason.DRAINING: 503,
     RefusalReason.SERVERS_PAUSED: 503,
+    RefusalReason.VERSION_GONE: 503,
 }
 
 
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -43,6 +43,8 @@
     the first event of a stream, or to a complete plain response. `replacement` is
     the slot on another server that was assigned when this one was `SILENT`; a silent
     server keeps the request while there is none, as it may only be slow.
+    `on_stream_begun` is called with the placement just before the caller gets the first
+    event of this attempt.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         placer: Placer,
         *,
         find_replacement: FindReplacement,
+        on_stream_begun: Callable[[SlotAssignment], None],
     ) -> None:
         self._context = context
         self._request = context.request
@@ -62,13 +65,14 @@
         self._upstream = upstream
         self._placer = placer
         self._find_replacement = find_replacement
+        self._on_stream_begun = on_stream_begun
         self._has_run = False
         self._availability = placer.availability
         self._server = placer.availability.instance(placement)
         self._started_at = now()
         self._send_guard = SendGuard(self._may_send, self._valid_until())
         self._relay = ResponseRelay(
-            context, protocol, self._watch, self._report_first_event
+            context, protocol, self._watch, self._on_first_event
         )
         self.replacement: SlotAssignment | None = None
 
@@ -208,8 +212,9 @@
         except TimeoutError:
             return self._silent()
 
-    def _report_first_event(self) -> None:
+    def _on_first_event(self) -> None:
         self._placer.report_first_event(self._placement)
+        self._on_stream_begun(self._placement)
 
     def _idle_timeout_s(self) -> float:
         """Return after how long without progress another server is looked for."""
@@ -254,6 +259,7 @@
             "run_ended",
             request_id=self._context.request_id,
             backend_server=self._placement.backend_server,
+            software=self._placement.version or "-",
             keeper=self._placement.keeper,
             outcome=outcome.value,
             seconds=round(at - self._started_at, 4),
--- /dev/null
+++ b/fuchsiacroft/gateway/continued_streams.py
@@ -0,0 +1,96 @@
+"""Keeps a stream at the service and the software version that began it.
+
+What servers of two versions write doesn't fit together. So a stream that is taken up
+by its caller, or sent on after its server broke off, goes on where it began or not at
+all.
+"""
+
+from dataclasses import replace
+
+from expression import Result
+
+from fuchsiacroft.config.route_source import RouteSource
+from fuchsiacroft.entry.problems import ExecutionState, Problem
+from fuchsiacroft.gateway.request_context import RequestContext
+from fuchsiacroft.gateway.routed_request import RoutedRequest
+from fuchsiacroft.placing.messages import SlotAssignment
+from fuchsiacroft.placing.placer import Placer
+from fuchsiacroft.streams.origin import StreamOrigin
+from fuchsiacroft.streams.service import StreamOrigins
+from fuchsiacroft.utils.logs import event
+
+
+class ContinuedStreams:
+    """Finds what began a stream, and records it."""
+
+    def __init__(
+        self, origins: StreamOrigins, placer: Placer, route_source: RouteSource
+    ) -> None:
+        self._origins = origins
+        self._placer = placer
+        self._route_source = route_source
+
+    async def find_origin(self, context: RequestContext) -> Problem | None:
+        """Set the origin of a stream that is taken up, or return why it can't go on."""
+        request = context.request
+        if not request.takes_up_stream:
+            return None
+        _log_taken_up(request)
+        outcome = await self._origins.find(
+            request.workspace,
+            request.resumes or "",
+            request.service,
+            request.longest_stream_s,
+        )
+        match outcome:
+            case Result(tag="ok", ok=origin) if (
+                origin.service in request.route.services
+            ):
+                context.origin = origin
+                context.request = self._at_service(request, origin.service)
+                return None
+            case Result(tag="ok", ok=origin):
+                detail = (
+                    f"the stream began at {origin.service}, to which its route no "
+                    "longer goes; the request did not run"
+                )
+                return Problem(503, "service_gone", detail, ExecutionState.NO)
+            case Result(error=error):
+                detail = f"what began the stream is {error.value}; it did not run"
+                return Problem(503, "stream_unknown", detail, ExecutionState.NO)
+
+    def record_begun(self, context: RequestContext, placement: SlotAssignment) -> None:
+        """Record what began a stream, before its caller gets the first event.
+
+        The owners of the stream are told again when it is taken up, as those that were
+        told first may have stopped.
+        """
+        request = context.request
+        if context.origin is None:
+            version = self._placer.certain_version(placement, request.service)
+            if version is None:
+                context.is_origin_unsure = True
+                return
+            context.origin = StreamOrigin(request.service, version)
+        if request.route.kind.is_retryable:
+            first_id = request.resumes or request.request_id
+            self._origins.record(
+                request.workspace, first_id, context.origin, request.longest_stream_s
+            )
+
+    def _at_service(self, request: RoutedRequest, name: str) -> RoutedRequest:
+        service = self._route_source.table.services.get(name)
+        if name == request.service or service is None:
+            return request
+        return replace(request, service=name, event_tokens=service.event_tokens)
+
+
+def _log_taken_up(request: RoutedRequest) -> None:
+    event(
+        "info",
+        "stream_taken_up",
+        request_id=request.request_id,
+        resumes=request.resumes or "-",
+        last_event_id=request.last_event_id or "-",
+        service=request.service,
+    )
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -15,6 +15,7 @@
 from fuchsiacroft.entry.request_body import BodyBuffer
 from fuchsiacroft.gateway.attempt import Attempt
 from fuchsiacroft.gateway.attempt_result import AttemptResult
+from fuchsiacroft.gateway.continued_streams import ContinuedStreams
 from fuchsiacroft.gateway.request_context import RequestContext
 from fuchsiacroft.gateway.response_estimates import ResponseEstimates
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter, RoutedRequest
@@ -24,6 +25,7 @@
 from fuchsiacroft.placing.messages import SlotAssignment
 from fuchsiacroft.placing.placer import Placer, WaitLimits
 from fuchsiacroft.routing.permits import PermitRequest, Refusal, RefusalReason
+from fuchsiacroft.streams.service import StreamOrigins
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
 
@@ -61,6 +63,8 @@
         self._route_source = kernel.get("route_table", RouteSource)
         self._placer = kernel.get("placer", Placer)
         self._upstream = kernel.get("upstream", Upstream)
+        origins = kernel.get("stream_origins", StreamOrigins)
+        self._streams = ContinuedStreams(origins, self._placer, self._route_source)
 
     def dump(self) -> dict:
         """Return the memory used by buffered request bodies."""
@@ -131,7 +135,6 @@
             case Result(tag="ok", ok=request):
                 context.request = request
                 context.deadline = context.started_at + request.timeout_s
-                _log_taken_up(request)
                 return Ok(None)
             case Result(error=problem):
                 return Error(problem)
@@ -140,6 +143,9 @@
         return route.choose_service(self._random)
 
     async def _run_attempts(self, context: RequestContext) -> web.StreamResponse:
+        problem = await self._streams.find_origin(context)
+        if problem is not None:
+            return self._error_response(context, problem)
         failure: web.StreamResponse | None = None
         placement: SlotAssignment | None = None
         while True:
@@ -156,6 +162,7 @@
                 self._upstream,
                 self._placer,
                 find_replacement=partial(self._find_replacement, context),
+                on_stream_begun=partial(self._streams.record_begun, context),
             )
             result = await attempt.run()
             placement = attempt.replacement
@@ -186,7 +193,7 @@
     def _may_retry(self, context: RequestContext, result: AttemptResult) -> bool:
         if context.remaining_s < MIN_REMAINING_S or len(context.tried) >= MAX_SENDS:
             return False
-        if context.has_started_body:
+        if context.has_started_body or context.is_origin_unsure:
             return False
         if result is AttemptResult.NOT_RUN:
             return context.runs == 0 or context.may_retry
@@ -202,14 +209,16 @@
             permit_request,
             charge=request.charge if is_first or context.runs else 0.0,
             repeats=context.sends > 0,
-            wait_limits=self._wait_policy.limits(request, remaining_s),
+            wait_limits=self._wait_policy.limits(
+                request, remaining_s, continues=context.origin is not None
+            ),
         )
         context.waited_s += now() - started_at
         return outcome
 
     async def _find_replacement(self, context: RequestContext) -> SlotAssignment | None:
         """Return a slot on another server for a request whose server is silent."""
-        if len(context.tried) >= MAX_SENDS:
+        if len(context.tried) >= MAX_SENDS or context.is_origin_unsure:
             return None
         request = context.request
         outcome = await self._placer.acquire(
@@ -281,19 +290,7 @@
         first_token_target_s=request.route.latency_target_s,
         token_gap_target_s=request.route.gap_target_s,
         avoid=context.avoid,
-    )
-
-
-def _log_taken_up(request: RoutedRequest) -> None:
-    if request.resumes is None and request.last_event_id is None:
-        return
-    event(
-        "info",
-        "stream_taken_up",
-        request_id=request.request_id,
-        resumes=request.resumes or "-",
-        last_event_id=request.last_event_id or "-",
-        service=request.service,
+        version=context.version,
     )
 
 
--- a/fuchsiacroft/gateway/request_context.py
+++ b/fuchsiacroft/gateway/request_context.py
@@ -8,6 +8,7 @@
 from fuchsiacroft.gateway.events import EventSplitter
 from fuchsiacroft.gateway.routed_request import RoutedRequest
 from fuchsiacroft.membership.server_notices import NoticeReason
+from fuchsiacroft.streams.origin import StreamOrigin
 from fuchsiacroft.utils.clock import now
 
 
@@ -22,6 +23,8 @@
     `started_response` is the response whose head the caller has received.
     `has_started_body` is true once the caller has a part of a response that another
     server can't continue.
+    `origin` is what began the stream of which the caller has events; it is None while
+    the caller has none, and if it is not certain, when `is_origin_unsure`.
     `was_late` is true after a slot could not be used in time.
     `aborted` is true when this entry reset the connection.
     """
@@ -40,6 +43,8 @@
     notices: list[NoticeReason] = field(default_factory=list)
     started_response: web.StreamResponse | None = None
     has_started_body: bool = False
+    origin: StreamOrigin | None = None
+    is_origin_unsure: bool = False
     was_late: bool = False
     event_splitter: EventSplitter = field(default_factory=EventSplitter)
     problem: Problem | None = None
@@ -65,6 +70,11 @@
             return self.event_splitter.last_id
         return self.request.last_event_id if self.request is not None else None
 
+    @property
+    def version(self) -> str | None:
+        """The software version at which the request goes on, None if any may run it."""
+        return self.origin.version if self.origin is not None else None
+
     @property
     def may_retry(self) -> bool:
         """Whether a request that may have been executed may be sent again."""
--- a/fuchsiacroft/gateway/routed_request.py
+++ b/fuchsiacroft/gateway/routed_request.py
@@ -47,6 +47,17 @@
     shared_parts: tuple[str, ...] = ()
     resumes: str | None = None
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller has the first events of the stream already."""
+        has_events = self.last_event_id is not None or self.resumes is not None
+        return self.route.kind.is_stream and has_events
+
+    @property
+    def longest_stream_s(self) -> float:
+        """Seconds in which a caller may take up a stream of this route."""
+        return max(self.deadline_s, self.route.timeout_s)
+
 
 class ProtocolAdapter(ABC):
     """Translates one HTTP protocol of callers and backend servers."""
--- a/fuchsiacroft/gateway/wait_policy.py
+++ b/fuchsiacroft/gateway/wait_policy.py
@@ -54,8 +54,13 @@
         self._estimates = estimates
         self._total_s: OrderedDict[str, float] = OrderedDict()
 
-    def limits(self, request: RoutedRequest, remaining_s: float) -> WaitLimits:
-        """Return the queue wait limits of a request with `remaining_s` left."""
+    def limits(
+        self, request: RoutedRequest, remaining_s: float, *, continues: bool = False
+    ) -> WaitLimits:
+        """Return the queue wait limits of a request with `remaining_s` left.
+
+        One that `continues` a stream can't be late for its first event any more.
+        """
         route = request.route
         used_s = self._used_s(request) + request.timeout_s - remaining_s
         run_s = self._estimates.expected_s(request.service, request.size.prompt_tokens)
@@ -63,7 +68,10 @@
         late_s = LATE_WAIT_SHARE * remaining_s
         if route.kind.is_stream:
             late_s = max(min(late_s, PATIENCE_SHARE * _patience_s(route) - run_s), 0.0)
-        return WaitLimits(in_time_s, max(late_s, in_time_s), request.event_tokens)
+        max_wait_s = max(late_s, in_time_s)
+        if continues:
+            in_time_s = max_wait_s
+        return WaitLimits(in_time_s, max_wait_s, request.event_tokens)
 
     def _used_s(self, request: RoutedRequest) -> float:
         """Return the seconds that the caller spent before it sent this request."""
--- a/fuchsiacroft/membership/announcement.py
+++ b/fuchsiacroft/membership/announcement.py
@@ -53,6 +53,17 @@
     checks_fencing: bool = False
     cache_events: tuple[CacheEvent, ...] = ()
 
+    def offers_service(self, service: str, version: str | None = None) -> bool:
+        """Return whether it offers a service, at a software version if one is given."""
+        return any(
+            offer.service == service and version in (None, offer.version)
+            for offer in self.offers
+        )
+
+    def version_of(self, service: str) -> str:
+        """Return the software version at which it offers a service."""
+        return next((o.version for o in self.offers if o.service == service), "")
+
     @property
     def offered(self) -> str:
         """Return the offered services and software versions, for logs."""
--- a/fuchsiacroft/membership/rendezvous.py
+++ b/fuchsiacroft/membership/rendezvous.py
@@ -1,5 +1,6 @@
 """Rendezvous hashing: maps each name to one entry, with few moves on changes."""
 
+import heapq
 from collections.abc import Iterable
 
 import xxhash
@@ -14,6 +15,11 @@
     return max(entries, key=lambda entry: _score(name, entry.node), default=None)
 
 
+def choose_owners(name: str, nodes: Iterable[str], count: int) -> list[str]:
+    """Return the nodes with the `count` highest scores for a name, the best first."""
+    return heapq.nlargest(count, nodes, key=lambda node: _score(name, node))
+
+
 class OwnerIndex:
     """An index of the owners of many names, updated as entries join and leave.
 
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -161,6 +161,10 @@
             r for r in self._servers.records() if r.life is ServerState.SERVING
         )
 
+    def known_servers(self) -> tuple[ServerRecord, ...]:
+        """Return all backend servers, those that leave or have left too."""
+        return self._servers.records()
+
     def leaving_servers(self) -> frozenset[str]:
         """Return the names of the backend servers that leave by plan."""
         return frozenset(
@@ -200,6 +204,11 @@
         """Return whether a control member has replied recently."""
         return bool(self._reachable_controls())
 
+    @property
+    def reaches_most_controls(self) -> bool:
+        """Return whether most control members have replied recently."""
+        return 2 * len(self._reachable_controls()) > len(self._controls)
+
     def peers(self) -> tuple[str, ...]:
         """Return the addresses of the other entries."""
         own = self.local_entry.peers
--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -10,6 +10,11 @@
 queued, so that the slots that become free after a burst are used. Other late
 requests are refused immediately, so that their callers can retry later.
 
+A request that continues a stream runs only on servers of the version that began it.
+Its caller waits in the middle of an answer, so it goes first in its rank, takes slots
+that are kept free for others, and is refused at once if its wait would be too long or
+no server of the version is left anywhere.
+
 A request of a service that has no backend server waits for one: after a restart of
 all processes, backend servers are known again within about a second.
 """
@@ -40,6 +45,9 @@
 LATE_HORIZON_S = 1.0
 """At most as many late requests are queued as all slots serve in this time."""
 MIN_USABLE_SLOTS = 0.001
+VERSION_GONE_RETRY_AFTER_S = 1.0
+"""A server that has crashed may be back by then, at its version."""
+VERSION_GONE = Refusal(RefusalReason.VERSION_GONE, VERSION_GONE_RETRY_AFTER_S)
 CHANGE_WAIT_SHARE = 0.5
 """Share of its time that a request waits while another domain's coordinator changes."""
 MAX_CHANGE_WAIT_S = 1.0
@@ -73,8 +81,9 @@
 class Allocator:
     """Queues requests by service and places them on a fleet of backend servers.
 
-    `is_known` tells whether any failure domain has a server of a service, and
-    `is_changing` whether one of these domains has no coordinator just now.
+    `is_known` tells whether any failure domain has a server of a service, `may_go_on`
+    whether any has one that may continue a stream, and `is_changing` whether one of
+    these domains has no coordinator just now.
     """
 
     def __init__(self, limits: SharedLimits, rng: random.Random | None = None) -> None:
@@ -87,6 +96,7 @@
         self.quotas = Quotas(limits.quotas)
         self.retries = RetryBudget(limits.retries)
         self.is_known: Callable[[str], bool] = lambda service: False
+        self.may_go_on: Callable[[PermitRequest], bool] = lambda permit_request: False
         self.is_changing: Callable[[str], bool] = lambda service: False
 
     def dump(self) -> dict:
@@ -144,19 +154,30 @@
         only_limited = not self._leaves_slots_free(request.ask, at)
         if only_limited and not self.fleet.free_limited(request.ask.service, at):
             return None
-        load = self.fleet.choose(request, at, only_limited=only_limited)
+        load = self.fleet.choose(
+            request,
+            at,
+            only_limited=only_limited,
+            awaited=self._awaited_versions(request.ask.service),
+        )
         return None if load is None else self.fleet.begin(request, load, at, at)
 
     def _is_preceded(self, permit_request: PermitRequest, at: float) -> bool:
         """Return whether a waiter goes first that doesn't wait to run in isolation."""
         queue = self._queues.get(permit_request.service)
+        if not queue:
+            return False
+        if permit_request.version is not None:
+            return bool(queue.awaiting(permit_request.version))
         pos = self._position_in_time(permit_request)
-        if not queue or not queue.ahead_of(pos):
+        if not queue.ahead_of(pos):
             return False
         if self.fleet.crash_detector.evidence.is_empty:
             return True
         return any(
-            waiter.position <= pos and self._is_unrestricted(waiter, at)
+            waiter.version is None
+            and waiter.position <= pos
+            and self._is_unrestricted(waiter, at)
             for waiter in queue.waiters()
         )
 
@@ -189,6 +210,8 @@
             run_s=run_s,
             is_short=self._is_short(permit_request.service, run_s),
         )
+        if permit_request.version is not None:
+            return self._enqueue_continued(queue, waiter, at)
         if not self.fleet.serves(permit_request.service):
             self._add(queue, waiter)
             return waiter
@@ -199,6 +222,30 @@
         self._add(queue, waiter)
         return waiter
 
+    def _enqueue_continued(
+        self, queue: Queue, waiter: Waiter, at: float
+    ) -> Waiter | Refusal:
+        """Queue a request that continues a stream, unless its wait is in vain."""
+        if self._is_version_gone(waiter):
+            self.refund(waiter.request, waiter.admitted_at)
+            return VERSION_GONE
+        is_here = self.fleet.may_run(waiter.request.ask)
+        wait_s = self.expected_wait_s(waiter, at)
+        if is_here and wait_s > waiter.request.max_wait_s:
+            self.refund(waiter.request, waiter.admitted_at)
+            return Refusal(
+                RefusalReason.OVERLOADED, retry_after_s(wait_s, self._random)
+            )
+        self._add(queue, waiter)
+        return waiter
+
+    def _is_version_gone(self, waiter: Waiter) -> bool:
+        """Return whether no server is left of the version that began a stream."""
+        permit_request = waiter.request.ask
+        if permit_request.version is None or self.fleet.may_run(permit_request):
+            return False
+        return not self.may_go_on(permit_request)
+
     def end(self, run_id: str, report: RunReport, at: float) -> None:
         """End a run, or remove a request from the queue."""
         waiter = self._waiters.get(run_id)
@@ -219,7 +266,9 @@
         """Refuse expired and excess late waiters, and end runs past their timeout."""
         refused = self._quarantine_waiters(at)
         for waiter in list(self._waiters.values()):
-            if waiter.expires_at <= at:
+            if self._is_version_gone(waiter):
+                refused.append((waiter, self._expire(waiter, at)))
+            elif waiter.expires_at <= at:
                 if self._awaits_coordinator(waiter, at):
                     continue
                 refused.append((waiter, self._expire(waiter, at)))
@@ -235,16 +284,26 @@
         return refused
 
     def queue_heads(self, at: float) -> list[Waiter]:
-        """Return the next unrestricted waiter of each service that has any."""
-        heads = (self._unrestricted_head(queue, at) for queue in self._queues.values())
-        return [head for head in heads if head is not None]
+        """Return the next unrestricted waiters of each service.
 
-    def _unrestricted_head(self, queue: Queue, at: float) -> Waiter | None:
+        They are the first that may run on any server, and of each software version the
+        first that continues a stream.
+        """
+        return [
+            head for queue in self._queues.values() for head in self._heads(queue, at)
+        ]
+
+    def _heads(self, queue: Queue, at: float) -> list[Waiter]:
         head = queue.head()
-        if head is None or self._is_unrestricted(head, at):
-            return head
-        waiters = queue.waiters()
-        return next((w for w in waiters if self._is_unrestricted(w, at)), None)
+        if head is None:
+            return []
+        if not queue.awaited_versions and self._is_unrestricted(head, at):
+            return [head]
+        heads: dict[str | None, Waiter] = {}
+        for waiter in queue.waiters():
+            if waiter.version not in heads and self._is_unrestricted(waiter, at):
+                heads[waiter.version] = waiter
+        return list(heads.values())
 
     def _is_unrestricted(self, waiter: Waiter, at: float) -> bool:
         treatment = self.fleet.treatment(waiter.request.ask, at)
@@ -265,8 +324,17 @@
     def expected_wait_s(self, waiter: Waiter, at: float) -> float:
         """Return the expected wait of a new request of the same rank and run length."""
         service = waiter.request.ask.service
+        if waiter.version is not None:
+            return self._continued_wait_s(service, waiter.version)
         return self._expected_wait_s(service, waiter.position_in_time, at)
 
+    def _continued_wait_s(self, service: str, version: str) -> float:
+        """Return the expected wait of a request that continues a stream."""
+        queue = self._queues.get(service)
+        ahead = queue.awaiting(version) if queue is not None else 0
+        slots = max(self.fleet.slots(service, version), MIN_USABLE_SLOTS)
+        return (ahead + 1) * self.fleet.mean_run_s(service) / slots
+
     def capacities(self, at: float) -> tuple[ServiceCapacity, ...]:
         """Return the spare capacity of each service, to report to other domains."""
         return tuple(
@@ -276,6 +344,7 @@
                 self._head_rank(service),
                 self._free_by_rank(service, at),
                 self.fleet.fastest_prefill(service, at),
+                self.fleet.free_by_version(service, at),
             )
             for service in self.fleet.services()
         )
@@ -297,11 +366,15 @@
         return head.rank if head is not None else None
 
     def queue_load(self, permit_request: PermitRequest, at: float) -> QueueLoad:
-        """Return the load of a service's queue and the quota left to a workspace."""
+        """Return the load of a service's queue and the quota left to a workspace.
+
+        The slots are those of the version at which the request continues a stream.
+        """
         queue = self._queues.get(permit_request.service, Queue())
+        version = permit_request.version
         return QueueLoad(
-            free=self.fleet.free(permit_request.service, at),
-            slots=self.fleet.slots(permit_request.service),
+            free=self.fleet.free(permit_request.service, at, version),
+            slots=self.fleet.slots(permit_request.service, version),
             usable_slots=self.fleet.usable_slots(permit_request.service),
             limited=self.fleet.limited_count(permit_request.service),
             waiting=len(queue),
@@ -314,6 +387,8 @@
 
     def _leaves_slots_free(self, permit_request: PermitRequest, at: float) -> bool:
         """Return whether a request leaves the slots free that others may need."""
+        if permit_request.version is not None:
+            return True
         service = permit_request.service
         kept = self.fleet.kept_free(service, permit_request.rank, at)
         if not kept:
@@ -329,7 +404,16 @@
         is_short = self._is_short(
             permit_request.service, self.fleet.median_run_s(permit_request)
         )
-        return position(permit_request.rank, is_late=False, is_short=is_short)
+        return position(
+            permit_request.rank,
+            is_late=False,
+            is_short=is_short,
+            continues=permit_request.version is not None,
+        )
+
+    def _awaited_versions(self, service: str) -> frozenset[str]:
+        queue = self._queues.get(service)
+        return queue.awaited_versions if queue is not None else frozenset()
 
     def _expected_wait_s(self, service: str, pos: Position, at: float) -> float:
         """Return the expected wait of a new waiter at a position.
@@ -356,7 +440,7 @@
         for waiter in queue.waiters():
             if not free and not limited:
                 break
-            only_limited = free <= kept.get(waiter.rank, 0)
+            only_limited = waiter.version is None and free <= kept.get(waiter.rank, 0)
             if only_limited and not limited:
                 continue
             load = self.fleet.choose(
@@ -364,6 +448,7 @@
                 at,
                 at - waiter.arrived_at,
                 only_limited=only_limited,
+                awaited=queue.awaited_versions,
             )
             if load is None:
                 continue
@@ -388,6 +473,8 @@
         self._remove(waiter)
         self.refund(waiter.request, waiter.admitted_at)
         service = waiter.request.ask.service
+        if self._is_version_gone(waiter):
+            return VERSION_GONE
         if not self.fleet.serves(service):
             reason = RefusalReason.NO_BACKEND_SERVER
             if self.is_known(service):
@@ -401,7 +488,7 @@
         It leaves its caller time for a retry.
         """
         permit_request = waiter.request.ask
-        if self.fleet.serves(permit_request.service):
+        if self.fleet.serves(permit_request.service, permit_request.version):
             return False
         wait_s = min(CHANGE_WAIT_SHARE * permit_request.timeout_s, MAX_CHANGE_WAIT_S)
         return at < waiter.arrived_at + wait_s and self.is_changing(
@@ -427,6 +514,9 @@
     def _retry_after_s(self, waiter: Waiter, at: float) -> float:
         """Return when to come back: not sooner than after as long a wait again."""
         service, rank = waiter.request.ask.service, waiter.rank
+        if waiter.version is not None:
+            expected_s = self._continued_wait_s(service, waiter.version)
+            return retry_after_s(expected_s, self._random)
         late = position(rank, is_late=True, is_short=waiter.is_short)
         expected_s = self._expected_wait_s(service, late, at)
         return retry_after_s(max(expected_s, at - waiter.arrived_at), self._random)
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -34,7 +34,12 @@
 from fuchsiacroft.placing.queue import Waiter
 from fuchsiacroft.placing.served_domains import ServedDomains
 from fuchsiacroft.quarantine.service import Quarantine
-from fuchsiacroft.routing.permits import Refusal, RefusalReason, RunReport
+from fuchsiacroft.routing.permits import (
+    PermitRequest,
+    Refusal,
+    RefusalReason,
+    RunReport,
+)
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
@@ -92,6 +97,7 @@
         self.limits = LimitExchange(bus, self._roster, self.allocator.fleet.pacing)
         self._roster.on_servers_change(self._on_servers)
         self.allocator.is_known = lambda service: bool(self._domains_with(service))
+        self.allocator.may_go_on = self._may_go_on
         self.allocator.is_changing = self._is_changing
         self._on_servers(self._roster.servers())
         self._neighbours.start_broadcast(self.allocator)
@@ -245,6 +251,7 @@
             self._peers,
             assignment.start,
             assignment.is_limited,
+            assignment.version,
         )
 
     def _refuse_expired(
@@ -263,6 +270,7 @@
             run_id=request.run_id,
             reason=refusal.reason.value,
             service=permit_request.service,
+            software=permit_request.version or "-",
             workspace=permit_request.workspace,
             rank=permit_request.rank,
             units=request.charge,
@@ -296,12 +304,22 @@
         )
         self._place_waiters()
 
+    def _may_go_on(self, permit_request: PermitRequest) -> bool:
+        """Return whether any domain has a server that may continue a stream."""
+        return any(
+            record.announcement.offers_service(
+                permit_request.service, permit_request.version
+            )
+            for record in self._roster.servers()
+            if record.name not in permit_request.avoid
+        )
+
     def _domains_with(self, service: str) -> set[str]:
         """Return the failure domains whose servers offer a service."""
         return {
             record.announcement.failure_domain
             for record in self._roster.servers()
-            if any(offer.service == service for offer in record.announcement.offers)
+            if record.announcement.offers_service(service)
         }
 
     def _is_changing(self, service: str) -> bool:
--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import statistics
+from collections import Counter
 from collections.abc import Container, Iterable, Sequence
 from dataclasses import dataclass
 
@@ -50,6 +51,7 @@
     waited_s: float
     start: str = ""
     is_limited: bool = False
+    version: str = ""
 
 
 class Fleet:
@@ -123,13 +125,20 @@
             for service, loads in self._by_service.items()
         }
 
-    def serves(self, service: str) -> bool:
-        """Return whether any server offers a service."""
-        return bool(self._servers_of(service))
+    def serves(self, service: str, version: str | None = None) -> bool:
+        """Return whether any server offers a service, at a version if one is given."""
+        return bool(self._servers_of(service, version))
 
-    def slots(self, service: str) -> int:
+    def may_run(self, permit_request: PermitRequest) -> bool:
+        """Return whether a request may run on any server, free or not."""
+        avoid = permit_request.avoid
+        return any(load.name not in avoid for load in self._candidates(permit_request))
+
+    def slots(self, service: str, version: str | None = None) -> int:
         """Return how many requests of a service can run concurrently."""
-        return self._slots.get(service, 0)
+        if version is None:
+            return self._slots.get(service, 0)
+        return sum(load.slots for load in self._servers_of(service, version))
 
     def usable_slots(self, service: str) -> float:
         """Return how many slots of a service can be in use on average.
@@ -152,9 +161,16 @@
         """Return how many requests the limited servers of a service may get now."""
         return sum(self._free(load, at) for load in self._limited(service))
 
-    def free(self, service: str, at: float) -> int:
-        """Return the free slots of a service."""
-        return sum(self._free(load, at) for load in self._servers_of(service))
+    def free(self, service: str, at: float, version: str | None = None) -> int:
+        """Return the free slots of a service, of one version if it is given."""
+        return sum(self._free(load, at) for load in self._servers_of(service, version))
+
+    def free_by_version(self, service: str, at: float) -> dict[str, int]:
+        """Return the free slots of each software version of a service."""
+        free: Counter[str] = Counter()
+        for load in self._servers_of(service):
+            free[load.record.announcement.version_of(service)] += self._free(load, at)
+        return dict(free)
 
     def kept_free(self, service: str, rank: int, at: float) -> int:
         """Return how many slots of a service requests of a rank leave free.
@@ -184,8 +200,7 @@
     def median_run_s(self, permit_request: PermitRequest) -> float:
         """Return the expected run time on a server of median speed."""
         times = [
-            load.run_s(permit_request)
-            for load in self._servers_of(permit_request.service)
+            load.run_s(permit_request) for load in self._candidates(permit_request)
         ]
         return statistics.median(times) if times else DEFAULT_RUN_S
 
@@ -195,7 +210,7 @@
         tokens = permit_request.size.prompt_tokens
         free = [
             load
-            for load in self._servers_of(permit_request.service)
+            for load in self._candidates(permit_request)
             if load.name not in permit_request.avoid and self._free(load, at)
         ]
         return min(free, key=lambda load: load.first_event_s(tokens), default=None)
@@ -215,6 +230,7 @@
         waited_s: float = 0.0,
         *,
         only_limited: bool = False,
+        awaited: Container[str] = (),
     ) -> ServerLoad | None:
         """Return the free server with the lowest expected cost, or None.
 
@@ -222,6 +238,8 @@
         skipped. A request with suspected content runs in isolation. A short one gets
         a place of a limited server only if no other server is free, since each place
         is one request of any length. With `only_limited`, no other server is chosen.
+        Servers of `awaited` versions are left to the streams that wait for them, if
+        another one is free.
         """
         permit_request = request.ask
         match self.treatment(permit_request, at):
@@ -230,8 +248,8 @@
             case Treatment.ISOLATED:
                 return self._choose_isolated(permit_request, at)
         avoids_stalls = waited_s < STALL_AVOIDANCE_SHARE * request.in_time_s
-        best, lowest_cost = None, (True, float("inf"))
-        for load in self._servers_of(permit_request.service):
+        best, lowest_cost = None, (True, True, float("inf"))
+        for load in self._candidates(permit_request):
             if load.name in permit_request.avoid or not self._free(load, at):
                 continue
             if avoids_stalls and load.would_stall(permit_request, request.event_tokens):
@@ -242,7 +260,13 @@
             if only_limited and not is_limited:
                 continue
             wastes_place = is_limited and self._is_short_on(load, permit_request)
-            cost = (wastes_place, load.expected_s(permit_request))
+            is_awaited = (
+                permit_request.version is None
+                and bool(awaited)
+                and load.record.announcement.version_of(permit_request.service)
+                in awaited
+            )
+            cost = (is_awaited, wastes_place, load.expected_s(permit_request))
             if cost < lowest_cost:
                 best, lowest_cost = load, cost
         return best
@@ -264,7 +288,7 @@
         suspected = self._suspected_content(permit_request, at)
         servers = [
             load
-            for load in self._servers_of(permit_request.service)
+            for load in self._candidates(permit_request)
             if load.name not in permit_request.avoid
         ]
         return self._isolated.choose(
@@ -304,6 +328,7 @@
             at - arrived_at,
             load.instance.start,
             self.pacing.is_limited(load.instance),
+            load.record.announcement.version_of(permit_request.service),
         )
 
     def adopt(self, held_run: HeldRun, at: float) -> None:
@@ -388,8 +413,21 @@
     def _reserve(self, service: str) -> SlotReserve:
         return self._reserves.setdefault(service, SlotReserve())
 
-    def _servers_of(self, service: str) -> Sequence[ServerLoad]:
-        return self._by_service.get(service, ())
+    def _servers_of(
+        self, service: str, version: str | None = None
+    ) -> Sequence[ServerLoad]:
+        servers = self._by_service.get(service, ())
+        if version is None:
+            return servers
+        return [
+            load
+            for load in servers
+            if load.record.announcement.offers_service(service, version)
+        ]
+
+    def _candidates(self, permit_request: PermitRequest) -> Sequence[ServerLoad]:
+        """Return the servers that a request may run on."""
+        return self._servers_of(permit_request.service, permit_request.version)
 
     def _free(self, load: ServerLoad, at: float) -> int:
         free = max(load.free(at, self.share), 0)
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -47,8 +47,9 @@
     """The request was assigned a slot on a backend server.
 
     `keeper` is the coordinator that counts the run until its end is reported to
-    the address `keeper_peers`. `start` tells the starts of the server apart, and
-    `is_limited` whether the keeper knows a limit of it.
+    the address `keeper_peers`. `start` tells the starts of the server apart,
+    `is_limited` whether the keeper knows a limit of it, and `version` is that of its
+    software.
     """
 
     run_id: str
@@ -58,6 +59,7 @@
     keeper_peers: str
     start: str = ""
     is_limited: bool = False
+    version: str = ""
 
 
 @codec.message("placing.not_placed")
@@ -107,7 +109,8 @@
     `free` is the number of free slots less the queue length. `head_rank` is the
     rank of the next request in the queue, None if it is empty. `free_by_rank` holds
     the slots that long requests of a rank may use, less the waiters before them.
-    `prefill` is that of the fastest free engine.
+    `prefill` is that of the fastest free engine. `free_by_version` holds the free
+    slots of each software version.
     """
 
     service: str
@@ -115,6 +118,7 @@
     head_rank: int | None = None
     free_by_rank: dict[int, int] = {}
     prefill: EnginePrefill | None = None
+    free_by_version: dict[str, int] = {}
 
 
 @codec.message("placing.domain_load")
--- a/fuchsiacroft/placing/neighbour.py
+++ b/fuchsiacroft/placing/neighbour.py
@@ -41,14 +41,17 @@
         """Return whether its reports have stopped lately."""
         return REPORT_TTL_S < at - self.received_at <= SILENCE_TTL_S
 
-    def free(self, service: str, rank: int) -> int:
+    def free(self, service: str, rank: int, version: str | None = None) -> int:
         """Return the spare slots of a service for requests of a rank.
 
         A rank that the domain has not seen lately gets those of the next less urgent.
+        With a software version, they are its free slots, for a stream that goes on.
         """
         capacity = self.capacities.get(service)
         if capacity is None:
             return 0
+        if version is not None:
+            return capacity.free_by_version.get(version, 0)
         known = min((r for r in capacity.free_by_rank if r >= rank), default=None)
         return capacity.free if known is None else capacity.free_by_rank[known]
 
@@ -59,30 +62,42 @@
             return math.inf
         return capacity.prefill.first_event_s(prompt_tokens)
 
-    def less_urgent_rank(self, service: str, rank: int) -> float | None:
+    def less_urgent_rank(
+        self, service: str, rank: int, version: str | None = None
+    ) -> float | None:
         """Return the rank of the queue's head if a request of `rank` precedes it.
 
         It is infinite if the queue is empty, and None if the request would not be
-        next or the service is unknown there.
+        next or the service, or the software version, is unknown there.
         """
         capacity = self.capacities.get(service)
         if capacity is None:
             return None
+        if version is not None and version not in capacity.free_by_version:
+            return None
         if capacity.head_rank is None:
             return math.inf
         return capacity.head_rank if capacity.head_rank > rank else None
 
-    def record_sent(self, service: str) -> None:
+    def record_sent(self, service: str, version: str | None = None) -> None:
         """Count a request that was sent for a free slot."""
         capacity = self.capacities.get(service)
         if capacity is not None:
             by_rank = {r: free - 1 for r, free in capacity.free_by_rank.items()}
             self._change(service, free=capacity.free - 1, free_by_rank=by_rank)
+            if version is not None:
+                left = capacity.free_by_version.get(version, 0) - 1
+                self._set_free_of(service, version, left)
+
+    def record_full(self, service: str, rank: int, version: str | None = None) -> None:
+        """Record that no slot was free for a rank, nor for less urgent ones.
 
-    def record_full(self, service: str, rank: int) -> None:
-        """Record that no slot was free for a rank, nor for less urgent ones."""
+        With a software version, only that none of its slots was free.
+        """
         capacity = self.capacities.get(service)
-        if capacity is not None:
+        if capacity is not None and version is not None:
+            self._set_free_of(service, version, 0)
+        elif capacity is not None:
             by_rank = {
                 r: 0 if r >= rank else free for r, free in capacity.free_by_rank.items()
             }
@@ -92,6 +107,10 @@
         """Record that a request of this rank heads the queue."""
         self._change(service, head_rank=rank)
 
+    def _set_free_of(self, service: str, version: str, free: int) -> None:
+        by_version = self.capacities[service].free_by_version | {version: free}
+        self._change(service, free_by_version=by_version)
+
     def _change(self, service: str, **changes: object) -> None:
         capacity = self.capacities.get(service)
         if capacity is not None:
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -111,7 +111,7 @@
         domain = self._domain_with_capacity(request.ask)
         if domain is None:
             return None
-        self._neighbours[domain].record_sent(request.ask.service)
+        self._neighbours[domain].record_sent(request.ask.service, request.ask.version)
         return await self._request_spill(domain, SpillRequest(request))
 
     async def spill_to_faster(
@@ -168,7 +168,9 @@
                 return placed
             case Result(tag="ok"):
                 permit_request = spill.request.ask
-                neighbour.record_full(permit_request.service, permit_request.rank)
+                neighbour.record_full(
+                    permit_request.service, permit_request.rank, permit_request.version
+                )
             case _:
                 neighbour.backoff_until = now() + BACKOFF_S
                 # The domain may have placed the request although its reply is missing.
@@ -189,7 +191,9 @@
     def _domain_with_capacity(self, permit_request: PermitRequest) -> str | None:
         """Return the domain with the most spare capacity for a request."""
         free_slots = {
-            name: neighbour.free(permit_request.service, permit_request.rank)
+            name: neighbour.free(
+                permit_request.service, permit_request.rank, permit_request.version
+            )
             for name, neighbour in self._usable()
         }
         best = max(free_slots, key=free_slots.get, default=None)
@@ -198,7 +202,13 @@
     def _faster_domain(
         self, permit_request: PermitRequest, limit_s: float
     ) -> str | None:
-        """Return the fastest domain with a slot and a first event within a limit."""
+        """Return the fastest domain with a slot and a first event within a limit.
+
+        A domain doesn't tell the speed of each software version, so there is none for
+        a request that continues a stream.
+        """
+        if permit_request.version is not None:
+            return None
         service = permit_request.service
         tokens = permit_request.size.prompt_tokens
         times = {
@@ -214,7 +224,7 @@
         ranks = {}
         for name, neighbour in self._usable():
             rank = neighbour.less_urgent_rank(
-                permit_request.service, permit_request.rank
+                permit_request.service, permit_request.rank, permit_request.version
             )
             if rank is not None:
                 ranks[name] = rank
@@ -286,7 +296,9 @@
         if has_coordinator and not msg.is_acting:
             self.shares.update_domain(msg.failure_domain, msg.spent, msg.demand, at)
         if any(
-            capacity.free > 0 or any(n > 0 for n in capacity.free_by_rank.values())
+            capacity.free > 0
+            or any(n > 0 for n in capacity.free_by_rank.values())
+            or any(n > 0 for n in capacity.free_by_version.values())
             for capacity in msg.rooms
         ):
             self.on_capacity()
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import enum
 import itertools
 import math
 import secrets
@@ -21,7 +22,7 @@
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.membership.roster import Roster
-from fuchsiacroft.membership.server_notices import NoticedAnswer, NoticeReason
+from fuchsiacroft.membership.server_notices import NoticedAnswer
 from fuchsiacroft.placing.coordinator import Coordinator
 from fuchsiacroft.placing.hand_over import OutgoingHandOver
 from fuchsiacroft.placing.messages import (
@@ -64,6 +65,14 @@
 """How long a coordinator's last report of spent quotas is used by its successor."""
 
 
+class DeclineReason(enum.Enum):
+    """Why an entry doesn't use a slot, by what it knows of the server."""
+
+    LEAVING = "leaving"
+    PAUSED = "paused"
+    VERSION = "version"
+
+
 @dataclass(frozen=True, slots=True)
 class WaitLimits:
     """How long a request may wait to be answered in time, and at most, in seconds.
@@ -191,7 +200,9 @@
         """
         started_at = now()
         service = permit_request.service
-        resumes_at = partial(self.availability.resumes_at, service)
+        resumes_at = partial(
+            self.availability.resumes_at, service, permit_request.version
+        )
         while True:
             refusal = await wait_for_servers(
                 resumes_at, started_at + wait_limits.max_wait_s
@@ -207,17 +218,43 @@
             if outcome.is_error():
                 return outcome
             placed = outcome.ok
-            reason = self.availability.reason(placed.backend_server)
+            reason = self._decline_reason(placed, permit_request)
             if reason is None:
                 self._active_runs[placed.run_id] = HeldRun(
                     placed.run_id, placed.backend_server, permit_request
                 )
                 return outcome
             self._decline(placed, permit_request, reason)
-            if reason is NoticeReason.LEAVING:
+            if reason is not DeclineReason.PAUSED:
                 permit_request = permit_request.avoiding(placed.backend_server)
             charge = 0.0
 
+    def _decline_reason(
+        self, placed: SlotAssignment, permit_request: PermitRequest
+    ) -> DeclineReason | None:
+        """Return why a request must not be sent to the server it was placed on."""
+        reason = self.availability.reason(placed.backend_server)
+        if reason is not None:
+            return DeclineReason(reason.value)
+        if permit_request.version is None:
+            return None
+        version = self.certain_version(placed, permit_request.service)
+        return None if version == permit_request.version else DeclineReason.VERSION
+
+    def certain_version(self, placed: SlotAssignment, service: str) -> str | None:
+        """Return the software version of the server that a request was placed on.
+
+        None if this entry knows another start of the server, or another version, than
+        the coordinator that placed the request.
+        """
+        record = self._roster.server(placed.backend_server)
+        if record is None:
+            return placed.version
+        if str(record.born_ms) != placed.start:
+            return None
+        version = record.announcement.version_of(service)
+        return version if version == placed.version else None
+
     def _running(self, backend_server: str) -> int:
         return sum(
             run.backend_server == backend_server for run in self._active_runs.values()
@@ -227,7 +264,7 @@
         self,
         placed: SlotAssignment,
         permit_request: PermitRequest,
-        reason: NoticeReason,
+        reason: DeclineReason,
     ) -> None:
         self.release(placed, RunReport(RunOutcome.UNUSED))
         event(
--- a/fuchsiacroft/placing/queue.py
+++ b/fuchsiacroft/placing/queue.py
@@ -6,7 +6,9 @@
 short request precedes a long one that arrived slightly earlier. A short request
 that is in time also precedes late requests of the next more urgent rank: those are
 late in any case, are hardly delayed by it, and would otherwise block all less
-urgent requests for as long as the overload lasts.
+urgent requests for as long as the overload lasts. A request that continues a stream
+goes first in its rank: its caller waits in the middle of an answer, and only servers
+of one version may go on with it.
 """
 
 import heapq
@@ -27,9 +29,11 @@
 class WaitClass(IntEnum):
     """The order of the waiters of one rank.
 
-    `PROMOTED` holds the short requests of the next less urgent rank.
+    `CONTINUED` holds those that continue a stream, and `PROMOTED` the short requests of
+    the next less urgent rank.
     """
 
+    CONTINUED = -1
     IN_TIME = 0
     PROMOTED = 1
     LATE = 2
@@ -42,8 +46,12 @@
     wait_class: WaitClass
 
 
-def position(rank: int, *, is_late: bool, is_short: bool) -> Position:
+def position(
+    rank: int, *, is_late: bool, is_short: bool, continues: bool = False
+) -> Position:
     """Return the queue position of a request."""
+    if continues:
+        return Position(rank, WaitClass.CONTINUED)
     if is_late:
         return Position(rank, WaitClass.LATE)
     if is_short:
@@ -75,15 +83,30 @@
         """Return the rank of the request."""
         return self.request.ask.rank
 
+    @property
+    def version(self) -> str | None:
+        """Return the software version at which it continues a stream, or None."""
+        return self.request.ask.version
+
     @property
     def position(self) -> Position:
         """Return the position in the queue."""
-        return position(self.rank, is_late=self.late, is_short=self.is_short)
+        return position(
+            self.rank,
+            is_late=self.late,
+            is_short=self.is_short,
+            continues=self.version is not None,
+        )
 
     @property
     def position_in_time(self) -> Position:
         """Return the position that it would have if it were still in time."""
-        return position(self.rank, is_late=False, is_short=self.is_short)
+        return position(
+            self.rank,
+            is_late=False,
+            is_short=self.is_short,
+            continues=self.version is not None,
+        )
 
 
 class Queue:
@@ -93,14 +116,28 @@
         self._heap: list[tuple[Position, float, int, Waiter]] = []
         self._sequence = itertools.count()
         self._counts: Counter[Position] = Counter()
+        self._awaited: Counter[str] = Counter()
 
     def __len__(self) -> int:
         """Return the number of waiters."""
         return self._counts.total()
 
     def ahead_of(self, pos: Position) -> int:
-        """Return how many waiters precede a new one at a position."""
-        return sum(count for other, count in self._counts.items() if other <= pos)
+        """Return how many waiters for any server precede a new one at a position."""
+        return sum(
+            count
+            for other, count in self._counts.items()
+            if other <= pos and other.wait_class is not WaitClass.CONTINUED
+        )
+
+    def awaiting(self, version: str) -> int:
+        """Return how many waiters continue a stream of a software version."""
+        return self._awaited[version]
+
+    @property
+    def awaited_versions(self) -> frozenset[str]:
+        """Return the software versions for which waiters continue a stream."""
+        return frozenset(version for version, count in self._awaited.items() if count)
 
     def late(self) -> int:
         """Return how many waiters can no longer be answered in time."""
@@ -122,12 +159,16 @@
         pos = waiter.position
         heapq.heappush(self._heap, (pos, key, next(self._sequence), waiter))
         self._counts[pos] += 1
+        if waiter.version is not None:
+            self._awaited[waiter.version] += 1
 
     def remove(self, waiter: Waiter) -> None:
         """Remove a waiter at any position."""
         if not waiter.removed:
             waiter.removed = True
             self._counts[waiter.position] -= 1
+            if waiter.version is not None:
+                self._awaited[waiter.version] -= 1
 
     def head(self) -> Waiter | None:
         """Return the waiter that is placed next."""
--- a/fuchsiacroft/placing/server_availability.py
+++ b/fuchsiacroft/placing/server_availability.py
@@ -84,15 +84,17 @@
             if self.reason(record.name)
         )
 
-    def resumes_at(self, service: str) -> float:
+    def resumes_at(self, service: str, version: str | None = None) -> float:
         """Return when a server of a service takes requests from this VM again.
 
+        With a software version, only its servers count.
         This is now if one does already, or if none is known; infinity if all leave.
         """
         at = now()
         if self._notices.is_empty:
             return at
-        times = [self._resumes_at(record, at) for record in self._servers_of(service)]
+        servers = self._servers_of(service, version)
+        times = [self._resumes_at(record, at) for record in servers]
         return min(times, default=at)
 
     def record(self, answer: NoticedAnswer) -> None:
@@ -115,11 +117,13 @@
             at,
         )
 
-    def _servers_of(self, service: str) -> list[ServerRecord]:
+    def _servers_of(
+        self, service: str, version: str | None = None
+    ) -> list[ServerRecord]:
         return [
             record
             for record in self._roster.servers()
-            if any(offer.service == service for offer in record.announcement.offers)
+            if record.announcement.offers_service(service, version)
         ]
 
     def _notify(self, record: ServerRecord) -> None:
--- a/fuchsiacroft/platform/entry_process.py
+++ b/fuchsiacroft/platform/entry_process.py
@@ -20,6 +20,7 @@
 )
 from fuchsiacroft.platform.settings import WireSettings
 from fuchsiacroft.quarantine import service as quarantine
+from fuchsiacroft.streams import service as stream_origins
 from fuchsiacroft.transport import security
 from fuchsiacroft.utils.metrics import Metrics
 
@@ -52,6 +53,7 @@
         region_roster,
         tables,
         quarantine.create(region_roster.peers),
+        stream_origins.create(cfg),
         neighbours.create(cfg),
         coordinator.create(cfg, wire.shared_limits),
         placer.create(cfg),
--- a/fuchsiacroft/routing/permits.py
+++ b/fuchsiacroft/routing/permits.py
@@ -23,7 +23,8 @@
     leading blocks, the shortest first. `fingerprint` identifies the request's
     content, and `shared_parts` the parts of its prompt that other requests may have
     too. `avoid` lists backend servers that earlier attempts tried; none of them is
-    chosen.
+    chosen. `version` is the software version that began the stream which the request
+    continues; only servers of it are chosen. It is None if any may be.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     token_gap_target_s: float = 0.044
     retries_per_s: float = 10.0
     avoid: tuple[str, ...] = ()
+    version: str | None = None
 
     @property
     def content_ids(self) -> tuple[str, ...]:
@@ -71,6 +73,7 @@
     OVER_QUOTA = "over_quota"
     RETRY_BUDGET = "retry_budget"
     SERVERS_PAUSED = "servers_paused"
+    VERSION_GONE = "version_gone"
 
 
 class Refusal(msgspec.Struct, frozen=True):
--- a/fuchsiacroft/tests/platform/requests_tests.py
+++ b/fuchsiacroft/tests/platform/requests_tests.py
@@ -21,6 +21,9 @@
     stream_head,
 )
 
+STREAM_TIMEOUT_S = 4.0
+"""The longest time of a stream on the region's routes."""
+
 
 async def not_executed(req, writer):
     """Refuse the request without running it."""
@@ -360,9 +363,18 @@
         self.assertEqual((sse_events(1), False), (got.body, got.complete))
 
     async def test_the_clients_last_event_id_is_forwarded(self):
+        """All entries have seen only this version for as long as a stream may last."""
         replica = await self.region.add_replica("lens", streaming)
+        await asyncio.sleep(STREAM_TIMEOUT_S)
         got = await self.region.send_request(
             "/report/1/", "Last-Event-Id: 2", method="POST"
         )
         self.assertEqual(sse_events(3), got.body)
         self.assertEqual("2", replica.received[0].get("Last-Event-Id"))
+
+    async def test_a_stream_older_than_every_entry_goes_on_by_guess(self):
+        replica = await self.region.add_replica("lens", streaming)
+        got = await self.region.send_request(
+            "/report/1/", "Last-Event-Id: 2", method="POST"
+        )
+        self.assertEqual((503, []), (got.status, replica.received))
--- /dev/null
+++ b/fuchsiacroft/tests/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is known of streams' origins."""
