Give permits to requests that continue a stream only on their software version

Requests of a version wait in a queue of that version, so waits, limits and preemptions count its servers only, and they block no request that may run on others. The queues of an owner are a module of their own now, routing/service_queues.

--- a/fuchsiacroft/membership/backend_servers.py
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -105,12 +105,12 @@
         """Return every backend server whose announcements have not timed out."""
         return tuple(self._servers.values())
 
-    def offering(self, service: str) -> list[BackendServer]:
-        """Return the backend servers that offer a service."""
+    def offering(self, service: str, version: str | None = None) -> list[BackendServer]:
+        """Return the servers that offer a service, at a version if one is given."""
         return [
             server
             for server in self._servers.values()
-            if any(offer.service == service for offer in server.announcement.offers)
+            if server.announcement.offers_service(service, version)
         ]
 
     def get(self, name: str) -> BackendServer | None:
--- a/fuchsiacroft/routing/owner_candidates.py
+++ b/fuchsiacroft/routing/owner_candidates.py
@@ -59,6 +59,24 @@
             self._cached[service] = (now(), candidates)
         return candidates
 
+    def owners_for(self, request: PermitRequest) -> ServersByOwner:
+        """Return the owners of the backend servers that may run a request.
+
+        Owners of other failure domains don't tell the versions of their servers.
+        """
+        candidates = self.owners_of(request.service)
+        if request.version is None:
+            return candidates
+        return {
+            node: servers
+            for node, servers in candidates.items()
+            if not servers
+            or any(
+                server.announcement.offers_service(request.service, request.version)
+                for server in servers
+            )
+        }
+
     def _sample(self, candidates: ServersByOwner) -> ServersByOwner:
         if len(candidates) <= MAX_OWNERS:
             return candidates
@@ -74,7 +92,7 @@
         This entry is preferred if it owns a backend server of the service, unless
         the prefix caches of another owner save over `MIN_GAIN_S` more prefill.
         """
-        candidates = self.owners_of(request.service)
+        candidates = self.owners_for(request)
         if self._node in candidates:
             best = self._node
         else:
--- a/fuchsiacroft/routing/permit_queue.py
+++ b/fuchsiacroft/routing/permit_queue.py
@@ -27,6 +27,7 @@
 )
 from fuchsiacroft.routing.policies import PolicySet
 from fuchsiacroft.routing.service_queue import ServiceQueue
+from fuchsiacroft.routing.service_queues import ServiceQueues
 from fuchsiacroft.routing.shedder import Shedder
 from fuchsiacroft.routing.waiting_queue import LAST_ATTEMPT, Waiter
 from fuchsiacroft.utils.clock import now
@@ -51,7 +52,7 @@
         self._policies = policies
         self._owners = owners
         self._owned: dict[str, OwnedServer] = {}
-        self._service_queues: dict[str, ServiceQueue] = {}
+        self._queues = ServiceQueues(policies.queue)
         self._joined_at: dict[str, float] = {}
         self._issuer = PermitIssuer(node, policies)
         self._shedder = Shedder(policies)
@@ -95,7 +96,7 @@
             },
             "lines": {
                 name: service_queue.dump()
-                for name, service_queue in self._service_queues.items()
+                for name, service_queue in self._queues.by_service().items()
             },
             "speeds": self._policies.estimates.dump(),
             "prefixes": len(self._policies.prefixes),
@@ -124,30 +125,26 @@
             self.pacing.restart_server(owned.instance, now())
         else:
             owned.server = server
-        for offer in server.announcement.offers:
-            service_queue = self._service_queue(offer.service)
-            service_queue.servers[server.name] = owned
+        self._queues.add_server(owned)
+        for service_queue in self._queues.of_server(owned):
             self._grant_waiting(service_queue)
 
     def remove_server(self, name: str) -> None:
         """Stop granting permits for a backend server."""
-        if self._owned.pop(name, None) is None:
-            return
-        for service_queue in self._service_queues.values():
-            service_queue.servers.pop(name, None)
+        if self._owned.pop(name, None) is not None:
+            self._queues.remove_server(name)
 
     def serves(self, service: str) -> bool:
         """Return whether an owned backend server offers the service."""
-        service_queue = self._service_queues.get(service)
-        return service_queue is not None and bool(service_queue.servers)
+        return self._queues.serves(service)
 
     def service_queues(self) -> dict[str, ServiceQueue]:
-        """Return the queues by service."""
-        return self._service_queues
+        """Return the queues of the requests that any server may run, by service."""
+        return self._queues.by_service()
 
     def try_acquire(self, request: PermitRequest) -> Permit | None:
         """Return a permit if there is capacity and no waiter goes first."""
-        service_queue = self._service_queue(request.service)
+        service_queue = self._queues.of_request(request)
         head = service_queue.waiting.head()
         if head is not None and head.request.rank <= request.rank:
             return None
@@ -163,7 +160,7 @@
         self, request: PermitRequest, position: int = 0
     ) -> Result[Permit, Refusal]:
         """Wait for a permit until the request times out."""
-        service_queue = self._service_queue(request.service)
+        service_queue = self._queues.of_request(request)
         waiter = self._new_waiter(request, position, service_queue)
         match self._treatment(request):
             case Treatment.REFUSED:
@@ -193,9 +190,7 @@
 
     def release(self, permit: Permit, report: RunReport) -> None:
         """Return a permit with the report of its run."""
-        self._shedder.record_end(
-            permit, self._service_queues.get(permit.request.service)
-        )
+        self._shedder.record_end(permit, self._queues.all())
         owned = self._owned.get(permit.backend_server)
         if owned is None or owned.server.boot_id != permit.boot_id:
             return
@@ -205,8 +200,8 @@
         if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
             self._quarantine.record_answer(permit.request.content_ids)
         self._issuer.record_run(owned, run, report)
-        for offer in owned.server.announcement.offers:
-            self._grant_waiting(self._service_queue(offer.service), owned)
+        for service_queue in self._queues.of_server(owned):
+            self._grant_waiting(service_queue, owned)
 
     def record_first_token(self, permit: Permit) -> None:
         """Record the end of a run's prefill, so that the next one may start."""
@@ -215,7 +210,8 @@
             return
         owned.record_first_token(permit.permit_id)
         if owned.end_prefill(permit.permit_id):
-            self._grant_waiting(self._service_queue(permit.request.service), owned)
+            for service_queue in self._queues.of_server(owned):
+                self._grant_waiting(service_queue, owned)
 
     def adopt(self, permit: Permit) -> bool:
         """Adopt a run that continues under a permit of an earlier owner."""
@@ -228,7 +224,8 @@
 
     def record_grant_elsewhere(self, request: PermitRequest) -> None:
         """Count a start in the wait estimates when another owner granted a permit."""
-        self._service_queue(request.service).wait_estimates.record_start(request.rank)
+        service_queue = self._queues.of_request(request)
+        service_queue.wait_estimates.record_start(request.rank)
 
     def record_remote_run(
         self, request: PermitRequest, generation: str, report: RunReport
@@ -255,17 +252,7 @@
 
     def refusal(self, reason: RefusalReason, request: PermitRequest) -> Refusal:
         """Return a refusal with its retry delay."""
-        return self._shedder.refusal(
-            reason, request, self._service_queue(request.service)
-        )
-
-    def _service_queue(self, service: str) -> ServiceQueue:
-        service_queue = self._service_queues.get(service)
-        if service_queue is None:
-            service_queue = self._service_queues[service] = ServiceQueue(
-                service, self._policies.queue()
-            )
-        return service_queue
+        return self._shedder.refusal(reason, request, self._queues.of_request(request))
 
     def _treatment(self, request: PermitRequest) -> Treatment:
         if self._quarantine is None or self._quarantine.evidence.is_empty:
@@ -294,7 +281,7 @@
     def _may_eject(self, services: tuple[str, ...]) -> bool:
         """Return whether the other servers of the domain can carry the services."""
         for service in services:
-            service_queue = self._service_queue(service)
+            service_queue = self._queues.of_service(service)
             servers, slow = self.peer_server_counts(service)
             servers += len(service_queue.servers)
             slow += sum(
@@ -472,7 +459,7 @@
             for owned in list(self._owned.values()):
                 owned.share = self._owners.share(owned.name)
                 self._check_overdue(owned)
-            for service_queue in self._service_queues.values():
+            for service_queue in self._queues.all():
                 self._grant_waiting(service_queue)
 
     def _check_overdue(self, owned: OwnedServer) -> None:
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -156,7 +156,9 @@
     ) -> Result[Permit, Refusal]:
         """Acquire a permit for a server that takes requests from this entry."""
         deadline = now() + request.timeout_s
-        resumes_at = partial(self._availability.resumes_at, request.service)
+        resumes_at = partial(
+            self._availability.resumes_at, request.service, request.version
+        )
         while True:
             refusal = await wait_for_servers(resumes_at, deadline)
             if refusal is not None:
@@ -255,7 +257,7 @@
         last_request = _shortened(
             request, max(waited_s, request.timeout_s - LAST_ATTEMPT_S)
         )
-        for node in list(self._candidates.owners_of(request.service)):
+        for node in list(self._candidates.owners_for(request)):
             if node == first:
                 continue
             match await self._attempt(node, last_request, LAST_ATTEMPT, race):
@@ -265,7 +267,7 @@
 
     def _have_all_owners_refused(self, race: Race, request: PermitRequest) -> bool:
         """Return whether every owner has refused, regardless of other nodes."""
-        candidates = list(self._candidates.owners_of(request.service))
+        candidates = list(self._candidates.owners_for(request))
         return bool(candidates) and race.all_refused(candidates)
 
     def _outcome(self, race: Race, request: PermitRequest) -> Result[Permit, Refusal]:
@@ -277,7 +279,7 @@
         self, race: Race, request: PermitRequest, waited_s: float
     ) -> None:
         remaining = _shortened(request, waited_s)
-        candidates = self._candidates.owners_of(request.service)
+        candidates = self._candidates.owners_for(request)
         if self._policies.borrow == "own_desk" and self._node in candidates:
             candidates = {self._node: candidates[self._node]}
         nodes = sorted(candidates, key=lambda node: node != self._node)
--- a/fuchsiacroft/routing/server_availability.py
+++ b/fuchsiacroft/routing/server_availability.py
@@ -64,15 +64,16 @@
             if self._resumes_at(server, at) > at
         )
 
-    def resumes_at(self, service: str) -> float:
+    def resumes_at(self, service: str, version: str | None = None) -> float:
         """Return when a server of a service takes requests from this entry again.
 
+        With a software version, only its servers count.
         This is now if one does already, or if none is known; infinity if all leave.
         """
         at = now()
         if self._notices.is_empty:
             return at
-        servers = self._directory.offering(service)
+        servers = self._directory.offering(service, version)
         return min((self._resumes_at(server, at) for server in servers), default=at)
 
     def _resumes_at(self, server: BackendServer, at: float) -> float:
--- a/fuchsiacroft/routing/shedder.py
+++ b/fuchsiacroft/routing/shedder.py
@@ -3,7 +3,7 @@
 A refused waiter is notified at once, with a retry delay.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from expression import Error
 
@@ -68,9 +68,11 @@
         """Return a refusal with its retry delay."""
         return Refusal(reason, self._retry_s(request, service_queue))
 
-    def record_end(self, permit: Permit, service_queue: ServiceQueue | None) -> None:
+    def record_end(
+        self, permit: Permit, service_queues: Iterable[ServiceQueue]
+    ) -> None:
         """Record that a run has ended, preempted or not."""
-        if service_queue is not None:
+        for service_queue in service_queues:
             service_queue.pending_preemptions.discard(permit.permit_id)
 
     def _try_preempt(self, waiter: Waiter, service_queue: ServiceQueue) -> None:
--- a/fuchsiacroft/tests/fakes/routing_domain.py
+++ b/fuchsiacroft/tests/fakes/routing_domain.py
@@ -130,14 +130,16 @@
         return Entry(member, kernel)
 
 
-def announcement(name: str, slots: int = 4, boot: str = "1", **fields) -> Announcement:
+def announcement(
+    name: str, slots: int = 4, boot: str = "1", version: str = "", **fields
+) -> Announcement:
     """Return an announcement of a backend server that offers the service "lens"."""
     return Announcement(
         name=name,
         boot_id=f"{name}-{boot}",
         failure_domain="d",
         address="127.0.0.1:1",
-        offers=(Offer("lens"),),
+        offers=(Offer("lens", version),),
         slots=slots,
         generation="gen",
         **fields,
