--- a/fuchsiacroft/tests/fakes/memory_region.py
+++ b/fuchsiacroft/tests/fakes/memory_region.py
@@ -12,6 +12,7 @@
 from fuchsiacroft.placing.neighbours import Neighbours
 from fuchsiacroft.placing.placer import Placer
 from fuchsiacroft.quarantine.service import Quarantine
+from fuchsiacroft.streams.service import StreamOrigins
 from fuchsiacroft.tests.fakes.bus import MemoryNetwork
 
 HEARTBEAT_S = 1.0
@@ -86,6 +87,7 @@
         self.bus = region.network.bus(self.node, self.address)
         self.roster = Roster(settings)
         self.quarantine = Quarantine(self.roster.peers)
+        self.origins = StreamOrigins(settings)
         self.neighbours = Neighbours(settings)
         self.coordinator = Coordinator(settings, SharedLimits())
         self.placer = Placer(settings)
@@ -95,6 +97,7 @@
             self.roster,
             FixedTable(region.table),
             self.quarantine,
+            self.origins,
             self.neighbours,
             self.coordinator,
             self.placer,
--- a/fuchsiacroft/tests/membership/server_table_tests.py
+++ b/fuchsiacroft/tests/membership/server_table_tests.py
@@ -15,6 +15,7 @@
     address: str = "10.0.0.1:80",
     domain: str = "mvd-cordon",
     service: str = "lens",
+    version: str = "",
 ) -> ServerRecord:
     """Return a report of a backend server."""
     announcement = Announcement(
@@ -22,7 +23,7 @@
         boot_id=f"{name}/{born_ms}",
         failure_domain=domain,
         address=address,
-        offers=(Offer(service),),
+        offers=(Offer(service, version),),
         slots=11,
     )
     return ServerRecord(announcement, born_ms, sequence, life)
--- a/fuchsiacroft/tests/placing/allocator_tests.py
+++ b/fuchsiacroft/tests/placing/allocator_tests.py
@@ -45,6 +45,7 @@
     prompt_tokens: int = 1_000,
     repeats: bool = False,
     avoid: tuple[str, ...] = (),
+    version: str | None = None,
 ) -> PlaceRequest:
     """Return a placement request."""
     run_id = f"run-{next(_numbers)}"
@@ -58,6 +59,7 @@
         size=size,
         avoid=avoid,
         token_gap_target_s=0.3,
+        version=version,
     )
     return PlaceRequest(
         run_id, permit_request, charge, repeats, in_time_s, max_wait_s, event_tokens=9
