--- a/fuchsiacroft/tests/platform/stream_versions_tests.py
+++ b/fuchsiacroft/tests/platform/stream_versions_tests.py
@@ -111,6 +111,35 @@
             await versioned_streams.take_up(self.region, stream, 1 + number % 3)
         self.assert_go_on(streams)
 
+    async def test_a_stream_that_is_taken_up_twice_goes_on_at_another_version(self):
+        await self.add_servers("v1")
+        await self.add_servers("v1.1")
+
+        async def one_stream(number: int) -> Stream:
+            entry = number % ENTRIES
+            stream = await versioned_streams.begin(self.region, entry)
+            for step in (1, 2):
+                lines = versioned_streams.resume_lines(stream)
+                await versioned_streams.read_events(
+                    self.region, stream, (entry + step) % ENTRIES, *lines, most=4
+                )
+            await versioned_streams.take_up(self.region, stream, entry)
+            return stream
+
+        self.assert_go_on(await self.play(one_stream))
+
+    async def test_a_stream_without_a_known_first_try_goes_on_by_guess(self):
+        await self.add_servers("v1")
+        await self.add_servers("v1.1")
+        streams = [await versioned_streams.begin(self.region, n % 4) for n in range(4)]
+        for number, lines in enumerate(
+            ((), ("Resumes: made-up",), ("Resumes: ",), ("Resumes: \xfc",))
+        ):
+            await versioned_streams.read_events(
+                self.region, streams[number], number, "Last-Event-Id: 4", *lines
+            )
+        self.assertEqual([[200, 503]] * 4, [s.statuses for s in streams])
+
     async def test_a_stream_whose_version_has_ended_goes_on_at_another(self):
         await self.add_servers("v1")
         streams = [await versioned_streams.begin(self.region, n % 4) for n in range(8)]
