--- a/fuchsiacroft/explain/diagnosis.py
+++ b/fuchsiacroft/explain/diagnosis.py
@@ -10,6 +10,9 @@
     "no_backend_server": "refused: no backend server of its service was known",
     "quarantined": "quarantined: backend servers crashed while running this request",
     "servers_paused": "refused: every backend server of its service wanted a pause",
+    "stream_unknown": "refused: no entry knows which version began its stream",
+    "service_gone": "refused: its route no longer goes to the service of its stream",
+    "version_gone": "refused: no server is left of the version that began its stream",
     "retry_budget": "not retried: the retry budget of its service was exhausted",
     "not_ready": "refused: the entry had no route table confirmed by a quorum",
     "unknown_path": "refused: no route in force matches its host and path",
@@ -58,11 +61,22 @@
         if line.event == "run_ended":
             server, outcome = line.fields.get("backend_server"), line.fields["outcome"]
             parts.append(f"{server} {outcome}")
+        elif line.event == "stream_origin_sought":
+            parts.append(_origin(line.fields))
         elif line.event == "place_refused":
             parts.append(_refusal(line.fields))
     return "; " + ", ".join(parts) if parts else ""
 
 
+def _origin(fields: dict[str, str]) -> str:
+    """Return what was found of the stream that the request took up."""
+    source = "told" if fields.get("known") == "True" else "not told"
+    return (
+        f"its stream began at {fields.get('found')} ({source}; {fields.get('replies')} "
+        f"replies, versions seen {fields.get('versions')})"
+    )
+
+
 def _refusal(fields: dict[str, str]) -> str:
     return _placement(fields) + _server_limits(fields)
 
--- a/fuchsiacroft/gateway/request_metrics.py
+++ b/fuchsiacroft/gateway/request_metrics.py
@@ -12,6 +12,8 @@
 CALLER_DISCONNECTED = "left"
 ABORTED = "cut"
 NONE = "-"
+WENT_ON = "went_on"
+NO_EVENT = "no_event"
 
 
 class RequestMetrics:
@@ -31,6 +33,10 @@
             "fuchsiacroft_gateway_server_notices_total",
             "Answers in which a server said that it leaves, pauses or is limited",
         )
+        self._taken_up = metrics.counter(
+            "fuchsiacroft_gateway_streams_taken_up_total",
+            "Requests that take up a stream, by what became of them",
+        )
         self._seconds = metrics.histogram(
             "fuchsiacroft_gateway_answer_duration_seconds", "Time to the answer's end"
         )
@@ -75,6 +81,7 @@
             self._notices.inc({"service": labels["service"], "notice": notice.value})
         if request is not None:
             self._record_durations(context, labels)
+            self._record_taken_up(context, labels["service"])
         self._log(context, status_label, version, age_s)
 
     def _record_durations(
@@ -88,6 +95,14 @@
             first_event_s = context.first_event_at - context.started_at
             self._first_event.observe(labels, first_event_s)
 
+    def _record_taken_up(self, context: RequestContext, service: str) -> None:
+        if not context.request.takes_up_stream:
+            return
+        outcome = WENT_ON if context.event_splitter.count else NO_EVENT
+        if context.problem is not None:
+            outcome = context.problem.code
+        self._taken_up.inc({"service": service, "outcome": outcome})
+
     def _log(
         self, context: RequestContext, status_label: str, version: int, age_s: float
     ) -> None:
