--- a/fuchsiacroft/tests/soak/callers.py
+++ b/fuchsiacroft/tests/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 
 from fuchsiacroft.tests.fakes import platform_wire
@@ -12,6 +13,7 @@
     read_head,
 )
 from fuchsiacroft.tests.soak.fleet import Program
+from fuchsiacroft.tests.soak.invariants import STREAM_EVENTS
 from fuchsiacroft.tests.soak.observations import Attempt, Observations
 
 ROUTES = {
@@ -29,6 +31,8 @@
 SOUND_PARTS = 5
 DEADLY_PROBABILITY = 0.15
 """Probability that a request has a deadly part, while there is one."""
+BREAK_PROBABILITY = 0.1
+"""Probability that a caller breaks a stream off after some events, to take it up."""
 ABANDON_PROBABILITY = 0.02
 """Probability that a caller closes the connection before the response ends."""
 
@@ -78,6 +82,7 @@
         self._now = asyncio.get_running_loop().time
         self._entry = ""
         self._conn = None
+        self._broken: Attempt | None = None
 
     async def call(self) -> None:
         """Send requests until cancelled."""
@@ -85,7 +90,8 @@
             await asyncio.sleep(self._rng.uniform(*PAUSE_RANGE_S))
             if self._conn is None and not await self._connect():
                 continue
-            await self._send_request(self._rng.choice(list(ROUTES)))
+            route = "resumable" if self._broken else self._rng.choice(list(ROUTES))
+            await self._send_request(route)
 
     async def _connect(self) -> bool:
         ready = self._balancer.ready()
@@ -115,6 +121,14 @@
         attempt = Attempt(
             attempt_id, route, self._entry, self._now(), timeout_s, body=body
         )
+        broken, self._broken = self._broken, None
+        lines = []
+        if broken is not None:
+            attempt.resumes = broken.resumes or broken.attempt_id
+            attempt.last_event = broken.events[-1]
+            attempt.body = body = broken.body
+            lines.append(f"Last-Event-Id: {attempt.last_event}")
+            lines.append(f"Resumes: {attempt.resumes}")
         self._observations.attempts.append(attempt)
         reader, writer = self._conn
         writer.write(
@@ -125,33 +139,45 @@
                 f"Fuchsiacroft-Deadline-Ms: {timeout_s * 1000:.0f}",
                 "X-Api-Key: key-1",
                 f"Fuchsiacroft-Prefix-Hash: {self._prompt_parts(attempt_id)}",
+                *lines,
                 body=body,
             )
         )
         limit_s = timeout_s + RESPONSE_MARGIN_S
+        breaks = route == "resumable" and self._rng.random() < BREAK_PROBABILITY
+        most_events = self._rng.randrange(1, STREAM_EVENTS) if breaks else math.inf
         if self._rng.random() < ABANDON_PROBABILITY:
             limit_s = self._rng.uniform(0.0, 0.1)
             attempt.is_abandoned = True
         try:
             async with asyncio.timeout(limit_s):
-                is_kept = await _read(reader, attempt)
+                is_kept = await _read(reader, attempt, most_events)
         except (OSError, EOFError, TimeoutError, ValueError):
             is_kept = False
         attempt.ended_at = self._now()
+        if route == "resumable" and attempt.events and not attempt.is_complete:
+            self._broken = attempt
         if not is_kept:
             writer.close()
             self._conn = None
 
 
-async def _read(reader: asyncio.StreamReader, attempt: Attempt) -> bool:
-    """Read one response; return whether the connection may be reused."""
+async def _read(
+    reader: asyncio.StreamReader, attempt: Attempt, most_events: float
+) -> bool:
+    """Read one response; return whether the connection may be reused.
+
+    A stream is broken off after `most_events`.
+    """
     attempt.status, headers = await read_head(reader)
     attempt.says_leaving = headers.get("server-leaving") == "1"
     attempt.names_limit = "server-limit" in headers
     response_attempt_id = headers.get("fuchsiacroft-attempt-id")
     attempt.is_own_response = response_attempt_id in (None, attempt.attempt_id)
     if headers.get("transfer-encoding") == "chunked":
-        await _read_events(reader, attempt)
+        if not await _read_events(reader, attempt, most_events):
+            attempt.is_abandoned = True
+            return False
     else:
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         expected = f"done {attempt.attempt_id}".encode()
@@ -161,9 +187,17 @@
     return headers.get("connection", "").lower() != "close"
 
 
-async def _read_events(reader: asyncio.StreamReader, attempt: Attempt) -> None:
+async def _read_events(
+    reader: asyncio.StreamReader, attempt: Attempt, most_events: float
+) -> bool:
+    """Read a stream's events; return whether it was read to its end."""
     partial_event = b""
     while data := await read_chunk(reader):
         *events, partial_event = (partial_event + data).split(b"\n\n")
         for event in events:
-            attempt.events.append(int(event.split(b"\n")[0].removeprefix(b"id: ")))
+            number, version = event.split(b"\n")
+            attempt.events.append(int(number.removeprefix(b"id: ")))
+            attempt.versions.append(version.removeprefix(b"data: ").decode())
+        if len(attempt.events) >= most_events:
+            return False
+    return True
--- a/fuchsiacroft/tests/soak/invariants.py
+++ b/fuchsiacroft/tests/soak/invariants.py
@@ -49,6 +49,11 @@
 `LIMIT_WINDOW_S`, and `LIMIT_SLACK` requests more, from entries that were told."""
 TOLD_S = 0.5
 """An entry counts as told this long after it passed on an answer with a limit."""
+MIN_TAKEN_UP = 12
+MIN_SERVERS_OF_VERSION = 2
+MIN_GOING_ON = 0.5
+"""Of at least `MIN_TAKEN_UP` streams that are taken up while so many servers of their
+version serve, the share that goes on, by the share of new streams that begin."""
 MIN_SERVED_SHARE = 0.95
 """Minimum share of requests served after the last fault ended."""
 
@@ -74,6 +79,8 @@
     found += _configuration_violations(observations)
     found += _route_violations(observations)
     found += _refusal_violations(observations)
+    found += _version_violations(observations)
+    found += _going_on_violations(observations)
     found += _recovery_violations(observations)
     return found
 
@@ -100,14 +107,64 @@
 
 
 def _stream_violations(attempt: Attempt, name: str) -> list[str]:
-    expected = list(range(1, len(attempt.events) + 1))
+    first = attempt.last_event + 1
+    expected = list(range(first, first + len(attempt.events)))
     if attempt.events != expected:
-        return [f"{name} got events {attempt.events}"]
-    if attempt.events and attempt.is_complete and len(attempt.events) < STREAM_EVENTS:
+        return [f"{name} got events {attempt.events} after {attempt.last_event}"]
+    if attempt.events and attempt.is_complete and attempt.events[-1] < STREAM_EVENTS:
         return [f"{name} ended normally after {len(attempt.events)} events"]
     return []
 
 
+def _version_violations(observations: Observations) -> list[str]:
+    """Return the streams that hold events of several versions over all their tries."""
+    versions: dict[str, set[str]] = defaultdict(set)
+    for attempt in observations.attempts:
+        versions[attempt.resumes or attempt.attempt_id].update(attempt.versions)
+    return [
+        f"stream {first_id} holds events of {sorted(found)}"
+        for first_id, found in versions.items()
+        if len(found) > 1
+    ]
+
+
+def _going_on_violations(observations: Observations) -> list[str]:
+    """Return that too few streams went on which entries in contact could go on with."""
+    streams = [
+        attempt
+        for attempt in observations.attempts
+        if attempt.route == "resumable"
+        and (not attempt.is_abandoned or attempt.events)
+        and _is_in_contact(attempt.entry, attempt.sent_at, observations)
+    ]
+    by_id = {attempt.attempt_id: attempt for attempt in observations.attempts}
+    new = [bool(a.events) for a in streams if a.resumes is None]
+    taken_up = [
+        bool(a.events)
+        for a in streams
+        if a.resumes is not None
+        and a.last_event < STREAM_EVENTS
+        and _serving(by_id[a.resumes].versions[0], a.sent_at, observations)
+        >= MIN_SERVERS_OF_VERSION
+    ]
+    if len(taken_up) < MIN_TAKEN_UP or not new:
+        return []
+    share, new_share = sum(taken_up) / len(taken_up), sum(new) / len(new)
+    if share >= MIN_GOING_ON * new_share:
+        return []
+    return [f"{share:.2f} of {len(taken_up)} streams went on, {new_share:.2f} began"]
+
+
+def _serving(version: str, at: float, observations: Observations) -> int:
+    """Return how many servers of a version took new requests around a time."""
+    return sum(
+        span.version == version
+        and span.started_at <= at - CONTACT_S
+        and at <= span.ended_at - CONTACT_S
+        for span in observations.serving_spans
+    )
+
+
 def _is_fault_free(attempt: Attempt, observations: Observations) -> bool:
     end = attempt.ended_at or attempt.sent_at
     return not any(
--- a/fuchsiacroft/tests/soak/invariants_tests.py
+++ b/fuchsiacroft/tests/soak/invariants_tests.py
@@ -10,6 +10,7 @@
     PauseRequest,
     RouteProbe,
     Run,
+    ServingSpan,
     VersionRead,
 )
 
@@ -53,6 +54,49 @@
         stream = attempt(route="stream", events=ALL_EVENTS)
         self.assertEqual("", self.violations([stream], [run()]))
 
+    def test_a_stream_of_two_versions(self):
+        began = attempt(route="resumable", events=[1, 2], versions=["v1", "v1"])
+        began.is_abandoned = True
+        for version, expected in (("v1", False), ("v2", True)):
+            went_on = attempt(
+                attempt_id="b",
+                route="resumable",
+                events=ALL_EVENTS[2:],
+                versions=[version] * 4,
+                resumes="a",
+                last_event=2,
+            )
+            found = self.violations([began, went_on])
+            self.assertEqual(expected, "holds events of ['v1', 'v2']" in found, found)
+
+    def test_a_stream_that_goes_on_after_a_gap(self):
+        began = attempt(route="resumable", events=[1, 2], versions=["v1", "v1"])
+        gap = attempt(
+            attempt_id="b", route="resumable", events=[4, 5], resumes="a", last_event=2
+        )
+        self.assertIn("got events [4, 5] after 2", self.violations([began, gap]))
+
+    def test_few_streams_that_are_taken_up_go_on(self):
+        began = attempt(route="resumable", events=ALL_EVENTS, versions=["v1"] * 6)
+        taken_up = [
+            attempt(
+                attempt_id=f"b-{number}",
+                route="resumable",
+                status=503,
+                sent_at=5.0,
+                ended_at=5.1,
+                resumes="a",
+                last_event=3,
+            )
+            for number in range(12)
+        ]
+        for servers, expected in ((1, False), (2, True)):
+            spans = [ServingSpan("v1", 0.0) for _ in range(servers)]
+            found = self.violations(
+                [began, *taken_up], serving_spans=spans, recovered_at=6.0
+            )
+            self.assertEqual(expected, "0.00 of 12 streams went on" in found, found)
+
     def test_a_second_run_of_a_non_idempotent_request(self):
         self.assertIn("ran 2 times", self.violations([attempt()], [run(), run()]))
         safe = attempt(route="safe")
--- a/fuchsiacroft/tests/soak/observations.py
+++ b/fuchsiacroft/tests/soak/observations.py
@@ -3,6 +3,7 @@
 Times are those of the event loop.
 """
 
+import math
 from dataclasses import dataclass, field
 
 
@@ -13,8 +14,10 @@
     `status` is None if no response head was received. `is_complete` tells that the
     response was received to its end, `is_own_response` that it belongs to this
     request, `says_leaving` that its server leaves, `names_limit` that its server named
-    a limit on requests a second. `events` are the ids of a stream's
-    events. `is_abandoned` tells that the caller closed the connection itself.
+    a limit on requests a second. `events` are the ids of a stream's events, and
+    `versions` their servers' software versions. One that takes up a stream names the
+    attempt that began it in `resumes`, and its last event. `is_abandoned` tells that
+    the caller closed the connection itself.
     """
 
     attempt_id: str
@@ -27,6 +30,9 @@
     is_complete: bool = False
     is_own_response: bool = True
     events: list[int] = field(default_factory=list)
+    versions: list[str] = field(default_factory=list)
+    resumes: str | None = None
+    last_event: int = 0
     ended_at: float | None = None
     is_abandoned: bool = False
     says_leaving: bool = False
@@ -43,6 +49,15 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class ServingSpan:
+    """An incarnation of a server that streams took new requests for some time."""
+
+    version: str
+    started_at: float
+    ended_at: float = math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class PauseRequest:
     """A backend server refused a request, and asked its entry to wait until a time."""
@@ -114,6 +129,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     pauses: list[PauseRequest] = field(default_factory=list)
+    serving_spans: list[ServingSpan] = field(default_factory=list)
     limit_spans: list[LimitSpan] = field(default_factory=list)
     deadly_parts: list[str] = field(default_factory=list)
     part_crashes: list[PartCrash] = field(default_factory=list)
--- a/fuchsiacroft/tests/soak/servers.py
+++ b/fuchsiacroft/tests/soak/servers.py
@@ -16,7 +16,6 @@
     chunk,
     response,
     response_head,
-    sse_events,
     stream_head,
 )
 from fuchsiacroft.tests.soak.invariants import STREAM_EVENTS
@@ -25,10 +24,13 @@
     PartCrash,
     PauseRequest,
     Run,
+    ServingSpan,
 )
 
 HEARTBEAT_PERIOD_S = 0.3
 SLOTS = 8
+VERSIONS = ("v1", "v2")
+"""Software versions; each incarnation of a server has one of them."""
 WORK_RANGE_S = (0.002, 0.03)
 EVENT_PERIOD_S = 0.02
 NOT_RUN = "Fuchsiacroft-Not-Executed: 1"
@@ -56,6 +58,7 @@
         self.on_part_crash: Callable[[Self], None] = lambda server: None
         self._observations = observations
         self._rng = random.Random(name)
+        self._version_rng = random.Random(f"versions of {name}")
         self._incarnation = 0
         self._sequence = 0
         self._state = "ready"
@@ -80,6 +83,10 @@
         self._incarnation += 1
         self._sequence = 0
         self._state = "ready"
+        self._version = self._version_rng.choice(VERSIONS)
+        self._span = ServingSpan(self._version, self._clock())
+        if self._service == "lens":
+            self._observations.serving_spans.append(self._span)
         self.pause_s = 0.0
         self.limit_per_s = None
         self._replica = Replica(self.instance_id, address, self._handle_request)
@@ -88,6 +95,7 @@
 
     async def crash(self) -> None:
         """Abort every connection and stop the heartbeats."""
+        self._span.ended_at = min(self._span.ended_at, self._clock())
         self._heartbeat_task.cancel()
         await self._replica.stop()
 
@@ -95,6 +103,7 @@
         """Report draining until it is acknowledged; requests are still served."""
         self._heartbeat_task.cancel()
         self._state = "draining"
+        self._span.ended_at = self._clock()
         instance_id = self.instance_id
         while not await self._send_heartbeat():
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
@@ -113,6 +122,7 @@
             self.proxy.listen,
             zone=self._zone,
             slots=SLOTS,
+            version=self._version,
             state=self._state,
             sequence=self._sequence,
             born=1_000 + self._incarnation,
@@ -177,7 +187,7 @@
             self.on_part_crash(self)
             return
         for number in range(last_event_id + 1, STREAM_EVENTS + 1):
-            writer.write(chunk(sse_events(number)))
+            writer.write(chunk(f"id: {number}\ndata: {self._version}\n\n".encode()))
             await writer.drain()
             await asyncio.sleep(EVENT_PERIOD_S)
         writer.write(LAST_CHUNK)
