Detect a crash by a connection that is refused, not only by the server's return

Cause: the product's own path recorded a crash once the server announced itself again, which takes over 2 s on such a machine, or was silent for 3.2 s. Change: the owner that hears of a lost run opens a connection to the server; if it is refused, the process has ended, and the crash counts at once. A request that runs in isolation also avoids the servers it has tried, which it did not: without this the new test still fails.

--- a/fuchsiacroft/entry/process.py
+++ b/fuchsiacroft/entry/process.py
@@ -26,6 +26,7 @@
     owner_digests,
     permit_queue,
     scheduler,
+    server_probe,
     spillover,
 )
 from fuchsiacroft.routing.demand import LocalDemand
@@ -54,7 +55,9 @@
     ops.add_readiness_check(document_follower.not_ready_reason)
     ops.add_readiness_check(api.not_ready_reason)
     tokens = settings.operator_token_hashes
-    queue = permit_queue.create(settings.node, settings.policies, owners)
+    queue = permit_queue.create(
+        settings.node, settings.policies, owners, probe=server_probe.create()
+    )
     reports = engine_reports.create(settings)
     reports.set_demand_source(LocalDemand(queue))
     kernel = Kernel()
--- a/fuchsiacroft/routing/isolation.py
+++ b/fuchsiacroft/routing/isolation.py
@@ -45,6 +45,7 @@
         for owned in service_queue.servers.values()
         if owned.reserved_for in (None, waiter.sequence)
         and not owned.server.announcement.leaving
+        and owned.name not in waiter.request.avoid
     ]
     reserved = [owned for owned in free if owned.reserved_for == waiter.sequence]
     if reserved:
--- a/fuchsiacroft/routing/permit_queue.py
+++ b/fuchsiacroft/routing/permit_queue.py
@@ -26,6 +26,7 @@
     RunReport,
 )
 from fuchsiacroft.routing.policies import PolicySet
+from fuchsiacroft.routing.server_probe import ServerProbe
 from fuchsiacroft.routing.service_queue import ServiceQueue
 from fuchsiacroft.routing.service_queues import ServiceQueues
 from fuchsiacroft.routing.shedder import Shedder
@@ -48,7 +49,13 @@
 
     name = "desk"
 
-    def __init__(self, node: str, policies: PolicySet, owners: Owners) -> None:
+    def __init__(
+        self,
+        node: str,
+        policies: PolicySet,
+        owners: Owners,
+        probe: ServerProbe | None = None,
+    ) -> None:
         self._policies = policies
         self._owners = owners
         self._owned: dict[str, OwnedServer] = {}
@@ -59,6 +66,8 @@
         self._sequence = itertools.count()
         self._tasks = BackgroundTasks("desk")
         self._quarantine: Quarantine | None = None
+        self._probe = probe
+        self._probed: set[str] = set()
         self.pacing = request_pacing.create()
         self.pacing.share_of = owners.share
         self.peer_server_counts: Callable[[str], tuple[int, int]] = lambda service: (
@@ -200,6 +209,8 @@
         if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
             self._quarantine.record_answer(permit.request.content_ids)
         self._issuer.record_run(owned, run, report)
+        if report.outcome is RunOutcome.CONNECTION_LOST:
+            self._start_probe(owned)
         for service_queue in self._queues.of_server(owned):
             self._grant_waiting(service_queue, owned)
 
@@ -442,15 +453,35 @@
             case Result(tag="ok", ok=permit):
                 self.release(permit, RunReport(RunOutcome.UNUSED))
 
+    def _start_probe(self, owned: OwnedServer) -> None:
+        """Find out whether a server that lost a run has crashed."""
+        if self._probe is None or self._quarantine is None:
+            return
+        if owned.name not in self._probed:
+            self._probed.add(owned.name)
+            self._tasks.spawn(self._probe_server(owned), "desk-probe")
+
+    async def _probe_server(self, owned: OwnedServer) -> None:
+        try:
+            if await self._probe.has_ended(owned.server.announcement.address):
+                self._record_crash(owned)
+        finally:
+            self._probed.discard(owned.name)
+
+    def _record_crash(self, owned: OwnedServer) -> None:
+        """Blame a crash of a server on its runs; a second call changes nothing."""
+        if self._quarantine is not None:
+            crash_id = f"{owned.name} {owned.server.boot_id}"
+            self._quarantine.record_crash(crash_id, owned.suspects())
+
     def _on_removed(self, server: BackendServer) -> None:
         owned = self._owned.get(server.name)
         self._policies.prefixes.remove_server(server.name)
         self._joined_at.pop(server.boot_id, None)
         if owned is None:
             return
-        if self._quarantine is not None and owned.server.boot_id == server.boot_id:
-            crash_id = f"{server.name} {server.boot_id}"
-            self._quarantine.record_crash(crash_id, owned.suspects())
+        if owned.server.boot_id == server.boot_id:
+            self._record_crash(owned)
         self.remove_server(server.name)
 
     async def _sweep(self) -> None:
@@ -471,6 +502,12 @@
         owned.health.record_overdue(overdue)
 
 
-def create(node: str, chosen: Policies, owners: Owners, seed: int = 0) -> PermitQueue:
-    """Create the permit queue of an entry."""
-    return PermitQueue(node, policies.create(chosen, seed), owners)
+def create(
+    node: str,
+    chosen: Policies,
+    owners: Owners,
+    seed: int = 0,
+    probe: ServerProbe | None = None,
+) -> PermitQueue:
+    """Create the permit queue of an entry; without a `probe`, crashes show later."""
+    return PermitQueue(node, policies.create(chosen, seed), owners, probe)
--- a/fuchsiacroft/tests/fakes/routing_domain.py
+++ b/fuchsiacroft/tests/fakes/routing_domain.py
@@ -26,6 +26,7 @@
 from fuchsiacroft.routing.permit_queue import PermitQueue
 from fuchsiacroft.routing.permits import PermitRequest, RunOutcome, RunReport, WorkSize
 from fuchsiacroft.routing.scheduler import Scheduler
+from fuchsiacroft.routing.server_probe import ServerProbe
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 COMPLETED = RunReport(RunOutcome.COMPLETED, 0.2, 0.03, 1.0, 30)
@@ -70,6 +71,7 @@
     network: MemoryNetwork = field(default_factory=MemoryNetwork)
     entries: list[Entry] = field(default_factory=list)
     announced: dict[str, RelayedAnnouncement] = field(default_factory=dict)
+    probe: ServerProbe | None = None
     tasks: BackgroundTasks = field(default_factory=lambda: BackgroundTasks("domain"))
 
     async def start(self) -> "RoutingDomain":
@@ -121,7 +123,9 @@
             self.network.bus(member.node, member.peers),
             backend_servers.create(settings),
             quarantine.create_for(settings),
-            permit_queue.create(member.node, self.policies, domain_owners),
+            permit_queue.create(
+                member.node, self.policies, domain_owners, probe=self.probe
+            ),
             leases.create(addresses.create(settings)),
             spillover.create(settings),
             scheduler.create(settings, domain_owners),
--- a/fuchsiacroft/tests/routing/quarantine_tests.py
+++ b/fuchsiacroft/tests/routing/quarantine_tests.py
@@ -4,6 +4,7 @@
 
 from fuchsiacroft.quarantine.evidence import RETENTION_S, Treatment
 from fuchsiacroft.routing.permits import RefusalReason
+from fuchsiacroft.routing.server_probe import ServerProbe
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.routing_domain import (
     COMPLETED,
@@ -13,6 +14,45 @@
 )
 
 
+class EndedProbe(ServerProbe):
+    """Finds that every server that it is asked about has ended."""
+
+    async def has_ended(self, address):
+        return True
+
+
+class CrashProbeTests(PausedTestCase):
+    """Servers that crash and aren't back for a long time."""
+
+    def acquire_after_crashes(self, probe):
+        """Return the outcome for a request that has crashed two servers."""
+
+        async def run():
+            domain = await RoutingDomain(size=2, probe=probe).start()
+            try:
+                for name in ("s-1", "s-2", "s-3"):
+                    await domain.announce(name)
+                domain.announced.clear()
+                request = permit_request("bad", timeout_s=3.0)
+                for entry in domain.entries:
+                    permit = (await entry.scheduler.acquire(request)).ok
+                    entry.scheduler.release(permit, LOST)
+                    request = request.avoiding(permit.backend_server)
+                    await asyncio.sleep(0.1)
+                return await domain.entries[0].scheduler.acquire(request)
+            finally:
+                await domain.stop()
+
+        return self.run_paused(run())
+
+    def test_a_request_crashes_a_third_server_before_the_first_is_back(self):
+        outcome = self.acquire_after_crashes(EndedProbe())
+        self.assertEqual(RefusalReason.QUARANTINED, outcome.error.reason)
+
+    def test_runs_that_were_lost_at_sound_servers_are_blamed_on_a_request(self):
+        self.assertTrue(self.acquire_after_crashes(None).is_ok())
+
+
 class QuarantineTests(PausedTestCase):
     """Two entries and a request that crashes every backend server it runs on."""
 
