Let messages that may be lost go out without probing their connections

Origins of streams go to all entries in turn, over connections that are mostly silent, and each such message cost a probe and its reply.

--- a/fuchsiacroft/model/network.py
+++ b/fuchsiacroft/model/network.py
@@ -91,7 +91,7 @@
         finally:
             self._pending_requests.pop(number, None)
 
-    def send(self, peer: str, msg: msgspec.Struct) -> None:
+    def send(self, peer: str, msg: msgspec.Struct, *, probes: bool = True) -> None:
         """Send a message that has no reply."""
         self._transmit(peer, codec.encode(msg, 0, False, self._node))
 
--- a/fuchsiacroft/transport/bus.py
+++ b/fuchsiacroft/transport/bus.py
@@ -46,5 +46,9 @@
         """Send a message and wait up to `timeout` seconds for its reply."""
 
     @abstractmethod
-    def send(self, peer: str, msg: msgspec.Struct) -> None:
-        """Send a message that has no reply; it may be lost."""
+    def send(self, peer: str, msg: msgspec.Struct, *, probes: bool = True) -> None:
+        """Send a message that has no reply; it may be lost.
+
+        With `probes`, a connection that has been silent is checked. Messages to many
+        peers, of which some may be lost, are cheaper without.
+        """
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -130,11 +130,11 @@
         finally:
             self._pending.pop(number, None)
 
-    def send(self, peer: str, msg: msgspec.Struct) -> None:
+    def send(self, peer: str, msg: msgspec.Struct, *, probes: bool = True) -> None:
         """Send a message that has no reply; it may be lost."""
         data = codec.encode(msg, 0, False, self._node)
         link = self._enqueue(peer, QueuedMessage(data, now() + SEND_TIMEOUT_S))
-        if link is not None and link.needs_probe:
+        if probes and link is not None and link.needs_probe:
             link.is_probed = True
             self._tasks.spawn(self._probe(peer, link), f"bus-probe-{peer}")
 
