Wait until two failure domains know a stream before it goes on

Found by a test that failed once: of an id used for two streams, the first reply could come from the entry that began one of them and is no owner, so the stream went on at that one's version. A take-up waits now for entries that know it in two domains, one of which is an owner, or for all replies.

--- a/fuchsiacroft/streams/lookup.py
+++ b/fuchsiacroft/streams/lookup.py
@@ -11,6 +11,12 @@
 from fuchsiacroft.streams.messages import OriginReply
 from fuchsiacroft.streams.origin import StreamOrigin
 
+SETTLING_DOMAINS = 2
+"""Failure domains whose entries know a stream, after which no more replies are awaited.
+
+One of them at least has an owner, which was told of all streams with the same id.
+"""
+
 
 class OriginError(enum.Enum):
     """Why the origin of a stream is not certain.
@@ -31,6 +37,7 @@
         self._origins: set[StreamOrigin] = set()
         self._expected: set[str] = set()
         self._replied: set[str] = set()
+        self._knowing: set[str] = set()
         self._saw_all = False
         self.versions: set[str] = set()
         self.replies = 0
@@ -40,6 +47,11 @@
         """Whether an entry was told of the stream."""
         return bool(self._origins)
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether further replies would change nothing."""
+        return len(self._origins) > 1 or len(self._knowing) >= SETTLING_DOMAINS
+
     def begin_round(self) -> None:
         """Forget which failure domains have replied."""
         self._expected.clear()
@@ -53,6 +65,8 @@
         """Add the reply of an entry in a failure domain."""
         self.replies += 1
         self._replied.add(domain)
+        if reply.origins:
+            self._knowing.add(domain)
         self._origins.update(reply.origins)
         self.versions.update(reply.versions)
         self._saw_all = self._saw_all or reply.saw_all
--- a/fuchsiacroft/streams/service.py
+++ b/fuchsiacroft/streams/service.py
@@ -68,7 +68,7 @@
         entries = self._roster.entries()
         for owner in owners.owners_told(fact.key, entries, self._domain):
             if owner.node != self._roster.local_entry.node:
-                self._bus.send(owner.peers, StreamBegan(fact))
+                self._bus.send(owner.peers, StreamBegan(fact), probes=False)
 
     async def find(
         self, workspace: str, request_id: str, service: str, within_s: float
@@ -90,11 +90,9 @@
         return outcome
 
     async def _ask(self, msg: FindOrigin, lookup: Lookup) -> None:
-        """Ask this entry and then the owners of a key, until one knows its origin."""
+        """Ask this entry and the owners of a key, until what they know is certain."""
         lookup.begin_round()
         lookup.add(self._domain, self._reply(msg))
-        if lookup.is_known:
-            return
         asked = owners.owners_asked(msg.key, self._roster.entries())
         lookup.expect(asked)
         requests = [
@@ -106,7 +104,7 @@
         try:
             for request in asyncio.as_completed(requests):
                 await request
-                if lookup.is_known:
+                if lookup.is_settled:
                     return
         finally:
             for request in requests:
--- a/fuchsiacroft/tests/streams/lookup_tests.py
+++ b/fuchsiacroft/tests/streams/lookup_tests.py
@@ -37,6 +37,19 @@
         replies = ("x", OriginReply((V1,))), ("y", OriginReply((V2,)))
         self.assertEqual(Error(OriginError.AMBIGUOUS), self.result(*replies))
 
+    def test_a_reply_of_one_domain_settles_which_of_two_streams_is_meant(self):
+        lookup = Lookup("lens")
+        lookup.add("x", OriginReply((V1,)))
+        self.assertFalse(lookup.is_settled)
+        lookup.add("y", OriginReply((V1, V2)))
+        self.assertTrue(lookup.is_settled)
+
+    def test_replies_are_awaited_although_two_domains_agree(self):
+        lookup = Lookup("lens")
+        for domain in ("x", "y"):
+            lookup.add(domain, OriginReply((V1,)))
+        self.assertTrue(lookup.is_settled)
+
     def test_a_stream_is_refused_where_one_version_served_all_the_time(self):
         self.assertEqual(Ok(V1), self.result(("x", SAW_V1), ("y", NEW)))
 
