--- a/fuchsiacroft/tests/soak/callers.py
+++ b/fuchsiacroft/tests/soak/callers.py
@@ -5,6 +5,8 @@
 import math
 import random
 
+import msgspec
+
 from fuchsiacroft.tests.fakes import platform_wire
 from fuchsiacroft.tests.fakes.platform_wire import (
     DATA_PORT,
@@ -183,6 +185,8 @@
         expected = f"done {attempt.attempt_id}".encode()
         if attempt.status == 200:
             attempt.is_own_response = attempt.is_own_response and body == expected
+        elif headers.get("content-type", "").startswith("application/json"):
+            attempt.reason = msgspec.json.decode(body).get("reason", "")
     attempt.is_complete = True
     return headers.get("connection", "").lower() != "close"
 
