Choose the owner that is told of a stream with the function for one owner

owners_told ranked whole domains and built a dictionary of them for each stream, to take the first; choose_owner does that already. The same entries are chosen.

--- a/fuchsiacroft/streams/owners.py
+++ b/fuchsiacroft/streams/owners.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Sequence
 
 from fuchsiacroft.membership.registry_wire import EntryRecord
-from fuchsiacroft.membership.rendezvous import choose_owners
+from fuchsiacroft.membership.rendezvous import choose_owner, choose_owners
 
 DOMAINS_TOLD = 4
 """Failure domains with an owner; that of the entry that serves the stream is one."""
@@ -23,7 +23,7 @@
     others = sorted(by_domain.keys() - {own_domain})
     ranked = choose_owners(key, others, DOMAINS_TOLD - 1)
     domains = [own_domain, *ranked] if own_domain in by_domain else ranked
-    return [_best(key, by_domain[domain], 1)[0] for domain in domains]
+    return [choose_owner(key, by_domain[domain]) for domain in domains]
 
 
 def owners_asked(
@@ -31,14 +31,13 @@
 ) -> dict[str, list[EntryRecord]]:
     """Return by failure domain the entries that may know what began a stream."""
     return {
-        domain: _best(key, members, OWNERS_ASKED)
-        for domain, members in _by_domain(entries).items()
+        domain: _best(key, members) for domain, members in _by_domain(entries).items()
     }
 
 
-def _best(key: str, members: Sequence[EntryRecord], count: int) -> list[EntryRecord]:
+def _best(key: str, members: Sequence[EntryRecord]) -> list[EntryRecord]:
     by_node = {entry.node: entry for entry in members}
-    return [by_node[node] for node in choose_owners(key, by_node, count)]
+    return [by_node[node] for node in choose_owners(key, by_node, OWNERS_ASKED)]
 
 
 def _by_domain(entries: Iterable[EntryRecord]) -> dict[str, list[EntryRecord]]:
