--- a/fuchsiacroft/routing/owned_server.py
+++ b/fuchsiacroft/routing/owned_server.py
@@ -153,12 +153,6 @@
             self.reserve.record_load(run.permit.request.rank, -run.weight)
         return run
 
-    def offers(self, service: str) -> bool:
-        """Return whether it offers the service."""
-        return any(
-            offer.service == service for offer in self.server.announcement.offers
-        )
-
     def record_first_token(self, permit_id: str) -> None:
         """Record that the answer of a run has begun."""
         run = self.running.get(permit_id)
