--- a/fuchsiacroft/tests/fakes/region_traffic.py
+++ b/fuchsiacroft/tests/fakes/region_traffic.py
@@ -47,6 +47,14 @@
         self._tasks.append(asyncio.ensure_future(self._send_requests()))
         await asyncio.sleep(WARM_UP_S)
 
+    async def play(self, scenario: Callable[[], Awaitable[None]]) -> None:
+        """Run a scenario beside the requests, and stop everything."""
+        try:
+            await self.start()
+            await scenario()
+        finally:
+            await self.stop()
+
     async def stop(self) -> None:
         """Stop the requests, the servers and the processes."""
         for task in self._tasks:
--- a/fuchsiacroft/tests/placing/coordinator_change_tests.py
+++ b/fuchsiacroft/tests/placing/coordinator_change_tests.py
@@ -38,11 +38,7 @@
                 self.region, SERVERS, self.send, self.send_period_s, self.slots
             )
             self.sent: list[tuple[float, str, str]] = []
-            try:
-                await self.traffic.start()
-                await scenario()
-            finally:
-                await self.traffic.stop()
+            await self.traffic.play(scenario)
 
         self.run_paused(play())
 
--- a/fuchsiacroft/tests/placing/limit_exchange_tests.py
+++ b/fuchsiacroft/tests/placing/limit_exchange_tests.py
@@ -33,11 +33,7 @@
             )
             self.limit: str | None = None
             self.sent: list[tuple[float, str]] = []
-            try:
-                await self.traffic.start()
-                await scenario()
-            finally:
-                await self.traffic.stop()
+            await self.traffic.play(scenario)
 
         self.run_paused(play())
 
