--- a/review/harness/case.py
+++ b/review/harness/case.py
@@ -1,7 +1,6 @@
 """Runs a case and turns its result into the exit code."""
 
 import asyncio
-import os
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -17,8 +16,11 @@
 
 
 def main(play: Play, file: str) -> None:
-    """Play a case; `play` gets whether to disrupt, and returns what broke the rule."""
-    disrupts = os.environ.get("TROUBLE", "1") != "0"
+    """Play a case; `play` gets whether to disrupt, and returns what broke the rule.
+
+    The first argument is the variable TROUBLE, with which `run.sh` calls the case.
+    """
+    disrupts = sys.argv[1:] != ["0"]
     record = Record(Path(file).resolve().parent / "record.txt")
     sys.exit(asyncio.run(_run(play, record, disrupts)))
 
