--- a/fuchsiacroft/entry/http_headers.py
+++ b/fuchsiacroft/entry/http_headers.py
@@ -1,5 +1,6 @@
 """Filters and reads the headers between callers and backend servers."""
 
+import enum
 from collections.abc import Iterable
 
 import aiohttp
@@ -33,6 +34,14 @@
 UNAVAILABLE = 503
 
 
+class Framing(enum.Enum):
+    """How the end of a body is told; with `CLOSE`, by the end of its connection."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 def backend_request_headers(
     headers: Iterable[tuple[str, str]], connection: str
 ) -> tuple[tuple[str, str], ...]:
@@ -80,13 +89,20 @@
     )
 
 
-def is_framed(upstream: aiohttp.ClientResponse) -> bool:
-    """Whether a complete body can be distinguished from a lost connection."""
+def framing(upstream: aiohttp.ClientResponse) -> Framing:
+    """Return how the end of a response's body is told."""
     if upstream.method == "HEAD" or upstream.status in BODILESS_STATUSES:
-        return True
+        return Framing.LENGTH
     if "Content-Length" in upstream.headers:
-        return True
-    return upstream.headers.get("Transfer-Encoding", "").lower() == "chunked"
+        return Framing.LENGTH
+    if upstream.headers.get("Transfer-Encoding", "").lower() == "chunked":
+        return Framing.CHUNKED
+    return Framing.CLOSE
+
+
+def is_framed(upstream: aiohttp.ClientResponse) -> bool:
+    """Whether a complete body can be distinguished from a lost connection."""
+    return framing(upstream) is not Framing.CLOSE
 
 
 def _strip(
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from expression import Result
 
+from fuchsiacroft.entry import http_headers
 from fuchsiacroft.entry.at_most_once import SendGuard
 from fuchsiacroft.gateway.attempt_result import AttemptResult
 from fuchsiacroft.gateway.request_context import RequestContext
@@ -67,6 +68,7 @@
         self._find_replacement = find_replacement
         self._on_stream_begun = on_stream_begun
         self._has_run = False
+        self._upstream_response: aiohttp.ClientResponse | None = None
         self._availability = placer.availability
         self._server = placer.availability.instance(placement)
         self._started_at = now()
@@ -130,6 +132,7 @@
             return self._silent()
         match opened:
             case Result(tag="ok", ok=response):
+                self._upstream_response = response
                 try:
                     self._record_answer(response)
                     return await self._read(response)
@@ -266,4 +269,18 @@
             events=self._relay.events,
             longest_pause_s=round(times.longest_gap_s, 3),
             parts=",".join(self._request.shared_parts) or "-",
+            **self._answer_fields(),
         )
+
+    def _answer_fields(self) -> dict[str, object]:
+        """Return what tells whose answer it was, and how its end was told."""
+        response = self._upstream_response
+        if response is None:
+            return {"status": "-"}
+        name = self._protocol.request_name(self._request)
+        return {
+            "status": response.status,
+            "answer": name.identify(response.headers).value,
+            "signed": self._protocol.is_signed(response),
+            "framing": http_headers.framing(response).value,
+        }
--- a/fuchsiacroft/gateway/routed_request.py
+++ b/fuchsiacroft/gateway/routed_request.py
@@ -8,6 +8,7 @@
 from expression import Result
 
 from fuchsiacroft.config.route_table import Route, RouteTable
+from fuchsiacroft.entry.answer_identity import RequestName
 from fuchsiacroft.entry.problems import Problem
 from fuchsiacroft.membership.server_notices import ServerNotice
 from fuchsiacroft.routing.permits import WorkSize
@@ -93,6 +94,14 @@
     def caller_response_headers(self, response: aiohttp.ClientResponse) -> Headers:
         """Return the response headers that are passed on to the caller."""
 
+    @abstractmethod
+    def request_name(self, request: RoutedRequest) -> RequestName:
+        """Return how a backend server names the request that it answers."""
+
+    @abstractmethod
+    def is_signed(self, response: aiohttp.ClientResponse) -> bool:
+        """Whether the response bears a backend server's signature."""
+
     @abstractmethod
     def was_not_executed(self, response: aiohttp.ClientResponse) -> bool:
         """Whether the backend server states that it did not execute the request."""
--- a/fuchsiacroft/platform/protocol_adapter.py
+++ b/fuchsiacroft/platform/protocol_adapter.py
@@ -9,6 +9,7 @@
 
 from fuchsiacroft.config.route_table import Quota, Route, RouteTable, Workspace
 from fuchsiacroft.entry import http_headers
+from fuchsiacroft.entry.answer_identity import RequestName
 from fuchsiacroft.entry.http_headers import HOP_BY_HOP
 from fuchsiacroft.entry.problems import ExecutionState, Problem
 from fuchsiacroft.gateway.routed_request import (
@@ -123,6 +124,14 @@
             )
         )
 
+    def request_name(self, request: RoutedRequest) -> RequestName:
+        """Return the header in which a replica echoes the id of the attempt."""
+        return RequestName(header_names.REQUEST_ID, request.request_id)
+
+    def is_signed(self, response: aiohttp.ClientResponse) -> bool:
+        """Return whether the replica's seal is on the response."""
+        return header_names.SEAL in response.headers
+
     def was_not_executed(self, response: aiohttp.ClientResponse) -> bool:
         """Return whether the replica reports that it did not run the request."""
         return (
