Add failing tests of answers that are believed though they aren't the request's own

A second answer behind one without a length becomes its end, in a plain answer, a large one and a stream. When a stream goes on at another server, the text of an error of over 1 MiB, a page and events that the caller has become a part of it, and it ends as whole.

--- a/fuchsiacroft/tests/entry/at_most_once_tests.py
+++ b/fuchsiacroft/tests/entry/at_most_once_tests.py
@@ -8,6 +8,7 @@
 from fuchsiacroft.tests.base import PausedTestCase, SocketTestCase
 from fuchsiacroft.tests.fakes.ports import free_address
 from fuchsiacroft.tests.fakes.replica import response_head
+from fuchsiacroft.utils import connections
 
 BLOCK = 64 * 1024
 MAX_SENT = 16 * 1024 * 1024
@@ -75,6 +76,35 @@
         self.assertEqual(b"x" * 100_000, await self.read())
 
 
+class CutHeadTests(SocketTestCase):
+    """A head that is cut at any byte is no answer."""
+
+    async def test_a_cut_head_is_taken_for_an_answer(self):
+        head = response_head("200 OK", "Content-Length: 4", "X-Last: 1")
+        address = free_address()
+        host, port = address.split(":")
+        ends = iter(())
+
+        async def serve(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            cut, is_reset = next(ends)
+            writer.write(head[:cut])
+            await writer.drain()
+            if is_reset:
+                connections.reset(writer.transport)
+            writer.close()
+
+        server = await asyncio.start_server(serve, host, int(port))
+        self.addCleanup(server.close)
+        session = open_session(1.0)
+        self.addAsyncCleanup(session.close)
+        cuts = [(cut, reset) for cut in range(len(head)) for reset in (False, True)]
+        ends = iter(cuts)
+        for cut in cuts:
+            with self.subTest(cut=cut), self.assertRaises(aiohttp.ClientError):
+                await session.get(f"http://{address}/", middlewares=(SendGuard(),))
+
+
 class ExpiredPermissionTests(PausedTestCase):
     """A permission to send is checked when the connection is open."""
 
--- /dev/null
+++ b/fuchsiacroft/tests/platform/stuttering_servers_tests.py
@@ -0,0 +1,182 @@
+"""Tests of answers without a length that another answer follows."""
+
+import asyncio
+
+from fuchsiacroft.tests.fakes.platform_region import PlatformTestCase
+from fuchsiacroft.tests.fakes.replica import (
+    SEAL_HEADER,
+    response,
+    response_head,
+    sse_events,
+    stream_head,
+)
+
+LARGE = 3 * 1024 * 1024
+STREAM = "Content-Type: text/event-stream"
+
+
+def unframed_head(req, *lines: str) -> bytes:
+    """Return the head of an answer that ends with its connection."""
+    attempt = f"Fuchsiacroft-Attempt-Id: {req.get('Fuchsiacroft-Attempt-Id')}"
+    return response_head("200 OK", SEAL_HEADER, attempt, *lines)
+
+
+class StutteringServer:
+    """Answers without a length, and answers once more on the same connection.
+
+    The second answer comes after `pause_s`, in pieces of `piece` bytes.
+    """
+
+    def __init__(self, body: bytes, *lines: str, second: bytes = b"") -> None:
+        self.body = body
+        self.lines = lines
+        self.second = second
+        self.pause_s = 0.0
+        self.piece = 1_000_000
+
+    async def __call__(self, req, writer) -> None:
+        writer.write(unframed_head(req, *self.lines) + self.body)
+        await writer.drain()
+        await asyncio.sleep(self.pause_s)
+        second = self.second or response(req, b"once more")
+        for start in range(0, len(second), self.piece):
+            writer.write(second[start : start + self.piece])
+            await writer.drain()
+            await asyncio.sleep(0.001)
+
+
+class StutteringPlainAnswerTests(PlatformTestCase):
+    """A second answer is never a part of the first."""
+
+    async def send(self, server: StutteringServer):
+        """Send a request to a server that then leaves."""
+        replica = await self.region.add_replica("till", server)
+        try:
+            return await self.region.send_request("/book/1/", method="POST")
+        finally:
+            await replica.stop()
+            await self.region.send_heartbeat(replica, "till", "draining")
+
+    async def test_a_second_answer_is_passed_on_as_the_end_of_the_first(self):
+        for pause_s, piece in ((0.0, 1_000_000), (0.1, 1_000_000), (0.03, 7)):
+            with self.subTest(pause_s=pause_s, piece=piece):
+                server = StutteringServer(b"first")
+                server.pause_s, server.piece = pause_s, piece
+                got = await self.send(server)
+                self.assertEqual(502, got.status)
+
+    async def test_a_second_answer_is_the_end_of_a_large_one(self):
+        body = bytes(range(256)) * (LARGE // 256)
+        for piece in (1_000_000, 5):
+            with self.subTest(piece=piece):
+                server = StutteringServer(body)
+                server.pause_s, server.piece = 0.02, piece
+                got = await self.send(server)
+                self.assertFalse(got.status == 200 and got.complete)
+                self.assertTrue(body.startswith(got.body))
+
+    async def test_a_body_that_speaks_of_the_protocol_is_refused(self):
+        body = b"Servers speak HTTP/1.1 and answer 'HTTP/1.1 200 OK' to callers.\n"
+        server = StutteringServer(body, second=b"HTTP/1.1 is old.\r\n")
+        got = await self.send(server)
+        self.assertEqual(200, got.status)
+        self.assertEqual(body + b"HTTP/1.1 is old.\r\n", got.body)
+
+
+class StutteringStreamTests(PlatformTestCase):
+    """A second answer is never a part of a stream."""
+
+    async def test_a_second_answer_is_passed_on_within_a_stream(self):
+        async def stutter(req, writer):
+            writer.write(unframed_head(req, STREAM) + sse_events(1, 2))
+            await writer.drain()
+            await asyncio.sleep(0.03)
+            writer.write(unframed_head(req, STREAM) + sse_events(1, 2))
+
+        await self.region.add_replica("lens", stutter)
+        got = await self.region.send_request("/advice/1/", method="POST")
+        self.assertEqual((sse_events(1, 2), False), (got.body, got.complete))
+
+    async def test_events_of_another_stream_are_passed_on(self):
+        """The ids of a stream's events increase."""
+
+        async def repeat(req, writer):
+            writer.write(unframed_head(req, STREAM) + sse_events(1, 2, 3))
+            writer.write(sse_events(2, 3, 4))
+
+        await self.region.add_replica("lens", repeat)
+        got = await self.region.send_request("/advice/1/", method="POST")
+        self.assertFalse(got.complete)
+        self.assertTrue(sse_events(1, 2, 3).startswith(got.body))
+
+
+class ContinuedStreamTests(PlatformTestCase):
+    """A stream goes on with its own events, or is visibly broken off."""
+
+    async def play(self, continuation):
+        """Break a stream off after two events; return what the caller gets of it."""
+        runs = []
+
+        async def serve(req, writer):
+            runs.append(req)
+            if len(runs) > 1:
+                await continuation(req, writer)
+                return
+            writer.write(stream_head(req))
+            writer.write(b"%x\r\n%b\r\n" % (len(sse_events(1, 2)), sse_events(1, 2)))
+            writer.write(b"8\r\nid: 3\nda\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.transport.abort()
+
+        for _ in range(2):
+            await self.region.add_replica("lens", serve)
+        got = await self.region.send_request("/report/1/", method="POST")
+        self.assertGreater(len(runs), 1)
+        return got
+
+    async def assert_broken_off(self, status: str, *lines: str, body: bytes) -> None:
+        async def answer(req, writer):
+            length = f"Content-Length: {len(body)}"
+            attempt = f"Fuchsiacroft-Attempt-Id: {req.get('Fuchsiacroft-Attempt-Id')}"
+            head = response_head(status, SEAL_HEADER, attempt, length, *lines)
+            writer.write(head + body)
+
+        got = await self.play(answer)
+        self.assertEqual((200, False), (got.status, got.complete))
+        self.assertEqual(sse_events(1, 2), got.body)
+
+    async def test_the_text_of_an_error_is_a_part_of_a_stream(self):
+        for status in ("404 Gone", "400 Bad", "500 Error", "302 Found", "206 Partial"):
+            with self.subTest(status):
+                await self.assert_broken_off(status, body=b"no such stream")
+                await self._stop_replicas()
+
+    async def test_the_text_of_a_large_error_is_a_part_of_a_stream(self):
+        for status in ("404 Gone", "500 Error"):
+            with self.subTest(status):
+                await self.assert_broken_off(status, body=b"sorry " * 400_000)
+                await self._stop_replicas()
+
+    async def test_a_page_is_a_part_of_a_stream(self):
+        page = b"<p>\n\nid: 9\ndata: page\n\n"
+        await self.assert_broken_off("200 OK", "Content-Type: text/html", body=page)
+
+    async def test_events_that_the_caller_has_are_a_part_of_a_stream_again(self):
+        await self.assert_broken_off("200 OK", STREAM, body=sse_events(1, 2, 3))
+
+    async def test_a_continuation_without_a_signature_is_a_part_of_a_stream(self):
+        async def unsigned(req, writer):
+            attempt = f"Fuchsiacroft-Attempt-Id: {req.get('Fuchsiacroft-Attempt-Id')}"
+            body = sse_events(3)
+            length = f"Content-Length: {len(body)}"
+            head = response_head("200 OK", attempt, STREAM, length)
+            writer.write(head + body)
+
+        got = await self.play(unsigned)
+        self.assertEqual((sse_events(1, 2), False), (got.body, got.complete))
+
+    async def _stop_replicas(self) -> None:
+        for replica in self.region.replicas:
+            await replica.stop()
+            await self.region.send_heartbeat(replica, "lens", "draining")
