--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -24,6 +24,7 @@
     read_chunk,
     read_head,
 )
+from fuchsiacroft.tests.fakes.ports import subnet
 from fuchsiacroft.tests.fakes.process_links import ProcessLinks
 from fuchsiacroft.tests.fakes.replica import Replica, respond_plain
 
@@ -100,8 +101,8 @@
         self._net = net
         self._zones = zones
         self._folder = tempfile.TemporaryDirectory()
-        self.controls = [f"{net}.1.{n}" for n in (1, 2, 3)]
-        self.entries = [f"{net}.2.{n}" for n in range(1, entries + 1)]
+        self.controls = [f"{subnet(net, 1)}.{n}" for n in (1, 2, 3)]
+        self.entries = [f"{subnet(net, 2)}.{n}" for n in range(1, entries + 1)]
         self.links: ProcessLinks | None = None
         if has_links:
             rng = random.Random(1)
@@ -177,7 +178,7 @@
         The delay of 0.1 s lets the entries learn of the replica.
         """
         number = len(self.replicas) + 1
-        address = f"{self._net}.3.{number}:{8000 + number}"
+        address = f"{subnet(self._net, 3)}.{number}:{8000 + number}"
         replica = Replica(f"i-{number}", address, handler)
         replica.version, replica.zone = version, zone
         await replica.start()
--- a/fuchsiacroft/tests/fakes/ports.py
+++ b/fuchsiacroft/tests/fakes/ports.py
@@ -1,11 +1,21 @@
 """Free addresses on loopback."""
 
 import contextlib
+import os
 import random
 import socket
 
 FIRST_PORT = 10_000
 LAST_PORT = 30_000
+SUBNETS_PER_BLOCK = 10
+MAX_BLOCK = 24
+BLOCK = min(int(os.environ.get("LOOPBACK_BLOCK", "0")), MAX_BLOCK)
+"""Test runs at the same time on one machine take blocks of their own."""
+
+
+def subnet(net: str, number: int) -> str:
+    """Return the start of addresses such as `127.51.3`, of this run's block."""
+    return f"{net}.{BLOCK * SUBNETS_PER_BLOCK + number}"
 
 
 def free_addresses(count: int) -> list[str]:
--- a/fuchsiacroft/tests/fakes/process_links.py
+++ b/fuchsiacroft/tests/fakes/process_links.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from fuchsiacroft.tests.fakes.platform_wire import PEERS_PORT
+from fuchsiacroft.tests.fakes.ports import subnet
 from fuchsiacroft.tests.fakes.proxy import Proxy
 
 FIRST_PORT = 7_000
@@ -26,7 +27,7 @@
         for number, source in enumerate((*controls, *entries), 1):
             for port, target in enumerate(peers, FIRST_PORT):
                 if not target.startswith(f"{source}:"):
-                    listen = f"{net}.5.{number}:{port}"
+                    listen = f"{subnet(net, 5)}.{number}:{port}"
                     self._proxies[source, target] = Proxy(listen, target, rng)
 
     async def start(self) -> None:
--- a/fuchsiacroft/tests/routing/server_probe_tests.py
+++ b/fuchsiacroft/tests/routing/server_probe_tests.py
@@ -4,9 +4,10 @@
 
 from fuchsiacroft.routing import server_probe
 from fuchsiacroft.tests.base import SocketTestCase
+from fuchsiacroft.tests.fakes.ports import subnet
 from fuchsiacroft.tests.fakes.replica import Replica
 
-ADDRESS = "127.49.3.1:8001"
+ADDRESS = f"{subnet('127.49', 3)}.1:8001"
 
 
 class ServerProbeTests(SocketTestCase):
--- a/fuchsiacroft/tests/soak/run.py
+++ b/fuchsiacroft/tests/soak/run.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from fuchsiacroft.tests.fakes.platform_wire import CONTROL_PORT
+from fuchsiacroft.tests.fakes.ports import subnet
 from fuchsiacroft.tests.fakes.process_links import ProcessLinks
 from fuchsiacroft.tests.fakes.proxy import Proxy
 from fuchsiacroft.tests.soak import invariants, schedule
@@ -95,11 +96,15 @@
         self._observations = observations
         self._now = asyncio.get_running_loop().time
         self._controls = [
-            Program("control", f"{net}.1.{n}", ZONES[n % 2], folder, observations)
+            Program(
+                "control", f"{subnet(net, 1)}.{n}", ZONES[n % 2], folder, observations
+            )
             for n in (1, 2, 3)
         ]
         self._entries = [
-            Program("entry", f"{net}.2.{n}", ZONES[n % 2], folder, observations)
+            Program(
+                "entry", f"{subnet(net, 2)}.{n}", ZONES[n % 2], folder, observations
+            )
             for n in range(1, plan.entries + 1)
         ]
         self._links = ProcessLinks(
@@ -114,7 +119,9 @@
         self._tasks: list[asyncio.Task] = []
 
     def _server(self, net: str, number: int) -> SoakServer:
-        proxy = Proxy(f"{net}.4.{number}:80", f"{net}.3.{number}:80", self._rng)
+        proxy = Proxy(
+            f"{subnet(net, 4)}.{number}:80", f"{subnet(net, 3)}.{number}:80", self._rng
+        )
         service = ("till", "lens")[number % 2]
         zone = ZONES[number // 2 % 2]
         server = SoakServer(f"i{number}", service, zone, proxy, self._observations)
@@ -418,4 +425,4 @@
     async def _start_server(self, server: SoakServer) -> None:
         number = self._servers.index(server) + 1
         controls = [f"{control.ip}:{CONTROL_PORT}" for control in self._controls]
-        await server.start(f"{self._net}.3.{number}:80", controls)
+        await server.start(f"{subnet(self._net, 3)}.{number}:80", controls)
