Read only the request's own answer, and pass on only whole ones

Callers got successes that no backend server had given them, were told that nothing ran where it had run, or got two answers as one; a stream that went on at another server held the text of an error or a page and ended as whole.

Cause: a backend server's words were believed before it was known whose they are. A missing id counted as the request's own, a refusal was believed before its id was read, nothing asked for a signature, an answer without a length was read up to the end of its connection whatever came, and a stream went on with any status and kind of content.

Change: a connection returns only the answer that names the request (`SendGuard.name`, `CheckedResponseHandler.read`): one that names another request is skipped with its body and the own one awaited; one that names none, and too many others, end the connection, and the request may have run. So refusals, notices of leaving, pauses and limits, statuses, streams and bodies are read of own answers only, in one place. Then a success needs a signature, a status that promises that nothing ran needs the server's statement that it didn't run (else the caller gets 502), a second answer behind one without a length ends it as broken off (`UnframedBody`), a stream goes on only with the status and the kind of content that the caller has the start of, and only with higher event ids. `run_ended` names the flaw of an answer that wasn't passed on, `answer_not_used` answers that were skipped.

--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -2,19 +2,24 @@
 
 aiohttp retries idempotent methods when the connection is lost, even on a new
 connection. A `SendGuard` prevents the second send and records whether any byte
-of the request may have been sent.
+of the request may have been sent. Only the answer that names the request is read as
+its answer.
 """
 
 import asyncio
 import math
 from collections.abc import Callable
 from functools import partial
+from http import HTTPStatus
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD
 
+from fuchsiacroft.entry.answer_identity import AnswerIdentity, RequestName
 from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.rate_limited_log import RateLimitedLog
 
 READ_BUFFER_BYTES = 64 * 1024
 SKIPPED_HEADERS = ("User-Agent", "Accept-Encoding", "Accept", "Content-Type")
@@ -24,12 +29,21 @@
 """Bytes of a response besides its body: head, interim heads, framing and trailers."""
 MAX_OVERHEAD_RATIO = 16
 """Further bytes of framing for each byte of the body; chunks may be small."""
+MAX_SKIPPED_ANSWERS = 16
+"""Answers to other requests that are skipped on one connection."""
+MAX_SKIPPED_LOGS_PER_S = 50
+
+_answers_not_used = RateLimitedLog("answer_not_used", MAX_SKIPPED_LOGS_PER_S)
 
 
 class NoAnswerError(aiohttp.ClientPayloadError):
     """A backend server goes on sending bytes that are no answer."""
 
 
+class ForeignAnswerError(aiohttp.ClientError):
+    """A backend server's answer is not shown to be the request's own."""
+
+
 class AlreadySentError(aiohttp.ClientError):
     """aiohttp tried to send a request again."""
 
@@ -44,15 +58,18 @@
     `may_send` is called when the connection is open. If it returns false, or if
     `valid_until` on the loop's clock has passed, nothing is sent and `withheld` is
     set. A process that stood still may get here long after it was allowed to send.
+    `name` is what the answer has to name; with None, the first answer counts.
     """
 
     def __init__(
         self,
         may_send: Callable[[], bool] = lambda: True,
         valid_until: float = math.inf,
+        name: RequestName | None = None,
     ) -> None:
         self.sent = False
         self.withheld = False
+        self.name = name
         self._may_send = may_send
         self._valid_until = valid_until
 
@@ -86,22 +103,58 @@
     async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
         """Write the request."""
         self.send_guard.begin()
+        conn.protocol.name = self.send_guard.name
         return await super().send(conn)
 
 
 class CheckedResponseHandler(ResponseHandler):
-    """A connection on which only a whole response counts as one.
+    """A connection on which only the whole response that has `name` counts as one.
 
     aiohttp treats any close of a connection, even a reset, as the end of a
     response that has no length. It also parses interim heads, blank lines and
-    framing without end.
+    framing without end, and takes the first response for the request's own.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
+        self.name: RequestName | None = None
         self._received_bytes = 0
         self._body: aiohttp.StreamReader | None = None
 
+    async def read(self) -> tuple[RawResponseMessage, aiohttp.StreamReader]:
+        """Return the request's own answer, or an interim one; skip those of others.
+
+        Raise `ForeignAnswerError` if an answer names no request, or too many others.
+        """
+        for _ in range(MAX_SKIPPED_ANSWERS + 1):
+            message, payload = await super().read()
+            identity = self._identify(message)
+            if identity is AnswerIdentity.OWN:
+                return message, payload
+            _answers_not_used.event(
+                request_id=self.name.request_id,
+                status=message.code,
+                answer=identity.value,
+                names=message.headers.get(self.name.header, "-"),
+            )
+            if identity is AnswerIdentity.UNNAMED:
+                raise ForeignAnswerError("the answer names no request")
+            await self._skip(payload)
+        raise ForeignAnswerError("the answers name other requests")
+
+    def _identify(self, message: RawResponseMessage) -> AnswerIdentity:
+        if self.name is None or message.code < HTTPStatus.OK:
+            return AnswerIdentity.OWN
+        return self.name.identify(message.headers)
+
+    async def _skip(self, payload: aiohttp.StreamReader) -> None:
+        """Drop the body of an answer; the limit on bytes begins anew behind it."""
+        while not payload.at_eof():
+            await payload.readany()
+        if self._body is payload:
+            self._body = None
+            self._received_bytes = 0
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and abort the connection if they are no answer."""
         super().data_received(data)
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -8,6 +8,7 @@
 
 from fuchsiacroft.entry import http_headers
 from fuchsiacroft.entry.at_most_once import SendGuard
+from fuchsiacroft.gateway.answer_flaw import AnswerFlaw
 from fuchsiacroft.gateway.attempt_result import AttemptResult
 from fuchsiacroft.gateway.request_context import RequestContext
 from fuchsiacroft.gateway.response_relay import ResponseRelay
@@ -69,10 +70,13 @@
         self._on_stream_begun = on_stream_begun
         self._has_run = False
         self._upstream_response: aiohttp.ClientResponse | None = None
+        self._flaw: AnswerFlaw | None = None
         self._availability = placer.availability
         self._server = placer.availability.instance(placement)
         self._started_at = now()
-        self._send_guard = SendGuard(self._may_send, self._valid_until())
+        self._send_guard = SendGuard(
+            self._may_send, self._valid_until(), protocol.request_name(self._request)
+        )
         self._relay = ResponseRelay(
             context, protocol, self._watch, self._on_first_event
         )
@@ -184,8 +188,6 @@
         return self._availability.reason(self._server.name) is not NoticeReason.LEAVING
 
     def _record_answer(self, response: aiohttp.ClientResponse) -> None:
-        if not self._protocol.matches_request(self._request, response):
-            return
         notice = self._protocol.server_notice(response)
         if notice.is_leaving:
             self._context.notices.append(NoticeReason.LEAVING)
@@ -208,7 +210,8 @@
         if self._protocol.was_not_executed(response):
             return AttemptResult.NOT_RUN
         self._count_run()
-        if not self._protocol.matches_request(self._request, response):
+        self._flaw = self._protocol.flaw(response)
+        if self._flaw is not None:
             return AttemptResult.BROKEN
         try:
             return await self._relay.relay(response)
@@ -273,14 +276,14 @@
         )
 
     def _answer_fields(self) -> dict[str, object]:
-        """Return what tells whose answer it was, and how its end was told."""
+        """Return the answer's status and flaw, and how its end was told."""
         response = self._upstream_response
         if response is None:
             return {"status": "-"}
-        name = self._protocol.request_name(self._request)
+        flaw = self._flaw or self._relay.flaw
         return {
             "status": response.status,
-            "answer": name.identify(response.headers).value,
+            "flaw": flaw.value if flaw is not None else "-",
             "signed": self._protocol.is_signed(response),
             "framing": http_headers.framing(response).value,
         }
--- a/fuchsiacroft/gateway/events.py
+++ b/fuchsiacroft/gateway/events.py
@@ -1,10 +1,16 @@
 """Splits a server-sent event stream into complete events."""
 
+import re
+
 EVENT_END = b"\n\n"
 LINE_END = b"\n"
-ID_FIELD = b"id:"
 MAX_EVENT_BYTES = 1024 * 1024
 """Longer events are rejected; nothing else bounds the memory that buffers them."""
+_ID = re.compile(rb"^id:([^\n]*)", re.MULTILINE)
+
+
+class EventOrderError(Exception):
+    """The id of an event is not higher than the id of the event before."""
 
 
 class EventSplitter:
@@ -16,6 +22,7 @@
 
     def __init__(self) -> None:
         self._partial = b""
+        self._highest = -1
         self.last_id: str | None = None
         self.count = 0
 
@@ -29,27 +36,44 @@
         """Return the bytes after the last complete event."""
         return self._partial
 
+    def expect_after(self, event_id: str | None) -> None:
+        """Expect only events with ids that are higher than this one."""
+        self._highest = max(self._highest, _number(event_id or ""))
+
     def feed(self, data: bytes) -> bytes:
-        """Add bytes and return the events that are now complete."""
+        """Add bytes and return the events that are now complete.
+
+        Raise `EventOrderError` if their ids, where these are numbers, don't increase.
+        """
         data = self._partial + data if self._partial else data
         end = data.rfind(EVENT_END)
         if end < 0 or not data[:end].strip(LINE_END):
             self._partial = data
             return b""
         complete, self._partial = data[: end + 2], data[end + 2 :]
+        self._record_ids(complete)
         self.count += complete.count(EVENT_END)
-        self._record_id(complete)
         return complete
 
     def discard_partial(self) -> None:
         """Discard the partial event."""
         self._partial = b""
 
-    def _record_id(self, complete: bytes) -> None:
-        start = complete.rfind(b"\n" + ID_FIELD)
-        if start < 0:
-            if not complete.startswith(ID_FIELD):
-                return
-            start = -1
-        line = complete[start + 1 :].split(b"\n", 1)[0]
-        self.last_id = line[len(ID_FIELD) :].strip().decode("utf-8", "replace")
+    def _record_ids(self, complete: bytes) -> None:
+        ids = [
+            value.strip().decode("utf-8", "replace") for value in _ID.findall(complete)
+        ]
+        highest = self._highest
+        for event_id in ids:
+            number = _number(event_id)
+            if 0 <= number <= highest:
+                raise EventOrderError(f"event {event_id} comes after {highest}")
+            highest = max(highest, number)
+        self._highest = highest
+        if ids:
+            self.last_id = ids[-1]
+
+
+def _number(event_id: str) -> int:
+    """Return the number that an id is, or -1."""
+    return int(event_id) if event_id.isascii() and event_id.isdigit() else -1
--- a/fuchsiacroft/gateway/response_relay.py
+++ b/fuchsiacroft/gateway/response_relay.py
@@ -6,13 +6,18 @@
 from aiohttp import HttpVersion11, web
 
 from fuchsiacroft.entry import http_headers
+from fuchsiacroft.gateway.answer_flaw import AnswerFlaw
 from fuchsiacroft.gateway.attempt_result import AttemptResult
 from fuchsiacroft.gateway.event_times import EventTimes
+from fuchsiacroft.gateway.events import EventOrderError
 from fuchsiacroft.gateway.request_context import RequestContext
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter
 from fuchsiacroft.gateway.silence_watch import SilenceWatch
+from fuchsiacroft.gateway.unframed_body import SecondAnswerError, UnframedBody
 from fuchsiacroft.utils.clock import now
 
+Body = aiohttp.StreamReader | UnframedBody
+
 SERVER_ERROR = 500
 MAX_BUFFERED_BYTES = 1024 * 1024
 """Larger plain responses are relayed, which bounds the memory of a request."""
@@ -28,7 +33,8 @@
     `watch` returns a watch for silence, whose `TimeoutError` is passed on.
     `on_first_event` is called when the first event has come. `response` is set once
     the caller has, or can get, the whole response. `began_at` is when the first event
-    of a stream or all of another response had come.
+    of a stream or all of another response had come. `flaw` is why the response isn't
+    passed on to its end.
     """
 
     def __init__(
@@ -47,6 +53,7 @@
         self.event_times = EventTimes()
         self.began_at: float | None = None
         self.response: web.StreamResponse | None = None
+        self.flaw: AnswerFlaw | None = None
 
     @property
     def events(self) -> int:
@@ -55,6 +62,9 @@
 
     async def relay(self, upstream: aiohttp.ClientResponse) -> AttemptResult:
         """Relay a response; raise `TimeoutError` if another server takes over."""
+        if not self._may_go_on(upstream):
+            self.flaw = AnswerFlaw.NO_CONTINUATION
+            return AttemptResult.FAILED
         is_stream = self._context.request.route.kind.is_stream
         try:
             if is_stream and upstream.status == 200:
@@ -63,18 +73,29 @@
         except (aiohttp.ClientError, OSError) as exc:
             if isinstance(exc, TimeoutError):
                 raise
+            if isinstance(exc, SecondAnswerError):
+                self.flaw = AnswerFlaw.SECOND_ANSWER
             return AttemptResult.BROKEN
 
+    def _may_go_on(self, upstream: aiohttp.ClientResponse) -> bool:
+        """Whether the response continues what the caller has, if it has any."""
+        started = self._context.started_response
+        return started is None or (
+            upstream.status == started.status
+            and upstream.content_type == started.content_type
+        )
+
     async def _relay_plain(self, upstream: aiohttp.ClientResponse) -> AttemptResult:
         """Buffer the whole response, so that the caller gets all of it or none.
 
         A response too large for that is relayed while it arrives.
         """
+        content = _body(upstream)
         async with self._watch():
-            body = await _read_at_most(upstream.content, MAX_BUFFERED_BYTES)
+            body, has_ended = await _read_at_most(content, MAX_BUFFERED_BYTES)
         self.began_at = now()
-        if not upstream.content.at_eof():
-            return await self._relay_large(body, upstream)
+        if not has_ended:
+            return await self._relay_large(body, content, upstream)
         downstream = web.Response(status=upstream.status, body=body)
         downstream.headers.popall("Content-Type", None)
         for name, value in self._protocol.caller_response_headers(upstream):
@@ -87,30 +108,37 @@
         )
 
     async def _relay_large(
-        self, start: bytes, upstream: aiohttp.ClientResponse
+        self, start: bytes, content: Body, upstream: aiohttp.ClientResponse
     ) -> AttemptResult:
-        """Relay a large response, of which `start` has been read."""
+        """Relay a large response, of whose body `start` has been read."""
         self._context.has_started_body = True
         await self._start_response(upstream)
         downstream = self._context.started_response
         chunk = start
         while chunk:
             await downstream.write(chunk)
-            chunk = await upstream.content.readany()
+            chunk = await content.readany()
         await downstream.write_eof()
         self.response = downstream
         return AttemptResult.ANSWERED
 
     async def _relay_stream(self, upstream: aiohttp.ClientResponse) -> AttemptResult:
         """Relay a stream, writing only complete events to the caller."""
+        self._splitter.expect_after(self._context.last_event_id)
         try:
             async with self._watch() as watch:
                 await self._relay_events(upstream, watch)
         except TimeoutError:
             self._splitter.discard_partial()
             raise
-        except ServerLostError:
+        except EventOrderError:
+            self._splitter.discard_partial()
+            self.flaw = AnswerFlaw.EVENT_ORDER
+            return AttemptResult.BROKEN
+        except ServerLostError as exc:
             self._splitter.discard_partial()
+            if isinstance(exc.__cause__, SecondAnswerError):
+                self.flaw = AnswerFlaw.SECOND_ANSWER
             return AttemptResult.BROKEN
         if self._splitter.partial:
             # A partial event means a truncated stream even if its framing is valid.
@@ -128,13 +156,13 @@
         self, upstream: aiohttp.ClientResponse, watch: SilenceWatch
     ) -> None:
         """Write complete events to the caller until the stream ends."""
-        content = upstream.content
+        content = _body(upstream)
         while not self._splitter.is_too_long:
             try:
                 chunk = await content.readany()
             except (aiohttp.ClientError, OSError) as exc:
                 raise ServerLostError from exc
-            if not chunk and content.at_eof():
+            if not chunk:
                 return
             events = self._splitter.feed(chunk)
             if events:
@@ -168,12 +196,24 @@
         await downstream.prepare(self._context.http)
 
 
-async def _read_at_most(content: aiohttp.StreamReader, limit: int) -> bytes:
-    """Read to the end, or until at least `limit` bytes have come."""
+def _body(upstream: aiohttp.ClientResponse) -> Body:
+    """Return the reader of a response's body."""
+    if http_headers.is_framed(upstream):
+        return upstream.content
+    return UnframedBody(upstream.content)
+
+
+async def _read_at_most(content: Body, limit: int) -> tuple[bytes, bool]:
+    """Read to the end, or until at least `limit` bytes have come.
+
+    Return what has come, and whether the body has ended.
+    """
     chunks = []
     size = 0
-    while size < limit and not content.at_eof():
+    while size < limit:
         chunk = await content.readany()
+        if not chunk:
+            return b"".join(chunks), True
         chunks.append(chunk)
         size += len(chunk)
-    return b"".join(chunks)
+    return b"".join(chunks), False
--- a/fuchsiacroft/gateway/routed_request.py
+++ b/fuchsiacroft/gateway/routed_request.py
@@ -10,6 +10,7 @@
 from fuchsiacroft.config.route_table import Route, RouteTable
 from fuchsiacroft.entry.answer_identity import RequestName
 from fuchsiacroft.entry.problems import Problem
+from fuchsiacroft.gateway.answer_flaw import AnswerFlaw
 from fuchsiacroft.membership.server_notices import ServerNotice
 from fuchsiacroft.routing.permits import WorkSize
 
@@ -111,10 +112,8 @@
         """Return what the backend server says of itself in a response."""
 
     @abstractmethod
-    def matches_request(
-        self, request: RoutedRequest, response: aiohttp.ClientResponse
-    ) -> bool:
-        """Whether the response belongs to the request."""
+    def flaw(self, response: aiohttp.ClientResponse) -> AnswerFlaw | None:
+        """Return why the caller can't get the response to a request that has run."""
 
     @abstractmethod
     def error_response(self, problem: Problem, request_id: str) -> web.Response:
--- a/fuchsiacroft/platform/protocol_adapter.py
+++ b/fuchsiacroft/platform/protocol_adapter.py
@@ -12,6 +12,7 @@
 from fuchsiacroft.entry.answer_identity import RequestName
 from fuchsiacroft.entry.http_headers import HOP_BY_HOP
 from fuchsiacroft.entry.problems import ExecutionState, Problem
+from fuchsiacroft.gateway.answer_flaw import AnswerFlaw
 from fuchsiacroft.gateway.routed_request import (
     Headers,
     ProtocolAdapter,
@@ -26,6 +27,8 @@
 )
 DROPPED_RESPONSE_HEADERS = HOP_BY_HOP | {"content-length", "date", "server"}
 MISDIRECTED = 421
+NOT_RUN_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
+"""Statuses that tell a client that its request did not run and never will."""
 MIN_DEADLINE_MS = 1
 ROUTE_RANKS = 16
 """Weight of a workspace rank in a combined rank, above the usual route ranks."""
@@ -150,15 +153,19 @@
             has_run=not self.was_not_executed(response),
         )
 
-    def matches_request(
-        self, request: RoutedRequest, response: aiohttp.ClientResponse
-    ) -> bool:
-        """Return whether a response has the request's id and no content encoding."""
-        response_id = response.headers.get(header_names.REQUEST_ID, request.request_id)
-        return (
-            response_id == request.request_id
-            and "Content-Encoding" not in response.headers
-        )
+    def flaw(self, response: aiohttp.ClientResponse) -> AnswerFlaw | None:
+        """Return why a client can't get the response to a request that has run.
+
+        A success needs the replica's seal, and clients take some statuses as a promise
+        that the request did not run, which a replica makes in another header.
+        """
+        if "Content-Encoding" in response.headers:
+            return AnswerFlaw.ENCODED
+        if response.status in NOT_RUN_STATUSES:
+            return AnswerFlaw.PROMISES_NOT_RUN
+        if response.ok and not self.is_signed(response):
+            return AnswerFlaw.UNSIGNED
+        return None
 
     def error_response(self, problem: Problem, request_id: str) -> web.Response:
         """Return the error response to a client for a problem."""
--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -187,6 +187,11 @@
         await asyncio.sleep(0.1)
         return replica
 
+    async def remove_replica(self, replica: Replica, service: str) -> None:
+        """Stop a replica that says that it leaves; no new request goes there."""
+        await replica.stop()
+        await self.send_heartbeat(replica, service, "draining")
+
     async def send_heartbeat(
         self,
         replica: Replica,
