Let the soak's servers garble answers

The kind `garble_server` does all of these, in plain answers and streams, and is drawn apart from the others, so that the other faults of a seed stay the same.

--- a/fuchsiacroft/tests/soak/invariants_tests.py
+++ b/fuchsiacroft/tests/soak/invariants_tests.py
@@ -255,7 +255,7 @@
     def test_fifty_seeds_give_every_kind_and_overlapping_faults(self):
         schedules = [schedule.generate(seed, 20.0) for seed in range(50)]
         kinds = {fault.kind for faults in schedules for fault in faults}
-        self.assertEqual(set(schedule.KINDS), kinds)
+        self.assertEqual(set(schedule.ALL_KINDS), kinds)
         overlaps = sum(
             later.at_s < fault.at_s + fault.duration_s
             for faults in schedules
--- a/fuchsiacroft/tests/soak/run.py
+++ b/fuchsiacroft/tests/soak/run.py
@@ -50,7 +50,7 @@
     entries: int = 4
     servers: int = 6
     folder: str | None = None
-    kinds: tuple[str, ...] = tuple(schedule.KINDS)
+    kinds: tuple[str, ...] = tuple(schedule.ALL_KINDS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -350,6 +350,13 @@
         server.pause_s = 0.0
         server.is_busy = False
 
+    async def _garble_server(self, fault: Fault) -> None:
+        """Let a server garble a part of its answers, until it restarts."""
+        server = self._servers[fault.target_index % len(self._servers)]
+        server.garbles = True
+        await asyncio.sleep(fault.duration_s)
+        server.garbles = False
+
     async def _limit_server(self, fault: Fault) -> None:
         """Let a server name a limit on its requests a second, until it restarts."""
         server = self._servers[fault.target_index % len(self._servers)]
--- a/fuchsiacroft/tests/soak/schedule.py
+++ b/fuchsiacroft/tests/soak/schedule.py
@@ -40,6 +40,10 @@
     "refuse_configuration": 1,
 }
 """Kinds of faults and of planned operations, with their weights."""
+GARBLE_KIND = "garble_server"
+"""Drawn apart from the others, so that the other faults of a seed stay the same."""
+GARBLE_PERIOD_RANGE_S = (2.0, 8.0)
+ALL_KINDS = (*KINDS, GARBLE_KIND)
 HARMLESS_KINDS = frozenset(
     {"configure", "configure_often", "refuse_configuration", "reload_entry"}
 )
@@ -60,11 +64,32 @@
 
 
 def generate(
-    seed: int, length_s: float, allowed: Collection[str] = KINDS
+    seed: int, length_s: float, allowed: Collection[str] = ALL_KINDS
 ) -> list[Fault]:
     """Return the faults of a run, of the allowed kinds, in chronological order."""
+    faults = _generate_others(seed, length_s, allowed)
+    if GARBLE_KIND in allowed:
+        faults += _generate_garbling(seed, length_s)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _generate_garbling(seed: int, length_s: float) -> list[Fault]:
+    rng = random.Random(f"{GARBLE_KIND} {seed}")
+    faults, at_s = [], FAULT_FREE_S
+    while at_s < length_s - FAULT_FREE_S - DURATION_RANGE_S[1]:
+        duration_s = rng.uniform(*DURATION_RANGE_S)
+        faults.append(Fault(at_s, GARBLE_KIND, duration_s, rng.randrange(1_000)))
+        at_s += rng.uniform(*GARBLE_PERIOD_RANGE_S)
+    return faults
+
+
+def _generate_others(
+    seed: int, length_s: float, allowed: Collection[str]
+) -> list[Fault]:
     rng = random.Random(seed)
     weights = {kind: weight for kind, weight in KINDS.items() if kind in allowed}
+    if not weights:
+        return []
     kinds = rng.choices(list(weights), list(weights.values()), k=1_000)
     faults, at_s = [], FAULT_FREE_S
     for kind in kinds:
--- a/fuchsiacroft/tests/soak/servers.py
+++ b/fuchsiacroft/tests/soak/servers.py
@@ -17,6 +17,8 @@
     response,
     stream_head,
 )
+from fuchsiacroft.tests.soak import garbled_answers
+from fuchsiacroft.tests.soak.garbled_answers import NOT_RUN, Garble
 from fuchsiacroft.tests.soak.invariants import STREAM_EVENTS
 from fuchsiacroft.tests.soak.observations import (
     Observations,
@@ -32,7 +34,9 @@
 """Software versions; each incarnation of a server has one of them."""
 WORK_RANGE_S = (0.002, 0.03)
 EVENT_PERIOD_S = 0.02
-NOT_RUN = "Fuchsiacroft-Not-Executed: 1"
+STREAM = "Content-Type: text/event-stream"
+GARBLED_SHARE = 0.5
+"""Share of the answers of a garbling server that are garbled."""
 SAYING_SERVERS = ("i1", "i2", "i5", "i6")
 """Servers that also say in their answers that they leave."""
 
@@ -63,6 +67,8 @@
         self._state = "ready"
         self.pause_s = 0.0
         self.limit_per_s: float | None = None
+        self.garbles = False
+        self._garble_rng = random.Random(f"garbled answers of {name}")
         self._replica: Replica | None = None
         self._heartbeat_task: asyncio.Task | None = None
 
@@ -88,6 +94,7 @@
             self._observations.serving_spans.append(self._span)
         self.pause_s = 0.0
         self.limit_per_s = None
+        self.garbles = False
         self._replica = Replica(self.instance_id, address, self._handle_request)
         await self._replica.start()
         self._heartbeat_task = asyncio.ensure_future(self._send_heartbeats())
@@ -155,13 +162,23 @@
             writer.write(response(req, b"", "503 Busy", *lines))
             return
         self._observations.runs.append(Run(attempt_id, self.instance_id, at, req.body))
+        garble = self._next_garble()
         if self._service == "lens":
-            await self._stream(req, writer)
+            await self._stream(req, writer, garble)
             return
         await asyncio.sleep(self._rng.uniform(*WORK_RANGE_S))
         body = f"done {attempt_id}".encode()
+        if garble is not None:
+            writer.write(garbled_answers.plain(garble, req, body, *self._notices()))
+            return
         writer.write(response(req, body, "200 OK", *self._notices()))
 
+    def _next_garble(self) -> Garble | None:
+        """Return how the next answer is garbled, None if it is sound."""
+        if not self.garbles or self._garble_rng.random() > GARBLED_SHARE:
+            return None
+        return self._garble_rng.choice(list(Garble))
+
     def _notices(self) -> tuple[str, ...]:
         lines = ["Server-Leaving: 1"] if self._says_leaving else []
         if self.limit_per_s is not None:
@@ -179,14 +196,27 @@
                 return True
         return False
 
-    async def _stream(self, req: ReceivedRequest, writer) -> None:
-        last_event_id = int(req.get("Last-Event-ID") or 0)
-        writer.write(stream_head(req, *self._notices()))
+    async def _stream(
+        self, req: ReceivedRequest, writer, garble: Garble | None
+    ) -> None:
+        first = int(req.get("Last-Event-ID") or 0) + 1
+        events = [self._event(number) for number in range(first, STREAM_EVENTS + 1)]
+        notices = self._notices()
+        if garble in (Garble.REFUSAL_FIRST, Garble.SUCCESS_FIRST):
+            writer.write(garbled_answers.foreign(garble))
+        elif garble is not None:
+            body = b"".join(events)
+            writer.write(garbled_answers.plain(garble, req, body, STREAM, *notices))
+            return
+        writer.write(stream_head(req, *notices))
         if self._is_deadly(req):
             self.on_part_crash(self)
             return
-        for number in range(last_event_id + 1, STREAM_EVENTS + 1):
-            writer.write(chunk(f"id: {number}\ndata: {self._version}\n\n".encode()))
+        for data in events:
+            writer.write(chunk(data))
             await writer.drain()
             await asyncio.sleep(EVENT_PERIOD_S)
         writer.write(LAST_CHUNK)
+
+    def _event(self, number: int) -> bytes:
+        return f"id: {number}\ndata: {self._version}\n\n".encode()
--- a/fuchsiacroft/tests/soak/soak_tests.py
+++ b/fuchsiacroft/tests/soak/soak_tests.py
@@ -39,6 +39,10 @@
         """Seed 203: the signal had no handler while modules were imported."""
         self.assert_holds(203, STOPS_AND_RELOADS, length_s=15.0)
 
+    def test_garbled_answers_reach_callers(self):
+        kinds = ("garble_server", "crash_server", "kill_entry")
+        self.assert_holds(43, kinds, length_s=20.0)
+
     def assert_holds(self, seed, kinds=SILENT_LINKS, length_s=25.0):
         plan = Plan(seed=seed, length_s=length_s, kinds=kinds)
         result = run_soak(plan)
