Keep known control members when the seeds in the settings change

Streams that callers took up could be refused where a version of a server had gone, since most control members counted as lost.

Cause: Roster replaced all known control members by the seeds and what the last reply named. A change of the seeds dropped those that it reached; so did a reply of a member with an empty disk, which names the seeds in its own settings (from the source, not run on the code before). A control member had the reverse of it: it sent hellos to the seeds of its start only, never to changed ones, and forgot the group's addresses with its identity, so a replaced member whose first seeds had been replaced too never joined again. Whether most members are reached was counted among all addresses, seeds that are down included.

Change: membership/control_directory keeps every address that was a seed or was named, until a current report of the group, ordered by the log index of its last committed change, doesn't name it and it has been silent for 15 s. Replies to heartbeats carry group and index. Joining uses changed seeds at once and keeps all addresses over identities; only the members listed at the start form a group.

--- a/fuchsiacroft/control/consensus/incarnation.py
+++ b/fuchsiacroft/control/consensus/incarnation.py
@@ -8,7 +8,7 @@
 from fuchsiacroft.control.consensus.applying import Applying
 from fuchsiacroft.control.consensus.elections import Elections
 from fuchsiacroft.control.consensus.follower import Follower
-from fuchsiacroft.control.consensus.joining import Joining, JoinPolicy
+from fuchsiacroft.control.consensus.joining import Contacts, Joining, JoinPolicy
 from fuchsiacroft.control.consensus.leadership import Leadership
 from fuchsiacroft.control.consensus.member import Member
 from fuchsiacroft.control.consensus.membership import Membership
@@ -29,7 +29,7 @@
     def __init__(
         self,
         member: Member,
-        addresses: tuple[str, ...],
+        contacts: Contacts,
         rng: random.Random,
         policy: JoinPolicy,
         on_identity_lost: Callable[[], None],
@@ -44,10 +44,14 @@
         self._elections = Elections(member, rng, self._start_leadership)
         self._follower = Follower(member, self.applying.install_snapshot)
         self._joining = Joining(
-            member, addresses, self._on_verified, on_identity_lost, policy
+            member, contacts, self._on_verified, on_identity_lost, policy
         )
         self._membership = Membership(
-            member, self._joining, addresses, self._get_leadership, policy.wanted_voters
+            member,
+            self._joining,
+            contacts.listed,
+            self._get_leadership,
+            policy.wanted_voters,
         )
 
     async def start(self, machines: Mapping[str, StateMachine]) -> None:
--- a/fuchsiacroft/control/consensus/joining.py
+++ b/fuchsiacroft/control/consensus/joining.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from fuchsiacroft.control.consensus import timing
@@ -35,6 +35,23 @@
     last_hello_at: float
 
 
+class Contacts:
+    """The addresses at which the other members of a process's group may be.
+
+    `listed` are those in the settings at the start, which may form a group. `known` are
+    all that settings and members have named while the process runs. None is removed,
+    since a member that was replaced may need any of them to find its group.
+    """
+
+    def __init__(self, listed: tuple[str, ...]) -> None:
+        self.listed = listed
+        self.known = set(listed)
+
+    def add(self, addresses: Iterable[str]) -> None:
+        """Add addresses that settings or members name."""
+        self.known.update(addresses)
+
+
 @dataclass(frozen=True, slots=True)
 class JoinPolicy:
     """Whether empty disks may form a group, and who belongs to it.
@@ -61,17 +78,16 @@
     def __init__(
         self,
         member: Member,
-        addresses: tuple[str, ...],
+        contacts: Contacts,
         on_verified: Callable[[], None],
         on_identity_lost: Callable[[], None],
         policy: JoinPolicy,
     ) -> None:
         self._policy = policy
         self._member = member
-        self._addresses = addresses
+        self._contacts = contacts
         self._on_verified = on_verified
         self._on_identity_lost = on_identity_lost
-        self._learned_addresses: set[str] = set()
         self.joiners: dict[str, Joiner] = {}
 
     def register(self) -> None:
@@ -146,8 +162,7 @@
         addresses = {
             group_member.address for group_member in member.configuration.members
         }
-        known = addresses | set(self._addresses) | self._learned_addresses
-        return sorted(known - {member.address})
+        return sorted((addresses | self._contacts.known) - {member.address})
 
     async def _send_hello(self, address: str) -> HelloReply | None:
         member = self._member
@@ -167,9 +182,7 @@
 
     def _handle_replies(self, replies: list[HelloReply]) -> None:
         for reply in replies:
-            self._learned_addresses |= {
-                group_member.address for group_member in reply.configuration.members
-            }
+            self._contacts.add(m.address for m in reply.configuration.members)
         statuses = [reply.status for reply in replies]
         if HelloStatus.OTHER_GROUP in statuses:
             self._member.halt("the other members belong to another group")
@@ -224,7 +237,7 @@
         return [
             voter
             for voter in others
-            if voter.address not in self._addresses
+            if voter.address not in self._contacts.listed
             or identities.get(voter.address, voter.identity) != voter.identity
         ]
 
@@ -236,19 +249,22 @@
         return newest
 
     def _join(self, replies: list[HelloReply]) -> None:
-        others = set(self._addresses) - {self._member.address}
+        others = set(self._contacts.listed) - {self._member.address}
         fresh = [r for r in replies if r.status is HelloStatus.FRESH]
+        listed = [r for r in fresh if r.address in others]
         needed = (len(others) + 1) // 2
         if not self._member.storage.is_same_boot:
             needed = _intersection_quorum(len(others) + 1, len(others))
         if len(replies) >= needed:
             self._verify(replies)
-        is_new = len(fresh) == len(replies) == len(others)
+        is_new = len(fresh) == len(replies) and len(listed) == len(others)
         if self._policy.may_form_group and is_new and self._has_lowest_address():
-            self._form_group(fresh)
+            self._form_group(listed)
 
     def _has_lowest_address(self) -> bool:
-        return self._member.address == min((*self._addresses, self._member.address))
+        return self._member.address == min(
+            (*self._contacts.listed, self._member.address)
+        )
 
     def _form_group(self, others: list[HelloReply]) -> None:
         """Append the initial configuration as the first log entry."""
--- a/fuchsiacroft/control/consensus/service.py
+++ b/fuchsiacroft/control/consensus/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 from dataclasses import replace
 
 import msgspec
@@ -9,7 +10,7 @@
 
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.control.consensus.incarnation import Incarnation
-from fuchsiacroft.control.consensus.joining import JoinPolicy
+from fuchsiacroft.control.consensus.joining import Contacts, JoinPolicy
 from fuchsiacroft.control.consensus.leadership import Leadership
 from fuchsiacroft.control.consensus.member import Member
 from fuchsiacroft.control.log import (
@@ -43,7 +44,7 @@
         wanted_voters: int | None = None,
     ) -> None:
         self._storage = member.storage
-        self._addresses = addresses
+        self._contacts = Contacts(addresses)
         self._random = rng
         self._policy = JoinPolicy(may_form_group, wanted_voters)
         self._machines: dict[str, StateMachine] = {}
@@ -59,6 +60,15 @@
         self._machines[name] = machine
         self._initial_states[name] = machine.snapshot()
 
+    def add_contacts(self, addresses: Iterable[str]) -> None:
+        """Add addresses at which members of the group may be."""
+        self._contacts.add(addresses)
+
+    @property
+    def contacts(self) -> frozenset[str]:
+        """Return every address at which a member was or may be, with the own one."""
+        return frozenset(self._contacts.known)
+
     async def start(self, kernel: Kernel) -> None:
         """Recover from the disk, then find the group in the background."""
         await self._incarnation.start(self._machines)
@@ -121,7 +131,7 @@
     def _create_incarnation(self, member: Member) -> Incarnation:
         return Incarnation(
             member,
-            self._addresses,
+            self._contacts,
             self._random,
             self._policy,
             self._identity_lost.set,
@@ -140,6 +150,7 @@
         forms none from then on.
         """
         old = self.member
+        self.add_contacts(m.address for m in old.configuration.members)
         await self._incarnation.stop()
         await self._storage.discard()
         for name, machine in self._machines.items():
--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -216,12 +216,15 @@
         digest, entries_digest = self._table.digest, self._entries_digest
         sends_servers = msg.asks_full and digest != msg.digest
         sends_entries = msg.asks_full and entries_digest != msg.entries_digest
+        reported = self._members.reported_group()
         return EntryHeartbeatReply(
-            controls=self._members.all(),
+            controls=tuple(sorted(reported.addresses)),
             entries_digest=entries_digest,
             entries=self._known_entries() if sends_entries else None,
             digest=digest,
             records=self._table.records() if sends_servers else None,
+            group=reported.group,
+            group_index=reported.index,
         )
 
     def _known_entries(self) -> tuple[EntryRecord, ...]:
--- a/fuchsiacroft/membership/registry_wire.py
+++ b/fuchsiacroft/membership/registry_wire.py
@@ -87,13 +87,19 @@
 
 @codec.message("registry.hello_answer")
 class EntryHeartbeatReply(msgspec.Struct, frozen=True):
-    """Reply to a heartbeat; tables that the entry knows or didn't ask for are None."""
+    """Reply to a heartbeat; tables that the entry knows or didn't ask for are None.
+
+    `controls` reflect the group `group` up to its change at the log index
+    `group_index`; 0 if the member knows of no committed change.
+    """
 
     controls: tuple[str, ...]
     entries_digest: int
     entries: tuple[EntryRecord, ...] | None
     digest: int
     records: tuple[ServerRecord, ...] | None
+    group: str = ""
+    group_index: int = 0
 
 
 @codec.message("registry.gone")
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -21,6 +21,7 @@
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.exceptions import SettingsError
 from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.membership.control_directory import ControlDirectory, ReportedGroup
 from fuchsiacroft.membership.registry_wire import (
     ChangeAck,
     EntryHeartbeat,
@@ -80,8 +81,8 @@
             peers=settings.addresses.peers,
             started_ms=int(time.time() * 1000),
         )
-        self._seeds = tuple(member.peers for member in settings.control)
-        self._controls = self._seeds
+        self._directory = ControlDirectory(member.peers for member in settings.control)
+        self._controls = self._directory.addresses()
         self._known_servers: dict[str, tuple[int, tuple[str, ...]]] = {}
         self._entries: dict[str, tuple[int, tuple[EntryRecord, ...]]] = {}
         self._merged: MergedEntries | None = None
@@ -137,13 +138,13 @@
 
     @property
     def control_addresses(self) -> tuple[str, ...]:
-        """Return the peer addresses of the control members."""
+        """Return the peer addresses under which control members may be reached."""
         return self._controls
 
     def set_seeds(self, addresses: tuple[str, ...]) -> None:
-        """Replace the configured control members."""
-        self._seeds = addresses
-        self._update_controls(())
+        """Replace the addresses that the settings name; known members stay known."""
+        self._directory.set_seeds(addresses, now())
+        self._update_controls()
 
     def on_control_members_change(
         self, listener: Callable[[tuple[str, ...]], None]
@@ -206,8 +207,9 @@
 
     @property
     def reaches_most_controls(self) -> bool:
-        """Return whether most control members have replied recently."""
-        return 2 * len(self._reachable_controls()) > len(self._controls)
+        """Return whether most members of the control group have replied recently."""
+        members = self._directory.members()
+        return 2 * len(members.intersection(self._reachable_controls())) > len(members)
 
     def peers(self) -> tuple[str, ...]:
         """Return the addresses of the other entries."""
@@ -284,7 +286,10 @@
         if not self._adopt_known(address) and not self._is_fetching:
             self._is_fetching = True
             self._tasks.spawn(self._fetch_differing(), "roster-fetch")
-        self._update_controls(reply.controls)
+        controls = frozenset(reply.controls)
+        reported = ReportedGroup(reply.group, reply.group_index, controls)
+        self._directory.record_reply(address, reported, now())
+        self._update_controls()
 
     def _adopt_known(self, address: str) -> bool:
         """Take tables with the same digests, this entry's own too, for a member's.
@@ -328,16 +333,21 @@
         ):
             event("warning", "control_member_lost", address=address)
 
-    def _update_controls(self, reported: tuple[str, ...]) -> None:
-        addresses = tuple(sorted(set(reported) | set(self._seeds)))
-        if addresses != self._controls:
-            for removed in set(self._controls) - set(addresses):
-                self._replied_at.pop(removed, None)
-            self._controls = addresses
-            event("info", "control_members_changed", addresses=",".join(addresses))
-            self._start_heartbeats()
-            for listener in self._controls_listeners:
-                listener(addresses)
+    def _update_controls(self) -> None:
+        """Send heartbeats to new control members, and forget removed ones."""
+        addresses = self._directory.addresses()
+        if addresses == self._controls:
+            return
+        for removed in set(self._controls) - set(addresses):
+            self._replied_at.pop(removed, None)
+            self._known_servers.pop(removed, None)
+            self._entries.pop(removed, None)
+            self._differing.pop(removed, None)
+        self._controls = addresses
+        event("info", "control_members_changed", addresses=",".join(addresses))
+        self._start_heartbeats()
+        for listener in self._controls_listeners:
+            listener(addresses)
 
     async def _on_changed(self, sender: str, msg: ServersChanged) -> ChangeAck:
         self._merge(msg.records)
@@ -366,9 +376,11 @@
             listener(records)
 
     async def _sweep(self) -> None:
-        """Remove servers that no reachable control member lists any more."""
+        """Remove control members and servers that are no longer listed."""
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
+            self._directory.remove_expired(now())
+            self._update_controls()
             reachable = self._reachable_controls()
             if not reachable:
                 continue
--- a/fuchsiacroft/platform/control_process.py
+++ b/fuchsiacroft/platform/control_process.py
@@ -27,17 +27,16 @@
     log.register_state_machine("published", state)
     ops = operations.create(cfg.addresses.operators, Metrics())
     ops.add_readiness_check(log.not_ready_reason)
-    members = control_members.create(cfg)
     kernel = Kernel()
     for service in (
         bus,
         log,
-        members,
+        control_members.create(cfg),
         publisher.create(state),
         registry.create(cfg, wire.heartbeat_s),
         ops,
         control_api.create(wire.bind.control_plane),
-        settings_watch.create(wire, path, members.set_configured),
+        settings_watch.create(wire, path, log.add_contacts),
     ):
         kernel.add(service)
     return kernel
--- a/fuchsiacroft/tests/fakes/memory_region.py
+++ b/fuchsiacroft/tests/fakes/memory_region.py
@@ -4,6 +4,7 @@
 from fuchsiacroft.config.route_table import RouteTable
 from fuchsiacroft.config.settings import Addresses, Member, Settings
 from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.membership.control_directory import ReportedGroup
 from fuchsiacroft.membership.control_members import ControlMembers
 from fuchsiacroft.membership.registry import ServerRegistry
 from fuchsiacroft.membership.roster import Roster
@@ -20,17 +21,20 @@
 
 
 class FixedMembers(ControlMembers):
-    """A list of control members that does not change."""
+    """A list of control members, which changes only where a test sets it."""
 
     def __init__(self, own: str, addresses: tuple[str, ...]) -> None:
         self._own = own
-        self._addresses = addresses
+        self.reported = ReportedGroup("region", 1, frozenset(addresses))
 
     async def start(self, kernel: Kernel) -> None:
-        """Do nothing; the list is fixed."""
+        """Do nothing; there is no log."""
 
     def all(self) -> tuple[str, ...]:
-        return self._addresses
+        return tuple(sorted(self.reported.addresses))
+
+    def reported_group(self) -> ReportedGroup:
+        return self.reported
 
 
 class FixedTable(RouteSource):
@@ -58,12 +62,9 @@
         addresses = Addresses("10.0.0.1:1", peers=self.address)
         settings = Settings(self.node, DOMAINS[number], "mvd", addresses)
         self.registry = ServerRegistry(settings, HEARTBEAT_S)
+        self.members = FixedMembers(self.address, region.controls)
         self.kernel = Kernel()
-        for service in (
-            self.bus,
-            FixedMembers(self.address, region.controls),
-            self.registry,
-        ):
+        for service in (self.bus, self.members, self.registry):
             self.kernel.add(service)
 
 
--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -149,12 +149,23 @@
         """Start the process with this address."""
         process = control_process if ip in self.controls else entry_process
         wire = self.settings(ip)
-        path = Path(self._folder.name) / f"{ip}.json"
-        path.write_bytes(msgspec.json.encode(wire))
-        kernel = process.create(wire, path)
+        kernel = process.create(wire, self.write_settings(ip, wire))
         self.kernels[ip] = kernel
         await kernel.start()
 
+    def write_settings(self, ip: str, wire: WireSettings) -> Path:
+        """Write the settings file of the process with this address."""
+        path = Path(self._folder.name) / f"{ip}.json"
+        path.write_bytes(msgspec.json.encode(wire))
+        return path
+
+    def change_seeds(self, ip: str, seeds: list[str]) -> None:
+        """Name other control members in a process's settings, and reload them."""
+        named = [f"{seed}:{CONTROL_PORT}" for seed in seeds]
+        wire = msgspec.structs.replace(self.settings(ip), seeds=named)
+        self.write_settings(ip, wire)
+        self.kernels[ip].reload()
+
     async def stop(self) -> None:
         """Stop every process and replica."""
         for kernel in reversed(list(self.kernels.values())):
