Refuse a route whose service doesn't exist beside a traffic split

Cause: validation looked at the services that requests may go to, and a split replaces `service` there.

Change: every service that a route names is checked; the reason names it. Entries read an acknowledged configuration without these checks, so that one that an older control member has acknowledged still takes force.

--- a/fuchsiacroft/platform/documents.py
+++ b/fuchsiacroft/platform/documents.py
@@ -103,14 +103,28 @@
 
 def parse(body: bytes) -> Result[RouteTable, list[ValidationIssue]]:
     """Return the route table of a configuration, or all its issues."""
+    return _decode(body).bind(_checked).map(_table)
+
+
+def read(body: bytes) -> Result[RouteTable, list[ValidationIssue]]:
+    """Return the route table of a configuration that was acknowledged.
+
+    It isn't checked again: a control member of another software version may have
+    acknowledged it by other checks.
+    """
+    return _decode(body).map(_table)
+
+
+def _decode(body: bytes) -> Result[WireConfig, list[ValidationIssue]]:
     try:
-        wire = _DECODER.decode(body)
+        return Ok(_DECODER.decode(body))
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as exc:
         return Error([ValidationIssue("$", f"cannot be read: {exc}")])
+
+
+def _checked(wire: WireConfig) -> Result[WireConfig, list[ValidationIssue]]:
     issues = list(_validate(wire))
-    if issues:
-        return Error(issues)
-    return Ok(_table(wire))
+    return Error(issues) if issues else Ok(wire)
 
 
 def _validate(wire: WireConfig) -> Iterator[ValidationIssue]:
@@ -138,9 +152,13 @@
     if route.kind not in ("safe", "unsafe", "stream"):
         yield ValidationIssue(f"{path}.kind", f'unknown kind "{route.kind}"')
     targets = _targets(route)
+    named = [target.service for target in targets]
+    if route.service is not None and route.service not in named:
+        named.append(route.service)
+    for service in named:
+        if service not in services:
+            yield ValidationIssue(path, f'unknown service "{service}"')
     for target in targets:
-        if target.service not in services:
-            yield ValidationIssue(path, f'unknown service "{target.service}"')
         if target.weight < 0:
             yield ValidationIssue(path, "a weight must be 0 or more")
     if sum(target.weight for target in targets) <= 0:
--- a/fuchsiacroft/platform/entry_process.py
+++ b/fuchsiacroft/platform/entry_process.py
@@ -37,7 +37,7 @@
     cfg = settings.entry_settings(wire)
     adapter = protocol_adapter.create()
     region_roster = roster.create(cfg)
-    tables = published_follower.create(documents.parse)
+    tables = published_follower.create(documents.read)
     metrics = Metrics()
     callers = frontend.create(cfg, adapter, metrics)
     ready = readiness.create(
--- a/fuchsiacroft/tests/platform/documents_tests.py
+++ b/fuchsiacroft/tests/platform/documents_tests.py
@@ -166,5 +166,25 @@
             ["$.routes[0].timeoutMs", "$.routes[0]"], [f.path for f in issues]
         )
 
+    def test_an_unknown_service_beside_a_split_is_acknowledged(self):
+        split = [{"service": "lens", "weight": 1}]
+        body = with_route(service="other", trafficSplit=split)
+        issues = documents.parse(body).error
+        self.assertEqual(
+            [("$.routes[0]", 'unknown service "other"')],
+            [(issue.path, issue.message) for issue in issues],
+        )
+
+    def test_an_entry_lacks_a_configuration_that_an_older_version_acknowledged(self):
+        split = [{"service": "lens", "weight": 1}]
+        table = documents.read(with_route(service="other", trafficSplit=split)).ok
+        self.assertEqual(7, table.version)
+
+    def test_a_known_service_beside_a_split_is_refused(self):
+        split = [{"service": "lens", "weight": 1}]
+        table = self.table(with_route(service="till", trafficSplit=split))
+        route = table.route("shop.example", "/advice/x")
+        self.assertEqual(frozenset({"lens"}), route.services)
+
     def test_unknown_fields_are_ignored(self):
         self.assertTrue(documents.parse(encoded(later={"a": 1})).is_ok())
