Ask for a key only where the configuration has workspaces

Cause: a request of a route that isn't public always had to have the key of a workspace.

Change: without workspaces no key is needed. A key that is sent all the same is refused as before, since no workspace holds it. The product's own interface asks for a key always, as its pages say, and is unchanged.

--- a/fuchsiacroft/platform/protocol_adapter.py
+++ b/fuchsiacroft/platform/protocol_adapter.py
@@ -65,9 +65,10 @@
             return Error(
                 Problem(404, "unknown_path", "no route matches the host and path")
             )
+        key = headers.get(header_names.API_KEY, "")
         workspace = None
-        if not route.is_public:
-            workspace = table.workspace_of(headers.get(header_names.API_KEY, ""))
+        if _needs_key(route, table, key):
+            workspace = table.workspace_of(key)
             if workspace is None:
                 return Error(Problem(401, "unknown_key", "no workspace has this key"))
         size = _work_size(headers)
@@ -189,6 +190,16 @@
     return tuple((n, v) for n, v in items if n.lower() not in dropped)
 
 
+def _needs_key(route: Route, table: RouteTable, key: str) -> bool:
+    """Return whether a request needs the key of a workspace.
+
+    Without workspaces none is needed; a key that is sent all the same is unknown.
+    """
+    if route.is_public:
+        return False
+    return bool(key or table.workspaces)
+
+
 def _rank(workspace: Workspace | None, route: Route) -> int:
     """Return a combined rank, ordered by workspace and then by route.
 
--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -260,7 +260,7 @@
         method: str = "GET",
         body: bytes = b"",
         entry: int = 0,
-        key: str = "key-1",
+        key: str | None = "key-1",
     ) -> Response:
         """Send a client request on a new connection and read the response."""
         reader, writer = await self.connect(entry)
@@ -286,14 +286,15 @@
         *more: str,
         method: str = "GET",
         body: bytes = b"",
-        key: str = "key-1",
+        key: str | None = "key-1",
         attempt_id: str | None = None,
     ) -> bytes:
         """Return an encoded request; `more` are additional header lines."""
         attempt_id = attempt_id or self.next_attempt_id()
         sent = body if body or method == "POST" else None
+        keys = () if key is None else (f"X-Api-Key: {key}",)
         return platform_wire.encode_request(
-            method, path, attempt_id, f"X-Api-Key: {key}", *more, body=sent
+            method, path, attempt_id, *keys, *more, body=sent
         )
 
 
--- a/fuchsiacroft/tests/platform/requests_tests.py
+++ b/fuchsiacroft/tests/platform/requests_tests.py
@@ -173,6 +173,36 @@
         )
         self.assertEqual([], replica.received)
 
+    async def test_a_request_without_a_key_is_refused_though_there_are_no_workspaces(
+        self,
+    ):
+        replica = await self.region.add_replica("till")
+        for version, more in enumerate(({}, {"tenants": []}), 2):
+            document = config(version)
+            del document["tenants"]
+            await self.region.put_config(document | more)
+            await asyncio.sleep(0.5)
+            for key in (None, ""):
+                response = await self.region.send_request("/stock/1/", key=key)
+                self.assertEqual(200, response.status)
+        self.assertEqual(4, len(replica.received))
+        for request in replica.received:
+            self.assertIsNone(request.get("Fuchsiacroft-Tenant"))
+
+    async def test_a_key_that_no_workspace_has_is_good_where_there_are_none(self):
+        replica = await self.region.add_replica("till")
+        await self.region.put_config(config(2, tenants=[]))
+        await asyncio.sleep(0.5)
+        response = await self.region.send_request("/stock/1/", key="key-1")
+        self.assertEqual(401, response.status)
+        self.assertEqual([], replica.received)
+
+    async def test_a_request_without_a_key_runs_though_there_are_workspaces(self):
+        replica = await self.region.add_replica("till")
+        response = await self.region.send_request("/stock/1/", key=None)
+        self.assertEqual(401, response.status)
+        self.assertEqual([], replica.received)
+
     async def test_a_missing_replica_is_reported_while_the_caller_can_retry(self):
         """Guards against a wait for a replica that leaves no time for a retry."""
         began = asyncio.get_running_loop().time()
