Count the time of a suspension in leases

What operators could see: a VM that was suspended for longer than a lease woke and still held it by its own clock: a leader answered reads, perhaps by an older version than others had acknowledged meanwhile, a control member confirmed its version to entries, an owner issued permits, and an entry sent requests under a permission that had ended.

Cause: all leases used the loop's monotonic clock, which stands still while the VM is suspended (DEPLOY.md).

Change: utils.clock.lease_now reads CLOCK_BOOTTIME where the system has it, and the virtual clock with the suspension that a test sets (VirtualTimeLoop.suspend). By it count: the leader's lease and the times at which the heartbeats behind it were sent, a control member's confirmation of its version or document, the view lease of owners, SendGuard, and the age of an entry's version. Who waits for a lease of another goes on counting by the loop's clock, which can only be later; so does the time since a voter last replied, since a leader that wakes must not take all voters for lost. The clock is read anew at each check, so a process that stands still within a turn of the loop holds no lease longer either.

--- a/fuchsiacroft/config/follower.py
+++ b/fuchsiacroft/config/follower.py
@@ -13,7 +13,7 @@
 from fuchsiacroft.config.sources import LivePeers, Sources, static_live_peers
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.transport.bus import Bus
-from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.clock import lease_now, now
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 FETCH_WAIT_S = 1.5
@@ -63,7 +63,7 @@
         """Return the seconds since the current version was known to be the newest."""
         if self._up_to_date_at is None:
             return float("inf")
-        return now() - self._up_to_date_at
+        return lease_now() - self._up_to_date_at
 
     def not_ready_reason(self) -> str | None:
         """Return why requests cannot be admitted yet, or None."""
@@ -121,7 +121,7 @@
         self._document.apply_update(update)
         if update.version < self._document.version or update.age_s > MAX_SOURCE_AGE_S:
             return False
-        current_at = now() - update.age_s
+        current_at = lease_now() - update.age_s
         self._up_to_date_at = max(self._up_to_date_at or current_at, current_at)
         return True
 
--- a/fuchsiacroft/config/published_follower.py
+++ b/fuchsiacroft/config/published_follower.py
@@ -12,7 +12,7 @@
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.transport.bus import Bus
-from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.clock import lease_now, now
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
@@ -76,7 +76,7 @@
         """Return the seconds since a quorum last confirmed the version."""
         if self._confirmed_at is None:
             return float("inf")
-        return now() - self._confirmed_at
+        return lease_now() - self._confirmed_at
 
     def not_ready_reason(self) -> str | None:
         """Return why requests cannot be routed yet, or None."""
@@ -118,7 +118,7 @@
             and self.current_version >= update.version
         ):
             self._confirmed = True
-            self._confirmed_at = now()
+            self._confirmed_at = lease_now()
 
     def _replace_table(self, update: PublishedUpdate, source: str) -> None:
         match self._decode(zlib.decompress(update.body)):
--- a/fuchsiacroft/control/consensus/leadership.py
+++ b/fuchsiacroft/control/consensus/leadership.py
@@ -25,6 +25,7 @@
         self._appended = asyncio.Event()
         self._durable_index = 0
         self._started_at = clock.now()
+        self._lease_started_at = clock.lease_now()
         self._last_space_at = clock.now()
         self._first_index = 0
 
@@ -48,7 +49,7 @@
     @property
     def holds_lease(self) -> bool:
         """Return whether the lease is valid: no other member can have been elected."""
-        return self.is_active and clock.now() < self._lease_end()
+        return self.is_active and clock.lease_now() < self._lease_end()
 
     @property
     def may_serve(self) -> bool:
@@ -74,7 +75,9 @@
 
     def seconds_since_ack(self, identity: str) -> float:
         """Return the seconds since a member's last reply, or since the term began."""
-        return clock.now() - max(self._acked_at(identity), self._started_at)
+        peer = self.peers.get(identity)
+        replied_at = peer.replied_at if peer is not None else float("-inf")
+        return clock.now() - max(replied_at, self._started_at)
 
     def update_commit_index(self) -> None:
         """Advance the commit index to what is durable on a majority."""
@@ -93,7 +96,7 @@
         """Return the remaining lease and each peer's progress."""
         return {
             "term": self.term,
-            "lease_s": round(self._lease_end() - clock.now(), 3),
+            "lease_s": round(self._lease_end() - clock.lease_now(), 3),
             "peers": [peer.dump() for peer in self.peers.values()],
         }
 
@@ -104,7 +107,7 @@
         return peer.match_index if peer is not None else 0
 
     def _lease_end(self) -> float:
-        """Return the time at which the lease granted by a majority expires."""
+        """Return when the lease granted by a majority expires, by the lease clock."""
         configuration = self._member.configuration
         acks = [self._acked_at(v.identity) for v in configuration.voters()]
         acks.sort(reverse=True)
@@ -112,7 +115,7 @@
 
     def _acked_at(self, identity: str) -> float:
         if identity == self._member.identity:
-            return clock.now()
+            return clock.lease_now()
         peer = self.peers.get(identity)
         return peer.acked_at if peer is not None else float("-inf")
 
@@ -151,8 +154,8 @@
             await asyncio.sleep(timing.HEARTBEAT_PERIOD_S)
             if not self.is_active:
                 return
-            lost_at = max(self._lease_end(), self._started_at)
-            if clock.now() - lost_at > timing.ELECTION_TIMEOUT_MAX_S:
+            lost_at = max(self._lease_end(), self._lease_started_at)
+            if clock.lease_now() - lost_at > timing.ELECTION_TIMEOUT_MAX_S:
                 event("warning", "lease_lost", term=self.term)
                 self._member.become_follower(self.term, "")
             elif self._is_disk_full_too_long() and self._has_majority_with_space():
--- a/fuchsiacroft/control/consensus/replication.py
+++ b/fuchsiacroft/control/consensus/replication.py
@@ -32,18 +32,20 @@
         self.match_index = 0
         self.sent_commit_index = 0
         self.acked_at = float("-inf")
+        self.replied_at = float("-inf")
         self.is_full = False
         self.is_unresponsive = False
         self.wake = asyncio.Event()
 
     def record_ack(self, sent_at: float) -> None:
-        """Extend the lease granted by this peer."""
+        """Extend the lease granted by this peer; `sent_at` is of the lease clock."""
         self.acked_at = max(self.acked_at, sent_at)
+        self.replied_at = clock.now()
         self.is_unresponsive = False
 
     def is_live(self) -> bool:
         """Return whether this peer replied within the lease duration."""
-        return clock.now() - self.acked_at < timing.LEASE_S
+        return clock.lease_now() - self.acked_at < timing.LEASE_S
 
     def has_space(self) -> bool:
         """Return whether this peer replies and its disk is not full."""
@@ -81,7 +83,7 @@
     async def _send_heartbeats(self) -> None:
         member, peer = self._member, self._peer
         while self._leadership.is_active:
-            sent_at = clock.now()
+            started_at, sent_at = clock.now(), clock.lease_now()
             group = member.configuration.group
             msg = Heartbeat(
                 group, member.identity, peer.identity, member.term, member.commit_index
@@ -92,7 +94,7 @@
             if self.process_reply(result, sent_at):
                 peer.is_full = result.ok.full
                 peer.wake.set()
-            remaining = sent_at + timing.HEARTBEAT_PERIOD_S - clock.now()
+            remaining = started_at + timing.HEARTBEAT_PERIOD_S - clock.now()
             await asyncio.sleep(max(remaining, 0))
 
     async def _send_entries(self) -> None:
@@ -114,7 +116,7 @@
 
     async def _append(self) -> None:
         member, peer = self._member, self._peer
-        sent_at = clock.now()
+        sent_at = clock.lease_now()
         msg = self._append_request()
         result = await member.bus.request(peer.address, msg, timing.APPEND_TIMEOUT_S)
         if not self.process_reply(result, sent_at):
@@ -150,6 +152,7 @@
     def process_reply(self, result: Result, sent_at: float) -> bool:
         """Record a reply; return whether it is valid for the current term.
 
+        `sent_at` is when the request was sent, by the lease clock.
         A reply with a higher term makes this member a follower.
         """
         match result:
--- a/fuchsiacroft/control/consensus/snapshot_sender.py
+++ b/fuchsiacroft/control/consensus/snapshot_sender.py
@@ -33,7 +33,7 @@
     event("info", "snapshot_sent", peer=peer.address, index=index, size=len(data))
     offset = 0
     while offset < len(data):
-        sent_at = clock.now()
+        started_at, sent_at = clock.now(), clock.lease_now()
         chunk = SnapshotChunk(
             member.configuration.group,
             member.identity,
@@ -50,7 +50,7 @@
             peer.is_unresponsive = True
             return
         offset = result.ok.offset
-        due = sent_at + len(chunk.data) / timing.SNAPSHOT_BYTES_PER_S
+        due = started_at + len(chunk.data) / timing.SNAPSHOT_BYTES_PER_S
         await asyncio.sleep(max(due - clock.now(), 0))
     peer.match_index = max(peer.match_index, index)
     peer.next_index = peer.match_index + 1
--- a/fuchsiacroft/control/feed.py
+++ b/fuchsiacroft/control/feed.py
@@ -18,7 +18,7 @@
 from fuchsiacroft.control.log import ReplicatedLog
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.transport.bus import Bus
-from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.clock import lease_now
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 CONFIRM_PERIOD_S = 1.0
@@ -60,7 +60,7 @@
         """Return the seconds since this member was last known to be up to date."""
         if self._confirmed_at is None:
             return float("inf")
-        return now() - self._confirmed_at
+        return lease_now() - self._confirmed_at
 
     async def in_force(self) -> dict[str, int]:
         """Return the version in force at each process that reported recently."""
@@ -99,7 +99,7 @@
     async def _confirm_forever(self) -> None:
         """Record when a read barrier last showed that this member is up to date."""
         while True:
-            requested_at = now()
+            requested_at = lease_now()
             if (await self._log.read_barrier(CONFIRM_TIMEOUT_S)).is_ok():
                 self._confirmed_at = requested_at
             await asyncio.sleep(CONFIRM_PERIOD_S)
--- a/fuchsiacroft/control/publisher.py
+++ b/fuchsiacroft/control/publisher.py
@@ -12,7 +12,7 @@
 from fuchsiacroft.control.published import Publish, PublishedState, PublishOutcome
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.transport.bus import Bus
-from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.clock import lease_now, now
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
@@ -77,7 +77,7 @@
     def is_confirmed(self) -> bool:
         """Return whether a read barrier succeeded within `CONFIRMATION_TTL_S`."""
         at = self._confirmed_at
-        return at is not None and now() - at < CONFIRMATION_TTL_S
+        return at is not None and lease_now() - at < CONFIRMATION_TTL_S
 
     async def publish(
         self, version: int, body: bytes, timeout_s: float
@@ -111,7 +111,7 @@
 
     async def _confirm_forever(self) -> None:
         while True:
-            requested_at = now()
+            requested_at = lease_now()
             if (await self._log.read_barrier(CONFIRM_PERIOD_S)).is_ok():
                 self._confirmed_at = requested_at
             await asyncio.sleep(CONFIRM_PERIOD_S)
--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -14,7 +14,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.streams import EMPTY_PAYLOAD
 
-from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.clock import lease_now, now
 
 READ_BUFFER_BYTES = 64 * 1024
 SKIPPED_HEADERS = ("User-Agent", "Accept-Encoding", "Accept", "Content-Type")
@@ -43,7 +43,8 @@
 
     `may_send` is called when the connection is open. If it returns false, or if
     `valid_until` on the loop's clock has passed, nothing is sent and `withheld` is
-    set. A process that stood still may get here long after it was allowed to send.
+    set. A process that stood still, or whose VM was suspended since the guard was
+    created, may get here long after it was allowed to send.
     """
 
     def __init__(
@@ -54,12 +55,12 @@
         self.sent = False
         self.withheld = False
         self._may_send = may_send
-        self._valid_until = valid_until
+        self._expires_at = lease_now() + valid_until - now()
 
     @property
     def has_expired(self) -> bool:
         """Whether the permission to send has run out."""
-        return now() >= self._valid_until
+        return lease_now() >= self._expires_at
 
     async def __call__(
         self, req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
--- a/fuchsiacroft/membership/lease.py
+++ b/fuchsiacroft/membership/lease.py
@@ -3,7 +3,7 @@
 It is renewed when another entry acknowledges a probe with the same view hash,
 and runs from the time the probe was sent. An entry that is alone in its view
 needs no lease. Clocks may differ in time, but are assumed to run at the same
-rate.
+rate. The lease also runs out while the VM is suspended.
 """
 
 from fuchsiacroft.utils import clock
@@ -21,14 +21,14 @@
 
     @property
     def continuous_since(self) -> float:
-        """Return the time since which the lease has been held without a gap."""
+        """Return since when the lease is held without a gap, by the lease clock."""
         return self._continuous_since
 
     def set_alone(self, alone: bool) -> None:
         """Set whether this entry is the only one in its view."""
         if alone == self._alone:
             return
-        now = clock.now()
+        now = clock.lease_now()
         if alone and now > self._expires_at:
             self._continuous_since = now
         if not alone:
@@ -36,8 +36,11 @@
         self._alone = alone
 
     def renew(self, sent_at: float) -> None:
-        """Renew the lease after a probe sent at `sent_at` was acknowledged."""
-        now = clock.now()
+        """Renew the lease after a probe was acknowledged.
+
+        The probe was sent at `sent_at` of the lease clock.
+        """
+        now = clock.lease_now()
         if now > self._expires_at and not self._alone:
             self._continuous_since = now
         self._expires_at = max(self._expires_at, sent_at + OWNERSHIP_LEASE_S)
@@ -46,4 +49,4 @@
         """Return the remaining time of the lease in seconds."""
         if self._alone:
             return OWNERSHIP_LEASE_S
-        return max(0.0, self._expires_at - clock.now())
+        return max(0.0, self._expires_at - clock.lease_now())
--- a/fuchsiacroft/membership/ownership.py
+++ b/fuchsiacroft/membership/ownership.py
@@ -152,7 +152,7 @@
 
     async def _try_take_over(self, pending: tuple[str, ...]) -> float:
         """Try to take over; return the time until the next attempt in seconds."""
-        started_at = clock.now()
+        started_at = clock.lease_now()
         result = await self._inquiry.query(pending)
         self._split_guard.record_responses(result.reached, result.views_match)
         if not result.views_match:
--- a/fuchsiacroft/membership/prober.py
+++ b/fuchsiacroft/membership/prober.py
@@ -49,7 +49,7 @@
         ping = Ping(
             view.domain, view.local_claim, view.view_hash, view.updates_for(target.node)
         )
-        sent_at = clock.now()
+        sent_at = clock.lease_now()
         match await self._bus.request(target.peers, ping, timeout):
             case Result(tag="ok", ok=Ack() as ack):
                 view.merge_message(ack.sender, ack.view, ack.updates)
--- a/fuchsiacroft/model/virtual_time.py
+++ b/fuchsiacroft/model/virtual_time.py
@@ -4,6 +4,8 @@
 import math
 import selectors
 
+from fuchsiacroft.utils.clock import LeaseClock
+
 
 class VirtualTimeSelector(selectors.DefaultSelector):
     """Advances the virtual clock instead of waiting when nothing is ready."""
@@ -23,10 +25,11 @@
         return ready
 
 
-class VirtualTimeLoop(asyncio.SelectorEventLoop):
+class VirtualTimeLoop(asyncio.SelectorEventLoop, LeaseClock):
     """A loop whose clock advances only when every task is waiting for it."""
 
     def __init__(self) -> None:
+        self._suspended_s = 0.0
         self._virtual_selector = VirtualTimeSelector()
         super().__init__(self._virtual_selector)
 
@@ -47,6 +50,14 @@
         """Return the virtual time in seconds."""
         return self._virtual_selector.now
 
+    def lease_time(self) -> float:
+        """Return the virtual time with the time for which the VM was suspended."""
+        return self.time() + self._suspended_s
+
+    def suspend(self, seconds: float) -> None:
+        """Let the VM have been suspended: only the lease clock advances."""
+        self._suspended_s += seconds
+
 
 def run(coro):
     """Run a coroutine to its end on a virtual clock."""
--- a/fuchsiacroft/routing/leases.py
+++ b/fuchsiacroft/routing/leases.py
@@ -2,7 +2,8 @@
 
 The holder renews the lease of its permit. When a lease expires, the holder is taken to
 have stopped, which closed its connection to the backend server, so the capacity is
-free again.
+free again. The owner counts leases on the loop's clock: if its VM was suspended, the
+renewals of that time have yet to be read. The holder's `SendGuard` counts that time.
 """
 
 import asyncio
--- a/fuchsiacroft/tests/config/published_follower_tests.py
+++ b/fuchsiacroft/tests/config/published_follower_tests.py
@@ -126,6 +126,16 @@
 
         self.run_scenario(scenario)
 
+    def test_the_age_of_a_version_does_not_count_a_suspension(self):
+        async def scenario(follower, controls):
+            controls[0].set_version(3)
+            await asyncio.sleep(1.0)
+            self.assertLess(follower.age_s, 1.0)
+            asyncio.get_running_loop().suspend(5.0)
+            self.assertGreaterEqual(follower.age_s, 5.0)
+
+        self.run_scenario(scenario)
+
     def test_an_undecodable_body_changes_nothing(self):
         async def scenario(follower, controls):
             controls[0].set_version(3)
--- a/fuchsiacroft/tests/membership/ownership_tests.py
+++ b/fuchsiacroft/tests/membership/ownership_tests.py
@@ -125,6 +125,16 @@
 
         self.run_scenario(scenario)
 
+    def test_an_owner_that_wakes_from_a_suspension_is_ready_without_its_lease(self):
+        async def scenario(domain):
+            await domain.start(0, 1)
+            await domain.wait_until_ready()
+            asyncio.get_running_loop().suspend(OWNERSHIP_LEASE_S)
+            self.assertFalse(any(domain.ready_owners(name) for name in NAMES))
+            await domain.wait_until_ready()
+
+        self.run_scenario(scenario)
+
     def test_a_joining_entry_takes_over_with_the_permits_of_others(self):
         async def scenario(domain):
             await domain.start(0, 1, 2)
