--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -149,12 +149,23 @@
         """Start the process with this address."""
         process = control_process if ip in self.controls else entry_process
         wire = self.settings(ip)
-        path = Path(self._folder.name) / f"{ip}.json"
-        path.write_bytes(msgspec.json.encode(wire))
-        kernel = process.create(wire, path)
+        kernel = process.create(wire, self.write_settings(ip, wire))
         self.kernels[ip] = kernel
         await kernel.start()
 
+    def write_settings(self, ip: str, wire: WireSettings) -> Path:
+        """Write the settings file of the process with this address."""
+        path = Path(self._folder.name) / f"{ip}.json"
+        path.write_bytes(msgspec.json.encode(wire))
+        return path
+
+    def change_seeds(self, ip: str, seeds: list[str]) -> None:
+        """Name other control members in a process's settings, and reload them."""
+        named = [f"{seed}:{CONTROL_PORT}" for seed in seeds]
+        wire = msgspec.structs.replace(self.settings(ip), seeds=named)
+        self.write_settings(ip, wire)
+        self.kernels[ip].reload()
+
     async def stop(self) -> None:
         """Stop every process and replica."""
         for kernel in reversed(list(self.kernels.values())):
@@ -254,7 +265,7 @@
         method: str = "GET",
         body: bytes = b"",
         entry: int = 0,
-        key: str = "key-1",
+        key: str | None = "key-1",
     ) -> Response:
         """Send a client request on a new connection and read the response."""
         reader, writer = await self.connect(entry)
@@ -280,14 +291,15 @@
         *more: str,
         method: str = "GET",
         body: bytes = b"",
-        key: str = "key-1",
+        key: str | None = "key-1",
         attempt_id: str | None = None,
     ) -> bytes:
         """Return an encoded request; `more` are additional header lines."""
         attempt_id = attempt_id or self.next_attempt_id()
         sent = body if body or method == "POST" else None
+        keys = () if key is None else (f"X-Api-Key: {key}",)
         return platform_wire.encode_request(
-            method, path, attempt_id, f"X-Api-Key: {key}", *more, body=sent
+            method, path, attempt_id, *keys, *more, body=sent
         )
 
 
