Take no flawed answer for the crash of a backend server

Callers whose requests went to servers that answer wrongly, such as a web server of another system, got 503 for the same content after two answers: each counted as a lost connection, which is evidence of a crash, and the content was quarantined.

Cause: an answer that isn't passed on ended as CONNECTION_LOST. Change: it ends as FAILED (`flaw` in run_ended says why), as on the product's own path; a server that sends an answer has not crashed. The new test failed before (503 for 502 at the third request) and passes.

--- a/fuchsiacroft/gateway/answer_flaw.py
+++ b/fuchsiacroft/gateway/answer_flaw.py
@@ -1,4 +1,4 @@
-"""Why an answer that names the request is not passed on, or only in part."""
+"""Why an answer is not passed on, or only in part."""
 
 import enum
 
@@ -6,12 +6,14 @@
 class AnswerFlaw(enum.Enum):
     """Why the caller can't get an answer to a request that has run.
 
-    `PROMISES_NOT_RUN`: its status would tell the caller that the request didn't run.
+    `FOREIGN`: it isn't shown to be the request's own. `PROMISES_NOT_RUN`: its status
+    would tell the caller that the request didn't run.
     `SECOND_ANSWER`: another answer began in its body. `NO_CONTINUATION`: it is no event
     stream of the kind that the caller has the start of. `EVENT_ORDER`: the id of an
     event isn't higher than that of the event before.
     """
 
+    FOREIGN = "foreign"
     UNSIGNED = "unsigned"
     ENCODED = "encoded"
     PROMISES_NOT_RUN = "promises_not_run"
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -147,6 +147,8 @@
                     context.tried.pop()
                     context.was_late = True
                 return AttemptResult.NOT_RUN
+            case Result(error=RunOutcome.FAILED):
+                self._flaw = AnswerFlaw.FOREIGN
         self._count_run()
         return AttemptResult.BROKEN
 
@@ -246,6 +248,8 @@
                 return RunOutcome.REFUSED
             case AttemptResult.NOT_RUN:
                 return RunOutcome.NOT_DISPATCHED
+            case AttemptResult.BROKEN if self._answer_flaw is not None:
+                return RunOutcome.FAILED
         return RunOutcome.CONNECTION_LOST
 
     def _release(self, outcome: RunOutcome) -> None:
@@ -275,15 +279,19 @@
             **self._answer_fields(),
         )
 
+    @property
+    def _answer_flaw(self) -> AnswerFlaw | None:
+        return self._flaw or self._relay.flaw
+
     def _answer_fields(self) -> dict[str, object]:
         """Return the answer's status and flaw, and how its end was told."""
+        flaw = self._answer_flaw
+        fields = {"flaw": flaw.value if flaw is not None else "-"}
         response = self._upstream_response
         if response is None:
-            return {"status": "-"}
-        flaw = self._flaw or self._relay.flaw
-        return {
+            return fields | {"status": "-"}
+        return fields | {
             "status": response.status,
-            "flaw": flaw.value if flaw is not None else "-",
             "signed": self._protocol.is_signed(response),
             "framing": http_headers.framing(response).value,
         }
--- a/fuchsiacroft/gateway/upstream.py
+++ b/fuchsiacroft/gateway/upstream.py
@@ -8,7 +8,11 @@
 from expression import Error, Ok, Result
 from yarl import URL
 
-from fuchsiacroft.entry.at_most_once import SendGuard, open_session
+from fuchsiacroft.entry.at_most_once import (
+    ForeignAnswerError,
+    SendGuard,
+    open_session,
+)
 from fuchsiacroft.gateway.routed_request import Headers, RoutedRequest
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.routing.permits import RunOutcome
@@ -46,7 +50,8 @@
     ) -> Result[aiohttp.ClientResponse, RunOutcome]:
         """Send a request and return the response once its head has arrived.
 
-        The error is `NOT_DISPATCHED` only if no byte was written.
+        The error is `NOT_DISPATCHED` only if no byte was written, and `FAILED` if an
+        answer came that isn't shown to be the request's own.
         """
         try:
             response = await self._session.request(
@@ -64,6 +69,8 @@
                 sent=send_guard.sent,
                 error=repr(exc),
             )
+            if isinstance(exc, ForeignAnswerError):
+                return Error(RunOutcome.FAILED)
             if send_guard.sent:
                 return Error(RunOutcome.CONNECTION_LOST)
             return Error(RunOutcome.NOT_DISPATCHED)
--- a/fuchsiacroft/tests/platform/foreign_answers_tests.py
+++ b/fuchsiacroft/tests/platform/foreign_answers_tests.py
@@ -198,3 +198,17 @@
                 got = await self.region.send_request(f"{path}/{number}/", method="POST")
                 self.assertIn(got.status, (502, 503))
             self.assertGreater(len(replica.received), 1)
+
+
+class FlawedAnswerTests(PlatformTestCase):
+    """A backend server that answers wrongly has not crashed."""
+
+    async def test_requests_with_the_same_content_are_held_back(self):
+        async def page(req, writer):
+            writer.write(response_head("200 OK", "Content-Length: 4") + b"page")
+
+        replicas = [await self.region.add_replica("till", page) for _ in range(2)]
+        for _ in range(4):
+            got = await self.region.send_request("/book/1/", method="POST")
+            self.assertEqual(502, got.status)
+        self.assertEqual(4, sum(len(replica.received) for replica in replicas))
