Require each documented field of a heartbeat

Cause: `WireHeartbeat` gave `born`, `version` and `slots` a default, so a heartbeat that lacks them became the record of a backend server. `coldRemainingMs` was not read at all.

Change: service, address, zone, version, slots, state, coldRemainingMs, sequence and born must be there with their type; version isn't empty and slots is 1 or more, as an empty version and 0 slots stand for unknown ones further on. Any other heartbeat is answered 400 and names no server to use; the other servers hold.

Fakes: `platform_wire.heartbeat` took any fields and left `coldRemainingMs` out. It takes each required field by name now, so that no test can send an incomplete heartbeat by accident. Replicas of the fake region had an empty version and have `v1`.

The heartbeat printed on the platform's page has no `born`; question 1 of docs/design/platform.md asks about it.

--- a/fuchsiacroft/platform/heartbeats.py
+++ b/fuchsiacroft/platform/heartbeats.py
@@ -1,4 +1,10 @@
-"""Parses heartbeats of replicas into records of backend servers."""
+"""Parses heartbeats of replicas into records of backend servers.
+
+A heartbeat that lacks a field of the platform's page comes from another writer.
+It names no server to use, so no field has a default.
+"""
+
+from typing import Annotated
 
 import msgspec
 from expression import Error, Ok, Result
@@ -11,17 +17,21 @@
 _SERVER_STATES = {READY: ServerState.SERVING, DRAINING: ServerState.LEAVING}
 
 
+NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
+
+
 class WireHeartbeat(msgspec.Struct, rename="camel"):
     """A heartbeat; `born` is the start time of the replica in Unix milliseconds."""
 
     service: str
     address: str
     zone: str
+    version: NonEmpty
+    slots: Annotated[int, msgspec.Meta(ge=1)]
     state: str
+    cold_remaining_ms: float
     sequence: int
-    slots: int = 0
-    version: str = ""
-    born: int = 0
+    born: int
 
 
 class WireLeave(msgspec.Struct):
--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -170,7 +170,7 @@
         service: str,
         handler=respond_plain,
         *,
-        version: str = "",
+        version: str = "v1",
         zone: str = "mvd-cordon",
     ) -> Replica:
         """Start a replica and send one heartbeat for it to the first control member.
--- a/fuchsiacroft/tests/fakes/platform_wire.py
+++ b/fuchsiacroft/tests/fakes/platform_wire.py
@@ -34,9 +34,31 @@
     }
 
 
-def heartbeat(service: str, address: str, **more: object) -> bytes:
-    """Return the body of a backend server's heartbeat."""
-    return msgspec.json.encode({"service": service, "address": address, **more})
+def heartbeat(
+    service: str,
+    address: str,
+    *,
+    zone: str,
+    version: str,
+    slots: int,
+    state: str,
+    sequence: int,
+    born: int,
+) -> bytes:
+    """Return the body of a backend server's heartbeat, with every required field."""
+    return msgspec.json.encode(
+        {
+            "service": service,
+            "address": address,
+            "zone": zone,
+            "version": version,
+            "slots": slots,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": sequence,
+            "born": born,
+        }
+    )
 
 
 def encode_request(
--- a/fuchsiacroft/tests/platform/control_api_tests.py
+++ b/fuchsiacroft/tests/platform/control_api_tests.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from fuchsiacroft.tests.fakes import platform_wire
 from fuchsiacroft.tests.fakes.platform_region import PlatformTestCase, config
 
 
@@ -89,6 +90,31 @@
         self.assertEqual(503, (await self.region.send_request("/stock/1/")).status)
         self.assertEqual(200, await self.region.call("DELETE", url))
 
+    async def test_a_heartbeat_without_a_start_time_brings_a_foreign_server(self):
+        replica = await self.region.add_replica("till")
+        foreign = await self.region.add_replica("other")
+        fields = msgspec.json.decode(
+            platform_wire.heartbeat(
+                "till",
+                foreign.address,
+                zone="mvd-cordon",
+                version="v1",
+                slots=4,
+                state="ready",
+                sequence=1,
+                born=1_000,
+            )
+        )
+        del fields["born"]
+        url = self.region.url(0, "/v1/replicas/camera-1")
+        body = msgspec.json.encode(fields)
+        self.assertEqual(400, await self.region.call("PUT", url, body))
+        await asyncio.sleep(0.1)
+        for number in range(10):
+            got = await self.region.send_request("/stock/1/", entry=number % 2)
+            self.assertEqual(200, got.status)
+        self.assertEqual((10, 0), (len(replica.received), len(foreign.received)))
+
     async def test_invalid_heartbeats_are_refused_without_effect(self):
         await self.region.add_replica("till")
         url = self.region.url(0, "/v1/replicas/i-1")
--- a/fuchsiacroft/tests/platform/heartbeats_tests.py
+++ b/fuchsiacroft/tests/platform/heartbeats_tests.py
@@ -19,6 +19,10 @@
     "sequence": 4,
     "born": 1_700_000_000_000,
 }
+REQUIRED_FIELDS = (
+    *("service", "address", "zone", "version", "slots", "state"),
+    *("coldRemainingMs", "sequence", "born"),
+)
 
 
 def heartbeat(**changes) -> bytes:
@@ -63,6 +67,26 @@
             with self.subTest(name):
                 self.assertTrue(heartbeats.parse("i-1", body).is_error())
 
+    def test_a_heartbeat_without_a_required_field_names_a_server(self):
+        for field in REQUIRED_FIELDS:
+            with self.subTest(field):
+                refusal = heartbeats.parse("i-1", heartbeat(**{field: None})).error
+                self.assertIn(field, refusal)
+
+    def test_a_mistyped_required_field_names_a_server(self):
+        for field in REQUIRED_FIELDS:
+            for value in (True, [], {}, 1.5 if field != "coldRemainingMs" else "1.5"):
+                with self.subTest(field, value=value):
+                    refusal = heartbeats.parse("i-1", heartbeat(**{field: value})).error
+                    self.assertIn(field, refusal)
+
+    def test_an_empty_field_stands_for_a_missing_one(self):
+        for changes in ({"service": ""}, {"zone": ""}, {"version": ""}, {"slots": 0}):
+            with self.subTest(changes):
+                self.assertTrue(
+                    heartbeats.parse("i-1", heartbeat(**changes)).is_error()
+                )
+
     def test_an_invalid_id_is_refused(self):
         self.assertTrue(heartbeats.parse("a b", heartbeat()).is_error())
 
