Go on after a message that can't be sent

The registry had put the record into its table before it encoded it. In the same way, ZeroMQ raises in `connect` for a peer whose address isn't one.

Change: `codec.encode` returns a Result. A message that no peer could read (a number over 64 bits, text that isn't Unicode, over 4 MiB, which closed the peer's connection) or that goes to no address isn't sent; the bus counts it (`not_sent_REASON`), logs `message_not_sent` and its sender goes on with the others. The registry refuses a report that no message can carry before it gets into the table. The simulation's bus does the same.

server_limits_tests takes the bytes from the Result; it checks what it checked before.

--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -27,6 +27,7 @@
     entries_digest,
 )
 from fuchsiacroft.membership.server_table import ServerTable
+from fuchsiacroft.transport import codec
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
@@ -94,6 +95,8 @@
         reachable entry and most control members have applied it. Without a
         confirmation it may be applied by some of them.
         """
+        if not codec.is_encodable(record):
+            return Error("no message can carry the report")
         changed = self._table.merge(record, now())
         if changed:
             self._log_changes(changed, "heartbeat")
--- a/fuchsiacroft/model/network.py
+++ b/fuchsiacroft/model/network.py
@@ -80,9 +80,12 @@
         """Send a message and wait for its reply."""
         self._last_number += 1
         number = self._last_number
+        encoded = codec.encode(msg, number, False, self._node)
+        if encoded.is_error():
+            return Error(BusError.NOT_SENT)
         fut = asyncio.get_running_loop().create_future()
         self._pending_requests[number] = fut
-        self._transmit(peer, codec.encode(msg, number, False, self._node))
+        self._transmit(peer, encoded)
         try:
             async with asyncio.timeout(timeout):
                 return Ok(await fut)
@@ -115,10 +118,13 @@
         handler = self._handlers.get(type(msg))
         reply = await handler(envelope.sender, msg) if handler else None
         if reply is not None and envelope.number:
-            data = codec.encode(reply, envelope.number, True, self._node)
-            self._transmit(source, data)
+            encoded = codec.encode(reply, envelope.number, True, self._node)
+            self._transmit(source, encoded)
 
-    def _transmit(self, peer: str, data: bytes) -> None:
+    def _transmit(self, peer: str, encoded: Result[bytes, str]) -> None:
+        """Deliver a message; one that can't be encoded isn't sent."""
+        if encoded.is_error():
+            return
         copies = 2 if self._network.random.random() < self._network.duplication else 1
         for _ in range(copies):
-            self._tasks.spawn(self._network.deliver(self._address, peer, data))
+            self._tasks.spawn(self._network.deliver(self._address, peer, encoded.ok))
--- a/fuchsiacroft/tests/membership/registry_tests.py
+++ b/fuchsiacroft/tests/membership/registry_tests.py
@@ -40,6 +40,19 @@
 
         self.run_scenario(scenario)
 
+    def test_a_report_that_no_message_can_carry_keeps_the_others_from_being_sent(self):
+        async def scenario(region):
+            registry = region.members[0].registry
+            for name, sequence in (("i-1", 1), ("i-2", 2**64), ("i-1", 2)):
+                bad = record(name, sequence=sequence, address=f"10.0.0.{name[2]}:80")
+                outcome = await registry.report(bad)
+                self.assertEqual(name == "i-1", outcome.is_ok())
+            await asyncio.sleep(2 * SWEEP_PERIOD_S)
+            for entry in region.entries:
+                self.assertEqual(["i-1"], [r.name for r in entry.roster.servers()])
+
+        self.run_scenario(scenario)
+
     def test_a_leave_is_confirmed_only_once_every_entry_has_applied_it(self):
         async def scenario(region):
             registry = region.members[1].registry
--- a/fuchsiacroft/tests/membership/server_limits_tests.py
+++ b/fuchsiacroft/tests/membership/server_limits_tests.py
@@ -89,7 +89,7 @@
             limits.record(server, LimitStatement(1.5, 0.0, float(number)))
         reports = limit_reports.reports(limits, 5_000.0)
         self.assertEqual(MAX_REPORTS, len(reports))
-        data = codec.encode(LimitsHeard(reports), 1, False, "entry-1")
+        data = codec.encode(LimitsHeard(reports), 1, False, "entry-1").ok
         self.assertLess(len(data), codec.MAX_MESSAGE_BYTES)
         decoded = codec.decode(data).ok[1]
         self.assertEqual(reports, decoded.reports)
--- a/fuchsiacroft/tests/transport/zmq_bus_tests.py
+++ b/fuchsiacroft/tests/transport/zmq_bus_tests.py
@@ -24,6 +24,13 @@
     text: str
 
 
+@codec.message("test.count")
+class Count(msgspec.Struct, frozen=True):
+    """A test message with a number."""
+
+    number: int
+
+
 class ZmqBusTests(SocketTestCase):
     """Requests get replies, malformed messages are dropped and links are replaced."""
 
@@ -55,6 +62,33 @@
         while "dropped_malformed" not in self.server.dump()["counts"]:
             await self.client.request(self.address, Ping("again"), 5)
 
+    async def test_a_message_that_cannot_be_encoded_ends_the_task_that_sends_it(self):
+        for bad in (Count(2**64), Ping("\ud800"), Ping("x" * codec.MAX_MESSAGE_BYTES)):
+            self.client.send(self.address, bad)
+            reply = await self.client.request(self.address, bad, 5)
+            self.assertEqual(BusError.NOT_SENT, reply.error)
+        counts = self.client.dump()["counts"]
+        self.assertEqual(4, counts["not_sent_not_encodable"])
+        self.assertEqual(2, counts["not_sent_too_large"])
+        reply = await self.client.request(self.address, Ping("hello"), 5)
+        self.assertTrue(reply.is_ok())
+
+    async def test_a_reply_that_cannot_be_encoded_ends_the_task_of_its_handler(self):
+        async def count(sender, message):
+            return Count(2**64)
+
+        self.server.register_handler(Count, count)
+        reply = await self.client.request(self.address, Count(1), 0.3)
+        self.assertEqual(BusError.NO_ANSWER, reply.error)
+        self.assertEqual(1, self.server.dump()["counts"]["not_sent_not_encodable"])
+
+    async def test_a_peer_without_a_valid_address_ends_the_task_that_sends_to_it(self):
+        for peer in ("", "nowhere", "10.0.0.1:99999", "\x00", "\ud800"):
+            with self.subTest(peer):
+                self.client.send(peer, Ping("hello"))
+                reply = await self.client.request(peer, Ping("hello"), 0.1)
+                self.assertEqual(BusError.NOT_SENT, reply.error)
+
     async def test_message_to_dead_peer_is_not_delivered_later(self):
         address = free_address()
         reply = await self.client.request(address, Ping("missed"), 0.3)
--- a/fuchsiacroft/transport/codec.py
+++ b/fuchsiacroft/transport/codec.py
@@ -53,12 +53,29 @@
     return register
 
 
-def encode(msg: msgspec.Struct, number: int, reply: bool, sender: str) -> bytes:
-    """Encode a message in its envelope."""
+def encode(
+    msg: msgspec.Struct, number: int, reply: bool, sender: str
+) -> Result[bytes, str]:
+    """Encode a message in its envelope, or return why no peer could read it.
+
+    `not_encodable` is a number over 64 bits or text that isn't Unicode.
+    """
     kind = _KINDS_BY_TYPE[type(msg)]
-    body = msgspec.Raw(_ENCODER.encode(msg))
+    try:
+        body = msgspec.Raw(_ENCODER.encode(msg))
+    except (OverflowError, UnicodeEncodeError, RecursionError):
+        return Error("not_encodable")
     envelope = Envelope(PROTOCOL_VERSION, kind, number, reply, sender, body)
-    return _ENCODER.encode(envelope)
+    data = _ENCODER.encode(envelope)
+    return Ok(data) if len(data) <= MAX_MESSAGE_BYTES else Error("too_large")
+
+
+def is_encodable(value: msgspec.Struct) -> bool:
+    """Return whether a message can carry a value."""
+    try:
+        return len(_ENCODER.encode(value)) <= MAX_MESSAGE_BYTES
+    except (OverflowError, UnicodeEncodeError, RecursionError):
+        return False
 
 
 def decode(data: bytes) -> Result[tuple[Envelope, msgspec.Struct], str]:
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -20,6 +20,7 @@
 from fuchsiacroft.transport.zmq_listener import BusListener
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.rate_limited_log import RateLimitedLog
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 HIGH_WATER_MARK = 10_000
@@ -33,6 +34,7 @@
 The kernel repeats a lost connect only after a second. A round trip is shorter.
 """
 LINK_CLOSE_DELAY_S = 10.0
+MAX_NOT_SENT_LINES_PER_S = 5
 PROBE_TIMEOUT_S = 0.3
 HEARTBEAT_MS = 30_000
 HEARTBEAT_TIMEOUT_MS = 10_000
@@ -65,6 +67,9 @@
         self._numbers = itertools.count(1)
         self._tasks = BackgroundTasks("bus")
         self._counts: Counter[str] = Counter()
+        self._not_sent_log = RateLimitedLog(
+            "message_not_sent", MAX_NOT_SENT_LINES_PER_S
+        )
 
     async def start(self, kernel: Kernel) -> None:
         """Bind the listening socket and start to receive."""
@@ -111,9 +116,11 @@
     ) -> Result[msgspec.Struct, BusError]:
         """Send a message and wait up to `timeout` seconds for its reply."""
         number = next(self._numbers)
+        data = self._encode(msg, number, False, peer)
+        if data is None:
+            return Error(BusError.NOT_SENT)
         future = asyncio.get_running_loop().create_future()
         self._pending[number] = future
-        data = codec.encode(msg, number, False, self._node)
         message = QueuedMessage(data, now() + timeout)
         try:
             link = self._enqueue(peer, message)
@@ -132,7 +139,9 @@
 
     def send(self, peer: str, msg: msgspec.Struct, *, probes: bool = True) -> None:
         """Send a message that has no reply; it may be lost."""
-        data = codec.encode(msg, 0, False, self._node)
+        data = self._encode(msg, 0, False, peer)
+        if data is None:
+            return
         link = self._enqueue(peer, QueuedMessage(data, now() + SEND_TIMEOUT_S))
         if probes and link is not None and link.needs_probe:
             link.is_probed = True
@@ -146,10 +155,25 @@
     async def _on_probe(self, sender: str, msg: LinkProbe) -> LinkProbe:
         return msg
 
+    def _encode(
+        self, msg: msgspec.Struct, number: int, reply: bool, peer: str
+    ) -> bytes | None:
+        """Return an encoded message, None if no peer could read it."""
+        match codec.encode(msg, number, reply, self._node):
+            case Result(tag="ok", ok=data):
+                return data
+            case Result(error=reason):
+                self._record_not_sent(reason, peer=peer, message=type(msg).__name__)
+        return None
+
+    def _record_not_sent(self, reason: str, **fields: str) -> None:
+        """Count and log what can't be sent; the sender goes on with its others."""
+        self._counts[f"not_sent_{reason}"] += 1
+        self._not_sent_log.event(reason=reason, **fields)
+
     def _enqueue(self, peer: str, message: QueuedMessage) -> PeerLink | None:
         link = self._links.get(peer) or self._connect(peer)
         if link is None:
-            self._counts["no_key_for_peer"] += 1
             return None
         if not link.send_queue.put(message):
             self._counts["outbox_full"] += 1
@@ -162,18 +186,24 @@
         self, peer: str, silence_timeout_s: float = MIN_SILENCE_TIMEOUT_S
     ) -> PeerLink | None:
         if self._ring is not None and not self._ring.keys_of(peer):
+            self._counts["no_key_for_peer"] += 1
             return None
         dealer = self._ctx.socket(zmq.DEALER)
         self._configure(dealer)
         dealer.immediate = True
         link = PeerLink(dealer, silence_timeout_s)
         endpoint = f"tcp://{self._tunnels.get(peer, peer)}"
-        if self._ring is None:
-            dealer.connect(endpoint)
-        else:
-            fallback = KeyFallback(dealer, peer, endpoint, self._ring)
-            fallback.connect()
-            link.tasks.append(self._tasks.spawn(fallback.run(), f"bus-keys-{peer}"))
+        try:
+            if self._ring is None:
+                dealer.connect(endpoint)
+            else:
+                fallback = KeyFallback(dealer, peer, endpoint, self._ring)
+                fallback.connect()
+                link.tasks.append(self._tasks.spawn(fallback.run(), f"bus-keys-{peer}"))
+        except (zmq.ZMQError, UnicodeEncodeError) as exc:
+            dealer.close(0)
+            self._record_not_sent("no_address", peer=peer, error=str(exc))
+            return None
         for coro in (link.send_queue.run(), self._receive_replies(link)):
             link.tasks.append(self._tasks.spawn(coro, f"bus-peer-{peer}"))
         self._links[peer] = link
@@ -247,7 +277,9 @@
         reply = await handler(envelope.sender, msg)
         if reply is None or not envelope.number:
             return
-        data = codec.encode(reply, envelope.number, True, self._node)
+        data = self._encode(reply, envelope.number, True, envelope.sender)
+        if data is None:
+            return
         sent = router.send_multipart([identity, data], zmq.DONTWAIT)
         if sent.exception() is not None:
             self._counts["answer_not_sent"] += 1
