Bound the numbers of heartbeats and announcements

Cause: `sequence`, `born` and `slots` were whole numbers of any size. Names and addresses could end with a line end, as `$` matches before one, and an address could have a port over 65535, or 0.

Change: `config/bounds.py` has the bounded types, which the wire types and the messages that carry the numbers on share: sequence up to 2^63 - 1, times up to the year 9999, slots up to 1,000,000, loads and ages likewise. So they are refused where they are read, from a backend server or from a peer. A refusal names the field, the value and the limit (`validation.decode_wire`). Names and addresses are matched to their end.

--- a/fuchsiacroft/config/document.py
+++ b/fuchsiacroft/config/document.py
@@ -13,7 +13,7 @@
 from fuchsiacroft.config import defaults
 from fuchsiacroft.config.validation import ValidationIssue, suggestion, validate_value
 
-Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,100}$")]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,100}$(?!\n)")]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Rank = Annotated[int, msgspec.Meta(ge=0, le=99)]
 
--- a/fuchsiacroft/config/settings.py
+++ b/fuchsiacroft/config/settings.py
@@ -10,8 +10,16 @@
 from fuchsiacroft.config import defaults
 from fuchsiacroft.config.validation import ValidationIssue, decode_json
 
-Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
-Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,100}$")]
+OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+PORT = (
+    "([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}"
+    "|655[0-2][0-9]|6553[0-5])"
+)
+# `$` alone also matches before a final line end.
+Address = Annotated[
+    str, msgspec.Meta(pattern=rf"^{OCTET}(\.{OCTET}){{3}}:{PORT}$(?!\n)")
+]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,100}$(?!\n)")]
 
 
 class Addresses(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/fuchsiacroft/config/validation.py
+++ b/fuchsiacroft/config/validation.py
@@ -1,8 +1,10 @@
 """Validates JSON against a schema and lists every issue with its path."""
 
 import difflib
+import typing
+from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 from expression import Error, Ok, Result
@@ -10,6 +12,8 @@
 if TYPE_CHECKING:
     from jsonschema.exceptions import ValidationError
 
+T = TypeVar("T")
+
 SECRET_PATH = "$.keys"
 MAX_SHOWN_CHARS = 100
 TYPE_NAMES = {
@@ -34,6 +38,61 @@
         return f"{self.path}: {self.message}"
 
 
+def decode_wire(data: bytes, cls: type[T]) -> Result[T, ValidationIssue]:
+    """Return the decoded value of type `cls`, or its first issue.
+
+    The issue holds the field, the value if it is a number or text, and the limit.
+    """
+    try:
+        return Ok(msgspec.json.decode(data, type=cls))
+    except msgspec.ValidationError as exc:
+        return Error(_first_issue_of(data, cls) or ValidationIssue("$", str(exc)))
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as exc:
+        return Error(ValidationIssue("$", f"cannot be read: {exc}"))
+
+
+def first_issue(value: object, cls: type, path: str = "$") -> ValidationIssue | None:
+    """Return the first issue of a JSON value that should be of type `cls`."""
+    try:
+        msgspec.convert(value, cls)
+        return None
+    except msgspec.ValidationError as exc:
+        reason = str(exc).partition(" - at `")[0]
+    for key, inner, inner_cls in _children(value, cls):
+        issue = first_issue(inner, inner_cls, path + key)
+        if issue is not None:
+            return issue
+    if isinstance(value, int | float | str):
+        shown = msgspec.json.encode(value).decode()[:MAX_SHOWN_CHARS]
+        reason += f", is {shown}"
+    return ValidationIssue(path, reason)
+
+
+def _first_issue_of(data: bytes, cls: type) -> ValidationIssue | None:
+    try:
+        value = msgspec.json.decode(data)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
+        return None
+    return first_issue(value, cls)
+
+
+def _children(value: object, cls: type) -> Iterator[tuple[str, object, type]]:
+    """Yield the path, value and type of what a value of type `cls` holds."""
+    if typing.get_origin(cls) is typing.Annotated:
+        cls = typing.get_args(cls)[0]
+    if isinstance(value, list) and typing.get_origin(cls) in (list, tuple):
+        for i, item in enumerate(value):
+            yield f"[{i}]", item, typing.get_args(cls)[0]
+    if not isinstance(value, dict):
+        return
+    for struct in (cls, *typing.get_args(cls)):
+        if not (isinstance(struct, type) and issubclass(struct, msgspec.Struct)):
+            continue
+        for field in msgspec.structs.fields(struct):
+            if field.encode_name in value:
+                yield f".{field.encode_name}", value[field.encode_name], field.type
+
+
 def decode_json(data: bytes | str, cls: type) -> Result[object, list[ValidationIssue]]:
     """Return the decoded value of type `cls`, or every issue found in it."""
     try:
--- a/fuchsiacroft/membership/announcement.py
+++ b/fuchsiacroft/membership/announcement.py
@@ -2,24 +2,33 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import (
+    Count,
+    DurationS,
+    Sequence,
+    Slots,
+    SoftwareVersion,
+)
 from fuchsiacroft.config.settings import Address, Name
 from fuchsiacroft.transport import codec
 
+MAX_DIGEST = 2**64 - 1
+
 
 class Offer(msgspec.Struct, frozen=True):
     """A service that a backend server offers, with its adapters and version."""
 
     service: Name
-    version: str = ""
+    version: SoftwareVersion = ""
     adapters: tuple[str, ...] = ()
 
 
 class ReportedLoad(msgspec.Struct, frozen=True):
     """The load that a backend server reports, measured `age_s` seconds ago."""
 
-    running: int = 0
-    waiting: int = 0
-    age_s: float = 0.0
+    running: Count = 0
+    waiting: Count = 0
+    age_s: DurationS = 0.0
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
@@ -28,10 +37,15 @@
     `number` is a sequence number within one boot; a gap means lost events.
     """
 
-    number: int
+    number: Sequence
     prefix: int
     cached: bool
 
+    def __post_init__(self) -> None:
+        """Refuse a prefix of more than 64 bits, which no message can hold."""
+        if not 0 <= self.prefix <= MAX_DIGEST:
+            raise ValueError(f"`prefix` must be 0 to {MAX_DIGEST}, got {self.prefix}")
+
 
 class Announcement(msgspec.Struct, frozen=True):
     """The body of `POST /announce`.
@@ -45,7 +59,7 @@
     failure_domain: Name
     address: Address
     offers: tuple[Offer, ...]
-    slots: int
+    slots: Slots
     role: str = "serve"
     generation: str = ""
     load: ReportedLoad | None = None
--- a/fuchsiacroft/membership/registry_wire.py
+++ b/fuchsiacroft/membership/registry_wire.py
@@ -7,6 +7,8 @@
 import msgspec
 import xxhash
 
+from fuchsiacroft.config.bounds import Sequence, UnixMs
+from fuchsiacroft.config.settings import Address
 from fuchsiacroft.membership.announcement import Announcement
 from fuchsiacroft.transport import codec
 
@@ -30,8 +32,8 @@
     """
 
     announcement: Announcement
-    born_ms: int
-    sequence: int
+    born_ms: UnixMs
+    sequence: Sequence
     life: ServerState
 
     @property
@@ -58,8 +60,8 @@
 
     node: str
     failure_domain: str
-    peers: str
-    started_ms: int
+    peers: Address
+    started_ms: UnixMs
     leaving: bool = False
 
 
--- a/fuchsiacroft/tests/platform/heartbeats_tests.py
+++ b/fuchsiacroft/tests/platform/heartbeats_tests.py
@@ -80,6 +80,47 @@
                     refusal = heartbeats.parse("i-1", heartbeat(**{field: value})).error
                     self.assertIn(field, refusal)
 
+    def test_a_number_out_of_bounds_is_in_a_record(self):
+        limits = {"sequence": 2**63 - 1, "born": 253_402_300_799_999, "slots": 10**6}
+        for field, limit in limits.items():
+            for number in (limit + 1, 2**64, 10**30, -1):
+                with self.subTest(field, number=number):
+                    refusal = heartbeats.parse("i-1", heartbeat(**{field: number}))
+                    bound = limit if number > 0 else int(field == "slots")
+                    for text in (f"$.{field}", str(number), str(bound)):
+                        self.assertIn(text, refusal.error)
+            self.assertTrue(
+                heartbeats.parse("i-1", heartbeat(**{field: limit})).is_ok()
+            )
+
+    def test_a_number_of_thousands_of_digits_is_in_a_record(self):
+        body = heartbeat(sequence=4).replace(b":4,", b":" + b"4" * 5_000 + b",")
+        self.assertIn("$.sequence", heartbeats.parse("i-1", body).error)
+
+    def test_a_line_end_in_a_name_or_address_is_in_a_record(self):
+        for field in ("service", "zone", "address"):
+            value = HEARTBEAT[field] + "\n"
+            with self.subTest(field):
+                refusal = heartbeats.parse("i-1", heartbeat(**{field: value})).error
+                self.assertIn(f"$.{field}", refusal)
+        self.assertTrue(heartbeats.parse("i-1\n", heartbeat()).is_error())
+
+    def test_an_address_to_which_no_connection_can_be_opened_is_in_a_record(self):
+        for address in (
+            "10.0.0.1:0",
+            "10.0.0.1:65536",
+            "10.0.0.256:80",
+            "10.0.0.1:99999",
+        ):
+            with self.subTest(address):
+                parsed = heartbeats.parse("i-1", heartbeat(address=address))
+                self.assertTrue(parsed.is_error())
+
+    def test_a_leave_with_a_start_time_out_of_bounds_is_believed(self):
+        for born in (2**64, -1, 10**30):
+            refusal = heartbeats.parse_leave(f'{{"born": {born}}}'.encode()).error
+            self.assertIn(str(born), refusal)
+
     def test_an_empty_field_stands_for_a_missing_one(self):
         for changes in ({"service": ""}, {"zone": ""}, {"version": ""}, {"slots": 0}):
             with self.subTest(changes):
