Bound the numbers of configurations, documents and settings

What operators saw: a configuration whose version exceeds 64 bits got 500 at each try, as no message can carry it. The same held for a document with such a number, for an If-Match or a version of over 4,300 digits (Python refuses to read them) and for headers that are not UTF-8, the token's too. A configuration with a timeout of 1e300 ms or a tenant whose name holds a line end was acknowledged; no timer and no header can hold them.

Cause: the types that read these had no upper bounds.

Change: all of them have the bounds of `config/bounds.py`, and a refusal names the path, the value and the limit, with the index in a list. Weights below 0 are refused by their type. The settings file is read the same way, so a file that is nested too deep is refused and not raised.

--- a/fuchsiacroft/config/document.py
+++ b/fuchsiacroft/config/document.py
@@ -11,10 +11,11 @@
 from expression import Error, Ok, Result
 
 from fuchsiacroft.config import defaults
+from fuchsiacroft.config.bounds import MAX_AMOUNT, MAX_BYTES, Count, PeriodS
 from fuchsiacroft.config.validation import ValidationIssue, suggestion, validate_value
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,100}$(?!\n)")]
-Positive = Annotated[float, msgspec.Meta(gt=0)]
+Positive = Annotated[float, msgspec.Meta(gt=0, le=MAX_AMOUNT)]
 Rank = Annotated[int, msgspec.Meta(ge=0, le=99)]
 
 
@@ -23,7 +24,7 @@
 
     name: Name
     rank: Rank
-    timeout_s: Positive = defaults.SERVICE_TIMEOUT_S
+    timeout_s: PeriodS = defaults.SERVICE_TIMEOUT_S
 
 
 class ServiceSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -32,10 +33,12 @@
     name: Name
     kind: Literal["model", "plain"]
     tiers: list[Name] = []
-    first_token_target_s: Positive = defaults.FIRST_TOKEN_TARGET_S
-    token_gap_target_s: Positive = defaults.TOKEN_GAP_TARGET_S
-    max_body_bytes: Annotated[int, msgspec.Meta(gt=0)] = defaults.MAX_BODY_BYTES
-    replicas: Annotated[int, msgspec.Meta(ge=0)] = 0
+    first_token_target_s: PeriodS = defaults.FIRST_TOKEN_TARGET_S
+    token_gap_target_s: PeriodS = defaults.TOKEN_GAP_TARGET_S
+    max_body_bytes: Annotated[int, msgspec.Meta(gt=0, le=MAX_BYTES)] = (
+        defaults.MAX_BODY_BYTES
+    )
+    replicas: Count = 0
 
 
 class Workspace(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -85,7 +88,8 @@
 
 def hash_key(key: str) -> str:
     """Return the hash under which a workspace key or token is stored."""
-    return hashlib.sha256(key.encode()).hexdigest()
+    # A header may hold bytes that aren't UTF-8; they are kept as surrogates.
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
 
 
 def parse(value: object) -> Result[Document, list[ValidationIssue]]:
--- a/fuchsiacroft/config/settings.py
+++ b/fuchsiacroft/config/settings.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from fuchsiacroft.config import defaults
+from fuchsiacroft.config.bounds import MAX_AMOUNT, MAX_COUNT, DurationS
 from fuchsiacroft.config.validation import ValidationIssue, decode_json
 
 OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
@@ -90,7 +91,9 @@
     shed: Literal["reject_newest", "lowest_tier"] = "lowest_tier"
     borrow: Literal["own_desk", "late_binding"] = "late_binding"
     straggler: Literal["ignore", "set_aside"] = "set_aside"
-    queue_limit: Annotated[int, msgspec.Meta(gt=0)] = defaults.QUEUE_LIMIT_REQUESTS
+    queue_limit: Annotated[int, msgspec.Meta(gt=0, le=MAX_COUNT)] = (
+        defaults.QUEUE_LIMIT_REQUESTS
+    )
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -114,16 +117,16 @@
     tunnels: dict[str, Address] = {}
     data_folder: str | None = None
     may_form_group: bool = True
-    wanted_voters: Annotated[int, msgspec.Meta(ge=1)] | None = None
+    wanted_voters: Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)] | None = None
     keys: Keys | None = None
     tls: Tls | None = None
     operator_token_hashes: list[str] = []
     policies: Policies = Policies()
-    weight_loads_per_min: Annotated[float, msgspec.Meta(gt=0)] = (
+    weight_loads_per_min: Annotated[float, msgspec.Meta(gt=0, le=MAX_AMOUNT)] = (
         defaults.WEIGHT_LOADS_PER_MIN
     )
     log_level: str = defaults.LOG_LEVEL
-    drain_timeout_s: float = defaults.DRAIN_TIMEOUT_S
+    drain_timeout_s: DurationS = defaults.DRAIN_TIMEOUT_S
 
 
 def load(path: Path) -> Result[Settings, list[ValidationIssue]]:
--- a/fuchsiacroft/config/validation.py
+++ b/fuchsiacroft/config/validation.py
@@ -1,6 +1,7 @@
 """Validates JSON against a schema and lists every issue with its path."""
 
 import difflib
+import types
 import typing
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -78,19 +79,28 @@
 
 def _children(value: object, cls: type) -> Iterator[tuple[str, object, type]]:
     """Yield the path, value and type of what a value of type `cls` holds."""
-    if typing.get_origin(cls) is typing.Annotated:
-        cls = typing.get_args(cls)[0]
-    if isinstance(value, list) and typing.get_origin(cls) in (list, tuple):
-        for i, item in enumerate(value):
-            yield f"[{i}]", item, typing.get_args(cls)[0]
-    if not isinstance(value, dict):
-        return
-    for struct in (cls, *typing.get_args(cls)):
-        if not (isinstance(struct, type) and issubclass(struct, msgspec.Struct)):
-            continue
-        for field in msgspec.structs.fields(struct):
-            if field.encode_name in value:
-                yield f".{field.encode_name}", value[field.encode_name], field.type
+    for plain in _plain_types(cls):
+        origin = typing.get_origin(plain)
+        if isinstance(value, list) and origin in (list, tuple):
+            for i, item in enumerate(value):
+                yield f"[{i}]", item, typing.get_args(plain)[0]
+        elif isinstance(value, dict) and issubclass(origin or plain, msgspec.Struct):
+            for field in msgspec.structs.fields(plain):
+                if field.encode_name in value:
+                    name = field.encode_name
+                    yield f".{name}", value[name], field.type
+
+
+def _plain_types(cls: type) -> Iterator[type]:
+    """Yield the types of a union, each without its bounds."""
+    origin = typing.get_origin(cls)
+    if origin is typing.Annotated:
+        yield from _plain_types(typing.get_args(cls)[0])
+    elif origin in (typing.Union, types.UnionType):
+        for one in typing.get_args(cls):
+            yield from _plain_types(one)
+    elif origin is not typing.Literal:
+        yield cls
 
 
 def decode_json(data: bytes | str, cls: type) -> Result[object, list[ValidationIssue]]:
--- a/fuchsiacroft/console/context.py
+++ b/fuchsiacroft/console/context.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from expression import Error, Ok, Result
 
+from fuchsiacroft.config.bounds import whole_number
 from fuchsiacroft.console.pages import Pages, Problem
 from fuchsiacroft.console.sessions import Session
 from fuchsiacroft.control.api_messages import ChangeResponse, Conflict
@@ -51,9 +52,7 @@
         Without a form this is the newest version. The error is the page that
         explains why no document is available.
         """
-        version = self.text("held")
-        number = int(version) if version.isascii() and version.isdigit() else None
-        match await self.client.get_document(number):
+        match await self.client.get_document(whole_number(self.text("held"))):
             case Result(tag="ok", ok=answer):
                 values = msgspec.to_builtins(answer.document)
                 return Ok(BaseDocument(answer.version, values))
--- a/fuchsiacroft/console/drafts.py
+++ b/fuchsiacroft/console/drafts.py
@@ -6,6 +6,7 @@
 import re
 from dataclasses import dataclass
 
+from fuchsiacroft.config.bounds import whole_number
 from fuchsiacroft.console.forms import Form
 from fuchsiacroft.control.api_messages import DocumentIssue
 
@@ -26,8 +27,7 @@
         """Return the item's index in its part, or None."""
         items = document[self.form.part]
         if self.form.is_ordered:
-            is_number = self.key.isascii() and self.key.isdigit()
-            index = int(self.key) - 1 if is_number else -1
+            index = (whole_number(self.key) or 0) - 1
             return index if 0 <= index < len(items) else None
         names = [item["name"] for item in items]
         return names.index(self.key) if self.key in names else None
@@ -67,9 +67,10 @@
         index = len(items) - 1
     else:
         items[index] = items[index] | item
-    if ref.form.is_ordered and position.isascii() and position.isdigit():
+    place = whole_number(position)
+    if ref.form.is_ordered and place is not None:
         moved = items.pop(index)
-        index = min(max(int(position) - 1, 0), len(items))
+        index = min(max(place - 1, 0), len(items))
         items.insert(index, moved)
     return Draft(document | {ref.form.part: items}, ref.form.part, index)
 
--- a/fuchsiacroft/console/history.py
+++ b/fuchsiacroft/console/history.py
@@ -5,6 +5,7 @@
 from expression import Error, Ok, Result
 
 from fuchsiacroft.config import changes
+from fuchsiacroft.config.bounds import whole_number
 from fuchsiacroft.console.context import (
     Context,
     accepted_notice,
@@ -42,11 +43,11 @@
                 pass
             case Result(error=page):
                 return page
-        base_version = context.text("held")
-        if not (base_version.isascii() and base_version.isdigit()):
+        base_version = whole_number(context.text("held"))
+        if base_version is None:
             raise web.HTTPBadRequest(text="the base version is missing\n")
         document = msgspec.to_builtins(old.document)
-        match await context.submit_change(document, int(base_version)):
+        match await context.submit_change(document, base_version):
             case Result(tag="ok", ok=answer):
                 return redirect_accepted("/history", answer)
             case Result(error=Conflict() as conflict):
@@ -74,8 +75,11 @@
     async def _get_documents(
         self, context: Context
     ) -> Result[tuple[DocumentResponse, DocumentResponse], web.StreamResponse]:
+        old_version = whole_number(context.req.match_info["version"])
+        if old_version is None:
+            raise web.HTTPNotFound
         documents = []
-        for version in (int(context.req.match_info["version"]), None):
+        for version in (old_version, None):
             match await context.client.get_document(version):
                 case Result(tag="ok", ok=answer):
                     documents.append(answer)
--- a/fuchsiacroft/control/api.py
+++ b/fuchsiacroft/control/api.py
@@ -5,6 +5,7 @@
 from expression import Error, Ok, Result
 
 from fuchsiacroft.config import changes, delta, document
+from fuchsiacroft.config.bounds import MAX_WHOLE, is_unicode, whole_number
 from fuchsiacroft.config.document import Document
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.config.validation import ValidationIssue
@@ -18,6 +19,7 @@
 from fuchsiacroft.control.api_messages import (
     CHANGE_ID_HEADER,
     MAX_CHANGE_ID_LENGTH,
+    OPERATOR_HEADER,
     ChangeResponse,
     Conflict,
     DocumentIssue,
@@ -115,20 +117,30 @@
                 return response
 
     async def _put_document(self, req: web.Request) -> web.Response:
-        base_version = req.headers.get("If-Match", "").strip('"')
+        base_text = req.headers.get("If-Match", "").strip('"')
         change_id = req.headers.get(CHANGE_ID_HEADER, "")
-        if not (base_version.isascii() and base_version.isdigit()) or not change_id:
+        if not base_text or not change_id:
             return error_response(
                 428,
                 f"If-Match (the version to change) and {CHANGE_ID_HEADER} are required",
             )
+        base_version = whole_number(base_text)
+        if base_version is None:
+            detail = f"If-Match must be 0 to {MAX_WHOLE}, is {base_text[:20]!a}"
+            return error_response(400, detail)
+        for name, text in (
+            (CHANGE_ID_HEADER, change_id),
+            (OPERATOR_HEADER, operator_of(req)),
+        ):
+            if not is_unicode(text):
+                return error_response(400, f"{name} is not Unicode")
         if len(change_id) > MAX_CHANGE_ID_LENGTH:
             detail = f"{CHANGE_ID_HEADER} is longer than {MAX_CHANGE_ID_LENGTH}"
             return error_response(400, detail)
         match await _read_document(req):
             case Result(tag="ok", ok=new_document):
                 return await self._submit_change(
-                    req, int(base_version), change_id, new_document
+                    req, base_version, change_id, new_document
                 )
             case Result(error=response):
                 return response
@@ -223,7 +235,7 @@
     text = req.query.get(name)
     if text is None:
         return default
-    return int(text) if text.isascii() and text.isdigit() else None
+    return whole_number(text)
 
 
 def _validation_response(faults: list[ValidationIssue]) -> web.Response:
--- a/fuchsiacroft/platform/documents.py
+++ b/fuchsiacroft/platform/documents.py
@@ -9,6 +9,15 @@
 from expression import Error, Ok, Result
 
 from fuchsiacroft.config import route_table
+from fuchsiacroft.config.bounds import (
+    Amount,
+    Bytes,
+    Count,
+    DurationMs,
+    HeaderText,
+    Rank,
+    Version,
+)
 from fuchsiacroft.config.route_table import (
     BackendService,
     CallerLimits,
@@ -19,7 +28,7 @@
     Target,
     Workspace,
 )
-from fuchsiacroft.config.validation import ValidationIssue
+from fuchsiacroft.config.validation import ValidationIssue, decode_wire
 
 MS_PER_S = 1000.0
 DEFAULT_LIMITS = CallerLimits()
@@ -30,7 +39,7 @@
     """One target of a route's traffic split."""
 
     service: str
-    weight: float
+    weight: Amount
 
 
 class WireRoute(msgspec.Struct, rename="camel"):
@@ -40,13 +49,13 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
+    timeout_ms: DurationMs
     service: str | None = None
     traffic_split: list[WireSplit] | None = None
-    target_latency_ms: float = 0.0
-    target_gap_ms: float = 0.0
-    priority: int = 0
-    max_attempts: int = 1
+    target_latency_ms: DurationMs = 0.0
+    target_gap_ms: DurationMs = 0.0
+    priority: Rank = 0
+    max_attempts: Count = 1
     public: bool = False
     stream_resume: bool = False
 
@@ -54,8 +63,8 @@
 class WireEngine(msgspec.Struct, rename="camel"):
     """Properties of model engines; `stride` is the number of tokens in an event."""
 
-    slots: int = 0
-    stride: int = 1
+    slots: Count = 0
+    stride: Count = 1
 
 
 class WireService(msgspec.Struct, rename="camel"):
@@ -63,54 +72,49 @@
 
     name: str
     health_path: str = "/"
-    max_connections: int = 0
+    max_connections: Count = 0
     engine: WireEngine | None = None
 
 
 class WireLimits(msgspec.Struct, rename="camel"):
     """Limits on client requests and connections."""
 
-    max_header_bytes: int = DEFAULT_LIMITS.max_header_bytes
-    max_body_bytes: int = DEFAULT_LIMITS.max_body_bytes
-    header_timeout_ms: float = DEFAULT_LIMITS.header_timeout_s * MS_PER_S
-    idle_timeout_ms: float = DEFAULT_LIMITS.idle_timeout_s * MS_PER_S
+    max_header_bytes: Bytes = DEFAULT_LIMITS.max_header_bytes
+    max_body_bytes: Bytes = DEFAULT_LIMITS.max_body_bytes
+    header_timeout_ms: DurationMs = DEFAULT_LIMITS.header_timeout_s * MS_PER_S
+    idle_timeout_ms: DurationMs = DEFAULT_LIMITS.idle_timeout_s * MS_PER_S
 
 
 class WireTenant(msgspec.Struct, rename="camel"):
     """A tenant; a rate of 0 means no quota."""
 
-    name: str
+    name: HeaderText
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Rank | None = None
     unit: str = ""
-    plain_tokens: float = 1.0
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    plain_tokens: Amount = 1.0
+    rate_per_s: Amount = 0.0
+    burst: Amount = 0.0
 
 
 class WireConfig(msgspec.Struct, rename="camel"):
     """A complete configuration."""
 
-    version: int
+    version: Version
     routes: list[WireRoute]
     services: list[WireService]
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
     tenants: list[WireTenant] = []
 
 
-_DECODER = msgspec.json.Decoder(WireConfig)
-
-
 def parse(body: bytes) -> Result[RouteTable, list[ValidationIssue]]:
     """Return the route table of a configuration, or all its issues."""
-    try:
-        wire = _DECODER.decode(body)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as exc:
-        return Error([ValidationIssue("$", f"cannot be read: {exc}")])
-    issues = list(_validate(wire))
-    if issues:
-        return Error(issues)
-    return Ok(_table(wire))
+    match decode_wire(body, WireConfig):
+        case Result(tag="ok", ok=wire):
+            issues = list(_validate(wire))
+            return Error(issues) if issues else Ok(_table(wire))
+        case Result(error=issue):
+            return Error([issue])
 
 
 def _validate(wire: WireConfig) -> Iterator[ValidationIssue]:
@@ -141,8 +145,6 @@
     for target in targets:
         if target.service not in services:
             yield ValidationIssue(path, f'unknown service "{target.service}"')
-        if target.weight < 0:
-            yield ValidationIssue(path, "a weight must be 0 or more")
     if sum(target.weight for target in targets) <= 0:
         yield ValidationIssue(path, "the weights must add up to more than 0")
 
--- a/fuchsiacroft/platform/settings.py
+++ b/fuchsiacroft/platform/settings.py
@@ -7,10 +7,18 @@
 from pathlib import Path
 
 import msgspec
-from expression import Error, Ok, Result
-
+from expression import Error, Result
+
+from fuchsiacroft.config.bounds import (
+    Amount,
+    Count,
+    DurationS,
+    PeriodMs,
+    PeriodS,
+    Port,
+)
 from fuchsiacroft.config.settings import Addresses, Member, Settings
-from fuchsiacroft.config.validation import ValidationIssue
+from fuchsiacroft.config.validation import ValidationIssue, decode_wire
 from fuchsiacroft.placing.limits import SharedLimits
 from fuchsiacroft.placing.quotas import QuotaTolerance
 from fuchsiacroft.placing.retry_budget import RetryLimits
@@ -38,19 +46,19 @@
 class WireBounds(msgspec.Struct, rename="camel"):
     """Parameters of the platform's rules; names ending in S are in seconds."""
 
-    grace_s: float = 8.0
-    retry_budget_ratio: float = 0.2
-    retry_window_s: float = 10.0
-    budget_slack: float = 20.0
-    quota_window_s: float = 8.0
-    quota_overshoot: float = 0.0
-    quota_slack: float = 0.0
+    grace_s: DurationS = 8.0
+    retry_budget_ratio: Amount = 0.2
+    retry_window_s: PeriodS = 10.0
+    budget_slack: Amount = 20.0
+    quota_window_s: PeriodS = 8.0
+    quota_overshoot: Amount = 0.0
+    quota_slack: Amount = 0.0
 
 
 class WireTolerance(msgspec.Struct, rename="camel"):
     """Concurrent failures under which all guarantees hold."""
 
-    machines: int = 1
+    machines: Count = 1
 
 
 class WireSettings(msgspec.Struct, rename="camel"):
@@ -64,11 +72,11 @@
     zone: str
     region: str
     bind: WireBind
-    port_range: tuple[int, int]
+    port_range: tuple[Port, Port]
     seeds: list[str]
     bootstrap: bool = False
     data_dir: str | None = None
-    heartbeat_ms: float = 1_000.0
+    heartbeat_ms: PeriodMs = 1_000.0
     fault_tolerance: WireTolerance = msgspec.field(default_factory=WireTolerance)
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
     tunnels: dict[str, str] = {}
@@ -118,11 +126,12 @@
 def load(path: Path) -> Result[WireSettings, ValidationIssue]:
     """Load a settings file."""
     try:
-        return Ok(msgspec.json.decode(path.read_bytes(), type=WireSettings))
+        data = path.read_bytes()
     except OSError as exc:
         return Error(ValidationIssue(str(path), f"cannot be read: {exc.strerror}"))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        return Error(ValidationIssue(str(path), str(exc)))
+    return decode_wire(data, WireSettings).map_error(
+        lambda issue: ValidationIssue(str(path), str(issue))
+    )
 
 
 def control_settings(wire: WireSettings) -> Settings:
--- a/fuchsiacroft/tests/control/api_tests.py
+++ b/fuchsiacroft/tests/control/api_tests.py
@@ -1,5 +1,7 @@
 """Tests of the operators' API over HTTP."""
 
+import asyncio
+
 import aiohttp
 import msgspec
 from loguru import logger
@@ -61,6 +63,70 @@
         self.assertEqual((200, {"version": 1, "resent": False}), first)
         self.assertEqual((200, {"version": 1, "resent": True}), again)
 
+    async def test_a_number_of_thousands_of_digits_is_an_internal_error(self):
+        digits = "9" * 5_000
+        for version in (digits, 2**70):
+            status, answer = await self.put(sample_document(), version, "c1")
+            self.assertEqual(400, status)
+            self.assertIn(
+                f"0 to {2**63 - 1}, is '{str(version)[:20]}'", answer["detail"]
+            )
+        for path, status in (("document?version=", 404), ("history?limit=", 400)):
+            got, _ = await self.call("GET", f"/v1/{path}{digits}")
+            self.assertEqual(status, got)
+        got, _ = await self.call("GET", f"/v1/document?version={2**70}")
+        self.assertEqual(404, got)
+
+    async def test_a_document_with_a_number_out_of_bounds_is_an_internal_error(self):
+        for field, number in (("replicas", 2**64), ("token_gap_target_s", 1e300)):
+            document = sample_document()
+            document["services"][0][field] = number
+            status, answer = await self.put(document, 0, "c1")
+            self.assertEqual((422, 1), (status, len(answer["faults"])))
+            issue = answer["faults"][0]
+            self.assertEqual(f"$.services[0].{field}", issue["path"])
+            self.assertIn("is more than", issue["message"])
+        for body in (b"[" * 20_000, b"9" * 5_000, b"1e999", b"\xff", b'"\\ud800"'):
+            status, _ = await self.call("POST", "/v1/document/check", body=body)
+            self.assertEqual(422, status)
+
+    async def test_a_header_that_is_not_unicode_is_an_internal_error(self):
+        body = msgspec.json.encode(sample_document())
+        refused = {
+            "Fuchsiacroft-Change-Id": 400,
+            "Fuchsiacroft-Operator": 400,
+            "If-Match": 400,
+            "Authorization": 401,
+        }
+        for name, expected in refused.items():
+            headers = {
+                "If-Match": '"0"',
+                "Fuchsiacroft-Change-Id": "c9",
+                "Fuchsiacroft-Operator": "ana",
+                "Authorization": f"Bearer {TOKEN}",
+                name: "Bearer \udcff",
+            }
+            lines = [f"{key}: {value}" for key, value in headers.items()]
+            with self.subTest(name):
+                self.assertEqual(expected, await self.put_raw(lines, body))
+
+    async def put_raw(self, lines: list[str], body: bytes) -> int:
+        """Send a change with header lines that a client library refuses to send."""
+        host, port = self.control.operators.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = (
+            "PUT /v1/document HTTP/1.1",
+            f"Host: {host}",
+            f"Content-Length: {len(body)}",
+            *lines,
+            "",
+            "",
+        )
+        writer.write("\r\n".join(head).encode("utf-8", "surrogateescape") + body)
+        status = int((await reader.readline()).split()[1])
+        writer.close()
+        return status
+
     async def test_a_conflict_lists_what_the_other_operator_changed(self):
         await self.put(sample_document(), 0, "c1")
         other = sample_document()
--- a/fuchsiacroft/tests/platform/control_api_tests.py
+++ b/fuchsiacroft/tests/platform/control_api_tests.py
@@ -37,6 +37,12 @@
             self.assertEqual(400, await self.region.put_config(body))
         self.assertEqual(before, await self.region.get_config(2))
 
+    async def test_a_version_over_64_bits_is_an_internal_error(self):
+        before = await self.region.get_config()
+        for version in (2**63, 2**64, 10**30):
+            self.assertEqual(400, await self.region.put_config(config(version)))
+        self.assertEqual(before, await self.region.get_config(2))
+
     async def test_a_new_route_is_in_force_at_every_entry_soon(self):
         await self.region.add_replica("till")
         document = config(3)
--- a/fuchsiacroft/tests/platform/documents_tests.py
+++ b/fuchsiacroft/tests/platform/documents_tests.py
@@ -159,6 +159,32 @@
             with self.subTest(name):
                 self.assertTrue(documents.parse(body).is_error())
 
+    def test_a_number_out_of_bounds_is_in_a_table(self):
+        bounded = {
+            "$.version": encoded(version=2**64),
+            "$.routes[0].timeoutMs": with_route(timeoutMs=1e300),
+            "$.routes[0].priority": with_route(priority=10**30),
+            "$.routes[0].maxAttempts": with_route(maxAttempts=-1),
+            "$.routes[0].trafficSplit[0].weight": with_route(
+                trafficSplit=[{"service": "lens", "weight": -1}]
+            ),
+            "$.limits.maxBodyBytes": encoded(limits={"maxBodyBytes": 2**64}),
+            "$.tenants[0].ratePerS": encoded(
+                tenants=[{"name": "a", "apiKeys": [], "ratePerS": 1e300}]
+            ),
+        }
+        for path, body in bounded.items():
+            with self.subTest(path):
+                issue = documents.parse(body).error[0]
+                self.assertEqual(path, issue.path)
+                self.assertRegex(issue.message, r"[<>]= .*, is [-0-9.e+]+")
+
+    def test_a_name_that_no_header_can_hold_is_in_a_table(self):
+        for name in ("a\n", "a\r\nX: 1", "\x00"):
+            body = encoded(tenants=[{"name": name, "apiKeys": ["k"]}])
+            with self.subTest(name):
+                self.assertTrue(documents.parse(body).is_error())
+
     def test_every_issue_is_reported(self):
         body = with_route(timeoutMs=0, service="other")
         issues = documents.parse(body).error
