Read what clients and servers put into headers within bounds

Such bytes in Resumes and in X-Api-Key got 500, and an attempt id of them was put into messages.

Cause: headers hold any bytes, which aiohttp gives as surrogates; neither a message nor a hash of UTF-8 takes them.

Change: keys are hashed as the bytes that were sent, so an unknown one gets 401; an attempt id and Resumes that are not Unicode get 400; such parts of a prompt are not kept. Token counts are whole numbers up to 10^9, deadlines are finite and at most 10^6 s, a Server-Limit is at most 10^12; others count as missing, as before for unreadable ones.

--- a/fuchsiacroft/config/route_table.py
+++ b/fuchsiacroft/config/route_table.py
@@ -158,7 +158,7 @@
 
 def hash_key(key: str) -> str:
     """Return the hash under which a key is indexed."""
-    return xxhash.xxh3_128_hexdigest(key.encode())
+    return xxhash.xxh3_128_hexdigest(key.encode("utf-8", "surrogateescape"))
 
 
 def create_route_table(
--- a/fuchsiacroft/entry/ledger_key.py
+++ b/fuchsiacroft/entry/ledger_key.py
@@ -20,7 +20,7 @@
     digest = hashlib.blake2b(digest_size=KEY_BYTES)
     digest.update(workspace.encode())
     digest.update(b"\0")
-    digest.update(key.encode())
+    digest.update(key.encode("utf-8", "surrogateescape"))
     return LedgerKey(digest.digest(), fingerprint, key_age_s(key) is not None)
 
 
--- a/fuchsiacroft/membership/limit_recorder.py
+++ b/fuchsiacroft/membership/limit_recorder.py
@@ -5,6 +5,7 @@
 
 from expression import Error, Ok, Result
 
+from fuchsiacroft.config.bounds import MAX_AMOUNT
 from fuchsiacroft.membership import limit_reports
 from fuchsiacroft.membership.limit_reports import LimitReport
 from fuchsiacroft.membership.server_limits import (
@@ -117,4 +118,6 @@
         return Error("not_finite")
     if per_s < 0:
         return Error("negative")
+    if per_s > MAX_AMOUNT:
+        return Error(f"over {MAX_AMOUNT:.0f}")
     return Ok(per_s)
--- a/fuchsiacroft/platform/protocol_adapter.py
+++ b/fuchsiacroft/platform/protocol_adapter.py
@@ -7,6 +7,12 @@
 from aiohttp import web
 from expression import Error, Ok, Result
 
+from fuchsiacroft.config.bounds import (
+    MAX_COUNT,
+    MAX_DURATION_S,
+    is_unicode,
+    whole_number,
+)
 from fuchsiacroft.config.route_table import Quota, Route, RouteTable, Workspace
 from fuchsiacroft.entry import http_headers
 from fuchsiacroft.entry.answer_identity import RequestName
@@ -46,7 +52,7 @@
             deadline_s = float(http.headers[header_names.DEADLINE]) / 1000
         except (KeyError, ValueError):
             return None
-        return deadline_s if deadline_s > 0 else None
+        return deadline_s if 0 < deadline_s <= MAX_DURATION_S else None
 
     def parse_request(
         self,
@@ -59,6 +65,9 @@
         target = http.raw_path
         if not target.startswith("/"):
             return Error(Problem(400, "malformed", "the request target is not a path"))
+        for name in (header_names.REQUEST_ID, header_names.RESUMES):
+            if not is_unicode(headers.get(name, "")):
+                return Error(Problem(400, "malformed", f"{name} is not Unicode"))
         host = headers.get("Host", "").partition(":")[0].lower()
         route = table.route(host, target.partition("?")[0])
         if route is None:
@@ -199,10 +208,10 @@
 
 
 def _work_size(headers) -> WorkSize:
-    counts = _parse_ints(headers.get(header_names.TOKEN_COUNT, ""))
+    counts = _parse_counts(headers.get(header_names.TOKEN_COUNT, ""))
     if len(counts) != 2:
         return WorkSize()
-    hints = _parse_ints(headers.get(header_names.LENGTH_HINT, ""))
+    hints = _parse_counts(headers.get(header_names.LENGTH_HINT, ""))
     output = min(hints[0], counts[1]) if hints else counts[1]
     return WorkSize(prompt_tokens=counts[0], output_tokens=max(output, 1))
 
@@ -213,18 +222,20 @@
         return 0.0
     if not quota.counts_tokens:
         return 1.0
-    counts = _parse_ints(headers.get(header_names.TOKEN_COUNT, ""))
+    counts = _parse_counts(headers.get(header_names.TOKEN_COUNT, ""))
     return float(sum(counts)) if len(counts) == 2 else quota.plain_units
 
 
 def _shared_parts(text: str) -> tuple[str, ...]:
     """Return the ids of a prompt's parts but the last, which no other request has."""
     ids = [part.partition(":")[0].strip().lower() for part in text.split(",")]
-    return tuple(part for part in ids[:-1] if part)[:MAX_SHARED_PARTS]
+    ids = [part for part in ids[:-1] if part and is_unicode(part)]
+    return tuple(ids[:MAX_SHARED_PARTS])
 
 
-def _parse_ints(text: str) -> list[int]:
-    try:
-        return [int(part) for part in text.split(",")]
-    except ValueError:
+def _parse_counts(text: str) -> list[int]:
+    """Return comma-separated token counts, none if one is out of bounds."""
+    counts = [whole_number(part.strip()) for part in text.split(",")]
+    if any(count is None or count > MAX_COUNT for count in counts):
         return []
+    return counts
--- a/fuchsiacroft/transport/codec.py
+++ b/fuchsiacroft/transport/codec.py
@@ -53,6 +53,11 @@
     return register
 
 
+def kinds() -> tuple[str, ...]:
+    """Return the kinds of the registered messages."""
+    return tuple(_TYPES_BY_KIND)
+
+
 def encode(
     msg: msgspec.Struct, number: int, reply: bool, sender: str
 ) -> Result[bytes, str]:
