--- a/fuchsiacroft/config/validation.py
+++ b/fuchsiacroft/config/validation.py
@@ -1,8 +1,11 @@
 """Validates JSON against a schema and lists every issue with its path."""
 
 import difflib
+import types
+import typing
+from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 from expression import Error, Ok, Result
@@ -10,6 +13,8 @@
 if TYPE_CHECKING:
     from jsonschema.exceptions import ValidationError
 
+T = TypeVar("T")
+
 SECRET_PATH = "$.keys"
 MAX_SHOWN_CHARS = 100
 TYPE_NAMES = {
@@ -34,6 +39,70 @@
         return f"{self.path}: {self.message}"
 
 
+def decode_wire(data: bytes, cls: type[T]) -> Result[T, ValidationIssue]:
+    """Return the decoded value of type `cls`, or its first issue.
+
+    The issue holds the field, the value if it is a number or text, and the limit.
+    """
+    try:
+        return Ok(msgspec.json.decode(data, type=cls))
+    except msgspec.ValidationError as exc:
+        return Error(_first_issue_of(data, cls) or ValidationIssue("$", str(exc)))
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as exc:
+        return Error(ValidationIssue("$", f"cannot be read: {exc}"))
+
+
+def first_issue(value: object, cls: type, path: str = "$") -> ValidationIssue | None:
+    """Return the first issue of a JSON value that should be of type `cls`."""
+    try:
+        msgspec.convert(value, cls)
+        return None
+    except msgspec.ValidationError as exc:
+        reason = str(exc).partition(" - at `")[0]
+    for key, inner, inner_cls in _children(value, cls):
+        issue = first_issue(inner, inner_cls, path + key)
+        if issue is not None:
+            return issue
+    if isinstance(value, int | float | str):
+        shown = msgspec.json.encode(value).decode()[:MAX_SHOWN_CHARS]
+        reason += f", is {shown}"
+    return ValidationIssue(path, reason)
+
+
+def _first_issue_of(data: bytes, cls: type) -> ValidationIssue | None:
+    try:
+        value = msgspec.json.decode(data)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
+        return None
+    return first_issue(value, cls)
+
+
+def _children(value: object, cls: type) -> Iterator[tuple[str, object, type]]:
+    """Yield the path, value and type of what a value of type `cls` holds."""
+    for plain in _plain_types(cls):
+        origin = typing.get_origin(plain)
+        if isinstance(value, list) and origin in (list, tuple):
+            for i, item in enumerate(value):
+                yield f"[{i}]", item, typing.get_args(plain)[0]
+        elif isinstance(value, dict) and issubclass(origin or plain, msgspec.Struct):
+            for field in msgspec.structs.fields(plain):
+                if field.encode_name in value:
+                    name = field.encode_name
+                    yield f".{name}", value[name], field.type
+
+
+def _plain_types(cls: type) -> Iterator[type]:
+    """Yield the types of a union, each without its bounds."""
+    origin = typing.get_origin(cls)
+    if origin is typing.Annotated:
+        yield from _plain_types(typing.get_args(cls)[0])
+    elif origin in (typing.Union, types.UnionType):
+        for one in typing.get_args(cls):
+            yield from _plain_types(one)
+    elif origin is not typing.Literal:
+        yield cls
+
+
 def decode_json(data: bytes | str, cls: type) -> Result[object, list[ValidationIssue]]:
     """Return the decoded value of type `cls`, or every issue found in it."""
     try:
