Accept heartbeats without a start where no server tells one

So a heartbeat without it is refused once another server has told its own: either all tell it or none.

--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -88,6 +88,15 @@
             "entries": sorted(self._entries),
         }
 
+    def lacks_start(self, record: ServerRecord) -> bool:
+        """Whether a report doesn't tell the server's start, though other servers do.
+
+        Either all servers tell when they started or none does.
+        """
+        return not record.born_ms and any(
+            known.born_ms for known in self._table.records()
+        )
+
     async def report(self, record: ServerRecord) -> Result[None, str]:
         """Process a report of a backend server; an error says why it is not confirmed.
 
--- a/fuchsiacroft/platform/control_api.py
+++ b/fuchsiacroft/platform/control_api.py
@@ -82,6 +82,9 @@
     async def _put_replica(self, req: web.Request) -> web.Response:
         replica_id = req.match_info["id"]
         match heartbeats.parse(replica_id, await req.read()):
+            case Result(tag="ok", ok=record) if self._registry.lacks_start(record):
+                reason = "born is missing, which other replicas tell"
+                event("info", "heartbeat_refused", replica=replica_id, reason=reason)
             case Result(tag="ok", ok=record):
                 return _report_response(replica_id, await self._registry.report(record))
             case Result(error=reason):
--- a/fuchsiacroft/platform/heartbeats.py
+++ b/fuchsiacroft/platform/heartbeats.py
@@ -1,7 +1,8 @@
 """Parses heartbeats of replicas into records of backend servers.
 
 A heartbeat that lacks a field of the platform's page comes from another writer.
-It names no server to use, so no field has a default.
+It names no server to use, so no field has a default but `born`: on some deployments no
+replica tells it, and where one does, all do.
 """
 
 from typing import Annotated
@@ -24,7 +25,7 @@
 
 
 class WireHeartbeat(msgspec.Struct, rename="camel"):
-    """A heartbeat; `born` is the start time of the replica in Unix milliseconds."""
+    """A heartbeat; `born` is the start in Unix milliseconds, 0 if it is not told."""
 
     service: Name
     address: Address
@@ -34,7 +35,7 @@
     state: str
     cold_remaining_ms: float
     sequence: Sequence
-    born: UnixMs
+    born: UnixMs = 0
 
 
 class WireLeave(msgspec.Struct):
--- a/fuchsiacroft/tests/platform/control_api_tests.py
+++ b/fuchsiacroft/tests/platform/control_api_tests.py
@@ -121,6 +121,12 @@
             self.assertEqual(200, got.status)
         self.assertEqual((10, 0), (len(replica.received), len(foreign.received)))
 
+    async def test_servers_are_refused_where_none_tells_its_start(self):
+        self.region.born = None
+        for _ in range(2):
+            await self.region.add_replica("till")
+        self.assertEqual(200, (await self.region.send_request("/stock/1/")).status)
+
     async def test_invalid_heartbeats_are_refused_without_effect(self):
         await self.region.add_replica("till")
         url = self.region.url(0, "/v1/replicas/i-1")
