Let no stream go on at a server that may have started again

Cause: a server's version, limits and pauses belong to one start of it, and starts were known from heartbeats alone. Lost runs and refused connections only delayed further runs. So a coordinator and an entry that still knew the old start agreed on a version that no longer served.

Change: after a lost run or a refused connection the start is uncertain. Until it is known, a request that continues a stream isn't placed there, a stream that begins there has no certain origin, and its slots don't count for its version in other domains. The entries of the server's domain are told, for the next coordinator. The start is certain again when another one is listed, when a run from before the first loss goes on after the last one, or when control members have listed the same start for so long that a late heartbeat of an ended one would have run out. A stream that began meanwhile gets its origin then. A pause or limit that was heard meanwhile holds for the next start, too. The product's own path has the same condition in its permit queue; there a stream goes on at the same boot only, and kept prompt parts are a gain and no condition.

Remains: a server that crashes while it is idle, or whose runs were lost by entries that ended at once, is still taken for the old start until its first heartbeat. A leave that a server says in the time of doubt isn't carried over to its next start.

--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -44,8 +44,8 @@
     the first event of a stream, or to a complete plain response. `replacement` is
     the slot on another server that was assigned when this one was `SILENT`; a silent
     server keeps the request while there is none, as it may only be slow.
-    `on_stream_begun` is called with the placement just before the caller gets the first
-    event of this attempt.
+    `on_stream_begun` is called with the placement and the time of sending just before
+    the caller gets the first event of this attempt.
     """
 
     def __init__(
@@ -57,7 +57,7 @@
         placer: Placer,
         *,
         find_replacement: FindReplacement,
-        on_stream_begun: Callable[[SlotAssignment], None],
+        on_stream_begun: Callable[[SlotAssignment, float], None],
     ) -> None:
         self._context = context
         self._request = context.request
@@ -74,7 +74,7 @@
         self._started_at = now()
         self._send_guard = SendGuard(self._may_send, self._valid_until())
         self._relay = ResponseRelay(
-            context, protocol, self._watch, self._on_first_event
+            context, protocol, self._watch, self._on_first_event, self._on_progress
         )
         self.replacement: SlotAssignment | None = None
 
@@ -217,7 +217,12 @@
 
     def _on_first_event(self) -> None:
         self._placer.report_first_event(self._placement)
-        self._on_stream_begun(self._placement)
+        self._on_stream_begun(self._placement, self._started_at)
+
+    def _on_progress(self) -> None:
+        self._placer.record_progress(self._placement, self._started_at)
+        if self._context.is_origin_unsure:
+            self._on_stream_begun(self._placement, self._started_at)
 
     def _idle_timeout_s(self) -> float:
         """Return after how long without progress another server is looked for."""
@@ -256,7 +261,8 @@
             ),
             duration_s=at - self._started_at,
         )
-        self._placer.release(self._placement, report)
+        alive_at = times.last_at or self._started_at
+        self._placer.release(self._placement, report, alive_at)
         event(
             "info",
             "run_ended",
--- a/fuchsiacroft/gateway/continued_streams.py
+++ b/fuchsiacroft/gateway/continued_streams.py
@@ -59,18 +59,27 @@
                 detail = f"what began the stream is {error.value}; it did not run"
                 return Problem(503, "stream_unknown", detail, ExecutionState.NO)
 
-    def record_begun(self, context: RequestContext, placement: SlotAssignment) -> None:
+    def record_begun(
+        self, context: RequestContext, placement: SlotAssignment, sent_at: float
+    ) -> None:
         """Record what began a stream, before its caller gets the first event.
 
-        The owners of the stream are told again when it is taken up, as those that were
-        told first may have stopped.
+        If its origin isn't certain, it is recorded with a later event once it is. The
+        owners of the stream are told again when it is taken up, as those that were told
+        first may have stopped.
         """
         request = context.request
         if context.origin is None:
-            version = self._placer.certain_version(placement, request.service)
+            version = self._placer.certain_version(
+                placement,
+                request.service,
+                sent_at,
+                must_be_listed=context.is_origin_unsure,
+            )
             if version is None:
                 context.is_origin_unsure = True
                 return
+            context.is_origin_unsure = False
             context.origin = StreamOrigin(request.service, version)
         if request.route.kind.is_retryable:
             first_id = request.resumes or request.request_id
--- a/fuchsiacroft/gateway/response_relay.py
+++ b/fuchsiacroft/gateway/response_relay.py
@@ -26,9 +26,10 @@
     """Relays a stream by events, and any other response whole.
 
     `watch` returns a watch for silence, whose `TimeoutError` is passed on.
-    `on_first_event` is called when the first event has come. `response` is set once
-    the caller has, or can get, the whole response. `began_at` is when the first event
-    of a stream or all of another response had come.
+    `on_first_event` is called when the first event has come, and `on_progress` when
+    events or a whole response have come. `response` is set once the caller has, or can
+    get, the whole response. `began_at` is when the first event of a stream or all of
+    another response had come.
     """
 
     def __init__(
@@ -37,11 +38,13 @@
         protocol: ProtocolAdapter,
         watch: Callable[[], SilenceWatch],
         on_first_event: Callable[[], None],
+        on_progress: Callable[[], None],
     ) -> None:
         self._context = context
         self._protocol = protocol
         self._watch = watch
         self._on_first_event = on_first_event
+        self._on_progress = on_progress
         self._splitter = context.event_splitter
         self._events_before = self._splitter.count
         self.event_times = EventTimes()
@@ -73,6 +76,7 @@
         async with self._watch():
             body = await _read_at_most(upstream.content, MAX_BUFFERED_BYTES)
         self.began_at = now()
+        self._on_progress()
         if not upstream.content.at_eof():
             return await self._relay_large(body, upstream)
         downstream = web.Response(status=upstream.status, body=body)
@@ -152,6 +156,7 @@
             if self._context.first_event_at is None:
                 self._context.first_event_at = at
         self.event_times.record(at)
+        self._on_progress()
         await self._start_response(upstream)
         await self._context.started_response.write(events)
 
--- a/fuchsiacroft/membership/server_limits.py
+++ b/fuchsiacroft/membership/server_limits.py
@@ -87,6 +87,14 @@
         """Return what counts for each server, limits that ended lately included."""
         return iter(self._known.items())
 
+    def carry_over(
+        self, server: ServerInstance, successor: ServerInstance, since: float
+    ) -> None:
+        """Let a limit that may be of the next start, as of a time, hold for it."""
+        statement = self._known.get(server)
+        if statement is not None and statement.heard_at >= since:
+            self.record(successor, statement)
+
     def forget(self, is_current: Callable[[ServerInstance], bool], at: float) -> None:
         """Drop old statements of limits that ended or whose servers are gone."""
         oldest = at - RETENTION_S
--- a/fuchsiacroft/membership/server_notices.py
+++ b/fuchsiacroft/membership/server_notices.py
@@ -146,6 +146,18 @@
             return at
         return max(pause.free_at(running, slots), at)
 
+    def carry_over(
+        self, server: ServerInstance, successor: ServerInstance, since: float
+    ) -> None:
+        """Let a pause that began since a time hold for the next start, too."""
+        pause = self._pauses.get(server)
+        if pause is not None and pause.began_at >= since:
+            set_newest(self._pauses, successor, pause, MAX_NOTICES)
+
+    def paused(self) -> tuple[ServerInstance, ...]:
+        """Return the servers that asked for a pause."""
+        return tuple(self._pauses)
+
     def forget(self, is_current: Callable[[ServerInstance], bool]) -> None:
         """Drop the notices of instances that are not current any more."""
         for notices in (self._leaving, self._pauses):
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -12,6 +12,7 @@
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.registry_wire import EntryRecord, ServerRecord
 from fuchsiacroft.membership.roster import Roster
+from fuchsiacroft.membership.server_starts import DEFAULT_HEARTBEAT_S
 from fuchsiacroft.placing.allocator import Allocator
 from fuchsiacroft.placing.fleet import Assignment
 from fuchsiacroft.placing.limit_exchange import LimitExchange
@@ -70,9 +71,15 @@
 
     name = "coordinator"
 
-    def __init__(self, settings: Settings, limits: SharedLimits) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        limits: SharedLimits,
+        heartbeat_s: float = DEFAULT_HEARTBEAT_S,
+    ) -> None:
         self.epoch = secrets.token_hex(EPOCH_BYTES)
         self.allocator = Allocator(limits)
+        self.allocator.fleet.starts.set_heartbeat_s(heartbeat_s)
         self._node = settings.node
         self._peers = settings.addresses.peers
         self._served = ServedDomains(settings.failure_domain)
@@ -254,6 +261,7 @@
             assignment.start,
             assignment.is_limited,
             assignment.version,
+            assignment.is_start_certain,
         )
 
     def _refuse_expired(
@@ -405,6 +413,10 @@
         return Pong(self.epoch, spent, self.limits.known())
 
 
-def create(settings: Settings, limits: SharedLimits) -> Coordinator:
-    """Return the coordinator of an entry."""
-    return Coordinator(settings, limits)
+def create(
+    settings: Settings,
+    limits: SharedLimits,
+    heartbeat_s: float = DEFAULT_HEARTBEAT_S,
+) -> Coordinator:
+    """Return the coordinator of an entry; `heartbeat_s` is that of backend servers."""
+    return Coordinator(settings, limits, heartbeat_s)
--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -11,6 +11,7 @@
 from fuchsiacroft.membership import request_pacing
 from fuchsiacroft.membership.registry_wire import ServerRecord
 from fuchsiacroft.membership.server_limits import UNLIMITED
+from fuchsiacroft.membership.server_starts import ServerStarts
 from fuchsiacroft.placing.crash_detector import CrashDetector
 from fuchsiacroft.placing.engine_speed import EngineSpeeds
 from fuchsiacroft.placing.isolation import IsolatedRuns
@@ -21,6 +22,7 @@
 from fuchsiacroft.quarantine.evidence import Treatment
 from fuchsiacroft.routing.permits import (
     NOT_SENT,
+    SERVER_LOST,
     PermitRequest,
     RunOutcome,
     RunReport,
@@ -43,7 +45,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Assignment:
-    """The assignment of a run to one start of a backend server."""
+    """The assignment of a run to one start of a backend server.
+
+    The server may have started again unless `is_start_certain`.
+    """
 
     run_id: str
     backend_server: str
@@ -52,6 +57,7 @@
     start: str = ""
     is_limited: bool = False
     version: str = ""
+    is_start_certain: bool = True
 
 
 class Fleet:
@@ -72,6 +78,7 @@
         self.crash_detector = CrashDetector()
         self._isolated = IsolatedRuns()
         self.pacing = request_pacing.create()
+        self.starts = ServerStarts()
 
     def dump(self) -> dict:
         """Return each server with its runs, speed and failure rate."""
@@ -105,14 +112,15 @@
                 self.crash_detector.record_removed(self._servers[name], at)
             self._remove_server(name, at)
         for name, record in found.items():
-            load = self._servers.get(name)
-            if load is not None and load.record.instance_id == record.instance_id:
-                load.record = record
+            known = self._servers.get(name)
+            if known is not None and known.record.instance_id == record.instance_id:
+                known.record = record
                 continue
-            if load is not None:
-                self.crash_detector.record_removed(load, at)
-                self._remove_server(name, at)
             load = ServerLoad(record, self._speeds_of(record))
+            if known is not None:
+                self.crash_detector.record_removed(known, at)
+                self._remove_server(name, at)
+                self._carry_limit_over(known, load, at)
             load.is_unproven = record.announcement.failure_domain in adopted
             self._servers[name] = load
             self.pacing.restart_server(load.instance, at)
@@ -163,13 +171,18 @@
 
     def free(self, service: str, at: float, version: str | None = None) -> int:
         """Return the free slots of a service, of one version if it is given."""
-        return sum(self._free(load, at) for load in self._servers_of(service, version))
+        servers = self._servers_of(service, version)
+        if version is not None:
+            servers = [load for load in servers if self._is_start_certain(load, at)]
+        return sum(self._free(load, at) for load in servers)
 
     def free_by_version(self, service: str, at: float) -> dict[str, int]:
         """Return the free slots of each software version of a service."""
         free: Counter[str] = Counter()
         for load in self._servers_of(service):
-            free[load.record.announcement.version_of(service)] += self._free(load, at)
+            if self._is_start_certain(load, at):
+                version = load.record.announcement.version_of(service)
+                free[version] += self._free(load, at)
         return dict(free)
 
     def kept_free(self, service: str, rank: int, at: float) -> int:
@@ -209,9 +222,7 @@
         permit_request = request.ask
         tokens = permit_request.size.prompt_tokens
         free = [
-            load
-            for load in self._candidates(permit_request)
-            if load.name not in permit_request.avoid and self._free(load, at)
+            load for load in self._eligible(permit_request, at) if self._free(load, at)
         ]
         return min(free, key=lambda load: load.first_event_s(tokens), default=None)
 
@@ -249,8 +260,8 @@
                 return self._choose_isolated(permit_request, at)
         avoids_stalls = waited_s < STALL_AVOIDANCE_SHARE * request.in_time_s
         best, lowest_cost = None, (True, True, float("inf"))
-        for load in self._candidates(permit_request):
-            if load.name in permit_request.avoid or not self._free(load, at):
+        for load in self._eligible(permit_request, at):
+            if not self._free(load, at):
                 continue
             if avoids_stalls and load.would_stall(permit_request, request.event_tokens):
                 continue
@@ -286,11 +297,7 @@
         self, permit_request: PermitRequest, at: float
     ) -> ServerLoad | None:
         suspected = self._suspected_content(permit_request, at)
-        servers = [
-            load
-            for load in self._candidates(permit_request)
-            if load.name not in permit_request.avoid
-        ]
+        servers = self._eligible(permit_request, at)
         return self._isolated.choose(
             suspected, servers, lambda load: self._free(load, at) > 0
         )
@@ -329,6 +336,7 @@
             load.instance.start,
             self.pacing.is_limited(load.instance),
             load.record.announcement.version_of(permit_request.service),
+            self._is_start_certain(load, at),
         )
 
     def adopt(self, held_run: HeldRun, at: float) -> None:
@@ -376,6 +384,8 @@
         if report.outcome in NOT_SENT and not run.is_adopted:
             self.pacing.refund(load.instance, at)
         load.record_result(run, report, at)
+        if report.outcome in SERVER_LOST:
+            self.starts.record_loss(load.instance, at, at)
         self.crash_detector.record_end(load, run, report, at)
         if report.outcome is RunOutcome.COMPLETED:
             self._update_mean(run.permit_request, at - run.started_at)
@@ -429,6 +439,24 @@
         """Return the servers that a request may run on."""
         return self._servers_of(permit_request.service, permit_request.version)
 
+    def _eligible(
+        self, permit_request: PermitRequest, at: float
+    ) -> Sequence[ServerLoad]:
+        """Return the servers that a request may be placed on now, free or not.
+
+        A stream doesn't go on at a server that may have started again.
+        """
+        avoid = permit_request.avoid
+        return [
+            load
+            for load in self._candidates(permit_request)
+            if load.name not in avoid
+            and (permit_request.version is None or self._is_start_certain(load, at))
+        ]
+
+    def _is_start_certain(self, load: ServerLoad, at: float) -> bool:
+        return self.starts.is_certain(load.instance, at)
+
     def _free(self, load: ServerLoad, at: float) -> int:
         free = max(load.free(at, self.share), 0)
         if free and self.pacing.is_limited(load.instance):
@@ -457,6 +485,13 @@
             self._runs.pop(run.run_id, None)
             self._record_end(run, at)
 
+    def _carry_limit_over(self, known: ServerLoad, load: ServerLoad, at: float) -> None:
+        """Keep a limit that the server may have named after it started again."""
+        doubt = self.starts.doubt(known.instance, at)
+        if doubt is not None:
+            limits = self.pacing.limits
+            limits.carry_over(known.instance, load.instance, doubt.since)
+
     def _update_mean(self, permit_request: PermitRequest, run_s: float) -> None:
         service = permit_request.service
         known = self._mean_run_s.get(service)
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -49,7 +49,7 @@
     `keeper` is the coordinator that counts the run until its end is reported to
     the address `keeper_peers`. `start` tells the starts of the server apart,
     `is_limited` whether the keeper knows a limit of it, and `version` is that of its
-    software.
+    software. The server may have started again unless `is_start_certain`.
     """
 
     run_id: str
@@ -60,6 +60,7 @@
     start: str = ""
     is_limited: bool = False
     version: str = ""
+    is_start_certain: bool = True
 
 
 @codec.message("placing.not_placed")
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -42,8 +42,15 @@
 from fuchsiacroft.placing.quotas import RemoteUsage
 from fuchsiacroft.placing.reachability import Reachability
 from fuchsiacroft.placing.server_availability import ServerAvailability
+from fuchsiacroft.placing.start_exchange import StartExchange
 from fuchsiacroft.routing.pause_wait import wait_for_servers
-from fuchsiacroft.routing.permits import PermitRequest, Refusal, RunOutcome, RunReport
+from fuchsiacroft.routing.permits import (
+    SERVER_LOST,
+    PermitRequest,
+    Refusal,
+    RunOutcome,
+    RunReport,
+)
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
@@ -107,6 +114,7 @@
         self._limit_share = 1.0
         self._epochs: dict[str, str] = {}
         self._active_runs: dict[str, HeldRun] = {}
+        self._doubted_runs: set[str] = set()
         self._coordinator_lost = asyncio.Event()
         self._current: EntryRecord | None = None
         self._coordinator_spent: tuple[dict[str, float], float] = ({}, -math.inf)
@@ -117,11 +125,15 @@
         self._bus = kernel.get("bus", Bus)
         self._roster = kernel.get("roster", Roster)
         self._reachability = Reachability(self._roster, self._domain)
-        self.availability = ServerAvailability(self._bus, self._roster, self._running)
         self._local_coordinator = kernel.get("coordinator", Coordinator)
+        self._starts = self._local_coordinator.allocator.fleet.starts
+        self.availability = ServerAvailability(
+            self._bus, self._roster, self._running, self._starts
+        )
         self._pacing = self._local_coordinator.allocator.fleet.pacing
         self._pacing.share_of = lambda backend_server: self._limit_share
         self._limits = self._local_coordinator.limits
+        self._start_exchange = StartExchange(self._bus, self._roster, self._starts)
         self._neighbours = kernel.get("neighbours", Neighbours)
         self._local_coordinator.allocator.quotas.remote_usage = self._remote_usage
         self._hand_over = OutgoingHandOver(
@@ -145,6 +157,7 @@
             "held": len(self._active_runs),
             "notices": self.availability.dump(),
             "server_limits": self._pacing.limits.dump(),
+            "uncertain_starts": self._starts.dump(),
         }
 
     def coordinator(self) -> EntryRecord:
@@ -223,6 +236,7 @@
                 self._active_runs[placed.run_id] = HeldRun(
                     placed.run_id, placed.backend_server, permit_request
                 )
+                self._record_doubt(placed)
                 return outcome
             self._decline(placed, permit_request, reason)
             if reason is not DeclineReason.PAUSED:
@@ -238,23 +252,43 @@
             return DeclineReason(reason.value)
         if permit_request.version is None:
             return None
-        version = self.certain_version(placed, permit_request.service)
+        version = self.certain_version(placed, permit_request.service, now())
         return None if version == permit_request.version else DeclineReason.VERSION
 
-    def certain_version(self, placed: SlotAssignment, service: str) -> str | None:
-        """Return the software version of the server that a request was placed on.
+    def certain_version(
+        self,
+        placed: SlotAssignment,
+        service: str,
+        sent_at: float,
+        *,
+        must_be_listed: bool = False,
+    ) -> str | None:
+        """Return the software version of the server that a request was sent to.
 
         None if this entry knows another start of the server, or another version, than
-        the coordinator that placed the request.
+        the coordinator that placed the request, or if the server may have started
+        again by `sent_at`. A start that this entry doubted, too, may prove the same.
+        With `must_be_listed`, it is None also if this entry knows no start.
         """
+        if not placed.is_start_certain and placed.run_id not in self._doubted_runs:
+            return None
+        server = self.availability.instance(placed)
+        if not self._starts.is_certain(server, now(), sent_at):
+            return None
         record = self._roster.server(placed.backend_server)
         if record is None:
-            return placed.version
+            return None if must_be_listed else placed.version
         if str(record.born_ms) != placed.start:
             return None
         version = record.announcement.version_of(service)
         return version if version == placed.version else None
 
+    def _record_doubt(self, placed: SlotAssignment) -> None:
+        """Record a run on a server whose start this entry doubts, too."""
+        server = self.availability.instance(placed)
+        if not self._starts.is_certain(server, now()):
+            self._doubted_runs.add(placed.run_id)
+
     def _running(self, backend_server: str) -> int:
         return sum(
             run.backend_server == backend_server for run in self._active_runs.values()
@@ -313,9 +347,25 @@
         self.availability.record(answer)
         self._limits.record(placed, answer, self.coordinator())
 
-    def release(self, placed: SlotAssignment, report: RunReport) -> None:
-        """Report a run's end to its keeper and to those that may count it by now."""
+    def record_progress(self, placed: SlotAssignment, sent_at: float) -> None:
+        """Record that the answer to a request that was sent at `sent_at` goes on."""
+        if not self._starts.is_empty:
+            server = self.availability.instance(placed)
+            self._start_exchange.record_progress(server, sent_at)
+
+    def release(
+        self, placed: SlotAssignment, report: RunReport, alive_at: float | None = None
+    ) -> None:
+        """Report a run's end to its keeper and to those that may count it by now.
+
+        The server was alive at `alive_at`, if the run was lost.
+        """
         self._active_runs.pop(placed.run_id, None)
+        self._doubted_runs.discard(placed.run_id)
+        if report.outcome in SERVER_LOST:
+            server = self.availability.instance(placed)
+            alive_at = now() if alive_at is None else alive_at
+            self._start_exchange.record_loss(server, alive_at)
         coordinators = {placed.keeper: placed.keeper_peers}
         for entry in (self._current, self._coordinator_for(placed.backend_server)):
             if entry is not None:
@@ -379,6 +429,8 @@
             coordinator = self.coordinator()
             self._set_shares(is_coordinator=coordinator.node == self._node)
             self._limits.forget_old()
+            if not self._roster.is_control_reachable:
+                self._starts.record_unlisted(now())
             if coordinator.node != self._node:
                 await self._ping(coordinator)
             else:
--- a/fuchsiacroft/placing/server_availability.py
+++ b/fuchsiacroft/placing/server_availability.py
@@ -20,6 +20,7 @@
     ServerInstance,
     ServerNotices,
 )
+from fuchsiacroft.membership.server_starts import ServerStarts
 from fuchsiacroft.placing.messages import SlotAssignment
 from fuchsiacroft.placing.neighbours import coordinator_of
 from fuchsiacroft.placing.server_load import DEFAULT_SLOTS
@@ -33,13 +34,21 @@
 class ServerAvailability:
     """The availability of backend servers to the requests of this VM.
 
-    `running` returns how many requests of this VM run on a server.
+    `running` returns how many requests of this VM run on a server, and `starts` are the
+    starts of servers that are not certain.
     """
 
-    def __init__(self, bus: Bus, roster: Roster, running: Callable[[str], int]) -> None:
+    def __init__(
+        self,
+        bus: Bus,
+        roster: Roster,
+        running: Callable[[str], int],
+        starts: ServerStarts,
+    ) -> None:
         self._bus = bus
         self._roster = roster
         self._running = running
+        self._starts = starts
         self._notices = ServerNotices()
         self._recorder = NoticeRecorder(self._notices)
         roster.on_servers_change(self._on_servers)
@@ -139,10 +148,19 @@
 
     def _on_servers(self, records: tuple[ServerRecord, ...]) -> None:
         if not self._notices.is_empty:
+            self._carry_pauses_over()
             self._notices.forget(
                 lambda server: self._listed_instance(server.name) == server
             )
 
+    def _carry_pauses_over(self) -> None:
+        """Keep the pauses that servers may have asked for after they started again."""
+        for server in self._notices.paused():
+            listed = self._listed_instance(server.name)
+            doubt = self._starts.doubt(server, now())
+            if doubt is not None and listed.start not in (server.start, UNKNOWN_START):
+                self._notices.carry_over(server, listed, doubt.since)
+
 
 def _slots(record: ServerRecord | None) -> int:
     return (record.announcement.slots if record is not None else 0) or DEFAULT_SLOTS
--- /dev/null
+++ b/fuchsiacroft/placing/start_exchange.py
@@ -0,0 +1,102 @@
+"""Tells the entries of a server's failure domain whether its start is certain.
+
+Each of them may be asked to place requests there, or become the coordinator.
+"""
+
+import msgspec
+
+from fuchsiacroft.membership.registry_wire import EntryRecord
+from fuchsiacroft.membership.roster import Roster
+from fuchsiacroft.membership.server_notices import ServerInstance
+from fuchsiacroft.membership.server_starts import ServerStarts
+from fuchsiacroft.transport import codec
+from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
+
+
+@codec.message("placing.start_doubted")
+class StartDoubted(msgspec.Struct, frozen=True):
+    """The start of a server is not certain, as a run there was lost.
+
+    The server was alive `alive_age_s` seconds ago, and the run lost `lost_age_s` ago.
+    """
+
+    backend_server: str
+    start: str
+    alive_age_s: float
+    lost_age_s: float
+
+
+@codec.message("placing.start_proven")
+class StartProven(msgspec.Struct, frozen=True):
+    """A run on a server went on `progress_age_s` seconds ago.
+
+    Its request was sent `sent_age_s` seconds ago.
+    """
+
+    backend_server: str
+    start: str
+    sent_age_s: float
+    progress_age_s: float
+
+
+class StartExchange:
+    """What this entry sees of the starts of servers, and passes on."""
+
+    def __init__(self, bus: Bus, roster: Roster, starts: ServerStarts) -> None:
+        self._bus = bus
+        self._roster = roster
+        self._starts = starts
+        bus.register_handler(StartDoubted, self._on_doubted)
+        bus.register_handler(StartProven, self._on_proven)
+
+    def record_loss(self, server: ServerInstance, alive_at: float) -> None:
+        """Record that a run of this entry was lost, or a connection refused."""
+        at = now()
+        if not self._starts.record_loss(server, alive_at, at):
+            return
+        _log("server_start_doubted", server)
+        self._tell(server, StartDoubted(server.name, server.start, at - alive_at, 0.0))
+
+    def record_progress(self, server: ServerInstance, sent_at: float) -> None:
+        """Record that a run of this entry goes on, of a request sent at `sent_at`."""
+        at = now()
+        if not self._starts.record_progress(server, sent_at, at):
+            return
+        _log("server_start_proven", server)
+        self._tell(server, StartProven(server.name, server.start, at - sent_at, 0.0))
+
+    def _tell(self, server: ServerInstance, msg: StartDoubted | StartProven) -> None:
+        for entry in self._entries_for(server.name):
+            if entry.node != self._roster.local_entry.node:
+                self._bus.send(entry.peers, msg)
+
+    def _entries_for(self, backend_server: str) -> tuple[EntryRecord, ...]:
+        """Return the entries of a server's domain, all if there are none."""
+        entries = self._roster.entries()
+        record = self._roster.server(backend_server)
+        if record is None:
+            return entries
+        domain = record.announcement.failure_domain
+        return tuple(e for e in entries if e.failure_domain == domain) or entries
+
+    async def _on_doubted(self, sender: str, msg: StartDoubted) -> None:
+        at = now()
+        self._starts.record_loss(
+            ServerInstance(msg.backend_server, msg.start),
+            at - msg.alive_age_s,
+            at - msg.lost_age_s,
+        )
+
+    async def _on_proven(self, sender: str, msg: StartProven) -> None:
+        at = now()
+        self._starts.record_progress(
+            ServerInstance(msg.backend_server, msg.start),
+            at - msg.sent_age_s,
+            at - msg.progress_age_s,
+        )
+
+
+def _log(name: str, server: ServerInstance) -> None:
+    event("info", name, backend_server=server.name, start=server.start)
--- a/fuchsiacroft/platform/entry_process.py
+++ b/fuchsiacroft/platform/entry_process.py
@@ -55,7 +55,7 @@
         quarantine.create(region_roster.peers),
         stream_origins.create(cfg),
         neighbours.create(cfg),
-        coordinator.create(cfg, wire.shared_limits),
+        coordinator.create(cfg, wire.shared_limits, wire.heartbeat_s),
         placer.create(cfg),
         upstream.create(),
         forwarder.create(adapter),
--- a/fuchsiacroft/routing/permit_queue.py
+++ b/fuchsiacroft/routing/permit_queue.py
@@ -10,14 +10,17 @@
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership import request_pacing
 from fuchsiacroft.membership.backend_servers import BackendDirectory, BackendServer
+from fuchsiacroft.membership.server_starts import ServerStarts
 from fuchsiacroft.quarantine.evidence import Treatment
 from fuchsiacroft.quarantine.service import Quarantine
 from fuchsiacroft.routing import health, isolation, policies
 from fuchsiacroft.routing.estimates import RunEstimates
-from fuchsiacroft.routing.owned_server import OwnedServer
+from fuchsiacroft.routing.owned_server import OwnedServer, Run
 from fuchsiacroft.routing.owners import Owners
 from fuchsiacroft.routing.permit_issuer import PermitIssuer
 from fuchsiacroft.routing.permits import (
+    ANSWERED,
+    SERVER_LOST,
     Permit,
     PermitRequest,
     Refusal,
@@ -69,6 +72,7 @@
         self._probe = probe
         self._probed: set[str] = set()
         self.pacing = request_pacing.create()
+        self._starts = ServerStarts()
         self.pacing.share_of = owners.share
         self.peer_server_counts: Callable[[str], tuple[int, int]] = lambda service: (
             0,
@@ -209,6 +213,10 @@
         if report.outcome is RunOutcome.COMPLETED and self._quarantine is not None:
             self._quarantine.record_answer(permit.request.content_ids)
         self._issuer.record_run(owned, run, report)
+        if report.outcome in SERVER_LOST:
+            self._starts.record_loss(owned.instance, now(), now())
+        elif report.outcome in ANSWERED:
+            self._record_progress(owned, run)
         if report.outcome is RunOutcome.CONNECTION_LOST:
             self._start_probe(owned)
         for service_queue in self._queues.of_server(owned):
@@ -220,10 +228,15 @@
         if owned is None:
             return
         owned.record_first_token(permit.permit_id)
+        self._record_progress(owned, owned.running.get(permit.permit_id))
         if owned.end_prefill(permit.permit_id):
             for service_queue in self._queues.of_server(owned):
                 self._grant_waiting(service_queue, owned)
 
+    def _record_progress(self, owned: OwnedServer, run: Run | None) -> None:
+        if run is not None:
+            self._starts.record_progress(owned.instance, run.started_at, now())
+
     def adopt(self, permit: Permit) -> bool:
         """Adopt a run that continues under a permit of an earlier owner."""
         owned = self._owned.get(permit.backend_server)
@@ -391,7 +404,7 @@
             if self._quarantine is not None and self._quarantine.is_tried(suspected):
                 continue
             owned = isolation.reserve_idle_server(waiter, service_queue)
-            if owned is None:
+            if owned is None or not self._may_go_on(waiter.request, owned):
                 continue
             owned.reserved_for = None
             if self._quarantine is not None:
@@ -442,10 +455,18 @@
         candidates = [
             owned
             for owned in candidates
-            if owned.name not in request.avoid and self._owners.is_ready(owned.name)
+            if owned.name not in request.avoid
+            and self._owners.is_ready(owned.name)
+            and self._may_go_on(request, owned)
         ]
         return self._policies.route.choose(request, candidates) if candidates else None
 
+    def _may_go_on(self, request: PermitRequest, owned: OwnedServer) -> bool:
+        """Return whether a stream may go on at a server of its version."""
+        if request.version is None:
+            return True
+        return self._starts.is_certain(owned.instance, now())
+
     def _return_unused_permit(self, waiter: Waiter) -> None:
         if not waiter.fut.done() or waiter.fut.cancelled():
             return
--- a/fuchsiacroft/routing/permits.py
+++ b/fuchsiacroft/routing/permits.py
@@ -103,6 +103,10 @@
 
 NOT_SENT = (RunOutcome.UNUSED, RunOutcome.NOT_DISPATCHED)
 """Outcomes of runs whose request did not reach the backend server."""
+ANSWERED = (RunOutcome.COMPLETED, RunOutcome.FAILED)
+"""Outcomes of runs whose answer came to its end."""
+SERVER_LOST = (RunOutcome.NOT_DISPATCHED, RunOutcome.CONNECTION_LOST)
+"""Outcomes after which the backend server may have ended."""
 
 
 class RunReport(msgspec.Struct, frozen=True):
--- a/fuchsiacroft/tests/fakes/versioned_streams.py
+++ b/fuchsiacroft/tests/fakes/versioned_streams.py
@@ -25,12 +25,15 @@
 class VersionedServer:
     """A replica that streams events with its service and version.
 
-    It breaks off new streams whose path is in `broken_paths`.
+    It breaks off new streams whose path is in `broken_paths`. `born` tells its starts
+    apart.
     """
 
     def __init__(self, replica: Replica, service: str) -> None:
         self.replica = replica
         self.service = service
+        self.born = 1_000
+        self.event_period_s = EVENT_PERIOD_S
         self.broken_paths: set[str] = set()
         replica.handler = self.serve
 
@@ -46,7 +49,7 @@
                 return
             mark = f"{self.service}/{self.replica.version}"
             writer.write(chunk(f"id: {number}\ndata: {mark}\n\n".encode()))
-            await asyncio.sleep(EVENT_PERIOD_S)
+            await asyncio.sleep(self.event_period_s)
         writer.write(LAST_CHUNK)
 
 
--- a/fuchsiacroft/tests/placing/continued_streams_tests.py
+++ b/fuchsiacroft/tests/placing/continued_streams_tests.py
@@ -5,16 +5,23 @@
 from fuchsiacroft.placing.limits import SharedLimits
 from fuchsiacroft.placing.messages import PlaceRequest
 from fuchsiacroft.placing.queue import Waiter
-from fuchsiacroft.routing.permits import Refusal, RefusalReason, RunOutcome, RunReport
+from fuchsiacroft.routing.permits import (
+    SERVER_LOST,
+    Refusal,
+    RefusalReason,
+    RunOutcome,
+    RunReport,
+)
 from fuchsiacroft.tests.base import TestCase
 from fuchsiacroft.tests.membership.server_table_tests import record
 from fuchsiacroft.tests.placing.allocator_tests import DONE, request
 
 SLOTS = 11
 LOST = RunReport(RunOutcome.CONNECTION_LOST)
+UNREACHABLE = RunReport(RunOutcome.NOT_DISPATCHED)
 
 
-class ContinuedStreamsTests(TestCase):
+class ContinuedStreamsTestCase(TestCase):
     """Two servers of v1 and two of v2, with 11 slots each."""
 
     def setUp(self):
@@ -53,6 +60,10 @@
         assignments.remove(ended)
         self.allocator.end(ended.run_id, DONE, 0.1)
 
+
+class ContinuedStreamsTests(ContinuedStreamsTestCase):
+    """Streams go on at servers of their version only."""
+
     def test_a_stream_is_placed_on_another_version(self):
         for _ in range(2 * SLOTS):
             decision = self.allocator.place(self.continuing("v2"), 0.0)
@@ -146,3 +157,55 @@
         self.allocator.place(self.continuing("v2"), 0.0)
         [capacity] = self.allocator.capacities(0.0)
         self.assertEqual({"v1": 22, "v2": 21}, capacity.free_by_version)
+
+
+class UncertainStartsTests(ContinuedStreamsTestCase):
+    """Servers lose runs, and may have started again at another version."""
+
+    def lose_a_run(self, backend_server: str, report: RunReport, at: float) -> None:
+        load = self.allocator.fleet._servers[backend_server]
+        run = self.allocator.fleet.begin(request(rank=18), load, at, at)
+        self.allocator.end(run.run_id, report, at)
+
+    def lose_a_run_of_each(self, report: RunReport, at: float) -> None:
+        for name, version in self.versions.items():
+            if version == "v1":
+                self.lose_a_run(name, report, at)
+
+    def test_a_stream_is_placed_on_a_server_that_lost_a_run(self):
+        for report in (LOST, UNREACHABLE):
+            self.setUp()
+            self.lose_a_run("i-1", report, 0.0)
+            for _ in range(SLOTS):
+                decision = self.allocator.place(self.continuing("v1"), 5.0)
+                self.assertEqual("i-2", decision.backend_server)
+            waiter = self.allocator.place(self.continuing("v1"), 5.0)
+            self.assertIsInstance(waiter, Waiter)
+
+    def test_a_stream_is_refused_while_its_server_may_prove_sound(self):
+        self.lose_a_run_of_each(LOST, 0.0)
+        waiter = self.allocator.place(self.continuing("v1"), 5.0)
+        self.assertIsInstance(waiter, Waiter)
+        self.assertEqual([], self.allocator.place_waiters(5.1))
+        instance = self.allocator.fleet._servers["i-2"].instance
+        self.assertTrue(self.allocator.fleet.starts.record_progress(instance, -1.0, 5))
+        [(placed, assignment)] = self.allocator.place_waiters(5.2)
+        self.assertIs(waiter, placed)
+        self.assertEqual("i-2", assignment.backend_server)
+
+    def test_other_domains_send_streams_to_servers_that_lost_runs(self):
+        self.lose_a_run_of_each(LOST, 0.0)
+        [capacity] = self.allocator.capacities(5.0)
+        self.assertEqual({"v2": 22}, capacity.free_by_version)
+
+    def test_new_requests_avoid_servers_that_lost_runs(self):
+        self.lose_a_run_of_each(LOST, 0.0)
+        placed = [self.allocator.place(request(), 5.0) for _ in range(4 * SLOTS)]
+        starts = {run.backend_server: run.is_start_certain for run in placed}
+        self.assertEqual({"i-1": False, "i-2": False, "i-3": True, "i-4": True}, starts)
+
+    def test_a_run_that_ends_otherwise_makes_its_start_uncertain(self):
+        for outcome in RunOutcome:
+            if outcome not in SERVER_LOST:
+                self.lose_a_run("i-1", RunReport(outcome), 0.0)
+        self.assertTrue(self.allocator.fleet.starts.is_empty)
--- a/fuchsiacroft/tests/platform/stream_versions_tests.py
+++ b/fuchsiacroft/tests/platform/stream_versions_tests.py
@@ -5,13 +5,19 @@
 from fuchsiacroft.tests.base import SocketTestCase
 from fuchsiacroft.tests.fakes import versioned_streams
 from fuchsiacroft.tests.fakes.platform_region import PlatformRegion, config
-from fuchsiacroft.tests.fakes.versioned_streams import Stream, VersionedServer
+from fuchsiacroft.tests.fakes.versioned_streams import (
+    EVENTS,
+    READ_BEFORE_BREAK,
+    Stream,
+    VersionedServer,
+)
 
 STREAMS = 24
 STREAM_PERIOD_S = 0.1
 HEARTBEAT_PERIOD_S = 0.5
 ENTRIES = 4
 BROKEN_EVERY = 3
+LONG_EVENT_PERIOD_S = 0.1
 MIN_SHARE = 0.5
 """Streams that are taken up go on at least half as often as new ones begin."""
 
@@ -34,7 +40,9 @@
     async def send_heartbeats(self):
         while True:
             for server in self.servers:
-                await self.region.send_heartbeat(server.replica, server.service)
+                await self.region.send_heartbeat(
+                    server.replica, server.service, born=server.born
+                )
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
     async def add_servers(self, version: str, count: int = 2, service: str = "lens"):
@@ -179,3 +187,89 @@
             return stream
 
         self.assert_go_on(await self.play(one_stream))
+
+
+class RestartedServerTests(StreamVersionsTestCase):
+    """The one server of v1 crashes, and is back at v2 before its heartbeat is."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.add_servers("v1", 1)
+        await self.add_servers("v2", 3)
+        for server in self.servers:
+            server.event_period_s = LONG_EVENT_PERIOD_S
+        self.restarted = self.servers[0]
+
+    async def crash(self):
+        """End the server of v1; its heartbeats end, too."""
+        self.servers.remove(self.restarted)
+        await self.restarted.replica.stop()
+
+    async def restart(self):
+        """Start it again at v2; the heartbeats of this start are late."""
+        self.restarted.replica.version = "v2"
+        self.restarted.born += 5_000
+        await self.restarted.replica.start()
+
+    async def begin_streams(self, most: int = EVENTS, count: int = 8) -> list[Stream]:
+        """Read streams at all entries, each to its end, its break or `most` events."""
+        return await asyncio.gather(
+            *(
+                versioned_streams.begin(self.region, n % ENTRIES, most)
+                for n in range(count)
+            )
+        )
+
+    async def take_up_all(self, streams: list[Stream], entries: tuple[int, ...]):
+        """Take up the streams that have an end missing."""
+        rest = [s for s in streams if s.has_begun and not s.is_whole]
+        await asyncio.gather(
+            *(
+                versioned_streams.take_up(
+                    self.region, stream, entries[number % len(entries)]
+                )
+                for number, stream in enumerate(rest)
+            )
+        )
+        return rest
+
+    async def crash_while_it_streams(self) -> list[Stream]:
+        reading = asyncio.ensure_future(self.begin_streams())
+        await asyncio.sleep(4.5 * LONG_EVENT_PERIOD_S)
+        await self.crash()
+        await asyncio.sleep(0.3)
+        await self.restart()
+        return await reading
+
+    async def test_a_stream_goes_on_at_a_restarted_server_that_lost_its_run(self):
+        streams = await self.crash_while_it_streams()
+        rest = await self.take_up_all(streams, (0, 1, 2, 3))
+        self.assertNotEqual([], rest)
+        self.assertEqual([], versioned_streams.mixed(streams))
+
+    async def test_a_stream_goes_on_at_a_restarted_server_at_the_next_coordinator(self):
+        streams = await self.crash_while_it_streams()
+        await self.region.kernels.pop(self.region.entries[0]).stop()
+        rest = await self.take_up_all(streams, (1, 2, 3))
+        self.assertNotEqual([], rest)
+        self.assertEqual([], versioned_streams.mixed(streams))
+
+    async def test_a_stream_goes_on_at_a_restarted_server_that_refused_connections(
+        self,
+    ):
+        streams = await self.begin_streams(READ_BEFORE_BREAK)
+        await self.crash()
+        await self.begin_streams(1)
+        await self.restart()
+        rest = await self.take_up_all(streams, (0, 1, 2, 3))
+        self.assertNotEqual([], rest)
+        self.assertEqual([], versioned_streams.mixed(streams))
+
+    async def test_a_stream_that_begins_at_a_restarted_server_goes_on_by_its_past(self):
+        await self.crash_while_it_streams()
+        streams = await self.begin_streams(READ_BEFORE_BREAK, 16)
+        self.servers.append(self.restarted)
+        await asyncio.sleep(2 * HEARTBEAT_PERIOD_S)
+        await self.add_servers("v1", 1)
+        await self.take_up_all(streams, (0, 1, 2, 3))
+        self.assertEqual([], versioned_streams.mixed(streams))
--- a/fuchsiacroft/tests/routing/continued_streams_tests.py
+++ b/fuchsiacroft/tests/routing/continued_streams_tests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from fuchsiacroft.routing.permits import RunOutcome, RunReport
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.routing_domain import (
     COMPLETED,
@@ -101,3 +102,22 @@
             self.assertTrue(outcome.is_error())
 
         self.play(scenario)
+
+    def test_a_stream_is_given_a_permit_of_a_server_that_lost_a_run(self):
+        async def scenario(domain):
+            lost = await self.lose_a_run("v2")
+            outcomes = [
+                await self.acquire(number, "v2", timeout_s=0.5) for number in range(12)
+            ]
+            servers = {o.ok.backend_server for o in outcomes if o.is_ok()}
+            self.assertEqual({"s-1", "s-3"} - {lost}, servers)
+
+        self.play(scenario)
+
+    async def lose_a_run(self, version: str) -> str:
+        """Lose a run of a version; return its server."""
+        permit = (await self.acquire(100, version, timeout_s=WAIT_S)).ok
+        entry = self.entries[100 % len(self.entries)]
+        entry.scheduler.release(permit, RunReport(RunOutcome.CONNECTION_LOST))
+        await asyncio.sleep(0.1)
+        return permit.backend_server
