Record the crash of a server whose only run was lost

Cause: a run that is lost alone is no crash by itself, nothing else is sent to the server while it is down, and when its next start or its end is known, the lost run has been forgotten (LOST_RETENTION_S, 4 s).

Change: lost runs are kept for as long as the server's start is uncertain. A crash that is recognized late is recorded as of the time when its runs were lost, so that answers since then clear their content. A run after which the server proved the same start isn't blamed.

--- a/fuchsiacroft/placing/crash_detector.py
+++ b/fuchsiacroft/placing/crash_detector.py
@@ -4,6 +4,7 @@
 others are blamed when their server crashes.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass
 
@@ -13,6 +14,9 @@
 
 LOST_RETENTION_S = 4.0
 """Runs may be lost this long before their server's crash is recognized."""
+DOUBTED_RETENTION_S = 60.0
+"""The same for a server whose start has been uncertain since. It is longer than a
+server that has ended, or its next start, takes to be known."""
 ALL_LOST_S = 0.2
 """A crashed server's runs are lost within this time of each other."""
 MIN_ALL_LOST = 2
@@ -43,9 +47,17 @@
             self._begun.append(run)
 
     def record_end(
-        self, load: ServerLoad, run: Run, report: RunReport, at: float
+        self,
+        load: ServerLoad,
+        run: Run,
+        report: RunReport,
+        at: float,
+        doubted_since: float = math.inf,
     ) -> None:
-        """Record the end of a run, which `load` no longer holds."""
+        """Record the end of a run, which `load` no longer holds.
+
+        The server's start is not certain since `doubted_since`.
+        """
         match report.outcome:
             case RunOutcome.COMPLETED:
                 self.evidence.record_answer(run.permit_request.content_ids, at)
@@ -58,11 +70,13 @@
                     for other in load.runs.values()
                     if other.started_at < run.started_at
                 ]
-                self._record_crash(load.instance_id, earlier, at)
+                self._record_crash(load.instance_id, earlier, at, doubted_since)
 
-    def record_removed(self, load: ServerLoad, at: float) -> None:
-        """Record that a server has ended without a notice."""
-        self._record_crash(load.instance_id, (), at)
+    def record_removed(
+        self, load: ServerLoad, at: float, doubted_since: float = math.inf
+    ) -> None:
+        """Record that a server, uncertain for some time, has ended without a notice."""
+        self._record_crash(load.instance_id, (), at, doubted_since)
 
     def forget(self, load: ServerLoad) -> None:
         """Drop what is known of the runs of a server that is no longer used."""
@@ -81,7 +95,7 @@
         is_suspect = not _has_survived(report)
         lost = self._lost.setdefault(load.instance_id, [])
         lost.append(LostRun(run, at, is_suspect))
-        lost[:] = [item for item in lost if item.at >= at - LOST_RETENTION_S]
+        lost[:] = [item for item in lost if item.at >= at - DOUBTED_RETENTION_S]
         if is_suspect:
             self.evidence.record_lost_run(run.permit_request.content_ids, at)
         recent = sum(item.at >= at - ALL_LOST_S for item in lost)
@@ -90,15 +104,22 @@
             self._record_crash(load.instance_id, (), at)
 
     def _record_crash(
-        self, instance_id: str, running: list[Run] | tuple[Run, ...], at: float
+        self,
+        instance_id: str,
+        running: list[Run] | tuple[Run, ...],
+        at: float,
+        doubted_since: float = math.inf,
     ) -> None:
-        lost = self._lost.pop(instance_id, [])
-        suspects = [
-            item.run
-            for item in lost
-            if item.is_suspect and item.at >= at - LOST_RETENTION_S
+        oldest = min(at - LOST_RETENTION_S, doubted_since)
+        lost = [
+            item
+            for item in self._lost.pop(instance_id, [])
+            if item.is_suspect and item.at >= oldest
         ]
-        suspects += [run for run in running if _may_have_crashed(run, at)]
+        running = [run for run in running if _may_have_crashed(run, at)]
+        suspects = [item.run for item in lost] + running
+        if lost and not running:
+            at = max(item.at for item in lost)
         content_ids = {
             content_id
             for run in suspects
--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -3,6 +3,7 @@
 Like the allocator, it takes the time as an argument, does no I/O and starts no tasks.
 """
 
+import math
 import statistics
 from collections import Counter
 from collections.abc import Container, Iterable, Sequence
@@ -109,7 +110,7 @@
         found = {record.name: record for record in records}
         for name in self._servers.keys() - found.keys():
             if name not in leaving:
-                self.crash_detector.record_removed(self._servers[name], at)
+                self._record_ended(self._servers[name], at)
             self._remove_server(name, at)
         for name, record in found.items():
             known = self._servers.get(name)
@@ -118,7 +119,7 @@
                 continue
             load = ServerLoad(record, self._speeds_of(record))
             if known is not None:
-                self.crash_detector.record_removed(known, at)
+                self._record_ended(known, at)
                 self._remove_server(name, at)
                 self._carry_limit_over(known, load, at)
             load.is_unproven = record.announcement.failure_domain in adopted
@@ -386,7 +387,8 @@
         load.record_result(run, report, at)
         if report.outcome in SERVER_LOST:
             self.starts.record_loss(load.instance, at, at)
-        self.crash_detector.record_end(load, run, report, at)
+        doubted_since = self._doubted_since(load, at)
+        self.crash_detector.record_end(load, run, report, at, doubted_since)
         if report.outcome is RunOutcome.COMPLETED:
             self._update_mean(run.permit_request, at - run.started_at)
 
@@ -485,6 +487,15 @@
             self._runs.pop(run.run_id, None)
             self._record_end(run, at)
 
+    def _record_ended(self, load: ServerLoad, at: float) -> None:
+        """Record that a server has ended without a notice."""
+        doubted_since = self._doubted_since(load, at)
+        self.crash_detector.record_removed(load, at, doubted_since)
+
+    def _doubted_since(self, load: ServerLoad, at: float) -> float:
+        doubt = self.starts.doubt(load.instance, at)
+        return math.inf if doubt is None else doubt.since
+
     def _carry_limit_over(self, known: ServerLoad, load: ServerLoad, at: float) -> None:
         """Keep a limit that the server may have named after it started again."""
         doubt = self.starts.doubt(known.instance, at)
--- a/fuchsiacroft/tests/placing/crash_detector_tests.py
+++ b/fuchsiacroft/tests/placing/crash_detector_tests.py
@@ -250,3 +250,79 @@
         for second in range(2, int(CONVICTION_S)):
             refusal = self.place("bad", at=float(second))
             self.assertIs(RefusalReason.QUARANTINED, refusal.reason)
+
+
+class LittleTrafficTests(CrashDetectorTestCase):
+    """New requests with a deadly part come one after the other, and nothing else."""
+
+    servers = 5
+
+    def crashes(self, *, back_after_s: float, period_s: float, requests: int) -> int:
+        """Send requests, each of which crashes its server; return how many do.
+
+        The next start of a server is known `back_after_s` later.
+        """
+        crashes = 0
+        starts: list[tuple[float, str]] = []
+        for number in range(requests):
+            at = 1.0 + period_s * number
+            while starts and starts[0][0] <= at:
+                self.restart(starts[0][1], starts[0][0])
+                starts.pop(0)
+            placed = self.place("deadly", at=at, wait_s=0.0)
+            if isinstance(placed, Refusal):
+                continue
+            self.assertIsInstance(placed, Assignment)
+            crashes += 1
+            outcome = LOST
+            if placed.backend_server in {name for _, name in starts}:
+                outcome = UNREACHABLE
+                crashes -= 1
+            else:
+                starts.append((at + back_after_s, placed.backend_server))
+            self.allocator.end(placed.run_id, outcome, at + 0.05)
+        return crashes
+
+    def restart(self, name: str, at: float) -> None:
+        self.records = [
+            record(
+                known.name,
+                born_ms=known.born_ms + int(1000 * at) * (known.name == name),
+                address=known.announcement.address,
+            )
+            for known in self.records
+        ]
+        self.allocator.fleet.replace_servers(self.records, at)
+
+    def test_a_crash_by_a_run_that_is_lost_alone_is_never_recorded(self):
+        crashes = self.crashes(back_after_s=5.2, period_s=2.7, requests=22)
+        self.assertLessEqual(crashes, 5)
+
+    def test_a_crash_is_never_recorded_if_its_server_is_back_late(self):
+        crashes = self.crashes(back_after_s=12.0, period_s=5.0, requests=12)
+        self.assertLessEqual(crashes, 5)
+
+    def test_a_crash_is_known_only_when_its_server_is_gone_for_seconds(self):
+        run = self.place_on("i-0", "lost", at=1.0)
+        self.allocator.end(run.run_id, LOST, 1.1)
+        self.allocator.fleet.replace_servers(self.records[1:], 8.5)
+        self.assertIn("part:lost@lens", self.evidence.dump(8.5))
+
+    def test_a_part_that_was_answered_since_is_blamed_for_a_late_crash(self):
+        run = self.place_on("i-0", "lost", "shared", at=1.0)
+        self.allocator.end(run.run_id, LOST, 1.1)
+        other = self.place_on("i-1", "shared", at=1.5)
+        self.allocator.end(other.run_id, DONE, 2.0)
+        self.allocator.fleet.replace_servers(self.records[1:], 8.5)
+        self.assertIn("part:lost@lens", self.evidence.dump(8.5))
+        self.assertNotIn("part:shared@lens", self.evidence.dump(8.5))
+
+    def test_a_run_whose_server_went_on_is_blamed_for_a_later_crash(self):
+        run = self.place_on("i-0", "lost", at=1.0)
+        self.allocator.end(run.run_id, LOST, 1.1)
+        fleet = self.allocator.fleet
+        self.assertTrue(
+            fleet.starts.record_progress(fleet._servers["i-0"].instance, 0.0, 2.0)
+        )
+        fleet.replace_servers(self.records[1:], 8.5)
+        self.assertEqual({}, self.evidence.dump(8.5))
--- a/fuchsiacroft/tests/platform/deadly_part_tests.py
+++ b/fuchsiacroft/tests/platform/deadly_part_tests.py
@@ -22,19 +22,28 @@
 DEADLY_PERIOD_S = 0.3
 DEADLY_REQUESTS = 24
 SOUND_PERIOD_S = 0.05
+RARE_REQUESTS = 8
+RARE_PERIOD_S = 2.7
 
 
 class FragileService:
     """Replicas that crash when they begin an answer on the deadly part."""
 
-    def __init__(self, region: PlatformRegion) -> None:
+    def __init__(
+        self,
+        region: PlatformRegion,
+        replicas: int = REPLICAS,
+        restart_s: float = RESTART_S,
+    ) -> None:
         self.region = region
+        self._replicas = replicas
+        self._restart_s = restart_s
         self.crashes = 0
         self._live: set[Replica] = set()
         self._tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
-        for _ in range(REPLICAS):
+        for _ in range(self._replicas):
             replica = await self.region.add_replica("lens")
             replica.handler = self.handler(replica)
             self._live.add(replica)
@@ -67,7 +76,7 @@
 
     async def restart(self, crashed: Replica) -> None:
         """Start a new incarnation at the same address."""
-        await asyncio.sleep(RESTART_S)
+        await asyncio.sleep(self._restart_s)
         replica = Replica(f"{crashed.replica_id}x", crashed.address)
         replica.handler = self.handler(replica)
         await replica.start()
@@ -80,29 +89,36 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
-class DeadlyPartTests(SocketTestCase):
+class DeadlyPartTestCase(SocketTestCase):
     """Two entries in each of two failure domains, and one fragile service."""
 
+    replicas = REPLICAS
+    restart_s = RESTART_S
+
     async def asyncSetUp(self):
         self.region = PlatformRegion(4, zones=("mvd-cordon", "mvd-pocitos"))
         await self.region.start()
         self.addAsyncCleanup(self.region.stop)
-        self.service = FragileService(self.region)
+        self.service = FragileService(self.region, self.replicas, self.restart_s)
         await self.service.start()
         self.addAsyncCleanup(self.service.stop)
         self.numbers = itertools.count(1)
 
-    async def send(self, middle: str, entry: int):
+    async def send(self, middle: str, entry: int, path: str = "/report/1"):
         """Send a request whose first part all requests share, and whose last none."""
         parts = f"c0ffee:60,{middle}:400,{next(self.numbers):x}:100"
         return await self.region.send_request(
-            "/report/1",
+            path,
             "Fuchsiacroft-Token-Count: 560,30",
             f"Fuchsiacroft-Prefix-Hash: {parts}",
             "Fuchsiacroft-Deadline-Ms: 4000",
             entry=entry % 4,
         )
 
+
+class DeadlyPartTests(DeadlyPartTestCase):
+    """Deadly requests among sound ones."""
+
     async def send_sound(self, responses: list) -> None:
         for number in itertools.count():
             response = await self.send(f"5000{number % 7}", number)
@@ -124,3 +140,18 @@
             self.assertIn(b'"quarantined"', response.body)
         late = sound[len(sound) // 2 :]
         self.assertEqual([200] * len(late), late)
+
+
+class LittleTrafficTests(DeadlyPartTestCase):
+    """Deadly requests, one after the other, and no others."""
+
+    replicas = 5
+    restart_s = 5.0
+
+    async def test_requests_that_are_lost_alone_reach_replicas_without_end(self):
+        responses = []
+        for number in range(RARE_REQUESTS):
+            responses.append(await self.send(DEADLY, number, "/advice/1"))
+            await asyncio.sleep(RARE_PERIOD_S)
+        self.assertLessEqual(self.service.crashes, MAX_CRASHES)
+        self.assertIn(b'"quarantined"', responses[-1].body)
--- a/fuchsiacroft/tests/routing/quarantine_tests.py
+++ b/fuchsiacroft/tests/routing/quarantine_tests.py
@@ -94,6 +94,19 @@
 
         self.play(scenario)
 
+    def test_a_crash_by_a_run_that_is_lost_alone_is_never_recorded(self):
+        async def scenario(domain, one, two):
+            await domain.announce("s", boot="1")
+            permit = (await one.scheduler.acquire(permit_request("bad"))).ok
+            one.scheduler.release(permit, LOST)
+            await asyncio.sleep(5.0)
+            await domain.announce("s", boot="2")
+            await asyncio.sleep(0.1)
+            for entry in (one, two):
+                self.assertIn("bad@lens", entry.quarantine.dump())
+
+        self.play(scenario)
+
     def test_a_concurrent_request_that_completes_is_cleared(self):
         async def scenario(domain, one, two):
             await self.crash(domain, one, 1, "bad", "neighbour")
