Don't convict an answered part that all requests share by three crashes

Cause: a part that all requests share is in every crash. Three crashes convicted it though it had been answered before, for 60 s doubled by each crash, and a refused part can't be answered.

Change: content that was answered before needs four crashes, and its conviction lasts for 4 s; then one request is tried in isolation, whose answer clears it. Each further crash makes the conviction four times as long, so that a part which has become deadly still reaches few servers (at most 8 in 300 s in a test). Content without an answer is convicted as before: nothing tells a new part that all requests share from a deadly one.

--- a/fuchsiacroft/quarantine/evidence.py
+++ b/fuchsiacroft/quarantine/evidence.py
@@ -26,7 +26,7 @@
 from fuchsiacroft.utils.bounded import set_newest
 
 CRASHES_TO_CONVICT = 2
-ANSWERED_CRASHES_TO_CONVICT = 3
+ANSWERED_CRASHES_TO_CONVICT = 4
 """For content that had answers before; several servers may fail beside it."""
 UNRELATED_CRASHES_EXTRA = 1
 """More crashes are needed while servers also crash without the content."""
@@ -34,6 +34,10 @@
 """Crashes within this time may have a cause of their own, like a lost rack."""
 CONVICTION_S = 60.0
 """Conviction after one incident; each further one doubles it."""
+ANSWERED_CONVICTION_S = 4.0
+"""The same for content that was answered before. It may be in all requests, so that
+nothing but a trial can answer it; each further incident multiplies it."""
+ANSWERED_CONVICTION_GROWTH = 4.0
 MAX_CONVICTION_S = 3600.0
 RETENTION_S = 3600.0
 ANSWER_RETENTION_S = 600.0
@@ -367,7 +371,12 @@
         counted = incidents if was_answered else len(crashes)
         if counted < self._crashes_to_convict(content_id, crashes):
             return frozenset()
-        lasts_s = self._conviction_factor * _conviction_s(incidents)
+        conviction_s = (
+            _answered_conviction_s(incidents)
+            if was_answered
+            else _conviction_s(incidents)
+        )
+        lasts_s = self._conviction_factor * conviction_s
         if at - crashes[-1].at > lasts_s:
             return frozenset()
         return self._common_content(crashes)
@@ -419,6 +428,12 @@
     return min(CONVICTION_S * 2 ** (incidents - 1), MAX_CONVICTION_S)
 
 
+def _answered_conviction_s(incidents: int) -> float:
+    further = max(incidents - ANSWERED_CRASHES_TO_CONVICT, 0)
+    seconds = ANSWERED_CONVICTION_S * ANSWERED_CONVICTION_GROWTH**further
+    return min(seconds, MAX_CONVICTION_S)
+
+
 def _reported(crash: Crash, at: float) -> ReportedCrash:
     content_ids = tuple(sorted(crash.content_ids))
     return ReportedCrash(crash.instance_id, round(at - crash.at, 3), content_ids)
--- a/fuchsiacroft/tests/quarantine/evidence_tests.py
+++ b/fuchsiacroft/tests/quarantine/evidence_tests.py
@@ -7,6 +7,7 @@
 
 from fuchsiacroft.quarantine import evidence
 from fuchsiacroft.quarantine.evidence import (
+    ANSWERED_CONVICTION_S,
     CONVICTION_S,
     INCIDENT_S,
     LOST_RUN_ISOLATION_S,
@@ -77,6 +78,33 @@
             treatment = self.treatment(content, "new", at=2.0)
             self.assertIsNot(Treatment.REFUSED, treatment)
 
+    def test_servers_that_fail_in_turn_convict_a_part_that_all_requests_share(self):
+        self.evidence.record_answer(("common",), 0.5)
+        for number in range(3):
+            self.crash("common", f"frequent-{number}", at=1.0 + 6.0 * number)
+            treatment = self.treatment("common", "new", at=2.0 + 6.0 * number)
+            self.assertIsNot(Treatment.REFUSED, treatment)
+        self.evidence.record_answer(("common",), 15.0)
+        self.assertIs(Treatment.UNRESTRICTED, self.treatment("common", at=15.1))
+
+    def test_a_part_that_was_answered_before_is_refused_for_a_minute(self):
+        self.evidence.record_answer(("common",), 0.5)
+        for number in range(4):
+            self.crash("common", at=1.0 + 6.0 * number)
+        self.assertIs(Treatment.REFUSED, self.treatment("common", "new", at=19.1))
+        at = 19.0 + ANSWERED_CONVICTION_S
+        self.assertIs(Treatment.ISOLATED, self.treatment("common", "new", at=at + 0.1))
+
+    def test_an_answered_part_that_turned_deadly_reaches_servers_without_end(self):
+        self.evidence.record_answer(("common",), 0.5)
+        crashed_at = []
+        for at in range(1, 300):
+            treatment = self.treatment("common", "new", at=at)
+            if treatment is not Treatment.REFUSED:
+                self.crash("common", at=at)
+                crashed_at.append(at)
+        self.assertLessEqual(len(crashed_at), 5 + 3)
+
     def test_a_request_lost_twice_while_other_servers_fail_is_not_refused(self):
         self.crash("unlucky", at=1.0)
         self.crash("else", at=1.2)
