Count no crash against an answered part that another part explains

Cause: a conviction needs what all crashes of a content have in common. With two deadly parts that crash servers in turn, that is only what is beside both, like the part that all requests share, so it was convicted though it had been answered before.

Change: crashes that hold content of two or more crashes without an answer don't count against content that was answered before. It runs in isolation until the next answer clears it.

--- a/fuchsiacroft/quarantine/evidence.py
+++ b/fuchsiacroft/quarantine/evidence.py
@@ -363,10 +363,14 @@
         It is empty if content is not convicted.
         """
         crashes = self._active_crashes(content_id, at)
+        if not crashes:
+            return frozenset()
+        was_answered = self._was_answered_before(content_id, crashes[0].at)
+        if was_answered:
+            crashes = [crash for crash in crashes if not self._is_explained(crash, at)]
         if len(crashes) < CRASHES_TO_CONVICT:
             return frozenset()
         incidents = _incidents(crashes)
-        was_answered = self._was_answered_before(content_id, crashes[0].at)
         # Answered content is in many runs, so in most that end in one incident.
         counted = incidents if was_answered else len(crashes)
         if counted < self._crashes_to_convict(content_id, crashes):
@@ -381,6 +385,14 @@
             return frozenset()
         return self._common_content(crashes)
 
+    def _is_explained(self, crash: Crash, at: float) -> bool:
+        """Return whether a crash holds content of several crashes and no answer."""
+        return any(
+            len(self._active_crashes(item, at)) >= CRASHES_TO_CONVICT
+            and not self._was_answered_before(item, crash.at)
+            for item in crash.content_ids & self._repeated
+        )
+
     def _common_content(self, crashes: list[Crash]) -> frozenset[str]:
         """Return what all crashes have in common and no answer has cleared.
 
--- a/fuchsiacroft/tests/quarantine/evidence_tests.py
+++ b/fuchsiacroft/tests/quarantine/evidence_tests.py
@@ -87,6 +87,17 @@
         self.evidence.record_answer(("common",), 15.0)
         self.assertIs(Treatment.UNRESTRICTED, self.treatment("common", at=15.1))
 
+    def test_two_deadly_parts_convict_an_answered_part_beside_them(self):
+        self.evidence.record_answer(("common", "sound"), 0.5)
+        for number in range(8):
+            deadly = f"deadly-{number % 2}"
+            self.crash("common", "sound", deadly, at=1.0 + 1.5 * number)
+        for number in range(2):
+            treatment = self.treatment("common", f"deadly-{number}", "new", at=12.0)
+            self.assertIs(Treatment.REFUSED, treatment)
+        treatment = self.treatment("common", "sound", "new", at=12.0)
+        self.assertIs(Treatment.ISOLATED, treatment)
+
     def test_a_part_that_was_answered_before_is_refused_for_a_minute(self):
         self.evidence.record_answer(("common",), 0.5)
         for number in range(4):
