Answer requests that still arrive while an entry drains

Causes, all of one class: what an entry reads while it drains must be answered. - CallerServer.close_idle closed busy connections too. aiohttp's protocol drops every byte after close(), so a body never came to its end, and requests read behind the one in progress were dropped with its connection. - A connection with a part of a head counted as idle. - A response of a draining entry that came before the end of the body was followed by a close with unread bytes, which resets the connection. Where the drain ended early, stop() cut such uploads though most of the grace period was left. - A request that was still read, queued or run at the end of the drain was reset.

Now close_idle closes idle connections only, and both frontends call it until the end. A response closes its connection only if nothing more is to be read from it; unread bodies are read and dropped until the caller or the drain ends. Bodies have a common BodyReads, which knows when the process stops: a body of known length whose mean rate over a second or more is too low is refused at once, any other one 0.2 s before the end. The gateway also refuses a body that arrives when the load balancer has noticed the stop and whose request may outlast it, like new requests. Requests without a response 0.2 s before the end get 503 if they did not run, otherwise 504 (product's interface: 503 with `ran: maybe`); a response that has begun is broken off as before. The gateway's reading of a body now ends at the request's deadline (503, not run) and not only after 30 s.

Ruled out: a second SIGTERM and a SIGHUP do not shorten a drain; a test keeps it so.

--- a/fuchsiacroft/entry/caller_api.py
+++ b/fuchsiacroft/entry/caller_api.py
@@ -14,8 +14,8 @@
 from fuchsiacroft.entry.caller_server import CallerServer
 from fuchsiacroft.entry.dispatch import Dispatcher
 from fuchsiacroft.entry.exchange import Exchange, new_request_id
-from fuchsiacroft.entry.problems import ExecutionState, Problem
-from fuchsiacroft.entry.request_body import BodyBuffer
+from fuchsiacroft.entry.problems import ExecutionState, Problem, draining_problem
+from fuchsiacroft.entry.request_body import BodyBuffer, BodyReads
 from fuchsiacroft.entry.response_metrics import ResponseMetrics
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.utils.clock import now
@@ -26,6 +26,8 @@
 PLAIN_PREFIX = "/services/"
 READINESS_PROPAGATION_S = 1.0
 DRAIN_POLL_S = 0.05
+ANSWER_MARGIN_S = 0.2
+"""Before the stop, requests that no server has answered are answered."""
 DRAIN_RETRY_AFTER_S = 1.0
 LIMITS = CallerLimits(
     max_header_bytes=8_190, header_timeout_s=75.0, idle_timeout_s=75.0
@@ -44,7 +46,8 @@
         self._settings = settings
         self._tls = tls
         self._metrics = ResponseMetrics(metrics)
-        self._bodies = BodyBuffer()
+        self._body_reads = BodyReads(DRAIN_RETRY_AFTER_S)
+        self._bodies = BodyBuffer(self._body_reads)
         self._in_progress: set[Exchange] = set()
         self._draining = False
         self._rejecting = False
@@ -60,16 +63,33 @@
         await self._server.listen(self._settings.addresses.callers, self._tls)
 
     async def drain(self) -> None:
-        """Report not ready, then reject new requests, then wait for running ones."""
+        """Report not ready, then reject new requests, then wait for running ones.
+
+        Bodies are read on meanwhile; who can't send one in time is told so at once.
+        Requests that still run shortly before the end get an answer.
+        """
         self._draining = True
+        rejects_at = now() + READINESS_PROPAGATION_S
+        deadline = rejects_at + self._settings.drain_timeout_s
+        answers_at = deadline - ANSWER_MARGIN_S
+        self._server.drains_until = deadline
+        self._body_reads.stop_at(answers_at)
         await asyncio.sleep(READINESS_PROPAGATION_S)
         self._rejecting = True
-        self._server.close_idle()
-        deadline = now() + self._settings.drain_timeout_s
-        while self._is_busy and now() < deadline:
-            await asyncio.sleep(DRAIN_POLL_S)
-        if self._is_busy:
+        await self._wait_for_requests(answers_at)
+        if self._has_work:
             event("error", "drain_timed_out", in_progress=len(self._in_progress))
+            for exchange in self._in_progress:
+                exchange.end()
+        await self._wait_for_requests(deadline)
+
+    async def _wait_for_requests(self, deadline: float) -> None:
+        """Wait until no request is in progress, closing idle connections meanwhile."""
+        while now() < deadline:
+            self._server.close_idle()
+            if not self._has_work and not self._server.is_busy:
+                return
+            await asyncio.sleep(DRAIN_POLL_S)
 
     async def stop(self) -> None:
         """Stop listening."""
@@ -92,19 +112,19 @@
         return "draining" if self._draining else None
 
     @property
-    def _is_busy(self) -> bool:
+    def _has_work(self) -> bool:
         return bool(self._in_progress) or self._dispatcher.claimed_runs > 0
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
-        exchange = Exchange(http, new_request_id(), now())
+        exchange = Exchange(http, new_request_id(), now(), body_reads=self._body_reads)
         http.protocol.has_received_request = True
         self._in_progress.add(exchange)
         status = 0
         try:
-            response = await self._respond(exchange)
+            response = await self._respond_until_stop(exchange)
             status = response.status
             if self._draining and not response.prepared:
-                response.force_close()
+                http.protocol.close_after(http, response)
             return response
         except (ConnectionError, asyncio.CancelledError):
             exchange.caller_disconnected = True
@@ -124,14 +144,30 @@
             raise ConnectionError("the response has already begun")
         return exchange.error_response(problems.INTERNAL_ERROR)
 
+    async def _respond_until_stop(self, exchange: Exchange) -> web.StreamResponse:
+        """Return the response; one that has not begun when the entry stops says so."""
+        try:
+            async with asyncio.timeout(None) as exchange.timeout:
+                return await self._respond(exchange)
+        except TimeoutError:
+            if not exchange.timeout.expired():
+                raise
+            exchange.caller_disconnected = False
+            if exchange.http.writer.output_size > 0:
+                raise ConnectionError("the response has already begun") from None
+            has_run = exchange.request is not None
+            ran = ExecutionState.MAYBE if has_run else ExecutionState.NO
+            detail = "this entry stopped before the response"
+            problem = draining_problem(detail, DRAIN_RETRY_AFTER_S, ran)
+            return exchange.error_response(problem)
+
     async def _respond(self, exchange: Exchange) -> web.StreamResponse:
-        exchange.closes_connection = self._draining
+        exchange.is_draining = self._draining
         if self._rejecting:
             detail = "this entry is stopping"
-            problem = Problem(
-                503, "draining", detail, ExecutionState.NO, DRAIN_RETRY_AFTER_S
+            return exchange.error_response(
+                draining_problem(detail, DRAIN_RETRY_AFTER_S)
             )
-            return exchange.error_response(problem)
         problem = request_validation.request_problem(exchange.http)
         if problem is not None:
             response = exchange.error_response(problem)
--- a/fuchsiacroft/entry/caller_server.py
+++ b/fuchsiacroft/entry/caller_server.py
@@ -14,12 +14,14 @@
 from aiohttp import web
 
 from fuchsiacroft.config.route_table import CallerLimits
+from fuchsiacroft.entry import request_body
 from fuchsiacroft.utils.http import split_address
 from fuchsiacroft.utils.rate_limited_log import RateLimitedLog
 
 BACKLOG = 2_048
 INT_BYTES = 4
 CLOSE_GRACE_S = 0.5
+BUSY_POLL_S = 0.05
 SHUTDOWN_TIMEOUT_S = 1.0
 PENDING_READ_GRACE_S = 0.05
 """After a stall of the process, pending bytes are read before a timeout applies."""
@@ -59,6 +61,14 @@
         """Whether no request is being served, so that the next head is awaited."""
         return self._waiter is not None and not self._waiter.done()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request has begun to arrive, or its answer is not complete."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        has_begun_head = self._head_timer is not None
+        return not self._is_idle or has_begun_head or self.has_unread_bytes
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes have arrived that this process has not read yet."""
@@ -68,6 +78,43 @@
         size = fcntl.ioctl(fd, termios.FIONREAD, bytes(INT_BYTES))
         return any(size)
 
+    def close_after(self, http: web.BaseRequest, response: web.StreamResponse) -> None:
+        """Close the connection after a response, unless more is to be read from it.
+
+        What is read later is answered too, and the connection is closed once idle.
+        """
+        if not self.has_more_to_read(http):
+            response.force_close()
+
+    def has_more_to_read(self, http: web.BaseRequest) -> bool:
+        """Whether the rest of a request's body or a request behind it will be read."""
+        if not http.content.is_eof():
+            return not request_body.awaits_continue(http)
+        return bool(self._messages) or self.has_unread_bytes
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write a response; while draining, read on until the caller has ended.
+
+        Closing with unread bytes would reset the connection, and the caller could
+        lose the answer.
+        """
+        result = await super().finish_response(request, resp, start_time)
+        if self._manager is None or self._manager.drains_until is None:
+            return result
+        self._lingering_time = max(self._manager.drains_until - self._loop.time(), 0.0)
+        if not resp.keep_alive and not request.content.is_eof():
+            self._end_writing()
+        return result
+
+    def _end_writing(self) -> None:
+        if self.transport is not None and self.transport.can_write_eof():
+            self.transport.write_eof()
+
     def close(self) -> None:
         """Close the connection, immediately if it is idle.
 
@@ -75,6 +122,8 @@
         closing the transport: the next request would be read but never answered.
         """
         is_idle = self._is_idle
+        if is_idle and self._head_timer is not None and self.transport is not None:
+            self.transport.write(HEAD_TIMEOUT_RESPONSE)
         super().close()
         if is_idle and self.transport is not None:
             self.transport.close()
@@ -134,7 +183,10 @@
 
 
 class CallerServer(web.Server):
-    """Accepts caller connections, each with the limits that apply when it opens."""
+    """Accepts caller connections, each with the limits that apply when it opens.
+
+    `drains_until` is set while the process drains: when the connections end.
+    """
 
     def __init__(
         self, handler: Handler, reject: RejectHandler, limits: GetLimits
@@ -145,6 +197,7 @@
         self.reject = reject
         self.slow_head_log = RateLimitedLog("head_timed_out", MAX_SLOW_HEAD_LOGS_PER_S)
         self._limits = limits
+        self.drains_until: float | None = None
         self._listener: asyncio.Server | None = None
         self._tls: ssl.SSLContext | None = None
 
@@ -161,14 +214,19 @@
             self, host, port, ssl=tls, backlog=BACKLOG
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request arrives or is not answered on any connection."""
+        return any(conn.is_busy for conn in self.connections)
+
     def close_idle(self) -> None:
-        """Close idle connections, and the others after their current request.
+        """Close idle connections.
 
         A connection that has received no request yet stays open, because its
-        first request may be in flight, and so does one whose next request has arrived.
+        first request may be in flight, and so does one whose next request arrives.
         """
         for conn in self.connections:
-            if conn.has_received_request and not conn.has_unread_bytes:
+            if conn.has_received_request and not conn.is_busy:
                 conn.close()
 
     async def stop_listening(self) -> None:
@@ -198,8 +256,19 @@
                 return
             await loop.connect_accepted_socket(self, conn, ssl=self._tls)
 
+    async def _finish_busy(self) -> None:
+        """Wait for what arrived last, until the drain's end at most."""
+        if any(conn.has_unread_bytes for conn in self.connections):
+            await asyncio.sleep(PENDING_READ_GRACE_S)
+        while self.is_busy and self.drains_until is not None:
+            if asyncio.get_running_loop().time() >= self.drains_until:
+                return
+            self.close_idle()
+            await asyncio.sleep(BUSY_POLL_S)
+
     async def close(self) -> None:
         """Stop listening and close every connection."""
         await self.stop_listening()
+        await self._finish_busy()
         self.pre_shutdown()
         await self.shutdown(SHUTDOWN_TIMEOUT_S)
--- a/fuchsiacroft/entry/exchange.py
+++ b/fuchsiacroft/entry/exchange.py
@@ -1,15 +1,18 @@
 """The state of one caller's request and its response."""
 
+import asyncio
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from aiohttp import web
 
 from fuchsiacroft.entry import problems
 from fuchsiacroft.entry.problems import Problem
 from fuchsiacroft.entry.request import CallerRequest
+from fuchsiacroft.entry.request_body import BodyReads
 from fuchsiacroft.entry.response_progress import ResponseProgress
 from fuchsiacroft.routing.permits import RunOutcome
+from fuchsiacroft.utils.clock import now
 
 REQUEST_ID_BYTES = 16
 
@@ -20,7 +23,9 @@
 
     `problem` is the last rejection or error that was sent to the caller.
     `outcome` is that of the last run, or None if no run has ended.
-    `closes_connection` means that the connection is closed after the response.
+    `is_draining` means that the entry was draining when the request came.
+    `body_reads` are the bodies that this entry reads.
+    `timeout` ends the work on the request when the entry stops.
     """
 
     http: web.BaseRequest
@@ -31,7 +36,19 @@
     outcome: RunOutcome | None = None
     progress: ResponseProgress | None = None
     caller_disconnected: bool = False
-    closes_connection: bool = False
+    is_draining: bool = False
+    body_reads: BodyReads = field(default_factory=BodyReads)
+    timeout: asyncio.Timeout | None = None
+
+    @property
+    def closes_connection(self) -> bool:
+        """Whether the connection is closed after the response."""
+        return self.is_draining and not self.http.protocol.has_more_to_read(self.http)
+
+    def end(self) -> None:
+        """End the work on the request, because the entry stops."""
+        if self.timeout is not None and not self.timeout.expired():
+            self.timeout.reschedule(now())
 
     def error_response(self, problem: Problem) -> web.Response:
         """Record a problem and return its response."""
--- a/fuchsiacroft/entry/problems.py
+++ b/fuchsiacroft/entry/problems.py
@@ -38,6 +38,13 @@
 )
 
 
+def draining_problem(
+    detail: str, retry_after_s: float, ran: ExecutionState = ExecutionState.NO
+) -> Problem:
+    """Return the problem of a request that an entry which stops does not serve."""
+    return Problem(503, "draining", detail, ran, retry_after_s)
+
+
 def parse_problem(status: int, message: str) -> Problem:
     """Return the problem for a request that aiohttp's parser rejected."""
     if status >= INTERNAL_ERROR.status:
--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -149,7 +149,9 @@
         if self._request.body is not None:
             return self._request.body or None
         self._streamed_body = StreamedBody(
-            self._exchange.http, self._request.spec.max_body_bytes
+            self._exchange.http,
+            self._exchange.body_reads,
+            self._request.spec.max_body_bytes,
         )
         return self._streamed_body.chunks()
 
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -11,8 +11,8 @@
 from fuchsiacroft.config.route_source import RouteSource
 from fuchsiacroft.config.route_table import Route
 from fuchsiacroft.entry import request_validation
-from fuchsiacroft.entry.problems import ExecutionState, Problem
-from fuchsiacroft.entry.request_body import BodyBuffer
+from fuchsiacroft.entry.problems import ExecutionState, Problem, draining_problem
+from fuchsiacroft.entry.request_body import BodyBuffer, BodyReads
 from fuchsiacroft.gateway.attempt import Attempt
 from fuchsiacroft.gateway.attempt_result import AttemptResult
 from fuchsiacroft.gateway.continued_streams import ContinuedStreams
@@ -53,7 +53,8 @@
 
     def __init__(self, protocol: ProtocolAdapter) -> None:
         self._protocol = protocol
-        self._bodies = BodyBuffer()
+        self._body_reads = BodyReads(DRAINING_RETRY_S)
+        self._bodies = BodyBuffer(self._body_reads)
         self._random = random.Random()
         self._estimates = ResponseEstimates()
         self._wait_policy = WaitPolicy(self._estimates)
@@ -70,6 +71,10 @@
         """Return the memory used by buffered request bodies."""
         return {"held_body_bytes": self._bodies.buffered_bytes}
 
+    def stop_reading_at(self, when: float) -> None:
+        """Answer requests whose bodies aren't complete at `when`, or can't be."""
+        self._body_reads.stop_at(when)
+
     async def serve(
         self, context: RequestContext, stops_at: float | None = None
     ) -> web.StreamResponse:
@@ -78,6 +83,17 @@
         The process stops at `stops_at`, on the event loop's clock. A request
         whose deadline is later is rejected.
         """
+        try:
+            async with asyncio.timeout(None) as context.timeout:
+                return await self._serve(context, stops_at)
+        except TimeoutError:
+            return self._timed_out(context)
+        finally:
+            self._bodies.release(context.body)
+
+    async def _serve(
+        self, context: RequestContext, stops_at: float | None
+    ) -> web.StreamResponse:
         problem = request_validation.framing_problem(
             context.http
         ) or self._header_size_problem(context)
@@ -90,25 +106,24 @@
             case Result(tag="error", error=problem):
                 return self._error_response(context, problem)
         if stops_at is not None and context.deadline > stops_at:
-            detail = "this entry is stopping; the request did not run"
-            problem = Problem(
-                503, "draining", detail, ExecutionState.NO, DRAINING_RETRY_S
-            )
-            return self._error_response(context, problem)
-        limits = self._route_source.table.limits
-        match await self._bodies.read(context.http, limits.max_body_bytes):
-            case Result(tag="ok", ok=body):
-                context.body = body
-                context.fingerprint = _fingerprint(context.request, body)
-            case Result(error=problem):
+            return self._error_response(context, _stopping_problem())
+        if not context.is_stopped:
+            context.timeout.reschedule(context.deadline)
+        match await self._read_body(context):
+            case Result(tag="error", error=problem):
                 return self._error_response(context, problem)
-        try:
-            async with asyncio.timeout_at(context.deadline):
-                return await self._run_attempts(context)
-        except TimeoutError:
-            return self._timed_out(context)
-        finally:
-            self._bodies.release(context.body)
+        return await self._run_attempts(context)
+
+    async def _read_body(self, context: RequestContext) -> Result[None, Problem]:
+        max_bytes = self._route_source.table.limits.max_body_bytes
+        context.is_receiving = True
+        result = await self._bodies.read(context.http, max_bytes)
+        context.is_receiving = False
+        if result.is_error():
+            return Error(result.error)
+        context.body = result.ok
+        context.fingerprint = _fingerprint(context.request, result.ok)
+        return Ok(None)
 
     def _header_size_problem(self, context: RequestContext) -> Problem | None:
         table = self._route_source.table
@@ -254,14 +269,19 @@
     def _timed_out(self, context: RequestContext) -> web.StreamResponse:
         if context.started_response is not None:
             raise ResponseAbortedError(
-                "the request's deadline passed after its response began"
+                "the request's time ended after its response began"
             )
         if context.runs or context.sends:
-            detail = "no response before the request's deadline; it may have run"
+            cause = "this entry stopped" if context.is_stopped else "its deadline"
+            detail = f"no response before {cause}; the request may have run"
             return self._error_response(
                 context, Problem(504, "timed_out", detail, ExecutionState.MAYBE)
             )
+        if context.is_stopped:
+            return self._error_response(context, _stopping_problem())
         detail = "no backend server was free before the deadline; it did not run"
+        if context.is_receiving:
+            detail = "the body was not received before the deadline; it did not run"
         problem = Problem(
             503, "timed_out", detail, ExecutionState.NO, NOT_READY_RETRY_S
         )
@@ -274,6 +294,11 @@
         return self._protocol.error_response(problem, context.request_id)
 
 
+def _stopping_problem() -> Problem:
+    detail = "this entry is stopping; the request did not run"
+    return draining_problem(detail, DRAINING_RETRY_S)
+
+
 def _permit_request(
     request: RoutedRequest, context: RequestContext, remaining_s: float
 ) -> PermitRequest:
--- a/fuchsiacroft/gateway/frontend.py
+++ b/fuchsiacroft/gateway/frontend.py
@@ -23,6 +23,8 @@
 READINESS_PROPAGATION_S = 2.5
 """The load balancer polls once a second and stops sending after two failed polls."""
 DRAIN_POLL_S = 0.05
+ANSWER_MARGIN_S = 0.2
+"""Before the stop, requests that no server has answered are answered."""
 
 
 class Frontend(Service):
@@ -52,29 +54,48 @@
     async def drain(self) -> None:
         """Report not ready, then wait for the requests in progress.
 
-        New requests are served until the load balancer has noticed. Requests
-        that are still in progress after `drain_timeout_s` are aborted.
+        New requests are served until the load balancer has noticed, and from then on
+        if their deadline is before the stop. Bodies are read on meanwhile; who can't
+        send one in time is told so at once. Requests that are still in progress
+        shortly before `drain_timeout_s` get an answer, or an abort if it has begun.
         """
         self._draining = True
         self._roster.start_draining()
         deadline = now() + self._settings.drain_timeout_s
+        answers_at = deadline - ANSWER_MARGIN_S
+        self._server.drains_until = deadline
+        self._forwarder.stop_reading_at(answers_at)
         await asyncio.sleep(READINESS_PROPAGATION_S)
-        self._stops_at = deadline
-        await self._wait_for_requests(deadline - CLOSE_GRACE_S)
+        self._stops_at = answers_at
+        self._refuse_arriving()
+        await self._wait_for_requests(answers_at - CLOSE_GRACE_S)
         await self._server.stop_listening()
-        await self._wait_for_requests(deadline)
+        await self._wait_for_requests(answers_at)
         if self._in_progress:
             event("error", "drain_timed_out", in_progress=len(self._in_progress))
-            self._abort_requests()
+            self._end_requests()
+        await self._wait_for_requests(deadline)
+        self._abort_requests()
 
     async def _wait_for_requests(self, deadline: float) -> None:
         """Wait until no request is in progress, closing idle connections meanwhile."""
         while now() < deadline:
             self._server.close_idle()
-            if not self._in_progress:
+            if not self._in_progress and not self._server.is_busy:
                 return
             await asyncio.sleep(DRAIN_POLL_S)
 
+    def _refuse_arriving(self) -> None:
+        """End the requests whose bodies still arrive and that may outlast the stop."""
+        for context in self._in_progress:
+            if context.is_receiving and context.deadline > self._stops_at:
+                context.end()
+
+    def _end_requests(self) -> None:
+        """End all requests in progress, with an answer if none has begun."""
+        for context in self._in_progress:
+            context.end()
+
     def _abort_requests(self) -> None:
         """Abort the connections of all requests in progress, ending their runs."""
         for context in list(self._in_progress):
@@ -113,7 +134,7 @@
             response = await self._forwarder.serve(context, self._stops_at)
             status = response.status
             if self._draining and not response.prepared:
-                response.force_close()
+                http.protocol.close_after(http, response)
             return response
         except ResponseAbortedError:
             self._abort(http)
--- a/fuchsiacroft/gateway/request_context.py
+++ b/fuchsiacroft/gateway/request_context.py
@@ -1,5 +1,6 @@
 """The state of one request in the gateway."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -27,6 +28,8 @@
     the caller has none, and if it is not certain, when `is_origin_unsure`.
     `was_late` is true after a slot could not be used in time.
     `aborted` is true when this entry reset the connection.
+    `timeout` ends the work on the request, at its deadline or when the entry stops,
+    which `is_stopped` tells. `is_receiving` is true while its body arrives.
     """
 
     http: web.BaseRequest
@@ -52,6 +55,15 @@
     waited_s: float = 0.0
     caller_disconnected: bool = False
     aborted: bool = False
+    timeout: asyncio.Timeout | None = None
+    is_stopped: bool = False
+    is_receiving: bool = False
+
+    def end(self) -> None:
+        """End the work on the request, because the entry stops."""
+        if self.timeout is not None and not self.timeout.expired():
+            self.is_stopped = True
+            self.timeout.reschedule(now())
 
     @property
     def remaining_s(self) -> float:
--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -147,13 +147,17 @@
 
     async def start_process(self, ip: str) -> None:
         """Start the process with this address."""
+        await self.create_process(ip).start()
+
+    def create_process(self, ip: str) -> Kernel:
+        """Return the process with this address, which is ready to start."""
         process = control_process if ip in self.controls else entry_process
         wire = self.settings(ip)
         path = Path(self._folder.name) / f"{ip}.json"
         path.write_bytes(msgspec.json.encode(wire))
         kernel = process.create(wire, path)
         self.kernels[ip] = kernel
-        await kernel.start()
+        return kernel
 
     async def stop(self) -> None:
         """Stop every process and replica."""
