--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -150,11 +150,15 @@
 
     async def start_process(self, ip: str) -> None:
         """Start the process with this address."""
+        await self.create_process(ip).start()
+
+    def create_process(self, ip: str) -> Kernel:
+        """Return the process with this address, which is ready to start."""
         process = control_process if ip in self.controls else entry_process
         wire = self.settings(ip)
         kernel = process.create(wire, self.write_settings(ip, wire))
         self.kernels[ip] = kernel
-        await kernel.start()
+        return kernel
 
     def write_settings(self, ip: str, wire: WireSettings) -> Path:
         """Write the settings file of the process with this address."""
