--- a/fuchsiacroft/membership/backend_servers.py
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -6,8 +6,10 @@
 
 import msgspec
 from aiohttp import web
+from expression import Result
 
 from fuchsiacroft.config.settings import Member, Settings
+from fuchsiacroft.config.validation import decode_wire
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.announcement import (
     Announcement,
@@ -123,12 +125,15 @@
         self._relay_announcement(announcement)
 
     async def _on_post(self, req: web.Request) -> web.Response:
-        try:
-            announcement = msgspec.json.decode(await req.read(), type=Announcement)
-        except (msgspec.MsgspecError, RecursionError) as exc:
-            return web.json_response(
-                {"title": "malformed", "detail": str(exc)}, status=400
-            )
+        match decode_wire(await req.read(), Announcement):
+            case Result(tag="ok", ok=announcement):
+                return self._accept(announcement)
+            case Result(error=issue):
+                return web.json_response(
+                    {"title": "malformed", "detail": str(issue)}, status=400
+                )
+
+    def _accept(self, announcement: Announcement) -> web.Response:
         if announcement.failure_domain != self._settings.failure_domain:
             detail = f"this entry serves {self._settings.failure_domain}"
             return web.json_response(
