Give the tests' replicas a version of their software

A replica that the tests start again had no version, so its heartbeats were refused since each required field is checked, and deadly_part_tests' service was never back: 503 no_backend_server in three of three runs. With a version its three tests pass.

--- a/fuchsiacroft/tests/fakes/replica.py
+++ b/fuchsiacroft/tests/fakes/replica.py
@@ -91,7 +91,7 @@
         self.replica_id = replica_id
         self.address = address
         self.handler = handler
-        self.version = ""
+        self.version = "v1"
         self.zone = "mvd-cordon"
         self.received: list[ReceivedRequest] = []
         self.closed_early = 0
