--- a/fuchsiacroft/tests/fakes/data_plane.py
+++ b/fuchsiacroft/tests/fakes/data_plane.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections import Counter, deque
+from dataclasses import dataclass
 
 import aiohttp
 from aiohttp import web
@@ -16,6 +17,7 @@
 from fuchsiacroft.control.ledger import KeyState, KeyStatus
 from fuchsiacroft.entry import backend_client, caller_api, dispatch
 from fuchsiacroft.entry.ledger_client import LedgerClient
+from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.membership.server_notices import ServerNotice
 from fuchsiacroft.routing.permits import Permit, Refusal, RefusalReason
@@ -49,6 +51,47 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class RawRequest:
+    """The head of a request to a backend server."""
+
+    head: bytes
+
+    @property
+    def target(self) -> str:
+        """Return the method and the target."""
+        return self.head.split(b" HTTP/1.1\r\n", 1)[0].decode()
+
+    @property
+    def request_id(self) -> str:
+        """Return the id that an answer has to name."""
+        prefix = f"\r\n{REQUEST_ID_HEADER}: ".encode()
+        return self.head.partition(prefix)[2].split(b"\r\n", 1)[0].decode()
+
+    def answer(self, status: str, *lines: str, body: bytes = b"") -> bytes:
+        """Return an answer that names this request and has a length."""
+        return answer(self.request_id, status, *lines, body=body)
+
+
+def answer(
+    request_id: str | None, status: str, *lines: str, body: bytes = b""
+) -> bytes:
+    """Return an answer with a length that names a request, or none."""
+    length = f"Content-Length: {len(body)}"
+    return answer_head(request_id, status, length, *lines) + body
+
+
+def answer_head(request_id: str | None, status: str, *lines: str) -> bytes:
+    """Return the head of an answer that names a request, or none."""
+    named = [] if request_id is None else [f"{REQUEST_ID_HEADER}: {request_id}"]
+    return "\r\n".join([f"HTTP/1.1 {status}", *named, *lines, "", ""]).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Return a chunk of a chunked body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
 class FakeScheduler(Scheduler):
     """Grants permits for the listed addresses in order."""
 
@@ -187,19 +230,45 @@
         """Start a backend server that uses a stream handler, and count its requests."""
         counts = Counter()
 
-        async def accept(reader, writer):
-            head = await reader.readuntil(b"\r\n\r\n")
+        async def serve(req, reader, writer):
             counts["requests"] += 1
-            counts["head"] = head
+            counts["head"] = req.head
             await handler(reader, writer)
-            writer.close()
+
+        await self._listen(serve)
+        return counts
+
+    async def serve_requests(self, handler) -> list[RawRequest]:
+        """Start a backend server that gets heads and a writer, and list its requests.
+
+        Each connection has one request, and is closed once it is handled.
+        """
+        requests = []
+
+        async def serve(req, reader, writer):
+            requests.append(req)
+            await handler(req, writer)
+            if not writer.transport.is_closing():
+                await writer.drain()
+
+        await self._listen(serve)
+        return requests
+
+    async def _listen(self, serve) -> None:
+        async def accept(reader, writer):
+            try:
+                req = RawRequest(await reader.readuntil(b"\r\n\r\n"))
+                await serve(req, reader, writer)
+            except ConnectionError:
+                pass
+            finally:
+                writer.close()
 
         server = await asyncio.start_server(accept, "127.0.0.1", 0)
         self.addAsyncCleanup(server.wait_closed)
         self.addCleanup(server.close)
         port = server.sockets[0].getsockname()[1]
         self.scheduler.addresses.append(f"127.0.0.1:{port}")
-        return counts
 
     async def send_raw(self, data: bytes) -> bytes:
         """Send bytes to the entry and return everything received until it closes."""
@@ -217,3 +286,35 @@
         async with asyncio.timeout(timeout_s):
             while not check():
                 await asyncio.sleep(0.01)
+
+
+class AnsweredTestCase(DataPlaneTestCase):
+    """Requests through an entry to servers whose answers are given byte for byte."""
+
+    async def call(self, method="GET", path="/services/counter/x", **kwargs):
+        """Return the status and the body, a problem document as a dictionary."""
+        headers = AUTHORIZED | kwargs.pop("headers", {})
+        async with asyncio.timeout(5):
+            async with self.session.request(
+                method, path, headers=headers, **kwargs
+            ) as res:
+                self.headers = res.headers
+                is_problem = res.content_type == "application/problem+json"
+                content = res.json(content_type=None) if is_problem else res.read()
+                return res.status, await content
+
+    async def book(self):
+        """Send a non-idempotent request."""
+        headers = {"Idempotency-Key": "booking-1"}
+        return await self.call("POST", "/services/counter/bookings", headers=headers)
+
+    async def serve_answer(self, *answers: bytes, pause_s: float = 0.0) -> list:
+        """Start a server that writes the answers to each request."""
+
+        async def serve(req, writer):
+            for data in answers:
+                writer.write(data(req) if callable(data) else data)
+                await writer.drain()
+                await asyncio.sleep(pause_s)
+
+        return await self.serve_requests(serve)
