Write no error event into the length of a response or behind its end

What callers saw: a response with Content-Length and the type text/event-stream that broke off was filled up with the entry's error event: 40 of 40 bytes, a success that looks whole. And if a caller read slowly and its timeout passed when the whole response had come, an error event followed the last chunk, as bytes that are no answer. For a request with an Idempotency-Key the ledger then said `outcome_unknown` of an answer that was known.

Cause: `_abort_response` looked at the type of the response and not at how its body ends, and `_timed_out` at nothing but the time. `write_eof` waits for the caller, so the deadline can pass in it.

Change: no error event in a body with a length.

Tests missed it as none read late and none cut an event stream with a length.

--- a/fuchsiacroft/entry/body_relay.py
+++ b/fuchsiacroft/entry/body_relay.py
@@ -44,6 +44,11 @@
         """Whether the write buffer is full until the caller reads."""
         return self._protocol.writing_paused and not self.is_disconnected
 
+    @property
+    def has_length(self) -> bool:
+        """Whether the caller knows the length of the body."""
+        return self._response.content_length is not None
+
     async def start(self) -> None:
         """Write the response head."""
         await self._response.prepare(self._http)
@@ -59,24 +64,24 @@
             chunk = b"%x\r\n%b\r\n" % (len(chunk), chunk)
         transport.write(chunk)
 
+    async def finish(self) -> None:
+        """Write the end of a whole response."""
+        await self._response.write_eof()
+
     def close(self, linger_s: float) -> None:
-        """Close the connection before the response is complete.
+        """Close the connection before the caller has got the whole response.
 
         A framed response is closed after its buffered data, or aborted after
         `linger_s` seconds. Any other response is reset at once, because an
         orderly close would make it appear complete.
         """
-        if self._has_framing:
+        if self._chunked or self.has_length:
             self._transport.close()
             loop = asyncio.get_running_loop()
             loop.call_later(linger_s, self._transport.abort)
         else:
             connections.reset(self._transport)
 
-    @property
-    def _has_framing(self) -> bool:
-        return self._chunked or self._response.content_length is not None
-
     async def drain(self) -> None:
         """Wait until the write buffer has drained."""
         try:
--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -71,6 +71,7 @@
         self._response: web.StreamResponse | None = None
         self._writer: ResponseWriter | None = None
         self._outcome = RunOutcome.UNUSED
+        self._is_whole = False
         self._has_claim = False
         self._resumes = 0
 
@@ -181,7 +182,8 @@
             self._abort_response(Problem(502, "broken_off", detail, ExecutionState.YES))
             return self._response
         self._outcome = _run_outcome(self._upstream.status)
-        await self._tolerate_disconnect(self._response.write_eof())
+        self._is_whole = True
+        await self._tolerate_disconnect(self._writer.finish())
         return self._response
 
     async def _tolerate_disconnect(self, write) -> None:
@@ -231,6 +233,9 @@
         return False
 
     async def _timed_out(self) -> web.StreamResponse | None:
+        if self._is_whole:
+            self._writer.close(LINGER_S)
+            return self._response
         preempted = self._permit.preempted
         if preempted.done():
             self._cancel(RunOutcome.PREEMPTED)
@@ -259,6 +264,9 @@
         )
 
     def _cancel(self, outcome: RunOutcome) -> None:
+        """Cancel the run, unless its whole response has come."""
+        if self._is_whole:
+            return
         self._outcome = outcome if self._send_guard.sent else RunOutcome.UNUSED
         if self._send_guard.sent and self._request.spec.kind == "model":
             self._services.client.cancel(self._permit)
@@ -272,7 +280,8 @@
         )
         if self._writer.is_disconnected:
             return
-        if self._response.content_type == "text/event-stream":
+        is_stream = self._response.content_type == "text/event-stream"
+        if is_stream and not self._writer.has_length:
             if not self._progress.ends_between_events:
                 self._writer.write(b"\n\n")
             self._writer.write(problems.sse_event(problem, request_id))
