Reset an unframed response that a stop or a fault of the entry ends

What callers saw: a caller that speaks HTTP/1.0 gets a response without a length and without chunks, whose end is that of the connection. When the entry stopped after its drain time, failed within the request or was killed, the connection ended in order, so half a response was a whole one for the caller.

Cause: only the run's own time limits and the loss of the backend server reset such a connection. A cancelled handler, an unexpected error and the end of the process leave the close to aiohttp and the kernel, which end it in order.

Change: the connection of such a response is set to end in a reset, however it is closed, before its head is written (SO_LINGER with 0 s). It is set back once all of a whole response is sent.

Tests missed it as none spoke HTTP/1.0 to an entry that ended.

--- a/fuchsiacroft/entry/body_relay.py
+++ b/fuchsiacroft/entry/body_relay.py
@@ -8,7 +8,7 @@
 import asyncio
 
 import aiohttp
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from fuchsiacroft.entry.response_progress import ResponseProgress
 from fuchsiacroft.utils import connections
@@ -49,8 +49,17 @@
         """Whether the caller knows the length of the body."""
         return self._response.content_length is not None
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        return self._http.version < HttpVersion11 and not self.has_length
+
     async def start(self) -> None:
-        """Write the response head."""
+        """Write the response head.
+
+        A connection whose end is that of the body ends in a reset until `finish`.
+        """
+        if self._ends_with_connection:
+            connections.reset_at_close(self._transport)
         await self._response.prepare(self._http)
         encoding = self._response.headers.get("Transfer-Encoding")
         self._chunked = encoding == "chunked"
@@ -67,6 +76,10 @@
     async def finish(self) -> None:
         """Write the end of a whole response."""
         await self._response.write_eof()
+        if self._ends_with_connection and not self.is_disconnected:
+            self._transport.set_write_buffer_limits(high=0)
+            await self._http.writer.drain()
+            connections.close_in_order(self._transport)
 
     def close(self, linger_s: float) -> None:
         """Close the connection before the caller has got the whole response.
--- a/fuchsiacroft/tests/entry/cut_responses_tests.py
+++ b/fuchsiacroft/tests/entry/cut_responses_tests.py
@@ -94,12 +94,12 @@
         await super().asyncSetUp()
         self.end = asyncio.Event()
 
-    async def begin(self, version: bytes, timeout: bytes = b"30"):
+    async def begin(self, version: bytes, timeout: bytes = b"30", request=GET):
         """Return the connection of a caller whose response has begun."""
         host, _, port = self.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         self.addCleanup(writer.close)
-        writer.write(GET % (version, timeout))
+        writer.write(request % (version, timeout))
         async with asyncio.timeout(5):
             await reader.readuntil(b"data: 0\n\n")
         return reader
@@ -138,6 +138,31 @@
             with self.subTest(version=version):
                 await self.assert_cut(reader, version)
 
+    async def test_a_response_to_a_claimed_request_that_a_stop_ends_looks_whole(self):
+        """Such a run goes on without its caller."""
+        await self.serve_begun()
+        booking = b"POST /services/counter/bookings HTTP/%b\r\nIdempotency-Key: 1\r\n"
+        booking += GET.partition(b"\r\n")[2]
+        reader = await self.begin(b"1.0", request=booking)
+        await self.callers.stop()
+        await self.assert_cut(reader, b"1.0")
+
+    async def test_a_whole_response_without_framing_looks_cut(self):
+        for size in (0, 20, 4_000_000):
+            with self.subTest(size=size):
+                self.scheduler.addresses.clear()
+                body = b"x" * size
+                await self.serve_answer(
+                    lambda req, body=body: (
+                        answer_head(req.request_id, OK, CHUNKED)
+                        + (chunk(body) if body else b"")
+                        + b"0\r\n\r\n"
+                    )
+                )
+                got = await self.send_raw(GET % (b"1.0", b"10"))
+                self.assertEqual(body, got.partition(b"\r\n\r\n")[2])
+                self.assertNotIn(b"chunked", got[:500])
+
     async def test_a_response_that_a_fault_ends_looks_whole(self):
         for version in (b"1.0", b"1.1"):
             with self.subTest(version=version):
--- a/fuchsiacroft/tests/entry/process_faults_tests.py
+++ b/fuchsiacroft/tests/entry/process_faults_tests.py
@@ -1,6 +1,7 @@
 """Tests with a frozen engine and a stopping entry, as separate processes."""
 
 import asyncio
+import json
 import signal
 import tempfile
 from pathlib import Path
@@ -70,6 +71,24 @@
             fault()
             return await call
 
+    async def test_a_response_without_framing_of_a_killed_entry_looks_whole(self):
+        """An HTTP/1.0 caller sees no other end than that of the connection."""
+        address = self.cluster.url(ENTRY, "callers").removeprefix("http://")
+        host, _, port = address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        body = json.dumps(REQUEST | {"max_tokens": 2_000})
+        head = "POST /v1/completions HTTP/1.0\r\nAuthorization: Bearer key-1\r\n"
+        head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+        writer.write(f"{head}\r\n{body}".encode())
+        async with asyncio.timeout(10):
+            await reader.readuntil(b"data: ")
+            self.cluster.kill(ENTRY)
+            await asyncio.to_thread(self.cluster.running[ENTRY].wait, 10)
+            self.cluster.start(ENTRY)
+            with self.assertRaises(ConnectionResetError):
+                await reader.read()
+
     async def test_frozen_engine_times_out(self):
         status, body, complete = await self.during_a_stream(
             lambda: self.cluster.kill(ENGINE, signal.SIGSTOP),
--- a/fuchsiacroft/utils/connections.py
+++ b/fuchsiacroft/utils/connections.py
@@ -7,6 +7,8 @@
 
 NO_LINGER = struct.pack("ii", 1, 0)
 """Closing then drops unsent data and sends a reset instead of an orderly end."""
+LINGER = struct.pack("ii", 0, 0)
+"""Closing then sends unsent data and an orderly end."""
 
 
 def reset(transport: asyncio.Transport) -> None:
@@ -14,8 +16,25 @@
 
     Aborting a transport alone ends the connection in order, as far as the peer sees.
     """
-    sock = transport.get_extra_info("socket")
+    _set_linger(transport, NO_LINGER)
+    transport.abort()
+
+
+def reset_at_close(transport: asyncio.Transport | None) -> None:
+    """Let a connection end in a reset, however it is closed, also if the process ends.
+
+    `close_in_order` undoes it.
+    """
+    _set_linger(transport, NO_LINGER)
+
+
+def close_in_order(transport: asyncio.Transport | None) -> None:
+    """Let a connection end in order when it is closed."""
+    _set_linger(transport, LINGER)
+
+
+def _set_linger(transport: asyncio.Transport | None, linger: bytes) -> None:
+    sock = transport.get_extra_info("socket") if transport is not None else None
     if sock is not None and sock.fileno() >= 0:
         with socket.socket(fileno=os.dup(sock.fileno())) as duplicate:
-            duplicate.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    transport.abort()
+            duplicate.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
