Continue a stream only with what names its run, boot and offset

What callers saw: a stream broke off, and its continuation was taken from any 200 of the type text/event-stream that did not name another run or boot: events from another offset, so twice or with a gap; a body without framing, with the head and text of another answer behind it, passed on as a part of the stream. A stream that had begun with Content-Length 23 was continued by 21 other bytes and looked whole at its 23rd byte.

Cause: `_is_same_run` read a missing id and a missing boot id as the right ones. No answer said from which offset it goes on, and the resume did not say for which run it is but in its path.

Change: a resume bears the run's Fuchsiacroft-Request-Id. Its answer is used only if it names this id, Fuchsiacroft-Boot-Id and Fuchsiacroft-Offset exactly once each, is a framed 200 text/event-stream without an encoding. A stream that began with a length isn't resumed. The stand-ins send the request id back in every answer, refusals included, and the engine names the offset.

The engine of the stream tests had no boot id, and an empty one was believed. It has the one that permits name now, which is stricter.

Tests missed it as the engine of the tests always continued as asked.

--- a/fuchsiacroft/entry/backend_client.py
+++ b/fuchsiacroft/entry/backend_client.py
@@ -18,6 +18,8 @@
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 BOOT_ID_HEADER = "Fuchsiacroft-Boot-Id"
+OFFSET_HEADER = "Fuchsiacroft-Offset"
+"""On the answer to a resume: the byte of the run's output at which its body begins."""
 LEAVING_HEADER = "Fuchsiacroft-Leaving"
 """On an answer: the backend server leaves, if the value is 1."""
 LIMIT_HEADER = "Fuchsiacroft-Limit"
@@ -82,8 +84,9 @@
         self, permit: Permit, offset: int
     ) -> Result[aiohttp.ClientResponse, ResumeError]:
         """Resume the stream of a run, on the same boot, at a byte offset."""
-        run = f"/runs/{permit.request.request_id}?offset={offset}"
-        headers = {BOOT_ID_HEADER: permit.boot_id}
+        request_id = permit.request.request_id
+        run = f"/runs/{request_id}?offset={offset}"
+        headers = {REQUEST_ID_HEADER: request_id, BOOT_ID_HEADER: permit.boot_id}
         try:
             async with asyncio.timeout(RESUME_TIMEOUT_S):
                 response = await self._session.get(
@@ -94,7 +97,7 @@
                 )
         except (aiohttp.ClientError, OSError, TimeoutError):
             return Error(ResumeError.UNREACHABLE)
-        if _is_same_run(response, permit):
+        if _is_continuation(response, permit, offset):
             return Ok(response)
         response.close()
         return Error(ResumeError.RUN_NOT_FOUND)
@@ -123,13 +126,27 @@
     )
 
 
-def _is_same_run(response: aiohttp.ClientResponse, permit: Permit) -> bool:
-    request_id = permit.request.request_id
+def _is_continuation(
+    response: aiohttp.ClientResponse, permit: Permit, offset: int
+) -> bool:
+    """Return whether a response is shown to be the stream of a run from an offset.
+
+    Without framing, another answer could follow as a part of it.
+    """
+    named = {
+        REQUEST_ID_HEADER: permit.request.request_id,
+        BOOT_ID_HEADER: permit.boot_id,
+        OFFSET_HEADER: str(offset),
+    }
     return (
         response.status == 200
         and response.content_type == "text/event-stream"
-        and response.headers.get(REQUEST_ID_HEADER, request_id) == request_id
-        and (response.headers.get(BOOT_ID_HEADER) or permit.boot_id) == permit.boot_id
+        and "Content-Encoding" not in response.headers
+        and http_headers.is_framed(response)
+        and all(
+            response.headers.getall(name, []) == [value]
+            for name, value in named.items()
+        )
     )
 
 
--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -215,9 +215,14 @@
         )
 
     async def _resume(self) -> bool:
-        """Resume the stream of the same run on the same boot, if it still exists."""
+        """Resume the stream of the same run on the same boot, if it still exists.
+
+        A stream that began with a length can't be: the rest might have another.
+        """
         if not self._is_stream:
             return False
+        if self._writer is not None and self._writer.has_length:
+            return False
         if self._upstream is not None:
             self._upstream.close()
         offset = self._progress.sent_bytes
--- a/fuchsiacroft/standin/application.py
+++ b/fuchsiacroft/standin/application.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from fuchsiacroft.membership.announcement import Announcement, ReportedLoad
+from fuchsiacroft.standin import answer_names
 from fuchsiacroft.standin.counts import BoundedCounter, record_run
 from fuchsiacroft.standin.faults import CRASH_TEXT, FaultState, abort
 
@@ -33,6 +34,7 @@
         app = web.Application(client_max_size=64 * 1024 * 1024)
         app.router.add_get("/counts", self._counts)
         self._faults.add_routes(app)
+        answer_names.add_names(app)
         app.router.add_route("*", "/echo", self._echo)
         app.router.add_get("/bytes/{count}", self._bytes)
         app.router.add_route("*", "/{path:.*}", self._answer)
--- a/fuchsiacroft/standin/engine.py
+++ b/fuchsiacroft/standin/engine.py
@@ -13,8 +13,10 @@
 from aiohttp import web
 
 from fuchsiacroft.entry import prefixes
+from fuchsiacroft.entry.backend_client import BOOT_ID_HEADER, OFFSET_HEADER
 from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
 from fuchsiacroft.membership.announcement import Announcement, ReportedLoad
+from fuchsiacroft.standin import answer_names
 from fuchsiacroft.standin.counts import BoundedCounter, record_run
 from fuchsiacroft.standin.faults import CRASH_TEXT, FaultState, abort
 from fuchsiacroft.standin.orders import OrderExecutor
@@ -26,7 +28,6 @@
 ORPHAN_TIMEOUT_S = 2.0
 RUN_RETENTION_S = 30.0
 MAX_RETAINED_RUNS = 5_000
-BOOT_ID_HEADER = "Fuchsiacroft-Boot-Id"
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +105,7 @@
         app.router.add_get("/counts", self._counts)
         self._faults.add_routes(app)
         self._orders.add_routes(app)
+        answer_names.add_names(app)
         return app
 
     def describe(self, announcement: Announcement) -> Announcement:
@@ -197,6 +199,7 @@
             "Content-Type": "text/event-stream",
             REQUEST_ID_HEADER: run.request_id,
             BOOT_ID_HEADER: self._boot_id,
+            OFFSET_HEADER: str(offset),
         }
         response = web.StreamResponse(headers=headers)
         run.readers += 1
--- a/fuchsiacroft/tests/entry/streams_tests.py
+++ b/fuchsiacroft/tests/entry/streams_tests.py
@@ -6,8 +6,9 @@
 import aiohttp
 import msgspec
 
+from fuchsiacroft.membership.announcement import Announcement, Offer
 from fuchsiacroft.standin import application, engine
-from fuchsiacroft.tests.fakes.data_plane import AUTHORIZED, DataPlaneTestCase
+from fuchsiacroft.tests.fakes.data_plane import AUTHORIZED, BOOT_ID, DataPlaneTestCase
 
 REQUEST = {
     "model": "lens-assistant",
@@ -15,6 +16,14 @@
     "max_tokens": 20,
     "stream": True,
 }
+ANNOUNCEMENT = Announcement(
+    name="backend-1",
+    boot_id=BOOT_ID,
+    failure_domain="domain-1",
+    address="127.0.0.1:1",
+    offers=(Offer("lens-assistant"),),
+    slots=8,
+)
 ERROR_EVENT = b"event: error\ndata: "
 
 
@@ -24,6 +33,7 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.engine = engine.create(engine.EngineSpeed(token_gap_s=0.005))
+        self.engine.describe(ANNOUNCEMENT)
         self.backend = await self.serve(self.engine.app())
 
     async def stream(self, **fields) -> tuple[bytes, bool]:
