Pass on only answers of backend servers that name the caller's request

What callers saw: a faulty server wrote an earlier refusal on the connection of another request: its 503 was the answer, while the request ran. A 201 of another request was passed on, and stored in the ledger for its idempotency key. Routing believed the Retry-After, the limit and the leaving of such answers.

Cause: the entry sent Fuchsiacroft-Request-Id and never read it back. The first final answer on a connection was the request's own. A 101, which no request asks for, was refused only after what it says of its server had been recorded.

Change: the entry reads only the answer that names its request (`SendGuard` with a name). One that names none is not passed on: 502 `unidentified_answer`, `ran: maybe`, the ledger records the outcome as unknown, and the run counts as failed and not as lost with its server, so it starts no probe and is no evidence against its content. A stream is looked for by its run's id first. A 101 is treated like an answer without a name.

Tests that answered without the id for another purpose name it now: with no name they would see a 502 for that reason, whatever they test. The test of response headers had a foreign Fuchsiacroft-Request-Id as the header to be dropped; it has a foreign Fuchsiacroft-Boot-Id and checks that the one id left is the request's. Those of malformed and unframed answers bear the right name, and that of request headers checks the status, too. In the two tests of answers to another request, where the connection ends after the skipped answer, the code is backend_server_lost, as no answer came at all.

--- a/fuchsiacroft/entry/backend_client.py
+++ b/fuchsiacroft/entry/backend_client.py
@@ -9,7 +9,12 @@
 from yarl import URL
 
 from fuchsiacroft.entry import http_headers
-from fuchsiacroft.entry.at_most_once import SendGuard, open_session
+from fuchsiacroft.entry.answer_identity import RequestName
+from fuchsiacroft.entry.at_most_once import (
+    ForeignAnswerError,
+    SendGuard,
+    open_session,
+)
 from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
 from fuchsiacroft.entry.request import CallerRequest
 from fuchsiacroft.kernel import Kernel, Service
@@ -29,6 +34,8 @@
 CANCEL_TRIES = 3
 CANCEL_PAUSE_S = 0.2
 RESUME_TIMEOUT_S = 5.0
+MIN_FINAL_STATUS = 200
+"""A lower one is no answer, and needs no name; no request asks for an upgrade."""
 
 Body = bytes | AsyncIterator[bytes] | None
 
@@ -60,9 +67,10 @@
     async def open(
         self, permit: Permit, request: CallerRequest, body: Body, send_guard: SendGuard
     ) -> Result[aiohttp.ClientResponse, RunOutcome]:
-        """Send the request and return the response once its head has arrived.
+        """Send the request and return its own response once the head has arrived.
 
-        The error is `NOT_DISPATCHED` only if no byte was written.
+        The error is `NOT_DISPATCHED` only if no byte was written, and `FAILED` if an
+        answer came that isn't shown to be the request's own.
         """
         headers = [*request.headers, (REQUEST_ID_HEADER, request.request_id)]
         try:
@@ -74,10 +82,15 @@
                 allow_redirects=False,
                 middlewares=(send_guard,),
             )
+        except ForeignAnswerError:
+            return Error(RunOutcome.FAILED)
         except (aiohttp.ClientError, OSError):
             if send_guard.sent:
                 return Error(RunOutcome.CONNECTION_LOST)
             return Error(RunOutcome.NOT_DISPATCHED)
+        if response.status < MIN_FINAL_STATUS:
+            response.close()
+            return Error(RunOutcome.FAILED)
         return Ok(response)
 
     async def resume(
@@ -93,7 +106,7 @@
                     URL(f"http://{permit.address}{run}", encoded=True),
                     headers=headers,
                     allow_redirects=False,
-                    middlewares=(SendGuard(),),
+                    middlewares=(SendGuard(name=request_name(request_id)),),
                 )
         except (aiohttp.ClientError, OSError, TimeoutError):
             return Error(ResumeError.UNREACHABLE)
@@ -118,6 +131,11 @@
                 await asyncio.sleep(CANCEL_PAUSE_S)
 
 
+def request_name(request_id: str) -> RequestName:
+    """Return what an answer to a request has to name."""
+    return RequestName(REQUEST_ID_HEADER, request_id)
+
+
 def server_notice(response: aiohttp.ClientResponse) -> ServerNotice:
     """Return what a backend server says of itself in a response."""
     has_run = response.status != http_headers.UNAVAILABLE
--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -36,6 +36,18 @@
 RESUME_PAUSE_S = 0.05
 LINGER_S = 5.0
 REFUSED_STATUSES = frozenset({429, 503})
+LOST = Problem(
+    502,
+    "backend_server_lost",
+    "connection to the backend server lost before its response",
+    ExecutionState.MAYBE,
+)
+FOREIGN_ANSWER = Problem(
+    502,
+    "unidentified_answer",
+    "the backend server's answer does not name the request",
+    ExecutionState.MAYBE,
+)
 
 
 class IncompleteResponseError(Exception):
@@ -64,7 +76,8 @@
         self._deadline = deadline
         self._granted_at = now()
         valid_until = min(deadline, self._granted_at + LEASE_S)
-        self._send_guard = SendGuard(self._may_send, valid_until)
+        name = backend_client.request_name(exchange.request_id)
+        self._send_guard = SendGuard(self._may_send, valid_until, name)
         self._progress = ResponseProgress(now(), on_first_byte=self._record_first_byte)
         self._streamed_body: StreamedBody | None = None
         self._upstream: aiohttp.ClientResponse | None = None
@@ -108,9 +121,9 @@
                 if not self._send_guard.withheld:
                     self._outcome = RunOutcome.NOT_DISPATCHED
                 return None
-            case Result():
-                self._outcome = RunOutcome.CONNECTION_LOST
-                return await self._connection_lost()
+            case Result(error=outcome):
+                self._outcome = outcome
+                return await self._no_own_answer()
         return await self._relay_response()
 
     def _may_send(self) -> bool:
@@ -154,19 +167,18 @@
         )
         return self._streamed_body.chunks()
 
-    async def _connection_lost(self) -> web.StreamResponse:
+    async def _no_own_answer(self) -> web.StreamResponse:
         if self._streamed_body is not None and self._streamed_body.problem is not None:
             self._outcome = RunOutcome.CANCELLED
             return self._exchange.error_response(self._streamed_body.problem)
         if await self._resume():
             return await self._relay_response()
-        detail = "connection to the backend server lost before its response"
-        problem = Problem(502, "backend_server_lost", detail, ExecutionState.MAYBE)
-        return self._exchange.error_response(problem)
+        is_foreign = self._outcome is RunOutcome.FAILED
+        return self._exchange.error_response(FOREIGN_ANSWER if is_foreign else LOST)
 
     async def _relay_response(self) -> web.StreamResponse:
         self._outcome = RunOutcome.CONNECTION_LOST
-        if self._upstream.status < 200 or not http_headers.is_framed(self._upstream):
+        if not http_headers.is_framed(self._upstream):
             detail = "the backend server's response has no length or chunked encoding"
             problem = Problem(502, "unframed_answer", detail, ExecutionState.YES)
             return self._exchange.error_response(problem)
@@ -321,7 +333,7 @@
             RunOutcome.FAILED,
             RunOutcome.REFUSED,
         )
-        if self._outcome not in complete_outcomes:
+        if self._upstream is None or self._outcome not in complete_outcomes:
             return None
         is_stored = len(self._progress.body) <= self._progress.max_body_bytes
         return StoredResponse(
--- a/fuchsiacroft/tests/entry/dispatch_tests.py
+++ b/fuchsiacroft/tests/entry/dispatch_tests.py
@@ -7,7 +7,11 @@
 
 from fuchsiacroft.membership.server_notices import ServerNotice
 from fuchsiacroft.standin import application
-from fuchsiacroft.tests.fakes.data_plane import AUTHORIZED, DataPlaneTestCase
+from fuchsiacroft.tests.fakes.data_plane import (
+    AUTHORIZED,
+    DataPlaneTestCase,
+    answer_head,
+)
 from fuchsiacroft.tests.fakes.ports import free_address
 
 
@@ -127,11 +131,11 @@
         self.assertEqual(1, sum(counts["started"].values()))
 
     async def test_unframed_response_is_rejected(self):
-        async def unframed(reader, writer):
-            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
-            await writer.drain()
+        async def unframed(req, writer):
+            head = answer_head(req.request_id, "200 OK", "Connection: close")
+            writer.write(head + b"half")
 
-        await self.serve_raw(unframed)
+        await self.serve_requests(unframed)
         res, body = await self.call()
         self.assertEqual((502, "yes"), (res.status, body["ran"]))
 
--- a/fuchsiacroft/tests/entry/foreign_answers_tests.py
+++ b/fuchsiacroft/tests/entry/foreign_answers_tests.py
@@ -28,26 +28,56 @@
 class ForeignAnswerTests(AnsweredTestCase):
     """An answer that names another request, or none, is not the request's own."""
 
-    async def assert_unidentified(self, foreign: bytes) -> None:
+    async def assert_not_believed(
+        self, foreign: bytes, code="unidentified_answer", outcome="failed"
+    ) -> None:
         requests = await self.serve_answer(foreign)
         status, problem = await self.call()
         self.assertEqual((502, "maybe"), (status, problem["ran"]))
-        self.assertEqual("unidentified answer", problem["title"])
+        self.assertEqual(f"urn:fuchsiacroft:problem:{code}", problem["type"])
         self.assertEqual(1, len(requests))
         self.assertEqual([], self.scheduler.notices)
-        self.assertEqual([("permit-0", "failed")], self.scheduler.released)
+        self.assertEqual([("permit-0", outcome)], self.scheduler.released)
+
+    async def assert_waited_for_the_own(self, foreign: bytes) -> None:
+        """Check that the connection was read to its end."""
+        await self.assert_not_believed(
+            foreign, "backend_server_lost", "connection_lost"
+        )
 
     async def test_an_answer_to_another_request_is_passed_on(self):
-        await self.assert_unidentified(answer(OTHER, OK, body=b"foreign"))
+        await self.assert_waited_for_the_own(answer(OTHER, OK, body=b"foreign"))
 
     async def test_an_answer_that_names_no_request_is_passed_on(self):
-        await self.assert_unidentified(answer(None, OK, body=b"foreign"))
+        await self.assert_not_believed(answer(None, OK, body=b"foreign"))
 
     async def test_what_another_answer_says_of_its_server_is_believed(self):
-        await self.assert_unidentified(answer(OTHER, BUSY, *NOTICES))
+        await self.assert_waited_for_the_own(answer(OTHER, BUSY, *NOTICES))
 
     async def test_what_an_answer_without_a_name_says_of_its_server_is_believed(self):
-        await self.assert_unidentified(answer(None, BUSY, *NOTICES))
+        await self.assert_not_believed(answer(None, BUSY, *NOTICES))
+
+    async def test_an_answer_to_two_requests_is_passed_on(self):
+        for names in ((OTHER, None), (None, OTHER)):
+            with self.subTest(names=names):
+                self.scheduler.addresses.clear()
+                await self.serve_answer(
+                    lambda req, names=names: answer_head(
+                        None,
+                        OK,
+                        *(
+                            f"Fuchsiacroft-Request-Id: {name or req.request_id}"
+                            for name in names
+                        ),
+                        "Content-Length: 0",
+                    )
+                )
+                status, problem = await self.call()
+                self.assertEqual((502, "maybe"), (status, problem["ran"]))
+
+    async def test_what_a_switch_of_protocols_says_of_its_server_is_believed(self):
+        head = answer_head(None, "101 Switching Protocols", "Upgrade: x", *NOTICES)
+        await self.assert_not_believed(head)
 
     async def test_an_earlier_refusal_is_taken_for_the_answer(self):
         refusal = answer(OTHER, BUSY, *NOTICES, body=b"busy")
@@ -103,13 +133,19 @@
 
     BEGUN = b"data: 0\n\n"
 
-    async def play(self, continuation, *first_lines: str):
-        """Break a stream off; return what the caller gets, and whether it is whole."""
+    async def play(self, continuation, *first_lines: str, first: bytes = b""):
+        """Break a stream off; return what the caller gets, and whether it is whole.
+
+        `first` replaces its beginning.
+        """
 
         async def serve(req: RawRequest, writer):
             if req.target.startswith("GET /runs/"):
                 await continuation(req, writer)
                 return
+            if first:
+                writer.write(first)
+                return
             lines = first_lines or (CHUNKED,)
             writer.write(answer_head(req.request_id, OK, STREAM, *lines))
             writer.write(chunk(self.BEGUN) if CHUNKED in lines else self.BEGUN)
@@ -166,6 +202,20 @@
         request_ids = {req.request_id for req in self.requests}
         self.assertEqual(1, len(request_ids))
 
+    async def test_a_stream_is_lost_by_an_answer_that_is_not_its_own(self):
+        """The run can be found by its id."""
+
+        async def answer_resume(req, writer):
+            head = self.head(req, Fuchsiacroft_Offset="0")
+            writer.write(head + chunk(b"data: 1\n\n" + DONE) + b"0\r\n\r\n")
+
+        for request_id in (None, OTHER):
+            with self.subTest(request_id=request_id):
+                first = answer(request_id, BUSY, *NOTICES)
+                got = await self.play(answer_resume, first=first)
+                self.assertEqual((b"data: 1\n\n" + DONE, True), got)
+                self.assertEqual([], self.scheduler.notices)
+
     async def test_a_continuation_of_another_run_is_used(self):
         await self.assert_not_used(Fuchsiacroft_Request_Id=OTHER)
 
--- a/fuchsiacroft/tests/entry/http_tests.py
+++ b/fuchsiacroft/tests/entry/http_tests.py
@@ -7,7 +7,11 @@
 import msgspec
 
 from fuchsiacroft.standin import application
-from fuchsiacroft.tests.fakes.data_plane import AUTHORIZED, DataPlaneTestCase
+from fuchsiacroft.tests.fakes.data_plane import (
+    AUTHORIZED,
+    DataPlaneTestCase,
+    answer_head,
+)
 
 AUTH = b"Authorization: Bearer key-1\r\n"
 HEAD_END = b"\r\n\r\n"
@@ -186,12 +190,11 @@
     """Hop-by-hop and internal headers are removed in both directions."""
 
     async def test_request_headers(self):
-        async def respond(reader, writer):
-            writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
-            await writer.drain()
+        async def respond(req, writer):
+            writer.write(answer_head(req.request_id, "204 No Content"))
 
-        counts = await self.serve_raw(respond)
-        await self.send_raw(
+        requests = await self.serve_requests(respond)
+        response = await self.send_raw(
             get(
                 b"/services/counter/%62?q=1",
                 b"TE: trailers\r\nX-Kept: one\r\nX-Dropped: two\r\n"
@@ -199,7 +202,8 @@
                 b"Fuchsiacroft-Request-Id: 8\r\nProxy-Authorization: no\r\n",
             )
         )
-        head = counts["head"].decode().lower()
+        self.assertTrue(response.startswith(b"HTTP/1.1 204"), response)
+        head = requests[0].head.decode().lower()
         self.assertIn("get /%62?q=1 http/1.1", head)
         self.assertIn("x-kept: one", head)
         for removed in (
@@ -213,38 +217,38 @@
             self.assertNotIn(removed, head)
 
     async def test_response_headers(self):
-        async def respond(reader, writer):
-            writer.write(
-                b"HTTP/1.1 200 Injected\tReason\r\nContent-Length: 2\r\n"
-                b"Connection: x-dropped\r\nX-Dropped: 1\r\nX-Kept: 1\r\n"
-                b"Keep-Alive: timeout=1\r\nUpgrade: h2c\r\n"
-                b"Fuchsiacroft-Request-Id: stolen\r\n\r\nok"
-            )
-            await writer.drain()
+        async def respond(req, writer):
+            lines = ("Connection: x-dropped", "X-Dropped: 1", "X-Kept: 1")
+            lines += ("Keep-Alive: timeout=1", "Upgrade: h2c")
+            lines += ("Fuchsiacroft-Boot-Id: stolen",)
+            writer.write(req.answer("200 Injected\tReason", *lines, body=b"ok"))
 
-        await self.serve_raw(respond)
+        requests = await self.serve_requests(respond)
         head = (await self.send_raw(get(b"/services/counter/x"))).lower()
         self.assertIn(b"x-kept: 1", head)
+        named = f"fuchsiacroft-request-id: {requests[0].request_id}\r\n"
+        self.assertEqual(1, head.count(b"fuchsiacroft-"))
+        self.assertIn(named.encode(), head)
         self.assertNotIn(b"injected", head)
         for removed in (b"x-dropped", b"keep-alive", b"upgrade", b"stolen"):
             self.assertNotIn(removed, head)
 
     async def test_malformed_response_head_is_rejected(self):
         for head in (
-            b"HTTP/1.1 200 OK\r\nX-A: one\rSet-Cookie: a=b\r\nContent-Length: 0"
+            b"HTTP/1.1 200 OK\r\n%bX-A: one\rSet-Cookie: a=b\r\nContent-Length: 0"
             b"\r\n\r\n",
-            b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
-            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok",
-            b"nonsense\r\n\r\n",
+            b"HTTP/1.1 101 Switching Protocols\r\n%bUpgrade: x\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\n%bContent-Length: 1\r\nContent-Length: 2\r\n\r\nok",
+            b"nonsense\r\n%b\r\n",
         ):
             with self.subTest(head):
                 self.scheduler.addresses.clear()
 
-                async def respond(reader, writer, head=head):
-                    writer.write(head)
-                    await writer.drain()
+                async def respond(req, writer, head=head):
+                    name = f"Fuchsiacroft-Request-Id: {req.request_id}\r\n"
+                    writer.write(head % name.encode())
 
-                await self.serve_raw(respond)
+                await self.serve_requests(respond)
                 response = await self.send_raw(get(b"/services/counter/x"))
                 self.assertTrue(response.startswith(b"HTTP/1.1 502"), response)
                 self.assertNotIn(b"set-cookie", response.lower())
--- a/tools/bench_entry_emitter.py
+++ b/tools/bench_entry_emitter.py
@@ -15,6 +15,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from fuchsiacroft.entry.problems import REQUEST_ID_HEADER  # noqa: E402
 from fuchsiacroft.standin import announcer  # noqa: E402
 from fuchsiacroft.utils.http import split_address  # noqa: E402
 
@@ -22,11 +23,10 @@
 flags.DEFINE_string("address", "", "address to listen on")
 flags.DEFINE_string("entry", "", "entry to announce to; none if empty")
 
-HEAD = (
-    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-    b"Transfer-Encoding: chunked\r\n\r\n"
-)
-SHORT = b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n0123456789abcdef"
+NAME = REQUEST_ID_HEADER.lower().encode() + b": "
+START = b"HTTP/1.1 200 OK\r\n" + NAME + b"%b\r\n"
+HEAD = START + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+SHORT = START + b"Content-Length: 16\r\n\r\n0123456789abcdef"
 
 
 class Emitter(asyncio.Protocol):
@@ -46,11 +46,13 @@
         head, end, body = self._data.partition(b"\r\n\r\n")
         if not end:
             return
-        if head.startswith(b"GET"):
+        head = head.lower()
+        request_id = head.partition(NAME)[2].split(b"\r\n", 1)[0]
+        if head.startswith(b"get"):
             self._data = b""
-            self._transport.write(SHORT)
+            self._transport.write(SHORT % request_id)
             return
-        length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+        length = int(head.split(b"content-length:")[1].split(b"\r\n")[0])
         if len(body) < length:
             return
         self._data = b""
@@ -58,7 +60,7 @@
         self._left = fields["max_tokens"]
         self._gap_s = fields["gap_s"]
         self._next = self._loop.time()
-        self._transport.write(HEAD)
+        self._transport.write(HEAD % request_id)
         self._emit()
 
     def _emit(self) -> None:
