Repeat a cancellation until the engine answers it for this run

What operators saw: a run whose caller had left or whose time was over went on at its engine after the entry had asked once for its end: a 503 counted, and so did a 204 that named another request.

Cause: any answer ended the up to three tries, whatever its status and whose it was, and nothing was logged after the last.

Change: a cancellation bears the run's Fuchsiacroft-Request-Id. It is done with an answer that names it and is a success or a 404, for a run that the engine doesn't have. After three tries without one, `run_not_cancelled` is logged.

Tests missed it as their engine always cancelled at the first try.

--- a/fuchsiacroft/entry/backend_client.py
+++ b/fuchsiacroft/entry/backend_client.py
@@ -20,6 +20,7 @@
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.server_notices import ServerNotice
 from fuchsiacroft.routing.permits import Permit, RunOutcome
+from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 BOOT_ID_HEADER = "Fuchsiacroft-Boot-Id"
@@ -34,6 +35,7 @@
 CANCEL_TRIES = 3
 CANCEL_PAUSE_S = 0.2
 RESUME_TIMEOUT_S = 5.0
+RUN_NOT_FOUND_STATUS = 404
 MIN_FINAL_STATUS = 200
 """A lower one is no answer, and needs no name; no request asks for an upgrade."""
 
@@ -120,15 +122,31 @@
         self._tasks.spawn(self._cancel(permit), "cancel-run")
 
     async def _cancel(self, permit: Permit) -> None:
-        url = f"http://{permit.address}/runs/{permit.request.request_id}/cancel"
         for _ in range(CANCEL_TRIES):
-            try:
-                async with asyncio.timeout(CANCEL_TIMEOUT_S):
-                    response = await self._session.post(url, middlewares=(SendGuard(),))
-                    response.close()
-                    return
-            except (aiohttp.ClientError, OSError, TimeoutError):
-                await asyncio.sleep(CANCEL_PAUSE_S)
+            if await self._try_cancel(permit):
+                return
+            await asyncio.sleep(CANCEL_PAUSE_S)
+        event(
+            "warning",
+            "run_not_cancelled",
+            request_id=permit.request.request_id,
+            backend_server=permit.backend_server,
+        )
+
+    async def _try_cancel(self, permit: Permit) -> bool:
+        """Return whether the engine says that it ends the run, or doesn't have it."""
+        request_id = permit.request.request_id
+        try:
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                response = await self._session.post(
+                    f"http://{permit.address}/runs/{request_id}/cancel",
+                    headers={REQUEST_ID_HEADER: request_id},
+                    middlewares=(SendGuard(name=request_name(request_id)),),
+                )
+                response.close()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+        return response.ok or response.status == RUN_NOT_FOUND_STATUS
 
 
 def request_name(request_id: str) -> RequestName:
