Take an order for executed only by the answer that names it

What operators saw: the outcome `done` of an order that its engine had not executed, for a 200 that named another order or none, as a proxy or a faulty engine writes them. The order was not sent again.

Cause: the status of the first answer on the connection decided.

Change: an order bears its order_id as Fuchsiacroft-Request-Id, and only an answer that names it counts. Another one is skipped, or is `no_answer`, after which the order is sent again, as it may have been executed.

Tests missed it as the engine of the test of second answers wrote them behind the own one, and on a connection that no other order uses.

--- a/fuchsiacroft/control/engine_orders.py
+++ b/fuchsiacroft/control/engine_orders.py
@@ -9,7 +9,9 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from fuchsiacroft.entry.answer_identity import RequestName
 from fuchsiacroft.entry.at_most_once import SendGuard, open_session
+from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
 from fuchsiacroft.kernel import Kernel, Service
 
 CONNECT_TIMEOUT_S = 2.0
@@ -62,7 +64,10 @@
 
 
 class HttpEngineOrders(EngineOrders):
-    """Sends orders to `POST /orders` of the engine's address."""
+    """Sends orders to `POST /orders` of the engine's address.
+
+    The request id of an order is its `order_id`, which the answer has to name.
+    """
 
     def __init__(self) -> None:
         self._client: aiohttp.ClientSession | None = None
@@ -84,9 +89,10 @@
     ) -> Result[None, SendError]:
         """Send an order on a connection of its own, at most once."""
         body = msgspec.json.encode(order)
-        headers = {"Content-Type": "application/json"}
+        name = RequestName(REQUEST_ID_HEADER, order.order_id)
+        headers = {"Content-Type": "application/json", name.header: name.request_id}
         url = f"http://{address}/orders"
-        guard = SendGuard(may_send)
+        guard = SendGuard(may_send, name=name)
         try:
             async with (
                 asyncio.timeout(RESPONSE_TIMEOUT_S),
--- a/fuchsiacroft/tests/control/engine_orders_tests.py
+++ b/fuchsiacroft/tests/control/engine_orders_tests.py
@@ -12,6 +12,7 @@
 from fuchsiacroft.entry.at_most_once import AddressConnector
 from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
 from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.standin import answer_names
 from fuchsiacroft.standin.orders import OrderExecutor
 from fuchsiacroft.tests.base import SocketTestCase
 from fuchsiacroft.tests.fakes.ports import free_address
@@ -31,6 +32,7 @@
     async def serve(self, checks_fencing):
         app = web.Application()
         OrderExecutor(checks_fencing, load_s=0.0).add_routes(app)
+        answer_names.add_names(app)
         address = free_address()
         listener = Listener(app, address)
         await listener.start()
