Keep no encoded answer in the ledger, whose encoding isn't kept

What callers saw: the answer to a request with an Idempotency-Key came in the encoding that the caller accepts, say gzip. A resend with the same key got its bytes as the stored answer, without Content-Encoding.

Cause: the ledger stores the status, the type and the body of an answer.

Change: such a request asks its backend server for no encoding (Accept-Encoding isn't passed on). The body of an answer that comes in one anyway is not stored, and a resend gets 409 `answer_not_kept`, `ran: yes`. The stored answer's form stays as it is, for control members of two versions.

Tests missed it as no test stored an encoded answer.

--- a/fuchsiacroft/entry/admission.py
+++ b/fuchsiacroft/entry/admission.py
@@ -159,6 +159,7 @@
             detail = "the key is older than its retention; its request may have run"
             return Error(Problem(409, "key_expired", detail, ExecutionState.MAYBE))
         digest = _content_digest(http.method, content)
+        is_stored = not idempotent and bool(key)
         permit_request = PermitRequest(
             request_id=exchange.request_id,
             service=spec.name,
@@ -183,13 +184,15 @@
                 method=http.method,
                 path=content.path,
                 headers=http_headers.backend_request_headers(
-                    http.headers.items(), http.headers.get("Connection", "")
+                    http.headers.items(),
+                    http.headers.get("Connection", ""),
+                    allows_encoding=not is_stored,
                 ),
                 body=content.body,
                 stream=content.stream,
-                ledger_key=None
-                if idempotent or not key
-                else ledger_key(workspace.name, key, digest),
+                ledger_key=ledger_key(workspace.name, key, digest)
+                if is_stored
+                else None,
             )
         )
 
--- a/fuchsiacroft/entry/http_headers.py
+++ b/fuchsiacroft/entry/http_headers.py
@@ -43,10 +43,16 @@
 
 
 def backend_request_headers(
-    headers: Iterable[tuple[str, str]], connection: str
+    headers: Iterable[tuple[str, str]], connection: str, *, allows_encoding: bool
 ) -> tuple[tuple[str, str], ...]:
-    """Return the headers for the backend server, including the content length."""
-    return _strip(headers, STRIPPED_REQUEST_HEADERS | _connection_options(connection))
+    """Return the headers for the backend server, including the content length.
+
+    Without `allows_encoding` they ask for no encoding of the response.
+    """
+    dropped = STRIPPED_REQUEST_HEADERS | _connection_options(connection)
+    if not allows_encoding:
+        dropped |= {"accept-encoding"}
+    return _strip(headers, dropped)
 
 
 def caller_response(
--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -335,7 +335,8 @@
         )
         if self._upstream is None or self._outcome not in complete_outcomes:
             return None
-        is_stored = len(self._progress.body) <= self._progress.max_body_bytes
+        fits = len(self._progress.body) <= self._progress.max_body_bytes
+        is_stored = fits and "Content-Encoding" not in self._upstream.headers
         return StoredResponse(
             status=self._upstream.status,
             content_type=self._upstream.headers.get("Content-Type", ""),
--- a/fuchsiacroft/tests/entry/dispatch_tests.py
+++ b/fuchsiacroft/tests/entry/dispatch_tests.py
@@ -163,6 +163,22 @@
         self.assertIn('outcome="completed"', self.metrics.render([])[0].decode())
         self.assertEqual([("permit-0", "completed")], self.scheduler.released)
 
+    async def test_an_encoded_answer_is_stored_without_its_encoding(self):
+        async def encoded(req, writer):
+            line = "Content-Encoding: gzip"
+            writer.write(req.answer("201 Created", line, body=b"\x1f\x8b"))
+
+        requests = await self.serve_requests(encoded)
+        headers = {"Idempotency-Key": "booking-1", "Accept-Encoding": "gzip"}
+        path = "/services/counter/bookings"
+        self.session._auto_decompress = False
+        res, body = await self.call("POST", path, headers=headers)
+        self.assertEqual((201, b"\x1f\x8b"), (res.status, body))
+        command, _, stored = self.ledger.calls[-1]
+        self.assertEqual(("settle", 201), (command, stored.status))
+        self.assertIsNone(stored.body)
+        self.assertNotIn(b"accept-encoding", requests[0].head.lower())
+
     async def test_claim_of_unsent_request_is_released(self):
         self.scheduler.addresses.append(free_address())
         headers = {"Idempotency-Key": "booking-1"}
