--- a/fuchsiacroft/routing/permits.py
+++ b/fuchsiacroft/routing/permits.py
@@ -86,6 +86,7 @@
 class RunOutcome(enum.Enum):
     """How a run on a backend server ended, as observed by the entry.
 
+    `FAILED`: it answered with an error, or its answer wasn't the request's own.
     `NOT_DISPATCHED`: the connection could not be opened. `PREEMPTED`: ended
     to free capacity for a higher tier. `UNUSED`: the permit was returned without
     being used.
