Take no switch of protocols for a request's own answer

What callers saw: 503, which promises that nothing ran, for a request that ran, where the server (or something before it) answered 101 and said that it had not run it. On the product's path, Retry-After, leaving and limit of a 101 would be believed, too.

Cause: answers below 200 need no name, since interim ones are skipped. A 101 is final for aiohttp, and comes back from the connection without a check.

Change: a 101 ends the exchange like an answer that names no request, named or not: no request asks for another protocol. The entry's own check of the status goes, as the connection does it for both paths.

--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -124,10 +124,13 @@
     async def read(self) -> tuple[RawResponseMessage, aiohttp.StreamReader]:
         """Return the request's own answer, or an interim one; skip those of others.
 
-        Raise `ForeignAnswerError` if an answer names no request, or too many others.
+        Raise `ForeignAnswerError` if an answer names no request, or too many others, or
+        if it switches protocols, which no request asks for.
         """
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
             message, payload = await super().read()
+            if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
+                raise ForeignAnswerError("the answer switches protocols")
             identity = self._identify(message)
             if identity is AnswerIdentity.OWN:
                 return message, payload
--- a/fuchsiacroft/entry/backend_client.py
+++ b/fuchsiacroft/entry/backend_client.py
@@ -36,8 +36,6 @@
 CANCEL_PAUSE_S = 0.2
 RESUME_TIMEOUT_S = 5.0
 RUN_NOT_FOUND_STATUS = 404
-MIN_FINAL_STATUS = 200
-"""A lower one is no answer, and needs no name; no request asks for an upgrade."""
 
 Body = bytes | AsyncIterator[bytes] | None
 
@@ -90,9 +88,6 @@
             if send_guard.sent:
                 return Error(RunOutcome.CONNECTION_LOST)
             return Error(RunOutcome.NOT_DISPATCHED)
-        if response.status < MIN_FINAL_STATUS:
-            response.close()
-            return Error(RunOutcome.FAILED)
         return Ok(response)
 
     async def resume(
--- a/fuchsiacroft/tests/platform/foreign_answers_tests.py
+++ b/fuchsiacroft/tests/platform/foreign_answers_tests.py
@@ -154,6 +154,14 @@
             )
         )
 
+    async def test_a_switch_of_protocols_says_that_nothing_ran(self):
+        """No request asks for one; other answers below 200 need no name."""
+        switch = ("101 Switching Protocols", NOT_EXECUTED, "Upgrade: x")
+        await self.assert_visible_error(lambda req: response_head(*switch))
+        await self.assert_visible_error(
+            lambda req: response_head(*switch, own_id(req), LEAVING)
+        )
+
     async def test_a_status_that_promises_nothing_ran_is_passed_on_of_a_run(self):
         """A backend server refuses in so many words, or it may have run the request."""
         for status in ("503 Down", "429 Many", "408 Slow"):
