--- a/fuchsiacroft/entry/backend_client.py
+++ b/fuchsiacroft/entry/backend_client.py
@@ -9,15 +9,23 @@
 from yarl import URL
 
 from fuchsiacroft.entry import http_headers
-from fuchsiacroft.entry.at_most_once import SendGuard, open_session
+from fuchsiacroft.entry.answer_identity import RequestName
+from fuchsiacroft.entry.at_most_once import (
+    ForeignAnswerError,
+    SendGuard,
+    open_session,
+)
 from fuchsiacroft.entry.problems import REQUEST_ID_HEADER
 from fuchsiacroft.entry.request import CallerRequest
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.server_notices import ServerNotice
 from fuchsiacroft.routing.permits import Permit, RunOutcome
+from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 BOOT_ID_HEADER = "Fuchsiacroft-Boot-Id"
+OFFSET_HEADER = "Fuchsiacroft-Offset"
+"""On the answer to a resume: the byte of the run's output at which its body begins."""
 LEAVING_HEADER = "Fuchsiacroft-Leaving"
 """On an answer: the backend server leaves, if the value is 1."""
 LIMIT_HEADER = "Fuchsiacroft-Limit"
@@ -27,6 +35,7 @@
 CANCEL_TRIES = 3
 CANCEL_PAUSE_S = 0.2
 RESUME_TIMEOUT_S = 5.0
+RUN_NOT_FOUND_STATUS = 404
 
 Body = bytes | AsyncIterator[bytes] | None
 
@@ -58,9 +67,10 @@
     async def open(
         self, permit: Permit, request: CallerRequest, body: Body, send_guard: SendGuard
     ) -> Result[aiohttp.ClientResponse, RunOutcome]:
-        """Send the request and return the response once its head has arrived.
+        """Send the request and return its own response once the head has arrived.
 
-        The error is `NOT_DISPATCHED` only if no byte was written.
+        The error is `NOT_DISPATCHED` only if no byte was written, and `FAILED` if an
+        answer came that isn't shown to be the request's own.
         """
         headers = [*request.headers, (REQUEST_ID_HEADER, request.request_id)]
         try:
@@ -72,6 +82,8 @@
                 allow_redirects=False,
                 middlewares=(send_guard,),
             )
+        except ForeignAnswerError:
+            return Error(RunOutcome.FAILED)
         except (aiohttp.ClientError, OSError):
             if send_guard.sent:
                 return Error(RunOutcome.CONNECTION_LOST)
@@ -82,19 +94,20 @@
         self, permit: Permit, offset: int
     ) -> Result[aiohttp.ClientResponse, ResumeError]:
         """Resume the stream of a run, on the same boot, at a byte offset."""
-        run = f"/runs/{permit.request.request_id}?offset={offset}"
-        headers = {BOOT_ID_HEADER: permit.boot_id}
+        request_id = permit.request.request_id
+        run = f"/runs/{request_id}?offset={offset}"
+        headers = {REQUEST_ID_HEADER: request_id, BOOT_ID_HEADER: permit.boot_id}
         try:
             async with asyncio.timeout(RESUME_TIMEOUT_S):
                 response = await self._session.get(
                     URL(f"http://{permit.address}{run}", encoded=True),
                     headers=headers,
                     allow_redirects=False,
-                    middlewares=(SendGuard(),),
+                    middlewares=(SendGuard(name=request_name(request_id)),),
                 )
         except (aiohttp.ClientError, OSError, TimeoutError):
             return Error(ResumeError.UNREACHABLE)
-        if _is_same_run(response, permit):
+        if _is_continuation(response, permit, offset):
             return Ok(response)
         response.close()
         return Error(ResumeError.RUN_NOT_FOUND)
@@ -104,15 +117,36 @@
         self._tasks.spawn(self._cancel(permit), "cancel-run")
 
     async def _cancel(self, permit: Permit) -> None:
-        url = f"http://{permit.address}/runs/{permit.request.request_id}/cancel"
         for _ in range(CANCEL_TRIES):
-            try:
-                async with asyncio.timeout(CANCEL_TIMEOUT_S):
-                    response = await self._session.post(url, middlewares=(SendGuard(),))
-                    response.close()
-                    return
-            except (aiohttp.ClientError, OSError, TimeoutError):
-                await asyncio.sleep(CANCEL_PAUSE_S)
+            if await self._try_cancel(permit):
+                return
+            await asyncio.sleep(CANCEL_PAUSE_S)
+        event(
+            "warning",
+            "run_not_cancelled",
+            request_id=permit.request.request_id,
+            backend_server=permit.backend_server,
+        )
+
+    async def _try_cancel(self, permit: Permit) -> bool:
+        """Return whether the engine says that it ends the run, or doesn't have it."""
+        request_id = permit.request.request_id
+        try:
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                response = await self._session.post(
+                    f"http://{permit.address}/runs/{request_id}/cancel",
+                    headers={REQUEST_ID_HEADER: request_id},
+                    middlewares=(SendGuard(name=request_name(request_id)),),
+                )
+                response.close()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+        return response.ok or response.status == RUN_NOT_FOUND_STATUS
+
+
+def request_name(request_id: str) -> RequestName:
+    """Return what an answer to a request has to name."""
+    return RequestName(REQUEST_ID_HEADER, request_id)
 
 
 def server_notice(response: aiohttp.ClientResponse) -> ServerNotice:
@@ -123,13 +157,27 @@
     )
 
 
-def _is_same_run(response: aiohttp.ClientResponse, permit: Permit) -> bool:
-    request_id = permit.request.request_id
+def _is_continuation(
+    response: aiohttp.ClientResponse, permit: Permit, offset: int
+) -> bool:
+    """Return whether a response is shown to be the stream of a run from an offset.
+
+    Without framing, another answer could follow as a part of it.
+    """
+    named = {
+        REQUEST_ID_HEADER: permit.request.request_id,
+        BOOT_ID_HEADER: permit.boot_id,
+        OFFSET_HEADER: str(offset),
+    }
     return (
         response.status == 200
         and response.content_type == "text/event-stream"
-        and response.headers.get(REQUEST_ID_HEADER, request_id) == request_id
-        and (response.headers.get(BOOT_ID_HEADER) or permit.boot_id) == permit.boot_id
+        and "Content-Encoding" not in response.headers
+        and http_headers.is_framed(response)
+        and all(
+            response.headers.getall(name, []) == [value]
+            for name, value in named.items()
+        )
     )
 
 
--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -36,6 +36,18 @@
 RESUME_PAUSE_S = 0.05
 LINGER_S = 5.0
 REFUSED_STATUSES = frozenset({429, 503})
+LOST = Problem(
+    502,
+    "backend_server_lost",
+    "connection to the backend server lost before its response",
+    ExecutionState.MAYBE,
+)
+FOREIGN_ANSWER = Problem(
+    502,
+    "unidentified_answer",
+    "the backend server's answer does not name the request",
+    ExecutionState.MAYBE,
+)
 
 
 class IncompleteResponseError(Exception):
@@ -64,13 +76,15 @@
         self._deadline = deadline
         self._granted_at = now()
         valid_until = min(deadline, self._granted_at + LEASE_S)
-        self._send_guard = SendGuard(self._may_send, valid_until)
+        name = backend_client.request_name(exchange.request_id)
+        self._send_guard = SendGuard(self._may_send, valid_until, name)
         self._progress = ResponseProgress(now(), on_first_byte=self._record_first_byte)
         self._streamed_body: StreamedBody | None = None
         self._upstream: aiohttp.ClientResponse | None = None
         self._response: web.StreamResponse | None = None
         self._writer: ResponseWriter | None = None
         self._outcome = RunOutcome.UNUSED
+        self._is_whole = False
         self._has_claim = False
         self._resumes = 0
 
@@ -107,9 +121,9 @@
                 if not self._send_guard.withheld:
                     self._outcome = RunOutcome.NOT_DISPATCHED
                 return None
-            case Result():
-                self._outcome = RunOutcome.CONNECTION_LOST
-                return await self._connection_lost()
+            case Result(error=outcome):
+                self._outcome = outcome
+                return await self._no_own_answer()
         return await self._relay_response()
 
     def _may_send(self) -> bool:
@@ -153,19 +167,18 @@
         )
         return self._streamed_body.chunks()
 
-    async def _connection_lost(self) -> web.StreamResponse:
+    async def _no_own_answer(self) -> web.StreamResponse:
         if self._streamed_body is not None and self._streamed_body.problem is not None:
             self._outcome = RunOutcome.CANCELLED
             return self._exchange.error_response(self._streamed_body.problem)
         if await self._resume():
             return await self._relay_response()
-        detail = "connection to the backend server lost before its response"
-        problem = Problem(502, "backend_server_lost", detail, ExecutionState.MAYBE)
-        return self._exchange.error_response(problem)
+        is_foreign = self._outcome is RunOutcome.FAILED
+        return self._exchange.error_response(FOREIGN_ANSWER if is_foreign else LOST)
 
     async def _relay_response(self) -> web.StreamResponse:
         self._outcome = RunOutcome.CONNECTION_LOST
-        if self._upstream.status < 200 or not http_headers.is_framed(self._upstream):
+        if not http_headers.is_framed(self._upstream):
             detail = "the backend server's response has no length or chunked encoding"
             problem = Problem(502, "unframed_answer", detail, ExecutionState.YES)
             return self._exchange.error_response(problem)
@@ -181,7 +194,8 @@
             self._abort_response(Problem(502, "broken_off", detail, ExecutionState.YES))
             return self._response
         self._outcome = _run_outcome(self._upstream.status)
-        await self._tolerate_disconnect(self._response.write_eof())
+        self._is_whole = True
+        await self._tolerate_disconnect(self._writer.finish())
         return self._response
 
     async def _tolerate_disconnect(self, write) -> None:
@@ -213,9 +227,14 @@
         )
 
     async def _resume(self) -> bool:
-        """Resume the stream of the same run on the same boot, if it still exists."""
+        """Resume the stream of the same run on the same boot, if it still exists.
+
+        A stream that began with a length can't be: the rest might have another.
+        """
         if not self._is_stream:
             return False
+        if self._writer is not None and self._writer.has_length:
+            return False
         if self._upstream is not None:
             self._upstream.close()
         offset = self._progress.sent_bytes
@@ -231,6 +250,9 @@
         return False
 
     async def _timed_out(self) -> web.StreamResponse | None:
+        if self._is_whole:
+            self._writer.close(LINGER_S)
+            return self._response
         preempted = self._permit.preempted
         if preempted.done():
             self._cancel(RunOutcome.PREEMPTED)
@@ -259,6 +281,9 @@
         )
 
     def _cancel(self, outcome: RunOutcome) -> None:
+        """Cancel the run, unless its whole response has come."""
+        if self._is_whole:
+            return
         self._outcome = outcome if self._send_guard.sent else RunOutcome.UNUSED
         if self._send_guard.sent and self._request.spec.kind == "model":
             self._services.client.cancel(self._permit)
@@ -272,7 +297,8 @@
         )
         if self._writer.is_disconnected:
             return
-        if self._response.content_type == "text/event-stream":
+        is_stream = self._response.content_type == "text/event-stream"
+        if is_stream and not self._writer.has_length:
             if not self._progress.ends_between_events:
                 self._writer.write(b"\n\n")
             self._writer.write(problems.sse_event(problem, request_id))
@@ -307,9 +333,10 @@
             RunOutcome.FAILED,
             RunOutcome.REFUSED,
         )
-        if self._outcome not in complete_outcomes:
+        if self._upstream is None or self._outcome not in complete_outcomes:
             return None
-        is_stored = len(self._progress.body) <= self._progress.max_body_bytes
+        fits = len(self._progress.body) <= self._progress.max_body_bytes
+        is_stored = fits and "Content-Encoding" not in self._upstream.headers
         return StoredResponse(
             status=self._upstream.status,
             content_type=self._upstream.headers.get("Content-Type", ""),
