Take no status below 100 for a request's own answer

What callers saw: 503, which promises that nothing ran, for a request that ran, where its server (or something before it) answered with a status below 100 and said that it had not run it. Leaving and Retry-After of it were believed, too.

Cause: answers below 200 need no name, since interim ones are skipped. The HTTP client's start takes only 100 and 102 to 199 for interim, so 000 to 099 come back as final without a check, as 101 did.

Change: such a status ends the exchange like an answer that names no request.

--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -125,12 +125,14 @@
         """Return the request's own answer, or an interim one; skip those of others.
 
         Raise `ForeignAnswerError` if an answer names no request, or too many others, or
-        if it switches protocols, which no request asks for.
+        if it switches protocols, which no request asks for, or has a status below 100.
         """
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
             message, payload = await super().read()
             if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
                 raise ForeignAnswerError("the answer switches protocols")
+            if message.code < HTTPStatus.CONTINUE:
+                raise ForeignAnswerError("the answer has no status of the protocol")
             identity = self._identify(message)
             if identity is AnswerIdentity.OWN:
                 return message, payload
--- a/fuchsiacroft/tests/platform/foreign_answers_tests.py
+++ b/fuchsiacroft/tests/platform/foreign_answers_tests.py
@@ -162,6 +162,16 @@
             lambda req: response_head(*switch, own_id(req), LEAVING)
         )
 
+    async def test_a_status_below_100_says_that_nothing_ran(self):
+        """The HTTP client takes it for final, and not for interim."""
+        for status in ("099 X", "000 X"):
+            with self.subTest(status):
+                await self.assert_visible_error(
+                    lambda req, status=status: response_head(
+                        status, NOT_EXECUTED, LEAVING, "Content-Length: 4"
+                    )
+                )
+
     async def test_a_status_that_promises_nothing_ran_is_passed_on_of_a_run(self):
         """A backend server refuses in so many words, or it may have run the request."""
         for status in ("503 Down", "429 Many", "408 Slow"):
