Reset a stream to an HTTP/1.0 caller that a stop of the entry ends, on routes, too

What callers saw: a caller of a route that speaks HTTP/1.0 knows the end of a stream, or of an answer of over 1 MiB, only from that of its connection. When the entry stopped with the response in progress, or would be killed, the connection ended in order, so a part of a stream was a whole one.

The routes reset such a connection only at their time limits, at lost servers and behind a drain.

Change: the connection ends in a reset, however it is closed, until all of a whole response is sent.

A kill was not run; the reset is a property of the socket.

--- a/fuchsiacroft/gateway/response_relay.py
+++ b/fuchsiacroft/gateway/response_relay.py
@@ -14,6 +14,7 @@
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter
 from fuchsiacroft.gateway.silence_watch import SilenceWatch
 from fuchsiacroft.gateway.unframed_body import SecondAnswerError, UnframedBody
+from fuchsiacroft.utils import connections
 from fuchsiacroft.utils.clock import now
 
 Body = aiohttp.StreamReader | UnframedBody
@@ -118,8 +119,7 @@
         while chunk:
             await downstream.write(chunk)
             chunk = await content.readany()
-        await downstream.write_eof()
-        self.response = downstream
+        await self._finish_response()
         return AttemptResult.ANSWERED
 
     async def _relay_stream(self, upstream: aiohttp.ClientResponse) -> AttemptResult:
@@ -148,8 +148,7 @@
             # A server that crashes after the head looks like this, too.
             return AttemptResult.BROKEN
         await self._start_response(upstream)
-        await self._context.started_response.write_eof()
-        self.response = self._context.started_response
+        await self._finish_response()
         return AttemptResult.ANSWERED
 
     async def _relay_events(
@@ -184,17 +183,37 @@
         await self._context.started_response.write(events)
 
     async def _start_response(self, upstream: aiohttp.ClientResponse) -> None:
-        """Send the response head, taken from the first server that sent an event."""
+        """Send the response head, taken from the first server that sent an event.
+
+        A connection whose end is that of the body ends in a reset until the body ends.
+        """
         if self._context.started_response is not None:
             return
         downstream = web.StreamResponse(status=upstream.status)
         for name, value in self._protocol.caller_response_headers(upstream):
             downstream.headers.add(name, value)
-        if self._context.http.version >= HttpVersion11:
+        if self._ends_with_connection:
+            connections.reset_at_close(self._context.http.transport)
+        else:
             downstream.enable_chunked_encoding()
         self._context.started_response = downstream
         await downstream.prepare(self._context.http)
 
+    async def _finish_response(self) -> None:
+        """Send the end of the response that the caller has the start of."""
+        http = self._context.http
+        downstream = self._context.started_response
+        await downstream.write_eof()
+        if self._ends_with_connection and http.transport is not None:
+            http.transport.set_write_buffer_limits(high=0)
+            await http.writer.drain()
+            connections.close_in_order(http.transport)
+        self.response = downstream
+
+    @property
+    def _ends_with_connection(self) -> bool:
+        return self._context.http.version < HttpVersion11
+
 
 def _body(upstream: aiohttp.ClientResponse) -> Body:
     """Return the reader of a response's body."""
