Read no answer out of a cut head and the answer that follows it

What callers saw: 200 with the server's signature and the text of another answer, framed as whole, where a server stopped in the middle of its answer's head and answered once more (say 500, or to another request) on the connection.

Cause: the status line of the second answer becomes the end of a header's value, or of the reason, and its headers those of the first.

Change: an answer with a status line within its head ends the exchange like one that names no request. It holds on both paths, as the connection does it.

Tests missed it: heads were cut at each byte, but nothing followed them.

--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import math
+import re
 from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
@@ -33,6 +34,8 @@
 """Answers to other requests that are skipped on one connection."""
 MAX_SKIPPED_LOGS_PER_S = 50
 
+_STATUS_LINE = re.compile(r"HTTP/1\.[01] [0-9]{3}(?![0-9])")
+
 _answers_not_used = RateLimitedLog("answer_not_used", MAX_SKIPPED_LOGS_PER_S)
 
 
@@ -125,7 +128,8 @@
         """Return the request's own answer, or an interim one; skip those of others.
 
         Raise `ForeignAnswerError` if an answer names no request, or too many others, or
-        if it switches protocols, which no request asks for, or has a status below 100.
+        if it switches protocols, which no request asks for, or has a status below 100,
+        or if its head was cut and goes on with that of another answer.
         """
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
             message, payload = await super().read()
@@ -133,6 +137,8 @@
                 raise ForeignAnswerError("the answer switches protocols")
             if message.code < HTTPStatus.CONTINUE:
                 raise ForeignAnswerError("the answer has no status of the protocol")
+            if _holds_status_line(message):
+                raise ForeignAnswerError("another answer begins within the head")
             identity = self._identify(message)
             if identity is AnswerIdentity.OWN:
                 return message, payload
@@ -191,6 +197,13 @@
         super().connection_lost(exc)
 
 
+def _holds_status_line(message: RawResponseMessage) -> bool:
+    """Return whether the status line of an answer begins within the head of another."""
+    return _STATUS_LINE.search(message.reason or "") is not None or any(
+        _STATUS_LINE.search(value) for value in message.headers.values()
+    )
+
+
 class AddressConnector(aiohttp.BaseConnector):
     """Opens a plain TCP connection to an IP address and port, without a resolver.
 
--- a/fuchsiacroft/tests/platform/stuttering_servers_tests.py
+++ b/fuchsiacroft/tests/platform/stuttering_servers_tests.py
@@ -78,6 +78,29 @@
         self.assertEqual(body + b"HTTP/1.1 is old.\r\n", got.body)
 
 
+class CutHeadTests(PlatformTestCase):
+    """A head that is cut, and the answer that follows it, are no answer."""
+
+    async def test_the_text_of_an_error_has_the_status_of_a_cut_head(self):
+        cuts = (len("HTTP/1.1 200 OK"), -len("bc\r\n\r\n"), -len("\r\n\r\n"))
+        for cut in cuts:
+            with self.subTest(cut=cut):
+
+                async def stutter(req, writer, cut=cut):
+                    head = response_head("200 OK", SEAL_HEADER, own_id(req), "X-A: abc")
+                    writer.write(head[:cut])
+                    await writer.drain()
+                    await asyncio.sleep(0.03)
+                    writer.write(response(req, b"sorry", "500 Error"))
+
+                for service, path in (("till", "/book/1/"), ("lens", "/advice/1/")):
+                    replica = await self.region.add_replica(service, stutter)
+                    got = await self.region.send_request(path, method="POST")
+                    self.assertEqual(502, got.status)
+                    self.assertNotIn(b"sorry", got.body)
+                    await self.region.remove_replica(replica, service)
+
+
 class StutteringStreamTests(PlatformTestCase):
     """A second answer is never a part of a stream."""
 
