Take an event's id of thousands of digits for no number

What callers saw: 500 internal_error, or a reset where the stream had begun, where a server's event had an id of over 4,300 digits, which Python doesn't convert.

Change: an id of over 40 digits is no number, so it isn't compared.

Result: python tools/run_tests.py fuchsiacroft.tests.gateway.events_tests: test_a_very_long_id_is_a_fault_of_the_entry failed before with ValueError, and the module passes.

--- a/fuchsiacroft/gateway/events.py
+++ b/fuchsiacroft/gateway/events.py
@@ -6,6 +6,8 @@
 LINE_END = b"\n"
 MAX_EVENT_BYTES = 1024 * 1024
 """Longer events are rejected; nothing else bounds the memory that buffers them."""
+MAX_ID_DIGITS = 40
+"""Longer ids are no numbers; Python refuses to convert very long ones."""
 _ID = re.compile(rb"^id:([^\n]*)", re.MULTILINE)
 
 
@@ -76,4 +78,5 @@
 
 def _number(event_id: str) -> int:
     """Return the number that an id is, or -1."""
-    return int(event_id) if event_id.isascii() and event_id.isdigit() else -1
+    is_number = event_id.isascii() and event_id.isdigit()
+    return int(event_id) if is_number and len(event_id) <= MAX_ID_DIGITS else -1
--- a/fuchsiacroft/tests/gateway/events_tests.py
+++ b/fuchsiacroft/tests/gateway/events_tests.py
@@ -25,6 +25,14 @@
         again = splitter.feed(b"id: 3\ndata: c\n\n")
         self.assertEqual(b"id: 3\ndata: c\n\n", again)
 
+    def test_a_very_long_id_is_a_fault_of_the_entry(self):
+        number = "9" * 5_000
+        splitter = EventSplitter()
+        splitter.expect_after(number)
+        events = f"id: {number}\ndata: a\n\n".encode()
+        self.assertEqual(events, splitter.feed(events))
+        self.assertEqual(number, splitter.last_id)
+
     def test_too_long_event_is_detected(self):
         splitter = EventSplitter()
         for _ in range(5):
