Count the bytes of an own answer apart from those of a skipped one

What callers saw: 502 where the own answer's head came in the same bytes as the end of a large answer to another request, and its body later.

Cause: the limit on bytes that are no body still had those of the skipped answer.

Change: the count begins anew with each body.

--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -170,8 +170,11 @@
         """Parse received bytes, and abort the connection if they are no answer."""
         super().data_received(data)
         self._received_bytes += len(data)
-        if self._payload is not None and self._payload is not EMPTY_PAYLOAD:
-            self._body = self._payload
+        body = self._payload
+        if body is not None and body is not EMPTY_PAYLOAD and body is not self._body:
+            # Another answer may have ended in the same bytes.
+            self._body = body
+            self._received_bytes = 0
         if self._body is not None and self._body.is_eof():
             return
         body_bytes = self._body.total_bytes if self._body is not None else 0
--- a/fuchsiacroft/tests/platform/foreign_answers_tests.py
+++ b/fuchsiacroft/tests/platform/foreign_answers_tests.py
@@ -87,6 +87,20 @@
         first = foreign("200 OK", body=b"them") * 3
         await self.assert_own_answer("/stock/1/", Stutter(first))
 
+    async def test_an_own_answer_is_cut_behind_a_large_one_in_the_same_bytes(self):
+        large = foreign("200 OK", body=b"x" * 200_000)
+
+        async def serve(req, writer):
+            own = response(req, b"mine" * 100)
+            writer.write(large + own[:-200])
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(own[-200:])
+
+        await self.add(serve)
+        got = await self.region.send_request("/book/1/", method="POST")
+        self.assertEqual((200, b"mine" * 100), (got.status, got.body))
+
     async def test_a_refusal_of_another_request_says_that_nothing_ran(self):
         async def only_foreign(req, writer):
             writer.write(foreign(*REFUSALS["503"]))
