Find another answer within a body whose length was told, on routes

What callers saw: 200 with the server's signature and a body of which a part is the head of another answer, framed as whole, where a server stopped in the middle of a body with a Content-Length and answered once more on the connection.

Cause: the bytes of the second answer are read as the rest of the first. They were looked for only where the answer has no length.

Change: a head that names a request ends any body, and so does one that is cut by the end of the body. A page that only quotes an answer is passed on. What isn't found: a cut of fewer bytes than a status line, as its end looks like any other. The product's own path doesn't look for it yet.

--- a/fuchsiacroft/gateway/response_relay.py
+++ b/fuchsiacroft/gateway/response_relay.py
@@ -6,6 +6,7 @@
 from aiohttp import HttpVersion11, web
 
 from fuchsiacroft.entry import http_headers
+from fuchsiacroft.entry.second_answer import SecondAnswerError, SecondAnswerFinder
 from fuchsiacroft.gateway.answer_flaw import AnswerFlaw
 from fuchsiacroft.gateway.attempt_result import AttemptResult
 from fuchsiacroft.gateway.event_times import EventTimes
@@ -13,11 +14,11 @@
 from fuchsiacroft.gateway.request_context import RequestContext
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter
 from fuchsiacroft.gateway.silence_watch import SilenceWatch
-from fuchsiacroft.gateway.unframed_body import SecondAnswerError, UnframedBody
+from fuchsiacroft.gateway.unframed_body import FramedBody, UnframedBody
 from fuchsiacroft.utils import connections
 from fuchsiacroft.utils.clock import now
 
-Body = aiohttp.StreamReader | UnframedBody
+Body = FramedBody | UnframedBody
 
 SERVER_ERROR = 500
 MAX_BUFFERED_BYTES = 1024 * 1024
@@ -86,12 +87,19 @@
             and upstream.content_type == started.content_type
         )
 
+    def _body(self, upstream: aiohttp.ClientResponse) -> Body:
+        """Return the reader of a response's body."""
+        if not http_headers.is_framed(upstream):
+            return UnframedBody(upstream.content)
+        name = self._protocol.request_name(self._context.request)
+        return FramedBody(upstream.content, SecondAnswerFinder(name))
+
     async def _relay_plain(self, upstream: aiohttp.ClientResponse) -> AttemptResult:
         """Buffer the whole response, so that the caller gets all of it or none.
 
         A response too large for that is relayed while it arrives.
         """
-        content = _body(upstream)
+        content = self._body(upstream)
         async with self._watch():
             body, has_ended = await _read_at_most(content, MAX_BUFFERED_BYTES)
         self.began_at = now()
@@ -155,7 +163,7 @@
         self, upstream: aiohttp.ClientResponse, watch: SilenceWatch
     ) -> None:
         """Write complete events to the caller until the stream ends."""
-        content = _body(upstream)
+        content = self._body(upstream)
         while not self._splitter.is_too_long:
             try:
                 chunk = await content.readany()
@@ -215,13 +223,6 @@
         return self._context.http.version < HttpVersion11
 
 
-def _body(upstream: aiohttp.ClientResponse) -> Body:
-    """Return the reader of a response's body."""
-    if http_headers.is_framed(upstream):
-        return upstream.content
-    return UnframedBody(upstream.content)
-
-
 async def _read_at_most(content: Body, limit: int) -> tuple[bytes, bool]:
     """Read to the end, or until at least `limit` bytes have come.
 
--- a/fuchsiacroft/gateway/unframed_body.py
+++ b/fuchsiacroft/gateway/unframed_body.py
@@ -1,4 +1,4 @@
-"""Finds another answer behind one whose end only the end of its connection tells.
+"""Reads bodies, and finds another answer within one or behind one without a length.
 
 A backend server that answers twice on a connection would have its second answer read as
 the end of such a body.
@@ -8,6 +8,8 @@
 
 import aiohttp
 
+from fuchsiacroft.entry.second_answer import SecondAnswerError, SecondAnswerFinder
+
 MAX_STATUS_LINE_BYTES = 256
 _HEAD_PARTS = (
     *(b"H", b"T", b"T", b"P", b"/", b"1", rb"\.", b"[01]", b" "),
@@ -30,10 +32,6 @@
 _HEAD_START = re.compile(_prefix_pattern(_HEAD_PARTS) + rb"\Z")
 
 
-class SecondAnswerError(aiohttp.ClientPayloadError):
-    """The head of another answer came in the middle of a body."""
-
-
 class UnframedBody:
     """Reads a body piece by piece, up to its end or to the head of another answer.
 
@@ -62,6 +60,32 @@
                 return data
 
 
+class FramedBody:
+    """Reads a body whose length or chunks were told, piece by piece.
+
+    The part of another answer that has been read before its head is known is returned,
+    so the end of the body counts only if there is no error.
+    """
+
+    def __init__(
+        self, content: aiohttp.StreamReader, finder: SecondAnswerFinder
+    ) -> None:
+        self._content = content
+        self._finder = finder
+
+    async def readany(self) -> bytes:
+        """Return the next bytes, or none at the end.
+
+        Raise `SecondAnswerError` when another answer begins.
+        """
+        chunk = await self._content.readany()
+        if chunk:
+            self._finder.feed(chunk)
+        else:
+            self._finder.end()
+        return chunk
+
+
 def _split_possible_head(data: bytes) -> tuple[bytes, bytes]:
     """Return the bytes that are no part of a head, and those that may begin one."""
     start = _HEAD_START.search(data, max(0, len(data) - MAX_STATUS_LINE_BYTES))
--- a/fuchsiacroft/tests/gateway/unframed_body_tests.py
+++ b/fuchsiacroft/tests/gateway/unframed_body_tests.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from fuchsiacroft.gateway.unframed_body import SecondAnswerError, UnframedBody
+from fuchsiacroft.entry.second_answer import SecondAnswerError
+from fuchsiacroft.gateway.unframed_body import UnframedBody
 from fuchsiacroft.tests.base import TestCase
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
--- a/fuchsiacroft/tests/platform/stuttering_servers_tests.py
+++ b/fuchsiacroft/tests/platform/stuttering_servers_tests.py
@@ -78,6 +78,45 @@
         self.assertEqual(body + b"HTTP/1.1 is old.\r\n", got.body)
 
 
+class CutBodyTests(PlatformTestCase):
+    """An answer that follows a cut body is no part of it."""
+
+    async def test_a_second_answer_is_the_rest_of_a_cut_body(self):
+        sizes = ((200, 100, 0.03), (200, 100, 0.0), (200, 170, 0.03), (LARGE, 90, 0.03))
+        for size, kept, pause_s in sizes:
+            with self.subTest(size=size, kept=kept, pause_s=pause_s):
+
+                async def stutter(req, writer, size=size, kept=kept, pause_s=pause_s):
+                    whole = response(req, b"a" * size)
+                    writer.write(whole[: kept - size])
+                    await writer.drain()
+                    await asyncio.sleep(pause_s)
+                    writer.write(response(req, b"b" * size))
+
+                replica = await self.region.add_replica("till", stutter)
+                got = await self.send("/book/1/")
+                self.assertFalse(got is not None and got.status == 200)
+                await self.region.remove_replica(replica, "till")
+
+    async def send(self, path: str):
+        """Return the response, or None if it is visibly cut."""
+        try:
+            got = await self.region.send_request(path, method="POST")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        return got if got.complete else None
+
+    async def test_a_page_that_quotes_an_answer_is_refused(self):
+        page = b"A server says\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok\r\n"
+
+        async def answer(req, writer):
+            writer.write(response(req, page))
+
+        await self.region.add_replica("till", answer)
+        got = await self.region.send_request("/book/1/", method="POST")
+        self.assertEqual((200, page), (got.status, got.body))
+
+
 class CutHeadTests(PlatformTestCase):
     """A head that is cut, and the answer that follows it, are no answer."""
 
