Fail a body whose chunks are broken at once

What callers saw: silence up to the request's time limit, and 504 in place of a 502, where a server's answer goes on with bytes that are no chunk. A stream that may go on at another server did so only once its server counted as silent.

Cause: the HTTP client closes such a connection, and hands its error only to later answers; the body that is being read neither ends nor fails.

--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -175,6 +175,8 @@
             # Another answer may have ended in the same bytes.
             self._body = body
             self._received_bytes = 0
+        if self.exception() is not None:
+            self._fail_body()
         if self._body is not None and self._body.is_eof():
             return
         body_bytes = self._body.total_bytes if self._body is not None else 0
@@ -182,6 +184,11 @@
         if self._received_bytes > allowed:
             self._abort()
 
+    def _fail_body(self) -> None:
+        """Fail a body whose framing is broken; aiohttp fails only later answers."""
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(aiohttp.ClientPayloadError("broken framing"))
+
     def _abort(self) -> None:
         exc = NoAnswerError(f"no answer within {self._received_bytes} bytes")
         self.set_exception(exc)
--- a/fuchsiacroft/tests/platform/stuttering_servers_tests.py
+++ b/fuchsiacroft/tests/platform/stuttering_servers_tests.py
@@ -117,6 +117,24 @@
         self.assertEqual((200, page), (got.status, got.body))
 
 
+class BrokenChunksTests(PlatformTestCase):
+    """A body whose chunks are broken ends at once, and not at the time limit."""
+
+    async def break_chunks(self, req, writer):
+        writer.write(stream_head(req) + b"%x\r\n" % 200 + sse_events(1, 2))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(b"x" * 200 + b"no chunk")
+        await writer.drain()
+        await asyncio.sleep(60)
+
+    async def test_a_stream_with_broken_chunks_is_held_to_its_timeout(self):
+        await self.region.add_replica("lens", self.break_chunks)
+        async with asyncio.timeout(1.5):
+            got = await self.region.send_request("/advice/1/", method="POST")
+        self.assertEqual((sse_events(1, 2), False), (got.body, got.complete))
+
+
 class CutHeadTests(PlatformTestCase):
     """A head that is cut, and the answer that follows it, are no answer."""
 
