--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import math
+import re
 from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
@@ -33,6 +34,8 @@
 """Answers to other requests that are skipped on one connection."""
 MAX_SKIPPED_LOGS_PER_S = 50
 
+_STATUS_LINE = re.compile(r"HTTP/1\.[01] [0-9]{3}(?![0-9])")
+
 _answers_not_used = RateLimitedLog("answer_not_used", MAX_SKIPPED_LOGS_PER_S)
 
 
@@ -126,12 +129,17 @@
         """Return the request's own answer, or an interim one; skip those of others.
 
         Raise `ForeignAnswerError` if an answer names no request, or too many others, or
-        if it switches protocols, which no request asks for.
+        if it switches protocols, which no request asks for, or has a status below 100,
+        or if its head was cut and goes on with that of another answer.
         """
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
             message, payload = await super().read()
             if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
                 raise ForeignAnswerError("the answer switches protocols")
+            if message.code < HTTPStatus.CONTINUE:
+                raise ForeignAnswerError("the answer has no status of the protocol")
+            if _holds_status_line(message):
+                raise ForeignAnswerError("another answer begins within the head")
             identity = self._identify(message)
             if identity is AnswerIdentity.OWN:
                 return message, payload
@@ -163,8 +171,13 @@
         """Parse received bytes, and abort the connection if they are no answer."""
         super().data_received(data)
         self._received_bytes += len(data)
-        if self._payload is not None and self._payload is not EMPTY_PAYLOAD:
-            self._body = self._payload
+        body = self._payload
+        if body is not None and body is not EMPTY_PAYLOAD and body is not self._body:
+            # Another answer may have ended in the same bytes.
+            self._body = body
+            self._received_bytes = 0
+        if self.exception() is not None:
+            self._fail_body()
         if self._body is not None and self._body.is_eof():
             return
         body_bytes = self._body.total_bytes if self._body is not None else 0
@@ -172,6 +185,11 @@
         if self._received_bytes > allowed:
             self._abort()
 
+    def _fail_body(self) -> None:
+        """Fail a body whose framing is broken; aiohttp fails only later answers."""
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(aiohttp.ClientPayloadError("broken framing"))
+
     def _abort(self) -> None:
         exc = NoAnswerError(f"no answer within {self._received_bytes} bytes")
         self.set_exception(exc)
@@ -190,6 +208,13 @@
         super().connection_lost(exc)
 
 
+def _holds_status_line(message: RawResponseMessage) -> bool:
+    """Return whether the status line of an answer begins within the head of another."""
+    return _STATUS_LINE.search(message.reason or "") is not None or any(
+        _STATUS_LINE.search(value) for value in message.headers.values()
+    )
+
+
 class AddressConnector(aiohttp.BaseConnector):
     """Opens a plain TCP connection to an IP address and port, without a resolver.
 
--- a/fuchsiacroft/gateway/response_relay.py
+++ b/fuchsiacroft/gateway/response_relay.py
@@ -6,6 +6,7 @@
 from aiohttp import HttpVersion11, web
 
 from fuchsiacroft.entry import http_headers
+from fuchsiacroft.entry.second_answer import SecondAnswerError, SecondAnswerFinder
 from fuchsiacroft.gateway.answer_flaw import AnswerFlaw
 from fuchsiacroft.gateway.attempt_result import AttemptResult
 from fuchsiacroft.gateway.event_times import EventTimes
@@ -13,10 +14,11 @@
 from fuchsiacroft.gateway.request_context import RequestContext
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter
 from fuchsiacroft.gateway.silence_watch import SilenceWatch
-from fuchsiacroft.gateway.unframed_body import SecondAnswerError, UnframedBody
+from fuchsiacroft.gateway.unframed_body import FramedBody, UnframedBody
+from fuchsiacroft.utils import connections
 from fuchsiacroft.utils.clock import now
 
-Body = aiohttp.StreamReader | UnframedBody
+Body = FramedBody | UnframedBody
 
 SERVER_ERROR = 500
 MAX_BUFFERED_BYTES = 1024 * 1024
@@ -87,12 +89,19 @@
             and upstream.content_type == started.content_type
         )
 
+    def _body(self, upstream: aiohttp.ClientResponse) -> Body:
+        """Return the reader of a response's body."""
+        if not http_headers.is_framed(upstream):
+            return UnframedBody(upstream.content)
+        name = self._protocol.request_name(self._context.request)
+        return FramedBody(upstream.content, SecondAnswerFinder(name))
+
     async def _relay_plain(self, upstream: aiohttp.ClientResponse) -> AttemptResult:
         """Buffer the whole response, so that the caller gets all of it or none.
 
         A response too large for that is relayed while it arrives.
         """
-        content = _body(upstream)
+        content = self._body(upstream)
         async with self._watch():
             body, has_ended = await _read_at_most(content, MAX_BUFFERED_BYTES)
         self.began_at = now()
@@ -121,8 +130,7 @@
         while chunk:
             await downstream.write(chunk)
             chunk = await content.readany()
-        await downstream.write_eof()
-        self.response = downstream
+        await self._finish_response()
         return AttemptResult.ANSWERED
 
     async def _relay_stream(self, upstream: aiohttp.ClientResponse) -> AttemptResult:
@@ -151,15 +159,14 @@
             # A server that crashes after the head looks like this, too.
             return AttemptResult.BROKEN
         await self._start_response(upstream)
-        await self._context.started_response.write_eof()
-        self.response = self._context.started_response
+        await self._finish_response()
         return AttemptResult.ANSWERED
 
     async def _relay_events(
         self, upstream: aiohttp.ClientResponse, watch: SilenceWatch
     ) -> None:
         """Write complete events to the caller until the stream ends."""
-        content = _body(upstream)
+        content = self._body(upstream)
         while not self._splitter.is_too_long:
             try:
                 chunk = await content.readany()
@@ -188,23 +195,36 @@
         await self._context.started_response.write(events)
 
     async def _start_response(self, upstream: aiohttp.ClientResponse) -> None:
-        """Send the response head, taken from the first server that sent an event."""
+        """Send the response head, taken from the first server that sent an event.
+
+        A connection whose end is that of the body ends in a reset until the body ends.
+        """
         if self._context.started_response is not None:
             return
         downstream = web.StreamResponse(status=upstream.status)
         for name, value in self._protocol.caller_response_headers(upstream):
             downstream.headers.add(name, value)
-        if self._context.http.version >= HttpVersion11:
+        if self._ends_with_connection:
+            connections.reset_at_close(self._context.http.transport)
+        else:
             downstream.enable_chunked_encoding()
         self._context.started_response = downstream
         await downstream.prepare(self._context.http)
 
+    async def _finish_response(self) -> None:
+        """Send the end of the response that the caller has the start of."""
+        http = self._context.http
+        downstream = self._context.started_response
+        await downstream.write_eof()
+        if self._ends_with_connection and http.transport is not None:
+            http.transport.set_write_buffer_limits(high=0)
+            await http.writer.drain()
+            connections.close_in_order(http.transport)
+        self.response = downstream
 
-def _body(upstream: aiohttp.ClientResponse) -> Body:
-    """Return the reader of a response's body."""
-    if http_headers.is_framed(upstream):
-        return upstream.content
-    return UnframedBody(upstream.content)
+    @property
+    def _ends_with_connection(self) -> bool:
+        return self._context.http.version < HttpVersion11
 
 
 async def _read_at_most(content: Body, limit: int) -> tuple[bytes, bool]:
--- a/fuchsiacroft/tests/platform/foreign_answers_tests.py
+++ b/fuchsiacroft/tests/platform/foreign_answers_tests.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from fuchsiacroft.tests.fakes.platform_region import PlatformTestCase
+from fuchsiacroft.tests.fakes.platform_region import PlatformTestCase, read_response
 from fuchsiacroft.tests.fakes.replica import (
     SEAL_HEADER,
     own_id,
@@ -87,6 +87,20 @@
         first = foreign("200 OK", body=b"them") * 3
         await self.assert_own_answer("/stock/1/", Stutter(first))
 
+    async def test_an_own_answer_is_cut_behind_a_large_one_in_the_same_bytes(self):
+        large = foreign("200 OK", body=b"x" * 200_000)
+
+        async def serve(req, writer):
+            own = response(req, b"mine" * 100)
+            writer.write(large + own[:-200])
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(own[-200:])
+
+        await self.add(serve)
+        got = await self.region.send_request("/book/1/", method="POST")
+        self.assertEqual((200, b"mine" * 100), (got.status, got.body))
+
     async def test_a_refusal_of_another_request_says_that_nothing_ran(self):
         async def only_foreign(req, writer):
             writer.write(foreign(*REFUSALS["503"]))
@@ -162,6 +176,16 @@
             lambda req: response_head(*switch, own_id(req), LEAVING)
         )
 
+    async def test_a_status_below_100_says_that_nothing_ran(self):
+        """The HTTP client takes it for final, and not for interim."""
+        for status in ("099 X", "000 X"):
+            with self.subTest(status):
+                await self.assert_visible_error(
+                    lambda req, status=status: response_head(
+                        status, NOT_EXECUTED, LEAVING, "Content-Length: 4"
+                    )
+                )
+
     async def test_a_status_that_promises_nothing_ran_is_passed_on_of_a_run(self):
         """A backend server refuses in so many words, or it may have run the request."""
         for status in ("503 Down", "429 Many", "408 Slow"):
@@ -180,6 +204,34 @@
         )
 
 
+class RequestIdTests(PlatformTestCase):
+    """An answer can be told only of a request with one id."""
+
+    async def test_a_request_without_one_id_is_run_and_its_server_blamed(self):
+        for lines in ((), ("Fuchsiacroft-Attempt-Id:",), (OTHER_ID, f"{OTHER_ID}0")):
+            for prefix in ("/stock", "/book"):
+                with self.subTest(lines=lines, prefix=prefix):
+                    got, runs = await self.send(f"{prefix}/1/", lines)
+                    self.assertEqual((400, 0), (got.status, runs))
+
+    async def send(self, path: str, lines: tuple[str, ...]):
+        async def refuse(req, writer):
+            head = response_head("400 Bad", SEAL_HEADER, NOT_EXECUTED)
+            writer.write(head[:-2] + b"Content-Length: 0\r\n\r\n")
+
+        replicas = [await self.region.add_replica("till", refuse) for _ in range(2)]
+        request = self.region.encode_request(path, method="POST", attempt_id="x")
+        more = "".join(f"{line}\r\n" for line in lines).encode()
+        reader, writer = await self.region.connect()
+        writer.write(request.replace(b"Fuchsiacroft-Attempt-Id: x\r\n", more))
+        got = await read_response(reader)
+        writer.close()
+        runs = sum(len(replica.received) for replica in replicas)
+        for replica in replicas:
+            await self.region.remove_replica(replica, "till")
+        return got, runs
+
+
 class CutHeadTests(PlatformTestCase):
     """An answer whose head is cut is no success, wherever it is cut."""
 
