Find another answer within a body on the product's own path, too

What callers saw: 200, complete, with the head of another answer in its body, where a server stopped in the middle of a body with a Content-Length and answered once more on the connection. (By reading, not run: it would be stored in the ledger, too.)

Change: the same search as on routes, before a piece is written, so that a response with a length isn't filled up. Such a run isn't resumed, as its caller may have the start of the other answer.

--- a/fuchsiacroft/entry/body_relay.py
+++ b/fuchsiacroft/entry/body_relay.py
@@ -11,6 +11,7 @@
 from aiohttp import HttpVersion11, web
 
 from fuchsiacroft.entry.response_progress import ResponseProgress
+from fuchsiacroft.entry.second_answer import SecondAnswerError, SecondAnswerFinder
 from fuchsiacroft.utils import connections
 
 WRITE_TIMEOUT_S = 30.0
@@ -112,10 +113,12 @@
         upstream: aiohttp.ClientResponse,
         writer: ResponseWriter,
         progress: ResponseProgress,
+        finder: SecondAnswerFinder,
     ) -> None:
         self._content = upstream.content
         self._writer = writer
         self._progress = progress
+        self._finder = finder
         self._waiter: asyncio.Future | None = None
         self._detached = False
         self._transport: asyncio.Transport | None = None
@@ -129,7 +132,7 @@
         """Copy until the body has ended; raise `ClientError` if it is incomplete."""
         try:
             self._forward()
-            while not self._content.at_eof():
+            while self._content.exception() is not None or not self._content.at_eof():
                 if self._content.exception() is not None:
                     raise self._content.exception()
                 if self._writer.is_blocked:
@@ -172,12 +175,26 @@
         while size >= PARSER_PAUSE_BYTES:
             chunk = content.read_nowait()
             size = len(chunk)
+            if not self._is_own(chunk):
+                break
             if size:
                 self._progress.record(chunk)
                 self._writer.write(chunk)
         if content.is_eof() or self._writer.is_blocked:
             self._wake_up()
 
+    def _is_own(self, chunk: bytes) -> bool:
+        """Return whether no other answer begins in the chunk; fail the body if so."""
+        try:
+            self._finder.feed(chunk)
+            if self._content.is_eof():
+                self._finder.end()
+        except SecondAnswerError as exc:
+            self._content.set_exception(exc)
+            self._wake_up()
+            return False
+        return True
+
     def _wake_up(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/fuchsiacroft/entry/run.py
+++ b/fuchsiacroft/entry/run.py
@@ -23,6 +23,7 @@
 from fuchsiacroft.entry.request_body import StreamedBody
 from fuchsiacroft.entry.response_progress import ResponseProgress
 from fuchsiacroft.entry.run_timeout import RunTimeout
+from fuchsiacroft.entry.second_answer import SecondAnswerError, SecondAnswerFinder
 from fuchsiacroft.membership.server_notices import NoticedAnswer, ServerInstance
 from fuchsiacroft.routing.leases import LEASE_S
 from fuchsiacroft.routing.permits import Permit, RunOutcome, RunReport
@@ -209,9 +210,13 @@
 
     async def _copy(self) -> None:
         while True:
-            relay = BodyRelay(self._upstream, self._writer, self._progress)
+            finder = SecondAnswerFinder(self._send_guard.name)
+            relay = BodyRelay(self._upstream, self._writer, self._progress, finder)
             try:
                 await relay.run()
+            except SecondAnswerError as exc:
+                # The caller may have the start of the other answer.
+                raise IncompleteResponseError from exc
             except aiohttp.ClientError as exc:
                 if not await self._resume():
                     raise IncompleteResponseError from exc
--- a/fuchsiacroft/tests/entry/cut_responses_tests.py
+++ b/fuchsiacroft/tests/entry/cut_responses_tests.py
@@ -71,6 +71,20 @@
                         continue
                     self.assertEqual((502, "maybe"), (status, body["ran"]))
 
+    async def test_a_second_answer_is_the_rest_of_a_cut_body(self):
+        for size, kept in ((200, 100), (200, 170), (2_000, 90)):
+            with self.subTest(size=size, kept=kept):
+                self.scheduler.addresses.clear()
+                await self.serve_answer(
+                    lambda req, size=size, kept=kept: req.answer(OK, body=b"1" * size)[
+                        : kept - size
+                    ],
+                    lambda req, size=size: req.answer(OK, body=b"2" * size),
+                    pause_s=0.05,
+                )
+                with self.assertRaises(aiohttp.ClientPayloadError):
+                    await self.call()
+
     async def test_an_error_event_fills_a_cut_answer_up(self):
         """An answer with a length is closed before that length is reached."""
         begun = b"data: 0\n\n"
