Refuse a request on a route that has no id, or several

What callers saw: a request without an attempt id ran, and ended with 502, at two servers where its route allows a retry; so did one with two ids. No answer could be shown to be its own since answers are identified. By reading, not run: each counted as a connection that its server had lost.

Change: 400 malformed before it is sent. Backend servers refuse such requests, too.

--- a/fuchsiacroft/platform/protocol_adapter.py
+++ b/fuchsiacroft/platform/protocol_adapter.py
@@ -73,6 +73,9 @@
             workspace = table.workspace_of(headers.get(header_names.API_KEY, ""))
             if workspace is None:
                 return Error(Problem(401, "unknown_key", "no workspace has this key"))
+        ids = set(headers.getall(header_names.REQUEST_ID, ()))
+        if len(ids) != 1 or "" in ids:
+            return Error(Problem(400, "malformed", "the request has no id, or several"))
         size = _work_size(headers)
         service = choose_service(route)
         deadline_s = self.caller_deadline_s(http) or route.timeout_s
--- a/fuchsiacroft/tests/platform/foreign_answers_tests.py
+++ b/fuchsiacroft/tests/platform/foreign_answers_tests.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from fuchsiacroft.tests.fakes.platform_region import PlatformTestCase
+from fuchsiacroft.tests.fakes.platform_region import PlatformTestCase, read_response
 from fuchsiacroft.tests.fakes.replica import (
     SEAL_HEADER,
     own_id,
@@ -204,6 +204,34 @@
         )
 
 
+class RequestIdTests(PlatformTestCase):
+    """An answer can be told only of a request with one id."""
+
+    async def test_a_request_without_one_id_is_run_and_its_server_blamed(self):
+        for lines in ((), ("Fuchsiacroft-Attempt-Id:",), (OTHER_ID, f"{OTHER_ID}0")):
+            for prefix in ("/stock", "/book"):
+                with self.subTest(lines=lines, prefix=prefix):
+                    got, runs = await self.send(f"{prefix}/1/", lines)
+                    self.assertEqual((400, 0), (got.status, runs))
+
+    async def send(self, path: str, lines: tuple[str, ...]):
+        async def refuse(req, writer):
+            head = response_head("400 Bad", SEAL_HEADER, NOT_EXECUTED)
+            writer.write(head[:-2] + b"Content-Length: 0\r\n\r\n")
+
+        replicas = [await self.region.add_replica("till", refuse) for _ in range(2)]
+        request = self.region.encode_request(path, method="POST", attempt_id="x")
+        more = "".join(f"{line}\r\n" for line in lines).encode()
+        reader, writer = await self.region.connect()
+        writer.write(request.replace(b"Fuchsiacroft-Attempt-Id: x\r\n", more))
+        got = await read_response(reader)
+        writer.close()
+        runs = sum(len(replica.received) for replica in replicas)
+        for replica in replicas:
+            await self.region.remove_replica(replica, "till")
+        return got, runs
+
+
 class CutHeadTests(PlatformTestCase):
     """An answer whose head is cut is no success, wherever it is cut."""
 
