--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -128,18 +128,12 @@
     async def read(self) -> tuple[RawResponseMessage, aiohttp.StreamReader]:
         """Return the request's own answer, or an interim one; skip those of others.
 
-        Raise `ForeignAnswerError` if an answer names no request, or too many others, or
-        if it switches protocols, which no request asks for, or has a status below 100,
-        or if its head was cut and goes on with that of another answer.
+        Raise `ForeignAnswerError` if an answer is malformed or names no request, or if
+        there are too many others.
         """
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
             message, payload = await super().read()
-            if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
-                raise ForeignAnswerError("the answer switches protocols")
-            if message.code < HTTPStatus.CONTINUE:
-                raise ForeignAnswerError("the answer has no status of the protocol")
-            if _holds_status_line(message):
-                raise ForeignAnswerError("another answer begins within the head")
+            _check_head(message)
             identity = self._identify(message)
             if identity is AnswerIdentity.OWN:
                 return message, payload
@@ -208,6 +202,20 @@
         super().connection_lost(exc)
 
 
+def _check_head(message: RawResponseMessage) -> None:
+    """Raise `ForeignAnswerError` for a head that can't begin an answer to a request.
+
+    aiohttp takes statuses below 100 for final ones. No request asks for another
+    protocol.
+    """
+    if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
+        raise ForeignAnswerError("the answer switches protocols")
+    if message.code < HTTPStatus.CONTINUE:
+        raise ForeignAnswerError("the answer has no status of the protocol")
+    if _holds_status_line(message):
+        raise ForeignAnswerError("another answer begins within the head")
+
+
 def _holds_status_line(message: RawResponseMessage) -> bool:
     """Return whether the status line of an answer begins within the head of another."""
     return _STATUS_LINE.search(message.reason or "") is not None or any(
--- a/fuchsiacroft/gateway/unframed_body.py
+++ b/fuchsiacroft/gateway/answer_body.py
@@ -1,7 +1,7 @@
-"""Reads bodies, and finds another answer within one or behind one without a length.
+"""Reads the bodies of backend servers' answers, with or without a told length.
 
-A backend server that answers twice on a connection would have its second answer read as
-the end of such a body.
+A backend server that answers twice on a connection could have its second answer read as
+a part of the first.
 """
 
 import re
--- a/fuchsiacroft/gateway/response_relay.py
+++ b/fuchsiacroft/gateway/response_relay.py
@@ -7,6 +7,7 @@
 
 from fuchsiacroft.entry import http_headers
 from fuchsiacroft.entry.second_answer import SecondAnswerError, SecondAnswerFinder
+from fuchsiacroft.gateway.answer_body import FramedBody, UnframedBody
 from fuchsiacroft.gateway.answer_flaw import AnswerFlaw
 from fuchsiacroft.gateway.attempt_result import AttemptResult
 from fuchsiacroft.gateway.event_times import EventTimes
@@ -14,7 +15,6 @@
 from fuchsiacroft.gateway.request_context import RequestContext
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter
 from fuchsiacroft.gateway.silence_watch import SilenceWatch
-from fuchsiacroft.gateway.unframed_body import FramedBody, UnframedBody
 from fuchsiacroft.utils import connections
 from fuchsiacroft.utils.clock import now
 
--- a/fuchsiacroft/tests/gateway/unframed_body_tests.py
+++ b/fuchsiacroft/tests/gateway/answer_body_tests.py
@@ -4,7 +4,7 @@
 import time
 
 from fuchsiacroft.entry.second_answer import SecondAnswerError
-from fuchsiacroft.gateway.unframed_body import UnframedBody
+from fuchsiacroft.gateway.answer_body import UnframedBody
 from fuchsiacroft.tests.base import TestCase
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
