Take no caller that has left for a lost backend server

When a caller closes its connection while a part of a response is written to it, the run ended as CONNECTION_LOST, which is evidence of a crash of its server, and the request was sent to another server for nobody.

Cause: the error of the write to the caller was caught together with those of the reads from the server. Change: it is an error of its own, and ends the request like any other disconnect.

--- a/fuchsiacroft/gateway/response_relay.py
+++ b/fuchsiacroft/gateway/response_relay.py
@@ -29,6 +29,10 @@
     """The connection to the backend server was lost in the middle of a stream."""
 
 
+class CallerLeftError(ConnectionError):
+    """The caller closed its connection in the middle of the response."""
+
+
 class ResponseRelay:
     """Relays a stream by events, and any other response whole.
 
@@ -65,7 +69,10 @@
         return self._splitter.count - self._events_before
 
     async def relay(self, upstream: aiohttp.ClientResponse) -> AttemptResult:
-        """Relay a response; raise `TimeoutError` if another server takes over."""
+        """Relay a response.
+
+        Raise `TimeoutError` if another server takes over, and `CallerLeftError`.
+        """
         if not self._may_go_on(upstream):
             self.flaw = AnswerFlaw.NO_CONTINUATION
             return AttemptResult.FAILED
@@ -74,9 +81,9 @@
             if is_stream and upstream.status == 200:
                 return await self._relay_stream(upstream)
             return await self._relay_plain(upstream)
+        except (CallerLeftError, TimeoutError):
+            raise
         except (aiohttp.ClientError, OSError) as exc:
-            if isinstance(exc, TimeoutError):
-                raise
             if isinstance(exc, SecondAnswerError):
                 self.flaw = AnswerFlaw.SECOND_ANSWER
             return AttemptResult.BROKEN
@@ -124,11 +131,9 @@
     ) -> AttemptResult:
         """Relay a large response, of whose body `start` has been read."""
         self._context.has_started_body = True
-        await self._start_response(upstream)
-        downstream = self._context.started_response
         chunk = start
         while chunk:
-            await downstream.write(chunk)
+            await self._write(chunk, upstream)
             chunk = await content.readany()
         await self._finish_response()
         return AttemptResult.ANSWERED
@@ -191,8 +196,15 @@
                 self._context.first_event_at = at
         self.event_times.record(at)
         self._on_progress()
-        await self._start_response(upstream)
-        await self._context.started_response.write(events)
+        await self._write(events, upstream)
+
+    async def _write(self, data: bytes, upstream: aiohttp.ClientResponse) -> None:
+        """Write to the caller; raise `CallerLeftError` if it is gone."""
+        try:
+            await self._start_response(upstream)
+            await self._context.started_response.write(data)
+        except ConnectionError as exc:
+            raise CallerLeftError from exc
 
     async def _start_response(self, upstream: aiohttp.ClientResponse) -> None:
         """Send the response head, taken from the first server that sent an event.
