Take no stream for whole without an event of which a part had come

When a stream broke off within an event and the next server answered with an empty stream, the caller got a stream that ended as whole, without that event.

Cause: a part of an event was discarded and forgotten. Change: the stream then has another event, and a continuation that ends without one is broken off. The new test failed before (200, complete) and passes.

--- a/fuchsiacroft/gateway/events.py
+++ b/fuchsiacroft/gateway/events.py
@@ -19,7 +19,8 @@
     """Returns complete events and buffers a partial one.
 
     `last_id` is the id of the last complete event; `count` is the number of
-    complete events. Blank lines before an event are part of it.
+    complete events. Blank lines before an event are part of it. `is_event_due` is true
+    after a part of an event was discarded, as the stream then has another event.
     """
 
     def __init__(self) -> None:
@@ -27,6 +28,7 @@
         self._highest = -1
         self.last_id: str | None = None
         self.count = 0
+        self.is_event_due = False
 
     @property
     def is_too_long(self) -> bool:
@@ -55,10 +57,13 @@
         complete, self._partial = data[: end + 2], data[end + 2 :]
         self._record_ids(complete)
         self.count += complete.count(EVENT_END)
+        self.is_event_due = False
         return complete
 
     def discard_partial(self) -> None:
         """Discard the partial event."""
+        if self._partial.strip(LINE_END):
+            self.is_event_due = True
         self._partial = b""
 
     def _record_ids(self, complete: bytes) -> None:
--- a/fuchsiacroft/gateway/response_relay.py
+++ b/fuchsiacroft/gateway/response_relay.py
@@ -163,6 +163,9 @@
         if not self.events and not http_headers.is_framed(upstream):
             # A server that crashes after the head looks like this, too.
             return AttemptResult.BROKEN
+        if self._splitter.is_event_due:
+            self.flaw = AnswerFlaw.NO_CONTINUATION
+            return AttemptResult.BROKEN
         await self._start_response(upstream)
         await self._finish_response()
         return AttemptResult.ANSWERED
--- a/fuchsiacroft/tests/platform/stuttering_servers_tests.py
+++ b/fuchsiacroft/tests/platform/stuttering_servers_tests.py
@@ -244,6 +244,9 @@
     async def test_events_that_the_caller_has_are_a_part_of_a_stream_again(self):
         await self.assert_broken_off("200 OK", STREAM, body=sse_events(1, 2, 3))
 
+    async def test_a_stream_is_whole_without_an_event_that_had_begun(self):
+        await self.assert_broken_off("200 OK", STREAM, body=b"")
+
     async def test_a_continuation_without_a_signature_is_a_part_of_a_stream(self):
         async def unsigned(req, writer):
             body = sse_events(3)
