Let the soak's garbling servers crash on deadly prompt parts, too

A server that garbled its answer to a request with a deadly prompt part answered it, which shows that the part is sound; a deadly part crashes every server that begins an answer on it.

--- a/fuchsiacroft/tests/soak/servers.py
+++ b/fuchsiacroft/tests/soak/servers.py
@@ -202,14 +202,15 @@
         first = int(req.get("Last-Event-ID") or 0) + 1
         events = [self._event(number) for number in range(first, STREAM_EVENTS + 1)]
         notices = self._notices()
+        is_deadly = self._is_deadly(req)
         if garble in (Garble.REFUSAL_FIRST, Garble.SUCCESS_FIRST):
             writer.write(garbled_answers.foreign(garble))
-        elif garble is not None:
+        elif garble is not None and not is_deadly:
             body = b"".join(events)
             writer.write(garbled_answers.plain(garble, req, body, STREAM, *notices))
             return
         writer.write(stream_head(req, *notices))
-        if self._is_deadly(req):
+        if is_deadly:
             self.on_part_crash(self)
             return
         for data in events:
