Read no number out of digits with an underscore in a deadline

Cause: Python's float() takes underscores between digits. Change: such a value is no deadline, as others without sense.

--- a/fuchsiacroft/platform/protocol_adapter.py
+++ b/fuchsiacroft/platform/protocol_adapter.py
@@ -51,9 +51,12 @@
 
     def caller_deadline_s(self, http: web.BaseRequest) -> float | None:
         """Return how many seconds the client waits, or None if it does not tell."""
+        text = http.headers.get(header_names.DEADLINE, "")
+        if "_" in text:  # Python would read 1_0 as 10.
+            return None
         try:
-            deadline_s = float(http.headers[header_names.DEADLINE]) / 1000
-        except (KeyError, ValueError):
+            deadline_s = float(text) / 1000
+        except ValueError:
             return None
         return deadline_s if 0 < deadline_s <= MAX_DURATION_S else None
 
--- a/fuchsiacroft/tests/platform/request_heads_tests.py
+++ b/fuchsiacroft/tests/platform/request_heads_tests.py
@@ -35,6 +35,11 @@
         for value in ("nan", "inf", "-inf", "1e300", "1e-300", "0", "-1", HUGE, "1_0"):
             await self.check(f"Fuchsiacroft-Deadline-Ms: {value}".encode())
 
+    async def test_digits_with_an_underscore_shorten_the_time_of_a_request(self):
+        await self.send_head(b"Fuchsiacroft-Deadline-Ms: 1_0")
+        [received] = self.region.replicas[0].received
+        self.assertGreater(int(received.get("Fuchsiacroft-Deadline-Ms")), 10)
+
     async def test_token_counts_without_sense_are_an_internal_error(self):
         for value in ("1,", HUGE, f"{HUGE},1", f"{2**64},1", f"1,{2**64}", "-5,-5"):
             await self.check(
