Keep a stream's origin at two entries of its own failure domain

Cause: a stream has one owner in each domain. In each refused case it was the entry that stood still; the message to it was dropped as no connection could be opened, and the entry that began the stream was not among the two that are asked.

--- a/fuchsiacroft/streams/owners.py
+++ b/fuchsiacroft/streams/owners.py
@@ -1,7 +1,9 @@
-"""Which entries keep the origin of a stream: one in each of a few failure domains.
+"""Which entries keep the origin of a stream: a few, in some failure domains.
 
-So a stream's origin outlives each entry, and each failure domain that is cut off. It
-costs a few messages a stream, however many entries there are.
+So a stream's origin outlives entries, and each failure domain that is cut off. In the
+domain that serves the stream there is more than one, as one of them may stop or stand
+still while the domain is cut off. It costs a few messages a stream, however many
+entries there are.
 """
 
 from collections.abc import Iterable, Sequence
@@ -11,8 +13,12 @@
 
 DOMAINS_TOLD = 4
 """Failure domains with an owner; that of the entry that serves the stream is one."""
-OWNERS_ASKED = 2
-"""Entries asked in each domain; an entry that has just joined knows nothing yet."""
+OWN_DOMAIN_OWNERS = 2
+"""Owners in the domain of the entry that serves the stream."""
+MIN_OWNERS = 3
+"""Owners of a stream, if there are that many entries."""
+OWNERS_ASKED = 3
+"""Entries asked in each domain; one that has just joined knows nothing yet."""
 
 
 def owners_told(
@@ -20,10 +26,11 @@
 ) -> list[EntryRecord]:
     """Return the entries that are told what began the stream of a key."""
     by_domain = _by_domain(entry for entry in entries if not entry.leaving)
-    others = sorted(by_domain.keys() - {own_domain})
-    ranked = choose_owners(key, others, DOMAINS_TOLD - 1)
-    domains = [own_domain, *ranked] if own_domain in by_domain else ranked
-    return [choose_owner(key, by_domain[domain]) for domain in domains]
+    own_entries = by_domain.pop(own_domain, [])
+    others = choose_owners(key, sorted(by_domain), DOMAINS_TOLD - 1)
+    own_count = max(OWN_DOMAIN_OWNERS, MIN_OWNERS - len(others))
+    remote = [choose_owner(key, by_domain[domain]) for domain in others]
+    return _best(key, own_entries, own_count) + remote
 
 
 def owners_asked(
@@ -31,13 +38,14 @@
 ) -> dict[str, list[EntryRecord]]:
     """Return by failure domain the entries that may know what began a stream."""
     return {
-        domain: _best(key, members) for domain, members in _by_domain(entries).items()
+        domain: _best(key, members, OWNERS_ASKED)
+        for domain, members in _by_domain(entries).items()
     }
 
 
-def _best(key: str, members: Sequence[EntryRecord]) -> list[EntryRecord]:
+def _best(key: str, members: Sequence[EntryRecord], count: int) -> list[EntryRecord]:
     by_node = {entry.node: entry for entry in members}
-    return [by_node[node] for node in choose_owners(key, by_node, OWNERS_ASKED)]
+    return [by_node[node] for node in choose_owners(key, by_node, count)]
 
 
 def _by_domain(entries: Iterable[EntryRecord]) -> dict[str, list[EntryRecord]]:
--- a/fuchsiacroft/tests/fakes/process_links.py
+++ b/fuchsiacroft/tests/fakes/process_links.py
@@ -57,6 +57,17 @@
         """Cut a process off from all others for a time."""
         await asyncio.gather(*(proxy.cut(duration_s) for proxy in self._of(ip)))
 
+    async def cut_group(self, ips: list[str], duration_s: float) -> None:
+        """Cut processes off from all others, but not from each other, for a time."""
+        group = set(ips)
+        await asyncio.gather(
+            *(
+                proxy.cut(duration_s)
+                for (source, target), proxy in self._proxies.items()
+                if (source in group) != (target.rpartition(":")[0] in group)
+            )
+        )
+
     def _of(self, ip: str) -> Iterable[Proxy]:
         return [
             proxy
