Begin no request that a planned stop would cut

Cause: 1 s of the grace period was set aside for the rest of the stop, which takes 0.1 s; and until callers have noticed the stop nothing was refused, though runs of the route had taken longer than the time left, or the request got its slot late.

Change: requests may use all of the grace period but 0.65 s. An entry learns how long runs take, by route or service, and refuses what can't be expected to end, truly as not run, on both paths; the estimate is more careful where a caller can't repeat the request.

--- a/fuchsiacroft/entry/caller_api.py
+++ b/fuchsiacroft/entry/caller_api.py
@@ -14,7 +14,9 @@
 from fuchsiacroft.entry.caller_server import CallerServer
 from fuchsiacroft.entry.dispatch import Dispatcher
 from fuchsiacroft.entry.exchange import Exchange, new_request_id
+from fuchsiacroft.entry.planned_stop import PlannedStop
 from fuchsiacroft.entry.problems import ExecutionState, Problem, draining_problem
+from fuchsiacroft.entry.request import CallerRequest
 from fuchsiacroft.entry.request_body import BodyBuffer, BodyReads
 from fuchsiacroft.entry.response_metrics import ResponseMetrics
 from fuchsiacroft.kernel import Kernel, Service
@@ -51,6 +53,7 @@
         self._in_progress: set[Exchange] = set()
         self._draining = False
         self._rejecting = False
+        self._stop: PlannedStop | None = None
         self._server: CallerServer | None = None
 
     async def start(self, kernel: Kernel) -> None:
@@ -74,6 +77,7 @@
         answers_at = deadline - ANSWER_MARGIN_S
         self._server.drains_until = deadline
         self._body_reads.stop_at(answers_at)
+        self._stop = PlannedStop(answers_at, self._dispatcher.durations)
         await asyncio.sleep(READINESS_PROPAGATION_S)
         self._rejecting = True
         await self._wait_for_requests(answers_at)
@@ -164,10 +168,7 @@
     async def _respond(self, exchange: Exchange) -> web.StreamResponse:
         exchange.is_draining = self._draining
         if self._rejecting:
-            detail = "this entry is stopping"
-            return exchange.error_response(
-                draining_problem(detail, DRAIN_RETRY_AFTER_S)
-            )
+            return self._stopping_response(exchange)
         problem = request_validation.request_problem(exchange.http)
         if problem is not None:
             response = exchange.error_response(problem)
@@ -176,9 +177,26 @@
         match await self._admit(exchange):
             case Result(tag="ok", ok=request):
                 exchange.request = request
-                return await self._dispatcher.serve(exchange)
             case Result(error=problem):
                 return exchange.error_response(problem)
+        if not self._is_accepted(request):
+            return self._stopping_response(exchange)
+        return await self._dispatcher.serve(exchange)
+
+    def _is_accepted(self, request: CallerRequest) -> bool:
+        """Return whether a request is likely to end before this entry stops."""
+        if self._stop is None:
+            return True
+        permit_request = request.permit_request
+        return self._stop.accepts(
+            request.spec.name,
+            now() + permit_request.timeout_s,
+            may_repeat=permit_request.idempotent,
+        )
+
+    def _stopping_response(self, exchange: Exchange) -> web.Response:
+        detail = "this entry is stopping; the request did not run"
+        return exchange.error_response(draining_problem(detail, DRAIN_RETRY_AFTER_S))
 
     async def _admit(self, exchange: Exchange) -> AdmissionResult:
         target = exchange.http.raw_path
--- a/fuchsiacroft/entry/dispatch.py
+++ b/fuchsiacroft/entry/dispatch.py
@@ -14,8 +14,14 @@
 from fuchsiacroft.entry.ledger_client import LedgerClient
 from fuchsiacroft.entry.problems import ExecutionState, Problem
 from fuchsiacroft.entry.run import Run, RunServices
+from fuchsiacroft.entry.run_durations import RunDurations
 from fuchsiacroft.kernel import Kernel, Service
-from fuchsiacroft.routing.permits import PermitRequest, Refusal, RefusalReason
+from fuchsiacroft.routing.permits import (
+    PermitRequest,
+    Refusal,
+    RefusalReason,
+    RunOutcome,
+)
 from fuchsiacroft.routing.scheduler import Scheduler
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.tasks import BackgroundTasks
@@ -38,7 +44,7 @@
     """Serves admitted requests.
 
     The callbacks in `on_detached_run_end` are called for each run that ended
-    after its caller had disconnected.
+    after its caller had disconnected. `durations` are those of complete runs.
     """
 
     name = "dispatcher"
@@ -46,6 +52,7 @@
     def __init__(self) -> None:
         self._claimed_runs = BackgroundTasks("dispatcher")
         self.on_detached_run_end: list[Callable[[Exchange], None]] = []
+        self.durations = RunDurations()
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the services that runs need."""
@@ -90,7 +97,10 @@
                     run = Run(self._services, exchange, permit, deadline)
                 case Result(error=refusal):
                     return exchange.error_response(_refusal_problem(refusal))
+            began_at = now()
             response = await self._serve(run, exchange)
+            if exchange.outcome is RunOutcome.COMPLETED:
+                self.durations.record(exchange.request.spec.name, now() - began_at)
             if response is not None:
                 return response
         detail = "no backend server could be reached"
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -11,8 +11,10 @@
 from fuchsiacroft.config.route_source import RouteSource
 from fuchsiacroft.config.route_table import Route
 from fuchsiacroft.entry import request_validation
+from fuchsiacroft.entry.planned_stop import PlannedStop
 from fuchsiacroft.entry.problems import ExecutionState, Problem, draining_problem
 from fuchsiacroft.entry.request_body import BodyBuffer, BodyReads
+from fuchsiacroft.entry.run_durations import RunDurations
 from fuchsiacroft.gateway.attempt import Attempt
 from fuchsiacroft.gateway.attempt_result import AttemptResult
 from fuchsiacroft.gateway.continued_streams import ContinuedStreams
@@ -24,7 +26,13 @@
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.placing.messages import SlotAssignment
 from fuchsiacroft.placing.placer import Placer, WaitLimits
-from fuchsiacroft.routing.permits import PermitRequest, Refusal, RefusalReason
+from fuchsiacroft.routing.permits import (
+    PermitRequest,
+    Refusal,
+    RefusalReason,
+    RunOutcome,
+    RunReport,
+)
 from fuchsiacroft.streams.service import StreamOrigins
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
@@ -58,6 +66,8 @@
         self._random = random.Random()
         self._estimates = ResponseEstimates()
         self._wait_policy = WaitPolicy(self._estimates)
+        self._durations = RunDurations()
+        self._stop: PlannedStop | None = None
 
     async def start(self, kernel: Kernel) -> None:
         """Look up the services that requests need."""
@@ -71,29 +81,29 @@
         """Return the memory used by buffered request bodies."""
         return {"held_body_bytes": self._bodies.buffered_bytes}
 
-    def stop_reading_at(self, when: float) -> None:
-        """Answer requests whose bodies aren't complete at `when`, or can't be."""
-        self._body_reads.stop_at(when)
+    def begin_stop(self, answers_at: float) -> None:
+        """Answer all requests until `answers_at`, on the event loop's clock.
 
-    async def serve(
-        self, context: RequestContext, stops_at: float | None = None
-    ) -> web.StreamResponse:
-        """Return the response to a request.
-
-        The process stops at `stops_at`, on the event loop's clock. A request
-        whose deadline is later is rejected.
+        Those whose bodies can't be complete then, or that may run longer, are refused.
         """
+        self._stop = PlannedStop(answers_at, self._durations)
+        self._body_reads.stop_at(answers_at)
+
+    def refuse_uncertain(self) -> None:
+        """Refuse new requests from now on that may outlast the stop."""
+        self._stop.is_noticed = True
+
+    async def serve(self, context: RequestContext) -> web.StreamResponse:
+        """Return the response to a request."""
         try:
             async with asyncio.timeout(None) as context.timeout:
-                return await self._serve(context, stops_at)
+                return await self._serve(context)
         except TimeoutError:
             return self._timed_out(context)
         finally:
             self._bodies.release(context.body)
 
-    async def _serve(
-        self, context: RequestContext, stops_at: float | None
-    ) -> web.StreamResponse:
+    async def _serve(self, context: RequestContext) -> web.StreamResponse:
         problem = request_validation.framing_problem(
             context.http
         ) or self._header_size_problem(context)
@@ -105,7 +115,7 @@
         match self._route(context):
             case Result(tag="error", error=problem):
                 return self._error_response(context, problem)
-        if stops_at is not None and context.deadline > stops_at:
+        if not self._is_accepted(context):
             return self._error_response(context, _stopping_problem())
         if not context.is_stopped:
             context.timeout.reschedule(context.deadline)
@@ -114,6 +124,23 @@
                 return self._error_response(context, problem)
         return await self._run_attempts(context)
 
+    def _is_accepted(self, context: RequestContext) -> bool:
+        if self._stop is None:
+            return True
+        route = context.request.route
+        return self._stop.accepts(
+            route.name, context.deadline, may_repeat=route.kind.is_retryable
+        )
+
+    def _can_run(self, context: RequestContext) -> bool:
+        """Return whether a run that begins now can end before this entry stops."""
+        if self._stop is None or context.started_response is not None:
+            return True
+        route = context.request.route
+        return self._stop.can_run(
+            route.name, context.deadline, may_repeat=route.kind.is_retryable
+        )
+
     async def _read_body(self, context: RequestContext) -> Result[None, Problem]:
         max_bytes = self._route_source.table.limits.max_body_bytes
         context.is_receiving = True
@@ -170,6 +197,9 @@
                         pass
                     case Result(error=refusal):
                         return self._final_response(context, failure, refusal)
+            if not self._can_run(context):
+                self._placer.release(placement, RunReport(RunOutcome.UNUSED))
+                return self._stopping_response(context, failure)
             attempt = Attempt(
                 context,
                 placement,
@@ -179,10 +209,12 @@
                 find_replacement=partial(self._find_replacement, context),
                 on_stream_begun=partial(self._streams.record_begun, context),
             )
+            began_at = now()
             result = await attempt.run()
             placement = attempt.replacement
             self._record_response_time(context, attempt)
             if result is AttemptResult.ANSWERED:
+                self._record_duration(context, now() - began_at)
                 return attempt.response
             if result is AttemptResult.FAILED:
                 failure = attempt.response
@@ -205,6 +237,11 @@
                 request.service, request.size.prompt_tokens, attempt.response_s
             )
 
+    def _record_duration(self, context: RequestContext, seconds: float) -> None:
+        """Record how long a run took, unless it only went on with a stream."""
+        if not context.request.takes_up_stream and context.runs == 1:
+            self._durations.record(context.request.route.name, seconds)
+
     def _may_retry(self, context: RequestContext, result: AttemptResult) -> bool:
         if context.remaining_s < MIN_REMAINING_S or len(context.tried) >= MAX_SENDS:
             return False
@@ -224,13 +261,23 @@
             permit_request,
             charge=request.charge if is_first or context.runs else 0.0,
             repeats=context.sends > 0,
-            wait_limits=self._wait_policy.limits(
-                request, remaining_s, continues=context.origin is not None
-            ),
+            wait_limits=self._wait_limits(context, remaining_s),
         )
         context.waited_s += now() - started_at
         return outcome
 
+    def _wait_limits(self, context: RequestContext, remaining_s: float) -> WaitLimits:
+        limits = self._wait_policy.limits(
+            context.request, remaining_s, continues=context.origin is not None
+        )
+        if self._stop is None or context.started_response is not None:
+            return limits
+        if context.deadline <= self._stop.answers_at:
+            return limits
+        route = context.request.route
+        longest_s = self._stop.starts_within_s(route.name, route.kind.is_retryable)
+        return limits.at_most(max(longest_s, 0.0))
+
     async def _find_replacement(self, context: RequestContext) -> SlotAssignment | None:
         """Return a slot on another server for a request whose server is silent."""
         if len(context.tried) >= MAX_SENDS or context.is_origin_unsure:
@@ -266,6 +313,14 @@
             context, _refusal_problem(refusal, context.remaining_s)
         )
 
+    def _stopping_response(
+        self, context: RequestContext, failure: web.StreamResponse | None
+    ) -> web.StreamResponse:
+        """Return the response to a request that could no longer run to its end."""
+        if failure is not None or context.runs:
+            return self._final_response(context, failure, None)
+        return self._error_response(context, _stopping_problem())
+
     def _timed_out(self, context: RequestContext) -> web.StreamResponse:
         if context.started_response is not None:
             raise ResponseAbortedError(
--- a/fuchsiacroft/gateway/frontend.py
+++ b/fuchsiacroft/gateway/frontend.py
@@ -40,7 +40,6 @@
         self._protocol = protocol
         self._in_progress: set[RequestContext] = set()
         self._draining = False
-        self._stops_at: float | None = None
         self._server: CallerServer | None = None
 
     async def start(self, kernel: Kernel) -> None:
@@ -54,20 +53,21 @@
     async def drain(self) -> None:
         """Report not ready, then wait for the requests in progress.
 
-        New requests are served until the load balancer has noticed, and from then on
-        if their deadline is before the stop. Bodies are read on meanwhile; who can't
-        send one in time is told so at once. Requests that are still in progress
-        shortly before `drain_timeout_s` get an answer, or an abort if it has begun.
+        New requests are served until the load balancer has noticed, unless they will
+        probably run longer than the stop allows, and from then on if their deadline is
+        before it. Bodies are read on meanwhile; one that can't be complete in time is
+        refused at once. Requests that are still in progress shortly before
+        `drain_timeout_s` get an answer, or an abort if it has begun.
         """
         self._draining = True
         self._roster.start_draining()
         deadline = now() + self._settings.drain_timeout_s
         answers_at = deadline - ANSWER_MARGIN_S
         self._server.drains_until = deadline
-        self._forwarder.stop_reading_at(answers_at)
+        self._forwarder.begin_stop(answers_at)
         await asyncio.sleep(READINESS_PROPAGATION_S)
-        self._stops_at = answers_at
-        self._refuse_arriving()
+        self._forwarder.refuse_uncertain()
+        self._refuse_arriving(answers_at)
         await self._wait_for_requests(answers_at - CLOSE_GRACE_S)
         await self._server.stop_listening()
         await self._wait_for_requests(answers_at)
@@ -85,10 +85,10 @@
                 return
             await asyncio.sleep(DRAIN_POLL_S)
 
-    def _refuse_arriving(self) -> None:
+    def _refuse_arriving(self, answers_at: float) -> None:
         """End the requests whose bodies still arrive and that may outlast the stop."""
         for context in self._in_progress:
-            if context.is_receiving and context.deadline > self._stops_at:
+            if context.is_receiving and context.deadline > answers_at:
                 context.end()
 
     def _end_requests(self) -> None:
@@ -131,7 +131,7 @@
         self._in_progress.add(context)
         status = 0
         try:
-            response = await self._forwarder.serve(context, self._stops_at)
+            response = await self._forwarder.serve(context)
             status = response.status
             if self._draining and not response.prepared:
                 http.protocol.close_after(http, response)
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -91,6 +91,14 @@
     max_wait_s: float
     event_tokens: int = 1
 
+    def at_most(self, seconds: float) -> Self:
+        """Return the limits of a request that may wait no longer than `seconds`."""
+        return replace(
+            self,
+            in_time_s=min(self.in_time_s, seconds),
+            max_wait_s=min(self.max_wait_s, seconds),
+        )
+
     def after(self, waited_s: float) -> Self:
         """Return the limits of a request that has waited for some time."""
         return replace(
--- a/fuchsiacroft/platform/settings.py
+++ b/fuchsiacroft/platform/settings.py
@@ -29,7 +29,7 @@
 CONTROL_PORT_OFFSET = 0
 ENTRY_PORT_OFFSET = 1
 """Offsets in the port range of the ports on which processes contact each other."""
-DRAIN_MARGIN_S = 1.0
+DRAIN_MARGIN_S = 0.45
 """Part of the grace period that a stop needs after the last request has ended."""
 RETRY_MARGIN = 0.5
 """Part of the retry budget that is used, as two entries may decide concurrently."""
--- a/fuchsiacroft/tests/entry/http_tests.py
+++ b/fuchsiacroft/tests/entry/http_tests.py
@@ -295,6 +295,30 @@
             await draining
         self.assertEqual(0, self.callers.dump()["in_progress"])
 
+    async def test_a_request_that_runs_too_long_is_begun_and_cut(self):
+        app = application.create(0.4)
+        await self.serve(app.app())
+
+        async def call():
+            async with self.session.get(
+                "/services/counter/x", headers=AUTHORIZED
+            ) as res:
+                return res.status, await res.read()
+
+        await asyncio.gather(*(call() for _ in range(8)))
+        granted = self.scheduler.granted
+        self.callers._settings = msgspec.structs.replace(
+            self.callers._settings, drain_timeout_s=0.3
+        )
+        with mock.patch("fuchsiacroft.entry.caller_api.READINESS_PROPAGATION_S", 0.2):
+            draining = asyncio.create_task(self.callers.drain())
+            await asyncio.sleep(0.05)
+            status, body = await call()
+            self.assertEqual(503, status)
+            self.assertIn(b'"ran":"no"', body)
+            await draining
+        self.assertEqual(granted, self.scheduler.granted)
+
     async def test_request_in_flight_while_stopping_is_rejected(self):
         app = application.create(0.0)
         await self.serve(app.app())
--- a/fuchsiacroft/tests/platform/arriving_bodies_tests.py
+++ b/fuchsiacroft/tests/platform/arriving_bodies_tests.py
@@ -49,7 +49,7 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         routes = [
-            route | {"timeoutMs": TIMEOUTS_MS.get(route["pathPrefix"], 600)}
+            route | {"timeoutMs": self.timeouts_ms().get(route["pathPrefix"], 600)}
             for route in config()["routes"]
         ]
         await self.region.put_config(config(2, routes=routes))
@@ -62,6 +62,10 @@
         patch.start()
         self.addCleanup(patch.stop)
 
+    def timeouts_ms(self) -> dict[str, int]:
+        """Return the timeouts of the routes that differ from the others."""
+        return TIMEOUTS_MS
+
     def shorten_drain(self, kernel: Kernel) -> None:
         """Let an entry drain for a short time."""
         frontend = kernel.get("front", Frontend)
