Write nothing behind what a full disk could not remove

Operators would see: a control member that runs on after its disk was full, and that can't start again: its log is damaged, what it acknowledged since is lost with it.

Cause: a write that fails is rolled back by making the file shorter. Where the full disk refuses that too, the error counted as the same full disk, and the next try was appended behind the rest of the first.

Change: nothing is written until the rest of a failed write is removed.

--- a/fuchsiacroft/control/segments.py
+++ b/fuchsiacroft/control/segments.py
@@ -20,6 +20,7 @@
         self._folder = folder
         self._segments: list[Segment] = []
         self._active: Segment | None = None
+        self._failed: Segment | None = None
         self.sequence = 0
         self.syncs = 0
 
@@ -31,6 +32,7 @@
         """Load the recovered segments and truncate a torn tail."""
         self._segments = state.segments
         self._active = None
+        self._failed = None
         self.sequence = state.sequence
         if self._segments and self._segments[-1].torn:
             self._truncate_torn_tail()
@@ -38,8 +40,11 @@
     def write(self, payload: bytes, last_index: int) -> None:
         """Write and sync one frame.
 
-        On an `OSError` the partial write is removed and the error is raised.
+        On an `OSError` the partial write is removed and the error is raised. If it
+        can't be removed, nothing else is written until it is: a frame behind it would
+        be unreadable.
         """
+        self._remove_partial_write()
         sequence = self.sequence + 1
         frame = records.encode_frame(sequence, payload)
         segment = self._active
@@ -47,14 +52,16 @@
         if is_new:
             segment = Segment(f"{SEGMENT_PREFIX}{sequence:020d}", 0)
             frame = records.encode_header(records.SEGMENT_MAGIC) + frame
+        self._failed = segment
         try:
             self._folder.append(segment.name, frame)
             self._folder.sync(segment.name)
             if is_new:
                 self._folder.sync_folder()
         except OSError:
-            self._roll_back(segment)
+            self._remove_partial_write()
             raise
+        self._failed = None
         if is_new:
             self._active = segment
             self._segments.append(segment)
@@ -73,11 +80,16 @@
             self._folder.sync_folder()
             del self._segments[0]
 
-    def _roll_back(self, segment: Segment) -> None:
+    def _remove_partial_write(self) -> None:
+        """Remove what a failed write has left, if there is any."""
+        segment = self._failed
+        if segment is None:
+            return
         if segment.size:
             self._folder.truncate(segment.name, segment.size)
         else:
             self._folder.remove(segment.name)
+        self._failed = None
 
     def _truncate_torn_tail(self) -> None:
         segment = self._segments[-1]
--- a/fuchsiacroft/control/storage.py
+++ b/fuchsiacroft/control/storage.py
@@ -89,9 +89,9 @@
             raise InvariantError(f"{location}: {fault.reason}; {REJOIN_ADVICE}")
         state = result.ok
         if state.identity is None:
-            state.identity = await self._create_identity_when_possible()
+            state.identity = await self._run_with_space(self._create_identity)
         self._identity = state.identity
-        await self._run(partial(self._prepare_files, state))
+        await self._run_with_space(partial(self._prepare_files, state))
         self._term, self._vote, self._marks = state.term, state.vote, state.marks
         self._tasks.spawn_critical(self._write_forever(), "storage-writer")
         return state
@@ -151,7 +151,7 @@
             self._reset = Position(snapshot.index, snapshot.term)
             self._queue_change()
             await self.sync()
-        await self._run(partial(self._remove_covered, snapshot.index))
+        await self._remove_covered_if_possible(snapshot.index)
         return Ok(None)
 
     @property
@@ -193,7 +193,7 @@
         for waiter in waiters:
             waiter.fut.cancel()
         await asyncio.gather(*self._operations, return_exceptions=True)
-        await self._run(self._remove_all)
+        await self._run_with_space(self._remove_all)
         self._entries, self._marks, self._reset = [], [], None
         self._durable_changes = self._queued_changes
         self._set_full(False)
@@ -223,17 +223,32 @@
         operation.add_done_callback(self._operations.discard)
         return await asyncio.shield(operation)
 
-    async def _create_identity_when_possible(self) -> Identity:
-        """Write a new identity, retrying while the disk is full."""
+    async def _run_with_space(self, func: Callable[[], T]) -> T:
+        """Run a blocking operation again and again while the disk is full.
+
+        An operation that has failed must be able to start from the beginning.
+        """
         while True:
             try:
-                return await self._run(self._create_identity)
+                result = await self._run(func)
             except OSError as exc:
                 if exc.errno not in DISK_FULL_ERRORS:
                     raise
-            event("error", "disk_full", full=True)
+            else:
+                self._set_full(False)
+                return result
+            self._set_full(True)
             await asyncio.sleep(DISK_FULL_RETRY_S)
 
+    async def _remove_covered_if_possible(self, index: int) -> None:
+        """Remove what a snapshot covers; what stays is removed with the next one."""
+        try:
+            await self._run(partial(self._remove_covered, index))
+        except OSError as exc:
+            if exc.errno not in DISK_FULL_ERRORS:
+                raise
+            event("warning", "files_not_removed_disk_full", index=index)
+
     def _queue_change(self) -> None:
         self._queued_changes += 1
         self._change_queued.set()
--- a/fuchsiacroft/tests/fakes/folder.py
+++ b/fuchsiacroft/tests/fakes/folder.py
@@ -43,7 +43,9 @@
     """A disk whose files outlive the process; a power loss may lose unsynced changes.
 
     `files` are the current files, `durable` those of the last folder sync. Just before
-    or after the sync numbered `lose_power_at`, the power is lost.
+    or after the sync numbered `lose_power_at`, the power is lost. With
+    `refuses_changes`, there is no room for any change, a shorter file included; what an
+    append leaves of its data is `torn_bytes` long.
     """
 
     def __init__(self, seed: int = 0, latency: float = 0.001) -> None:
@@ -52,10 +54,17 @@
         self.files: dict[str, MemoryFile] = {}
         self.durable: dict[str, MemoryFile] = {}
         self.free_bytes: int | None = None
+        self.refuses_changes = False
+        self.torn_bytes = 0
         self.syncs = 0
         self.lose_power_at: int | None = None
         self.on_power_loss: Callable[[], None] = lambda: None
 
+    def check_room(self) -> None:
+        """Raise the error of a disk that refuses every change."""
+        if self.refuses_changes:
+            raise OSError(errno.ENOSPC, "no space left on device")
+
     def lose_unsynced_data(self) -> None:
         """Apply a power loss, which may lose whatever was not synced.
 
@@ -111,6 +120,9 @@
 
     def append(self, name: str, data: bytes) -> None:
         file = self.disk.files.setdefault(name, MemoryFile())
+        if self.disk.refuses_changes:
+            file.data += data[: self.disk.torn_bytes]
+        self.disk.check_room()
         free = self.disk.free_bytes
         if free is not None:
             file.data += data[:free]
@@ -121,28 +133,33 @@
         file.data += data
 
     def truncate(self, name: str, size: int) -> None:
+        self.disk.check_room()
         file = self.disk.files[name]
         if self.disk.free_bytes is not None:
             self.disk.free_bytes += len(file.data) - size
         del file.data[size:]
 
     def sync(self, name: str) -> None:
+        self.disk.check_room()
         file = self.disk.files[name]
         self._count()
         file.synced = bytes(file.data)
         self._count()
 
     def rename(self, name: str, target: str) -> None:
+        self.disk.check_room()
         self.disk.files = dict(self.disk.files)
         self.disk.files[target] = self.disk.files.pop(name)
 
     def remove(self, name: str) -> None:
+        self.disk.check_room()
         self.disk.files = dict(self.disk.files)
         file = self.disk.files.pop(name, None)
         if file is not None and self.disk.free_bytes is not None:
             self.disk.free_bytes += len(file.data)
 
     def sync_folder(self) -> None:
+        self.disk.check_room()
         self._count()
         self.disk.durable = dict(self.disk.files)
         self._count()
