--- a/fuchsiacroft/control/storage.py
+++ b/fuchsiacroft/control/storage.py
@@ -284,8 +284,10 @@
         return True
 
     def _set_full(self, full: bool) -> None:
-        if full != self.is_full:
-            event("error" if full else "info", "disk_full", full=full)
+        if full and not self.is_full:
+            event("error", "disk_full", full=True)
+        elif self.is_full and not full:
+            event("info", "disk_full", full=False)
         self.is_full = full
 
     def _fail(self, exc: OSError) -> None:
