Go on with a repeated task after a step that fails

Operators would see: an entry ends by itself, again at each start, while a control member sends a published body that isn't compressed or ends early.

Cause: what others send was handled in loops of critical tasks, each exception of which stops the process; zlib.error was not expected in that of the published versions.

Change: a body is decompressed within a limit of 64 MiB, and what can't be is refused as an outcome. A broken invariant still stops the process. Tests fail by step_failed as they do by task_failed.

--- a/fuchsiacroft/config/published_feed.py
+++ b/fuchsiacroft/config/published_feed.py
@@ -1,9 +1,15 @@
 """Messages that distribute a published body from control members to entries."""
 
+import zlib
+
 import msgspec
+from expression import Error, Ok, Result
 
 from fuchsiacroft.transport import codec
 
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Largest body that is published, before its compression."""
+
 
 @codec.message("published.fetch")
 class FetchPublishedUpdate(msgspec.Struct, frozen=True):
@@ -24,3 +30,15 @@
     version: int
     body: bytes = b""
     confirmed: bool = False
+
+
+def decompress(body: bytes) -> Result[bytes, str]:
+    """Return a published body, or why it can't be read."""
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(body, MAX_BODY_BYTES)
+    except zlib.error as exc:
+        return Error(f"is not compressed: {exc}")
+    if not decompressor.eof:
+        return Error(f"ends early, or exceeds {MAX_BODY_BYTES} bytes")
+    return Ok(data)
--- a/fuchsiacroft/config/published_follower.py
+++ b/fuchsiacroft/config/published_follower.py
@@ -1,11 +1,12 @@
 """Updates an entry's route table to the highest version of any control member."""
 
 import asyncio
-import zlib
 from collections.abc import Callable
+from functools import partial
 
 from expression import Result
 
+from fuchsiacroft.config import published_feed
 from fuchsiacroft.config.published_feed import FetchPublishedUpdate, PublishedUpdate
 from fuchsiacroft.config.route_source import RouteSource
 from fuchsiacroft.config.route_table import RouteTable
@@ -88,21 +89,20 @@
         for address in addresses:
             if address not in self._follow_tasks:
                 name = f"follow-{address}"
-                self._follow_tasks[address] = self._tasks.spawn_critical(
-                    self._follow(address), name
+                self._follow_tasks[address] = self._tasks.spawn_repeated(
+                    partial(self._fetch, address), name
                 )
 
-    async def _follow(self, address: str) -> None:
-        while True:
-            wait_s = self._fetch_wait_s() if self._confirmed else 0.0
-            fetch = FetchPublishedUpdate(self.current_version, wait_s)
-            match await self._bus.request(address, fetch, wait_s + FETCH_MARGIN_S):
-                case Result(tag="ok", ok=PublishedUpdate() as update):
-                    self._apply_update(update, address)
-                    if not wait_s:
-                        await asyncio.sleep(RETRY_DELAY_S)
-                case _:
+    async def _fetch(self, address: str) -> None:
+        wait_s = self._fetch_wait_s() if self._confirmed else 0.0
+        fetch = FetchPublishedUpdate(self.current_version, wait_s)
+        match await self._bus.request(address, fetch, wait_s + FETCH_MARGIN_S):
+            case Result(tag="ok", ok=PublishedUpdate() as update):
+                self._apply_update(update, address)
+                if not wait_s:
                     await asyncio.sleep(RETRY_DELAY_S)
+            case _:
+                await asyncio.sleep(RETRY_DELAY_S)
 
     def _fetch_wait_s(self) -> float:
         """Return how long each member may wait for an update before it replies."""
@@ -121,7 +121,7 @@
             self._confirmed_at = lease_now()
 
     def _replace_table(self, update: PublishedUpdate, source: str) -> None:
-        match self._decode(zlib.decompress(update.body)):
+        match published_feed.decompress(update.body).bind(self._decode):
             case Result(tag="ok", ok=table):
                 self._table = table
                 event("info", "version_in_force", version=update.version, source=source)
--- a/fuchsiacroft/control/orders.py
+++ b/fuchsiacroft/control/orders.py
@@ -102,7 +102,7 @@
         self.log = kernel.get("log", ReplicatedLog)
         self._orders = kernel.get("engine_orders", EngineOrders)
         self._inventory = kernel.get("inventory", Inventory)
-        self._tasks.spawn_critical(self._plan_forever(), "orders")
+        self._tasks.spawn_repeated(self._plan, "orders")
 
     async def stop(self) -> None:
         """Stop sending orders."""
@@ -151,14 +151,13 @@
             return Error("unknown_engine")
         return await self._issue(self._term, found, Action.ROLE, role=role)
 
-    async def _plan_forever(self) -> None:
-        while True:
-            await asyncio.sleep(PLAN_PERIOD_S)
-            term = await self._current_term()
-            if term is None:
-                continue
-            self._send_open_orders(term)
-            await self._issue_steps(term)
+    async def _plan(self) -> None:
+        await asyncio.sleep(PLAN_PERIOD_S)
+        term = await self._current_term()
+        if term is None:
+            return
+        self._send_open_orders(term)
+        await self._issue_steps(term)
 
     async def _current_term(self) -> LeaderTerm | None:
         if self._term is not None and self._term.is_active:
--- a/fuchsiacroft/gauges.py
+++ b/fuchsiacroft/gauges.py
@@ -5,6 +5,7 @@
 
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.utils.metrics import Metrics
+from fuchsiacroft.utils.tasks import failed_steps
 
 STATM_PATH = "/proc/self/statm"
 DESCRIPTIONS = {
@@ -15,6 +16,7 @@
     "fuchsiacroft_backend_servers_owned": "Backend servers that this entry owns",
     "fuchsiacroft_backend_servers_limited": "Backend servers that name a limit",
     "fuchsiacroft_quarantined_content": "Content whose requests are refused here",
+    "fuchsiacroft_failed_steps": "Failed steps of repeated tasks, by task",
     "fuchsiacroft_process_memory_bytes": "Resident memory of this process",
     "fuchsiacroft_process_cpu_seconds": "CPU time used by this process",
 }
@@ -42,6 +44,8 @@
     with open(STATM_PATH, encoding="ascii") as file:  # noqa: PTH123
         pages = int(file.read().split()[1])
     yield "fuchsiacroft_process_memory_bytes", {}, pages * resource.getpagesize()
+    for task, count in failed_steps.items():
+        yield "fuchsiacroft_failed_steps", {"task": task}, count
 
 
 def _service_samples(state: dict) -> Iterator[Sample]:
--- a/fuchsiacroft/membership/backend_servers.py
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -84,7 +84,7 @@
         if address is not None:
             self._listener = Listener(app, address)
             await self._listener.start()
-        self._tasks.spawn_critical(self._sweep(), "backend-sweep")
+        self._tasks.spawn_repeated(self._sweep, "backend-sweep")
 
     async def stop(self) -> None:
         """Stop listening."""
@@ -206,12 +206,11 @@
             listener(server)
 
     async def _sweep(self) -> None:
-        while True:
-            await asyncio.sleep(SWEEP_PERIOD_S)
-            oldest = now() - ANNOUNCEMENT_TIMEOUT_S
-            for server in self.all():
-                if server.announced_at < oldest:
-                    self._remove(server, "silent")
+        await asyncio.sleep(SWEEP_PERIOD_S)
+        oldest = now() - ANNOUNCEMENT_TIMEOUT_S
+        for server in self.all():
+            if server.announced_at < oldest:
+                self._remove(server, "silent")
 
 
 def create(settings: Settings) -> BackendDirectory:
--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -72,7 +72,7 @@
         self._bus.register_handler(EntryStopping, self._on_entry_stopping)
         self._bus.register_handler(ServersChanged, self._on_changed)
         self._started_at = now()
-        self._tasks.spawn_critical(self._sweep(), "registry-sweep")
+        self._tasks.spawn_repeated(self._sweep, "registry-sweep")
 
     async def stop(self) -> None:
         """Cancel the background tasks."""
@@ -265,17 +265,16 @@
         return ChangeAck()
 
     async def _sweep(self) -> None:
-        while True:
-            await asyncio.sleep(SWEEP_PERIOD_S)
-            at = now()
-            self._relay_unchanged()
-            for name in self._table.remove_expired(at - self._server_timeout_s, at):
-                event("info", "backend_server_forgotten", backend_server=name)
-            for node, (_, received_at) in list(self._entries.items()):
-                if received_at < at - ENTRY_TIMEOUT_S:
-                    del self._entries[node]
-                    self._entries_changed()
-                    event("info", "entry_silent", entry=node)
+        await asyncio.sleep(SWEEP_PERIOD_S)
+        at = now()
+        self._relay_unchanged()
+        for name in self._table.remove_expired(at - self._server_timeout_s, at):
+            event("info", "backend_server_forgotten", backend_server=name)
+        for node, (_, received_at) in list(self._entries.items()):
+            if received_at < at - ENTRY_TIMEOUT_S:
+                del self._entries[node]
+                self._entries_changed()
+                event("info", "entry_silent", entry=node)
 
     def _relay_unchanged(self) -> None:
         """Relay the heartbeats that changed nothing, in one message."""
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -101,7 +101,7 @@
         self._bus = kernel.get("bus", Bus)
         self._bus.register_handler(ServersChanged, self._on_changed)
         self._tasks.spawn_critical(self._send_heartbeats(), "roster-heartbeats")
-        self._tasks.spawn_critical(self._sweep(), "roster-sweep")
+        self._tasks.spawn_repeated(self._sweep, "roster-sweep")
 
     def start_draining(self) -> None:
         """Report this entry as draining in its heartbeats from now on."""
@@ -377,25 +377,24 @@
 
     async def _sweep(self) -> None:
         """Remove control members and servers that are no longer listed."""
-        while True:
-            await asyncio.sleep(SWEEP_PERIOD_S)
-            self._directory.remove_expired(now())
-            self._update_controls()
-            reachable = self._reachable_controls()
-            if not reachable:
-                continue
-            at = now()
-            listed = {
-                name
-                for address in reachable
-                for name in self._known_servers.get(address, (0, ()))[1]
-            }
-            self._servers.refresh(listed, at)
-            removed = self._servers.remove_expired(at - SERVER_TIMEOUT_S, at)
-            for name in removed:
-                event("info", "backend_server_forgotten", backend_server=name)
-            if removed:
-                self._notify_servers_listeners()
+        await asyncio.sleep(SWEEP_PERIOD_S)
+        self._directory.remove_expired(now())
+        self._update_controls()
+        reachable = self._reachable_controls()
+        if not reachable:
+            return
+        at = now()
+        listed = {
+            name
+            for address in reachable
+            for name in self._known_servers.get(address, (0, ()))[1]
+        }
+        self._servers.refresh(listed, at)
+        removed = self._servers.remove_expired(at - SERVER_TIMEOUT_S, at)
+        for name in removed:
+            event("info", "backend_server_forgotten", backend_server=name)
+        if removed:
+            self._notify_servers_listeners()
 
 
 def create(settings: Settings) -> Roster:
--- a/fuchsiacroft/membership/service.py
+++ b/fuchsiacroft/membership/service.py
@@ -86,7 +86,7 @@
         self._tasks.spawn_critical(self._prober.run(), "membership-probe")
         self._tasks.spawn_critical(self._prober.maintain_lease(), "membership-lease")
         self._tasks.spawn_critical(self._join(), "membership-join")
-        self._tasks.spawn_critical(self._send_gossip(), "membership-gossip")
+        self._tasks.spawn_repeated(self._send_gossip, "membership-gossip")
 
     async def drain(self) -> None:
         """Leave the domain, unless `leave` was called before."""
@@ -252,13 +252,12 @@
                     self._joined_at = clock.now()
 
     async def _send_gossip(self) -> None:
-        while True:
-            await asyncio.sleep(GOSSIP_PERIOD_S)
-            peers = self._view.peers() if self._view.gossip else []
-            for peer in self._rng.sample(peers, min(GOSSIP_FANOUT, len(peers))):
-                updates = self._view.updates_for(peer.node)
-                if updates:
-                    self._bus.send(peer.peers, Gossip(self._view.domain, updates))
+        await asyncio.sleep(GOSSIP_PERIOD_S)
+        peers = self._view.peers() if self._view.gossip else []
+        for peer in self._rng.sample(peers, min(GOSSIP_FANOUT, len(peers))):
+            updates = self._view.updates_for(peer.node)
+            if updates:
+                self._bus.send(peer.peers, Gossip(self._view.domain, updates))
 
     async def _on_ping(self, sender: str, ping: Ping) -> Ack | None:
         if ping.domain != self._view.domain:
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -111,7 +111,7 @@
         self._on_servers(self._roster.servers())
         self._neighbours.start_broadcast(self.allocator)
         self._neighbours.on_capacity = self._spill_waiters
-        self._tasks.spawn_critical(self._tick(), "coordinator-tick")
+        self._tasks.spawn_repeated(self._tick, "coordinator-tick")
 
     async def stop(self) -> None:
         """Stop the background tasks."""
@@ -352,14 +352,13 @@
             self._on_servers(records)
 
     async def _tick(self) -> None:
-        while True:
-            self._update_served_domains()
-            await self._pending.wait_for_any(IDLE_TICK_S)
-            await asyncio.sleep(TICK_S)
-            for waiter, refusal in self.allocator.expire_waiters(now()):
-                outcome = self._refuse_expired(waiter.request, refusal)
-                self._pending.resolve(waiter.request.run_id, outcome)
-            self._place_waiters()
+        self._update_served_domains()
+        await self._pending.wait_for_any(IDLE_TICK_S)
+        await asyncio.sleep(TICK_S)
+        for waiter, refusal in self.allocator.expire_waiters(now()):
+            outcome = self._refuse_expired(waiter.request, refusal)
+            self._pending.resolve(waiter.request.run_id, outcome)
+        self._place_waiters()
 
     def _place_waiters(self) -> None:
         for waiter, assignment in self.allocator.place_waiters(now()):
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -9,6 +9,7 @@
 import contextlib
 import random
 from collections.abc import Callable
+from functools import partial
 
 from expression import Result
 
@@ -89,8 +90,8 @@
 
     def start_broadcast(self, allocator: Allocator) -> None:
         """Report an allocator's load while this entry is its domain's coordinator."""
-        self._tasks.spawn_critical(
-            self._broadcast_periodically(allocator), "neighbours-tell"
+        self._tasks.spawn_repeated(
+            partial(self._broadcast_if_due, allocator), "neighbours-broadcast"
         )
 
     def wake(self) -> None:
@@ -238,15 +239,15 @@
             if neighbour.is_usable(at)
         ]
 
-    async def _broadcast_periodically(self, allocator: Allocator) -> None:
-        while True:
-            reports = self.is_coordinator() or self.is_acting()
-            await self._pause(BROADCAST_PERIOD_S if reports else IDLE_PERIOD_S)
-            entries = self._roster.entries()
-            domains = {entry.failure_domain for entry in entries} | {self._domain}
-            self.shares.set_domains(max(len(domains), len(self._neighbours) + 1))
-            if self.is_coordinator() or self.is_acting():
-                self._broadcast(allocator, entries, domains - {self._domain})
+    async def _broadcast_if_due(self, allocator: Allocator) -> None:
+        """Wait for a period, and report if this entry acts for its domain."""
+        reports = self.is_coordinator() or self.is_acting()
+        await self._pause(BROADCAST_PERIOD_S if reports else IDLE_PERIOD_S)
+        entries = self._roster.entries()
+        domains = {entry.failure_domain for entry in entries} | {self._domain}
+        self.shares.set_domains(max(len(domains), len(self._neighbours) + 1))
+        if self.is_coordinator() or self.is_acting():
+            self._broadcast(allocator, entries, domains - {self._domain})
 
     async def _pause(self, period_s: float) -> None:
         """Wait for a period, or until woken."""
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -151,7 +151,7 @@
         self._neighbours.is_acting = self.is_acting
         self._bus.register_handler(HandOver, self._on_hand_over)
         self._bus.register_handler(EntryLeaving, self._on_entry_leaving)
-        self._tasks.spawn_critical(self._monitor_coordinator(), "placer-watch")
+        self._tasks.spawn_repeated(self._monitor_coordinator, "placer-watch")
 
     async def stop(self) -> None:
         """Stop monitoring the coordinator."""
@@ -432,18 +432,17 @@
 
     async def _monitor_coordinator(self) -> None:
         """Ping the coordinator periodically, and follow its changes."""
-        while True:
-            self._reachability.refresh(now())
-            coordinator = self.coordinator()
-            self._set_shares(is_coordinator=coordinator.node == self._node)
-            self._limits.forget_old()
-            if not self._roster.is_control_reachable:
-                self._starts.record_unlisted(now())
-            if coordinator.node != self._node:
-                await self._ping(coordinator)
-            else:
-                self._limits.tell_coordinators(self._domain)
-            await asyncio.sleep(PING_PERIOD_S)
+        self._reachability.refresh(now())
+        coordinator = self.coordinator()
+        self._set_shares(is_coordinator=coordinator.node == self._node)
+        self._limits.forget_old()
+        if not self._roster.is_control_reachable:
+            self._starts.record_unlisted(now())
+        if coordinator.node != self._node:
+            await self._ping(coordinator)
+        else:
+            self._limits.tell_coordinators(self._domain)
+        await asyncio.sleep(PING_PERIOD_S)
 
     def _set_shares(self, is_coordinator: bool) -> None:
         """Set the share of servers and retries that local decisions may use.
--- a/fuchsiacroft/platform/settings_watch.py
+++ b/fuchsiacroft/platform/settings_watch.py
@@ -38,7 +38,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Start watching."""
-        self._tasks.spawn_critical(self._watch(), "settings-watch")
+        self._tasks.spawn_repeated(self._watch, "settings-watch")
 
     async def stop(self) -> None:
         """Stop watching."""
@@ -61,9 +61,8 @@
         self._on_seeds(seeds)
 
     async def _watch(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_PERIOD_S)
-            self.reload()
+        await asyncio.sleep(CHECK_PERIOD_S)
+        self.reload()
 
 
 def create(wire: WireSettings, path: Path, on_seeds: OnSeeds) -> SettingsWatch:
--- a/fuchsiacroft/quarantine/service.py
+++ b/fuchsiacroft/quarantine/service.py
@@ -49,8 +49,8 @@
         self._bus.register_handler(EvidenceReport, self._on_report)
         self._bus.register_handler(CompareEvidence, self._on_compare)
         self._bus.register_handler(TrialBegun, self._on_trial)
-        self._tasks.spawn_critical(self._send_changes(), "quarantine-send")
-        self._tasks.spawn_critical(self._compare_periodically(), "quarantine-compare")
+        self._tasks.spawn_repeated(self._send_changes, "quarantine-send")
+        self._tasks.spawn_repeated(self._compare, "quarantine-compare")
 
     async def stop(self) -> None:
         """Stop the exchange."""
@@ -91,25 +91,23 @@
         return was_suspected
 
     async def _send_changes(self) -> None:
-        while True:
-            await self._has_changes.wait()
-            self._has_changes.clear()
-            report = self.evidence.take_changes(now())
-            self._log_crashes(report)
-            self._log_convictions()
-            peers = tuple(self._peers())
-            for peer in peers:
-                self._bus.send(peer, report)
-            await asyncio.sleep(len(peers) / MAX_REPORTS_PER_S)
-
-    async def _compare_periodically(self) -> None:
-        while True:
-            peers = tuple(self._peers())
-            if not peers:
-                await asyncio.sleep(RETRY_PERIOD_S)
-                continue
-            has_answer = await self._compare_with(self._random.choice(peers))
-            await asyncio.sleep(COMPARE_PERIOD_S if has_answer else RETRY_PERIOD_S)
+        await self._has_changes.wait()
+        self._has_changes.clear()
+        report = self.evidence.take_changes(now())
+        self._log_crashes(report)
+        self._log_convictions()
+        peers = tuple(self._peers())
+        for peer in peers:
+            self._bus.send(peer, report)
+        await asyncio.sleep(len(peers) / MAX_REPORTS_PER_S)
+
+    async def _compare(self) -> None:
+        peers = tuple(self._peers())
+        if not peers:
+            await asyncio.sleep(RETRY_PERIOD_S)
+            return
+        has_answer = await self._compare_with(self._random.choice(peers))
+        await asyncio.sleep(COMPARE_PERIOD_S if has_answer else RETRY_PERIOD_S)
 
     async def _compare_with(self, peer: str) -> bool:
         """Merge the evidence of a peer; return whether it answered."""
--- a/fuchsiacroft/routing/held_permits.py
+++ b/fuchsiacroft/routing/held_permits.py
@@ -29,7 +29,7 @@
         self._directory = kernel.get("backend_servers", BackendDirectory)
         self._bus = kernel.get("bus", Bus)
         self._bus.register_handler(PreemptRun, self._on_preempt_run)
-        self._tasks.spawn_critical(self._renew(), "permit-renewal")
+        self._tasks.spawn_repeated(self._renew, "permit-renewal")
 
     async def stop(self) -> None:
         """Stop renewing."""
@@ -71,15 +71,14 @@
             self._bus.send(address, msg)
 
     async def _renew(self) -> None:
-        while True:
-            await asyncio.sleep(RENEW_PERIOD_S)
-            by_owner: dict[str, list[str]] = {}
-            for permit in self._held.values():
-                for owner in self.owners_for(permit):
-                    by_owner.setdefault(owner, []).append(permit.permit_id)
-            by_owner.pop(self._node, None)
-            for owner, permit_ids in by_owner.items():
-                self.send(owner, RenewPermits(tuple(permit_ids)))
+        await asyncio.sleep(RENEW_PERIOD_S)
+        by_owner: dict[str, list[str]] = {}
+        for permit in self._held.values():
+            for owner in self.owners_for(permit):
+                by_owner.setdefault(owner, []).append(permit.permit_id)
+        by_owner.pop(self._node, None)
+        for owner, permit_ids in by_owner.items():
+            self.send(owner, RenewPermits(tuple(permit_ids)))
 
     async def _on_preempt_run(self, sender: str, msg: PreemptRun) -> None:
         permit = self._held.get(msg.permit_id)
--- a/fuchsiacroft/routing/leases.py
+++ b/fuchsiacroft/routing/leases.py
@@ -73,7 +73,7 @@
         self._bus.register_handler(FirstToken, self._on_first_token)
         self._bus.register_handler(RenewPermits, self._on_renew)
         self._bus.register_handler(WithdrawRequest, self._on_withdraw)
-        self._tasks.spawn_critical(self._sweep(), "lending-sweep")
+        self._tasks.spawn_repeated(self._sweep, "lending-sweep")
 
     async def stop(self) -> None:
         """Stop serving permit requests and expiring leases."""
@@ -177,17 +177,16 @@
         self._permit_queue.release(lease.permit, report)
 
     async def _sweep(self) -> None:
-        while True:
-            await asyncio.sleep(SWEEP_PERIOD_S)
-            expired = [
-                permit_id
-                for permit_id, lease in self._leases.items()
-                if lease.expires_at < now()
-            ]
-            self._resend_preemptions()
-            for permit_id in expired:
-                event("info", "lease_expired", permit_id=permit_id)
-                self._return_permit(permit_id, RunReport(RunOutcome.UNUSED))
+        await asyncio.sleep(SWEEP_PERIOD_S)
+        expired = [
+            permit_id
+            for permit_id, lease in self._leases.items()
+            if lease.expires_at < now()
+        ]
+        self._resend_preemptions()
+        for permit_id in expired:
+            event("info", "lease_expired", permit_id=permit_id)
+            self._return_permit(permit_id, RunReport(RunOutcome.UNUSED))
 
 
 def create(addresses: AddressBook) -> PermitLeases:
--- a/fuchsiacroft/routing/limit_exchange.py
+++ b/fuchsiacroft/routing/limit_exchange.py
@@ -46,7 +46,7 @@
         self._directory = kernel.get("backend_servers", BackendDirectory)
         self._bus = kernel.get("bus", Bus)
         self._bus.register_handler(LimitsHeard, self._on_limits)
-        self._tasks.spawn_critical(self._repeat(), "limit-repeat")
+        self._tasks.spawn_repeated(self._repeat, "limit-repeat")
 
     async def stop(self) -> None:
         """Stop repeating."""
@@ -78,13 +78,12 @@
             self._bus.send(address, LimitsHeard(reports))
 
     async def _repeat(self) -> None:
-        while True:
-            await asyncio.sleep(REPEAT_PERIOD_S)
-            self._pacing.limits.forget(self._is_current, now())
-            for report in self._recorder.heard():
-                owner = self._owners.owner_of(report.backend_server)
-                if owner is not None:
-                    self._tell(owner.node, report)
+        await asyncio.sleep(REPEAT_PERIOD_S)
+        self._pacing.limits.forget(self._is_current, now())
+        for report in self._recorder.heard():
+            owner = self._owners.owner_of(report.backend_server)
+            if owner is not None:
+                self._tell(owner.node, report)
 
     def _is_current(self, server: ServerInstance) -> bool:
         known = self._directory.get(server.name)
--- a/fuchsiacroft/routing/owner_digests.py
+++ b/fuchsiacroft/routing/owner_digests.py
@@ -57,7 +57,7 @@
         self._permit_queue = kernel.get("desk", PermitQueue)
         self._bus = kernel.get("bus", Bus)
         self._bus.register_handler(OwnedServices, self._on_owned_services)
-        self._tasks.spawn_critical(self._send_digests(), "owner-digests")
+        self._tasks.spawn_repeated(self._send_digests, "owner-digests")
 
     async def stop(self) -> None:
         """Stop sending digests."""
@@ -80,21 +80,20 @@
         ]
 
     async def _send_digests(self) -> None:
-        while True:
-            await asyncio.sleep(DIGEST_PERIOD_S * self._random.uniform(0.9, 1.1))
-            local_node = self._membership.local_entry.node
-            others = [
-                entry for entry in self._membership.alive() if entry.node != local_node
-            ]
-            if len(others) < MAX_BROADCAST_ENTRIES:
-                continue
-            owned = tuple(
-                name
-                for name, service_queue in self._permit_queue.service_queues().items()
-                if service_queue.servers
-            )
-            for peer in self._random.sample(others, DIGEST_PEERS):
-                self._bus.send(peer.peers, OwnedServices(owned))
+        await asyncio.sleep(DIGEST_PERIOD_S * self._random.uniform(0.9, 1.1))
+        local_node = self._membership.local_entry.node
+        others = [
+            entry for entry in self._membership.alive() if entry.node != local_node
+        ]
+        if len(others) < MAX_BROADCAST_ENTRIES:
+            return
+        owned = tuple(
+            name
+            for name, service_queue in self._permit_queue.service_queues().items()
+            if service_queue.servers
+        )
+        for peer in self._random.sample(others, DIGEST_PEERS):
+            self._bus.send(peer.peers, OwnedServices(owned))
 
     async def _on_owned_services(self, sender: str, msg: OwnedServices) -> None:
         self._digests[sender] = ReceivedDigest(frozenset(msg.services), now())
--- a/fuchsiacroft/routing/permit_queue.py
+++ b/fuchsiacroft/routing/permit_queue.py
@@ -85,7 +85,7 @@
         self._quarantine = kernel.find("quarantine", Quarantine)
         directory = kernel.get("backend_servers", BackendDirectory)
         directory.listeners.removed.append(self._on_removed)
-        self._tasks.spawn_critical(self._sweep(), "desk-sweep")
+        self._tasks.spawn_repeated(self._sweep, "desk-sweep")
 
     async def stop(self) -> None:
         """Stop the sweep."""
@@ -506,13 +506,12 @@
         self.remove_server(server.name)
 
     async def _sweep(self) -> None:
-        while True:
-            await asyncio.sleep(SWEEP_PERIOD_S)
-            for owned in list(self._owned.values()):
-                owned.share = self._owners.share(owned.name)
-                self._check_overdue(owned)
-            for service_queue in self._queues.all():
-                self._grant_waiting(service_queue)
+        await asyncio.sleep(SWEEP_PERIOD_S)
+        for owned in list(self._owned.values()):
+            owned.share = self._owners.share(owned.name)
+            self._check_overdue(owned)
+        for service_queue in self._queues.all():
+            self._grant_waiting(service_queue)
 
     def _check_overdue(self, owned: OwnedServer) -> None:
         overdue = sum(
--- a/fuchsiacroft/routing/spillover.py
+++ b/fuchsiacroft/routing/spillover.py
@@ -72,7 +72,7 @@
         self._permit_queue.peer_server_counts = self._peer_server_counts
         self._bus = kernel.get("bus", Bus)
         self._bus.register_handler(LoadDigest, self._on_digest)
-        self._tasks.spawn_critical(self._send_digests(), "spill-digests")
+        self._tasks.spawn_repeated(self._send_digests, "spill-digests")
 
     async def stop(self) -> None:
         """Stop sending digests."""
@@ -128,17 +128,16 @@
         return best
 
     async def _send_digests(self) -> None:
-        while True:
-            await asyncio.sleep(DIGEST_PERIOD_S * self._random.uniform(0.9, 1.1))
-            digest = LoadDigest(self._domain, self._services(), self._speeds())
-            for domain in sorted(self._domains):
-                peers = [
-                    member.peers
-                    for member in self._members.values()
-                    if member.failure_domain == domain
-                ]
-                for peer in self._random.sample(peers, min(DIGEST_PEERS, len(peers))):
-                    self._bus.send(peer, digest)
+        await asyncio.sleep(DIGEST_PERIOD_S * self._random.uniform(0.9, 1.1))
+        digest = LoadDigest(self._domain, self._services(), self._speeds())
+        for domain in sorted(self._domains):
+            peers = [
+                member.peers
+                for member in self._members.values()
+                if member.failure_domain == domain
+            ]
+            for peer in self._random.sample(peers, min(DIGEST_PEERS, len(peers))):
+                self._bus.send(peer, digest)
 
     def _services(self) -> tuple[ServiceLoad, ...]:
         return tuple(
--- a/fuchsiacroft/streams/service.py
+++ b/fuchsiacroft/streams/service.py
@@ -49,7 +49,7 @@
         self._roster.on_servers_change(self._on_servers)
         self._bus.register_handler(StreamBegan, self._on_began)
         self._bus.register_handler(FindOrigin, self._on_find)
-        self._tasks.spawn_critical(self._watch(), "stream-origins-watch")
+        self._tasks.spawn_repeated(self._watch, "stream-origins-watch")
 
     async def stop(self) -> None:
         """Stop watching."""
@@ -153,13 +153,12 @@
 
     async def _watch(self) -> None:
         """Notice times in which this entry could not see all servers."""
-        while True:
-            at = now()
-            if not self._roster.reaches_most_controls:
-                self._history.restart(at)
-            self._history.update(self._roster.known_servers(), at)
-            self._store.forget_ended(at)
-            await asyncio.sleep(WATCH_PERIOD_S)
+        at = now()
+        if not self._roster.reaches_most_controls:
+            self._history.restart(at)
+        self._history.update(self._roster.known_servers(), at)
+        self._store.forget_ended(at)
+        await asyncio.sleep(WATCH_PERIOD_S)
 
     async def _on_began(self, sender: str, msg: StreamBegan) -> None:
         self._store.merge(msg.fact, now())
--- a/fuchsiacroft/tests/base.py
+++ b/fuchsiacroft/tests/base.py
@@ -8,7 +8,7 @@
 from fuchsiacroft.tests.fakes.virtual_time import VirtualTimeLoop
 from fuchsiacroft.utils import logs
 
-TASK_FAILED = "event=task_failed"
+TASK_FAILURES = ("event=task_failed", "event=step_failed")
 
 
 class TestCase(unittest.TestCase):
@@ -41,4 +41,4 @@
 
 
 def _is_task_failure(record: dict) -> bool:
-    return record["message"].startswith(TASK_FAILED)
+    return record["message"].startswith(TASK_FAILURES)
--- a/fuchsiacroft/tests/config/published_follower_tests.py
+++ b/fuchsiacroft/tests/config/published_follower_tests.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import zlib
+from unittest import mock
 
 from expression import Error, Ok
 
-from fuchsiacroft.config import route_table
+from fuchsiacroft.config import published_feed, route_table
 from fuchsiacroft.config.published_feed import FetchPublishedUpdate, PublishedUpdate
 from fuchsiacroft.config.published_follower import START_GRACE_S, PublishedFollower
 from fuchsiacroft.config.route_table import CallerLimits
@@ -13,6 +14,7 @@
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.bus import MemoryNetwork
 
+SMALL_BODY_BYTES = 1_000
 CONTROLS = ("10.1.0.1:7600", "10.1.0.2:7600")
 
 
@@ -94,6 +96,21 @@
 
         self.run_scenario(scenario)
 
+    def test_a_body_that_is_not_compressed_ends_the_process(self):
+        async def scenario(follower, controls):
+            too_large = zlib.compress(bytes(SMALL_BODY_BYTES + 1))
+            for body in (b"plain", zlib.compress(b"8")[:-3], too_large):
+                controls[0].update = PublishedUpdate(9, body, True)
+                controls[1].set_version(5)
+                await asyncio.sleep(1.0)
+                self.assertEqual(5, follower.version)
+            controls[0].set_version(10)
+            await asyncio.sleep(1.0)
+            self.assertEqual(10, follower.version)
+
+        with mock.patch.object(published_feed, "MAX_BODY_BYTES", SMALL_BODY_BYTES):
+            self.run_scenario(scenario)
+
     def test_a_member_with_an_older_version_reverts_nothing(self):
         async def scenario(follower, controls):
             controls[0].set_version(5)
--- a/fuchsiacroft/transport/key_reload.py
+++ b/fuchsiacroft/transport/key_reload.py
@@ -45,7 +45,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Start to watch the files."""
-        self._tasks.spawn_critical(self._watch(), "keys-watch")
+        self._tasks.spawn_repeated(self._watch, "keys-watch")
 
     async def stop(self) -> None:
         """Stop watching."""
@@ -85,12 +85,11 @@
                 event("error", "tls_not_reloaded", reason=reason)
 
     async def _watch(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_PERIOD_S)
-            file_states = self._read_file_states()
-            if file_states != self._file_states:
-                self.reload()
-                self._file_states = self._read_file_states()
+        await asyncio.sleep(CHECK_PERIOD_S)
+        file_states = self._read_file_states()
+        if file_states != self._file_states:
+            self.reload()
+            self._file_states = self._read_file_states()
 
     def _read_file_states(self) -> list[tuple[int, int, int] | None]:
         return [_file_state(path) for path in (self._path, *_tls_paths(self._tls))]
--- a/fuchsiacroft/utils/tasks.py
+++ b/fuchsiacroft/utils/tasks.py
@@ -1,12 +1,20 @@
 """Background tasks whose failures are always logged."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections import Counter
+from collections.abc import Awaitable, Callable, Coroutine
 
 from fuchsiacroft.exceptions import InvariantError
 from fuchsiacroft.utils.logs import event
 
 SERVICE_FAILED = "a service failed"
+FAILED_STEP_PAUSE_S = 0.5
+"""Bounds the log lines of a step that fails each time."""
+
+Step = Callable[[], Awaitable[None]]
+
+failed_steps: Counter[str] = Counter()
+"""Failed steps of this process's repeated tasks, by the name of the task."""
 
 
 class BackgroundTasks:
@@ -32,6 +40,26 @@
         task.add_done_callback(_stop_process)
         return task
 
+    def spawn_repeated(self, step: Step, name: str) -> asyncio.Task:
+        """Start a task that takes one step after the other, as long as it runs.
+
+        A step that fails is logged and counted, and the next one begins after a
+        pause, so that one bad record doesn't stop the work on all others. Only an
+        `InvariantError` stops the process.
+        """
+        return self.spawn_critical(self._repeat(step, name), name)
+
+    async def _repeat(self, step: Step, name: str) -> None:
+        while True:
+            try:
+                await step()
+            except InvariantError:
+                raise
+            except Exception as exc:
+                failed_steps[name] += 1
+                event("error", "step_failed", task=name, error=repr(exc))
+                await asyncio.sleep(FAILED_STEP_PAUSE_S)
+
     def __len__(self) -> int:
         """Return the number of running tasks."""
         return len(self._tasks)
