Ignore SIGHUP from the end of the interpreter's own start on

Operators would see: a process that is asked to reload within its first milliseconds ends by itself, and is started again.

Cause: the signal was ignored by the program's first module only. Finding it takes as long as the interpreter's start.

Change: deploy/sitecustomize.py, which the interpreter runs when it has found its paths, ignores the signal; the build puts it beside the packages. The rest, about 10 ms in which no code of ours runs, stays.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -14,6 +14,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 REQUIREMENTS = ROOT / "requirements.txt"
 TARGET = ROOT / "target" / "deps"
+STARTUP_MODULE = ROOT / "deploy" / "sitecustomize.py"
 STAMP = "built-for.txt"
 
 
@@ -42,6 +43,7 @@
     """Build the folder, unless it is current."""
     if not is_current(TARGET):
         install(TARGET)
+    shutil.copy(STARTUP_MODULE, TARGET)
 
 
 if __name__ == "__main__":
--- a/fuchsiacroft/tests/deploy_tests.py
+++ b/fuchsiacroft/tests/deploy_tests.py
@@ -1,6 +1,8 @@
 """Tests of how the programs are built and started on the users' platform."""
 
 import importlib.util
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -8,6 +10,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 DEPLOY = ROOT / "deploy"
+SEND_HANGUP = "import os, signal; os.kill(os.getpid(), signal.SIGHUP)"
 
 
 def load_build():
@@ -48,3 +51,15 @@
             self.build.install(self.folder)
         self.assertEqual([self.build.STAMP], [p.name for p in self.folder.iterdir()])
         self.assertTrue(self.build.is_current(self.folder))
+
+
+class StartTests(unittest.TestCase):
+    """A process that has just started."""
+
+    def test_a_reload_before_any_module_of_ours_ends_the_process(self):
+        done = subprocess.run(
+            [sys.executable, "-c", SEND_HANGUP],
+            env={"PYTHONPATH": str(DEPLOY)},
+            check=False,
+        )
+        self.assertEqual(0, done.returncode)
