Bound the numbers of all messages between processes

Operators would see: nothing yet; no such message is sent by a sound process. One by another writer, or by a faulty peer, that held a number without sense (no number, infinite, far beyond any deployment) was taken as it came and could fail where it is used.

Cause: only the records of servers and entries had bounds; 125 fields of 67 types had none.

Change: each has a type of config/bounds: whole numbers count up from 0, spans are finite, ages and rates may be infinite but are numbers.

--- a/fuchsiacroft/config/bounds.py
+++ b/fuchsiacroft/config/bounds.py
@@ -18,6 +18,8 @@
 MAX_RANK = 1_000_000
 MAX_DURATION_S = 1_000_000.0
 MAX_AMOUNT = 1e12
+MAX_SPAN_S = 1e10
+"""Seconds, over 300 years: also the Unix time of a change."""
 
 Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
 Sequence = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
@@ -32,6 +34,18 @@
 DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_S * 1_000)]
 PeriodS = Annotated[float, msgspec.Meta(gt=0, le=MAX_DURATION_S)]
 PeriodMs = Annotated[float, msgspec.Meta(gt=0, le=MAX_DURATION_S * 1_000)]
+Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
+"""A position, term, version or number that peers count up."""
+Hash64 = Annotated[int, msgspec.Meta(ge=0)]
+"""A hash; a message carries 64 bits, and a bound can only have 63."""
+SignedCount = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+SignedAmount = Annotated[float, msgspec.Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
+Seconds = Annotated[float, msgspec.Meta(ge=-MAX_SPAN_S, le=MAX_SPAN_S)]
+"""A span between processes, which may be below 0 if it has run out."""
+Age = Annotated[float, msgspec.Meta(ge=-MAX_SPAN_S)]
+"""The time since something happened, infinite if it never did."""
+Rate = Annotated[float, msgspec.Meta(ge=0)]
+"""Events a second, infinite without a limit."""
 HeaderText = Annotated[str, msgspec.Meta(pattern=r"^[^\x00-\x1f\x7f]*$(?!\n)")]
 """Text that may be sent in a header."""
 SoftwareVersion = Annotated[str, msgspec.Meta(max_length=100)]
--- a/fuchsiacroft/config/feed.py
+++ b/fuchsiacroft/config/feed.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Age, Seconds, Whole
 from fuchsiacroft.config.delta import Delta
 from fuchsiacroft.config.document import Document
 from fuchsiacroft.transport import codec
@@ -15,9 +16,9 @@
     and those of the processes that fetch through it.
     """
 
-    version: int
-    wait_s: float
-    in_force: dict[str, int] = {}
+    version: Whole
+    wait_s: Seconds
+    in_force: dict[str, Whole] = {}
 
 
 @codec.message("feed.news")
@@ -29,11 +30,11 @@
     VMs.
     """
 
-    version: int
-    first_version: int = 0
+    version: Whole
+    first_version: Whole = 0
     deltas: tuple[Delta, ...] = ()
     document: Document | None = None
-    age_s: float = 0.0
+    age_s: Age = 0.0
 
 
 @codec.message("feed.ask_in_force")
@@ -45,4 +46,4 @@
 class VersionsReply(msgspec.Struct, frozen=True):
     """The version that each process holds, by node name."""
 
-    versions: dict[str, int]
+    versions: dict[str, Whole]
--- a/fuchsiacroft/config/published_feed.py
+++ b/fuchsiacroft/config/published_feed.py
@@ -5,6 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from fuchsiacroft.config.bounds import Seconds, Whole
 from fuchsiacroft.transport import codec
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -15,8 +16,8 @@
 class FetchPublishedUpdate(msgspec.Struct, frozen=True):
     """Requests a version above `version`; the reply may wait up to `wait_s`."""
 
-    version: int
-    wait_s: float
+    version: Whole
+    wait_s: Seconds
 
 
 @codec.message("published.news")
@@ -27,7 +28,7 @@
     last few seconds, so that the version is the newest or was until then.
     """
 
-    version: int
+    version: Whole
     body: bytes = b""
     confirmed: bool = False
 
--- a/fuchsiacroft/control/configuration.py
+++ b/fuchsiacroft/control/configuration.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Seconds, Whole
 from fuchsiacroft.config.delta import Delta, apply_delta
 from fuchsiacroft.config.document import EMPTY_DOCUMENT, Document
 from fuchsiacroft.control.log import StateMachine
@@ -26,18 +27,18 @@
     `changed_at` is the time in seconds since the epoch.
     """
 
-    held_version: int
+    held_version: Whole
     change_id: str
     operator: str
     delta: Delta
-    changed_at: float = 0.0
+    changed_at: Seconds = 0.0
 
 
 @codec.message("configuration.accepted")
 class ChangeAccepted(msgspec.Struct, frozen=True):
     """The change is accepted as `version`; a resent change gets the same version."""
 
-    version: int
+    version: Whole
     resent: bool = False
 
 
@@ -45,7 +46,7 @@
 class ChangeConflict(msgspec.Struct, frozen=True):
     """Another change was accepted first: the newest version and its operator."""
 
-    version: int
+    version: Whole
     operator: str
 
 
--- a/fuchsiacroft/control/consensus/messages.py
+++ b/fuchsiacroft/control/consensus/messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Hash64, Seconds, Whole
 from fuchsiacroft.control.records import Configuration, Entry, HighWaterMark, Position
 from fuchsiacroft.transport import codec
 
@@ -24,9 +25,9 @@
     group: str
     source: str
     target: str
-    term: int
-    last_index: int
-    last_term: int
+    term: Whole
+    last_index: Whole
+    last_term: Whole
     pre: bool
     unled: tuple[str, ...] = ()
 
@@ -40,7 +41,7 @@
     """
 
     source: str
-    term: int
+    term: Whole
     granted: bool
     is_fresh: bool = False
 
@@ -52,8 +53,8 @@
     group: str
     source: str
     target: str
-    term: int
-    commit: int
+    term: Whole
+    commit: Whole
 
 
 @codec.message("consensus.beat_reply")
@@ -61,7 +62,7 @@
     """The follower's term, and whether its disk is full."""
 
     source: str
-    term: int
+    term: Whole
     full: bool
 
 
@@ -72,10 +73,10 @@
     group: str
     source: str
     target: str
-    term: int
-    previous_index: int
-    previous_term: int
-    commit: int
+    term: Whole
+    previous_index: Whole
+    previous_term: Whole
+    commit: Whole
     entries: list[Entry]
     marks: list[HighWaterMark]
 
@@ -88,9 +89,9 @@
     """
 
     source: str
-    term: int
+    term: Whole
     matched: bool
-    index: int
+    index: Whole
 
 
 @codec.message("consensus.piece")
@@ -100,11 +101,11 @@
     group: str
     source: str
     target: str
-    term: int
-    index: int
-    size: int
-    checksum: int
-    offset: int
+    term: Whole
+    index: Whole
+    size: Whole
+    checksum: Hash64
+    offset: Whole
     data: bytes
 
 
@@ -113,8 +114,8 @@
     """The offset of the next chunk; the snapshot's size once it is installed."""
 
     source: str
-    term: int
-    offset: int
+    term: Whole
+    offset: Whole
 
 
 class ForwardOutcome(enum.Enum):
@@ -130,12 +131,12 @@
 class ForwardRequest(msgspec.Struct, frozen=True, array_like=True):
     """A proposal forwarded to the leader of `term`; `number` is unique per `origin`."""
 
-    term: int
+    term: Whole
     origin: str
-    number: int
+    number: Whole
     kind: str
     body: bytes
-    timeout: float
+    timeout: Seconds
 
 
 @codec.message("consensus.forward_reply")
@@ -143,7 +144,7 @@
     """The outcome of a proposal, and the result of applying the command."""
 
     outcome: ForwardOutcome
-    index: int = 0
+    index: Whole = 0
     kind: str = ""
     body: bytes = b""
 
@@ -152,7 +153,7 @@
 class BarrierRequest(msgspec.Struct, frozen=True, array_like=True):
     """A request for the leader's commit index, for a linearizable read."""
 
-    term: int
+    term: Whole
 
 
 @codec.message("consensus.barrier_reply")
@@ -160,7 +161,7 @@
     """The commit index of a leader with a valid lease, or a rejection."""
 
     granted: bool
-    index: int
+    index: Whole
 
 
 class HelloStatus(enum.Enum):
@@ -188,10 +189,10 @@
     identity: str
     node: str
     address: str
-    term: int
+    term: Whole
     vote: str
-    last_index: int
-    configuration_index: int
+    last_index: Whole
+    configuration_index: Whole
 
 
 @codec.message("consensus.hello_reply")
@@ -202,7 +203,7 @@
     node: str
     address: str
     status: HelloStatus
-    configuration_index: int
+    configuration_index: Whole
     configuration: Configuration
-    term: int
+    term: Whole
     last: Position
--- a/fuchsiacroft/control/inventory.py
+++ b/fuchsiacroft/control/inventory.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Whole
 from fuchsiacroft.control.log import ReplicatedLog
 from fuchsiacroft.control.placement import Engine
 from fuchsiacroft.kernel import Kernel, Service
@@ -39,7 +40,7 @@
     """The number of requests of a service running or queued at an entry."""
 
     service: str
-    requests: int
+    requests: Whole
 
 
 @codec.message("inventory.report")
@@ -58,7 +59,7 @@
     """Whether the report was accepted; if not, the current leader."""
 
     taken: bool
-    term: int
+    term: Whole
     leader: str | None
 
 
--- a/fuchsiacroft/control/ledger.py
+++ b/fuchsiacroft/control/ledger.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Count, Seconds
 from fuchsiacroft.control.log import StateMachine
 from fuchsiacroft.control.used_keys import SavedBucket, UsedKeys
 from fuchsiacroft.transport import codec
@@ -44,7 +45,7 @@
 class StoredResponse(msgspec.Struct, frozen=True):
     """The response to an executed request; `body` is None if it was not stored."""
 
-    status: int
+    status: Count
     content_type: str
     body: bytes | None
 
@@ -62,7 +63,7 @@
     key: bytes
     fingerprint: bytes
     claim: str
-    lease_s: float
+    lease_s: Seconds
     dated: bool = False
 
 
@@ -90,7 +91,7 @@
 class AdvanceClock(msgspec.Struct, frozen=True):
     """Advance the ledger's clock by the seconds measured by the leader."""
 
-    by_s: float
+    by_s: Seconds
 
 
 @codec.message("ledger.status")
--- a/fuchsiacroft/control/order_state.py
+++ b/fuchsiacroft/control/order_state.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Whole
 from fuchsiacroft.control.log import StateMachine
 from fuchsiacroft.transport import codec
 
@@ -49,14 +50,14 @@
 class OpenTerm(msgspec.Struct, frozen=True):
     """Start a leader's term; orders of earlier terms are rejected from now on."""
 
-    term: int
+    term: Whole
 
 
 @codec.message("orders.issue")
 class IssueOrder(msgspec.Struct, frozen=True):
     """Record an order before it is sent; the `order_id` makes this idempotent."""
 
-    term: int
+    term: Whole
     order_id: str
     target: Target
     action: Action
--- a/fuchsiacroft/control/published.py
+++ b/fuchsiacroft/control/published.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Whole
 from fuchsiacroft.control.log import StateMachine
 from fuchsiacroft.transport import codec
 
@@ -14,7 +15,7 @@
 class Publish(msgspec.Struct, frozen=True):
     """Publish a body unless the current version is as high or higher."""
 
-    version: int
+    version: Whole
     body: bytes
 
 
@@ -22,7 +23,7 @@
 class PublishOutcome(msgspec.Struct, frozen=True):
     """The current version, and whether this command published it."""
 
-    version: int
+    version: Whole
     taken: bool
 
 
--- a/fuchsiacroft/control/records.py
+++ b/fuchsiacroft/control/records.py
@@ -11,6 +11,8 @@
 import msgspec
 import xxhash
 
+from fuchsiacroft.config.bounds import Whole
+
 FORMAT_VERSION = 1
 SEGMENT_MAGIC = b"FCSEG"
 SNAPSHOT_MAGIC = b"FCSNP"
@@ -25,8 +27,8 @@
 class Entry(msgspec.Struct, frozen=True, array_like=True):
     """One entry of the replicated log; `kind` names the command's type."""
 
-    index: int
-    term: int
+    index: Whole
+    term: Whole
     kind: str
     body: bytes
 
@@ -35,15 +37,15 @@
     """The highest term and index that a member is known to have acknowledged."""
 
     identity: str
-    term: int
-    index: int
+    term: Whole
+    index: Whole
 
 
 class Position(msgspec.Struct, frozen=True, array_like=True):
     """An index of the log and the term of its entry."""
 
-    index: int
-    term: int
+    index: Whole
+    term: Whole
 
 
 class Batch(msgspec.Struct, frozen=True, array_like=True):
--- a/fuchsiacroft/membership/announcement.py
+++ b/fuchsiacroft/membership/announcement.py
@@ -5,6 +5,7 @@
 from fuchsiacroft.config.bounds import (
     Count,
     DurationS,
+    Hash64,
     Sequence,
     Slots,
     SoftwareVersion,
@@ -38,7 +39,7 @@
     """
 
     number: Sequence
-    prefix: int
+    prefix: Hash64
     cached: bool
 
     def __post_init__(self) -> None:
--- a/fuchsiacroft/membership/limit_reports.py
+++ b/fuchsiacroft/membership/limit_reports.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Age, Rate
 from fuchsiacroft.membership.server_limits import LimitStatement, ServerLimits
 from fuchsiacroft.membership.server_notices import ServerInstance
 from fuchsiacroft.transport import codec
@@ -24,9 +25,9 @@
 
     backend_server: str
     start: str
-    per_s: float
-    sent_age_s: float
-    heard_age_s: float
+    per_s: Rate
+    sent_age_s: Age
+    heard_age_s: Age
 
     def server(self) -> ServerInstance:
         """Return the server of which it speaks."""
--- a/fuchsiacroft/membership/permits.py
+++ b/fuchsiacroft/membership/permits.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Age, Hash64, Seconds
 from fuchsiacroft.membership.limit_reports import LimitReport
 from fuchsiacroft.transport import codec
 
@@ -19,7 +20,7 @@
     backend_server: str
     holder: str
     boot_id: str
-    age_s: float = 0.0
+    age_s: Age = 0.0
 
 
 @codec.message("ownership.held_permits_request")
@@ -28,7 +29,7 @@
 
     domain: str
     owner: str
-    view: int
+    view: Hash64
     backend_servers: tuple[str, ...]
 
 
@@ -42,9 +43,9 @@
     `limits` are what the sender knows of the servers' limits.
     """
 
-    view: int
+    view: Hash64
     permits: tuple[HeldPermit, ...]
-    wait_s: float
+    wait_s: Seconds
     limits: tuple[LimitReport, ...] = ()
 
 
--- a/fuchsiacroft/membership/registry_wire.py
+++ b/fuchsiacroft/membership/registry_wire.py
@@ -7,7 +7,7 @@
 import msgspec
 import xxhash
 
-from fuchsiacroft.config.bounds import Sequence, UnixMs
+from fuchsiacroft.config.bounds import Hash64, Sequence, UnixMs, Whole
 from fuchsiacroft.config.settings import Address
 from fuchsiacroft.membership.announcement import Announcement
 from fuchsiacroft.transport import codec
@@ -82,8 +82,8 @@
     """
 
     entry: EntryRecord
-    digest: int
-    entries_digest: int
+    digest: Hash64
+    entries_digest: Hash64
     asks_full: bool = True
 
 
@@ -96,12 +96,12 @@
     """
 
     controls: tuple[str, ...]
-    entries_digest: int
+    entries_digest: Hash64
     entries: tuple[EntryRecord, ...] | None
-    digest: int
+    digest: Hash64
     records: tuple[ServerRecord, ...] | None
     group: str = ""
-    group_index: int = 0
+    group_index: Whole = 0
 
 
 @codec.message("registry.gone")
--- a/fuchsiacroft/membership/wire.py
+++ b/fuchsiacroft/membership/wire.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Hash64, Whole
 from fuchsiacroft.transport import codec
 
 
@@ -27,7 +28,7 @@
     node: str
     peers: str
     boot_id: str
-    incarnation: int
+    incarnation: Whole
     status: Status
     accuser: str = ""
     active: bool = False
@@ -39,7 +40,7 @@
 
     domain: str
     sender: Update
-    view: int
+    view: Hash64
     updates: tuple[Update, ...]
 
 
@@ -48,7 +49,7 @@
     """Acknowledges a `Ping` or a `Leave`; `view` is the sender's view hash."""
 
     sender: Update
-    view: int
+    view: Hash64
     updates: tuple[Update, ...]
 
 
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Count, Seconds, SignedAmount, SignedCount
 from fuchsiacroft.membership.limit_reports import LimitReport
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.routing.permits import PermitRequest, Refusal, RunReport
@@ -24,11 +25,11 @@
 
     run_id: str
     ask: PermitRequest
-    charge: float
+    charge: SignedAmount
     repeats: bool
-    in_time_s: float
-    max_wait_s: float
-    event_tokens: int = 1
+    in_time_s: Seconds
+    max_wait_s: Seconds
+    event_tokens: Count = 1
 
 
 @codec.message("placing.spill")
@@ -39,7 +40,7 @@
     """
 
     request: PlaceRequest
-    wait_s: float = 0.0
+    wait_s: Seconds = 0.0
 
 
 @codec.message("placing.placed")
@@ -96,8 +97,8 @@
 class EnginePrefill(msgspec.Struct, frozen=True, array_like=True):
     """Prefill speed of an engine, and the prompt tokens that it has yet to read."""
 
-    tokens_per_s: int
-    backlog_tokens: int
+    tokens_per_s: SignedCount
+    backlog_tokens: SignedCount
 
     def first_event_s(self, prompt_tokens: int) -> float:
         """Return the expected time to the first event of a run that starts now."""
@@ -115,11 +116,11 @@
     """
 
     service: str
-    free: int
-    head_rank: int | None = None
-    free_by_rank: dict[int, int] = {}
+    free: SignedCount
+    head_rank: SignedCount | None = None
+    free_by_rank: dict[SignedCount, SignedCount] = {}
     prefill: EnginePrefill | None = None
-    free_by_version: dict[str, int] = {}
+    free_by_version: dict[str, SignedCount] = {}
 
 
 @codec.message("placing.domain_load")
@@ -133,8 +134,8 @@
 
     failure_domain: str
     rooms: tuple[ServiceCapacity, ...]
-    spent: dict[str, float]
-    demand: dict[str, float]
+    spent: dict[str, SignedAmount]
+    demand: dict[str, SignedAmount]
     peers: str = ""
     is_acting: bool = False
 
@@ -149,7 +150,7 @@
     """
 
     entry: EntryRecord
-    spent: dict[str, float]
+    spent: dict[str, SignedAmount]
     limits: tuple[LimitReport, ...]
     runs: tuple[HeldRun, ...]
 
@@ -191,5 +192,5 @@
     """
 
     epoch: str
-    spent: dict[str, float] = {}
+    spent: dict[str, SignedAmount] = {}
     limits: tuple[LimitReport, ...] = ()
--- a/fuchsiacroft/placing/start_exchange.py
+++ b/fuchsiacroft/placing/start_exchange.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Age
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.membership.server_notices import ServerInstance
@@ -24,8 +25,8 @@
 
     backend_server: str
     start: str
-    alive_age_s: float
-    lost_age_s: float
+    alive_age_s: Age
+    lost_age_s: Age
 
 
 @codec.message("placing.start_proven")
@@ -37,8 +38,8 @@
 
     backend_server: str
     start: str
-    sent_age_s: float
-    progress_age_s: float
+    sent_age_s: Age
+    progress_age_s: Age
 
 
 class StartExchange:
--- a/fuchsiacroft/quarantine/messages.py
+++ b/fuchsiacroft/quarantine/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Age, Hash64
 from fuchsiacroft.transport import codec
 
 
@@ -12,7 +13,7 @@
     """
 
     instance_id: str
-    age_s: float
+    age_s: Age
     content_ids: tuple[str, ...]
 
 
@@ -21,7 +22,7 @@
     """Crashes, and for suspected content the age in seconds of its last answer."""
 
     crashes: tuple[ReportedCrash, ...] = ()
-    answer_ages_s: dict[str, float] = {}
+    answer_ages_s: dict[str, Age] = {}
 
 
 @codec.message("quarantine.trial")
@@ -35,4 +36,4 @@
 class CompareEvidence(msgspec.Struct, frozen=True):
     """Requests the peer's evidence, unless it has the same digest."""
 
-    digest: int
+    digest: Hash64
--- a/fuchsiacroft/routing/messages.py
+++ b/fuchsiacroft/routing/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Seconds, SignedCount
 from fuchsiacroft.routing.permits import PermitRequest, Refusal, RunReport
 from fuchsiacroft.transport import codec
 
@@ -20,7 +21,7 @@
 
     ask_id: str
     ask: PermitRequest
-    position: int = 0
+    position: SignedCount = 0
 
 
 @codec.message("routing.permit_given")
@@ -79,7 +80,7 @@
     """Ends a run to free capacity; its caller may retry after the given delay."""
 
     permit_id: str
-    retry_after_s: float
+    retry_after_s: Seconds
 
 
 class ServiceLoad(msgspec.Struct, frozen=True):
@@ -89,10 +90,10 @@
     """
 
     service: str
-    room: int
-    waiting: int
-    servers: int
-    slow: int
+    room: SignedCount
+    waiting: SignedCount
+    servers: SignedCount
+    slow: SignedCount
 
 
 class MeasuredSpeed(msgspec.Struct, frozen=True):
@@ -100,8 +101,8 @@
 
     service: str
     generation: str
-    token_gap_s: float
-    plain_run_s: float
+    token_gap_s: Seconds
+    plain_run_s: Seconds
 
 
 @codec.message("routing.load_digest")
--- a/fuchsiacroft/routing/permits.py
+++ b/fuchsiacroft/routing/permits.py
@@ -7,12 +7,14 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Count, Hash64, Seconds, SignedAmount, SignedCount
+
 
 class WorkSize(msgspec.Struct, frozen=True):
     """The size of a request: prompt tokens and estimated output tokens."""
 
-    prompt_tokens: int = 0
-    output_tokens: int = 0
+    prompt_tokens: Count = 0
+    output_tokens: Count = 0
 
 
 class PermitRequest(msgspec.Struct, frozen=True):
@@ -29,18 +31,18 @@
 
     request_id: str
     service: str
-    rank: int
-    timeout_s: float
+    rank: SignedCount
+    timeout_s: Seconds
     workspace: str
-    share: float = 1.0
+    share: SignedAmount = 1.0
     size: WorkSize = WorkSize()
     idempotent: bool = True
     fingerprint: str = ""
-    prefixes: tuple[int, ...] = ()
+    prefixes: tuple[Hash64, ...] = ()
     shared_parts: tuple[str, ...] = ()
-    first_token_target_s: float = 1.3
-    token_gap_target_s: float = 0.044
-    retries_per_s: float = 10.0
+    first_token_target_s: Seconds = 1.3
+    token_gap_target_s: Seconds = 0.044
+    retries_per_s: SignedAmount = 10.0
     avoid: tuple[str, ...] = ()
     version: str | None = None
 
@@ -80,7 +82,7 @@
     """No permit was granted; retry after `retry_after_s` seconds."""
 
     reason: RefusalReason
-    retry_after_s: float
+    retry_after_s: Seconds
 
 
 class RunOutcome(enum.Enum):
@@ -114,10 +116,10 @@
     """Measurements of a run; `first_token_s` and `duration_s` count from dispatch."""
 
     outcome: RunOutcome
-    first_token_s: float | None = None
-    token_gap_s: float | None = None
-    duration_s: float = 0.0
-    output_tokens: int = 0
+    first_token_s: Seconds | None = None
+    token_gap_s: Seconds | None = None
+    duration_s: Seconds = 0.0
+    output_tokens: Count = 0
 
 
 @dataclass(frozen=True, slots=True, eq=False)
--- a/fuchsiacroft/streams/messages.py
+++ b/fuchsiacroft/streams/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Seconds
 from fuchsiacroft.streams.origin import StreamOrigin
 from fuchsiacroft.streams.origin_store import OriginFact
 from fuchsiacroft.transport import codec
@@ -23,7 +24,7 @@
 
     key: str
     service: str
-    within_s: float
+    within_s: Seconds
 
 
 @codec.message("streams.origin")
--- a/fuchsiacroft/streams/origin_store.py
+++ b/fuchsiacroft/streams/origin_store.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from fuchsiacroft.config.bounds import Seconds
 from fuchsiacroft.streams.origin import StreamOrigin
 from fuchsiacroft.utils.bounded import set_newest
 
@@ -25,7 +26,7 @@
 
     key: str
     origins: tuple[StreamOrigin, ...]
-    kept_s: float
+    kept_s: Seconds
 
 
 class _Kept(msgspec.Struct):
--- a/fuchsiacroft/transport/codec.py
+++ b/fuchsiacroft/transport/codec.py
@@ -9,6 +9,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from fuchsiacroft.config.bounds import Whole
 from fuchsiacroft.exceptions import InvariantError
 
 PROTOCOL_VERSION = 1
@@ -28,9 +29,9 @@
     `reply` is true in a reply to the request with the same number.
     """
 
-    version: int
+    version: Whole
     kind: str
-    number: int
+    number: Whole
     reply: bool
     sender: str
     body: msgspec.Raw
