Name coordinators, reports and queues by their terms

`keeper` of a slot is the coordinator that counts the run, in code and logs; `heard_at` is received_at, LimitsHeard is LimitReports, owners_told and owners_asked are owners_to_notify and owners_to_query, and the service `desk` of the dump is permit_queue. Only names change.

--- a/fuchsiacroft/commands/status.py
+++ b/fuchsiacroft/commands/status.py
@@ -103,7 +103,7 @@
     running = "?" if server.running is None else server.running
     text = f"{server.failure_domain}  {', '.join(server.services)}"
     text += f"  running {running} of {server.slots}  owner {server.owner or 'none'}"
-    text += f"  last seen {server.heard_s_ago} s ago"
+    text += f"  last seen {server.received_s_ago} s ago"
     if server.limit_per_s is not None:
         text += f"  limited to {server.limit_per_s:g} a second"
     return text + ("  leaving" if server.leaving else "")
--- a/fuchsiacroft/explain/timeline.py
+++ b/fuchsiacroft/explain/timeline.py
@@ -65,9 +65,9 @@
     def sources(self) -> set[str]:
         """Return the processes that logged the request or coordinated its placement."""
         coordinators = {
-            line.fields["keeper"]
+            line.fields["coordinator"]
             for line in self.request_lines
-            if "keeper" in line.fields
+            if "coordinator" in line.fields
         }
         return {line.source for line in self.request_lines} | coordinators
 
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -276,7 +276,7 @@
             request_id=self._context.request_id,
             backend_server=self._placement.backend_server,
             software=self._placement.version or "-",
-            keeper=self._placement.keeper,
+            coordinator=self._placement.coordinator,
             outcome=outcome.value,
             seconds=round(at - self._started_at, 4),
             events=self._relay.events,
--- a/fuchsiacroft/gauges.py
+++ b/fuchsiacroft/gauges.py
@@ -64,7 +64,7 @@
         if "server_limits" in state.get(name, {}):
             count = len(state[name]["server_limits"])
             yield "fuchsiacroft_backend_servers_limited", {}, count
-    queue = state.get("desk", {})
+    queue = state.get("permit_queue", {})
     if "owned" in queue:
         yield "fuchsiacroft_backend_servers_owned", {}, len(queue["owned"])
     for service, count in queue.get("waiting", {}).items():
--- a/fuchsiacroft/membership/backend_servers.py
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -97,7 +97,7 @@
         return {
             server.name: {
                 "boot_id": server.boot_id,
-                "heard_s_ago": round(now() - server.announced_at, 3),
+                "received_s_ago": round(now() - server.announced_at, 3),
                 "announcement": msgspec.to_builtins(server.announcement),
             }
             for server in self._servers.values()
--- a/fuchsiacroft/membership/limit_recorder.py
+++ b/fuchsiacroft/membership/limit_recorder.py
@@ -21,7 +21,7 @@
 REPEAT_S = 2.0
 """What a server told this VM is repeated to others for this long, as a message may be
 lost."""
-MAX_HEARD = 1_000
+MAX_STATEMENTS = 1_000
 """Servers whose last statement is repeated; the oldest are dropped."""
 
 
@@ -30,7 +30,7 @@
 
     def __init__(self, limits: ServerLimits) -> None:
         self._limits = limits
-        self._heard: dict[ServerInstance, LimitStatement] = {}
+        self._statements: dict[ServerInstance, LimitStatement] = {}
 
     def record_answer(self, answer: NoticedAnswer) -> LimitReport | None:
         """Record what an answer says of its server's limit; return it, or None.
@@ -43,20 +43,20 @@
             return None
         statement = LimitStatement(per_s, answer.sent_at, now())
         self._record(answer.server, statement, answer.request_id, source="answer")
-        set_newest(self._heard, answer.server, statement, MAX_HEARD)
+        set_newest(self._statements, answer.server, statement, MAX_STATEMENTS)
         return limit_reports.report(answer.server, statement, now())
 
-    def heard(self) -> tuple[LimitReport, ...]:
+    def reports(self) -> tuple[LimitReport, ...]:
         """Return what servers told this VM lately."""
         at = now()
-        self._heard = {
+        self._statements = {
             server: statement
-            for server, statement in self._heard.items()
-            if at - statement.heard_at <= REPEAT_S
+            for server, statement in self._statements.items()
+            if at - statement.received_at <= REPEAT_S
         }
         return tuple(
             limit_reports.report(server, statement, at)
-            for server, statement in self._heard.items()
+            for server, statement in self._statements.items()
         )
 
     def record_reports(self, reports: Iterable[LimitReport], source: str) -> None:
--- a/fuchsiacroft/membership/limit_reports.py
+++ b/fuchsiacroft/membership/limit_reports.py
@@ -13,21 +13,21 @@
 from fuchsiacroft.transport import codec
 
 MAX_REPORTS = 1_000
-"""Limits in one message, those last heard first."""
+"""Limits in one message, the newest first."""
 
 
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
     """A statement on one start of a backend server.
 
     `per_s` is infinite if the server names no limit any more. `sent_age_s` and
-    `heard_age_s` tell how long ago the request was sent and its answer arrived.
+    `received_age_s` tell how long ago the request was sent and its answer arrived.
     """
 
     backend_server: str
     start: str
     per_s: Rate
     sent_age_s: Age
-    heard_age_s: Age
+    received_age_s: Age
 
     def server(self) -> ServerInstance:
         """Return the server of which it speaks."""
@@ -35,11 +35,13 @@
 
     def statement(self, at: float) -> LimitStatement:
         """Return the statement on the clock of a VM that receives it at `at`."""
-        return LimitStatement(self.per_s, at - self.sent_age_s, at - self.heard_age_s)
+        return LimitStatement(
+            self.per_s, at - self.sent_age_s, at - self.received_age_s
+        )
 
 
 @codec.message("membership.server_limits")
-class LimitsHeard(msgspec.Struct, frozen=True):
+class LimitReports(msgspec.Struct, frozen=True):
     """Statements that the sender, or another VM, had from backend servers."""
 
     reports: tuple[LimitReport, ...]
@@ -52,13 +54,13 @@
         server.start,
         statement.per_s,
         at - statement.sent_at,
-        at - statement.heard_at,
+        at - statement.received_at,
     )
 
 
 def reports(limits: ServerLimits, at: float) -> tuple[LimitReport, ...]:
     """Return the reports of all that is known, at most `MAX_REPORTS` of them."""
     newest = heapq.nlargest(
-        MAX_REPORTS, limits.statements(), key=lambda item: item[1].heard_at
+        MAX_REPORTS, limits.statements(), key=lambda item: item[1].received_at
     )
     return tuple(report(server, statement, at) for server, statement in newest)
--- a/fuchsiacroft/membership/request_pacing.py
+++ b/fuchsiacroft/membership/request_pacing.py
@@ -99,8 +99,8 @@
     def _filled(self, server: ServerInstance, at: float) -> TokenBucket:
         bucket = self._buckets.get(server)
         if bucket is None:
-            heard_at = self.limits.statement(server).heard_at
-            bucket = TokenBucket(min(max(heard_at, self._restarted_at), at))
+            received_at = self.limits.statement(server).received_at
+            bucket = TokenBucket(min(max(received_at, self._restarted_at), at))
             self._buckets[server] = bucket
         bucket.refill(self.per_s(server), at)
         return bucket
--- a/fuchsiacroft/membership/server_limits.py
+++ b/fuchsiacroft/membership/server_limits.py
@@ -28,20 +28,20 @@
 class LimitStatement:
     """What an answer said of its server's limit.
 
-    The server said it between `sent_at`, when the request was sent, and `heard_at`.
+    The server said it between `sent_at`, when the request was sent, and `received_at`.
     """
 
     per_s: float
     sent_at: float
-    heard_at: float
+    received_at: float
 
     def replaces(self, known: "LimitStatement") -> bool:
         """Return whether this statement counts in place of a known one."""
         if self.per_s > known.per_s:
-            return self.sent_at >= known.heard_at
+            return self.sent_at >= known.received_at
         if self.per_s == known.per_s:
-            return self.heard_at > known.heard_at
-        return self.heard_at > known.sent_at
+            return self.received_at > known.received_at
+        return self.received_at > known.sent_at
 
 
 class ServerLimits:
@@ -92,7 +92,7 @@
     ) -> None:
         """Let a limit that may be of the next start, as of a time, hold for it."""
         statement = self._known.get(server)
-        if statement is not None and statement.heard_at >= since:
+        if statement is not None and statement.received_at >= since:
             self.record(successor, statement)
 
     def forget(self, is_current: Callable[[ServerInstance], bool], at: float) -> None:
@@ -101,7 +101,7 @@
         old = [
             server
             for server, statement in self._known.items()
-            if statement.heard_at < oldest
+            if statement.received_at < oldest
             and not (server in self._limited and is_current(server))
         ]
         for server in old:
--- a/fuchsiacroft/model/simulation.py
+++ b/fuchsiacroft/model/simulation.py
@@ -155,7 +155,7 @@
             self._adopt_permits(entry, live)
 
     def _adopt_permits(self, owner: SimulatedEntry, live: list[SimulatedEntry]) -> None:
-        owner_queue = owner.kernel.get("desk", PermitQueue)
+        owner_queue = owner.kernel.get("permit_queue", PermitQueue)
         owner_leases = owner.kernel.get("lending", PermitLeases)
         for holder in live:
             for deployed in self.servers:
--- a/fuchsiacroft/overview.py
+++ b/fuchsiacroft/overview.py
@@ -28,7 +28,7 @@
     """A backend server as seen by its owner, or by any entry without one.
 
     `running` is the number of requests that its owner has running there, or
-    None if no owner responded. `heard_s_ago` is the age of its announcement, and
+    None if no owner responded. `received_s_ago` is the age of its announcement, and
     `limit_per_s` the requests a second that it takes, None without a limit.
     """
 
@@ -39,7 +39,7 @@
     generation: str
     slots: int
     leaving: bool
-    heard_s_ago: float
+    received_s_ago: float
     running: int | None = None
     owner: str | None = None
     limit_per_s: float | None = None
@@ -70,7 +70,7 @@
 
 def _entry_state(node: str, address: str, dump: dict) -> EntryState:
     callers = _section(dump, "callers")
-    waiting = _section(dump, "desk").get("waiting")
+    waiting = _section(dump, "permit_queue").get("waiting")
     return EntryState(
         node=node,
         address=address,
@@ -84,7 +84,7 @@
 def _backend_server_states(dumps: dict[str, dict]) -> tuple[BackendServerState, ...]:
     servers: dict[str, BackendServerState] = {}
     for node, dump in dumps.items():
-        owned = _section(_section(dump, "desk"), "owned")
+        owned = _section(_section(dump, "permit_queue"), "owned")
         for name, state in _section(dump, "backend_servers").items():
             if not isinstance(state, dict) or "announcement" not in state:
                 continue
@@ -109,7 +109,7 @@
         generation=announcement.get("generation", ""),
         slots=announcement.get("slots", 0),
         leaving=bool(announcement.get("leaving")),
-        heard_s_ago=state.get("heard_s_ago", 0.0),
+        received_s_ago=state.get("received_s_ago", 0.0),
         running=running,
         owner=None if owned is None else node,
         limit_per_s=None if owned is None else owned.get("limit_per_s"),
--- a/fuchsiacroft/placing/hand_over.py
+++ b/fuchsiacroft/placing/hand_over.py
@@ -75,7 +75,7 @@
             accepted=accepted,
         )
         self._has_ended = True
-        self._tell_others()
+        self._notify_others()
 
     async def _ask(self, successor: EntryRecord) -> bool:
         """Return whether an entry has taken over."""
@@ -88,7 +88,7 @@
         await asyncio.sleep(PAUSE_S)
         return False
 
-    def _tell_others(self) -> None:
+    def _notify_others(self) -> None:
         """Tell the entries of the domain and the other domains' coordinators."""
         local_entry = self._roster.local_entry
         entries = self._roster.entries()
--- a/fuchsiacroft/placing/limit_exchange.py
+++ b/fuchsiacroft/placing/limit_exchange.py
@@ -8,7 +8,7 @@
 
 from fuchsiacroft.membership import limit_reports
 from fuchsiacroft.membership.limit_recorder import LimitRecorder
-from fuchsiacroft.membership.limit_reports import LimitReport, LimitsHeard
+from fuchsiacroft.membership.limit_reports import LimitReport, LimitReports
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.membership.request_pacing import RequestPacing
 from fuchsiacroft.membership.roster import Roster
@@ -27,7 +27,7 @@
         self._roster = roster
         self._pacing = pacing
         self._recorder = LimitRecorder(pacing.limits)
-        bus.register_handler(LimitsHeard, self._on_limits)
+        bus.register_handler(LimitReports, self._on_limits)
 
     def record(
         self, placed: SlotAssignment, answer: NoticedAnswer, coordinator: EntryRecord
@@ -39,23 +39,23 @@
         report = self._recorder.record_answer(answer)
         if report is None:
             return
-        peers = {placed.keeper_peers, coordinator.peers}
+        peers = {placed.coordinator_peers, coordinator.peers}
         for address in peers - {self._roster.local_entry.peers}:
-            self._bus.send(address, LimitsHeard((report,)))
+            self._bus.send(address, LimitReports((report,)))
 
     def merge(self, reports: tuple[LimitReport, ...], source: str) -> None:
         """Record what another entry knows."""
         self._recorder.record_reports(reports, source)
 
-    def heard(self) -> tuple[LimitReport, ...]:
+    def reports(self) -> tuple[LimitReport, ...]:
         """Return what servers told this entry lately."""
-        return self._recorder.heard()
+        return self._recorder.reports()
 
     def known(self) -> tuple[LimitReport, ...]:
         """Return all that this entry knows."""
         return limit_reports.reports(self._pacing.limits, now())
 
-    def tell_coordinators(self, own_domain: str) -> None:
+    def send_to_coordinators(self, own_domain: str) -> None:
         """Tell the other failure domains' coordinators all that this entry knows."""
         reports = self.known()
         if not reports:
@@ -64,7 +64,7 @@
         for domain in {entry.failure_domain for entry in entries} - {own_domain}:
             coordinator = coordinator_of(entries, domain)
             if coordinator is not None:
-                self._bus.send(coordinator.peers, LimitsHeard(reports))
+                self._bus.send(coordinator.peers, LimitReports(reports))
 
     def forget_old(self) -> None:
         """Drop old limits of servers that are gone."""
@@ -74,5 +74,5 @@
         record = self._roster.server(server.name)
         return record is not None and str(record.born_ms) == server.start
 
-    async def _on_limits(self, sender: str, msg: LimitsHeard) -> None:
+    async def _on_limits(self, sender: str, msg: LimitReports) -> None:
         self.merge(msg.reports, sender)
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -47,17 +47,17 @@
 class SlotAssignment(msgspec.Struct, frozen=True):
     """The request was assigned a slot on a backend server.
 
-    `keeper` is the coordinator that counts the run until its end is reported to
-    the address `keeper_peers`. `start` tells the starts of the server apart,
-    `is_limited` whether the keeper knows a limit of it, and `version` is that of its
-    software. The server may have started again unless `is_start_certain`.
+    `coordinator` is the entry that counts the run until its end is reported to the
+    address `coordinator_peers`. `start` distinguishes the starts of the server, and
+    `version` is that of its software. `is_limited` means that the coordinator knows a
+    limit of the server. It may have started again unless `is_start_certain`.
     """
 
     run_id: str
     backend_server: str
     address: str
-    keeper: str
-    keeper_peers: str
+    coordinator: str
+    coordinator_peers: str
     start: str = ""
     is_limited: bool = False
     version: str = ""
--- a/fuchsiacroft/placing/neighbour.py
+++ b/fuchsiacroft/placing/neighbour.py
@@ -18,14 +18,14 @@
 class Neighbour:
     """Reported capacity of another domain, less the requests sent there since.
 
-    `keeper` is the entry that reported it, at the address `peers`. It `is_acting` while
-    it can't reach the domain's coordinator.
+    `coordinator` is the entry that reported it, at the address `peers`. It `is_acting`
+    while it can't reach the domain's coordinator.
     """
 
     capacities: dict[str, ServiceCapacity]
     received_at: float
     backoff_until: float = 0.0
-    keeper: str = ""
+    coordinator: str = ""
     peers: str = ""
     is_acting: bool = False
 
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -177,13 +177,16 @@
                 # The domain may have placed the request although its reply is missing.
                 self._cancel(run_id, peers)
                 event(
-                    "info", "neighbour_silent", domain=domain, keeper=neighbour.keeper
+                    "info",
+                    "neighbour_silent",
+                    domain=domain,
+                    coordinator=neighbour.coordinator,
                 )
         return None
 
     def cancel(self, placed: SlotAssignment) -> None:
         """Release an unused slot of another domain."""
-        self._cancel(placed.run_id, placed.keeper_peers)
+        self._cancel(placed.run_id, placed.coordinator_peers)
 
     def _cancel(self, run_id: str, coordinator_peers: str) -> None:
         unused = RunEnded(run_id, RunReport(RunOutcome.UNUSED))
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -314,7 +314,7 @@
             "placement_declined",
             request_id=permit_request.request_id,
             backend_server=placed.backend_server,
-            keeper=placed.keeper,
+            coordinator=placed.coordinator,
             reason=reason.value,
         )
 
@@ -344,11 +344,11 @@
         return outcome
 
     def report_first_event(self, placed: SlotAssignment) -> None:
-        """Report to the keeper that the prompt of a run has been prefilled."""
-        if placed.keeper == self._node:
+        """Report to the coordinator that the prompt of a run has been prefilled."""
+        if placed.coordinator == self._node:
             self._local_coordinator.mark_prefilled(placed.run_id)
         else:
-            self._bus.send(placed.keeper_peers, FirstEvent(placed.run_id))
+            self._bus.send(placed.coordinator_peers, FirstEvent(placed.run_id))
 
     def record_answer(self, placed: SlotAssignment, answer: NoticedAnswer) -> None:
         """Record what a server said of itself in the answer to a run."""
@@ -364,7 +364,7 @@
     def release(
         self, placed: SlotAssignment, report: RunReport, alive_at: float | None = None
     ) -> None:
-        """Report a run's end to its keeper and to those that may count it by now.
+        """Report a run's end to its coordinator and to those that may count it by now.
 
         The server was alive at `alive_at`, if the run was lost.
         """
@@ -374,7 +374,7 @@
             server = self.availability.instance(placed)
             alive_at = now() if alive_at is None else alive_at
             self._start_exchange.record_loss(server, alive_at)
-        coordinators = {placed.keeper: placed.keeper_peers}
+        coordinators = {placed.coordinator: placed.coordinator_peers}
         for entry in (self._current, self._coordinator_for(placed.backend_server)):
             if entry is not None:
                 coordinators[entry.node] = entry.peers
@@ -441,7 +441,7 @@
         if coordinator.node != self._node:
             await self._ping(coordinator)
         else:
-            self._limits.tell_coordinators(self._domain)
+            self._limits.send_to_coordinators(self._domain)
         await asyncio.sleep(PING_PERIOD_S)
 
     def _set_shares(self, is_coordinator: bool) -> None:
@@ -487,7 +487,7 @@
     async def _ping(self, coordinator: EntryRecord) -> None:
         known_epoch = self._epochs.get(coordinator.node, "")
         runs = () if known_epoch else tuple(self._active_runs.values())
-        ping = Ping(self._node, known_epoch, runs, self._limits.heard())
+        ping = Ping(self._node, known_epoch, runs, self._limits.reports())
         match await self._bus.request(coordinator.peers, ping, PING_TIMEOUT_S):
             case Result(tag="ok", ok=Pong(epoch, spent, limits)):
                 self._coordinator_spent = (spent, now())
--- a/fuchsiacroft/placing/start_exchange.py
+++ b/fuchsiacroft/placing/start_exchange.py
@@ -58,7 +58,9 @@
         if not self._starts.record_loss(server, alive_at, at):
             return
         _log("server_start_doubted", server)
-        self._tell(server, StartDoubted(server.name, server.start, at - alive_at, 0.0))
+        self._notify(
+            server, StartDoubted(server.name, server.start, at - alive_at, 0.0)
+        )
 
     def record_progress(self, server: ServerInstance, sent_at: float) -> None:
         """Record that a run of this entry goes on, of a request sent at `sent_at`."""
@@ -66,9 +68,9 @@
         if not self._starts.record_progress(server, sent_at, at):
             return
         _log("server_start_proven", server)
-        self._tell(server, StartProven(server.name, server.start, at - sent_at, 0.0))
+        self._notify(server, StartProven(server.name, server.start, at - sent_at, 0.0))
 
-    def _tell(self, server: ServerInstance, msg: StartDoubted | StartProven) -> None:
+    def _notify(self, server: ServerInstance, msg: StartDoubted | StartProven) -> None:
         for entry in self._entries_for(server.name):
             if entry.node != self._roster.local_entry.node:
                 self._bus.send(entry.peers, msg)
--- a/fuchsiacroft/routing/leases.py
+++ b/fuchsiacroft/routing/leases.py
@@ -65,7 +65,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Start serving permit requests and expiring leases."""
-        self._permit_queue = kernel.get("desk", PermitQueue)
+        self._permit_queue = kernel.get("permit_queue", PermitQueue)
         self._permit_queue.set_preemption_callback(self._on_preempted)
         self._bus = kernel.get("bus", Bus)
         self._bus.register_handler(AcquirePermit, self._on_acquire)
--- a/fuchsiacroft/routing/limit_exchange.py
+++ b/fuchsiacroft/routing/limit_exchange.py
@@ -12,7 +12,7 @@
 from fuchsiacroft.membership import limit_reports
 from fuchsiacroft.membership.backend_servers import BackendDirectory
 from fuchsiacroft.membership.limit_recorder import LimitRecorder
-from fuchsiacroft.membership.limit_reports import LimitReport, LimitsHeard
+from fuchsiacroft.membership.limit_reports import LimitReport, LimitReports
 from fuchsiacroft.membership.request_pacing import RequestPacing
 from fuchsiacroft.membership.server_notices import NoticedAnswer, ServerInstance
 from fuchsiacroft.routing.addresses import AddressBook
@@ -45,7 +45,7 @@
         """Start to hear of limits and to repeat them."""
         self._directory = kernel.get("backend_servers", BackendDirectory)
         self._bus = kernel.get("bus", Bus)
-        self._bus.register_handler(LimitsHeard, self._on_limits)
+        self._bus.register_handler(LimitReports, self._on_limits)
         self._tasks.spawn_repeated(self._repeat, "limit-repeat")
 
     async def stop(self) -> None:
@@ -57,7 +57,7 @@
         report = self._recorder.record_answer(answer)
         if report is not None:
             for node in owners:
-                self._tell(node, report)
+                self._notify(node, report)
 
     def known(self, backend_servers: Container[str]) -> tuple[LimitReport, ...]:
         """Return what this entry knows of the limits of some backend servers."""
@@ -72,22 +72,22 @@
         """Record what other entries know."""
         self._recorder.record_reports(reports, source)
 
-    def _tell(self, node: str, *reports: LimitReport) -> None:
+    def _notify(self, node: str, *reports: LimitReport) -> None:
         address = self._addresses.get(node)
         if node != self._node and address is not None:
-            self._bus.send(address, LimitsHeard(reports))
+            self._bus.send(address, LimitReports(reports))
 
     async def _repeat(self) -> None:
         await asyncio.sleep(REPEAT_PERIOD_S)
         self._pacing.limits.forget(self._is_current, now())
-        for report in self._recorder.heard():
+        for report in self._recorder.reports():
             owner = self._owners.owner_of(report.backend_server)
             if owner is not None:
-                self._tell(owner.node, report)
+                self._notify(owner.node, report)
 
     def _is_current(self, server: ServerInstance) -> bool:
         known = self._directory.get(server.name)
         return known is not None and known.boot_id == server.start
 
-    async def _on_limits(self, sender: str, msg: LimitsHeard) -> None:
+    async def _on_limits(self, sender: str, msg: LimitReports) -> None:
         self.merge(msg.reports, sender)
--- a/fuchsiacroft/routing/membership_owners.py
+++ b/fuchsiacroft/routing/membership_owners.py
@@ -52,7 +52,7 @@
         """Subscribe to the backend servers and to membership changes."""
         self._membership = kernel.get("membership", Membership)
         self._table = kernel.get("ownership", OwnershipTable)
-        self._permit_queue = kernel.get("desk", PermitQueue)
+        self._permit_queue = kernel.get("permit_queue", PermitQueue)
         self._leases = kernel.get("lending", PermitLeases)
         self._scheduler = kernel.get("scheduler", Scheduler)
         self._directory = kernel.get("backend_servers", BackendDirectory)
--- a/fuchsiacroft/routing/owner_digests.py
+++ b/fuchsiacroft/routing/owner_digests.py
@@ -54,7 +54,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Start sending and receiving digests."""
         self._membership = kernel.get("membership", Membership)
-        self._permit_queue = kernel.get("desk", PermitQueue)
+        self._permit_queue = kernel.get("permit_queue", PermitQueue)
         self._bus = kernel.get("bus", Bus)
         self._bus.register_handler(OwnedServices, self._on_owned_services)
         self._tasks.spawn_repeated(self._send_digests, "owner-digests")
--- a/fuchsiacroft/routing/permit_queue.py
+++ b/fuchsiacroft/routing/permit_queue.py
@@ -50,7 +50,7 @@
 class PermitQueue(Service):
     """Queues permit requests by service and grants permits as capacity frees up."""
 
-    name = "desk"
+    name = "permit_queue"
 
     def __init__(
         self,
@@ -67,7 +67,7 @@
         self._issuer = PermitIssuer(node, policies)
         self._shedder = Shedder(policies)
         self._sequence = itertools.count()
-        self._tasks = BackgroundTasks("desk")
+        self._tasks = BackgroundTasks("permit_queue")
         self._quarantine: Quarantine | None = None
         self._probe = probe
         self._probed: set[str] = set()
@@ -85,7 +85,7 @@
         self._quarantine = kernel.find("quarantine", Quarantine)
         directory = kernel.get("backend_servers", BackendDirectory)
         directory.listeners.removed.append(self._on_removed)
-        self._tasks.spawn_repeated(self._sweep, "desk-sweep")
+        self._tasks.spawn_repeated(self._sweep, "permit-queue-sweep")
 
     async def stop(self) -> None:
         """Stop the sweep."""
@@ -480,7 +480,7 @@
             return
         if owned.name not in self._probed:
             self._probed.add(owned.name)
-            self._tasks.spawn(self._probe_server(owned), "desk-probe")
+            self._tasks.spawn(self._probe_server(owned), "permit-queue-probe")
 
     async def _probe_server(self, owned: OwnedServer) -> None:
         try:
--- a/fuchsiacroft/routing/scheduler.py
+++ b/fuchsiacroft/routing/scheduler.py
@@ -84,7 +84,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Subscribe to the directory and start renewing leased permits."""
-        self._permit_queue = kernel.get("desk", PermitQueue)
+        self._permit_queue = kernel.get("permit_queue", PermitQueue)
         self._spillover = kernel.find("spilling", Spillover)
         self._quarantine = kernel.find("quarantine", Quarantine)
         self._directory = kernel.get("backend_servers", BackendDirectory)
--- a/fuchsiacroft/routing/spillover.py
+++ b/fuchsiacroft/routing/spillover.py
@@ -68,7 +68,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Start sending and receiving digests."""
-        self._permit_queue = kernel.get("desk", PermitQueue)
+        self._permit_queue = kernel.get("permit_queue", PermitQueue)
         self._permit_queue.peer_server_counts = self._peer_server_counts
         self._bus = kernel.get("bus", Bus)
         self._bus.register_handler(LoadDigest, self._on_digest)
@@ -81,7 +81,7 @@
     def dump(self) -> dict:
         """Return the digests with their ages, and the services that spill over."""
         return {
-            "heard": {
+            "reported": {
                 node: {
                     "age_s": round(now() - digest.received_at, 2),
                     "room": {name: load.room for name, load in digest.services.items()},
--- a/fuchsiacroft/streams/owners.py
+++ b/fuchsiacroft/streams/owners.py
@@ -21,7 +21,7 @@
 """Entries asked in each domain; one that has just joined knows nothing yet."""
 
 
-def owners_told(
+def owners_to_notify(
     key: str, entries: Iterable[EntryRecord], own_domain: str
 ) -> list[EntryRecord]:
     """Return the entries that are told what began the stream of a key."""
@@ -33,7 +33,7 @@
     return _best(key, own_entries, own_count) + remote
 
 
-def owners_asked(
+def owners_to_query(
     key: str, entries: Iterable[EntryRecord]
 ) -> dict[str, list[EntryRecord]]:
     """Return by failure domain the entries that may know what began a stream."""
--- a/fuchsiacroft/streams/service.py
+++ b/fuchsiacroft/streams/service.py
@@ -66,7 +66,7 @@
         fact = OriginFact(stream_key(workspace, request_id), (origin,), kept_s)
         self._store.merge(fact, now())
         entries = self._roster.entries()
-        for owner in owners.owners_told(fact.key, entries, self._domain):
+        for owner in owners.owners_to_notify(fact.key, entries, self._domain):
             if owner.node != self._roster.local_entry.node:
                 self._bus.send(owner.peers, StreamBegan(fact), probes=False)
 
@@ -93,7 +93,7 @@
         """Ask this entry and the owners of a key, until what they know is certain."""
         lookup.begin_round()
         lookup.add(self._domain, self._reply(msg))
-        asked = owners.owners_asked(msg.key, self._roster.entries())
+        asked = owners.owners_to_query(msg.key, self._roster.entries())
         lookup.expect(asked)
         requests = [
             asyncio.ensure_future(self._ask_owner(entry, msg, lookup))
--- a/fuchsiacroft/tests/commands/explain_tests.py
+++ b/fuchsiacroft/tests/commands/explain_tests.py
@@ -14,7 +14,7 @@
 
 EDGE_1 = (
     (7.9, "coordinator_lost coordinator=edge-2 reason=silence"),
-    (10.5, "run_ended request_id=aa backend_server=i-1 keeper=edge-2 "
+    (10.5, "run_ended request_id=aa backend_server=i-1 coordinator=edge-2 "
            "outcome=connection_lost seconds=0.4 events=0"),
     (10.6, "request_sent_again request_id=aa after=broken runs=1 tried=i-1"),
     (11.0, ENDED.format("aa", "502", 2) + "problem=broken_off"),
--- a/fuchsiacroft/tests/fakes/full_domain.py
+++ b/fuchsiacroft/tests/fakes/full_domain.py
@@ -114,7 +114,7 @@
 
     def permit_queue(self, number: int) -> PermitQueue:
         """Return the permit queue of an entry."""
-        return self.get(number, "desk", PermitQueue)
+        return self.get(number, "permit_queue", PermitQueue)
 
     def scheduler(self, number: int) -> Scheduler:
         """Return the scheduler of an entry."""
--- a/fuchsiacroft/tests/fakes/routing_domain.py
+++ b/fuchsiacroft/tests/fakes/routing_domain.py
@@ -42,7 +42,7 @@
 
     @property
     def permit_queue(self) -> PermitQueue:
-        return self.kernel.get("desk", PermitQueue)
+        return self.kernel.get("permit_queue", PermitQueue)
 
     @property
     def scheduler(self) -> Scheduler:
--- a/fuchsiacroft/tests/membership/server_limits_tests.py
+++ b/fuchsiacroft/tests/membership/server_limits_tests.py
@@ -5,7 +5,7 @@
 
 from fuchsiacroft.membership import limit_reports
 from fuchsiacroft.membership.limit_recorder import LimitRecorder, parse_limit
-from fuchsiacroft.membership.limit_reports import MAX_REPORTS, LimitsHeard
+from fuchsiacroft.membership.limit_reports import MAX_REPORTS, LimitReports
 from fuchsiacroft.membership.server_limits import (
     MAX_LIMITS,
     RETENTION_S,
@@ -36,28 +36,28 @@
     """Answers cross each other on the way."""
 
     def test_an_answer_to_a_request_sent_before_ends_a_limit(self):
-        named = LimitStatement(5.0, sent_at=1.0, heard_at=2.0)
-        crossing = LimitStatement(UNLIMITED, sent_at=1.9, heard_at=3.0)
+        named = LimitStatement(5.0, sent_at=1.0, received_at=2.0)
+        crossing = LimitStatement(UNLIMITED, sent_at=1.9, received_at=3.0)
         for order in itertools.permutations((named, crossing)):
             self.assertEqual(5.0, limits_after(*order).per_s(SERVER))
 
     def test_an_answer_to_a_request_sent_later_does_not_end_a_limit(self):
-        named = LimitStatement(5.0, sent_at=1.0, heard_at=2.0)
-        ended = LimitStatement(UNLIMITED, sent_at=2.0, heard_at=3.0)
+        named = LimitStatement(5.0, sent_at=1.0, received_at=2.0)
+        ended = LimitStatement(UNLIMITED, sent_at=2.0, received_at=3.0)
         for order in itertools.permutations((named, ended)):
             limits = limits_after(*order)
             self.assertEqual(UNLIMITED, limits.per_s(SERVER))
             self.assertTrue(limits.is_empty)
 
     def test_the_higher_of_two_crossing_limits_counts(self):
-        low = LimitStatement(3.0, sent_at=1.0, heard_at=3.0)
-        high = LimitStatement(8.0, sent_at=2.0, heard_at=4.0)
+        low = LimitStatement(3.0, sent_at=1.0, received_at=3.0)
+        high = LimitStatement(8.0, sent_at=2.0, received_at=4.0)
         for order in itertools.permutations((low, high)):
             self.assertEqual(3.0, limits_after(*order).per_s(SERVER))
 
     def test_a_raised_limit_stays_low(self):
-        low = LimitStatement(3.0, sent_at=1.0, heard_at=2.0)
-        raised = LimitStatement(8.0, sent_at=2.5, heard_at=3.0)
+        low = LimitStatement(3.0, sent_at=1.0, received_at=2.0)
+        raised = LimitStatement(8.0, sent_at=2.5, received_at=3.0)
         for order in itertools.permutations((low, raised)):
             self.assertEqual(8.0, limits_after(*order).per_s(SERVER))
 
@@ -89,7 +89,7 @@
             limits.record(server, LimitStatement(1.5, 0.0, float(number)))
         reports = limit_reports.reports(limits, 5_000.0)
         self.assertEqual(MAX_REPORTS, len(reports))
-        data = codec.encode(LimitsHeard(reports), 1, False, "entry-1").ok
+        data = codec.encode(LimitReports(reports), 1, False, "entry-1").ok
         self.assertLess(len(data), codec.MAX_MESSAGE_BYTES)
         decoded = codec.decode(data).ok[1]
         self.assertEqual(reports, decoded.reports)
--- a/fuchsiacroft/tests/placing/coordinator_change_tests.py
+++ b/fuchsiacroft/tests/placing/coordinator_change_tests.py
@@ -139,7 +139,7 @@
             request = PermitRequest("long", "lens", 0, LONG_RUN_S, "tills")
             limits = WaitLimits(WAIT_S, WAIT_S)
             placed = (await user.placer.acquire(request, 0.0, False, limits)).ok
-            self.assertEqual(coordinator.node, placed.keeper)
+            self.assertEqual(coordinator.node, placed.coordinator)
             await self.stop_in_order(coordinator)
             await asyncio.sleep(1.0)
             user.placer.release(placed, DONE)
--- a/fuchsiacroft/tests/placing/limit_exchange_tests.py
+++ b/fuchsiacroft/tests/placing/limit_exchange_tests.py
@@ -74,16 +74,16 @@
 
     def test_entries_of_two_domains_exceed_a_limit_together(self):
         async def scenario():
-            told_at = await self.name_limit()
+            named_at = await self.name_limit()
             await asyncio.sleep(6.0)
-            self.assert_within_limit(told_at)
-            self.assertGreaterEqual(self.most_in_window(told_at), LIMIT * WINDOW_S - 1)
+            self.assert_within_limit(named_at)
+            self.assertGreaterEqual(self.most_in_window(named_at), LIMIT * WINDOW_S - 1)
 
         self.run_region(scenario)
 
     def test_a_successor_does_not_know_the_limit(self):
         async def scenario():
-            told_at = await self.name_limit()
+            named_at = await self.name_limit()
             for _ in range(2):
                 coordinator = self.traffic.coordinator()
                 if len(self.traffic.live) > 3:
@@ -92,27 +92,27 @@
                     await asyncio.sleep(0.5)
                     await coordinator.kernel.stop()
                 await asyncio.sleep(3.0)
-            self.assert_within_limit(told_at)
+            self.assert_within_limit(named_at)
 
         self.run_region(scenario)
 
     def test_an_isolated_coordinator_and_its_successor_exceed_the_limit_together(self):
         async def scenario():
-            told_at = await self.name_limit()
+            named_at = await self.name_limit()
             self.region.isolate(self.traffic.coordinator().address)
             await asyncio.sleep(8.0)
-            self.assert_within_limit(told_at)
+            self.assert_within_limit(named_at)
 
         self.run_region(scenario)
 
     def test_entries_without_a_coordinator_exceed_the_limit_together(self):
         async def scenario():
-            told_at = await self.name_limit()
+            named_at = await self.name_limit()
             addresses = [entry.address for entry in self.region.entries]
             for first, second in itertools.combinations(addresses, 2):
                 self.region.network.partition(first, second)
             await asyncio.sleep(8.0)
-            self.assert_within_limit(told_at)
+            self.assert_within_limit(named_at)
 
         self.run_region(scenario)
 
@@ -130,9 +130,9 @@
 
     def test_the_end_of_a_limit_of_zero_is_not_seen(self):
         async def scenario():
-            told_at = await self.name_limit("0")
+            named_at = await self.name_limit("0")
             await asyncio.sleep(6.0)
-            self.assertLessEqual(self.most_in_window(told_at), 2)
+            self.assertLessEqual(self.most_in_window(named_at), 2)
             self.limit = None
             await asyncio.sleep(6.0)
             ended_at = now()
--- a/fuchsiacroft/tests/platform/server_limit_tests.py
+++ b/fuchsiacroft/tests/platform/server_limit_tests.py
@@ -28,7 +28,7 @@
     def __init__(self, replica: Replica) -> None:
         self.replica = replica
         self.limit: str | None = None
-        self.told_at: float | None = None
+        self.named_at: float | None = None
         self.times: list[float] = []
         replica.handler = self.serve
 
@@ -39,12 +39,12 @@
         lines = []
         if self.limit is not None:
             lines.append(f"Server-Limit: {self.limit}")
-            self.told_at = self.told_at or loop.time()
+            self.named_at = self.named_at or loop.time()
         writer.write(response(req, b"fine", "200 OK", *lines))
 
     def most_in_window(self) -> int:
         """Return the most requests in any window after the entries were told."""
-        times = [at for at in self.times if at >= self.told_at + TELLING_S]
+        times = [at for at in self.times if at >= self.named_at + TELLING_S]
         return most_in_window(times, WINDOW_S)
 
 
--- a/fuchsiacroft/tests/routing/server_limit_tests.py
+++ b/fuchsiacroft/tests/routing/server_limit_tests.py
@@ -86,16 +86,16 @@
 
     def test_entries_exceed_a_limit_together(self):
         async def scenario():
-            told_at = await self.name_limit()
+            named_at = await self.name_limit()
             await asyncio.sleep(6.0)
-            self.assertLessEqual(self.most_in_window(told_at), MAX_IN_WINDOW)
-            self.assertGreaterEqual(self.most_in_window(told_at), LIMIT * WINDOW_S - 1)
+            self.assertLessEqual(self.most_in_window(named_at), MAX_IN_WINDOW)
+            self.assertGreaterEqual(self.most_in_window(named_at), LIMIT * WINDOW_S - 1)
 
         self.run_domain(scenario)
 
     def test_a_new_owner_does_not_know_the_limit(self):
         async def scenario():
-            told_at = await self.name_limit()
+            named_at = await self.name_limit()
             await asyncio.sleep(1.0)
             await self.domain.kill(self.domain.owner("s"))
             await self.domain.wait_ready()
@@ -103,7 +103,7 @@
             limits = self.domain.permit_queue(owner).pacing.limits
             self.assertFalse(limits.is_empty)
             await asyncio.sleep(6.0)
-            self.assertLessEqual(self.most_in_window(told_at), MAX_IN_WINDOW)
+            self.assertLessEqual(self.most_in_window(named_at), MAX_IN_WINDOW)
 
         self.run_domain(scenario)
 
--- a/fuchsiacroft/tests/soak/invariants.py
+++ b/fuchsiacroft/tests/soak/invariants.py
@@ -291,19 +291,19 @@
     """Return when a limited server got requests of entries in contact that knew."""
     attempts = {attempt.attempt_id: attempt for attempt in observations.attempts}
     runs = [run for run in observations.runs if run.server == span.server]
-    told_at: dict[str, float] = {}
+    named_at: dict[str, float] = {}
     for run in runs:
         attempt = attempts.get(run.attempt_id)
         if attempt is not None and attempt.names_limit and attempt.ended_at:
-            known = told_at.get(attempt.entry, math.inf)
-            told_at[attempt.entry] = min(attempt.ended_at, known)
+            known = named_at.get(attempt.entry, math.inf)
+            named_at[attempt.entry] = min(attempt.ended_at, known)
     times = []
     for run in runs:
         if not span.started_at + CONTACT_S <= run.at <= span.ended_at:
             continue
         attempt = attempts.get(run.attempt_id)
         entry = attempt.entry if attempt is not None else ""
-        is_told = run.at >= told_at.get(entry, math.inf) + TOLD_S
+        is_told = run.at >= named_at.get(entry, math.inf) + TOLD_S
         if is_told and _is_in_contact(entry, run.at, observations):
             times.append(run.at)
     return times
--- a/fuchsiacroft/tests/streams/owners_tests.py
+++ b/fuchsiacroft/tests/streams/owners_tests.py
@@ -8,8 +8,8 @@
 from fuchsiacroft.streams.owners import (
     DOMAINS_TOLD,
     OWN_DOMAIN_OWNERS,
-    owners_asked,
-    owners_told,
+    owners_to_notify,
+    owners_to_query,
 )
 from fuchsiacroft.tests.base import TestCase
 
@@ -34,12 +34,12 @@
     """Who is asked has been told, whatever entry is asked first or has gone."""
 
     def asked(self, key: str, known: list[EntryRecord]) -> set[str]:
-        return nodes(e for found in owners_asked(key, known).values() for e in found)
+        return nodes(e for found in owners_to_query(key, known).values() for e in found)
 
     def test_an_owner_that_was_told_is_not_asked(self):
         known = entries(3, 5)
         for key in KEYS:
-            told = owners_told(key, known, "d-0")
+            told = owners_to_notify(key, known, "d-0")
             domains = Counter(entry.failure_domain for entry in told)
             self.assertEqual({"d-0": 2, "d-1": 1, "d-2": 1}, domains)
             self.assertEqual(4, len(nodes(told)))
@@ -49,7 +49,7 @@
         for domains, each, count in ((1, 1, 1), (1, 2, 2), (1, 6, 3), (2, 6, 3)):
             known = entries(domains, each)
             for key in KEYS:
-                told = nodes(owners_told(key, known, "d-0"))
+                told = nodes(owners_to_notify(key, known, "d-0"))
                 self.assertEqual(count, len(told))
                 self.assertLessEqual(told, self.asked(key, known))
 
@@ -57,7 +57,7 @@
         known = entries(3, 5)
         joined = EntryRecord("e-new", "d-0", "10.0.0.9:1", 2)
         for key in KEYS:
-            told = nodes(owners_told(key, known, "d-0"))
+            told = nodes(owners_to_notify(key, known, "d-0"))
             self.assertLessEqual(told, self.asked(key, [*known, joined]))
             left = [entry for entry in known if entry.failure_domain != "d-0"]
             self.assertEqual(2, len(told & self.asked(key, left)))
@@ -67,12 +67,12 @@
         draining = msgspec.structs.replace(known[0], leaving=True)
         known[0] = draining
         for key in KEYS:
-            self.assertNotIn(draining.node, nodes(owners_told(key, known, "d-0")))
+            self.assertNotIn(draining.node, nodes(owners_to_notify(key, known, "d-0")))
 
     def test_a_stream_costs_a_message_for_each_domain(self):
         known = entries(12, 3)
         for key in KEYS:
-            told = owners_told(key, known, "d-7")
+            told = owners_to_notify(key, known, "d-7")
             domains = Counter(entry.failure_domain for entry in told)
             self.assertEqual(DOMAINS_TOLD, len(domains))
             self.assertEqual(OWN_DOMAIN_OWNERS, domains.pop("d-7"))
@@ -81,7 +81,7 @@
     def test_few_entries_own_most_streams(self):
         known = entries(3, 5)
         owned = Counter(
-            entry.node for key in KEYS for entry in owners_told(key, known, "d-0")
+            entry.node for key in KEYS for entry in owners_to_notify(key, known, "d-0")
         )
         self.assertEqual(len(known), len(owned))
         for entry in known:
--- a/tools/bench_stream_origins.py
+++ b/tools/bench_stream_origins.py
@@ -13,7 +13,7 @@
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.streams.origin import StreamOrigin, stream_key
 from fuchsiacroft.streams.origin_store import OriginFact, OriginStore
-from fuchsiacroft.streams.owners import owners_asked, owners_told
+from fuchsiacroft.streams.owners import owners_to_notify, owners_to_query
 
 SIZES = ((3, 2), (3, 13), (3, 65), (8, 118))
 """Failure domains, and entries in each."""
@@ -51,8 +51,8 @@
     """Print a line for each size of a region, and the memory of a stream."""
     for domains, each in SIZES:
         known = entries(domains, each)
-        told_us = mean_us(lambda key, known=known: owners_told(key, known, "d-0"))
-        asked_us = mean_us(lambda key, known=known: owners_asked(key, known))
+        told_us = mean_us(lambda key, known=known: owners_to_notify(key, known, "d-0"))
+        asked_us = mean_us(lambda key, known=known: owners_to_query(key, known))
         print(
             f"domains={domains} entries={len(known)} told_us={told_us:.0f} "
             f"asked_us={asked_us:.0f}"
