--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -12,9 +12,10 @@
 from fuchsiacroft.config.route_table import Route
 from fuchsiacroft.entry import request_validation
 from fuchsiacroft.entry.planned_stop import PlannedStop
-from fuchsiacroft.entry.problems import ExecutionState, Problem, draining_problem
+from fuchsiacroft.entry.problems import Problem
 from fuchsiacroft.entry.request_body import BodyBuffer, BodyReads
 from fuchsiacroft.entry.run_durations import RunDurations
+from fuchsiacroft.gateway import request_problems
 from fuchsiacroft.gateway.attempt import Attempt
 from fuchsiacroft.gateway.attempt_result import AttemptResult
 from fuchsiacroft.gateway.continued_streams import ContinuedStreams
@@ -29,7 +30,6 @@
 from fuchsiacroft.routing.permits import (
     PermitRequest,
     Refusal,
-    RefusalReason,
     RunOutcome,
     RunReport,
 )
@@ -39,11 +39,6 @@
 
 MAX_SENDS = 4
 """Maximum sends of a request, including those that did not execute it."""
-NOT_READY_RETRY_S = 0.5
-DRAINING_RETRY_S = 0.05
-"""Short, because another entry can take the request immediately."""
-MAX_RETRY_AFTER_SHARE = 0.3
-"""Longest Retry-After as a share of the caller's time; the rest is for its retry."""
 REPLACEMENT_WAIT_S = 0.05
 """Short: the silent server may go on at any time."""
 MIN_REMAINING_S = 0.01
@@ -61,7 +56,7 @@
 
     def __init__(self, protocol: ProtocolAdapter) -> None:
         self._protocol = protocol
-        self._body_reads = BodyReads(DRAINING_RETRY_S)
+        self._body_reads = BodyReads(request_problems.DRAINING_RETRY_S)
         self._bodies = BodyBuffer(self._body_reads)
         self._random = random.Random()
         self._estimates = ResponseEstimates()
@@ -116,7 +111,7 @@
             case Result(tag="error", error=problem):
                 return self._error_response(context, problem)
         if not self._is_accepted(context):
-            return self._error_response(context, _stopping_problem())
+            return self._error_response(context, request_problems.stopping())
         if not context.is_stopped:
             context.timeout.reschedule(context.deadline)
         match await self._read_body(context):
@@ -169,10 +164,7 @@
     def _route(self, context: RequestContext) -> Result[None, Problem]:
         table = self._route_source.table
         if table is None:
-            detail = "no route table yet; the request did not run"
-            return Error(
-                Problem(503, "not_ready", detail, ExecutionState.NO, NOT_READY_RETRY_S)
-            )
+            return Error(request_problems.not_ready())
         match self._protocol.parse_request(context.http, table, self._choose_service):
             case Result(tag="ok", ok=request):
                 context.request = request
@@ -305,13 +297,9 @@
         if failure is not None:
             return failure
         if context.runs:
-            detail = "connection to the backend server lost; the request may have run"
-            return self._error_response(
-                context, Problem(502, "broken_off", detail, ExecutionState.MAYBE)
-            )
-        return self._error_response(
-            context, _refusal_problem(refusal, context.remaining_s)
-        )
+            return self._error_response(context, request_problems.broken_off())
+        problem = request_problems.refused(refusal, context.remaining_s)
+        return self._error_response(context, problem)
 
     def _stopping_response(
         self, context: RequestContext, failure: web.StreamResponse | None
@@ -319,28 +307,14 @@
         """Return the response to a request that could no longer run to its end."""
         if failure is not None or context.runs:
             return self._final_response(context, failure, None)
-        return self._error_response(context, _stopping_problem())
+        return self._error_response(context, request_problems.stopping())
 
     def _timed_out(self, context: RequestContext) -> web.StreamResponse:
         if context.started_response is not None:
             raise ResponseAbortedError(
                 "the request's time ended after its response began"
             )
-        if context.runs or context.sends:
-            cause = "this entry stopped" if context.is_stopped else "its deadline"
-            detail = f"no response before {cause}; the request may have run"
-            return self._error_response(
-                context, Problem(504, "timed_out", detail, ExecutionState.MAYBE)
-            )
-        if context.is_stopped:
-            return self._error_response(context, _stopping_problem())
-        detail = "no backend server was free before the deadline; it did not run"
-        if context.is_receiving:
-            detail = "the body was not received before the deadline; it did not run"
-        problem = Problem(
-            503, "timed_out", detail, ExecutionState.NO, NOT_READY_RETRY_S
-        )
-        return self._error_response(context, problem)
+        return self._error_response(context, request_problems.timed_out(context))
 
     def _error_response(
         self, context: RequestContext, problem: Problem
@@ -349,11 +323,6 @@
         return self._protocol.error_response(problem, context.request_id)
 
 
-def _stopping_problem() -> Problem:
-    detail = "this entry is stopping; the request did not run"
-    return draining_problem(detail, DRAINING_RETRY_S)
-
-
 def _permit_request(
     request: RoutedRequest, context: RequestContext, remaining_s: float
 ) -> PermitRequest:
@@ -380,21 +349,6 @@
     return xxhash.xxh3_64_hexdigest(head.encode() + body)
 
 
-def _refusal_problem(refusal: Refusal | None, remaining_s: float) -> Problem:
-    if refusal is None:
-        detail = "backend servers refused the request; it did not run"
-        return Problem(503, "overloaded", detail, ExecutionState.NO, NOT_READY_RETRY_S)
-    status = 429 if refusal.reason is RefusalReason.OVER_QUOTA else 503
-    detail = f"{refusal.reason.value.replace('_', ' ')}; the request did not run"
-    code = refusal.reason.value
-    retry_after_s = refusal.retry_after_s
-    if refusal.reason is not RefusalReason.SERVERS_PAUSED:
-        retry_after_s = min(
-            retry_after_s, MAX_RETRY_AFTER_SHARE * max(remaining_s, 0.0)
-        )
-    return Problem(status, code, detail, ExecutionState.NO, retry_after_s)
-
-
 def create(protocol: ProtocolAdapter) -> Forwarder:
     """Return the forwarder service."""
     return Forwarder(protocol)
