--- a/fuchsiacroft/tests/membership/server_table_tests.py
+++ b/fuchsiacroft/tests/membership/server_table_tests.py
@@ -46,6 +46,16 @@
         self.assertEqual((), self.table.merge(record(sequence=6), 2))
         self.assertIs(ServerState.LEAVING, self.life())
 
+    def test_a_report_of_the_far_future_hides_a_server_for_good(self):
+        for future in (record(born_ms=10**14), record(sequence=2**62)):
+            self.table = ServerTable()
+            self.table.merge(record(sequence=5), 0.0)
+            self.table.merge(future, 1.0)
+            self.assertEqual((), self.table.merge(record(sequence=6), 2.0))
+            self.table.remove_expired(1.5, 3.0)
+            self.table.merge(record(sequence=7), 3.0)
+            self.assertEqual(record(sequence=7), self.table.get("i-1"))
+
     def test_a_late_report_does_not_bring_back_a_server_that_left(self):
         self.table.merge(record(sequence=5), 0)
         self.table.merge(record(sequence=5, life=ServerState.LEFT), 1)
