Keep the origins of the tests of cut entries for longer than a slow test takes

Its log, from a run of the same test beside busy processes: asked 5.7 s after it began, all three owners replied and knew nothing, as an origin is kept for its route's time, 4 s in the tests. A caller could not come back then; the test was too slow, not the product.

--- a/fuchsiacroft/tests/platform/cut_origins_tests.py
+++ b/fuchsiacroft/tests/platform/cut_origins_tests.py
@@ -5,12 +5,14 @@
 from fuchsiacroft.membership.rendezvous import choose_owners
 from fuchsiacroft.streams.origin import stream_key
 from fuchsiacroft.tests.fakes import versioned_streams
-from fuchsiacroft.tests.fakes.platform_region import PlatformRegion
+from fuchsiacroft.tests.fakes.platform_region import PlatformRegion, config
 from fuchsiacroft.tests.fakes.versioned_streams import READ_BEFORE_BREAK, Stream
 from fuchsiacroft.tests.platform.stream_versions_tests import StreamVersionsTestCase
 
 WORKSPACE = "paysandu"
 CUT_S = 2.5
+TIMEOUT_MS = 30_000
+"""An origin is kept for the time of its route, which a slow test must not exceed."""
 KNOWN_S = 0.4
 """The others have noticed a cut by then."""
 
@@ -27,6 +29,9 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
+        document = config(version=2)
+        document["routes"][-1]["timeoutMs"] = TIMEOUT_MS
+        self.assertEqual(200, await self.region.put_config(document))
         await self.add_servers("v1")
         await self.add_servers("v1.1")
 
