--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -118,8 +118,9 @@
         await self._tasks.cancel()
 
     def dump(self) -> dict:
-        """Return the allocator's state."""
-        return {"epoch": self.epoch, **self.allocator.dump()}
+        """Return the allocator's state and what workspaces spent of their quotas."""
+        quotas = self.allocator.quotas.dump(now())
+        return {"epoch": self.epoch, "quotas": quotas, **self.allocator.dump()}
 
     async def place(self, request: PlaceRequest) -> PlacementResult:
         """Place a request, waiting for a slot if necessary, or return a refusal."""
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -479,7 +479,16 @@
             self._neighbours.wake()
             self._local_coordinator.adopt(tuple(self._active_runs.values()))
             spent, received_at = self._coordinator_spent
-            if now() - received_at < SPENT_TTL_S:
+            age_s = now() - received_at
+            event(
+                "info",
+                "quotas_taken_over",
+                before=previous,
+                workspaces=len(spent),
+                units=round(sum(spent.values()), 1),
+                age_s=round(age_s, 3),
+            )
+            if age_s < SPENT_TTL_S:
                 self._local_coordinator.allocator.quotas.adopt(spent, now())
         else:
             self._epochs.pop(coordinator.node, None)
--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -160,6 +160,17 @@
             window.expire(at - self._tolerance.window_s)
         return {name: w.total for name, w in self._windows.items() if w.total > 0}
 
+    def dump(self, at: float) -> dict:
+        """Return what each workspace spent in the window here and elsewhere."""
+        return {
+            name: {
+                "spent": round(units, 1),
+                "elsewhere": round(self.remote_usage(name, at).spent, 1),
+                "share": round(self.remote_usage(name, at).share, 4),
+            }
+            for name, units in self.spent(at).items()
+        }
+
     def adopt(self, spent: dict[str, float], at: float) -> None:
         """Count the units that a previous coordinator admitted, as if spent now."""
         for name, units in spent.items():
