--- a/fuchsiacroft/tests/fakes/memory_region.py
+++ b/fuchsiacroft/tests/fakes/memory_region.py
@@ -1,5 +1,9 @@
 """Control members and entries of one region on an in-memory network."""
 
+import itertools
+
+import msgspec
+
 from fuchsiacroft.config.route_source import RouteSource
 from fuchsiacroft.config.route_table import RouteTable
 from fuchsiacroft.config.settings import Addresses, Member, Settings
@@ -72,6 +76,7 @@
     """One entry with its roster, coordinator and placer."""
 
     def __init__(self, region: "MemoryRegion", number: int, domain: str) -> None:
+        self.number = number
         self.node = f"edge-{number}"
         self.address = f"10.2.0.{number}:7601"
         self.domain = domain
@@ -90,7 +95,7 @@
         self.quarantine = Quarantine(self.roster.peers)
         self.origins = StreamOrigins(settings)
         self.neighbours = Neighbours(settings)
-        self.coordinator = Coordinator(settings, SharedLimits())
+        self.coordinator = Coordinator(settings, region.limits)
         self.placer = Placer(settings)
         self.kernel = Kernel()
         for service in (
@@ -113,9 +118,12 @@
         self,
         domains: tuple[str, ...] = DOMAINS[:1] * 3,
         table: RouteTable | None = None,
+        limits: SharedLimits | None = None,
     ) -> None:
         self.network = MemoryNetwork()
         self.table = table
+        self.limits = limits or SharedLimits()
+        self._restarts = itertools.count(1)
         self.controls = tuple(f"10.1.0.{number}:7600" for number in range(3))
         self.members = [Control(self, number) for number in range(3)]
         self.entries = [Entry(self, i, domain) for i, domain in enumerate(domains)]
@@ -130,6 +138,22 @@
         for process in (*self.entries, *self.members):
             await process.kernel.stop()
 
+    async def kill(self, entry: Entry) -> None:
+        """End an entry without a word to the others, as SIGKILL does."""
+        del self.network.buses[entry.address]
+        await entry.kernel.stop()
+
+    async def start_again(self, entry: Entry) -> Entry:
+        """Start an entry that ended, at its address; return the new one."""
+        started = Entry(self, entry.number, entry.domain)
+        started_ms = started.roster.local_entry.started_ms + next(self._restarts)
+        started.roster.local_entry = msgspec.structs.replace(
+            started.roster.local_entry, started_ms=started_ms
+        )
+        self.entries[self.entries.index(entry)] = started
+        await started.kernel.start()
+        return started
+
     def isolate(self, address: str) -> None:
         """Drop every message from and to an address."""
         for other in tuple(self.network.buses):
--- a/fuchsiacroft/tests/fakes/region_traffic.py
+++ b/fuchsiacroft/tests/fakes/region_traffic.py
@@ -68,6 +68,10 @@
         node = local[0].placer.coordinator().node
         return next(entry for entry in local if entry.node == node)
 
+    def coordinators(self) -> list[Entry]:
+        """Return the live entries that coordinate their domains."""
+        return [entry for entry in self.live if entry.placer.is_coordinator()]
+
     async def _send_heartbeats(self) -> None:
         for sequence in itertools.count(1):
             for number in range(self._servers):
@@ -85,6 +89,7 @@
     async def _send_requests(self) -> None:
         async with asyncio.TaskGroup() as group:
             for number in itertools.count():
-                entry = self.live[number % len(self.live)]
-                group.create_task(self._send(entry, number))
+                if self.live:
+                    entry = self.live[number % len(self.live)]
+                    group.create_task(self._send(entry, number))
                 await asyncio.sleep(self._period_s)
--- a/fuchsiacroft/tests/placing/quotas_tests.py
+++ b/fuchsiacroft/tests/placing/quotas_tests.py
@@ -111,6 +111,17 @@
         nothing = sum(granted < 0.2 * RATE for granted in by_second)
         self.assertLessEqual(nothing, 8)
 
+    def test_a_workspace_that_comes_back_spends_its_quota_again(self):
+        quotas = Quotas(QuotaTolerance())
+        granted = 0.0
+        for step in range(800):
+            if step % 100 == 0:
+                quotas.replace({})
+            quotas.replace(workspaces(RATE, RATE))
+            if quotas.take("tills", 30.0, step / 100) == 0.0:
+                granted += 30.0
+        self.assertLessEqual(granted, RATE * WINDOW_S + RATE)
+
     def test_a_workspace_without_a_quota_is_not_limited(self):
         quotas = Quotas(QuotaTolerance())
         quotas.replace({"tills": Workspace("tills")})
