Count what a workspace spent when it leaves the configuration and comes back

Callers of a workspace that was taken out of the configuration and put back within 8 s got its whole quota again: 23,280 units in 8 s where 9,000 are allowed, with a change each second. Its count was dropped with it. It now stays until it expires. The test failed before.

--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -110,10 +110,11 @@
         )
 
     def replace(self, workspaces: dict[str, Workspace]) -> None:
-        """Apply new limits; units already spent continue to count."""
+        """Apply new limits; units already spent continue to count.
+
+        So do those of a workspace that leaves, as it may come back.
+        """
         self._workspaces = workspaces
-        for name in self._windows.keys() - workspaces.keys():
-            del self._windows[name]
 
     def take(self, workspace: str, units: float, at: float) -> float:
         """Charge units if the quota allows; return 0, or the seconds to retry after."""
@@ -158,6 +159,7 @@
         """Return what each workspace spent in the window."""
         for window in self._windows.values():
             window.expire(at - self._tolerance.window_s)
+        self._windows = {n: w for n, w in self._windows.items() if w.buckets}
         return {name: w.total for name, w in self._windows.items() if w.total > 0}
 
     def dump(self, at: float) -> dict:
