Count what killed coordinators spent of quotas

Cause: what was spent in a window lived in one process's memory. A coordinator that started again counted from nothing, and its reports replaced those of its predecessor everywhere, also before it knew that another entry is the coordinator now. Entries that decide alone began with a share of the limit that nobody had set aside.

An entry on its own spends its part of the reserve and of what leaves the window since it lost its coordinator.

The test of a request that waits for its quota lets the region run for a window first, as a region that has just started is careful; what it checks stays the same.

--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -34,6 +34,7 @@
 from fuchsiacroft.placing.pending import PendingPlacements, PlacementResult
 from fuchsiacroft.placing.queue import Waiter
 from fuchsiacroft.placing.served_domains import ServedDomains
+from fuchsiacroft.placing.spending_exchange import SpendingExchange
 from fuchsiacroft.quarantine.service import Quarantine
 from fuchsiacroft.routing.permits import (
     PermitRequest,
@@ -109,7 +110,10 @@
         self.allocator.may_go_on = self._may_go_on
         self.allocator.is_changing = self._is_changing
         self._on_servers(self._roster.servers())
-        self._neighbours.start_broadcast(self.allocator)
+        self.spending = SpendingExchange(
+            bus, self._roster, self.allocator.quotas, self.epoch, self._tasks
+        )
+        self._neighbours.start_broadcast(self.allocator, self.spending)
         self._neighbours.on_capacity = self._spill_waiters
         self._tasks.spawn_repeated(self._tick, "coordinator-tick")
 
@@ -180,12 +184,14 @@
 
     def state(self, entry: EntryRecord) -> HandOver:
         """Return what a successor needs to know, from a coordinator that stops."""
-        fleet = self.allocator.fleet
+        spending = self.spending.report()
         return HandOver(
             entry,
-            self.allocator.quotas.spent(now()),
+            spending.spent,
             self.limits.known(),
-            fleet.held_runs()[:MAX_HANDED_RUNS],
+            self.allocator.fleet.held_runs()[:MAX_HANDED_RUNS],
+            spending.epoch,
+            spending.counted_s,
         )
 
     def adopt(self, runs: tuple[HeldRun, ...]) -> None:
@@ -409,8 +415,14 @@
         self.pinged_at = now()
         self.adopt(msg.runs)
         self.limits.merge(msg.limits, sender)
-        spent = self.allocator.quotas.spent(now())
-        return Pong(self.epoch, spent, self.limits.known())
+        spending = self.spending.report()
+        return Pong(
+            self.epoch,
+            spending.spent,
+            self.limits.known(),
+            spending.counted_s,
+            self.spending.is_partial,
+        )
 
 
 def create(
--- a/fuchsiacroft/placing/hand_over.py
+++ b/fuchsiacroft/placing/hand_over.py
@@ -11,8 +11,8 @@
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.placing.coordinator import Coordinator
+from fuchsiacroft.placing.coordinators import coordinator_of
 from fuchsiacroft.placing.messages import EntryLeaving, TakenOver
-from fuchsiacroft.placing.neighbours import coordinator_of
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
--- a/fuchsiacroft/placing/limit_exchange.py
+++ b/fuchsiacroft/placing/limit_exchange.py
@@ -13,8 +13,8 @@
 from fuchsiacroft.membership.request_pacing import RequestPacing
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.membership.server_notices import NoticedAnswer, ServerInstance
+from fuchsiacroft.placing.coordinators import coordinator_of
 from fuchsiacroft.placing.messages import SlotAssignment
-from fuchsiacroft.placing.neighbours import coordinator_of
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -1,10 +1,13 @@
 """Messages between entries and the coordinators of failure domains."""
 
+import math
+
 import msgspec
 
-from fuchsiacroft.config.bounds import Count, Seconds, SignedAmount, SignedCount
+from fuchsiacroft.config.bounds import Age, Count, Seconds, SignedAmount, SignedCount
 from fuchsiacroft.membership.limit_reports import LimitReport
 from fuchsiacroft.membership.registry_wire import EntryRecord
+from fuchsiacroft.placing.spending_reports import SpendingReport
 from fuchsiacroft.routing.permits import PermitRequest, Refusal, RunReport
 from fuchsiacroft.transport import codec
 
@@ -129,7 +132,8 @@
 
     `spent` holds the units that each workspace spent there in the quota window,
     and `demand` its recent demand in units per second. `peers` is the address of the
-    sender, which `is_acting` while it can't reach the coordinator.
+    sender, which `is_acting` while it can't reach the coordinator. It has counted what
+    was spent for `counted_s`; `is_partial` if it doesn't know yet what was before.
     """
 
     failure_domain: str
@@ -138,6 +142,9 @@
     demand: dict[str, SignedAmount]
     peers: str = ""
     is_acting: bool = False
+    epoch: str = ""
+    counted_s: Age = math.inf
+    is_partial: bool = False
 
 
 @codec.message("placing.hand_over")
@@ -146,13 +153,21 @@
 
     `entry` is its own record, `spent` what each workspace spent in the quota window,
     and `runs` are at most `MAX_HANDED_RUNS` runs that it counts. The others come with
-    the pings of their entries.
+    the pings of their entries. `epoch` and `counted_s` are those of its report on what
+    was spent.
     """
 
     entry: EntryRecord
     spent: dict[str, SignedAmount]
     limits: tuple[LimitReport, ...]
     runs: tuple[HeldRun, ...]
+    epoch: str = ""
+    counted_s: Age = math.inf
+
+    @property
+    def spending(self) -> SpendingReport:
+        """Return the report on what was spent."""
+        return SpendingReport(self.epoch, self.spent, self.counted_s)
 
 
 @codec.message("placing.taken_over")
@@ -189,8 +204,17 @@
 
     `spent` holds the units that each workspace spent here in the quota window, for
     a successor of the coordinator, and `limits` those of all servers that it knows.
+    It has counted for `counted_s`; `is_partial` if it doesn't know yet what was before,
+    or isn't the coordinator.
     """
 
     epoch: str
     spent: dict[str, SignedAmount] = {}
     limits: tuple[LimitReport, ...] = ()
+    counted_s: Age = math.inf
+    is_partial: bool = False
+
+    @property
+    def spending(self) -> SpendingReport:
+        """Return the report on what was spent."""
+        return SpendingReport(self.epoch, self.spent, self.counted_s)
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -18,6 +18,7 @@
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.placing.allocator import Allocator
+from fuchsiacroft.placing.coordinators import coordinator_of
 from fuchsiacroft.placing.messages import (
     DomainLoad,
     PlaceRequest,
@@ -27,6 +28,8 @@
 )
 from fuchsiacroft.placing.neighbour import Neighbour
 from fuchsiacroft.placing.shares import Shares
+from fuchsiacroft.placing.spending_exchange import SpendingExchange
+from fuchsiacroft.placing.spending_reports import SpendingReport
 from fuchsiacroft.routing.permits import PermitRequest, RunOutcome, RunReport
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
@@ -60,6 +63,7 @@
         self._random = random.Random()
         self._tasks = BackgroundTasks("neighbours")
         self.shares = Shares()
+        self._spending: SpendingExchange | None = None
         self.is_coordinator: Callable[[], bool] = lambda: False
         self.is_acting: Callable[[], bool] = lambda: False
         self._woken = asyncio.Event()
@@ -88,8 +92,9 @@
             for domain, neighbour in self._neighbours.items()
         }
 
-    def start_broadcast(self, allocator: Allocator) -> None:
+    def start_broadcast(self, allocator: Allocator, spending: SpendingExchange) -> None:
         """Report an allocator's load while this entry is its domain's coordinator."""
+        self._spending = spending
         self._tasks.spawn_repeated(
             partial(self._broadcast_if_due, allocator), "neighbours-broadcast"
         )
@@ -264,17 +269,22 @@
     ) -> None:
         at = now()
         demand = allocator.demand.rates(at)
-        spent = allocator.quotas.spent(at)
-        self.shares.update(spent, at)
+        report = self._spending.report()
+        self.shares.update(report.spent, at)
         capacities = allocator.capacities(at)
         load = DomainLoad(
             self._domain,
             capacities,
-            spent,
+            report.spent,
             demand,
             self._roster.local_entry.peers,
             not self.is_coordinator(),
+            epoch=report.epoch,
+            counted_s=report.counted_s,
+            is_partial=self._spending.is_partial,
         )
+        if not load.is_acting:
+            self._spending.send_to_successor(report)
         for domain in domains:
             coordinator = coordinator_of(entries, domain)
             if coordinator is not None:
@@ -297,8 +307,10 @@
         # and keeps to its share of each quota, so this domain must do the same.
         # What an acting one spent is little of what its domain did.
         has_coordinator = bool(self._coordinator_peers(msg.failure_domain))
-        if has_coordinator and not msg.is_acting:
-            self.shares.update_domain(msg.failure_domain, msg.spent, msg.demand, at)
+        if not msg.is_acting and not msg.is_partial:
+            self._record_spending(msg)
+            if has_coordinator:
+                self.shares.update_domain(msg.failure_domain, msg.spent, msg.demand, at)
         if any(
             capacity.free > 0
             or any(n > 0 for n in capacity.free_by_rank.values())
@@ -307,23 +319,17 @@
         ):
             self.on_capacity()
 
+    def _record_spending(self, msg: DomainLoad) -> None:
+        if self._spending is not None:
+            report = SpendingReport(msg.epoch, msg.spent, msg.counted_s)
+            self._spending.record(msg.failure_domain, report)
+
     def _coordinator_peers(self, failure_domain: str) -> str:
         """Return the address of a domain's coordinator, empty if none is known."""
         found = coordinator_of(self._roster.entries(), failure_domain)
         return found.peers if found is not None else ""
 
 
-def coordinator_of(
-    entries: tuple[EntryRecord, ...], failure_domain: str
-) -> EntryRecord | None:
-    """Return the entry that is the coordinator of a domain.
-
-    It is the oldest entry that is not draining, or the oldest if all are.
-    """
-    local = [entry for entry in entries if entry.failure_domain == failure_domain]
-    return min(local, key=lambda e: (e.leaving, e.started_ms, e.node), default=None)
-
-
 def create(settings: Settings) -> Neighbours:
     """Return the neighbours service of an entry."""
     return Neighbours(settings)
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -10,7 +10,6 @@
 import asyncio
 import enum
 import itertools
-import math
 import secrets
 from dataclasses import dataclass, replace
 from functools import partial
@@ -24,6 +23,7 @@
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.membership.server_notices import NoticedAnswer
 from fuchsiacroft.placing.coordinator import Coordinator
+from fuchsiacroft.placing.coordinators import coordinator_of
 from fuchsiacroft.placing.hand_over import OutgoingHandOver
 from fuchsiacroft.placing.messages import (
     EntryLeaving,
@@ -38,7 +38,7 @@
     SlotAssignment,
     TakenOver,
 )
-from fuchsiacroft.placing.neighbours import Neighbours, coordinator_of
+from fuchsiacroft.placing.neighbours import Neighbours
 from fuchsiacroft.placing.quotas import RemoteUsage
 from fuchsiacroft.placing.reachability import Reachability
 from fuchsiacroft.placing.server_availability import ServerAvailability
@@ -68,8 +68,6 @@
 STANDALONE_SHARE = 0.25
 """Part of its share of quotas and of servers' limits that an entry spends while it
 decides without the coordinator."""
-SPENT_TTL_S = 5.0
-"""How long a coordinator's last report of spent quotas is used by its successor."""
 
 
 class DeclineReason(enum.Enum):
@@ -125,11 +123,13 @@
         self._doubted_runs: set[str] = set()
         self._coordinator_lost = asyncio.Event()
         self._current: EntryRecord | None = None
-        self._coordinator_spent: tuple[dict[str, float], float] = ({}, -math.inf)
+        self._started_at = 0.0
+        self._in_touch_at = 0.0
         self._tasks = BackgroundTasks("placer")
 
     async def start(self, kernel: Kernel) -> None:
         """Start monitoring the coordinator."""
+        self._started_at = self._in_touch_at = now()
         self._bus = kernel.get("bus", Bus)
         self._roster = kernel.get("roster", Roster)
         self._reachability = Reachability(self._roster, self._domain)
@@ -141,6 +141,7 @@
         self._pacing = self._local_coordinator.allocator.fleet.pacing
         self._pacing.share_of = lambda backend_server: self._limit_share
         self._limits = self._local_coordinator.limits
+        self._spending = self._local_coordinator.spending
         self._start_exchange = StartExchange(self._bus, self._roster, self._starts)
         self._neighbours = kernel.get("neighbours", Neighbours)
         self._local_coordinator.allocator.quotas.remote_usage = self._remote_usage
@@ -196,10 +197,11 @@
 
     async def _on_hand_over(self, sender: str, msg: HandOver) -> TakenOver:
         self._roster.record_leaving(msg.entry)
-        self._coordinator_spent = (msg.spent, now())
+        self._spending.record(self._domain, msg.spending)
         self._limits.merge(msg.limits, sender)
         if not self.is_coordinator():
             return TakenOver(accepted=False)
+        self._spending.take_over()
         self._local_coordinator.adopt(msg.runs)
         return TakenOver(accepted=True)
 
@@ -478,19 +480,9 @@
         if coordinator.node == self._node:
             self._neighbours.wake()
             self._local_coordinator.adopt(tuple(self._active_runs.values()))
-            spent, received_at = self._coordinator_spent
-            age_s = now() - received_at
-            event(
-                "info",
-                "quotas_taken_over",
-                before=previous,
-                workspaces=len(spent),
-                units=round(sum(spent.values()), 1),
-                age_s=round(age_s, 3),
-            )
-            if age_s < SPENT_TTL_S:
-                self._local_coordinator.allocator.quotas.adopt(spent, now())
+            self._spending.take_over()
         else:
+            self._spending.resign()
             self._epochs.pop(coordinator.node, None)
 
     async def _ping(self, coordinator: EntryRecord) -> None:
@@ -498,9 +490,11 @@
         runs = () if known_epoch else tuple(self._active_runs.values())
         ping = Ping(self._node, known_epoch, runs, self._limits.reports())
         match await self._bus.request(coordinator.peers, ping, PING_TIMEOUT_S):
-            case Result(tag="ok", ok=Pong(epoch, spent, limits)):
-                self._coordinator_spent = (spent, now())
-                self._limits.merge(limits, coordinator.node)
+            case Result(tag="ok", ok=Pong(epoch=epoch) as pong):
+                self._in_touch_at = now()
+                if not pong.is_partial:
+                    self._spending.record(self._domain, pong.spending)
+                self._limits.merge(pong.limits, coordinator.node)
                 self._epochs[coordinator.node] = (
                     epoch if epoch == known_epoch or not known_epoch else ""
                 )
@@ -531,13 +525,30 @@
 
     def _remote_usage(self, workspace: str, at: float) -> RemoteUsage:
         """Return the use of a quota by decisions made on other entries."""
-        standalone_share = STANDALONE_SHARE * self._reachability.share()
-        if not self.is_coordinator() or self._is_isolated(at):
+        entry_share = self._reachability.share()
+        standalone_share = STANDALONE_SHARE * entry_share
+        if not self.is_coordinator():
+            return RemoteUsage(
+                share=standalone_share,
+                alone_since=self._in_touch_at,
+                reserve_share=self._reserve_share(at),
+            )
+        if self._is_isolated(at):
             return RemoteUsage(share=standalone_share)
         found = self._neighbours.shares.remote_usage(workspace, at)
         remaining_share = 1.0 - standalone_share * self._reachability.missing_local()
         return replace(found, share=found.share * remaining_share)
 
+    def _reserve_share(self, at: float) -> float:
+        """Return the part of the quotas' reserve that this entry may spend alone.
+
+        One that has started lately may have spent its part before.
+        """
+        window_s = self._local_coordinator.allocator.quotas.window_s
+        if at - self._started_at < window_s:
+            return 0.0
+        return self._reachability.share()
+
 
 def create(settings: Settings) -> Placer:
     """Return the placer of an entry."""
--- /dev/null
+++ b/fuchsiacroft/placing/quota_window.py
@@ -0,0 +1,59 @@
+"""Units that a workspace spent lately, over a sliding window."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+BUCKET_S = 0.25
+"""Units are counted in buckets of this length."""
+
+
+@dataclass(slots=True)
+class Window:
+    """Units that one workspace spent recently, in time buckets, oldest first.
+
+    `ahead` is the excess over an even pace, as of `updated_at`.
+    """
+
+    buckets: deque[list[float]] = field(default_factory=deque)
+    total: float = 0.0
+    ahead: float = 0.0
+    updated_at: float = 0.0
+
+    def add(self, units: float, at: float) -> None:
+        """Count units."""
+        if not self.buckets or at - self.buckets[-1][0] >= BUCKET_S:
+            self.buckets.append([at, 0.0])
+        self.buckets[-1][1] += units
+        self.total += units
+        self.ahead += units
+
+    def refund(self, units: float, taken_at: float) -> None:
+        """Subtract units from the bucket in which they were counted.
+
+        If they were subtracted from a later one, they would leave the window twice.
+        """
+        for bucket in reversed(self.buckets):
+            if bucket[0] <= taken_at:
+                bucket[1] -= units
+                self.total -= units
+                break
+        self.ahead = max(self.ahead - units, 0.0)
+
+    def drain(self, units_per_s: float, at: float) -> None:
+        """Reduce the excess by the even pace of the time since the last update."""
+        self.ahead = max(self.ahead - (at - self.updated_at) * units_per_s, 0.0)
+        self.updated_at = at
+
+    def expire(self, before: float) -> None:
+        """Drop the buckets that ended before a time."""
+        while self.buckets and self.buckets[0][0] + BUCKET_S <= before:
+            self.total -= self.buckets.popleft()[1]
+
+    def free_after_s(self, units: float, at: float, window_s: float) -> float | None:
+        """Return the seconds until `units` have left the window, None if they don't."""
+        freed = 0.0
+        for started_at, spent in self.buckets:
+            freed += spent
+            if freed >= units:
+                return started_at + BUCKET_S + window_s - at
+        return None
--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -8,18 +8,15 @@
 """
 
 import math
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from fuchsiacroft.config.route_table import Quota, Workspace
+from fuchsiacroft.placing.earlier_spending import BURST_SHARE, EarlierSpending
+from fuchsiacroft.placing.quota_window import Window
 
 TOLERANCE_SHARE_USED = 0.5
 """The rest of the tolerance is reserved for isolated entries."""
-BUCKET_S = 0.25
-"""Units are counted in buckets of this length."""
-BURST_SHARE = 0.2
-"""Share of a window's units that may be spent at once."""
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
 
@@ -37,51 +34,18 @@
 
     def limit(self, quota: Quota) -> float:
         """Return the units that may be spent in a window."""
-        units = quota.units_per_s * self.window_s + quota.burst
-        return units + TOLERANCE_SHARE_USED * (self.overshoot * units + self.slack)
+        excess = TOLERANCE_SHARE_USED * self._allowed_excess(quota)
+        return self._units(quota) + excess
 
+    def reserve(self, quota: Quota) -> float:
+        """Return the units that isolated entries may spend beyond the limit."""
+        return (1.0 - TOLERANCE_SHARE_USED) * self._allowed_excess(quota)
 
-@dataclass(slots=True)
-class Window:
-    """Units that one workspace spent recently, in time buckets, oldest first.
+    def _units(self, quota: Quota) -> float:
+        return quota.units_per_s * self.window_s + quota.burst
 
-    `ahead` is the excess over an even pace, as of `updated_at`.
-    """
-
-    buckets: deque[list[float]] = field(default_factory=deque)
-    total: float = 0.0
-    ahead: float = 0.0
-    updated_at: float = 0.0
-
-    def add(self, units: float, at: float) -> None:
-        """Count units."""
-        if not self.buckets or at - self.buckets[-1][0] >= BUCKET_S:
-            self.buckets.append([at, 0.0])
-        self.buckets[-1][1] += units
-        self.total += units
-        self.ahead += units
-
-    def refund(self, units: float, taken_at: float) -> None:
-        """Subtract units from the bucket in which they were counted.
-
-        If they were subtracted from a later one, they would leave the window twice.
-        """
-        for bucket in reversed(self.buckets):
-            if bucket[0] <= taken_at:
-                bucket[1] -= units
-                self.total -= units
-                break
-        self.ahead = max(self.ahead - units, 0.0)
-
-    def drain(self, units_per_s: float, at: float) -> None:
-        """Reduce the excess by the even pace of the time since the last update."""
-        self.ahead = max(self.ahead - (at - self.updated_at) * units_per_s, 0.0)
-        self.updated_at = at
-
-    def expire(self, before: float) -> None:
-        """Drop the buckets that ended before a time."""
-        while self.buckets and self.buckets[0][0] + BUCKET_S <= before:
-            self.total -= self.buckets.popleft()[1]
+    def _allowed_excess(self, quota: Quota) -> float:
+        return self.overshoot * self._units(quota) + self.slack
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,25 +54,38 @@
 
     `spent` holds the units that they admitted in the window, and `share` is the part
     of the limit that may be spent here. `pace` is this domain's part of the even
-    pace.
+    pace. An entry that decides alone since `alone_since`, on the loop's clock, doesn't
+    know what was spent until then; `reserve_share` is the part of the reserve that it
+    may spend.
     """
 
     spent: float = 0.0
     share: float = 1.0
     pace: float = 1.0
+    alone_since: float | None = None
+    reserve_share: float = 0.0
 
 
 class Quotas:
-    """Enforces the quota of every workspace that has one."""
+    """Enforces the quota of every workspace that has one.
+
+    `earlier` is what was spent before this process counted.
+    """
 
     def __init__(self, tolerance: QuotaTolerance) -> None:
         self._tolerance = tolerance
+        self.earlier = EarlierSpending(tolerance.window_s)
         self._windows: dict[str, Window] = {}
         self._workspaces: dict[str, Workspace] = {}
         self.remote_usage: Callable[[str, float], RemoteUsage] = lambda name, at: (
             RemoteUsage()
         )
 
+    @property
+    def window_s(self) -> float:
+        """Return the length of the window, in seconds."""
+        return self._tolerance.window_s
+
     def replace(self, workspaces: dict[str, Workspace]) -> None:
         """Apply new limits; units already spent continue to count.
 
@@ -125,10 +102,10 @@
         window.expire(at - self._tolerance.window_s)
         remote = self.remote_usage(workspace, at)
         limit = self._tolerance.limit(found.quota) * remote.share
-        available = limit - window.total - remote.spent
+        available = self._available(found, remote, at) - window.total
         # A request larger than the limit is admitted when nothing else was spent.
         if available < min(units, limit):
-            return self._retry_after_s(window, units - available, at)
+            return self._retry_after_s(window, units - available, limit, at)
         units_per_s = limit * remote.pace / self._tolerance.window_s
         burst = BURST_SHARE * limit * remote.pace
         window.drain(units_per_s, at)
@@ -145,9 +122,8 @@
         if found is None or found.quota is None:
             return math.inf
         remote = self.remote_usage(workspace, at)
-        limit = self._tolerance.limit(found.quota) * remote.share
         spent = self._windows.get(workspace, Window()).total
-        return limit - spent - remote.spent
+        return self._available(found, remote, at) - spent
 
     def refund(self, workspace: str, units: float, taken_at: float) -> None:
         """Refund the units of a request that did not run."""
@@ -156,36 +132,60 @@
             window.refund(units, taken_at)
 
     def spent(self, at: float) -> dict[str, float]:
-        """Return what each workspace spent in the window."""
+        """Return what each workspace spent in the window, at predecessors too."""
         for window in self._windows.values():
             window.expire(at - self._tolerance.window_s)
         self._windows = {n: w for n, w in self._windows.items() if w.buckets}
-        return {name: w.total for name, w in self._windows.items() if w.total > 0}
+        spent = {name: w.total for name, w in self._windows.items() if w.total > 0}
+        for name in self.earlier.names(at):
+            earlier = self.earlier.known(name, self._limit(name), at)
+            spent[name] = spent.get(name, 0.0) + earlier
+        return spent
+
+    def counted_s(self, at: float) -> float:
+        """Return for how long spending has been counted, at predecessors too."""
+        return at - self.earlier.counted_since
 
     def dump(self, at: float) -> dict:
         """Return what each workspace spent in the window here and elsewhere."""
         return {
             name: {
                 "spent": round(units, 1),
+                "earlier": round(self.earlier.known(name, self._limit(name), at), 1),
                 "elsewhere": round(self.remote_usage(name, at).spent, 1),
                 "share": round(self.remote_usage(name, at).share, 4),
             }
             for name, units in self.spent(at).items()
         }
 
-    def adopt(self, spent: dict[str, float], at: float) -> None:
-        """Count the units that a previous coordinator admitted, as if spent now."""
-        for name, units in spent.items():
-            window = self._windows.setdefault(name, Window())
-            window.add(units, at)
-            window.ahead -= units
-
-    def _retry_after_s(self, window: Window, needed: float, at: float) -> float:
-        """Return the seconds until `needed` units leave the window, within bounds."""
-        freed = 0.0
-        for started_at, units in window.buckets:
-            freed += units
-            if freed >= needed:
-                wait_s = started_at + BUCKET_S + self._tolerance.window_s - at
-                return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
-        return MAX_RETRY_AFTER_S
+    def _limit(self, name: str) -> float:
+        """Return the limit of a workspace, infinite if none is known."""
+        found = self._workspaces.get(name)
+        if found is None or found.quota is None:
+            return math.inf
+        return self._tolerance.limit(found.quota)
+
+    def _available(self, workspace: Workspace, remote: RemoteUsage, at: float) -> float:
+        """Return the units that may be spent here, less what others spent of them.
+
+        What predecessors spent unseen was this part of the limit at most.
+        """
+        limit = self._tolerance.limit(workspace.quota)
+        share = limit * remote.share
+        share -= self.earlier.possible(share, remote.alone_since, at)
+        reserve = self._tolerance.reserve(workspace.quota) * remote.reserve_share
+        known = self.earlier.known(workspace.name, limit, at)
+        return share + reserve - remote.spent - known
+
+    def _retry_after_s(
+        self, window: Window, needed: float, limit: float, at: float
+    ) -> float:
+        """Return the seconds until `needed` units leave the window, within bounds.
+
+        Units that predecessors spent leave it evenly.
+        """
+        window_s = self._tolerance.window_s
+        wait_s = window.free_after_s(needed, at, window_s)
+        if wait_s is None:
+            wait_s = needed / limit * window_s
+        return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
--- a/fuchsiacroft/placing/server_availability.py
+++ b/fuchsiacroft/placing/server_availability.py
@@ -21,8 +21,8 @@
     ServerNotices,
 )
 from fuchsiacroft.membership.server_starts import ServerStarts
+from fuchsiacroft.placing.coordinators import coordinator_of
 from fuchsiacroft.placing.messages import SlotAssignment
-from fuchsiacroft.placing.neighbours import coordinator_of
 from fuchsiacroft.placing.server_load import DEFAULT_SLOTS
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
--- /dev/null
+++ b/fuchsiacroft/placing/spending_exchange.py
@@ -0,0 +1,211 @@
+"""Tells a new coordinator what its predecessors spent of quotas.
+
+A quota's window outlasts the process that counts it. So a coordinator reports what it
+has spent to the other domains' coordinators, to its successor, and to the entries of
+its domain in the replies to their pings. An entry that becomes coordinator counts what
+was reported to it, and asks the others for a newer report. Until it knows, it spends no
+more than its predecessors can have left.
+"""
+
+import asyncio
+
+import msgspec
+from expression import Result
+
+from fuchsiacroft.config.bounds import Age
+from fuchsiacroft.membership.registry_wire import EntryRecord
+from fuchsiacroft.membership.roster import Roster
+from fuchsiacroft.placing.coordinators import coordinator_of
+from fuchsiacroft.placing.quotas import Quotas
+from fuchsiacroft.placing.spending_reports import SpendingReport, SpendingReports
+from fuchsiacroft.transport import codec
+from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.tasks import BackgroundTasks
+
+QUERY_TIMEOUT_S = 0.3
+QUERY_PERIOD_S = 0.1
+SLOW_QUERY_PERIOD_S = 0.5
+MAX_LEARNING_S = 1.0
+"""A coordinator that nobody can answer reports what it spent itself from then on."""
+MAX_LOCAL_PEERS = 3
+"""Entries of the own domain that are asked; each knows what all were reported."""
+
+
+@codec.message("placing.spending_query")
+class SpendingQuery(msgspec.Struct, frozen=True):
+    """Asks for the last report of a failure domain's coordinator."""
+
+    failure_domain: str
+
+
+@codec.message("placing.spending_known")
+class SpendingKnown(msgspec.Struct, frozen=True):
+    """Reply to `SpendingQuery`; the sender has received reports for `observed_s`."""
+
+    report: SpendingReport | None
+    observed_s: Age
+
+
+@codec.message("placing.domain_spending")
+class DomainSpending(msgspec.Struct, frozen=True):
+    """Report of a domain's coordinator to the entry that would succeed it."""
+
+    failure_domain: str
+    report: SpendingReport
+
+
+class SpendingExchange:
+    """Reports what this entry's coordinator spends, and learns of its predecessors.
+
+    Its own reports are partial while this entry isn't the coordinator, or doesn't know
+    yet what predecessors spent; others must not use them in place of earlier ones.
+    """
+
+    def __init__(
+        self,
+        bus: Bus,
+        roster: Roster,
+        quotas: Quotas,
+        epoch: str,
+        tasks: BackgroundTasks,
+    ) -> None:
+        self._bus = bus
+        self._roster = roster
+        self._quotas = quotas
+        self._epoch = epoch
+        self._tasks = tasks
+        self._learning: asyncio.Task | None = None
+        self._started_at = now()
+        self._reports = SpendingReports()
+        self.is_partial = True
+        quotas.earlier.counted_since = self._started_at
+        bus.register_handler(SpendingQuery, self._on_query)
+        bus.register_handler(DomainSpending, self._on_spending)
+
+    def report(self) -> SpendingReport:
+        """Return the report of this entry's coordinator."""
+        at = now()
+        return SpendingReport(
+            self._epoch, self._quotas.spent(at), self._quotas.counted_s(at)
+        )
+
+    def record(self, domain: str, report: SpendingReport) -> None:
+        """Store what the coordinator of a domain reports."""
+        if report.epoch != self._epoch:
+            self._reports.record(domain, report, now())
+
+    def send_to_successor(self, report: SpendingReport) -> None:
+        """Send a report to the entry that would be the coordinator after this one."""
+        if self.is_partial or not report.spent:
+            return
+        local_entry = self._roster.local_entry
+        others = tuple(
+            entry for entry in self._roster.entries() if entry.node != local_entry.node
+        )
+        successor = coordinator_of(others, local_entry.failure_domain)
+        if successor is not None:
+            msg = DomainSpending(local_entry.failure_domain, report)
+            self._bus.send(successor.peers, msg)
+
+    def take_over(self) -> None:
+        """Count what predecessors spent, as this entry has become the coordinator."""
+        known = self._reports.get(self._domain, now())
+        if known is not None:
+            self._count(known, "reports")
+        self.is_partial = not self._is_complete
+        if self._learning is not None:
+            self._learning.cancel()
+        self._learning = self._tasks.spawn(self._learn(), "learn-spending")
+
+    def resign(self) -> None:
+        """Stop to learn, as another entry has become the coordinator."""
+        self.is_partial = True
+        if self._learning is not None:
+            self._learning.cancel()
+            self._learning = None
+
+    @property
+    def _domain(self) -> str:
+        return self._roster.local_entry.failure_domain
+
+    @property
+    def _is_complete(self) -> bool:
+        """Return whether nothing in the window was spent before it was counted."""
+        return self._quotas.counted_s(now()) >= self._quotas.window_s
+
+    async def _learn(self) -> None:
+        """Ask the others until one has a report, or the window is counted here."""
+        started_at = now()
+        while not await self._ask_others() and not self._is_complete:
+            self.is_partial = now() - started_at < MAX_LEARNING_S
+            await asyncio.sleep(
+                QUERY_PERIOD_S if self.is_partial else SLOW_QUERY_PERIOD_S
+            )
+        self.is_partial = False
+
+    async def _ask_others(self) -> bool:
+        """Return whether the others have told what predecessors spent."""
+        query = SpendingQuery(self._domain)
+        peers = [entry.peers for entry in self._peers()]
+        replies = await asyncio.gather(
+            *(self._bus.request(peer, query, QUERY_TIMEOUT_S) for peer in peers)
+        )
+        known = [reply.ok for reply in replies if _is_known(reply)]
+        reports = [
+            reply.report
+            for reply in known
+            if reply.report is not None and reply.report.epoch != self._epoch
+        ]
+        if reports:
+            self._count(min(reports, key=lambda report: report.age_s), "others")
+            return True
+        if known:
+            # The domain had no coordinator as long as they have received reports.
+            observed_s = max(reply.observed_s for reply in known)
+            self._count_since(now() - observed_s)
+        return False
+
+    def _peers(self) -> list[EntryRecord]:
+        """Return the other domains' coordinators, and some entries of this domain."""
+        local_entry = self._roster.local_entry
+        entries = self._roster.entries()
+        domains = {entry.failure_domain for entry in entries} - {self._domain}
+        found = [coordinator_of(entries, domain) for domain in sorted(domains)]
+        local = [
+            entry
+            for entry in entries
+            if entry.failure_domain == self._domain and entry.node != local_entry.node
+        ]
+        return [*found, *local[:MAX_LOCAL_PEERS]]
+
+    def _count(self, report: SpendingReport, source: str) -> None:
+        at = now()
+        self._quotas.earlier.add(report.spent, at - report.age_s)
+        self._count_since(at - report.age_s - report.counted_s)
+        event(
+            "info",
+            "quotas_taken_over",
+            source=source,
+            workspaces=len(report.spent),
+            units=round(sum(report.spent.values()), 1),
+            age_s=round(report.age_s, 3),
+            counted_s=round(report.counted_s, 3),
+        )
+
+    def _count_since(self, at: float) -> None:
+        earlier = self._quotas.earlier
+        earlier.counted_since = min(earlier.counted_since, at)
+
+    async def _on_query(self, sender: str, msg: SpendingQuery) -> SpendingKnown:
+        at = now()
+        report = self._reports.get(msg.failure_domain, at)
+        return SpendingKnown(report, at - self._started_at)
+
+    async def _on_spending(self, sender: str, msg: DomainSpending) -> None:
+        self.record(msg.failure_domain, msg.report)
+
+
+def _is_known(reply: Result) -> bool:
+    return reply.is_ok() and isinstance(reply.ok, SpendingKnown)
--- a/fuchsiacroft/tests/placing/neighbours_tests.py
+++ b/fuchsiacroft/tests/placing/neighbours_tests.py
@@ -6,6 +6,7 @@
 from fuchsiacroft.config import route_table
 from fuchsiacroft.config.route_table import CallerLimits, Quota, Workspace
 from fuchsiacroft.placing.placer import WaitLimits
+from fuchsiacroft.placing.quotas import QuotaTolerance
 from fuchsiacroft.routing.permits import PermitRequest, RunOutcome, RunReport, WorkSize
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.memory_region import DOMAINS, MemoryRegion
@@ -30,6 +31,10 @@
     return PermitRequest(request_id, "lens", rank, 8.0, "tills", size=size, avoid=avoid)
 
 
+WINDOW_S = QuotaTolerance().window_s
+"""A region that has started counts what may have been spent before for this long."""
+
+
 class NeighboursTests(PausedTestCase):
     """Two entries in each of three domains; by default one server in the first."""
 
@@ -104,6 +109,7 @@
 
         async def scenario(region):
             entry = region.entries[0]
+            await asyncio.sleep(WINDOW_S)
             for expected in (False, True):
                 in_time_s = 4.0 if expected else 0.1
                 outcomes = []
--- a/fuchsiacroft/tests/placing/quotas_tests.py
+++ b/fuchsiacroft/tests/placing/quotas_tests.py
@@ -17,9 +17,8 @@
     """The units admitted in any window stay within the tolerance."""
 
     def fill(self, quotas: Quotas, at: float) -> None:
-        """Spend the whole window at once, as a previous coordinator may have."""
-        quotas.take("tills", 1.0, at)
-        quotas.adopt({"tills": 8_999.0}, at)
+        """Spend the whole window with one request."""
+        self.assertEqual(0.0, quotas.take("tills", 9_000.0, at))
 
     def spent(self, quotas: Quotas, start_s: float, units: float) -> float:
         """Request units continuously; return the units granted in a window."""
@@ -50,7 +49,7 @@
         for step in range(800):
             coordinator = first if step < 100 else second
             if step == 100:
-                second.adopt(first.spent(101.0), 101.0)
+                second.earlier.add(first.spent(101.0), 101.0)
             if coordinator.take("tills", 30.0, 100.0 + step / 100) == 0.0:
                 granted += 30.0
         self.assertLessEqual(granted, allowed)
