--- a/fuchsiacroft/placing/spending_exchange.py
+++ b/fuchsiacroft/placing/spending_exchange.py
@@ -114,7 +114,7 @@
         known = self._reports.get(self._domain, now())
         if known is not None:
             self._count(known, "reports")
-        self.is_partial = not self._is_complete
+        self.is_partial = known is None and not self._is_complete
         if self._learning is not None:
             self._learning.cancel()
         self._learning = self._tasks.spawn(self._learn(), "learn-spending")
@@ -137,12 +137,14 @@
 
     async def _learn(self) -> None:
         """Ask the others until one has a report, or the window is counted here."""
-        started_at = now()
-        while not await self._ask_others() and not self._is_complete:
-            self.is_partial = now() - started_at < MAX_LEARNING_S
+        gives_up_at = now() + MAX_LEARNING_S
+        is_known = not self.is_partial
+        while not await self._ask_others() and not is_known:
+            self.is_partial = now() < gives_up_at
             await asyncio.sleep(
                 QUERY_PERIOD_S if self.is_partial else SLOW_QUERY_PERIOD_S
             )
+            is_known = self._is_complete
         self.is_partial = False
 
     async def _ask_others(self) -> bool:
