Keep reports on spent quotas at control members and at all successors

Entries of other domains that had never been coordinators vouched that nothing was. Now only coordinators and control members do, which receive each report, and an entry asks only once it knows the other entries.

--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -200,6 +200,11 @@
             self._merged = MergedEntries(sources, self._entries_of(sources))
         return self._merged.entries
 
+    @property
+    def knows_entries(self) -> bool:
+        """Return whether a control member has listed the entries."""
+        return bool(self._entries)
+
     @property
     def is_control_reachable(self) -> bool:
         """Return whether a control member has replied recently."""
--- a/fuchsiacroft/placing/earlier_spending.py
+++ b/fuchsiacroft/placing/earlier_spending.py
@@ -28,32 +28,42 @@
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
-        self._spent: dict[str, SpentUnits] = {}
+        self._spent: dict[str, list[SpentUnits]] = {}
         self.counted_since = -math.inf
 
     def add(self, spent: dict[str, float], at: float) -> None:
         """Count the units that predecessors had spent by a time.
 
-        What is known already counts if it is more.
+        Where several reports tell of the same units, the one that leaves more counts.
         """
         for name, units in spent.items():
-            if units > self.known(name, math.inf, at):
-                self._spent[name] = SpentUnits(units, at)
+            others = [
+                other
+                for other in self._spent.get(name, ())
+                if other.at > at or other.units > units
+            ]
+            self._spent[name] = [*others, SpentUnits(units, at)]
 
     def names(self, at: float) -> list[str]:
         """Return the workspaces that spent something, and forget the others."""
         oldest = at - self._window_s
-        self._spent = {
-            n: spent for n, spent in self._spent.items() if spent.at > oldest
-        }
+        for name in list(self._spent):
+            recent = [spent for spent in self._spent[name] if spent.at > oldest]
+            if recent:
+                self._spent[name] = recent
+            else:
+                del self._spent[name]
         return list(self._spent)
 
     def known(self, name: str, limit: float, at: float) -> float:
         """Return the known units in the window that ends at `at`."""
-        spent = self._spent.get(name)
-        if spent is None:
-            return 0.0
-        return self._left(spent.units, limit, at - spent.at)
+        return max(
+            (
+                self._left(spent.units, limit, at - spent.at)
+                for spent in self._spent.get(name, ())
+            ),
+            default=0.0,
+        )
 
     def possible(self, limit: float, alone_since: float | None, at: float) -> float:
         """Return the units that may have been spent before they were counted.
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -284,7 +284,7 @@
             is_partial=self._spending.is_partial,
         )
         if not load.is_acting:
-            self._spending.send_to_successor(report)
+            self._spending.send_kept(report)
         for domain in domains:
             coordinator = coordinator_of(entries, domain)
             if coordinator is not None:
--- a/fuchsiacroft/placing/spending_exchange.py
+++ b/fuchsiacroft/placing/spending_exchange.py
@@ -1,61 +1,46 @@
 """Tells a new coordinator what its predecessors spent of quotas.
 
 A quota's window outlasts the process that counts it. So a coordinator reports what it
-has spent to the other domains' coordinators, to its successor, and to the entries of
-its domain in the replies to their pings. An entry that becomes coordinator counts what
-was reported to it, and asks the others for a newer report. Until it knows, it spends no
-more than its predecessors can have left.
+has spent to the other domains' coordinators, to the successors of all coordinators, to
+the control members, and to the entries of its domain in the replies to their pings. An
+entry that becomes coordinator counts what was reported to it, and asks the others for a
+newer report. Until it knows, it spends no more than its predecessors can have left.
 """
 
 import asyncio
+import math
 
-import msgspec
 from expression import Result
 
-from fuchsiacroft.config.bounds import Age
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.placing.coordinators import coordinator_of
 from fuchsiacroft.placing.quotas import Quotas
+from fuchsiacroft.placing.spending_messages import (
+    DomainSpending,
+    SpendingKnown,
+    SpendingQuery,
+)
 from fuchsiacroft.placing.spending_reports import SpendingReport, SpendingReports
-from fuchsiacroft.transport import codec
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
+ENTRIES_POLL_S = 0.02
 QUERY_TIMEOUT_S = 0.3
+FIRST_REPLIES_S = 0.03
+"""Some round trips within a region, after which one report is enough."""
 QUERY_PERIOD_S = 0.1
 SLOW_QUERY_PERIOD_S = 0.5
 MAX_LEARNING_S = 1.0
 """A coordinator that nobody can answer reports what it spent itself from then on."""
+KEPT_PERIOD_S = 0.1
+"""How often reports are sent that are used only when coordinators are lost."""
 MAX_LOCAL_PEERS = 3
 """Entries of the own domain that are asked; each knows what all were reported."""
 
 
-@codec.message("placing.spending_query")
-class SpendingQuery(msgspec.Struct, frozen=True):
-    """Asks for the last report of a failure domain's coordinator."""
-
-    failure_domain: str
-
-
-@codec.message("placing.spending_known")
-class SpendingKnown(msgspec.Struct, frozen=True):
-    """Reply to `SpendingQuery`; the sender has received reports for `observed_s`."""
-
-    report: SpendingReport | None
-    observed_s: Age
-
-
-@codec.message("placing.domain_spending")
-class DomainSpending(msgspec.Struct, frozen=True):
-    """Report of a domain's coordinator to the entry that would succeed it."""
-
-    failure_domain: str
-    report: SpendingReport
-
-
 class SpendingExchange:
     """Reports what this entry's coordinator spends, and learns of its predecessors.
 
@@ -77,10 +62,11 @@
         self._epoch = epoch
         self._tasks = tasks
         self._learning: asyncio.Task | None = None
-        self._started_at = now()
+        self._observes_since = math.inf
+        self._kept_sent_at = -math.inf
         self._reports = SpendingReports()
         self.is_partial = True
-        quotas.earlier.counted_since = self._started_at
+        quotas.earlier.counted_since = now()
         bus.register_handler(SpendingQuery, self._on_query)
         bus.register_handler(DomainSpending, self._on_spending)
 
@@ -96,18 +82,22 @@
         if report.epoch != self._epoch:
             self._reports.record(domain, report, now())
 
-    def send_to_successor(self, report: SpendingReport) -> None:
-        """Send a report to the entry that would be the coordinator after this one."""
-        if self.is_partial or not report.spent:
+    def send_kept(self, report: SpendingReport) -> None:
+        """Send a report, if due, to those that keep it in case coordinators are lost.
+
+        They are the entries that would be the next coordinators, and control members.
+        """
+        is_due = now() >= self._kept_sent_at + KEPT_PERIOD_S
+        if self.is_partial or not report.spent or not is_due:
             return
-        local_entry = self._roster.local_entry
-        others = tuple(
-            entry for entry in self._roster.entries() if entry.node != local_entry.node
-        )
-        successor = coordinator_of(others, local_entry.failure_domain)
-        if successor is not None:
-            msg = DomainSpending(local_entry.failure_domain, report)
-            self._bus.send(successor.peers, msg)
+        self._kept_sent_at = now()
+        msg = DomainSpending(self._domain, report)
+        entries = self._roster.entries()
+        domains = {entry.failure_domain for entry in entries}
+        successors = [_successor(entries, domain) for domain in domains]
+        peers = [entry.peers for entry in successors if entry is not None]
+        for address in (*peers, *self._roster.control_addresses):
+            self._bus.send(address, msg)
 
     def take_over(self) -> None:
         """Count what predecessors spent, as this entry has become the coordinator."""
@@ -115,6 +105,7 @@
         if known is not None:
             self._count(known, "reports")
         self.is_partial = known is None and not self._is_complete
+        self._observes_since = min(self._observes_since, now())
         if self._learning is not None:
             self._learning.cancel()
         self._learning = self._tasks.spawn(self._learn(), "learn-spending")
@@ -122,6 +113,7 @@
     def resign(self) -> None:
         """Stop to learn, as another entry has become the coordinator."""
         self.is_partial = True
+        self._observes_since = math.inf
         if self._learning is not None:
             self._learning.cancel()
             self._learning = None
@@ -136,7 +128,13 @@
         return self._quotas.counted_s(now()) >= self._quotas.window_s
 
     async def _learn(self) -> None:
-        """Ask the others until one has a report, or the window is counted here."""
+        """Ask the others until one has a report, or the window is counted here.
+
+        An entry that has just started takes itself for the coordinator until it knows
+        the others.
+        """
+        while not self._roster.knows_entries:
+            await asyncio.sleep(ENTRIES_POLL_S)
         gives_up_at = now() + MAX_LEARNING_S
         is_known = not self.is_partial
         while not await self._ask_others() and not is_known:
@@ -150,26 +148,37 @@
     async def _ask_others(self) -> bool:
         """Return whether the others have told what predecessors spent."""
         query = SpendingQuery(self._domain)
-        peers = [entry.peers for entry in self._peers()]
-        replies = await asyncio.gather(
-            *(self._bus.request(peer, query, QUERY_TIMEOUT_S) for peer in peers)
-        )
-        known = [reply.ok for reply in replies if _is_known(reply)]
-        reports = [
-            reply.report
-            for reply in known
-            if reply.report is not None and reply.report.epoch != self._epoch
+        peers = [entry.peers for entry in self._entries_to_ask()]
+        peers.extend(self._roster.control_addresses)
+        requests = [
+            asyncio.ensure_future(self._bus.request(peer, query, QUERY_TIMEOUT_S))
+            for peer in peers
         ]
+        try:
+            await asyncio.wait(requests, timeout=FIRST_REPLIES_S)
+            if not self._reports_in(requests):
+                await asyncio.wait(requests)
+        finally:
+            for request in requests:
+                request.cancel()
+        reports = self._reports_in(requests)
         if reports:
             self._count(min(reports, key=lambda report: report.age_s), "others")
             return True
-        if known:
-            # The domain had no coordinator as long as they have received reports.
-            observed_s = max(reply.observed_s for reply in known)
-            self._count_since(now() - observed_s)
+        # The domain had no coordinator as long as they have received reports.
+        observed_s = max((reply.observed_s for reply in _known(requests)), default=0.0)
+        self._count_since(now() - observed_s)
         return False
 
-    def _peers(self) -> list[EntryRecord]:
+    def _reports_in(self, requests: list[asyncio.Future]) -> list[SpendingReport]:
+        """Return the reports that have come of predecessors."""
+        return [
+            reply.report
+            for reply in _known(requests)
+            if reply.report is not None and reply.report.epoch != self._epoch
+        ]
+
+    def _entries_to_ask(self) -> list[EntryRecord]:
         """Return the other domains' coordinators, and some entries of this domain."""
         local_entry = self._roster.local_entry
         entries = self._roster.entries()
@@ -203,11 +212,26 @@
     async def _on_query(self, sender: str, msg: SpendingQuery) -> SpendingKnown:
         at = now()
         report = self._reports.get(msg.failure_domain, at)
-        return SpendingKnown(report, at - self._started_at)
+        return SpendingKnown(report, max(at - self._observes_since, 0.0))
 
     async def _on_spending(self, sender: str, msg: DomainSpending) -> None:
         self.record(msg.failure_domain, msg.report)
 
 
-def _is_known(reply: Result) -> bool:
-    return reply.is_ok() and isinstance(reply.ok, SpendingKnown)
+def _successor(entries: tuple[EntryRecord, ...], domain: str) -> EntryRecord | None:
+    """Return the entry that would coordinate a domain if its coordinator were lost."""
+    coordinator = coordinator_of(entries, domain)
+    others = tuple(entry for entry in entries if entry != coordinator)
+    return coordinator_of(others, domain)
+
+
+def _known(requests: list[asyncio.Future]) -> list[SpendingKnown]:
+    """Return the replies that have come."""
+    found = []
+    for request in requests:
+        if not request.done() or request.cancelled():
+            continue
+        match request.result():
+            case Result(tag="ok", ok=SpendingKnown() as reply):
+                found.append(reply)
+    return found
--- a/fuchsiacroft/platform/control_process.py
+++ b/fuchsiacroft/platform/control_process.py
@@ -8,6 +8,7 @@
 from fuchsiacroft.exceptions import SettingsError
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.membership import control_members, registry
+from fuchsiacroft.placing import spending_store
 from fuchsiacroft.platform import control_api, settings, settings_watch
 from fuchsiacroft.platform.settings import WireSettings
 from fuchsiacroft.transport import security
@@ -34,6 +35,7 @@
         control_members.create(cfg),
         publisher.create(state),
         registry.create(cfg, wire.heartbeat_s),
+        spending_store.create(),
         ops,
         control_api.create(wire.bind.control_plane),
         settings_watch.create(wire, path, log.add_contacts),
--- a/fuchsiacroft/tests/fakes/memory_region.py
+++ b/fuchsiacroft/tests/fakes/memory_region.py
@@ -16,6 +16,7 @@
 from fuchsiacroft.placing.limits import SharedLimits
 from fuchsiacroft.placing.neighbours import Neighbours
 from fuchsiacroft.placing.placer import Placer
+from fuchsiacroft.placing.spending_store import SpendingStore
 from fuchsiacroft.quarantine.service import Quarantine
 from fuchsiacroft.streams.service import StreamOrigins
 from fuchsiacroft.tests.fakes.bus import MemoryNetwork
@@ -68,7 +69,7 @@
         self.registry = ServerRegistry(settings, HEARTBEAT_S)
         self.members = FixedMembers(self.address, region.controls)
         self.kernel = Kernel()
-        for service in (self.bus, self.members, self.registry):
+        for service in (self.bus, self.members, self.registry, SpendingStore()):
             self.kernel.add(service)
 
 
