Tell coordinators' successors when units were spent, and what is left

Reports now hold units by age, in steps of 0.5 s. An entry that loses its coordinator may spend its part of what the last pong told was left, and a region that has started anew its reserve.

--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -184,14 +184,12 @@
 
     def state(self, entry: EntryRecord) -> HandOver:
         """Return what a successor needs to know, from a coordinator that stops."""
-        spending = self.spending.report()
         return HandOver(
             entry,
-            spending.spent,
+            self.allocator.quotas.spent(now()),
             self.limits.known(),
             self.allocator.fleet.held_runs()[:MAX_HANDED_RUNS],
-            spending.epoch,
-            spending.counted_s,
+            self.spending.report(),
         )
 
     def adopt(self, runs: tuple[HeldRun, ...]) -> None:
@@ -415,14 +413,9 @@
         self.pinged_at = now()
         self.adopt(msg.runs)
         self.limits.merge(msg.limits, sender)
-        spending = self.spending.report()
-        return Pong(
-            self.epoch,
-            spending.spent,
-            self.limits.known(),
-            spending.counted_s,
-            self.spending.is_partial,
-        )
+        quotas = self.allocator.quotas
+        spent, left = quotas.spent(now()), quotas.left(now())
+        return Pong(self.epoch, spent, self.limits.known(), left)
 
 
 def create(
--- a/fuchsiacroft/placing/earlier_spending.py
+++ b/fuchsiacroft/placing/earlier_spending.py
@@ -1,25 +1,18 @@
 """Units that were spent before a coordinator began to count, known or possible.
 
-A coordinator's count ends with its process. What its successor learns of it are sums
-without times, and maybe nothing, so the units are taken to be spent as late as the pace
-of admission allows: a burst at once, and the rest evenly before.
+A coordinator's count ends with its process. Its successor learns of it from others. If
+it learns nothing, as much may have been spent as the pace of admission allows, and as
+late: a burst at once, and the rest evenly before.
 """
 
 import math
-from dataclasses import dataclass
+
+from fuchsiacroft.placing.quota_window import Window
 
 BURST_SHARE = 0.2
 """Share of a window's units that may be spent at once."""
 
 
-@dataclass(frozen=True, slots=True)
-class SpentUnits:
-    """Units that a workspace had spent in the window that ended at `at`."""
-
-    units: float
-    at: float
-
-
 class EarlierSpending:
     """What predecessors spent of each quota in a window of `window_s` seconds.
 
@@ -28,42 +21,33 @@
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
-        self._spent: dict[str, list[SpentUnits]] = {}
+        self._windows: dict[str, Window] = {}
         self.counted_since = -math.inf
 
-    def add(self, spent: dict[str, float], at: float) -> None:
-        """Count the units that predecessors had spent by a time.
+    def add(self, units: dict[str, tuple[float, ...]], at: float) -> None:
+        """Count the units, by age, that predecessors had spent by a time.
 
-        Where several reports tell of the same units, the one that leaves more counts.
+        Where several reports tell of the same units, the one that counts more is used.
         """
-        for name, units in spent.items():
-            others = [
-                other
-                for other in self._spent.get(name, ())
-                if other.at > at or other.units > units
-            ]
-            self._spent[name] = [*others, SpentUnits(units, at)]
-
-    def names(self, at: float) -> list[str]:
-        """Return the workspaces that spent something, and forget the others."""
-        oldest = at - self._window_s
-        for name in list(self._spent):
-            recent = [spent for spent in self._spent[name] if spent.at > oldest]
-            if recent:
-                self._spent[name] = recent
-            else:
-                del self._spent[name]
-        return list(self._spent)
-
-    def known(self, name: str, limit: float, at: float) -> float:
+        for name, by_age in units.items():
+            window = Window.from_ages(by_age, at)
+            if window.total >= self.known(name, at):
+                self._windows[name] = window
+
+    def windows(self, at: float) -> dict[str, Window]:
+        """Return what each workspace spent, and forget what is too old."""
+        for window in self._windows.values():
+            window.expire(at - self._window_s)
+        self._windows = {n: w for n, w in self._windows.items() if w.buckets}
+        return self._windows
+
+    def known(self, name: str, at: float) -> float:
         """Return the known units in the window that ends at `at`."""
-        return max(
-            (
-                self._left(spent.units, limit, at - spent.at)
-                for spent in self._spent.get(name, ())
-            ),
-            default=0.0,
-        )
+        window = self._windows.get(name)
+        if window is None:
+            return 0.0
+        window.expire(at - self._window_s)
+        return window.total
 
     def possible(self, limit: float, alone_since: float | None, at: float) -> float:
         """Return the units that may have been spent before they were counted.
@@ -73,11 +57,7 @@
         unseen_until = self.counted_since
         if alone_since is not None:
             unseen_until = max(unseen_until, alone_since)
-        return self._left(limit, limit, at - unseen_until)
-
-    def _left(self, units: float, limit: float, elapsed_s: float) -> float:
-        """Return the units that are still in the window after some time."""
+        elapsed_s = max(at - unseen_until, 0.0)
         if elapsed_s >= self._window_s:
             return 0.0
-        latest = limit * (BURST_SHARE + 1.0 - max(elapsed_s, 0.0) / self._window_s)
-        return min(units, latest)
+        return min(limit, limit * (BURST_SHARE + 1.0 - elapsed_s / self._window_s))
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -1,10 +1,8 @@
 """Messages between entries and the coordinators of failure domains."""
 
-import math
-
 import msgspec
 
-from fuchsiacroft.config.bounds import Age, Count, Seconds, SignedAmount, SignedCount
+from fuchsiacroft.config.bounds import Count, Seconds, SignedAmount, SignedCount
 from fuchsiacroft.membership.limit_reports import LimitReport
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.placing.spending_reports import SpendingReport
@@ -132,8 +130,8 @@
 
     `spent` holds the units that each workspace spent there in the quota window,
     and `demand` its recent demand in units per second. `peers` is the address of the
-    sender, which `is_acting` while it can't reach the coordinator. It has counted what
-    was spent for `counted_s`; `is_partial` if it doesn't know yet what was before.
+    sender, which `is_acting` while it can't reach the coordinator. `spent` is partial
+    while the sender doesn't know yet what its predecessors spent.
     """
 
     failure_domain: str
@@ -142,8 +140,6 @@
     demand: dict[str, SignedAmount]
     peers: str = ""
     is_acting: bool = False
-    epoch: str = ""
-    counted_s: Age = math.inf
     is_partial: bool = False
 
 
@@ -153,21 +149,14 @@
 
     `entry` is its own record, `spent` what each workspace spent in the quota window,
     and `runs` are at most `MAX_HANDED_RUNS` runs that it counts. The others come with
-    the pings of their entries. `epoch` and `counted_s` are those of its report on what
-    was spent.
+    the pings of their entries. `spending` holds the same units by age.
     """
 
     entry: EntryRecord
     spent: dict[str, SignedAmount]
     limits: tuple[LimitReport, ...]
     runs: tuple[HeldRun, ...]
-    epoch: str = ""
-    counted_s: Age = math.inf
-
-    @property
-    def spending(self) -> SpendingReport:
-        """Return the report on what was spent."""
-        return SpendingReport(self.epoch, self.spent, self.counted_s)
+    spending: SpendingReport | None = None
 
 
 @codec.message("placing.taken_over")
@@ -202,19 +191,12 @@
 class Pong(msgspec.Struct, frozen=True):
     """The coordinator's epoch; a sender that knew another one reports its runs.
 
-    `spent` holds the units that each workspace spent here in the quota window, for
-    a successor of the coordinator, and `limits` those of all servers that it knows.
-    It has counted for `counted_s`; `is_partial` if it doesn't know yet what was before,
-    or isn't the coordinator.
+    `spent` holds the units that each workspace spent here in the quota window, `left`
+    those that it may still spend, for an entry that loses the coordinator, and `limits`
+    those of all servers that it knows.
     """
 
     epoch: str
     spent: dict[str, SignedAmount] = {}
     limits: tuple[LimitReport, ...] = ()
-    counted_s: Age = math.inf
-    is_partial: bool = False
-
-    @property
-    def spending(self) -> SpendingReport:
-        """Return the report on what was spent."""
-        return SpendingReport(self.epoch, self.spent, self.counted_s)
+    left: dict[str, SignedAmount] = {}
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -29,7 +29,6 @@
 from fuchsiacroft.placing.neighbour import Neighbour
 from fuchsiacroft.placing.shares import Shares
 from fuchsiacroft.placing.spending_exchange import SpendingExchange
-from fuchsiacroft.placing.spending_reports import SpendingReport
 from fuchsiacroft.routing.permits import PermitRequest, RunOutcome, RunReport
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
@@ -63,7 +62,6 @@
         self._random = random.Random()
         self._tasks = BackgroundTasks("neighbours")
         self.shares = Shares()
-        self._spending: SpendingExchange | None = None
         self.is_coordinator: Callable[[], bool] = lambda: False
         self.is_acting: Callable[[], bool] = lambda: False
         self._woken = asyncio.Event()
@@ -269,22 +267,20 @@
     ) -> None:
         at = now()
         demand = allocator.demand.rates(at)
-        report = self._spending.report()
-        self.shares.update(report.spent, at)
+        spent = allocator.quotas.spent(at)
+        self.shares.update(spent, at)
         capacities = allocator.capacities(at)
         load = DomainLoad(
             self._domain,
             capacities,
-            report.spent,
+            spent,
             demand,
             self._roster.local_entry.peers,
             not self.is_coordinator(),
-            epoch=report.epoch,
-            counted_s=report.counted_s,
             is_partial=self._spending.is_partial,
         )
         if not load.is_acting:
-            self._spending.send_kept(report)
+            self._spending.send_if_due()
         for domain in domains:
             coordinator = coordinator_of(entries, domain)
             if coordinator is not None:
@@ -307,10 +303,9 @@
         # and keeps to its share of each quota, so this domain must do the same.
         # What an acting one spent is little of what its domain did.
         has_coordinator = bool(self._coordinator_peers(msg.failure_domain))
-        if not msg.is_acting and not msg.is_partial:
-            self._record_spending(msg)
-            if has_coordinator:
-                self.shares.update_domain(msg.failure_domain, msg.spent, msg.demand, at)
+        is_whole = not msg.is_acting and not msg.is_partial
+        if has_coordinator and is_whole:
+            self.shares.update_domain(msg.failure_domain, msg.spent, msg.demand, at)
         if any(
             capacity.free > 0
             or any(n > 0 for n in capacity.free_by_rank.values())
@@ -319,11 +314,6 @@
         ):
             self.on_capacity()
 
-    def _record_spending(self, msg: DomainLoad) -> None:
-        if self._spending is not None:
-            report = SpendingReport(msg.epoch, msg.spent, msg.counted_s)
-            self._spending.record(msg.failure_domain, report)
-
     def _coordinator_peers(self, failure_domain: str) -> str:
         """Return the address of a domain's coordinator, empty if none is known."""
         found = coordinator_of(self._roster.entries(), failure_domain)
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -10,6 +10,7 @@
 import asyncio
 import enum
 import itertools
+import math
 import secrets
 from dataclasses import dataclass, replace
 from functools import partial
@@ -125,6 +126,7 @@
         self._current: EntryRecord | None = None
         self._started_at = 0.0
         self._in_touch_at = 0.0
+        self._left: dict[str, float] | None = None
         self._tasks = BackgroundTasks("placer")
 
     async def start(self, kernel: Kernel) -> None:
@@ -197,7 +199,8 @@
 
     async def _on_hand_over(self, sender: str, msg: HandOver) -> TakenOver:
         self._roster.record_leaving(msg.entry)
-        self._spending.record(self._domain, msg.spending)
+        if msg.spending is not None:
+            self._spending.record(self._domain, msg.spending)
         self._limits.merge(msg.limits, sender)
         if not self.is_coordinator():
             return TakenOver(accepted=False)
@@ -491,9 +494,7 @@
         ping = Ping(self._node, known_epoch, runs, self._limits.reports())
         match await self._bus.request(coordinator.peers, ping, PING_TIMEOUT_S):
             case Result(tag="ok", ok=Pong(epoch=epoch) as pong):
-                self._in_touch_at = now()
-                if not pong.is_partial:
-                    self._spending.record(self._domain, pong.spending)
+                self._in_touch_at, self._left = now(), pong.left
                 self._limits.merge(pong.limits, coordinator.node)
                 self._epochs[coordinator.node] = (
                     epoch if epoch == known_epoch or not known_epoch else ""
@@ -531,13 +532,24 @@
             return RemoteUsage(
                 share=standalone_share,
                 alone_since=self._in_touch_at,
+                left=self._left_alone(workspace),
                 reserve_share=self._reserve_share(at),
             )
         if self._is_isolated(at):
             return RemoteUsage(share=standalone_share)
         found = self._neighbours.shares.remote_usage(workspace, at)
         remaining_share = 1.0 - standalone_share * self._reachability.missing_local()
-        return replace(found, share=found.share * remaining_share)
+        return replace(
+            found,
+            share=found.share * remaining_share,
+            reserve_share=1 / self._reachability.domain_count(),
+        )
+
+    def _left_alone(self, workspace: str) -> float:
+        """Return this entry's part of what a workspace may spend, as last reported."""
+        if self._left is None:
+            return 0.0
+        return self._left.get(workspace, math.inf) * self._reachability.share()
 
     def _reserve_share(self, at: float) -> float:
         """Return the part of the quotas' reserve that this entry may spend alone.
--- a/fuchsiacroft/placing/quota_window.py
+++ b/fuchsiacroft/placing/quota_window.py
@@ -1,10 +1,14 @@
 """Units that a workspace spent lately, over a sliding window."""
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Self
 
 BUCKET_S = 0.25
 """Units are counted in buckets of this length."""
+AGE_STEP_S = 0.5
+"""Resolution of the ages that another process is told."""
 
 
 @dataclass(slots=True)
@@ -19,6 +23,25 @@
     ahead: float = 0.0
     updated_at: float = 0.0
 
+    @classmethod
+    def from_ages(cls, units: Iterable[float], at: float) -> Self:
+        """Return a window of the units that had each age by a time, as late as told."""
+        window = cls()
+        for step, spent in enumerate(units):
+            if spent > 0:
+                window.buckets.appendleft([at - step * AGE_STEP_S - BUCKET_S, spent])
+                window.total += spent
+        return window
+
+    def by_age(self, at: float) -> tuple[float, ...]:
+        """Return the units by age, in steps of `AGE_STEP_S`, the latest first."""
+        units: list[float] = []
+        for started_at, spent in reversed(self.buckets):
+            step = int(max(at - started_at - BUCKET_S, 0.0) / AGE_STEP_S)
+            units.extend(0.0 for _ in range(step + 1 - len(units)))
+            units[step] += spent
+        return tuple(units)
+
     def add(self, units: float, at: float) -> None:
         """Count units."""
         if not self.buckets or at - self.buckets[-1][0] >= BUCKET_S:
--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import zip_longest
 
 from fuchsiacroft.config.route_table import Quota, Workspace
 from fuchsiacroft.placing.earlier_spending import BURST_SHARE, EarlierSpending
@@ -55,14 +56,15 @@
     `spent` holds the units that they admitted in the window, and `share` is the part
     of the limit that may be spent here. `pace` is this domain's part of the even
     pace. An entry that decides alone since `alone_since`, on the loop's clock, doesn't
-    know what was spent until then; `reserve_share` is the part of the reserve that it
-    may spend.
+    know what was spent until then, but that it could spend `left` more units. Who
+    doesn't know may spend `reserve_share` of the reserve.
     """
 
     spent: float = 0.0
     share: float = 1.0
     pace: float = 1.0
     alone_since: float | None = None
+    left: float = 0.0
     reserve_share: float = 0.0
 
 
@@ -133,14 +135,29 @@
 
     def spent(self, at: float) -> dict[str, float]:
         """Return what each workspace spent in the window, at predecessors too."""
+        spent = {name: window.total for name, window in self._recent(at).items()}
+        for name, window in self.earlier.windows(at).items():
+            spent[name] = spent.get(name, 0.0) + window.total
+        return {name: units for name, units in spent.items() if units > 0}
+
+    def spent_by_age(self, at: float) -> dict[str, tuple[float, ...]]:
+        """Return the same units by age."""
+        spent = {name: window.by_age(at) for name, window in self._recent(at).items()}
+        for name, window in self.earlier.windows(at).items():
+            pairs = zip_longest(spent.get(name, ()), window.by_age(at), fillvalue=0.0)
+            spent[name] = tuple(map(sum, pairs))
+        return spent
+
+    def left(self, at: float) -> dict[str, float]:
+        """Return the units that each workspace may still spend, if it spent some."""
+        return {name: max(self.remaining(name, at), 0.0) for name in self._recent(at)}
+
+    def _recent(self, at: float) -> dict[str, Window]:
+        """Return the windows in which something was spent, and forget the others."""
         for window in self._windows.values():
             window.expire(at - self._tolerance.window_s)
         self._windows = {n: w for n, w in self._windows.items() if w.buckets}
-        spent = {name: w.total for name, w in self._windows.items() if w.total > 0}
-        for name in self.earlier.names(at):
-            earlier = self.earlier.known(name, self._limit(name), at)
-            spent[name] = spent.get(name, 0.0) + earlier
-        return spent
+        return self._windows
 
     def counted_s(self, at: float) -> float:
         """Return for how long spending has been counted, at predecessors too."""
@@ -151,31 +168,22 @@
         return {
             name: {
                 "spent": round(units, 1),
-                "earlier": round(self.earlier.known(name, self._limit(name), at), 1),
+                "earlier": round(self.earlier.known(name, at), 1),
                 "elsewhere": round(self.remote_usage(name, at).spent, 1),
                 "share": round(self.remote_usage(name, at).share, 4),
             }
             for name, units in self.spent(at).items()
         }
 
-    def _limit(self, name: str) -> float:
-        """Return the limit of a workspace, infinite if none is known."""
-        found = self._workspaces.get(name)
-        if found is None or found.quota is None:
-            return math.inf
-        return self._tolerance.limit(found.quota)
-
     def _available(self, workspace: Workspace, remote: RemoteUsage, at: float) -> float:
-        """Return the units that may be spent here, less what others spent of them.
-
-        What predecessors spent unseen was this part of the limit at most.
-        """
-        limit = self._tolerance.limit(workspace.quota)
-        share = limit * remote.share
-        share -= self.earlier.possible(share, remote.alone_since, at)
+        """Return the units that may be spent here, less what others spent of them."""
+        limit = self._tolerance.limit(workspace.quota) * remote.share
         reserve = self._tolerance.reserve(workspace.quota) * remote.reserve_share
-        known = self.earlier.known(workspace.name, limit, at)
-        return share + reserve - remote.spent - known
+        unknown = self.earlier.possible(limit, remote.alone_since, at)
+        if unknown > 0:
+            unknown -= max(reserve, min(remote.left, limit))
+        known = remote.spent + self.earlier.known(workspace.name, at)
+        return limit - max(unknown, -reserve) - known
 
     def _retry_after_s(
         self, window: Window, needed: float, limit: float, at: float
--- a/fuchsiacroft/placing/spending_exchange.py
+++ b/fuchsiacroft/placing/spending_exchange.py
@@ -1,10 +1,10 @@
 """Tells a new coordinator what its predecessors spent of quotas.
 
 A quota's window outlasts the process that counts it. So a coordinator reports what it
-has spent to the other domains' coordinators, to the successors of all coordinators, to
-the control members, and to the entries of its domain in the replies to their pings. An
-entry that becomes coordinator counts what was reported to it, and asks the others for a
-newer report. Until it knows, it spends no more than its predecessors can have left.
+has spent to the other domains' coordinators, to the successors of all coordinators and
+to the control members. An entry that becomes coordinator counts what was reported to
+it, and asks the others for a newer report. Until it knows, it spends no more than its
+predecessors can have left.
 """
 
 import asyncio
@@ -35,8 +35,7 @@
 SLOW_QUERY_PERIOD_S = 0.5
 MAX_LEARNING_S = 1.0
 """A coordinator that nobody can answer reports what it spent itself from then on."""
-KEPT_PERIOD_S = 0.1
-"""How often reports are sent that are used only when coordinators are lost."""
+REPORT_PERIOD_S = 0.05
 MAX_LOCAL_PEERS = 3
 """Entries of the own domain that are asked; each knows what all were reported."""
 
@@ -63,7 +62,7 @@
         self._tasks = tasks
         self._learning: asyncio.Task | None = None
         self._observes_since = math.inf
-        self._kept_sent_at = -math.inf
+        self._sent_at = -math.inf
         self._reports = SpendingReports()
         self.is_partial = True
         quotas.earlier.counted_since = now()
@@ -74,30 +73,37 @@
         """Return the report of this entry's coordinator."""
         at = now()
         return SpendingReport(
-            self._epoch, self._quotas.spent(at), self._quotas.counted_s(at)
+            self._epoch, self._quotas.spent_by_age(at), self._quotas.counted_s(at)
         )
 
     def record(self, domain: str, report: SpendingReport) -> None:
-        """Store what the coordinator of a domain reports."""
+        """Store the report of a domain's coordinator, unless it is this entry's."""
         if report.epoch != self._epoch:
             self._reports.record(domain, report, now())
 
-    def send_kept(self, report: SpendingReport) -> None:
-        """Send a report, if due, to those that keep it in case coordinators are lost.
+    def send_if_due(self) -> None:
+        """Report to those that tell a successor of this entry's coordinator.
 
-        They are the entries that would be the next coordinators, and control members.
+        They are the other domains' coordinators, the entries that would be the next
+        coordinators, and the control members.
         """
-        is_due = now() >= self._kept_sent_at + KEPT_PERIOD_S
-        if self.is_partial or not report.spent or not is_due:
+        if self.is_partial or now() < self._sent_at + REPORT_PERIOD_S:
             return
-        self._kept_sent_at = now()
-        msg = DomainSpending(self._domain, report)
+        self._sent_at = now()
+        msg = DomainSpending(self._domain, self.report())
+        if not msg.report.units:
+            return
+        for address in (*self._keepers(), *self._roster.control_addresses):
+            self._bus.send(address, msg)
+
+    def _keepers(self) -> set[str]:
+        """Return the addresses of coordinators and their successors but this entry."""
         entries = self._roster.entries()
         domains = {entry.failure_domain for entry in entries}
-        successors = [_successor(entries, domain) for domain in domains]
-        peers = [entry.peers for entry in successors if entry is not None]
-        for address in (*peers, *self._roster.control_addresses):
-            self._bus.send(address, msg)
+        found = [coordinator_of(entries, domain) for domain in domains]
+        found += [_successor(entries, domain) for domain in domains]
+        peers = {entry.peers for entry in found if entry is not None}
+        return peers - {self._roster.local_entry.peers}
 
     def take_over(self) -> None:
         """Count what predecessors spent, as this entry has become the coordinator."""
@@ -193,14 +199,14 @@
 
     def _count(self, report: SpendingReport, source: str) -> None:
         at = now()
-        self._quotas.earlier.add(report.spent, at - report.age_s)
+        self._quotas.earlier.add(report.units, at - report.age_s)
         self._count_since(at - report.age_s - report.counted_s)
         event(
             "info",
             "quotas_taken_over",
             source=source,
-            workspaces=len(report.spent),
-            units=round(sum(report.spent.values()), 1),
+            workspaces=len(report.units),
+            units=round(sum(map(sum, report.units.values())), 1),
             age_s=round(report.age_s, 3),
             counted_s=round(report.counted_s, 3),
         )
--- a/fuchsiacroft/placing/spending_reports.py
+++ b/fuchsiacroft/placing/spending_reports.py
@@ -1,27 +1,32 @@
 """What the coordinators of failure domains last reported of spent quotas."""
 
 import math
+from typing import Annotated
 
 import msgspec
 
 from fuchsiacroft.config.bounds import Age, SignedAmount
 
+MAX_AGE_STEPS = 1_000
+UnitsByAge = Annotated[tuple[SignedAmount, ...], msgspec.Meta(max_length=MAX_AGE_STEPS)]
+
 
 class SpendingReport(msgspec.Struct, frozen=True):
     """What a domain's coordinator and its predecessors spent in the quota window.
 
-    `epoch` is that of the coordinator, which had counted for `counted_s` seconds. The
-    report is `age_s` old.
+    `units` holds each workspace's by age, as `Window.by_age` returns them. `epoch` is
+    that of the coordinator, which had counted for `counted_s` seconds. The report is
+    `age_s` old.
     """
 
     epoch: str
-    spent: dict[str, SignedAmount]
+    units: dict[str, UnitsByAge]
     counted_s: Age = math.inf
     age_s: Age = 0.0
 
 
 class SpendingReports:
-    """The last report of each failure domain that an entry has received."""
+    """The last report of each failure domain that a process has received."""
 
     def __init__(self) -> None:
         self._reports: dict[str, tuple[SpendingReport, float]] = {}
--- a/fuchsiacroft/tests/placing/quotas_tests.py
+++ b/fuchsiacroft/tests/placing/quotas_tests.py
@@ -49,7 +49,7 @@
         for step in range(800):
             coordinator = first if step < 100 else second
             if step == 100:
-                second.earlier.add(first.spent(101.0), 101.0)
+                second.earlier.add(first.spent_by_age(101.0), 101.0)
             if coordinator.take("tills", 30.0, 100.0 + step / 100) == 0.0:
                 granted += 30.0
         self.assertLessEqual(granted, allowed)
