Leave nothing of a request in memory after its end

Cause: reference cycles held what a request had read. Connection and body referred to each other; an attempt, its relay and its guard; the task of a broken-off response, its exception, the frames of the relay and the request's timeout.

Besides, all responses of an entry together now hold a bounded part of memory before they are passed on, and a large one lets go of its start once that is written.

--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -200,6 +200,8 @@
                 aiohttp.ClientPayloadError("connection reset before the response ended")
             )
         super().connection_lost(exc)
+        # The body refers to its connection, and keeps bytes that nobody has read.
+        self._body = None
 
 
 def _check_head(message: RawResponseMessage) -> None:
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -1,6 +1,7 @@
 """A single attempt to run a request on a backend server."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import aiohttp
 from aiohttp import web
@@ -10,14 +11,16 @@
 from fuchsiacroft.entry.at_most_once import SendGuard
 from fuchsiacroft.gateway.answer_flaw import AnswerFlaw
 from fuchsiacroft.gateway.attempt_result import AttemptResult
+from fuchsiacroft.gateway.buffered_bytes import BufferedBytes
 from fuchsiacroft.gateway.request_context import RequestContext
-from fuchsiacroft.gateway.response_relay import ResponseRelay
+from fuchsiacroft.gateway.response_relay import RelayListener, ResponseRelay
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter
 from fuchsiacroft.gateway.silence_watch import SilenceWatch
 from fuchsiacroft.gateway.upstream import Upstream
 from fuchsiacroft.membership.server_notices import NoticedAnswer, NoticeReason
 from fuchsiacroft.placing.messages import SlotAssignment
 from fuchsiacroft.placing.placer import Placer
+from fuchsiacroft.placing.server_availability import ServerAvailability
 from fuchsiacroft.routing.permits import RunOutcome, RunReport
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
@@ -37,7 +40,7 @@
 FindReplacement = Callable[[], Awaitable[SlotAssignment | None]]
 
 
-class Attempt:
+class Attempt(RelayListener):
     """Sends a request to the backend server that the placer assigned.
 
     `response` is set when the result is `ANSWERED`, or `FAILED` if the backend
@@ -57,6 +60,7 @@
         upstream: Upstream,
         placer: Placer,
         *,
+        buffered: BufferedBytes,
         find_replacement: FindReplacement,
         on_stream_begun: Callable[[SlotAssignment, float], None],
     ) -> None:
@@ -75,11 +79,11 @@
         self._server = placer.availability.instance(placement)
         self._started_at = now()
         self._send_guard = SendGuard(
-            self._may_send, self._valid_until(), protocol.request_name(self._request)
-        )
-        self._relay = ResponseRelay(
-            context, protocol, self._watch, self._on_first_event, self._on_progress
+            partial(_may_send, self._availability, self._server.name),
+            self._valid_until(),
+            protocol.request_name(self._request),
         )
+        self._relay = ResponseRelay(context, protocol, buffered)
         self.replacement: SlotAssignment | None = None
 
     @property
@@ -123,7 +127,7 @@
         )
         context.tried.append(self._placement.backend_server)
         try:
-            async with self._watch():
+            async with self.watch():
                 opened = await self._upstream.open(
                     self._placement.address,
                     self._request,
@@ -165,7 +169,8 @@
         self._has_run = True
         self._context.runs += 1
 
-    def _watch(self) -> SilenceWatch:
+    def watch(self) -> SilenceWatch:
+        """Return a watch for silence that ends once another server takes over."""
         return SilenceWatch(self._idle_timeout_s, self._is_replaced)
 
     def _silent(self) -> AttemptResult:
@@ -186,9 +191,6 @@
         runs = self._context.runs + (not self._has_run)
         return route.kind.is_retryable and runs < route.attempts
 
-    def _may_send(self) -> bool:
-        return self._availability.reason(self._server.name) is not NoticeReason.LEAVING
-
     def _record_answer(self, response: aiohttp.ClientResponse) -> None:
         notice = self._protocol.server_notice(response)
         if notice.is_leaving:
@@ -216,15 +218,17 @@
         if self._flaw is not None:
             return AttemptResult.BROKEN
         try:
-            return await self._relay.relay(response)
+            return await self._relay.relay(response, self)
         except TimeoutError:
             return self._silent()
 
-    def _on_first_event(self) -> None:
+    def on_first_event(self) -> None:
+        """Report the first event, and the stream that begins with it."""
         self._placer.report_first_event(self._placement)
         self._on_stream_begun(self._placement, self._started_at)
 
-    def _on_progress(self) -> None:
+    def on_progress(self) -> None:
+        """Record that the server works on the request."""
         self._placer.record_progress(self._placement, self._started_at)
         if self._context.is_origin_unsure:
             self._on_stream_begun(self._placement, self._started_at)
@@ -301,3 +305,8 @@
             "signed": self._protocol.is_signed(response),
             "framing": http_headers.framing(response).value,
         }
+
+
+def _may_send(availability: ServerAvailability, backend_server: str) -> bool:
+    """Return whether a server may get a request; it refers to no attempt."""
+    return availability.reason(backend_server) is not NoticeReason.LEAVING
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -18,6 +18,7 @@
 from fuchsiacroft.gateway import request_problems
 from fuchsiacroft.gateway.attempt import Attempt
 from fuchsiacroft.gateway.attempt_result import AttemptResult
+from fuchsiacroft.gateway.buffered_bytes import DEFAULT_MAX_BYTES, BufferedBytes
 from fuchsiacroft.gateway.continued_streams import ContinuedStreams
 from fuchsiacroft.gateway.request_context import RequestContext
 from fuchsiacroft.gateway.response_estimates import ResponseEstimates
@@ -54,8 +55,9 @@
 
     name = "forwarder"
 
-    def __init__(self, protocol: ProtocolAdapter) -> None:
+    def __init__(self, protocol: ProtocolAdapter, buffered: BufferedBytes) -> None:
         self._protocol = protocol
+        self._buffered = buffered
         self._body_reads = BodyReads(request_problems.DRAINING_RETRY_S)
         self._bodies = BodyBuffer(self._body_reads)
         self._random = random.Random()
@@ -73,8 +75,11 @@
         self._streams = ContinuedStreams(origins, self._placer, self._route_source)
 
     def dump(self) -> dict:
-        """Return the memory used by buffered request bodies."""
-        return {"held_body_bytes": self._bodies.buffered_bytes}
+        """Return the memory used by buffered request bodies and responses."""
+        return {
+            "held_body_bytes": self._bodies.buffered_bytes,
+            "held_response_bytes": self._buffered.held,
+        }
 
     def begin_stop(self, answers_at: float) -> None:
         """Answer all requests until `answers_at`, on the event loop's clock.
@@ -97,6 +102,8 @@
             return self._timed_out(context)
         finally:
             self._bodies.release(context.body)
+            # It refers to the task, which may hold an exception that refers to it.
+            context.timeout = None
 
     async def _serve(self, context: RequestContext) -> web.StreamResponse:
         problem = request_validation.framing_problem(
@@ -198,6 +205,7 @@
                 self._protocol,
                 self._upstream,
                 self._placer,
+                buffered=self._buffered,
                 find_replacement=partial(self._find_replacement, context),
                 on_stream_begun=partial(self._streams.record_begun, context),
             )
@@ -349,6 +357,8 @@
     return xxhash.xxh3_64_hexdigest(head.encode() + body)
 
 
-def create(protocol: ProtocolAdapter) -> Forwarder:
+def create(
+    protocol: ProtocolAdapter, max_buffered_bytes: int = DEFAULT_MAX_BYTES
+) -> Forwarder:
     """Return the forwarder service."""
-    return Forwarder(protocol)
+    return Forwarder(protocol, BufferedBytes(max_buffered_bytes))
--- a/fuchsiacroft/gateway/frontend.py
+++ b/fuchsiacroft/gateway/frontend.py
@@ -138,7 +138,6 @@
             return response
         except ResponseAbortedError:
             self._abort(http)
-            raise ConnectionError("the response was aborted") from None
         except (ConnectionError, asyncio.CancelledError):
             context.caller_disconnected = not context.aborted
             raise
@@ -154,6 +153,8 @@
         finally:
             self._in_progress.discard(context)
             self._record(context, status)
+        # Outside of the handler, so that it doesn't hold what the abort has left.
+        raise ConnectionError("the response was aborted")
 
     def _limits(self) -> CallerLimits:
         table = self._route_source.table
--- a/fuchsiacroft/gateway/response_relay.py
+++ b/fuchsiacroft/gateway/response_relay.py
@@ -1,6 +1,6 @@
 """Passes the response of one backend server on to the caller."""
 
-from collections.abc import Callable
+from abc import ABC, abstractmethod
 
 import aiohttp
 from aiohttp import HttpVersion11, web
@@ -10,6 +10,7 @@
 from fuchsiacroft.gateway.answer_body import FramedBody, UnframedBody
 from fuchsiacroft.gateway.answer_flaw import AnswerFlaw
 from fuchsiacroft.gateway.attempt_result import AttemptResult
+from fuchsiacroft.gateway.buffered_bytes import BufferedBytes, HeldBytes
 from fuchsiacroft.gateway.event_times import EventTimes
 from fuchsiacroft.gateway.events import EventOrderError
 from fuchsiacroft.gateway.request_context import RequestContext
@@ -33,29 +34,40 @@
     """The caller closed its connection in the middle of the response."""
 
 
+class RelayListener(ABC):
+    """Follows the progress of a response that is relayed."""
+
+    @abstractmethod
+    def watch(self) -> SilenceWatch:
+        """Return a watch for silence, whose `TimeoutError` is passed on."""
+
+    @abstractmethod
+    def on_first_event(self) -> None:
+        """Record that the first event has come."""
+
+    @abstractmethod
+    def on_progress(self) -> None:
+        """Record that events or a whole response have come."""
+
+
 class ResponseRelay:
     """Relays a stream by events, and any other response whole.
 
-    `watch` returns a watch for silence, whose `TimeoutError` is passed on.
-    `on_first_event` is called when the first event has come, and `on_progress` when
-    events or a whole response have come. `response` is set once the caller has, or can
-    get, the whole response. `began_at` is when the first event of a stream or all of
-    another response had come. `flaw` is why the response isn't passed on to its end.
+    `response` is set once the caller has, or can get, the whole response. `began_at` is
+    when the first event of a stream or all of another response had come. `flaw` is why
+    the response isn't passed on to its end.
     """
 
     def __init__(
         self,
         context: RequestContext,
         protocol: ProtocolAdapter,
-        watch: Callable[[], SilenceWatch],
-        on_first_event: Callable[[], None],
-        on_progress: Callable[[], None],
+        buffered: BufferedBytes,
     ) -> None:
         self._context = context
         self._protocol = protocol
-        self._watch = watch
-        self._on_first_event = on_first_event
-        self._on_progress = on_progress
+        self._buffered = buffered
+        self._listener: RelayListener | None = None
         self._splitter = context.event_splitter
         self._events_before = self._splitter.count
         self.event_times = EventTimes()
@@ -68,11 +80,21 @@
         """Return how many events the backend server has sent."""
         return self._splitter.count - self._events_before
 
-    async def relay(self, upstream: aiohttp.ClientResponse) -> AttemptResult:
+    async def relay(
+        self, upstream: aiohttp.ClientResponse, listener: RelayListener
+    ) -> AttemptResult:
         """Relay a response.
 
         Raise `TimeoutError` if another server takes over, and `CallerLeftError`.
         """
+        self._listener = listener
+        try:
+            return await self._relay(upstream)
+        finally:
+            # The listener refers to the relay, and both would stay in memory.
+            self._listener = None
+
+    async def _relay(self, upstream: aiohttp.ClientResponse) -> AttemptResult:
         if not self._may_go_on(upstream):
             self.flaw = AnswerFlaw.NO_CONTINUATION
             return AttemptResult.FAILED
@@ -109,12 +131,17 @@
         A response too large for that is relayed while it arrives.
         """
         content = self._body(upstream)
-        async with self._watch():
-            body, has_ended = await _read_at_most(content, MAX_BUFFERED_BYTES)
-        self.began_at = now()
-        self._on_progress()
+        with HeldBytes(self._buffered) as held:
+            async with self._listener.watch():
+                body, has_ended = await _read_at_most(content, held)
+            self.began_at = now()
+            self._listener.on_progress()
+            if not has_ended:
+                self._context.has_started_body = True
+                await self._write(body, upstream)
         if not has_ended:
-            return await self._relay_large(body, content, upstream)
+            del body
+            return await self._relay_rest(content, upstream)
         downstream = web.Response(status=upstream.status, body=body)
         downstream.headers.popall("Content-Type", None)
         for name, value in self._protocol.caller_response_headers(upstream):
@@ -126,15 +153,12 @@
             else AttemptResult.ANSWERED
         )
 
-    async def _relay_large(
-        self, start: bytes, content: Body, upstream: aiohttp.ClientResponse
+    async def _relay_rest(
+        self, content: Body, upstream: aiohttp.ClientResponse
     ) -> AttemptResult:
-        """Relay a large response, of whose body `start` has been read."""
-        self._context.has_started_body = True
-        chunk = start
-        while chunk:
+        """Relay the rest of a large response."""
+        while chunk := await content.readany():
             await self._write(chunk, upstream)
-            chunk = await content.readany()
         await self._finish_response()
         return AttemptResult.ANSWERED
 
@@ -142,8 +166,9 @@
         """Relay a stream, writing only complete events to the caller."""
         self._splitter.expect_after(self._context.last_event_id)
         try:
-            async with self._watch() as watch:
-                await self._relay_events(upstream, watch)
+            with HeldBytes(self._buffered) as held:
+                async with self._listener.watch() as watch:
+                    await self._relay_events(upstream, watch, held)
         except TimeoutError:
             self._splitter.discard_partial()
             raise
@@ -171,11 +196,13 @@
         return AttemptResult.ANSWERED
 
     async def _relay_events(
-        self, upstream: aiohttp.ClientResponse, watch: SilenceWatch
+        self, upstream: aiohttp.ClientResponse, watch: SilenceWatch, held: HeldBytes
     ) -> None:
         """Write complete events to the caller until the stream ends."""
         content = self._body(upstream)
         while not self._splitter.is_too_long:
+            if not held.try_hold(len(self._splitter.partial)):
+                return
             try:
                 chunk = await content.readany()
             except (aiohttp.ClientError, OSError) as exc:
@@ -194,11 +221,11 @@
         at = now()
         if self.began_at is None:
             self.began_at = at
-            self._on_first_event()
+            self._listener.on_first_event()
             if self._context.first_event_at is None:
                 self._context.first_event_at = at
         self.event_times.record(at)
-        self._on_progress()
+        self._listener.on_progress()
         await self._write(events, upstream)
 
     async def _write(self, data: bytes, upstream: aiohttp.ClientResponse) -> None:
@@ -242,14 +269,14 @@
         return self._context.http.version < HttpVersion11
 
 
-async def _read_at_most(content: Body, limit: int) -> tuple[bytes, bool]:
-    """Read to the end, or until at least `limit` bytes have come.
+async def _read_at_most(content: Body, held: HeldBytes) -> tuple[bytes, bool]:
+    """Read to the end, or as far as this response and all together may be held.
 
     Return what has come, and whether the body has ended.
     """
     chunks = []
     size = 0
-    while size < limit:
+    while size < MAX_BUFFERED_BYTES and held.try_hold(size):
         chunk = await content.readany()
         if not chunk:
             return b"".join(chunks), True
--- a/fuchsiacroft/gateway/silence_watch.py
+++ b/fuchsiacroft/gateway/silence_watch.py
@@ -21,7 +21,7 @@
     ) -> None:
         self._idle_timeout_s = idle_timeout_s
         self._is_replaced = is_replaced
-        self._limit = asyncio.timeout(None)
+        self._limit: asyncio.Timeout | None = asyncio.timeout(None)
         self._timer: asyncio.TimerHandle | None = None
         self._search: asyncio.Task | None = None
 
@@ -39,7 +39,9 @@
     ) -> bool | None:
         """End the watch."""
         self.pause()
-        return await self._limit.__aexit__(exc_type, exc, traceback)
+        # It refers to the task, which may hold an exception that refers to the watch.
+        limit, self._limit = self._limit, None
+        return await limit.__aexit__(exc_type, exc, traceback)
 
     def resume(self) -> None:
         """Begin an idle period; call it after progress."""
