Count the time since the interpreter's start before a region spends its quotas

After all processes had lost power, all workspaces were refused for about a second more than needed: the time that a process takes to import its modules did not count to that in which its predecessor cannot have spent anything.

--- a/fuchsiacroft/placing/spending_exchange.py
+++ b/fuchsiacroft/placing/spending_exchange.py
@@ -25,6 +25,7 @@
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.process_start import process_start
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 ENTRIES_POLL_S = 0.02
@@ -65,7 +66,8 @@
         self._sent_at = -math.inf
         self._reports = SpendingReports()
         self.is_partial = True
-        quotas.earlier.counted_since = now()
+        # Predecessors at this address had ended when this process started.
+        quotas.earlier.counted_since = now() - process_start.elapsed_s()
         bus.register_handler(SpendingQuery, self._on_query)
         bus.register_handler(DomainSpending, self._on_spending)
 
