Bound the number of interim heads, and test an entry's memory by real processes

A server that sent interim heads without end had 2,600 of them parsed, queued and read for each request, until 64 KB had come: the memory of an entry rose by 60 to 76 MB with 48 callers at a time. After 16 heads the connection is closed now; what comes before an answer's head is parsed 2 KB at a time, so that they are counted as they come.

--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -30,6 +30,9 @@
 """Bytes of a response besides its body: head, interim heads, framing and trailers."""
 MAX_OVERHEAD_RATIO = 16
 """Further bytes of framing for each byte of the body; chunks may be small."""
+MAX_INTERIM_HEADS = 16
+HEAD_STEP_BYTES = 2 * 1024
+"""Bytes that are parsed at a time until the head of the answer has come."""
 MAX_SKIPPED_ANSWERS = 16
 """Answers to other requests that are skipped on one connection."""
 MAX_SKIPPED_LOGS_PER_S = 50
@@ -123,6 +126,7 @@
         super().__init__(loop)
         self.name: RequestName | None = None
         self._received_bytes = 0
+        self._interim_heads = 0
         self._body: aiohttp.StreamReader | None = None
 
     async def read(self) -> tuple[RawResponseMessage, aiohttp.StreamReader]:
@@ -163,6 +167,27 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and abort the connection if they are no answer."""
+        start = 0
+        while self._body is None and start < len(data):
+            if self.transport is None or self.transport.is_closing():
+                return
+            self._parse(data[start : start + HEAD_STEP_BYTES])
+            start += HEAD_STEP_BYTES
+        # aiohttp passes no bytes to let the parser go on after a pause.
+        if start < len(data) or not data:
+            self._parse(data[start:])
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, aiohttp.StreamReader], size: int = 0
+    ) -> None:
+        """Queue an answer's head; aiohttp reads interim ones without end."""
+        super().feed_data(data, size)
+        if data[0].code < HTTPStatus.OK:
+            self._interim_heads += 1
+            if self._interim_heads > MAX_INTERIM_HEADS:
+                self._abort()
+
+    def _parse(self, data: bytes) -> None:
         super().data_received(data)
         self._received_bytes += len(data)
         body = self._payload
--- a/fuchsiacroft/tests/soak/fleet.py
+++ b/fuchsiacroft/tests/soak/fleet.py
@@ -78,6 +78,11 @@
                 f"{self.role} {self.ip} with {code}"
             )
 
+    @property
+    def pid(self) -> int:
+        """Return the id of the process that was started last."""
+        return self._process.pid
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send the process a signal."""
         if self._process is not None and self._process.returncode is None:
