Bound what all responses of an entry hold together by the memory it is given

Each request may hold 1 MB of a response, so memory rose with the number of requests, whatever the settings say.

--- a/fuchsiacroft/platform/settings.py
+++ b/fuchsiacroft/platform/settings.py
@@ -5,11 +5,13 @@
 
 import os
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 from expression import Error, Result
 
 from fuchsiacroft.config.bounds import (
+    MAX_COUNT,
     Amount,
     Count,
     DurationS,
@@ -31,6 +33,9 @@
 """Offsets in the port range of the ports on which processes contact each other."""
 DRAIN_MARGIN_S = 0.45
 """Part of the grace period that a stop needs after the last request has ended."""
+BYTES_PER_MB = 1024 * 1024
+RESPONSES_SHARE = 0.125
+"""Part of the memory that is for responses before they are passed on."""
 RETRY_MARGIN = 0.5
 """Part of the retry budget that is used, as two entries may decide concurrently."""
 
@@ -55,6 +60,12 @@
     quota_slack: Amount = 0.0
 
 
+class WireLimits(msgspec.Struct, rename="camel"):
+    """What the machine gives a process; `memory_mb` is in MiB."""
+
+    memory_mb: Annotated[float, msgspec.Meta(gt=0, le=MAX_COUNT)] = 512.0
+
+
 class WireTolerance(msgspec.Struct, rename="camel"):
     """Concurrent failures under which all guarantees hold."""
 
@@ -79,6 +90,7 @@
     heartbeat_ms: PeriodMs = 1_000.0
     fault_tolerance: WireTolerance = msgspec.field(default_factory=WireTolerance)
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
     tunnels: dict[str, str] = {}
 
     @property
@@ -103,6 +115,11 @@
         """Return the heartbeat period of replicas."""
         return self.heartbeat_ms / 1000
 
+    @property
+    def max_response_bytes(self) -> int:
+        """Return what all responses of an entry may hold in memory together."""
+        return int(RESPONSES_SHARE * self.limits.memory_mb * BYTES_PER_MB)
+
     @property
     def shared_limits(self) -> SharedLimits:
         """Return the limits that apply to all entries together."""
--- a/fuchsiacroft/tests/fakes/platform_region.py
+++ b/fuchsiacroft/tests/fakes/platform_region.py
@@ -98,10 +98,12 @@
         *,
         has_links: bool = False,
         zones: tuple[str, ...] = ("mvd-cordon",),
+        memory_mb: float = 512.0,
     ) -> None:
         net = f"127.{next(_nets) + 50}"
         self._net = net
         self._zones = zones
+        self._memory_mb = memory_mb
         self._folder = tempfile.TemporaryDirectory()
         self.controls = [f"{subnet(net, 1)}.{n}" for n in (1, 2, 3)]
         self.entries = [f"{subnet(net, 2)}.{n}" for n in range(1, entries + 1)]
@@ -125,6 +127,7 @@
             bootstrap=True,
             heartbeatMs=1200,
             bounds={"graceS": 8},
+            limits={"memoryMb": self._memory_mb},
             tunnels=self.links.tunnels(ip) if self.links is not None else {},
         )
         return msgspec.convert(document, WireSettings)
