Let the soak press a workspace's quota, and check it in every window

The soak saw nothing of QUOTA: no workspace of it had a limit. One now asks for 40 a second of 8, at any ready entry, beside all faults.

--- a/fuchsiacroft/tests/soak/callers.py
+++ b/fuchsiacroft/tests/soak/callers.py
@@ -37,6 +37,8 @@
 """Probability that a caller breaks a stream off after some events, to take it up."""
 ABANDON_PROBABILITY = 0.02
 """Probability that a caller closes the connection before the response ends."""
+attempt_numbers = itertools.count(1)
+"""Numbers of all requests of this process."""
 
 
 class Balancer:
@@ -73,8 +75,6 @@
 class Caller:
     """Sends requests one at a time, on one connection until it closes."""
 
-    _numbers = itertools.count(1)
-
     def __init__(
         self, balancer: Balancer, rng: random.Random, observations: Observations
     ) -> None:
@@ -117,7 +117,7 @@
 
     async def _send_request(self, route: str) -> None:
         method, prefix, timeout_s = ROUTES[route]
-        attempt_id = f"{next(self._numbers):016x}"
+        attempt_id = f"{next(attempt_numbers):016x}"
         body = self._rng.randbytes(self._rng.randrange(1, 3_000))
         body = body if method == "POST" else b""
         attempt = Attempt(
@@ -153,7 +153,7 @@
             attempt.is_abandoned = True
         try:
             async with asyncio.timeout(limit_s):
-                is_kept = await _read(reader, attempt, most_events)
+                is_kept = await read_response(reader, attempt, most_events)
         except (OSError, EOFError, TimeoutError, ValueError):
             is_kept = False
         attempt.ended_at = self._now()
@@ -164,7 +164,7 @@
             self._conn = None
 
 
-async def _read(
+async def read_response(
     reader: asyncio.StreamReader, attempt: Attempt, most_events: float
 ) -> bool:
     """Read one response; return whether the connection may be reused.
--- a/fuchsiacroft/tests/soak/fleet.py
+++ b/fuchsiacroft/tests/soak/fleet.py
@@ -11,6 +11,11 @@
 
 from fuchsiacroft.platform.settings import PATH_VARIABLE
 from fuchsiacroft.tests.fakes import platform_wire
+from fuchsiacroft.tests.soak.invariants import (
+    QUOTA_OVERSHOOT,
+    QUOTA_SLACK,
+    QUOTA_WINDOW_S,
+)
 from fuchsiacroft.tests.soak.observations import Observations
 
 REPOSITORY = Path(__file__).resolve().parents[3]
@@ -50,7 +55,12 @@
             data_dir=self.data if self.role == "control" else None,
             bootstrap=bootstrap,
             heartbeatMs=HEARTBEAT_MS,
-            bounds={"graceS": GRACE_S},
+            bounds={
+                "graceS": GRACE_S,
+                "quotaWindowS": QUOTA_WINDOW_S,
+                "quotaOvershoot": QUOTA_OVERSHOOT,
+                "quotaSlack": QUOTA_SLACK,
+            },
             tunnels=tunnels,
         )
         self._settings.write_bytes(msgspec.json.encode(settings))
--- a/fuchsiacroft/tests/soak/invariants.py
+++ b/fuchsiacroft/tests/soak/invariants.py
@@ -54,6 +54,15 @@
 MIN_GOING_ON = 0.5
 """Of at least `MIN_TAKEN_UP` streams that are taken up while so many servers of their
 version serve, the share that goes on, by the share of new streams that begin."""
+QUOTA_PER_S = 8.0
+QUOTA_BURST = 8.0
+QUOTA_WINDOW_S = 8.0
+QUOTA_OVERSHOOT = 0.1
+QUOTA_SLACK = 6.0
+QUOTA_ALLOWED = (QUOTA_PER_S * QUOTA_WINDOW_S + QUOTA_BURST) * (
+    1.0 + QUOTA_OVERSHOOT
+) + QUOTA_SLACK
+"""Requests of the metered workspace that may run in any window."""
 MAX_KINDS_NAMED = 8
 MIN_SERVED_SHARE = 0.95
 """Minimum share of requests served after the last fault ended."""
@@ -82,6 +91,7 @@
     found += _refusal_violations(observations)
     found += _version_violations(observations)
     found += _going_on_violations(observations)
+    found += _quota_violations(observations)
     found += _recovery_violations(observations)
     return found
 
@@ -394,11 +404,38 @@
     return found
 
 
+def _quota_violations(observations: Observations) -> list[str]:
+    """Return the window in which the metered workspace got most, if too much."""
+    run_at: dict[str, float] = {}
+    for run in observations.runs:
+        run_at.setdefault(run.attempt_id, run.at)
+    times = [
+        (attempt.sent_at, run_at[attempt.attempt_id])
+        for attempt in observations.attempts
+        if attempt.is_metered and attempt.attempt_id in run_at
+    ]
+    counts = {
+        start: sum(
+            start <= sent_at and at < start + QUOTA_WINDOW_S for sent_at, at in times
+        )
+        for start, _ in times
+    }
+    start = max(counts, key=counts.get, default=0.0)
+    if not counts or counts[start] <= QUOTA_ALLOWED:
+        return []
+    return [
+        f"a workspace got {counts[start]} requests in {QUOTA_WINDOW_S:.0f} s from "
+        f"{start:.2f} s, of {QUOTA_ALLOWED:.0f} allowed"
+    ]
+
+
 def _recovery_violations(observations: Observations) -> list[str]:
     after = [
         a
         for a in observations.attempts
-        if a.sent_at >= observations.recovered_at and not a.is_abandoned
+        if a.sent_at >= observations.recovered_at
+        and not a.is_abandoned
+        and not a.is_metered
     ]
     if not after:
         return ["no request was sent after the last fault"]
--- a/fuchsiacroft/tests/soak/invariants_tests.py
+++ b/fuchsiacroft/tests/soak/invariants_tests.py
@@ -169,6 +169,23 @@
             self.assertIn(expected, found)
             self.assertEqual(bool(expected), bool(found))
 
+    def test_more_requests_of_a_workspace_than_its_quota(self):
+        for count, window_s, expected in (
+            (int(invariants.QUOTA_ALLOWED), 7.9, False),
+            (int(invariants.QUOTA_ALLOWED) + 1, 7.9, True),
+            (int(invariants.QUOTA_ALLOWED) + 1, 9.0, False),
+        ):
+            sent = [10.0 + window_s * i / count for i in range(count)]
+            attempts = [
+                attempt(attempt_id=f"m{i}", sent_at=at, is_metered=True)
+                for i, at in enumerate(sent)
+            ]
+            runs = [run(attempt_id=f"m{i}", at=at) for i, at in enumerate(sent)]
+            found = self.violations(attempts, runs)
+            self.assertEqual(expected, "a workspace got" in found, found)
+            refused = self.violations(attempts)
+            self.assertNotIn("a workspace got", refused)
+
     def test_more_requests_than_a_server_named_as_its_limit(self):
         span = LimitSpan("i1-1", 2.0, 5.0, 30.0)
         told = attempt(attempt_id="t", names_limit=True, sent_at=5.0, ended_at=5.1)
--- a/fuchsiacroft/tests/soak/observations.py
+++ b/fuchsiacroft/tests/soak/observations.py
@@ -14,10 +14,11 @@
     `status` is None if no response head was received. `is_complete` tells that the
     response was received to its end, `is_own_response` that it belongs to this
     request, `says_leaving` that its server leaves, `names_limit` that its server named
-    a limit on requests a second. `events` are the ids of a stream's events, and
-    `versions` their servers' software versions. One that takes up a stream names the
-    attempt that began it in `resumes`, and its last event. `reason` is why an entry
-    refused it. `is_abandoned` tells that the caller closed the connection itself.
+    a limit on requests a second, `is_metered` that its workspace has a quota. `events`
+    are the ids of a stream's events, and `versions` their servers' software versions.
+    One that takes up a stream names the attempt that began it in `resumes`, and its
+    last event. `reason` is why an entry refused it. `is_abandoned` tells that the
+    caller closed the connection itself.
     """
 
     attempt_id: str
@@ -38,6 +39,7 @@
     is_abandoned: bool = False
     says_leaving: bool = False
     names_limit: bool = False
+    is_metered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fuchsiacroft/tests/soak/operator.py
+++ b/fuchsiacroft/tests/soak/operator.py
@@ -9,6 +9,8 @@
 from fuchsiacroft.tests.fakes.platform_wire import CONTROL_PORT
 from fuchsiacroft.tests.soak.callers import ROUTES
 from fuchsiacroft.tests.soak.fleet import Program
+from fuchsiacroft.tests.soak.invariants import QUOTA_BURST, QUOTA_PER_S
+from fuchsiacroft.tests.soak.metered_caller import METERED_KEY
 from fuchsiacroft.tests.soak.observations import Observations, VersionRead
 
 READ_PERIOD_S = 0.3
@@ -95,6 +97,13 @@
 def document(version: int) -> dict:
     """Return a version of the configuration, with the routes of the last ones."""
     configuration = config(version)
+    metered = {
+        "name": "metered",
+        "apiKeys": [METERED_KEY],
+        "ratePerS": QUOTA_PER_S,
+        "burst": QUOTA_BURST,
+    }
+    configuration["tenants"].append(metered)
     routes = configuration["routes"]
     for route in routes:
         route["timeoutMs"] = ROUTES[route["name"]][2] * 1000
--- a/fuchsiacroft/tests/soak/run.py
+++ b/fuchsiacroft/tests/soak/run.py
@@ -16,6 +16,7 @@
 from fuchsiacroft.tests.soak import invariants, schedule
 from fuchsiacroft.tests.soak.callers import Balancer, Caller
 from fuchsiacroft.tests.soak.fleet import Program
+from fuchsiacroft.tests.soak.metered_caller import MeteredCaller
 from fuchsiacroft.tests.soak.observations import FaultSpan, LimitSpan, Observations
 from fuchsiacroft.tests.soak.operator import Operator
 from fuchsiacroft.tests.soak.route_prober import RouteProber
@@ -92,6 +93,7 @@
 
     def __init__(self, plan: Plan, folder: Path, observations: Observations) -> None:
         net = f"127.{next(_nets) + 150}"
+        self._seed = plan.seed
         self._rng = random.Random(plan.seed)
         self._observations = observations
         self._now = asyncio.get_running_loop().time
@@ -148,6 +150,9 @@
         self._spawn(self._operator.poll_versions())
         prober = RouteProber([e.ip for e in self._entries], self._observations)
         self._spawn(prober.probe())
+        metered_rng = random.Random(f"metered {self._seed}")
+        metered = MeteredCaller(balancer, metered_rng, self._observations)
+        self._spawn(metered.call())
         for _ in range(CALLERS):
             caller_rng = random.Random(self._rng.random())
             self._spawn(Caller(balancer, caller_rng, self._observations).call())
