Let virtual disks lose each unsynced name on its own, and others lose power beside

The platform says that after a loss of power each file that was created, renamed or removed without a sync of its folder may be kept or lost independently; the tests' disk kept or lost all of them. The search of the consensus also loses a disk while all other members lose power at the same moment.

--- a/fuchsiacroft/tests/control/consensus/search.py
+++ b/fuchsiacroft/tests/control/consensus/search.py
@@ -110,6 +110,7 @@
             self._heal_network,
             self._heal_network,
             self._lose_disk,
+            self._lose_disk_and_power,
             self._take_image,
             self._restore_image,
             self._fill_disk,
@@ -182,6 +183,23 @@
         self.tasks.spawn(self._start_later(node))
         return True
 
+    async def _lose_disk_and_power(self) -> bool:
+        """Lose one disk, and at the same moment the power of all other members.
+
+        Any of them may lag behind, and reads and writes may be under way.
+        """
+        if not self._is_repaired():
+            return False
+        node = self._pick_node()
+        others = [other for other in self.group.nodes if other is not node]
+        for other in others:
+            await other.kill(power_loss=True)
+        await node.lose_disk()
+        self.images.clear()
+        for member in (node, *others):
+            self.tasks.spawn(self._start_later(member))
+        return True
+
     async def _take_image(self) -> bool:
         node = self._pick_node()
         self.images[node.name] = node.disk.copy()
@@ -227,6 +245,14 @@
         A group tolerates the loss of one disk at a time; the next one may be lost
         once the previous one has been repaired.
         """
+        if not self._is_repaired():
+            return False
+        leader = self.group.leader()
+        peers = leader.log.leadership.peers.values()
+        return all(peer.match_index >= leader.log.member.commit_index for peer in peers)
+
+    def _is_repaired(self) -> bool:
+        """Return whether every member runs and is a voter by a committed change."""
         leader = self.group.leader()
         if leader is None or not all(node.is_running for node in self.group.nodes):
             return False
@@ -234,11 +260,7 @@
         voters = {voter.identity for voter in member.configuration.voters()}
         if member.configurations.index > member.commit_index:
             return False
-        identities = {node.log.member.identity for node in self.group.nodes}
-        if voters != identities:
-            return False
-        peers = leader.log.leadership.peers.values()
-        return all(peer.match_index >= member.commit_index for peer in peers)
+        return voters == {node.log.member.identity for node in self.group.nodes}
 
     async def _heal(self) -> None:
         await self._heal_network()
--- a/fuchsiacroft/tests/fakes/folder.py
+++ b/fuchsiacroft/tests/fakes/folder.py
@@ -68,14 +68,16 @@
     def lose_unsynced_data(self) -> None:
         """Apply a power loss, which may lose whatever was not synced.
 
-        For the names of the files, either all changes since the last folder sync are
-        lost or none.
+        Each name that was created, renamed or removed since the last folder sync is as
+        it was then or as it is now, whatever becomes of the others.
         """
-        names = self.random.choice((self.files, self.durable))
-        self.files = {
-            name: file.after_crash(self.random) for name, file in names.items()
-        }
-        self.durable = dict(self.files)
+        survivors: dict[str, MemoryFile] = {}
+        for name in {**self.durable, **self.files}:
+            names = self.random.choice((self.files, self.durable))
+            if name in names:
+                survivors[name] = names[name].after_crash(self.random)
+        self.files = survivors
+        self.durable = dict(survivors)
 
     def copy(self) -> "MemoryDisk":
         """Return a copy of the current state of the disk."""
