Give up a whole disk, or nothing of it, when power is lost meanwhile

A control member that had given up its disk (an older copy, or a lost identity) and lost power while it removed the files could start with its old identity and a part of its log, under which it had acknowledged more, or stop at each start because the identity was missing beside a log. A file now says that the folder is given up, until everything is removed; a start that finds it goes on with that.

--- a/fuchsiacroft/control/recovery.py
+++ b/fuchsiacroft/control/recovery.py
@@ -18,6 +18,8 @@
 )
 
 IDENTITY_FILE = "identity.json"
+DISCARDED_FILE = "discarded"
+"""It exists from the moment when all files are given up until all are removed."""
 SEGMENT_PREFIX = "log-"
 SNAPSHOT_PREFIX = "snapshot-"
 TEMP_SUFFIX = ".aside"
--- a/fuchsiacroft/control/storage.py
+++ b/fuchsiacroft/control/storage.py
@@ -28,6 +28,7 @@
     Snapshot,
 )
 from fuchsiacroft.control.recovery import (
+    DISCARDED_FILE,
     IDENTITY_FILE,
     REJOIN_ADVICE,
     SNAPSHOT_PREFIX,
@@ -82,6 +83,7 @@
 
         Raises `InvariantError`, which stops the process, if a file is damaged.
         """
+        await self._run_with_space(self._finish_discard)
         result = await self._run(partial(recover, self._folder))
         if result.is_error():
             fault = result.error
@@ -349,10 +351,29 @@
         self._segments.load(state)
 
     def _remove_all(self) -> None:
-        for name in reversed(self._folder.list_files()):
-            self._folder.remove(name)
+        """Remove all files; once it is begun, no later start uses a part of them."""
+        self._mark_discarded()
+        for name in self._folder.list_files():
+            if name != DISCARDED_FILE:
+                self._folder.remove(name)
+        self._folder.sync_folder()
+        self._folder.remove(DISCARDED_FILE)
+        self._folder.sync_folder()
+
+    def _mark_discarded(self) -> None:
+        try:
+            self._folder.append(DISCARDED_FILE, b"1")
+            self._folder.sync(DISCARDED_FILE)
+        except OSError as exc:
+            # A full disk gets room only by the removal.
+            if exc.errno not in DISK_FULL_ERRORS:
+                raise
         self._folder.sync_folder()
 
+    def _finish_discard(self) -> None:
+        if DISCARDED_FILE in self._folder.list_files():
+            self._remove_all()
+
 
 def read_boot_id() -> str:
     """Return the machine's boot id."""
--- a/fuchsiacroft/tests/control/storage_tests.py
+++ b/fuchsiacroft/tests/control/storage_tests.py
@@ -344,6 +344,31 @@
 
         self.run_paused(scenario())
 
+    def test_a_power_loss_while_the_disk_is_discarded_leaves_a_part_of_it(self):
+        """Each removed file may come back on its own."""
+
+        async def scenario(seed):
+            disk = MemoryDisk(seed)
+            storage, before = await open_storage(disk)
+            storage.append(entries(1, 4))
+            await storage.sync()
+            await storage.save_snapshot(snapshot(2))
+            disk.lose_power_at = disk.syncs + 1 + seed % 8
+            discarding = asyncio.ensure_future(storage.discard())
+            await asyncio.wait((discarding,), timeout=1.0)
+            discarding.cancel()
+            disk.lose_power_at = None
+            after = await reopen(disk)
+            if after.identity.identity == before.identity.identity:
+                self.assertEqual(entries(3, 4), after.entries)
+            else:
+                self.assertEqual([], after.entries)
+                self.assertIsNone(after.snapshot)
+
+        for seed in range(64):
+            with self.subTest(seed=seed):
+                self.run_paused(scenario(seed))
+
     def test_a_damaged_snapshot_stops_the_process(self):
         async def scenario():
             disk = MemoryDisk()
