Make a new data folder itself durable

A member that creates its data folder synced the files in it, and its list of files, but not the folder's own name in its parent: a loss of power may take the folder with all that was acknowledged.

--- a/fuchsiacroft/control/folder.py
+++ b/fuchsiacroft/control/folder.py
@@ -113,11 +113,7 @@
 
     def sync_folder(self) -> None:
         """Make creations, renames and deletions durable."""
-        handle = os.open(self._path, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(handle)
-        finally:
-            os.close(handle)
+        sync_folder(self._path)
 
     def close(self) -> None:
         """Close all files and release the lock."""
@@ -142,7 +138,7 @@
             os.close(handle)
 
     def _acquire_lock(self) -> int:
-        self._path.mkdir(parents=True, exist_ok=True, mode=0o700)
+        create_folder(self._path)
         handle = os.open(self._path / LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -150,3 +146,21 @@
             os.close(handle)
             raise InvariantError(f"another process uses {self._path}") from exc
         return handle
+
+
+def create_folder(path: Path) -> None:
+    """Create a folder and its parents; a power loss doesn't remove them again."""
+    if path.is_dir():
+        return
+    create_folder(path.parent)
+    path.mkdir(mode=0o700, exist_ok=True)
+    sync_folder(path.parent)
+
+
+def sync_folder(path: Path) -> None:
+    """Make the names in a folder durable."""
+    handle = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
