Name notices, reports and marks of ends by their terms

Comments, doc strings and private names only, and what a workspace may still spend is sent for each quota that something was spent of, within the bounds of messages: an entry that had no configuration yet could not answer pings otherwise, as a test of quotas showed before this was landed.

--- a/fuchsiacroft/console/forms.py
+++ b/fuchsiacroft/console/forms.py
@@ -65,7 +65,7 @@
 
     @property
     def is_ordered(self) -> bool:
-        """Tell whether items are identified by position instead of by name."""
+        """Return whether items are identified by position instead of by name."""
         return self.part == "rules"
 
     def new_item(self) -> dict:
--- a/fuchsiacroft/console/sessions.py
+++ b/fuchsiacroft/console/sessions.py
@@ -62,5 +62,5 @@
         return hmac.new(self._csrf_key, encrypted, hashlib.sha256).hexdigest()
 
     def is_valid_csrf(self, req: web.Request, csrf: str) -> bool:
-        """Tell whether a CSRF token belongs to this session."""
+        """Return whether a CSRF token belongs to this session."""
         return hmac.compare_digest(self.csrf(req), csrf)
--- a/fuchsiacroft/demo/caller.py
+++ b/fuchsiacroft/demo/caller.py
@@ -25,7 +25,7 @@
 
     @property
     def is_complete(self) -> bool:
-        """Tell whether this is a complete, successful answer."""
+        """Return whether this is a complete, successful answer."""
         return self.status == 200 and (
             not self.body.startswith(b"data:") or self.body.endswith(STREAM_END)
         )
--- a/fuchsiacroft/entry/http_headers.py
+++ b/fuchsiacroft/entry/http_headers.py
@@ -35,7 +35,7 @@
 
 
 class Framing(enum.Enum):
-    """How the end of a body is told; with `CLOSE`, by the end of its connection."""
+    """How the end of a body is marked; with `CLOSE`, by the end of its connection."""
 
     LENGTH = "length"
     CHUNKED = "chunked"
@@ -96,7 +96,7 @@
 
 
 def framing(upstream: aiohttp.ClientResponse) -> Framing:
-    """Return how the end of a response's body is told."""
+    """Return how the end of a response's body is marked."""
     if upstream.method == "HEAD" or upstream.status in BODILESS_STATUSES:
         return Framing.LENGTH
     if "Content-Length" in upstream.headers:
--- a/fuchsiacroft/entry/second_answer.py
+++ b/fuchsiacroft/entry/second_answer.py
@@ -1,4 +1,4 @@
-"""Finds another answer within a body whose length or chunks were told.
+"""Finds another answer within a body with a length or chunks.
 
 A backend server that stops in the middle of a body and answers once more on the
 connection would have its second answer read as the rest of the first.
--- a/fuchsiacroft/gateway/answer_body.py
+++ b/fuchsiacroft/gateway/answer_body.py
@@ -1,4 +1,4 @@
-"""Reads the bodies of backend servers' answers, with or without a told length.
+"""Reads the bodies of backend servers' answers, with or without a length.
 
 A backend server that answers twice on a connection could have its second answer read as
 a part of the first.
@@ -61,7 +61,7 @@
 
 
 class FramedBody:
-    """Reads a body whose length or chunks were told, piece by piece.
+    """Reads a body with a length or chunks, piece by piece.
 
     The part of another answer that has been read before its head is known is returned,
     so the end of the body counts only if there is no error.
--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -294,7 +294,7 @@
         return self._flaw or self._relay.flaw
 
     def _answer_fields(self) -> dict[str, object]:
-        """Return the answer's status and flaw, and how its end was told."""
+        """Return the answer's status and flaw, and how its end was marked."""
         flaw = self._answer_flaw
         fields = {"flaw": flaw.value if flaw is not None else "-"}
         response = self._upstream_response
--- a/fuchsiacroft/gateway/routed_request.py
+++ b/fuchsiacroft/gateway/routed_request.py
@@ -70,7 +70,7 @@
 
     @abstractmethod
     def caller_deadline_s(self, http: web.BaseRequest) -> float | None:
-        """Return how many seconds the caller waits, or None if it does not tell."""
+        """Return how many seconds the caller waits, or None if it names no limit."""
 
     @abstractmethod
     def parse_request(
--- a/fuchsiacroft/membership/limit_recorder.py
+++ b/fuchsiacroft/membership/limit_recorder.py
@@ -47,7 +47,7 @@
         return limit_reports.report(answer.server, statement, now())
 
     def reports(self) -> tuple[LimitReport, ...]:
-        """Return what servers told this VM lately."""
+        """Return what servers said to this VM lately."""
         at = now()
         self._statements = {
             server: statement
--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -115,7 +115,7 @@
             return await self._notify_until_acknowledged(known)
         if changed:
             self._notify_members((record,))
-            self._tasks.spawn(self._notify_entries(changed), "registry-tell")
+            self._tasks.spawn(self._notify_entries(changed), "registry-notify")
         else:
             self._unchanged[record.name] = record
         return Ok(None)
@@ -170,7 +170,8 @@
         message = ServersChanged(self._address, records)
         requests = [
             self._tasks.spawn(
-                self._bus.request(address, message, NOTIFY_DEADLINE_S), "registry-tell"
+                self._bus.request(address, message, NOTIFY_DEADLINE_S),
+                "registry-notify",
             )
             for address in self._members.others()
         ]
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -5,7 +5,7 @@
 several members are merged. Information from unreachable members is used only
 while no member replies.
 
-A reply to a heartbeat tells the digests of the member's tables. The entry asks for
+A reply to a heartbeat holds the digests of the member's tables. The entry asks for
 the tables of one member after another, and only where no other member has sent it
 the same ones before, so a change is mostly transferred once.
 """
@@ -86,7 +86,7 @@
         self._known_servers: dict[str, tuple[int, tuple[str, ...]]] = {}
         self._entries: dict[str, tuple[int, tuple[EntryRecord, ...]]] = {}
         self._merged: MergedEntries | None = None
-        self._told_leaving: dict[str, int] = {}
+        self._reported_leaving: dict[str, int] = {}
         self._replied_at: dict[str, float] = {}
         self._servers = ServerTable()
         self._awaited: set[str] = set()
@@ -109,8 +109,8 @@
         self._merged = None
 
     def record_leaving(self, entry: EntryRecord) -> None:
-        """Record that another entry told this one that it is draining."""
-        self._told_leaving[entry.node] = entry.started_ms
+        """Record that another entry has reported that it is draining."""
+        self._reported_leaving[entry.node] = entry.started_ms
         self._merged = None
 
     async def stop(self) -> None:
@@ -230,12 +230,12 @@
         for address in sources:
             for entry in self._entries.get(address, NO_ENTRIES)[1]:
                 if entry.node != self.local_entry.node:
-                    found[entry.node] = self._with_told_state(entry)
+                    found[entry.node] = self._with_reported_state(entry)
         return tuple(found.values())
 
-    def _with_told_state(self, entry: EntryRecord) -> EntryRecord:
-        """Return a listed entry, as leaving if it told this one so itself."""
-        if self._told_leaving.get(entry.node) != entry.started_ms:
+    def _with_reported_state(self, entry: EntryRecord) -> EntryRecord:
+        """Return a listed entry, as leaving if it reported so itself."""
+        if self._reported_leaving.get(entry.node) != entry.started_ms:
             return entry
         return msgspec.structs.replace(entry, leaving=True)
 
--- a/fuchsiacroft/placing/earlier_spending.py
+++ b/fuchsiacroft/placing/earlier_spending.py
@@ -27,7 +27,7 @@
     def add(self, units: dict[str, tuple[float, ...]], at: float) -> None:
         """Count the units, by age, that predecessors had spent by a time.
 
-        Where several reports tell of the same units, the one that counts more is used.
+        Where several reports hold the same units, the one that counts more is used.
         """
         for name, by_age in units.items():
             window = Window.from_ages(by_age, at)
--- a/fuchsiacroft/placing/hand_over.py
+++ b/fuchsiacroft/placing/hand_over.py
@@ -59,7 +59,7 @@
         return True
 
     async def _run(self) -> None:
-        """Ask the next entry to take over, and tell those that use this coordinator."""
+        """Ask the next entry to take over, and notify those that use this one."""
         deadline = now() + TIMEOUT_S
         successor = self._successor()
         accepted = False
@@ -89,7 +89,7 @@
         return False
 
     def _notify_others(self) -> None:
-        """Tell the entries of the domain and the other domains' coordinators."""
+        """Notify the entries of the domain and the other domains' coordinators."""
         local_entry = self._roster.local_entry
         entries = self._roster.entries()
         users = [e for e in entries if e.failure_domain == local_entry.failure_domain]
--- a/fuchsiacroft/placing/limit_exchange.py
+++ b/fuchsiacroft/placing/limit_exchange.py
@@ -48,7 +48,7 @@
         self._recorder.record_reports(reports, source)
 
     def reports(self) -> tuple[LimitReport, ...]:
-        """Return what servers told this entry lately."""
+        """Return what servers said to this entry lately."""
         return self._recorder.reports()
 
     def known(self) -> tuple[LimitReport, ...]:
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -178,7 +178,7 @@
     """Health check of the coordinator; `epoch` is its last known epoch.
 
     `runs` holds all runs of the sender if the coordinator's epoch is unknown to it,
-    and `limits` what servers told the sender lately.
+    and `limits` what servers said to the sender lately.
     """
 
     node: str
--- a/fuchsiacroft/placing/quota_window.py
+++ b/fuchsiacroft/placing/quota_window.py
@@ -8,7 +8,7 @@
 BUCKET_S = 0.25
 """Units are counted in buckets of this length."""
 AGE_STEP_S = 0.5
-"""Resolution of the ages that another process is told."""
+"""Resolution of the ages in reports to other processes."""
 
 
 @dataclass(slots=True)
@@ -25,7 +25,7 @@
 
     @classmethod
     def from_ages(cls, units: Iterable[float], at: float) -> Self:
-        """Return a window of the units that had each age by a time, as late as told."""
+        """Return a window of the units that had each age at a time, or less."""
         window = cls()
         for step, spent in enumerate(units):
             if spent > 0:
--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from itertools import zip_longest
 
+from fuchsiacroft.config.bounds import MAX_AMOUNT
 from fuchsiacroft.config.route_table import Quota, Workspace
 from fuchsiacroft.placing.earlier_spending import BURST_SHARE, EarlierSpending
 from fuchsiacroft.placing.quota_window import Window
@@ -149,8 +150,16 @@
         return spent
 
     def left(self, at: float) -> dict[str, float]:
-        """Return the units that each workspace may still spend, if it spent some."""
-        return {name: max(self.remaining(name, at), 0.0) for name in self._recent(at)}
+        """Return the units that workspaces with quotas that spent some may still spend.
+
+        They are in the bounds of messages.
+        """
+        left = {name: self.remaining(name, at) for name in self.spent(at)}
+        return {
+            name: min(max(units, 0.0), MAX_AMOUNT)
+            for name, units in left.items()
+            if units < math.inf
+        }
 
     def _recent(self, at: float) -> dict[str, Window]:
         """Return the windows in which something was spent, and forget the others."""
@@ -190,7 +199,7 @@
     ) -> float:
         """Return the seconds until `needed` units leave the window, within bounds.
 
-        Units that predecessors spent leave it evenly.
+        Units that predecessors may have spent leave it evenly.
         """
         window_s = self._tolerance.window_s
         wait_s = window.free_after_s(needed, at, window_s)
--- a/fuchsiacroft/placing/server_availability.py
+++ b/fuchsiacroft/placing/server_availability.py
@@ -107,7 +107,7 @@
         return min(times, default=at)
 
     def record(self, answer: NoticedAnswer) -> None:
-        """Record what a server said in an answer, and tell the others if it leaves."""
+        """Record what a server said, and notify the others if it leaves."""
         if not self._recorder.record(answer):
             return
         server = answer.server
@@ -136,7 +136,7 @@
         ]
 
     def _notify(self, record: ServerRecord) -> None:
-        """Tell the control members and every domain's coordinator of a leave."""
+        """Notify the control members and every domain's coordinator of a leave."""
         message = ServersChanged(self._roster.local_entry.peers, (record,))
         entries = self._roster.entries()
         domains = {entry.failure_domain for entry in entries}
--- a/fuchsiacroft/placing/spending_exchange.py
+++ b/fuchsiacroft/placing/spending_exchange.py
@@ -1,4 +1,4 @@
-"""Tells a new coordinator what its predecessors spent of quotas.
+"""Lets a new coordinator count what its predecessors spent of quotas.
 
 A quota's window outlasts the process that counts it. So a coordinator reports what it
 has spent to the other domains' coordinators, to the successors of all coordinators and
@@ -84,7 +84,7 @@
             self._reports.record(domain, report, now())
 
     def send_if_due(self) -> None:
-        """Report to those that tell a successor of this entry's coordinator.
+        """Report to those that a successor of this entry's coordinator asks.
 
         They are the other domains' coordinators, the entries that would be the next
         coordinators, and the control members.
@@ -95,10 +95,10 @@
         msg = DomainSpending(self._domain, self.report())
         if not msg.report.units:
             return
-        for address in (*self._keepers(), *self._roster.control_addresses):
+        for address in (*self._report_targets(), *self._roster.control_addresses):
             self._bus.send(address, msg)
 
-    def _keepers(self) -> set[str]:
+    def _report_targets(self) -> set[str]:
         """Return the addresses of coordinators and their successors but this entry."""
         entries = self._roster.entries()
         domains = {entry.failure_domain for entry in entries}
@@ -154,7 +154,7 @@
         self.is_partial = False
 
     async def _ask_others(self) -> bool:
-        """Return whether the others have told what predecessors spent."""
+        """Return whether another process knows what predecessors spent."""
         query = SpendingQuery(self._domain)
         peers = [entry.peers for entry in self._entries_to_ask()]
         peers.extend(self._roster.control_addresses)
--- a/fuchsiacroft/placing/spending_messages.py
+++ b/fuchsiacroft/placing/spending_messages.py
@@ -27,7 +27,7 @@
 
 @codec.message("placing.domain_spending")
 class DomainSpending(msgspec.Struct, frozen=True):
-    """Report of a domain's coordinator to those that may have to tell its successor."""
+    """Report of a domain's coordinator to those that its successor asks."""
 
     failure_domain: str
     report: SpendingReport
--- a/fuchsiacroft/platform/heartbeats.py
+++ b/fuchsiacroft/platform/heartbeats.py
@@ -25,7 +25,7 @@
 
 
 class WireHeartbeat(msgspec.Struct, rename="camel"):
-    """A heartbeat; `born` is the start in Unix milliseconds, 0 if it is not told."""
+    """A heartbeat; `born` is the start in Unix milliseconds, 0 if it is not named."""
 
     service: Name
     address: Address
--- a/fuchsiacroft/platform/protocol_adapter.py
+++ b/fuchsiacroft/platform/protocol_adapter.py
@@ -34,7 +34,7 @@
 DROPPED_RESPONSE_HEADERS = HOP_BY_HOP | {"content-length", "date", "server"}
 MISDIRECTED = 421
 NOT_RUN_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
-"""Statuses that tell a client that its request did not run and never will."""
+"""Statuses by which a client knows that its request did not run and never will."""
 MIN_DEADLINE_MS = 1
 ROUTE_RANKS = 16
 """Weight of a workspace rank in a combined rank, above the usual route ranks."""
@@ -50,7 +50,7 @@
         return http.headers.get(header_names.REQUEST_ID, "")
 
     def caller_deadline_s(self, http: web.BaseRequest) -> float | None:
-        """Return how many seconds the client waits, or None if it does not tell."""
+        """Return how many seconds the client waits, or None if it names no limit."""
         text = http.headers.get(header_names.DEADLINE, "")
         if "_" in text:  # Python would read 1_0 as 10.
             return None
--- a/fuchsiacroft/replay/outcome.py
+++ b/fuchsiacroft/replay/outcome.py
@@ -51,6 +51,6 @@
 
     @property
     def is_good(self) -> bool:
-        """Tell whether the caller received the complete answer in time."""
+        """Return whether the caller received the complete answer in time."""
         in_time = self.ended_at - self.sent_at <= self.timeout_s
         return self.end is End.COMPLETE and in_time
--- a/fuchsiacroft/routing/server_availability.py
+++ b/fuchsiacroft/routing/server_availability.py
@@ -35,7 +35,7 @@
         return self._notices.dump()
 
     def record(self, answer: NoticedAnswer) -> None:
-        """Record what a server said, and tell the others if it leaves."""
+        """Record what a server said, and notify the others if it leaves."""
         if self._recorder.record(answer):
             self._directory.mark_leaving(answer.server.name, answer.server.start)
 
--- a/fuchsiacroft/standin/engine.py
+++ b/fuchsiacroft/standin/engine.py
@@ -68,7 +68,7 @@
 
     @property
     def is_orphan(self) -> bool:
-        """Tell whether the run has had no reader for `ORPHAN_TIMEOUT_S`."""
+        """Return whether the run has had no reader for `ORPHAN_TIMEOUT_S`."""
         return not self.readers and now() - self.unread_since > ORPHAN_TIMEOUT_S
 
 
--- a/fuchsiacroft/standin/faults.py
+++ b/fuchsiacroft/standin/faults.py
@@ -77,7 +77,7 @@
             await asyncio.sleep(FROZEN_POLL_S)
 
     def take_abort(self, chunks: int) -> bool:
-        """Tell whether to abort an answer after this many chunks; counts the abort."""
+        """Return whether to abort an answer after these chunks; counts the abort."""
         if self._aborts_left <= 0 or chunks != self.fault.break_after:
             return False
         self._aborts_left -= 1
--- a/fuchsiacroft/streams/messages.py
+++ b/fuchsiacroft/streams/messages.py
@@ -10,7 +10,7 @@
 
 @codec.message("streams.began")
 class StreamBegan(msgspec.Struct, frozen=True):
-    """Tells an owner of its key what began a stream."""
+    """Notifies an owner of its key of what began a stream."""
 
     fact: OriginFact
 
@@ -29,7 +29,7 @@
 
 @codec.message("streams.origin")
 class OriginReply(msgspec.Struct, frozen=True):
-    """Reply to `FindOrigin`: the origins told of, none if the stream is unknown.
+    """Reply to `FindOrigin`: the known origins, none if the stream is unknown.
 
     `versions` of the service were seen in that time; `saw_all` if no other served.
     """
--- a/fuchsiacroft/streams/owners.py
+++ b/fuchsiacroft/streams/owners.py
@@ -11,7 +11,7 @@
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.membership.rendezvous import choose_owner, choose_owners
 
-DOMAINS_TOLD = 4
+DOMAINS_NOTIFIED = 4
 """Failure domains with an owner; that of the entry that serves the stream is one."""
 OWN_DOMAIN_OWNERS = 2
 """Owners in the domain of the entry that serves the stream."""
@@ -24,10 +24,10 @@
 def owners_to_notify(
     key: str, entries: Iterable[EntryRecord], own_domain: str
 ) -> list[EntryRecord]:
-    """Return the entries that are told what began the stream of a key."""
+    """Return the entries that are notified of what began the stream of a key."""
     by_domain = _by_domain(entry for entry in entries if not entry.leaving)
     own_entries = by_domain.pop(own_domain, [])
-    others = choose_owners(key, sorted(by_domain), DOMAINS_TOLD - 1)
+    others = choose_owners(key, sorted(by_domain), DOMAINS_NOTIFIED - 1)
     own_count = max(OWN_DOMAIN_OWNERS, MIN_OWNERS - len(others))
     remote = [choose_owner(key, by_domain[domain]) for domain in others]
     return _best(key, own_entries, own_count) + remote
--- a/fuchsiacroft/tests/streams/owners_tests.py
+++ b/fuchsiacroft/tests/streams/owners_tests.py
@@ -6,7 +6,7 @@
 
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.streams.owners import (
-    DOMAINS_TOLD,
+    DOMAINS_NOTIFIED,
     OWN_DOMAIN_OWNERS,
     owners_to_notify,
     owners_to_query,
@@ -74,7 +74,7 @@
         for key in KEYS:
             told = owners_to_notify(key, known, "d-7")
             domains = Counter(entry.failure_domain for entry in told)
-            self.assertEqual(DOMAINS_TOLD, len(domains))
+            self.assertEqual(DOMAINS_NOTIFIED, len(domains))
             self.assertEqual(OWN_DOMAIN_OWNERS, domains.pop("d-7"))
             self.assertEqual({1}, set(domains.values()))
 
