--- a/fuchsiacroft/placing/quota_window.py
+++ b/fuchsiacroft/placing/quota_window.py
@@ -9,6 +9,8 @@
 """Units are counted in buckets of this length."""
 AGE_STEP_S = 0.5
 """Resolution of the ages in reports to other processes."""
+MAX_AGE_STEPS = 1_000
+"""Older units count as that old, which bounds the size of a report."""
 
 
 @dataclass(slots=True)
@@ -37,7 +39,8 @@
         """Return the units by age, in steps of `AGE_STEP_S`, the latest first."""
         units: list[float] = []
         for started_at, spent in reversed(self.buckets):
-            step = int(max(at - started_at - BUCKET_S, 0.0) / AGE_STEP_S)
+            age_s = max(at - started_at - BUCKET_S, 0.0)
+            step = min(int(age_s / AGE_STEP_S), MAX_AGE_STEPS - 1)
             units.extend(0.0 for _ in range(step + 1 - len(units)))
             units[step] += spent
         return tuple(units)
--- a/fuchsiacroft/placing/spending_reports.py
+++ b/fuchsiacroft/placing/spending_reports.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from fuchsiacroft.config.bounds import Age, SignedAmount
+from fuchsiacroft.placing.quota_window import MAX_AGE_STEPS
 
-MAX_AGE_STEPS = 1_000
 UnitsByAge = Annotated[tuple[SignedAmount, ...], msgspec.Meta(max_length=MAX_AGE_STEPS)]
 
 
