--- a/fuchsiacroft/tests/transport/zmq_bus_tests.py
+++ b/fuchsiacroft/tests/transport/zmq_bus_tests.py
@@ -1,8 +1,10 @@
 """Tests for the message bus over ZeroMQ."""
 
 import asyncio
+import contextlib
 import random
 import socket
+import struct
 from unittest import mock
 
 import msgspec
@@ -16,6 +18,13 @@
 from fuchsiacroft.transport.bus import BusError
 from fuchsiacroft.utils.http import split_address
 
+ZMTP_GREETING = (
+    b"\xff" + bytes(8) + b"\x7f\x03\x00" + b"NULL".ljust(20, b"\0") + bytes(32)
+)
+_SOCKET_TYPE = b"\x0bSocket-Type" + struct.pack("!I", 6) + b"DEALER"
+ZMTP_READY = struct.pack("!BB", 4, 6 + len(_SOCKET_TYPE)) + b"\x05READY" + _SOCKET_TYPE
+ENDLESS_FRAME = struct.pack("!BQ", 2, 1 << 40) + bytes(100_000)
+
 
 @codec.message("test.ping")
 class Ping(msgspec.Struct, frozen=True):
@@ -62,6 +71,18 @@
         while "dropped_malformed" not in self.server.dump()["counts"]:
             await self.client.request(self.address, Ping("again"), 5)
 
+    async def test_a_frame_without_end_is_kept_in_memory(self):
+        """A peer of the bus announces a frame far above the bound, and sends it."""
+        reader, writer = await asyncio.open_connection(*split_address(self.address))
+        writer.write(ZMTP_GREETING + ZMTP_READY + ENDLESS_FRAME)
+        async with asyncio.timeout(5):
+            with contextlib.suppress(ConnectionError):
+                while await reader.read(1_000):
+                    pass
+        writer.close()
+        reply = await self.client.request(self.address, Ping("hello"), 5)
+        self.assertEqual(Ping("client:hello"), reply.ok)
+
     async def test_a_message_that_cannot_be_encoded_ends_the_task_that_sends_it(self):
         for bad in (Count(2**64), Ping("\ud800"), Ping("x" * codec.MAX_MESSAGE_BYTES)):
             self.client.send(self.address, bad)
