Report spent quotas in few bytes, to few

They now go to the successor and two control members, four times a second, as whole units by age in seconds; what came after the last one is taken to go on as before. Pongs hold what is left only of workspaces that have less than a quarter of their limit, and no longer what was spent.

--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -413,9 +413,8 @@
         self.pinged_at = now()
         self.adopt(msg.runs)
         self.limits.merge(msg.limits, sender)
-        quotas = self.allocator.quotas
-        spent, left = quotas.spent(now()), quotas.left(now())
-        return Pong(self.epoch, spent, self.limits.known(), left)
+        left = self.allocator.quotas.left(now())
+        return Pong(self.epoch, limits=self.limits.known(), left=left)
 
 
 def create(
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -191,9 +191,9 @@
 class Pong(msgspec.Struct, frozen=True):
     """The coordinator's epoch; a sender that knew another one reports its runs.
 
-    `spent` holds the units that each workspace spent here in the quota window, `left`
-    those that it may still spend, for an entry that loses the coordinator, and `limits`
-    those of all servers that it knows.
+    `left` holds the units that workspaces with few left may still spend, for an entry
+    that loses the coordinator, and `limits` those of all servers that it knows. `spent`
+    is empty; coordinators of older software send it.
     """
 
     epoch: str
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -40,7 +40,7 @@
     TakenOver,
 )
 from fuchsiacroft.placing.neighbours import Neighbours
-from fuchsiacroft.placing.quotas import RemoteUsage
+from fuchsiacroft.placing.quotas import LOW_SHARE, RemoteUsage
 from fuchsiacroft.placing.reachability import Reachability
 from fuchsiacroft.placing.server_availability import ServerAvailability
 from fuchsiacroft.placing.start_exchange import StartExchange
@@ -66,7 +66,7 @@
 ISOLATION_TIMEOUT_S = 1.0
 """An entry that received no report or ping for this long may be isolated."""
 INSTANCE_ID_BYTES = 3
-STANDALONE_SHARE = 0.25
+STANDALONE_SHARE = LOW_SHARE
 """Part of its share of quotas and of servers' limits that an entry spends while it
 decides without the coordinator."""
 
--- a/fuchsiacroft/placing/quota_window.py
+++ b/fuchsiacroft/placing/quota_window.py
@@ -7,7 +7,7 @@
 
 BUCKET_S = 0.25
 """Units are counted in buckets of this length."""
-AGE_STEP_S = 0.5
+AGE_STEP_S = 1.0
 """Resolution of the ages in reports to other processes."""
 MAX_AGE_STEPS = 1_000
 """Older units count as that old, which bounds the size of a report."""
--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -19,6 +19,8 @@
 
 TOLERANCE_SHARE_USED = 0.5
 """The rest of the tolerance is reserved for isolated entries."""
+LOW_SHARE = 0.25
+"""Share of its limit below which a workspace has few units left."""
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 2.0
 
@@ -150,17 +152,24 @@
         return spent
 
     def left(self, at: float) -> dict[str, float]:
-        """Return the units that workspaces with quotas that spent some may still spend.
+        """Return the units that workspaces which have few left may still spend.
 
-        They are in the bounds of messages.
+        Others have `LOW_SHARE` of their limit at least.
         """
         left = {name: self.remaining(name, at) for name in self.spent(at)}
         return {
             name: min(max(units, 0.0), MAX_AMOUNT)
             for name, units in left.items()
-            if units < math.inf
+            if units < LOW_SHARE * self._limit(name) and units < math.inf
         }
 
+    def _limit(self, name: str) -> float:
+        """Return the limit of a workspace, infinite if it has none."""
+        found = self._workspaces.get(name)
+        if found is None or found.quota is None:
+            return math.inf
+        return self._tolerance.limit(found.quota)
+
     def _recent(self, at: float) -> dict[str, Window]:
         """Return the windows in which something was spent, and forget the others."""
         for window in self._windows.values():
--- a/fuchsiacroft/placing/spending_exchange.py
+++ b/fuchsiacroft/placing/spending_exchange.py
@@ -1,10 +1,9 @@
 """Lets a new coordinator count what its predecessors spent of quotas.
 
 A quota's window outlasts the process that counts it. So a coordinator reports what it
-has spent to the other domains' coordinators, to the successors of all coordinators and
-to the control members. An entry that becomes coordinator counts what was reported to
-it, and asks the others for a newer report. Until it knows, it spends no more than its
-predecessors can have left.
+has spent to the entry that would succeed it and to control members. An entry that
+becomes coordinator counts what was reported to it, and asks the others for a newer
+report. Until it knows, it spends no more than its predecessors can have left.
 """
 
 import asyncio
@@ -15,6 +14,7 @@
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.placing.coordinators import coordinator_of
+from fuchsiacroft.placing.quota_window import AGE_STEP_S
 from fuchsiacroft.placing.quotas import Quotas
 from fuchsiacroft.placing.spending_messages import (
     DomainSpending,
@@ -36,9 +36,11 @@
 SLOW_QUERY_PERIOD_S = 0.5
 MAX_LEARNING_S = 1.0
 """A coordinator that nobody can answer reports what it spent itself from then on."""
-REPORT_PERIOD_S = 0.05
+REPORT_PERIOD_S = 0.25
+CONTROL_TARGETS = 2
+"""Control members that keep reports; each entry has a thin link of its own."""
 MAX_LOCAL_PEERS = 3
-"""Entries of the own domain that are asked; each knows what all were reported."""
+"""Entries of the own domain that are asked."""
 
 
 class SpendingExchange:
@@ -74,9 +76,11 @@
     def report(self) -> SpendingReport:
         """Return the report of this entry's coordinator."""
         at = now()
-        return SpendingReport(
-            self._epoch, self._quotas.spent_by_age(at), self._quotas.counted_s(at)
-        )
+        units = {
+            name: tuple(round(spent) for spent in by_age)
+            for name, by_age in self._quotas.spent_by_age(at).items()
+        }
+        return SpendingReport(self._epoch, units, self._quotas.counted_s(at))
 
     def record(self, domain: str, report: SpendingReport) -> None:
         """Store the report of a domain's coordinator, unless it is this entry's."""
@@ -86,8 +90,7 @@
     def send_if_due(self) -> None:
         """Report to those that a successor of this entry's coordinator asks.
 
-        They are the other domains' coordinators, the entries that would be the next
-        coordinators, and the control members.
+        They are the entry that would be the next coordinator, and control members.
         """
         if self.is_partial or now() < self._sent_at + REPORT_PERIOD_S:
             return
@@ -95,18 +98,12 @@
         msg = DomainSpending(self._domain, self.report())
         if not msg.report.units:
             return
-        for address in (*self._report_targets(), *self._roster.control_addresses):
+        successor = _successor(self._roster.entries(), self._domain)
+        if successor is not None:
+            self._bus.send(successor.peers, msg)
+        for address in sorted(self._roster.control_addresses)[:CONTROL_TARGETS]:
             self._bus.send(address, msg)
 
-    def _report_targets(self) -> set[str]:
-        """Return the addresses of coordinators and their successors but this entry."""
-        entries = self._roster.entries()
-        domains = {entry.failure_domain for entry in entries}
-        found = [coordinator_of(entries, domain) for domain in domains]
-        found += [_successor(entries, domain) for domain in domains]
-        peers = {entry.peers for entry in found if entry is not None}
-        return peers - {self._roster.local_entry.peers}
-
     def take_over(self) -> None:
         """Count what predecessors spent, as this entry has become the coordinator."""
         known = self._reports.get(self._domain, now())
@@ -157,7 +154,7 @@
         """Return whether another process knows what predecessors spent."""
         query = SpendingQuery(self._domain)
         peers = [entry.peers for entry in self._entries_to_ask()]
-        peers.extend(self._roster.control_addresses)
+        peers += sorted(self._roster.control_addresses)[:CONTROL_TARGETS]
         requests = [
             asyncio.ensure_future(self._bus.request(peer, query, QUERY_TIMEOUT_S))
             for peer in peers
@@ -187,21 +184,19 @@
         ]
 
     def _entries_to_ask(self) -> list[EntryRecord]:
-        """Return the other domains' coordinators, and some entries of this domain."""
+        """Return the oldest other entries of this domain, which were reported to."""
         local_entry = self._roster.local_entry
-        entries = self._roster.entries()
-        domains = {entry.failure_domain for entry in entries} - {self._domain}
-        found = [coordinator_of(entries, domain) for domain in sorted(domains)]
         local = [
             entry
-            for entry in entries
+            for entry in self._roster.entries()
             if entry.failure_domain == self._domain and entry.node != local_entry.node
         ]
-        return [*found, *local[:MAX_LOCAL_PEERS]]
+        return sorted(local, key=lambda e: e.started_ms)[:MAX_LOCAL_PEERS]
 
     def _count(self, report: SpendingReport, source: str) -> None:
         at = now()
-        self._quotas.earlier.add(report.units, at - report.age_s)
+        units = {name: _until_next(ages) for name, ages in report.units.items()}
+        self._quotas.earlier.add(units, at - report.age_s)
         self._count_since(at - report.age_s - report.counted_s)
         event(
             "info",
@@ -226,6 +221,13 @@
         self.record(msg.failure_domain, msg.report)
 
 
+def _until_next(by_age: tuple[float, ...]) -> tuple[float, ...]:
+    """Return units by age as if the latest had gone on until the next report."""
+    if not by_age:
+        return by_age
+    return (by_age[0] * (1.0 + REPORT_PERIOD_S / AGE_STEP_S), *by_age[1:])
+
+
 def _successor(entries: tuple[EntryRecord, ...], domain: str) -> EntryRecord | None:
     """Return the entry that would coordinate a domain if its coordinator were lost."""
     coordinator = coordinator_of(entries, domain)
