--- a/fuchsiacroft/control/storage.py
+++ b/fuchsiacroft/control/storage.py
@@ -22,6 +22,7 @@
 from fuchsiacroft.control.records import (
     Batch,
     Entry,
+    FileFault,
     HighWaterMark,
     Identity,
     Position,
@@ -83,8 +84,7 @@
 
         Raises `InvariantError`, which stops the process, if a file is damaged.
         """
-        await self._run_with_space(self._finish_discard)
-        result = await self._run(partial(recover, self._folder))
+        result = await self._run_with_space(self._recover)
         if result.is_error():
             fault = result.error
             location = f"{fault.file} at byte {fault.offset}"
@@ -370,9 +370,10 @@
                 raise
         self._folder.sync_folder()
 
-    def _finish_discard(self) -> None:
+    def _recover(self) -> Result[Recovered, FileFault]:
         if DISCARDED_FILE in self._folder.list_files():
             self._remove_all()
+        return recover(self._folder)
 
 
 def read_boot_id() -> str:
