--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -197,11 +197,12 @@
         """Return the units that may be spent here, less what others spent of them."""
         limit = self._tolerance.limit(workspace.quota) * remote.share
         reserve = self._tolerance.reserve(workspace.quota) * remote.reserve_share
-        unknown = self.earlier.possible(limit, remote.alone_since, at)
-        if unknown > 0:
-            unknown -= max(reserve, min(remote.left, limit))
         known = remote.spent + self.earlier.known(workspace.name, at)
-        return limit - max(unknown, -reserve) - known
+        unknown = self.earlier.possible(limit, remote.alone_since, at)
+        if unknown <= 0:
+            return limit - known
+        sure = max(reserve, min(remote.left, limit))
+        return min(limit - unknown + sure, max(limit, reserve)) - known
 
     def _retry_after_s(
         self, window: Window, needed: float, limit: float, at: float
