Run test modules side by side

Three processes run the modules now, each with loopback addresses of its own; every test still runs, and one that fails is reported as before.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -2,14 +2,20 @@
 
 Exits with 0 if every test passed or is listed in KNOWN-RED.txt, and with 1 if an
 unlisted test failed, a listed test passed or does not exist, or the tests took
-longer than `TIMEOUT_S`. A listed test that fails only at times, as the third column of
-its entry begins with `AT_TIMES`, may pass.
+longer than `TIMEOUT_S`. Without names all modules run, some of them side by side. A
+listed test that fails only at times, as the third column of its entry begins with
+`AT_TIMES`, may pass.
 """
 
 import faulthandler
+import io
+import multiprocessing
+import os
 import sys
 import time
 import unittest
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -19,6 +25,11 @@
 AT_TIMES = "at times:"
 """Begins what was seen of a test that also passes."""
 TESTS = ROOT / "fuchsiacroft" / "tests"
+WORKERS = 3
+"""Processes that run modules side by side, with loopback addresses of their own."""
+BLOCK_VARIABLE = "LOOPBACK_BLOCK"
+SLOW_FOLDERS = ("soak", "faults", "platform")
+"""Their modules begin first."""
 
 
 def read_known_red(path: Path) -> dict[str, str]:
@@ -79,18 +90,75 @@
         print(f"slow: {taken:.1f} s {test}")
 
 
+@dataclass(frozen=True)
+class Outcome:
+    """The ids of the tests that ran and that failed, their times, and the output."""
+
+    ran: frozenset[str]
+    failed: frozenset[str]
+    seconds: dict[str, float]
+    output: str = ""
+
+
+def run_names(names: list[str], stream=None) -> Outcome:
+    """Run the tests of modules, classes or methods in this process."""
+    sys.path.insert(0, str(ROOT))
+    suite = unittest.TestLoader().loadTestsFromNames(names)
+    runner = unittest.TextTestRunner(
+        stream, resultclass=Recorder, verbosity=1, buffer=True
+    )
+    result = runner.run(suite)
+    return Outcome(frozenset(result.ran), frozenset(result.failed), result.seconds)
+
+
+def run_module(name: str) -> Outcome:
+    """Run the tests of one module, and return its output."""
+    stream = io.StringIO()
+    outcome = run_names([name], stream)
+    return Outcome(outcome.ran, outcome.failed, outcome.seconds, stream.getvalue())
+
+
+def start_worker(blocks) -> None:
+    """Take addresses for this worker, before its modules are imported."""
+    os.environ[BLOCK_VARIABLE] = str(blocks.get())
+    faulthandler.dump_traceback_later(TIMEOUT_S, exit=True)
+
+
+def modules() -> list[str]:
+    """Return the names of all test modules, the slow ones first."""
+    paths = [path.relative_to(ROOT) for path in TESTS.rglob("*_tests.py")]
+    paths.sort(key=lambda path: (path.parent.name not in SLOW_FOLDERS, path))
+    return [".".join(path.with_suffix("").parts) for path in paths]
+
+
+def run_all() -> Outcome:
+    """Run every module, some of them side by side; print those that failed."""
+    context = multiprocessing.get_context("spawn")
+    blocks = context.Queue()
+    first = int(os.environ.get(BLOCK_VARIABLE, "0"))
+    for number in range(WORKERS):
+        blocks.put(first + number)
+    ran: set[str] = set()
+    failed: set[str] = set()
+    seconds: dict[str, float] = {}
+    with ProcessPoolExecutor(WORKERS, context, start_worker, (blocks,)) as pool:
+        for name, outcome in zip(
+            modules(), pool.map(run_module, modules()), strict=True
+        ):
+            print(f"{name}: {len(outcome.ran)} ran", flush=True)
+            if outcome.failed:
+                print(outcome.output, flush=True)
+            ran |= outcome.ran
+            failed |= outcome.failed
+            seconds |= outcome.seconds
+    return Outcome(frozenset(ran), frozenset(failed), seconds)
+
+
 def main() -> int:
     """Run the tests named on the command line, or all of them."""
     faulthandler.dump_traceback_later(TIMEOUT_S, exit=True)
-    sys.path.insert(0, str(ROOT))
-    loader = unittest.TestLoader()
     names = sys.argv[1:]
-    if names:
-        suite = loader.loadTestsFromNames(names)
-    else:
-        suite = loader.discover(str(TESTS), "*_tests.py", str(ROOT))
-    runner = unittest.TextTestRunner(resultclass=Recorder, verbosity=1, buffer=True)
-    result = runner.run(suite)
+    result = run_names(names) if names else run_all()
     known = read_known_red(KNOWN_RED)
     checked = {test: line for test, line in known.items() if test in result.ran}
     unlisted = result.failed - known.keys()
