Keep a connection whose key works after earlier handshakes failed

Cause: a socket that changes to a peer's other key reads the failures of its attempts with the key before only afterwards, 0.1 s late, and takes them for failures of the key that works. From two failures within 0.1 s on it changes for ever, every 0.1 s, and each change closes the connection with what was on its way.

Now the newest event decides, of failed and successful handshakes and of connections that begin.

--- a/fuchsiacroft/tests/transport/keys_tests.py
+++ b/fuchsiacroft/tests/transport/keys_tests.py
@@ -1,6 +1,7 @@
 """Tests for CURVE keys and their rotation, over real sockets."""
 
 import asyncio
+import time
 
 import msgspec
 import zmq
@@ -65,6 +66,12 @@
         return await self.bus.request(other.address, KeyedPing("hi"), timeout)
 
     def rejected_count(self, name="refused_unknown_key"):
+        return self.handshake_count(name)
+
+    def accepted_count(self):
+        return self.handshake_count("accepted")
+
+    def handshake_count(self, name):
         return self.bus.dump()["handshakes"].get(name, 0)
 
 
@@ -163,6 +170,18 @@
         await asyncio.sleep(0.2)
         self.assertTrue((await one.send_ping(two)).is_ok())
 
+    async def test_failures_that_are_read_late_end_a_connection_that_works(self):
+        old = new_pair()[0]
+        peers = [(self.server, [old, self.server.pair[0]])]
+        self.client.ring.replace(self.client.settings(self.both, peers))
+        ping = asyncio.ensure_future(self.client.send_ping(self.server))
+        await asyncio.sleep(0.02)
+        time.sleep(0.4)  # noqa: ASYNC251
+        self.assertTrue((await ping).is_ok())
+        accepted = self.server.accepted_count()
+        await asyncio.sleep(0.5)
+        self.assertEqual(accepted, self.server.accepted_count())
+
     async def test_secrets_are_not_in_dump_or_repr(self):
         await self.client.send_ping(self.server)
         secret = self.server.pair[1]
--- a/fuchsiacroft/transport/key_fallback.py
+++ b/fuchsiacroft/transport/key_fallback.py
@@ -4,6 +4,7 @@
 
 import zmq
 import zmq.asyncio
+from zmq.utils.monitor import parse_monitor_message
 
 from fuchsiacroft.transport.keys import KeyRing
 
@@ -13,6 +14,9 @@
     | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
     | zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
 )
+CONNECTION_EVENTS = (
+    HANDSHAKE_FAILED_EVENTS | zmq.EVENT_CONNECTED | zmq.EVENT_HANDSHAKE_SUCCEEDED
+)
 
 
 class KeyFallback:
@@ -42,12 +46,38 @@
         """Switch to the next key after each failed handshake, if there is one."""
         if len(self._keys) < 2:
             return
-        monitor = self._dealer.get_monitor_socket(HANDSHAKE_FAILED_EVENTS)
+        monitor = self._dealer.get_monitor_socket(CONNECTION_EVENTS)
         try:
             while True:
-                await monitor.recv_multipart()
-                await asyncio.sleep(KEY_FALLBACK_DELAY_S)
+                await _wait_for_failure(monitor)
                 self._dealer.disconnect(self._endpoint)
                 self.connect()
         finally:
             monitor.close(0)
+
+
+async def _wait_for_failure(monitor: zmq.asyncio.Socket) -> None:
+    """Wait until the newest event of a connection is a failed handshake.
+
+    A failure may be of a connection with an earlier key, and read late.
+    """
+    while True:
+        newest = await monitor.recv_multipart()
+        if _is_failure(newest):
+            await asyncio.sleep(KEY_FALLBACK_DELAY_S)
+            newest = _read_newest(monitor, newest)
+            if _is_failure(newest):
+                return
+
+
+def _read_newest(monitor: zmq.asyncio.Socket, newest: list[bytes]) -> list[bytes]:
+    """Read all events that are there; return the last, or `newest` without any."""
+    while True:
+        received = monitor.recv_multipart(zmq.DONTWAIT)
+        if received.exception() is not None:
+            return newest
+        newest = received.result()
+
+
+def _is_failure(frames: list[bytes]) -> bool:
+    return bool(parse_monitor_message(frames)["event"] & HANDSHAKE_FAILED_EVENTS)
