Let failed tests of draining entries leave no process behind

A test that failed while an entry drained left its process unstopped, and one run of the whole tests then waited for ever for its sockets. The region stops it now, whatever the test does.

--- a/fuchsiacroft/tests/platform/arriving_bodies_tests.py
+++ b/fuchsiacroft/tests/platform/arriving_bodies_tests.py
@@ -52,7 +52,8 @@
             route | {"timeoutMs": self.timeouts_ms().get(route["pathPrefix"], 600)}
             for route in config()["routes"]
         ]
-        await self.region.put_config(config(2, routes=routes))
+        changed = await self.region.put_config(config(2, routes=routes))
+        self.assertEqual(200, changed)
         self.replica = await self.region.add_replica("till", self.answer)
         await asyncio.sleep(0.2)
         self.kernel = self.region.kernels[self.region.entries[0]]
@@ -75,7 +76,6 @@
 
     async def stop(self) -> None:
         """Drain and stop the entry."""
-        self.region.kernels.pop(self.region.entries[0])
         await self.kernel.drain()
         await self.kernel.stop()
 
@@ -179,7 +179,6 @@
         await self.kernel.stop()
         ip = self.region.entries[0]
         self.kernel = self.region.create_process(ip)
-        self.region.kernels.pop(ip)
         self.shorten_drain(self.kernel)
         loop = asyncio.get_running_loop()
         for number in (*process.STOP_SIGNALS, signal.SIGHUP):
