Let the soak lose power everywhere, with a disk, and count closed connections

Nothing of the users' LOST cases was reproduced yet, and the soak on real processes had two of the rule's forms not: the power of all processes lost at once together with the disk of one control member, and connections that an entry in contact closes without a response though a sound server had the request, at any time and not only without faults.

`lose_power_all` kills all processes, deletes the data of one control member and starts all again, in series beside kills, stops, reloads and changes; the member must have its data again within 10 s. More than three closed connections are a violation, as the rule says. A seeded run of 20 s is in the tests.

The plan now waits for the data, as more disks than one may not be lost.

--- a/fuchsiacroft/tests/soak/callers.py
+++ b/fuchsiacroft/tests/soak/callers.py
@@ -154,8 +154,11 @@
         try:
             async with asyncio.timeout(limit_s):
                 is_kept = await read_response(reader, attempt, most_events)
-        except (OSError, EOFError, TimeoutError, ValueError):
+        except (TimeoutError, ValueError):
             is_kept = False
+        except (OSError, EOFError):
+            is_kept = False
+            attempt.is_cut = attempt.status is None
         attempt.ended_at = self._now()
         if route == "resumable" and attempt.events and not attempt.is_complete:
             self._broken = attempt
--- a/fuchsiacroft/tests/soak/invariants.py
+++ b/fuchsiacroft/tests/soak/invariants.py
@@ -38,6 +38,11 @@
 """Time after its timeout by which a request must have ended."""
 FAULT_FREE_S = 6.0
 """Time without a fault before a request after which a lost response is a violation."""
+MAX_CUT_ANSWERS = 3
+"""Maximum number of requests that entries in contact passed on to sound servers, and
+whose connections they closed without a response."""
+SERVER_FAULT_S = 1.0
+"""Time after a fault of a server for which it isn't sound."""
 CRASHES_KNOWN = 5
 """Crashes by one prompt part after which requests with it must be held back."""
 MAX_AFTER_CRASHES = 3
@@ -77,9 +82,11 @@
         f"a process exited unexpectedly: {text}"
         for text in observations.unexpected_exits
     ]
+    found += [f"{ip} did not recover its data" for ip in observations.unrecovered]
     found += observations.wrongly_accepted
     for attempt in observations.attempts:
         found += _attempt_violations(attempt, runs[attempt.attempt_id], observations)
+    found += _cut_answer_violations(observations)
     found += _unknown_runs(observations)
     found += _leave_violations(observations)
     found += _said_leaving_violations(observations)
@@ -117,6 +124,37 @@
     return found
 
 
+def _cut_answer_violations(observations: Observations) -> list[str]:
+    """Return the requests whose connections entries closed without a response."""
+    servers = {run.attempt_id: run.server for run in observations.runs}
+    cut = [
+        attempt
+        for attempt in observations.attempts
+        if attempt.is_cut
+        and attempt.attempt_id in servers
+        and _is_sound(servers[attempt.attempt_id], attempt, observations)
+        and _is_in_contact(attempt.entry, attempt.sent_at, observations)
+        and _is_in_contact(attempt.entry, attempt.ended_at, observations)
+    ]
+    if len(cut) <= MAX_CUT_ANSWERS:
+        return []
+    return [
+        f"{attempt.entry} closed the connection of {attempt.route} "
+        f"{attempt.attempt_id} at {attempt.ended_at:.2f} s without a response"
+        for attempt in cut
+    ]
+
+
+def _is_sound(server: str, attempt: Attempt, observations: Observations) -> bool:
+    """Return whether a server had no fault while a request was in progress."""
+    return not any(
+        server.startswith(f"{span.node}-")
+        and span.started_at <= attempt.ended_at
+        and attempt.sent_at <= span.ended_at + SERVER_FAULT_S
+        for span in observations.server_spans
+    )
+
+
 def _stream_violations(attempt: Attempt, name: str) -> list[str]:
     first = attempt.last_event + 1
     expected = list(range(first, first + len(attempt.events)))
--- a/fuchsiacroft/tests/soak/invariants_tests.py
+++ b/fuchsiacroft/tests/soak/invariants_tests.py
@@ -54,6 +54,27 @@
         stream = attempt(route="stream", events=ALL_EVENTS)
         self.assertEqual("", self.violations([stream], [run()]))
 
+    def test_connections_that_an_entry_closes_without_a_response(self):
+        count = invariants.MAX_CUT_ANSWERS + 1
+        cut = [
+            attempt(attempt_id=f"c{number}", status=None, is_cut=True)
+            for number in range(count)
+        ]
+        runs = [run(attempt_id=f"c{number}") for number in range(count)]
+        spans = {"fault_spans": [FaultSpan(9.0, 9.5, "127.1.2.9")]}
+        message = "without a response"
+        self.assertIn(message, self.violations(cut, runs, **spans))
+        self.assertNotIn(message, self.violations(cut[1:], runs, **spans))
+        self.assertNotIn(message, self.violations(cut, runs[1:], **spans))
+        for faults in (
+            {"server_spans": [FaultSpan(9.0, 9.5, "i1")]},
+            {"entry_spans": [FaultSpan(9.0, 9.5, "127.1.2.1")]},
+        ):
+            found = self.violations(cut, runs, **spans, **faults)
+            self.assertNotIn(message, found)
+        other = {"server_spans": [FaultSpan(9.0, 9.5, "i11")]}
+        self.assertIn(message, self.violations(cut, runs, **spans, **other))
+
     def test_a_stream_of_two_versions(self):
         began = attempt(route="resumable", events=[1, 2], versions=["v1", "v1"])
         began.is_abandoned = True
--- a/fuchsiacroft/tests/soak/observations.py
+++ b/fuchsiacroft/tests/soak/observations.py
@@ -18,7 +18,8 @@
     are the ids of a stream's events, and `versions` their servers' software versions.
     One that takes up a stream names the attempt that began it in `resumes`, and its
     last event. `reason` is why an entry refused it. `is_abandoned` tells that the
-    caller closed the connection itself.
+    caller closed the connection itself, `is_cut` that its entry did so before the
+    response.
     """
 
     attempt_id: str
@@ -37,6 +38,7 @@
     reason: str = ""
     ended_at: float | None = None
     is_abandoned: bool = False
+    is_cut: bool = False
     says_leaving: bool = False
     names_limit: bool = False
     is_metered: bool = False
@@ -111,7 +113,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FaultSpan:
-    """The time of a fault; `node` is the address of its process, "" for all or none."""
+    """The time of a fault; `node` is its process's address or its server's name.
+
+    It is "" for a fault of all processes or of none.
+    """
 
     started_at: float
     ended_at: float
@@ -122,11 +127,12 @@
 class Observations:
     """All observations of a run; `acknowledged` are times and versions.
 
-    `deadly_parts` are the prompt parts that crash backend servers now.
+    `unrecovered` are control members that lost their data and didn't get it back in
+    time. `deadly_parts` are the prompt parts that crash backend servers now.
 
-    `entry_spans` and `control_spans` are the faults of entries and control members,
-    `fault_spans` are those of any kind. `planned_spans` are the planned stops among
-    them.
+    `entry_spans`, `control_spans` and `server_spans` are the faults of entries, control
+    members and backend servers, `fault_spans` are those of any kind. `planned_spans`
+    are the planned stops among them.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -145,5 +151,7 @@
     planned_spans: list[FaultSpan] = field(default_factory=list)
     entry_spans: list[FaultSpan] = field(default_factory=list)
     control_spans: list[FaultSpan] = field(default_factory=list)
+    server_spans: list[FaultSpan] = field(default_factory=list)
+    unrecovered: list[str] = field(default_factory=list)
     unexpected_exits: list[str] = field(default_factory=list)
     recovered_at: float = 0.0
--- a/fuchsiacroft/tests/soak/operator.py
+++ b/fuchsiacroft/tests/soak/operator.py
@@ -55,6 +55,13 @@
                     f"an invalid version {self._version + 1} was acknowledged"
                 )
 
+    def has_read(self, member: Program, since: float) -> bool:
+        """Return whether a read sent since a time got a version from a member."""
+        return any(
+            read.member == member.ip and read.sent_at >= since
+            for read in self._observations.version_reads
+        )
+
     async def poll_versions(self) -> None:
         """Poll every control member for its current version."""
         while True:
--- a/fuchsiacroft/tests/soak/run.py
+++ b/fuchsiacroft/tests/soak/run.py
@@ -1,6 +1,7 @@
 """One run of the soak: processes, load, faults, and the check of the invariants."""
 
 import asyncio
+import contextlib
 import itertools
 import os
 import random
@@ -30,6 +31,9 @@
 """Time after the last fault until requests must be served as before."""
 AFTER_RECOVERY_S = 3.0
 """How long the load continues after `RECOVERY_S`."""
+MEMBER_RECOVERY_S = 10.0
+"""Time after its start until a control member that lost its data returns a version."""
+RECOVERY_CHECK_S = 0.1
 DELAY_S = 0.15
 CONFIGURE_PERIOD_S = 0.3
 TAINT_DURATIONS = 4.0
@@ -222,6 +226,9 @@
             observations.entry_spans.append(span)
         if target in ("control", "all"):
             observations.control_spans.append(span)
+        if target in ("server", "link"):
+            name = self._servers[fault.target_index % len(self._servers)].name
+            observations.server_spans.append(replace(span, node=name))
 
     def _program(self, programs: list[Program], fault: Fault) -> Program | None:
         """Return the target, or None while another fault affects it."""
@@ -306,6 +313,40 @@
         unaffected = [control for control in self._controls if not control.is_busy]
         await asyncio.gather(*(self._kill(control, fault) for control in unaffected))
 
+    async def _lose_power_all(self, fault: Fault) -> None:
+        """Kill all processes at once; one control member loses its data, too.
+
+        Nothing is done while another fault affects any control member, and none may
+        fail before the member has its data again.
+        """
+        if any(control.is_busy for control in self._controls):
+            return
+        wiped = self._controls[fault.target_index % len(self._controls)]
+        entries = [entry for entry in self._entries if not entry.is_busy]
+        programs = (*self._controls, *entries)
+        for program in programs:
+            program.is_busy = True
+        await asyncio.gather(*(program.kill() for program in programs))
+        wiped.delete_data()
+        await asyncio.sleep(fault.duration_s)
+        await asyncio.gather(*(program.start() for program in programs))
+        for entry in entries:
+            entry.is_busy = False
+        if not await self._has_recovered(wiped):
+            self._observations.unrecovered.append(wiped.ip)
+        for control in self._controls:
+            control.is_busy = False
+
+    async def _has_recovered(self, member: Program) -> bool:
+        """Wait until a member returns a version; return False if it takes too long."""
+        started_at = self._now()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MEMBER_RECOVERY_S):
+                while not self._operator.has_read(member, started_at):
+                    await asyncio.sleep(RECOVERY_CHECK_S)
+                return True
+        return False
+
     async def _silence_entry(self, fault: Fault) -> None:
         self._silence(self._entries[fault.target_index % len(self._entries)])
 
@@ -389,7 +430,13 @@
     def _on_part_crash(self, server: SoakServer) -> None:
         if not server.is_busy:
             server.is_busy = True
-            self._spawn(self._replace_server(server, PART_CRASH))
+            self._spawn(self._replace_after_part_crash(server))
+
+    async def _replace_after_part_crash(self, server: SoakServer) -> None:
+        started_at = self._now()
+        await self._replace_server(server, PART_CRASH)
+        span = FaultSpan(started_at, self._now(), server.name)
+        self._observations.server_spans.append(span)
 
     async def _replace_server(self, server: SoakServer, fault: Fault) -> None:
         await server.crash()
--- a/fuchsiacroft/tests/soak/schedule.py
+++ b/fuchsiacroft/tests/soak/schedule.py
@@ -43,7 +43,16 @@
 GARBLE_KIND = "garble_server"
 """Drawn apart from the others, so that the other faults of a seed stay the same."""
 GARBLE_PERIOD_RANGE_S = (2.0, 8.0)
+LOSE_POWER_KIND = "lose_power_all"
+"""All processes at once, and the disk of one control member; drawn apart, too."""
+LOSE_POWER_PERIOD_RANGE_S = (8.0, 15.0)
+PERIODS_S = {
+    GARBLE_KIND: GARBLE_PERIOD_RANGE_S,
+    LOSE_POWER_KIND: LOSE_POWER_PERIOD_RANGE_S,
+}
+"""Range of the periods of the kinds that are drawn apart."""
 ALL_KINDS = (*KINDS, GARBLE_KIND)
+"""The kinds that a run has by default; a loss of power is asked for by name."""
 HARMLESS_KINDS = frozenset(
     {"configure", "configure_often", "refuse_configuration", "reload_entry"}
 )
@@ -68,18 +77,21 @@
 ) -> list[Fault]:
     """Return the faults of a run, of the allowed kinds, in chronological order."""
     faults = _generate_others(seed, length_s, allowed)
-    if GARBLE_KIND in allowed:
-        faults += _generate_garbling(seed, length_s)
+    for kind, period_range_s in PERIODS_S.items():
+        if kind in allowed:
+            faults += _generate_apart(seed, length_s, kind, period_range_s)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
-def _generate_garbling(seed: int, length_s: float) -> list[Fault]:
-    rng = random.Random(f"{GARBLE_KIND} {seed}")
+def _generate_apart(
+    seed: int, length_s: float, kind: str, period_range_s: tuple[float, float]
+) -> list[Fault]:
+    rng = random.Random(f"{kind} {seed}")
     faults, at_s = [], FAULT_FREE_S
     while at_s < length_s - FAULT_FREE_S - DURATION_RANGE_S[1]:
         duration_s = rng.uniform(*DURATION_RANGE_S)
-        faults.append(Fault(at_s, GARBLE_KIND, duration_s, rng.randrange(1_000)))
-        at_s += rng.uniform(*GARBLE_PERIOD_RANGE_S)
+        faults.append(Fault(at_s, kind, duration_s, rng.randrange(1_000)))
+        at_s += rng.uniform(*period_range_s)
     return faults
 
 
--- a/fuchsiacroft/tests/soak/soak_tests.py
+++ b/fuchsiacroft/tests/soak/soak_tests.py
@@ -17,6 +17,7 @@
     "reload_entry",
     "configure",
 )
+LOSSES_OF_POWER = ("lose_power_all", "configure_often", "configure", "stop_entry")
 
 
 class SoakTests(TestCase):
@@ -43,6 +44,9 @@
         kinds = ("garble_server", "crash_server", "kill_entry")
         self.assert_holds(43, kinds, length_s=20.0)
 
+    def test_a_loss_of_power_loses_what_was_acknowledged(self):
+        self.assert_holds(50, LOSSES_OF_POWER, length_s=20.0)
+
     def assert_holds(self, seed, kinds=SILENT_LINKS, length_s=25.0):
         plan = Plan(seed=seed, length_s=length_s, kinds=kinds)
         result = run_soak(plan)
