Count what entries spend of quotas while they are cut off

An entry that comes back doesn't tell its coordinator what it spent without it, or as the coordinator's stand-in; a coordinator that was isolated goes on with its own count, and its report replaces that of its stand-in at the control members; and a successor takes the last report for all that was spent, though a coordinator that is only cut off spends for 1.5 s more.

Now pings hold the units that an entry admitted itself in the window; a coordinator that was isolated asks the others first, spends its share alone until then and reports nothing; a successor counts 1.5 s at the even pace on top, and nothing twice that it admitted itself.

--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -413,6 +413,7 @@
         self.pinged_at = now()
         self.adopt(msg.runs)
         self.limits.merge(msg.limits, sender)
+        self.allocator.quotas.earlier.replace_apart(msg.node, msg.spent, now())
         left = self.allocator.quotas.left(now())
         return Pong(self.epoch, limits=self.limits.known(), left=left)
 
--- a/fuchsiacroft/placing/earlier_spending.py
+++ b/fuchsiacroft/placing/earlier_spending.py
@@ -1,8 +1,9 @@
-"""Units that were spent before a coordinator began to count, known or possible.
+"""Units that were spent where a coordinator doesn't count, known or possible.
 
-A coordinator's count ends with its process. Its successor learns of it from others. If
-it learns nothing, as much may have been spent as the pace of admission allows, and as
-late: a burst at once, and the rest evenly before.
+A coordinator's count ends with its process. Its successor learns of it from others.
+Entries that were cut off, and decided without it, report what they spent once they
+reach it. If it learns nothing of its predecessor, as much may have been spent as the
+pace of admission allows, and as late: a burst at once, and the rest evenly before.
 """
 
 import math
@@ -14,7 +15,7 @@
 
 
 class EarlierSpending:
-    """What predecessors spent of each quota in a window of `window_s` seconds.
+    """What others spent of each quota in a window of `window_s` seconds.
 
     Nothing is known of the time before `counted_since`, on the loop's clock.
     """
@@ -22,6 +23,7 @@
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
         self._windows: dict[str, Window] = {}
+        self._apart: dict[str, dict[str, Window]] = {}
         self.counted_since = -math.inf
 
     def add(self, units: dict[str, tuple[float, ...]], at: float) -> None:
@@ -31,23 +33,56 @@
         """
         for name, by_age in units.items():
             window = Window.from_ages(by_age, at)
-            if window.total >= self.known(name, at):
+            counted = self._windows.get(name, Window())
+            counted.expire(at - self._window_s)
+            if window.total >= counted.total:
                 self._windows[name] = window
 
-    def windows(self, at: float) -> dict[str, Window]:
-        """Return what each workspace spent, and forget what is too old."""
-        for window in self._windows.values():
-            window.expire(at - self._window_s)
-        self._windows = {n: w for n, w in self._windows.items() if w.buckets}
-        return self._windows
+    def replace_apart(
+        self, entry: str, units: dict[str, tuple[float, ...]], at: float
+    ) -> None:
+        """Replace the units, by age, that an entry of the domain admitted itself."""
+        self._apart.pop(entry, None)
+        if units:
+            self._apart[entry] = {
+                name: Window.from_ages(by_age, at) for name, by_age in units.items()
+            }
+
+    def windows(self, at: float) -> list[tuple[str, Window]]:
+        """Return what workspaces spent, and forget what is too old.
+
+        A workspace may have several windows.
+        """
+        self._windows = self._recent(self._windows, at)
+        recent = {e: self._recent(windows, at) for e, windows in self._apart.items()}
+        self._apart = {entry: windows for entry, windows in recent.items() if windows}
+        names = self._windows.keys() | {n for w in self._apart.values() for n in w}
+        return [(name, window) for name in names for window in self._larger(name)]
 
     def known(self, name: str, at: float) -> float:
         """Return the known units in the window that ends at `at`."""
-        window = self._windows.get(name)
-        if window is None:
-            return 0.0
-        window.expire(at - self._window_s)
-        return window.total
+        for windows in (self._windows, *self._apart.values()):
+            if name in windows:
+                windows[name].expire(at - self._window_s)
+        return sum(window.total for window in self._larger(name))
+
+    def _larger(self, name: str) -> list[Window]:
+        """Return a workspace's windows, as predecessors or as entries reported them.
+
+        Predecessors counted most of what entries admitted themselves; so the larger
+        count of the two is used.
+        """
+        apart = [windows[name] for windows in self._apart.values() if name in windows]
+        reported = self._windows.get(name, Window())
+        if reported.total >= sum(window.total for window in apart):
+            return [reported]
+        return apart
+
+    def _recent(self, windows: dict[str, Window], at: float) -> dict[str, Window]:
+        """Return the windows in which something was spent."""
+        for window in windows.values():
+            window.expire(at - self._window_s)
+        return {name: window for name, window in windows.items() if window.buckets}
 
     def possible(self, limit: float, alone_since: float | None, at: float) -> float:
         """Return the units that may have been spent before they were counted.
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -5,7 +5,7 @@
 from fuchsiacroft.config.bounds import Count, Seconds, SignedAmount, SignedCount
 from fuchsiacroft.membership.limit_reports import LimitReport
 from fuchsiacroft.membership.registry_wire import EntryRecord
-from fuchsiacroft.placing.spending_reports import SpendingReport
+from fuchsiacroft.placing.spending_reports import SpendingReport, UnitsByAge
 from fuchsiacroft.routing.permits import PermitRequest, Refusal, RunReport
 from fuchsiacroft.transport import codec
 
@@ -178,13 +178,16 @@
     """Health check of the coordinator; `epoch` is its last known epoch.
 
     `runs` holds all runs of the sender if the coordinator's epoch is unknown to it,
-    and `limits` what servers said to the sender lately.
+    and `limits` what servers said to the sender lately. `spent` holds the units of
+    quotas by age that the sender admitted itself in the window, without a coordinator
+    or as one.
     """
 
     node: str
     epoch: str
     runs: tuple[HeldRun, ...]
     limits: tuple[LimitReport, ...] = ()
+    spent: dict[str, UnitsByAge] = {}
 
 
 @codec.message("placing.pong")
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -127,6 +127,7 @@
         self._started_at = 0.0
         self._in_touch_at = 0.0
         self._left: dict[str, float] | None = None
+        self._may_be_replaced = False
         self._tasks = BackgroundTasks("placer")
 
     async def start(self, kernel: Kernel) -> None:
@@ -440,6 +441,7 @@
         self._reachability.refresh(now())
         coordinator = self.coordinator()
         self._set_shares(is_coordinator=coordinator.node == self._node)
+        await self._learn_after_isolation()
         self._limits.forget_old()
         if not self._roster.is_control_reachable:
             self._starts.record_unlisted(now())
@@ -491,7 +493,8 @@
     async def _ping(self, coordinator: EntryRecord) -> None:
         known_epoch = self._epochs.get(coordinator.node, "")
         runs = () if known_epoch else tuple(self._active_runs.values())
-        ping = Ping(self._node, known_epoch, runs, self._limits.reports())
+        spent = self._spending.admitted_units()
+        ping = Ping(self._node, known_epoch, runs, self._limits.reports(), spent)
         match await self._bus.request(coordinator.peers, ping, PING_TIMEOUT_S):
             case Result(tag="ok", ok=Pong(epoch=epoch) as pong):
                 self._in_touch_at, self._left = now(), pong.left
@@ -524,6 +527,17 @@
         has_report = self._neighbours.shares.has_report_since(oldest)
         return not has_report and self._local_coordinator.pinged_at < oldest
 
+    async def _learn_after_isolation(self) -> None:
+        """Count what another coordinator spent while this one was isolated."""
+        if not self.is_coordinator():
+            self._may_be_replaced = False
+        elif self._is_isolated(now()):
+            self._may_be_replaced = True
+            self._spending.is_partial = True
+        elif self._may_be_replaced:
+            await self._spending.learn_once()
+            self._may_be_replaced = False
+
     def _remote_usage(self, workspace: str, at: float) -> RemoteUsage:
         """Return the use of a quota by decisions made on other entries."""
         entry_share = self._reachability.share()
@@ -535,7 +549,7 @@
                 left=self._left_alone(workspace),
                 reserve_share=self._reserve_share(at),
             )
-        if self._is_isolated(at):
+        if self._may_be_replaced or self._is_isolated(at):
             return RemoteUsage(share=standalone_share)
         found = self._neighbours.shares.remote_usage(workspace, at)
         remaining_share = 1.0 - standalone_share * self._reachability.missing_local()
--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -137,20 +137,24 @@
             window.refund(units, taken_at)
 
     def spent(self, at: float) -> dict[str, float]:
-        """Return what each workspace spent in the window, at predecessors too."""
+        """Return what each workspace spent in the window, at other entries too."""
         spent = {name: window.total for name, window in self._recent(at).items()}
-        for name, window in self.earlier.windows(at).items():
+        for name, window in self.earlier.windows(at):
             spent[name] = spent.get(name, 0.0) + window.total
         return {name: units for name, units in spent.items() if units > 0}
 
     def spent_by_age(self, at: float) -> dict[str, tuple[float, ...]]:
         """Return the same units by age."""
-        spent = {name: window.by_age(at) for name, window in self._recent(at).items()}
-        for name, window in self.earlier.windows(at).items():
+        spent = self.admitted_by_age(at)
+        for name, window in self.earlier.windows(at):
             pairs = zip_longest(spent.get(name, ()), window.by_age(at), fillvalue=0.0)
             spent[name] = tuple(map(sum, pairs))
         return spent
 
+    def admitted_by_age(self, at: float) -> dict[str, tuple[float, ...]]:
+        """Return the units in the window that this process admitted, by age."""
+        return {name: window.by_age(at) for name, window in self._recent(at).items()}
+
     def left(self, at: float) -> dict[str, float]:
         """Return the units that workspaces which have few left may still spend.
 
@@ -163,6 +167,11 @@
             if units < LOW_SHARE * self._limit(name) and units < math.inf
         }
 
+    def paced_units(self, name: str, seconds: float) -> float:
+        """Return the units of a time at the even pace, 0 without a quota."""
+        limit = self._limit(name)
+        return limit * seconds / self.window_s if limit < math.inf else 0.0
+
     def _limit(self, name: str) -> float:
         """Return the limit of a workspace, infinite if it has none."""
         found = self._workspaces.get(name)
--- a/fuchsiacroft/placing/spending_exchange.py
+++ b/fuchsiacroft/placing/spending_exchange.py
@@ -8,20 +8,24 @@
 
 import asyncio
 import math
+from itertools import zip_longest
 
 from expression import Result
 
 from fuchsiacroft.membership.registry_wire import EntryRecord
-from fuchsiacroft.membership.roster import Roster
+from fuchsiacroft.membership.roster import CONTROL_TIMEOUT_S, Roster
 from fuchsiacroft.placing.coordinators import coordinator_of
-from fuchsiacroft.placing.quota_window import AGE_STEP_S
 from fuchsiacroft.placing.quotas import Quotas
 from fuchsiacroft.placing.spending_messages import (
     DomainSpending,
     SpendingKnown,
     SpendingQuery,
 )
-from fuchsiacroft.placing.spending_reports import SpendingReport, SpendingReports
+from fuchsiacroft.placing.spending_reports import (
+    SpendingReport,
+    SpendingReports,
+    UnitsByAge,
+)
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
@@ -37,6 +41,8 @@
 MAX_LEARNING_S = 1.0
 """A coordinator that nobody can answer reports what it spent itself from then on."""
 REPORT_PERIOD_S = 0.25
+CUT_OFF_S = CONTROL_TIMEOUT_S
+"""Time until a coordinator that is cut off knows it, and spends no more."""
 CONTROL_TARGETS = 2
 """Control members that keep reports; each entry has a thin link of its own."""
 MAX_LOCAL_PEERS = 3
@@ -76,12 +82,13 @@
     def report(self) -> SpendingReport:
         """Return the report of this entry's coordinator."""
         at = now()
-        units = {
-            name: tuple(round(spent) for spent in by_age)
-            for name, by_age in self._quotas.spent_by_age(at).items()
-        }
+        units = _whole(self._quotas.spent_by_age(at))
         return SpendingReport(self._epoch, units, self._quotas.counted_s(at))
 
+    def admitted_units(self) -> dict[str, UnitsByAge]:
+        """Return the units that this entry admitted itself, by age."""
+        return _whole(self._quotas.admitted_by_age(now()))
+
     def record(self, domain: str, report: SpendingReport) -> None:
         """Store the report of a domain's coordinator, unless it is this entry's."""
         if report.epoch != self._epoch:
@@ -115,6 +122,11 @@
             self._learning.cancel()
         self._learning = self._tasks.spawn(self._learn(), "learn-spending")
 
+    async def learn_once(self) -> None:
+        """Count what others know to be spent, as this coordinator was isolated."""
+        await self._ask_others()
+        self.is_partial = False
+
     def resign(self) -> None:
         """Stop to learn, as another entry has become the coordinator."""
         self.is_partial = True
@@ -195,7 +207,11 @@
 
     def _count(self, report: SpendingReport, source: str) -> None:
         at = now()
-        units = {name: _until_next(ages) for name, ages in report.units.items()}
+        own = self._quotas.admitted_by_age(at - report.age_s)
+        units = {
+            name: self._with_unreported(name, _without(by_age, own.get(name, ())))
+            for name, by_age in report.units.items()
+        }
         self._quotas.earlier.add(units, at - report.age_s)
         self._count_since(at - report.age_s - report.counted_s)
         event(
@@ -208,6 +224,17 @@
             counted_s=round(report.counted_s, 3),
         )
 
+    def _with_unreported(self, name: str, by_age: UnitsByAge) -> UnitsByAge:
+        """Return units by age, with those that were spent after the report.
+
+        A predecessor that was only cut off went on for `CUT_OFF_S`, at the even pace
+        or as fast as before.
+        """
+        if not by_age:
+            return by_age
+        paced = self._quotas.paced_units(name, CUT_OFF_S)
+        return (by_age[0] + max(by_age[0], paced), *by_age[1:])
+
     def _count_since(self, at: float) -> None:
         earlier = self._quotas.earlier
         earlier.counted_since = min(earlier.counted_since, at)
@@ -221,11 +248,15 @@
         self.record(msg.failure_domain, msg.report)
 
 
-def _until_next(by_age: tuple[float, ...]) -> tuple[float, ...]:
-    """Return units by age as if the latest had gone on until the next report."""
-    if not by_age:
-        return by_age
-    return (by_age[0] * (1.0 + REPORT_PERIOD_S / AGE_STEP_S), *by_age[1:])
+def _whole(units: dict[str, UnitsByAge]) -> dict[str, UnitsByAge]:
+    """Return units by age in whole numbers, which take few bytes."""
+    return {name: tuple(map(round, by_age)) for name, by_age in units.items()}
+
+
+def _without(by_age: UnitsByAge, counted: UnitsByAge) -> UnitsByAge:
+    """Return units by age without those that are counted already."""
+    pairs = zip_longest(by_age, counted[: len(by_age)], fillvalue=0.0)
+    return tuple(max(units - known, 0.0) for units, known in pairs)
 
 
 def _successor(entries: tuple[EntryRecord, ...], domain: str) -> EntryRecord | None:
--- a/fuchsiacroft/tests/placing/lost_coordinators_quota_tests.py
+++ b/fuchsiacroft/tests/placing/lost_coordinators_quota_tests.py
@@ -1,7 +1,8 @@
-"""Tests of quotas while the coordinators that count them are killed and come back."""
+"""Tests of quotas while the entries that count them are killed, or cut off."""
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 
 from fuchsiacroft.config.route_table import (
     CallerLimits,
@@ -29,24 +30,23 @@
 RUN_S = 0.02
 PLAY_S = 24.0
 KILL_PERIOD_RANGE_S = (1.5, 3.5)
+CUT_PERIOD_RANGE_S = (0.2, 2.0)
+CUT_RANGE_S = (0.3, 6.0)
 SEEDS = 2
 
 
-class LostCoordinatorsQuotaTests(PausedTestCase):
-    """A workspace asks for far more than its quota, at entries that are killed."""
+class PressedQuotaTestCase(PausedTestCase):
+    """A workspace asks for far more than its quota, at entries with faults."""
 
     def play(
         self,
-        seed: int,
         domains: tuple[str, ...],
-        down_s: float,
-        kill_period_range_s: tuple[float, float],
-        *,
-        kills_all: bool,
+        fault_period_range_s: tuple[float, float],
+        rng: random.Random,
+        inject_fault: Callable[[RegionTraffic], Awaitable[None]],
     ) -> list[float]:
-        """Kill entries again and again; return when admitted requests were sent."""
+        """Inject faults again and again; return when admitted requests were sent."""
         admitted: list[float] = []
-        rng = random.Random(seed)
         workspaces = [(Workspace("tills", quota=QUOTA), ())]
         table = create_route_table(1, (), (), workspaces, CallerLimits())
 
@@ -65,29 +65,27 @@
             region = MemoryRegion(domains, table, SharedLimits(quotas=TOLERANCE))
             traffic = RegionTraffic(region, 2, send, SEND_PERIOD_S)
 
-            async def kill_entries() -> None:
+            async def inject_faults() -> None:
                 ends_at = now() + PLAY_S
                 while now() < ends_at:
-                    await asyncio.sleep(rng.uniform(*kill_period_range_s))
-                    killed = traffic.coordinators()
-                    killed = list(traffic.live) if kills_all else [rng.choice(killed)]
-                    await self.kill(traffic, killed, down_s)
+                    await asyncio.sleep(rng.uniform(*fault_period_range_s))
+                    await inject_fault(traffic)
 
-            await traffic.play(kill_entries)
+            await traffic.play(inject_faults)
 
         self.run_paused(play())
         return admitted
 
-    async def kill(
-        self, traffic: RegionTraffic, killed: list[Entry], down_s: float
-    ) -> None:
-        """Kill entries at once, and start them again after some time."""
-        for entry in killed:
-            traffic.live.remove(entry)
-        await asyncio.gather(*(traffic.region.kill(entry) for entry in killed))
-        await asyncio.sleep(down_s)
-        for entry in killed:
-            traffic.live.append(await traffic.region.start_again(entry))
+    def assert_within_quota(self, admitted: list[float]) -> None:
+        """Assert that no window exceeds the quota, and that most of it is served."""
+        most = most_in_window(admitted, TOLERANCE.window_s)
+        self.assertLessEqual(most, ALLOWED)
+        least = MIN_SERVED_SHARE * QUOTA.units_per_s * PLAY_S
+        self.assertGreaterEqual(len(admitted), least)
+
+
+class LostCoordinatorsQuotaTests(PressedQuotaTestCase):
+    """Entries, mostly coordinators, are killed and start again."""
 
     def assert_holds(
         self,
@@ -97,16 +95,30 @@
         *,
         kills_all: bool = False,
     ) -> None:
-        """Assert that no window exceeds the quota, and that most of it is served."""
-        least = MIN_SERVED_SHARE * QUOTA.units_per_s * PLAY_S
+        """Assert that the quota holds while coordinators, or all, are killed."""
         for seed in range(SEEDS):
+            rng = random.Random(seed)
+
+            async def kill(traffic: RegionTraffic, rng=rng) -> None:
+                killed = traffic.coordinators()
+                killed = list(traffic.live) if kills_all else [rng.choice(killed)]
+                await self.kill(traffic, killed, down_s)
+
             with self.subTest(seed=seed):
-                admitted = self.play(
-                    seed, domains, down_s, kill_period_range_s, kills_all=kills_all
+                self.assert_within_quota(
+                    self.play(domains, kill_period_range_s, rng, kill)
                 )
-                most = most_in_window(admitted, TOLERANCE.window_s)
-                self.assertLessEqual(most, ALLOWED)
-                self.assertGreaterEqual(len(admitted), least)
+
+    async def kill(
+        self, traffic: RegionTraffic, killed: list[Entry], down_s: float
+    ) -> None:
+        """Kill entries at once, and start them again after some time."""
+        for entry in killed:
+            traffic.live.remove(entry)
+        await asyncio.gather(*(traffic.region.kill(entry) for entry in killed))
+        await asyncio.sleep(down_s)
+        for entry in killed:
+            traffic.live.append(await traffic.region.start_again(entry))
 
     def test_a_coordinator_that_starts_again_at_once_forgets_what_was_spent(self):
         self.assert_holds(DOMAINS * 2, 0.0)
@@ -122,3 +134,29 @@
 
     def test_a_region_that_starts_again_forgets_what_was_spent(self):
         self.assert_holds(DOMAINS * 2, 0.5, (6.0, 9.0), kills_all=True)
+
+
+class CutEntriesQuotaTests(PressedQuotaTestCase):
+    """Entries are cut off from all others and come back; none is killed."""
+
+    def assert_holds(self, domains: tuple[str, ...], count: int) -> None:
+        """Assert that the quota holds while some entries, drawn by lot, are cut off."""
+        for seed in range(SEEDS):
+            rng = random.Random(seed)
+
+            async def cut(traffic: RegionTraffic, rng=rng) -> None:
+                for entry in rng.sample(traffic.live, count):
+                    traffic.region.isolate(entry.address)
+                await asyncio.sleep(rng.uniform(*CUT_RANGE_S))
+                traffic.region.network.heal()
+
+            with self.subTest(seed=seed):
+                self.assert_within_quota(
+                    self.play(domains, CUT_PERIOD_RANGE_S, rng, cut)
+                )
+
+    def test_an_entry_of_the_only_domain_spends_twice_when_it_is_cut_off(self):
+        self.assert_holds(DOMAINS[:1] * 3, 1)
+
+    def test_entries_of_several_domains_spend_twice_when_they_are_cut_off(self):
+        self.assert_holds(DOMAINS * 2, 2)
