--- a/fuchsiacroft/entry/answer_identity.py
+++ b/fuchsiacroft/entry/answer_identity.py
@@ -1,4 +1,4 @@
-"""Tells whether an answer on a backend server's connection is the request's own."""
+"""Checks whether an answer on a backend server's connection is the request's own."""
 
 import enum
 from dataclasses import dataclass
--- a/fuchsiacroft/entry/caller_api.py
+++ b/fuchsiacroft/entry/caller_api.py
@@ -68,7 +68,7 @@
     async def drain(self) -> None:
         """Report not ready, then reject new requests, then wait for running ones.
 
-        Bodies are read on meanwhile; who can't send one in time is told so at once.
+        Bodies are read on meanwhile; who can't send one in time is refused at once.
         Requests that still run shortly before the end get an answer.
         """
         self._draining = True
--- a/fuchsiacroft/entry/http_headers.py
+++ b/fuchsiacroft/entry/http_headers.py
@@ -83,7 +83,7 @@
     """Return what a backend server says of itself in a response.
 
     The leaving header has the value 1 if it leaves. A Retry-After counts on a 503 only.
-    `has_run` tells whether it ran the request.
+    `has_run` is true if it ran the request.
     """
     headers = upstream.headers
     is_unavailable = upstream.status == UNAVAILABLE
--- a/fuchsiacroft/entry/request_body.py
+++ b/fuchsiacroft/entry/request_body.py
@@ -23,7 +23,7 @@
 class BodyReader:
     """Reads one body in chunks until its timeout or until the process stops.
 
-    `is_stopped` tells that the stop comes first.
+    `is_stopped` is true if the stop comes first.
     """
 
     def __init__(
--- a/fuchsiacroft/gateway/continued_streams.py
+++ b/fuchsiacroft/gateway/continued_streams.py
@@ -65,7 +65,7 @@
         """Record what began a stream, before its caller gets the first event.
 
         If its origin isn't certain, it is recorded with a later event once it is. The
-        owners of the stream are told again when it is taken up, as those that were told
+        owners of the stream are notified again when it is taken up, as those that were
         first may have stopped.
         """
         request = context.request
--- a/fuchsiacroft/gateway/upstream.py
+++ b/fuchsiacroft/gateway/upstream.py
@@ -1,7 +1,7 @@
 """Connections to backend servers, one for each request.
 
 A connection that carries a single request cannot mix up responses, and closing
-it tells the backend server that the caller has disconnected.
+it signals to the backend server that the caller has disconnected.
 """
 
 import aiohttp
--- a/fuchsiacroft/membership/limit_reports.py
+++ b/fuchsiacroft/membership/limit_reports.py
@@ -1,4 +1,4 @@
-"""The message in which VMs tell each other what servers said of their limits.
+"""The message in which VMs report to each other what servers said of their limits.
 
 Times are sent as ages, since the clocks of VMs differ.
 """
@@ -20,7 +20,7 @@
     """A statement on one start of a backend server.
 
     `per_s` is infinite if the server names no limit any more. `sent_age_s` and
-    `received_age_s` tell how long ago the request was sent and its answer arrived.
+    `received_age_s` are how long ago the request was sent and its answer arrived.
     """
 
     backend_server: str
--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -91,7 +91,7 @@
     def lacks_start(self, record: ServerRecord) -> bool:
         """Whether a report doesn't tell the server's start, though other servers do.
 
-        Either all servers tell when they started or none does.
+        Either all servers report when they started or none does.
         """
         return not record.born_ms and any(
             known.born_ms for known in self._table.records()
--- a/fuchsiacroft/membership/request_pacing.py
+++ b/fuchsiacroft/membership/request_pacing.py
@@ -16,7 +16,7 @@
 """Requests of this time may go at once, one at least."""
 MIN_PER_S = 0.2
 """A server gets this many requests a second however low its limit is, as only an
-answer tells that the limit has ended."""
+answer shows that the limit has ended."""
 ROUNDING = 1e-9
 
 
--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -79,7 +79,7 @@
 class Allocator:
     """Queues requests by service and places them on a fleet of backend servers.
 
-    `is_known` tells whether any failure domain has a server of a service, `may_go_on`
+    `is_known` returns whether any failure domain has a server of a service, `may_go_on`
     whether any has one that may continue a stream, and `is_changing` whether one of
     these domains has no coordinator just now.
     """
--- a/fuchsiacroft/placing/limit_exchange.py
+++ b/fuchsiacroft/placing/limit_exchange.py
@@ -1,9 +1,9 @@
 """Passes on what backend servers say of their limits among entries and coordinators.
 
 An entry reports each answer that speaks of a limit to the coordinator that counts the
-server's runs, and to its own. As a message may be lost, entries repeat what they were
-told in their pings, the replies hold all that the coordinator knows, and coordinators
-tell each other. So a coordinator's successor knows the limits before it takes over.
+server's runs, and to its own. As a message may be lost, entries repeat it in their
+pings, the replies hold all that the coordinator knows, and coordinators inform each
+other. So a coordinator's successor knows the limits before it takes over.
 """
 
 from fuchsiacroft.membership import limit_reports
@@ -32,7 +32,7 @@
     def record(
         self, placed: SlotAssignment, answer: NoticedAnswer, coordinator: EntryRecord
     ) -> None:
-        """Record what an answer says of its server's limit, and tell who counts.
+        """Record what an answer says of its server's limit, and report it.
 
         `coordinator` is that of this entry's failure domain.
         """
@@ -56,7 +56,7 @@
         return limit_reports.reports(self._pacing.limits, now())
 
     def send_to_coordinators(self, own_domain: str) -> None:
-        """Tell the other failure domains' coordinators all that this entry knows."""
+        """Send the other failure domains' coordinators all that this entry knows."""
         reports = self.known()
         if not reports:
             return
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -211,7 +211,7 @@
     ) -> str | None:
         """Return the fastest domain with a slot and a first event within a limit.
 
-        A domain doesn't tell the speed of each software version, so there is none for
+        A domain doesn't report the speed of each software version, so there is none for
         a request that continues a stream.
         """
         if permit_request.version is not None:
--- a/fuchsiacroft/placing/start_exchange.py
+++ b/fuchsiacroft/placing/start_exchange.py
@@ -1,4 +1,4 @@
-"""Tells the entries of a server's failure domain whether its start is certain.
+"""Reports to the entries of a server's failure domain whether its start is certain.
 
 Each of them may be asked to place requests there, or become the coordinator.
 """
--- a/fuchsiacroft/quarantine/evidence.py
+++ b/fuchsiacroft/quarantine/evidence.py
@@ -7,7 +7,7 @@
 
 Content is convicted after two crashes. A request is refused only if it has all the
 content that was in each of these crashes, so content that merely ran beside is
-told apart by further runs. Until then, a request with suspected content runs in
+distinguished by further runs. Until then, a request with suspected content runs in
 isolation.
 
 The module does no I/O and takes the time as an argument. All state is a set of
--- a/fuchsiacroft/quarantine/service.py
+++ b/fuchsiacroft/quarantine/service.py
@@ -73,7 +73,7 @@
         self.evidence.record_answer(content_ids, now())
 
     def begin_trial(self, content_ids: Iterable[str]) -> None:
-        """Tell all entries that a run with suspected content begins in isolation."""
+        """Notify all entries that a run with suspected content begins in isolation."""
         trial = TrialBegun(tuple(content_ids))
         self.evidence.begin_trial(trial.content_ids, now())
         for peer in self._peers():
--- a/fuchsiacroft/routing/concurrency_limit.py
+++ b/fuchsiacroft/routing/concurrency_limit.py
@@ -9,7 +9,7 @@
     """The concurrency limit of one backend server.
 
     With `weighs_runs`, a run counts by its size relative to the mean, else as 1.
-    `limits_prefill` tells whether concurrent prefills are limited too.
+    `limits_prefill` is true if concurrent prefills are limited too.
     """
 
     weighs_runs = False
--- a/fuchsiacroft/routing/health.py
+++ b/fuchsiacroft/routing/health.py
@@ -18,7 +18,7 @@
 turn."""
 FAILING_SHARE = 0.5
 MIN_SAMPLES = 4
-"""One slow or failed run does not tell about the server."""
+"""One slow or failed run says little about the server."""
 MAX_CONNECT_FAILURES = 2
 """A single failed connect may be a lost packet."""
 CONNECT_PAUSE_S = 2.0
--- a/fuchsiacroft/routing/isolation.py
+++ b/fuchsiacroft/routing/isolation.py
@@ -8,7 +8,7 @@
 def has_run_with(suspected: frozenset[str], service_queue: ServiceQueue) -> bool:
     """Return whether an isolated run has some of this content.
 
-    Its outcome tells whether other requests with the content may run.
+    Its outcome shows whether other requests with the content may run.
     """
     return any(
         run.is_isolated and not suspected.isdisjoint(run.permit.request.content_ids)
--- a/fuchsiacroft/routing/limit_exchange.py
+++ b/fuchsiacroft/routing/limit_exchange.py
@@ -1,6 +1,6 @@
 """Passes on what backend servers say of their limits to the owners of the servers.
 
-An entry tells the owner of each server what an answer said, and repeats it for a
+An entry reports to the owner of each server what an answer said, and repeats it for a
 while, as a message may be lost. A new owner asks all entries for what they know
 before it grants permits.
 """
@@ -53,7 +53,7 @@
         await self._tasks.cancel()
 
     def record(self, answer: NoticedAnswer, owners: Iterable[str]) -> None:
-        """Record what an answer says of its server's limit, and tell the owners."""
+        """Record what an answer says of its server's limit, and notify the owners."""
         report = self._recorder.record_answer(answer)
         if report is not None:
             for node in owners:
--- a/fuchsiacroft/routing/messages.py
+++ b/fuchsiacroft/routing/messages.py
@@ -68,7 +68,7 @@
 class WithdrawRequest(msgspec.Struct, frozen=True):
     """Withdraws a permit request; a permit granted meanwhile is returned.
 
-    `served` tells that another owner granted the permit.
+    `served` is true if another owner granted the permit.
     """
 
     ask_id: str
--- a/fuchsiacroft/streams/lookup.py
+++ b/fuchsiacroft/streams/lookup.py
@@ -1,4 +1,4 @@
-"""What the replies of entries tell together of a stream's origin.
+"""What the replies of entries show together of a stream's origin.
 
 It does no I/O; the order of the replies makes no difference.
 """
@@ -14,15 +14,15 @@
 SETTLING_DOMAINS = 2
 """Failure domains whose entries know a stream, after which no more replies are awaited.
 
-One of them at least has an owner, which was told of all streams with the same id.
+One of them at least has an owner, which was notified of all streams with the same id.
 """
 
 
 class OriginError(enum.Enum):
     """Why the origin of a stream is not certain.
 
-    `UNKNOWN`: no reachable entry was told of it, and several versions may have begun
-    it. `AMBIGUOUS`: its id was used for streams of different origins.
+    `UNKNOWN`: no reachable entry was notified of it, and several versions may have
+    begun it. `AMBIGUOUS`: its id was used for streams of different origins.
     """
 
     UNKNOWN = "unknown"
@@ -44,7 +44,7 @@
 
     @property
     def is_known(self) -> bool:
-        """Whether an entry was told of the stream."""
+        """Whether an entry was notified of the stream."""
         return bool(self._origins)
 
     @property
--- a/fuchsiacroft/streams/origin_store.py
+++ b/fuchsiacroft/streams/origin_store.py
@@ -13,7 +13,7 @@
 from fuchsiacroft.utils.bounded import set_newest
 
 MAX_STREAMS = 50_000
-"""Streams kept; the ones that were told of first go first."""
+"""Streams kept; the oldest go first."""
 MAX_KEPT_S = 600.0
 """Longest time for which a stream is kept, whatever its caller asks for."""
 
@@ -47,7 +47,7 @@
         return len(self._kept)
 
     def merge(self, fact: OriginFact, at: float) -> None:
-        """Add what a fact tells."""
+        """Add what a fact says."""
         self.forget_ended(at)
         until = at + min(fact.kept_s, MAX_KEPT_S)
         known = self._kept.get(fact.key)
@@ -55,7 +55,7 @@
         if known is not None:
             origins.update(known.origins)
             until = max(until, known.until)
-        # Two are enough to tell that the key is ambiguous.
+        # Two are enough to know that the key is ambiguous.
         kept = _Kept(tuple(sorted(origins)[:2]), until)
         set_newest(self._kept, fact.key, kept, self._most)
         heapq.heappush(self._ends, (until, fact.key))
--- a/fuchsiacroft/streams/service.py
+++ b/fuchsiacroft/streams/service.py
@@ -1,4 +1,4 @@
-"""Tells the owners of a stream what began it, and asks them when it is taken up.
+"""Reports to the owners of a stream what began it, and asks them when it is taken up.
 
 What isn't known is not guessed: a stream of unknown origin goes on only if all of the
 region saw one version of its service in the time in which the stream can have begun.
@@ -26,7 +26,7 @@
 ASK_TIMEOUT_S = 0.15
 ASKS = 3
 ASK_AGAIN_S = 0.04
-"""A take-up may overtake the message that tells of its stream by about this time."""
+"""A take-up may overtake the message about its stream by about this time."""
 WATCH_PERIOD_S = 0.5
 
 
@@ -62,7 +62,7 @@
     def record(
         self, workspace: str, request_id: str, origin: StreamOrigin, kept_s: float
     ) -> None:
-        """Record what began a stream, and tell the owners of its key."""
+        """Record what began a stream, and notify the owners of its key."""
         fact = OriginFact(stream_key(workspace, request_id), (origin,), kept_s)
         self._store.merge(fact, now())
         entries = self._roster.entries()
--- a/fuchsiacroft/transport/peer_link.py
+++ b/fuchsiacroft/transport/peer_link.py
@@ -48,7 +48,7 @@
 
     @property
     def needs_probe(self) -> bool:
-        """Whether only a probe can tell if messages still arrive at the peer."""
+        """Whether only a probe can show if messages still arrive at the peer."""
         return not self.is_probed and self.silent_s > PROBE_AFTER_S
 
     @property
