--- a/fuchsiacroft/tests/placing/quotas_tests.py
+++ b/fuchsiacroft/tests/placing/quotas_tests.py
@@ -121,6 +121,19 @@
                 granted += 30.0
         self.assertLessEqual(granted, RATE * WINDOW_S + RATE)
 
+    def test_units_of_entries_that_were_cut_off_are_counted_twice_or_not(self):
+        earlier = Quotas(QuotaTolerance()).earlier
+        earlier.add({"tills": (60.0,)}, 0.0)
+        earlier.replace_apart("edge-1", {"tills": (40.0,)}, 0.0)
+        self.assertEqual(60.0, earlier.known("tills", 0.1))
+        earlier.replace_apart("edge-2", {"tills": (30.0,)}, 0.0)
+        self.assertEqual(70.0, earlier.known("tills", 0.1))
+        self.assertEqual(70.0, sum(w.total for _, w in earlier.windows(0.1)))
+        earlier.replace_apart("edge-2", {}, 0.1)
+        self.assertEqual(60.0, earlier.known("tills", 0.1))
+        self.assertEqual(0.0, earlier.known("tills", WINDOW_S + 1.0))
+        self.assertEqual([], earlier.windows(WINDOW_S + 1.0))
+
     def test_what_is_left_without_a_limit_fits_no_message(self):
         quotas = Quotas(QuotaTolerance())
         quotas.earlier.add({"tills": (100.0,), "gone": (100.0,)}, 0.0)
