--- a/fuchsiacroft/tests/soak/callers.py
+++ b/fuchsiacroft/tests/soak/callers.py
@@ -72,8 +72,8 @@
         self._misses[ip] = 0 if b" 200 " in line else self._misses[ip] + 1
 
 
-class Caller:
-    """Sends requests one at a time, on one connection until it closes."""
+class BalancedCaller:
+    """Sends requests to ready entries, and records what it observes."""
 
     def __init__(
         self, balancer: Balancer, rng: random.Random, observations: Observations
@@ -82,6 +82,15 @@
         self._rng = rng
         self._observations = observations
         self._now = asyncio.get_running_loop().time
+
+
+class Caller(BalancedCaller):
+    """Sends requests one at a time, on one connection until it closes."""
+
+    def __init__(
+        self, balancer: Balancer, rng: random.Random, observations: Observations
+    ) -> None:
+        super().__init__(balancer, rng, observations)
         self._entry = ""
         self._conn = None
         self._broken: Attempt | None = None
--- a/fuchsiacroft/tests/soak/metered_caller.py
+++ b/fuchsiacroft/tests/soak/metered_caller.py
@@ -9,6 +9,7 @@
 from fuchsiacroft.tests.soak.callers import (
     RESPONSE_MARGIN_S,
     ROUTES,
+    BalancedCaller,
     Balancer,
     attempt_numbers,
     read_response,
@@ -21,16 +22,13 @@
 PERIOD_S = 0.025
 
 
-class MeteredCaller:
+class MeteredCaller(BalancedCaller):
     """Sends a request through any ready entry in each period."""
 
     def __init__(
         self, balancer: Balancer, rng: random.Random, observations: Observations
     ) -> None:
-        self._balancer = balancer
-        self._rng = rng
-        self._observations = observations
-        self._now = asyncio.get_running_loop().time
+        super().__init__(balancer, rng, observations)
         self._tasks = BackgroundTasks("metered caller")
 
     async def call(self) -> None:
