Count after a take-over what the predecessor spent lately, and no more

With the change before, a new coordinator counted 1.5 s at the even pace for each workspace that had spent anything, and doubled it in a series of kills.

--- a/fuchsiacroft/placing/spending_exchange.py
+++ b/fuchsiacroft/placing/spending_exchange.py
@@ -15,6 +15,7 @@
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.membership.roster import CONTROL_TIMEOUT_S, Roster
 from fuchsiacroft.placing.coordinators import coordinator_of
+from fuchsiacroft.placing.quota_window import AGE_STEP_S
 from fuchsiacroft.placing.quotas import Quotas
 from fuchsiacroft.placing.spending_messages import (
     DomainSpending,
@@ -43,6 +44,8 @@
 REPORT_PERIOD_S = 0.25
 CUT_OFF_S = CONTROL_TIMEOUT_S
 """Time until a coordinator that is cut off knows it, and spends no more."""
+RECENT_STEPS = 2
+"""Steps of age of which the faster one shows how fast a predecessor spent."""
 CONTROL_TARGETS = 2
 """Control members that keep reports; each entry has a thin link of its own."""
 MAX_LOCAL_PEERS = 3
@@ -227,13 +230,14 @@
     def _with_unreported(self, name: str, by_age: UnitsByAge) -> UnitsByAge:
         """Return units by age, with those that were spent after the report.
 
-        A predecessor that was only cut off went on for `CUT_OFF_S`, at the even pace
-        or as fast as before.
+        A predecessor that was only cut off went on for `CUT_OFF_S`, as fast as before.
+        More than the even pace is not counted, as it ends with what is left.
         """
         if not by_age:
             return by_age
-        paced = self._quotas.paced_units(name, CUT_OFF_S)
-        return (by_age[0] + max(by_age[0], paced), *by_age[1:])
+        per_s = max(by_age[:RECENT_STEPS]) / AGE_STEP_S
+        unreported = min(per_s * CUT_OFF_S, self._quotas.paced_units(name, CUT_OFF_S))
+        return (by_age[0] + unreported, *by_age[1:])
 
     def _count_since(self, at: float) -> None:
         earlier = self._quotas.earlier
--- a/fuchsiacroft/tests/placing/lost_coordinators_quota_tests.py
+++ b/fuchsiacroft/tests/placing/lost_coordinators_quota_tests.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from fuchsiacroft.config.route_table import (
     CallerLimits,
@@ -139,9 +139,11 @@
 class CutEntriesQuotaTests(PressedQuotaTestCase):
     """Entries are cut off from all others and come back; none is killed."""
 
-    def assert_holds(self, domains: tuple[str, ...], count: int) -> None:
+    def assert_holds(
+        self, domains: tuple[str, ...], count: int, seeds: Sequence[int] = range(SEEDS)
+    ) -> None:
         """Assert that the quota holds while some entries, drawn by lot, are cut off."""
-        for seed in range(SEEDS):
+        for seed in seeds:
             rng = random.Random(seed)
 
             async def cut(traffic: RegionTraffic, rng=rng) -> None:
@@ -158,5 +160,9 @@
     def test_an_entry_of_the_only_domain_spends_twice_when_it_is_cut_off(self):
         self.assert_holds(DOMAINS[:1] * 3, 1)
 
+    def test_a_coordinator_that_is_cut_off_in_a_burst_spends_twice(self):
+        self.assert_holds(DOMAINS[:1] * 3, 1, (2, 5))
+        self.assert_holds(DOMAINS * 2, 1, (9,))
+
     def test_entries_of_several_domains_spend_twice_when_they_are_cut_off(self):
         self.assert_holds(DOMAINS * 2, 2)
