Count a predecessor's report in full

A new coordinator took the units that it had admitted itself off a report, which doesn't hold them if it was cut off. It counts the report in full now, at times twice.

--- a/fuchsiacroft/placing/spending_exchange.py
+++ b/fuchsiacroft/placing/spending_exchange.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import math
-from itertools import zip_longest
 
 from expression import Result
 
@@ -210,9 +209,8 @@
 
     def _count(self, report: SpendingReport, source: str) -> None:
         at = now()
-        own = self._quotas.admitted_by_age(at - report.age_s)
         units = {
-            name: self._with_unreported(name, _without(by_age, own.get(name, ())))
+            name: self._with_unreported(name, by_age)
             for name, by_age in report.units.items()
         }
         self._quotas.earlier.add(units, at - report.age_s)
@@ -257,12 +255,6 @@
     return {name: tuple(map(round, by_age)) for name, by_age in units.items()}
 
 
-def _without(by_age: UnitsByAge, counted: UnitsByAge) -> UnitsByAge:
-    """Return units by age without those that are counted already."""
-    pairs = zip_longest(by_age, counted[: len(by_age)], fillvalue=0.0)
-    return tuple(max(units - known, 0.0) for units, known in pairs)
-
-
 def _successor(entries: tuple[EntryRecord, ...], domain: str) -> EntryRecord | None:
     """Return the entry that would coordinate a domain if its coordinator were lost."""
     coordinator = coordinator_of(entries, domain)
