--- a/fuchsiacroft/placing/earlier_spending.py
+++ b/fuchsiacroft/placing/earlier_spending.py
@@ -8,7 +8,7 @@
 
 import math
 
-from fuchsiacroft.placing.quota_window import Window
+from fuchsiacroft.placing.quota_window import Window, recent
 
 BURST_SHARE = 0.2
 """Share of a window's units that may be spent at once."""
@@ -53,9 +53,10 @@
 
         A workspace may have several windows.
         """
-        self._windows = self._recent(self._windows, at)
-        recent = {e: self._recent(windows, at) for e, windows in self._apart.items()}
-        self._apart = {entry: windows for entry, windows in recent.items() if windows}
+        before = at - self._window_s
+        self._windows = recent(self._windows, before)
+        apart = {entry: recent(found, before) for entry, found in self._apart.items()}
+        self._apart = {entry: found for entry, found in apart.items() if found}
         names = self._windows.keys() | {n for w in self._apart.values() for n in w}
         return [(name, window) for name in names for window in self._larger(name)]
 
@@ -78,12 +79,6 @@
             return [reported]
         return apart
 
-    def _recent(self, windows: dict[str, Window], at: float) -> dict[str, Window]:
-        """Return the windows in which something was spent."""
-        for window in windows.values():
-            window.expire(at - self._window_s)
-        return {name: window for name, window in windows.items() if window.buckets}
-
     def possible(self, limit: float, alone_since: float | None, at: float) -> float:
         """Return the units that may have been spent before they were counted.
 
--- a/fuchsiacroft/placing/quota_window.py
+++ b/fuchsiacroft/placing/quota_window.py
@@ -83,3 +83,10 @@
             if freed >= units:
                 return started_at + BUCKET_S + window_s - at
         return None
+
+
+def recent(windows: dict[str, Window], before: float) -> dict[str, Window]:
+    """Return the windows with units that were spent after a time; expire the others."""
+    for window in windows.values():
+        window.expire(before)
+    return {name: window for name, window in windows.items() if window.buckets}
--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -15,7 +15,7 @@
 from fuchsiacroft.config.bounds import MAX_AMOUNT
 from fuchsiacroft.config.route_table import Quota, Workspace
 from fuchsiacroft.placing.earlier_spending import BURST_SHARE, EarlierSpending
-from fuchsiacroft.placing.quota_window import Window
+from fuchsiacroft.placing.quota_window import Window, recent
 
 TOLERANCE_SHARE_USED = 0.5
 """The rest of the tolerance is reserved for isolated entries."""
@@ -181,9 +181,7 @@
 
     def _recent(self, at: float) -> dict[str, Window]:
         """Return the windows in which something was spent, and forget the others."""
-        for window in self._windows.values():
-            window.expire(at - self._tolerance.window_s)
-        self._windows = {n: w for n, w in self._windows.items() if w.buckets}
+        self._windows = recent(self._windows, at - self._tolerance.window_s)
         return self._windows
 
     def counted_s(self, at: float) -> float:
