Log what tells an entry's own delay from the end of a server

The cause of a doubt (run and outcome), streams without a certain origin, questions without a reply and times in which the process stood still are logged now. No decision changes.

--- a/fuchsiacroft/gateway/continued_streams.py
+++ b/fuchsiacroft/gateway/continued_streams.py
@@ -77,6 +77,7 @@
                 must_be_listed=context.is_origin_unsure,
             )
             if version is None:
+                _log_unsure(context, placement)
                 context.is_origin_unsure = True
                 return
             context.is_origin_unsure = False
@@ -94,6 +95,20 @@
         return replace(request, service=name, event_tokens=service.event_tokens)
 
 
+def _log_unsure(context: RequestContext, placement: SlotAssignment) -> None:
+    if context.is_origin_unsure:
+        return
+    event(
+        "info",
+        "stream_origin_unsure",
+        request_id=context.request_id,
+        run_id=placement.run_id,
+        backend_server=placement.backend_server,
+        start=placement.start,
+        software=placement.version or "-",
+    )
+
+
 def _log_taken_up(request: RoutedRequest) -> None:
     event(
         "info",
--- a/fuchsiacroft/model/virtual_time.py
+++ b/fuchsiacroft/model/virtual_time.py
@@ -58,6 +58,10 @@
         """Let the VM have been suspended: only the lease clock advances."""
         self._suspended_s += seconds
 
+    def stand_still(self, seconds: float) -> None:
+        """Let the process have stood still: its timers are late by up to `seconds`."""
+        self._virtual_selector.now += seconds
+
 
 def run(coro):
     """Run a coroutine to its end on a virtual clock."""
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -396,7 +396,9 @@
         if report.outcome in SERVER_LOST:
             server = self.availability.instance(placed)
             alive_at = now() if alive_at is None else alive_at
-            self._start_exchange.record_loss(server, alive_at)
+            self._start_exchange.record_loss(
+                server, alive_at, placed.run_id, report.outcome
+            )
         coordinators = {placed.coordinator: placed.coordinator_peers}
         for entry in (self._current, self._coordinator_for(placed.backend_server)):
             if entry is not None:
--- a/fuchsiacroft/placing/start_exchange.py
+++ b/fuchsiacroft/placing/start_exchange.py
@@ -10,6 +10,7 @@
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.membership.server_notices import ServerInstance
 from fuchsiacroft.membership.server_starts import ServerStarts
+from fuchsiacroft.routing.permits import RunOutcome
 from fuchsiacroft.transport import codec
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
@@ -52,12 +53,14 @@
         bus.register_handler(StartDoubted, self._on_doubted)
         bus.register_handler(StartProven, self._on_proven)
 
-    def record_loss(self, server: ServerInstance, alive_at: float) -> None:
+    def record_loss(
+        self, server: ServerInstance, alive_at: float, run_id: str, outcome: RunOutcome
+    ) -> None:
         """Record that a run of this entry was lost, or a connection refused."""
         at = now()
         if not self._starts.record_loss(server, alive_at, at):
             return
-        _log("server_start_doubted", server)
+        _log("server_start_doubted", server, run_id=run_id, outcome=outcome.value)
         self._notify(
             server, StartDoubted(server.name, server.start, at - alive_at, 0.0)
         )
@@ -101,5 +104,5 @@
         )
 
 
-def _log(name: str, server: ServerInstance) -> None:
-    event("info", name, backend_server=server.name, start=server.start)
+def _log(name: str, server: ServerInstance, **fields: str) -> None:
+    event("info", name, backend_server=server.name, start=server.start, **fields)
--- a/fuchsiacroft/streams/lookup.py
+++ b/fuchsiacroft/streams/lookup.py
@@ -71,6 +71,11 @@
         self.versions.update(reply.versions)
         self._saw_all = self._saw_all or reply.saw_all
 
+    @property
+    def unanswered(self) -> frozenset[str]:
+        """The failure domains of which no entry has replied in this round."""
+        return frozenset(self._expected - self._replied)
+
     def result(self, *, may_infer: bool) -> Result[StreamOrigin, OriginError]:
         """Return the origin.
 
--- a/fuchsiacroft/streams/service.py
+++ b/fuchsiacroft/streams/service.py
@@ -145,6 +145,7 @@
             found=found,
             known=lookup.is_known,
             replies=lookup.replies,
+            unanswered=",".join(sorted(lookup.unanswered)) or "-",
             versions=",".join(sorted(lookup.versions)) or "-",
         )
 
--- a/fuchsiacroft/utils/process.py
+++ b/fuchsiacroft/utils/process.py
@@ -10,6 +10,7 @@
 from fuchsiacroft.exceptions import InvariantError
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.loop_watch import watch_loop
 from fuchsiacroft.utils.tasks import SERVICE_FAILED
 
 T = TypeVar("T")
@@ -34,10 +35,12 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, kernel, node)
     await kernel.start()
     event("info", "ready", node=node)
+    watch = loop.create_task(watch_loop(), name="loop-watch")
     await stopping.wait()
     if not failures:
         event("info", "draining", node=node)
         await kernel.drain()
+    watch.cancel()
     await kernel.stop()
     event("info", "stopped", node=node)
     if failures:
