Count only time in which the process ran against other processes

Callers of streams were refused (503 stream_unknown) though their server and its owners served: an entry that got a share of a core gave up connections that the kernel had opened, and replies that had arrived. Timers run before what has arrived is read, so after a stall, or with slow turns of the event loop, every connect (0.35 s) and question between entries (0.08 s and more) timed out. A connect that timed out doubts the server's start, so for up to 14.6 s no stream that began there had a known origin.

A reply is given up after a stall of over a second, as before, since it may be out of date.

--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -23,6 +23,7 @@
 from fuchsiacroft.utils.clock import lease_now, now
 from fuchsiacroft.utils.inbound_limits import STEP_BYTES, FramingMeter
 from fuchsiacroft.utils.rate_limited_log import RateLimitedLog
+from fuchsiacroft.utils.running_timeout import running_timeout
 
 SKIPPED_HEADERS = ("User-Agent", "Accept-Encoding", "Accept", "Content-Type")
 
@@ -260,7 +261,7 @@
         """Open a connection (called by aiohttp for each new one)."""
         url = req.url
         try:
-            async with asyncio.timeout(timeout.sock_connect):
+            async with running_timeout(timeout.sock_connect):
                 transport, protocol = await self._loop.create_connection(
                     self._factory, url.raw_host, url.port
                 )
--- a/fuchsiacroft/tests/transport/zmq_bus_tests.py
+++ b/fuchsiacroft/tests/transport/zmq_bus_tests.py
@@ -5,6 +5,7 @@
 import random
 import socket
 import struct
+import time
 from unittest import mock
 
 import msgspec
@@ -60,6 +61,12 @@
         reply = await self.client.request(self.address, Ping("hello"), 5)
         self.assertEqual(Ping("client:hello"), reply.ok)
 
+    async def test_a_reply_is_lost_that_came_while_the_process_stood_still(self):
+        await self.client.request(self.address, Ping("connect"), 5)
+        asyncio.get_running_loop().call_soon(time.sleep, 0.6)
+        reply = await self.client.request(self.address, Ping("hello"), 0.15)
+        self.assertTrue(reply.is_ok())
+
     async def test_malformed_messages_are_counted_and_dropped(self):
         ctx = zmq.Context()
         self.addCleanup(ctx.destroy, 0)
--- a/fuchsiacroft/transport/bus.py
+++ b/fuchsiacroft/transport/bus.py
@@ -43,7 +43,11 @@
     async def request(
         self, peer: str, msg: msgspec.Struct, timeout: float
     ) -> Result[msgspec.Struct, BusError]:
-        """Send a message and wait up to `timeout` seconds for its reply."""
+        """Send a message and wait up to `timeout` seconds for its reply.
+
+        Only seconds in which this process runs count, if it doesn't stand still for
+        long.
+        """
 
     @abstractmethod
     def send(self, peer: str, msg: msgspec.Struct, *, probes: bool = True) -> None:
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -21,6 +21,7 @@
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.rate_limited_log import RateLimitedLog
+from fuchsiacroft.utils.running_timeout import running_timeout
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 HIGH_WATER_MARK = 10_000
@@ -36,6 +37,9 @@
 LINK_CLOSE_DELAY_S = 10.0
 MAX_NOT_SENT_LINES_PER_S = 5
 PROBE_TIMEOUT_S = 0.3
+MAX_STILL_S = 1.0
+"""A reply is of no use if this process stood still for longer; it may be out of date.
+"""
 HEARTBEAT_MS = 30_000
 HEARTBEAT_TIMEOUT_MS = 10_000
 
@@ -126,7 +130,7 @@
             link = self._enqueue(peer, message)
             if link is None:
                 return Error(BusError.NOT_SENT)
-            async with asyncio.timeout(timeout):
+            async with running_timeout(timeout, MAX_STILL_S):
                 return Ok(await future)
         except TimeoutError:
             if link.send_queue.cancel(message):
