Tell a caller that leaves at the end from a lost server

A caller that closed its connection once it had the last event made the end of the answer fail to be written, with an error that counted as the server's: the run was lost, the request was sent to a second server, the first one's start was doubted, so that streams which begin there could not be taken up for seconds, and the run's content was suspected of a crash.

--- a/fuchsiacroft/gateway/response_relay.py
+++ b/fuchsiacroft/gateway/response_relay.py
@@ -1,6 +1,8 @@
 """Passes the response of one backend server on to the caller."""
 
+import contextlib
 from abc import ABC, abstractmethod
+from collections.abc import Iterator
 
 import aiohttp
 from aiohttp import HttpVersion11, web
@@ -244,12 +246,10 @@
         self, data: bytes | bytearray, upstream: aiohttp.ClientResponse
     ) -> None:
         """Write to the caller; raise `CallerLeftError` if it is gone."""
-        try:
-            await self._start_response(upstream)
+        await self._start_response(upstream)
+        with _writing_to_caller():
             for start in range(0, len(data), WRITE_BUFFER_BYTES):
                 await self._write_piece(data[start : start + WRITE_BUFFER_BYTES])
-        except ConnectionError as exc:
-            raise CallerLeftError from exc
 
     async def _write_piece(self, piece: bytes | bytearray) -> None:
         http = self._context.http
@@ -284,17 +284,19 @@
             downstream.enable_chunked_encoding()
         self._context.started_response = downstream
         limit_write_buffer(self._context.http)
-        await downstream.prepare(self._context.http)
+        with _writing_to_caller():
+            await downstream.prepare(self._context.http)
 
     async def _finish_response(self) -> None:
         """Send the end of the response that the caller has the start of."""
         http = self._context.http
         downstream = self._context.started_response
-        await downstream.write_eof()
-        if self._ends_with_connection and http.transport is not None:
-            http.transport.set_write_buffer_limits(high=0)
-            await http.writer.drain()
-            connections.close_in_order(http.transport)
+        with _writing_to_caller():
+            await downstream.write_eof()
+            if self._ends_with_connection and http.transport is not None:
+                http.transport.set_write_buffer_limits(high=0)
+                await http.writer.drain()
+                connections.close_in_order(http.transport)
         self.response = downstream
 
     @property
@@ -302,6 +304,15 @@
         return self._context.http.version < HttpVersion11
 
 
+@contextlib.contextmanager
+def _writing_to_caller() -> Iterator[None]:
+    """Tell the loss of the caller's connection from that of the server's."""
+    try:
+        yield
+    except ConnectionError as exc:
+        raise CallerLeftError from exc
+
+
 async def _read_at_most(content: Body, held: HeldBytes) -> tuple[bytearray, bool]:
     """Read to the end, or as far as this response and all together may be held.
 
