Infer no origin where several services may have begun a stream

On a route with a traffic split, a stream of unknown origin went on at the service that was drawn for the new request: one stream held events of two services, on a quarter of a core (lens/v1, then till/v1). The versions of one service only were asked for, and the other may have the same. Such a stream is refused now.

Both tests failed before.

--- a/fuchsiacroft/gateway/continued_streams.py
+++ b/fuchsiacroft/gateway/continued_streams.py
@@ -42,7 +42,7 @@
         outcome = await self._origins.find(
             request.workspace,
             request.resumes or "",
-            request.service,
+            request.route.services,
             request.longest_stream_s,
         )
         match outcome:
--- a/fuchsiacroft/streams/lookup.py
+++ b/fuchsiacroft/streams/lookup.py
@@ -30,9 +30,12 @@
 
 
 class Lookup:
-    """The replies to one search; it may ask in several rounds."""
+    """The replies to one search; it may ask in several rounds.
 
-    def __init__(self, service: str) -> None:
+    `service` is the one that began the stream, None if it may be one of several.
+    """
+
+    def __init__(self, service: str | None) -> None:
         self._service = service
         self._origins: set[StreamOrigin] = set()
         self._expected: set[str] = set()
@@ -86,7 +89,8 @@
             return Ok(next(iter(self._origins)))
         if self._origins:
             return Error(OriginError.AMBIGUOUS)
-        has_all = self._saw_all and self._expected <= self._replied
+        has_all = self._saw_all and not self.unanswered
+        may_infer = may_infer and self._service is not None
         if may_infer and has_all and len(self.versions) == 1:
             return Ok(StreamOrigin(self._service, next(iter(self.versions))))
         return Error(OriginError.UNKNOWN)
--- a/fuchsiacroft/streams/service.py
+++ b/fuchsiacroft/streams/service.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Collection
 
 from expression import Result
 
@@ -71,14 +72,21 @@
                 self._bus.send(owner.peers, StreamBegan(fact), probes=False)
 
     async def find(
-        self, workspace: str, request_id: str, service: str, within_s: float
+        self,
+        workspace: str,
+        request_id: str,
+        services: Collection[str],
+        within_s: float,
     ) -> Result[StreamOrigin, OriginError]:
         """Return what began a stream, less than `within_s` seconds ago.
 
-        `service` is the one that serves it if it has an unknown origin.
+        `services` may have begun it; an unknown origin is inferred only if it is one.
         """
-        msg = FindOrigin(stream_key(workspace, request_id), service, within_s)
-        lookup = Lookup(service)
+        only_service = next(iter(services)) if len(services) == 1 else None
+        msg = FindOrigin(
+            stream_key(workspace, request_id), only_service or "", within_s
+        )
+        lookup = Lookup(only_service)
         for number in range(ASKS):
             if number:
                 await asyncio.sleep(ASK_AGAIN_S)
--- a/fuchsiacroft/tests/platform/stream_versions_tests.py
+++ b/fuchsiacroft/tests/platform/stream_versions_tests.py
@@ -162,6 +162,17 @@
             await versioned_streams.take_up(self.region, stream, (number + 1) % 4)
         self.assert_go_on(streams)
 
+    async def test_a_service_is_guessed_on_a_split_route(self):
+        """Both services have the same version, and the stream has no known origin."""
+        await self.split_route()
+        streams = [await versioned_streams.begin(self.region, n % 4) for n in range(4)]
+        await asyncio.sleep(ROUTE_TIMEOUT_S)
+        for number, stream in enumerate(streams):
+            await versioned_streams.read_events(
+                self.region, stream, number, "Last-Event-Id: 4", "Resumes: made-up"
+            )
+        self.assertEqual([[200, 503]] * 4, [s.statuses for s in streams])
+
     async def test_a_stream_whose_version_has_ended_goes_on_at_another(self):
         await self.add_servers("v1")
         streams = [await versioned_streams.begin(self.region, n % 4) for n in range(8)]
--- a/fuchsiacroft/tests/streams/service_tests.py
+++ b/fuchsiacroft/tests/streams/service_tests.py
@@ -39,8 +39,14 @@
     def begin(self, entry: Entry, origin: StreamOrigin = V1, name: str = "r") -> None:
         entry.origins.record("tills", name, origin, KEPT_S)
 
-    async def find(self, entry: Entry, workspace: str = "tills", name: str = "r"):
-        return await entry.origins.find(workspace, name, "lens", KEPT_S)
+    async def find(
+        self,
+        entry: Entry,
+        workspace: str = "tills",
+        name: str = "r",
+        services: tuple[str, ...] = ("lens",),
+    ):
+        return await entry.origins.find(workspace, name, services, KEPT_S)
 
     async def announce(self, *versions: str) -> None:
         for number, version in enumerate(versions):
@@ -136,6 +142,15 @@
 
         self.play(scenario)
 
+    def test_one_of_two_services_of_the_same_version_is_guessed(self):
+        async def scenario():
+            await self.announce("v1")
+            await asyncio.sleep(LONG_S)
+            entry = self.region.entries[0]
+            self.assertEqual(UNKNOWN, await self.find(entry, services=("lens", "till")))
+
+        self.play(scenario)
+
     def test_a_version_is_guessed_by_an_entry_that_is_cut_off(self):
         async def scenario():
             await self.announce("v1")
