Take no connection that timed out for a crash of its server

A connection that was not open in time counted as the crash of its server, and the content of its runs was blamed: after two such servers, a sound request with that content was refused as quarantined for a minute. It happens where the entry stands still, or where it or a server's VM is cut off; nothing has shown that the server ended. Only a refused connection does, as in the other data plane, whose probe says that silence says nothing.

The new test failed without the condition (REFUSED is not UNRESTRICTED). The start of such a server stays doubted, as its VM may have lost power.

--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -16,7 +16,7 @@
 from fuchsiacroft.gateway.response_relay import RelayListener, ResponseRelay
 from fuchsiacroft.gateway.routed_request import ProtocolAdapter
 from fuchsiacroft.gateway.silence_watch import SilenceWatch
-from fuchsiacroft.gateway.upstream import Upstream
+from fuchsiacroft.gateway.upstream import SendFailure, Upstream
 from fuchsiacroft.membership.server_notices import NoticedAnswer, NoticeReason
 from fuchsiacroft.placing.messages import SlotAssignment
 from fuchsiacroft.placing.placer import Placer
@@ -73,6 +73,7 @@
         self._find_replacement = find_replacement
         self._on_stream_begun = on_stream_begun
         self._has_run = False
+        self._is_timed_out = False
         self._upstream_response: aiohttp.ClientResponse | None = None
         self._flaw: AnswerFlaw | None = None
         self._availability = placer.availability
@@ -146,12 +147,15 @@
                     return await self._read(response)
                 finally:
                     response.close()
-            case Result(error=RunOutcome.NOT_DISPATCHED):
+            case Result(
+                error=SendFailure(outcome=RunOutcome.NOT_DISPATCHED) as failure
+            ):
+                self._is_timed_out = failure.is_timed_out
                 if self._send_guard.withheld and self._send_guard.has_expired:
                     context.tried.pop()
                     context.was_late = True
                 return AttemptResult.NOT_RUN
-            case Result(error=RunOutcome.FAILED):
+            case Result(error=SendFailure(outcome=RunOutcome.FAILED)):
                 self._flaw = AnswerFlaw.FOREIGN
         self._count_run()
         return AttemptResult.BROKEN
@@ -271,6 +275,7 @@
                 self._relay.events, self._request.event_tokens
             ),
             duration_s=at - self._started_at,
+            is_timed_out=self._is_timed_out,
         )
         alive_at = times.last_at or self._started_at
         self._placer.release(self._placement, report, alive_at)
--- a/fuchsiacroft/gateway/upstream.py
+++ b/fuchsiacroft/gateway/upstream.py
@@ -4,6 +4,8 @@
 it signals to the backend server that the caller has disconnected.
 """
 
+from dataclasses import dataclass
+
 import aiohttp
 from expression import Error, Ok, Result
 from yarl import URL
@@ -24,6 +26,19 @@
 """Log limit for failed sends; many failures at a time have the same cause."""
 
 
+@dataclass(frozen=True, slots=True)
+class SendFailure:
+    """Why a request has no answer of its own.
+
+    The outcome is `NOT_DISPATCHED` only if no byte was written, and `FAILED` if an
+    answer came that isn't shown to be the request's own. `is_timed_out` tells that the
+    connection was not open in time.
+    """
+
+    outcome: RunOutcome
+    is_timed_out: bool = False
+
+
 class Upstream(Service):
     """Sends each request to a backend server at most once."""
 
@@ -47,12 +62,8 @@
         headers: Headers,
         body: bytes,
         send_guard: SendGuard,
-    ) -> Result[aiohttp.ClientResponse, RunOutcome]:
-        """Send a request and return the response once its head has arrived.
-
-        The error is `NOT_DISPATCHED` only if no byte was written, and `FAILED` if an
-        answer came that isn't shown to be the request's own.
-        """
+    ) -> Result[aiohttp.ClientResponse, SendFailure]:
+        """Send a request and return the response once its head has arrived."""
         try:
             response = await self._session.request(
                 request.method,
@@ -70,10 +81,11 @@
                 error=repr(exc),
             )
             if isinstance(exc, ForeignAnswerError):
-                return Error(RunOutcome.FAILED)
+                return Error(SendFailure(RunOutcome.FAILED))
             if send_guard.sent:
-                return Error(RunOutcome.CONNECTION_LOST)
-            return Error(RunOutcome.NOT_DISPATCHED)
+                return Error(SendFailure(RunOutcome.CONNECTION_LOST))
+            is_timed_out = isinstance(exc, TimeoutError)
+            return Error(SendFailure(RunOutcome.NOT_DISPATCHED, is_timed_out))
         return Ok(response)
 
 
--- a/fuchsiacroft/placing/crash_detector.py
+++ b/fuchsiacroft/placing/crash_detector.py
@@ -63,7 +63,7 @@
                 self.evidence.record_answer(run.permit_request.content_ids, at)
             case RunOutcome.CONNECTION_LOST:
                 self._record_lost(load, run, report, at)
-            case RunOutcome.NOT_DISPATCHED:
+            case RunOutcome.NOT_DISPATCHED if not report.is_timed_out:
                 # Runs placed since then could not be dispatched either.
                 earlier = [
                     other
--- a/fuchsiacroft/routing/permits.py
+++ b/fuchsiacroft/routing/permits.py
@@ -120,13 +120,18 @@
 
 
 class RunReport(msgspec.Struct, frozen=True):
-    """Measurements of a run; `first_token_s` and `duration_s` count from dispatch."""
+    """Measurements of a run; `first_token_s` and `duration_s` count from dispatch.
+
+    `is_timed_out` tells that a connection was not open in time. Nobody refused it, so
+    it doesn't show that the backend server has ended.
+    """
 
     outcome: RunOutcome
     first_token_s: Seconds | None = None
     token_gap_s: Seconds | None = None
     duration_s: Seconds = 0.0
     output_tokens: Count = 0
+    is_timed_out: bool = False
 
 
 @dataclass(frozen=True, slots=True, eq=False)
--- a/fuchsiacroft/tests/placing/crash_detector_tests.py
+++ b/fuchsiacroft/tests/placing/crash_detector_tests.py
@@ -27,6 +27,7 @@
 )
 DONE = RunReport(RunOutcome.COMPLETED, duration_s=0.02)
 UNREACHABLE = RunReport(RunOutcome.NOT_DISPATCHED)
+NOT_IN_TIME = RunReport(RunOutcome.NOT_DISPATCHED, is_timed_out=True)
 
 
 class CrashDetectorTestCase(TestCase):
@@ -111,6 +112,14 @@
         for n in range(3):
             self.assertNotIn(f"part:late-{n}@lens", self.evidence.dump(1.3))
 
+    def test_a_server_that_nobody_reaches_is_taken_for_a_crashed_one(self):
+        """Its VM is cut off, or this entry is; no connection is refused."""
+        for number in range(2):
+            self.place_on(f"i-{number}", "new", at=1.0)
+            late = self.place_on(f"i-{number}", f"late-{number}", at=1.1)
+            self.allocator.end(late.run_id, NOT_IN_TIME, 1.5)
+        self.assertIs(Treatment.UNRESTRICTED, self.treatment("new", 1.5))
+
     def test_one_lost_run_of_several_is_no_crash(self):
         lost = self.place_on("i-0", "lost", at=1.0)
         self.place_on("i-0", "other", at=1.0)
