Forget nobody for being silent while the process itself stood still

A control member, or an entry of the product's own data plane, that stood still for some seconds dropped all entries or backend servers before it read the heartbeats of that time: they looked silent. Requests found no server until the next heartbeats, and a leave was confirmed without the entries that had been dropped.

--- a/fuchsiacroft/membership/backend_servers.py
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -24,6 +24,7 @@
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.http import Listener
 from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.running_since import RunningSince
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 ANNOUNCEMENT_TIMEOUT_S = 4.0
@@ -67,6 +68,7 @@
         self._settings = settings
         self._servers: dict[str, BackendServer] = {}
         self._relay = AnnouncementRelay()
+        self._running = RunningSince(SWEEP_PERIOD_S)
         self._tasks = BackgroundTasks("backend_servers")
         self._listener: Listener | None = None
         self.listeners = BackendServerListeners()
@@ -208,6 +210,8 @@
     async def _sweep(self) -> None:
         await asyncio.sleep(SWEEP_PERIOD_S)
         oldest = now() - ANNOUNCEMENT_TIMEOUT_S
+        if self._running.check() >= oldest:
+            return
         for server in self.all():
             if server.announced_at < oldest:
                 self._remove(server, "silent")
--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -31,6 +31,7 @@
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.running_since import RunningSince
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 MAX_MISSED_HEARTBEATS = 4.0
@@ -62,6 +63,7 @@
         self._stopped: dict[str, int] = {}
         self._entries_digest = 0
         self._started_at = 0.0
+        self._running = RunningSince(SWEEP_PERIOD_S)
         self._tasks = BackgroundTasks("registry")
 
     async def start(self, kernel: Kernel) -> None:
@@ -268,9 +270,18 @@
     async def _sweep(self) -> None:
         await asyncio.sleep(SWEEP_PERIOD_S)
         at = now()
+        running_since = self._running.check()
         self._relay_unchanged()
+        if running_since < at - self._server_timeout_s:
+            self._forget_silent_servers(at)
+        if running_since < at - ENTRY_TIMEOUT_S:
+            self._forget_silent_entries(at)
+
+    def _forget_silent_servers(self, at: float) -> None:
         for name in self._table.remove_expired(at - self._server_timeout_s, at):
             event("info", "backend_server_forgotten", backend_server=name)
+
+    def _forget_silent_entries(self, at: float) -> None:
         for node, (_, received_at) in list(self._entries.items()):
             if received_at < at - ENTRY_TIMEOUT_S:
                 del self._entries[node]
--- a/fuchsiacroft/tests/membership/registry_tests.py
+++ b/fuchsiacroft/tests/membership/registry_tests.py
@@ -3,8 +3,13 @@
 import asyncio
 
 import msgspec
+from loguru import logger
 
-from fuchsiacroft.membership.registry import ENTRY_TIMEOUT_S, SWEEP_PERIOD_S
+from fuchsiacroft.membership.registry import (
+    ENTRY_TIMEOUT_S,
+    MAX_MISSED_HEARTBEATS,
+    SWEEP_PERIOD_S,
+)
 from fuchsiacroft.membership.registry_wire import EntryHeartbeat, ServerState
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.memory_region import HEARTBEAT_S, MemoryRegion
@@ -282,3 +287,39 @@
             self.assertEqual((), region.entries[0].roster.servers())
 
         self.run_scenario(scenario)
+
+
+class StoodStillTests(PausedTestCase):
+    """A control member that stood still has not read the heartbeats of that time."""
+
+    def test_a_member_that_stood_still_forgets_entries_and_servers(self):
+        lines: list[str] = []
+        sink = logger.add(lines.append, level="INFO", format="{message}")
+        self.addCleanup(logger.remove, sink)
+
+        async def scenario():
+            region = MemoryRegion()
+            await region.start()
+            await asyncio.sleep(1.5)
+            await region.members[0].registry.report(record())
+            await asyncio.sleep(0.1)
+            lines.clear()
+            asyncio.get_running_loop().stand_still(2 * MAX_MISSED_HEARTBEATS)
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            await region.stop()
+
+        self.run_paused(scenario())
+        silent = [line for line in lines if "_silent" in line or "_forgotten" in line]
+        self.assertEqual([], silent)
+
+    def test_a_silent_server_is_kept_after_a_member_stood_still(self):
+        async def scenario():
+            region = MemoryRegion()
+            await region.start()
+            await region.members[0].registry.report(record())
+            asyncio.get_running_loop().stand_still(2 * MAX_MISSED_HEARTBEATS)
+            await asyncio.sleep(MAX_MISSED_HEARTBEATS * HEARTBEAT_S + 1.0)
+            self.assertEqual({}, region.members[0].registry.dump()["servers"])
+            await region.stop()
+
+        self.run_paused(scenario())
