Let a rollout's leader that stood still hear the coordinators first

It judged the version, and could roll it back, before it had read the evidence of the time in which it stood still, like a member that has just started. It waits now as long as that one does.

--- a/fuchsiacroft/rollouts/controller.py
+++ b/fuchsiacroft/rollouts/controller.py
@@ -46,6 +46,7 @@
 from fuchsiacroft.utils.clock import lease_now, now
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.metrics import Metrics
+from fuchsiacroft.utils.running_since import RunningSince
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 PLAN_PERIOD_S = 0.2
@@ -64,7 +65,7 @@
 FOLLOWER_ADVANCE_PERIOD_S = 2.0
 """A follower does so if the leader is behind, as it started later."""
 SETTLE_S = 1.0
-"""A member that starts knows the evidence of all coordinators after this time."""
+"""A member that starts or stood still knows all coordinators' evidence after it."""
 LEASE_PART = 0.4
 """A directive runs out within this part of the time in which a rollback must work."""
 WINDOWS_S = (15.0, 4.0)
@@ -120,6 +121,7 @@
         self._evidence = EvidenceStore()
         self._confirmed_at: float | None = None
         self._heard_at: float | None = None
+        self._running = RunningSince(PLAN_PERIOD_S)
         self._tasks = BackgroundTasks("rollouts")
         state.on_change(self._on_change)
         state.on_restore(self._on_restore)
@@ -250,13 +252,14 @@
 
     async def _plan(self) -> None:
         await asyncio.sleep(PLAN_PERIOD_S)
+        settles_at = max(self._started_at, self._running.check()) + SETTLE_S
         running = self._state.running()
         self._evidence.keep_only(rollout.number for rollout in running)
         for rollout in running:
             evidence = self._evidence.get(rollout.number)
             counts = total(evidence.sample(now()).new.values())
             self._metrics.show_answers(rollout, counts)
-            if self._log.is_leader and now() - self._started_at >= SETTLE_S:
+            if self._log.is_leader and now() >= settles_at:
                 await self._decide(rollout, evidence)
             await self._advance(rollout)
 
--- a/fuchsiacroft/tests/rollouts/controller_tests.py
+++ b/fuchsiacroft/tests/rollouts/controller_tests.py
@@ -1,6 +1,7 @@
 """Tests of rollouts on a group of control members, with faults."""
 
 import asyncio
+from unittest import mock
 
 from expression import Result
 
@@ -318,3 +319,18 @@
             await service.stop()
 
         self.run_paused(scenario())
+
+    def test_a_member_that_stood_still_judges_by_what_it_had_heard_before(self):
+        async def scenario():
+            service, _ = await start_alone(RolloutState())
+            await service.order("till", "v2", 60.0, 0.8)
+            await asyncio.sleep(2 * SETTLE_S)
+            asyncio.get_running_loop().stand_still(4.0)
+            with mock.patch.object(service, "_decide") as decide:
+                await asyncio.sleep(SETTLE_S - 0.1)
+                decide.assert_not_called()
+                await asyncio.sleep(1.0)
+                decide.assert_called()
+            await service.stop()
+
+        self.run_paused(scenario())
