Replace no server as silent whose answer came while the process stood still

An entry that coordinates its own domain finds another server at once. So after a pause longer than a stream's idle timeout (1.5 s) it ended all its streams, whose events had arrived, sent them to other servers, and took all their servers for lost ones: their starts were doubted, and as all runs of a server were lost at once, what the streams had in common was blamed for a crash of each.

The watch counts only time in which the process ran. The test failed before (TimeoutError).

--- a/fuchsiacroft/gateway/silence_watch.py
+++ b/fuchsiacroft/gateway/silence_watch.py
@@ -5,13 +5,15 @@
 from types import TracebackType
 from typing import Self
 
+from fuchsiacroft.utils.running_timeout import RunningTimer
+
 
 class SilenceWatch:
     """Context manager around an operation that should make progress.
 
-    After `idle_timeout_s()` without progress it calls `is_replaced`. If that returns
-    true, the operation is cancelled and `TimeoutError` is raised. Otherwise the
-    operation goes on, as a silent one may only be slow.
+    After `idle_timeout_s()` without progress, in which this process ran, it calls
+    `is_replaced`. If that returns true, the operation is cancelled and `TimeoutError`
+    is raised. Otherwise the operation goes on, as a silent one may only be slow.
     """
 
     def __init__(
@@ -22,7 +24,7 @@
         self._idle_timeout_s = idle_timeout_s
         self._is_replaced = is_replaced
         self._limit: asyncio.Timeout | None = asyncio.timeout(None)
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: RunningTimer | None = None
         self._search: asyncio.Task | None = None
 
     async def __aenter__(self) -> Self:
@@ -46,8 +48,7 @@
     def resume(self) -> None:
         """Begin an idle period; call it after progress."""
         self.pause()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(self._idle_timeout_s(), self._start_search)
+        self._timer = RunningTimer(self._idle_timeout_s(), self._start_search)
 
     def pause(self) -> None:
         """Stop to watch, while the operation waits for something else."""
--- a/fuchsiacroft/tests/gateway/silence_watch_tests.py
+++ b/fuchsiacroft/tests/gateway/silence_watch_tests.py
@@ -71,3 +71,22 @@
 
         self.run_paused(run())
         self.assertEqual(0, self.searches)
+
+    def test_an_operation_is_replaced_whose_progress_came_while_the_process_stood_still(
+        self,
+    ):
+        async def is_replaced() -> bool:
+            self.searches += 1
+            return True
+
+        async def run():
+            loop = asyncio.get_running_loop()
+            progress = loop.create_future()
+            async with SilenceWatch(lambda: IDLE_S, is_replaced):
+                # What has arrived is read after the timers have run.
+                loop.call_later(1.5 * IDLE_S, loop.call_soon, progress.set_result, None)
+                loop.stand_still(2 * IDLE_S)
+                await progress
+
+        self.run_paused(run())
+        self.assertEqual(0, self.searches)
