Count no run whose end overtook the hand-over that names it

A successor counted a run for 0.1 s and more after its end (slots that are free look taken).

The new unit test failed before (10 slots in place of 11).

--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -33,6 +33,7 @@
     RunOutcome,
     RunReport,
 )
+from fuchsiacroft.utils.bounded import set_newest
 
 RUN_GRACE_S = 1.0
 """A run whose end was not reported expires this long after its timeout."""
@@ -40,6 +41,8 @@
 """Mean run time of a service until one of its runs has completed."""
 MIN_RUN_S = 0.001
 """Lower bound, as a run measures 0 s if one event loop iteration starts and ends it."""
+MAX_ENDED_RUNS = 2_000
+"""Ended runs that are remembered, as a list of runs may come after the end of one."""
 LEARNING_RATE = 0.05
 """Weight of the newest run in the moving average of its service."""
 SHORT_RUN_SHARE = 0.5
@@ -90,6 +93,7 @@
         self._by_service: dict[str, list[ServerLoad]] = {}
         self._by_version: dict[str, VersionSplit] = {}
         self._runs: dict[str, ServerLoad] = {}
+        self._ended: dict[str, None] = {}
         self._slots: dict[str, int] = {}
         self._mean_run_s: dict[str, float] = {}
         self._reserves: dict[str, SlotReserve] = {}
@@ -502,13 +506,14 @@
         ]
 
     def adopt(self, held_run: HeldRun, at: float) -> None:
-        """Count a run that another coordinator placed."""
+        """Count a run that another coordinator placed, unless its end is known."""
         load = self._servers.get(held_run.backend_server)
-        if load is None or held_run.run_id in self._runs:
+        run_id = held_run.run_id
+        if load is None or run_id in self._runs or run_id in self._ended:
             return
         ends_by = _ends_by(held_run.ask, at)
         run = Run(
-            held_run.run_id,
+            run_id,
             held_run.ask,
             at,
             ends_by,
@@ -547,6 +552,7 @@
         """Remove a run and update the statistics from its outcome."""
         self.rollouts.end(run_id, report, at)
         self.token_memory.release(run_id)
+        set_newest(self._ended, run_id, None, MAX_ENDED_RUNS)
         load = self._runs.pop(run_id, None)
         run = load.end(run_id, at) if load is not None else None
         if run is None:
--- a/fuchsiacroft/tests/placing/allocator_tests.py
+++ b/fuchsiacroft/tests/placing/allocator_tests.py
@@ -469,6 +469,13 @@
             )
         self.assertEqual(7, len(self.fill()))
 
+    def test_a_run_counts_whose_end_overtook_the_list_that_names_it(self):
+        permit_request = request().ask
+        self.allocator.end("run-x", DONE, 0.0)
+        held = HeldRun("run-x", "i-1", permit_request)
+        self.allocator.fleet.adopt(held, 0.1)
+        self.assertEqual(11, len(self.fill()))
+
     def test_a_run_whose_end_is_not_reported_expires(self):
         self.fill()
         self.allocator.expire_waiters(100.0)
