Prove a server's start for each loss apart

On a server that loses a run now and then, all losses were one doubt, which only a run from before the first one that goes on after the last one could end: hardly any does, so streams that began there could not be taken up until 14.6 s after the last loss.

--- a/fuchsiacroft/placing/start_exchange.py
+++ b/fuchsiacroft/placing/start_exchange.py
@@ -58,19 +58,20 @@
     ) -> None:
         """Record that a run of this entry was lost, or a connection refused."""
         at = now()
-        if not self._starts.record_loss(server, alive_at, at):
-            return
-        _log("server_start_doubted", server, run_id=run_id, outcome=outcome.value)
-        self._notify(
-            server, StartDoubted(server.name, server.start, at - alive_at, 0.0)
-        )
+        is_known = self._starts.covers(server, at)
+        if self._starts.record_loss(server, alive_at, at):
+            _log("server_start_doubted", server, run_id=run_id, outcome=outcome.value)
+        if not is_known:
+            msg = StartDoubted(server.name, server.start, at - alive_at, 0.0)
+            self._notify(server, msg)
 
     def record_progress(self, server: ServerInstance, sent_at: float) -> None:
         """Record that a run of this entry goes on, of a request sent at `sent_at`."""
         at = now()
-        if not self._starts.record_progress(server, sent_at, at):
+        if not self._starts.is_proof(server, sent_at, at):
             return
-        _log("server_start_proven", server)
+        if self._starts.record_progress(server, sent_at, at):
+            _log("server_start_proven", server)
         self._notify(server, StartProven(server.name, server.start, at - sent_at, 0.0))
 
     def _notify(self, server: ServerInstance, msg: StartDoubted | StartProven) -> None:
--- a/fuchsiacroft/tests/membership/server_starts_tests.py
+++ b/fuchsiacroft/tests/membership/server_starts_tests.py
@@ -68,3 +68,22 @@
         self.starts.record_unlisted(20.0)
         self.assertFalse(self.is_certain(10.0 + LISTED_S))
         self.assertTrue(self.is_certain(20.0 + LISTED_S))
+
+    def test_a_server_that_loses_runs_all_the_time_stays_uncertain(self):
+        """No run goes on over all losses, but each loss has one that spans it."""
+        sent = (8.0, 9.5, 11.0, 12.5)
+        for tenth in range(101, 141):
+            at = tenth / 10
+            if at <= 13.0:
+                self.starts.record_loss(SERVER, at - 0.1, at)
+            for sent_at in sent:
+                if sent_at < at < sent_at + 3.0:
+                    self.starts.record_progress(SERVER, sent_at, at)
+        self.assertTrue(self.is_certain(14.0))
+
+    def test_a_start_is_proven_by_runs_on_both_sides_of_its_end(self):
+        for tenth in range(101, 141):
+            at = tenth / 10
+            self.starts.record_loss(SERVER, at - 0.1, at)
+            self.starts.record_progress(SERVER, 10.1, at)
+        self.assertFalse(self.is_certain(14.0))
