Let connections that send small chunks take turns

200 connections that send bodies in chunks of one byte kept an entry's event loop for seconds at a time: each read of 64 KiB holds 10,900 chunks, and the reads of all connections were parsed in one iteration. 4 of 8 ordinary callers timed out at 10 s.

The connections of an address parse 8 KiB of the framing of bodies in one iteration (max_turn_framing_bytes) and then take turns to read and parse on. Bodies with a length and large chunks have next to none.

--- a/fuchsiacroft/config/settings.py
+++ b/fuchsiacroft/config/settings.py
@@ -133,7 +133,9 @@
     are sent ahead wait unread beyond `max_pipelined_requests` or `max_queued_bytes`;
     what has been received of them is limited for all connections of an address
     together by `max_held_bytes`. `max_read_bytes` ends the reads of a connection
-    until others had their turn. `head_timeout_s` is for all addresses but the callers'.
+    until others had their turn, and so does `max_turn_framing_bytes`, which counts
+    the framing of bodies on all connections of an address. `head_timeout_s` is for all
+    addresses but the callers'.
     """
 
     max_connections: Connections | None = None
@@ -142,6 +144,7 @@
     max_head_bytes: HeadBytes = defaults.MAX_HEAD_BYTES
     max_framing_bytes: HeadBytes = defaults.MAX_FRAMING_BYTES
     max_read_bytes: HeadBytes = defaults.MAX_READ_BYTES
+    max_turn_framing_bytes: HeadBytes = defaults.MAX_TURN_FRAMING_BYTES
     max_pipelined_requests: Annotated[int, msgspec.Meta(ge=1, le=32)] = (
         defaults.MAX_PIPELINED_REQUESTS
     )
@@ -165,6 +168,7 @@
             max_head_bytes=self.max_head_bytes,
             max_framing_bytes=self.max_framing_bytes,
             max_read_bytes=self.max_read_bytes,
+            max_turn_framing_bytes=self.max_turn_framing_bytes,
             max_pipelined_requests=self.max_pipelined_requests,
             max_queued_bytes=self.max_queued_bytes,
             max_held_bytes=self.max_held_bytes,
--- a/fuchsiacroft/tests/platform/body_memory_tests.py
+++ b/fuchsiacroft/tests/platform/body_memory_tests.py
@@ -34,15 +34,19 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
 BLOCK = b"x" * (64 * 1024)
+SMALL_CHUNKS = chunk(b"x") * 10_000
 RESPONSE_BYTES = 900 * 1024
 SLOTS = 96
 TIMEOUT_MS = 12_000
 CROWD = 48
 UNKNOWN_CALLERS = 128
+SMALL_CHUNK_CALLERS = 200
+ORDINARY_CALLERS = 8
 CONFIGURATIONS = 24
 PIPELINED = 6
 """Requests on the connection of a caller that doesn't read."""
 CROWD_S = 6.0
+CALLER_TIMEOUT_S = 10.0
 SAMPLE_PERIOD_S = 0.05
 HEARTBEAT_PERIOD_S = 0.3
 START_TIMEOUT_S = 20.0
@@ -103,6 +107,14 @@
         await writer.drain()
 
 
+async def send_small_chunks(writer: asyncio.StreamWriter) -> None:
+    """Send a body in chunks of one byte until the connection is closed."""
+    writer.write(head("Transfer-Encoding: chunked"))
+    while True:
+        writer.write(SMALL_CHUNKS)
+        await writer.drain()
+
+
 async def send_configuration(writer: asyncio.StreamWriter) -> None:
     """Send a configuration without its last byte."""
     lines = ("PUT /v1/config HTTP/1.1", "Host: x", length(MAX_CONFIGURATION_BYTES))
@@ -296,6 +308,19 @@
     async def test_chunks_that_stop_before_their_end_fill_the_memory(self):
         await self.assert_entry_bears(send_chunks)
 
+    async def test_small_chunks_of_a_crowd_keep_ordinary_callers_waiting(self):
+        crowd = self.bear(self.entry, DATA_PORT, send_small_chunks, SMALL_CHUNK_CALLERS)
+        bearing = self.tasks.spawn(crowd)
+        await asyncio.sleep(1.0)
+        async with asyncio.timeout(CALLER_TIMEOUT_S):
+            got = await asyncio.gather(
+                *(self.send_body(b"z") for _ in range(ORDINARY_CALLERS))
+            )
+        self.assertEqual([(200, b"1")] * ORDINARY_CALLERS, got)
+        self.assertFalse(bearing.done())
+        await bearing
+        self.assertLess(self.most_mb, ENTRY_MEMORY_MB)
+
     async def test_whole_bodies_fill_the_memory(self):
         await self.assert_entry_bears(bodies(missing=0))
 
--- a/fuchsiacroft/tests/utils/inbound_tests.py
+++ b/fuchsiacroft/tests/utils/inbound_tests.py
@@ -4,11 +4,14 @@
 import dataclasses
 import ssl
 import tempfile
+from collections import Counter
 from pathlib import Path
+from unittest import mock
 
 import uvloop
 from aiohttp import web
 
+from fuchsiacroft.config.defaults import MAX_READ_BYTES
 from fuchsiacroft.config.route_table import CallerLimits
 from fuchsiacroft.entry.caller_server import CallerServer
 from fuchsiacroft.tests.base import TestCase
@@ -16,7 +19,11 @@
 from fuchsiacroft.tests.fakes.certificates import write_certificate
 from fuchsiacroft.tests.fakes.ports import free_address
 from fuchsiacroft.utils.http import Listener
-from fuchsiacroft.utils.inbound import open_connections, refused_inputs
+from fuchsiacroft.utils.inbound import (
+    InboundProtocol,
+    open_connections,
+    refused_inputs,
+)
 from fuchsiacroft.utils.inbound_limits import InboundLimits
 
 LIMITS = InboundLimits(
@@ -286,6 +293,49 @@
         self.run_all(test)
 
 
+class SmallChunkTests(InboundTestCase):
+    """A crowd sends bodies in chunks of one byte."""
+
+    crowd = 20
+    chunks = 9_000
+
+    def test_a_crowd_that_sends_small_chunks_keeps_the_loop_from_others(self):
+        parsed: Counter[int] = Counter()
+        parse = InboundProtocol._parse
+
+        def record(conn: InboundProtocol, data: bytes) -> None:
+            parsed[self.iteration] += len(data)
+            parse(conn, data)
+
+        async def count_iterations() -> None:
+            while True:
+                self.iteration += 1
+                await asyncio.sleep(0)
+
+        async def test():
+            self.iteration = 0
+            parsed.clear()
+            conns = [await self.connect() for _ in range(self.crowd + 1)]
+            await asyncio.sleep(0.1)
+            counting = asyncio.ensure_future(count_iterations())
+            for _, writer in conns[1:]:
+                writer.write(CHUNKED + b"1\r\nx\r\n" * self.chunks + b"0\r\n\r\n")
+            reader, writer = conns[0]
+            writer.write(GET % 1)
+            self.assertEqual((200, "/1 0"), await self.read(reader))
+            self.assertLess(sum(parsed.values()), self.crowd * self.chunks)
+            for reader, _ in conns[1:]:
+                self.assertEqual((200, f"/ {self.chunks}"), await self.read(reader))
+            counting.cancel()
+            self.assertLessEqual(max(parsed.values()), MAX_READ_BYTES)
+
+        limits = dataclasses.replace(
+            LIMITS, max_connections=self.crowd + 1, max_held_bytes=4_000_000
+        )
+        with mock.patch.object(InboundProtocol, "_parse", record):
+            self.run_all(test, limits)
+
+
 class CrowdTests(InboundTestCase):
     """Where there are too many connections, one that waits is closed."""
 
--- a/fuchsiacroft/utils/inbound.py
+++ b/fuchsiacroft/utils/inbound.py
@@ -20,6 +20,7 @@
     HeldBytes,
     InboundLimits,
 )
+from fuchsiacroft.utils.parse_turns import ParseTurns
 from fuchsiacroft.utils.rate_limited_log import RateLimitedLog
 
 INT_BYTES = 4
@@ -57,6 +58,7 @@
             limits.max_connections, limits.max_connections_per_address
         )
         self.held = HeldBytes(limits.max_held_bytes)
+        self.turns = ParseTurns(limits.max_turn_framing_bytes)
         self._refused_log = RateLimitedLog("inbound_refused", MAX_REFUSED_LOGS_PER_S)
         self._slow_head_log = RateLimitedLog("head_timed_out", MAX_SLOW_HEAD_LOGS_PER_S)
 
@@ -94,6 +96,7 @@
         "_is_counted",
         "_is_refused",
         "_queued_bytes",
+        "_waits_for_turn",
         "address",
     )
 
@@ -122,6 +125,7 @@
         self._queued_bytes = 0
         self._is_counted = False
         self._is_refused = False
+        self._waits_for_turn = False
 
     @property
     def _is_idle(self) -> bool:
@@ -202,17 +206,48 @@
         self._update_head_timer()
 
     def _parse_or_hold(self, data: bytes) -> None:
-        """Parse bytes until the queue of requests is full, and hold the others."""
+        """Parse bytes while this connection may go on, and hold the others."""
+        rest = self._parse_allowed(data, heeds_turns=True)
+        if not self._inbound.held.has_room(len(self._held), len(rest)):
+            rest = self._parse_allowed(rest, heeds_turns=False)
+        if not self._hold(rest):
+            self._refuse_rest("too_many_bytes_held")
+        elif rest:
+            self._pause_reading_for_buffer()
+        if self._is_turn_over:
+            self._wait_for_turn()
+
+    def _parse_allowed(self, data: bytes, *, heeds_turns: bool) -> bytes:
+        """Parse bytes until the queue of requests is full, and return the others.
+
+        With `heeds_turns`, framing is left for the next turn once this one is over.
+        """
         start = 0
         while start < len(data) and not self._is_queue_full and not self._is_refused:
+            if heeds_turns and self._is_turn_over:
+                break
             size = self._framing.step_bytes(data, start, self._body_bytes)
             self._parse(data[start : start + size])
             start += size
-        rest = b"" if self._is_refused else data[start:]
-        if not self._hold(rest):
-            self._refuse_rest("too_many_bytes_held")
-        elif rest:
-            self._pause_reading_for_buffer()
+        return b"" if self._is_refused else data[start:]
+
+    @property
+    def _is_turn_over(self) -> bool:
+        """Whether framing comes next, and that of others has taken this iteration."""
+        is_framed = self._framing.is_in_framed_body and not self._is_refused
+        return is_framed and self._inbound.turns.are_spent
+
+    def _wait_for_turn(self) -> None:
+        """Read and parse on in a later iteration."""
+        self._pause_reading_for_buffer()
+        if not self._waits_for_turn:
+            self._waits_for_turn = True
+            self._inbound.turns.wait(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._waits_for_turn = False
+        if self.transport is not None:
+            self._resume_reading_if_drained()
 
     @property
     def _body_bytes(self) -> int:
@@ -240,8 +275,11 @@
         return has_room
 
     def _parse(self, data: bytes) -> None:
-        count = self._request_count
+        count, body_bytes = self._request_count, self._body_bytes
         super().data_received(data)
+        if self._framing.is_in_framed_body:
+            gained = self._body_bytes - body_bytes
+            self._inbound.turns.spend(len(data) - gained)
         if self._request_count != count:
             self._begin_requests()
         elif self._body is not None and self._body.is_eof():
@@ -320,7 +358,7 @@
     def _resume_reading_if_drained(self) -> None:
         """Go on with what is held, and read on if that has been parsed."""
         super()._resume_reading_if_drained()
-        if self._held or self._is_refused:
+        if self._held or self._is_refused or self._waits_for_turn:
             self._pause_reading_for_buffer()
 
     def _resume_transport_reading(self) -> None:
--- a/fuchsiacroft/utils/inbound_framing.py
+++ b/fuchsiacroft/utils/inbound_framing.py
@@ -37,6 +37,11 @@
         self._head_tail = b""
         self.has_begun_head = False
 
+    @property
+    def is_in_framed_body(self) -> bool:
+        """Whether a body is awaited whose end only its framing tells."""
+        return self._is_in_body and self._body_length is None
+
     def begin_head(self) -> None:
         """Await the next head."""
         self._is_in_body = False
--- a/fuchsiacroft/utils/inbound_limits.py
+++ b/fuchsiacroft/utils/inbound_limits.py
@@ -45,7 +45,8 @@
     `max_queued_bytes` and `max_pipelined_requests` limit what waits on a connection
     behind the request that is served. `max_held_bytes` limits what all connections
     have received beyond that. A read of `max_read_bytes` is the last one of its
-    connection in one iteration of the event loop.
+    connection in one iteration of the event loop. `max_turn_framing_bytes` of the
+    framing of bodies are parsed in one iteration, for all connections together.
     """
 
     max_connections: int
@@ -53,6 +54,7 @@
     max_head_bytes: int = defaults.MAX_HEAD_BYTES
     max_framing_bytes: int = defaults.MAX_FRAMING_BYTES
     max_read_bytes: int = defaults.MAX_READ_BYTES
+    max_turn_framing_bytes: int = defaults.MAX_TURN_FRAMING_BYTES
     max_pipelined_requests: int = defaults.MAX_PIPELINED_REQUESTS
     max_queued_bytes: int = defaults.MAX_QUEUED_BYTES
     max_held_bytes: int = defaults.MAX_HELD_BYTES
@@ -100,9 +102,13 @@
         self._max_bytes = max_bytes
         self.count = 0
 
+    def has_room(self, before: int, after: int) -> bool:
+        """Return whether a connection may hold so many bytes, in place of others."""
+        return after <= before or self.count + after - before <= self._max_bytes
+
     def change(self, before: int, after: int) -> bool:
         """Count a connection's bytes; return false if there is no room for more."""
-        if after > before and self.count + after - before > self._max_bytes:
+        if not self.has_room(before, after):
             return False
         self.count += after - before
         return True
