Split the fleet into its servers, runs, capacity and choice

Which servers there are and what a rollout lets begin on them is server_pool, how many slots are free slot_capacity, which server a request gets server_choice, and what is in progress fleet_runs; the fleet keeps what begins, ends and is learned.

--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -27,7 +27,7 @@
 from fuchsiacroft.config.route_table import RouteTable
 from fuchsiacroft.placing.demand import Demand
 from fuchsiacroft.placing.fair_queue import FairQueue
-from fuchsiacroft.placing.fleet import SHORT_RUN_SHARE, Assignment, Fleet
+from fuchsiacroft.placing.fleet import Assignment, Fleet
 from fuchsiacroft.placing.limits import SharedLimits
 from fuchsiacroft.placing.messages import PlaceRequest, ServiceCapacity
 from fuchsiacroft.placing.queue import Position, Queue, Waiter, position
@@ -35,6 +35,7 @@
 from fuchsiacroft.placing.quotas import Quotas
 from fuchsiacroft.placing.retry_after import MIN_RETRY_AFTER_S
 from fuchsiacroft.placing.retry_budget import RetryBudget
+from fuchsiacroft.placing.server_choice import SHORT_RUN_SHARE
 from fuchsiacroft.quarantine.evidence import Treatment
 from fuchsiacroft.routing.permits import (
     PermitRequest,
@@ -149,7 +150,7 @@
         Returns a refusal if the request is quarantined or exceeds a limit.
         """
         permit_request = request.ask
-        if self.fleet.treatment(permit_request, at) is Treatment.REFUSED:
+        if self.fleet.choice.treatment(permit_request, at) is Treatment.REFUSED:
             return QUARANTINED
         self.demand.record(permit_request.workspace, request.charge, at)
         wait_s = self.quotas.take(permit_request.workspace, request.charge, at)
@@ -173,9 +174,11 @@
         if self._is_preceded(request.ask, at):
             return None
         only_limited = not self._leaves_slots_free(request.ask, at)
-        if only_limited and not self.fleet.free_limited(request.ask.service, at):
+        if only_limited and not self.fleet.capacity.free_limited(
+            request.ask.service, at
+        ):
             return None
-        load = self.fleet.choose(
+        load = self.fleet.choice.choose(
             request,
             at,
             only_limited=only_limited,
@@ -210,7 +213,7 @@
 
         None if the target is met, if no server is free, or without a prompt.
         """
-        load = self.fleet.fastest_free(request, at)
+        load = self.fleet.choice.fastest_free(request, at)
         tokens = request.ask.size.prompt_tokens
         if load is None or not tokens:
             return None
@@ -224,7 +227,7 @@
         """Queue an admitted request, or refuse it if too many late ones are queued."""
         permit_request = request.ask
         queue = self._queue_of(permit_request.service)
-        run_s = self.fleet.median_run_s(permit_request)
+        run_s = self.fleet.choice.median_run_s(permit_request)
         waiter = Waiter(
             request,
             admitted_at=admitted_at,
@@ -236,7 +239,7 @@
         )
         if permit_request.version is not None:
             return self._enqueue_continued(queue, waiter, at)
-        if not self.fleet.serves(permit_request.service):
+        if not self.fleet.pool.serves(permit_request.service):
             self._add(queue, waiter)
             return waiter
         wait_s = self.waits.expected_s(waiter, at)
@@ -255,7 +258,7 @@
         """Return whether a request is expected to wait longer than it may."""
         if waiter.late:
             service = waiter.request.ask.service
-            slots = self.fleet.usable_slots(service)
+            slots = self.fleet.capacity.usable_slots(service)
             late_s = self._queue_of(service).late_wait_s(waiter, slots, at)
             wait_s = max(wait_s, late_s)
         return wait_s > waiter.request.max_wait_s
@@ -274,7 +277,7 @@
         if self._is_version_gone(waiter):
             self.refund(waiter.request, waiter.admitted_at)
             return VERSION_GONE
-        is_here = self.fleet.may_run(waiter.request.ask)
+        is_here = self.fleet.choice.may_run(waiter.request.ask)
         wait_s = self.waits.expected_s(waiter, at)
         if is_here and wait_s > waiter.request.max_wait_s:
             self.refund(waiter.request, waiter.admitted_at)
@@ -286,7 +289,7 @@
     def _is_version_gone(self, waiter: Waiter) -> bool:
         """Return whether no server is left of the version that began a stream."""
         permit_request = waiter.request.ask
-        if permit_request.version is None or self.fleet.may_run(permit_request):
+        if permit_request.version is None or self.fleet.choice.may_run(permit_request):
             return False
         return not self.may_go_on(permit_request)
 
@@ -311,10 +314,11 @@
 
         Streams may go on at versions that new requests may not use.
         """
-        if self.fleet.free(service, at):
+        if self.fleet.capacity.free(service, at):
             return True
         return any(
-            self.fleet.free(service, at, version) for version in queue.awaited_versions
+            self.fleet.capacity.free(service, at, version)
+            for version in queue.awaited_versions
         )
 
     def expire_waiters(self, at: float) -> list[tuple[Waiter, Refusal]]:
@@ -330,7 +334,7 @@
             elif not waiter.late and waiter.in_time_until <= at:
                 self._mark_late(waiter)
         for service, queue in self._queues.items():
-            if not self.fleet.serves(service):
+            if not self.fleet.pool.serves(service):
                 continue
             capacity = self.waits.late_capacity(service)
             while queue.late() > capacity:
@@ -362,7 +366,7 @@
         return list(heads.values())
 
     def _is_unrestricted(self, waiter: Waiter, at: float) -> bool:
-        treatment = self.fleet.treatment(waiter.request.ask, at)
+        treatment = self.fleet.choice.treatment(waiter.request.ask, at)
         return treatment is Treatment.UNRESTRICTED
 
     def requeue(self, waiter: Waiter) -> None:
@@ -385,25 +389,25 @@
         return tuple(
             ServiceCapacity(
                 service,
-                self.fleet.free(service, at) - self.waiting(service),
+                self.fleet.capacity.free(service, at) - self.waiting(service),
                 self._head_rank(service),
                 self._free_by_rank(service, at),
-                self.fleet.fastest_prefill(service, at),
-                self.fleet.free_by_version(service, at),
-                self.fleet.serves(service),
+                self.fleet.choice.fastest_prefill(service, at),
+                self.fleet.capacity.free_by_version(service, at),
+                self.fleet.pool.serves(service),
             )
-            for service in self.fleet.services()
+            for service in self.fleet.pool.services()
         )
 
     def _free_by_rank(self, service: str, at: float) -> dict[int, int]:
         """Return the slots for long requests of each rank, less earlier waiters."""
         queue = self._queues.get(service, Queue())
-        free = self.fleet.free(service, at)
+        free = self.fleet.capacity.free(service, at)
         return {
             rank: free
-            - self.fleet.kept_free(service, rank, at)
+            - self.fleet.capacity.kept_free(service, rank, at)
             - queue.ahead_of(position(rank, is_late=False, is_short=False))
-            for rank in self.fleet.ranks(service)
+            for rank in self.fleet.runs.ranks(service)
         }
 
     def rollout_reason(self, service: str) -> str:
@@ -424,10 +428,10 @@
         queue = self._queues.get(permit_request.service, Queue())
         version = permit_request.version
         return QueueLoad(
-            free=self.fleet.free(permit_request.service, at, version),
-            slots=self.fleet.slots(permit_request.service, version),
-            usable_slots=self.fleet.usable_slots(permit_request.service),
-            limited=self.fleet.limited_count(permit_request.service),
+            free=self.fleet.capacity.free(permit_request.service, at, version),
+            slots=self.fleet.pool.slots(permit_request.service, version),
+            usable_slots=self.fleet.capacity.usable_slots(permit_request.service),
+            limited=self.fleet.capacity.limited_count(permit_request.service),
             waiting=len(queue),
             late=queue.late(),
             expected_wait_s=self.waits.expected_at_s(
@@ -441,19 +445,21 @@
         if permit_request.version is not None:
             return True
         service = permit_request.service
-        kept = self.fleet.kept_free(service, permit_request.rank, at)
+        kept = self.fleet.capacity.kept_free(service, permit_request.rank, at)
         if not kept:
             return True
-        free = self.fleet.free(service, at) - self.fleet.free_limited(service, at)
+        free = self.fleet.capacity.free(service, at) - self.fleet.capacity.free_limited(
+            service, at
+        )
         return free > kept
 
     def _is_short(self, service: str, run_s: float) -> bool:
         """Return whether a run is short compared with the service's mean run time."""
-        return run_s <= SHORT_RUN_SHARE * self.fleet.mean_run_s(service)
+        return run_s <= SHORT_RUN_SHARE * self.fleet.runs.mean_run_s(service)
 
     def _position_in_time(self, permit_request: PermitRequest) -> Position:
         is_short = self._is_short(
-            permit_request.service, self.fleet.median_run_s(permit_request)
+            permit_request.service, self.fleet.choice.median_run_s(permit_request)
         )
         return position(
             permit_request.rank,
@@ -470,11 +476,11 @@
         self, service: str, queue: Queue, at: float
     ) -> list[tuple[Waiter, Assignment]]:
         placed = []
-        limited = self.fleet.free_limited(service, at)
-        free = self.fleet.free(service, at) - limited
+        limited = self.fleet.capacity.free_limited(service, at)
+        free = self.fleet.capacity.free(service, at) - limited
         kept = {
-            rank: self.fleet.kept_free(service, rank, at)
-            for rank in self.fleet.ranks(service)
+            rank: self.fleet.capacity.kept_free(service, rank, at)
+            for rank in self.fleet.runs.ranks(service)
         }
         for waiter in queue.waiters():
             if free <= 0 and limited <= 0 and waiter.version is None:
@@ -484,7 +490,7 @@
             only_limited = waiter.version is None and free <= kept.get(waiter.rank, 0)
             if only_limited and limited <= 0:
                 continue
-            load = self.fleet.choose(
+            load = self.fleet.choice.choose(
                 waiter.request,
                 at,
                 at - waiter.arrived_at,
@@ -503,8 +509,8 @@
             placed.append((waiter, assignment))
             if waiter.version is not None and not self.fleet.rollouts.is_empty:
                 # The stream may have gone on at a version closed to new requests.
-                limited = self.fleet.free_limited(service, at)
-                free = self.fleet.free(service, at) - limited
+                limited = self.fleet.capacity.free_limited(service, at)
+                free = self.fleet.capacity.free(service, at) - limited
         return placed
 
     def _queue_of(self, service: str) -> Queue:
@@ -518,7 +524,7 @@
     ) -> None:
         """Charge a run to its workspace's share, also if it didn't wait."""
         if self._is_fair:
-            run_s = self.fleet.median_run_s(permit_request)
+            run_s = self.fleet.choice.median_run_s(permit_request)
             queue = self._queue_of(permit_request.service)
             queue.record_start(permit_request, run_s, at, late=late)
 
@@ -541,7 +547,7 @@
         service = waiter.request.ask.service
         if self._is_version_gone(waiter):
             return VERSION_GONE
-        if not self.fleet.serves(service):
+        if not self.fleet.pool.serves(service):
             reason = RefusalReason.NO_BACKEND_SERVER
             if self.is_known(service):
                 reason = RefusalReason.TIMED_OUT
@@ -554,7 +560,7 @@
         It leaves its caller time for a retry.
         """
         permit_request = waiter.request.ask
-        if self.fleet.serves(permit_request.service, permit_request.version):
+        if self.fleet.pool.serves(permit_request.service, permit_request.version):
             return False
         wait_s = min(CHANGE_WAIT_SHARE * permit_request.timeout_s, MAX_CHANGE_WAIT_S)
         return at < waiter.arrived_at + wait_s and self.is_changing(
@@ -570,7 +576,7 @@
         convicted = [
             waiter
             for waiter in self._waiters.values()
-            if self.fleet.treatment(waiter.request.ask, at) is Treatment.REFUSED
+            if self.fleet.choice.treatment(waiter.request.ask, at) is Treatment.REFUSED
         ]
         for waiter in convicted:
             self._remove_unplaced(waiter)
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -482,10 +482,10 @@
         entries = max(len(self._reachability.local_entries()), 1)
         missing = self._reachability.missing_local()
         if is_coordinator:
-            allocator.fleet.share = 1.0
+            allocator.fleet.capacity.share = 1.0
             allocator.retries.share = 1 / self._reachability.domain_count()
         else:
-            allocator.fleet.share = 1 / entries
+            allocator.fleet.capacity.share = 1 / entries
             allocator.retries.share = self._reachability.share()
         if is_coordinator and not self._is_isolated(now()):
             self._limit_share = 1.0 - STANDALONE_SHARE * missing / (entries + missing)
--- a/fuchsiacroft/placing/queue_waits.py
+++ b/fuchsiacroft/placing/queue_waits.py
@@ -58,16 +58,16 @@
         if self._refused is None:
             return retry_after_s(expected_s, self._random)
         service = waiter.request.ask.service
-        slots = max(self._fleet.usable_slots(service), MIN_USABLE_SLOTS)
-        interval_s = self._fleet.mean_run_s(service) / slots
+        slots = max(self._fleet.capacity.usable_slots(service), MIN_USABLE_SLOTS)
+        interval_s = self._fleet.runs.mean_run_s(service) / slots
         return self._refused.retry_after_s(
             (service, waiter.workspace), expected_s, interval_s, at
         )
 
     def late_capacity(self, service: str) -> int:
         """Return the maximum number of late requests queued for a service."""
-        slots = self._fleet.usable_slots(service)
-        return int(LATE_HORIZON_S * slots / self._fleet.mean_run_s(service))
+        slots = self._fleet.capacity.usable_slots(service)
+        return int(LATE_HORIZON_S * slots / self._fleet.runs.mean_run_s(service))
 
     def _any_server_s(
         self, permit_request: PermitRequest, pos: Position, at: float
@@ -79,14 +79,16 @@
         service = permit_request.service
         queue = self._queues.get(service)
         ahead = queue.ahead_for(permit_request, pos) if queue is not None else 0
-        usable = self._fleet.usable_slots(service)
-        slots = usable - self._fleet.urgent_load(service, pos.rank, at)
+        usable = self._fleet.capacity.usable_slots(service)
+        slots = usable - self._fleet.runs.urgent_load(service, pos.rank, at)
         slots = max(slots, min(usable, 1.0), MIN_USABLE_SLOTS)
-        return (ahead + 1) * self._fleet.mean_run_s(service) / slots
+        return (ahead + 1) * self._fleet.runs.mean_run_s(service) / slots
 
     def _continued_s(self, service: str, version: str) -> float:
         """Return the expected wait of a request that continues a stream."""
         queue = self._queues.get(service)
         ahead = queue.awaiting(version) if queue is not None else 0
-        slots = max(self._fleet.allowed_slots(service, version), MIN_USABLE_SLOTS)
-        return (ahead + 1) * self._fleet.mean_run_s(service) / slots
+        slots = max(
+            self._fleet.capacity.allowed_slots(service, version), MIN_USABLE_SLOTS
+        )
+        return (ahead + 1) * self._fleet.runs.mean_run_s(service) / slots
--- a/fuchsiacroft/tests/fakes/simulated_servers.py
+++ b/fuchsiacroft/tests/fakes/simulated_servers.py
@@ -75,7 +75,7 @@
         wanted = self.demand * (1 + WAVE_SHARE * math.sin(math.tau * self.at / WAVE_S))
         request = self.new_request()
         while len(self.runs) < wanted:
-            load = self.fleet.choose(request, self.at)
+            load = self.fleet.choice.choose(request, self.at)
             if load is None:
                 return
             self.placed[load.name] += 1
--- a/fuchsiacroft/tests/placing/continued_streams_tests.py
+++ b/fuchsiacroft/tests/placing/continued_streams_tests.py
@@ -46,8 +46,8 @@
     def fill(self, rank: int = 18) -> list[Assignment]:
         """Fill every slot, those kept free for urgent requests too."""
         assignments = []
-        while self.allocator.fleet.free("lens", 0.0):
-            load = self.allocator.fleet.choose(request(rank=rank), 0.0, 9.0)
+        while self.allocator.fleet.capacity.free("lens", 0.0):
+            load = self.allocator.fleet.choice.choose(request(rank=rank), 0.0, 9.0)
             assignments.append(
                 self.allocator.fleet.begin(request(rank=rank), load, 0.0, 0.0)
             )
@@ -71,7 +71,7 @@
         waiter = self.allocator.place(self.continuing("v2"), 0.0)
         self.assertIsInstance(waiter, Waiter)
         self.assertEqual([], self.allocator.place_waiters(0.0))
-        self.assertEqual(2 * SLOTS, self.allocator.fleet.free("lens", 0.0))
+        self.assertEqual(2 * SLOTS, self.allocator.fleet.capacity.free("lens", 0.0))
 
     def test_a_waiting_stream_takes_a_slot_of_another_version(self):
         assignments = self.fill()
@@ -163,7 +163,7 @@
     """Servers lose runs, and may have started again at another version."""
 
     def lose_a_run(self, backend_server: str, report: RunReport, at: float) -> None:
-        load = self.allocator.fleet._servers[backend_server]
+        load = self.allocator.fleet.pool.get(backend_server)
         run = self.allocator.fleet.begin(request(rank=18), load, at, at)
         self.allocator.end(run.run_id, report, at)
 
@@ -187,7 +187,7 @@
         waiter = self.allocator.place(self.continuing("v1"), 5.0)
         self.assertIsInstance(waiter, Waiter)
         self.assertEqual([], self.allocator.place_waiters(5.1))
-        instance = self.allocator.fleet._servers["i-2"].instance
+        instance = self.allocator.fleet.pool.get("i-2").instance
         self.assertTrue(self.allocator.fleet.starts.record_progress(instance, -1.0, 5))
         [(placed, assignment)] = self.allocator.place_waiters(5.2)
         self.assertIs(waiter, placed)
--- a/fuchsiacroft/tests/placing/crash_detector_tests.py
+++ b/fuchsiacroft/tests/placing/crash_detector_tests.py
@@ -75,7 +75,7 @@
     ) -> Assignment:
         """Place a request on one server."""
         request = self.request(*parts, service=service)
-        load = self.allocator.fleet._servers[server]
+        load = self.allocator.fleet.pool.get(server)
         return self.allocator.fleet.begin(request, load, at, at)
 
     def treatment(self, part: str, at: float) -> Treatment:
@@ -331,7 +331,7 @@
         self.allocator.end(run.run_id, LOST, 1.1)
         fleet = self.allocator.fleet
         self.assertTrue(
-            fleet.starts.record_progress(fleet._servers["i-0"].instance, 0.0, 2.0)
+            fleet.starts.record_progress(fleet.pool.get("i-0").instance, 0.0, 2.0)
         )
         fleet.replace_servers(self.records[1:], 8.5)
         self.assertEqual({}, self.evidence.dump(8.5))
--- a/fuchsiacroft/tests/placing/engine_speed_tests.py
+++ b/fuchsiacroft/tests/placing/engine_speed_tests.py
@@ -35,27 +35,29 @@
             for number in range(200):
                 tokens = PROMPT_TOKENS * (1 + number % 3) // 2
                 req, at = request(number, tokens), number * 5.0
-                load = fleet.choose(req, at)
+                load = fleet.choice.choose(req, at)
                 fleet.begin(req, load, at, at)
                 first_s = tokens / tokens_per_s
                 report = RunReport(RunOutcome.COMPLETED, first_s, gap_s, run_s)
                 fleet.end(req.run_id, report, at + run_s)
-            found_s = fleet.median_run_s(request(0, PROMPT_TOKENS).ask)
+            found_s = fleet.choice.median_run_s(request(0, PROMPT_TOKENS).ask)
             self.assertAlmostEqual(run_s, found_s, delta=0.1 * run_s)
 
     def test_prompts_read_at_the_same_time_do_not_change_the_prefill_speed(self):
         """Guards against engines that look slow under load, and then are left idle."""
         fleet = Fleet()
         fleet.replace_servers([record("i-1", address="10.0.0.1:80")], 0.0)
-        before_s = fleet.median_run_s(request(0, PROMPT_TOKENS).ask)
+        before_s = fleet.choice.median_run_s(request(0, PROMPT_TOKENS).ask)
         for number in range(100):
             pair, at = (request(2 * number, 9_000), request(2 * number + 1, 500)), 5.0
             for req in pair:
-                fleet.begin(req, fleet.choose(req, at * number), at * number, 0.0)
+                fleet.begin(
+                    req, fleet.choice.choose(req, at * number), at * number, 0.0
+                )
             for req in pair:
                 report = RunReport(RunOutcome.COMPLETED, 1.0, 0.0025, 1.2)
                 fleet.end(req.run_id, report, at * number + 1.2)
-        after_s = fleet.median_run_s(request(0, PROMPT_TOKENS).ask)
+        after_s = fleet.choice.median_run_s(request(0, PROMPT_TOKENS).ask)
         self.assertAlmostEqual(before_s, after_s, delta=0.01 * before_s)
 
     def test_a_new_engine_counts_as_the_median_of_the_others(self):
--- a/fuchsiacroft/tests/placing/learned_limits_tests.py
+++ b/fuchsiacroft/tests/placing/learned_limits_tests.py
@@ -155,9 +155,11 @@
             reports_machine=True,
         )
         simulation.play(20.0)
-        usual_s = simulation.fleet.median_run_s(plain().ask)
+        usual_s = simulation.fleet.choice.median_run_s(plain().ask)
         simulation.play(20.0)
-        self.assertLess(simulation.fleet.median_run_s(plain().ask), 2.0 * usual_s)
+        self.assertLess(
+            simulation.fleet.choice.median_run_s(plain().ask), 2.0 * usual_s
+        )
 
     def test_short_moments_of_slowness_collapse_a_limit(self):
         for new in (stream, plain):
@@ -181,33 +183,33 @@
         self.assertGreater(0.75 * SLOTS, simulation.play(LEARN_S)[-1])
         fleet, at = simulation.fleet, simulation.at
         fleet.replace_servers([record("i-1", born_ms=2_000)], at)
-        self.assertEqual(SLOTS, fleet.free("lens", at))
+        self.assertEqual(SLOTS, fleet.capacity.free("lens", at))
         self.assertNotIn("learned_limit", fleet.dump(at)["i-1"])
 
     def test_a_server_without_the_fourth_figure_is_limited(self):
         simulation = simulate(full_at_half, reported=ReportedLoad(1, 9, SLOTS))
         self.assertEqual({SLOTS}, set(simulation.play(LEARN_S)))
         self.assertNotIn("learned_limit", simulation.fleet.dump(LEARN_S)["i-1"])
-        self.assertEqual(SLOTS, simulation.fleet.usable_slots("lens"))
+        self.assertEqual(SLOTS, simulation.fleet.capacity.usable_slots("lens"))
 
     def test_a_server_that_refuses_as_full_keeps_its_limit_or_never_has_it_again(self):
         fleet = Fleet()
         fleet.always_learns = True
         fleet.replace_servers([record("i-1")], 0.0)
         running = [
-            fleet.begin(query, fleet.choose(query, 0.0), 0.0, 0.0)
+            fleet.begin(query, fleet.choice.choose(query, 0.0), 0.0, 0.0)
             for query in (stream() for _ in range(8))
         ]
         refused = RunReport(RunOutcome.REFUSED, duration_s=0.001)
         fleet.end(running[0].run_id, refused, 0.01)
-        self.assertEqual(0, fleet.free("lens", 0.01))
-        self.assertEqual(7, fleet.usable_slots("lens"))
+        self.assertEqual(0, fleet.capacity.free("lens", 0.01))
+        self.assertEqual(7, fleet.capacity.usable_slots("lens"))
         for run in running[1:]:
             fleet.end(run.run_id, refused, 0.02)
-        self.assertLessEqual(1, fleet.free("lens", 0.02))
+        self.assertLessEqual(1, fleet.capacity.free("lens", 0.02))
         for step in range(1, SLOTS + 1):
             fleet.expire_runs(0.02 + step * REFUSAL_RETRY_S)
-        self.assertEqual(SLOTS, fleet.usable_slots("lens"))
+        self.assertEqual(SLOTS, fleet.capacity.usable_slots("lens"))
 
 
 class ReportedLoadTests(TestCase):
@@ -225,7 +227,7 @@
     def report(self, percent, at, waiting=0):
         """Have the first server report its load in the answer to a run."""
         query = stream()
-        load = self.fleet.choose(query, at)
+        load = self.fleet.choice.choose(query, at)
         self.fleet.begin(query, load, at, at)
         reported = ReportedLoad(1, waiting, SLOTS, percent)
         self.fleet.record_load(query.run_id, reported, at)
@@ -237,7 +239,7 @@
         names = []
         for _ in range(count):
             query = plain()
-            load = self.fleet.choose(query, at)
+            load = self.fleet.choice.choose(query, at)
             self.fleet.begin(query, load, at, at)
             names.append(load.name)
         return names
@@ -259,7 +261,7 @@
         self.report(1, 1.0)
         names = self.chosen(1.0, 2 * SLOTS)
         self.assertEqual(SLOTS, names.count("i-1"))
-        self.assertIsNone(self.fleet.choose(plain(), 1.0))
+        self.assertIsNone(self.fleet.choice.choose(plain(), 1.0))
 
     def test_a_server_that_exaggerates_gets_nothing(self):
         learning = self.report(100_000, 1.0, waiting=1_000_000)
@@ -301,14 +303,14 @@
 
     def make_slow(self, name: str) -> None:
         """Have a server's plain runs take longer than the requests' timeout."""
-        load = self.fleet.choose(self.only_for(name), 0.0)
+        load = self.fleet.choice.choose(self.only_for(name), 0.0)
         load.plain_run_s, load.ended_at = 2 * self.TIMEOUT_S, 10.0
 
     def fill(self, name: str) -> None:
         """Fill a server."""
         while True:
             query = self.only_for(name)
-            load = self.fleet.choose(query, 10.0)
+            load = self.fleet.choice.choose(query, 10.0)
             if load is None:
                 return
             self.fleet.begin(query, load, 10.0, 10.0)
@@ -318,31 +320,31 @@
         self.make_slow("i-1")
         self.fill("i-2")
         for waited_s in (0.0, 0.2, 7.0):
-            self.assertIsNone(self.fleet.choose(plain(), 10.0, waited_s))
+            self.assertIsNone(self.fleet.choice.choose(plain(), 10.0, waited_s))
 
     def test_a_request_waits_for_a_server_that_can_not_be_reached(self):
         """An unreachable server has no runs, so it seems due to be tried."""
         self.servers("i-1", "i-2")
         self.make_slow("i-1")
-        unreachable = self.fleet.choose(self.only_for("i-2"), 0.0)
+        unreachable = self.fleet.choice.choose(self.only_for("i-2"), 0.0)
         unreachable.backoff_until = 11.0
-        self.assertEqual("i-1", self.fleet.choose(plain(), 10.0, 0.2).name)
+        self.assertEqual("i-1", self.fleet.choice.choose(plain(), 10.0, 0.2).name)
 
     def test_a_request_that_no_server_can_complete_waits_in_vain(self):
         self.servers("i-1")
         self.make_slow("i-1")
-        self.assertIsNone(self.fleet.choose(plain(), 10.0, 0.0))
-        self.assertEqual("i-1", self.fleet.choose(plain(), 10.0, 0.2).name)
+        self.assertIsNone(self.fleet.choice.choose(plain(), 10.0, 0.0))
+        self.assertEqual("i-1", self.fleet.choice.choose(plain(), 10.0, 0.2).name)
 
     def test_a_server_that_was_too_slow_is_never_tried_again(self):
         self.servers("i-1", "i-2")
         self.make_slow("i-1")
         self.fill("i-2")
-        self.assertEqual("i-1", self.fleet.choose(plain(), 12.5).name)
+        self.assertEqual("i-1", self.fleet.choice.choose(plain(), 12.5).name)
 
     def test_a_server_that_does_not_learn_is_skipped(self):
         self.fleet.always_learns = False
         self.servers("i-1", "i-2")
         self.make_slow("i-1")
         self.fill("i-2")
-        self.assertEqual("i-1", self.fleet.choose(plain(), 10.0).name)
+        self.assertEqual("i-1", self.fleet.choice.choose(plain(), 10.0).name)
--- a/fuchsiacroft/tests/placing/limited_servers_tests.py
+++ b/fuchsiacroft/tests/placing/limited_servers_tests.py
@@ -52,7 +52,9 @@
             self.assertIsInstance(placed, Assignment)
             self.assertTrue(placed.is_limited)
             self.allocator.end(placed.run_id, report, 1.0)
-            self.assertEqual(is_free, self.allocator.fleet.free("lens", 1.0) > 0)
+            self.assertEqual(
+                is_free, self.allocator.fleet.capacity.free("lens", 1.0) > 0
+            )
 
     def test_an_adopted_run_that_was_not_sent_gives_a_place_back(self):
         self.servers("i-1")
@@ -60,7 +62,7 @@
         held = HeldRun("run-x", "i-1", request().ask)
         self.allocator.fleet.adopt(held, 0.5)
         self.allocator.end("run-x", UNUSED, 0.6)
-        self.assertEqual(0, self.allocator.fleet.free("lens", 0.6))
+        self.assertEqual(0, self.allocator.fleet.capacity.free("lens", 0.6))
 
     def test_a_waiter_is_not_placed_when_the_limit_allows_it(self):
         self.servers("i-1")
@@ -108,11 +110,13 @@
 
     def test_the_load_is_counted_as_if_all_slots_were_usable(self):
         self.servers("i-1", "i-2")
-        self.assertEqual(22.0, self.allocator.fleet.usable_slots("lens"))
+        self.assertEqual(22.0, self.allocator.fleet.capacity.usable_slots("lens"))
         self.name_limit("i-1", 1.0)
-        run_s = self.allocator.fleet.mean_run_s("lens")
-        self.assertAlmostEqual(11.0 + run_s, self.allocator.fleet.usable_slots("lens"))
+        run_s = self.allocator.fleet.runs.mean_run_s("lens")
+        self.assertAlmostEqual(
+            11.0 + run_s, self.allocator.fleet.capacity.usable_slots("lens")
+        )
         load = self.allocator.queue_load(request().ask, 1.0)
         self.assertEqual(1, load.limited)
         self.name_limit("i-1", UNLIMITED, at=2.0)
-        self.assertEqual(22.0, self.allocator.fleet.usable_slots("lens"))
+        self.assertEqual(22.0, self.allocator.fleet.capacity.usable_slots("lens"))
--- a/fuchsiacroft/tests/placing/token_memory_tests.py
+++ b/fuchsiacroft/tests/placing/token_memory_tests.py
@@ -45,12 +45,12 @@
     def test_runs_exceed_the_memory_of_a_server(self):
         placed = [self.place(4_000), self.place(4_000)]
         self.assertIsInstance(self.place(4_000), Waiter)
-        self.assertEqual(1, self.fleet.free("lens", 0.0))
+        self.assertEqual(1, self.fleet.capacity.free("lens", 0.0))
         self.assertEqual(1, len(self.end(placed[0], 0.1)))
         self.place(2_000, at=0.2)
-        self.assertEqual(0, self.fleet.free("lens", 0.2))
+        self.assertEqual(0, self.fleet.capacity.free("lens", 0.2))
         plain = request(prompt_tokens=0, output_tokens=0)
-        self.assertIsNotNone(self.fleet.choose(plain, 0.2))
+        self.assertIsNotNone(self.fleet.choice.choose(plain, 0.2))
 
     def test_a_large_request_starves_behind_smaller_ones(self):
         running = [self.place(2_000) for _ in range(5)]
@@ -86,18 +86,18 @@
         running = [self.place(5_000), self.place(4_000)]
         large = self.place(9_000)
         self.end(running[0], 0.1)
-        self.assertIsNone(self.fleet.choose(sized(2_000), 0.1))
+        self.assertIsNone(self.fleet.choice.choose(sized(2_000), 0.1))
         self.allocator.end(large.request.run_id, DONE, 0.2)
-        self.assertIsNotNone(self.fleet.choose(sized(2_000), 0.2))
+        self.assertIsNotNone(self.fleet.choice.choose(sized(2_000), 0.2))
 
     def test_room_is_held_for_a_waiter_that_timed_out(self):
         running = [self.place(5_000), self.place(4_000)]
         large = request(prompt_tokens=8_900, in_time_s=0.2, max_wait_s=0.2)
         self.allocator.place(large, 0.0)
         self.end(running[0], 0.1)
-        self.assertIsNone(self.fleet.choose(sized(2_000), 0.2))
+        self.assertIsNone(self.fleet.choice.choose(sized(2_000), 0.2))
         self.assertEqual(1, len(self.allocator.expire_waiters(0.2)))
-        self.assertIsNotNone(self.fleet.choose(sized(2_000), 0.2))
+        self.assertIsNotNone(self.fleet.choice.choose(sized(2_000), 0.2))
 
     def test_a_waiter_loses_its_room_while_another_domain_is_asked(self):
         """Smaller requests would take the room each time that none is found there."""
@@ -105,7 +105,7 @@
         large = self.place(9_000)
         self.end(running[0], 0.1)
         self.assertTrue(self.allocator.dequeue(large.request.run_id))
-        self.assertIsNone(self.fleet.choose(sized(2_000), 0.2))
+        self.assertIsNone(self.fleet.choice.choose(sized(2_000), 0.2))
         self.allocator.requeue(large)
         self.assertEqual(1, len(self.end(running[1], 0.3)))
 
--- a/fuchsiacroft/tests/placing/withheld_slots_tests.py
+++ b/fuchsiacroft/tests/placing/withheld_slots_tests.py
@@ -24,7 +24,7 @@
     def limit(self, runs: int) -> None:
         """Have the server learn a limit."""
         probe = request()
-        load = self.fleet.choose(probe, 0.0)
+        load = self.fleet.choice.choose(probe, 0.0)
         load.learning.limit.adjust(runs, 0.0)
 
     def test_the_expected_wait_of_a_stream_counts_withheld_slots(self):
@@ -43,7 +43,7 @@
         urgent = [self.allocator.place(request(rank=0), 10.5) for _ in range(9)]
         for run in urgent:
             self.allocator.end(run.run_id, DONE, 12.0)
-        self.assertLess(1, self.fleet.kept_free("lens", LONG_RANK, 12.0))
+        self.assertLess(1, self.fleet.capacity.kept_free("lens", LONG_RANK, 12.0))
         self.limit(2)
         placed = self.allocator.place(request(rank=LONG_RANK), 12.0)
         self.assertIsInstance(placed, Assignment)
--- a/fuchsiacroft/tests/rollouts/placement_tests.py
+++ b/fuchsiacroft/tests/rollouts/placement_tests.py
@@ -104,7 +104,7 @@
         return placed
 
     def free(self, at: float = 0.0, version: str | None = None) -> int:
-        return self.allocator.fleet.free("till", at, version)
+        return self.allocator.fleet.capacity.free("till", at, version)
 
     def evidence(self, at: float = 0.0) -> ServiceEvidence:
         [evidence] = self.rollouts.evidence(at)
@@ -171,7 +171,7 @@
         self.assertEqual(3 * SLOTS + 1, self.free())
         [capacity] = self.allocator.capacities(0.0)
         self.assertEqual(3 * SLOTS + 1, capacity.free)
-        self.assertEqual(3 * SLOTS, self.allocator.fleet.slots("till"))
+        self.assertEqual(3 * SLOTS, self.allocator.fleet.pool.slots("till"))
 
     def test_one_new_server_is_filled_before_the_next(self):
         """Faults that show under load would not show on many idle servers."""
@@ -284,7 +284,7 @@
     def test_new_requests_go_to_the_new_version_only(self):
         self.assertEqual(2 * SLOTS, self.free())
         self.assertEqual({"v2"}, {placed.version for placed in self.fill()})
-        self.assertEqual(2 * SLOTS, self.allocator.fleet.slots("till"))
+        self.assertEqual(2 * SLOTS, self.allocator.fleet.pool.slots("till"))
 
     def test_requests_wait_rather_than_go_to_old_servers(self):
         placed = self.fill()
