Show in the console what a draft does before it is confirmed

The console validated a draft, and said nothing of the warnings and effects that fuchsiacroft check lists. A checked draft and the page that confirms a removal list them, and a draft with new warnings is applied once the operator has seen them, unless they are at a field that the form doesn't show (a new workspace has no keys yet).

--- a/fuchsiacroft/console/items.py
+++ b/fuchsiacroft/console/items.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from expression import Result
 
-from fuchsiacroft.console import drafts
+from fuchsiacroft.console import draft_report, drafts
 from fuchsiacroft.console.context import (
     BaseDocument,
     Context,
@@ -15,12 +15,16 @@
     new_change_id,
     redirect_accepted,
 )
+from fuchsiacroft.console.draft_report import DraftReport
 from fuchsiacroft.console.drafts import Draft, ItemRef
 from fuchsiacroft.console.forms import FORMS, Form
 from fuchsiacroft.console.pages import Problem
 from fuchsiacroft.control.api_messages import Conflict
 from fuchsiacroft.operators_results import ChangeError, DocumentRejected
 
+VALID = "The draft has no faults. It is not in force yet."
+WARNED = "The draft has new warnings. It is not in force yet."
+
 
 @dataclass(frozen=True, slots=True)
 class FormPage:
@@ -46,7 +50,7 @@
             document=self.base.document,
             change_id=new_change_id(),
             same_item=_is_same_item(conflict, self.ref),
-            **{"conflict": None, "errors": {}} | values,
+            **{"conflict": None, "errors": {}, "report": None} | values,
         )
 
     def show_error(self, draft: Draft, error: ChangeError) -> web.StreamResponse:
@@ -92,7 +96,7 @@
             held=self.base_version,
             change_id=new_change_id(),
             same_item=_is_same_item(values.get("conflict"), self.ref),
-            **{"conflict": None} | values,
+            **{"conflict": None, "report": None} | values,
         )
 
 
@@ -142,14 +146,22 @@
 
     @_with_base_document
     async def save(self, context: Context, base: BaseDocument) -> web.StreamResponse:
-        """Validate a draft, or submit it as a change."""
+        """Validate a draft, or submit it as a change.
+
+        One with new warnings is submitted once the operator has seen them.
+        """
         ref = ItemRef(_form(context), context.text("item"))
         entered = ref.form.read(context.form, _values_reader(context))
         position = context.text("position")
         draft = drafts.put_item(base.document, ref, entered, position)
         page = FormPage(context, ref, base, draft.item, position)
-        if context.text("action") == "check":
-            return await _validate(page, draft)
+        report = draft_report.create(base.document, draft.document)
+        action = context.text("action")
+        if action == "check":
+            return await _validate(page, draft, report)
+        needs_consent = report is not None and report.needs_consent(ref.form)
+        if needs_consent and action != "apply_warned":
+            return page.show(notice=WARNED, report=report)
         match await context.submit_change(draft.document, base.version):
             case Result(tag="ok", ok=answer):
                 return redirect_accepted(f"/{ref.form.part}", answer)
@@ -162,9 +174,11 @@
     ) -> web.StreamResponse:
         """Ask to confirm the removal of an item."""
         ref = ItemRef(_form(context), context.req.query.get("item", ""))
-        if ref.find(base.document) is None:
+        document = drafts.remove_item(base.document, ref)
+        if document is None:
             raise _not_found(ref.form)
-        return RemovalPage(context, ref, base.version).show()
+        report = draft_report.create(base.document, document)
+        return RemovalPage(context, ref, base.version).show(report=report)
 
     @_with_base_document
     async def remove(self, context: Context, base: BaseDocument) -> web.StreamResponse:
@@ -187,11 +201,13 @@
                 return context.failure(error)
 
 
-async def _validate(page: FormPage, draft: Draft) -> web.StreamResponse:
+async def _validate(
+    page: FormPage, draft: Draft, report: DraftReport | None
+) -> web.StreamResponse:
     data = msgspec.json.encode(draft.document)
     match await page.context.client.validate_document(data):
         case Result(tag="ok"):
-            return page.show(notice="The draft has no faults. It is not in force yet.")
+            return page.show(notice=VALID, report=report)
         case Result(error=error):
             return page.show_error(draft, error)
 
--- a/fuchsiacroft/tests/console/console_tests.py
+++ b/fuchsiacroft/tests/console/console_tests.py
@@ -191,6 +191,36 @@
         self.assertIn("The draft has no faults. It is not in force yet.", text)
         self.assertEqual(1, (await self.document())[0])
 
+    async def test_a_check_of_a_draft_hides_what_it_does_to_callers(self):
+        form = await self.tier_form(timeout_s="45", action="check")
+        _, text = await self.post("/tiers/edit", form)
+        self.assertIn("What this change does", text)
+        self.assertIn("45 s instead of 60 s", text)
+
+    async def test_a_removal_is_confirmed_without_what_it_does_to_callers(self):
+        _, text = await self.get("/workspaces/remove?item=shop-4")
+        self.assertIn("What this change does", text)
+        self.assertIn("its 1 keys get 401", text)
+
+    async def test_a_draft_with_a_new_warning_is_applied_unseen(self):
+        _, document = await self.document()
+        other_rank = document["tiers"][0]["rank"]
+        form = await self.tier_form(rank=str(other_rank), action="apply")
+        _, text = await self.post("/tiers/edit", form)
+        self.assertIn("The draft has new warnings", text)
+        self.assertEqual(1, (await self.document())[0])
+        self.assertIn('value="apply_warned"', text)
+        seen = dict(HIDDEN.findall(text.partition("<main")[2]))
+        form |= seen | {"action": "apply_warned"}
+        _, text = await self.post("/tiers/edit", form)
+        self.assertIn("Accepted as version 2", text)
+
+    async def test_a_workspace_that_has_no_key_yet_is_added_with_a_warning(self):
+        form = await self.form("/workspaces/edit")
+        form |= {"name": "new", "tier": "batch", "share": "1", "retries_per_s": "10"}
+        _, text = await self.post("/workspaces/edit", form | {"action": "apply"})
+        self.assertIn("Accepted as version 2", text)
+
     async def test_an_item_in_use_cannot_be_removed(self):
         form = await self.form("/tiers/remove?item=desk")
         status, text = await self.post("/tiers/remove", form)
