--- a/fuchsiacroft/tests/soak/run.py
+++ b/fuchsiacroft/tests/soak/run.py
@@ -36,6 +36,8 @@
 RECOVERY_CHECK_S = 0.1
 DELAY_S = 0.15
 CONFIGURE_PERIOD_S = 0.3
+STARVED_SHARE = 1 / 3
+STARVED_PERIOD_S = 0.1
 TAINT_DURATIONS = 4.0
 """A prompt part stays deadly for this many durations of its fault."""
 LIMIT_DURATIONS = 4.0
@@ -261,6 +263,19 @@
     async def _pause_entry(self, fault: Fault) -> None:
         await self._pause(self._program(self._entries, fault), fault)
 
+    async def _starve_entries(self, fault: Fault) -> None:
+        """Let each entry run for `STARVED_SHARE` of each `STARVED_PERIOD_S` only."""
+        ends_at = self._now() + fault.duration_s
+        while self._now() < ends_at:
+            starved = [entry for entry in self._entries if not entry.is_busy]
+            for entry in starved:
+                entry.send_signal(signal.SIGSTOP)
+            await asyncio.sleep((1 - STARVED_SHARE) * STARVED_PERIOD_S)
+            # Also one that is being stopped by now, which could not end otherwise.
+            for entry in starved:
+                entry.send_signal(signal.SIGCONT)
+            await asyncio.sleep(STARVED_SHARE * STARVED_PERIOD_S)
+
     async def _stop_entry(self, fault: Fault) -> None:
         program = self._program(self._entries, fault)
         if program is None:
--- a/fuchsiacroft/tests/soak/schedule.py
+++ b/fuchsiacroft/tests/soak/schedule.py
@@ -46,13 +46,18 @@
 LOSE_POWER_KIND = "lose_power_all"
 """All processes at once, and the disk of one control member; drawn apart, too."""
 LOSE_POWER_PERIOD_RANGE_S = (8.0, 15.0)
+STARVE_KIND = "starve_entries"
+"""All entries run only for a part of each tenth of a second; drawn apart, too."""
+STARVE_PERIOD_RANGE_S = (1.0, 4.0)
 PERIODS_S = {
     GARBLE_KIND: GARBLE_PERIOD_RANGE_S,
     LOSE_POWER_KIND: LOSE_POWER_PERIOD_RANGE_S,
+    STARVE_KIND: STARVE_PERIOD_RANGE_S,
 }
 """Range of the periods of the kinds that are drawn apart."""
 ALL_KINDS = (*KINDS, GARBLE_KIND)
-"""The kinds that a run has by default; a loss of power is asked for by name."""
+"""The kinds that a run has by default; the others are asked for by name."""
+NAMED_KINDS = (*ALL_KINDS, LOSE_POWER_KIND, STARVE_KIND)
 HARMLESS_KINDS = frozenset(
     {"configure", "configure_often", "refuse_configuration", "reload_entry"}
 )
--- a/fuchsiacroft/tests/soak/soak_tests.py
+++ b/fuchsiacroft/tests/soak/soak_tests.py
@@ -19,6 +19,14 @@
 )
 LOSSES_OF_POWER = ("lose_power_all", "configure_often", "configure", "stop_entry")
 
+SHARES_OF_A_CORE = (
+    "starve_entries",
+    "reset_link",
+    "crash_server",
+    "taint_server",
+    "stop_entry",
+)
+
 
 class SoakTests(TestCase):
     """Real processes under injected faults."""
@@ -47,6 +55,9 @@
     def test_a_loss_of_power_loses_what_was_acknowledged(self):
         self.assert_holds(50, LOSSES_OF_POWER, length_s=20.0)
 
+    def test_entries_that_get_a_share_of_a_core_take_their_delays_for_others_ends(self):
+        self.assert_holds(61, SHARES_OF_A_CORE, length_s=20.0)
+
     def assert_holds(self, seed, kinds=SILENT_LINKS, length_s=25.0):
         plan = Plan(seed=seed, length_s=length_s, kinds=kinds)
         result = run_soak(plan)
--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -14,7 +14,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from fuchsiacroft.tests.soak.run import Plan, run_soak
-from fuchsiacroft.tests.soak.schedule import ALL_KINDS, LOSE_POWER_KIND
+from fuchsiacroft.tests.soak.schedule import ALL_KINDS, NAMED_KINDS
 
 MAX_PRINTED = 10
 """Maximum number of violations printed for each run."""
@@ -29,8 +29,7 @@
     parser.add_argument("--entries", type=int, default=4)
     parser.add_argument("--servers", type=int, default=6)
     parser.add_argument("--keep", metavar="FOLDER")
-    kinds = (*ALL_KINDS, LOSE_POWER_KIND)
-    parser.add_argument("--kinds", nargs="+", choices=kinds, default=ALL_KINDS)
+    parser.add_argument("--kinds", nargs="+", choices=NAMED_KINDS, default=ALL_KINDS)
     args = parser.parse_args()
     failed_runs = 0
     for seed in range(args.seed, args.seed + args.runs):
