Ask a server that lost a run for its start

Streams that began at a server whose connections were reset could not be taken up for up to 14.6 s: all its runs were lost at once, so none was left to prove that it is the same start, and its origin stayed uncertain.

Once a stream begins without a certain origin, its server is asked for its start, and if it tells the known one, all doubts from before the question end, here and at the entries that are told. On the platform it is part of the replica's report.

Unit tests failed before: the server stayed doubted.

--- a/fuchsiacroft/gateway/continued_streams.py
+++ b/fuchsiacroft/gateway/continued_streams.py
@@ -80,7 +80,10 @@
                 must_be_listed=context.is_origin_unsure,
             )
             if version is None:
-                _log_unsure(context, placement)
+                if not context.is_origin_unsure:
+                    _log_unsure(context, placement)
+                    if request.route.kind.is_retryable:
+                        self._placer.ask_start(placement)
                 context.is_origin_unsure = True
                 return
             context.is_origin_unsure = False
@@ -102,8 +105,6 @@
 
 
 def _log_unsure(context: RequestContext, placement: SlotAssignment) -> None:
-    if context.is_origin_unsure:
-        return
     event(
         "info",
         "stream_origin_unsure",
--- a/fuchsiacroft/membership/server_notices.py
+++ b/fuchsiacroft/membership/server_notices.py
@@ -45,6 +45,10 @@
     load: ReportedLoad | None = None
 
 
+NO_START = "0"
+"""Start of a server that doesn't tell its starts; each has another name."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServerInstance:
     """One start of a backend server; `start` differs between the starts of one name."""
@@ -52,6 +56,11 @@
     name: str
     start: str
 
+    @property
+    def may_start_again(self) -> bool:
+        """Whether its name may have another start, as it tells its starts apart."""
+        return self.start != NO_START
+
 
 @dataclass(frozen=True, slots=True)
 class NoticedAnswer:
--- a/fuchsiacroft/membership/server_starts.py
+++ b/fuchsiacroft/membership/server_starts.py
@@ -87,6 +87,8 @@
         self, server: ServerInstance, at: float, sent_at: float = math.inf
     ) -> bool:
         """Return whether a request reaches this start, or did if sent at `sent_at`."""
+        if not server.may_start_again:
+            return True
         doubt = self.doubt(server, at)
         return doubt is None or sent_at < doubt.since
 
@@ -143,6 +145,17 @@
         self._keep(server, [d for d in doubts if not d.is_proven_by(sent_at, at)])
         return server not in self._doubts
 
+    def record_alive(self, server: ServerInstance, at: float) -> bool:
+        """Record that this start answered a question that was sent at `at`.
+
+        Returns whether it has become certain by it.
+        """
+        doubts = self._doubts.get(server)
+        if doubts is None:
+            return False
+        self._keep(server, [doubt for doubt in doubts if doubt.latest > at])
+        return server not in self._doubts
+
     def record_unlisted(self, at: float) -> None:
         """Record that no control member lists the servers to this VM now."""
         self._unlisted_at = at
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -23,6 +23,7 @@
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.membership.server_notices import NoticedAnswer
+from fuchsiacroft.membership.start_probe import StartProbe
 from fuchsiacroft.placing.answered_loads import AnsweredLoads
 from fuchsiacroft.placing.coordinator import Coordinator
 from fuchsiacroft.placing.coordinators import coordinator_of
@@ -149,7 +150,14 @@
         self._pacing.share_of = lambda backend_server: self._limit_share
         self._limits = self._local_coordinator.limits
         self._spending = self._local_coordinator.spending
-        self._start_exchange = StartExchange(self._bus, self._roster, self._starts)
+        self._start_exchange = StartExchange(
+            self._bus,
+            self._roster,
+            self._starts,
+            kernel.find("start_probe", StartProbe),
+            self._tasks,
+        )
+        self._start_exchange.on_proven = self._record_proven
         self._neighbours = kernel.get("neighbours", Neighbours)
         self._local_coordinator.allocator.quotas.remote_usage = self._remote_usage
         self._hand_over = OutgoingHandOver(
@@ -311,6 +319,15 @@
         if not self._starts.is_certain(server, now()):
             self._doubted_runs.add(placed.run_id)
 
+    def ask_start(self, placed: SlotAssignment) -> None:
+        """Ask the server of a run for its start, which this entry or another doubts."""
+        self._start_exchange.ask(self.availability.instance(placed), placed.run_id)
+
+    def _record_proven(self, run_id: str) -> None:
+        """Record that the server of a run is the start that the coordinator knew."""
+        if run_id in self._active_runs:
+            self._doubted_runs.add(run_id)
+
     def _running(self, backend_server: str) -> int:
         return sum(
             run.backend_server == backend_server for run in self._active_runs.values()
--- a/fuchsiacroft/placing/start_exchange.py
+++ b/fuchsiacroft/placing/start_exchange.py
@@ -3,6 +3,9 @@
 Each of them may be asked to place requests there, or become the coordinator.
 """
 
+import asyncio
+from collections.abc import Callable
+
 import msgspec
 
 from fuchsiacroft.config.bounds import Age
@@ -10,11 +13,16 @@
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.membership.server_notices import ServerInstance
 from fuchsiacroft.membership.server_starts import ServerStarts
+from fuchsiacroft.membership.start_probe import StartProbe
 from fuchsiacroft.routing.permits import RunOutcome
 from fuchsiacroft.transport import codec
 from fuchsiacroft.transport.bus import Bus
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.tasks import BackgroundTasks
+
+ASK_PAUSE_S = 0.2
+MAX_ASKS = 5
 
 
 @codec.message("placing.start_doubted")
@@ -43,13 +51,38 @@
     progress_age_s: Age
 
 
+@codec.message("placing.start_alive")
+class StartAlive(msgspec.Struct, frozen=True):
+    """A start of a server answered a question that was sent `asked_age_s` ago."""
+
+    backend_server: str
+    start: str
+    asked_age_s: Age
+
+
 class StartExchange:
-    """What this entry sees of the starts of servers, and passes on."""
+    """What this entry sees of the starts of servers, and passes on.
+
+    `probe`, if there is one, asks a server whose start is doubted. `on_proven` is
+    called with each run for which it told the known start.
+    """
 
-    def __init__(self, bus: Bus, roster: Roster, starts: ServerStarts) -> None:
+    def __init__(
+        self,
+        bus: Bus,
+        roster: Roster,
+        starts: ServerStarts,
+        probe: StartProbe | None,
+        tasks: BackgroundTasks,
+    ) -> None:
         self._bus = bus
         self._roster = roster
         self._starts = starts
+        self._probe = probe
+        self._tasks = tasks
+        self._waiting: dict[ServerInstance, set[str]] = {}
+        self.on_proven: Callable[[str], None] = lambda run_id: None
+        bus.register_handler(StartAlive, self._on_alive)
         bus.register_handler(StartDoubted, self._on_doubted)
         bus.register_handler(StartProven, self._on_proven)
 
@@ -74,7 +107,50 @@
             _log("server_start_proven", server)
         self._notify(server, StartProven(server.name, server.start, at - sent_at, 0.0))
 
-    def _notify(self, server: ServerInstance, msg: StartDoubted | StartProven) -> None:
+    def ask(self, server: ServerInstance, run_id: str) -> None:
+        """Ask a server for its start, as a run there needs it to be certain.
+
+        If it tells the same start, `on_proven` is called with the run.
+        """
+        if self._probe is None or not server.may_start_again:
+            return
+        if server in self._waiting:
+            self._waiting[server].add(run_id)
+            return
+        self._waiting[server] = {run_id}
+        self._tasks.spawn(self._ask_until_certain(server), "ask-start")
+
+    async def _ask_until_certain(self, server: ServerInstance) -> None:
+        """Ask a few times, as answers are lost where runs are."""
+        try:
+            for number in range(MAX_ASKS):
+                if number:
+                    await asyncio.sleep(ASK_PAUSE_S)
+                if await self._ask(server):
+                    return
+        finally:
+            del self._waiting[server]
+
+    async def _ask(self, server: ServerInstance) -> bool:
+        """Return whether a server tells that it is the same start."""
+        record = self._roster.server(server.name)
+        if record is None:
+            return False
+        asked_at = now()
+        address = record.announcement.address
+        if await self._probe.ask(server.name, address) != server.start:
+            return False
+        if self._starts.record_alive(server, asked_at):
+            _log("server_start_proven", server)
+        age_s = now() - asked_at
+        self._notify(server, StartAlive(server.name, server.start, age_s))
+        for run_id in self._waiting[server]:
+            self.on_proven(run_id)
+        return True
+
+    def _notify(
+        self, server: ServerInstance, msg: StartDoubted | StartProven | StartAlive
+    ) -> None:
         for entry in self._entries_for(server.name):
             if entry.node != self._roster.local_entry.node:
                 self._bus.send(entry.peers, msg)
@@ -104,6 +180,10 @@
             at - msg.progress_age_s,
         )
 
+    async def _on_alive(self, sender: str, msg: StartAlive) -> None:
+        server = ServerInstance(msg.backend_server, msg.start)
+        self._starts.record_alive(server, now() - msg.asked_age_s)
+
 
 def _log(name: str, server: ServerInstance, **fields: str) -> None:
     event("info", name, backend_server=server.name, start=server.start, **fields)
--- a/fuchsiacroft/platform/entry_process.py
+++ b/fuchsiacroft/platform/entry_process.py
@@ -17,6 +17,7 @@
     readiness,
     settings,
     settings_watch,
+    start_probe,
 )
 from fuchsiacroft.platform.settings import WireSettings
 from fuchsiacroft.quarantine import service as quarantine
@@ -60,6 +61,7 @@
         stream_origins.create(cfg),
         neighbours.create(cfg),
         coordinator.create(cfg, wire.shared_limits, wire.heartbeat_s),
+        start_probe.create(),
         placer.create(cfg),
         rollout_follower.create(cfg.node),
         upstream.create(),
--- a/fuchsiacroft/tests/fakes/memory_region.py
+++ b/fuchsiacroft/tests/fakes/memory_region.py
@@ -12,6 +12,7 @@
 from fuchsiacroft.membership.control_members import ControlMembers
 from fuchsiacroft.membership.registry import ServerRegistry
 from fuchsiacroft.membership.roster import Roster
+from fuchsiacroft.membership.start_probe import StartProbe
 from fuchsiacroft.placing.coordinator import Coordinator
 from fuchsiacroft.placing.limits import SharedLimits
 from fuchsiacroft.placing.neighbours import Neighbours
@@ -57,6 +58,19 @@
         return 0.0
 
 
+class FixedStartProbe(StartProbe):
+    """Tells the starts of servers as a test sets them, by name."""
+
+    def __init__(self, starts: dict[str, str]) -> None:
+        self._starts = starts
+
+    async def start(self, kernel: Kernel) -> None:
+        """Do nothing."""
+
+    async def ask(self, backend_server: str, address: str) -> str | None:
+        return self._starts.get(backend_server)
+
+
 class Control:
     """One control member with its registry."""
 
@@ -107,13 +121,17 @@
             self.origins,
             self.neighbours,
             self.coordinator,
+            FixedStartProbe(region.told_starts),
             self.placer,
         ):
             self.kernel.add(service)
 
 
 class MemoryRegion:
-    """Three control members, and one entry for each given failure domain."""
+    """Three control members, and one entry for each given failure domain.
+
+    Servers that are asked tell their `told_starts`, by name.
+    """
 
     def __init__(
         self,
@@ -125,6 +143,7 @@
         self.table = table
         self.limits = limits or SharedLimits()
         self._restarts = itertools.count(1)
+        self.told_starts: dict[str, str] = {}
         self.controls = tuple(f"10.1.0.{number}:7600" for number in range(3))
         self.members = [Control(self, number) for number in range(3)]
         self.entries = [Entry(self, i, domain) for i, domain in enumerate(domains)]
--- a/fuchsiacroft/tests/membership/server_starts_tests.py
+++ b/fuchsiacroft/tests/membership/server_starts_tests.py
@@ -1,6 +1,6 @@
 """Tests of which starts of backend servers are certain."""
 
-from fuchsiacroft.membership.server_notices import ServerInstance
+from fuchsiacroft.membership.server_notices import NO_START, ServerInstance
 from fuchsiacroft.membership.server_starts import (
     LATE_HEARTBEATS,
     LIST_DELAY_S,
@@ -87,3 +87,16 @@
             self.starts.record_loss(SERVER, at - 0.1, at)
             self.starts.record_progress(SERVER, 10.1, at)
         self.assertFalse(self.is_certain(14.0))
+
+    def test_an_answer_to_a_question_from_before_a_loss_proves_a_start(self):
+        self.assertFalse(self.starts.record_alive(SERVER, 9.9))
+        self.assertFalse(self.is_certain(10.5))
+
+    def test_a_server_that_answers_after_a_loss_stays_uncertain(self):
+        self.assertTrue(self.starts.record_alive(SERVER, 10.0))
+        self.assertTrue(self.is_certain(10.5))
+
+    def test_a_server_that_has_another_name_after_each_start_is_doubted(self):
+        nameless = ServerInstance("i-1", NO_START)
+        self.starts.record_loss(nameless, 9.0, 10.0)
+        self.assertTrue(self.starts.is_certain(nameless, 10.0))
--- a/fuchsiacroft/tests/placing/start_exchange_tests.py
+++ b/fuchsiacroft/tests/placing/start_exchange_tests.py
@@ -8,6 +8,7 @@
 from fuchsiacroft.membership.server_starts import SETTLING_S
 from fuchsiacroft.placing.messages import SlotAssignment
 from fuchsiacroft.placing.placer import WaitLimits
+from fuchsiacroft.placing.start_exchange import ASK_PAUSE_S, MAX_ASKS
 from fuchsiacroft.routing.permits import (
     PermitRequest,
     RefusalReason,
@@ -22,6 +23,7 @@
 LOST = RunReport(RunOutcome.CONNECTION_LOST)
 BORN_AGAIN_MS = 9_000
 TELLING_S = 0.1
+ASKED_S = MAX_ASKS * ASK_PAUSE_S
 
 
 class StartExchangeTests(PausedTestCase):
@@ -88,6 +90,28 @@
 
         self.run_region(scenario)
 
+    def test_a_server_that_goes_on_stays_uncertain_without_a_long_run(self):
+        async def scenario():
+            placed = await self.lose_a_run(1)
+            self.region.told_starts["i-1"] = placed.start
+            self.region.entries[1].placer.ask_start(placed)
+            await asyncio.sleep(TELLING_S)
+            for number in range(3):
+                self.assertTrue((await self.acquire(number, "v1")).is_ok())
+
+        self.run_region(scenario)
+
+    def test_a_server_that_tells_another_start_is_taken_for_the_same(self):
+        async def scenario():
+            placed = await self.lose_a_run(1)
+            self.region.told_starts["i-1"] = str(BORN_AGAIN_MS)
+            self.region.entries[1].placer.ask_start(placed)
+            await asyncio.sleep(ASKED_S)
+            for number in range(3):
+                self.assertTrue((await self.acquire(number, "v1")).is_error())
+
+        self.run_region(scenario)
+
     def test_a_pause_that_a_restarted_server_asked_for_ends_with_its_heartbeat(self):
         async def scenario():
             placed = await self.lose_a_run(1)
--- a/fuchsiacroft/tests/soak/servers.py
+++ b/fuchsiacroft/tests/soak/servers.py
@@ -150,6 +150,10 @@
         self, req: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
         expected = req.get("Fuchsiacroft-Expect-Replica")
+        if req.request_line.startswith("GET /v1/report ") and self._service == "lens":
+            report = f'{{"born": {1_000 + self._incarnation}}}'.encode()
+            writer.write(response(req, report))
+            return
         if expected != self.instance_id:
             writer.write(response(req, b"", "421 Misdirected Request"))
             return
