Notice a pause while sleeping only, not in a slow commit

The check that brought took a slow commit of the leader for a pause of the process, so a rollout's next decision waited for a second more. A pause is noticed now by a sleep that takes twice as long as asked for. The new test failed before (2 decisions in place of 3).

--- a/fuchsiacroft/membership/backend_servers.py
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -1,6 +1,5 @@
 """Directory of the backend servers that announce themselves in this failure domain."""
 
-import asyncio
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -68,7 +67,7 @@
         self._settings = settings
         self._servers: dict[str, BackendServer] = {}
         self._relay = AnnouncementRelay()
-        self._running = RunningSince(SWEEP_PERIOD_S)
+        self._running = RunningSince()
         self._tasks = BackgroundTasks("backend_servers")
         self._listener: Listener | None = None
         self.listeners = BackendServerListeners()
@@ -208,9 +207,9 @@
             listener(server)
 
     async def _sweep(self) -> None:
-        await asyncio.sleep(SWEEP_PERIOD_S)
+        running_since = await self._running.sleep(SWEEP_PERIOD_S)
         oldest = now() - ANNOUNCEMENT_TIMEOUT_S
-        if self._running.check() >= oldest:
+        if running_since >= oldest:
             return
         for server in self.all():
             if server.announced_at < oldest:
--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -63,7 +63,7 @@
         self._stopped: dict[str, int] = {}
         self._entries_digest = 0
         self._started_at = 0.0
-        self._running = RunningSince(SWEEP_PERIOD_S)
+        self._running = RunningSince()
         self._tasks = BackgroundTasks("registry")
 
     async def start(self, kernel: Kernel) -> None:
@@ -268,9 +268,8 @@
         return ChangeAck()
 
     async def _sweep(self) -> None:
-        await asyncio.sleep(SWEEP_PERIOD_S)
+        running_since = await self._running.sleep(SWEEP_PERIOD_S)
         at = now()
-        running_since = self._running.check()
         self._relay_unchanged()
         if running_since < at - self._server_timeout_s:
             self._forget_silent_servers(at)
--- a/fuchsiacroft/rollouts/controller.py
+++ b/fuchsiacroft/rollouts/controller.py
@@ -121,7 +121,7 @@
         self._evidence = EvidenceStore()
         self._confirmed_at: float | None = None
         self._heard_at: float | None = None
-        self._running = RunningSince(PLAN_PERIOD_S)
+        self._running = RunningSince()
         self._tasks = BackgroundTasks("rollouts")
         state.on_change(self._on_change)
         state.on_restore(self._on_restore)
@@ -251,8 +251,8 @@
         self._confirmed_at = None
 
     async def _plan(self) -> None:
-        await asyncio.sleep(PLAN_PERIOD_S)
-        settles_at = max(self._started_at, self._running.check()) + SETTLE_S
+        running_since = await self._running.sleep(PLAN_PERIOD_S)
+        settles_at = max(self._started_at, running_since) + SETTLE_S
         running = self._state.running()
         self._evidence.keep_only(rollout.number for rollout in running)
         for rollout in running:
--- a/fuchsiacroft/tests/membership/backend_servers_tests.py
+++ b/fuchsiacroft/tests/membership/backend_servers_tests.py
@@ -10,7 +10,6 @@
 )
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.membership.engine_reports_tests import SETTINGS
-from fuchsiacroft.utils.running_since import LATE_PERIODS
 
 SERVER = Announcement("i-1", "i-1/1", "d", "10.0.0.1:80", (Offer("lens"),), slots=4)
 
@@ -24,10 +23,11 @@
         async def scenario() -> int:
             directory = backend_servers.create(SETTINGS)
             directory._update(SERVER)
+            loop = asyncio.get_running_loop()
+            loop.call_soon(loop.stand_still, 2 * ANNOUNCEMENT_TIMEOUT_S)
             await directory._sweep()
-            asyncio.get_running_loop().stand_still(2 * ANNOUNCEMENT_TIMEOUT_S)
-            ends_at = asyncio.get_running_loop().time() + silent_s
-            while asyncio.get_running_loop().time() < ends_at:
+            ends_at = loop.time() + silent_s
+            while loop.time() < ends_at:
                 await directory._sweep()
             return len(directory.all())
 
@@ -37,5 +37,5 @@
         self.assertEqual(1, self.sweep(silent_s=SWEEP_PERIOD_S))
 
     def test_a_silent_server_is_kept_after_an_entry_stood_still(self):
-        late_s = LATE_PERIODS * SWEEP_PERIOD_S
-        self.assertEqual(0, self.sweep(silent_s=ANNOUNCEMENT_TIMEOUT_S + late_s))
+        silent_s = ANNOUNCEMENT_TIMEOUT_S + SWEEP_PERIOD_S
+        self.assertEqual(0, self.sweep(silent_s=silent_s))
--- a/fuchsiacroft/tests/rollouts/controller_tests.py
+++ b/fuchsiacroft/tests/rollouts/controller_tests.py
@@ -334,3 +334,21 @@
             await service.stop()
 
         self.run_paused(scenario())
+
+    def test_a_slow_commit_delays_the_next_decision(self):
+        async def scenario():
+            service, log = await start_alone(RolloutState())
+            await service.order("till", "v2", 60.0, 0.8)
+            await asyncio.sleep(2 * SETTLE_S)
+
+            async def commit_slowly(rollout, evidence):
+                decided_at.append(now())
+                await asyncio.sleep(0.9)
+
+            decided_at: list[float] = []
+            with mock.patch.object(service, "_decide", commit_slowly):
+                await asyncio.sleep(4.0)
+            self.assertGreaterEqual(len(decided_at), 3)
+            await service.stop()
+
+        self.run_paused(scenario())
--- a/fuchsiacroft/utils/running_since.py
+++ b/fuchsiacroft/utils/running_since.py
@@ -5,29 +5,28 @@
 as if all of them had just been heard.
 """
 
+import asyncio
 import math
 
 from fuchsiacroft.utils.clock import now
 
-LATE_PERIODS = 2.0
-"""A periodic check that is later than this many periods shows a pause."""
+LATE_FACTOR = 2.0
+"""A sleep that takes this many times as long as asked for shows a pause."""
 
 
 class RunningSince:
-    """Notices pauses of the process, if it is checked every `period_s`."""
+    """Notices pauses of the process while it sleeps between periodic checks."""
 
-    def __init__(self, period_s: float) -> None:
-        self._longest_s = LATE_PERIODS * period_s
-        self._checked_at: float | None = None
+    def __init__(self) -> None:
         self._since = -math.inf
 
-    def check(self) -> float:
-        """Return since when the process has run without a pause, on the loop's clock.
+    async def sleep(self, seconds: float) -> float:
+        """Sleep, and return since when the process has run without a pause.
 
-        It is minus infinity if none was noticed.
+        It is a time of the loop's clock, minus infinity if no pause was noticed.
         """
-        at = now()
-        if self._checked_at is not None and at - self._checked_at > self._longest_s:
-            self._since = at
-        self._checked_at = at
+        began_at = now()
+        await asyncio.sleep(seconds)
+        if now() - began_at > LATE_FACTOR * seconds:
+            self._since = now()
         return self._since
