Give test runs at the same time ports of their own on 127.0.0.1

Two whole runs at a time took the same port between finding it free and listening there: an entry ended with 'address already in use' (whole_path_tests and fault_tests, one of two runs). Their loopback subnets were apart already; the ports are now, too.

--- a/fuchsiacroft/tests/fakes/ports.py
+++ b/fuchsiacroft/tests/fakes/ports.py
@@ -11,6 +11,7 @@
 MAX_BLOCK = 24
 BLOCK = min(int(os.environ.get("LOOPBACK_BLOCK", "0")), MAX_BLOCK)
 """Test runs at the same time on one machine take blocks of their own."""
+PORTS_PER_BLOCK = (LAST_PORT - FIRST_PORT) // (MAX_BLOCK + 1)
 
 
 def subnet(net: str, number: int) -> str:
@@ -21,10 +22,13 @@
 def free_addresses(count: int) -> list[str]:
     """Return distinct addresses that are not in use.
 
-    The ports are below the ephemeral port range, so that no outgoing connection
-    takes one before a process listens on it.
+    The ports are below the ephemeral port range, and of this run's block, so that no
+    outgoing connection and no other run takes one before a process listens on it.
     """
-    ports = random.Random().sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT)
+    first = FIRST_PORT + BLOCK * PORTS_PER_BLOCK
+    ports = random.Random().sample(
+        range(first, first + PORTS_PER_BLOCK), PORTS_PER_BLOCK
+    )
     found: list[str] = []
     with contextlib.ExitStack() as stack:
         while len(found) < count:
