Prove a start only for runs that waited before the question

Cause: a run that came to wait while a question about its server start was under way was proven by the answer to that question, which was asked before the run was there. Change: `_ask` takes the ids that wait before it asks; the answer proves only these.

--- a/fuchsiacroft/placing/start_exchange.py
+++ b/fuchsiacroft/placing/start_exchange.py
@@ -132,11 +132,15 @@
             del self._waiting[server]
 
     async def _ask(self, server: ServerInstance) -> bool:
-        """Return whether a server tells that it is the same start."""
+        """Return whether a server has told the same start for all runs that wait.
+
+        The answer says nothing of runs that came to wait after the question.
+        """
         record = self._roster.server(server.name)
         if record is None:
             return False
         asked_at = now()
+        run_ids = frozenset(self._waiting[server])
         address = record.announcement.address
         if await self._probe.ask(server.name, address) != server.start:
             return False
@@ -144,9 +148,10 @@
             _log("server_start_proven", server)
         age_s = now() - asked_at
         self._notify(server, StartAlive(server.name, server.start, age_s))
-        for run_id in self._waiting[server]:
+        for run_id in run_ids:
             self.on_proven(run_id)
-        return True
+        self._waiting[server] -= run_ids
+        return not self._waiting[server]
 
     def _notify(
         self, server: ServerInstance, msg: StartDoubted | StartProven | StartAlive
--- a/fuchsiacroft/tests/placing/start_exchange_tests.py
+++ b/fuchsiacroft/tests/placing/start_exchange_tests.py
@@ -1,6 +1,7 @@
 """Tests of uncertain starts of servers among the entries of a failure domain."""
 
 import asyncio
+from unittest import mock
 
 from msgspec.structs import replace
 
@@ -112,6 +113,26 @@
 
         self.run_region(scenario)
 
+    def test_an_answer_proves_the_start_for_a_run_from_after_the_question(self):
+        async def scenario():
+            placed = await self.lose_a_run(1)
+            placer = self.region.entries[1].placer
+            exchange, proven = placer._start_exchange, []
+            exchange.on_proven = proven.append
+            server = placer.availability.instance(placed)
+            answers = [placed.start]
+
+            async def ask(name, address):
+                exchange.ask(server, "late")
+                return answers.pop() if answers else None
+
+            exchange._probe = mock.Mock(ask=ask)
+            exchange.ask(server, "early")
+            await asyncio.sleep(2 * ASKED_S)
+            self.assertEqual(["early"], proven)
+
+        self.run_region(scenario)
+
     def test_a_pause_that_a_restarted_server_asked_for_ends_with_its_heartbeat(self):
         async def scenario():
             placed = await self.lose_a_run(1)
