--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -124,7 +124,8 @@
         self._limit_share = 1.0
         self._epochs: dict[str, str] = {}
         self._active_runs: dict[str, HeldRun] = {}
-        self._doubted_runs: set[str] = set()
+        self._runs_judged_here: set[str] = set()
+        """Runs on a start that this entry doubted, too, or that was proven to it."""
         self._loads = AnsweredLoads()
         self._coordinator_lost = asyncio.Event()
         self._current: EntryRecord | None = None
@@ -300,7 +301,7 @@
         again by `sent_at`. A start that this entry doubted, too, may prove the same.
         With `must_be_listed`, it is None also if this entry knows no start.
         """
-        if not placed.is_start_certain and placed.run_id not in self._doubted_runs:
+        if not placed.is_start_certain and placed.run_id not in self._runs_judged_here:
             return None
         server = self.availability.instance(placed)
         if not self._starts.is_certain(server, now(), sent_at):
@@ -317,7 +318,7 @@
         """Record a run on a server whose start this entry doubts, too."""
         server = self.availability.instance(placed)
         if not self._starts.is_certain(server, now()):
-            self._doubted_runs.add(placed.run_id)
+            self._runs_judged_here.add(placed.run_id)
 
     def ask_start(self, placed: SlotAssignment) -> None:
         """Ask the server of a run for its start, which this entry or another doubts."""
@@ -326,7 +327,7 @@
     def _record_proven(self, run_id: str) -> None:
         """Record that the server of a run is the start that the coordinator knew."""
         if run_id in self._active_runs:
-            self._doubted_runs.add(run_id)
+            self._runs_judged_here.add(run_id)
 
     def _running(self, backend_server: str) -> int:
         return sum(
@@ -408,7 +409,7 @@
         The server was alive at `alive_at`, if the run was lost.
         """
         self._active_runs.pop(placed.run_id, None)
-        self._doubted_runs.discard(placed.run_id)
+        self._runs_judged_here.discard(placed.run_id)
         load, load_age_s = self._loads.take(placed.run_id, now())
         if report.outcome in SERVER_LOST:
             server = self.availability.instance(placed)
