--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -31,6 +31,7 @@
 PEER_PORTS = [7600, 7615]
 HEARTBEAT_MS = 1200
 HEARTBEAT_TIMEOUT_S = 1.0
+CONFIG_TIMEOUT_S = 1.0
 START_TIMEOUT_S = 25.0
 FIRST_NETWORK = 180
 NETWORKS = 60
@@ -127,16 +128,15 @@
     target: str,
     headers: dict[str, str],
     body: bytes = b"",
+    *,
     timeout_s: float = 5.0,
-    source: str | None = None,
 ) -> Answer:
     """Send a request on a connection of its own and return its answer."""
     answer = Answer(0)
     writer = None
     try:
         async with asyncio.timeout(timeout_s):
-            local = (source, 0) if source else None
-            reader, writer = await asyncio.open_connection(*address, local_addr=local)
+            reader, writer = await asyncio.open_connection(*address)
             lines = [f"{method} {target} HTTP/1.1"]
             lines += [f"{name}: {value}" for name, value in headers.items()]
             if body or method in ("POST", "PUT"):
@@ -215,7 +215,9 @@
     async def start(self) -> None:
         """Start the process with the command of the deploy file."""
         self._data.mkdir(exist_ok=True)
-        environ = {n: os.environ[n] for n in ("PATH", "HOME", "LANG") if n in os.environ}
+        environ = {
+            n: os.environ[n] for n in ("PATH", "HOME", "LANG") if n in os.environ
+        }
         environ["FUCHSIACROFT_CONFIG"] = str(self._settings)
         environ["PYTHONPATH"] = str(REPOSITORY / "target" / "deps")
         command = shlex.split(self._fleet.commands[self.role])
@@ -254,7 +256,9 @@
     async def is_ready(self) -> bool:
         """Whether an entry says that it is ready."""
         address = (self.ip, READY_PORT)
-        answer = await exchange(address, "GET", "/v1/readyz", {"Host": "x"}, b"", 1.0)
+        answer = await exchange(
+            address, "GET", "/v1/readyz", {"Host": "platform"}, timeout_s=1.0
+        )
         return answer.status == 200
 
 
@@ -390,7 +394,7 @@
         }
 
     async def send_heartbeat(self) -> bool:
-        """Send one heartbeat to a control program after the other until one takes it."""
+        """Send a heartbeat to the control programs in turn until one takes it."""
         body = json.dumps(self.heartbeat()).encode()
         for program in self.fleet.controls_from(self.sequence):
             answer = await exchange(
@@ -399,7 +403,7 @@
                 f"/v1/replicas/{self.name}",
                 {"Host": "control", "Content-Type": "application/json"},
                 body,
-                HEARTBEAT_TIMEOUT_S,
+                timeout_s=HEARTBEAT_TIMEOUT_S,
             )
             if 200 <= answer.status < 300:
                 return True
@@ -476,7 +480,7 @@
                 "/v1/config",
                 {"Host": "control", "Content-Type": "application/json"},
                 body,
-                1.0,
+                timeout_s=CONFIG_TIMEOUT_S,
             )
             if answer.status == 200:
                 self.record.write("config", version=config["version"], status=200)
