--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -40,6 +40,16 @@
                 "maxAttempts": 2,
                 **route,
             },
+            {
+                **route,
+                "name": "r-stream",
+                "pathPrefix": "/stream/",
+                "kind": "stream",
+                "timeoutMs": 10000,
+                "maxAttempts": 2,
+                "streamResume": True,
+                "targetGapMs": 300,
+            },
         ],
         "services": [
             {
@@ -60,7 +70,9 @@
     }
 
 
-async def start_small(fleet: Fleet, replicas_per_zone: int = 1, **options: int) -> None:
+async def start_small(
+    fleet: Fleet, *, replicas_per_zone: int = 1, slots: int = 6, timeout_ms: int = 3000
+) -> None:
     """Start three control programs, three entries and their replicas."""
     for zone in ZONES:
         fleet.add_program("control", zone)
@@ -69,8 +81,9 @@
     await fleet.start()
     for zone in ZONES:
         for _ in range(replicas_per_zone):
-            await fleet.add_replica(f"i-{len(fleet.replicas)}", SERVICE, zone)
-    if not await fleet.put_config(config(**options)):
+            name = f"i-{len(fleet.replicas)}"
+            await fleet.add_replica(name, SERVICE, zone, slots)
+    if not await fleet.put_config(config(timeout_ms=timeout_ms)):
         raise CannotRunError("the first configuration was not acknowledged")
     await fleet.wait_until_ready()
     await asyncio.sleep(SETTLE_S)
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -326,6 +326,7 @@
         self.work_s = 0.01
         self.behaviour: Behaviour = answer_whole
         self.beats = True
+        self.version = "v1"
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs: list[Run] = []
@@ -345,6 +346,16 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def start_again(self, version: str) -> None:
+        """Start again under the same id after a crash, with another version.
+
+        The first heartbeat is due at once, unless `beats` is false.
+        """
+        self.version = version
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        await self.start()
+
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
         try:
@@ -385,7 +396,7 @@
             "service": self.service,
             "address": f"{self.ip}:{REPLICA_PORT}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "coldRemainingMs": 0,
@@ -453,10 +464,13 @@
         self.programs.append(program)
         return program
 
-    async def add_replica(self, name: str, service: str, zone: str) -> Replica:
+    async def add_replica(
+        self, name: str, service: str, zone: str, slots: int
+    ) -> Replica:
         """Add a replica and start it."""
         ip = f"{self.network}.2.{len(self.replicas) + 1}"
         replica = Replica(self, name, service, ip, zone)
+        replica.slots = slots
         self.replicas[name] = replica
         await replica.start()
         return replica
