--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -165,6 +165,7 @@
         self._data = fleet.folder / f"{self.name}-data"
         self._settings = fleet.folder / f"{self.name}.json"
         self.log = fleet.folder / f"{self.name}.log"
+        self.takes_clients = True
         self.process: asyncio.subprocess.Process | None = None
 
     def write_settings(self, *, bootstrap: bool) -> None:
