--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -434,7 +434,7 @@
     def __init__(self, record: Record) -> None:
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="case-"))
-        self.network = free_network()
+        self.network, self._reservation = reserve_network()
         deploy = tomllib.loads(
             (REPOSITORY / "deploy" / "system.toml").read_text(encoding="utf-8")
         )
@@ -526,24 +526,21 @@
         if keep := os.environ.get("KEEP"):
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
         shutil.rmtree(self.folder, ignore_errors=True)
+        self._reservation.close()
 
 
-def free_network() -> str:
-    """Return a loopback network that no other program uses."""
+def reserve_network() -> tuple[str, socket.socket]:
+    """Return a loopback network, and the socket that keeps it from other cases."""
     for number in range(NETWORKS):
         network = f"127.{FIRST_NETWORK + (os.getpid() + number) % NETWORKS}"
-        if _is_free(network):
-            return network
-    raise CannotRunError("no loopback network is free")
-
-
-def _is_free(network: str) -> bool:
-    with socket.socket() as sock:
+        sock = socket.socket()
         try:
-            sock.bind((f"{network}.1.1", METRICS_PORT))
+            sock.bind((f"{network}.0.1", METRICS_PORT))
         except OSError:
-            return False
-    return True
+            sock.close()
+        else:
+            return network, sock
+    raise CannotRunError("no loopback network is free")
 
 
 def run_case(
