--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -42,6 +42,7 @@
             },
             {
                 **route,
+                "sticky": True,
                 "name": "r-stream",
                 "pathPrefix": "/stream/",
                 "kind": "stream",
