Show what late coordinators spend their time on, and how long slots stay taken

Change: process_stood_still tells the processor time used, run_ended the queue's part of the wait, place_refused the mean time for which a slot is taken beyond its run; metrics for the delays of the event loop and for received messages by kind.

--- a/fuchsiacroft/gateway/attempt.py
+++ b/fuchsiacroft/gateway/attempt.py
@@ -287,6 +287,7 @@
             software=self._placement.version or "-",
             rollout=self._placement.rollout or "-",
             coordinator=self._placement.coordinator,
+            queued_s=round(self._placement.queued_s, 4),
             outcome=outcome.value,
             seconds=round(at - self._started_at, 4),
             events=self._relay.events,
--- a/fuchsiacroft/gauges.py
+++ b/fuchsiacroft/gauges.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from fuchsiacroft.kernel import Kernel
+from fuchsiacroft.utils import loop_watch
 from fuchsiacroft.utils.inbound import open_connections, refused_inputs
 from fuchsiacroft.utils.metrics import Metrics
 from fuchsiacroft.utils.tasks import failed_steps
@@ -31,6 +32,12 @@
     "fuchsiacroft_inbound_refusals": "Heads and connections refused, by reason",
     "fuchsiacroft_process_memory_bytes": "Resident memory of this process",
     "fuchsiacroft_process_cpu_seconds": "CPU time used by this process",
+    "fuchsiacroft_loop_late_seconds": "Sum of how late the event loop's checks ran",
+    "fuchsiacroft_loop_longest_delay_seconds": "Longest delay of such a check",
+    "fuchsiacroft_messages_received": "Messages of other processes, by kind",
+    "fuchsiacroft_slot_turnaround_seconds": (
+        "Mean time for which a slot is taken beyond its run, by service"
+    ),
 }
 Sample = tuple[str, dict[str, str], float]
 
@@ -56,6 +63,8 @@
     with open(STATM_PATH, encoding="ascii") as file:  # noqa: PTH123
         pages = int(file.read().split()[1])
     yield "fuchsiacroft_process_memory_bytes", {}, pages * resource.getpagesize()
+    yield "fuchsiacroft_loop_late_seconds", {}, loop_watch.delays.late_s
+    yield "fuchsiacroft_loop_longest_delay_seconds", {}, loop_watch.delays.longest_s
     for task, count in failed_steps.items():
         yield "fuchsiacroft_failed_steps", {"task": task}, count
     for name, count in open_connections.items():
@@ -82,16 +91,13 @@
         for which, count in (("new", new), ("old", rollout["began"] - new)):
             labels = {"service": service, "which": which}
             yield "fuchsiacroft_rollout_requests", labels, count
-    servers = state.get("coordinator", {}).get("servers", {}).values()
-    learned = [server for server in servers if "learned_limit" in server]
-    if learned:
-        count = sum(server["learned_limit"] < server["slots"] for server in learned)
-        yield "fuchsiacroft_backend_servers_below_slots", {}, count
+    for kind, count in state.get("bus", {}).get("received_by_kind", {}).items():
+        yield "fuchsiacroft_messages_received", {"kind": kind}, count
     for name in ("placer", "scheduler"):
         if "server_limits" in state.get(name, {}):
             count = len(state[name]["server_limits"])
             yield "fuchsiacroft_backend_servers_limited", {}, count
-    yield from share_samples(state.get("coordinator", {}))
+    yield from _coordinator_samples(state.get("coordinator", {}))
     queue = state.get("permit_queue", {})
     if "owned" in queue:
         yield "fuchsiacroft_backend_servers_owned", {}, len(queue["owned"])
@@ -100,6 +106,18 @@
         yield "fuchsiacroft_requests_waiting", {"service": service}, waiting
 
 
+def _coordinator_samples(state: dict) -> Iterator[Sample]:
+    servers = state.get("servers", {}).values()
+    learned = [server for server in servers if "learned_limit" in server]
+    if learned:
+        count = sum(server["learned_limit"] < server["slots"] for server in learned)
+        yield "fuchsiacroft_backend_servers_below_slots", {}, count
+    for service, seconds in state.get("turnaround_s", {}).items():
+        labels = {"service": service}
+        yield "fuchsiacroft_slot_turnaround_seconds", labels, seconds
+    yield from share_samples(state)
+
+
 def share_samples(state: dict) -> Iterator[Sample]:
     """Yield what shows that shares work; a workspace is no label, as any may call."""
     for service, ranks in state.get("shares", {}).items():
--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -63,7 +63,8 @@
     """Load of a service's queue when a request arrived, logged with refusals.
 
     `limited` of its servers have a limit on requests a second, which leaves
-    `usable_slots` of the `slots`.
+    `usable_slots` of the `slots`. A slot is taken for `turnaround_s` longer than its
+    run takes, in the mean.
     """
 
     free: int
@@ -74,6 +75,7 @@
     late: int
     expected_wait_s: float
     units_left: float
+    turnaround_s: float
 
 
 Decision = Assignment | Refusal | Waiter
@@ -114,6 +116,7 @@
         state = {
             "servers": self.fleet.dump(at),
             "waiting": {name: q.by_rank() for name, q in self._queues.items()},
+            "turnaround_s": self.fleet.runs.dump_turnarounds(),
         }
         if self._is_fair:
             state["shares"] = {
@@ -438,6 +441,7 @@
                 permit_request, self._position_in_time(permit_request), at
             ),
             units_left=self.quotas.remaining(permit_request.workspace, at),
+            turnaround_s=self.fleet.runs.turnaround_s(permit_request.service),
         )
 
     def _leaves_slots_free(self, permit_request: PermitRequest, at: float) -> bool:
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -282,6 +282,7 @@
             assignment.version,
             assignment.is_start_certain,
             assignment.rollout,
+            assignment.waited_s,
         )
 
     def _refuse_expired(
@@ -315,6 +316,7 @@
             late=load.late,
             expected_wait_s=round(load.expected_wait_s, 3),
             units_left=f"{load.units_left:.0f}",
+            turnaround_s=round(load.turnaround_s, 3),
             **self.allocator.share_fields(permit_request),
         )
         return Error(refusal)
--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -228,7 +228,8 @@
         doubted_since = self._doubted_since(load, at)
         self.crash_detector.record_end(load, run, report, at, doubted_since)
         if report.outcome is RunOutcome.COMPLETED:
-            self.runs.record_completed(run.permit_request, at - run.started_at)
+            held_s = at - run.started_at
+            self.runs.record_completed(run.permit_request, held_s, report.duration_s)
 
     def expire_runs(self, at: float) -> None:
         """Remove runs past their timeout whose end was not reported."""
--- a/fuchsiacroft/placing/fleet_runs.py
+++ b/fuchsiacroft/placing/fleet_runs.py
@@ -30,6 +30,7 @@
         self._servers: dict[str, ServerLoad] = {}
         self._ended: dict[str, None] = {}
         self._mean_run_s: dict[str, float] = {}
+        self._turnaround_s: dict[str, float] = {}
         self._reserves: dict[str, SlotReserve] = {}
         self.isolated = IsolatedRuns()
 
@@ -92,9 +93,26 @@
         """Return the mean run time of a service."""
         return self._mean_run_s.get(service, DEFAULT_RUN_S)
 
-    def record_completed(self, permit_request: PermitRequest, run_s: float) -> None:
-        """Record how long a run has taken."""
+    def turnaround_s(self, service: str) -> float:
+        """Return for how long a slot is taken beyond its run, in the mean.
+
+        It is spent on messages, and while processes are late.
+        """
+        return self._turnaround_s.get(service, 0.0)
+
+    def dump_turnarounds(self) -> dict[str, float]:
+        """Return the mean turnaround of each service, in seconds."""
+        return {name: round(mean_s, 4) for name, mean_s in self._turnaround_s.items()}
+
+    def record_completed(
+        self, permit_request: PermitRequest, run_s: float, duration_s: float
+    ) -> None:
+        """Record for how long a run took its slot, and how long it took itself."""
         service = permit_request.service
+        turnaround_s = moving_average(
+            self._turnaround_s.get(service), max(run_s - duration_s, 0.0), LEARNING_RATE
+        )
+        self._turnaround_s[service] = turnaround_s
         known = self._mean_run_s.get(service)
         sample = max(run_s, MIN_RUN_S)
         self.reserve(service).record_run(permit_request.rank, sample)
--- a/fuchsiacroft/placing/messages.py
+++ b/fuchsiacroft/placing/messages.py
@@ -54,7 +54,8 @@
     address `coordinator_peers`. `start` distinguishes the starts of the server, and
     `version` is that of its software. `is_limited` means that the coordinator knows a
     limit of the server. It may have started again unless `is_start_certain`. `rollout`
-    is the stage of the service's rollout, empty without one.
+    is the stage of the service's rollout, empty without one. The request was queued at
+    the coordinator for `queued_s`.
     """
 
     run_id: str
@@ -67,6 +68,7 @@
     version: str = ""
     is_start_certain: bool = True
     rollout: str = ""
+    queued_s: Seconds = 0.0
 
 
 @codec.message("placing.not_placed")
--- a/fuchsiacroft/tests/transport/zmq_bus_tests.py
+++ b/fuchsiacroft/tests/transport/zmq_bus_tests.py
@@ -61,6 +61,10 @@
         reply = await self.client.request(self.address, Ping("hello"), 5)
         self.assertEqual(Ping("client:hello"), reply.ok)
 
+    async def test_nothing_tells_what_messages_a_process_receives(self):
+        await self.client.request(self.address, Ping("hello"), 5)
+        self.assertEqual({"test.ping": 1}, self.server.dump()["received_by_kind"])
+
     async def test_a_reply_is_lost_that_came_while_the_process_stood_still(self):
         await self.client.request(self.address, Ping("connect"), 5)
         asyncio.get_running_loop().call_soon(time.sleep, 0.6)
--- a/fuchsiacroft/tests/utils/loop_watch_tests.py
+++ b/fuchsiacroft/tests/utils/loop_watch_tests.py
@@ -1,11 +1,12 @@
 """Tests that a log tells when a process stood still."""
 
 import asyncio
+from dataclasses import replace
 
 from loguru import logger
 
 from fuchsiacroft.tests.base import PausedTestCase
-from fuchsiacroft.utils.loop_watch import CHECK_PERIOD_S, watch_loop
+from fuchsiacroft.utils.loop_watch import CHECK_PERIOD_S, delays, watch_loop
 
 
 class LoopWatchTests(PausedTestCase):
@@ -31,6 +32,14 @@
         self.watch(1.0)
         self.assertEqual(1, len(self.lines))
         self.assertIn("event=process_stood_still seconds=0.875", self.lines[0])
+        self.assertIn("processor_s=0.0", self.lines[0])
+
+    def test_the_delays_of_a_process_are_not_counted(self):
+        before = replace(delays)
+        self.watch(1.0)
+        self.assertEqual(2, delays.checks - before.checks)
+        self.assertAlmostEqual(0.875, delays.late_s - before.late_s)
+        self.assertGreaterEqual(delays.longest_s, 0.875)
 
     def test_a_process_that_runs_on_time_says_nothing(self):
         self.watch(0.0)
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -71,6 +71,7 @@
         self._numbers = itertools.count(1)
         self._tasks = BackgroundTasks("bus")
         self._counts: Counter[str] = Counter()
+        self._received: Counter[str] = Counter()
         self._not_sent_log = RateLimitedLog(
             "message_not_sent", MAX_NOT_SENT_LINES_PER_S
         )
@@ -106,6 +107,7 @@
             "waiting": len(self._pending),
             "encrypted": self._ring is not None,
             "counts": dict(self._counts),
+            "received_by_kind": dict(self._received),
             "handshakes": dict(self._listener.counts) if self._listener else {},
         }
 
@@ -296,6 +298,7 @@
         self._counts["received_bytes"] += len(data)
         match codec.decode(data):
             case Result(tag="ok", ok=decoded):
+                self._received[decoded[0].kind] += 1
                 return [decoded]
             case Result(error=reason):
                 self._counts[f"dropped_{reason}"] += 1
