--- a/fuchsiacroft/model/network.py
+++ b/fuchsiacroft/model/network.py
@@ -21,6 +21,8 @@
         self.loss = 0.0
         self.duplication = 0.0
         self.cut_links: set[tuple[str, str]] = set()
+        self.late_s: dict[str, float] = {}
+        """By how much the process at an address is late to handle what it receives."""
         self.buses: dict[str, MemoryBus] = {}
         self.counts: Counter[str] = Counter()
 
@@ -42,7 +44,8 @@
         """Deliver one message after its delay, unless it is lost."""
         if self.random.random() < self.loss:
             return
-        await asyncio.sleep(self.random.uniform(*self.delay))
+        late_s = self.late_s.get(target, 0.0)
+        await asyncio.sleep(self.random.uniform(*self.delay) + late_s)
         if (source, target) in self.cut_links or source not in self.buses:
             return
         bus = self.buses.get(target)
--- a/fuchsiacroft/tests/placing/placer_tests.py
+++ b/fuchsiacroft/tests/placing/placer_tests.py
@@ -104,6 +104,20 @@
 
         self.run_region(scenario)
 
+    def test_a_coordinator_that_is_late_is_taken_for_lost(self):
+        async def scenario(region):
+            coordinator = region.entries[0].placer.coordinator()
+            [first, *_] = [e for e in region.entries if e.node != coordinator.node]
+            region.network.late_s[coordinator.peers] = 0.4
+            for _ in range(5):
+                await self.keep_alive(region, 1)
+                self.assertFalse(first.placer.places_requests())
+                [outcome] = await self.acquire(first, max_wait_s=0.5)
+                self.assertEqual(coordinator.node, outcome.ok.coordinator)
+                first.placer.release(outcome.ok, DONE)
+
+        self.run_region(scenario)
+
     def test_the_next_coordinator_counts_runs_that_are_in_progress(self):
         async def scenario(region):
             coordinator = region.entries[0].placer.coordinator()
