--- a/fuchsiacroft/tests/placing/coordinator_load_tests.py
+++ b/fuchsiacroft/tests/placing/coordinator_load_tests.py
@@ -4,13 +4,19 @@
 import itertools
 import math
 import random
+import time
 from collections.abc import Awaitable, Callable
 
 import msgspec
 from expression import Result
 
 from fuchsiacroft.kernel import Kernel
-from fuchsiacroft.membership.registry_wire import ServersChanged
+from fuchsiacroft.membership.registry_wire import (
+    EntryHeartbeat,
+    EntryHeartbeatReply,
+    EntryRecord,
+    entries_digest,
+)
 from fuchsiacroft.placing.messages import (
     FirstEvent,
     Ping,
@@ -22,6 +28,8 @@
 from fuchsiacroft.placing.placer import PING_PERIOD_S, PING_TIMEOUT_S
 from fuchsiacroft.routing.permits import PermitRequest, RunOutcome, RunReport, WorkSize
 from fuchsiacroft.tests.base import SocketTestCase
+from fuchsiacroft.tests.fakes.coordinator_process import WORKSPACES
+from fuchsiacroft.tests.fakes.memory_region import DOMAINS
 from fuchsiacroft.tests.fakes.ports import free_addresses
 from fuchsiacroft.tests.fakes.starved_process import StarvedProcess
 from fuchsiacroft.tests.membership.server_table_tests import record
@@ -29,12 +37,15 @@
 from fuchsiacroft.transport.zmq_bus import ZmqBus
 from fuchsiacroft.utils.clock import now
 
-ENTRIES = 51
+LOCAL_ENTRIES = 51
+ENTRIES = 140
 REQUESTS_PER_S = 340
 """A burst of 1.7 times the usual load, at the peak of a wave of demand."""
 CORE_SHARE = 0.361
 PLAY_S = 5.0
-SERVERS = 30
+SERVERS = 16
+SLOTS = 12
+UNITS = 2_000.0
 RUN_S = 0.25
 REPLY_WITHIN_S = 0.1
 """A third of the shortest time in which callers want an answer."""
@@ -45,26 +56,46 @@
     """A coordinator with the processor time of the smallest VM that runs one."""
 
     async def asyncSetUp(self):
-        own, *others = free_addresses(ENTRIES)
+        own, control, *others = free_addresses(LOCAL_ENTRIES + 1)
         self.address = own
-        self.buses = [zmq_bus.create(f"edge-{n}", a) for n, a in enumerate(others)]
-        for bus in self.buses:
-            await bus.start(Kernel())
-            self.addAsyncCleanup(bus.stop)
-        self.process = StarvedProcess(MODULE, own)
+        self.records = tuple(self.entry(n, a) for n, a in enumerate(others))
+        elsewhere = range(len(others), ENTRIES - 1)
+        self.records += tuple(self.entry(n, f"10.0.1.{n}:7600") for n in elsewhere)
+        self.servers = tuple(
+            record(f"i-{n}", address=f"10.0.0.{n}:80", slots=SLOTS)
+            for n in range(SERVERS)
+        )
+        member = await self.start_bus("core-1", control)
+        member.register_handler(EntryHeartbeat, self.on_heartbeat)
+        self.buses = [
+            await self.start_bus(f"edge-{n}", a) for n, a in enumerate(others)
+        ]
+        self.process = StarvedProcess(MODULE, own, control)
         await self.process.start()
         self.addAsyncCleanup(self.process.stop)
         self.random = random.Random(1)
         self.numbers = itertools.count(1)
         self.reply_s: list[float] = []
         self.unanswered = 0
-        servers = ServersChanged(
-            "core-1",
-            tuple(record(f"i-{n}", address=f"10.0.0.{n}:80") for n in range(SERVERS)),
-        )
         async with asyncio.timeout(10):
-            while (await self.buses[0].request(own, servers, 0.5)).is_error():
-                pass
+            while not self.reply_s:
+                await self.place(self.buses[0])
+
+    async def start_bus(self, node: str, address: str) -> ZmqBus:
+        bus = zmq_bus.create(node, address)
+        await bus.start(Kernel())
+        self.addAsyncCleanup(bus.stop)
+        return bus
+
+    def entry(self, number: int, address: str) -> EntryRecord:
+        """Return an entry that started after the coordinator."""
+        domain = DOMAINS[0] if number < LOCAL_ENTRIES - 1 else DOMAINS[1 + number % 2]
+        started_ms = int(time.time() * 1000) + 60_000
+        return EntryRecord(f"edge-{number}", domain, address, started_ms)
+
+    async def on_heartbeat(self, sender: str, msg: EntryHeartbeat):
+        digest = entries_digest(self.records)
+        return EntryHeartbeatReply((), digest, self.records, 1, self.servers)
 
     async def test_messages_take_the_processor_time_of_a_coordinator(self):
         """Two thirds of its share are for its own callers, and in reserve."""
@@ -83,6 +114,7 @@
 
     async def play(self) -> None:
         """Let all entries ping the coordinator and run requests for some time."""
+        self.reply_s, self.unanswered = [], 0
         per_entry = REQUESTS_PER_S / len(self.buses)
         tasks = [
             asyncio.ensure_future(self.repeat(step, bus, per_s))
@@ -114,8 +146,11 @@
     async def place(self, bus: ZmqBus) -> None:
         """Run a request on a slot that the coordinator assigns."""
         run_id = f"run-{next(self.numbers)}"
-        ask = PermitRequest(run_id, "lens", 0, 8.0, "tills", size=WorkSize(1_000, 100))
-        request = PlaceRequest(run_id, ask, 1.0, False, 0.2, 2.0)
+        workspace = self.random.choice(WORKSPACES)
+        ask = PermitRequest(
+            run_id, "lens", 0, 8.0, workspace, size=WorkSize(1_000, 100)
+        )
+        request = PlaceRequest(run_id, ask, UNITS, False, 0.2, 2.0)
         asked_at = now()
         match await bus.request(self.address, request, 2.4):
             case Result(tag="ok", ok=SlotAssignment(queued_s=queued_s)):
