Work out once for all pings what workspaces have left, and who coordinates

Cause: a coordinator answers four pings a second from each entry of its domain, and each answer worked out for each workspace which entries are missing, how many failure domains there are and who coordinates, from all entries: entries x entries x workspaces. Change: the units left are worked out every 50 ms; the counts of entries and the coordinators once for each list of entries.

--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -64,6 +64,11 @@
 """Share of its in-time wait that a request waits for its workspace's quota."""
 MIN_REMOTE_WAIT_S = 0.05
 """Two round trips between domains; forwarding costs more than a shorter wait."""
+LEFT_PERIOD_S = 0.05
+"""How often the units left to workspaces are worked out, for all entries that ask.
+
+Entries ask several times a second, and there are many of them.
+"""
 NO_CAPACITY = Refusal(RefusalReason.OVERLOADED, 0.0)
 
 
@@ -98,6 +103,8 @@
         self._refusal_log = RateLimitedLog("place_refused", MAX_REFUSALS_LOGGED)
         self.pinged_at = -math.inf
         self.successor_peers = ""
+        self._left: dict[str, float] = {}
+        self._left_at = -math.inf
         self._tasks = BackgroundTasks("coordinator")
 
     async def start(self, kernel: Kernel) -> None:
@@ -462,14 +469,20 @@
         self.adopt(msg.runs)
         self.limits.merge(msg.limits, sender)
         self.allocator.quotas.earlier.replace_apart(msg.node, msg.spent, now())
-        left = self.allocator.quotas.left(now())
         return Pong(
             self.epoch,
             limits=self.limits.known(),
-            left=left,
+            left=self._units_left(),
             directives=self.allocator.fleet.rollouts.directives(now()),
         )
 
+    def _units_left(self) -> dict[str, float]:
+        """Return what workspaces with few units left may spend, as of lately."""
+        if now() >= self._left_at + LEFT_PERIOD_S:
+            self._left = self.allocator.quotas.left(now())
+            self._left_at = now()
+        return self._left
+
 
 def create(
     settings: Settings,
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -15,10 +15,9 @@
 
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.kernel import Kernel, Service
-from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.placing.allocator import Allocator
-from fuchsiacroft.placing.coordinators import coordinator_of
+from fuchsiacroft.placing.coordinators import DomainCoordinators
 from fuchsiacroft.placing.messages import (
     DomainLoad,
     PlaceRequest,
@@ -71,6 +70,7 @@
         """Register the handler of the other coordinators' reports."""
         self._bus = kernel.get("bus", Bus)
         self._roster = kernel.get("roster", Roster)
+        self._coordinators = DomainCoordinators(self._roster)
         self._bus.register_handler(DomainLoad, self._on_load)
 
     async def stop(self) -> None:
@@ -253,7 +253,7 @@
         domains = {entry.failure_domain for entry in entries} | {self._domain}
         self.shares.set_domains(max(len(domains), len(self._neighbours) + 1))
         if self.is_coordinator() or self.is_acting():
-            self._broadcast(allocator, entries, domains - {self._domain})
+            self._broadcast(allocator, domains - {self._domain})
 
     async def _pause(self, period_s: float) -> None:
         """Wait for a period, or until woken."""
@@ -262,9 +262,7 @@
             async with asyncio.timeout(period_s * self._random.uniform(0.9, 1.1)):
                 await self._woken.wait()
 
-    def _broadcast(
-        self, allocator: Allocator, entries: tuple[EntryRecord, ...], domains: set[str]
-    ) -> None:
+    def _broadcast(self, allocator: Allocator, domains: set[str]) -> None:
         at = now()
         demand = allocator.demand.rates(at)
         spent = allocator.quotas.spent(at)
@@ -282,7 +280,7 @@
         if not load.is_acting:
             self._spending.send_if_due()
         for domain in domains:
-            coordinator = coordinator_of(entries, domain)
+            coordinator = self._coordinators.of(domain)
             if coordinator is not None:
                 self._bus.send(coordinator.peers, load)
 
@@ -316,7 +314,7 @@
 
     def _coordinator_peers(self, failure_domain: str) -> str:
         """Return the address of a domain's coordinator, empty if none is known."""
-        found = coordinator_of(self._roster.entries(), failure_domain)
+        found = self._coordinators.of(failure_domain)
         return found.peers if found is not None else ""
 
 
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -26,7 +26,7 @@
 from fuchsiacroft.membership.start_probe import StartProbe
 from fuchsiacroft.placing.answered_loads import AnsweredLoads
 from fuchsiacroft.placing.coordinator import Coordinator
-from fuchsiacroft.placing.coordinators import coordinator_of
+from fuchsiacroft.placing.coordinators import DomainCoordinators, coordinator_of
 from fuchsiacroft.placing.hand_over import OutgoingHandOver
 from fuchsiacroft.placing.messages import (
     EntryLeaving,
@@ -140,6 +140,7 @@
         self._started_at = self._in_touch_at = now()
         self._bus = kernel.get("bus", Bus)
         self._roster = kernel.get("roster", Roster)
+        self._coordinators = DomainCoordinators(self._roster)
         self._reachability = Reachability(self._roster, self._domain)
         self._local_coordinator = kernel.get("coordinator", Coordinator)
         self._starts = self._local_coordinator.allocator.fleet.starts
@@ -187,7 +188,7 @@
 
     def coordinator(self) -> EntryRecord:
         """Return the entry that is the coordinator of this domain."""
-        found = coordinator_of(self._roster.entries(), self._domain)
+        found = self._coordinators.of(self._domain)
         coordinator = found if found is not None else self._roster.local_entry
         if self._hand_over.keeps_place(self._current, coordinator):
             return self._current
@@ -433,9 +434,7 @@
         record = self._roster.server(backend_server)
         if record is None:
             return None
-        return coordinator_of(
-            self._roster.entries(), record.announcement.failure_domain
-        )
+        return self._coordinators.of(record.announcement.failure_domain)
 
     async def _decide_locally(
         self, request: PlaceRequest
@@ -497,7 +496,7 @@
         entries that it has lost to them.
         """
         allocator = self._local_coordinator.allocator
-        entries = max(len(self._reachability.local_entries()), 1)
+        entries = max(self._reachability.local_count(), 1)
         missing = self._reachability.missing_local()
         if is_coordinator:
             allocator.fleet.capacity.share = 1.0
