Read messages without futures, and answer those that need no wait without a task

What callers saw: late and refused requests where a coordinator had too little time. Cause: the asyncio layer of pyzmq makes a future and several events for each message, and each handler ran in a task, also those that never wait. Change: the bus reads its sockets in the loop's reader until they are empty; a handler may be a plain function, whose reply is sent at once. A slot that is free is assigned without a task.

--- a/fuchsiacroft/control/consensus/follower.py
+++ b/fuchsiacroft/control/consensus/follower.py
@@ -36,7 +36,7 @@
         bus.register_handler(AppendRequest, self._on_append)
         bus.register_handler(SnapshotChunk, self._on_snapshot_chunk)
 
-    async def _on_heartbeat(self, sender: str, msg: Heartbeat) -> HeartbeatReply | None:
+    def _on_heartbeat(self, sender: str, msg: Heartbeat) -> HeartbeatReply | None:
         member = self._member
         if not member.accepts(msg.group, msg.target):
             return None
--- a/fuchsiacroft/control/consensus/joining.py
+++ b/fuchsiacroft/control/consensus/joining.py
@@ -306,7 +306,7 @@
             await member.storage.sync()
             await member.storage.mark_trusted()
 
-    async def _on_hello(self, sender: str, msg: Hello) -> HelloReply | None:
+    def _on_hello(self, sender: str, msg: Hello) -> HelloReply | None:
         member = self._member
         if member.halted is not None:
             return None
--- a/fuchsiacroft/control/consensus/read_barriers.py
+++ b/fuchsiacroft/control/consensus/read_barriers.py
@@ -62,7 +62,7 @@
             return None
         return result.ok.index
 
-    async def _on_barrier(self, sender: str, msg: BarrierRequest) -> BarrierReply:
+    def _on_barrier(self, sender: str, msg: BarrierRequest) -> BarrierReply:
         index = self._index_if_leader()
         if index is None:
             return BarrierReply(False, 0)
--- a/fuchsiacroft/control/feed.py
+++ b/fuchsiacroft/control/feed.py
@@ -85,9 +85,7 @@
         update = await self._document.wait_for_update(fetch)
         return msgspec.structs.replace(update, age_s=self.age_s)
 
-    async def _on_versions_request(
-        self, sender: str, msg: VersionsRequest
-    ) -> VersionsReply:
+    def _on_versions_request(self, sender: str, msg: VersionsRequest) -> VersionsReply:
         return VersionsReply(self._node_versions.versions())
 
     async def _request_versions(self, peer: str) -> dict[str, int]:
--- a/fuchsiacroft/control/inventory.py
+++ b/fuchsiacroft/control/inventory.py
@@ -131,7 +131,7 @@
                 total[service_demand.service] += service_demand.requests
         return total
 
-    async def _on_report(self, sender: str, report: EngineReport) -> EngineReportReply:
+    def _on_report(self, sender: str, report: EngineReport) -> EngineReportReply:
         if not self._log.is_leader:
             return EngineReportReply(False, self._log.term, self._log.leader_peer)
         for name in report.gone:
--- a/fuchsiacroft/membership/backend_servers.py
+++ b/fuchsiacroft/membership/backend_servers.py
@@ -143,10 +143,10 @@
         self.receive(announcement)
         return web.Response(status=204)
 
-    async def _on_announced(self, sender: str, msg: RelayedAnnouncement) -> None:
+    def _on_announced(self, sender: str, msg: RelayedAnnouncement) -> None:
         self._update(msg.announcement)
 
-    async def _on_renewed(self, sender: str, msg: RelayedRenewal) -> None:
+    def _on_renewed(self, sender: str, msg: RelayedRenewal) -> None:
         known = self._servers.get(msg.name)
         if known is not None and known.boot_id == msg.boot_id:
             self._update(
--- a/fuchsiacroft/membership/ownership.py
+++ b/fuchsiacroft/membership/ownership.py
@@ -197,7 +197,7 @@
             del self._taken_over_at[name]
         self._wake.set()
 
-    async def _on_request(
+    def _on_request(
         self, sender: str, request: HeldPermitsRequest
     ) -> HeldPermitsReply | None:
         if request.domain != self._membership.domain:
--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -216,7 +216,7 @@
         for address in self._members.others():
             self._bus.send(address, message)
 
-    async def _on_changed(self, sender: str, msg: ServersChanged) -> ChangeAck:
+    def _on_changed(self, sender: str, msg: ServersChanged) -> ChangeAck:
         changed = []
         for record in msg.records:
             changed.extend(self._table.merge(record, now()))
@@ -224,9 +224,7 @@
             self._log_changes(tuple(changed), sender)
         return ChangeAck()
 
-    async def _on_heartbeat(
-        self, sender: str, msg: EntryHeartbeat
-    ) -> EntryHeartbeatReply:
+    def _on_heartbeat(self, sender: str, msg: EntryHeartbeat) -> EntryHeartbeatReply:
         self._record_entry(msg.entry)
         digest, entries_digest = self._table.digest, self._entries_digest
         sends_servers = msg.asks_full and digest != msg.digest
@@ -259,7 +257,7 @@
     def _entries_changed(self) -> None:
         self._entries_digest = entries_digest(self._known_entries())
 
-    async def _on_entry_stopping(self, sender: str, msg: EntryStopping) -> ChangeAck:
+    def _on_entry_stopping(self, sender: str, msg: EntryStopping) -> ChangeAck:
         known = self._entries.pop(msg.node, None)
         if known is not None:
             self._stopped[msg.node] = known[0].started_ms
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -360,7 +360,7 @@
         for listener in self._controls_listeners:
             listener(addresses)
 
-    async def _on_changed(self, sender: str, msg: ServersChanged) -> ChangeAck:
+    def _on_changed(self, sender: str, msg: ServersChanged) -> ChangeAck:
         self._merge(msg.records)
         return ChangeAck()
 
--- a/fuchsiacroft/membership/service.py
+++ b/fuchsiacroft/membership/service.py
@@ -259,7 +259,7 @@
             if updates:
                 self._bus.send(peer.peers, Gossip(self._view.domain, updates))
 
-    async def _on_ping(self, sender: str, ping: Ping) -> Ack | None:
+    def _on_ping(self, sender: str, ping: Ping) -> Ack | None:
         if ping.domain != self._view.domain:
             return None
         self._view.merge_message(ping.sender, ping.view, ping.updates)
@@ -274,19 +274,19 @@
             return None
         return await self._prober.handle_indirect_ping(request)
 
-    async def _on_gossip(self, sender: str, gossip: Gossip) -> None:
+    def _on_gossip(self, sender: str, gossip: Gossip) -> None:
         if gossip.domain == self._view.domain:
             for claim in gossip.updates:
                 self._view.merge(claim)
 
-    async def _on_sync(self, sender: str, sync: Sync) -> SyncReply | None:
+    def _on_sync(self, sender: str, sync: Sync) -> SyncReply | None:
         if sync.domain != self._view.domain:
             return None
         for claim in sync.members:
             self._view.merge(claim)
         return SyncReply(self._view.table.claims_to_share(clock.now()))
 
-    async def _on_leave(self, sender: str, leave: Leave) -> Ack | None:
+    def _on_leave(self, sender: str, leave: Leave) -> Ack | None:
         if leave.domain != self._view.domain:
             return None
         self._view.merge(leave.sender)
--- a/fuchsiacroft/model/network.py
+++ b/fuchsiacroft/model/network.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Coroutine
 
 import msgspec
 from expression import Error, Ok, Result
@@ -111,15 +112,28 @@
         """Receive one message from the network."""
         envelope, msg = codec.decode(data).ok
         if not envelope.reply:
-            self._tasks.spawn(self._handle(source, envelope, msg))
+            self._tasks.call(self._handle, source, envelope, msg)
             return
         fut = self._pending_requests.get(envelope.number)
         if fut is not None and not fut.done():
             fut.set_result(msg)
 
-    async def _handle(self, source: str, envelope, msg) -> None:
+    def _handle(self, source: str, envelope: codec.Envelope, msg) -> None:
         handler = self._handlers.get(type(msg))
-        reply = await handler(envelope.sender, msg) if handler else None
+        reply = handler(envelope.sender, msg) if handler else None
+        if asyncio.iscoroutine(reply):
+            self._tasks.spawn(self._reply_later(source, envelope, reply))
+        else:
+            self._reply(source, envelope, reply)
+
+    async def _reply_later(
+        self, source: str, envelope: codec.Envelope, handling: Coroutine
+    ) -> None:
+        self._reply(source, envelope, await handling)
+
+    def _reply(
+        self, source: str, envelope: codec.Envelope, reply: msgspec.Struct | None
+    ) -> None:
         if reply is not None and envelope.number:
             encoded = codec.encode(reply, envelope.number, True, self._node)
             self._transmit(source, encoded)
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -3,9 +3,11 @@
 import asyncio
 import math
 import secrets
+from collections.abc import Coroutine
+from typing import Any
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Error, Ok
 
 from fuchsiacroft.config.route_source import RouteSource
 from fuchsiacroft.config.settings import Settings
@@ -71,6 +73,10 @@
 """
 NO_CAPACITY = Refusal(RefusalReason.OVERLOADED, 0.0)
 
+Placing = PlacementResult | Coroutine[Any, Any, PlacementResult]
+"""The placement of a request, or what waits for it."""
+PlacementReply = SlotAssignment | NotPlaced
+
 
 class Coordinator(Service):
     """Places requests of this entry and of others.
@@ -144,18 +150,64 @@
 
     async def place(self, request: PlaceRequest) -> PlacementResult:
         """Place a request, waiting for a slot if necessary, or return a refusal."""
+        return await _ended(self._begin_placing(request))
+
+    def _begin_placing(self, request: PlaceRequest) -> Placing:
+        """Place or refuse a request at once, or return what it has to wait for.
+
+        A request whose quota is free again soon waits for it, as its caller's retry
+        would come later and may be the last one.
+        """
         self._refresh_route_table()
         self._refresh_clocks()
-        refusal = await self._admit(request)
-        admitted_at = now()
+        refusal = self.allocator.admit(request, now())
+        if refusal is None:
+            return self._place_admitted(request)
+        if refusal.reason is not RefusalReason.OVER_QUOTA:
+            return self._refuse(request, refusal)
+        if refusal.retry_after_s > QUOTA_WAIT_SHARE * request.in_time_s:
+            return self._refuse(request, refusal)
+        return self._place_with_quota(request, refusal.retry_after_s)
+
+    async def _place_with_quota(
+        self, request: PlaceRequest, wait_s: float
+    ) -> PlacementResult:
+        """Place a request once its quota is free again."""
+        await asyncio.sleep(wait_s)
+        refusal = self.allocator.admit(request, now())
         if refusal is not None:
             return self._refuse(request, refusal)
-        faster = await self._place_on_faster_engine(request)
-        if faster is not None:
-            return Ok(faster)
+        return await _ended(self._place_admitted(request))
+
+    def _place_admitted(self, request: PlaceRequest) -> Placing:
+        """Place a request that was charged to the shared limits just now.
+
+        A prompt that is too long for the engines here goes to another domain.
+        """
+        admitted_at = now()
+        local_s = self.allocator.late_first_event_s(request, admitted_at)
+        if local_s is None or not self._neighbours.has_faster(request.ask, local_s):
+            return self._place_here(request, admitted_at)
+        return self._place_on_faster_engine(request, local_s, admitted_at)
+
+    async def _place_on_faster_engine(
+        self, request: PlaceRequest, local_s: float, admitted_at: float
+    ) -> PlacementResult:
+        placed = await self._neighbours.spill_to_faster(request, local_s)
+        if placed is not None:
+            return Ok(placed)
+        return await _ended(self._place_here(request, admitted_at))
+
+    def _place_here(self, request: PlaceRequest, admitted_at: float) -> Placing:
         assignment = self.allocator.try_place(request, now())
         if assignment is not None:
             return Ok(self._placed(assignment))
+        return self._place_without_slot(request, admitted_at)
+
+    async def _place_without_slot(
+        self, request: PlaceRequest, admitted_at: float
+    ) -> PlacementResult:
+        """Place a request in another domain, or queue it."""
         spilled = await self._neighbours.spill(request)
         if spilled is not None:
             return Ok(spilled)
@@ -166,29 +218,6 @@
             return await self._wait_here_and_remotely(decision)
         return await self._wait_for_placement(request.run_id)
 
-    async def _admit(self, request: PlaceRequest) -> Refusal | None:
-        """Charge a request to the shared limits, or return a refusal.
-
-        A request whose quota is free again soon waits for it, as its caller's retry
-        would come later and may be the last one.
-        """
-        refusal = self.allocator.admit(request, now())
-        if refusal is None or refusal.reason is not RefusalReason.OVER_QUOTA:
-            return refusal
-        if refusal.retry_after_s > QUOTA_WAIT_SHARE * request.in_time_s:
-            return refusal
-        await asyncio.sleep(refusal.retry_after_s)
-        return self.allocator.admit(request, now())
-
-    async def _place_on_faster_engine(
-        self, request: PlaceRequest
-    ) -> SlotAssignment | None:
-        """Place a prompt in another domain if it is too long for the engines here."""
-        local_s = self.allocator.late_first_event_s(request, now())
-        if local_s is None:
-            return None
-        return await self._neighbours.spill_to_faster(request, local_s)
-
     def mark_prefilled(self, run_id: str) -> None:
         """Record that the prompt of a run has been prefilled."""
         self.allocator.fleet.mark_prefilled(run_id, now())
@@ -418,14 +447,13 @@
         for waiter, assignment in self.allocator.place_waiters(now()):
             self._pending.resolve(waiter.request.run_id, Ok(self._placed(assignment)))
 
-    async def _on_request(
+    def _on_request(
         self, sender: str, msg: PlaceRequest
-    ) -> SlotAssignment | NotPlaced | None:
-        match await self.place(msg):
-            case Result(tag="ok", ok=placed):
-                return placed
-            case Result(error=refusal):
-                return NotPlaced(refusal)
+    ) -> PlacementReply | Coroutine[Any, Any, PlacementReply]:
+        placing = self._begin_placing(msg)
+        if asyncio.iscoroutine(placing):
+            return _reply_later(placing)
+        return _reply(placing)
 
     async def _on_spill(
         self, sender: str, msg: SpillRequest
@@ -450,12 +478,12 @@
         outcome = await self._wait_for_placement(request.run_id, is_remote=True)
         return outcome.ok if outcome.is_ok() else NotPlaced(NO_CAPACITY)
 
-    async def _on_first_event(self, sender: str, msg: FirstEvent) -> None:
+    def _on_first_event(self, sender: str, msg: FirstEvent) -> None:
         if msg.load is not None:
             self.record_load(msg.run_id, msg.load, msg.load_age_s)
         self.mark_prefilled(msg.run_id)
 
-    async def _on_ended(self, sender: str, msg: RunEnded) -> None:
+    def _on_ended(self, sender: str, msg: RunEnded) -> None:
         if msg.load is not None:
             self.record_load(msg.run_id, msg.load, msg.load_age_s)
         self.end(msg.run_id, msg.report)
@@ -463,7 +491,7 @@
             # The successor counts the runs that were handed over to it.
             self._bus.send(self.successor_peers, msg)
 
-    async def _on_ping(self, sender: str, msg: Ping) -> Pong:
+    def _on_ping(self, sender: str, msg: Ping) -> Pong:
         self.pinged_at = now()
         self._refresh_clocks()
         self.adopt(msg.runs)
@@ -484,6 +512,19 @@
         return self._left
 
 
+async def _ended(placing: Placing) -> PlacementResult:
+    """Wait until a request was placed or refused, if it wasn't at once."""
+    return await placing if asyncio.iscoroutine(placing) else placing
+
+
+async def _reply_later(placing: Coroutine[Any, Any, PlacementResult]) -> PlacementReply:
+    return _reply(await placing)
+
+
+def _reply(outcome: PlacementResult) -> PlacementReply:
+    return outcome.ok if outcome.is_ok() else NotPlaced(outcome.error)
+
+
 def create(
     settings: Settings,
     limits: SharedLimits,
--- a/fuchsiacroft/placing/limit_exchange.py
+++ b/fuchsiacroft/placing/limit_exchange.py
@@ -74,5 +74,5 @@
         record = self._roster.server(server.name)
         return record is not None and str(record.born_ms) == server.start
 
-    async def _on_limits(self, sender: str, msg: LimitReports) -> None:
+    def _on_limits(self, sender: str, msg: LimitReports) -> None:
         self.merge(msg.reports, sender)
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -118,6 +118,10 @@
         self._neighbours[domain].record_sent(request.ask.service, request.ask.version)
         return await self._request_spill(domain, SpillRequest(request))
 
+    def has_faster(self, permit_request: PermitRequest, local_s: float) -> bool:
+        """Return whether a first event comes much sooner in another domain."""
+        return self._faster_domain(permit_request, FASTER_SHARE * local_s) is not None
+
     async def spill_to_faster(
         self, request: PlaceRequest, local_s: float
     ) -> SlotAssignment | None:
@@ -284,7 +288,7 @@
             if coordinator is not None:
                 self._bus.send(coordinator.peers, load)
 
-    async def _on_load(self, sender: str, msg: DomainLoad) -> None:
+    def _on_load(self, sender: str, msg: DomainLoad) -> None:
         at = now()
         capacities = {capacity.service: capacity for capacity in msg.rooms}
         known = self._neighbours.get(msg.failure_domain)
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -216,7 +216,7 @@
         others = tuple(e for e in self._roster.entries() if e.node != coordinator.node)
         return coordinator_of(others, self._domain) == self._roster.local_entry
 
-    async def _on_hand_over(self, sender: str, msg: HandOver) -> TakenOver:
+    def _on_hand_over(self, sender: str, msg: HandOver) -> TakenOver:
         self._roster.record_leaving(msg.entry)
         if msg.spending is not None:
             self._spending.record(self._domain, msg.spending)
@@ -227,7 +227,7 @@
         self._local_coordinator.adopt(msg.runs)
         return TakenOver(accepted=True)
 
-    async def _on_entry_leaving(self, sender: str, msg: EntryLeaving) -> None:
+    def _on_entry_leaving(self, sender: str, msg: EntryLeaving) -> None:
         self._roster.record_leaving(msg.entry)
         self.coordinator()
 
--- a/fuchsiacroft/placing/spending_exchange.py
+++ b/fuchsiacroft/placing/spending_exchange.py
@@ -245,12 +245,12 @@
         earlier = self._quotas.earlier
         earlier.counted_since = min(earlier.counted_since, at)
 
-    async def _on_query(self, sender: str, msg: SpendingQuery) -> SpendingKnown:
+    def _on_query(self, sender: str, msg: SpendingQuery) -> SpendingKnown:
         at = now()
         report = self._reports.get(msg.failure_domain, at)
         return SpendingKnown(report, max(at - self._observes_since, 0.0))
 
-    async def _on_spending(self, sender: str, msg: DomainSpending) -> None:
+    def _on_spending(self, sender: str, msg: DomainSpending) -> None:
         self.record(msg.failure_domain, msg.report)
 
 
--- a/fuchsiacroft/placing/spending_store.py
+++ b/fuchsiacroft/placing/spending_store.py
@@ -30,10 +30,10 @@
         bus.register_handler(DomainSpending, self._on_spending)
         bus.register_handler(SpendingQuery, self._on_query)
 
-    async def _on_spending(self, sender: str, msg: DomainSpending) -> None:
+    def _on_spending(self, sender: str, msg: DomainSpending) -> None:
         self._reports.record(msg.failure_domain, msg.report, now())
 
-    async def _on_query(self, sender: str, msg: SpendingQuery) -> SpendingKnown:
+    def _on_query(self, sender: str, msg: SpendingQuery) -> SpendingKnown:
         at = now()
         report = self._reports.get(msg.failure_domain, at)
         return SpendingKnown(report, at - self._started_at)
--- a/fuchsiacroft/placing/start_exchange.py
+++ b/fuchsiacroft/placing/start_exchange.py
@@ -169,7 +169,7 @@
         domain = record.announcement.failure_domain
         return tuple(e for e in entries if e.failure_domain == domain) or entries
 
-    async def _on_doubted(self, sender: str, msg: StartDoubted) -> None:
+    def _on_doubted(self, sender: str, msg: StartDoubted) -> None:
         at = now()
         self._starts.record_loss(
             ServerInstance(msg.backend_server, msg.start),
@@ -177,7 +177,7 @@
             at - msg.lost_age_s,
         )
 
-    async def _on_proven(self, sender: str, msg: StartProven) -> None:
+    def _on_proven(self, sender: str, msg: StartProven) -> None:
         at = now()
         self._starts.record_progress(
             ServerInstance(msg.backend_server, msg.start),
@@ -185,7 +185,7 @@
             at - msg.progress_age_s,
         )
 
-    async def _on_alive(self, sender: str, msg: StartAlive) -> None:
+    def _on_alive(self, sender: str, msg: StartAlive) -> None:
         server = ServerInstance(msg.backend_server, msg.start)
         self._starts.record_alive(server, now() - msg.asked_age_s)
 
--- a/fuchsiacroft/quarantine/service.py
+++ b/fuchsiacroft/quarantine/service.py
@@ -122,14 +122,14 @@
                 return True
         return False
 
-    async def _on_report(self, sender: str, msg: EvidenceReport) -> None:
+    def _on_report(self, sender: str, msg: EvidenceReport) -> None:
         self.evidence.merge(msg, now())
         self._log_convictions()
 
-    async def _on_trial(self, sender: str, msg: TrialBegun) -> None:
+    def _on_trial(self, sender: str, msg: TrialBegun) -> None:
         self.evidence.begin_trial(msg.content_ids, now())
 
-    async def _on_compare(self, sender: str, msg: CompareEvidence) -> EvidenceReport:
+    def _on_compare(self, sender: str, msg: CompareEvidence) -> EvidenceReport:
         at = now()
         if msg.digest == self.evidence.digest(at):
             return EvidenceReport()
--- a/fuchsiacroft/rollouts/controller.py
+++ b/fuchsiacroft/rollouts/controller.py
@@ -219,7 +219,7 @@
         is_idle = self._state.all() and not self._state.running()
         await asyncio.sleep(IDLE_CONFIRM_PERIOD_S if is_idle else CONFIRM_PERIOD_S)
 
-    async def on_evidence(self, sender: str, msg: Evidence) -> Directives:
+    def on_evidence(self, sender: str, msg: Evidence) -> Directives:
         """Record a coordinator's evidence, and return the directives in force."""
         self._heard_at = now()
         running = (rollout.number for rollout in self._state.running())
--- a/fuchsiacroft/routing/held_permits.py
+++ b/fuchsiacroft/routing/held_permits.py
@@ -80,7 +80,7 @@
         for owner, permit_ids in by_owner.items():
             self.send(owner, RenewPermits(tuple(permit_ids)))
 
-    async def _on_preempt_run(self, sender: str, msg: PreemptRun) -> None:
+    def _on_preempt_run(self, sender: str, msg: PreemptRun) -> None:
         permit = self._held.get(msg.permit_id)
         if permit is not None and not permit.preempted.done():
             permit.preempted.set_result(msg.retry_after_s)
--- a/fuchsiacroft/routing/leases.py
+++ b/fuchsiacroft/routing/leases.py
@@ -132,7 +132,7 @@
             case Result(error=refusal):
                 return PermitRefused(refusal)
 
-    async def _on_withdraw(self, sender: str, msg: WithdrawRequest) -> None:
+    def _on_withdraw(self, sender: str, msg: WithdrawRequest) -> None:
         self._withdrawn[msg.ask_id] = None
         if len(self._withdrawn) > MAX_WITHDRAWN:
             self._withdrawn.popitem(last=False)
@@ -143,15 +143,15 @@
         if permit_id is not None:
             self._return_permit(permit_id, RunReport(RunOutcome.UNUSED))
 
-    async def _on_release(self, sender: str, msg: ReleasePermit) -> None:
+    def _on_release(self, sender: str, msg: ReleasePermit) -> None:
         self._return_permit(msg.permit_id, msg.report)
 
-    async def _on_first_token(self, sender: str, msg: FirstToken) -> None:
+    def _on_first_token(self, sender: str, msg: FirstToken) -> None:
         lease = self._leases.get(msg.permit_id)
         if lease is not None:
             self._permit_queue.record_first_token(lease.permit)
 
-    async def _on_renew(self, sender: str, msg: RenewPermits) -> None:
+    def _on_renew(self, sender: str, msg: RenewPermits) -> None:
         for permit_id in msg.permit_ids:
             lease = self._leases.get(permit_id)
             if lease is not None and lease.holder == sender:
--- a/fuchsiacroft/routing/limit_exchange.py
+++ b/fuchsiacroft/routing/limit_exchange.py
@@ -89,5 +89,5 @@
         known = self._directory.get(server.name)
         return known is not None and known.boot_id == server.start
 
-    async def _on_limits(self, sender: str, msg: LimitReports) -> None:
+    def _on_limits(self, sender: str, msg: LimitReports) -> None:
         self.merge(msg.reports, sender)
--- a/fuchsiacroft/routing/owner_digests.py
+++ b/fuchsiacroft/routing/owner_digests.py
@@ -95,7 +95,7 @@
         for peer in self._random.sample(others, DIGEST_PEERS):
             self._bus.send(peer.peers, OwnedServices(owned))
 
-    async def _on_owned_services(self, sender: str, msg: OwnedServices) -> None:
+    def _on_owned_services(self, sender: str, msg: OwnedServices) -> None:
         self._digests[sender] = ReceivedDigest(frozenset(msg.services), now())
 
 
--- a/fuchsiacroft/routing/spillover.py
+++ b/fuchsiacroft/routing/spillover.py
@@ -182,7 +182,7 @@
         ]
         return sum(load.servers for load in loads), sum(load.slow for load in loads)
 
-    async def _on_digest(self, sender: str, msg: LoadDigest) -> None:
+    def _on_digest(self, sender: str, msg: LoadDigest) -> None:
         member = self._members.get(sender)
         if member is None:
             return
--- a/fuchsiacroft/streams/service.py
+++ b/fuchsiacroft/streams/service.py
@@ -169,10 +169,10 @@
         self._store.forget_ended(at)
         await asyncio.sleep(WATCH_PERIOD_S)
 
-    async def _on_began(self, sender: str, msg: StreamBegan) -> None:
+    def _on_began(self, sender: str, msg: StreamBegan) -> None:
         self._store.merge(msg.fact, now())
 
-    async def _on_find(self, sender: str, msg: FindOrigin) -> OriginReply:
+    def _on_find(self, sender: str, msg: FindOrigin) -> OriginReply:
         return self._reply(msg)
 
 
--- a/fuchsiacroft/tests/fakes/control_thread.py
+++ b/fuchsiacroft/tests/fakes/control_thread.py
@@ -73,8 +73,12 @@
         """Let the control member hear a coordinator that knows of no rollout."""
         controller = self._kernel.get("rollouts", RolloutController)
         message = Evidence("entry-1", "1")
-        report = controller.on_evidence("entry-1", message)
-        asyncio.run_coroutine_threadsafe(report, self._loop).result(READY_TIMEOUT_S)
+
+        async def report() -> None:
+            controller.on_evidence("entry-1", message)
+
+        fut = asyncio.run_coroutine_threadsafe(report(), self._loop)
+        fut.result(READY_TIMEOUT_S)
 
     async def _serve(self) -> None:
         kernel = self._kernel = _kernel(self.settings)
--- a/fuchsiacroft/tests/fakes/routing_domain.py
+++ b/fuchsiacroft/tests/fakes/routing_domain.py
@@ -106,7 +106,7 @@
             directory = entry.kernel.get(
                 "backend_servers", backend_servers.BackendDirectory
             )
-            await directory._on_announced("server", announced)
+            directory._on_announced("server", announced)
 
     def _entry(self, member: Member, members: list[Member]) -> Entry:
         settings = Settings(
--- a/fuchsiacroft/tests/membership/registry_tests.py
+++ b/fuchsiacroft/tests/membership/registry_tests.py
@@ -239,8 +239,8 @@
         """Append to `sent` each reply of a member that holds a table."""
         answer = member.registry._on_heartbeat
 
-        async def on_heartbeat(sender, msg):
-            reply = await answer(sender, msg)
+        def on_heartbeat(sender, msg):
+            reply = answer(sender, msg)
             if reply.records is not None or reply.entries is not None:
                 sent.append(reply)
             return reply
@@ -254,10 +254,10 @@
             registry = region.members[0].registry
             entry = region.entries[0].roster.local_entry
             await region.entries[0].kernel.stop()
-            await registry._on_heartbeat(entry.node, EntryHeartbeat(entry, 0, 0))
+            registry._on_heartbeat(entry.node, EntryHeartbeat(entry, 0, 0))
             self.assertNotIn(entry.node, registry.dump()["entries"])
             again = msgspec.structs.replace(entry, started_ms=entry.started_ms + 1)
-            await registry._on_heartbeat(entry.node, EntryHeartbeat(again, 0, 0))
+            registry._on_heartbeat(entry.node, EntryHeartbeat(again, 0, 0))
             self.assertIn(entry.node, registry.dump()["entries"])
 
         self.run_scenario(scenario)
--- a/fuchsiacroft/tests/placing/coordinator_load_tests.py
+++ b/fuchsiacroft/tests/placing/coordinator_load_tests.py
@@ -93,7 +93,7 @@
         started_ms = int(time.time() * 1000) + 60_000
         return EntryRecord(f"edge-{number}", domain, address, started_ms)
 
-    async def on_heartbeat(self, sender: str, msg: EntryHeartbeat):
+    def on_heartbeat(self, sender: str, msg: EntryHeartbeat) -> EntryHeartbeatReply:
         digest = entries_digest(self.records)
         return EntryHeartbeatReply((), digest, self.records, 1, self.servers)
 
--- a/fuchsiacroft/tests/placing/placer_tests.py
+++ b/fuchsiacroft/tests/placing/placer_tests.py
@@ -166,7 +166,7 @@
             node = region.entries[0].placer.coordinator().node
             other = next(e for e in region.entries if e.placer._node != node)
             left = record(sequence=9, life=ServerState.LEAVING)
-            await other.roster._on_changed("", ServersChanged("", (left,)))
+            other.roster._on_changed("", ServersChanged("", (left,)))
             (outcome,) = await self.acquire(other)
             self.assertTrue(outcome.is_error(), outcome)
             coordinator = next(e for e in region.entries if e.placer._node == node)
--- a/fuchsiacroft/tests/routing/leases_tests.py
+++ b/fuchsiacroft/tests/routing/leases_tests.py
@@ -83,7 +83,7 @@
 
     def test_a_withdrawal_that_overtakes_its_request_leaks_no_permit(self):
         async def scenario(domain, one, two, three):
-            await two.leases._on_withdraw("entry-0", WithdrawRequest("a"))
+            two.leases._on_withdraw("entry-0", WithdrawRequest("a"))
             reply = await two.leases._on_acquire(
                 "entry-0", AcquirePermit("a", permit_request())
             )
--- a/fuchsiacroft/transport/bus.py
+++ b/fuchsiacroft/transport/bus.py
@@ -2,7 +2,7 @@
 
 import enum
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import msgspec
@@ -10,7 +10,8 @@
 
 from fuchsiacroft.kernel import Service
 
-Handler = Callable[[str, Any], Awaitable[msgspec.Struct | None]]
+Reply = msgspec.Struct | None
+Handler = Callable[[str, Any], Reply | Coroutine[Any, Any, Reply]]
 
 
 class BusError(enum.Enum):
@@ -28,7 +29,8 @@
     """Sends messages to peers and dispatches received messages to handlers.
 
     A peer is identified by its address, `IP:PORT`. A handler receives the
-    sender's node name and the message, and returns the reply or None.
+    sender's node name and the message, and returns the reply or None. One that has to
+    wait is a coroutine; a plain function is cheaper, as it needs no task.
     """
 
     name = "bus"
--- a/fuchsiacroft/transport/key_fallback.py
+++ b/fuchsiacroft/transport/key_fallback.py
@@ -7,6 +7,7 @@
 from zmq.utils.monitor import parse_monitor_message
 
 from fuchsiacroft.transport.keys import KeyRing
+from fuchsiacroft.transport.monitor import open_monitor
 
 KEY_FALLBACK_DELAY_S = 0.1
 HANDSHAKE_FAILED_EVENTS = (
@@ -27,8 +28,14 @@
     """
 
     def __init__(
-        self, dealer: zmq.asyncio.Socket, peer: str, endpoint: str, ring: KeyRing
+        self,
+        ctx: zmq.asyncio.Context,
+        dealer: zmq.Socket,
+        peer: str,
+        endpoint: str,
+        ring: KeyRing,
     ) -> None:
+        self._ctx = ctx
         self._dealer = dealer
         self._endpoint = endpoint
         self._ring = ring
@@ -46,7 +53,7 @@
         """Switch to the next key after each failed handshake, if there is one."""
         if len(self._keys) < 2:
             return
-        monitor = self._dealer.get_monitor_socket(CONNECTION_EVENTS)
+        monitor = open_monitor(self._ctx, self._dealer, CONNECTION_EVENTS)
         try:
             while True:
                 await _wait_for_failure(monitor)
--- a/fuchsiacroft/transport/peer_link.py
+++ b/fuchsiacroft/transport/peer_link.py
@@ -1,9 +1,11 @@
 """The connection to one peer and its tasks."""
 
 import asyncio
+from collections.abc import Callable
 
-import zmq.asyncio
+import zmq
 
+from fuchsiacroft.transport.message_reader import MessageReader
 from fuchsiacroft.transport.send_queue import SendQueue
 from fuchsiacroft.utils.clock import now
 
@@ -18,17 +20,23 @@
 
 
 class PeerLink:
-    """A DEALER socket with its send queue, tasks and time of the last message."""
+    """A DEALER socket with its send queue, tasks and time of the last message.
+
+    `handle` is called with the frames of each message.
+    """
 
     def __init__(
         self,
-        dealer: zmq.asyncio.Socket,
-        silence_timeout_s: float = MIN_SILENCE_TIMEOUT_S,
+        dealer: zmq.Socket,
+        silence_timeout_s: float,
+        handle: Callable[[list[bytes]], None],
     ) -> None:
         self.dealer = dealer
         self._silence_timeout_s = silence_timeout_s
         self._has_received = False
-        self.send_queue = SendQueue(dealer)
+        self._handle = handle
+        self.reader = MessageReader(dealer, self._on_frames)
+        self.send_queue = SendQueue(dealer, self.reader.read_soon)
         self.tasks: list[asyncio.Task] = []
         self.is_probed = False
         self._last_received_at = now()
@@ -58,13 +66,14 @@
             return MIN_SILENCE_TIMEOUT_S
         return min(2 * self._silence_timeout_s, MAX_SILENCE_TIMEOUT_S)
 
-    def record_received(self) -> None:
-        """Record that a message was received from the peer."""
+    def _on_frames(self, frames: list[bytes]) -> None:
         self._has_received = True
         self._last_received_at = now()
+        self._handle(frames)
 
     def close(self) -> None:
         """Cancel the tasks and close the socket."""
         for task in self.tasks:
             task.cancel()
+        self.reader.close()
         self.dealer.close(0)
--- a/fuchsiacroft/transport/send_queue.py
+++ b/fuchsiacroft/transport/send_queue.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import zmq
-import zmq.asyncio
 
 from fuchsiacroft.utils.clock import now
 
@@ -27,11 +27,13 @@
     """Sends messages to one DEALER socket in order, dropping expired ones.
 
     The socket accepts messages only while it is connected, so messages to a
-    dead peer are not delivered after it restarts.
+    dead peer are not delivered after it restarts. `on_sent` is called after messages
+    were sent later than they were put here.
     """
 
-    def __init__(self, dealer: zmq.asyncio.Socket) -> None:
+    def __init__(self, dealer: zmq.Socket, on_sent: Callable[[], None]) -> None:
         self._dealer = dealer
+        self._on_sent = on_sent
         self._queue: deque[QueuedMessage] = deque()
         self._not_empty = asyncio.Event()
 
@@ -64,6 +66,7 @@
             while not self._flush():
                 await asyncio.sleep(delay_s)
                 delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
+            self._on_sent()
 
     def _flush(self) -> bool:
         while self._queue:
@@ -74,6 +77,9 @@
         return True
 
     def _send(self, message: QueuedMessage) -> bool:
-        sent = self._dealer.send(message.data, zmq.DONTWAIT)
-        message.sent = sent.exception() is None
-        return message.sent
+        try:
+            self._dealer.send(message.data, zmq.DONTWAIT)
+        except zmq.ZMQError:
+            return False
+        message.sent = True
+        return True
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
 
 import msgspec
 import zmq
@@ -15,6 +15,7 @@
 from fuchsiacroft.transport.bus import Bus, BusError, Handler
 from fuchsiacroft.transport.key_fallback import KeyFallback
 from fuchsiacroft.transport.keys import KeyChange, KeyRing
+from fuchsiacroft.transport.message_reader import MessageReader
 from fuchsiacroft.transport.peer_link import MIN_SILENCE_TIMEOUT_S, PeerLink
 from fuchsiacroft.transport.send_queue import QueuedMessage
 from fuchsiacroft.transport.zmq_listener import BusListener
@@ -78,7 +79,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Bind the listening socket and start to receive."""
-        router = self._ctx.socket(zmq.ROUTER)
+        router = self._ctx.socket(zmq.ROUTER, socket_class=zmq.Socket)
         self._configure(router)
         self._listener = BusListener(self._ctx, router, self._address, self._ring)
         self._listener.bind()
@@ -86,7 +87,8 @@
             self._tasks.spawn_critical(coro, "bus-listener")
         if self._ring is not None:
             self._ring.on_change(self._on_key_change)
-        self._tasks.spawn_critical(self._receive_requests(router), "bus-router")
+        self._router = router
+        self._reader = MessageReader(router, self._on_frames)
 
     async def stop(self) -> None:
         """Close all sockets and cancel pending requests."""
@@ -96,6 +98,7 @@
         for link in self._links.values():
             link.close()
         if self._listener is not None:
+            self._reader.close()
             self._listener.close()
         self._ctx.destroy(0)
 
@@ -158,7 +161,7 @@
         await self.request(peer, LinkProbe(), PROBE_TIMEOUT_S)
         link.is_probed = False
 
-    async def _on_probe(self, sender: str, msg: LinkProbe) -> LinkProbe:
+    def _on_probe(self, sender: str, msg: LinkProbe) -> LinkProbe:
         return msg
 
     def _encode(
@@ -184,6 +187,7 @@
         if not link.send_queue.put(message):
             self._counts["outbox_full"] += 1
             return None
+        link.reader.read_soon()
         self._counts["sent"] += 1
         self._counts["sent_bytes"] += len(message.data)
         return link
@@ -194,28 +198,28 @@
         if self._ring is not None and not self._ring.keys_of(peer):
             self._counts["no_key_for_peer"] += 1
             return None
-        dealer = self._ctx.socket(zmq.DEALER)
+        dealer = self._ctx.socket(zmq.DEALER, socket_class=zmq.Socket)
         self._configure(dealer)
         dealer.immediate = True
-        link = PeerLink(dealer, silence_timeout_s)
+        link = PeerLink(dealer, silence_timeout_s, self._on_reply_frames)
         endpoint = f"tcp://{self._tunnels.get(peer, peer)}"
         try:
             if self._ring is None:
                 dealer.connect(endpoint)
             else:
-                fallback = KeyFallback(dealer, peer, endpoint, self._ring)
+                fallback = KeyFallback(self._ctx, dealer, peer, endpoint, self._ring)
                 fallback.connect()
                 link.tasks.append(self._tasks.spawn(fallback.run(), f"bus-keys-{peer}"))
         except (zmq.ZMQError, UnicodeEncodeError) as exc:
-            dealer.close(0)
+            link.close()
             self._record_not_sent("no_address", peer=peer, error=str(exc))
             return None
-        for coro in (link.send_queue.run(), self._receive_replies(link)):
-            link.tasks.append(self._tasks.spawn(coro, f"bus-peer-{peer}"))
+        coro = link.send_queue.run()
+        link.tasks.append(self._tasks.spawn(coro, f"bus-peer-{peer}"))
         self._links[peer] = link
         return link
 
-    def _configure(self, sock: zmq.asyncio.Socket) -> None:
+    def _configure(self, sock: zmq.Socket) -> None:
         sock.linger = 0
         sock.sndhwm = HIGH_WATER_MARK
         sock.rcvhwm = HIGH_WATER_MARK
@@ -256,40 +260,50 @@
         finally:
             link.close()
 
-    async def _receive_requests(self, router: zmq.asyncio.Socket) -> None:
-        while True:
-            frames = await router.recv_multipart()
-            if len(frames) != 2:
-                self._counts["dropped_malformed"] += 1
-                continue
-            identity, data = frames
-            for envelope, msg in self._decode(data):
-                self._tasks.spawn(self._handle_request(router, identity, envelope, msg))
-
-    async def _receive_replies(self, link: PeerLink) -> None:
-        while True:
-            data = await link.dealer.recv()
-            link.record_received()
-            for envelope, msg in self._decode(data):
-                future = self._pending.get(envelope.number)
-                if envelope.reply and future is not None and not future.done():
-                    future.set_result(msg)
-
-    async def _handle_request(self, router, identity: bytes, envelope, msg) -> None:
+    def _on_frames(self, frames: list[bytes]) -> None:
+        if len(frames) != 2:
+            self._counts["dropped_malformed"] += 1
+            return
+        identity, data = frames
+        for envelope, msg in self._decode(data):
+            self._tasks.call(self._handle_request, identity, envelope, msg)
+
+    def _on_reply_frames(self, frames: list[bytes]) -> None:
+        for envelope, msg in self._decode(frames[-1]):
+            future = self._pending.get(envelope.number)
+            if envelope.reply and future is not None and not future.done():
+                future.set_result(msg)
+
+    def _handle_request(self, identity: bytes, envelope: codec.Envelope, msg) -> None:
         handler = self._handlers.get(type(msg))
         if handler is None:
             self._counts["dropped_unhandled"] += 1
             return
-        reply = await handler(envelope.sender, msg)
+        reply = handler(envelope.sender, msg)
+        if asyncio.iscoroutine(reply):
+            self._tasks.spawn(self._reply_later(identity, envelope, reply))
+        else:
+            self._reply(identity, envelope, reply)
+
+    async def _reply_later(
+        self, identity: bytes, envelope: codec.Envelope, handling: Coroutine
+    ) -> None:
+        self._reply(identity, envelope, await handling)
+
+    def _reply(
+        self, identity: bytes, envelope: codec.Envelope, reply: msgspec.Struct | None
+    ) -> None:
         if reply is None or not envelope.number:
             return
         data = self._encode(reply, envelope.number, True, envelope.sender)
         if data is None:
             return
-        sent = router.send_multipart([identity, data], zmq.DONTWAIT)
-        if sent.exception() is not None:
+        try:
+            self._router.send_multipart([identity, data], zmq.DONTWAIT)
+        except zmq.ZMQError:
             self._counts["answer_not_sent"] += 1
             return
+        self._reader.read_soon()
         self._counts["sent"] += 1
         self._counts["sent_bytes"] += len(data)
 
--- a/fuchsiacroft/transport/zmq_listener.py
+++ b/fuchsiacroft/transport/zmq_listener.py
@@ -11,6 +11,7 @@
 from fuchsiacroft.transport.handshake_watch import HandshakeWatch
 from fuchsiacroft.transport.key_fallback import HANDSHAKE_FAILED_EVENTS
 from fuchsiacroft.transport.keys import KeyRing
+from fuchsiacroft.transport.monitor import open_monitor
 from fuchsiacroft.transport.zap import ZAP_DOMAIN, ZapHandler
 from fuchsiacroft.utils.logs import event
 
@@ -30,10 +31,11 @@
     def __init__(
         self,
         ctx: zmq.asyncio.Context,
-        router: zmq.asyncio.Socket,
+        router: zmq.Socket,
         address: str,
         ring: KeyRing | None,
     ) -> None:
+        self._ctx = ctx
         self._router = router
         self._endpoint = f"tcp://{address}"
         self._ring = ring
@@ -82,7 +84,7 @@
         self._router.close(0)
 
     async def _watch_connections(self) -> None:
-        monitor = self._router.get_monitor_socket(CONNECTION_EVENTS)
+        monitor = open_monitor(self._ctx, self._router, CONNECTION_EVENTS)
         try:
             while True:
                 message = parse_monitor_message(await monitor.recv_multipart())
--- a/fuchsiacroft/utils/tasks.py
+++ b/fuchsiacroft/utils/tasks.py
@@ -31,6 +31,13 @@
         task.add_done_callback(self._on_task_done)
         return task
 
+    def call(self, function: Callable[..., None], *args: object) -> None:
+        """Call a function whose failure is handled like that of a task."""
+        try:
+            function(*args)
+        except Exception as exc:
+            self._record_failure(exc)
+
     def spawn_critical(self, coro: Coroutine, name: str) -> asyncio.Task:
         """Start a task that the process cannot run without.
 
@@ -77,14 +84,21 @@
             return
         exc = task.exception()
         if exc is not None:
-            event("error", "task_failed", owner=self._owner, error=repr(exc))
+            self._record_failure(exc)
+
+    def _record_failure(self, exc: BaseException) -> None:
+        event("error", "task_failed", owner=self._owner, error=repr(exc))
         if isinstance(exc, InvariantError):
-            _stop_process(task)
+            _report_failure(exc)
 
 
 def _stop_process(task: asyncio.Task) -> None:
     """Pass a failure to the loop's exception handler, which stops the process."""
     if task.cancelled() or task.exception() is None:
         return
-    context = {"message": SERVICE_FAILED, "exception": task.exception()}
+    _report_failure(task.exception())
+
+
+def _report_failure(exc: BaseException) -> None:
+    context = {"message": SERVICE_FAILED, "exception": exc}
     asyncio.get_running_loop().call_exception_handler(context)
