Keep to a coordinator that answers late, and go back to one at its first answer

Cause: an entry gave a coordinator up at the first ping or request without an answer, for 0.6 s, though it answered other things meanwhile, and dropped the late answer. Change: it is given up once it has answered nothing for 0.5 s, and until its next answer.

--- a/fuchsiacroft/model/network.py
+++ b/fuchsiacroft/model/network.py
@@ -1,6 +1,7 @@
 """An in-memory network with seeded delays, loss, duplication and partitions."""
 
 import asyncio
+import math
 import random
 from collections import Counter
 from collections.abc import Coroutine
@@ -10,6 +11,7 @@
 
 from fuchsiacroft.transport import codec
 from fuchsiacroft.transport.bus import Bus, BusError, Handler
+from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
 
@@ -66,6 +68,7 @@
         self._handlers: dict[type, Handler] = {}
         self._pending_requests: dict[int, asyncio.Future] = {}
         self._last_number = 0
+        self._replied_at: dict[str, float] = {}
         self._tasks = BackgroundTasks(f"bus-{node}")
 
     def skip_numbers(self, number: int) -> None:
@@ -102,6 +105,10 @@
         """Send a message that has no reply."""
         self._transmit(peer, codec.encode(msg, 0, False, self._node))
 
+    def replied_at(self, peer: str) -> float:
+        """Return when a reply of a peer last arrived, minus infinity if none has."""
+        return self._replied_at.get(peer, -math.inf)
+
     async def stop(self) -> None:
         """Disconnect this bus and drop the messages that it was sending."""
         if self._network.buses.get(self._address) is self:
@@ -114,6 +121,7 @@
         if not envelope.reply:
             self._tasks.call(self._handle, source, envelope, msg)
             return
+        self._replied_at[source] = now()
         fut = self._pending_requests.get(envelope.number)
         if fut is not None and not fut.done():
             fut.set_result(msg)
--- /dev/null
+++ b/fuchsiacroft/placing/coordinator_contact.py
@@ -0,0 +1,104 @@
+"""Whether the coordinator of a failure domain answers one of its entries.
+
+A coordinator that is out of processor time answers late. It is the one that knows all
+runs and quotas, and an entry that decides alone has a small share of both, so it is
+given up only while it answers nothing.
+"""
+
+import asyncio
+import math
+from collections.abc import Callable
+
+from expression import Result
+
+from fuchsiacroft.membership.registry_wire import EntryRecord
+from fuchsiacroft.transport.bus import Bus, BusError
+from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.logs import event
+from fuchsiacroft.utils.rate_limited_log import RateLimitedLog
+
+PING_PERIOD_S = 0.25
+PING_TIMEOUT_S = 0.3
+LATE_S = 0.5
+"""A coordinator that leaves something unanswered is lost once it has answered nothing
+for so long. A ping is answered or missed by then."""
+BACKOFF_S = 0.6
+"""How long no requests are sent to a coordinator that did not respond."""
+CLOCK_STEP_S = 0.001
+MAX_LATE_LOGS_PER_S = 1
+
+
+class CoordinatorContact:
+    """Gives up a coordinator that answers nothing, until a reply of it arrives.
+
+    `on_lost` is called with a coordinator that is given up.
+    """
+
+    def __init__(self, bus: Bus, on_lost: Callable[[EntryRecord], None]) -> None:
+        self._bus = bus
+        self._on_lost = on_lost
+        self._given_up_at = -math.inf
+        self._given_up_until = -math.inf
+        self._check: asyncio.TimerHandle | None = None
+        self._lost = asyncio.Event()
+        self._late_log = RateLimitedLog("coordinator_late", MAX_LATE_LOGS_PER_S)
+
+    def restart(self) -> None:
+        """Begin anew with another coordinator."""
+        self._given_up_until = -math.inf
+        self.stop()
+
+    def stop(self) -> None:
+        """Don't give up the coordinator any more."""
+        if self._check is not None:
+            self._check.cancel()
+
+    def is_lost(self, coordinator: EntryRecord) -> bool:
+        """Return whether a coordinator is given up and hasn't answered since."""
+        if now() >= self._given_up_until:
+            return False
+        return self._bus.replied_at(coordinator.peers) <= self._given_up_at
+
+    async def wait_lost(self) -> None:
+        """Wait until the coordinator is given up."""
+        await self._lost.wait()
+
+    def record_missed(
+        self, coordinator: EntryRecord, asked: str, missed: Result
+    ) -> None:
+        """Give up a coordinator that left something unanswered, or note it late."""
+        silent_s = self._silent_s(coordinator)
+        was_sent = missed.is_ok() or missed.error is BusError.NO_ANSWER
+        if not was_sent or silent_s >= LATE_S:
+            self._give_up(coordinator, asked)
+            return
+        self._late_log.event(
+            coordinator=coordinator.node, asked=asked, silent_s=round(silent_s, 3)
+        )
+        self.stop()
+        loop = asyncio.get_running_loop()
+        wait_s = LATE_S - silent_s
+        self._check = loop.call_later(wait_s, self._check_again, coordinator, asked)
+
+    def _check_again(self, coordinator: EntryRecord, asked: str) -> None:
+        """Give up a late coordinator that has answered nothing more."""
+        if self._silent_s(coordinator) >= LATE_S - CLOCK_STEP_S:
+            self._give_up(coordinator, asked)
+
+    def _silent_s(self, coordinator: EntryRecord) -> float:
+        return now() - self._bus.replied_at(coordinator.peers)
+
+    def _give_up(self, coordinator: EntryRecord, asked: str) -> None:
+        if not self.is_lost(coordinator):
+            event(
+                "warning",
+                "coordinator_lost",
+                coordinator=coordinator.node,
+                reason=f"no answer to a {asked}",
+                silent_s=round(self._silent_s(coordinator), 3),
+            )
+            self._on_lost(coordinator)
+        self._given_up_at = now()
+        self._given_up_until = now() + BACKOFF_S
+        self._lost.set()
+        self._lost = asyncio.Event()
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -26,6 +26,11 @@
 from fuchsiacroft.membership.start_probe import StartProbe
 from fuchsiacroft.placing.answered_loads import AnsweredLoads
 from fuchsiacroft.placing.coordinator import Coordinator
+from fuchsiacroft.placing.coordinator_contact import (
+    PING_PERIOD_S,
+    PING_TIMEOUT_S,
+    CoordinatorContact,
+)
 from fuchsiacroft.placing.coordinators import DomainCoordinators, coordinator_of
 from fuchsiacroft.placing.hand_over import OutgoingHandOver
 from fuchsiacroft.placing.messages import (
@@ -60,10 +65,6 @@
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
-PING_PERIOD_S = 0.25
-PING_TIMEOUT_S = 0.3
-COORDINATOR_BACKOFF_S = 0.6
-"""How long no requests are sent to a coordinator that did not respond."""
 REPLY_MARGIN_S = 0.4
 """Added to a request's maximum wait to get the timeout of the reply."""
 ISOLATION_TIMEOUT_S = 1.0
@@ -120,14 +121,12 @@
         self._domain = settings.failure_domain
         self._instance_id = secrets.token_hex(INSTANCE_ID_BYTES)
         self._run_numbers = itertools.count()
-        self._unreachable_until = 0.0
         self._limit_share = 1.0
         self._epochs: dict[str, str] = {}
         self._active_runs: dict[str, HeldRun] = {}
         self._runs_judged_here: set[str] = set()
         """Runs on a start that this entry doubted, too, or that was proven to it."""
         self._loads = AnsweredLoads()
-        self._coordinator_lost = asyncio.Event()
         self._current: EntryRecord | None = None
         self._started_at = 0.0
         self._in_touch_at = 0.0
@@ -139,6 +138,7 @@
         """Start monitoring the coordinator."""
         self._started_at = self._in_touch_at = now()
         self._bus = kernel.get("bus", Bus)
+        self._contact = CoordinatorContact(self._bus, self._on_coordinator_lost)
         self._roster = kernel.get("roster", Roster)
         self._coordinators = DomainCoordinators(self._roster)
         self._reachability = Reachability(self._roster, self._domain)
@@ -174,12 +174,14 @@
     async def stop(self) -> None:
         """Stop monitoring the coordinator."""
         await self._tasks.cancel()
+        self._contact.stop()
 
     def dump(self) -> dict:
         """Return the coordinator, its state and the number of runs in progress."""
+        coordinator = self.coordinator()
         return {
-            "coordinator": self.coordinator().node,
-            "suspected": now() < self._unreachable_until,
+            "coordinator": coordinator.node,
+            "suspected": self._contact.is_lost(coordinator),
             "held": len(self._active_runs),
             "notices": self.availability.dump(),
             "server_limits": self._pacing.limits.dump(),
@@ -202,7 +204,8 @@
 
     def places_requests(self) -> bool:
         """Return whether this entry is the coordinator, or decides without it."""
-        return self.is_coordinator() or now() < self._unreachable_until
+        coordinator = self.coordinator()
+        return coordinator.node == self._node or self._contact.is_lost(coordinator)
 
     def is_acting(self) -> bool:
         """Return whether this entry stands in for a coordinator that it can't reach.
@@ -211,7 +214,7 @@
         requests get slots before the loss is known to the control members.
         """
         coordinator = self.coordinator()
-        if coordinator.node == self._node or now() >= self._unreachable_until:
+        if coordinator.node == self._node or not self._contact.is_lost(coordinator):
             return False
         others = tuple(e for e in self._roster.entries() if e.node != coordinator.node)
         return coordinator_of(others, self._domain) == self._roster.local_entry
@@ -370,7 +373,8 @@
         )
         coordinator = self.coordinator()
         outcome = None
-        if coordinator.node != self._node and now() >= self._unreachable_until:
+        is_other = coordinator.node != self._node
+        if is_other and not self._contact.is_lost(coordinator):
             outcome = await self._request_placement(coordinator, request)
         if outcome is None:
             outcome = await self._decide_locally(request)
@@ -453,7 +457,7 @@
         reply = asyncio.ensure_future(
             self._bus.request(coordinator.peers, request, timeout_s)
         )
-        lost = asyncio.ensure_future(self._coordinator_lost.wait())
+        lost = asyncio.ensure_future(self._contact.wait_lost())
         unused = RunEnded(request.run_id, RunReport(RunOutcome.UNUSED))
         try:
             await asyncio.wait((reply, lost), return_when=asyncio.FIRST_COMPLETED)
@@ -463,7 +467,7 @@
                         return Ok(placed)
                     case Result(tag="ok", ok=NotPlaced(refusal=refusal)):
                         return Error(refusal)
-                self._mark_unreachable(coordinator, "no answer to a request")
+                self._contact.record_missed(coordinator, "request", reply.result())
             self._bus.send(coordinator.peers, unused)
             return None
         except asyncio.CancelledError:
@@ -475,6 +479,7 @@
 
     async def _monitor_coordinator(self) -> None:
         """Ping the coordinator periodically, and follow its changes."""
+        ends_at = now() + PING_PERIOD_S
         self._reachability.refresh(now())
         coordinator = self.coordinator()
         self._set_shares(is_coordinator=coordinator.node == self._node)
@@ -486,7 +491,7 @@
             await self._ping(coordinator)
         else:
             self._limits.send_to_coordinators(self._domain)
-        await asyncio.sleep(PING_PERIOD_S)
+        await asyncio.sleep(max(ends_at - now(), 0.0))
 
     def _set_shares(self, is_coordinator: bool) -> None:
         """Set the share of servers and retries that local decisions may use.
@@ -516,7 +521,7 @@
             "info", "coordinator_chosen", coordinator=coordinator.node, before=previous
         )
         self._current = coordinator
-        self._unreachable_until = 0.0
+        self._contact.restart()
         self._pacing.restart(now())
         self._set_shares(is_coordinator=coordinator.node == self._node)
         if coordinator.node == self._node:
@@ -542,22 +547,13 @@
                 self._epochs[coordinator.node] = (
                     epoch if epoch == known_epoch or not known_epoch else ""
                 )
-            case _:
-                self._epochs.pop(coordinator.node, None)
-                self._mark_unreachable(coordinator, "no answer to a ping")
-
-    def _mark_unreachable(self, coordinator: EntryRecord, reason: str) -> None:
-        if now() >= self._unreachable_until:
-            event(
-                "warning",
-                "coordinator_lost",
-                coordinator=coordinator.node,
-                reason=reason,
-            )
-            self._pacing.restart(now())
-        self._unreachable_until = now() + COORDINATOR_BACKOFF_S
-        self._coordinator_lost.set()
-        self._coordinator_lost = asyncio.Event()
+            case missed:
+                self._contact.record_missed(coordinator, "ping", missed)
+
+    def _on_coordinator_lost(self, coordinator: EntryRecord) -> None:
+        """Report all runs to the coordinator once it answers again."""
+        self._epochs.pop(coordinator.node, None)
+        self._pacing.restart(now())
 
     def _is_isolated(self, at: float) -> bool:
         """Return whether no peer responds, so that others may have taken over."""
--- a/fuchsiacroft/tests/placing/coordinator_change_tests.py
+++ b/fuchsiacroft/tests/placing/coordinator_change_tests.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
+from fuchsiacroft.placing.coordinator_contact import PING_PERIOD_S, PING_TIMEOUT_S
 from fuchsiacroft.placing.messages import EntryLeaving, HandOver
-from fuchsiacroft.placing.placer import PING_PERIOD_S, PING_TIMEOUT_S, WaitLimits
+from fuchsiacroft.placing.placer import WaitLimits
 from fuchsiacroft.routing.permits import PermitRequest, RunOutcome, RunReport
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.memory_region import DOMAINS, MemoryRegion
--- a/fuchsiacroft/tests/placing/coordinator_load_tests.py
+++ b/fuchsiacroft/tests/placing/coordinator_load_tests.py
@@ -17,6 +17,7 @@
     EntryRecord,
     entries_digest,
 )
+from fuchsiacroft.placing.coordinator_contact import PING_PERIOD_S, PING_TIMEOUT_S
 from fuchsiacroft.placing.messages import (
     FirstEvent,
     Ping,
@@ -25,7 +26,6 @@
     RunEnded,
     SlotAssignment,
 )
-from fuchsiacroft.placing.placer import PING_PERIOD_S, PING_TIMEOUT_S
 from fuchsiacroft.routing.permits import PermitRequest, RunOutcome, RunReport, WorkSize
 from fuchsiacroft.tests.base import SocketTestCase
 from fuchsiacroft.tests.fakes.coordinator_process import WORKSPACES
--- a/fuchsiacroft/transport/bus.py
+++ b/fuchsiacroft/transport/bus.py
@@ -58,3 +58,10 @@
         With `probes`, a connection that has been silent is checked. Messages to many
         peers, of which some may be lost, are cheaper without.
         """
+
+    @abstractmethod
+    def replied_at(self, peer: str) -> float:
+        """Return when a reply of a peer last arrived, minus infinity if none has.
+
+        A reply that comes after its request was given up counts, too.
+        """
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import itertools
+import math
 from collections import Counter
 from collections.abc import Coroutine, Mapping
+from functools import partial
 
 import msgspec
 import zmq
@@ -19,6 +21,7 @@
 from fuchsiacroft.transport.peer_link import MIN_SILENCE_TIMEOUT_S, PeerLink
 from fuchsiacroft.transport.send_queue import QueuedMessage
 from fuchsiacroft.transport.zmq_listener import BusListener
+from fuchsiacroft.utils.bounded import set_newest
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.rate_limited_log import RateLimitedLog
@@ -41,6 +44,7 @@
 MAX_STILL_S = 1.0
 """A reply is of no use if this process stood still for longer; it may be out of date.
 """
+MAX_PEERS_REMEMBERED = 2_000
 HEARTBEAT_MS = 30_000
 HEARTBEAT_TIMEOUT_MS = 10_000
 
@@ -73,6 +77,7 @@
         self._tasks = BackgroundTasks("bus")
         self._counts: Counter[str] = Counter()
         self._received: Counter[str] = Counter()
+        self._replied_at: dict[str, float] = {}
         self._not_sent_log = RateLimitedLog(
             "message_not_sent", MAX_NOT_SENT_LINES_PER_S
         )
@@ -156,6 +161,10 @@
             link.is_probed = True
             self._tasks.spawn(self._probe(peer, link), f"bus-probe-{peer}")
 
+    def replied_at(self, peer: str) -> float:
+        """Return when a reply of a peer last arrived, minus infinity if none has."""
+        return self._replied_at.get(peer, -math.inf)
+
     async def _probe(self, peer: str, link: PeerLink) -> None:
         """Request a reply, without which the link is replaced."""
         await self.request(peer, LinkProbe(), PROBE_TIMEOUT_S)
@@ -201,7 +210,7 @@
         dealer = self._ctx.socket(zmq.DEALER, socket_class=zmq.Socket)
         self._configure(dealer)
         dealer.immediate = True
-        link = PeerLink(dealer, silence_timeout_s, self._on_reply_frames)
+        link = PeerLink(dealer, silence_timeout_s, partial(self._on_reply_frames, peer))
         endpoint = f"tcp://{self._tunnels.get(peer, peer)}"
         try:
             if self._ring is None:
@@ -268,7 +277,8 @@
         for envelope, msg in self._decode(data):
             self._tasks.call(self._handle_request, identity, envelope, msg)
 
-    def _on_reply_frames(self, frames: list[bytes]) -> None:
+    def _on_reply_frames(self, peer: str, frames: list[bytes]) -> None:
+        set_newest(self._replied_at, peer, now(), MAX_PEERS_REMEMBERED)
         for envelope, msg in self._decode(frames[-1]):
             future = self._pending.get(envelope.number)
             if envelope.reply and future is not None and not future.done():
