Ping a coordinator at most a hundred times a second from all its entries

Cause: each entry pinged four times a second, so pings grew with a domain's entries; at 51 entries they were 400 of about 1,080 messages a second, at any load. Change: an entry pings every 0.25 s or at its turn in a hundred pings a second, whichever is later, at once while it has something to report, and after 0.25 s of silence while a request waits for the coordinator.

--- a/fuchsiacroft/placing/coordinator_contact.py
+++ b/fuchsiacroft/placing/coordinator_contact.py
@@ -19,6 +19,8 @@
 
 PING_PERIOD_S = 0.25
 PING_TIMEOUT_S = 0.3
+MAX_PINGS_PER_S = 100
+"""All entries of a domain together send no more; each takes the coordinator's time."""
 LATE_S = 0.5
 """A coordinator that leaves something unanswered is lost once it has answered nothing
 for so long. A ping is answered or missed by then."""
@@ -28,6 +30,11 @@
 MAX_LATE_LOGS_PER_S = 1
 
 
+def ping_interval_s(entries: int) -> float:
+    """Return how often each of a domain's entries pings the coordinator."""
+    return max(PING_PERIOD_S, entries / MAX_PINGS_PER_S)
+
+
 class CoordinatorContact:
     """Gives up a coordinator that answers nothing, until a reply of it arrives.
 
@@ -41,6 +48,7 @@
         self._given_up_until = -math.inf
         self._check: asyncio.TimerHandle | None = None
         self._lost = asyncio.Event()
+        self._asked_at: dict[str, float] = {}
         self._late_log = RateLimitedLog("coordinator_late", MAX_LATE_LOGS_PER_S)
 
     def restart(self) -> None:
@@ -63,6 +71,32 @@
         """Wait until the coordinator is given up."""
         await self._lost.wait()
 
+    def begin_request(self, run_id: str) -> None:
+        """Record that a request waits for the coordinator's decision from now on."""
+        self._asked_at[run_id] = now()
+
+    def end_request(self, run_id: str) -> None:
+        """Record that a request waits no more."""
+        self._asked_at.pop(run_id, None)
+
+    def is_ping_due(
+        self, coordinator: EntryRecord, pinged_at: float, entries: int
+    ) -> bool:
+        """Return whether to ask a coordinator that answered a ping at `pinged_at`.
+
+        Each of the domain's `entries` does so at its turn, and sooner while a request
+        waits and the coordinator is silent.
+        """
+        # The turns come every `PING_PERIOD_S`, counted from the answer.
+        if now() - pinged_at >= ping_interval_s(entries) - PING_PERIOD_S / 2:
+            return True
+        if not self._asked_at:
+            return False
+        since = max(
+            min(self._asked_at.values()), self._bus.replied_at(coordinator.peers)
+        )
+        return now() - since >= PING_PERIOD_S
+
     def record_missed(
         self, coordinator: EntryRecord, asked: str, missed: Result
     ) -> None:
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -458,6 +458,7 @@
             self._bus.request(coordinator.peers, request, timeout_s)
         )
         lost = asyncio.ensure_future(self._contact.wait_lost())
+        self._contact.begin_request(request.run_id)
         unused = RunEnded(request.run_id, RunReport(RunOutcome.UNUSED))
         try:
             await asyncio.wait((reply, lost), return_when=asyncio.FIRST_COMPLETED)
@@ -474,6 +475,7 @@
             self._bus.send(coordinator.peers, unused)
             raise
         finally:
+            self._contact.end_request(request.run_id)
             reply.cancel()
             lost.cancel()
 
@@ -488,7 +490,8 @@
         if not self._roster.is_control_reachable:
             self._starts.record_unlisted(now())
         if coordinator.node != self._node:
-            await self._ping(coordinator)
+            if self._is_ping_due(coordinator):
+                await self._ping(coordinator)
         else:
             self._limits.send_to_coordinators(self._domain)
         await asyncio.sleep(max(ends_at - now(), 0.0))
@@ -532,6 +535,15 @@
             self._spending.resign()
             self._epochs.pop(coordinator.node, None)
 
+    def _is_ping_due(self, coordinator: EntryRecord) -> bool:
+        """Return whether the coordinator lacks reports, or whether to ask it again."""
+        if not self._epochs.get(coordinator.node) or self._limits.reports():
+            return True
+        if self._spending.admitted_units():
+            return True
+        entries = self._reachability.local_count()
+        return self._contact.is_ping_due(coordinator, self._in_touch_at, entries)
+
     async def _ping(self, coordinator: EntryRecord) -> None:
         known_epoch = self._epochs.get(coordinator.node, "")
         runs = () if known_epoch else tuple(self._active_runs.values())
