Take an answer whose status the protocol lacks for none, also above 599

Cause: aiohttp takes any three digits for a status, and only those below 100 were refused. Change: one bound at each end, in the connection that both data planes share. The tests of both planes failed before: 502 != 600, 502 != 999.

--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -28,6 +28,7 @@
 SKIPPED_HEADERS = ("User-Agent", "Accept-Encoding", "Accept", "Content-Type")
 
 
+MAX_STATUS = 599
 MAX_INTERIM_HEADS = 16
 MAX_SKIPPED_ANSWERS = 16
 """Answers to other requests that are skipped on one connection."""
@@ -227,12 +228,11 @@
 def _check_head(message: RawResponseMessage) -> None:
     """Raise `ForeignAnswerError` for a head that can't begin an answer to a request.
 
-    aiohttp takes statuses below 100 for final ones. No request asks for another
-    protocol.
+    aiohttp takes any three digits for a status. No request asks for another protocol.
     """
     if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
         raise ForeignAnswerError("the answer switches protocols")
-    if message.code < HTTPStatus.CONTINUE:
+    if not HTTPStatus.CONTINUE <= message.code <= MAX_STATUS:
         raise ForeignAnswerError("the answer has no status of the protocol")
     if _holds_status_line(message):
         raise ForeignAnswerError("another answer begins within the head")
--- a/fuchsiacroft/tests/entry/foreign_answers_tests.py
+++ b/fuchsiacroft/tests/entry/foreign_answers_tests.py
@@ -48,6 +48,20 @@
     async def test_an_answer_to_another_request_is_passed_on(self):
         await self.assert_waited_for_the_own(answer(OTHER, OK, body=b"foreign"))
 
+    async def test_a_status_that_the_protocol_lacks_is_passed_on(self):
+        for status in ("000 X", "099 X", "600 X", "999 X"):
+            with self.subTest(status):
+                self.scheduler.addresses.clear()
+                self.scheduler.released.clear()
+                await self.serve_answer(
+                    lambda req, status=status: req.answer(status, body=b"page")
+                )
+                answered, problem = await self.call()
+                self.assertEqual(502, answered)
+                self.assertEqual("maybe", problem["ran"])
+                [(_, outcome)] = self.scheduler.released
+                self.assertEqual("failed", outcome)
+
     async def test_an_answer_that_names_no_request_is_passed_on(self):
         await self.assert_not_believed(answer(None, OK, body=b"foreign"))
 
--- a/fuchsiacroft/tests/platform/foreign_answers_tests.py
+++ b/fuchsiacroft/tests/platform/foreign_answers_tests.py
@@ -176,15 +176,20 @@
             lambda req: response_head(*switch, own_id(req), LEAVING)
         )
 
-    async def test_a_status_below_100_says_that_nothing_ran(self):
-        """The HTTP client takes it for final, and not for interim."""
-        for status in ("099 X", "000 X"):
+    async def test_a_status_that_the_protocol_lacks_is_believed_or_passed_on(self):
+        """The HTTP client takes any three digits for the status of a final answer."""
+        for status in ("099 X", "000 X", "600 X", "999 X"):
             with self.subTest(status):
                 await self.assert_visible_error(
                     lambda req, status=status: response_head(
                         status, NOT_EXECUTED, LEAVING, "Content-Length: 4"
                     )
                 )
+                await self.assert_visible_error(
+                    lambda req, status=status: response_head(
+                        status, own_id(req), SEAL_HEADER, "Content-Length: 4"
+                    )
+                )
 
     async def test_a_status_that_promises_nothing_ran_is_passed_on_of_a_run(self):
         """A backend server refuses in so many words, or it may have run the request."""
