Fail an answer without a length that ends before its request was sent

With a reset, or a close, it was 502 already. Cause: such an answer ends with its connection, whatever else is on its way. The test failed before for 0.3 MB, as a plain answer and as a stream; 3 and 30 MB, resets and closes failed visibly already. A small request's answer still ends in order.

--- a/fuchsiacroft/entry/at_most_once.py
+++ b/fuchsiacroft/entry/at_most_once.py
@@ -213,6 +213,19 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def eof_received(self) -> None:
+        """Fail a response that ends before its request was sent.
+
+        It has no length, and a server that gives a request up may end it so, too.
+        """
+        body = self._payload
+        if body is not None and not body.is_eof() and self.transport is not None:
+            unsent = connections.unsent_bytes(self.transport)
+            if unsent:
+                exc = aiohttp.ClientPayloadError(f"ended with {unsent} bytes unsent")
+                body.set_exception(exc)
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response that a reset truncates."""
         payload = self._payload
--- a/fuchsiacroft/tests/entry/at_most_once_tests.py
+++ b/fuchsiacroft/tests/entry/at_most_once_tests.py
@@ -1,6 +1,7 @@
 """Tests of the connections to backend servers, each of which carries one request."""
 
 import asyncio
+import socket
 import time
 
 import aiohttp
@@ -10,8 +11,10 @@
 from fuchsiacroft.tests.fakes.ports import free_address
 from fuchsiacroft.tests.fakes.replica import response_head
 from fuchsiacroft.utils import connections
+from fuchsiacroft.utils.http import split_address
 
 BLOCK = 64 * 1024
+SMALL_BUFFER_BYTES = 4_096
 MAX_SENT = 16 * 1024 * 1024
 """The kernel buffers some megabytes on both sides."""
 CHUNKED = "Transfer-Encoding: chunked"
@@ -106,6 +109,65 @@
                 await session.get(f"http://{address}/", middlewares=(SendGuard(),))
 
 
+class EarlyAnswerTests(SocketTestCase):
+    """An answer without a length begins, and ends, while the request is uploaded."""
+
+    async def asyncSetUp(self) -> None:
+        self.address = free_address()
+        self.lines: tuple[str, ...] = ()
+        self.end = self.close
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        sock.bind(split_address(self.address))
+        server = await asyncio.start_server(self.serve, sock=sock)
+        self.addCleanup(server.close)
+        self.session = open_session(1.0)
+        self.addAsyncCleanup(self.session.close)
+
+    async def serve(self, reader, writer) -> None:
+        """Answer the head of a request, and read nothing of its body."""
+        reader._transport.pause_reading()
+        writer.write(response_head("200 OK", *self.lines) + b"data: part\n\n")
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        await self.end(writer)
+
+    async def reset(self, writer) -> None:
+        connections.reset(writer.transport)
+
+    async def close(self, writer) -> None:
+        writer.close()
+
+    async def close_one_way(self, writer) -> None:
+        writer.write_eof()
+        await asyncio.sleep(0.5)
+        writer.close()
+
+    async def test_a_part_is_taken_for_the_whole_while_a_request_is_sent(self):
+        for size in (300_000, 3_000_000, 30_000_000):
+            for end in (self.reset, self.close, self.close_one_way):
+                for lines in ((), ("Content-Type: text/event-stream",)):
+                    with self.subTest(size=size, end=end.__name__, lines=lines):
+                        self.end, self.lines = end, lines
+                        with self.assertRaises(aiohttp.ClientError):
+                            await self.upload(bytes(size))
+
+    async def test_a_whole_answer_to_a_request_that_was_sent_whole_is_given_up(self):
+        self.end = self.close_one_way
+        self.assertEqual(b"data: part\n\n", await self.upload(b"small"))
+
+    async def upload(self, body: bytes) -> bytes:
+        url = f"http://{self.address}/"
+        async with asyncio.timeout(3.0):
+            response = await self.session.post(
+                url, data=body, middlewares=(SendGuard(),)
+            )
+            try:
+                return await response.read()
+            finally:
+                response.close()
+
+
 class ExpiredPermissionTests(PausedTestCase):
     """A permission to send is checked when the connection is open."""
 
--- a/fuchsiacroft/utils/connections.py
+++ b/fuchsiacroft/utils/connections.py
@@ -1,9 +1,11 @@
 """Operations on connections."""
 
 import asyncio
+import fcntl
 import os
 import socket
 import struct
+import termios
 
 NO_LINGER = struct.pack("ii", 1, 0)
 """Closing then drops unsent data and sends a reset instead of an orderly end."""
@@ -23,6 +25,20 @@
         duplicate.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
 
+def unsent_bytes(transport: asyncio.Transport) -> int:
+    """Return how many of the bytes that were written the peer hasn't got yet.
+
+    Those that the kernel holds count only where it tells them.
+    """
+    held = bytes(struct.calcsize("i"))
+    sock = transport.get_extra_info("socket")
+    try:
+        held = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, held)
+    except (OSError, ValueError):
+        return transport.get_write_buffer_size()
+    return transport.get_write_buffer_size() + struct.unpack("i", held)[0]
+
+
 def reset(transport: asyncio.Transport) -> None:
     """Reset a connection, so that the peer can't take what it has for complete.
 
