--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -10,7 +10,6 @@
 import asyncio
 import enum
 import itertools
-import math
 import secrets
 from dataclasses import dataclass, replace
 from functools import partial
@@ -47,10 +46,9 @@
     TakenOver,
 )
 from fuchsiacroft.placing.neighbours import Neighbours
-from fuchsiacroft.placing.quotas import LOW_SHARE, RemoteUsage
 from fuchsiacroft.placing.reachability import Reachability
+from fuchsiacroft.placing.remote_spending import STANDALONE_SHARE, RemoteSpending
 from fuchsiacroft.placing.server_availability import ServerAvailability
-from fuchsiacroft.placing.spending_exchange import MAX_REPORT_AGE_S
 from fuchsiacroft.placing.start_exchange import StartExchange
 from fuchsiacroft.routing.pause_wait import wait_for_servers
 from fuchsiacroft.routing.permits import (
@@ -67,12 +65,7 @@
 
 REPLY_MARGIN_S = 0.4
 """Added to a request's maximum wait to get the timeout of the reply."""
-ISOLATION_TIMEOUT_S = 1.0
-"""An entry that received no report or ping for this long may be isolated."""
 INSTANCE_ID_BYTES = 3
-STANDALONE_SHARE = LOW_SHARE
-"""Part of its share of quotas and of servers' limits that an entry spends while it
-decides without the coordinator."""
 
 
 class DeclineReason(enum.Enum):
@@ -128,15 +121,10 @@
         """Runs on a start that this entry doubted, too, or that was proven to it."""
         self._loads = AnsweredLoads()
         self._current: EntryRecord | None = None
-        self._started_at = 0.0
-        self._in_touch_at = 0.0
-        self._left: dict[str, float] | None = None
-        self._may_be_replaced = False
         self._tasks = BackgroundTasks("placer")
 
     async def start(self, kernel: Kernel) -> None:
         """Start monitoring the coordinator."""
-        self._started_at = self._in_touch_at = now()
         self._bus = kernel.get("bus", Bus)
         self._contact = CoordinatorContact(self._bus, self._on_coordinator_lost)
         self._roster = kernel.get("roster", Roster)
@@ -161,7 +149,15 @@
         )
         self._start_exchange.on_proven = self._record_proven
         self._neighbours = kernel.get("neighbours", Neighbours)
-        self._local_coordinator.allocator.quotas.remote_usage = self._remote_usage
+        self._remote_spending = RemoteSpending(
+            self._roster,
+            self._reachability,
+            self._neighbours,
+            self._local_coordinator,
+            self.is_coordinator,
+        )
+        quotas = self._local_coordinator.allocator.quotas
+        quotas.remote_usage = self._remote_spending.usage
         self._hand_over = OutgoingHandOver(
             self._bus, self._roster, self._local_coordinator, self._tasks
         )
@@ -485,7 +481,7 @@
         self._reachability.refresh(now())
         coordinator = self.coordinator()
         self._set_shares(is_coordinator=coordinator.node == self._node)
-        await self._learn_after_isolation()
+        await self._remote_spending.learn_after_isolation()
         self._limits.forget_old()
         if not self._roster.is_control_reachable:
             self._starts.record_unlisted(now())
@@ -512,7 +508,7 @@
         else:
             allocator.fleet.capacity.share = 1 / entries
             allocator.retries.share = self._reachability.share()
-        if is_coordinator and not self._is_isolated(now()):
+        if is_coordinator and not self._remote_spending.is_isolated(now()):
             self._limit_share = 1.0 - STANDALONE_SHARE * missing / (entries + missing)
         else:
             self._limit_share = STANDALONE_SHARE / (entries + missing)
@@ -542,7 +538,8 @@
         if self._spending.admitted_units():
             return True
         entries = self._reachability.local_count()
-        return self._contact.is_ping_due(coordinator, self._in_touch_at, entries)
+        in_touch_at = self._remote_spending.in_touch_at
+        return self._contact.is_ping_due(coordinator, in_touch_at, entries)
 
     async def _ping(self, coordinator: EntryRecord) -> None:
         known_epoch = self._epochs.get(coordinator.node, "")
@@ -552,7 +549,7 @@
         ping = Ping(self._node, known_epoch, runs, self._limits.reports(), spent)
         match await self._bus.request(coordinator.peers, ping, PING_TIMEOUT_S):
             case Result(tag="ok", ok=Pong(epoch=epoch) as pong):
-                self._in_touch_at, self._left = now(), pong.left
+                self._remote_spending.record_left(pong.left)
                 self._limits.merge(pong.limits, coordinator.node)
                 self._rollouts.set_clocks(now(), lease_now())
                 self._rollouts.apply(pong.directives, sent_at, now())
@@ -567,76 +564,6 @@
         self._epochs.pop(coordinator.node, None)
         self._pacing.restart(now())
 
-    def _is_isolated(self, at: float) -> bool:
-        """Return whether no peer responds, so that others may have taken over."""
-        if self._roster.is_control_reachable or self._reachability.is_alone():
-            return False
-        oldest = at - ISOLATION_TIMEOUT_S
-        reported_at = self._neighbours.shares.reported_at
-        return max(reported_at, self._local_coordinator.pinged_at) < oldest
-
-    async def _learn_after_isolation(self) -> None:
-        """Count what another coordinator spent while this one was isolated."""
-        if not self.is_coordinator():
-            self._may_be_replaced = False
-        elif self._is_isolated(now()):
-            self._may_be_replaced = True
-            self._spending.is_partial = True
-        elif self._may_be_replaced:
-            self._may_be_replaced = not await self._spending.learn_once()
-
-    def _remote_usage(self, workspace: str, at: float) -> RemoteUsage:
-        """Return the use of a quota by decisions made on other entries."""
-        entry_share = self._reachability.share()
-        standalone_share = STANDALONE_SHARE * entry_share
-        if not self.is_coordinator():
-            return RemoteUsage(
-                share=standalone_share,
-                alone_since=self._in_touch_at,
-                left=self._left_alone(workspace),
-                reserve_share=self._reserve_share(at),
-            )
-        if self._may_be_replaced or self._is_isolated(at):
-            return RemoteUsage(share=standalone_share)
-        found = self._neighbours.shares.remote_usage(workspace, at)
-        remaining_share = 1.0 - standalone_share * self._reachability.missing_local()
-        return replace(
-            found,
-            share=found.share * remaining_share,
-            reserve_share=1 / self._reachability.domain_count(),
-            reported_until=self._reported_until(),
-        )
-
-    def _reported_until(self) -> float:
-        """Return until when a successor knows what this coordinator spent.
-
-        What it had reported before it last heard from another process counts.
-        """
-        if self._reachability.is_alone():
-            return math.inf
-        heard_at = max(
-            self._roster.control_replied_at,
-            self._local_coordinator.pinged_at,
-            self._neighbours.shares.reported_at,
-        )
-        return heard_at - MAX_REPORT_AGE_S
-
-    def _left_alone(self, workspace: str) -> float:
-        """Return this entry's part of what a workspace may spend, as last reported."""
-        if self._left is None:
-            return 0.0
-        return self._left.get(workspace, math.inf) * self._reachability.share()
-
-    def _reserve_share(self, at: float) -> float:
-        """Return the part of the quotas' reserve that this entry may spend alone.
-
-        One that has started lately may have spent its part before.
-        """
-        window_s = self._local_coordinator.allocator.quotas.window_s
-        if at - self._started_at < window_s:
-            return 0.0
-        return self._reachability.share()
-
 
 def create(settings: Settings) -> Placer:
     """Return the placer of an entry."""
