--- a/fuchsiacroft/placing/coordinator_contact.py
+++ b/fuchsiacroft/placing/coordinator_contact.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from functools import partial
 
 from expression import Result
 
@@ -16,6 +17,7 @@
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.rate_limited_log import RateLimitedLog
+from fuchsiacroft.utils.running_timeout import RunningTimer
 
 PING_PERIOD_S = 0.25
 PING_TIMEOUT_S = 0.3
@@ -27,6 +29,7 @@
 BACKOFF_S = 0.6
 """How long no requests are sent to a coordinator that did not respond."""
 CLOCK_STEP_S = 0.001
+"""Timers may run that much early."""
 MAX_LATE_LOGS_PER_S = 1
 
 
@@ -46,7 +49,7 @@
         self._on_lost = on_lost
         self._given_up_at = -math.inf
         self._given_up_until = -math.inf
-        self._check: asyncio.TimerHandle | None = None
+        self._check: RunningTimer | None = None
         self._lost = asyncio.Event()
         self._asked_at: dict[str, float] = {}
         self._late_log = RateLimitedLog("coordinator_late", MAX_LATE_LOGS_PER_S)
@@ -110,9 +113,8 @@
             coordinator=coordinator.node, asked=asked, silent_s=round(silent_s, 3)
         )
         self.stop()
-        loop = asyncio.get_running_loop()
-        wait_s = LATE_S - silent_s
-        self._check = loop.call_later(wait_s, self._check_again, coordinator, asked)
+        check = partial(self._check_again, coordinator, asked)
+        self._check = RunningTimer(LATE_S - silent_s, check)
 
     def _check_again(self, coordinator: EntryRecord, asked: str) -> None:
         """Give up a late coordinator that has answered nothing more."""
