--- a/fuchsiacroft/placing/server_choice.py
+++ b/fuchsiacroft/placing/server_choice.py
@@ -131,8 +131,6 @@
             ):
                 continue
             is_limited = self._pacing.is_limited(load.instance)
-            if only_limited and not is_limited:
-                continue
             is_awaited = _is_awaited(load, permit_request, awaited)
             cost = (
                 order.get(load.name, 0),
@@ -145,6 +143,8 @@
             if not self._token_memory.fits(load, request, at):
                 lacks_tokens = True
                 continue
+            if only_limited and not is_limited:
+                continue
             if avoids_stalls and load.would_stall(permit_request, request.event_tokens):
                 continue
             if not self._runs.isolated.occupies(load):
--- a/fuchsiacroft/tests/placing/token_memory_tests.py
+++ b/fuchsiacroft/tests/placing/token_memory_tests.py
@@ -82,6 +82,13 @@
         self.assertIsInstance(self.place(1_000, rank=5, at=0.2), Waiter)
         self.assertIsInstance(self.place(1_000, rank=1, at=0.2), Assignment)
 
+    def test_no_room_is_held_for_a_request_that_only_limited_servers_may_get(self):
+        self.place(9_000)
+        waiting = sized(4_000)
+        found = self.fleet.choice.choose(waiting, 0.1, 0.1, only_limited=True)
+        self.assertIsNone(found)
+        self.assertIsInstance(self.place(500, at=0.1), Waiter)
+
     def test_room_is_held_for_a_request_that_has_gone(self):
         running = [self.place(5_000), self.place(4_000)]
         large = self.place(9_000)
