Drop steps of the choice of a server that save nothing measurable

A count of prompts being read that follows from the runs, two checks for emptiness beside the ones in what they call, and ServerLoad.expected_s, which nothing calls any more. Decisions are the same.

--- a/fuchsiacroft/placing/isolation.py
+++ b/fuchsiacroft/placing/isolation.py
@@ -30,8 +30,6 @@
 
     def occupies(self, load: ServerLoad) -> bool:
         """Return whether a server is taken by an isolated run."""
-        if not self._runs:
-            return False
         return any(other is load for _, other in self._runs.values())
 
     def choose(
--- a/fuchsiacroft/placing/server_choice.py
+++ b/fuchsiacroft/placing/server_choice.py
@@ -192,9 +192,9 @@
         self._rollouts.permission(permit_request.service, at)
         avoid = permit_request.avoid
         candidates = self._pool.candidates(permit_request)
-        if not avoid and permit_request.version is None:
-            return candidates
         may_be_uncertain = permit_request.version is None
+        if may_be_uncertain and not avoid:
+            return candidates
         return [
             load
             for load in candidates
--- a/fuchsiacroft/placing/server_load.py
+++ b/fuchsiacroft/placing/server_load.py
@@ -57,7 +57,6 @@
     """Tracks the runs on a backend server and its speed and failure rate.
 
     A server that is unproven, as it may not be reachable, runs one request at a time.
-    `prefilling` of its runs read their prompts, `prefill_tokens` in all.
     """
 
     record: ServerRecord
@@ -73,7 +72,6 @@
     is_unproven: bool = False
     ended_at: float = -math.inf
     name: str = field(init=False)
-    prefilling: int = 0
     instance: ServerInstance = field(init=False)
     learning: LoadLearning = field(init=False)
 
@@ -111,17 +109,6 @@
         allowed = self.learning.allowed(self.slots, at)
         return math.ceil(allowed * share) - len(self.runs)
 
-    def expected_s(
-        self, permit_request: PermitRequest, at: float | None = None
-    ) -> float:
-        """Return the expected cost of a run that starts now, in seconds.
-
-        With the time, the load counts that the server reported.
-        """
-        if at is None:
-            return self._work_s(permit_request) + self.failure_cost_s
-        return self.slowed_run_s(permit_request, at) + self.failure_cost_s
-
     def slowed_run_s(self, permit_request: PermitRequest, at: float) -> float:
         """Return the expected time of a run that starts now, by the reported load."""
         factor = self.learning.cost_factor(self.slots, at)
@@ -160,7 +147,7 @@
         An engine prefills a prompt in chunks, one between two tokens of each stream,
         so an event of a stream is delayed by as many chunks as it has tokens.
         """
-        streams = len(self.runs) - self.prefilling
+        streams = len(self.runs) - sum(run.is_prefilling for run in self.runs.values())
         if not permit_request.size.prompt_tokens or not streams:
             return False
         tokens = self.prefill_tokens + permit_request.size.prompt_tokens
@@ -193,7 +180,6 @@
                 if other.is_prefilling:
                     other.has_shared_prefill = run.has_shared_prefill = True
             self.prefill_tokens += run.permit_request.size.prompt_tokens
-            self.prefilling += 1
         self.tokens += run.permit_request.size.total_tokens
         self.learning.advance(len(self.runs), run.started_at)
         if not run.is_adopted:
@@ -206,7 +192,6 @@
         if run is not None and run.is_prefilling:
             run.is_prefilling = False
             self.prefill_tokens -= run.permit_request.size.prompt_tokens
-            self.prefilling -= 1
 
     def end(self, run_id: str, at: float) -> Run | None:
         """Remove a run and return it."""
--- a/fuchsiacroft/placing/slot_capacity.py
+++ b/fuchsiacroft/placing/slot_capacity.py
@@ -121,9 +121,7 @@
     def free_on(self, load: ServerLoad, at: float) -> int:
         """Return the free slots of a server."""
         free = max(load.free(at, self.share), 0)
-        if not free or self._pacing.limits.is_empty:
-            return free
-        if self._pacing.is_limited(load.instance):
+        if free and self._pacing.is_limited(load.instance):
             return int(min(free, max(self._pacing.allowed(load.instance, at), 0)))
         return free
 
