Dispatch messages of both buses by one piece of code

MemoryBus and ZmqBus had the same three functions that call a handler and reply at once or later; transport/handlers has them now.

--- a/fuchsiacroft/model/network.py
+++ b/fuchsiacroft/model/network.py
@@ -4,13 +4,14 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Coroutine
+from functools import partial
 
 import msgspec
 from expression import Error, Ok, Result
 
 from fuchsiacroft.transport import codec
 from fuchsiacroft.transport.bus import Bus, BusError, Handler
+from fuchsiacroft.transport.handlers import Handlers
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
@@ -65,11 +66,11 @@
         self._network = network
         self._node = node
         self._address = address
-        self._handlers: dict[type, Handler] = {}
         self._pending_requests: dict[int, asyncio.Future] = {}
         self._last_number = 0
         self._replied_at: dict[str, float] = {}
         self._tasks = BackgroundTasks(f"bus-{node}")
+        self._handlers = Handlers(self._tasks)
 
     def skip_numbers(self, number: int) -> None:
         """Continue the numbering of requests after `number`."""
@@ -79,7 +80,7 @@
         self, message_type: type[msgspec.Struct], handler: Handler
     ) -> None:
         """Register the handler for one message type."""
-        self._handlers[message_type] = handler
+        self._handlers.register(message_type, handler)
 
     async def request(
         self, peer: str, msg: msgspec.Struct, timeout: float
@@ -119,30 +120,18 @@
         """Receive one message from the network."""
         envelope, msg = codec.decode(data).ok
         if not envelope.reply:
-            self._tasks.call(self._handle, source, envelope, msg)
+            send_reply = partial(self._reply, source, envelope)
+            self._handlers.handle(envelope.sender, msg, send_reply)
             return
         self._replied_at[source] = now()
         fut = self._pending_requests.get(envelope.number)
         if fut is not None and not fut.done():
             fut.set_result(msg)
 
-    def _handle(self, source: str, envelope: codec.Envelope, msg) -> None:
-        handler = self._handlers.get(type(msg))
-        reply = handler(envelope.sender, msg) if handler else None
-        if asyncio.iscoroutine(reply):
-            self._tasks.spawn(self._reply_later(source, envelope, reply))
-        else:
-            self._reply(source, envelope, reply)
-
-    async def _reply_later(
-        self, source: str, envelope: codec.Envelope, handling: Coroutine
-    ) -> None:
-        self._reply(source, envelope, await handling)
-
     def _reply(
-        self, source: str, envelope: codec.Envelope, reply: msgspec.Struct | None
+        self, source: str, envelope: codec.Envelope, reply: msgspec.Struct
     ) -> None:
-        if reply is not None and envelope.number:
+        if envelope.number:
             encoded = codec.encode(reply, envelope.number, True, self._node)
             self._transmit(source, encoded)
 
--- a/fuchsiacroft/transport/message_reader.py
+++ b/fuchsiacroft/transport/message_reader.py
@@ -16,8 +16,8 @@
 class MessageReader:
     """Calls `handle` with the frames of each message that a socket receives.
 
-    The descriptor of a ZeroMQ socket tells changes only, and sending a message uses
-    them up too. So whoever sends on the socket calls `read_soon` afterwards.
+    The descriptor of a ZeroMQ socket tells changes only, and trying to send uses them
+    up too. So whoever sends on the socket calls `read_soon` afterwards.
     """
 
     def __init__(self, sock: zmq.Socket, handle: Callable[[list[bytes]], None]) -> None:
@@ -39,7 +39,6 @@
     def close(self) -> None:
         """Stop reading, before the socket is closed."""
         self._loop.remove_reader(self._descriptor)
-        self._is_due = True
 
     def _read(self) -> None:
         if self._sock.closed:
--- a/fuchsiacroft/transport/send_queue.py
+++ b/fuchsiacroft/transport/send_queue.py
@@ -27,13 +27,13 @@
     """Sends messages to one DEALER socket in order, dropping expired ones.
 
     The socket accepts messages only while it is connected, so messages to a
-    dead peer are not delivered after it restarts. `on_sent` is called after messages
-    were sent later than they were put here.
+    dead peer are not delivered after it restarts. `on_use` is called whenever the
+    socket was used.
     """
 
-    def __init__(self, dealer: zmq.Socket, on_sent: Callable[[], None]) -> None:
+    def __init__(self, dealer: zmq.Socket, on_use: Callable[[], None]) -> None:
         self._dealer = dealer
-        self._on_sent = on_sent
+        self._on_use = on_use
         self._queue: deque[QueuedMessage] = deque()
         self._not_empty = asyncio.Event()
 
@@ -66,7 +66,6 @@
             while not self._flush():
                 await asyncio.sleep(delay_s)
                 delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
-            self._on_sent()
 
     def _flush(self) -> bool:
         while self._queue:
@@ -79,7 +78,8 @@
     def _send(self, message: QueuedMessage) -> bool:
         try:
             self._dealer.send(message.data, zmq.DONTWAIT)
+            message.sent = True
         except zmq.ZMQError:
-            return False
-        message.sent = True
-        return True
+            pass
+        self._on_use()
+        return message.sent
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -4,7 +4,7 @@
 import itertools
 import math
 from collections import Counter
-from collections.abc import Coroutine, Mapping
+from collections.abc import Mapping
 from functools import partial
 
 import msgspec
@@ -15,6 +15,7 @@
 from fuchsiacroft.kernel import Kernel
 from fuchsiacroft.transport import codec
 from fuchsiacroft.transport.bus import Bus, BusError, Handler
+from fuchsiacroft.transport.handlers import Handlers
 from fuchsiacroft.transport.key_fallback import KeyFallback
 from fuchsiacroft.transport.keys import KeyChange, KeyRing
 from fuchsiacroft.transport.message_reader import MessageReader
@@ -71,10 +72,11 @@
         self._ring = ring if ring is not None and ring.enabled else None
         self._listener: BusListener | None = None
         self._links: dict[str, PeerLink] = {}
-        self._handlers: dict[type, Handler] = {LinkProbe: self._on_probe}
         self._pending: dict[int, asyncio.Future] = {}
         self._numbers = itertools.count(1)
         self._tasks = BackgroundTasks("bus")
+        self._handlers = Handlers(self._tasks)
+        self._handlers.register(LinkProbe, self._on_probe)
         self._counts: Counter[str] = Counter()
         self._received: Counter[str] = Counter()
         self._replied_at: dict[str, float] = {}
@@ -123,7 +125,7 @@
         self, message_type: type[msgspec.Struct], handler: Handler
     ) -> None:
         """Register the handler of a message type."""
-        self._handlers[message_type] = handler
+        self._handlers.register(message_type, handler)
 
     async def request(
         self, peer: str, msg: msgspec.Struct, timeout: float
@@ -196,7 +198,6 @@
         if not link.send_queue.put(message):
             self._counts["outbox_full"] += 1
             return None
-        link.reader.read_soon()
         self._counts["sent"] += 1
         self._counts["sent_bytes"] += len(message.data)
         return link
@@ -275,7 +276,9 @@
             return
         identity, data = frames
         for envelope, msg in self._decode(data):
-            self._tasks.call(self._handle_request, identity, envelope, msg)
+            send_reply = partial(self._reply, identity, envelope)
+            if not self._handlers.handle(envelope.sender, msg, send_reply):
+                self._counts["dropped_unhandled"] += 1
 
     def _on_reply_frames(self, peer: str, frames: list[bytes]) -> None:
         set_newest(self._replied_at, peer, now(), MAX_PEERS_REMEMBERED)
@@ -284,26 +287,10 @@
             if envelope.reply and future is not None and not future.done():
                 future.set_result(msg)
 
-    def _handle_request(self, identity: bytes, envelope: codec.Envelope, msg) -> None:
-        handler = self._handlers.get(type(msg))
-        if handler is None:
-            self._counts["dropped_unhandled"] += 1
-            return
-        reply = handler(envelope.sender, msg)
-        if asyncio.iscoroutine(reply):
-            self._tasks.spawn(self._reply_later(identity, envelope, reply))
-        else:
-            self._reply(identity, envelope, reply)
-
-    async def _reply_later(
-        self, identity: bytes, envelope: codec.Envelope, handling: Coroutine
-    ) -> None:
-        self._reply(identity, envelope, await handling)
-
     def _reply(
-        self, identity: bytes, envelope: codec.Envelope, reply: msgspec.Struct | None
+        self, identity: bytes, envelope: codec.Envelope, reply: msgspec.Struct
     ) -> None:
-        if reply is None or not envelope.number:
+        if not envelope.number:
             return
         data = self._encode(reply, envelope.number, True, envelope.sender)
         if data is None:
