Work out once what a ping reports, and which domain is faster

A ping's reports were worked out to see whether it is due and again to send it, a faster domain to see whether there is one and again to use it; and when a coordinator stops being given up follows from when it was given up. A connection without a socket has no more unsent bytes than its buffer.

--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -186,14 +186,16 @@
         """
         admitted_at = now()
         local_s = self.allocator.late_first_event_s(request, admitted_at)
-        if local_s is None or not self._neighbours.has_faster(request.ask, local_s):
-            return self._place_here(request, admitted_at)
-        return self._place_on_faster_engine(request, local_s, admitted_at)
+        if local_s is not None:
+            domain = self._neighbours.faster_domain(request.ask, local_s)
+            if domain is not None:
+                return self._place_on_faster_engine(request, domain, admitted_at)
+        return self._place_here(request, admitted_at)
 
     async def _place_on_faster_engine(
-        self, request: PlaceRequest, local_s: float, admitted_at: float
+        self, request: PlaceRequest, domain: str, admitted_at: float
     ) -> PlacementResult:
-        placed = await self._neighbours.spill_to_faster(request, local_s)
+        placed = await self._neighbours.spill_to_faster(request, domain)
         if placed is not None:
             return Ok(placed)
         return await _ended(self._place_here(request, admitted_at))
--- a/fuchsiacroft/placing/coordinator_contact.py
+++ b/fuchsiacroft/placing/coordinator_contact.py
@@ -48,7 +48,6 @@
         self._bus = bus
         self._on_lost = on_lost
         self._given_up_at = -math.inf
-        self._given_up_until = -math.inf
         self._check: RunningTimer | None = None
         self._lost = asyncio.Event()
         self._asked_at: dict[str, float] = {}
@@ -56,7 +55,7 @@
 
     def restart(self) -> None:
         """Begin anew with another coordinator."""
-        self._given_up_until = -math.inf
+        self._given_up_at = -math.inf
         self.stop()
 
     def stop(self) -> None:
@@ -66,7 +65,7 @@
 
     def is_lost(self, coordinator: EntryRecord) -> bool:
         """Return whether a coordinator is given up and hasn't answered since."""
-        if now() >= self._given_up_until:
+        if now() >= self._given_up_at + BACKOFF_S:
             return False
         return self._bus.replied_at(coordinator.peers) <= self._given_up_at
 
@@ -135,6 +134,5 @@
             )
             self._on_lost(coordinator)
         self._given_up_at = now()
-        self._given_up_until = now() + BACKOFF_S
         self._lost.set()
         self._lost = asyncio.Event()
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -118,21 +118,19 @@
         self._neighbours[domain].record_sent(request.ask.service, request.ask.version)
         return await self._request_spill(domain, SpillRequest(request))
 
-    def has_faster(self, permit_request: PermitRequest, local_s: float) -> bool:
-        """Return whether a first event comes much sooner in another domain."""
-        return self._faster_domain(permit_request, FASTER_SHARE * local_s) is not None
+    def faster_domain(
+        self, permit_request: PermitRequest, local_s: float
+    ) -> str | None:
+        """Return the domain where a first event comes much sooner, None without one."""
+        return self._faster_domain(permit_request, FASTER_SHARE * local_s)
 
     async def spill_to_faster(
-        self, request: PlaceRequest, local_s: float
+        self, request: PlaceRequest, domain: str
     ) -> SlotAssignment | None:
-        """Place a request where its first event comes much sooner than here.
+        """Place a request in a domain where its first event comes much sooner.
 
-        Returns None if no other domain is expected to be that much faster, or if it
-        has no slot.
+        Returns None if that domain has no slot.
         """
-        domain = self._faster_domain(request.ask, FASTER_SHARE * local_s)
-        if domain is None:
-            return None
         self._neighbours[domain].record_sent(request.ask.service)
         return await self._request_spill(domain, SpillRequest(request))
 
--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -486,8 +486,7 @@
         if not self._roster.is_control_reachable:
             self._starts.record_unlisted(now())
         if coordinator.node != self._node:
-            if self._is_ping_due(coordinator):
-                await self._ping(coordinator)
+            await self._ping_if_due(coordinator)
         else:
             self._limits.send_to_coordinators(self._domain)
         await asyncio.sleep(max(ends_at - now(), 0.0))
@@ -531,22 +530,24 @@
             self._spending.resign()
             self._epochs.pop(coordinator.node, None)
 
-    def _is_ping_due(self, coordinator: EntryRecord) -> bool:
-        """Return whether the coordinator lacks reports, or whether to ask it again."""
-        if not self._epochs.get(coordinator.node) or self._limits.reports():
-            return True
-        if self._spending.admitted_units():
+    async def _ping_if_due(self, coordinator: EntryRecord) -> None:
+        known_epoch = self._epochs.get(coordinator.node, "")
+        runs = () if known_epoch else tuple(self._active_runs.values())
+        spent = self._spending.admitted_units()
+        ping = Ping(self._node, known_epoch, runs, self._limits.reports(), spent)
+        if self._is_due(ping, coordinator):
+            await self._ping(coordinator, ping)
+
+    def _is_due(self, ping: Ping, coordinator: EntryRecord) -> bool:
+        """Return whether a ping reports anything, or whether to ask again."""
+        if not ping.epoch or ping.limits or ping.spent:
             return True
         entries = self._reachability.local_count()
         in_touch_at = self._remote_spending.in_touch_at
         return self._contact.is_ping_due(coordinator, in_touch_at, entries)
 
-    async def _ping(self, coordinator: EntryRecord) -> None:
-        known_epoch = self._epochs.get(coordinator.node, "")
-        runs = () if known_epoch else tuple(self._active_runs.values())
-        spent = self._spending.admitted_units()
-        sent_at = lease_now()
-        ping = Ping(self._node, known_epoch, runs, self._limits.reports(), spent)
+    async def _ping(self, coordinator: EntryRecord, ping: Ping) -> None:
+        known_epoch, sent_at = ping.epoch, lease_now()
         match await self._bus.request(coordinator.peers, ping, PING_TIMEOUT_S):
             case Result(tag="ok", ok=Pong(epoch=epoch) as pong):
                 self._remote_spending.record_left(pong.left)
--- a/fuchsiacroft/utils/connections.py
+++ b/fuchsiacroft/utils/connections.py
@@ -32,6 +32,8 @@
     """
     held = bytes(struct.calcsize("i"))
     sock = transport.get_extra_info("socket")
+    if sock is None:
+        return transport.get_write_buffer_size()
     try:
         held = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, held)
     except (OSError, ValueError):
