--- a/fuchsiacroft/tests/fakes/coordinator_process.py
+++ b/fuchsiacroft/tests/fakes/coordinator_process.py
@@ -25,6 +25,14 @@
 LIMITS = SharedLimits(quotas=QuotaTolerance(overshoot=0.1, slack=140_000.0))
 
 
+def route_table() -> RouteTable:
+    """Return a table whose workspaces have quotas."""
+    quota = Quota(UNITS_PER_S, UNITS_PER_S, counts_tokens=True)
+    return RouteTable(
+        1, {}, {name: Workspace(name, quota=quota) for name in WORKSPACES}
+    )
+
+
 def create(address: str, control: str) -> Kernel:
     """Return the kernel of a coordinator that listens at an address."""
     cfg = Settings(
@@ -34,14 +42,12 @@
         Addresses("127.0.0.1:1", address),
         control=[Member("core-1", DOMAINS[0], control)],
     )
-    quota = Quota(UNITS_PER_S, UNITS_PER_S, counts_tokens=True)
-    workspaces = {name: Workspace(name, quota=quota) for name in WORKSPACES}
     entries = roster.create(cfg)
     kernel = Kernel()
     for service in (
         zmq_bus.create(cfg.node, address),
         entries,
-        FixedTable(RouteTable(1, {}, workspaces)),
+        FixedTable(route_table()),
         quarantine.create(entries.peers),
         neighbours.create(cfg),
         coordinator.create(cfg, LIMITS),
--- a/fuchsiacroft/tests/placing/coordinator_steps_tests.py
+++ b/fuchsiacroft/tests/placing/coordinator_steps_tests.py
@@ -4,19 +4,21 @@
 import math
 import sys
 
-from fuchsiacroft.config.route_table import Quota, RouteTable, Workspace
 from fuchsiacroft.membership.registry_wire import EntryHeartbeat, EntryRecord
 from fuchsiacroft.placing.coordinator_contact import ping_interval_s
-from fuchsiacroft.placing.limits import SharedLimits
 from fuchsiacroft.placing.messages import Ping
-from fuchsiacroft.placing.quotas import QuotaTolerance
 from fuchsiacroft.tests.base import PausedTestCase
+from fuchsiacroft.tests.fakes.coordinator_process import (
+    LIMITS,
+    UNITS_PER_S,
+    WORKSPACES,
+    route_table,
+)
 from fuchsiacroft.tests.fakes.memory_region import DOMAINS, MemoryRegion
 from fuchsiacroft.utils.clock import now
 
-WORKSPACES = tuple(f"tills-{number}" for number in range(16))
-UNITS_PER_S = 1_000_000.0
-LATER_MS = 60_000
+LATER_MS = int(1e13)
+"""Entries that started then are younger than the coordinator."""
 PLAY_S = 1.0
 
 
@@ -42,15 +44,9 @@
 
     def steps_for_a_ping(self, local: int, elsewhere: int) -> float:
         """Return the mean steps for a ping in a region of so many entries."""
-        workspaces = {
-            name: Workspace(name, quota=Quota(UNITS_PER_S, UNITS_PER_S))
-            for name in WORKSPACES
-        }
-        limits = SharedLimits(quotas=QuotaTolerance(overshoot=0.1, slack=140_000.0))
 
         async def play() -> float:
-            table = RouteTable(1, {}, workspaces)
-            region = MemoryRegion(DOMAINS[:1], table, limits)
+            region = MemoryRegion(DOMAINS[:1], route_table(), LIMITS)
             await region.start()
             others = self.records(local - 1, elsewhere)
             await self.join(region, others)
@@ -64,11 +60,8 @@
     def records(self, local: int, elsewhere: int) -> list[EntryRecord]:
         """Return entries that started after the coordinator."""
         domains = DOMAINS[:1] * local + DOMAINS[1:2] * elsewhere
-        started_ms = int(1e13) + LATER_MS
         return [
-            EntryRecord(
-                f"other-{n}", domain, f"10.9.{n // 250}.{n % 250}:1", started_ms
-            )
+            EntryRecord(f"other-{n}", domain, f"10.9.{n // 250}.{n % 250}:1", LATER_MS)
             for n, domain in enumerate(domains)
         ]
 
