Wait for the reset in the test of a slow caller, not for a moment's zero

The test took the first moment at which the entry held nothing for the caller as its cut-off. A transfer that still fills the kernel's buffers has such moments, too: the test then read the whole response (33,564,197 bytes) and found no reset.

--- a/fuchsiacroft/tests/gateway/slow_reader_tests.py
+++ b/fuchsiacroft/tests/gateway/slow_reader_tests.py
@@ -1,6 +1,7 @@
 """Tests of callers that do not read the responses that an entry relays."""
 
 import asyncio
+import select
 from unittest import mock
 
 from fuchsiacroft.entry import slow_reader
@@ -16,6 +17,13 @@
 END_TIMEOUT_S = 5.0
 
 
+def is_reset(writer: asyncio.StreamWriter) -> bool:
+    """Tell whether the other end has reset a connection, read or unread."""
+    poll = select.poll()
+    poll.register(writer.get_extra_info("socket").fileno(), 0)
+    return bool(poll.poll(0))
+
+
 class SlowReaderTests(PlatformTestCase):
     """A caller that reads nothing is cut off, and then holds nothing."""
 
@@ -42,8 +50,8 @@
         async with asyncio.timeout(END_TIMEOUT_S):
             while self.budget.held == 0:
                 await asyncio.sleep(0.01)
-            while self.budget.held:
-                await asyncio.sleep(0.1)
+            while not is_reset(writer) or self.budget.held:
+                await asyncio.sleep(0.01)
         writer.transport.resume_reading()
         with self.assertRaises(ConnectionError):
             while await asyncio.wait_for(reader.read(2**20), END_TIMEOUT_S):
