Doubt what a server began before its restart became known

The origin of a stream was taken from the last heartbeat and kept when a later one told another start. Owners now keep the start with it; a start that becomes known at another version adds its version to the streams that it may have begun, which makes them ambiguous.

A second crash before the first heartbeat still mixes: listed with a test.

--- a/fuchsiacroft/gateway/continued_streams.py
+++ b/fuchsiacroft/gateway/continued_streams.py
@@ -89,14 +89,23 @@
             context.is_origin_unsure = False
             context.origin = StreamOrigin(request.service, version)
         if request.route.kind.is_retryable:
-            first_id = request.resumes or request.request_id
             self._origins.record(
                 request.workspace,
-                first_id,
+                _first_id(request),
                 context.origin,
                 request.longest_stream_s + RETURN_S,
+                self._placer.availability.instance(placement),
             )
 
+    def check_origin(self, context: RequestContext) -> None:
+        """Doubt an origin, if its server may have been another start than was known."""
+        request = context.request
+        if context.origin is None:
+            return
+        if self._origins.is_ambiguous(request.workspace, _first_id(request)):
+            context.origin = None
+            context.is_origin_unsure = True
+
     def _at_service(self, request: RoutedRequest, name: str) -> RoutedRequest:
         service = self._route_source.table.services.get(name)
         if name == request.service or service is None:
@@ -104,6 +113,11 @@
         return replace(request, service=name, event_tokens=service.event_tokens)
 
 
+def _first_id(request: RoutedRequest) -> str:
+    """Return the id of the request that began the stream."""
+    return request.resumes or request.request_id
+
+
 def _log_unsure(context: RequestContext, placement: SlotAssignment) -> None:
     event(
         "info",
--- a/fuchsiacroft/gateway/forwarder.py
+++ b/fuchsiacroft/gateway/forwarder.py
@@ -276,6 +276,7 @@
     def _may_retry(self, context: RequestContext, result: AttemptResult) -> bool:
         if context.remaining_s < MIN_REMAINING_S or len(context.tried) >= MAX_SENDS:
             return False
+        self._streams.check_origin(context)
         if context.has_started_body or context.is_origin_unsure:
             return False
         if result is AttemptResult.NOT_RUN:
@@ -311,6 +312,7 @@
 
     async def _find_replacement(self, context: RequestContext) -> SlotAssignment | None:
         """Return a slot on another server for a request whose server is silent."""
+        self._streams.check_origin(context)
         if len(context.tried) >= MAX_SENDS or context.is_origin_unsure:
             return None
         request = context.request
--- a/fuchsiacroft/streams/origin_store.py
+++ b/fuchsiacroft/streams/origin_store.py
@@ -21,12 +21,16 @@
 class OriginFact(msgspec.Struct, frozen=True, array_like=True):
     """What began the stream of a key; kept for `kept_s` seconds from now.
 
-    A key with two origins was used for two streams, so none of them is certain.
+    A key with two origins was used for two streams, or its server may have been either
+    of two starts, so none of them is certain. `server` and `start` name the start that
+    the server was known as, if it tells its starts apart.
     """
 
     key: str
     origins: tuple[StreamOrigin, ...]
     kept_s: Seconds
+    server: str = ""
+    start: str = ""
 
 
 class _Kept(msgspec.Struct):
--- a/fuchsiacroft/streams/service.py
+++ b/fuchsiacroft/streams/service.py
@@ -13,14 +13,16 @@
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.registry_wire import EntryRecord, ServerRecord
 from fuchsiacroft.membership.roster import Roster
+from fuchsiacroft.membership.server_notices import ServerInstance
 from fuchsiacroft.streams import owners
+from fuchsiacroft.streams.begun_streams import BegunStream, BegunStreams
 from fuchsiacroft.streams.lookup import Lookup, OriginError
 from fuchsiacroft.streams.messages import FindOrigin, OriginReply, StreamBegan
 from fuchsiacroft.streams.origin import StreamOrigin, stream_key
 from fuchsiacroft.streams.origin_store import OriginFact, OriginStore
 from fuchsiacroft.streams.version_history import VersionHistory
 from fuchsiacroft.transport.bus import Bus
-from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.clock import now, wall_time
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import BackgroundTasks
 
@@ -39,6 +41,7 @@
     def __init__(self, settings: Settings) -> None:
         self._domain = settings.failure_domain
         self._store = OriginStore()
+        self._begun = BegunStreams()
         self._history = VersionHistory(now())
         self._tasks = BackgroundTasks("stream-origins")
 
@@ -58,19 +61,33 @@
 
     def dump(self) -> dict:
         """Return how many streams are known, and the versions seen lately."""
-        return {"streams": len(self._store), "versions": self._history.dump()}
+        return {
+            "streams": len(self._store),
+            "begun_lately": len(self._begun),
+            "versions": self._history.dump(),
+        }
 
     def record(
-        self, workspace: str, request_id: str, origin: StreamOrigin, kept_s: float
+        self,
+        workspace: str,
+        request_id: str,
+        origin: StreamOrigin,
+        kept_s: float,
+        server: ServerInstance,
     ) -> None:
-        """Record what began a stream, and notify the owners of its key."""
-        fact = OriginFact(stream_key(workspace, request_id), (origin,), kept_s)
-        self._store.merge(fact, now())
+        """Record what began a stream on a server, and notify the owners of its key."""
+        key = stream_key(workspace, request_id)
+        fact = OriginFact(key, (origin,), kept_s, server.name, server.start)
+        self._merge(fact)
         entries = self._roster.entries()
         for owner in owners.owners_to_notify(fact.key, entries, self._domain):
             if owner.node != self._roster.local_entry.node:
                 self._bus.send(owner.peers, StreamBegan(fact), probes=False)
 
+    def is_ambiguous(self, workspace: str, request_id: str) -> bool:
+        """Return whether two origins of a stream of this entry are known by now."""
+        return len(self._store.find(stream_key(workspace, request_id), now())) > 1
+
     async def find(
         self,
         workspace: str,
@@ -157,8 +174,43 @@
             versions=",".join(sorted(lookup.versions)) or "-",
         )
 
+    def _merge(self, fact: OriginFact) -> None:
+        """Keep a fact, and correct it if another start of its server is known."""
+        at = now()
+        self._store.merge(fact, at)
+        server = ServerInstance(fact.server, fact.start)
+        if len(fact.origins) != 1 or not fact.server or not server.may_start_again:
+            return
+        service = fact.origins[0].service
+        self._begun.add(BegunStream(fact.key, service, server, at))
+        record = self._roster.server(fact.server)
+        if record is not None:
+            self._correct(record)
+
+    def _correct(self, record: ServerRecord) -> None:
+        """Add the other origin of streams that an unknown start may have begun."""
+        at = now()
+        server = ServerInstance(record.name, str(record.born_ms))
+        age_s = wall_time() - record.born_ms / 1000
+        uncertain = self._begun.take_uncertain(server, age_s, at)
+        for stream in uncertain:
+            version = record.announcement.version_of(stream.service)
+            origin = StreamOrigin(stream.service, version)
+            self._store.merge(OriginFact(stream.key, (origin,), 0.0), at)
+        if uncertain:
+            event(
+                "info",
+                "stream_origins_doubted",
+                backend_server=server.name,
+                start=server.start,
+                offers=record.announcement.offered,
+                streams=len(uncertain),
+            )
+
     def _on_servers(self, records: tuple[ServerRecord, ...]) -> None:
         self._history.update(self._roster.known_servers(), now())
+        for record in records:
+            self._correct(record)
 
     async def _watch(self) -> None:
         """Notice times in which this entry could not see all servers."""
@@ -167,10 +219,11 @@
             self._history.restart(at)
         self._history.update(self._roster.known_servers(), at)
         self._store.forget_ended(at)
+        self._begun.forget_proven(at)
         await asyncio.sleep(WATCH_PERIOD_S)
 
     def _on_began(self, sender: str, msg: StreamBegan) -> None:
-        self._store.merge(msg.fact, now())
+        self._merge(msg.fact)
 
     def _on_find(self, sender: str, msg: FindOrigin) -> OriginReply:
         return self._reply(msg)
--- a/fuchsiacroft/tests/platform/stream_versions_tests.py
+++ b/fuchsiacroft/tests/platform/stream_versions_tests.py
@@ -302,3 +302,35 @@
         await self.add_servers("v1", 1)
         await self.take_up_all(streams, (0, 1, 2, 3))
         self.assertEqual([], versioned_streams.mixed(streams))
+
+    async def begin_after_idle_restart(self, events: int = EVENTS) -> list[Stream]:
+        """Begin streams at a start whose first heartbeat comes 0.2 s later."""
+        await self.add_servers("v1", 1)
+        await self.crash()
+        await self.restart()
+        reading = asyncio.ensure_future(self.begin_streams(events, 16))
+        await asyncio.sleep(2 * LONG_EVENT_PERIOD_S)
+        self.servers.append(self.restarted)
+        await asyncio.sleep(HEARTBEAT_PERIOD_S + 2 * LONG_EVENT_PERIOD_S)
+        await self.crash()
+        return await reading
+
+    async def test_a_stream_is_sent_on_after_two_crashes_without_a_heartbeat(self):
+        await self.add_servers("v1", 1)
+        await self.crash()
+        await self.restart()
+        reading = asyncio.ensure_future(self.begin_streams(EVENTS, 16))
+        await asyncio.sleep(4.5 * LONG_EVENT_PERIOD_S)
+        await self.restarted.replica.stop()
+        self.assertEqual([], versioned_streams.mixed(await reading))
+
+    async def test_a_stream_of_a_server_that_restarted_while_idle_is_sent_on(self):
+        streams = await self.begin_after_idle_restart()
+        self.assertEqual([], versioned_streams.mixed(streams))
+        self.assertFalse(all(stream.is_whole for stream in streams))
+
+    async def test_a_stream_of_a_server_that_restarted_while_idle_is_taken_up(self):
+        streams = await self.begin_after_idle_restart(READ_BEFORE_BREAK)
+        rest = await self.take_up_all(streams, (0, 1, 2, 3))
+        self.assertNotEqual([], rest)
+        self.assertEqual([], versioned_streams.mixed(streams))
--- a/fuchsiacroft/tests/streams/service_tests.py
+++ b/fuchsiacroft/tests/streams/service_tests.py
@@ -4,11 +4,14 @@
 
 from expression import Error, Ok
 
+from fuchsiacroft.membership.server_notices import NO_START, ServerInstance
+from fuchsiacroft.streams.begun_streams import MAX_SKEW_S
 from fuchsiacroft.streams.lookup import OriginError
 from fuchsiacroft.streams.origin import StreamOrigin
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.memory_region import DOMAINS, Entry, MemoryRegion
 from fuchsiacroft.tests.membership.server_table_tests import record
+from fuchsiacroft.utils.clock import wall_time
 
 V1 = StreamOrigin("lens", "v1")
 V2 = StreamOrigin("lens", "v2")
@@ -16,6 +19,7 @@
 DISCOVERY_S = 2.0
 TOLD_S = 0.05
 KEPT_S = 4.0
+SERVER = ServerInstance("i-1", NO_START)
 LONG_S = 5.0
 """Longer than a stream may last."""
 MAX_REFUSAL_S = 0.6
@@ -36,8 +40,15 @@
 
         self.run_paused(run())
 
-    def begin(self, entry: Entry, origin: StreamOrigin = V1, name: str = "r") -> None:
-        entry.origins.record("tills", name, origin, KEPT_S)
+    def begin(
+        self,
+        entry: Entry,
+        origin: StreamOrigin = V1,
+        name: str = "r",
+        server: ServerInstance = SERVER,
+        kept_s: float = KEPT_S,
+    ) -> None:
+        entry.origins.record("tills", name, origin, kept_s, server)
 
     async def find(
         self,
@@ -105,6 +116,60 @@
 
         self.play(scenario)
 
+    async def restart(self, version: str, age_s: float) -> ServerInstance:
+        """Announce a start of the server that began `age_s` ago by its clock."""
+        born_ms = round((wall_time() - age_s) * 1000)
+        for member in self.region.members:
+            await member.registry.report(record(born_ms=born_ms, version=version))
+        await asyncio.sleep(0.5)
+        return ServerInstance("i-1", str(born_ms))
+
+    async def find_after_idle_restart(self, version: str, age_s: float = 0.5) -> set:
+        """Begin a stream before another start of its server is known."""
+        server = await self.restart("v1", 60.0)
+        self.begin(self.region.entries[0], server=server)
+        await asyncio.sleep(TOLD_S)
+        await self.restart(version, age_s)
+        found = [await self.find(entry) for entry in self.region.entries]
+        return set(map(repr, found))
+
+    def test_a_stream_that_an_unknown_start_may_have_begun_has_a_certain_origin(self):
+        async def scenario():
+            ambiguous = repr(Error(OriginError.AMBIGUOUS))
+            self.assertEqual({ambiguous}, await self.find_after_idle_restart("v2"))
+
+        self.play(scenario)
+
+    def test_a_message_about_a_stream_is_later_than_the_heartbeat_of_its_server(self):
+        async def scenario():
+            server = await self.restart("v1", 60.0)
+            await self.restart("v2", 0.5)
+            self.begin(self.region.entries[0], server=server)
+            await asyncio.sleep(TOLD_S)
+            ambiguous = Error(OriginError.AMBIGUOUS)
+            for entry in self.region.entries:
+                self.assertEqual(ambiguous, await self.find(entry))
+
+        self.play(scenario)
+
+    def test_a_restart_at_the_same_version_makes_an_origin_uncertain(self):
+        async def scenario():
+            known = repr(Ok(V1))
+            self.assertEqual({known}, await self.find_after_idle_restart("v1"))
+
+        self.play(scenario)
+
+    def test_a_later_start_makes_the_origin_of_an_older_stream_uncertain(self):
+        async def scenario():
+            server = await self.restart("v1", 60.0)
+            self.begin(self.region.entries[0], server=server, kept_s=60.0)
+            await asyncio.sleep(MAX_SKEW_S + 1.0)
+            await self.restart("v2", 0.0)
+            for entry in self.region.entries:
+                self.assertEqual(Ok(V1), await self.find(entry))
+
+        self.play(scenario)
+
     def test_one_workspace_learns_of_the_streams_of_another(self):
         async def scenario():
             self.begin(self.region.entries[0])
