--- a/fuchsiacroft/entry/caller_server.py
+++ b/fuchsiacroft/entry/caller_server.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers, based on aiohttp's low-level server.
 
-Requests that aiohttp's parser rejects also get a problem document.
+Requests that aiohttp's parser rejects also get a problem document. Bodies stay as they
+came, whatever their coding.
 """
 
 import asyncio
@@ -163,6 +164,7 @@
             access_log=None,
             lingering_time=1.0,
             read_bufsize=connections.READ_BUFFER_BYTES,
+            auto_decompress=False,
         )
         self.reject = reject
         inbound = inbound or InboundLimits(own_connections(CALLERS_SHARE))
--- a/fuchsiacroft/utils/inbound.py
+++ b/fuchsiacroft/utils/inbound.py
@@ -88,6 +88,7 @@
 
     __slots__ = (
         "_body",
+        "_decompresses",
         "_framing",
         "_head_timeout_s",
         "_head_timer",
@@ -121,6 +122,7 @@
         self._msg_queue_resume_size = limits.max_pipelined_requests // 2
         self._head_timer: asyncio.TimerHandle | None = None
         self._body: StreamReader | None = None
+        self._decompresses = kwargs.get("auto_decompress", True)
         self._held = b""
         self._queued_bytes = 0
         self._is_counted = False
@@ -306,7 +308,14 @@
             self._begin_head()
             return
         self._body = payload
-        self._framing.begin_body(_body_length(message))
+        self._framing.begin_body(self._body_length(message))
+
+    def _body_length(self, message: RawRequestMessage) -> int | None:
+        """Return the length of a body that has no framing and isn't decompressed."""
+        is_decompressed = self._decompresses and message.compression is not None
+        if message.chunked or is_decompressed:
+            return None
+        return whole_number(message.headers.get("Content-Length", ""))
 
     def _begin_head(self) -> None:
         self._body = None
@@ -441,13 +450,6 @@
             super().log_exception(*args, **kwargs)
 
 
-def _body_length(message: RawRequestMessage) -> int | None:
-    """Return the length of a body that has no framing and isn't decompressed."""
-    if message.chunked or message.compression is not None:
-        return None
-    return whole_number(message.headers.get("Content-Length", ""))
-
-
 def _refusal(status: int, text: str) -> _ErrInfo:
     """Return what aiohttp queues in place of a request that can't be parsed."""
     return _ErrInfo(status, ValueError(text), text)
