Keep a leave as a fact, also of a server that isn't known

The leave of an unknown server was acknowledged and dropped.

A server that falls silent while it leaves has left.

--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -4,16 +4,20 @@
 other members, and a member that starts rebuilds its table from the heartbeats of
 the next one or two periods. A report that changes something is relayed at once, also
 to the entries that this member knows; other entries learn of it by the reply to
-their next heartbeat to any member.
+their next heartbeat to any member. A leave outlasts the table: members and entries that
+know of one report it to a member that lists the server after a late heartbeat.
 """
 
 import asyncio
+from collections.abc import Iterable
 
+import msgspec
 from expression import Error, Ok, Result
 
 from fuchsiacroft.config.settings import Settings
 from fuchsiacroft.exceptions import SettingsError
 from fuchsiacroft.kernel import Kernel, Service
+from fuchsiacroft.membership.announcement import Announcement
 from fuchsiacroft.membership.control_members import ControlMembers
 from fuchsiacroft.membership.registry_wire import (
     ChangeAck,
@@ -29,7 +33,7 @@
 from fuchsiacroft.membership.server_table import ServerTable
 from fuchsiacroft.transport import codec
 from fuchsiacroft.transport.bus import Bus
-from fuchsiacroft.utils.clock import now
+from fuchsiacroft.utils.clock import now, wall_time
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.running_since import RunningSince
 from fuchsiacroft.utils.tasks import BackgroundTasks
@@ -43,6 +47,8 @@
 NOTIFY_RETRY_DELAY_S = 0.02
 NOTIFY_DEADLINE_S = 0.5
 """Keeps the response to a report below one second if entries do not reply."""
+NO_ADDRESS = "0.0.0.0:1"
+"""Of a server that left and isn't known."""
 ENTRY_DISCOVERY_S = 1.5
 """Time after which every reachable entry has sent this member a heartbeat."""
 
@@ -56,6 +62,7 @@
         if settings.addresses.peers is None:
             raise SettingsError("a registry needs addresses.peers")
         self._address = settings.addresses.peers
+        self._domain = settings.failure_domain
         self._server_timeout_s = MAX_MISSED_HEARTBEATS * heartbeat_s
         self._table = ServerTable()
         self._unchanged: dict[str, ServerRecord] = {}
@@ -96,7 +103,9 @@
         Either all servers report when they started or none does.
         """
         return not record.born_ms and any(
-            known.born_ms for known in self._table.records()
+            known.born_ms
+            for known in self._table.records()
+            if known.life is not ServerState.LEFT
         )
 
     async def report(self, record: ServerRecord) -> Result[None, str]:
@@ -125,13 +134,38 @@
     async def leave(self, name: str, born_ms: int | None) -> Result[None, str]:
         """Mark a backend server as left, and confirm this like a report.
 
-        `born_ms` identifies the life that left; None means the current one. If it
-        is not the current one, nothing is changed.
+        `born_ms` identifies the life that left; None means the current one. The leave
+        of an earlier life changes nothing; that of one which isn't known, as it was
+        silent or this member has started again, holds against late heartbeats.
         """
         known = self._table.get(name)
-        if known is None or (born_ms is not None and known.born_ms != born_ms):
+        if known is not None and born_ms in (None, known.born_ms):
+            return await self.report(known.as_left())
+        if known is not None and born_ms < known.born_ms:
             return Ok(None)
-        return await self.report(known.as_left())
+        unknown = self._unknown_left(name, born_ms)
+        return Ok(None) if unknown is None else await self.report(unknown)
+
+    def _unknown_left(self, name: str, born_ms: int | None) -> ServerRecord | None:
+        """Return the record of a life that left and isn't known, None without a name.
+
+        Without a start it stands for all lives until now.
+        """
+        if born_ms is None:
+            born_ms = round(wall_time() * 1000)
+        announcement = Announcement(
+            name=name,
+            boot_id="",
+            failure_domain=self._domain,
+            address=NO_ADDRESS,
+            offers=(),
+            slots=0,
+        )
+        record = ServerRecord(announcement, born_ms, 0, ServerState.LEFT)
+        try:
+            return msgspec.convert(msgspec.to_builtins(record), ServerRecord)
+        except msgspec.ValidationError:
+            return None
 
     async def _notify_until_acknowledged(
         self, record: ServerRecord
@@ -222,8 +256,22 @@
             changed.extend(self._table.merge(record, now()))
         if changed:
             self._log_changes(tuple(changed), sender)
+        self._pass_leaves_on(msg, changed)
         return ChangeAck()
 
+    def _pass_leaves_on(
+        self, msg: ServersChanged, changed: Iterable[ServerRecord]
+    ) -> None:
+        """Tell a member of leaves that it doesn't know, and all of an entry's."""
+        if msg.source in self._members.others():
+            left = self._table.left_among(msg.records)
+            if left:
+                self._bus.send(msg.source, ServersChanged(self._address, left))
+            return
+        left = tuple(r for r in changed if r.life is ServerState.LEFT)
+        if left:
+            self._notify_members(left)
+
     def _on_heartbeat(self, sender: str, msg: EntryHeartbeat) -> EntryHeartbeatReply:
         self._record_entry(msg.entry)
         digest, entries_digest = self._table.digest, self._entries_digest
--- a/fuchsiacroft/membership/registry_wire.py
+++ b/fuchsiacroft/membership/registry_wire.py
@@ -113,7 +113,10 @@
 
 @codec.message("registry.changed")
 class ServersChanged(msgspec.Struct, frozen=True):
-    """Changed records, sent by a control member to entries and other members."""
+    """Changed records, sent by a control member to entries and other members.
+
+    Entries send a member those of servers that have left, if it lists them.
+    """
 
     source: str
     records: tuple[ServerRecord, ...]
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -291,6 +291,10 @@
             self._merged = None
         if reply.records is not None:
             self._merge(reply.records)
+            left = self._servers.left_among(reply.records)
+            if left:
+                message = ServersChanged(self.local_entry.peers, left)
+                self._bus.send(address, message)
             names = tuple(record.name for record in reply.records)
             self._known_servers[address] = (reply.digest, names)
         self._differing[address] = reply
--- a/fuchsiacroft/membership/server_table.py
+++ b/fuchsiacroft/membership/server_table.py
@@ -72,6 +72,17 @@
             return self._insert(record, at)
         return self._update(known, record, at)
 
+    def left_among(self, records: Iterable[ServerRecord]) -> tuple[ServerRecord, ...]:
+        """Return what is known of the servers that records take for present wrongly."""
+        found = []
+        for record in records:
+            known = self.get(record.name)
+            is_left = known is not None and known.life is ServerState.LEFT
+            has_left = is_left and record.born_ms <= known.born_ms
+            if has_left and record.life is not ServerState.LEFT:
+                found.append(known)
+        return tuple(found)
+
     def refresh(self, names: Iterable[str], at: float) -> None:
         """Mark the servers of these names as updated at `at`."""
         for name in names:
@@ -80,14 +91,19 @@
                 self._timed_records[name] = TimedRecord(timed.record, at)
 
     def remove_expired(self, oldest: float, at: float) -> tuple[str, ...]:
-        """Remove servers not updated since `oldest`, and old `LEFT` records."""
+        """Remove servers not updated since `oldest`, and old `LEFT` records.
+
+        A server that was leaving has left then, so that late reports are ignored.
+        """
         removed = [
             name
             for name, timed in self._timed_records.items()
             if timed.updated_at < (at - LEFT_RETENTION_S if _is_left(timed) else oldest)
         ]
         for name in removed:
-            del self._timed_records[name]
+            record = self._timed_records.pop(name).record
+            if record.life is ServerState.LEAVING:
+                self._mark_left(record, at)
             self._digest = None
         return tuple(removed)
 
@@ -113,12 +129,15 @@
     def _insert(self, record: ServerRecord, at: float) -> tuple[ServerRecord, ...]:
         """Insert a new life, unless a later one already has its address."""
         address = record.announcement.address
+        has_left = record.life is ServerState.LEFT
         ended = []
         for timed in list(self._timed_records.values()):
             other = timed.record
             if other.name == record.name or other.announcement.address != address:
                 continue
             if other.born_ms > record.born_ms:
+                if has_left:
+                    continue
                 return ()
             if other.life is not ServerState.LEFT:
                 ended.append(self._mark_left(other, at))
--- a/fuchsiacroft/tests/fakes/memory_region.py
+++ b/fuchsiacroft/tests/fakes/memory_region.py
@@ -163,6 +163,15 @@
         del self.network.buses[entry.address]
         await entry.kernel.stop()
 
+    async def restart_members(self) -> None:
+        """End all control members at once, and start them again without a table."""
+        for member in self.members:
+            del self.network.buses[member.address]
+            await member.kernel.stop()
+        self.members = [Control(self, number) for number in range(3)]
+        for member in self.members:
+            await member.kernel.start()
+
     async def start_again(self, entry: Entry) -> Entry:
         """Start an entry that ended, at its address; return the new one."""
         started = Entry(self, entry.number, entry.domain)
--- a/fuchsiacroft/tests/membership/registry_tests.py
+++ b/fuchsiacroft/tests/membership/registry_tests.py
@@ -14,6 +14,7 @@
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.memory_region import HEARTBEAT_S, MemoryRegion
 from fuchsiacroft.tests.membership.server_table_tests import record
+from fuchsiacroft.utils.clock import wall_time
 
 
 def leaving_nodes(roster) -> list[str]:
@@ -288,6 +289,78 @@
 
         self.run_scenario(scenario)
 
+    async def check_late_heartbeat(self, region, number: int = 1) -> None:
+        """Check that a heartbeat from before the leave brings nothing back."""
+        left_ms = round(wall_time() * 1000)
+        late = record(sequence=3, born_ms=left_ms - 60_000)
+        self.assertTrue((await region.members[number].registry.report(late)).is_ok())
+        await asyncio.sleep(2.0)
+        for member in region.members:
+            self.assertNotIn("serving", str(member.registry.dump()["servers"]))
+        for entry in region.entries:
+            self.assertEqual((), entry.roster.servers())
+        again = record(born_ms=left_ms + 60_000)
+        await region.members[number].registry.report(again)
+        await asyncio.sleep(0.5)
+        for entry in region.entries:
+            self.assertEqual((again,), entry.roster.servers())
+
+    async def register_and_forget(self, region) -> None:
+        born_ms = round(wall_time() * 1000) - 60_000
+        await region.members[0].registry.report(record(born_ms=born_ms))
+        await asyncio.sleep(8 * HEARTBEAT_S)
+        self.assertEqual((), region.entries[0].roster.servers())
+
+    def test_a_late_heartbeat_brings_a_forgotten_server_back_that_has_left(self):
+        async def scenario(region):
+            await self.register_and_forget(region)
+            outcome = await region.members[0].registry.leave("i-1", None)
+            self.assertTrue(outcome.is_ok())
+            await self.check_late_heartbeat(region)
+
+        self.run_scenario(scenario)
+
+    def test_a_late_heartbeat_brings_back_a_server_that_left_in_its_own_words(self):
+        async def scenario(region):
+            await self.register_and_forget(region)
+            born_ms = round(wall_time() * 1000) - 50_000
+            outcome = await region.members[0].registry.leave("i-1", born_ms)
+            self.assertTrue(outcome.is_ok())
+            await self.check_late_heartbeat(region)
+
+        self.run_scenario(scenario)
+
+    def test_a_leave_is_forgotten_with_all_control_members(self):
+        async def scenario(region):
+            await self.register_and_forget(region)
+            await region.members[0].registry.leave("i-1", None)
+            await region.restart_members()
+            await asyncio.sleep(2.0)
+            await self.check_late_heartbeat(region)
+
+        self.run_scenario(scenario)
+
+    def test_a_leave_at_a_member_that_was_cut_off_is_unknown_to_the_others(self):
+        async def scenario(region):
+            await self.register_and_forget(region)
+            await region.members[0].registry.leave("i-1", None)
+            await self.check_late_heartbeat(region, 2)
+
+        self.run_scenario(scenario)
+
+    def test_the_leave_of_a_server_that_was_never_known_hides_others(self):
+        async def scenario(region):
+            for name in ("i-7", "i-8", "x" * 200, "a b"):
+                outcome = await region.members[0].registry.leave(name, None)
+                self.assertTrue(outcome.is_ok())
+            self.assertFalse(region.members[0].registry.lacks_start(record(born_ms=0)))
+            await region.members[0].registry.report(record())
+            await asyncio.sleep(0.1)
+            for entry in region.entries:
+                self.assertEqual(["i-1"], [r.name for r in entry.roster.servers()])
+
+        self.run_scenario(scenario)
+
 
 class StoodStillTests(PausedTestCase):
     """A control member that stood still has not read the heartbeats of that time."""
--- a/fuchsiacroft/tests/membership/server_table_tests.py
+++ b/fuchsiacroft/tests/membership/server_table_tests.py
@@ -56,6 +56,27 @@
             self.table.merge(record(sequence=7), 3.0)
             self.assertEqual(record(sequence=7), self.table.get("i-1"))
 
+    def test_a_late_report_brings_back_a_leaving_server_that_fell_silent(self):
+        self.table.merge(record(sequence=5, life=ServerState.LEAVING), 0.0)
+        self.assertEqual(("i-1",), self.table.remove_expired(5.0, 10.0))
+        self.assertEqual((), self.table.merge(record(sequence=4), 11.0))
+        self.assertIs(ServerState.LEFT, self.life())
+        self.table.merge(record(born_ms=2_000), 12.0)
+        self.assertIs(ServerState.SERVING, self.life())
+
+    def test_a_server_that_left_is_kept_for_good(self):
+        self.table.merge(record(life=ServerState.LEAVING), 0.0)
+        self.table.remove_expired(5.0, 10.0)
+        self.table.remove_expired(10.0, 11.0 + LEFT_RETENTION_S)
+        self.assertEqual(0, len(self.table))
+
+    def test_a_leave_is_not_kept_as_a_later_server_has_the_address(self):
+        self.table.merge(record("i-2", born_ms=2_000), 0.0)
+        self.table.merge(record("i-1", life=ServerState.LEFT), 1.0)
+        self.assertEqual((), self.table.merge(record("i-1"), 2.0))
+        self.assertIs(ServerState.LEFT, self.life("i-1"))
+        self.assertIs(ServerState.SERVING, self.life("i-2"))
+
     def test_a_late_report_does_not_bring_back_a_server_that_left(self):
         self.table.merge(record(sequence=5), 0)
         self.table.merge(record(sequence=5, life=ServerState.LEFT), 1)
