Keep the entries that a member listed before it started again

The list of such a member lacks entries whose heartbeat hasn't come.

It says so now, and entries keep what it listed before until it has all. The new test failed before; an entry that is killed meanwhile is forgotten in the time it was.

--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -286,6 +286,7 @@
             records=self._table.records() if sends_servers else None,
             group=reported.group,
             group_index=reported.index,
+            has_all_entries=now() - self._started_at >= ENTRY_DISCOVERY_S,
         )
 
     def _known_entries(self) -> tuple[EntryRecord, ...]:
--- a/fuchsiacroft/membership/registry_wire.py
+++ b/fuchsiacroft/membership/registry_wire.py
@@ -92,7 +92,8 @@
     """Reply to a heartbeat; tables that the entry knows or didn't ask for are None.
 
     `controls` reflect the group `group` up to its change at the log index
-    `group_index`; 0 if the member knows of no committed change.
+    `group_index`; 0 if the member knows of no committed change. A member that has just
+    started doesn't know all entries yet; it `has_all_entries` later.
     """
 
     controls: tuple[str, ...]
@@ -102,6 +103,7 @@
     records: tuple[ServerRecord, ...] | None
     group: str = ""
     group_index: Whole = 0
+    has_all_entries: bool = True
 
 
 @codec.message("registry.gone")
--- a/fuchsiacroft/membership/roster.py
+++ b/fuchsiacroft/membership/roster.py
@@ -86,6 +86,7 @@
         self._controls = self._directory.addresses()
         self._known_servers: dict[str, tuple[int, tuple[str, ...]]] = {}
         self._entries: dict[str, tuple[int, tuple[EntryRecord, ...]]] = {}
+        self._listed_before: dict[str, tuple[EntryRecord, ...]] = {}
         self._merged: MergedEntries | None = None
         self._reported_leaving: dict[str, int] = {}
         self._replied_at: dict[str, float] = {}
@@ -234,7 +235,8 @@
     def _entries_of(self, sources: list[str]) -> tuple[EntryRecord, ...]:
         found = {self.local_entry.node: self.local_entry}
         for address in sources:
-            for entry in self._entries.get(address, NO_ENTRIES)[1]:
+            listed = self._entries.get(address, NO_ENTRIES)[1]
+            for entry in (*self._listed_before.get(address, ()), *listed):
                 if entry.node != self.local_entry.node:
                     found[entry.node] = self._with_reported_state(entry)
         return tuple(found.values())
@@ -286,6 +288,7 @@
         if address not in self._reachable_controls():
             event("info", "control_member_reached", address=address)
         self._replied_at[address] = now()
+        self._keep_listed(address, reply)
         if reply.entries is not None:
             self._entries[address] = (reply.entries_digest, reply.entries)
             self._merged = None
@@ -306,6 +309,14 @@
         self._directory.record_reply(address, reported, now())
         self._update_controls()
 
+    def _keep_listed(self, address: str, reply: EntryHeartbeatReply) -> None:
+        """Keep what a member listed before it started again, until it has all."""
+        if not reply.has_all_entries:
+            listed = self._entries.get(address, NO_ENTRIES)[1]
+            self._listed_before.setdefault(address, listed)
+        elif self._listed_before.pop(address, None):
+            self._merged = None
+
     def _adopt_known(self, address: str) -> bool:
         """Take tables with the same digests, this entry's own too, for a member's.
 
@@ -357,6 +368,7 @@
             self._replied_at.pop(removed, None)
             self._known_servers.pop(removed, None)
             self._entries.pop(removed, None)
+            self._listed_before.pop(removed, None)
             self._differing.pop(removed, None)
         self._controls = addresses
         event("info", "control_members_changed", addresses=",".join(addresses))
--- a/fuchsiacroft/tests/membership/registry_tests.py
+++ b/fuchsiacroft/tests/membership/registry_tests.py
@@ -11,6 +11,7 @@
     SWEEP_PERIOD_S,
 )
 from fuchsiacroft.membership.registry_wire import EntryHeartbeat, ServerState
+from fuchsiacroft.membership.roster import HEARTBEAT_PERIOD_S
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.memory_region import HEARTBEAT_S, MemoryRegion
 from fuchsiacroft.tests.membership.server_table_tests import record
@@ -215,6 +216,26 @@
 
         self.run_scenario(scenario)
 
+    def test_entries_are_unknown_while_all_control_members_start_again(self):
+        async def scenario(region):
+            nodes = {entry.node for entry in region.entries}
+            for entry in region.entries[:2]:
+                await region.kill(entry)
+                await asyncio.sleep(HEARTBEAT_PERIOD_S / 3)
+                await region.start_again(entry)
+            await asyncio.sleep(2 * ENTRY_TIMEOUT_S)
+            await region.restart_members()
+            for _ in range(40):
+                await asyncio.sleep(0.05)
+                for entry in region.entries:
+                    listed = {found.node for found in entry.roster.entries()}
+                    self.assertEqual(nodes, listed)
+            await region.kill(region.entries[2])
+            await asyncio.sleep(ENTRY_TIMEOUT_S + 4 * SWEEP_PERIOD_S)
+            self.assertEqual(2, len(region.entries[0].roster.entries()))
+
+        self.run_scenario(scenario)
+
     def test_a_change_is_transferred_to_an_entry_once(self):
         """Guards against transfers that grow with entries times members.
 
