Merge reports of spent quotas instead of replacing one by another

Of two reports the larger replaced the other, though its units were older than the window; a coordinator that was asked passed on its predecessors' report, up to 12 s old, without its own count; and a report counted as if nothing had been spent since, whoever had observed that.

Counts merge by what was spent since each time, late reports don't replace newer ones, a coordinator adds its own count, and time that nobody observed is unknown.

--- a/fuchsiacroft/placing/earlier_spending.py
+++ b/fuchsiacroft/placing/earlier_spending.py
@@ -32,14 +32,11 @@
     def add(self, units: dict[str, tuple[float, ...]], at: float) -> None:
         """Count the units, by age, that predecessors had spent by a time.
 
-        Where several reports hold the same units, the one that counts more is used.
+        Reports hold mostly the same units, and come in any order and more than once.
         """
         for name, by_age in units.items():
-            window = Window.from_ages(by_age, at)
             counted = self._windows.get(name, Window())
-            counted.expire(at - self._window_s)
-            if window.total >= counted.total:
-                self._windows[name] = window
+            self._windows[name] = counted.merged(Window.from_ages(by_age, at))
 
     def replace_apart(
         self, entry: str, units: dict[str, tuple[float, ...]], at: float
--- a/fuchsiacroft/placing/quota_window.py
+++ b/fuchsiacroft/placing/quota_window.py
@@ -74,6 +74,27 @@
             units += spent
         return units
 
+    def merged(self, other: Self) -> Self:
+        """Return what two counts of the same units show together.
+
+        Each may lack some of them. For each time, as many have been spent since as the
+        larger count says, so an older count takes nothing from a newer one, in any
+        order. `ahead` is not merged.
+        """
+        window = type(self)()
+        for started_at in sorted(
+            {bucket[0] for bucket in (*self.buckets, *other.buckets)}, reverse=True
+        ):
+            spent = max(self._from(started_at), other._from(started_at))
+            if spent > window.total:
+                window.buckets.appendleft([started_at, spent - window.total])
+                window.total = spent
+        return window
+
+    def _from(self, started_at: float) -> float:
+        """Return the units of a bucket and of those after it."""
+        return sum(spent for at, spent in self.buckets if at >= started_at)
+
     def drain(self, units_per_s: float, at: float) -> None:
         """Reduce the excess by the even pace of the time since the last update."""
         self.ahead = max(self.ahead - (at - self.updated_at) * units_per_s, 0.0)
--- a/fuchsiacroft/placing/spending_exchange.py
+++ b/fuchsiacroft/placing/spending_exchange.py
@@ -14,6 +14,7 @@
 from fuchsiacroft.membership.registry_wire import EntryRecord
 from fuchsiacroft.membership.roster import Roster
 from fuchsiacroft.placing.coordinators import coordinator_of
+from fuchsiacroft.placing.earlier_spending import UNREPORTED_S
 from fuchsiacroft.placing.quotas import Quotas
 from fuchsiacroft.placing.spending_messages import (
     DomainSpending,
@@ -118,7 +119,7 @@
         """
         known = self._reports.get(self._domain, now())
         if known is not None:
-            self._count(known, "reports")
+            self._count(known, "reports", observed_s=0.0)
         self.is_partial = True
         self._observes_since = min(self._observes_since, now())
         if self._learning is not None:
@@ -186,12 +187,12 @@
             for request in requests:
                 request.cancel()
         replies = _known(requests)
+        # Nothing else was spent as long as they have received reports.
+        observed_s = max((reply.observed_s for reply in replies), default=0.0)
         reports = self._reports_in(replies)
-        if reports:
-            self._count(min(reports, key=lambda report: report.age_s), "others")
-        else:
-            # The domain had no coordinator as long as they have received reports.
-            observed_s = max((reply.observed_s for reply in replies), default=0.0)
+        for report in reports:
+            self._count(report, "others", observed_s)
+        if not reports:
             self._count_since(now() - observed_s)
         return replies
 
@@ -213,7 +214,8 @@
         ]
         return sorted(local, key=lambda e: e.started_ms)[:MAX_LOCAL_PEERS]
 
-    def _count(self, report: SpendingReport, source: str) -> None:
+    def _count(self, report: SpendingReport, source: str, observed_s: float) -> None:
+        """Count a report; what was spent since is known if somebody observed it."""
         at = now()
         names = {*report.units, *self._quotas.limited_workspaces()}
         units = {
@@ -221,7 +223,8 @@
             for name in names
         }
         self._quotas.earlier.add(units, at - report.age_s)
-        self._count_since(at - report.age_s - report.counted_s)
+        if report.age_s <= max(observed_s, UNREPORTED_S):
+            self._count_since(at - report.age_s - report.counted_s)
         event(
             "info",
             "quotas_taken_over",
@@ -230,6 +233,7 @@
             units=round(sum(map(sum, report.units.values())), 1),
             age_s=round(report.age_s, 3),
             counted_s=round(report.counted_s, 3),
+            observed_s=round(observed_s, 3),
         )
 
     def _with_unreported(self, name: str, by_age: UnitsByAge) -> UnitsByAge:
@@ -247,7 +251,9 @@
 
     def _on_query(self, sender: str, msg: SpendingQuery) -> SpendingKnown:
         at = now()
-        report = self._reports.get(msg.failure_domain, at)
+        is_own = msg.failure_domain == self._domain and not self.is_partial
+        own = self.report() if is_own else None
+        report = self._reports.get(msg.failure_domain, at, own)
         return SpendingKnown(report, max(at - self._observes_since, 0.0))
 
     def _on_spending(self, sender: str, msg: DomainSpending) -> None:
--- a/fuchsiacroft/tests/placing/lost_coordinators_quota_tests.py
+++ b/fuchsiacroft/tests/placing/lost_coordinators_quota_tests.py
@@ -33,11 +33,16 @@
 CUT_PERIOD_RANGE_S = (0.2, 2.0)
 CUT_RANGE_S = (0.3, 6.0)
 SEEDS = 2
+SECOND_BURST_S = 3.5
+DRAIN_S = 1.5
+DOWN_S = 0.5
 
 
 class PressedQuotaTestCase(PausedTestCase):
     """A workspace asks for far more than its quota, at entries with faults."""
 
+    is_pressing = True
+
     def play(
         self,
         domains: tuple[str, ...],
@@ -51,6 +56,8 @@
         table = create_route_table(1, (), (), workspaces, CallerLimits())
 
         async def send(entry: Entry, number: int) -> None:
+            if not self.is_pressing:
+                return
             request = PermitRequest(f"r-{number}", "lens", 0, 1.0, "tills")
             sent_at = now()
             limits = WaitLimits(0.0, 0.0)
@@ -166,3 +173,44 @@
 
     def test_entries_of_several_domains_spend_twice_when_they_are_cut_off(self):
         self.assert_holds(DOMAINS * 2, 2)
+
+
+class StoppedCoordinatorsQuotaTests(PressedQuotaTestCase):
+    """Coordinators stop in order, one after the other, and start again."""
+
+    async def stop(self, traffic: RegionTraffic) -> None:
+        """Stop a coordinator as SIGTERM does, and start it again."""
+        stopped = traffic.coordinators()[0]
+        stopped.roster.start_draining()
+        await asyncio.sleep(DRAIN_S)
+        traffic.live.remove(stopped)
+        await traffic.region.kill(stopped)
+        await asyncio.sleep(DOWN_S)
+        traffic.live.append(await traffic.region.start_again(stopped))
+
+    def assert_holds(self, domains: tuple[str, ...], *, restarts_members: bool) -> None:
+        """Assert that the quota holds over two stops, with a burst before each."""
+
+        async def stop_both(traffic: RegionTraffic) -> None:
+            self.is_pressing = True
+            await asyncio.sleep(TOLERANCE.window_s)
+            await self.stop(traffic)
+            self.is_pressing = False
+            await asyncio.sleep(TOLERANCE.window_s - DRAIN_S)
+            self.is_pressing = True
+            await asyncio.sleep(SECOND_BURST_S)
+            if restarts_members:
+                await traffic.region.restart_members()
+            await self.stop(traffic)
+
+        admitted = self.play(domains, (0.0, 0.0), random.Random(0), stop_both)
+        most = most_in_window(admitted, TOLERANCE.window_s)
+        self.assertLessEqual(most, ALLOWED)
+
+    def test_an_older_report_takes_the_place_of_a_newer_one(self):
+        for restarts_members in (False, True):
+            for domains in (DOMAINS[:1] * 2, DOMAINS[:1] * 3, DOMAINS * 2):
+                with self.subTest(
+                    restarts_members=restarts_members, entries=len(domains)
+                ):
+                    self.assert_holds(domains, restarts_members=restarts_members)
