Hold heads that come in part outside the parser, within the bytes held

The library's parser keeps four times the bytes of a head that it has begun.

It gets the first 2 KiB of such a head now; the rest waits as it came, counted with what all connections hold, and the longest-waiting heads are refused when there is no room.

--- a/fuchsiacroft/tests/platform/body_memory_tests.py
+++ b/fuchsiacroft/tests/platform/body_memory_tests.py
@@ -49,6 +49,8 @@
 CALLER_TIMEOUT_S = 10.0
 SAMPLE_PERIOD_S = 0.05
 HEARTBEAT_PERIOD_S = 0.3
+HEADS = 1_500
+"""Heads of a crowd that ends none of them."""
 START_TIMEOUT_S = 20.0
 ANSWER_TIMEOUT_S = 30.0
 SMALL_BUFFER_BYTES = 4_096
@@ -57,6 +59,15 @@
 LARGE_ANSWER = "/stock/"
 _numbers = itertools.count(1)
 
+LONG_HEAD = platform_wire.encode_request(
+    "GET",
+    "/book/1",
+    "crowd",
+    "X-Api-Key: key-1",
+    *(f"X-Header-{number:03d}: {'v' * 130}" for number in range(100)),
+)
+"""15 kB, which is within the limits."""
+
 Send = Callable[[asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -321,6 +332,43 @@
         await bearing
         self.assertLess(self.most_mb, ENTRY_MEMORY_MB)
 
+    async def begin_heads(self, program: Program, port: int) -> None:
+        """Send many heads at once, none of which ends, and measure the process."""
+        self.tasks.spawn(self.measure(program))
+        self.crowd: list = []
+        for _ in range(HEADS):
+            sock = connect_with_small_buffer(program.ip, port)
+            stream = await asyncio.open_connection(sock=sock)
+            self.crowd.append(stream)
+            self.addCleanup(stream[1].transport.abort)
+            stream[1].write(LONG_HEAD[:-2])
+
+    async def test_heads_that_stop_before_their_end_fill_the_memory(self):
+        await self.begin_heads(self.entry, DATA_PORT)
+        async with asyncio.timeout(CALLER_TIMEOUT_S):
+            for _ in range(ORDINARY_CALLERS):
+                self.assertEqual((200, b"1"), await self.send_body(b"z"))
+                self.assertEqual(200, await self.send_long_head())
+        self.assertLess(self.most_mb, ENTRY_MEMORY_MB)
+
+    async def test_heads_that_stop_fill_the_memory_of_a_control_member(self):
+        await self.begin_heads(self.control, CONTROL_PORT)
+        self.assertEqual(200, await self.put_configuration(self.configuration(2)))
+        self.assertLess(self.most_mb, CONTROL_MEMORY_MB)
+
+    async def send_long_head(self) -> int:
+        """Send a request whose head comes in two parts; return the status."""
+        reader, writer = await asyncio.open_connection(self.entry.ip, DATA_PORT)
+        try:
+            writer.write(LONG_HEAD[:9_000])
+            await writer.drain()
+            await asyncio.sleep(SAMPLE_PERIOD_S)
+            writer.write(LONG_HEAD[9_000:])
+            status, _ = await platform_wire.read_head(reader)
+            return status
+        finally:
+            writer.transport.abort()
+
     async def test_whole_bodies_fill_the_memory(self):
         await self.assert_entry_bears(bodies(missing=0))
 
--- a/fuchsiacroft/utils/inbound.py
+++ b/fuchsiacroft/utils/inbound.py
@@ -58,6 +58,7 @@
             limits.max_connections, limits.max_connections_per_address
         )
         self.held = HeldBytes(limits.max_held_bytes)
+        self._partial_heads: dict[InboundProtocol, None] = {}
         self.turns = ParseTurns(limits.max_turn_framing_bytes)
         self._refused_log = RateLimitedLog("inbound_refused", MAX_REFUSED_LOGS_PER_S)
         self._slow_head_log = RateLimitedLog("head_timed_out", MAX_SLOW_HEAD_LOGS_PER_S)
@@ -72,6 +73,21 @@
             connections=len(self.table),
         )
 
+    def record_partial_head(self, conn: "InboundProtocol", *, is_held: bool) -> None:
+        """Record whether a connection holds a head of which the end hasn't come."""
+        if is_held:
+            self._partial_heads.setdefault(conn)
+        else:
+            self._partial_heads.pop(conn, None)
+
+    def make_room_for_head(self, conn: "InboundProtocol", before: int, after: int):
+        """Refuse the heads that have come in part for longest, to hold another."""
+        while not self.held.has_room(before, after):
+            oldest = next(iter(self._partial_heads), conn)
+            if oldest is conn:
+                return
+            oldest.refuse_partial_head()
+
     def record_slow_head(self, after_s: float) -> None:
         """Count a head that was not complete in time, and log it."""
         refused_inputs[self.name, "head_timeout"] += 1
@@ -93,6 +109,7 @@
         "_head_timeout_s",
         "_head_timer",
         "_held",
+        "_holds_head",
         "_inbound",
         "_is_counted",
         "_is_refused",
@@ -124,6 +141,7 @@
         self._body: StreamReader | None = None
         self._decompresses = kwargs.get("auto_decompress", True)
         self._held = b""
+        self._holds_head = False
         self._queued_bytes = 0
         self._is_counted = False
         self._is_refused = False
@@ -139,7 +157,7 @@
         """Whether bytes have arrived that this process has not read or parsed yet."""
         if self.transport is None or self.transport.is_closing():
             return False
-        if self._held:
+        if self._held and not self._holds_head:
             return True
         fd = self.transport.get_extra_info("socket").fileno()
         size = fcntl.ioctl(fd, termios.FIONREAD, bytes(INT_BYTES))
@@ -185,7 +203,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give back what the connection holds."""
         self._stop_head_timer()
-        self._hold(b"")
+        self._drop_held()
         self._inbound.table.remove(self)
         if self._is_counted:
             self._is_counted = False
@@ -212,10 +230,14 @@
         rest = self._parse_allowed(data, heeds_turns=True)
         if not self._inbound.held.has_room(len(self._held), len(rest)):
             rest = self._parse_allowed(rest, heeds_turns=False)
+        self._holds_head = self._framing.awaits_head_end(rest, 0) and bool(rest)
+        if self._holds_head:
+            self._inbound.make_room_for_head(self, len(self._held), len(rest))
         if not self._hold(rest):
             self._refuse_rest("too_many_bytes_held")
-        elif rest:
+        elif rest and not self._holds_head:
             self._pause_reading_for_buffer()
+        self._inbound.record_partial_head(self, is_held=self._holds_head)
         if self._is_turn_over:
             self._wait_for_turn()
 
@@ -228,6 +250,8 @@
         while start < len(data) and not self._is_queue_full and not self._is_refused:
             if heeds_turns and self._is_turn_over:
                 break
+            if self._framing.awaits_head_end(data, start):
+                break
             size = self._framing.step_bytes(data, start, self._body_bytes)
             self._parse(data[start : start + size])
             start += size
@@ -344,6 +368,22 @@
         self._stop_reading(reason)
         super().close()
 
+    def refuse_partial_head(self) -> None:
+        """Give the room of a head away that has come in part, and refuse it."""
+        self._drop_held()
+        if self._is_idle or self._request_count == 0:
+            self._inbound.record_refusal("too_many_partial_heads", self)
+            if self.transport is not None:
+                self.transport.write(FULL_RESPONSE)
+            self.end()
+        else:
+            self._refuse_rest("too_many_partial_heads")
+
+    def _drop_held(self) -> None:
+        self._hold(b"")
+        self._holds_head = False
+        self._inbound.record_partial_head(self, is_held=False)
+
     def _fail_body(self, reason: str) -> None:
         """Fail a body whose framing is broken; aiohttp reads on without end."""
         if self._body is not None and not self._body.is_eof():
@@ -367,7 +407,8 @@
     def _resume_reading_if_drained(self) -> None:
         """Go on with what is held, and read on if that has been parsed."""
         super()._resume_reading_if_drained()
-        if self._held or self._is_refused or self._waits_for_turn:
+        waits = bool(self._held) and not self._holds_head
+        if waits or self._is_refused or self._waits_for_turn:
             self._pause_reading_for_buffer()
 
     def _resume_transport_reading(self) -> None:
--- a/fuchsiacroft/utils/inbound_framing.py
+++ b/fuchsiacroft/utils/inbound_framing.py
@@ -69,6 +69,21 @@
         left = self._body_length - body_bytes
         return left if left > 0 else STEP_BYTES
 
+    def awaits_head_end(self, data: bytes, start: int) -> bool:
+        """Return whether bytes of a head wait unparsed until its end has come.
+
+        The parser keeps several times the bytes of a head that it has begun, so it
+        gets only the first step of one that comes in parts. One that is too large is
+        not waited for.
+        """
+        if self._is_in_body or not self.has_begun_head:
+            return False
+        if self._head_meter.received_bytes < STEP_BYTES:
+            return False
+        if self._head_meter.would_exceed(len(data) - start):
+            return False
+        return (self._head_tail + data[start:]).find(HEAD_END) < 0
+
     def _head_step_bytes(self, data: bytes, start: int) -> int:
         window = self._head_tail + data[start : start + STEP_BYTES]
         begin = 0 if self.has_begun_head else len(window) - len(window.lstrip(CRLF))
--- a/fuchsiacroft/utils/inbound_limits.py
+++ b/fuchsiacroft/utils/inbound_limits.py
@@ -89,6 +89,10 @@
         """Count received bytes, of the body too."""
         self.received_bytes += count
 
+    def would_exceed(self, count: int) -> bool:
+        """Return whether so many further bytes would be too much without a body."""
+        return self.received_bytes + count > self._max_overhead_bytes
+
     def is_exceeded(self, body_bytes: int = 0) -> bool:
         """Return whether there is too much framing for a body of this size."""
         allowed = self._max_overhead_bytes + (1 + MAX_OVERHEAD_RATIO) * body_bytes
@@ -96,7 +100,10 @@
 
 
 class HeldBytes:
-    """Counts what all connections have received and not parsed yet."""
+    """Counts what all connections have received and not parsed yet.
+
+    That includes heads that have come in part.
+    """
 
     def __init__(self, max_bytes: int) -> None:
         self._max_bytes = max_bytes
