Serve requests with up to 256 headers

A request with 200 small headers, well within the limit on its head, got 400: the library takes 128 unless told otherwise. The new test failed before.

--- a/fuchsiacroft/entry/caller_server.py
+++ b/fuchsiacroft/entry/caller_server.py
@@ -33,6 +33,8 @@
 CLOSE_GRACE_S = 0.5
 BUSY_POLL_S = 0.05
 SHUTDOWN_TIMEOUT_S = 1.0
+MAX_HEADERS = 256
+"""Of one request; each takes some 300 bytes once it is parsed."""
 HEAD_SLACK_BYTES = 4 * 1024
 """Of a head besides what its limit counts: method, version, spaces, empty lines."""
 
@@ -59,6 +61,7 @@
             keepalive_timeout=limits.idle_timeout_s,
             max_line_size=limits.max_header_bytes,
             max_field_size=limits.max_header_bytes,
+            max_headers=MAX_HEADERS,
             **kwargs,
         )
         self.has_received_request = False
--- a/fuchsiacroft/tests/platform/caller_limits_tests.py
+++ b/fuchsiacroft/tests/platform/caller_limits_tests.py
@@ -47,6 +47,11 @@
         got = await self.send(f"X-Long: {'a' * (MAX_HEADER_BYTES - 400)}")
         self.assertEqual(200, got.status)
 
+    async def test_a_head_of_many_small_headers_is_refused(self):
+        got = await self.send(*(f"X-{number}: {number}" for number in range(200)))
+        self.assertEqual(200, got.status)
+        self.assertEqual("199", self.replica.received[-1].get("X-199"))
+
     async def test_headers_beyond_the_limit_are_refused_as_too_large(self):
         lines = [f"X-{n}: {'a' * 900}" for n in range(10)]
         got = await self.send(*lines)
