Refuse a configuration that no message can carry, before it enters the log

A configuration of 8 MB of keys got no answer, and later ones none for 20 to 40 s: the leader held an entry of over 4 MiB that it could send to nobody. It is answered with 413 now if it takes over 4,128,768 bytes compressed; the log's largest entry is one constant with the largest delta's.

--- a/fuchsiacroft/config/delta.py
+++ b/fuchsiacroft/config/delta.py
@@ -12,10 +12,7 @@
 from fuchsiacroft.config.validation import ValidationIssue
 from fuchsiacroft.transport import codec
 
-# Left for the envelopes, the change id, the operator and the high-water marks that
-# travel with a delta.
-MESSAGE_OVERHEAD_BYTES = 64 * 1024
-MAX_DELTA_BYTES = codec.MAX_MESSAGE_BYTES - MESSAGE_OVERHEAD_BYTES
+MAX_DELTA_BYTES = codec.MAX_ENTRY_BYTES
 
 
 class Delta(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/fuchsiacroft/control/publisher.py
+++ b/fuchsiacroft/control/publisher.py
@@ -12,6 +12,7 @@
 from fuchsiacroft.control.published import Publish, PublishedState, PublishOutcome
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.transport.bus import Bus
+from fuchsiacroft.transport.codec import MAX_ENTRY_BYTES
 from fuchsiacroft.utils.clock import lease_now, now
 from fuchsiacroft.utils.logs import event
 from fuchsiacroft.utils.tasks import BackgroundTasks
@@ -34,6 +35,15 @@
     NOTHING_PUBLISHED = "nothing_published"
 
 
+class PublishError(enum.Enum):
+    """Why a version is not published whenever it is sent again.
+
+    `TOO_LARGE`: no message between processes can carry it, even compressed.
+    """
+
+    TOO_LARGE = "too_large"
+
+
 class Published(msgspec.Struct, frozen=True):
     """A version and its body."""
 
@@ -81,7 +91,7 @@
 
     async def publish(
         self, version: int, body: bytes, timeout_s: float
-    ) -> Result[PublishOutcome, ProposeError]:
+    ) -> Result[PublishOutcome, ProposeError | PublishError]:
         """Publish a version; on success, the returned version is durable on a majority.
 
         A version that is not higher than the current one is not committed. The
@@ -94,6 +104,8 @@
         if version <= self._state.version:
             return Ok(PublishOutcome(self._state.version, False))
         command = Publish(version, zlib.compress(body, COMPRESSION_LEVEL))
+        if len(command.body) > MAX_ENTRY_BYTES:
+            return Error(PublishError.TOO_LARGE)
         remaining_s = max(timeout_s - (now() - started_at), 0.0)
         match await self._log.propose(command, remaining_s):
             case Result(tag="ok", ok=applied):
--- a/fuchsiacroft/platform/control_api.py
+++ b/fuchsiacroft/platform/control_api.py
@@ -6,7 +6,7 @@
 from expression import Result
 
 from fuchsiacroft.config.settings import Settings
-from fuchsiacroft.control.publisher import Publisher, ReadError
+from fuchsiacroft.control.publisher import Publisher, PublishError, ReadError
 from fuchsiacroft.entry import memory_metrics
 from fuchsiacroft.entry.memory_budget import MemoryBudget
 from fuchsiacroft.entry.memory_metrics import MemoryMetrics
@@ -17,6 +17,7 @@
 from fuchsiacroft.platform import documents, heartbeats, rollout_calls
 from fuchsiacroft.rollouts.controller import OrderError, RolloutController
 from fuchsiacroft.rollouts.controller import ReadError as RolloutReadError
+from fuchsiacroft.transport.codec import MAX_ENTRY_BYTES
 from fuchsiacroft.utils.http import Listener
 from fuchsiacroft.utils.inbound_limits import InboundLimits
 from fuchsiacroft.utils.logs import event
@@ -114,6 +115,10 @@
                     taken=outcome.taken,
                 )
                 return web.json_response({"version": outcome.version})
+            case Result(error=PublishError.TOO_LARGE):
+                reason = f"takes over {MAX_ENTRY_BYTES} bytes, even compressed"
+                event("info", "configuration_refused", reason=reason)
+                return _error_response(413, reason)
             case Result(error=exc):
                 event(
                     "warning",
--- a/fuchsiacroft/tests/control/consensus/memory_log_tests.py
+++ b/fuchsiacroft/tests/control/consensus/memory_log_tests.py
@@ -1,6 +1,6 @@
 """Tests of the log's batches, each of which must fit into one message."""
 
-from fuchsiacroft.config.delta import MAX_DELTA_BYTES, MESSAGE_OVERHEAD_BYTES
+from fuchsiacroft.config.delta import MAX_DELTA_BYTES
 from fuchsiacroft.control.consensus import timing
 from fuchsiacroft.control.consensus.memory_log import MemoryLog
 from fuchsiacroft.control.records import Entry
@@ -31,5 +31,5 @@
 
     def test_a_message_has_room_for_a_change_of_the_largest_size(self):
         self.assertLessEqual(
-            MAX_DELTA_BYTES + MESSAGE_OVERHEAD_BYTES, codec.MAX_MESSAGE_BYTES
+            MAX_DELTA_BYTES + codec.MESSAGE_OVERHEAD_BYTES, codec.MAX_MESSAGE_BYTES
         )
--- a/fuchsiacroft/tests/platform/control_api_tests.py
+++ b/fuchsiacroft/tests/platform/control_api_tests.py
@@ -1,6 +1,8 @@
 """Tests of the control API for replicas and the operator."""
 
 import asyncio
+import secrets
+import time
 
 import msgspec
 
@@ -43,6 +45,16 @@
             self.assertEqual(400, await self.region.put_config(config(version)))
         self.assertEqual(before, await self.region.get_config(2))
 
+    async def test_a_change_that_no_message_carries_stops_all_later_ones(self):
+        keys = [secrets.token_hex(32) for _ in range(140_000)]
+        large = config(60, tenants=[{"name": "paysandu", "apiKeys": keys}])
+        self.assertEqual(413, await self.region.put_config(large))
+        for control in range(3):
+            started_at = time.monotonic()
+            accepted = await self.region.put_config(config(61 + control), control)
+            self.assertEqual(200, accepted)
+            self.assertLess(time.monotonic() - started_at, 1.0)
+
     async def test_a_new_route_is_in_force_at_every_entry_soon(self):
         await self.region.add_replica("till")
         document = config(3)
--- a/fuchsiacroft/transport/codec.py
+++ b/fuchsiacroft/transport/codec.py
@@ -14,6 +14,10 @@
 
 PROTOCOL_VERSION = 1
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+MESSAGE_OVERHEAD_BYTES = 64 * 1024
+"""Left for envelopes, and for what travels with an entry of the replicated log."""
+MAX_ENTRY_BYTES = MAX_MESSAGE_BYTES - MESSAGE_OVERHEAD_BYTES
+"""Largest change that the replicated log takes, as it has to be sent to others."""
 
 S = TypeVar("S", bound=type[msgspec.Struct])
 
