--- a/fuchsiacroft/utils/process.py
+++ b/fuchsiacroft/utils/process.py
@@ -1,6 +1,7 @@
 """The lifecycle of a process: start, wait for a signal, drain, stop."""
 
 import asyncio
+import faulthandler
 import signal
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -64,6 +65,10 @@
 
 
 def run(main: Coroutine[Any, Any, T]) -> T:
-    """Run a coroutine on uvloop until it completes and return its result."""
+    """Run a coroutine on uvloop until it completes and return its result.
+
+    If a library written in C ends the process, the stack is written to stderr.
+    """
+    faulthandler.enable(all_threads=True)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         return runner.run(main)
