Doubt only what starts before the known one began

Reading the change again showed it: an entry whose list is behind took a stream that a server's new start had begun, as another entry told it, for one that the earlier start may have begun, and made it ambiguous, so that it would have gone on nowhere. Starts are ordered by their time now; looking for them no longer goes over all streams of a server for each stream.

--- a/fuchsiacroft/streams/begun_streams.py
+++ b/fuchsiacroft/streams/begun_streams.py
@@ -8,62 +8,65 @@
 from collections import deque
 from dataclasses import dataclass
 
-from fuchsiacroft.membership.server_notices import ServerInstance
-
 MAX_SKEW_S = 5.0
 """The clocks of a server and a VM differ by less."""
 MAX_UNKNOWN_S = 15.0
 """The first heartbeat of a start is known within it."""
 MAX_STREAMS = 5_000
-"""Streams of one server that are kept; the oldest go first."""
+"""Streams of one start that are kept; the oldest go first."""
 
 
 @dataclass(frozen=True, slots=True)
 class BegunStream:
-    """A stream that began at `at`, with what its server was known to be."""
+    """A stream of a service that began at `at`, on the loop's clock."""
 
     key: str
     service: str
-    server: ServerInstance
     at: float
 
 
 class BegunStreams:
-    """The streams that may have begun on another start than the known one."""
+    """The streams that a later start of their server may have begun.
+
+    A server's starts are told apart by `born_ms`, the Unix time of a start.
+    """
 
     def __init__(self) -> None:
-        self._by_server: dict[str, deque[BegunStream]] = {}
+        self._by_server: dict[str, dict[int, deque[BegunStream]]] = {}
 
     def __len__(self) -> int:
         """Return the number of streams."""
-        return sum(map(len, self._by_server.values()))
+        starts = self._by_server.values()
+        return sum(len(begun) for start in starts for begun in start.values())
 
-    def add(self, stream: BegunStream) -> None:
-        """Record that a stream has begun."""
-        empty: deque[BegunStream] = deque(maxlen=MAX_STREAMS)
-        self._by_server.setdefault(stream.server.name, empty).append(stream)
+    def add(self, server: str, born_ms: int, stream: BegunStream) -> None:
+        """Record a stream, with the start that its server was known as."""
+        starts = self._by_server.setdefault(server, {})
+        if born_ms not in starts:
+            starts[born_ms] = deque(maxlen=MAX_STREAMS)
+        starts[born_ms].append(stream)
 
     def take_uncertain(
-        self, server: ServerInstance, age_s: float, at: float
+        self, server: str, born_ms: int, age_s: float, at: float
     ) -> list[BegunStream]:
-        """Return, and forget, the streams that another start of a server began.
+        """Return the streams of earlier starts that this one may have begun.
 
-        It started `age_s` seconds ago by its own clock, so it may have begun those that
-        were taken for streams of the start before it.
+        It began `age_s` seconds ago by its own clock. Those starts are forgotten.
         """
-        begun = self._by_server.get(server.name)
-        if begun is None:
-            return []
+        starts = self._by_server.get(server, {})
         since = at - min(max(age_s, 0.0) + MAX_SKEW_S, MAX_UNKNOWN_S)
-        others = [stream for stream in begun if stream.server != server]
-        for stream in others:
-            begun.remove(stream)
-        return [stream for stream in others if stream.at >= since]
+        uncertain: list[BegunStream] = []
+        for earlier in [start for start in starts if start < born_ms]:
+            uncertain += (s for s in starts.pop(earlier) if s.at >= since)
+        return uncertain
 
     def forget_proven(self, at: float) -> None:
         """Forget the streams whose server has been listed as the same since."""
-        for name, begun in list(self._by_server.items()):
-            while begun and begun[0].at < at - MAX_UNKNOWN_S:
-                begun.popleft()
-            if not begun:
-                del self._by_server[name]
+        for server, starts in list(self._by_server.items()):
+            for born_ms, begun in list(starts.items()):
+                while begun and begun[0].at < at - MAX_UNKNOWN_S:
+                    begun.popleft()
+                if not begun:
+                    del starts[born_ms]
+            if not starts:
+                del self._by_server[server]
--- a/fuchsiacroft/streams/origin_store.py
+++ b/fuchsiacroft/streams/origin_store.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from fuchsiacroft.config.bounds import Seconds
+from fuchsiacroft.config.bounds import Seconds, UnixMs
 from fuchsiacroft.streams.origin import StreamOrigin
 from fuchsiacroft.utils.bounded import set_newest
 
@@ -22,15 +22,15 @@
     """What began the stream of a key; kept for `kept_s` seconds from now.
 
     A key with two origins was used for two streams, or its server may have been either
-    of two starts, so none of them is certain. `server` and `start` name the start that
-    the server was known as, if it tells its starts apart.
+    of two starts, so none of them is certain. `server` was known as the start of
+    `born_ms`, the Unix time of its start, 0 if it doesn't tell its starts.
     """
 
     key: str
     origins: tuple[StreamOrigin, ...]
     kept_s: Seconds
     server: str = ""
-    start: str = ""
+    born_ms: UnixMs = 0
 
 
 class _Kept(msgspec.Struct):
--- a/fuchsiacroft/streams/service.py
+++ b/fuchsiacroft/streams/service.py
@@ -77,7 +77,8 @@
     ) -> None:
         """Record what began a stream on a server, and notify the owners of its key."""
         key = stream_key(workspace, request_id)
-        fact = OriginFact(key, (origin,), kept_s, server.name, server.start)
+        born_ms = int(server.start) if server.start else 0
+        fact = OriginFact(key, (origin,), kept_s, server.name, born_ms)
         self._merge(fact)
         entries = self._roster.entries()
         for owner in owners.owners_to_notify(fact.key, entries, self._domain):
@@ -175,14 +176,13 @@
         )
 
     def _merge(self, fact: OriginFact) -> None:
-        """Keep a fact, and correct it if another start of its server is known."""
+        """Keep a fact, and correct it if a later start of its server is known."""
         at = now()
         self._store.merge(fact, at)
-        server = ServerInstance(fact.server, fact.start)
-        if len(fact.origins) != 1 or not fact.server or not server.may_start_again:
+        if len(fact.origins) != 1 or not fact.born_ms:
             return
-        service = fact.origins[0].service
-        self._begun.add(BegunStream(fact.key, service, server, at))
+        stream = BegunStream(fact.key, fact.origins[0].service, at)
+        self._begun.add(fact.server, fact.born_ms, stream)
         record = self._roster.server(fact.server)
         if record is not None:
             self._correct(record)
@@ -190,9 +190,8 @@
     def _correct(self, record: ServerRecord) -> None:
         """Add the other origin of streams that an unknown start may have begun."""
         at = now()
-        server = ServerInstance(record.name, str(record.born_ms))
         age_s = wall_time() - record.born_ms / 1000
-        uncertain = self._begun.take_uncertain(server, age_s, at)
+        uncertain = self._begun.take_uncertain(record.name, record.born_ms, age_s, at)
         for stream in uncertain:
             version = record.announcement.version_of(stream.service)
             origin = StreamOrigin(stream.service, version)
@@ -201,8 +200,8 @@
             event(
                 "info",
                 "stream_origins_doubted",
-                backend_server=server.name,
-                start=server.start,
+                backend_server=record.name,
+                start=record.born_ms,
                 offers=record.announcement.offered,
                 streams=len(uncertain),
             )
--- a/fuchsiacroft/tests/streams/service_tests.py
+++ b/fuchsiacroft/tests/streams/service_tests.py
@@ -152,6 +152,17 @@
 
         self.play(scenario)
 
+    def test_an_entry_that_knows_only_the_earlier_start_doubts_the_later_one(self):
+        async def scenario():
+            await self.restart("v1", 60.0)
+            later = ServerInstance("i-1", str(round(wall_time() * 1000)))
+            self.begin(self.region.entries[0], V2, server=later)
+            await asyncio.sleep(TOLD_S)
+            for entry in self.region.entries:
+                self.assertEqual(Ok(V2), await self.find(entry))
+
+        self.play(scenario)
+
     def test_a_restart_at_the_same_version_makes_an_origin_uncertain(self):
         async def scenario():
             known = repr(Ok(V1))
