--- a/fuchsiacroft/utils/process.py
+++ b/fuchsiacroft/utils/process.py
@@ -16,6 +16,8 @@
 
 T = TypeVar("T")
 
+STDERR = 2
+"""Descriptor of standard error, whatever `sys.stderr` is."""
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -69,6 +71,6 @@
 
     If a library written in C ends the process, the stack is written to stderr.
     """
-    faulthandler.enable(all_threads=True)
+    faulthandler.enable(file=STDERR)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         return runner.run(main)
