Keep in one place which connections hold a head without its end

The connection had a flag and its address a table of the same. A connection that was refused for want of room stayed in the table with nothing held, so it could be refused a second time in place of others. What is held and can be parsed is one property now. No refusal or bound changes.

--- a/fuchsiacroft/utils/inbound.py
+++ b/fuchsiacroft/utils/inbound.py
@@ -80,7 +80,13 @@
         else:
             self._partial_heads.pop(conn, None)
 
-    def make_room_for_head(self, conn: "InboundProtocol", before: int, after: int):
+    def holds_partial_head(self, conn: "InboundProtocol") -> bool:
+        """Return whether what a connection holds is a head without its end."""
+        return conn in self._partial_heads
+
+    def make_room_for_head(
+        self, conn: "InboundProtocol", before: int, after: int
+    ) -> None:
         """Refuse the heads that have come in part for longest, to hold another."""
         while not self.held.has_room(before, after):
             oldest = next(iter(self._partial_heads), conn)
@@ -109,7 +115,6 @@
         "_head_timeout_s",
         "_head_timer",
         "_held",
-        "_holds_head",
         "_inbound",
         "_is_counted",
         "_is_refused",
@@ -141,7 +146,6 @@
         self._body: StreamReader | None = None
         self._decompresses = kwargs.get("auto_decompress", True)
         self._held = b""
-        self._holds_head = False
         self._queued_bytes = 0
         self._is_counted = False
         self._is_refused = False
@@ -157,12 +161,17 @@
         """Whether bytes have arrived that this process has not read or parsed yet."""
         if self.transport is None or self.transport.is_closing():
             return False
-        if self._held and not self._holds_head:
+        if self._holds_unparsed:
             return True
         fd = self.transport.get_extra_info("socket").fileno()
         size = fcntl.ioctl(fd, termios.FIONREAD, bytes(INT_BYTES))
         return any(size)
 
+    @property
+    def _holds_unparsed(self) -> bool:
+        """Whether bytes are held that can be parsed, unlike those of a partial head."""
+        return bool(self._held) and not self._inbound.holds_partial_head(self)
+
     @property
     def may_make_room(self) -> bool:
         """Whether the connection waits for a request of which no more has arrived."""
@@ -230,14 +239,15 @@
         rest = self._parse_allowed(data, heeds_turns=True)
         if not self._inbound.held.has_room(len(self._held), len(rest)):
             rest = self._parse_allowed(rest, heeds_turns=False)
-        self._holds_head = self._framing.awaits_head_end(rest, 0) and bool(rest)
-        if self._holds_head:
+        is_partial_head = bool(rest) and self._framing.awaits_head_end(rest, 0)
+        if is_partial_head:
             self._inbound.make_room_for_head(self, len(self._held), len(rest))
-        if not self._hold(rest):
+        is_held = self._hold(rest)
+        self._inbound.record_partial_head(self, is_held=is_held and is_partial_head)
+        if not is_held:
             self._refuse_rest("too_many_bytes_held")
-        elif rest and not self._holds_head:
+        elif self._holds_unparsed:
             self._pause_reading_for_buffer()
-        self._inbound.record_partial_head(self, is_held=self._holds_head)
         if self._is_turn_over:
             self._wait_for_turn()
 
@@ -381,7 +391,6 @@
 
     def _drop_held(self) -> None:
         self._hold(b"")
-        self._holds_head = False
         self._inbound.record_partial_head(self, is_held=False)
 
     def _fail_body(self, reason: str) -> None:
@@ -407,8 +416,7 @@
     def _resume_reading_if_drained(self) -> None:
         """Go on with what is held, and read on if that has been parsed."""
         super()._resume_reading_if_drained()
-        waits = bool(self._held) and not self._holds_head
-        if waits or self._is_refused or self._waits_for_turn:
+        if self._holds_unparsed or self._is_refused or self._waits_for_turn:
             self._pause_reading_for_buffer()
 
     def _resume_transport_reading(self) -> None:
