Check only the name of an unknown server that leaves

The whole record was taken apart and built again to see whether a server can have the name. Leaves among records, and whether a later server has the address, are told with less nesting; the same records result.

--- a/fuchsiacroft/membership/registry.py
+++ b/fuchsiacroft/membership/registry.py
@@ -14,7 +14,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from fuchsiacroft.config.settings import Settings
+from fuchsiacroft.config.settings import Name, Settings
 from fuchsiacroft.exceptions import SettingsError
 from fuchsiacroft.kernel import Kernel, Service
 from fuchsiacroft.membership.announcement import Announcement
@@ -147,10 +147,15 @@
         return Ok(None) if unknown is None else await self.report(unknown)
 
     def _unknown_left(self, name: str, born_ms: int | None) -> ServerRecord | None:
-        """Return the record of a life that left and isn't known, None without a name.
+        """Return the record of a life that left and isn't known.
 
-        Without a start it stands for all lives until now.
+        Without a start it stands for all lives until now. None if no server can have
+        the name.
         """
+        try:
+            msgspec.convert(name, Name)
+        except msgspec.ValidationError:
+            return None
         if born_ms is None:
             born_ms = round(wall_time() * 1000)
         announcement = Announcement(
@@ -161,11 +166,7 @@
             offers=(),
             slots=0,
         )
-        record = ServerRecord(announcement, born_ms, 0, ServerState.LEFT)
-        try:
-            return msgspec.convert(msgspec.to_builtins(record), ServerRecord)
-        except msgspec.ValidationError:
-            return None
+        return ServerRecord(announcement, born_ms, 0, ServerState.LEFT)
 
     async def _notify_until_acknowledged(
         self, record: ServerRecord
--- a/fuchsiacroft/membership/server_table.py
+++ b/fuchsiacroft/membership/server_table.py
@@ -76,11 +76,12 @@
         """Return what is known of the servers that records take for present wrongly."""
         found = []
         for record in records:
-            known = self.get(record.name)
-            is_left = known is not None and known.life is ServerState.LEFT
-            has_left = is_left and record.born_ms <= known.born_ms
-            if has_left and record.life is not ServerState.LEFT:
-                found.append(known)
+            timed = self._timed_records.get(record.name)
+            if timed is None or not _is_left(timed):
+                continue
+            is_present = record.life is not ServerState.LEFT
+            if is_present and record.born_ms <= timed.record.born_ms:
+                found.append(timed.record)
         return tuple(found)
 
     def refresh(self, names: Iterable[str], at: float) -> None:
@@ -129,17 +130,15 @@
     def _insert(self, record: ServerRecord, at: float) -> tuple[ServerRecord, ...]:
         """Insert a new life, unless a later one already has its address."""
         address = record.announcement.address
-        has_left = record.life is ServerState.LEFT
         ended = []
         for timed in list(self._timed_records.values()):
             other = timed.record
             if other.name == record.name or other.announcement.address != address:
                 continue
             if other.born_ms > record.born_ms:
-                if has_left:
-                    continue
-                return ()
-            if other.life is not ServerState.LEFT:
+                if record.life is not ServerState.LEFT:
+                    return ()
+            elif other.life is not ServerState.LEFT:
                 ended.append(self._mark_left(other, at))
         self._timed_records[record.name] = TimedRecord(record, at)
         self._digest = None
