Read on also after a reply that could not be sent

Whoever tries to send on a ZeroMQ socket may use up what its descriptor tells, as MessageReader says; the queue of a link heeded it in both cases, a reply only when it was sent.

--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -300,7 +300,8 @@
         except zmq.ZMQError:
             self._counts["answer_not_sent"] += 1
             return
-        self._reader.read_soon()
+        finally:
+            self._reader.read_soon()
         self._counts["sent"] += 1
         self._counts["sent_bytes"] += len(data)
 
