--- a/fuchsiacroft/gauges.py
+++ b/fuchsiacroft/gauges.py
@@ -35,6 +35,7 @@
     "fuchsiacroft_loop_late_seconds": "Sum of how late the event loop's checks ran",
     "fuchsiacroft_loop_longest_delay_seconds": "Longest delay of such a check",
     "fuchsiacroft_messages_received": "Messages of other processes, by kind",
+    "fuchsiacroft_message_handling_seconds": "Time of their handlers, by kind",
     "fuchsiacroft_slot_turnaround_seconds": (
         "Mean time for which a slot is taken beyond its run, by service"
     ),
@@ -93,6 +94,8 @@
             yield "fuchsiacroft_rollout_requests", labels, count
     for kind, count in state.get("bus", {}).get("received_by_kind", {}).items():
         yield "fuchsiacroft_messages_received", {"kind": kind}, count
+    for kind, seconds in state.get("bus", {}).get("handling_s_by_kind", {}).items():
+        yield "fuchsiacroft_message_handling_seconds", {"kind": kind}, seconds
     for name in ("placer", "scheduler"):
         if "server_limits" in state.get(name, {}):
             count = len(state[name]["server_limits"])
--- a/fuchsiacroft/transport/codec.py
+++ b/fuchsiacroft/transport/codec.py
@@ -58,6 +58,11 @@
     return register
 
 
+def kind_of(msg: msgspec.Struct) -> str:
+    """Return the kind of a registered message."""
+    return _KINDS_BY_TYPE[type(msg)]
+
+
 def kinds() -> tuple[str, ...]:
     """Return the kinds of the registered messages."""
     return tuple(_TYPES_BY_KIND)
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -118,6 +118,7 @@
             "encrypted": self._ring is not None,
             "counts": dict(self._counts),
             "received_by_kind": dict(self._received),
+            "handling_s_by_kind": self._handlers.times.dump(),
             "handshakes": dict(self._listener.counts) if self._listener else {},
         }
 
