Count what entries spent alone once, not at each admission

Callers of busy domains were refused as over quota, by entries that decided without their coordinator.

The units are summed up as they are reported and as they leave the window, which is looked at when the oldest do. They count for 0.05 s longer than the window at most.

--- a/fuchsiacroft/placing/quota_window.py
+++ b/fuchsiacroft/placing/quota_window.py
@@ -115,8 +115,15 @@
         return None
 
 
+def expire_all(windows: dict[str, Window], before: float) -> None:
+    """Drop the buckets of all windows that ended before a time."""
+    oldest = before - BUCKET_S
+    for window in windows.values():
+        if window.buckets and window.buckets[0][0] <= oldest:
+            window.expire(before)
+
+
 def recent(windows: dict[str, Window], before: float) -> dict[str, Window]:
     """Return the windows with units that were spent after a time; expire the others."""
-    for window in windows.values():
-        window.expire(before)
+    expire_all(windows, before)
     return {name: window for name, window in windows.items() if window.buckets}
--- a/fuchsiacroft/placing/quotas.py
+++ b/fuchsiacroft/placing/quotas.py
@@ -170,6 +170,11 @@
             spent[name] = spent.get(name, 0.0) + window.total
         return {name: units for name, units in spent.items() if units > 0}
 
+    def _names(self, at: float) -> set[str]:
+        """Return the workspaces that spent something in the window."""
+        names = {name for name, window in self._recent(at).items() if window.total > 0}
+        return names | self.earlier.names(at)
+
     def spent_by_age(self, at: float) -> dict[str, tuple[float, ...]]:
         """Return the same units by age."""
         spent = self.admitted_by_age(at)
@@ -187,7 +192,7 @@
 
         Others have `LOW_SHARE` of their limit at least.
         """
-        left = {name: self.remaining(name, at) for name in self.spent(at)}
+        left = {name: self.remaining(name, at) for name in self._names(at)}
         return {
             name: min(max(units, 0.0), MAX_AMOUNT)
             for name, units in left.items()
--- a/fuchsiacroft/tests/placing/coordinator_steps_tests.py
+++ b/fuchsiacroft/tests/placing/coordinator_steps_tests.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-import sys
 
 from fuchsiacroft.membership.registry_wire import EntryHeartbeat, EntryRecord
 from fuchsiacroft.placing.coordinator_contact import ping_interval_s
@@ -15,6 +14,7 @@
     route_table,
 )
 from fuchsiacroft.tests.fakes.memory_region import DOMAINS, MemoryRegion
+from fuchsiacroft.tests.fakes.step_counter import StepCounter
 from fuchsiacroft.utils.clock import now
 
 LATER_MS = int(1e13)
@@ -22,23 +22,6 @@
 PLAY_S = 1.0
 
 
-class StepCounter:
-    """Counts the calls that functions make, which no load of the machine changes."""
-
-    def __init__(self) -> None:
-        self.count = 0
-
-    def __enter__(self) -> "StepCounter":
-        sys.setprofile(self._record)
-        return self
-
-    def __exit__(self, *exc: object) -> None:
-        sys.setprofile(None)
-
-    def _record(self, frame: object, event: str, arg: object) -> None:
-        self.count += event in ("call", "c_call")
-
-
 class CoordinatorStepsTests(PausedTestCase):
     """The work for one ping does not grow with the entries of a region."""
 
