Work out the load of a refusal only for the line that is written

The fields are worked out for the lines that are written, 20 a second now.

The new test of the log can't run on the code before it, which has no such call.

--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -4,6 +4,7 @@
 import math
 import secrets
 from collections.abc import Coroutine
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -58,7 +59,7 @@
 IDLE_TICK_S = 0.25
 """Period of the check while no request waits; it ends runs past their timeout."""
 EPOCH_BYTES = 6
-MAX_REFUSALS_LOGGED = 50
+MAX_REFUSALS_LOGGED = 20
 """Refusals logged per second; a flood of refusals has a single cause."""
 MAX_LIMITS_LOGGED = 20
 """Changes of learned limits logged per second; a slow machine changes several."""
@@ -66,7 +67,7 @@
 """Share of its in-time wait that a request waits for its workspace's quota."""
 MIN_REMOTE_WAIT_S = 0.05
 """Two round trips between domains; forwarding costs more than a shorter wait."""
-LEFT_PERIOD_S = 0.05
+LEFT_PERIOD_S = 0.1
 """How often the units left to workspaces are worked out, for all entries that ask.
 
 Entries ask several times a second, and there are many of them.
@@ -332,9 +333,16 @@
         return self._refuse(request, refusal)
 
     def _refuse(self, request: PlaceRequest, refusal: Refusal) -> PlacementResult:
+        self._refusal_log.event_with(partial(self._refusal_fields, request, refusal))
+        return Error(refusal)
+
+    def _refusal_fields(
+        self, request: PlaceRequest, refusal: Refusal
+    ) -> dict[str, object]:
+        """Return what the log says of a refusal and of the load that led to it."""
         permit_request = request.ask
         load = self.allocator.queue_load(permit_request, now())
-        self._refusal_log.event(
+        return dict(
             request_id=permit_request.request_id,
             run_id=request.run_id,
             reason=refusal.reason.value,
@@ -357,7 +365,6 @@
             turnaround_s=round(load.turnaround_s, 3),
             **self.allocator.share_fields(permit_request),
         )
-        return Error(refusal)
 
     def _refresh_clocks(self) -> None:
         """Relate the clocks, so that a VM that was suspended uses no old directive."""
--- a/fuchsiacroft/tests/utils/rate_limited_log_tests.py
+++ b/fuchsiacroft/tests/utils/rate_limited_log_tests.py
@@ -26,3 +26,14 @@
         self.run_paused(scenario())
         self.assertEqual(4, len(lines))
         self.assertIn("number=10 left_out_before=7", lines[-1])
+
+    def test_the_fields_of_a_line_that_is_not_written_are_worked_out(self):
+        worked_out: list[int] = []
+
+        async def scenario():
+            limited_log = RateLimitedLog("place_refused", 3)
+            for number in range(10):
+                limited_log.event_with(lambda n=number: worked_out.append(n) or {})
+
+        self.run_paused(scenario())
+        self.assertEqual([0, 1, 2], worked_out)
--- a/fuchsiacroft/utils/rate_limited_log.py
+++ b/fuchsiacroft/utils/rate_limited_log.py
@@ -1,5 +1,7 @@
 """Rate limit for the log lines of one event."""
 
+from collections.abc import Callable
+
 from fuchsiacroft.utils.clock import now
 from fuchsiacroft.utils.logs import event
 
@@ -21,6 +23,10 @@
 
     def event(self, **fields: object) -> None:
         """Write one line, or count it as suppressed."""
+        self.event_with(lambda: fields)
+
+    def event_with(self, make_fields: Callable[[], dict[str, object]]) -> None:
+        """Do the same with fields that are worked out only if the line is written."""
         current_time = now()
         if current_time - self._period_started_at >= PERIOD_S:
             self._period_started_at = current_time
@@ -29,6 +35,7 @@
             self._suppressed += 1
             return
         self._written += 1
+        fields = make_fields()
         if self._suppressed:
             fields["left_out_before"] = self._suppressed
             self._suppressed = 0
