Decide with steps that don't grow with the requests that wait

Callers of busy domains were refused, or served late, as their coordinator ran late by 1 to 2 s. The end of each run sorted all waiters of a service, counted the free slots of all servers twice and summed up what limits leave of them for each rank; each arrival worked out the median run time of all servers three times, and the time to a first event also of servers without a free slot.

The waiters are kept in order, a check for a free slot ends at the first one, a server whose slots are taken is passed over first, and the median run time of engines follows from their median token gap.

--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -314,7 +314,7 @@
 
         Streams may go on at versions that new requests may not use.
         """
-        if self.fleet.capacity.free(service, at):
+        if self.fleet.capacity.has_free(service, at):
             return True
         return any(
             self.fleet.capacity.free(service, at, version)
@@ -325,7 +325,7 @@
         """Refuse expired and excess late waiters, and end runs past their timeout."""
         refused = self._quarantine_waiters(at)
         for waiter in list(self._waiters.values()):
-            if self._is_version_gone(waiter):
+            if waiter.version is not None and self._is_version_gone(waiter):
                 refused.append((waiter, self._expire(waiter, at)))
             elif waiter.expires_at <= at:
                 if self._awaits_coordinator(waiter, at):
--- a/fuchsiacroft/placing/engine_speed.py
+++ b/fuchsiacroft/placing/engine_speed.py
@@ -10,6 +10,7 @@
 import statistics
 from collections import deque
 
+from fuchsiacroft.routing.permits import WorkSize
 from fuchsiacroft.utils import line_fit
 
 RECENT_GAPS = 64
@@ -39,6 +40,11 @@
         """Return the prefill speed of an engine with a token gap."""
         return self._tokens_per_gap / gap_s
 
+    def run_s(self, size: WorkSize, gap_s: float) -> float:
+        """Return the time of a run on an otherwise idle engine with a token gap."""
+        prefill_s = size.prompt_tokens / self.prefill_tokens_per_s(gap_s)
+        return prefill_s + size.output_tokens * gap_s
+
     def record_gap(self, gap_s: float) -> None:
         """Record the token gap of a run."""
         self._gaps.append(gap_s)
--- a/fuchsiacroft/placing/queue.py
+++ b/fuchsiacroft/placing/queue.py
@@ -11,8 +11,8 @@
 of one version may go on with it.
 """
 
-import heapq
 import itertools
+from bisect import insort
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -124,7 +124,8 @@
     """The waiters of one service, ordered by position."""
 
     def __init__(self) -> None:
-        self._heap: list[Item] = []
+        self._items: list[Item] = []
+        self._removed = 0
         self._sequence = itertools.count()
         self._counts: Counter[Position] = Counter()
         self._awaited: Counter[str] = Counter()
@@ -178,21 +179,20 @@
             self._awaited[waiter.version] += 1
 
     def _insert(self, item: Item) -> None:
-        heapq.heappush(self._heap, item)
+        insort(self._items, item)
 
     def remove(self, waiter: Waiter) -> None:
         """Remove a waiter at any position."""
         if not waiter.removed:
             waiter.removed = True
+            self._removed += 1
             self._counts[waiter.position] -= 1
             if waiter.version is not None:
                 self._awaited[waiter.version] -= 1
 
     def head(self) -> Waiter | None:
         """Return the waiter that is placed next."""
-        while self._heap and self._heap[0][-1].removed:
-            heapq.heappop(self._heap)
-        return self._heap[0][-1] if self._heap else None
+        return next(iter(self.waiters()), None)
 
     def record_start(
         self, permit_request: PermitRequest, run_s: float, at: float, *, late: bool
@@ -204,15 +204,25 @@
         return 0.0
 
     def waiters(self) -> Iterable[Waiter]:
-        """Return the waiters in order of placement."""
-        self._heap = sorted(item for item in self._heap if not item[-1].removed)
-        return [item[-1] for item in self._heap]
+        """Iterate over the waiters in order of placement.
+
+        The caller may remove waiters meanwhile, but not add any.
+        """
+        self._drop_removed()
+        for *_, waiter in self._items:
+            if not waiter.removed:
+                yield waiter
+
+    def _drop_removed(self) -> None:
+        """Drop the removed items once they are as many as the others."""
+        if 2 * self._removed > len(self._items):
+            self._items = [item for item in self._items if not item[-1].removed]
+            self._removed = 0
 
     def last_late(self) -> Waiter | None:
         """Return the late waiter that is placed last."""
-        late = (item for item in self._heap if item[-1].late and not item[-1].removed)
-        last = max(late, default=None)
-        return last[-1] if last is not None else None
+        late = (waiter for *_, waiter in reversed(self._items) if waiter.late)
+        return next((waiter for waiter in late if not waiter.removed), None)
 
     def may_displace(self, waiter: Waiter) -> bool:
         """Return whether another late waiter would be refused before a new one."""
--- a/fuchsiacroft/placing/server_choice.py
+++ b/fuchsiacroft/placing/server_choice.py
@@ -57,8 +57,12 @@
     def median_run_s(self, permit_request: PermitRequest) -> float:
         """Return the expected run time on a server of median speed."""
         candidates = self._pool.candidates(permit_request)
-        times = [load.run_s(permit_request) for load in candidates]
-        return statistics.median(times) if times else DEFAULT_RUN_S
+        if not candidates:
+            return DEFAULT_RUN_S
+        if not permit_request.size.prompt_tokens:
+            return statistics.median(load.run_s(permit_request) for load in candidates)
+        gap_s = statistics.median(load.gap_s for load in candidates)
+        return candidates[0].speeds.run_s(permit_request.size, gap_s)
 
     def fastest_first_event_s(
         self, request: PlaceRequest, target_s: float, at: float
@@ -70,8 +74,10 @@
         tokens = request.ask.size.prompt_tokens
         fastest_s = math.inf
         for load in self._eligible(request.ask, at):
+            if not self._has_room(load, request, at):
+                continue
             first_event_s = load.first_event_s(tokens)
-            if first_event_s >= fastest_s or not self._has_room(load, request, at):
+            if first_event_s >= fastest_s:
                 continue
             if first_event_s <= target_s:
                 return None
--- a/fuchsiacroft/placing/server_load.py
+++ b/fuchsiacroft/placing/server_load.py
@@ -160,8 +160,7 @@
         """Return the expected time of a run on an otherwise idle server."""
         if not permit_request.size.prompt_tokens:
             return self.plain_run_s or DEFAULT_PLAIN_RUN_S
-        prefill_s = permit_request.size.prompt_tokens / self.prefill_tokens_per_s
-        return prefill_s + permit_request.size.output_tokens * self.gap_s
+        return self.speeds.run_s(permit_request.size, self.gap_s)
 
     @property
     def gap_s(self) -> float:
--- a/fuchsiacroft/placing/slot_capacity.py
+++ b/fuchsiacroft/placing/slot_capacity.py
@@ -4,7 +4,7 @@
 """
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from fuchsiacroft.membership.request_pacing import RequestPacing
 from fuchsiacroft.membership.server_limits import UNLIMITED
@@ -65,7 +65,7 @@
             servers = self._pool.lasting(service)
         else:
             servers = self._pool.usable(service, version)
-        return float(sum(self._mean_allowed(load, service) for load in servers))
+        return float(self._sum_allowed(servers, service))
 
     def limited_count(self, service: str) -> int:
         """Return how many servers of a service have a limit on requests a second."""
@@ -88,6 +88,14 @@
             if self.is_start_certain(load, at)
         )
 
+    def has_free(self, service: str, at: float) -> bool:
+        """Return whether a slot of a service is free, without counting them."""
+        if self._rollouts.permission(service, at) is not None:
+            return self.free(service, at) > 0
+        return any(
+            self.free_for(load, service, at) for load in self._pool.offering(service)
+        )
+
     def free_by_version(self, service: str, at: float) -> dict[str, int]:
         """Return the free slots of each software version of a service."""
         free: Counter[str] = Counter()
@@ -111,15 +119,17 @@
         reserve = self._runs.reserve(service)
         if not reserve.kept_free(rank, self._pool.slots(service), at):
             return 0
-        slots = sum(
-            self._mean_allowed(load, service)
-            for load in self._pool.lasting(service)
-            if not self._pacing.is_limited(load.instance)
-        )
-        return reserve.kept_free(rank, int(slots), at)
+        servers = self._pool.lasting(service)
+        if not self._pacing.limits.is_empty:
+            servers = [
+                load for load in servers if not self._pacing.is_limited(load.instance)
+            ]
+        return reserve.kept_free(rank, int(self._sum_allowed(servers, service)), at)
 
     def free_on(self, load: ServerLoad, at: float) -> int:
         """Return the free slots of a server."""
+        if len(load.runs) >= load.slots:
+            return 0
         free = max(load.free(at, self.share), 0)
         if free and self._pacing.is_limited(load.instance):
             return int(min(free, max(self._pacing.allowed(load.instance, at), 0)))
@@ -161,8 +171,23 @@
 
     def _mean_allowed(self, load: ServerLoad, service: str) -> float:
         """Return how many runs a server may have by its learned limit and memory."""
-        allowed = load.learning.mean_allowed(load.slots)
-        return self._token_memory.mean_allowed(load, service, allowed)
+        return self._sum_allowed((load,), service)
+
+    def _sum_allowed(self, servers: Iterable[ServerLoad], service: str) -> float:
+        """Return how many runs servers may have together, as `_mean_allowed` says.
+
+        Each decision asks for it, so the servers are looked at in one loop.
+        """
+        fitting = self._token_memory.mean_fitting(service)
+        total = 0.0
+        for load in servers:
+            allowed = load.slots
+            if load.learning.is_active:
+                allowed = load.learning.mean_allowed(allowed)
+            if allowed > fitting and self._token_memory.is_counted(load, service):
+                allowed = fitting
+            total += allowed
+        return total
 
     def _limited(self, service: str) -> Sequence[ServerLoad]:
         if self._pacing.limits.is_empty:
--- a/fuchsiacroft/placing/token_memory.py
+++ b/fuchsiacroft/placing/token_memory.py
@@ -8,6 +8,7 @@
 The module does no I/O and gets the time as an argument.
 """
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
@@ -69,13 +70,17 @@
             return free
         return min(free, max(int(room / mean_tokens), 1))
 
-    def mean_allowed(self, load: ServerLoad, service: str, allowed: float) -> float:
-        """Return how many of the allowed runs fit on a server on average."""
-        capacity = self._capacity(load, service)
+    def mean_fitting(self, service: str) -> float:
+        """Return how many runs fit on a server on average, if its memory counts."""
+        capacity = self._capacities.get(service)
         mean_tokens = self._mean_tokens.get(service, 0.0)
         if capacity is None or mean_tokens <= 0.0:
-            return allowed
-        return min(allowed, max(capacity / mean_tokens, 1.0))
+            return math.inf
+        return max(capacity / mean_tokens, 1.0)
+
+    def is_counted(self, load: ServerLoad, service: str) -> bool:
+        """Return whether the memory of a server counts."""
+        return service in self._reporting or load.learning.is_active
 
     def fits(self, load: ServerLoad, request: PlaceRequest, at: float) -> bool:
         """Return whether a request fits on a server now, beside what is held there."""
@@ -146,8 +151,7 @@
         capacity = self._capacities.get(service)
         if capacity is None:
             return None
-        is_counted = service in self._reporting or load.learning.is_active
-        return capacity if is_counted else None
+        return capacity if self.is_counted(load, service) else None
 
     def _held_tokens(self, load: ServerLoad, request: PlaceRequest, at: float) -> int:
         """Return what is held at a server for others that a request goes behind."""
--- a/fuchsiacroft/tests/placing/decision_steps_tests.py
+++ b/fuchsiacroft/tests/placing/decision_steps_tests.py
@@ -1,16 +1,27 @@
 """Tests that a decision takes as many steps however much waits or was reported."""
 
+import itertools
+
 from fuchsiacroft.config.route_table import Quota, Workspace
+from fuchsiacroft.placing.allocator import Allocator, Assignment
+from fuchsiacroft.placing.limits import SharedLimits
+from fuchsiacroft.placing.messages import PlaceRequest
 from fuchsiacroft.placing.quotas import Quotas, QuotaTolerance
+from fuchsiacroft.routing.permits import PermitRequest, RunOutcome, RunReport, WorkSize
 from fuchsiacroft.tests.base import TestCase
 from fuchsiacroft.tests.fakes.step_counter import StepCounter
+from fuchsiacroft.tests.membership.server_table_tests import record
 
 ENTRIES = 43
 WORKSPACES = tuple(f"w-{n}" for n in range(16))
 UNITS_PER_S = 36_000.0
 WINDOW_S = 8
+SERVERS = 15
 DECISIONS = 200
 DECISIONS_PER_S = 200.0
+FEW_WAIT = 5
+MANY_WAIT = 200
+"""As many requests wait in a domain while a burst lasts for a second."""
 GROWTH = 1.1
 """What a decision may take more; lists that are kept in order are cheap."""
 
@@ -35,3 +46,55 @@
 
     def test_an_admission_takes_more_steps_after_entries_decided_alone(self):
         self.assertLess(self.steps(ENTRIES), GROWTH * self.steps(1))
+
+
+class WaitingStepsTests(TestCase):
+    """The steps for the end of a run, and to refuse a request, while others wait."""
+
+    def setUp(self):
+        super().setUp()
+        self.allocator = Allocator(SharedLimits())
+        self.allocator.fleet.replace_servers(
+            [record(f"i-{n}", address=f"10.0.0.{n}:80") for n in range(SERVERS)], 0.0
+        )
+        self.running: list[str] = []
+        self.numbers = itertools.count()
+
+    def request(self, name: str, in_time_s: float) -> PlaceRequest:
+        """Return a request whose run takes a second at most."""
+        size = WorkSize(600, 40)
+        ask = PermitRequest(name, "lens", 1, 8.0, "tills", size=size)
+        return PlaceRequest(name, ask, 0.0, False, in_time_s, 60.0)
+
+    def fill(self, waiting: int) -> None:
+        """Let all slots be taken, and so many requests wait."""
+        while self.allocator.waiting("lens") < waiting:
+            self.add(0.0)
+
+    def add(self, at: float) -> None:
+        """Place or queue a request."""
+        request = self.request(f"run-{next(self.numbers)}", 50.0)
+        if isinstance(self.allocator.place(request, at), Assignment):
+            self.running.append(request.run_id)
+
+    def end_one(self, number: int, at: float) -> None:
+        """End a run, and place the next waiter."""
+        report = RunReport(RunOutcome.COMPLETED, 0.1, 0.002, 0.5)
+        self.allocator.end(self.running[number], report, at)
+        for waiter, _ in self.allocator.place_waiters(at):
+            self.running.append(waiter.request.run_id)
+
+    def steps(self, waiting: int) -> float:
+        """Return the mean steps for the end of a run while so many requests wait."""
+        self.setUp()
+        self.fill(waiting)
+        counter = StepCounter()
+        for number in range(DECISIONS):
+            at = number / DECISIONS_PER_S
+            with counter:
+                self.end_one(number, at)
+            self.add(at)
+        return counter.count / DECISIONS
+
+    def test_the_end_of_a_run_takes_more_steps_the_more_requests_wait(self):
+        self.assertLess(self.steps(MANY_WAIT), GROWTH * self.steps(FEW_WAIT))
