--- a/fuchsiacroft/model/network.py
+++ b/fuchsiacroft/model/network.py
@@ -89,7 +89,7 @@
         self._last_number += 1
         number = self._last_number
         encoded = codec.encode(msg, number, False, self._node)
-        if encoded.is_error():
+        if isinstance(encoded, codec.CodecError):
             return Error(BusError.NOT_SENT)
         fut = asyncio.get_running_loop().create_future()
         self._pending_requests[number] = fut
@@ -118,7 +118,7 @@
 
     def receive(self, source: str, data: bytes) -> None:
         """Receive one message from the network."""
-        envelope, msg = codec.decode(data).ok
+        envelope, msg = codec.decode(data)
         if not envelope.reply:
             send_reply = partial(self._reply, source, envelope)
             self._handlers.handle(envelope.sender, msg, send_reply)
@@ -135,10 +135,10 @@
             encoded = codec.encode(reply, envelope.number, True, self._node)
             self._transmit(source, encoded)
 
-    def _transmit(self, peer: str, encoded: Result[bytes, str]) -> None:
+    def _transmit(self, peer: str, encoded: bytes | codec.CodecError) -> None:
         """Deliver a message; one that can't be encoded isn't sent."""
-        if encoded.is_error():
+        if isinstance(encoded, codec.CodecError):
             return
         copies = 2 if self._network.random.random() < self._network.duplication else 1
         for _ in range(copies):
-            self._tasks.spawn(self._network.deliver(self._address, peer, encoded.ok))
+            self._tasks.spawn(self._network.deliver(self._address, peer, encoded))
--- a/fuchsiacroft/tests/config/parsers_tests.py
+++ b/fuchsiacroft/tests/config/parsers_tests.py
@@ -65,8 +65,8 @@
         self.check(parsed)
         if parsed.is_ok():
             message = RelayedAnnouncement(parsed.ok)
-            data = codec.encode(message, 1, False, "n").ok
-            self.assertEqual(message, codec.decode(data).ok[1])
+            data = codec.encode(message, 1, False, "n")
+            self.assertEqual(message, codec.decode(data)[1])
 
     @given(FOREIGN_BYTES)
     def test_foreign_bytes_raise_in_a_parser(self, data):
--- a/fuchsiacroft/tests/fakes/reordering_network.py
+++ b/fuchsiacroft/tests/fakes/reordering_network.py
@@ -37,7 +37,7 @@
         if self.random.random() < self.delay_probability:
             delay += self.random.uniform(0, self.max_extra_delay_s)
         receiver = self.buses.get(target)
-        is_reply = codec.decode(data).ok[0].reply
+        is_reply = codec.decode(data)[0].reply
         self.tasks.spawn(
             self._deliver(source, target, data, delay, receiver if is_reply else None)
         )
--- a/fuchsiacroft/tests/membership/server_limits_tests.py
+++ b/fuchsiacroft/tests/membership/server_limits_tests.py
@@ -89,9 +89,9 @@
             limits.record(server, LimitStatement(1.5, 0.0, float(number)))
         reports = limit_reports.reports(limits, 5_000.0)
         self.assertEqual(MAX_REPORTS, len(reports))
-        data = codec.encode(LimitReports(reports), 1, False, "entry-1").ok
+        data = codec.encode(LimitReports(reports), 1, False, "entry-1")
         self.assertLess(len(data), codec.MAX_MESSAGE_BYTES)
-        decoded = codec.decode(data).ok[1]
+        decoded = codec.decode(data)[1]
         self.assertEqual(reports, decoded.reports)
 
 
--- a/fuchsiacroft/tests/platform/parsers_tests.py
+++ b/fuchsiacroft/tests/platform/parsers_tests.py
@@ -54,8 +54,8 @@
             self.assertTrue(parsed.error)
             return
         message = ServersChanged("10.0.0.1:1", (parsed.ok,))
-        data = codec.encode(message, 1, False, "n").ok
-        self.assertEqual(message, codec.decode(data).ok[1])
+        data = codec.encode(message, 1, False, "n")
+        self.assertEqual(message, codec.decode(data)[1])
 
     @given(changed(HEARTBEAT), TEXTS)
     def test_a_changed_heartbeat_becomes_a_record_that_cannot_be_sent(self, beat, name):
--- a/fuchsiacroft/tests/transport/messages_tests.py
+++ b/fuchsiacroft/tests/transport/messages_tests.py
@@ -56,11 +56,11 @@
 
     def check(self, data: bytes) -> None:
         decoded = codec.decode(data)
-        if decoded.is_error():
+        if isinstance(decoded, codec.CodecError):
             return
-        envelope, message = decoded.ok
+        envelope, message = decoded
         again = codec.encode(message, envelope.number, envelope.reply, envelope.sender)
-        self.assertTrue(again.is_ok())
+        self.assertIsInstance(again, bytes)
 
     @given(FOREIGN_BYTES)
     def test_foreign_bytes_raise_in_the_codec(self, data):
--- a/fuchsiacroft/transport/codec.py
+++ b/fuchsiacroft/transport/codec.py
@@ -4,6 +4,7 @@
 wire it is wrapped in an `Envelope`; both are encoded as MessagePack.
 """
 
+import enum
 from typing import TypeVar
 
 import msgspec
@@ -27,6 +28,19 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
+class CodecError(enum.Enum):
+    """Why a message can't be sent, or why received bytes are no message.
+
+    `NOT_ENCODABLE` is a number over 64 bits or text that isn't Unicode.
+    """
+
+    NOT_ENCODABLE = "not_encodable"
+    TOO_LARGE = "too_large"
+    MALFORMED = "malformed"
+    UNKNOWN_VERSION = "unknown_version"
+    UNKNOWN_KIND = "unknown_kind"
+
+
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
     """The wire format: version, kind, correlation number, reply, sender, body.
 
@@ -41,6 +55,9 @@
     body: msgspec.Raw
 
 
+Decoded = tuple[Envelope, msgspec.Struct]
+"""A received message with its envelope."""
+
 _ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
 
 
@@ -70,19 +87,19 @@
 
 def encode(
     msg: msgspec.Struct, number: int, reply: bool, sender: str
-) -> Result[bytes, str]:
+) -> bytes | CodecError:
     """Encode a message in its envelope, or return why no peer could read it.
 
-    `not_encodable` is a number over 64 bits or text that isn't Unicode.
+    A `Result` would cost more than the encoding, and processes are busy with messages.
     """
     kind = _KINDS_BY_TYPE[type(msg)]
     try:
         body = msgspec.Raw(_ENCODER.encode(msg))
     except (OverflowError, UnicodeEncodeError, RecursionError):
-        return Error("not_encodable")
+        return CodecError.NOT_ENCODABLE
     envelope = Envelope(PROTOCOL_VERSION, kind, number, reply, sender, body)
     data = _ENCODER.encode(envelope)
-    return Ok(data) if len(data) <= MAX_MESSAGE_BYTES else Error("too_large")
+    return data if len(data) <= MAX_MESSAGE_BYTES else CodecError.TOO_LARGE
 
 
 def is_encodable(value: msgspec.Struct) -> bool:
@@ -93,23 +110,23 @@
         return False
 
 
-def decode(data: bytes) -> Result[tuple[Envelope, msgspec.Struct], str]:
+def decode(data: bytes) -> Decoded | CodecError:
     """Decode an envelope and its message, or return why the bytes are invalid."""
     if len(data) > MAX_MESSAGE_BYTES:
-        return Error("too_large")
+        return CodecError.TOO_LARGE
     try:
         envelope = _ENVELOPE_DECODER.decode(data)
     except (msgspec.MsgspecError, RecursionError):
-        return Error("malformed")
+        return CodecError.MALFORMED
     if envelope.version != PROTOCOL_VERSION:
-        return Error("unknown_version")
+        return CodecError.UNKNOWN_VERSION
     decoder = _DECODERS_BY_KIND.get(envelope.kind)
     if decoder is None:
-        return Error("unknown_kind")
+        return CodecError.UNKNOWN_KIND
     try:
-        return Ok((envelope, decoder.decode(envelope.body)))
+        return envelope, decoder.decode(envelope.body)
     except (msgspec.MsgspecError, RecursionError):
-        return Error("malformed")
+        return CodecError.MALFORMED
 
 
 def pack(msg: msgspec.Struct) -> tuple[str, bytes]:
--- a/fuchsiacroft/transport/zmq_bus.py
+++ b/fuchsiacroft/transport/zmq_bus.py
@@ -180,11 +180,10 @@
         self, msg: msgspec.Struct, number: int, reply: bool, peer: str
     ) -> bytes | None:
         """Return an encoded message, None if no peer could read it."""
-        match codec.encode(msg, number, reply, self._node):
-            case Result(tag="ok", ok=data):
-                return data
-            case Result(error=reason):
-                self._record_not_sent(reason, peer=peer, message=type(msg).__name__)
+        data = codec.encode(msg, number, reply, self._node)
+        if not isinstance(data, codec.CodecError):
+            return data
+        self._record_not_sent(data.value, peer=peer, message=type(msg).__name__)
         return None
 
     def _record_not_sent(self, reason: str, **fields: str) -> None:
@@ -276,17 +275,23 @@
             self._counts["dropped_malformed"] += 1
             return
         identity, data = frames
-        for envelope, msg in self._decode(data):
-            send_reply = partial(self._reply, identity, envelope)
-            if not self._handlers.handle(envelope.sender, msg, send_reply):
-                self._counts["dropped_unhandled"] += 1
+        decoded = self._decode(data)
+        if decoded is None:
+            return
+        envelope, msg = decoded
+        send_reply = partial(self._reply, identity, envelope)
+        if not self._handlers.handle(envelope.sender, msg, send_reply):
+            self._counts["dropped_unhandled"] += 1
 
     def _on_reply_frames(self, peer: str, frames: list[bytes]) -> None:
         set_newest(self._replied_at, peer, now(), MAX_PEERS_REMEMBERED)
-        for envelope, msg in self._decode(frames[-1]):
-            future = self._pending.get(envelope.number)
-            if envelope.reply and future is not None and not future.done():
-                future.set_result(msg)
+        decoded = self._decode(frames[-1])
+        if decoded is None:
+            return
+        envelope, msg = decoded
+        future = self._pending.get(envelope.number)
+        if envelope.reply and future is not None and not future.done():
+            future.set_result(msg)
 
     def _reply(
         self, identity: bytes, envelope: codec.Envelope, reply: msgspec.Struct
@@ -306,16 +311,16 @@
         self._counts["sent"] += 1
         self._counts["sent_bytes"] += len(data)
 
-    def _decode(self, data: bytes) -> list[tuple[codec.Envelope, msgspec.Struct]]:
+    def _decode(self, data: bytes) -> codec.Decoded | None:
+        """Decode and count what a peer sent; return None if it is no message."""
         self._counts["received"] += 1
         self._counts["received_bytes"] += len(data)
-        match codec.decode(data):
-            case Result(tag="ok", ok=decoded):
-                self._received[decoded[0].kind] += 1
-                return [decoded]
-            case Result(error=reason):
-                self._counts[f"dropped_{reason}"] += 1
-        return []
+        decoded = codec.decode(data)
+        if isinstance(decoded, codec.CodecError):
+            self._counts[f"dropped_{decoded.value}"] += 1
+            return None
+        self._received[decoded[0].kind] += 1
+        return decoded
 
 
 def create(
