Move what an allocator tells of its queues into a module of its own

Reports to other domains and the fields of a refusal's log line are worked out by queue_reports.py, the position of a request in time by queue_waits.py.

--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -22,20 +22,20 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from fuchsiacroft.config.route_table import RouteTable
 from fuchsiacroft.placing.demand import Demand
 from fuchsiacroft.placing.fair_queue import FairQueue
 from fuchsiacroft.placing.fleet import Assignment, Fleet
 from fuchsiacroft.placing.limits import SharedLimits
-from fuchsiacroft.placing.messages import PlaceRequest, ServiceCapacity
-from fuchsiacroft.placing.queue import Position, Queue, Waiter, position
+from fuchsiacroft.placing.messages import PlaceRequest
+from fuchsiacroft.placing.queue import Queue, Waiter
+from fuchsiacroft.placing.queue_reports import QueueReports
 from fuchsiacroft.placing.queue_waits import QueueWaits
 from fuchsiacroft.placing.quotas import Quotas
 from fuchsiacroft.placing.retry_after import MIN_RETRY_AFTER_S
 from fuchsiacroft.placing.retry_budget import RetryBudget
-from fuchsiacroft.placing.server_choice import SHORT_RUN_SHARE
 from fuchsiacroft.quarantine.evidence import Treatment
 from fuchsiacroft.routing.permits import (
     PermitRequest,
@@ -58,26 +58,6 @@
 QUARANTINED = Refusal(RefusalReason.QUARANTINED, QUARANTINE_RETRY_AFTER_S)
 
 
-@dataclass(frozen=True, slots=True)
-class QueueLoad:
-    """Load of a service's queue when a request arrived, logged with refusals.
-
-    `limited` of its servers have a limit on requests a second, which leaves
-    `usable_slots` of the `slots`. A slot is taken for `turnaround_s` longer than its
-    run takes, in the mean.
-    """
-
-    free: int
-    slots: int
-    usable_slots: float
-    limited: int
-    waiting: int
-    late: int
-    expected_wait_s: float
-    units_left: float
-    turnaround_s: float
-
-
 Decision = Assignment | Refusal | Waiter
 
 
@@ -107,6 +87,7 @@
         self.demand = Demand()
         self.quotas = Quotas(limits.quotas)
         self.retries = RetryBudget(limits.retries)
+        self.reports = QueueReports(self.fleet, self._queues, self.waits, self.quotas)
         self.is_known: Callable[[str], bool] = lambda service: False
         self.may_go_on: Callable[[PermitRequest], bool] = lambda permit_request: False
         self.is_changing: Callable[[str], bool] = lambda service: False
@@ -125,11 +106,6 @@
             state["refused_early"] = dict(self._refused_early)
         return state
 
-    def share_fields(self, permit_request: PermitRequest) -> dict:
-        """Return the log fields on a request's share; none without shares."""
-        queue = self._queues.get(permit_request.service)
-        return queue.share_fields(permit_request) if queue is not None else {}
-
     def waiting(self, service: str) -> int:
         """Return the queue length of a service."""
         queue = self._queues.get(service)
@@ -199,7 +175,7 @@
             return False
         if permit_request.version is not None:
             return bool(queue.awaiting(permit_request.version))
-        pos = self._position_in_time(permit_request)
+        pos = self.waits.position_in_time(permit_request)
         if not queue.ahead_of(pos):
             return False
         if self.fleet.crash_detector.evidence.is_empty:
@@ -235,7 +211,7 @@
             in_time_until=at + request.in_time_s,
             expires_at=at + request.max_wait_s,
             run_s=run_s,
-            is_short=self._is_short(permit_request.service, run_s),
+            is_short=self.waits.is_short(permit_request.service, run_s),
         )
         if permit_request.version is not None:
             return self._enqueue_continued(queue, waiter, at)
@@ -384,63 +360,6 @@
             self._remove(waiter)
         return waiter is not None
 
-    def capacities(self, at: float) -> tuple[ServiceCapacity, ...]:
-        """Return the spare capacity of each service, to report to other domains."""
-        return tuple(
-            ServiceCapacity(
-                service,
-                self.fleet.capacity.free(service, at) - self.waiting(service),
-                self._head_rank(service),
-                self._free_by_rank(service, at),
-                self.fleet.choice.fastest_prefill(service, at),
-                self.fleet.capacity.free_by_version(service, at),
-                self.fleet.pool.serves(service),
-            )
-            for service in self.fleet.pool.services()
-        )
-
-    def _free_by_rank(self, service: str, at: float) -> dict[int, int]:
-        """Return the slots for long requests of each rank, less earlier waiters."""
-        queue = self._queues.get(service, Queue())
-        free = self.fleet.capacity.free(service, at)
-        return {
-            rank: free
-            - self.fleet.capacity.kept_free(service, rank, at)
-            - queue.ahead_of(position(rank, is_late=False, is_short=False))
-            for rank in self.fleet.runs.ranks(service)
-        }
-
-    def rollout_reason(self, service: str) -> str:
-        """Return the stage of a service's rollout, empty if there is none."""
-        permission = self.fleet.rollouts.permission(service)
-        return "" if permission is None else permission.reason
-
-    def _head_rank(self, service: str) -> int | None:
-        queue = self._queues.get(service)
-        head = queue.head() if queue is not None else None
-        return head.rank if head is not None else None
-
-    def queue_load(self, permit_request: PermitRequest, at: float) -> QueueLoad:
-        """Return the load of a service's queue and the quota left to a workspace.
-
-        The slots are those of the version at which the request continues a stream.
-        """
-        queue = self._queues.get(permit_request.service, Queue())
-        version = permit_request.version
-        return QueueLoad(
-            free=self.fleet.capacity.free(permit_request.service, at, version),
-            slots=self.fleet.pool.slots(permit_request.service, version),
-            usable_slots=self.fleet.capacity.usable_slots(permit_request.service),
-            limited=self.fleet.capacity.limited_count(permit_request.service),
-            waiting=len(queue),
-            late=queue.late(),
-            expected_wait_s=self.waits.expected_at_s(
-                permit_request, self._position_in_time(permit_request), at
-            ),
-            units_left=self.quotas.remaining(permit_request.workspace, at),
-            turnaround_s=self.fleet.runs.turnaround_s(permit_request.service),
-        )
-
     def _leaves_slots_free(self, permit_request: PermitRequest, at: float) -> bool:
         """Return whether a request leaves the slots free that others may need."""
         if permit_request.version is not None:
@@ -454,21 +373,6 @@
         )
         return free > kept
 
-    def _is_short(self, service: str, run_s: float) -> bool:
-        """Return whether a run is short compared with the service's mean run time."""
-        return run_s <= SHORT_RUN_SHARE * self.fleet.runs.mean_run_s(service)
-
-    def _position_in_time(self, permit_request: PermitRequest) -> Position:
-        is_short = self._is_short(
-            permit_request.service, self.fleet.choice.median_run_s(permit_request)
-        )
-        return position(
-            permit_request.rank,
-            is_late=False,
-            is_short=is_short,
-            continues=permit_request.version is not None,
-        )
-
     def _awaited_versions(self, service: str) -> frozenset[str]:
         queue = self._queues.get(service)
         return queue.awaited_versions if queue is not None else frozenset()
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -333,38 +333,11 @@
         return self._refuse(request, refusal)
 
     def _refuse(self, request: PlaceRequest, refusal: Refusal) -> PlacementResult:
-        self._refusal_log.event_with(partial(self._refusal_fields, request, refusal))
-        return Error(refusal)
-
-    def _refusal_fields(
-        self, request: PlaceRequest, refusal: Refusal
-    ) -> dict[str, object]:
-        """Return what the log says of a refusal and of the load that led to it."""
-        permit_request = request.ask
-        load = self.allocator.queue_load(permit_request, now())
-        return dict(
-            request_id=permit_request.request_id,
-            run_id=request.run_id,
-            reason=refusal.reason.value,
-            service=permit_request.service,
-            software=permit_request.version or "-",
-            rollout=self.allocator.rollout_reason(permit_request.service) or "-",
-            workspace=permit_request.workspace,
-            rank=permit_request.rank,
-            units=request.charge,
-            in_time_s=round(request.in_time_s, 3),
-            retry_after_s=round(refusal.retry_after_s, 3),
-            free=load.free,
-            slots=load.slots,
-            usable_slots=round(load.usable_slots, 2),
-            limited=load.limited,
-            waiting=load.waiting,
-            late=load.late,
-            expected_wait_s=round(load.expected_wait_s, 3),
-            units_left=f"{load.units_left:.0f}",
-            turnaround_s=round(load.turnaround_s, 3),
-            **self.allocator.share_fields(permit_request),
+        reports = self.allocator.reports
+        self._refusal_log.event_with(
+            partial(reports.refusal_fields, request, refusal, now())
         )
+        return Error(refusal)
 
     def _refresh_clocks(self) -> None:
         """Relate the clocks, so that a VM that was suspended uses no old directive."""
--- a/fuchsiacroft/placing/neighbours.py
+++ b/fuchsiacroft/placing/neighbours.py
@@ -269,7 +269,7 @@
         demand = allocator.demand.rates(at)
         spent = allocator.quotas.spent(at)
         self.shares.update(spent, at)
-        capacities = allocator.capacities(at)
+        capacities = allocator.reports.capacities(at)
         load = DomainLoad(
             self._domain,
             capacities,
--- a/fuchsiacroft/placing/queue_waits.py
+++ b/fuchsiacroft/placing/queue_waits.py
@@ -9,6 +9,7 @@
 from fuchsiacroft.placing.fleet import Fleet
 from fuchsiacroft.placing.queue import Position, Queue, Waiter, position
 from fuchsiacroft.placing.retry_after import RefusedCallers, retry_after_s
+from fuchsiacroft.placing.server_choice import SHORT_RUN_SHARE
 from fuchsiacroft.routing.permits import PermitRequest
 
 LATE_HORIZON_S = 1.0
@@ -32,6 +33,22 @@
         self._random = rng
         self._refused = RefusedCallers(rng) if is_fair else None
 
+    def is_short(self, service: str, run_s: float) -> bool:
+        """Return whether a run is short compared with the service's mean run time."""
+        return run_s <= SHORT_RUN_SHARE * self._fleet.runs.mean_run_s(service)
+
+    def position_in_time(self, permit_request: PermitRequest) -> Position:
+        """Return the queue position of a request that can be answered in time."""
+        is_short = self.is_short(
+            permit_request.service, self._fleet.choice.median_run_s(permit_request)
+        )
+        return position(
+            permit_request.rank,
+            is_late=False,
+            is_short=is_short,
+            continues=permit_request.version is not None,
+        )
+
     def expected_s(self, waiter: Waiter, at: float) -> float:
         """Return the expected wait of a new request of the same rank and run length."""
         return self.expected_at_s(waiter.request.ask, waiter.position_in_time, at)
--- a/fuchsiacroft/tests/placing/allocator_tests.py
+++ b/fuchsiacroft/tests/placing/allocator_tests.py
@@ -111,7 +111,7 @@
     def test_nothing_tells_that_slots_stay_taken_after_their_runs(self):
         [first, *_] = self.fill()
         self.allocator.end(first.run_id, done(0.3), 0.5)
-        load = self.allocator.queue_load(request().ask, 0.5)
+        load = self.allocator.reports.load(request().ask, 0.5)
         self.assertAlmostEqual(0.2, load.turnaround_s)
         self.assertEqual({"lens": 0.2}, self.allocator.dump()["turnaround_s"])
 
--- a/fuchsiacroft/tests/placing/continued_streams_tests.py
+++ b/fuchsiacroft/tests/placing/continued_streams_tests.py
@@ -155,7 +155,7 @@
 
     def test_other_domains_do_not_hear_of_free_slots_by_version(self):
         self.allocator.place(self.continuing("v2"), 0.0)
-        [capacity] = self.allocator.capacities(0.0)
+        [capacity] = self.allocator.reports.capacities(0.0)
         self.assertEqual({"v1": 22, "v2": 21}, capacity.free_by_version)
 
 
@@ -195,7 +195,7 @@
 
     def test_other_domains_send_streams_to_servers_that_lost_runs(self):
         self.lose_a_run_of_each(LOST, 0.0)
-        [capacity] = self.allocator.capacities(5.0)
+        [capacity] = self.allocator.reports.capacities(5.0)
         self.assertEqual({"v2": 22}, capacity.free_by_version)
 
     def test_new_requests_avoid_servers_that_lost_runs(self):
--- a/fuchsiacroft/tests/placing/fair_shares_tests.py
+++ b/fuchsiacroft/tests/placing/fair_shares_tests.py
@@ -169,7 +169,7 @@
             allocator.place(waiting, 0.0)
             self.assertEqual({"lens": {0: 1}}, allocator.dump()["waiting"])
             self.assertIs(is_fair, "shares" in allocator.dump())
-            self.assertIs(is_fair, bool(allocator.share_fields(waiting.ask)))
+            self.assertIs(is_fair, bool(allocator.reports.share_fields(waiting.ask)))
             samples = dict(_names_and_values(allocator.dump()))
             self.assertEqual(
                 {"fuchsiacroft_workspaces_waiting": 1} if is_fair else {},
--- a/fuchsiacroft/tests/placing/limited_servers_tests.py
+++ b/fuchsiacroft/tests/placing/limited_servers_tests.py
@@ -102,10 +102,10 @@
 
     def test_the_spare_capacity_that_is_reported_ignores_the_limit(self):
         self.servers("i-1")
-        [capacity] = self.allocator.capacities(1.0)
+        [capacity] = self.allocator.reports.capacities(1.0)
         self.assertEqual(11, capacity.free)
         self.name_limit("i-1", 1.0)
-        [capacity] = self.allocator.capacities(1.0)
+        [capacity] = self.allocator.reports.capacities(1.0)
         self.assertEqual(1, capacity.free)
 
     def test_the_load_is_counted_as_if_all_slots_were_usable(self):
@@ -116,7 +116,7 @@
         self.assertAlmostEqual(
             11.0 + run_s, self.allocator.fleet.capacity.usable_slots("lens")
         )
-        load = self.allocator.queue_load(request().ask, 1.0)
+        load = self.allocator.reports.load(request().ask, 1.0)
         self.assertEqual(1, load.limited)
         self.name_limit("i-1", UNLIMITED, at=2.0)
         self.assertEqual(22.0, self.allocator.fleet.capacity.usable_slots("lens"))
--- a/fuchsiacroft/tests/placing/withheld_slots_tests.py
+++ b/fuchsiacroft/tests/placing/withheld_slots_tests.py
@@ -29,9 +29,9 @@
 
     def test_the_expected_wait_of_a_stream_counts_withheld_slots(self):
         stream = request(version="v1").ask
-        full_s = self.allocator.queue_load(stream, 0.0).expected_wait_s
+        full_s = self.allocator.reports.load(stream, 0.0).expected_wait_s
         self.limit(1)
-        limited_s = self.allocator.queue_load(stream, 0.0).expected_wait_s
+        limited_s = self.allocator.reports.load(stream, 0.0).expected_wait_s
         self.assertAlmostEqual(SLOTS * full_s, limited_s)
 
     def test_slots_that_are_kept_free_leave_none_to_long_runs(self):
--- a/fuchsiacroft/tests/rollouts/placement_tests.py
+++ b/fuchsiacroft/tests/rollouts/placement_tests.py
@@ -169,7 +169,7 @@
         self.assertEqual(3 * SLOTS, self.free())
         self.serve(10)
         self.assertEqual(3 * SLOTS + 1, self.free())
-        [capacity] = self.allocator.capacities(0.0)
+        [capacity] = self.allocator.reports.capacities(0.0)
         self.assertEqual(3 * SLOTS + 1, capacity.free)
         self.assertEqual(3 * SLOTS, self.allocator.fleet.pool.slots("till"))
 
@@ -297,7 +297,7 @@
 
     def test_spare_slots_of_old_servers_are_offered_to_other_domains(self):
         self.fill()
-        [capacity] = self.allocator.capacities(0.0)
+        [capacity] = self.allocator.reports.capacities(0.0)
         self.assertEqual(0, capacity.free)
         self.assertEqual(3 * SLOTS - 2, capacity.free_by_version["v1"])
 
@@ -323,7 +323,7 @@
     def test_requests_of_other_domains_wait_where_no_server_takes_them(self):
         here = [r for r in self.records if r.name.startswith("old")]
         self.allocator.fleet.replace_servers(here, 0.0)
-        [capacity] = self.allocator.capacities(0.0)
+        [capacity] = self.allocator.reports.capacities(0.0)
         neighbour = Neighbour({"till": capacity}, 0.0)
         self.assertIsNone(neighbour.less_urgent_rank("till", 0))
         self.assertIsNotNone(neighbour.less_urgent_rank("till", 0, "v1"))
@@ -355,7 +355,7 @@
         self.assertEqual(2 * SLOTS, self.free(later))
         self.assertEqual({"v2"}, {placed.version for placed in self.fill(later)})
         self.assertEqual(VERSION_GONE, self.place(later, version="v1"))
-        [capacity] = self.allocator.capacities(later)
+        [capacity] = self.allocator.reports.capacities(later)
         self.assertNotIn("v1", capacity.free_by_version)
 
     def test_old_servers_that_become_known_after_completion_get_requests(self):
