--- a/fuchsiacroft/placing/server_choice.py
+++ b/fuchsiacroft/placing/server_choice.py
@@ -61,8 +61,9 @@
             return DEFAULT_RUN_S
         if not permit_request.size.prompt_tokens:
             return statistics.median(load.run_s(permit_request) for load in candidates)
-        gap_s = statistics.median(load.gap_s for load in candidates)
-        return candidates[0].speeds.run_s(permit_request.size, gap_s)
+        by_speed = sorted(candidates, key=lambda load: load.gap_s)
+        middle = by_speed[(len(by_speed) - 1) // 2 : len(by_speed) // 2 + 1]
+        return statistics.fmean(load.run_s(permit_request) for load in middle)
 
     def fastest_first_event_s(
         self, request: PlaceRequest, target_s: float, at: float
