Give no test the same free port twice

A test asks for the addresses of two processes one after the other and listens later, and each was drawn from the 800 ports of its run's block anew, so two of them were the same once in 800 tests. A port comes again only after all others.

--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -48,8 +48,8 @@
 IN_TIME_SHARE = 0.8
 """Share of the target within which a first event is expected to be in time."""
 MAX_PASSED = 5
-"""Waiters that no free server may run, before a check for waiters ends that is made at
-each change. There are hundreds of both in a burst."""
+"""A check that is made at each change ends after so many waiters that no free server
+may run. In a burst, hundreds of requests wait and hundreds of runs end in a second."""
 VERSION_GONE_RETRY_AFTER_S = 1.0
 """A server that has crashed may be back by then, at its version."""
 VERSION_GONE = Refusal(RefusalReason.VERSION_GONE, VERSION_GONE_RETRY_AFTER_S)
--- a/fuchsiacroft/tests/fakes/ports.py
+++ b/fuchsiacroft/tests/fakes/ports.py
@@ -19,20 +19,30 @@
     return f"{net}.{BLOCK * SUBNETS_PER_BLOCK + number}"
 
 
+_unused_ports: list[int] = []
+
+
+def _shuffled_ports() -> list[int]:
+    first = FIRST_PORT + BLOCK * PORTS_PER_BLOCK
+    return random.Random().sample(
+        range(first, first + PORTS_PER_BLOCK), PORTS_PER_BLOCK
+    )
+
+
 def free_addresses(count: int) -> list[str]:
     """Return distinct addresses that are not in use.
 
     The ports are below the ephemeral port range, and of this run's block, so that no
-    outgoing connection and no other run takes one before a process listens on it.
+    outgoing connection and no other run takes one before a process listens on it. None
+    is returned again until all have been.
     """
-    first = FIRST_PORT + BLOCK * PORTS_PER_BLOCK
-    ports = random.Random().sample(
-        range(first, first + PORTS_PER_BLOCK), PORTS_PER_BLOCK
-    )
+    ports = _unused_ports
     found: list[str] = []
     with contextlib.ExitStack() as stack:
         while len(found) < count:
             sock = stack.enter_context(socket.socket())
+            if not ports:
+                ports += _shuffled_ports()
             port = ports.pop()
             with contextlib.suppress(OSError):
                 sock.bind(("127.0.0.1", port))
