Look for waiters to place only after a slot became free

Callers who give up, and requests that wait in two domains and are placed in one of them, end without having held a slot.

test_waiters_are_looked_at_as_another_request_leaves_the_queue failed before: 1, not 0.

--- a/fuchsiacroft/placing/allocator.py
+++ b/fuchsiacroft/placing/allocator.py
@@ -273,13 +273,16 @@
             return False
         return not self.may_go_on(permit_request)
 
-    def end(self, run_id: str, report: RunReport, at: float) -> None:
-        """End a run, or remove a request from the queue."""
+    def end(self, run_id: str, report: RunReport, at: float) -> bool:
+        """End a run, or remove a request from the queue.
+
+        Returns whether a slot became free.
+        """
         waiter = self._waiters.get(run_id)
         if waiter is not None:
             self._remove(waiter)
             self.refund(waiter.request, waiter.admitted_at)
-        self.fleet.end(run_id, report, at)
+        return self.fleet.end(run_id, report, at)
 
     def place_waiters(
         self, at: float, most_passed: float = math.inf
--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -231,9 +231,10 @@
 
     def end(self, run_id: str, report: RunReport) -> None:
         """End a run, or remove a request from the queue."""
-        self.allocator.end(run_id, report, now())
+        has_freed_slot = self.allocator.end(run_id, report, now())
         self._pending.cancel(run_id)
-        self._place_waiters()
+        if has_freed_slot:
+            self._place_waiters()
 
     def state(self, entry: EntryRecord) -> HandOver:
         """Return what a successor needs to know, from a coordinator that stops."""
--- a/fuchsiacroft/placing/fleet.py
+++ b/fuchsiacroft/placing/fleet.py
@@ -211,13 +211,16 @@
             if reported.percent is not None:
                 self.token_memory.record_report(load.services)
 
-    def end(self, run_id: str, report: RunReport, at: float) -> None:
-        """Remove a run and update the statistics from its outcome."""
+    def end(self, run_id: str, report: RunReport, at: float) -> bool:
+        """Remove a run and update the statistics from its outcome.
+
+        Returns whether it was in progress here, so that its slot is free now.
+        """
         self.rollouts.end(run_id, report, at)
         self.token_memory.release(run_id)
         ended = self.runs.end(run_id, at)
         if ended is None:
-            return
+            return False
         load, run = ended
         if report.outcome in NOT_SENT and not run.is_adopted:
             self.pacing.refund(load.instance, at)
@@ -230,6 +233,7 @@
         if report.outcome is RunOutcome.COMPLETED:
             held_s = at - run.started_at
             self.runs.record_completed(run.permit_request, held_s, report.duration_s)
+        return True
 
     def expire_runs(self, at: float) -> None:
         """Remove runs past their timeout whose end was not reported."""
--- a/fuchsiacroft/tests/placing/coordinator_steps_tests.py
+++ b/fuchsiacroft/tests/placing/coordinator_steps_tests.py
@@ -5,7 +5,8 @@
 
 from fuchsiacroft.membership.registry_wire import EntryHeartbeat, EntryRecord
 from fuchsiacroft.placing.coordinator_contact import ping_interval_s
-from fuchsiacroft.placing.messages import Ping
+from fuchsiacroft.placing.messages import Ping, RunEnded
+from fuchsiacroft.routing.permits import RunOutcome, RunReport
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.coordinator_process import (
     LIMITS,
@@ -136,3 +137,22 @@
 
     def test_an_entry_that_decided_alone_once_asks_more_often_for_a_window(self):
         self.assertEqual(self.pings(0.0), self.pings(1.0))
+
+
+class LeavingCallersTests(PausedTestCase):
+    """A request that leaves the queue frees no slot for those behind it."""
+
+    async def leave(self) -> int:
+        """Return how often waiters are looked at as one that waits leaves."""
+        region = MemoryRegion(DOMAINS[:1], route_table(), LIMITS)
+        await region.start()
+        coordinator = region.entries[0].coordinator
+        looked = []
+        coordinator.allocator.place_first_waiters = lambda at: looked.append(at) or []
+        report = RunReport(RunOutcome.UNUSED)
+        coordinator._on_ended("edge-2", RunEnded("edge-2-run-1", report))
+        await region.stop()
+        return len(looked)
+
+    def test_waiters_are_looked_at_as_another_request_leaves_the_queue(self):
+        self.assertEqual(0, self.run_paused(self.leave()))
