Tell the end of a run on another domain's server to that domain's coordinator only

test_a_coordinator_is_told_of_runs_on_servers_of_other_domains failed before: the own coordinator was told, too.

--- a/fuchsiacroft/placing/placer.py
+++ b/fuchsiacroft/placing/placer.py
@@ -422,9 +422,8 @@
                 server, alive_at, placed.run_id, report.outcome
             )
         coordinators = {placed.coordinator: placed.coordinator_peers}
-        for entry in (self._current, self._coordinator_for(placed.backend_server)):
-            if entry is not None:
-                coordinators[entry.node] = entry.peers
+        for entry in self._successors(placed.backend_server):
+            coordinators[entry.node] = entry.peers
         for node, peers in coordinators.items():
             if node == self._node:
                 self._local_coordinator.end(placed.run_id, report)
@@ -432,6 +431,16 @@
                 message = RunEnded(placed.run_id, report, load, load_age_s)
                 self._bus.send(peers, message)
 
+    def _successors(self, backend_server: str) -> list[EntryRecord]:
+        """Return the coordinators that may count runs of a server by now.
+
+        This domain's counts those of other domains only where these have none.
+        """
+        found = self._coordinator_for(backend_server)
+        is_elsewhere = found is not None and found.failure_domain != self._domain
+        successors = (found, None if is_elsewhere else self._current)
+        return [entry for entry in successors if entry is not None]
+
     def _coordinator_for(self, backend_server: str) -> EntryRecord | None:
         """Return the coordinator of a server's failure domain, None if unknown."""
         record = self._roster.server(backend_server)
--- a/fuchsiacroft/tests/placing/coordinator_steps_tests.py
+++ b/fuchsiacroft/tests/placing/coordinator_steps_tests.py
@@ -5,7 +5,7 @@
 
 from fuchsiacroft.membership.registry_wire import EntryHeartbeat, EntryRecord
 from fuchsiacroft.placing.coordinator_contact import ping_interval_s
-from fuchsiacroft.placing.messages import Ping, RunEnded
+from fuchsiacroft.placing.messages import Ping, RunEnded, SlotAssignment
 from fuchsiacroft.routing.permits import RunOutcome, RunReport
 from fuchsiacroft.tests.base import PausedTestCase
 from fuchsiacroft.tests.fakes.coordinator_process import (
@@ -16,6 +16,7 @@
 )
 from fuchsiacroft.tests.fakes.memory_region import DOMAINS, MemoryRegion
 from fuchsiacroft.tests.fakes.step_counter import StepCounter
+from fuchsiacroft.tests.membership.server_table_tests import record
 from fuchsiacroft.utils.clock import now
 
 LATER_MS = int(1e13)
@@ -156,3 +157,25 @@
 
     def test_waiters_are_looked_at_as_another_request_leaves_the_queue(self):
         self.assertEqual(0, self.run_paused(self.leave()))
+
+
+class RunsElsewhereTests(PausedTestCase):
+    """The end of a run is told to those only who may count it."""
+
+    async def end_elsewhere(self) -> list[str]:
+        """Return who is told of the end of a run on another domain's server."""
+        region = MemoryRegion((DOMAINS[0], DOMAINS[0], DOMAINS[1]), route_table())
+        await region.start()
+        own, entry, other = region.entries
+        await region.members[0].registry.report(record(domain=DOMAINS[1]))
+        await asyncio.sleep(1.0)
+        self.assertEqual(own.node, entry.placer.coordinator().node)
+        told: list[str] = []
+        entry.bus.send = lambda peer, msg, **_: told.append(peer)
+        placed = SlotAssignment("run-1", "i-1", "", other.node, other.address)
+        entry.placer.release(placed, RunReport(RunOutcome.COMPLETED))
+        await region.stop()
+        return [{own.address: "own", other.address: "other"}[peer] for peer in told]
+
+    def test_a_coordinator_is_told_of_runs_on_servers_of_other_domains(self):
+        self.assertEqual(["other"], self.run_paused(self.end_elsewhere()))
