Relate the clocks in the periodic check for waiters, too

test_waiters_are_placed_by_a_directive_that_has_run_out failed before: the clocks were not related once in a second.

--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -431,6 +431,7 @@
         for waiter, refusal in self.allocator.expire_waiters(now()):
             outcome = self._refuse_expired(waiter.request, refusal)
             self._pending.resolve(waiter.request.run_id, outcome)
+        self._refresh_clocks()
         self._resolve(self.allocator.place_waiters(now()))
 
     def _place_waiters(self) -> None:
--- a/fuchsiacroft/tests/placing/coordinator_steps_tests.py
+++ b/fuchsiacroft/tests/placing/coordinator_steps_tests.py
@@ -179,3 +179,21 @@
 
     def test_a_coordinator_is_told_of_runs_on_servers_of_other_domains(self):
         self.assertEqual(["other"], self.run_paused(self.end_elsewhere()))
+
+
+class PeriodicCheckTests(PausedTestCase):
+    """The periodic check for waiters obeys the leases of rollouts, too."""
+
+    async def check(self) -> int:
+        """Return how often a coordinator relates its clocks with nothing to do."""
+        region = MemoryRegion(DOMAINS[:1], route_table(), LIMITS)
+        await region.start()
+        refreshed: list[float] = []
+        coordinator = region.entries[0].coordinator
+        coordinator._refresh_clocks = lambda: refreshed.append(now())
+        await asyncio.sleep(PLAY_S)
+        await region.stop()
+        return len(refreshed)
+
+    def test_waiters_are_placed_by_a_directive_that_has_run_out(self):
+        self.assertGreater(self.run_paused(self.check()), 0)
