Look for a free slot again as a request comes to wait

The task that queues a request runs a turn of the loop after its message was read, so a slot may have become free meanwhile, and the request would have waited for the next end of a run or the periodic check, 20 ms.

--- a/fuchsiacroft/placing/coordinator.py
+++ b/fuchsiacroft/placing/coordinator.py
@@ -211,17 +211,15 @@
         self, request: PlaceRequest, admitted_at: float
     ) -> PlacementResult:
         """Place a request in another domain, or queue it."""
-        has_asked = self._neighbours.has_capacity(request.ask)
-        if has_asked:
-            spilled = await self._neighbours.spill(request)
-            if spilled is not None:
-                return Ok(spilled)
+        spilled = await self._neighbours.spill(request)
+        if spilled is not None:
+            return Ok(spilled)
         decision = self.allocator.enqueue(request, admitted_at, now())
         if isinstance(decision, Refusal):
             return self._refuse(request, decision)
         if self._may_wait_remotely(decision):
-            return await self._wait_here_and_remotely(decision, has_asked)
-        return await self._wait_for_placement(request.run_id, may_be_free=has_asked)
+            return await self._wait_here_and_remotely(decision)
+        return await self._wait_for_placement(request.run_id)
 
     def mark_prefilled(self, run_id: str) -> None:
         """Record that the prompt of a run has been prefilled."""
@@ -254,12 +252,10 @@
             self.allocator.fleet.adopt(held_run, now())
 
     async def _wait_for_placement(
-        self, run_id: str, *, is_remote: bool = False, may_be_free: bool = False
+        self, run_id: str, *, is_remote: bool = False
     ) -> PlacementResult:
-        """Wait for a slot; one `may_be_free` already if others were asked before."""
         fut = self._pending.add(run_id, is_remote=is_remote)
-        if may_be_free:
-            self._place_waiters()
+        self._place_waiters()
         try:
             return await fut
         finally:
@@ -273,15 +269,11 @@
             and self._neighbours.would_be_next(waiter.request.ask)
         )
 
-    async def _wait_here_and_remotely(
-        self, waiter: Waiter, may_be_free: bool
-    ) -> PlacementResult:
+    async def _wait_here_and_remotely(self, waiter: Waiter) -> PlacementResult:
         """Wait here and in another domain; use the slot that becomes free first."""
         remote_wait = self._tasks.spawn(self._wait_remotely(waiter), "wait-elsewhere")
         try:
-            return await self._wait_for_placement(
-                waiter.request.run_id, may_be_free=may_be_free
-            )
+            return await self._wait_for_placement(waiter.request.run_id)
         finally:
             remote_wait.cancel()
 
