Take out a second copy of the queue's head, and check the expiry in one place

Found on reading the whole change once more: FairQueue.head had become the same as that of Queue, which it extends, and both readers of earlier spending repeated the check of when units expire. Two doc comments said what the code no longer did.

--- a/fuchsiacroft/placing/earlier_spending.py
+++ b/fuchsiacroft/placing/earlier_spending.py
@@ -76,21 +76,21 @@
 
     def names(self, at: float) -> set[str]:
         """Return the workspaces that spent something, as far as it is known."""
-        if at >= self._expiry_at:
-            self._expire(at)
+        self._expire_if_due(at)
         reported = {name for name, w in self._windows.items() if w.total > 0}
         return reported | {n for n, units in self._apart_units.items() if units > 0}
 
     def known(self, name: str, at: float) -> float:
         """Return the known units in the window that ends at `at`, or did lately."""
-        if at >= self._expiry_at:
-            self._expire(at)
+        self._expire_if_due(at)
         reported = self._windows.get(name)
         reported_units = 0.0 if reported is None else reported.total
         return max(reported_units, self._apart_units[name])
 
-    def _expire(self, at: float) -> None:
+    def _expire_if_due(self, at: float) -> None:
         """Drop the units that have left the window, and count the others."""
+        if at < self._expiry_at:
+            return
         before = at - self._window_s
         self._expiry_at = math.inf
         self._apart_units.clear()
--- a/fuchsiacroft/placing/fair_queue.py
+++ b/fuchsiacroft/placing/fair_queue.py
@@ -142,10 +142,6 @@
         if len(tags) > self._cleanup_at.get(permit_request.rank, MIN_CLEANUP_FLOWS):
             self._drop_idle(permit_request.rank)
 
-    def head(self) -> Waiter | None:
-        """Return the waiter that is placed next."""
-        return next(self.waiters(), None)
-
     def waiters(self) -> Iterator[Waiter]:
         """Iterate over the waiters in order of placement.
 
--- a/fuchsiacroft/placing/slot_capacity.py
+++ b/fuchsiacroft/placing/slot_capacity.py
@@ -174,7 +174,7 @@
         return self._sum_allowed((load,), service)
 
     def _sum_allowed(self, servers: Iterable[ServerLoad], service: str) -> float:
-        """Return how many runs servers may have together, as `_mean_allowed` says.
+        """Return how many runs servers may have by their learned limits and memory.
 
         Each decision asks for it, so the servers are looked at in one loop.
         """
--- a/fuchsiacroft/tests/placing/decision_steps_tests.py
+++ b/fuchsiacroft/tests/placing/decision_steps_tests.py
@@ -51,7 +51,7 @@
 
 
 class WaitingStepsTests(TestCase):
-    """The steps for the end of a run, and to refuse a request, while others wait."""
+    """The steps for the end of a run while requests wait."""
 
     def setUp(self):
         super().setUp()
